--- /dev/null
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/RackId.java
@@ -0,0 +1,21 @@
+package org.hickorycleat.model.identifier;
+
+/** Name of a rack. */
+public record RackId(String value) implements Comparable<RackId> {
+    /** Creates the identifier. */
+    public RackId {
+        if (value.isBlank()) {
+            throw new IllegalArgumentException("rack is blank");
+        }
+    }
+
+    @Override
+    public int compareTo(RackId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/ConfigurationUpdate.java
@@ -0,0 +1,9 @@
+package org.hickorycleat.model.message;
+
+import org.hickorycleat.model.identifier.ConfigurationVersion;
+
+/** A newer configuration, or the slice that the receiver needs. */
+@SuppressWarnings(
+        "ArrayRecordComponent") // Copied neither in nor out: bodies are large and never changed.
+public record ConfigurationUpdate(ConfigurationVersion version, byte[] manifest)
+        implements Message {}
--- /dev/null
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Fence.java
@@ -0,0 +1,7 @@
+package org.hickorycleat.model.message;
+
+import org.hickorycleat.model.identifier.Epoch;
+import org.hickorycleat.model.identifier.ShardNumber;
+
+/** Announces the epoch of the new owner of a placement shard. */
+public record Fence(ShardNumber shard, Epoch epoch) implements Message {}
--- /dev/null
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/LeaseRequest.java
@@ -0,0 +1,13 @@
+package org.hickorycleat.model.message;
+
+import java.util.List;
+import org.hickorycleat.model.identifier.ShardNumber;
+
+/** Asks the owner of a shard to extend leases. */
+public record LeaseRequest(ShardNumber shard, long number, List<HeldTask> tasks)
+        implements Message {
+    /** Copies the collections. */
+    public LeaseRequest {
+        tasks = List.copyOf(tasks);
+    }
+}
--- /dev/null
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Message.java
@@ -0,0 +1,23 @@
+package org.hickorycleat.model.message;
+
+/** A message between two processes of hickorycleat. */
+public sealed interface Message
+        permits AgentReport,
+                Cancel,
+                CancelResult,
+                CheckpointTask,
+                ConfigurationUpdate,
+                Failure,
+                Fence,
+                Forward,
+                Hello,
+                Invoke,
+                InvokeResult,
+                LeaseGrant,
+                LeaseRequest,
+                PeerSummary,
+                StartTask,
+                StopTask,
+                TaskReport,
+                ThrottleTask,
+                Welcome {}
--- /dev/null
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/ProcessRole.java
@@ -0,0 +1,9 @@
+package org.hickorycleat.model.message;
+
+/** Role of a process. */
+public enum ProcessRole {
+    /** Serves callers and owns placement shards. */
+    ENTRY,
+    /** Runs beside a target or worker. */
+    AGENT
+}
--- /dev/null
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/StopTask.java
@@ -0,0 +1,10 @@
+package org.hickorycleat.model.message;
+
+import org.hickorycleat.model.identifier.AttemptNumber;
+import org.hickorycleat.model.identifier.Epoch;
+import org.hickorycleat.model.identifier.ShardNumber;
+import org.hickorycleat.model.identifier.TaskId;
+
+/** Stops an attempt of a task. */
+public record StopTask(ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt)
+        implements Message {}
--- /dev/null
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/TargetReport.java
@@ -0,0 +1,13 @@
+package org.hickorycleat.model.message;
+
+import org.hickorycleat.model.identifier.InstanceNumber;
+import org.hickorycleat.model.identifier.ServiceName;
+
+/** State of a target as its agent sees it. */
+public record TargetReport(
+        ServiceName service,
+        InstanceNumber instance,
+        TargetState state,
+        int slots,
+        int connections,
+        LoadSignal load) {}
--- /dev/null
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/WorkerSummary.java
@@ -0,0 +1,20 @@
+package org.hickorycleat.model.message;
+
+import java.util.List;
+import org.hickorycleat.model.identifier.Incarnation;
+import org.hickorycleat.model.identifier.RackId;
+import org.hickorycleat.model.identifier.WorkerId;
+import org.hickorycleat.model.task.Resources;
+
+/** The worker beside an agent. */
+public record WorkerSummary(
+        WorkerId worker,
+        Incarnation incarnation,
+        RackId rack,
+        Resources capacity,
+        List<HeldTask> tasks) {
+    /** Copies the collections. */
+    public WorkerSummary {
+        tasks = List.copyOf(tasks);
+    }
+}
--- /dev/null
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/package-info.java
@@ -0,0 +1,5 @@
+/** Messages that entries and agents exchange. */
+@NullMarked
+package org.hickorycleat.model.message;
+
+import org.jspecify.annotations.NullMarked;
