--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HttpTargetClient.java
@@ -0,0 +1,173 @@
+package org.hickorycleat.daemon.agent;
+
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.core.SingleEmitter;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okhttp3.ResponseBody;
+import org.hickorycleat.logic.port.TargetAnswer;
+import org.hickorycleat.logic.port.TargetClient;
+import org.hickorycleat.logic.port.TargetNotReachedException;
+import org.hickorycleat.model.message.HttpHeader;
+import org.hickorycleat.model.message.Invoke;
+
+/** Makes HTTP exchanges with the target beside the agent. */
+public final class HttpTargetClient implements TargetClient, AutoCloseable {
+    /** Largest answer of a target, in bytes. */
+    private static final int MAXIMUM_BODY_BYTES = 512 << 10;
+
+    private static final int KEEP_ALIVE_SECONDS = 60;
+    private static final long CONNECT_TIMEOUT_MS = 1_000;
+
+    /** Headers of one connection, which are not passed on. */
+    private static final Set<String> HOP_HEADERS =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "transfer-encoding",
+                    "te",
+                    "trailer",
+                    "upgrade",
+                    "host",
+                    "content-length",
+                    "accept-encoding",
+                    "expect");
+
+    private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH");
+
+    private final Supplier<Optional<InetSocketAddress>> mAddress;
+    private final OkHttpClient mClient;
+
+    /** Creates a client that asks for the address of the target at each exchange. */
+    public HttpTargetClient(Supplier<Optional<InetSocketAddress>> address, int connections) {
+        mAddress = address;
+        Dispatcher dispatcher = new Dispatcher();
+        dispatcher.setMaxRequests(connections);
+        dispatcher.setMaxRequestsPerHost(connections);
+        mClient =
+                new OkHttpClient.Builder()
+                        .dispatcher(dispatcher)
+                        .connectionPool(
+                                new ConnectionPool(
+                                        connections, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
+                        .connectTimeout(CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                        // The deadline of each request is set on its call.
+                        .readTimeout(0, TimeUnit.MILLISECONDS)
+                        .writeTimeout(0, TimeUnit.MILLISECONDS)
+                        // A repeat inside the client would run an unsafe request twice.
+                        .retryOnConnectionFailure(false)
+                        .followRedirects(false)
+                        .build();
+    }
+
+    @Override
+    public Single<TargetAnswer> exchange(Invoke invoke) {
+        return Single.create(emitter -> start(invoke, emitter));
+    }
+
+    @Override
+    public void close() {
+        mClient.dispatcher().executorService().shutdown();
+        mClient.connectionPool().evictAll();
+    }
+
+    private void start(Invoke invoke, SingleEmitter<TargetAnswer> emitter) {
+        Optional<InetSocketAddress> address = mAddress.get();
+        if (address.isEmpty()) {
+            emitter.onError(
+                    new TargetNotReachedException("no target announced", new IOException()));
+            return;
+        }
+        Call call = mClient.newCall(request(address.get(), invoke));
+        call.timeout().timeout(Math.max(1, invoke.remainingMs()), TimeUnit.MILLISECONDS);
+        emitter.setCancellable(call::cancel);
+        call.enqueue(
+                new Callback() {
+                    @Override
+                    public void onFailure(Call failed, IOException cause) {
+                        emitter.tryOnError(translate(cause));
+                    }
+
+                    @Override
+                    public void onResponse(Call answered, Response response) {
+                        deliver(response, emitter);
+                    }
+                });
+    }
+
+    private static Exception translate(IOException cause) {
+        return cause instanceof ConnectException
+                ? new TargetNotReachedException("target refused the connection", cause)
+                : cause;
+    }
+
+    private static void deliver(Response response, SingleEmitter<TargetAnswer> emitter) {
+        try (ResponseBody body = response.body()) {
+            byte[] bytes =
+                    body.source().peek().request(MAXIMUM_BODY_BYTES + 1L)
+                            ? tooLarge()
+                            : body.bytes();
+            emitter.onSuccess(new TargetAnswer(response.code(), headers(response), bytes));
+        } catch (IOException e) {
+            emitter.tryOnError(e);
+        }
+    }
+
+    private static byte[] tooLarge() throws IOException {
+        throw new IOException("answer of the target is larger than " + MAXIMUM_BODY_BYTES);
+    }
+
+    private static List<HttpHeader> headers(Response response) {
+        List<HttpHeader> headers = new ArrayList<>();
+        response.headers()
+                .forEach(
+                        pair -> {
+                            if (passesOn(pair.getFirst())) {
+                                headers.add(new HttpHeader(pair.getFirst(), pair.getSecond()));
+                            }
+                        });
+        return headers;
+    }
+
+    private static Request request(InetSocketAddress address, Invoke invoke) {
+        String host = address.getHostString() + ":" + address.getPort();
+        Request.Builder builder = new Request.Builder().url("http://" + host + invoke.path());
+        String contentType = "application/octet-stream";
+        for (HttpHeader header : invoke.headers()) {
+            if (header.name().equalsIgnoreCase("content-type")) {
+                contentType = header.value();
+            }
+            if (passesOn(header.name())) {
+                builder.addHeader(header.name(), header.value());
+            }
+        }
+        builder.header("Hickorycleat-Request-Id", invoke.request().toString());
+        builder.header("Hickorycleat-Deadline-Ms", Long.toString(invoke.remainingMs()));
+        boolean hasBody = invoke.body().length > 0 || METHODS_WITH_BODY.contains(invoke.method());
+        builder.method(
+                invoke.method(),
+                hasBody ? RequestBody.create(invoke.body(), MediaType.parse(contentType)) : null);
+        return builder.build();
+    }
+
+    private static boolean passesOn(String header) {
+        return !HOP_HEADERS.contains(header.toLowerCase(Locale.ROOT));
+    }
+}
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/package-info.java
@@ -0,0 +1,5 @@
+/** HTTP towards operators. */
+@NullMarked
+package org.hickorycleat.daemon.http;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/LineFormatter.java
@@ -0,0 +1,48 @@
+package org.hickorycleat.daemon.logging;
+
+import java.util.Locale;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Formatter;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/** Formats log records as one line of key=value pairs on standard error. */
+public final class LineFormatter extends Formatter {
+    private static final String OWN_PACKAGE = "org.hickorycleat";
+
+    /** Makes every log of the process go through this formatter at the given level. */
+    public static void install(Level level) {
+        System.setProperty("org.jboss.logging.provider", "jdk");
+        Logger root = Logger.getLogger("");
+        for (java.util.logging.Handler handler : root.getHandlers()) {
+            root.removeHandler(handler);
+        }
+        ConsoleHandler handler = new ConsoleHandler();
+        handler.setLevel(Level.ALL);
+        handler.setFormatter(new LineFormatter());
+        root.addHandler(handler);
+        // Libraries speak only when something is wrong.
+        root.setLevel(Level.WARNING);
+        sOwnLogger.setLevel(level);
+    }
+
+    // A strong reference: the log manager holds loggers weakly and would forget the level.
+    private static Logger sOwnLogger = Logger.getLogger(OWN_PACKAGE);
+
+    @Override
+    public String format(LogRecord record) {
+        String text = formatMessage(record).replace('\n', ' ');
+        String event = text.startsWith("event=") ? text : "event=library message=\"" + text + '"';
+        Throwable thrown = record.getThrown();
+        String cause = thrown == null ? "" : " cause=\"" + thrown + '"';
+        return "time="
+                + record.getInstant()
+                + " level="
+                + record.getLevel().getName().toLowerCase(Locale.ROOT)
+                + " "
+                + event
+                + cause
+                + System.lineSeparator();
+    }
+}
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/package-info.java
@@ -0,0 +1,5 @@
+/** The daemon binary. */
+@NullMarked
+package org.hickorycleat.daemon;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageConnection.java
@@ -0,0 +1,59 @@
+package org.hickorycleat.daemon.transport;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import org.hickorycleat.model.message.Message;
+
+/** A TCP connection that carries messages in both directions. */
+// A write that fails closes the channel, which the listener is told of, so its future is not
+// needed.
+@SuppressWarnings("FutureReturnValueIgnored")
+public final class MessageConnection {
+    private final Channel mChannel;
+    private final MessageCodec mCodec;
+    private final TransportMetrics mMetrics;
+
+    MessageConnection(Channel channel, MessageCodec codec, TransportMetrics metrics) {
+        mChannel = channel;
+        mCodec = codec;
+        mMetrics = metrics;
+    }
+
+    /**
+     * Queues a message.
+     *
+     * @return false when the connection is closed or its queue is full; the message is then never
+     *     sent
+     */
+    public boolean send(Message message) {
+        if (!mChannel.isActive() || !mChannel.isWritable()) {
+            mMetrics.countRefusedSend();
+            return false;
+        }
+        byte[] content = mCodec.encode(message);
+        if (content.length > MessageCodec.MAXIMUM_FRAME_BYTES) {
+            mMetrics.countRefusedSend();
+            return false;
+        }
+        mMetrics.countSent(content.length);
+        mChannel.writeAndFlush(Unpooled.wrappedBuffer(content), mChannel.voidPromise());
+        return true;
+    }
+
+    /** Sends a last message, then closes. */
+    public void closeWith(Message message) {
+        mChannel.writeAndFlush(Unpooled.wrappedBuffer(mCodec.encode(message)))
+                .addListener(ChannelFutureListener.CLOSE);
+    }
+
+    /** Closes the connection. */
+    public void close() {
+        mChannel.close();
+    }
+
+    /** Returns the address of the peer. */
+    public String peer() {
+        return String.valueOf(mChannel.remoteAddress());
+    }
+}
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/RecordCodec.java
@@ -0,0 +1,233 @@
+package org.hickorycleat.daemon.transport;
+
+import java.io.IOException;
+import java.lang.invoke.MethodHandle;
+import java.lang.invoke.MethodHandles;
+import java.lang.invoke.MethodType;
+import java.lang.reflect.ParameterizedType;
+import java.lang.reflect.RecordComponent;
+import java.lang.reflect.Type;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageTypeException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Writes records as MessagePack arrays of their components in order.
+ *
+ * <p>A record with one component, such as an identifier, is written as the bare component; an enum
+ * as its ordinal; an {@link Optional} as its value or nil.
+ */
+final class RecordCodec {
+    private static final MethodType CONSTRUCTOR_TYPE =
+            MethodType.methodType(Object.class, Object[].class);
+
+    private final Map<Type, ValueCodec> mCodecs = new ConcurrentHashMap<>();
+
+    /** Writes a value of the given type. */
+    void write(MessagePacker packer, Type type, Object value) throws IOException {
+        codec(type).write(packer, value);
+    }
+
+    /** Reads a value of the given type. */
+    Object read(MessageUnpacker unpacker, Type type) throws IOException {
+        return codec(type).read(unpacker);
+    }
+
+    private ValueCodec codec(Type type) {
+        ValueCodec known = mCodecs.get(type);
+        if (known != null) {
+            return known;
+        }
+        ValueCodec created = create(type);
+        mCodecs.put(type, created);
+        return created;
+    }
+
+    private ValueCodec create(Type type) {
+        if (type instanceof ParameterizedType parameterized) {
+            ValueCodec element = codec(parameterized.getActualTypeArguments()[0]);
+            return parameterized.getRawType() == Optional.class
+                    ? optionalCodec(element)
+                    : listCodec(element);
+        }
+        Class<?> raw = (Class<?>) type;
+        if (raw.isRecord()) {
+            return recordCodec(raw);
+        }
+        if (raw.isEnum()) {
+            return enumCodec(raw);
+        }
+        return simpleCodec(raw);
+    }
+
+    private static ValueCodec simpleCodec(Class<?> type) {
+        if (type == int.class) {
+            return ValueCodec.of(
+                    (packer, value) -> packer.packInt((int) value), MessageUnpacker::unpackInt);
+        }
+        if (type == long.class) {
+            return ValueCodec.of(
+                    (packer, value) -> packer.packLong((long) value), MessageUnpacker::unpackLong);
+        }
+        if (type == boolean.class) {
+            return ValueCodec.of(
+                    (packer, value) -> packer.packBoolean((boolean) value),
+                    MessageUnpacker::unpackBoolean);
+        }
+        if (type == String.class) {
+            return ValueCodec.of(
+                    (packer, value) -> packer.packString((String) value),
+                    MessageUnpacker::unpackString);
+        }
+        if (type == byte[].class) {
+            return ValueCodec.of(RecordCodec::writeBytes, RecordCodec::readBytes);
+        }
+        throw new IllegalArgumentException("no codec for " + type);
+    }
+
+    private static void writeBytes(MessagePacker packer, Object value) throws IOException {
+        byte[] bytes = (byte[]) value;
+        packer.packBinaryHeader(bytes.length);
+        packer.writePayload(bytes);
+    }
+
+    private static Object readBytes(MessageUnpacker unpacker) throws IOException {
+        return unpacker.readPayload(boundedLength(unpacker.unpackBinaryHeader()));
+    }
+
+    private static ValueCodec optionalCodec(ValueCodec element) {
+        return ValueCodec.of(
+                (packer, value) -> {
+                    Optional<?> optional = (Optional<?>) value;
+                    if (optional.isPresent()) {
+                        element.write(packer, optional.get());
+                    } else {
+                        packer.packNil();
+                    }
+                },
+                unpacker ->
+                        unpacker.tryUnpackNil()
+                                ? Optional.empty()
+                                : Optional.of(element.read(unpacker)));
+    }
+
+    private static ValueCodec listCodec(ValueCodec element) {
+        return ValueCodec.of(
+                (packer, value) -> {
+                    List<?> list = (List<?>) value;
+                    packer.packArrayHeader(list.size());
+                    for (Object item : list) {
+                        element.write(packer, item);
+                    }
+                },
+                unpacker -> {
+                    int size = boundedLength(unpacker.unpackArrayHeader());
+                    // Grows with what really arrives: a forged header must not allocate memory.
+                    List<Object> list = new ArrayList<>();
+                    for (int i = 0; i < size; i++) {
+                        list.add(element.read(unpacker));
+                    }
+                    return list;
+                });
+    }
+
+    // The constants are append only, so their ordinals are stable on the wire and short.
+    @SuppressWarnings("EnumOrdinal")
+    private static ValueCodec enumCodec(Class<?> type) {
+        Object[] constants = type.getEnumConstants();
+        return ValueCodec.of(
+                (packer, value) -> packer.packInt(((Enum<?>) value).ordinal()),
+                unpacker -> {
+                    int ordinal = unpacker.unpackInt();
+                    if (ordinal < 0 || ordinal >= constants.length) {
+                        throw new MessageTypeException("no such constant: " + ordinal);
+                    }
+                    return constants[ordinal];
+                });
+    }
+
+    private ValueCodec recordCodec(Class<?> type) {
+        RecordComponent[] components = type.getRecordComponents();
+        ValueCodec[] codecs = new ValueCodec[components.length];
+        MethodHandle[] accessors = new MethodHandle[components.length];
+        MethodHandle constructor = constructor(type, components);
+        for (int i = 0; i < components.length; i++) {
+            codecs[i] = codec(components[i].getGenericType());
+            accessors[i] = accessor(components[i]);
+        }
+        boolean bare = components.length == 1;
+        return ValueCodec.of(
+                (packer, value) -> {
+                    if (!bare) {
+                        packer.packArrayHeader(codecs.length);
+                    }
+                    for (int i = 0; i < codecs.length; i++) {
+                        codecs[i].write(packer, get(accessors[i], value));
+                    }
+                },
+                unpacker -> {
+                    if (!bare && unpacker.unpackArrayHeader() != codecs.length) {
+                        throw new MessageTypeException("wrong number of fields");
+                    }
+                    Object[] values = new Object[codecs.length];
+                    for (int i = 0; i < codecs.length; i++) {
+                        values[i] = codecs[i].read(unpacker);
+                    }
+                    return construct(constructor, values);
+                });
+    }
+
+    private static MethodHandle constructor(Class<?> type, RecordComponent[] components) {
+        Class<?>[] types =
+                Arrays.stream(components).map(RecordComponent::getType).toArray(Class<?>[]::new);
+        try {
+            return MethodHandles.publicLookup()
+                    .findConstructor(type, MethodType.methodType(void.class, types))
+                    .asSpreader(Object[].class, types.length)
+                    .asType(CONSTRUCTOR_TYPE);
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalArgumentException("no constructor for " + type, e);
+        }
+    }
+
+    private static MethodHandle accessor(RecordComponent component) {
+        try {
+            return MethodHandles.publicLookup()
+                    .unreflect(component.getAccessor())
+                    .asType(MethodType.methodType(Object.class, Object.class));
+        } catch (IllegalAccessException e) {
+            throw new IllegalArgumentException("no accessor for " + component, e);
+        }
+    }
+
+    private static Object get(MethodHandle accessor, Object value) {
+        try {
+            return accessor.invokeExact(value);
+        } catch (Throwable e) {
+            throw new IllegalStateException("accessor failed", e);
+        }
+    }
+
+    private static Object construct(MethodHandle constructor, Object[] values) {
+        try {
+            return constructor.invokeExact(values);
+        } catch (RuntimeException e) {
+            throw e;
+        } catch (Throwable e) {
+            throw new IllegalStateException("constructor failed", e);
+        }
+    }
+
+    private static int boundedLength(int length) {
+        if (length > MessageCodec.MAXIMUM_FRAME_BYTES) {
+            throw new MessageTypeException("length out of range: " + length);
+        }
+        return length;
+    }
+}
