--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AnnouncementParser.java
@@ -0,0 +1,82 @@
+package org.hickorycleat.daemon.agent;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.hickorycleat.model.identifier.InstanceNumber;
+import org.hickorycleat.model.identifier.ServiceName;
+import org.hickorycleat.model.message.TargetState;
+
+/** Parses and checks the JSON of an announcement. */
+final class AnnouncementParser {
+    private static final int HIGHEST_PORT = 65_535;
+    private static final int HIGHEST_SLOTS = 4_096;
+    private static final int HIGHEST_CONNECTIONS = 65_536;
+    private static final int HIGHEST_INSTANCE = 1_000_000;
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final List<String> mErrors = new ArrayList<>();
+
+    private AnnouncementParser() {}
+
+    /** Parses an announcement; the left side holds every error. */
+    static Either<List<String>, Announcement> parse(byte[] body) {
+        JsonNode root;
+        try {
+            root = MAPPER.readTree(body);
+        } catch (IOException e) {
+            return Either.left(List.of("not JSON"));
+        }
+        return new AnnouncementParser().read(root);
+    }
+
+    private Either<List<String>, Announcement> read(JsonNode root) {
+        String service = root.path("service").asText("");
+        if (service.isBlank()) {
+            mErrors.add("service: expected a name");
+        }
+        int instance = number(root, "instance", 0, HIGHEST_INSTANCE);
+        int port = number(root, "port", 1, HIGHEST_PORT);
+        int slots = number(root, "slots", 1, HIGHEST_SLOTS);
+        int connections = number(root, "connections", 1, HIGHEST_CONNECTIONS);
+        String state = root.path("state").asText("");
+        if (!state.equals("ready") && !state.equals("leaving")) {
+            mErrors.add("state: expected ready or leaving, found '" + state + "'");
+        }
+        if (mErrors.isEmpty() && connections < slots) {
+            mErrors.add("connections: expected at least the number of slots");
+        }
+        if (!mErrors.isEmpty()) {
+            return Either.left(mErrors);
+        }
+        return Either.right(
+                new Announcement(
+                        new ServiceName(service),
+                        new InstanceNumber(instance),
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+                        slots,
+                        connections,
+                        state.equals("ready") ? TargetState.READY : TargetState.LEAVING));
+    }
+
+    private int number(JsonNode root, String key, int lowest, int highest) {
+        JsonNode node = root.path(key);
+        if (!node.isInt() || node.asInt() < lowest || node.asInt() > highest) {
+            mErrors.add(
+                    key
+                            + ": expected a whole number from "
+                            + lowest
+                            + " to "
+                            + highest
+                            + ", found "
+                            + (node.isMissingNode() ? "nothing" : node));
+            return lowest;
+        }
+        return node.asInt();
+    }
+}
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminHttp.java
@@ -0,0 +1,94 @@
+package org.hickorycleat.daemon.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.javalin.Javalin;
+import io.javalin.config.JavalinConfig;
+import io.javalin.http.Context;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.hickorycleat.model.result.ResultCode;
+
+/** Admin HTTP of a process: health, readiness, status, dump, jobs, drain and metrics. */
+public final class AdminHttp implements AutoCloseable {
+    /** Jetty needs a few threads for itself: acceptor, selector and a reserve. */
+    private static final int THREADS = 8;
+
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int ACCEPTED = 202;
+
+    private final AdminView mView;
+    private final PrometheusMeterRegistry mMeters;
+    private final ObjectMapper mMapper = StateMapper.create();
+    private final Javalin mServer;
+
+    /** Creates the server; {@code routes} adds routes of the role. */
+    public AdminHttp(
+            AdminView view, PrometheusMeterRegistry meters, Consumer<JavalinConfig> routes) {
+        mView = view;
+        mMeters = meters;
+        mServer = Javalin.create(configuration -> configure(configuration, routes));
+    }
+
+    /** Starts to listen. */
+    public void start(InetSocketAddress address) {
+        mServer.start(address.getHostString(), address.getPort());
+    }
+
+    @Override
+    public void close() {
+        mServer.stop();
+    }
+
+    private void configure(JavalinConfig configuration, Consumer<JavalinConfig> routes) {
+        configuration.startup.showJavalinBanner = false;
+        configuration.jetty.threadPool = new QueuedThreadPool(THREADS, 2);
+        configuration.routes.get("/health", context -> context.result("ok"));
+        configuration.routes.get("/ready", this::ready);
+        configuration.routes.get("/metrics", context -> context.result(mMeters.scrape()));
+        configuration.routes.get("/admin/status", context -> json(context, mView.status()));
+        configuration.routes.get("/admin/dump", context -> json(context, mView.dump()));
+        configuration.routes.get("/admin/jobs", context -> json(context, mView.jobs()));
+        configuration.routes.get("/admin/explain/{task}", this::explain);
+        configuration.routes.post("/admin/drain", this::drain);
+        routes.accept(configuration);
+    }
+
+    private void ready(Context context) throws JsonProcessingException {
+        List<String> reasons = mView.unreadyReasons();
+        if (!reasons.isEmpty()) {
+            context.status(SERVICE_UNAVAILABLE);
+        }
+        json(context, Map.of("ready", reasons.isEmpty(), "reasons", reasons));
+    }
+
+    private void explain(Context context) throws JsonProcessingException {
+        var explanation = mView.explain(context.pathParam("task"));
+        if (explanation.isEmpty()) {
+            context.status(ResultCode.NOT_FOUND.httpStatus());
+            json(
+                    context,
+                    Map.of(
+                            "result",
+                            ResultCode.NOT_FOUND.number(),
+                            "detail",
+                            "no task of that name here"));
+            return;
+        }
+        json(context, explanation.get());
+    }
+
+    private void drain(Context context) throws JsonProcessingException {
+        mView.drain();
+        context.status(ACCEPTED);
+        json(context, Map.of("draining", true));
+    }
+
+    private void json(Context context, Object value) throws JsonProcessingException {
+        context.contentType("application/json").result(mMapper.writeValueAsString(value));
+    }
+}
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
@@ -20,6 +20,7 @@
 import org.hickorycleat.model.message.LeaseRequest;
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.PeerSummary;
+import org.hickorycleat.model.message.ServiceUpdate;
 import org.hickorycleat.model.message.StartTask;
 import org.hickorycleat.model.message.StopTask;
 import org.hickorycleat.model.message.TaskReport;
@@ -60,7 +61,8 @@
                     TaskReport.class,
                     Forward.class,
                     PeerSummary.class,
-                    Failure.class);
+                    Failure.class,
+                    ServiceUpdate.class);
 
     private final RecordCodec mRecords = new RecordCodec();
 
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Message.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Message.java
@@ -2,7 +2,8 @@
 
 /** A message between two processes of hickorycleat. */
 public sealed interface Message
-        permits AgentReport,
+        permits ServiceUpdate,
+                AgentReport,
                 Cancel,
                 CancelResult,
                 CheckpointTask,
