Add target directory, routing and admission control

Working core without tests yet. The directory takes the session of a connection, so that the late close of an older connection does not hide targets that a newer one reports.

--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/UnlimitedAdmission.java
@@ -0,0 +1,14 @@
+package org.hickorycleat.logic.admission;
+
+import org.hickorycleat.model.identifier.ServiceName;
+import org.hickorycleat.model.identifier.TeamName;
+import org.hickorycleat.model.manifest.Criticality;
+
+/** Baseline: admits every request. */
+public final class UnlimitedAdmission implements AdmissionControl {
+    @Override
+    public Admission admit(
+            ServiceName service, Criticality criticality, TeamName team, long remainingMs) {
+        return new Admission.Admitted(() -> {});
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/TargetDirectory.java
@@ -0,0 +1,199 @@
+package org.hickorycleat.logic.membership;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
+import org.hickorycleat.logic.routing.TargetAddress;
+import org.hickorycleat.model.identifier.Incarnation;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.identifier.ServiceName;
+import org.hickorycleat.model.identifier.SessionNumber;
+import org.hickorycleat.model.identifier.ZoneId;
+import org.hickorycleat.model.message.AgentReport;
+import org.hickorycleat.model.message.LoadSignal;
+import org.hickorycleat.model.message.TargetReport;
+import org.hickorycleat.model.message.TargetState;
+
+/**
+ * An entry's view of targets, fed by the connections of agents.
+ *
+ * <p>Sharded by service. Events of one agent are serialized; its lock is taken before the lock of a
+ * shard.
+ */
+public final class TargetDirectory {
+    /** Gone targets stay visible in the dump for this long after their last report. */
+    private static final long FORGET_AFTER_MS = 60_000;
+
+    private final Scheduler mScheduler;
+    private final ConcurrentMap<ProcessId, AgentSession> mAgents = new ConcurrentHashMap<>();
+    private final ConcurrentMap<ServiceName, TargetShard> mShards = new ConcurrentHashMap<>();
+    private volatile int mLiveEntries = 1;
+
+    /** Creates a directory that takes its time from the scheduler. */
+    public TargetDirectory(Scheduler scheduler) {
+        mScheduler = scheduler;
+    }
+
+    /**
+     * Records a connection; its targets come up with its first report.
+     *
+     * @return false when a newer session of the agent is known; the connection is then ignored
+     */
+    public boolean onAgentConnected(
+            ProcessId agent, ZoneId zone, Incarnation incarnation, SessionNumber session) {
+        AgentSession latest =
+                mAgents.compute(
+                        agent,
+                        (key, known) -> {
+                            if (known != null && !known.isOlderThan(incarnation, session)) {
+                                return known;
+                            }
+                            if (known != null) {
+                                known.targets().forEach(this::disconnect);
+                            }
+                            return AgentSession.opened(zone, incarnation, session, nowMs());
+                        });
+        return latest.connected()
+                && latest.incarnation().equals(incarnation)
+                && latest.session().equals(session);
+    }
+
+    /** Updates the targets of a connected agent; a report without connection is ignored. */
+    public void onAgentReport(ProcessId agent, AgentReport report) {
+        long nowMs = nowMs();
+        mAgents.computeIfPresent(
+                agent,
+                (key, session) ->
+                        session.connected() ? apply(agent, session, report, nowMs) : session);
+    }
+
+    /** Marks the targets of the agent as gone unless a newer session is open. */
+    public void onAgentDisconnected(ProcessId agent, SessionNumber session) {
+        mAgents.computeIfPresent(
+                agent,
+                (key, known) -> {
+                    if (!known.session().equals(session)) {
+                        return known;
+                    }
+                    known.targets().forEach(this::disconnect);
+                    return known.closed(nowMs());
+                });
+    }
+
+    /** Records the load signal of an answer; ignored if the target has restarted since. */
+    public void onLoadSignal(TargetAddress target, Incarnation incarnation, LoadSignal load) {
+        long nowMs = nowMs();
+        update(
+                target,
+                view -> view.incarnation().equals(incarnation) ? view.withLoad(load, nowMs) : view);
+    }
+
+    /** Records that the agent refused work because the target is leaving. */
+    public void onLeaving(TargetAddress target, Incarnation incarnation) {
+        update(
+                target,
+                view ->
+                        view.incarnation().equals(incarnation)
+                                ? view.withAnnounced(TargetState.LEAVING)
+                                : view);
+    }
+
+    /** Sets the number of entries, this one included, that share the slots. */
+    public void setLiveEntries(int liveEntries) {
+        mLiveEntries = Math.max(1, liveEntries);
+    }
+
+    /** Returns the number of entries that share the slots. */
+    public int liveEntries() {
+        return mLiveEntries;
+    }
+
+    /** Returns the targets of a service in every condition. */
+    public List<TargetView> targets(ServiceName service) {
+        TargetShard shard = mShards.get(service);
+        return shard == null ? List.of() : shard.views();
+    }
+
+    /** Returns the targets of a service that may get new work. */
+    public List<TargetView> readyTargets(ServiceName service) {
+        long nowMs = nowMs();
+        List<TargetView> ready = new ArrayList<>();
+        for (TargetView view : targets(service)) {
+            if (view.condition(nowMs) == TargetCondition.READY) {
+                ready.add(view);
+            }
+        }
+        return ready;
+    }
+
+    /** Returns the free slots of the ready targets of a service as last heard. */
+    public int freeSlots(ServiceName service) {
+        int free = 0;
+        for (TargetView view : readyTargets(service)) {
+            free += Math.max(0, view.slots() - view.load().inFlight());
+        }
+        return free;
+    }
+
+    /** Drops agents and targets that have been gone for a minute; called now and then. */
+    public void forgetGone() {
+        long nowMs = nowMs();
+        mShards.values().forEach(shard -> shard.forget(nowMs, FORGET_AFTER_MS));
+        mAgents.values()
+                .removeIf(
+                        session ->
+                                !session.connected()
+                                        && nowMs - session.heardMs() >= FORGET_AFTER_MS);
+    }
+
+    /** Returns every target by service, for the dump. */
+    public Map<ServiceName, List<TargetView>> dump() {
+        Map<ServiceName, List<TargetView>> dump = new TreeMap<>();
+        mShards.forEach((service, shard) -> dump.put(service, shard.views()));
+        return dump;
+    }
+
+    /** Returns the current time of the scheduler in milliseconds. */
+    public long nowMs() {
+        return mScheduler.now(TimeUnit.MILLISECONDS);
+    }
+
+    private AgentSession apply(
+            ProcessId agent, AgentSession session, AgentReport report, long nowMs) {
+        long offsetMs = nowMs - report.uptimeMs();
+        List<TargetAddress> reported = new ArrayList<>();
+        for (TargetReport target : report.targets()) {
+            reported.add(new TargetAddress(agent, target.service(), target.instance()));
+        }
+        AgentSession updated = session.reported(offsetMs, List.copyOf(reported), nowMs);
+        long reportMs = report.uptimeMs() + updated.smallestOffsetMs();
+        for (int i = 0; i < reported.size(); i++) {
+            TargetReport target = report.targets().get(i);
+            mShards.computeIfAbsent(target.service(), service -> new TargetShard())
+                    .report(reported.get(i), updated, target, reportMs, nowMs);
+        }
+        for (TargetAddress earlier : session.targets()) {
+            if (!reported.contains(earlier)) {
+                disconnect(earlier);
+            }
+        }
+        return updated;
+    }
+
+    private void disconnect(TargetAddress target) {
+        update(target, TargetView::disconnected);
+    }
+
+    private void update(TargetAddress target, UnaryOperator<TargetView> change) {
+        TargetShard shard = mShards.get(target.service());
+        if (shard != null) {
+            shard.update(target, change);
+        }
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/package-info.java
@@ -0,0 +1,5 @@
+/** What an entry knows of agents and their targets. */
+@NullMarked
+package org.hickorycleat.logic.membership;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/RoundRobinSelector.java
@@ -0,0 +1,24 @@
+package org.hickorycleat.logic.routing;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hickorycleat.logic.membership.TargetDirectory;
+import org.hickorycleat.logic.membership.TargetView;
+import org.hickorycleat.model.identifier.ServiceName;
+
+/** Baseline: takes the targets in turn. */
+public final class RoundRobinSelector extends CountingSelector {
+    private final Map<ServiceName, Integer> mNext = new HashMap<>();
+
+    /** Creates the selector. */
+    public RoundRobinSelector(TargetDirectory directory) {
+        super(directory);
+    }
+
+    @Override
+    TargetView choose(ServiceName service, List<TargetView> candidates) {
+        int next = mNext.merge(service, 1, Integer::sum);
+        return candidates.get(Math.floorMod(next, candidates.size()));
+    }
+}
