Refuse the delayed hello of an older agent session

Cause: connections run on several event loops, so an older hello may be handled after a newer one and would have replaced the newer session. Conclusion: the later incarnation and session wins in one atomic step.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/AgentConnections.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/AgentConnections.java
@@ -143,11 +143,12 @@
                             hello.process(),
                             peer,
                             (known, opened) -> {
-                                Peer later = isLater(opened.hello(), known.hello()) ? opened : known;
-                                (later == opened ? known : opened).connection().close();
+                                Peer later =
+                                        isLater(opened.hello(), known.hello()) ? opened : known;
+                                (later.equals(opened) ? known : opened).connection().close();
                                 return later;
                             });
-            if (latest == peer) {
+            if (latest.equals(peer)) {
                 mEvents.onAgentOpened(hello);
             }
         }
@@ -155,8 +156,7 @@
         private static boolean isLater(Hello candidate, Hello known) {
             int incarnations = candidate.incarnation().compareTo(known.incarnation());
             return incarnations > 0
-                    || (incarnations == 0
-                            && candidate.session().compareTo(known.session()) > 0);
+                    || (incarnations == 0 && candidate.session().compareTo(known.session()) > 0);
         }
     }
 }
