Add the invocation service and the request coordinator

The agent's side keeps requests, keys and sessions in shards; the entry's side brings every request to one result. Not covered by tests yet.

--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/KeyMapping.java
@@ -0,0 +1,94 @@
+package org.hickorycleat.logic.invocation;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.hickorycleat.model.identifier.ConfigurationVersion;
+import org.hickorycleat.model.identifier.IdempotencyKey;
+import org.hickorycleat.model.identifier.InstanceNumber;
+import org.hickorycleat.model.identifier.ServiceName;
+import org.hickorycleat.model.result.ResultCode;
+
+/**
+ * Mapping of the keys of one service to instances, with the mappings that it replaced recently.
+ *
+ * <p>A key whose instance changed is refused for a window after the change: its record is at the
+ * instance that served it before. The window is the validity of a key plus {@link #SPREAD}.
+ */
+public final class KeyMapping {
+    /**
+     * Added to the window, since another process may use the old mapping for as long as a
+     * configuration takes to reach it (at most 3 s).
+     */
+    public static final Duration SPREAD = Duration.ofSeconds(5);
+
+    private final ServiceName mService;
+    private final ConfigurationVersion mVersion;
+    private final List<InstanceNumber> mInstances;
+    private final List<Replaced> mReplaced;
+    private final long mWindowMs;
+
+    private KeyMapping(
+            ServiceName service,
+            ConfigurationVersion version,
+            List<InstanceNumber> instances,
+            List<Replaced> replaced,
+            long windowMs) {
+        mService = service;
+        mVersion = version;
+        mInstances = List.copyOf(instances);
+        mReplaced = List.copyOf(replaced);
+        mWindowMs = windowMs;
+    }
+
+    /** Creates the mapping that a process knows first. */
+    public static KeyMapping initial(
+            ServiceName service,
+            ConfigurationVersion version,
+            List<InstanceNumber> instances,
+            Duration keyValidity) {
+        long windowMs = keyValidity.plus(SPREAD).toMillis();
+        return new KeyMapping(service, version, instances, List.of(), windowMs);
+    }
+
+    /** Returns the mapping after a change; a version that is not higher changes nothing. */
+    public KeyMapping replacedBy(
+            ConfigurationVersion version, List<InstanceNumber> instances, long nowMs) {
+        if (version.compareTo(mVersion) <= 0) {
+            return this;
+        }
+        List<Replaced> replaced =
+                Stream.concat(
+                                mReplaced.stream().filter(old -> inWindow(old, nowMs)),
+                                Stream.of(new Replaced(mInstances, nowMs)))
+                        .toList();
+        return new KeyMapping(mService, version, instances, replaced, mWindowMs);
+    }
+
+    /** Returns the version of the mapping. */
+    public ConfigurationVersion version() {
+        return mVersion;
+    }
+
+    /** Finds the instance of a key, or the reason why the key cannot be used now. */
+    public Either<ResultCode, InstanceNumber> route(IdempotencyKey key, long nowMs) {
+        Optional<InstanceNumber> current = RendezvousHash.choose(mService, key, mInstances);
+        if (current.isEmpty()) {
+            return Either.left(ResultCode.NO_TARGET);
+        }
+        boolean moved =
+                mReplaced.stream()
+                        .filter(old -> inWindow(old, nowMs))
+                        .map(old -> RendezvousHash.choose(mService, key, old.instances()))
+                        .anyMatch(instance -> !instance.equals(current));
+        return moved ? Either.left(ResultCode.MAPPING_CHANGED) : Either.right(current.get());
+    }
+
+    private boolean inWindow(Replaced old, long nowMs) {
+        return nowMs - old.replacedMs() < mWindowMs;
+    }
+
+    private record Replaced(List<InstanceNumber> instances, long replacedMs) {}
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/TargetConfiguration.java
@@ -0,0 +1,33 @@
+package org.hickorycleat.logic.invocation;
+
+import java.util.List;
+import org.hickorycleat.model.identifier.ConfigurationVersion;
+import org.hickorycleat.model.identifier.InstanceNumber;
+import org.hickorycleat.model.identifier.ServiceName;
+
+/**
+ * What an agent needs to know of the target beside it.
+ *
+ * @param service service of the target
+ * @param instance instance number that the target announced
+ * @param mappedInstances instance numbers of the service in the manifest
+ * @param mappingVersion version of the manifest that last changed {@code mappedInstances}
+ * @param slots requests that run at once
+ * @param connections requests that run or wait
+ */
+public record TargetConfiguration(
+        ServiceName service,
+        InstanceNumber instance,
+        List<InstanceNumber> mappedInstances,
+        ConfigurationVersion mappingVersion,
+        int slots,
+        int connections) {
+    /** Creates the configuration. */
+    public TargetConfiguration {
+        if (slots < 1 || connections < slots) {
+            throw new IllegalArgumentException(
+                    "slots must be from 1 to connections: " + slots + ", " + connections);
+        }
+        mappedInstances = List.copyOf(mappedInstances);
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/Attempt.java
@@ -0,0 +1,74 @@
+package org.hickorycleat.logic.retry;
+
+import java.util.Optional;
+import org.hickorycleat.logic.routing.TargetReservation;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.identifier.RequestId;
+import org.hickorycleat.model.message.LoadSignal;
+import org.hickorycleat.model.result.ResultCode;
+
+/**
+ * One attempt of a call at one target. Whoever removes it from {@link OutstandingRequests} settles
+ * it; nobody else does.
+ */
+final class Attempt {
+    private final RequestId mRequest;
+    private final AttemptOwner mOwner;
+    private final TargetReservation mReservation;
+    private final long mStartedMicros;
+    // Written under the lock of the shard only.
+    private volatile LinkSession mSession;
+    private volatile boolean mUnresolved;
+
+    Attempt(
+            RequestId request,
+            AttemptOwner owner,
+            TargetReservation reservation,
+            LinkSession session,
+            long startedMicros) {
+        mRequest = request;
+        mOwner = owner;
+        mReservation = reservation;
+        mSession = session;
+        mStartedMicros = startedMicros;
+    }
+
+    RequestId request() {
+        return mRequest;
+    }
+
+    AttemptOwner owner() {
+        return mOwner;
+    }
+
+    TargetReservation reservation() {
+        return mReservation;
+    }
+
+    ProcessId agent() {
+        return mReservation.target().agent();
+    }
+
+    /** Returns the connection on which its answer is expected. */
+    LinkSession session() {
+        return mSession;
+    }
+
+    /** Tells whether the connection on which it was sent was lost. */
+    boolean unresolved() {
+        return mUnresolved;
+    }
+
+    void markUnresolved() {
+        mUnresolved = true;
+    }
+
+    void expectOn(LinkSession session) {
+        mSession = session;
+        mUnresolved = true;
+    }
+
+    void release(ResultCode code, Optional<LoadSignal> load, long nowMicros) {
+        mReservation.release(code, load, nowMicros - mStartedMicros);
+    }
+}
