--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/CommandSender.java
@@ -0,0 +1,101 @@
+package org.hickorycleat.logic.ownership;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.hickorycleat.logic.lease.LeaseLedger;
+import org.hickorycleat.model.identifier.AttemptNumber;
+import org.hickorycleat.model.identifier.Epoch;
+import org.hickorycleat.model.identifier.ShardNumber;
+import org.hickorycleat.model.identifier.TaskId;
+import org.hickorycleat.model.message.CheckpointTask;
+import org.hickorycleat.model.message.Fence;
+import org.hickorycleat.model.message.HeldTask;
+import org.hickorycleat.model.message.LeaseGrant;
+import org.hickorycleat.model.message.Message;
+import org.hickorycleat.model.message.StartTask;
+import org.hickorycleat.model.message.StopTask;
+import org.hickorycleat.model.message.ThrottleTask;
+
+/** Turns recorded decisions into messages to agents. */
+final class CommandSender {
+    private final ShardNumber mShard;
+    private final long mLeaseMs;
+    private final LeaseLedger mLedger;
+    private final Consumer<OwnerEffect> mEffects;
+    private Epoch mEpoch = new Epoch(-1);
+
+    CommandSender(
+            ShardNumber shard, long leaseMs, LeaseLedger ledger, Consumer<OwnerEffect> effects) {
+        mShard = shard;
+        mLeaseMs = leaseMs;
+        mLedger = ledger;
+        mEffects = effects;
+    }
+
+    void epoch(Epoch epoch) {
+        mEpoch = epoch;
+    }
+
+    void fence(AgentSession agent) {
+        send(agent, new Fence(mShard, mEpoch));
+    }
+
+    /** Sends the start of a recorded attempt; it names a lease request and counts as a grant. */
+    void start(AgentSession agent, TaskRecord task, long nowMs) {
+        Optional<AttemptRecord> recorded = task.attempt();
+        if (recorded.isEmpty() || !agent.available() || !agent.holds(recorded.get())) {
+            return;
+        }
+        AttemptNumber attempt = recorded.get().number();
+        mLedger.granted(task.task(), attempt, nowMs);
+        send(
+                agent,
+                new StartTask(
+                        mShard,
+                        mEpoch,
+                        task.task(),
+                        attempt,
+                        task.specification().resources(),
+                        agent.requestNumber().getAsLong(),
+                        mLeaseMs,
+                        task.specification().estimatedMs(),
+                        task.checkpoint().map(Checkpoint::name)));
+    }
+
+    /** Checkpoints what will be resumed, then stops it. */
+    void stop(AgentSession agent, TaskRecord task, AttemptRecord attempt) {
+        boolean resumed = attempt.stop().equals(Optional.of(StopCause.EVICTED));
+        if (resumed && task.specification().checkpointable()) {
+            checkpoint(agent, task.task(), attempt.number());
+        }
+        stop(agent, task.task(), attempt.number());
+    }
+
+    void stop(AgentSession agent, TaskId task, AttemptNumber attempt) {
+        if (agent.isFenced()) {
+            send(agent, new StopTask(mShard, mEpoch, task, attempt));
+        }
+    }
+
+    void checkpoint(AgentSession agent, TaskId task, AttemptNumber attempt) {
+        if (agent.isFenced()) {
+            send(agent, new CheckpointTask(mShard, mEpoch, task, attempt));
+        }
+    }
+
+    void throttle(AgentSession agent, TaskId task, AttemptNumber attempt, int permille) {
+        if (agent.isFenced()) {
+            send(agent, new ThrottleTask(mShard, mEpoch, task, attempt, permille));
+        }
+    }
+
+    void grant(AgentSession agent, long requestNumber, List<HeldTask> tasks, long nowMs) {
+        tasks.forEach(held -> mLedger.granted(held.task(), held.attempt(), nowMs));
+        send(agent, new LeaseGrant(mShard, mEpoch, requestNumber, tasks, mLeaseMs));
+    }
+
+    private void send(AgentSession agent, Message message) {
+        mEffects.accept(new OwnerEffect.SendMessage(agent.agent(), message));
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ImageFields.java
@@ -0,0 +1,95 @@
+package org.hickorycleat.logic.ownership;
+
+import java.io.IOException;
+import org.hickorycleat.model.identifier.AttemptNumber;
+import org.hickorycleat.model.identifier.ConfigurationVersion;
+import org.hickorycleat.model.identifier.Epoch;
+import org.hickorycleat.model.identifier.Incarnation;
+import org.hickorycleat.model.identifier.InstanceNumber;
+import org.hickorycleat.model.identifier.ServiceName;
+import org.hickorycleat.model.identifier.TaskId;
+import org.hickorycleat.model.identifier.WorkerId;
+
+/** Fields of the state of a shard. */
+final class ImageFields {
+    private final TaskFields mTasks = new TaskFields();
+
+    void write(FieldWriter writer, ShardImage image) {
+        writer.number(image.epoch().value())
+                .optional(image.owner(), owner -> ShardRecordCodec.owner(writer, owner))
+                .number(image.lastSequence())
+                .number(image.manifestVersion().value())
+                .list(image.tasks(), task -> task(writer, task))
+                .list(
+                        image.ended(),
+                        ended -> {
+                            writer.text(ended.task().value());
+                            mTasks.ending(writer, ended.ending());
+                        })
+                .list(image.generations(), run -> generation(writer, run));
+    }
+
+    ShardImage read(FieldReader reader) throws IOException {
+        return new ShardImage(
+                new Epoch(reader.number()),
+                reader.optional(() -> ShardRecordCodec.owner(reader)),
+                reader.number(),
+                new ConfigurationVersion(reader.number()),
+                reader.list(() -> task(reader)),
+                reader.list(() -> new EndedTask(new TaskId(reader.text()), mTasks.ending(reader))),
+                reader.list(() -> generation(reader)));
+    }
+
+    private static void generation(FieldWriter writer, ServiceTask run) {
+        writer.text(run.instance().service().value())
+                .number(run.instance().instance().value())
+                .number(run.generation());
+    }
+
+    private static ServiceTask generation(FieldReader reader) throws IOException {
+        return new ServiceTask(
+                new ServiceTask.ServiceInstance(
+                        new ServiceName(reader.text()), new InstanceNumber(reader.number())),
+                reader.number());
+    }
+
+    private void task(FieldWriter writer, TaskRecord task) {
+        mTasks.specification(writer, task.specification());
+        writer.number(task.submittedMs())
+                .number(task.lastAttempt())
+                .optional(task.attempt(), attempt -> attempt(writer, attempt))
+                .optional(task.checkpoint(), saved -> mTasks.checkpoint(writer, saved))
+                .number(task.evictions())
+                .number(task.failures());
+    }
+
+    private TaskRecord task(FieldReader reader) throws IOException {
+        return new TaskRecord(
+                mTasks.specification(reader),
+                reader.number(),
+                reader.number(),
+                reader.optional(() -> attempt(reader)),
+                reader.optional(() -> mTasks.checkpoint(reader)),
+                reader.smallNumber(),
+                reader.smallNumber());
+    }
+
+    private static void attempt(FieldWriter writer, AttemptRecord attempt) {
+        writer.number(attempt.number().value())
+                .text(attempt.worker().value())
+                .number(attempt.workerIncarnation().value())
+                .number(attempt.startedMs())
+                .number(attempt.throttlePermille())
+                .optional(attempt.stop(), cause -> writer.text(cause.name()));
+    }
+
+    private static AttemptRecord attempt(FieldReader reader) throws IOException {
+        return new AttemptRecord(
+                new AttemptNumber(reader.number()),
+                new WorkerId(reader.text()),
+                new Incarnation(reader.number()),
+                reader.number(),
+                reader.smallNumber(),
+                reader.optional(() -> StopCause.valueOf(reader.text())));
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/RecordAppender.java
@@ -0,0 +1,105 @@
+package org.hickorycleat.logic.ownership;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.hickorycleat.model.identifier.Epoch;
+import org.hickorycleat.model.identifier.StreamName;
+
+/** Appends the records of this process at their intervals. */
+final class RecordAppender {
+    private final StreamName mStream;
+    private final OwnerIdentity mSelf;
+    private final OwnerSettings mSettings;
+    private final Consumer<OwnerEffect> mEffects;
+    private final ShardRecordCodec mCodec = new ShardRecordCodec();
+    private final BatchWriter mBatches;
+    private Epoch mEpoch = new Epoch(-1);
+    private long mToken;
+    private long mBatchToken = -1;
+    private long mClaimSentMs = Long.MIN_VALUE / 2;
+    private long mRenewalSentMs = Long.MIN_VALUE / 2;
+    private long mSnapshotSentMs = Long.MIN_VALUE / 2;
+    private boolean mRenewalOutstanding;
+
+    RecordAppender(
+            StreamName stream,
+            OwnerIdentity self,
+            OwnerSettings settings,
+            Consumer<OwnerEffect> effects) {
+        mStream = stream;
+        mSelf = self;
+        mSettings = settings;
+        mEffects = effects;
+        mBatches = new BatchWriter(settings);
+    }
+
+    BatchWriter batches() {
+        return mBatches;
+    }
+
+    void epoch(Epoch epoch, long lastSequence) {
+        mEpoch = epoch;
+        mBatches.reset(lastSequence);
+        mRenewalOutstanding = false;
+    }
+
+    void failed(long token, long nowMs) {
+        if (token == mBatchToken) {
+            mBatches.failed(nowMs);
+        }
+    }
+
+    void renewalReadBack() {
+        mRenewalOutstanding = false;
+    }
+
+    void claim(Epoch replaced, long nowMs) {
+        if (nowMs - mClaimSentMs < mSettings.appendTimeoutMs()) {
+            return;
+        }
+        mClaimSentMs = nowMs;
+        append(new ShardRecord.Claim(mSelf, replaced));
+    }
+
+    /** Appends one renewal at a time, so that an outage of the log queues no more than one. */
+    void renew(long nowMs) {
+        long intervalMs =
+                mRenewalOutstanding ? mSettings.appendTimeoutMs() : mSettings.renewalIntervalMs();
+        if (nowMs - mRenewalSentMs < intervalMs) {
+            return;
+        }
+        mRenewalSentMs = nowMs;
+        mRenewalOutstanding = true;
+        append(new ShardRecord.Renewal(mEpoch, mSelf));
+    }
+
+    void batch(List<ShardDecision> decisions, long nowMs) {
+        append(mBatches.write(mEpoch, mSelf, decisions, nowMs));
+        mBatchToken = mToken;
+    }
+
+    void repeatBatch(LogWatch log, long nowMs) {
+        mBatches.repeat(log, nowMs)
+                .ifPresent(
+                        batch -> {
+                            append(batch);
+                            mBatchToken = mToken;
+                        });
+    }
+
+    void snapshot(ShardReplay replay, long nowMs) {
+        boolean due =
+                replay.decisionsSinceSnapshot() >= mSettings.snapshotDecisions()
+                        || replay.snapshotAgeMs() >= mSettings.retentionMs() / 2;
+        if (!due || nowMs - mSnapshotSentMs < mSettings.appendTimeoutMs()) {
+            return;
+        }
+        mSnapshotSentMs = nowMs;
+        append(new ShardRecord.Snapshot(replay.nextOffset() - 1, replay.image()));
+    }
+
+    private void append(ShardRecord content) {
+        mToken++;
+        mEffects.accept(new OwnerEffect.AppendRecord(mStream, mToken, mCodec.encode(content)));
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardManifest.java
@@ -0,0 +1,29 @@
+package org.hickorycleat.logic.ownership;
+
+import java.util.List;
+import java.util.Map;
+import org.hickorycleat.model.identifier.ConfigurationVersion;
+import org.hickorycleat.model.identifier.TeamName;
+import org.hickorycleat.model.manifest.JobSpecification;
+import org.hickorycleat.model.task.Resources;
+
+/**
+ * What the manifest asks of one shard.
+ *
+ * @param version accepted version
+ * @param jobs jobs hashed to the shard
+ * @param services services with instances in the shard
+ * @param quotas quota of each team
+ */
+public record ShardManifest(
+        ConfigurationVersion version,
+        List<JobSpecification> jobs,
+        List<ServiceDemand> services,
+        Map<TeamName, Resources> quotas) {
+    /** Copies the collections. */
+    public ShardManifest {
+        jobs = List.copyOf(jobs);
+        services = List.copyOf(services);
+        quotas = Map.copyOf(quotas);
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardReplay.java
@@ -0,0 +1,215 @@
+package org.hickorycleat.logic.ownership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hickorycleat.logic.port.LogRecord;
+import org.hickorycleat.model.identifier.ConfigurationVersion;
+import org.hickorycleat.model.identifier.Epoch;
+
+/**
+ * Replays the records of a shard; its state depends on nothing but the log, so every reader reaches
+ * the same conclusion.
+ */
+public final class ShardReplay {
+    private final ShardRecordCodec mCodec = new ShardRecordCodec();
+    private final List<LogRecord> mBeforeSnapshot = new ArrayList<>();
+    private ShardState mState = new ShardState();
+    private Epoch mEpoch = new Epoch(-1);
+    private Optional<OwnerIdentity> mOwner = Optional.empty();
+    private long mLastSequence;
+    private long mNextOffset;
+    private boolean mBased = true;
+    private long mMalformed;
+    private long mIneffective;
+    private long mDecisionsSinceSnapshot;
+    private long mSnapshotTimestampMs = -1;
+    private long mLastTimestampMs;
+
+    /** Tells whether the state is known: replay began at the start of the stream or a snapshot. */
+    public boolean based() {
+        return mBased;
+    }
+
+    /** Returns the offset to read from next. */
+    public long nextOffset() {
+        return mNextOffset;
+    }
+
+    /** Returns the offset of the latest valid claim, -1 for none. */
+    public Epoch epoch() {
+        return mEpoch;
+    }
+
+    /** Returns the writer of the latest valid claim. */
+    public Optional<OwnerIdentity> owner() {
+        return mOwner;
+    }
+
+    /** Returns the tasks. */
+    public ShardState state() {
+        return mState;
+    }
+
+    /** Returns the number of records that could not be decoded. */
+    public long malformedRecords() {
+        return mMalformed;
+    }
+
+    /** Returns the number of decisions in valid batches that the state did not allow. */
+    public long ineffectiveDecisions() {
+        return mIneffective;
+    }
+
+    /** Returns the number of decisions since the last snapshot. */
+    public long decisionsSinceSnapshot() {
+        return mDecisionsSinceSnapshot;
+    }
+
+    /** Returns the time by the clock of the log between the last snapshot and the last record. */
+    public long snapshotAgeMs() {
+        return mSnapshotTimestampMs < 0 ? 0 : mLastTimestampMs - mSnapshotTimestampMs;
+    }
+
+    /** Starts over at the first offset that the log still keeps. */
+    public void restart(long firstOffset) {
+        mBeforeSnapshot.clear();
+        mNextOffset = firstOffset;
+        mBased = firstOffset == 0;
+        reset(
+                new ShardImage(
+                        new Epoch(-1),
+                        Optional.empty(),
+                        0,
+                        new ConfigurationVersion(-1),
+                        List.of(),
+                        List.of(),
+                        List.of()));
+    }
+
+    /** Applies records in order and returns what became of each once the state is known. */
+    public List<ReplayStep> accept(List<LogRecord> records) {
+        List<ReplayStep> steps = new ArrayList<>();
+        for (LogRecord record : records) {
+            if (record.offset() < mNextOffset) {
+                continue;
+            }
+            if (record.offset() > mNextOffset) {
+                restart(record.offset());
+            }
+            mNextOffset = record.offset() + 1;
+            if (mBased) {
+                apply(record).ifPresent(steps::add);
+            } else {
+                seekSnapshot(record, steps);
+            }
+        }
+        return steps;
+    }
+
+    /** Returns the state as of the last record. */
+    public ShardImage image() {
+        return new ShardImage(
+                mEpoch,
+                mOwner,
+                mLastSequence,
+                mState.manifestVersion(),
+                List.copyOf(mState.tasks()),
+                mState.ended(),
+                mState.generations());
+    }
+
+    /**
+     * Buffers records until a snapshot covers everything that precedes the buffer. A snapshot with
+     * an older position would hide claims that are no longer kept.
+     */
+    private void seekSnapshot(LogRecord record, List<ReplayStep> steps) {
+        mBeforeSnapshot.add(record);
+        Optional<ShardRecord> decoded = mCodec.decode(record.payload());
+        if (decoded.isEmpty() || !(decoded.get() instanceof ShardRecord.Snapshot snapshot)) {
+            return;
+        }
+        if (snapshot.throughOffset() + 1 < mBeforeSnapshot.get(0).offset()) {
+            return;
+        }
+        reset(snapshot.image());
+        mBased = true;
+        for (LogRecord buffered : mBeforeSnapshot) {
+            if (buffered.offset() > snapshot.throughOffset()) {
+                apply(buffered).ifPresent(steps::add);
+            }
+        }
+        mBeforeSnapshot.clear();
+    }
+
+    private void reset(ShardImage image) {
+        mState = new ShardState(image);
+        mEpoch = image.epoch();
+        mOwner = image.owner();
+        mLastSequence = image.lastSequence();
+        mDecisionsSinceSnapshot = 0;
+        mSnapshotTimestampMs = -1;
+    }
+
+    private Optional<ReplayStep> apply(LogRecord record) {
+        mLastTimestampMs = Math.max(mLastTimestampMs, record.timestampMs());
+        if (mSnapshotTimestampMs < 0) {
+            mSnapshotTimestampMs = record.timestampMs();
+        }
+        Optional<ShardRecord> decoded = mCodec.decode(record.payload());
+        if (decoded.isEmpty()) {
+            mMalformed++;
+            return Optional.empty();
+        }
+        ShardRecord content = decoded.get();
+        return Optional.of(new ReplayStep(record.offset(), apply(record, content), content));
+    }
+
+    private ReplayStep.Result apply(LogRecord record, ShardRecord content) {
+        if (content instanceof ShardRecord.Claim claim) {
+            return claim(record.offset(), claim);
+        }
+        if (content instanceof ShardRecord.Renewal renewal) {
+            return isCurrent(renewal.epoch(), renewal.owner())
+                    ? ReplayStep.Result.EFFECTIVE
+                    : ReplayStep.Result.VOID;
+        }
+        if (content instanceof ShardRecord.DecisionBatch batch) {
+            return batch(batch);
+        }
+        mDecisionsSinceSnapshot = 0;
+        mSnapshotTimestampMs = record.timestampMs();
+        return ReplayStep.Result.EFFECTIVE;
+    }
+
+    private ReplayStep.Result claim(long offset, ShardRecord.Claim claim) {
+        if (!claim.replaced().equals(mEpoch)) {
+            return ReplayStep.Result.VOID;
+        }
+        mEpoch = new Epoch(offset);
+        mOwner = Optional.of(claim.owner());
+        mLastSequence = 0;
+        return ReplayStep.Result.EFFECTIVE;
+    }
+
+    private ReplayStep.Result batch(ShardRecord.DecisionBatch batch) {
+        if (!isCurrent(batch.epoch(), batch.owner())) {
+            return ReplayStep.Result.VOID;
+        }
+        if (batch.sequence() <= mLastSequence) {
+            return ReplayStep.Result.DUPLICATE;
+        }
+        mLastSequence = batch.sequence();
+        for (ShardDecision decision : batch.decisions()) {
+            if (!mState.apply(decision)) {
+                mIneffective++;
+            }
+        }
+        mDecisionsSinceSnapshot += batch.decisions().size();
+        return ReplayStep.Result.EFFECTIVE;
+    }
+
+    private boolean isCurrent(Epoch epoch, OwnerIdentity owner) {
+        return epoch.equals(mEpoch) && mOwner.equals(Optional.of(owner));
+    }
+}
