Add the placement policy with eviction and gap filling

Instances of services are spread over availability zones and racks, urgent work claims room that is coming free or evicts the cheapest batch work, and batch work is ordered by deadline risk with one reservation for the head of the queue.

--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementRound.java
@@ -0,0 +1,92 @@
+package org.hickorycleat.logic.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hickorycleat.logic.placement.PlacementView.PendingTask;
+import org.hickorycleat.model.identifier.TaskId;
+import org.hickorycleat.model.identifier.TeamName;
+import org.hickorycleat.model.result.ResultCode;
+import org.hickorycleat.model.task.PlacementDecision;
+import org.hickorycleat.model.task.Resources;
+import org.hickorycleat.model.task.TaskSpecification;
+
+/** Working state of one call: what is free after the decisions made so far. */
+final class PlacementRound {
+    private final IndexedPlacementView mView;
+    private final long mNowMs;
+    private final WorkerTable mTable;
+    private final RoomClaims mClaims;
+    private final Map<TeamName, Resources> mAdded = new HashMap<>();
+    private final Set<TaskId> mDecided = new HashSet<>();
+    private final List<PlacementDecision> mDecisions = new ArrayList<>();
+    private int mStarts;
+
+    PlacementRound(IndexedPlacementView view, long nowMs) {
+        mView = view;
+        mNowMs = nowMs;
+        mTable = new WorkerTable(view.workers());
+        mClaims = new RoomClaims(mTable);
+    }
+
+    IndexedPlacementView view() {
+        return mView;
+    }
+
+    long nowMs() {
+        return mNowMs;
+    }
+
+    WorkerTable table() {
+        return mTable;
+    }
+
+    RoomClaims claims() {
+        return mClaims;
+    }
+
+    List<PlacementDecision> decisions() {
+        return mDecisions;
+    }
+
+    int starts() {
+        return mStarts;
+    }
+
+    boolean decided(TaskId task) {
+        return mDecided.contains(task);
+    }
+
+    void start(PendingTask task, int worker) {
+        TaskSpecification specification = task.specification();
+        mTable.take(worker, specification.resources());
+        if (specification.service().isEmpty()) {
+            mAdded.merge(specification.team(), specification.resources(), Resources::plus);
+        }
+        add(new PlacementDecision.Start(specification.task(), mTable.worker(worker).worker()));
+        mStarts++;
+    }
+
+    void reject(TaskId task, ResultCode code, String reason) {
+        add(new PlacementDecision.Reject(task, code, reason));
+    }
+
+    void add(PlacementDecision decision) {
+        mDecided.add(decision.task());
+        mDecisions.add(decision);
+    }
+
+    /** Tells whether the team may hold this much more now; services do not use the quota. */
+    boolean withinQuota(TaskSpecification task) {
+        Resources quota = mView.quotas().get(task.team());
+        if (quota == null || task.service().isPresent()) {
+            return true;
+        }
+        Resources used =
+                mView.usageOf(task.team()).plus(mAdded.getOrDefault(task.team(), Resources.NONE));
+        return used.plus(task.resources()).fitsInto(quota);
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementSettings.java
@@ -0,0 +1,27 @@
+package org.hickorycleat.logic.placement;
+
+/**
+ * Limits of the default policy.
+ *
+ * @param maximumStarts starts in one call; bounds the time of a call in a burst
+ * @param maximumEvictionPlans urgent tasks for which one call may plan evictions
+ * @param backfillDepth batch tasks that are considered behind the head in one call
+ * @param reorderMs time between orderings of a queue too long to order in each call
+ * @param reorderAlways length up to which the queue is ordered in each call
+ * @param fleetSettleMs time after the first call before a task is rejected as never runnable; an
+ *     agent counts as gone after 10 s, so by then every live worker has reported
+ * @param urgentWaitMs time since submission within which room must come free by itself for urgent
+ *     work to wait for it; the rest of its 10 s is left for a checkpoint and a stop
+ */
+public record PlacementSettings(
+        int maximumStarts,
+        int maximumEvictionPlans,
+        int backfillDepth,
+        long reorderMs,
+        int reorderAlways,
+        long fleetSettleMs,
+        long urgentWaitMs) {
+    /** The default limits. */
+    public static final PlacementSettings DEFAULT =
+            new PlacementSettings(200, 16, 512, 250, 1_000, 10_000, 4_000);
+}
