Add corrected run times, quarantine and the interference response

SchedulingPolicy joins them with the placement policy. Latencies are credited to the tasks that shared the worker at the time of the measurement, by a normal estimate per pair of service and job.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/DefaultPlacementPolicy.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/DefaultPlacementPolicy.java
@@ -49,7 +49,8 @@
         if (mFirstCallMs == Long.MIN_VALUE) {
             mFirstCallMs = nowMs;
         }
-        PlacementRound round = new PlacementRound(IndexedPlacementView.of(view), nowMs);
+        PlacementRound round =
+                new PlacementRound(IndexedPlacementView.of(view), nowMs, mConstraint);
         placeFirst(round);
         placeBatch(round);
         return round.decisions();
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementConstraint.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementConstraint.java
@@ -10,11 +10,17 @@
     /** Penalty that forbids the placement. */
     double FORBIDDEN = Double.POSITIVE_INFINITY;
 
-    /** Returns a penalty of at least 0; infinity forbids the placement. */
+    /**
+     * Returns a penalty, in units in which 1 outweighs any difference in free room; a negative one
+     * attracts, infinity forbids the placement.
+     */
     double penalty(TaskSpecification task, WorkerView worker, IndexedPlacementView view);
 
     /** Tells whether the penalty of a task is not 0 anywhere. */
     default boolean concerns(TaskSpecification task) {
         return true;
     }
+
+    /** Learns that a start was decided. */
+    default void started(TaskSpecification task, WorkerView worker) {}
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementRound.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementRound.java
@@ -23,9 +23,11 @@
     private final Map<TeamName, Resources> mAdded = new HashMap<>();
     private final Set<TaskId> mDecided = new HashSet<>();
     private final List<PlacementDecision> mDecisions = new ArrayList<>();
+    private final PlacementConstraint mConstraint;
     private int mStarts;
 
-    PlacementRound(IndexedPlacementView view, long nowMs) {
+    PlacementRound(IndexedPlacementView view, long nowMs, PlacementConstraint constraint) {
+        mConstraint = constraint;
         mView = view;
         mNowMs = nowMs;
         mTable = new WorkerTable(view.workers());
@@ -67,6 +69,7 @@
             mAdded.merge(specification.team(), specification.resources(), Resources::plus);
         }
         add(new PlacementDecision.Start(specification.task(), mTable.worker(worker).worker()));
+        mConstraint.started(specification, mTable.worker(worker));
         mStarts++;
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/RunningEnds.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/RunningEnds.java
@@ -20,7 +20,8 @@
             return Long.MAX_VALUE;
         }
         long remainingMs = mEstimator.expectedMs(task.specification()) - task.progressMs();
-        long endMs = task.startedMs() + Math.max(1, remainingMs);
+        long share = Math.max(1, task.throttlePermille());
+        long endMs = task.startedMs() + Math.max(1, remainingMs) * 1_000 / share;
         return endMs > nowMs ? endMs : nowMs + Math.max(1_000, (nowMs - task.startedMs()) / 4);
     }
 }
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/quarantine/AttemptEnd.java
@@ -0,0 +1,16 @@
+package org.hickorycleat.logic.quarantine;
+
+import org.hickorycleat.model.identifier.JobName;
+import org.hickorycleat.model.identifier.TaskId;
+import org.hickorycleat.model.identifier.WorkerId;
+
+/**
+ * End of an attempt that says something about its worker or task.
+ *
+ * @param task the task
+ * @param job name of its job
+ * @param worker the worker
+ * @param failed whether it failed, or was refused by the worker; otherwise it succeeded
+ * @param endedMs time of the end
+ */
+public record AttemptEnd(TaskId task, JobName job, WorkerId worker, boolean failed, long endedMs) {}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/scheduling/CombinedConstraint.java
@@ -0,0 +1,27 @@
+package org.hickorycleat.logic.scheduling;
+
+import org.hickorycleat.logic.placement.IndexedPlacementView;
+import org.hickorycleat.logic.placement.PlacementConstraint;
+import org.hickorycleat.logic.placement.WorkerView;
+import org.hickorycleat.model.task.TaskSpecification;
+
+/** Adds two constraints. */
+record CombinedConstraint(PlacementConstraint first, PlacementConstraint second)
+        implements PlacementConstraint {
+    @Override
+    public double penalty(TaskSpecification task, WorkerView worker, IndexedPlacementView view) {
+        double penalty = first.penalty(task, worker, view);
+        return penalty == FORBIDDEN ? penalty : penalty + second.penalty(task, worker, view);
+    }
+
+    @Override
+    public boolean concerns(TaskSpecification task) {
+        return first.concerns(task) || second.concerns(task);
+    }
+
+    @Override
+    public void started(TaskSpecification task, WorkerView worker) {
+        first.started(task, worker);
+        second.started(task, worker);
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/scheduling/SchedulingPolicy.java
@@ -0,0 +1,166 @@
+package org.hickorycleat.logic.scheduling;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.hickorycleat.logic.batch.JobNaming;
+import org.hickorycleat.logic.batch.RunTimeCorrection;
+import org.hickorycleat.logic.interference.ColocationHistory;
+import org.hickorycleat.logic.interference.InterferenceConstraint;
+import org.hickorycleat.logic.interference.InterferenceModel;
+import org.hickorycleat.logic.interference.InterferenceResponse;
+import org.hickorycleat.logic.interference.InterferenceSettings;
+import org.hickorycleat.logic.interference.LatencyMeasurement;
+import org.hickorycleat.logic.placement.DefaultPlacementPolicy;
+import org.hickorycleat.logic.placement.IndexedPlacementView;
+import org.hickorycleat.logic.placement.PlacementPolicy;
+import org.hickorycleat.logic.placement.PlacementView;
+import org.hickorycleat.logic.placement.PlacementView.PlacedTask;
+import org.hickorycleat.logic.quarantine.AttemptEnd;
+import org.hickorycleat.logic.quarantine.QuarantineConstraint;
+import org.hickorycleat.logic.quarantine.QuarantineSettings;
+import org.hickorycleat.logic.quarantine.WorkerQuarantine;
+import org.hickorycleat.model.identifier.TaskId;
+import org.hickorycleat.model.identifier.WorkerId;
+import org.hickorycleat.model.result.ResultCode;
+import org.hickorycleat.model.task.PlacementDecision;
+import org.hickorycleat.model.task.Resources;
+import org.hickorycleat.model.task.TaskSpecification;
+import org.hickorycleat.model.task.TaskState;
+
+/**
+ * The policy of a shard with all that it learns. The view of each call must contain the effects of
+ * all earlier decisions that still stand. Not safe for use by several threads.
+ */
+public final class SchedulingPolicy implements PlacementPolicy, PlacementObserver {
+    private final JobNaming mNaming;
+    private final RunTimeCorrection mCorrection;
+    private final WorkerQuarantine mQuarantine;
+    private final QuarantineConstraint mQuarantineConstraint;
+    private final ColocationHistory mHistory = new ColocationHistory();
+    private final InterferenceModel mModel = new InterferenceModel();
+    private final InterferenceResponse mResponse;
+    private final DefaultPlacementPolicy mPlacement;
+
+    /** Creates the policy with default limits. */
+    public SchedulingPolicy(JobNaming naming) {
+        mNaming = naming;
+        mCorrection = new RunTimeCorrection(naming);
+        mQuarantine = new WorkerQuarantine(QuarantineSettings.DEFAULT);
+        mQuarantineConstraint = new QuarantineConstraint(mQuarantine);
+        InterferenceConstraint interference = new InterferenceConstraint(mModel, naming);
+        mResponse =
+                new InterferenceResponse(
+                        mModel, naming, interference, InterferenceSettings.DEFAULT);
+        mPlacement =
+                DefaultPlacementPolicy.builder()
+                        .estimator(mCorrection)
+                        .constraint(new CombinedConstraint(mQuarantineConstraint, interference))
+                        .build();
+    }
+
+    /** Returns the corrected run times, for the snapshot of the shard. */
+    public RunTimeCorrection correction() {
+        return mCorrection;
+    }
+
+    /** Returns the quarantine, for metrics. */
+    public WorkerQuarantine quarantine() {
+        return mQuarantine;
+    }
+
+    /** Returns the interference model, for metrics. */
+    public InterferenceModel interference() {
+        return mModel;
+    }
+
+    @Override
+    public List<PlacementDecision> decide(PlacementView view, long nowMs) {
+        IndexedPlacementView indexed = IndexedPlacementView.of(view);
+        mQuarantineConstraint.prepare(indexed, nowMs);
+        List<PlacementDecision> decisions = new ArrayList<>(rejections(indexed));
+        Set<TaskId> decided = new HashSet<>();
+        decisions.forEach(decision -> decided.add(decision.task()));
+        // Evictions for urgent work go before steps against interference on the same task.
+        for (PlacementDecision decision : mPlacement.decide(indexed, nowMs)) {
+            if (decided.add(decision.task())) {
+                decisions.add(decision);
+            }
+        }
+        for (PlacementDecision decision : mResponse.decide(indexed, nowMs)) {
+            if (decided.add(decision.task())) {
+                decisions.add(decision);
+            }
+        }
+        return decisions;
+    }
+
+    private List<PlacementDecision> rejections(IndexedPlacementView view) {
+        List<PlacementDecision> rejections = new ArrayList<>();
+        for (TaskId task : mQuarantine.tasksAtFault()) {
+            if (view.pending(task).isPresent()) {
+                String reason =
+                        "failed on " + mQuarantine.failures(task) + ", which run other work";
+                rejections.add(new PlacementDecision.Reject(task, ResultCode.TASK_FAILED, reason));
+            }
+        }
+        return rejections;
+    }
+
+    @Override
+    public void running(PlacedTask task, long nowMs) {
+        TaskSpecification specification = task.specification();
+        if (specification.service().isEmpty()) {
+            mHistory.running(
+                    task.worker(),
+                    specification.task(),
+                    mNaming.jobOf(specification),
+                    task.throttlePermille() / 1_000.0,
+                    nowMs);
+        }
+    }
+
+    @Override
+    public void ended(PlacedTask task, TaskState state, long nowMs) {
+        TaskSpecification specification = task.specification();
+        mHistory.ended(task.worker(), specification.task(), nowMs);
+        boolean succeeded = state == TaskState.SUCCEEDED;
+        boolean failed = state == TaskState.FAILED || state == TaskState.REFUSED;
+        if (succeeded && task.throttlePermille() == 1_000) {
+            mCorrection.runEnded(specification, task.progressMs() + nowMs - task.startedMs());
+        }
+        if (succeeded || failed) {
+            mQuarantine.attemptEnded(
+                    new AttemptEnd(
+                            specification.task(),
+                            mNaming.jobOf(specification),
+                            task.worker(),
+                            failed,
+                            nowMs));
+        }
+    }
+
+    @Override
+    public void forgotten(TaskId task) {
+        mQuarantine.forget(task);
+    }
+
+    @Override
+    public void workerRestarted(WorkerId worker) {
+        mQuarantine.forget(worker);
+    }
+
+    @Override
+    public void usageMeasured(TaskSpecification task, Resources used) {
+        mCorrection.usageMeasured(task, used);
+    }
+
+    @Override
+    public void latencyMeasured(LatencyMeasurement measurement) {
+        mModel.learn(
+                measurement.service(),
+                measurement.latencyMs(),
+                mHistory.at(measurement.worker(), measurement.measuredMs()));
+    }
+}
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/placement/CapacityTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/placement/CapacityTest.java
@@ -17,7 +17,7 @@
 
     /** Guards invariant I1 and the quotas over several calls on random fleets and tasks. */
     @Property(seed = "41", tries = 150)
-    void neverOvercommitsAWorkerOrAQuota(
+    void neverOvercommitsWorkersOrQuotas(
             @ForAll @IntRange(min = 1, max = 12) int workers,
             @ForAll @IntRange(min = 0, max = 60) int tasks,
             @ForAll @IntRange(min = 0, max = 100_000) int seed) {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/placement/FakeFleet.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/placement/FakeFleet.java
@@ -17,18 +17,18 @@
 import org.hickorycleat.model.task.TaskSpecification;
 
 /** Workers and tasks of a test; applies decisions as an owner would after committing them. */
-public final class FakeFleet {
+final class FakeFleet {
     private final IncrementalPlacementView mView = new IncrementalPlacementView();
 
-    public IncrementalPlacementView view() {
+    IncrementalPlacementView view() {
         return mView;
     }
 
-    public static WorkerId worker(int number) {
+    static WorkerId worker(int number) {
         return new WorkerId("w" + number);
     }
 
-    public FakeFleet withWorkers(int count, Resources capacity) {
+    FakeFleet withWorkers(int count, Resources capacity) {
         for (int i = 0; i < count; i++) {
             mView.putWorker(
                     new WorkerView(
@@ -42,8 +42,7 @@
         return this;
     }
 
-    public static TaskSpecification batch(
-            String id, Resources size, long estimatedMs, long deadlineMs) {
+    static TaskSpecification batch(String id, Resources size, long estimatedMs, long deadlineMs) {
         return new TaskSpecification(
                 new TaskId(id),
                 new TeamName("team"),
@@ -57,7 +56,7 @@
                 false);
     }
 
-    public static TaskSpecification urgent(String id, Resources size) {
+    static TaskSpecification urgent(String id, Resources size) {
         TaskSpecification task = batch(id, size, 1_000, Long.MAX_VALUE);
         return new TaskSpecification(
                 task.task(),
@@ -72,7 +71,7 @@
                 true);
     }
 
-    public static TaskSpecification instance(String service, int number, Resources size) {
+    static TaskSpecification instance(String service, int number, Resources size) {
         return new TaskSpecification(
                 new TaskId(service + "/" + number),
                 new TeamName("team"),
@@ -86,15 +85,15 @@
                 false);
     }
 
-    public void submit(TaskSpecification task, long nowMs) {
+    void submit(TaskSpecification task, long nowMs) {
         mView.addPending(new PendingTask(task, nowMs, 0, 0, 0));
     }
 
-    public void run(TaskSpecification task, int worker, long startedMs) {
+    void run(TaskSpecification task, int worker, long startedMs) {
         run(task, worker, startedMs, 0);
     }
 
-    public void run(TaskSpecification task, int worker, long startedMs, int evictions) {
+    void run(TaskSpecification task, int worker, long startedMs, int evictions) {
         mView.putPlaced(
                 new PlacedTask(
                         task,
@@ -108,7 +107,7 @@
     }
 
     /** Applies the decisions: starts run, evicted tasks stop, rejected ones go. */
-    public void apply(List<PlacementDecision> decisions, long nowMs) {
+    void apply(List<PlacementDecision> decisions, long nowMs) {
         for (PlacementDecision decision : decisions) {
             if (decision instanceof PlacementDecision.Start start) {
                 start(start, nowMs);
@@ -121,7 +120,7 @@
     }
 
     /** Ends all stopping tasks; each waits again. */
-    public void finishStops(long nowMs) {
+    void finishStops(long nowMs) {
         for (PlacedTask task : List.copyOf(mView.placedTasks())) {
             if (task.phase() == Phase.STOPPING) {
                 mView.removePlaced(task.specification().task());
