--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HttpTargetClient.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HttpTargetClient.java
@@ -11,7 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
+import java.util.function.Function;
 import okhttp3.Call;
 import okhttp3.Callback;
 import okhttp3.ConnectionPool;
@@ -25,6 +25,7 @@
 import org.hickorycleat.logic.port.TargetAnswer;
 import org.hickorycleat.logic.port.TargetClient;
 import org.hickorycleat.logic.port.TargetNotReachedException;
+import org.hickorycleat.model.identifier.ServiceName;
 import org.hickorycleat.model.message.HttpHeader;
 import org.hickorycleat.model.message.Invoke;
 
@@ -52,12 +53,13 @@
 
     private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH");
 
-    private final Supplier<Optional<InetSocketAddress>> mAddress;
+    private final Function<ServiceName, Optional<InetSocketAddress>> mAddresses;
     private final OkHttpClient mClient;
 
     /** Creates a client that asks for the address of the target at each exchange. */
-    public HttpTargetClient(Supplier<Optional<InetSocketAddress>> address, int connections) {
-        mAddress = address;
+    public HttpTargetClient(
+            Function<ServiceName, Optional<InetSocketAddress>> addresses, int connections) {
+        mAddresses = addresses;
         Dispatcher dispatcher = new Dispatcher();
         dispatcher.setMaxRequests(connections);
         dispatcher.setMaxRequestsPerHost(connections);
@@ -89,7 +91,7 @@
     }
 
     private void start(Invoke invoke, SingleEmitter<TargetAnswer> emitter) {
-        Optional<InetSocketAddress> address = mAddress.get();
+        Optional<InetSocketAddress> address = mAddresses.apply(invoke.service());
         if (address.isEmpty()) {
             emitter.onError(
                     new TargetNotReachedException("no target announced", new IOException()));
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
@@ -20,7 +20,6 @@
 import org.hickorycleat.model.message.LeaseRequest;
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.PeerSummary;
-import org.hickorycleat.model.message.ServiceUpdate;
 import org.hickorycleat.model.message.StartTask;
 import org.hickorycleat.model.message.StopTask;
 import org.hickorycleat.model.message.TaskReport;
@@ -61,8 +60,7 @@
                     TaskReport.class,
                     Forward.class,
                     PeerSummary.class,
-                    Failure.class,
-                    ServiceUpdate.class);
+                    Failure.class);
 
     private final RecordCodec mRecords = new RecordCodec();
 
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Message.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Message.java
@@ -2,8 +2,7 @@
 
 /** A message between two processes of hickorycleat. */
 public sealed interface Message
-        permits ServiceUpdate,
-                AgentReport,
+        permits AgentReport,
                 Cancel,
                 CancelResult,
                 CheckpointTask,
