--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ConfigurationReader.java
@@ -0,0 +1,73 @@
+package org.hickorycleat.logic.configuration;
+
+import io.reactivex.rxjava3.core.Completable;
+import java.util.Optional;
+import org.hickorycleat.logic.log.StreamEvent;
+import org.hickorycleat.logic.log.StreamFollower;
+import org.hickorycleat.logic.port.LogRecord;
+import org.hickorycleat.model.configuration.ConfigurationHistory;
+import org.hickorycleat.model.configuration.RecordOutcome;
+
+/** Follows the configuration stream and puts accepted manifests in force. */
+public final class ConfigurationReader {
+    private final StreamFollower mFollower;
+    private final ConfigurationHolder mHolder;
+    private final RecordListener mListener;
+    private volatile ConfigurationHistory mHistory = ConfigurationHistory.startingAt(0);
+    private volatile boolean mCaughtUp;
+
+    /** Creates a reader on a follower that begins at offset 0. */
+    public ConfigurationReader(
+            StreamFollower follower, ConfigurationHolder holder, RecordListener listener) {
+        mFollower = follower;
+        mHolder = holder;
+        mListener = listener;
+    }
+
+    /** Reads until disposed of. */
+    public Completable run() {
+        return mFollower.events().doOnNext(this::handle).ignoreElements();
+    }
+
+    /** Returns what has been read so far. */
+    public ConfigurationHistory history() {
+        return mHistory;
+    }
+
+    /** Tells whether the stream was once read to its end. */
+    public boolean isCaughtUp() {
+        return mCaughtUp;
+    }
+
+    /** Describes configuration and log, for the health output of the process. */
+    public String healthText() {
+        Optional<String> error = mFollower.health().lastError();
+        String log =
+                error.map(message -> "unavailable log_error=\"" + message + "\"")
+                        .orElse(mFollower.health().isAvailable() ? "available" : "not-read");
+        String decided = mCaughtUp && !mHistory.isDecided() ? " stream=truncated-no-snapshot" : "";
+        return mHolder.healthText() + " log=" + log + decided;
+    }
+
+    private void handle(StreamEvent event) {
+        if (event instanceof StreamEvent.Truncated truncated) {
+            mHistory = ConfigurationHistory.startingAt(truncated.firstOffset());
+        } else if (event instanceof StreamEvent.RecordsRead read) {
+            read.page().records().forEach(this::apply);
+        } else {
+            mCaughtUp = true;
+        }
+        // Versions passed through while catching up were in force long ago and are skipped.
+        if (mCaughtUp) {
+            mHistory.current()
+                    .ifPresent(accepted -> mHolder.offer(accepted, ConfigurationSource.LOG));
+        }
+    }
+
+    private void apply(LogRecord record) {
+        ConfigurationHistory.Step step = mHistory.apply(record.offset(), record.payload());
+        mHistory = step.history();
+        RecordOutcome outcome = step.outcome();
+        mListener.onRecord(record.offset(), outcome);
+    }
+}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestObjectReader.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestObjectReader.java
@@ -18,7 +18,9 @@
  */
 final class ManifestObjectReader {
     private static final int SHOWN_CHARACTERS = 60;
-    private static final String STAND_IN_NAME = "invalid";
+
+    /** Stands for a name in error; no valid name contains it. */
+    static final String STAND_IN_NAME = "?";
 
     private final JsonNode mNode;
     private final String mPath;
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestParser.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestParser.java
@@ -191,7 +191,7 @@
         Set<String> seen = new HashSet<>();
         for (int index = 0; index < items.size(); index++) {
             String value = key.apply(items.get(index));
-            if (!seen.add(value)) {
+            if (!seen.add(value) && !value.contains(ManifestObjectReader.STAND_IN_NAME)) {
                 errors.add(
                         new ManifestError(
                                 path + "[" + index + "]", value, "a name that is not taken"));
@@ -207,7 +207,7 @@
             List<ManifestError> errors) {
         for (int index = 0; index < items.size(); index++) {
             TeamName name = team.apply(items.get(index));
-            if (!teams.contains(name)) {
+            if (!teams.contains(name) && !name.value().equals(ManifestObjectReader.STAND_IN_NAME)) {
                 errors.add(
                         new ManifestError(
                                 path + "[" + index + "].team",
--- /dev/null
+++ b/hickorycleat-model/src/test/java/org/hickorycleat/model/configuration/ConfigurationHistoryTest.java
@@ -0,0 +1,171 @@
+package org.hickorycleat.model.configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.hickorycleat.model.identifier.ConfigurationVersion;
+import org.hickorycleat.model.identifier.Incarnation;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.identifier.RecordId;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationHistoryTest {
+    private final List<byte[]> mLog = new ArrayList<>();
+
+    /** Guards against two operators who both believe that their change is in force. */
+    @Test
+    void onlyTheFirstOfTwoManifestsWithOneBaseIsAccepted() {
+        publish(-1, "a");
+        publish(0, "b");
+        publish(0, "c");
+        publish(1, "d");
+
+        assertThat(outcomesFrom(0))
+                .containsExactly(
+                        RecordOutcome.ACCEPTED,
+                        RecordOutcome.ACCEPTED,
+                        RecordOutcome.STALE_BASE,
+                        RecordOutcome.ACCEPTED);
+        assertThat(readFrom(0).version()).isEqualTo(new ConfigurationVersion(3));
+    }
+
+    /** Guards against a second copy of an append that counts as a change, or revives an old one. */
+    @Test
+    void repeatOfTheCurrentManifestKeepsTheVersionAndRepeatOfAnOldOneIsStale() {
+        publish(-1, "a");
+        publish(-1, "a");
+        publish(0, "b");
+        publish(-1, "a");
+
+        assertThat(outcomesFrom(0))
+                .containsExactly(
+                        RecordOutcome.ACCEPTED,
+                        RecordOutcome.REPEATED,
+                        RecordOutcome.ACCEPTED,
+                        RecordOutcome.STALE_BASE);
+    }
+
+    /** Guards against an invalid manifest that takes effect, and a stray record that stops all. */
+    @Test
+    void invalidManifestsAndForeignRecordsChangeNothing() {
+        mLog.add("{}".getBytes(StandardCharsets.UTF_8));
+        mLog.add(new byte[] {1, 2});
+        append("{\"schema\":1,\"base\":-1,\"x\":0}");
+        publish(-1, "a");
+
+        assertThat(outcomesFrom(0))
+                .containsExactly(
+                        RecordOutcome.MALFORMED,
+                        RecordOutcome.MALFORMED,
+                        RecordOutcome.INVALID_MANIFEST,
+                        RecordOutcome.ACCEPTED);
+    }
+
+    /** Guards against a reader that accepts on the ground of what it has not read. */
+    @Test
+    void readerOfTruncatedStreamWithoutSnapshotDecidesNothing() {
+        publish(-1, "a");
+        publish(0, "b");
+
+        ConfigurationHistory history = readFrom(1);
+
+        assertThat(history.isDecided()).isFalse();
+        assertThat(history.current()).isEmpty();
+    }
+
+    /** Guards against a snapshot that hides a manifest accepted after its writer had read. */
+    @Test
+    void snapshotOvertakenByManifestLeadsToThatManifest() {
+        publish(-1, "a");
+        publish(0, "b");
+        snapshot(0, 1);
+
+        assertThat(readFrom(1).version()).isEqualTo(new ConfigurationVersion(1));
+        assertThat(readFrom(1).lastCopyOffset()).isEqualTo(1);
+    }
+
+    /** Guards against an overtaken snapshot whose successor retention has dropped. */
+    @Test
+    void snapshotOlderThanTheFirstKeptOffsetIsNotEnough() {
+        publish(-1, "a");
+        publish(0, "b");
+        snapshot(0, 1);
+
+        assertThat(readFrom(2).isDecided()).isFalse();
+
+        snapshot(1, 3);
+
+        assertThat(readFrom(2).version()).isEqualTo(new ConfigurationVersion(1));
+        assertThat(readFrom(3).version()).isEqualTo(new ConfigurationVersion(1));
+    }
+
+    /** Guards against a stream that can never be used again after its invalid records expired. */
+    @Test
+    void snapshotOfNoConfigurationLetsTheFirstManifestIn() {
+        publish(7, "a");
+        mLog.add(
+                ConfigurationRecordCodec.encode(
+                        new ConfigurationRecord.Snapshot(
+                                id(), new ConfigurationVersion(-1), 1, new byte[0])));
+        publish(-1, "b");
+
+        assertThat(readFrom(1).version()).isEqualTo(new ConfigurationVersion(2));
+    }
+
+    /** Guards against a reader that carries a version across records it has missed. */
+    @Test
+    void gapInTheOffsetsMakesTheVersionUnknown() {
+        publish(-1, "a");
+        ConfigurationHistory history = readFrom(0);
+
+        assertThat(history.apply(5, mLog.get(0)).history().isDecided()).isFalse();
+        assertThat(history.apply(0, mLog.get(0)).history()).isSameAs(history);
+    }
+
+    private RecordId id() {
+        return new RecordId(new ProcessId("test"), new Incarnation(1), mLog.size());
+    }
+
+    private void publish(long base, String team) {
+        append(
+                "{\"schema\":1,\"base\":"
+                        + base
+                        + ",\"teams\":[{\"name\":\""
+                        + team
+                        + "\",\"quota\":{\"processors_milli\":0,\"memory_mebibytes\":0}}]}");
+    }
+
+    private void append(String manifest) {
+        byte[] bytes = manifest.getBytes(StandardCharsets.UTF_8);
+        mLog.add(ConfigurationRecordCodec.encode(new ConfigurationRecord.Publication(id(), bytes)));
+    }
+
+    private void snapshot(int version, long asOf) {
+        byte[] manifest = ConfigurationRecordCodec.decode(mLog.get(version)).get().manifest();
+        mLog.add(
+                ConfigurationRecordCodec.encode(
+                        new ConfigurationRecord.Snapshot(
+                                id(), new ConfigurationVersion(version), asOf, manifest)));
+    }
+
+    private ConfigurationHistory readFrom(int first) {
+        ConfigurationHistory history = ConfigurationHistory.startingAt(first);
+        for (int offset = first; offset < mLog.size(); offset++) {
+            history = history.apply(offset, mLog.get(offset)).history();
+        }
+        return history;
+    }
+
+    private List<RecordOutcome> outcomesFrom(int first) {
+        List<RecordOutcome> outcomes = new ArrayList<>();
+        ConfigurationHistory history = ConfigurationHistory.startingAt(first);
+        for (int offset = first; offset < mLog.size(); offset++) {
+            ConfigurationHistory.Step step = history.apply(offset, mLog.get(offset));
+            history = step.history();
+            outcomes.add(step.outcome());
+        }
+        return outcomes;
+    }
+}
--- /dev/null
+++ b/hickorycleat-model/src/test/java/org/hickorycleat/model/manifest/ManifestParserTest.java
@@ -0,0 +1,152 @@
+package org.hickorycleat.model.manifest;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.hickorycleat.model.identifier.ServiceName;
+import org.junit.jupiter.api.Test;
+
+class ManifestParserTest {
+    /** Guards against documentation whose example does not work. */
+    @Test
+    void exampleOfTheDocumentationIsValidAndKeepsItsMeaningWhenWritten() throws IOException {
+        Manifest manifest = parse(example());
+
+        assertThat(manifest.services()).hasSize(2);
+        assertThat(manifest.jobs()).hasSize(2);
+        assertThat(parse(new String(ManifestWriter.write(manifest), StandardCharsets.UTF_8)))
+                .isEqualTo(manifest);
+    }
+
+    /** Guards against operators who must publish once per error to find them all. */
+    @Test
+    void allErrorsAreReportedAtOnceWithPathValueAndExpectation() {
+        String text =
+                """
+                {"schema": 2, "base": -2, "colour": "red",
+                 "teams": [{"name": "a", "weight": 0, "quota": {"processors_milli": 1.5}},
+                           {"name": "a", "quota": 7}],
+                 "services": [{"name": "b b", "team": "x", "criticality": "high", "instances": 0,
+                               "slots": 8, "connections": 4, "latency_goal_ms": "10",
+                               "zones": ["z", "z"], "idempotent_methods": {}}],
+                 "jobs": [{"name": "j", "run": "1", "team": "a", "estimated_seconds": 1,
+                           "resources": {"processors_milli": 1, "memory_mebibytes": 1},
+                           "release": "2026-01-02T00:00:00Z", "deadline": "2026-01-01T00:00:00Z",
+                           "urgent": 1}]}
+                """;
+
+        assertThat(errors(text).stream().map(ManifestError::toString))
+                .containsExactlyInAnyOrder(
+                        "$.schema: found 2, expected a whole number from 1 to 1",
+                        "$.base: found -2, expected a whole number from -1 to " + Long.MAX_VALUE,
+                        "$.colour: found \"red\", expected no such field in schema 1",
+                        "$.teams[0].weight: found 0, expected a whole number from 1 to 1000",
+                        "$.teams[0].quota.processors_milli: found 1.5, expected a whole number"
+                                + " from 0 to 1000000000",
+                        "$.teams[0].quota.memory_mebibytes: found nothing, expected a whole"
+                                + " number from 0 to 1000000000",
+                        "$.teams[1].quota: found 7, expected an object",
+                        "$.teams[1]: found a, expected a name that is not taken",
+                        "$.services[0].name: found \"b b\", expected "
+                                + ManifestLimits.NAME_DESCRIPTION,
+                        "$.services[0].criticality: found \"high\", expected critical, important,"
+                                + " normal or sheddable",
+                        "$.services[0].instances: found 0, expected a whole number from 1 to"
+                                + " 10000",
+                        "$.services[0].connections: found 4, expected at least the number of"
+                                + " slots, 8",
+                        "$.services[0].latency_goal_ms: found \"10\", expected a whole number from"
+                                + " 1 to 600000",
+                        "$.services[0].zones[1]: found \"z\", expected a value that is not in the"
+                                + " list yet",
+                        "$.services[0].idempotent_methods: found {}, expected a list",
+                        "$.services[0].team: found x, expected the name of a team of this"
+                                + " manifest",
+                        "$.jobs[0].deadline: found \"2026-01-01T00:00:00Z\", expected a time"
+                                + " after the release, 2026-01-02T00:00:00Z",
+                        "$.jobs[0].urgent: found 1, expected true or false");
+    }
+
+    /** Guards against errors that only follow from another error. */
+    @Test
+    void missingNamesAreReportedOnceEach() {
+        String quota = "\"quota\":{\"processors_milli\":0,\"memory_mebibytes\":0}";
+        String text =
+                "{\"schema\":1,\"base\":-1,\"teams\":[{"
+                        + quota
+                        + "},{"
+                        + quota
+                        + "}],\"services\":"
+                        + "[{\"name\":\"a\",\"instances\":1,\"slots\":1,\"connections\":1,"
+                        + "\"latency_goal_ms\":1}]}";
+
+        assertThat(errors(text).stream().map(ManifestError::path))
+                .containsExactly("$.services[0].team", "$.teams[0].name", "$.teams[1].name");
+    }
+
+    /** Guards against two readers that pick different ones of two equal fields. */
+    @Test
+    void repeatedFieldsAndTrailingTextAreErrors() {
+        assertThat(errors("{\"schema\":1,\"base\":-1,\"base\":0}")).hasSize(1);
+        assertThat(errors("{\"schema\":1,\"base\":-1} {}")).hasSize(1);
+        assertThat(errors("")).hasSize(1);
+        assertThat(errors("[]")).hasSize(1);
+    }
+
+    /** Guards against a parser that throws on what anyone may append to the log. */
+    @Property(seed = "11", tries = 2000)
+    void damagedManifestsNeverThrow(@ForAll long seed) throws IOException {
+        byte[] bytes = example().getBytes(StandardCharsets.UTF_8);
+        Random random = new Random(seed);
+        int changes = 1 + random.nextInt(4);
+        for (int change = 0; change < changes; change++) {
+            bytes[random.nextInt(bytes.length)] = (byte) random.nextInt(256);
+        }
+
+        assertThat(ManifestParser.parse(bytes)).isNotNull();
+    }
+
+    /** Guards against agents that lose services of the slices they were sent. */
+    @Test
+    void slicesAreValidManifestsAndMergeWithoutDuplicates() throws IOException {
+        Manifest whole = parse(example());
+        Set<ServiceName> names =
+                whole.services().stream()
+                        .map(ServiceSpecification::name)
+                        .collect(Collectors.toSet());
+        Manifest merged = new Manifest(whole.base(), 1, List.of(), List.of(), List.of());
+        for (ServiceName name : names) {
+            Manifest slice = ManifestSlices.slice(whole, Set.of(name));
+            assertThat(slice.services()).hasSize(1);
+            assertThat(ManifestParser.parse(ManifestWriter.write(slice)).isValid()).isTrue();
+            merged = ManifestSlices.merge(ManifestSlices.merge(merged, slice), slice);
+        }
+
+        assertThat(merged.services()).containsExactlyInAnyOrderElementsOf(whole.services());
+        assertThat(merged.teams()).doesNotHaveDuplicates();
+    }
+
+    private static String example() throws IOException {
+        String page = Files.readString(Path.of("..", "docs", "manifest.md"));
+        String begin = "```json\n";
+        int start = page.indexOf(begin) + begin.length();
+        return page.substring(start, page.indexOf("```", start));
+    }
+
+    private static Manifest parse(String text) {
+        return ManifestParser.parse(text.getBytes(StandardCharsets.UTF_8)).get();
+    }
+
+    private static List<ManifestError> errors(String text) {
+        return ManifestParser.parse(text.getBytes(StandardCharsets.UTF_8)).getError().asJava();
+    }
+}
