--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Main.java
@@ -0,0 +1,90 @@
+package org.hickorycleat.daemon;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.hickorycleat.daemon.agent.AgentProcess;
+import org.hickorycleat.daemon.entry.EntryProcess;
+import org.hickorycleat.daemon.logging.LineFormatter;
+import org.hickorycleat.daemon.settings.DaemonSettings;
+import org.hickorycleat.daemon.settings.SettingError;
+import org.hickorycleat.daemon.settings.SettingsParser;
+import org.hickorycleat.model.identifier.Incarnation;
+import org.hickorycleat.model.result.ResultCode;
+
+/** Entry point of {@code hickorycleatd}. */
+public final class Main {
+    private Main() {}
+
+    /** Checks the settings and runs the role that they name. */
+    public static void main(String[] arguments) throws Exception {
+        // Leases and deadlines must not move with the wall clock.
+        System.setProperty("rx3.scheduler.use-nanotime", "true");
+        OptionParser parser = new OptionParser();
+        parser.accepts("settings", "settings file").withRequiredArg();
+        parser.accepts("check", "check the settings and exit");
+        parser.accepts("help", "show this help").forHelp();
+        OptionSet options = parse(parser, arguments);
+        if (options.has("help") || !options.has("settings")) {
+            parser.printHelpOn(System.out);
+            System.exit(options.has("help") ? 0 : ResultCode.USAGE.exitCode());
+        }
+        DaemonSettings settings = settings(Path.of((String) options.valueOf("settings")));
+        if (options.has("check")) {
+            System.out.println("settings=ok process=" + settings.process());
+            System.exit(0);
+        }
+        LineFormatter.install(settings.logLevel());
+        run(settings);
+    }
+
+    private static OptionSet parse(OptionParser parser, String[] arguments) throws IOException {
+        try {
+            return parser.parse(arguments);
+        } catch (OptionException e) {
+            System.err.println("result=" + ResultCode.USAGE.number() + " " + e.getMessage());
+            parser.printHelpOn(System.err);
+            System.exit(ResultCode.USAGE.exitCode());
+            throw e;
+        }
+    }
+
+    private static DaemonSettings settings(Path file) {
+        Either<List<SettingError>, DaemonSettings> settings = SettingsParser.parse(file);
+        if (settings.isLeft()) {
+            settings.getLeft().forEach(System.err::println);
+            System.exit(ResultCode.INVALID_SETTINGS.exitCode());
+        }
+        return settings.get();
+    }
+
+    private static void run(DaemonSettings settings) throws InterruptedException {
+        // The wall clock is the only thing that grows across restarts on a VM without disk.
+        Incarnation incarnation = new Incarnation(System.currentTimeMillis());
+        Scheduler scheduler = Schedulers.computation();
+        Lifecycle process = create(settings, incarnation, scheduler);
+        ShutdownRunner shutdown = new ShutdownRunner(process);
+        Runtime.getRuntime().addShutdownHook(new Thread(shutdown::onSignal, "shutdown"));
+        try {
+            process.start();
+        } catch (RuntimeException e) {
+            System.err.println("event=start_failed cause=\"" + e.getMessage() + '"');
+            Runtime.getRuntime().halt(ResultCode.INTERNAL.exitCode());
+        }
+        shutdown.awaitDrain();
+    }
+
+    private static Lifecycle create(
+            DaemonSettings settings, Incarnation incarnation, Scheduler scheduler) {
+        if (settings.entry().isPresent()) {
+            return new EntryProcess(settings, settings.entry().get(), incarnation, scheduler);
+        }
+        return new AgentProcess(settings, settings.agent().orElseThrow(), incarnation, scheduler);
+    }
+}
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentEntries.java
@@ -0,0 +1,171 @@
+package org.hickorycleat.daemon.agent;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.hickorycleat.daemon.link.EntryLinkOwner;
+import org.hickorycleat.daemon.link.EntryLinks;
+import org.hickorycleat.daemon.link.EntrySession;
+import org.hickorycleat.daemon.settings.AgentSettings;
+import org.hickorycleat.daemon.settings.DaemonSettings;
+import org.hickorycleat.daemon.transport.MessageCodec;
+import org.hickorycleat.daemon.transport.MessageTransport;
+import org.hickorycleat.logic.configuration.ConfigurationHolder;
+import org.hickorycleat.logic.configuration.ConfigurationSource;
+import org.hickorycleat.logic.invocation.InvocationService;
+import org.hickorycleat.model.identifier.Incarnation;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.identifier.SessionNumber;
+import org.hickorycleat.model.message.AgentReport;
+import org.hickorycleat.model.message.Cancel;
+import org.hickorycleat.model.message.ConfigurationUpdate;
+import org.hickorycleat.model.message.EntryAddress;
+import org.hickorycleat.model.message.Hello;
+import org.hickorycleat.model.message.Invoke;
+import org.hickorycleat.model.message.InvokeResult;
+import org.hickorycleat.model.message.Message;
+import org.hickorycleat.model.message.ProcessRole;
+import org.hickorycleat.model.message.Welcome;
+
+/** The entries of an agent: sessions, reports, and the requests that arrive over them. */
+final class AgentEntries implements EntryLinkOwner {
+    private final DaemonSettings mSettings;
+    private final Incarnation mIncarnation;
+    private final Scheduler mScheduler;
+    private final InvocationService mInvocations;
+    private final ConfigurationHolder mConfiguration;
+    private final HostedTargets mTargets;
+    private final EntryLinks mLinks;
+    private final AtomicLong mSessions = new AtomicLong();
+    private final long mStartedMs;
+
+    AgentEntries(
+            DaemonSettings settings,
+            AgentSettings agentSettings,
+            Incarnation incarnation,
+            MessageTransport transport,
+            Scheduler scheduler,
+            InvocationService invocations,
+            ConfigurationHolder configuration,
+            HostedTargets targets) {
+        mSettings = settings;
+        mIncarnation = incarnation;
+        mScheduler = scheduler;
+        mInvocations = invocations;
+        mConfiguration = configuration;
+        mTargets = targets;
+        mLinks = new EntryLinks(transport, scheduler, this, agentSettings.maximumLinks());
+        mStartedMs = scheduler.now(TimeUnit.MILLISECONDS);
+    }
+
+    /** A session for the dump. */
+    record SessionState(ProcessId entry, Incarnation incarnation, SessionNumber session) {}
+
+    /** Starts links to the addresses of the settings. */
+    void add(List<InetSocketAddress> addresses) {
+        mLinks.add(addresses);
+    }
+
+    /** Sends a report to every entry. */
+    void report() {
+        mLinks.sendToAll(newReport());
+    }
+
+    /** Returns the open sessions. */
+    List<SessionState> sessions() {
+        return mLinks.sessions().stream()
+                .map(
+                        session ->
+                                new SessionState(
+                                        session.entry(), session.incarnation(), session.number()))
+                .toList();
+    }
+
+    /** Closes the links. */
+    void close() {
+        mLinks.close();
+    }
+
+    @Override
+    public SessionNumber nextSession() {
+        return new SessionNumber(mSessions.incrementAndGet());
+    }
+
+    @Override
+    public Hello hello(SessionNumber session) {
+        return new Hello(
+                MessageCodec.PROTOCOL_VERSION,
+                mSettings.process(),
+                ProcessRole.AGENT,
+                mIncarnation,
+                session,
+                mSettings.zone(),
+                Optional.empty());
+    }
+
+    @Override
+    public boolean onWelcome(EntrySession session, Welcome welcome) {
+        if (mLinks.isConnectedTo(session.entry(), session)) {
+            return false;
+        }
+        mInvocations.openSession(session.entry(), session.incarnation(), session.number());
+        return true;
+    }
+
+    @Override
+    public void onOpened(EntrySession session) {
+        session.connection().send(newReport());
+        mConfiguration
+                .current()
+                .ifPresent(
+                        current ->
+                                session.connection()
+                                        .send(
+                                                new ConfigurationUpdate(
+                                                        current.version(),
+                                                        current.configuration().bytes())));
+    }
+
+    @Override
+    public void onMessage(EntrySession session, Message message) {
+        if (message instanceof Invoke invoke) {
+            mInvocations.invoke(
+                    session.entry(), session.number(), invoke, result -> reply(session, result));
+            mInvocations.acknowledge(
+                    session.entry(), session.incarnation(), invoke.acknowledgedBelow());
+        } else if (message instanceof Cancel cancel) {
+            reply(session, mInvocations.cancel(cancel.request(), result -> reply(session, result)));
+        } else if (message instanceof ConfigurationUpdate update) {
+            mConfiguration.offer(update, ConfigurationSource.ENTRY);
+        }
+    }
+
+    @Override
+    public void onClosed(EntrySession session) {
+        // Requests in progress run on; the entry asks for their outcome on its next session.
+    }
+
+    @Override
+    public void onEntriesKnown(List<EntryAddress> entries) {
+        mLinks.addKnown(entries);
+    }
+
+    private static void reply(EntrySession session, Message message) {
+        boolean sent = session.connection().send(message);
+        if (!sent && message instanceof InvokeResult) {
+            // The entry asks for the outcome on the next session.
+            session.connection().close();
+        }
+    }
+
+    private AgentReport newReport() {
+        return new AgentReport(
+                mScheduler.now(TimeUnit.MILLISECONDS) - mStartedMs,
+                mConfiguration.version(),
+                mTargets.reports(),
+                Optional.empty());
+    }
+}
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentProcess.java
@@ -0,0 +1,204 @@
+package org.hickorycleat.daemon.agent;
+
+import io.javalin.config.JavalinConfig;
+import io.javalin.http.Context;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.hickorycleat.daemon.Lifecycle;
+import org.hickorycleat.daemon.http.AdminHttp;
+import org.hickorycleat.daemon.http.AdminView;
+import org.hickorycleat.daemon.logging.EventLog;
+import org.hickorycleat.daemon.settings.AgentSettings;
+import org.hickorycleat.daemon.settings.DaemonSettings;
+import org.hickorycleat.daemon.transport.MessageTransport;
+import org.hickorycleat.daemon.transport.TransportMetrics;
+import org.hickorycleat.logic.configuration.ConfigurationHolder;
+import org.hickorycleat.logic.invocation.InvocationService;
+import org.hickorycleat.model.identifier.Incarnation;
+
+/** A daemon in the agent role. */
+public final class AgentProcess implements AdminView, Lifecycle {
+    private static final EventLog LOG = EventLog.of(AgentProcess.class);
+    private static final int EVENT_LOOPS = 1;
+    private static final long REPORT_INTERVAL_MS = 1_000;
+    private static final int BAD_REQUEST = 400;
+
+    private final DaemonSettings mSettings;
+    private final AgentSettings mAgentSettings;
+    private final Incarnation mIncarnation;
+    private final Scheduler mScheduler;
+    private final PrometheusMeterRegistry mMeters =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final MessageTransport mTransport;
+    private final ConfigurationHolder mConfiguration = new ConfigurationHolder();
+    private final HttpTargetClient mTargetClient;
+    private final InvocationService mInvocations;
+    private final HostedTargets mTargets;
+    private final AgentEntries mEntries;
+    private final AdminHttp mAdmin;
+    private final CompositeDisposable mRunning = new CompositeDisposable();
+    private volatile boolean mDraining;
+
+    /** Creates the process. */
+    public AgentProcess(
+            DaemonSettings settings,
+            AgentSettings agentSettings,
+            Incarnation incarnation,
+            Scheduler scheduler) {
+        mSettings = settings;
+        mAgentSettings = agentSettings;
+        mIncarnation = incarnation;
+        mScheduler = scheduler;
+        mTransport = new MessageTransport(EVENT_LOOPS, new TransportMetrics(mMeters));
+        mTargetClient = new HttpTargetClient(service -> targets().address(service));
+        mInvocations =
+                InvocationService.builder(mTargetClient, scheduler)
+                        .keyValidity(agentSettings.keyValidity())
+                        .build();
+        mTargets = new HostedTargets(mInvocations, scheduler);
+        mEntries =
+                new AgentEntries(
+                        settings,
+                        agentSettings,
+                        incarnation,
+                        mTransport,
+                        scheduler,
+                        mInvocations,
+                        mConfiguration,
+                        mTargets);
+        mAdmin = new AdminHttp(this, mMeters, this::addRoutes);
+        Gauge.builder("hickorycleat.invocations.in.progress", mInvocations::inProgress)
+                .register(mMeters);
+        Gauge.builder("hickorycleat.invocations.fenced", mInvocations::fencedInvokes)
+                .register(mMeters);
+    }
+
+    @Override
+    public void start() {
+        mRunning.add(
+                mConfiguration
+                        .changes()
+                        .subscribe(
+                                current -> mTargets.configure(current.configuration().manifest()),
+                                cause ->
+                                        LOG.event("configuration_failed")
+                                                .with("cause", cause)
+                                                .error()));
+        mAdmin.start(mSettings.adminListen());
+        mEntries.add(mAgentSettings.entries());
+        mRunning.add(
+                mScheduler.schedulePeriodicallyDirect(
+                        mEntries::report,
+                        REPORT_INTERVAL_MS,
+                        REPORT_INTERVAL_MS,
+                        TimeUnit.MILLISECONDS));
+        LOG.event("started")
+                .with("process", mSettings.process())
+                .with("role", "agent")
+                .with("zone", mSettings.zone())
+                .with("incarnation", mIncarnation)
+                .info();
+    }
+
+    @Override
+    public void drain() {
+        if (mDraining) {
+            return;
+        }
+        mDraining = true;
+        mTargets.leave();
+        mEntries.report();
+        LOG.event("draining").with("in_progress", mInvocations.inProgress()).info();
+    }
+
+    @Override
+    public boolean isDraining() {
+        return mDraining;
+    }
+
+    @Override
+    public boolean isIdle() {
+        return mInvocations.inProgress() == 0;
+    }
+
+    @Override
+    public Duration drainLimit() {
+        return mSettings.drainLimit();
+    }
+
+    @Override
+    public void close() {
+        mRunning.dispose();
+        mEntries.close();
+        mTransport.close();
+        mTargetClient.close();
+        mAdmin.close();
+        LOG.event("stopped").with("process", mSettings.process()).info();
+    }
+
+    @Override
+    public Object status() {
+        return new AgentStatus(
+                mSettings.process(),
+                "agent",
+                mSettings.zone(),
+                mIncarnation,
+                mConfiguration.version().value(),
+                mConfiguration.healthText(),
+                mEntries.sessions().size(),
+                mInvocations.inProgress(),
+                mDraining);
+    }
+
+    @Override
+    public Object dump() {
+        return new AgentDump(
+                status(), mEntries.sessions(), mTargets.reports(), mInvocations.fencedInvokes());
+    }
+
+    @Override
+    public List<Object> jobs() {
+        return List.of();
+    }
+
+    @Override
+    public Optional<Object> explain(String task) {
+        return Optional.empty();
+    }
+
+    @Override
+    public List<String> unreadyReasons() {
+        if (mDraining) {
+            return List.of("draining");
+        }
+        return mEntries.sessions().isEmpty() ? List.of("no entry is connected") : List.of();
+    }
+
+    private HostedTargets targets() {
+        return mTargets;
+    }
+
+    private void addRoutes(JavalinConfig configuration) {
+        configuration.routes.put("/v1/announcement", this::announce);
+    }
+
+    private void announce(Context context) {
+        Either<List<String>, Announcement> parsed = AnnouncementParser.parse(context.bodyAsBytes());
+        if (parsed.isLeft()) {
+            context.status(BAD_REQUEST).result(String.join("; ", parsed.getLeft()));
+            return;
+        }
+        if (mTargets.announce(parsed.get())) {
+            mEntries.report();
+        }
+        context.result("{}");
+    }
+}
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HttpTargetClient.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HttpTargetClient.java
@@ -34,6 +34,9 @@
     /** Largest answer of a target, in bytes. */
     private static final int MAXIMUM_BODY_BYTES = 512 << 10;
 
+    /** Far above what slots allow: the limits of each target are enforced before. */
+    private static final int MAXIMUM_CONNECTIONS = 1_024;
+
     private static final int KEEP_ALIVE_SECONDS = 60;
     private static final long CONNECT_TIMEOUT_MS = 1_000;
 
@@ -57,18 +60,17 @@
     private final OkHttpClient mClient;
 
     /** Creates a client that asks for the address of the target at each exchange. */
-    public HttpTargetClient(
-            Function<ServiceName, Optional<InetSocketAddress>> addresses, int connections) {
+    public HttpTargetClient(Function<ServiceName, Optional<InetSocketAddress>> addresses) {
         mAddresses = addresses;
         Dispatcher dispatcher = new Dispatcher();
-        dispatcher.setMaxRequests(connections);
-        dispatcher.setMaxRequestsPerHost(connections);
+        dispatcher.setMaxRequests(MAXIMUM_CONNECTIONS);
+        dispatcher.setMaxRequestsPerHost(MAXIMUM_CONNECTIONS);
         mClient =
                 new OkHttpClient.Builder()
                         .dispatcher(dispatcher)
                         .connectionPool(
                                 new ConnectionPool(
-                                        connections, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
+                                        MAXIMUM_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
                         .connectTimeout(CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS)
                         // The deadline of each request is set on its call.
                         .readTimeout(0, TimeUnit.MILLISECONDS)
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerHttp.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerHttp.java
@@ -11,9 +11,12 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.vavr.control.Either;
 import java.net.InetSocketAddress;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -168,8 +171,14 @@
     }
 
     private static void addHeaders(Context context, InvokeResult result) {
+        Set<String> written = new HashSet<>();
         for (HttpHeader header : result.headers()) {
-            context.res().addHeader(header.name(), header.value());
+            // The first value replaces the default of the server; others are added to it.
+            if (written.add(header.name().toLowerCase(Locale.ROOT))) {
+                context.res().setHeader(header.name(), header.value());
+            } else {
+                context.res().addHeader(header.name(), header.value());
+            }
         }
     }
 
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryConfiguration.java
@@ -0,0 +1,127 @@
+package org.hickorycleat.daemon.entry;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.hickorycleat.daemon.logging.EventLog;
+import org.hickorycleat.logic.configuration.ConfigurationHolder;
+import org.hickorycleat.logic.configuration.ConfigurationInForce;
+import org.hickorycleat.logic.configuration.ConfigurationReader;
+import org.hickorycleat.logic.configuration.ConfigurationSource;
+import org.hickorycleat.logic.configuration.ConfigurationStream;
+import org.hickorycleat.logic.configuration.SnapshotAppender;
+import org.hickorycleat.logic.configuration.SnapshotPolicy;
+import org.hickorycleat.logic.log.ExponentialBackoff;
+import org.hickorycleat.logic.log.IdempotentAppender;
+import org.hickorycleat.logic.log.StreamFollower;
+import org.hickorycleat.logic.port.LogService;
+import org.hickorycleat.model.identifier.Incarnation;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.manifest.Manifest;
+import org.hickorycleat.model.message.ConfigurationUpdate;
+
+/** The configuration of an entry: follows the log, takes updates of peers, preserves snapshots. */
+final class EntryConfiguration implements AutoCloseable {
+    private static final EventLog LOG = EventLog.of(EntryConfiguration.class);
+
+    /** The log service keeps records at least this long and this many; see docs/interfaces.md. */
+    private static final Duration RETENTION = Duration.ofHours(24);
+
+    private static final long RETENTION_RECORDS = 10_000;
+
+    private final ConfigurationHolder mHolder = new ConfigurationHolder();
+    private final ConfigurationReader mReader;
+    private final SnapshotAppender mSnapshots;
+    private final CompositeDisposable mRunning = new CompositeDisposable();
+
+    EntryConfiguration(
+            ProcessId process, Incarnation incarnation, LogService log, Scheduler scheduler) {
+        Random random = new Random(incarnation.value());
+        mReader =
+                new ConfigurationReader(
+                        new StreamFollower(
+                                log,
+                                ConfigurationStream.NAME,
+                                0,
+                                StreamFollower.DEFAULT_WAIT,
+                                ExponentialBackoff.DEFAULT,
+                                random,
+                                scheduler),
+                        mHolder,
+                        (offset, outcome) ->
+                                LOG.event("configuration_record")
+                                        .with("offset", offset)
+                                        .with("outcome", outcome)
+                                        .info());
+        mSnapshots =
+                new SnapshotAppender(
+                        new IdempotentAppender(
+                                log,
+                                ConfigurationStream.NAME,
+                                ConfigurationStream.RECORD_IDS,
+                                ExponentialBackoff.DEFAULT,
+                                random,
+                                scheduler),
+                        process,
+                        incarnation,
+                        new AtomicLong()::incrementAndGet,
+                        mReader::history,
+                        SnapshotPolicy.forRetention(RETENTION, RETENTION_RECORDS),
+                        random,
+                        scheduler);
+    }
+
+    /** Starts to follow the log; {@code onChange} is called for each configuration in force. */
+    void start(Consumer<ConfigurationInForce> onChange) {
+        mRunning.add(
+                mHolder.changes()
+                        .observeOn(Schedulers.single())
+                        .subscribe(onChange::accept, EntryConfiguration::failed));
+        mRunning.add(mReader.run().subscribe(() -> {}, EntryConfiguration::failed));
+        mRunning.add(mSnapshots.run().subscribe(() -> {}, EntryConfiguration::failed));
+    }
+
+    /** Returns the manifest in force. */
+    Optional<Manifest> manifest() {
+        return mHolder.current().map(current -> current.configuration().manifest());
+    }
+
+    /** Returns the configuration in force. */
+    Optional<ConfigurationInForce> current() {
+        return mHolder.current();
+    }
+
+    /** Returns the version in force as a number, -1 for none. */
+    long version() {
+        return mHolder.version().value();
+    }
+
+    /** Takes the configuration of another entry. */
+    void offerFromPeer(ConfigurationUpdate update) {
+        mHolder.offer(update, ConfigurationSource.PEER);
+    }
+
+    /** Takes the slice that an agent holds; it only counts when nothing better is known. */
+    void offerFromAgent(ConfigurationUpdate update) {
+        mHolder.offer(update, ConfigurationSource.AGENT);
+    }
+
+    /** Describes configuration and log for health output. */
+    String healthText() {
+        return mReader.healthText();
+    }
+
+    @Override
+    public void close() {
+        mRunning.dispose();
+    }
+
+    private static void failed(Throwable cause) {
+        LOG.event("configuration_failed").with("cause", cause).error();
+    }
+}
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryDump.java
@@ -0,0 +1,12 @@
+package org.hickorycleat.daemon.entry;
+
+import java.util.List;
+import org.hickorycleat.model.message.EntryAddress;
+import org.hickorycleat.model.message.Hello;
+
+/** State of an entry for operators. */
+record EntryDump(
+        Object status,
+        List<EntryAddress> liveEntries,
+        List<Hello> agents,
+        RequestPath.State requests) {}
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryProcess.java
@@ -0,0 +1,276 @@
+package org.hickorycleat.daemon.entry;
+
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.hickorycleat.daemon.Lifecycle;
+import org.hickorycleat.daemon.http.AdminHttp;
+import org.hickorycleat.daemon.http.AdminView;
+import org.hickorycleat.daemon.logging.EventLog;
+import org.hickorycleat.daemon.logservice.HttpLogService;
+import org.hickorycleat.daemon.logservice.LogServiceTimeouts;
+import org.hickorycleat.daemon.settings.DaemonSettings;
+import org.hickorycleat.daemon.settings.EntrySettings;
+import org.hickorycleat.daemon.transport.MessageTransport;
+import org.hickorycleat.daemon.transport.TransportMetrics;
+import org.hickorycleat.logic.configuration.ConfigurationInForce;
+import org.hickorycleat.model.configuration.AcceptedConfiguration;
+import org.hickorycleat.model.identifier.ConfigurationVersion;
+import org.hickorycleat.model.identifier.Incarnation;
+import org.hickorycleat.model.identifier.ServiceName;
+import org.hickorycleat.model.manifest.ManifestSlices;
+import org.hickorycleat.model.manifest.ManifestWriter;
+import org.hickorycleat.model.message.AgentReport;
+import org.hickorycleat.model.message.ConfigurationUpdate;
+import org.hickorycleat.model.message.EntryAddress;
+import org.hickorycleat.model.message.Hello;
+import org.hickorycleat.model.message.Message;
+import org.hickorycleat.model.message.PeerSummary;
+import org.hickorycleat.model.message.Welcome;
+
+/** A daemon in the entry role. */
+public final class EntryProcess implements AgentEvents, AdminView, Lifecycle {
+    private static final EventLog LOG = EventLog.of(EntryProcess.class);
+    private static final int EVENT_LOOPS = 4;
+    private static final long TICK_MS = 1_000;
+
+    private final DaemonSettings mSettings;
+    private final EntrySettings mEntrySettings;
+    private final Incarnation mIncarnation;
+    private final Scheduler mScheduler;
+    private final PrometheusMeterRegistry mMeters =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final MessageTransport mTransport;
+    private final AgentConnections mConnections;
+    private final PeerEntries mPeers;
+    private final EntryConfiguration mConfiguration;
+    private final RequestPath mRequests;
+    private final AgentSlices mSlices = new AgentSlices();
+    private final CallerHttp mCallers;
+    private final AdminHttp mAdmin;
+    private final CompositeDisposable mTimers = new CompositeDisposable();
+    private volatile boolean mDraining;
+
+    /** Creates the process. */
+    public EntryProcess(
+            DaemonSettings settings,
+            EntrySettings entrySettings,
+            Incarnation incarnation,
+            Scheduler scheduler) {
+        mSettings = settings;
+        mEntrySettings = entrySettings;
+        mIncarnation = incarnation;
+        mScheduler = scheduler;
+        mTransport = new MessageTransport(EVENT_LOOPS, new TransportMetrics(mMeters));
+        mConnections = new AgentConnections(this::welcome, this);
+        mPeers = new PeerEntries(address(), incarnation, mTransport, scheduler);
+        mConfiguration =
+                new EntryConfiguration(
+                        settings.process(),
+                        incarnation,
+                        new HttpLogService(entrySettings.logService(), LogServiceTimeouts.DEFAULT),
+                        scheduler);
+        mRequests =
+                new RequestPath(
+                        settings.process(), incarnation, settings.zone(), mConnections, scheduler);
+        mCallers = new CallerHttp(mConfiguration::manifest, mRequests::serve, mMeters);
+        mAdmin = new AdminHttp(this, mMeters, configuration -> {});
+        Gauge.builder("hickorycleat.configuration.version", mConfiguration::version)
+                .register(mMeters);
+        Gauge.builder("hickorycleat.requests.in.progress", mCallers::inProgress).register(mMeters);
+    }
+
+    @Override
+    public void start() throws InterruptedException {
+        mConfiguration.start(this::configurationChanged);
+        mTransport.listen(mEntrySettings.peerListen(), mConnections::newListener);
+        mPeers.add(mEntrySettings.peers());
+        mTimers.add(
+                mScheduler.schedulePeriodicallyDirect(
+                        this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS));
+        mCallers.start(mEntrySettings.callerListen());
+        mAdmin.start(mSettings.adminListen());
+        LOG.event("started")
+                .with("process", mSettings.process())
+                .with("role", "entry")
+                .with("zone", mSettings.zone())
+                .with("incarnation", mIncarnation)
+                .info();
+    }
+
+    @Override
+    public void drain() {
+        if (mDraining) {
+            return;
+        }
+        mDraining = true;
+        mCallers.drain();
+        LOG.event("draining").with("in_progress", mCallers.inProgress()).info();
+    }
+
+    @Override
+    public boolean isDraining() {
+        return mDraining;
+    }
+
+    @Override
+    public boolean isIdle() {
+        return mCallers.inProgress() == 0;
+    }
+
+    @Override
+    public Duration drainLimit() {
+        return mSettings.drainLimit();
+    }
+
+    @Override
+    public void close() {
+        mTimers.dispose();
+        mCallers.close();
+        mConfiguration.close();
+        mPeers.close();
+        mTransport.close();
+        mAdmin.close();
+        LOG.event("stopped").with("process", mSettings.process()).info();
+    }
+
+    @Override
+    public void onAgentOpened(Hello agent) {
+        mRequests.onAgentOpened(agent);
+    }
+
+    @Override
+    public void onAgentMessage(Hello agent, Message message) {
+        if (mRequests.onAgentMessage(agent, message)) {
+            return;
+        }
+        if (message instanceof AgentReport report) {
+            sendSlice(agent, report);
+        } else if (message instanceof ConfigurationUpdate update) {
+            mConfiguration.offerFromAgent(update);
+        }
+    }
+
+    @Override
+    public void onAgentClosed(Hello agent) {
+        mRequests.onAgentClosed(agent);
+        mSlices.forget(agent);
+    }
+
+    @Override
+    public void onPeerOpened(Hello peer) {
+        mPeers.heardFrom(peer);
+        mConfiguration.current().ifPresent(current -> mPeers.send(update(current)));
+    }
+
+    @Override
+    public void onPeerMessage(Hello peer, Message message) {
+        mPeers.heardFrom(peer);
+        if (message instanceof ConfigurationUpdate update) {
+            mConfiguration.offerFromPeer(update);
+        }
+    }
+
+    @Override
+    public Object status() {
+        return new EntryStatus(
+                mSettings.process(),
+                "entry",
+                mSettings.zone(),
+                mIncarnation,
+                mConfiguration.version(),
+                mConfiguration.healthText(),
+                mPeers.live().size(),
+                mConnections.agents().size(),
+                mCallers.inProgress(),
+                mDraining);
+    }
+
+    @Override
+    public Object dump() {
+        return new EntryDump(status(), mPeers.live(), mConnections.agents(), mRequests.state());
+    }
+
+    @Override
+    public List<Object> jobs() {
+        return List.of();
+    }
+
+    @Override
+    public Optional<Object> explain(String task) {
+        return Optional.empty();
+    }
+
+    @Override
+    public List<String> unreadyReasons() {
+        if (mDraining) {
+            return List.of("draining");
+        }
+        return mConfiguration.current().isPresent()
+                ? List.of()
+                : List.of(mConfiguration.healthText());
+    }
+
+    private void configurationChanged(ConfigurationInForce current) {
+        mRequests.configure(current.configuration().manifest());
+        LOG.event("configuration_in_force")
+                .with("version", current.version())
+                .with("source", current.source().word())
+                .info();
+        mPeers.send(update(current));
+        mConnections.agents().forEach(agent -> sendSlice(agent, current));
+    }
+
+    private void sendSlice(Hello agent, AgentReport report) {
+        Set<ServiceName> services = AgentSlices.services(report);
+        mSlices.setServices(agent, services);
+        mConfiguration.current().ifPresent(current -> sendSlice(agent, current));
+    }
+
+    private void sendSlice(Hello agent, ConfigurationInForce current) {
+        Optional<Set<ServiceName>> needed = mSlices.needed(agent, current.version());
+        if (needed.isEmpty()) {
+            return;
+        }
+        AcceptedConfiguration whole = current.configuration();
+        byte[] slice = ManifestWriter.write(ManifestSlices.slice(whole.manifest(), needed.get()));
+        if (mConnections.send(agent.process(), new ConfigurationUpdate(current.version(), slice))) {
+            mSlices.sent(agent, current.version(), needed.get());
+        }
+    }
+
+    private void tick() {
+        List<EntryAddress> live = mPeers.live();
+        mRequests.setLiveEntries(live.size());
+        mRequests.forgetGone();
+        mConnections.sendWelcomes();
+        mPeers.send(
+                new PeerSummary(
+                        mSettings.zone(),
+                        new ConfigurationVersion(mConfiguration.version()),
+                        mRequests.capacities()));
+    }
+
+    private Welcome welcome() {
+        return new Welcome(mSettings.process(), mIncarnation, mSettings.zone(), mPeers.live());
+    }
+
+    private EntryAddress address() {
+        return new EntryAddress(
+                mSettings.process(),
+                mSettings.zone(),
+                mEntrySettings.peerListen().getHostString(),
+                mEntrySettings.peerListen().getPort());
+    }
+
+    private static ConfigurationUpdate update(ConfigurationInForce current) {
+        return new ConfigurationUpdate(current.version(), current.configuration().bytes());
+    }
+}
