Run placement shards in entries

Cause: the shard owner decides without input or output; an entry feeds it the log, the messages of agents and time, and carries out its effects.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryDump.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryDump.java
@@ -1,6 +1,7 @@
 package org.hickorycleat.daemon.entry;
 
 import java.util.List;
+import org.hickorycleat.logic.ownership.ShardDump;
 import org.hickorycleat.model.message.EntryAddress;
 import org.hickorycleat.model.message.Hello;
 
@@ -9,4 +10,5 @@
         Object status,
         List<EntryAddress> liveEntries,
         List<Hello> agents,
-        RequestPath.State requests) {}
+        RequestPath.State requests,
+        List<ShardDump> shards) {}
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryProcess.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryProcess.java
@@ -21,10 +21,12 @@
 import org.hickorycleat.daemon.transport.MessageTransport;
 import org.hickorycleat.daemon.transport.TransportMetrics;
 import org.hickorycleat.logic.configuration.ConfigurationInForce;
+import org.hickorycleat.logic.ownership.OwnerIdentity;
 import org.hickorycleat.model.configuration.AcceptedConfiguration;
 import org.hickorycleat.model.identifier.ConfigurationVersion;
 import org.hickorycleat.model.identifier.Incarnation;
 import org.hickorycleat.model.identifier.ServiceName;
+import org.hickorycleat.model.identifier.TaskId;
 import org.hickorycleat.model.manifest.ManifestSlices;
 import org.hickorycleat.model.manifest.ManifestWriter;
 import org.hickorycleat.model.message.AgentReport;
@@ -52,6 +54,7 @@
     private final PeerEntries mPeers;
     private final EntryConfiguration mConfiguration;
     private final RequestPath mRequests;
+    private final PlacementShards mShards;
     private final AgentSlices mSlices = new AgentSlices();
     private final CallerHttp mCallers;
     private final AdminHttp mAdmin;
@@ -71,11 +74,14 @@
         mTransport = new MessageTransport(EVENT_LOOPS, new TransportMetrics(mMeters));
         mConnections = new AgentConnections(this::welcome, this);
         mPeers = new PeerEntries(address(), incarnation, mTransport, scheduler);
-        mConfiguration =
-                new EntryConfiguration(
-                        settings.process(),
-                        incarnation,
-                        new HttpLogService(entrySettings.logService(), LogServiceTimeouts.DEFAULT),
+        HttpLogService log =
+                new HttpLogService(entrySettings.logService(), LogServiceTimeouts.DEFAULT);
+        mConfiguration = new EntryConfiguration(settings.process(), incarnation, log, scheduler);
+        mShards =
+                new PlacementShards(
+                        new OwnerIdentity(settings.process(), incarnation),
+                        log,
+                        mConnections,
                         scheduler);
         mRequests =
                 new RequestPath(
@@ -112,6 +118,7 @@
         }
         mDraining = true;
         mCallers.drain();
+        mShards.drain();
         LOG.event("draining").with("in_progress", mCallers.inProgress()).info();
     }
 
@@ -135,6 +142,7 @@
         mTimers.dispose();
         mCallers.close();
         mConfiguration.close();
+        mShards.close();
         mPeers.close();
         mTransport.close();
         mAdmin.close();
@@ -153,14 +161,18 @@
         }
         if (message instanceof AgentReport report) {
             sendSlice(agent, report);
+            mShards.onReport(agent, report);
         } else if (message instanceof ConfigurationUpdate update) {
             mConfiguration.offerFromAgent(update);
+        } else {
+            mShards.onMessage(agent, message);
         }
     }
 
     @Override
     public void onAgentClosed(Hello agent) {
         mRequests.onAgentClosed(agent);
+        mShards.onClosed(agent);
         mSlices.forget(agent);
     }
 
@@ -195,17 +207,18 @@
 
     @Override
     public Object dump() {
-        return new EntryDump(status(), mPeers.live(), mConnections.agents(), mRequests.state());
+        return new EntryDump(
+                status(), mPeers.live(), mConnections.agents(), mRequests.state(), mShards.dump());
     }
 
     @Override
     public List<Object> jobs() {
-        return List.of();
+        return List.copyOf(mShards.jobs());
     }
 
     @Override
     public Optional<Object> explain(String task) {
-        return Optional.empty();
+        return mShards.explain(new TaskId(task)).map(Object.class::cast);
     }
 
     @Override
@@ -224,6 +237,7 @@
                 .with("version", current.version())
                 .with("source", current.source().word())
                 .info();
+        mShards.configure(current.configuration());
         mPeers.send(update(current));
         mConnections.agents().forEach(agent -> sendSlice(agent, current));
     }
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/PlacementShards.java
@@ -0,0 +1,181 @@
+package org.hickorycleat.daemon.entry;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.hickorycleat.logic.ownership.OwnerIdentity;
+import org.hickorycleat.logic.ownership.ShardDump;
+import org.hickorycleat.logic.ownership.ShardEvent;
+import org.hickorycleat.logic.ownership.ShardManifest;
+import org.hickorycleat.logic.ownership.ShardOwner;
+import org.hickorycleat.logic.ownership.TaskExplanation;
+import org.hickorycleat.logic.placement.DefaultPlacementPolicy;
+import org.hickorycleat.logic.port.AgentLink;
+import org.hickorycleat.logic.port.LogService;
+import org.hickorycleat.model.configuration.AcceptedConfiguration;
+import org.hickorycleat.model.identifier.ShardNumber;
+import org.hickorycleat.model.identifier.StreamName;
+import org.hickorycleat.model.identifier.TaskId;
+import org.hickorycleat.model.identifier.TeamName;
+import org.hickorycleat.model.manifest.JobSpecification;
+import org.hickorycleat.model.manifest.Manifest;
+import org.hickorycleat.model.manifest.TeamSpecification;
+import org.hickorycleat.model.message.AgentReport;
+import org.hickorycleat.model.message.Hello;
+import org.hickorycleat.model.message.Message;
+import org.hickorycleat.model.message.WorkerSummary;
+import org.hickorycleat.model.task.Resources;
+
+/** The placement shards that this entry owns or stands ready to own. */
+final class PlacementShards implements AutoCloseable {
+    private final OwnerIdentity mSelf;
+    private final LogService mLog;
+    private final AgentLink mAgents;
+    private final Scheduler mScheduler;
+    private final Map<ShardNumber, ShardRunner> mRunners = new ConcurrentHashMap<>();
+    private final Set<Hello> mConnected = new HashSet<>();
+    private List<TaskId> mJobs = List.of();
+
+    PlacementShards(OwnerIdentity self, LogService log, AgentLink agents, Scheduler scheduler) {
+        mSelf = self;
+        mLog = log;
+        mAgents = agents;
+        mScheduler = scheduler;
+    }
+
+    /** Puts a manifest in force. */
+    synchronized void configure(AcceptedConfiguration configuration) {
+        Manifest manifest = configuration.manifest();
+        int shards = manifest.placementShards();
+        for (int number = 0; number < shards; number++) {
+            ShardNumber shard = new ShardNumber(number);
+            mRunners.computeIfAbsent(shard, this::startRunner)
+                    .handle(
+                            new ShardEvent.ManifestChanged(
+                                    shardManifest(configuration, shard, shards)));
+        }
+        mJobs = manifest.jobs().stream().map(PlacementShards::task).toList();
+    }
+
+    /** Takes the worker of a report; the first of a session announces the connection. */
+    synchronized void onReport(Hello agent, AgentReport report) {
+        if (report.worker().isEmpty()) {
+            return;
+        }
+        WorkerSummary worker = report.worker().get();
+        boolean first = mConnected.add(agent);
+        runnerOf(worker)
+                .ifPresent(
+                        runner ->
+                                runner.handle(
+                                        first
+                                                ? new ShardEvent.AgentConnected(
+                                                        agent.process(), agent.zone(), worker)
+                                                : new ShardEvent.WorkerReported(
+                                                        agent.process(), worker)));
+        if (runnerOf(worker).isEmpty()) {
+            mConnected.remove(agent);
+        }
+    }
+
+    /** Takes a message about tasks; shards ignore those of other shards. */
+    void onMessage(Hello agent, Message message) {
+        mRunners.values()
+                .forEach(
+                        runner ->
+                                runner.handle(
+                                        new ShardEvent.MessageReceived(agent.process(), message)));
+    }
+
+    /** The session of an agent is lost. */
+    synchronized void onClosed(Hello agent) {
+        if (mConnected.remove(agent)) {
+            mRunners.values()
+                    .forEach(
+                            runner ->
+                                    runner.handle(
+                                            new ShardEvent.AgentDisconnected(agent.process())));
+        }
+    }
+
+    /** Makes no claim, renewal or decision any more, so that other entries take over. */
+    void drain() {
+        mRunners.values().forEach(runner -> runner.handle(new ShardEvent.Draining()));
+    }
+
+    /** Returns the state of each shard. */
+    List<ShardDump> dump() {
+        return mRunners.values().stream().map(ShardRunner::dump).toList();
+    }
+
+    /** Returns what is known of each job of the manifest. */
+    List<TaskExplanation> jobs() {
+        List<TaskId> jobs;
+        synchronized (this) {
+            jobs = mJobs;
+        }
+        List<TaskExplanation> explanations = new ArrayList<>();
+        jobs.forEach(job -> explain(job).ifPresent(explanations::add));
+        return explanations;
+    }
+
+    /** Returns what is known of a task. */
+    Optional<TaskExplanation> explain(TaskId task) {
+        return mRunners.values().stream()
+                .map(runner -> runner.explain(task))
+                .filter(known -> known.record().isPresent() || known.ending().isPresent())
+                .findFirst();
+    }
+
+    @Override
+    public void close() {
+        mRunners.values().forEach(ShardRunner::close);
+    }
+
+    private Optional<ShardRunner> runnerOf(WorkerSummary worker) {
+        int shards = mRunners.size();
+        return shards == 0
+                ? Optional.empty()
+                : Optional.ofNullable(mRunners.get(shardOf(worker.worker().value(), shards)));
+    }
+
+    private ShardRunner startRunner(ShardNumber shard) {
+        ShardOwner owner =
+                ShardOwner.builder(shard, mSelf, DefaultPlacementPolicy.builder().build())
+                        .scheduler(mScheduler)
+                        .build();
+        ShardRunner runner =
+                new ShardRunner(
+                        new StreamName("placement-" + shard), owner, mLog, mAgents, mScheduler);
+        runner.start();
+        return runner;
+    }
+
+    private static ShardManifest shardManifest(
+            AcceptedConfiguration configuration, ShardNumber shard, int shards) {
+        Manifest manifest = configuration.manifest();
+        List<JobSpecification> jobs =
+                manifest.jobs().stream()
+                        .filter(job -> shardOf(task(job).value(), shards).equals(shard))
+                        .toList();
+        Map<TeamName, Resources> quotas = new HashMap<>();
+        for (TeamSpecification team : manifest.teams()) {
+            quotas.put(team.name(), team.quota());
+        }
+        return new ShardManifest(configuration.version(), jobs, List.of(), quotas);
+    }
+
+    private static TaskId task(JobSpecification job) {
+        return new TaskId(job.name() + "#" + job.run());
+    }
+
+    private static ShardNumber shardOf(String name, int shards) {
+        return new ShardNumber(Math.floorMod(name.hashCode(), shards));
+    }
+}
