Test codec, settings and ports against bad input

Cause: bytes that are no message, damaged messages and wrong settings must give a clear error and leave every port serving. Figures: 150 connections of random bytes on each of the 4 ports of an entry and an agent, 4,000 random or damaged frames, 500 random settings files; all ports answered afterwards.

--- /dev/null
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/RandomBytesTest.java
@@ -0,0 +1,138 @@
+package org.hickorycleat.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.reactivex.rxjava3.schedulers.Schedulers;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.logging.Level;
+import org.hickorycleat.daemon.agent.AgentProcess;
+import org.hickorycleat.daemon.entry.EntryProcess;
+import org.hickorycleat.daemon.settings.AgentSettings;
+import org.hickorycleat.daemon.settings.DaemonSettings;
+import org.hickorycleat.daemon.settings.EntrySettings;
+import org.hickorycleat.model.identifier.Incarnation;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.identifier.ZoneId;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class RandomBytesTest {
+    private static final int CONNECTIONS = 150;
+    private static final int LARGEST_BYTES = 2_000;
+
+    private final HttpClient mClient = HttpClient.newHttpClient();
+    private final InetSocketAddress mEntryAdmin = freeAddress();
+    private final InetSocketAddress mCallers = freeAddress();
+    private final InetSocketAddress mPeers = freeAddress();
+    private final InetSocketAddress mAgentAdmin = freeAddress();
+    private final EntryProcess mEntry =
+            new EntryProcess(
+                    settings("entry-1", mEntryAdmin),
+                    entrySettings(),
+                    new Incarnation(1),
+                    Schedulers.computation());
+    private final AgentProcess mAgent =
+            new AgentProcess(
+                    settings("agent-1", mAgentAdmin),
+                    agentSettings(),
+                    new Incarnation(2),
+                    Schedulers.computation());
+
+    @BeforeEach
+    void start() throws InterruptedException {
+        mEntry.start();
+        mAgent.start();
+    }
+
+    @AfterEach
+    void stop() {
+        mAgent.close();
+        mEntry.close();
+    }
+
+    /** Guards against a port that stops serving others after bytes that make no sense. */
+    @Test
+    void everyPortKeepsServingAfterRandomBytes() throws Exception {
+        Random random = new Random(42);
+        for (InetSocketAddress port : List.of(mEntryAdmin, mCallers, mPeers, mAgentAdmin)) {
+            for (int i = 0; i < CONNECTIONS; i++) {
+                sendRandomBytes(port, random);
+            }
+        }
+
+        assertThat(status(mEntryAdmin, "/health")).isEqualTo(200);
+        assertThat(status(mAgentAdmin, "/health")).isEqualTo(200);
+        // Without a configuration the request is refused, but it is answered.
+        assertThat(status(mCallers, "/services/any/path")).isEqualTo(503);
+        assertThat(body(mEntryAdmin, "/metrics")).contains("hickorycleat_transport_errors_total");
+        assertThat(body(mAgentAdmin, "/admin/status")).contains("\"entries\":1");
+    }
+
+    private static void sendRandomBytes(InetSocketAddress port, Random random) throws IOException {
+        byte[] bytes = new byte[1 + random.nextInt(LARGEST_BYTES)];
+        random.nextBytes(bytes);
+        try (Socket socket = new Socket(port.getAddress(), port.getPort())) {
+            socket.getOutputStream().write(bytes);
+            socket.getOutputStream().flush();
+        } catch (java.net.SocketException e) {
+            // The process has closed the connection already, which is one of the right answers.
+        }
+    }
+
+    private int status(InetSocketAddress port, String path) throws Exception {
+        return get(port, path).statusCode();
+    }
+
+    private String body(InetSocketAddress port, String path) throws Exception {
+        return get(port, path).body();
+    }
+
+    private HttpResponse<String> get(InetSocketAddress port, String path) throws Exception {
+        URI address = URI.create("http://127.0.0.1:" + port.getPort() + path);
+        return mClient.send(
+                HttpRequest.newBuilder(address).timeout(Duration.ofSeconds(20)).build(),
+                HttpResponse.BodyHandlers.ofString());
+    }
+
+    private EntrySettings entrySettings() {
+        // Nobody listens there: the log service is down.
+        String logService = "http://127.0.0.1:" + freeAddress().getPort();
+        return new EntrySettings(mCallers, mPeers, List.of(), logService);
+    }
+
+    private AgentSettings agentSettings() {
+        return new AgentSettings(List.of(mPeers), 8, Duration.ofSeconds(60), Optional.empty());
+    }
+
+    private static DaemonSettings settings(String process, InetSocketAddress admin) {
+        return new DaemonSettings(
+                new ProcessId(process),
+                new ZoneId("north-a"),
+                admin,
+                Duration.ofSeconds(1),
+                Level.INFO,
+                Optional.empty(),
+                Optional.empty());
+    }
+
+    private static InetSocketAddress freeAddress() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+}
--- /dev/null
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/settings/SettingsParserTest.java
@@ -0,0 +1,78 @@
+package org.hickorycleat.daemon.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.tuple;
+
+import java.time.Duration;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class SettingsParserTest {
+    private static final String ENTRY =
+            """
+            [process]
+            role = entry
+            id = entry-1
+            availability_zone = north-a
+            admin_listen = 127.0.0.1:7101
+            drain_limit = 5s
+
+            [entry]
+            caller_listen = 127.0.0.1:7201
+            peer_listen = 127.0.0.1:7301
+            log_service = http://127.0.0.1:7000
+            peers = 127.0.0.1:7302, 127.0.0.1:7303
+            """;
+
+    /** Guards against a setting that is accepted and then ignored. */
+    @Test
+    void readsEverySettingOfAnEntry() {
+        DaemonSettings settings = SettingsParser.parse("entry.ini", ENTRY).get();
+
+        assertThat(settings.process().value()).isEqualTo("entry-1");
+        assertThat(settings.zone().value()).isEqualTo("north-a");
+        assertThat(settings.drainLimit()).isEqualTo(Duration.ofSeconds(5));
+        EntrySettings entry = settings.entry().orElseThrow();
+        assertThat(entry.callerListen()).isEqualTo(ValueParser.address("127.0.0.1:7201").get());
+        assertThat(entry.logService()).isEqualTo("http://127.0.0.1:7000");
+        assertThat(entry.peers()).hasSize(2);
+        assertThat(settings.agent()).isEmpty();
+    }
+
+    /** Guards against an operator who has to correct one error at a time. */
+    @Test
+    void reportsEveryErrorWithItsLine() {
+        String text =
+                ENTRY.replace("drain_limit = 5s", "drain_limit = 5")
+                        .replace("id = entry-1", "id = entry 1")
+                        .replace("log_service = http://127.0.0.1:7000", "log_servise = x");
+
+        List<SettingError> errors = SettingsParser.parse("entry.ini", text).getLeft();
+
+        assertThat(errors)
+                .extracting(SettingError::line, SettingError::setting)
+                .containsExactlyInAnyOrder(
+                        tuple(3, "process.id"),
+                        tuple(6, "process.drain_limit"),
+                        tuple(0, "entry.log_service"),
+                        tuple(11, "entry.log_servise"));
+    }
+
+    /** Guards against the settings of one role being silently accepted in another. */
+    @Test
+    void refusesSettingsOfTheOtherRole() {
+        List<SettingError> errors =
+                SettingsParser.parse("entry.ini", ENTRY + "\n[agent]\nentries = 127.0.0.1:1\n")
+                        .getLeft();
+
+        assertThat(errors).extracting(SettingError::setting).containsExactly("agent.entries");
+    }
+
+    /** Guards against an exception on a file that is not INI at all. */
+    @Property(seed = "3", tries = 500)
+    void anyTextIsParsedOrRefused(@ForAll String text) {
+        assertThat(SettingsParser.parse("any.ini", text)).isNotNull();
+    }
+}
--- /dev/null
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/transport/MessageCodecTest.java
@@ -0,0 +1,78 @@
+package org.hickorycleat.daemon.transport;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.util.Arrays;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.hickorycleat.model.message.Failure;
+import org.hickorycleat.model.message.Message;
+import org.hickorycleat.model.result.ResultCode;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class MessageCodecTest {
+    private final MessageCodec mCodec = new MessageCodec();
+
+    static Class<?>[] messageTypes() {
+        return Message.class.getPermittedSubclasses();
+    }
+
+    /** Guards against a message type without number and a field that is lost or reordered. */
+    @ParameterizedTest
+    @MethodSource("messageTypes")
+    void everyMessageSurvivesTheWire(Class<?> type) {
+        RandomRecords records = new RandomRecords(new Random(type.getName().hashCode()));
+        for (int i = 0; i < 50; i++) {
+            Message message = (Message) records.next(type);
+            byte[] content = mCodec.encode(message);
+
+            Either<Failure, Message> decoded = mCodec.decode(content);
+
+            assertThat(decoded.isRight()).as("%s %s", message, decoded).isTrue();
+            assertThat(decoded.get()).isInstanceOf(type);
+            assertThat(mCodec.encode(decoded.get())).isEqualTo(content);
+        }
+    }
+
+    /** Guards against an exception or a hang on bytes that are no message. */
+    @Property(seed = "7", tries = 2_000)
+    void randomBytesAreRefusedOrDecoded(@ForAll byte[] content) {
+        assertThat(mCodec.decode(content)).isNotNull();
+    }
+
+    /** Guards against an exception on a message that was damaged on its way. */
+    @Property(seed = "8", tries = 2_000)
+    void damagedMessagesAreRefusedOrDecoded(@ForAll long seed) {
+        Random random = new Random(seed);
+        Class<?>[] types = messageTypes();
+        Class<?> type = types[random.nextInt(types.length)];
+        byte[] content = mCodec.encode((Message) new RandomRecords(random).next(type));
+        int length = 1 + random.nextInt(content.length);
+        byte[] damaged = Arrays.copyOf(content, length);
+        damaged[random.nextInt(length)] = (byte) random.nextInt();
+
+        assertThat(mCodec.decode(damaged)).isNotNull();
+    }
+
+    /** Guards against a peer of another version being taken for one of ours. */
+    @Test
+    void otherVersionsAreRefused() {
+        byte[] content = mCodec.encode(new Failure(ResultCode.INTERNAL, "detail"));
+        content[1] = MessageCodec.PROTOCOL_VERSION + 1;
+
+        assertThat(mCodec.decode(content).getLeft().code()).isEqualTo(ResultCode.PROTOCOL_VERSION);
+    }
+
+    /** Guards against an unknown type being read as another message. */
+    @Test
+    void unknownTypesAreRefused() {
+        byte[] content = mCodec.encode(new Failure(ResultCode.INTERNAL, "detail"));
+        content[2] = 100;
+
+        assertThat(mCodec.decode(content).getLeft().code()).isEqualTo(ResultCode.UNKNOWN_MESSAGE);
+    }
+}
