Test the request path against an oracle

Coordinators and invocation services run over a simulated link with random delays, breaks, restarts and repeats of keys. An agent now refuses keyed requests for its validity plus the time that a copy needs to reach it: a copy submitted at the end of the validity could otherwise arrive at a restarted agent that has just begun to trust its records.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/HostedTarget.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/HostedTarget.java
@@ -1,6 +1,5 @@
 package org.hickorycleat.logic.invocation;
 
-import java.time.Duration;
 import java.util.Optional;
 import org.hickorycleat.model.identifier.IdempotencyKey;
 import org.hickorycleat.model.identifier.InstanceNumber;
@@ -10,11 +9,11 @@
 /** The target of one service beside this agent: its queue and its mapping of keys. */
 final class HostedTarget {
     private final SlotQueue mQueue;
-    private final Duration mKeyValidity;
+    private final KeyValidity mKeyValidity;
     private volatile Placement mPlacement;
     private volatile boolean mLeaving;
 
-    HostedTarget(TargetConfiguration configuration, Duration keyValidity, long nowMs) {
+    HostedTarget(TargetConfiguration configuration, KeyValidity keyValidity, long nowMs) {
         mQueue = new SlotQueue(configuration.slots(), configuration.connections());
         mKeyValidity = keyValidity;
         mPlacement =
@@ -69,7 +68,7 @@
     }
 
     private Optional<ResultCode> keyRefusal(Placement placement, IdempotencyKey key, long nowMs) {
-        if (nowMs - placement.sinceMs() < mKeyValidity.toMillis()) {
+        if (nowMs - placement.sinceMs() < mKeyValidity.uncertainty().toMillis()) {
             return Optional.of(ResultCode.KEY_MEMORY_UNCERTAIN);
         }
         return placement
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/InvocationService.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/InvocationService.java
@@ -3,7 +3,6 @@
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.Disposable;
-import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -43,7 +42,7 @@
 
     private final TargetClient mTargetClient;
     private final Scheduler mScheduler;
-    private final Duration mKeyValidity;
+    private final KeyValidity mKeyValidity;
     private final RequestRecords mRequests;
     private final KeyRecords mKeys;
     private final Map<ServiceName, HostedTarget> mTargets = new ConcurrentHashMap<>();
@@ -63,7 +62,7 @@
                 new KeyRecords(
                         builder.mShards,
                         builder.mMaximumKeyRecords,
-                        2 * mKeyValidity.toMillis(),
+                        mKeyValidity.retention().toMillis(),
                         new RetainedBytes(builder.mMaximumKeyBytes));
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/InvocationServiceBuilder.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/InvocationServiceBuilder.java
@@ -1,14 +1,13 @@
 package org.hickorycleat.logic.invocation;
 
 import io.reactivex.rxjava3.core.Scheduler;
-import java.time.Duration;
 import org.hickorycleat.logic.port.TargetClient;
 
 /** Builds an {@link InvocationService}. */
 public final class InvocationServiceBuilder {
     final TargetClient mTargetClient;
     final Scheduler mScheduler;
-    Duration mKeyValidity = Duration.ofSeconds(60);
+    KeyValidity mKeyValidity = KeyValidity.STANDARD;
     int mShards = 16;
     int mMaximumKeyRecords = 16_384;
     long mMaximumKeyBytes = 8L << 20;
@@ -19,8 +18,8 @@
         mScheduler = scheduler;
     }
 
-    /** Sets the time for which a caller may repeat a key; records live twice as long. */
-    public InvocationServiceBuilder keyValidity(Duration keyValidity) {
+    /** Sets the times within which a key is safe. */
+    public InvocationServiceBuilder keyValidity(KeyValidity keyValidity) {
         mKeyValidity = keyValidity;
         return this;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/KeyMapping.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/KeyMapping.java
@@ -1,7 +1,6 @@
 package org.hickorycleat.logic.invocation;
 
 import io.vavr.control.Either;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
@@ -15,15 +14,9 @@
  * Mapping of the keys of one service to instances, with the mappings that it replaced recently.
  *
  * <p>A key whose instance changed is refused for a window after the change: its record is at the
- * instance that served it before. The window is the validity of a key plus {@link #SPREAD}.
+ * instance that served it before.
  */
 public final class KeyMapping {
-    /**
-     * Added to the window, since another process may use the old mapping for as long as a
-     * configuration takes to reach it (at most 3 s).
-     */
-    public static final Duration SPREAD = Duration.ofSeconds(5);
-
     private final ServiceName mService;
     private final ConfigurationVersion mVersion;
     private final List<InstanceNumber> mInstances;
@@ -48,8 +41,8 @@
             ServiceName service,
             ConfigurationVersion version,
             List<InstanceNumber> instances,
-            Duration keyValidity) {
-        long windowMs = keyValidity.plus(SPREAD).toMillis();
+            KeyValidity keyValidity) {
+        long windowMs = keyValidity.mappingWindow().toMillis();
         return new KeyMapping(service, version, instances, List.of(), windowMs);
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/Call.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/Call.java
@@ -55,6 +55,7 @@
     private final RequestCoordinator mCoordinator;
     private final CallerRequest mRequest;
     private final SingleEmitter<InvokeResult> mEmitter;
+    private final long mSubmittedMs;
     private final long mDeadlineMs;
     private final CompositeDisposable mTimers = new CompositeDisposable();
 
@@ -79,7 +80,8 @@
         mCoordinator = coordinator;
         mRequest = request;
         mEmitter = emitter;
-        mDeadlineMs = coordinator.nowMs() + request.remainingMs();
+        mSubmittedMs = coordinator.nowMs();
+        mDeadlineMs = mSubmittedMs + request.remainingMs();
     }
 
     void begin() {
@@ -140,7 +142,7 @@
             return Either.left(ResultCode.DEADLINE_EXCEEDED);
         }
         return mCoordinator
-                .route(mRequest)
+                .route(mRequest, mSubmittedMs)
                 .flatMap(
                         instance ->
                                 reserveAt(instance)
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/RequestCoordinator.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/RequestCoordinator.java
@@ -5,7 +5,6 @@
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import io.vavr.control.Either;
-import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.hickorycleat.logic.admission.AdmissionControl;
 import org.hickorycleat.logic.invocation.KeyMapping;
+import org.hickorycleat.logic.invocation.KeyValidity;
 import org.hickorycleat.logic.port.AgentLink;
 import org.hickorycleat.logic.routing.TargetSelector;
 import org.hickorycleat.model.identifier.ConfigurationVersion;
@@ -43,7 +43,7 @@
     private final AgentLink mLink;
     private final Scheduler mScheduler;
     private final RetryBudget mBudget;
-    private final Duration mKeyValidity;
+    private final KeyValidity mKeyValidity;
     private final RequestId mNeverSent;
     private final OutstandingRequests mOutstanding;
     private final Map<ServiceName, KeyMapping> mMappings = new ConcurrentHashMap<>();
@@ -152,7 +152,7 @@
     }
 
     /** Finds the instance that must serve a request; empty when any may. */
-    Either<ResultCode, Optional<InstanceNumber>> route(CallerRequest request) {
+    Either<ResultCode, Optional<InstanceNumber>> route(CallerRequest request, long submittedMs) {
         if (request.idempotencyKey().isEmpty()) {
             return Either.right(Optional.empty());
         }
@@ -164,6 +164,10 @@
         if (!mapping.version().equals(request.mappingVersion())) {
             return Either.left(ResultCode.MAPPING_CHANGED);
         }
+        if (nowMs() - submittedMs > mKeyValidity.launch().toMillis()) {
+            // A later attempt could reach an agent that has just begun to trust its records again.
+            return Either.left(ResultCode.NO_TARGET);
+        }
         return mapping.route(key, nowMs()).map(Optional::of);
     }
 
@@ -217,7 +221,7 @@
         private AgentLink mLink = (agent, message) -> false;
         private Scheduler mScheduler = Schedulers.computation();
         private RetryBudget mBudget = RetryBudget.standard();
-        private Duration mKeyValidity = Duration.ofSeconds(60);
+        private KeyValidity mKeyValidity = KeyValidity.STANDARD;
         private int mShards = 16;
 
         private Builder(ProcessId entry, Incarnation incarnation) {
@@ -255,8 +259,8 @@
             return this;
         }
 
-        /** Sets the time for which a caller may repeat a key. */
-        public Builder keyValidity(Duration keyValidity) {
+        /** Sets the times within which a key is safe. */
+        public Builder keyValidity(KeyValidity keyValidity) {
             mKeyValidity = keyValidity;
             return this;
         }
--- /dev/null
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestPathSimulation.java
@@ -0,0 +1,428 @@
+package org.hickorycleat.logic.retry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.reactivex.rxjava3.plugins.RxJavaPlugins;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.hickorycleat.logic.admission.Admission;
+import org.hickorycleat.logic.invocation.KeyValidity;
+import org.hickorycleat.logic.routing.TargetAddress;
+import org.hickorycleat.logic.routing.TargetReservation;
+import org.hickorycleat.model.identifier.ConfigurationVersion;
+import org.hickorycleat.model.identifier.IdempotencyKey;
+import org.hickorycleat.model.identifier.Incarnation;
+import org.hickorycleat.model.identifier.InstanceNumber;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.identifier.ServiceName;
+import org.hickorycleat.model.identifier.SessionNumber;
+import org.hickorycleat.model.identifier.TeamName;
+import org.hickorycleat.model.message.Cancel;
+import org.hickorycleat.model.message.CancelResult;
+import org.hickorycleat.model.message.HttpHeader;
+import org.hickorycleat.model.message.Invoke;
+import org.hickorycleat.model.message.InvokeResult;
+import org.hickorycleat.model.message.LoadSignal;
+import org.hickorycleat.model.message.Message;
+import org.hickorycleat.model.result.ResultCode;
+
+/**
+ * Entries and agents over links with random delays, on a virtual clock.
+ *
+ * <p>Messages may overtake each other, also within a session, as they do when several threads
+ * handle them. What is under way when a connection breaks is lost or arrives later all the same,
+ * even after the next session was opened.
+ */
+final class RequestPathSimulation {
+    static final ServiceName SERVICE = new ServiceName("booking");
+    static final int ENTRIES = 2;
+    static final int AGENTS = 3;
+
+    private static final int MAXIMUM_DELAY_MS = 60;
+    private static final KeyValidity KEY_VALIDITY =
+            new KeyValidity(
+                    Duration.ofMillis(2_000),
+                    Duration.ofMillis(500),
+                    Duration.ofMillis(MAXIMUM_DELAY_MS),
+                    Duration.ofMillis(MAXIMUM_DELAY_MS));
+
+    record Mapping(ConfigurationVersion version, List<InstanceNumber> instances) {}
+
+    /** A connection as its two ends see it; each notices its end at another time. */
+    private static final class Connection {
+        final LinkSession mSession;
+        final SimulatedAgent mAgent;
+        boolean mBroken;
+        boolean mOpenAtEntry;
+
+        Connection(LinkSession session, SimulatedAgent agent) {
+            mSession = session;
+            mAgent = agent;
+        }
+    }
+
+    private static final class Entry {
+        final ProcessId mId;
+        final Incarnation mIncarnation;
+        final RequestCoordinator mCoordinator;
+        final List<RequestOracle.CallRecord> mCalls = new ArrayList<>();
+        final Map<ProcessId, Connection> mConnections = new HashMap<>();
+        Mapping mMapping = new Mapping(new ConfigurationVersion(0), List.of());
+        boolean mAlive = true;
+        int mReservations;
+        int mPermits;
+
+        Entry(ProcessId id, Incarnation incarnation, RequestPathSimulation simulation) {
+            mId = id;
+            mIncarnation = incarnation;
+            mCoordinator =
+                    RequestCoordinator.builder(id, incarnation)
+                            .selector((service, eligible) -> simulation.reserve(this, eligible))
+                            .admission((service, criticality, team, ms) -> simulation.admit(this))
+                            .link((agent, message) -> simulation.send(this, agent, message))
+                            .scheduler(simulation.mScheduler)
+                            .retryBudget(new RetryBudget(1_000, 20))
+                            .keyValidity(KEY_VALIDITY)
+                            .build();
+        }
+    }
+
+    private record Key(IdempotencyKey key, long createdMs) {}
+
+    private final TestScheduler mScheduler = new TestScheduler();
+    private final Random mRandom;
+    private final RequestOracle mOracle = new RequestOracle();
+    private final List<Entry> mEntries = new ArrayList<>();
+    private final List<SimulatedAgent> mAgents = new ArrayList<>();
+    private final Map<Integer, Key> mKeys = new HashMap<>();
+    private long mIncarnations;
+    private Mapping mMapping = mapping(0, AGENTS);
+
+    RequestPathSimulation(long seed) {
+        mRandom = new Random(seed);
+        RxJavaPlugins.setErrorHandler(error -> mOracle.violation("uncaught: " + error));
+        for (int index = 0; index < ENTRIES; index++) {
+            mEntries.add(newEntry(new ProcessId("entry" + index)));
+        }
+        for (int index = 0; index < AGENTS; index++) {
+            mAgents.add(newAgent(index));
+        }
+        // Lets the agents grow old enough to accept keys.
+        advance((int) KEY_VALIDITY.uncertainty().toMillis());
+        for (int entry = 0; entry < ENTRIES; entry++) {
+            for (int agent = 0; agent < AGENTS; agent++) {
+                connect(entry, agent);
+            }
+        }
+        advance(MAXIMUM_DELAY_MS);
+    }
+
+    void advance(int ms) {
+        mScheduler.advanceTimeBy(ms, TimeUnit.MILLISECONDS);
+    }
+
+    void submit(int entry, boolean idempotent, int deadlineMs) {
+        submit(mEntries.get(entry), idempotent, deadlineMs, Optional.empty(), "");
+    }
+
+    /** Submits a copy of a key; a slot gets a new key once the old one must not be reused. */
+    void submitKeyed(int entry, int slot, boolean other, int deadlineMs) {
+        Key key = mKeys.get(slot);
+        if (key == null || nowMs() - key.createdMs() > KEY_VALIDITY.validity().toMillis()) {
+            key = new Key(new IdempotencyKey("key" + slot + "-" + nowMs()), nowMs());
+            mKeys.put(slot, key);
+        }
+        String content = key.key().value() + (other ? " with other content" : "");
+        submit(mEntries.get(entry), false, deadlineMs, Optional.of(key.key()), content);
+    }
+
+    private void submit(
+            Entry entry,
+            boolean idempotent,
+            int deadlineMs,
+            Optional<IdempotencyKey> key,
+            String content) {
+        int number = mOracle.calls().size();
+        CallerRequest.Builder builder =
+                CallerRequest.builder(SERVICE, new TeamName("team"))
+                        .method("POST")
+                        .headers(
+                                List.of(
+                                        new HttpHeader(
+                                                RequestOracle.CALL_HEADER,
+                                                Integer.toString(number))))
+                        .body(
+                                (key.isPresent() ? content : "call " + number)
+                                        .getBytes(StandardCharsets.UTF_8))
+                        .idempotent(idempotent)
+                        .mappingVersion(entry.mMapping.version())
+                        .remainingMs(deadlineMs);
+        key.ifPresent(builder::idempotencyKey);
+        CallerRequest request = builder.build();
+        RequestOracle.CallRecord call =
+                mOracle.add(new RequestOracle.CallRecord(number, request, nowMs() + deadlineMs));
+        entry.mCalls.add(call);
+        call.mSubscription =
+                entry.mCoordinator
+                        .submit(request)
+                        .subscribe(
+                                result -> {
+                                    call.mResults.add(result);
+                                    call.mAnsweredMs = nowMs();
+                                });
+    }
+
+    /** Makes the caller of a recent call go away. */
+    void dispose(int entry, int back) {
+        List<RequestOracle.CallRecord> calls = mEntries.get(entry).mCalls;
+        if (back >= calls.size()) {
+            return;
+        }
+        RequestOracle.CallRecord call = calls.get(calls.size() - 1 - back);
+        if (call.mResults.isEmpty()) {
+            call.mGone = true;
+            call.mSubscription.dispose();
+        }
+    }
+
+    /** Breaks a connection; the entry notices later, or only by the next one. */
+    void disconnect(int entry, int agent) {
+        breakConnection(mEntries.get(entry), mAgents.get(agent).mId);
+    }
+
+    /** Makes an agent dial an entry, whether or not its old connection is broken. */
+    void connect(int entryIndex, int agentIndex) {
+        Entry entry = mEntries.get(entryIndex);
+        SimulatedAgent agent = mAgents.get(agentIndex);
+        breakConnection(entry, agent.mId);
+        SessionNumber session = new SessionNumber(++agent.mSessions);
+        agent.mService.openSession(entry.mId, entry.mIncarnation, session);
+        LinkSession link = new LinkSession(agent.mId, agent.mIncarnation, session);
+        Connection connection = new Connection(link, agent);
+        entry.mConnections.put(agent.mId, connection);
+        later(
+                () -> {
+                    if (entry.mAlive && entry.mConnections.get(agent.mId) == connection) {
+                        connection.mOpenAtEntry = true;
+                        entry.mCoordinator.onLinkOpened(link);
+                    }
+                });
+    }
+
+    void restartAgent(int index) {
+        SimulatedAgent old = mAgents.get(index);
+        old.kill();
+        mEntries.forEach(entry -> breakConnection(entry, old.mId));
+        mAgents.set(index, newAgent(index));
+        for (int entry = 0; entry < ENTRIES; entry++) {
+            connect(entry, index);
+        }
+    }
+
+    void restartEntry(int index) {
+        Entry old = mEntries.get(index);
+        mAgents.forEach(agent -> breakConnection(old, agent.mId));
+        old.mAlive = false;
+        old.mCalls.stream()
+                .filter(call -> call.mResults.isEmpty())
+                .forEach(call -> call.mGone = true);
+        old.mCalls.forEach(call -> call.mSubscription.dispose());
+        mEntries.set(index, newEntry(old.mId));
+        for (int agent = 0; agent < AGENTS; agent++) {
+            connect(index, agent);
+        }
+    }
+
+    void leave(int agent) {
+        mAgents.get(agent).leave();
+    }
+
+    /** Publishes a mapping, which every process sees at another time. */
+    void changeMapping(int instances) {
+        mMapping = mapping(mMapping.version().value() + 1, instances);
+        Mapping mapping = mMapping;
+        for (Entry entry : mEntries) {
+            later(() -> configure(entry, mapping));
+        }
+        for (SimulatedAgent agent : mAgents) {
+            later(() -> agent.configure(mapping));
+        }
+    }
+
+    /** Lets everything end and checks what happened. */
+    RequestOracle finish() {
+        for (int entry = 0; entry < ENTRIES; entry++) {
+            for (int agent = 0; agent < AGENTS; agent++) {
+                connect(entry, agent);
+            }
+        }
+        advance(10_000);
+        mOracle.check();
+        for (Entry entry : mEntries) {
+            assertThat(entry.mCoordinator.outstandingAttempts()).as("outstanding").isZero();
+            assertThat(entry.mReservations).as("reservations").isZero();
+            assertThat(entry.mPermits).as("permits").isZero();
+        }
+        for (SimulatedAgent agent : mAgents) {
+            assertThat(agent.mService.inProgress()).as("in progress").isZero();
+        }
+        return mOracle;
+    }
+
+    private Entry newEntry(ProcessId id) {
+        Entry entry = new Entry(id, new Incarnation(++mIncarnations), this);
+        configure(entry, mMapping);
+        return entry;
+    }
+
+    private SimulatedAgent newAgent(int index) {
+        SimulatedAgent agent =
+                new SimulatedAgent(
+                        new ProcessId("agent" + index),
+                        new Incarnation(++mIncarnations),
+                        new InstanceNumber(index),
+                        KEY_VALIDITY,
+                        mOracle,
+                        mScheduler,
+                        mRandom);
+        agent.configure(mMapping);
+        return agent;
+    }
+
+    private static void configure(Entry entry, Mapping mapping) {
+        if (mapping.version().compareTo(entry.mMapping.version()) >= 0) {
+            entry.mMapping = mapping;
+            entry.mCoordinator.configureMapping(SERVICE, mapping.version(), mapping.instances());
+        }
+    }
+
+    private static Mapping mapping(long version, int instances) {
+        List<InstanceNumber> numbers = new ArrayList<>();
+        for (int index = 0; index < instances; index++) {
+            numbers.add(new InstanceNumber(index));
+        }
+        return new Mapping(new ConfigurationVersion(version), numbers);
+    }
+
+    private void breakConnection(Entry entry, ProcessId agent) {
+        Connection connection = entry.mConnections.get(agent);
+        if (connection == null || connection.mBroken) {
+            return;
+        }
+        connection.mBroken = true;
+        if (mRandom.nextBoolean()) {
+            later(() -> noticeClosed(entry, connection));
+        }
+    }
+
+    private static void noticeClosed(Entry entry, Connection connection) {
+        if (entry.mAlive && connection.mOpenAtEntry) {
+            connection.mOpenAtEntry = false;
+            entry.mCoordinator.onLinkClosed(connection.mSession);
+        }
+    }
+
+    private Admission admit(Entry entry) {
+        if (mRandom.nextInt(20) == 0) {
+            return new Admission.Refused(ResultCode.OVERLOADED, 1);
+        }
+        entry.mPermits++;
+        return new Admission.Admitted(() -> entry.mPermits--);
+    }
+
+    private Optional<TargetReservation> reserve(Entry entry, Predicate<TargetAddress> eligible) {
+        List<TargetAddress> targets =
+                mAgents.stream()
+                        .map(agent -> new TargetAddress(agent.mId, SERVICE, agent.mInstance))
+                        .filter(eligible)
+                        .toList();
+        if (targets.isEmpty()) {
+            return Optional.empty();
+        }
+        entry.mReservations++;
+        return Optional.of(new Reservation(entry, targets.get(mRandom.nextInt(targets.size()))));
+    }
+
+    private record Reservation(Entry entry, TargetAddress target) implements TargetReservation {
+        @Override
+        public void release(ResultCode code, Optional<LoadSignal> load, long latencyMicros) {
+            entry.mReservations--;
+        }
+    }
+
+    private boolean send(Entry entry, ProcessId agent, Message message) {
+        Connection connection = entry.mConnections.get(agent);
+        if (connection == null || !connection.mOpenAtEntry || mRandom.nextInt(20) == 0) {
+            return false;
+        }
+        deliver(connection, () -> receiveAtAgent(entry, connection, message));
+        return true;
+    }
+
+    private void receiveAtAgent(Entry entry, Connection connection, Message message) {
+        if (!connection.mAgent.alive()) {
+            return;
+        }
+        SessionNumber session = connection.mSession.session();
+        if (message instanceof Invoke invoke) {
+            connection.mAgent.mService.invoke(
+                    entry.mId, session, invoke, result -> answer(entry, connection, result));
+        } else if (message instanceof Cancel cancel) {
+            CancelResult result =
+                    connection.mAgent.mService.cancel(
+                            cancel.request(), late -> answer(entry, connection, late));
+            deliver(
+                    connection,
+                    () -> {
+                        if (entry.mAlive) {
+                            entry.mCoordinator.onCancelResult(connection.mSession, result);
+                        }
+                    });
+        }
+    }
+
+    private void answer(Entry entry, Connection connection, InvokeResult result) {
+        if (connection.mAgent.alive()) {
+            deliver(
+                    connection,
+                    () -> {
+                        if (entry.mAlive) {
+                            entry.mCoordinator.onInvokeResult(connection.mSession, result);
+                        }
+                    });
+        }
+    }
+
+    private void deliver(Connection connection, Runnable delivery) {
+        if (connection.mBroken) {
+            return;
+        }
+        boolean survivesBreak = mRandom.nextBoolean();
+        later(
+                () -> {
+                    if (!connection.mBroken || survivesBreak) {
+                        delivery.run();
+                    }
+                });
+    }
+
+    private void later(Runnable action) {
+        Disposable unused =
+                mScheduler.scheduleDirect(
+                        action, 1 + mRandom.nextInt(MAXIMUM_DELAY_MS), TimeUnit.MILLISECONDS);
+    }
+
+    private long nowMs() {
+        return mScheduler.now(TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/SimulatedAgent.java
@@ -0,0 +1,107 @@
+package org.hickorycleat.logic.retry;
+
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.hickorycleat.logic.invocation.InvocationService;
+import org.hickorycleat.logic.invocation.KeyValidity;
+import org.hickorycleat.logic.invocation.TargetConfiguration;
+import org.hickorycleat.logic.port.TargetAnswer;
+import org.hickorycleat.logic.port.TargetNotReachedException;
+import org.hickorycleat.model.identifier.Incarnation;
+import org.hickorycleat.model.identifier.InstanceNumber;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.message.Invoke;
+
+/** One incarnation of an agent with its target. */
+final class SimulatedAgent {
+    static final int SLOTS = 2;
+    static final int CONNECTIONS = 4;
+
+    final ProcessId mId;
+    final Incarnation mIncarnation;
+    final InstanceNumber mInstance;
+    final InvocationService mService;
+    private final RequestOracle mOracle;
+    private final TestScheduler mScheduler;
+    private final Random mRandom;
+    private boolean mAlive = true;
+    private int mRunning;
+    // A new incarnation counts its sessions from the start again.
+    long mSessions;
+
+    SimulatedAgent(
+            ProcessId id,
+            Incarnation incarnation,
+            InstanceNumber instance,
+            KeyValidity keyValidity,
+            RequestOracle oracle,
+            TestScheduler scheduler,
+            Random random) {
+        mId = id;
+        mIncarnation = incarnation;
+        mInstance = instance;
+        mOracle = oracle;
+        mScheduler = scheduler;
+        mRandom = random;
+        mService =
+                InvocationService.builder(this::exchange, scheduler)
+                        .keyValidity(keyValidity)
+                        .build();
+    }
+
+    void configure(RequestPathSimulation.Mapping mapping) {
+        mService.configure(
+                new TargetConfiguration(
+                        RequestPathSimulation.SERVICE,
+                        mInstance,
+                        List.copyOf(mapping.instances()),
+                        mapping.version(),
+                        SLOTS,
+                        CONNECTIONS));
+    }
+
+    boolean alive() {
+        return mAlive;
+    }
+
+    /** Kills the process: nothing that its timers still do has an effect. */
+    void kill() {
+        mAlive = false;
+    }
+
+    void leave() {
+        mService.leave();
+    }
+
+    private Single<TargetAnswer> exchange(Invoke invoke) {
+        if (!mAlive) {
+            return Single.never();
+        }
+        if (mRandom.nextInt(10) == 0) {
+            return Single.error(new TargetNotReachedException("refused", new Exception()));
+        }
+        mRunning++;
+        if (mRunning > SLOTS) {
+            mOracle.violation(mRunning + " requests at " + mId);
+        }
+        byte[] answer = mOracle.execute(invoke);
+        // doFinally would come after the next request was started.
+        return respond(answer).doOnTerminate(() -> mRunning--).doOnDispose(() -> mRunning--);
+    }
+
+    private Single<TargetAnswer> respond(byte[] answer) {
+        int fate = mRandom.nextInt(10);
+        if (fate == 0) {
+            return Single.never();
+        }
+        Single<Long> delay =
+                Single.timer(1 + mRandom.nextInt(150), TimeUnit.MILLISECONDS, mScheduler);
+        if (fate == 1) {
+            return delay.flatMap(tick -> Single.error(new IllegalStateException("reset")));
+        }
+        return delay.map(tick -> new TargetAnswer(200, List.of(), answer));
+    }
+}
