--- /dev/null
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/logservice/HttpLogServiceTest.java
@@ -0,0 +1,138 @@
+package org.hickorycleat.daemon.logservice;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.observers.TestObserver;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.hickorycleat.logic.port.LogPage;
+import org.hickorycleat.logic.port.LogTruncatedException;
+import org.hickorycleat.logic.port.LogUnavailableException;
+import org.hickorycleat.model.identifier.StreamName;
+import org.hickorycleat.standins.logservice.LogFaults;
+import org.hickorycleat.standins.logservice.LogOutage;
+import org.hickorycleat.standins.logservice.LogRetention;
+import org.hickorycleat.standins.logservice.LogServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class HttpLogServiceTest {
+    private static final StreamName STREAM = new StreamName("a stream/with:odd characters");
+    private static final LogServiceTimeouts TIMEOUTS =
+            new LogServiceTimeouts(Duration.ofSeconds(1), Duration.ofSeconds(1));
+
+    private final LogServer mServer = LogServer.start(0, new LogRetention(3, Long.MAX_VALUE), 1);
+    private final HttpLogService mLog =
+            new HttpLogService("http://127.0.0.1:" + mServer.port(), TIMEOUTS);
+
+    @AfterEach
+    void stop() {
+        mLog.close();
+        mServer.close();
+    }
+
+    /** Guards against content that changes on the way through the log. */
+    @Test
+    void recordsAreReadAsTheyWereAppended() {
+        byte[] payload = new byte[256];
+        for (int index = 0; index < payload.length; index++) {
+            payload[index] = (byte) index;
+        }
+
+        assertThat(append(payload).blockingGet()).isEqualTo(0);
+        assertThat(append(new byte[0]).blockingGet()).isEqualTo(1);
+        LogPage page = mLog.read(STREAM, 0, 10, Duration.ZERO).blockingGet();
+
+        assertThat(page.nextOffset()).isEqualTo(2);
+        assertThat(page.records().get(0).payload()).isEqualTo(payload);
+        assertThat(page.records().get(1).payload()).isEmpty();
+    }
+
+    /** Guards against changes that wait for the next poll instead of ending the current one. */
+    @Test
+    void waitingReadEndsAtTheNextAppend() throws InterruptedException {
+        TestObserver<LogPage> read = mLog.read(STREAM, 0, 10, Duration.ofSeconds(20)).test();
+        appendAndWait(new byte[] {7});
+
+        assertThat(read.await(5, TimeUnit.SECONDS)).isTrue();
+        assertThat(read.values().get(0).records()).hasSize(1);
+    }
+
+    /** Guards against a wait that the client's own time limit takes for an outage. */
+    @Test
+    void waitLongerThanTheAnswerTimeoutEndsWithAnEmptyPage() {
+        LogPage page = mLog.read(STREAM, 0, 10, Duration.ofMillis(1_500)).blockingGet();
+
+        assertThat(page.records()).isEmpty();
+    }
+
+    /** Guards against reading on as if nothing was missing. */
+    @Test
+    void readBeforeTheRetentionNamesTheFirstKeptOffset() {
+        for (byte number = 0; number < 5; number++) {
+            appendAndWait(new byte[] {number});
+        }
+
+        mLog.read(STREAM, 1, 10, Duration.ZERO)
+                .test()
+                .awaitDone(5, TimeUnit.SECONDS)
+                .assertError(
+                        error ->
+                                error instanceof LogTruncatedException truncated
+                                        && truncated.firstOffset() == 2);
+    }
+
+    /** Guards against exchanges that hang, or errors that callers do not expect, in an outage. */
+    @Test
+    void outagesAreReportedWithinTheTimeout() {
+        for (LogOutage outage : List.of(LogOutage.REFUSE, LogOutage.HOLD)) {
+            mServer.setFaults(new LogFaults(outage, 0, 0, 0));
+            append(new byte[] {1})
+                    .test()
+                    .awaitDone(5, TimeUnit.SECONDS)
+                    .assertError(LogUnavailableException.class);
+            mLog.read(STREAM, 0, 1, Duration.ZERO)
+                    .test()
+                    .awaitDone(5, TimeUnit.SECONDS)
+                    .assertError(LogUnavailableException.class);
+        }
+        mServer.setFaults(LogFaults.NONE);
+
+        assertThat(append(new byte[] {1}).blockingGet()).isEqualTo(0);
+    }
+
+    /** Guards against a client that silently appends again when the connection breaks. */
+    @Test
+    void appendWhoseAnswerIsLostIsReportedAndNotRepeated() {
+        appendAndWait(new byte[] {0});
+        mServer.setFaults(new LogFaults(LogOutage.NONE, 0, 1, 0));
+        append(new byte[] {1})
+                .test()
+                .awaitDone(5, TimeUnit.SECONDS)
+                .assertError(LogUnavailableException.class);
+
+        assertThat(mLog.read(STREAM, 0, 10, Duration.ZERO).blockingGet().records()).hasSize(2);
+    }
+
+    /** Guards against appends beyond the capacity of the log service that seem to succeed. */
+    @Test
+    void appendBeyondTheLimitIsReported() {
+        mServer.setFaults(new LogFaults(LogOutage.NONE, 0, 0, 1));
+        appendAndWait(new byte[] {1});
+
+        append(new byte[] {2})
+                .test()
+                .awaitDone(5, TimeUnit.SECONDS)
+                .assertError(LogUnavailableException.class);
+    }
+
+    private void appendAndWait(byte[] payload) {
+        append(payload).ignoreElement().onErrorComplete().blockingAwait();
+    }
+
+    private Single<Long> append(byte[] payload) {
+        return mLog.append(STREAM, payload);
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/configuration/ConfigurationHolderTest.java
@@ -0,0 +1,145 @@
+package org.hickorycleat.logic.configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.reactivex.rxjava3.subscribers.TestSubscriber;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.stream.IntStream;
+import org.hickorycleat.model.configuration.AcceptedConfiguration;
+import org.hickorycleat.model.identifier.ConfigurationVersion;
+import org.hickorycleat.model.identifier.ServiceName;
+import org.hickorycleat.model.manifest.Manifest;
+import org.hickorycleat.model.manifest.ManifestParser;
+import org.hickorycleat.model.manifest.ManifestSlices;
+import org.hickorycleat.model.manifest.ManifestWriter;
+import org.hickorycleat.model.message.ConfigurationUpdate;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationHolderTest {
+    private static final Manifest WHOLE = manifest("a", "b");
+
+    private final ConfigurationHolder mHolder = new ConfigurationHolder();
+
+    /** Guards against a configuration that reverts when an old message arrives late. */
+    @Test
+    void lowerVersionsChangeNothingWhateverTheirSource() {
+        mHolder.offer(accepted(5, WHOLE), ConfigurationSource.PEER);
+        for (ConfigurationSource source : ConfigurationSource.values()) {
+            assertThat(mHolder.offer(accepted(4, WHOLE), source)).isFalse();
+        }
+
+        assertThat(mHolder.version()).isEqualTo(new ConfigurationVersion(5));
+    }
+
+    /** Guards against an entry that forgets services because one agent holds only some. */
+    @Test
+    void sliceNeverReplacesWholeManifest() {
+        mHolder.offer(accepted(5, WHOLE), ConfigurationSource.LOG);
+
+        assertThat(mHolder.offer(accepted(6, slice("a")), ConfigurationSource.AGENT)).isFalse();
+        assertThat(mHolder.current().get().configuration().manifest()).isEqualTo(WHOLE);
+    }
+
+    /** Guards against an entry without log and peers that serves only one agent's services. */
+    @Test
+    void slicesOfOneVersionAreJoinedUntilTheWholeManifestArrives() {
+        mHolder.offer(accepted(5, slice("a")), ConfigurationSource.AGENT);
+        mHolder.offer(accepted(5, slice("b")), ConfigurationSource.AGENT);
+
+        assertThat(mHolder.current().get().configuration().manifest().services())
+                .containsExactlyInAnyOrderElementsOf(WHOLE.services());
+        assertThat(mHolder.offer(accepted(5, slice("b")), ConfigurationSource.AGENT)).isFalse();
+        assertThat(mHolder.healthText()).contains("source=agent complete=false");
+
+        mHolder.offer(accepted(5, WHOLE), ConfigurationSource.LOG);
+
+        assertThat(mHolder.healthText()).contains("version=5 source=log complete=true");
+    }
+
+    /** Guards against messages that take effect although they hold no manifest. */
+    @Test
+    void updatesThatDoNotParseAreIgnored() {
+        ConfigurationUpdate broken =
+                new ConfigurationUpdate(new ConfigurationVersion(9), new byte[] {1});
+        ConfigurationUpdate none =
+                new ConfigurationUpdate(new ConfigurationVersion(-1), ManifestWriter.write(WHOLE));
+
+        assertThat(mHolder.offer(broken, ConfigurationSource.PEER)).isFalse();
+        assertThat(mHolder.offer(none, ConfigurationSource.PEER)).isFalse();
+        assertThat(mHolder.healthText()).contains("configuration_version=none");
+    }
+
+    /** Guards against observers that see a version go lower or never see the newest. */
+    @Test
+    void observersOfRacingOffersNeverGoToLowerVersionsAndEndAtTheNewest() throws Exception {
+        TestSubscriber<ConfigurationInForce> early = mHolder.changes().test();
+        ExecutorService executor = Executors.newFixedThreadPool(4);
+        try {
+            List<Future<?>> offers =
+                    IntStream.range(0, 4)
+                            .<Future<?>>mapToObj(
+                                    part -> executor.submit(() -> offerEveryFourth(part)))
+                            .toList();
+            TestSubscriber<ConfigurationInForce> late = mHolder.changes().test();
+            awaitAll(offers);
+
+            assertThat(early.values()).isSortedAccordingTo(ConfigurationHolderTest::compare);
+            assertThat(late.values()).isSortedAccordingTo(ConfigurationHolderTest::compare);
+            assertThat(last(early).value()).isEqualTo(1_999);
+            assertThat(last(late).value()).isEqualTo(1_999);
+        } finally {
+            executor.shutdownNow();
+        }
+    }
+
+    private void offerEveryFourth(int part) {
+        for (int version = part; version < 2_000; version += 4) {
+            mHolder.offer(accepted(version, WHOLE), ConfigurationSource.PEER);
+        }
+    }
+
+    private static void awaitAll(List<Future<?>> offers)
+            throws ExecutionException, InterruptedException {
+        for (Future<?> offer : offers) {
+            offer.get();
+        }
+    }
+
+    private static int compare(ConfigurationInForce first, ConfigurationInForce second) {
+        return first.version().compareTo(second.version());
+    }
+
+    private static ConfigurationVersion last(TestSubscriber<ConfigurationInForce> observer) {
+        return observer.values().get(observer.values().size() - 1).version();
+    }
+
+    private static AcceptedConfiguration accepted(long version, Manifest manifest) {
+        return new AcceptedConfiguration(
+                new ConfigurationVersion(version), manifest, ManifestWriter.write(manifest));
+    }
+
+    private static Manifest slice(String service) {
+        return ManifestSlices.slice(WHOLE, Set.of(new ServiceName(service)));
+    }
+
+    private static Manifest manifest(String... services) {
+        StringBuilder text =
+                new StringBuilder(
+                        "{\"schema\":1,\"base\":-1,\"teams\":[{\"name\":\"t\",\"quota\":"
+                                + "{\"processors_milli\":0,\"memory_mebibytes\":0}}],"
+                                + "\"services\":[");
+        for (String service : services) {
+            text.append(text.charAt(text.length() - 1) == '[' ? "" : ",")
+                    .append("{\"name\":\"" + service + "\",\"team\":\"t\",\"instances\":1,")
+                    .append("\"slots\":1,\"connections\":1,\"latency_goal_ms\":1}");
+        }
+        byte[] bytes = text.append("]}").toString().getBytes(StandardCharsets.UTF_8);
+        return ManifestParser.parse(bytes).get();
+    }
+}
