--- /dev/null
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/BatchWorkload.java
@@ -0,0 +1,121 @@
+package org.hickorycleat.measurements.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.hickorycleat.model.identifier.ServiceName;
+import org.hickorycleat.model.identifier.TaskId;
+import org.hickorycleat.model.identifier.TeamName;
+import org.hickorycleat.model.manifest.Criticality;
+import org.hickorycleat.model.task.Resources;
+import org.hickorycleat.model.task.TaskSpecification;
+
+/**
+ * Batch jobs that recur over several nights. Each job has a factor by which its declared run time
+ * is off, from a tenth to ten times, and its runs vary around it.
+ */
+final class BatchWorkload {
+    static final long NIGHT_MS = 8 * 3_600_000L;
+    static final int NIGHTS = 3;
+    private static final int TEAMS = 6;
+
+    private final Random mRandom;
+    private final Firm mFirm;
+    private final double mLoad;
+
+    BatchWorkload(Firm firm, double load, long seed) {
+        mFirm = firm;
+        mLoad = load;
+        mRandom = new Random(seed);
+    }
+
+    private record Job(int number, Resources size, double typicalMs, double declaredFactor) {}
+
+    /** Returns the instances of services and the runs of all nights. */
+    List<Work> work() {
+        List<Work> work = new ArrayList<>(services());
+        List<Job> jobs = jobs();
+        for (int night = 0; night < NIGHTS; night++) {
+            for (Job job : jobs) {
+                work.add(run(job, night));
+            }
+        }
+        return work;
+    }
+
+    private List<Work> services() {
+        List<Work> services = new ArrayList<>();
+        Resources size =
+                new Resources(
+                        mFirm.capacity().processorsMilli() / 8,
+                        mFirm.capacity().memoryMebibytes() / 8,
+                        0);
+        for (int i = 0; i < Firm.WORKERS; i++) {
+            TaskSpecification task =
+                    new TaskSpecification(
+                            new TaskId("service/" + i),
+                            new TeamName("team-0"),
+                            Optional.of(new ServiceName("service")),
+                            Criticality.CRITICAL,
+                            size,
+                            0,
+                            0,
+                            Long.MAX_VALUE,
+                            false,
+                            false);
+            services.add(new Work(task, 0, Long.MAX_VALUE));
+        }
+        return services;
+    }
+
+    /** Draws jobs until they need the wanted share of what the services leave of a night. */
+    private List<Job> jobs() {
+        double room = 7.0 / 8 * Firm.WORKERS * mFirm.capacity().processorsMilli() * NIGHT_MS;
+        List<Job> jobs = new ArrayList<>();
+        double needed = 0;
+        while (needed < mLoad * room) {
+            Job job = job(jobs.size());
+            jobs.add(job);
+            needed += job.typicalMs * job.size.processorsMilli();
+        }
+        return jobs;
+    }
+
+    private Job job(int number) {
+        double size = Math.pow(2, mRandom.nextInt(5)) / 32;
+        double memory = size * (0.5 + mRandom.nextDouble());
+        Resources resources =
+                new Resources(
+                        (long) (mFirm.capacity().processorsMilli() * size),
+                        (long) (mFirm.capacity().memoryMebibytes() * Math.min(0.8, memory)),
+                        0);
+        double typicalMs = Math.exp(Math.log(15 * 60_000.0) + 0.9 * mRandom.nextGaussian());
+        double declared = Math.pow(10, 2 * mRandom.nextDouble() - 1);
+        return new Job(number, resources, Math.min(typicalMs, NIGHT_MS / 4.0), declared);
+    }
+
+    private Work run(Job job, int night) {
+        long runMs = (long) (job.typicalMs * Math.exp(0.15 * mRandom.nextGaussian()));
+        long arrivalMs = night * NIGHT_MS + (long) (mRandom.nextDouble() * NIGHT_MS * 0.8);
+        boolean morning = mRandom.nextInt(10) < 4;
+        long deadlineMs =
+                morning
+                        ? (night + 1) * NIGHT_MS
+                        : arrivalMs + (long) (runMs * (1.5 + 4 * mRandom.nextDouble()));
+        deadlineMs = Math.max(deadlineMs, arrivalMs + (long) (1.2 * runMs));
+        TaskSpecification task =
+                new TaskSpecification(
+                        new TaskId("job-" + job.number + "/" + night),
+                        new TeamName("team-" + job.number % TEAMS),
+                        Optional.empty(),
+                        Criticality.NORMAL,
+                        job.size,
+                        Math.max(1, (long) (job.typicalMs * job.declaredFactor)),
+                        0,
+                        deadlineMs,
+                        mRandom.nextInt(10) < 7,
+                        false);
+        return new Work(task, arrivalMs, runMs);
+    }
+}
--- /dev/null
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/Firm.java
@@ -0,0 +1,52 @@
+package org.hickorycleat.measurements.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hickorycleat.logic.placement.WorkerView;
+import org.hickorycleat.model.identifier.RackId;
+import org.hickorycleat.model.identifier.WorkerId;
+import org.hickorycleat.model.identifier.ZoneId;
+import org.hickorycleat.model.task.Resources;
+
+/** Fleet sizes of the firms of section 1.1 of the design page. */
+enum Firm {
+    GRAANVRACHT(4, 16_000, 60_000),
+    TOKACHI(3, 32_000, 125_000);
+
+    static final int WORKERS = 11;
+    private static final int WORKERS_PER_RACK = 3;
+
+    private final int mZones;
+    private final long mProcessorsMilli;
+    private final long mMemoryMebibytes;
+
+    Firm(int zones, long processorsMilli, long memoryMebibytes) {
+        mZones = zones;
+        mProcessorsMilli = processorsMilli;
+        mMemoryMebibytes = memoryMebibytes;
+    }
+
+    Resources capacity() {
+        return new Resources(mProcessorsMilli, mMemoryMebibytes, 0);
+    }
+
+    List<WorkerView> workers() {
+        return workers(WORKERS);
+    }
+
+    List<WorkerView> workers(int count) {
+        List<WorkerView> workers = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            int rack = i / WORKERS_PER_RACK;
+            workers.add(
+                    new WorkerView(
+                            new WorkerId("worker-" + i),
+                            new RackId("rack-" + rack),
+                            new ZoneId("zone-" + rack % mZones),
+                            capacity(),
+                            Resources.NONE,
+                            true));
+        }
+        return workers;
+    }
+}
--- /dev/null
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/Medians.java
@@ -0,0 +1,27 @@
+package org.hickorycleat.measurements.placement;
+
+import java.util.Arrays;
+import java.util.Collection;
+
+/** Medians and quantiles of measured values. */
+final class Medians {
+    private Medians() {}
+
+    static double median(double... values) {
+        return quantile(0.5, values);
+    }
+
+    static double quantile(double quantile, Collection<? extends Number> values) {
+        return quantile(quantile, values.stream().mapToDouble(Number::doubleValue).toArray());
+    }
+
+    static double quantile(double quantile, double... values) {
+        if (values.length == 0) {
+            return Double.NaN;
+        }
+        double[] sorted = values.clone();
+        Arrays.sort(sorted);
+        int index = (int) Math.ceil(quantile * sorted.length) - 1;
+        return sorted[Math.max(0, Math.min(sorted.length - 1, index))];
+    }
+}
