--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/OutlierDetector.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/OutlierDetector.java
@@ -64,7 +64,7 @@
         }
         if (kind == AnswerKind.NEUTRAL) {
             ejection.probeInconclusive();
-        } else if (kind == AnswerKind.FAILURE) {
+        } else if (kind != AnswerKind.SUCCESS) {
             ejection.eject(EjectionReason.ERRORS, mSettings, nowMs);
         } else if (probe && latencyMicros > latencyLimit(mMedianMicros)) {
             ejection.eject(EjectionReason.LATENCY, mSettings, nowMs);
@@ -87,15 +87,16 @@
         if (track.samples() < MINIMUM_SAMPLES) {
             return EjectionReason.NONE;
         }
-        if (isErrorOutlier(route, ready)) {
+        if (isErrorOutlier(route, ready, nowMs)) {
             return EjectionReason.ERRORS;
         }
         return isLatencyOutlier(route, ready, nowMs) ? EjectionReason.LATENCY : EjectionReason.NONE;
     }
 
-    private boolean isErrorOutlier(Route route, List<Route> ready) {
-        Optional<Double> median = peerMedian(ready, route, TargetTrack::errorRate);
-        return median.isPresent() && route.track().errorRate() > median.get() + ERROR_RATE_MARGIN;
+    private boolean isErrorOutlier(Route route, List<Route> ready, long nowMs) {
+        Optional<Double> median = peerMedian(ready, route, track -> track.errorRate(nowMs));
+        return median.isPresent()
+                && route.track().errorRate(nowMs) > median.get() + ERROR_RATE_MARGIN;
     }
 
     private boolean isLatencyOutlier(Route route, List<Route> ready, long nowMs) {
@@ -172,7 +173,7 @@
                 routes.stream()
                         .filter(route -> !route.isEjected())
                         .map(Route::track)
-                        .filter(track -> track.samples() > 0)
+                        .filter(track -> track.samples() >= MINIMUM_SAMPLES)
                         .mapToDouble(value)
                         .sorted()
                         .toArray();
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/PowerOfTwoSelector.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/PowerOfTwoSelector.java
@@ -61,7 +61,7 @@
     /** Returns the measured state of the targets of a service, for the dump. */
     public List<RouteStatus> status(ServiceName service) {
         RouteShard shard = mShards.get(service);
-        return shard == null ? List.of() : shard.status();
+        return shard == null ? List.of() : shard.status(mDirectory.nowMs());
     }
 
     /** Drops the state of targets that the directory has forgotten; called now and then. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/RouteShard.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/RouteShard.java
@@ -58,7 +58,7 @@
         return track != null && track.ejection().isEjected();
     }
 
-    synchronized List<RouteStatus> status() {
+    synchronized List<RouteStatus> status(long nowMs) {
         List<RouteStatus> status = new ArrayList<>();
         mTracks.forEach(
                 (address, track) ->
@@ -67,7 +67,7 @@
                                         address,
                                         track.inFlight(),
                                         Math.round(track.latencyMicros()),
-                                        track.errorRate(),
+                                        track.errorRate(nowMs),
                                         track.ejection().reason(),
                                         track.ejection().untilMs())));
         return status;
@@ -143,7 +143,7 @@
         TargetTrack track = route.track();
         double latency = Math.max(1, track.expectedLatencyMicros(mOutliers.medianMicros(), nowMs));
         double waiting = (track.load(nowMs) + 1) / Math.max(1, route.view().slots());
-        double success = Math.max(0.1, 1 - track.errorRate());
+        double success = Math.max(0.1, 1 - track.errorRate(nowMs));
         boolean near = route.view().zone().equals(mOwnZone);
         return latency * waiting / success + (near ? 0 : mSettings.zoneCostMicros());
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/TargetTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/TargetTrack.java
@@ -14,8 +14,11 @@
     /** Half-life of the load that other entries caused, as last reported. */
     private static final double LOAD_HALF_LIFE_MS = 500;
 
-    /** Half-life of measured latency towards that of the peers when no new answer arrives. */
-    private static final double LATENCY_HALF_LIFE_MS = 5_000;
+    /**
+     * Half-life of measured latency and error rate when no new answer arrives; without it a target
+     * that failed once would be avoided for good at low load.
+     */
+    private static final double SAMPLE_HALF_LIFE_MS = 5_000;
 
     private final Incarnation mIncarnation;
     private final Ejection mEjection = new Ejection();
@@ -52,8 +55,8 @@
         return mSamples;
     }
 
-    double errorRate() {
-        return mErrorRate;
+    double errorRate(long nowMs) {
+        return mErrorRate * fading(nowMs);
     }
 
     double latencyMicros() {
@@ -94,10 +97,12 @@
             return;
         }
         boolean success = kind == AnswerKind.SUCCESS;
-        if (success) {
+        if (kind != AnswerKind.NO_ANSWER) {
             mWaitingSinceMs = nowMs;
         }
-        mErrorRate += SAMPLE_WEIGHT * ((success ? 0 : 1) - mErrorRate);
+        // Larger weights at first, so that targets with few and many answers can be compared.
+        double weight = Math.max(SAMPLE_WEIGHT, 1.0 / (mSamples + 2));
+        mErrorRate += weight * ((success ? 0 : 1) - mErrorRate);
         // A fast failure must not make the target look fast.
         double measured = (double) latencyMicros;
         double sample = success ? measured : Math.max(measured, mLatencyMicros);
@@ -126,8 +131,11 @@
         if (mSamples == 0) {
             return mLatencyMicros > 0 ? mLatencyMicros : peerMedianMicros;
         }
-        double fading = Math.pow(0.5, (double) (nowMs - mSampledMs) / LATENCY_HALF_LIFE_MS);
-        return peerMedianMicros + (mLatencyMicros - peerMedianMicros) * fading;
+        return peerMedianMicros + (mLatencyMicros - peerMedianMicros) * fading(nowMs);
+    }
+
+    private double fading(long nowMs) {
+        return Math.pow(0.5, (double) (nowMs - mSampledMs) / SAMPLE_HALF_LIFE_MS);
     }
 
     /** Time for which requests have been outstanding without any answer. */
--- /dev/null
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/EjectionTest.java
@@ -0,0 +1,42 @@
+package org.hickorycleat.logic.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class EjectionTest {
+    private final Ejection mEjection = new Ejection();
+
+    /** Guards against probing a broken target every second for good. */
+    @Test
+    void eachEjectionLastsTwiceAsLongUpToTheMaximum() {
+        long[] expected = {1_000, 2_000, 4_000, 8_000, 16_000, 32_000, 60_000, 60_000};
+        for (long lengthMs : expected) {
+            mEjection.eject(EjectionReason.ERRORS, RoutingSettings.DEFAULT, 500);
+            assertThat(mEjection.untilMs()).isEqualTo(500 + lengthMs);
+        }
+    }
+
+    /** Guards against long ejections for a target that was fine for a minute. */
+    @Test
+    void earlierEjectionsAreForgottenAfterAMinuteInUse() {
+        mEjection.eject(EjectionReason.ERRORS, RoutingSettings.DEFAULT, 0);
+        mEjection.eject(EjectionReason.ERRORS, RoutingSettings.DEFAULT, 1_000);
+        mEjection.end(3_000);
+        mEjection.eject(EjectionReason.ERRORS, RoutingSettings.DEFAULT, 63_000);
+        assertThat(mEjection.untilMs()).isEqualTo(64_000);
+    }
+
+    /** Guards against a return after one lucky probe. */
+    @Test
+    void returnRequiresEveryProbeToSucceed() {
+        mEjection.eject(EjectionReason.ERRORS, RoutingSettings.DEFAULT, 0);
+        assertThat(mEjection.isProbeDue(999)).isFalse();
+        assertThat(mEjection.isProbeDue(1_000)).isTrue();
+        mEjection.probeStarted();
+        assertThat(mEjection.isProbeDue(1_000)).isFalse();
+        assertThat(mEjection.probeSucceeded(2)).isFalse();
+        assertThat(mEjection.isProbeDue(1_000)).isTrue();
+        assertThat(mEjection.probeSucceeded(2)).isTrue();
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/RouteShardLincheckTest.java
@@ -0,0 +1,82 @@
+package org.hickorycleat.logic.routing;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.hickorycleat.logic.membership.TargetView;
+import org.hickorycleat.model.identifier.Incarnation;
+import org.hickorycleat.model.identifier.InstanceNumber;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.identifier.ServiceName;
+import org.hickorycleat.model.identifier.ZoneId;
+import org.hickorycleat.model.message.LoadSignal;
+import org.hickorycleat.model.message.TargetState;
+import org.jetbrains.lincheck.datastructures.Operation;
+import org.jetbrains.lincheck.datastructures.Param;
+import org.jetbrains.lincheck.datastructures.StressOptions;
+import org.jetbrains.lincheck.datastructures.ThreadIdGen;
+import org.junit.jupiter.api.Test;
+
+/** Concurrent reserve and release on one shard with a target of two requests. */
+public class RouteShardLincheckTest {
+    private static final int THREADS = 3;
+    private static final ZoneId ZONE = new ZoneId("a");
+    private static final TargetAddress TARGET =
+            new TargetAddress(
+                    new ProcessId("agent"), new ServiceName("booking"), new InstanceNumber(0));
+    private static final List<TargetView> READY =
+            List.of(
+                    new TargetView(
+                            TARGET,
+                            ZONE,
+                            new Incarnation(1),
+                            TargetState.READY,
+                            2,
+                            2,
+                            new LoadSignal(0, 0, 0),
+                            0,
+                            0,
+                            0,
+                            true));
+
+    private final RouteShard mShard = new RouteShard(RoutingSettings.DEFAULT, ZONE, 1);
+    private final List<Deque<RouteShard.Reserved>> mHeld = new ArrayList<>();
+
+    public RouteShardLincheckTest() {
+        for (int thread = 0; thread <= THREADS + 1; thread++) {
+            mHeld.add(new ArrayDeque<>());
+        }
+    }
+
+    @Operation
+    public boolean reserve(@Param(gen = ThreadIdGen.class) int thread) {
+        Optional<RouteShard.Reserved> reserved = mShard.reserve(READY, Set.of(TARGET), 1, 20_000);
+        reserved.ifPresent(one -> mHeld.get(thread).push(one));
+        return reserved.isPresent();
+    }
+
+    /** Releases what the same thread reserved, so that only the shard is shared. */
+    @Operation
+    public boolean release(@Param(gen = ThreadIdGen.class) int thread) {
+        RouteShard.Reserved reserved = mHeld.get(thread).poll();
+        if (reserved == null) {
+            return false;
+        }
+        mShard.release(reserved, AnswerKind.SUCCESS, 1_000, 20_000);
+        return true;
+    }
+
+    /** Guards against lost updates of the counters under concurrent calls. */
+    @Test
+    void reserveAndReleaseAreAtomic() {
+        new StressOptions()
+                .iterations(10)
+                .invocationsPerIteration(400)
+                .threads(THREADS)
+                .actorsPerThread(3)
+                .check(RouteShardLincheckTest.class);
+    }
+}
