--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/AgentFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/AgentFixture.java
@@ -78,6 +78,7 @@
                 agent(), new AgentReport(uptimeMs, version, targets, Optional.empty()));
     }
 
+    /** Returns the target as the directory sees it. */
     public TargetView view() {
         return mDirectory.targets(SERVICE).stream()
                 .filter(view -> view.address().equals(address()))
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/TargetDirectoryTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/TargetDirectoryTest.java
@@ -133,7 +133,7 @@
 
     /** Guards against memory held for targets of replaced VMs. */
     @Test
-    void goneTargetsAreForgottenAfterAMinute() {
+    void goneTargetsAreForgottenAfterOneMinute() {
         mAgent.disconnect();
         advance(59_000);
         mDirectory.forgetGone();
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/EjectionTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/EjectionTest.java
@@ -19,7 +19,7 @@
 
     /** Guards against long ejections for a target that was fine for a minute. */
     @Test
-    void earlierEjectionsAreForgottenAfterAMinuteInUse() {
+    void earlierEjectionsAreForgottenAfterOneMinuteInUse() {
         mEjection.eject(EjectionReason.ERRORS, RoutingSettings.DEFAULT, 0);
         mEjection.eject(EjectionReason.ERRORS, RoutingSettings.DEFAULT, 1_000);
         mEjection.end(3_000);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/PowerOfTwoSelectorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/PowerOfTwoSelectorTest.java
@@ -38,7 +38,7 @@
 
     /** Guards against waiting for deadlines before a paused target is avoided. */
     @Test
-    void pausedTargetIsNoticedWithinASecond() {
+    void pausedTargetIsNoticedWithinOneSecond() {
         RoutingFixture fixture = RoutingFixture.inOneZone(11);
         fixture.run(300, target -> ResultCode.OK, USUAL_MICROS);
         List<TargetReservation> stuck = new ArrayList<>();
