--- /dev/null
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/Figures.java
@@ -0,0 +1,32 @@
+package org.hickorycleat.measurements;
+
+import java.util.Locale;
+
+/** One line of output: key=value pairs separated by blanks. */
+public final class Figures {
+    private final StringBuilder mLine = new StringBuilder();
+
+    /** Adds a word. */
+    public Figures with(String key, String value) {
+        if (mLine.length() > 0) {
+            mLine.append(' ');
+        }
+        mLine.append(key).append('=').append(value);
+        return this;
+    }
+
+    /** Adds a number with three decimals. */
+    public Figures with(String key, double value) {
+        return with(key, String.format(Locale.ROOT, "%.3f", value));
+    }
+
+    /** Adds a whole number. */
+    public Figures with(String key, long value) {
+        return with(key, Long.toString(value));
+    }
+
+    @Override
+    public String toString() {
+        return mLine.toString();
+    }
+}
--- /dev/null
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/Measurements.java
@@ -0,0 +1,46 @@
+package org.hickorycleat.measurements;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.hickorycleat.measurements.requests.AdmissionDecision;
+import org.hickorycleat.measurements.requests.RoutingDecision;
+
+/** Runs a measurement by name with the given seeds, or lists the names. */
+public final class Measurements {
+    private static final List<Long> DEFAULT_SEEDS = List.of(1L, 2L, 3L, 4L, 5L);
+
+    private Measurements() {}
+
+    /** Arguments: the name of a measurement, then seeds; without any, the names are listed. */
+    public static void main(String[] arguments) {
+        Map<String, Measurement> measurements = all();
+        if (arguments.length == 0) {
+            measurements.keySet().forEach(System.out::println);
+            return;
+        }
+        Measurement measurement = measurements.get(arguments[0]);
+        if (measurement == null) {
+            System.err.println("unknown measurement: " + arguments[0]);
+            System.exit(2);
+            return;
+        }
+        measurement.run(seeds(arguments), System.out::println);
+    }
+
+    private static Map<String, Measurement> all() {
+        Map<String, Measurement> all = new TreeMap<>();
+        all.put("admission-decision", new AdmissionDecision());
+        all.put("routing-decision", new RoutingDecision());
+        return all;
+    }
+
+    private static List<Long> seeds(String[] arguments) {
+        List<Long> seeds = new ArrayList<>();
+        for (int i = 1; i < arguments.length; i++) {
+            seeds.add(Long.parseLong(arguments[i]));
+        }
+        return seeds.isEmpty() ? DEFAULT_SEEDS : seeds;
+    }
+}
--- /dev/null
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/FleetFake.java
@@ -0,0 +1,160 @@
+package org.hickorycleat.measurements.requests;
+
+import static java.util.concurrent.TimeUnit.MICROSECONDS;
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.hickorycleat.logic.membership.TargetDirectory;
+import org.hickorycleat.logic.routing.TargetReservation;
+import org.hickorycleat.model.identifier.ConfigurationVersion;
+import org.hickorycleat.model.identifier.Incarnation;
+import org.hickorycleat.model.identifier.InstanceNumber;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.identifier.ServiceName;
+import org.hickorycleat.model.identifier.SessionNumber;
+import org.hickorycleat.model.identifier.ZoneId;
+import org.hickorycleat.model.message.AgentReport;
+import org.hickorycleat.model.message.LoadSignal;
+import org.hickorycleat.model.message.TargetReport;
+import org.hickorycleat.model.message.TargetState;
+import org.hickorycleat.model.result.ResultCode;
+
+/** One entry's view of 11 targets in 4 availability zones, whose reports are one second late. */
+final class FleetFake {
+    static final ServiceName SERVICE = new ServiceName("booking");
+    static final int TARGETS = 11;
+    static final int SLOTS = TARGETS * TargetFake.SLOTS;
+    static final double SERVICE_MEAN_MICROS = 20_000;
+    static final long DEADLINE_MICROS = 2_000_000;
+    static final ZoneId ENTRY_ZONE = new ZoneId("zone-0");
+
+    private static final int ZONES = 4;
+    private static final long REPORT_DELAY_MS = 1_000;
+    private static final long NEAR_MICROS = 250;
+    private static final long FAR_MICROS = 4_000;
+
+    /** Time at which targets have long been up, so that no slow start is left. */
+    private static final long START_MS = 100_000;
+
+    final TestScheduler mScheduler = new TestScheduler(0, MILLISECONDS);
+    final TargetDirectory mDirectory = new TargetDirectory(mScheduler);
+    final SplittableRandom mRandom;
+    private final List<TargetFake> mTargets = new ArrayList<>();
+
+    FleetFake(long seed) {
+        mRandom = new SplittableRandom(seed);
+        for (int i = 0; i < TARGETS; i++) {
+            mTargets.add(new TargetFake(mScheduler, mRandom.split(), SERVICE_MEAN_MICROS));
+            mDirectory.onAgentConnected(
+                    agent(i), zone(i), new Incarnation(1), new SessionNumber(1));
+            int target = i;
+            mScheduler.schedulePeriodicallyDirect(() -> report(target), 0, 1_000, MILLISECONDS);
+        }
+        mScheduler.advanceTimeTo(START_MS, MILLISECONDS);
+    }
+
+    /** Requests per second that keep all slots of healthy targets in use. */
+    static double capacityPerSecond() {
+        return SLOTS * 1_000_000 / SERVICE_MEAN_MICROS;
+    }
+
+    TargetFake target(int index) {
+        return mTargets.get(index);
+    }
+
+    /** Makes requests at random times until the run ends. */
+    void arrive(double perSecond, Runnable request) {
+        long gapMicros = Math.round(-Math.log(1 - mRandom.nextDouble()) * 1_000_000 / perSecond);
+        mScheduler.scheduleDirect(
+                () -> {
+                    request.run();
+                    arrive(perSecond, request);
+                },
+                gapMicros,
+                MICROSECONDS);
+    }
+
+    void run(long milliseconds) {
+        mScheduler.advanceTimeBy(milliseconds, MILLISECONDS);
+    }
+
+    /** Sends a request and hands over its result, at the latest at its deadline. */
+    void invoke(TargetReservation reservation, Consumer<ResultCode> listener) {
+        int index = (int) reservation.target().instance().value();
+        long delayMicros = zone(index).equals(ENTRY_ZONE) ? NEAR_MICROS : FAR_MICROS;
+        Exchange exchange = new Exchange(reservation, listener);
+        long deadlineMicros = exchange.mStartMicros + DEADLINE_MICROS;
+        mScheduler.scheduleDirect(
+                () ->
+                        mTargets.get(index)
+                                .accept(
+                                        deadlineMicros,
+                                        (code, load) ->
+                                                mScheduler.scheduleDirect(
+                                                        () -> exchange.end(code, Optional.of(load)),
+                                                        delayMicros,
+                                                        MICROSECONDS)),
+                delayMicros,
+                MICROSECONDS);
+        mScheduler.scheduleDirect(
+                () -> exchange.end(ResultCode.TARGET_TIMEOUT, Optional.empty()),
+                DEADLINE_MICROS,
+                MICROSECONDS);
+    }
+
+    private void report(int index) {
+        LoadSignal load = mTargets.get(index).load();
+        TargetReport target =
+                new TargetReport(
+                        SERVICE,
+                        new InstanceNumber(index),
+                        TargetState.READY,
+                        TargetFake.SLOTS,
+                        TargetFake.CONNECTIONS,
+                        load);
+        AgentReport report =
+                new AgentReport(
+                        mScheduler.now(MILLISECONDS),
+                        new ConfigurationVersion(1),
+                        List.of(target),
+                        Optional.empty());
+        mScheduler.scheduleDirect(
+                () -> mDirectory.onAgentReport(agent(index), report),
+                REPORT_DELAY_MS,
+                MILLISECONDS);
+    }
+
+    private static ProcessId agent(int index) {
+        return new ProcessId("agent-" + index);
+    }
+
+    private static ZoneId zone(int index) {
+        return new ZoneId("zone-" + index % ZONES);
+    }
+
+    /** A request on its way; only its first end counts. */
+    private final class Exchange {
+        private final TargetReservation mReservation;
+        private final Consumer<ResultCode> mListener;
+        private final long mStartMicros = mScheduler.now(MICROSECONDS);
+        private boolean mEnded;
+
+        Exchange(TargetReservation reservation, Consumer<ResultCode> listener) {
+            mReservation = reservation;
+            mListener = listener;
+        }
+
+        void end(ResultCode code, Optional<LoadSignal> load) {
+            if (!mEnded) {
+                mEnded = true;
+                mReservation.release(code, load, mScheduler.now(MICROSECONDS) - mStartMicros);
+                mListener.accept(code);
+            }
+        }
+    }
+}
