--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentProcess.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentProcess.java
@@ -22,6 +22,7 @@
 import org.hickorycleat.daemon.transport.TransportMetrics;
 import org.hickorycleat.logic.configuration.ConfigurationHolder;
 import org.hickorycleat.logic.invocation.InvocationService;
+import org.hickorycleat.logic.invocation.KeyValidity;
 import org.hickorycleat.model.identifier.Incarnation;
 
 /** A daemon in the agent role. */
@@ -61,7 +62,7 @@
         mTargetClient = new HttpTargetClient(service -> targets().address(service));
         mInvocations =
                 InvocationService.builder(mTargetClient, scheduler)
-                        .keyValidity(agentSettings.keyValidity())
+                        .keyValidity(KeyValidity.of(agentSettings.keyValidity()))
                         .build();
         mTargets = new HostedTargets(mInvocations, scheduler);
         mEntries =
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/KeyValidity.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/KeyValidity.java
@@ -24,6 +24,11 @@
                     Duration.ofSeconds(10),
                     Duration.ofSeconds(3));
 
+    /** Returns the standard times with another validity. */
+    public static KeyValidity of(Duration validity) {
+        return new KeyValidity(validity, STANDARD.launch, STANDARD.transit, STANDARD.spread);
+    }
+
     /** Returns the time after the start of an agent in which it may lack the record of a key. */
     public Duration uncertainty() {
         return validity.plus(launch).plus(transit);
