Register which agent serves which instance before it serves keys

Cause: an agent that starts may lack the record of a key, so it refused keys for 75 s, also at the first start of a fleet, where nothing can be missing. Ruled out: trusting the age of the agent alone (a restarted agent forgets); trusting entries' memory of earlier agents (entries are replaced too); a fallback to another instance (runs a repeat twice). Change: runs of agents are recorded in the stream instances. The first one recorded for an instance serves keys at once, any other after the window, and none before its record was read back. With the log down, agents that start then serve no keys; everything else goes on. Also: the mapping of keys is compared by its instances, so that a manifest that shrinks a service takes effect.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentEntries.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentEntries.java
@@ -24,6 +24,7 @@
 import org.hickorycleat.model.message.ConfigurationUpdate;
 import org.hickorycleat.model.message.EntryAddress;
 import org.hickorycleat.model.message.Hello;
+import org.hickorycleat.model.message.InstanceStanding;
 import org.hickorycleat.model.message.Invoke;
 import org.hickorycleat.model.message.InvokeResult;
 import org.hickorycleat.model.message.Message;
@@ -140,6 +141,8 @@
             reply(session, mInvocations.cancel(cancel.request(), result -> reply(session, result)));
         } else if (message instanceof ConfigurationUpdate update) {
             mConfiguration.offer(update, ConfigurationSource.ENTRY);
+        } else if (message instanceof InstanceStanding standing) {
+            mTargets.registered(standing);
         }
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HostedTargets.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HostedTargets.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.daemon.logging.EventLog;
@@ -15,6 +16,7 @@
 import org.hickorycleat.model.identifier.ServiceName;
 import org.hickorycleat.model.manifest.Manifest;
 import org.hickorycleat.model.manifest.ServiceSpecification;
+import org.hickorycleat.model.message.InstanceStanding;
 import org.hickorycleat.model.message.TargetReport;
 import org.hickorycleat.model.message.TargetState;
 
@@ -30,6 +32,7 @@
     private final InvocationService mInvocations;
     private final Scheduler mScheduler;
     private final Map<ServiceName, Hosted> mTargets = new ConcurrentHashMap<>();
+    private final Set<InstanceStanding> mRegistered = ConcurrentHashMap.newKeySet();
     private volatile Optional<Manifest> mManifest = Optional.empty();
     private volatile boolean mLeaving;
 
@@ -65,6 +68,25 @@
         mTargets.values().forEach(hosted -> configure(hosted.announcement()));
     }
 
+    /** Serves keys of an instance from now on; entries have recorded that this agent does. */
+    void registered(InstanceStanding standing) {
+        Hosted hosted = mTargets.get(standing.service());
+        if (hosted == null
+                || !hosted.announcement().instance().equals(standing.instance())
+                || !mRegistered.add(standing)) {
+            return;
+        }
+        configure(hosted.announcement());
+        if (standing.original()) {
+            mInvocations.trustKeyMemory(standing.service(), standing.instance());
+        }
+        LOG.event("instance_registered")
+                .with("service", standing.service())
+                .with("instance", standing.instance())
+                .with("original", standing.original())
+                .info();
+    }
+
     /** Reports every target as leaving from now on and refuses new requests. */
     void leave() {
         mLeaving = true;
@@ -106,12 +128,23 @@
                 new TargetConfiguration(
                         target.service(),
                         target.instance(),
-                        service.map(KeyMappings::instances).orElse(List.of()),
+                        isRegistered(target)
+                                ? service.map(KeyMappings::instances).orElse(List.of())
+                                : List.of(),
                         service.map(KeyMappings::version).orElse(NO_MAPPING),
                         slots(target),
                         target.connections()));
     }
 
+    /** Until then a successor could not know that this agent may hold records of keys. */
+    private boolean isRegistered(Announcement target) {
+        return mRegistered.stream()
+                .anyMatch(
+                        standing ->
+                                standing.service().equals(target.service())
+                                        && standing.instance().equals(target.instance()));
+    }
+
     /** The manifest may lower what the target offers, never raise it. */
     private int slots(Announcement target) {
         return mManifest
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryProcess.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryProcess.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.daemon.Lifecycle;
@@ -55,6 +56,7 @@
     private final EntryConfiguration mConfiguration;
     private final RequestPath mRequests;
     private final PlacementShards mShards;
+    private final InstanceRegistrar mRegistrar;
     private final AgentSlices mSlices = new AgentSlices();
     private final CallerHttp mCallers;
     private final AdminHttp mAdmin;
@@ -83,6 +85,9 @@
                         log,
                         mConnections,
                         scheduler);
+        mRegistrar =
+                new InstanceRegistrar(
+                        log, mConnections, new Random(incarnation.value()), scheduler);
         mRequests =
                 new RequestPath(
                         settings.process(), incarnation, settings.zone(), mConnections, scheduler);
@@ -96,6 +101,7 @@
     @Override
     public void start() throws InterruptedException {
         mConfiguration.start(this::configurationChanged);
+        mRegistrar.start();
         mTransport.listen(mEntrySettings.peerListen(), mConnections::newListener);
         mPeers.add(mEntrySettings.peers());
         mTimers.add(
@@ -143,6 +149,7 @@
         mCallers.close();
         mConfiguration.close();
         mShards.close();
+        mRegistrar.close();
         mPeers.close();
         mTransport.close();
         mAdmin.close();
@@ -161,6 +168,7 @@
         }
         if (message instanceof AgentReport report) {
             sendSlice(agent, report);
+            mRegistrar.onReport(agent, report);
             mShards.onReport(agent, report);
         } else if (message instanceof ConfigurationUpdate update) {
             mConfiguration.offerFromAgent(update);
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/InstanceRegistrar.java
@@ -0,0 +1,162 @@
+package org.hickorycleat.daemon.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.hickorycleat.daemon.logging.EventLog;
+import org.hickorycleat.logic.log.ExponentialBackoff;
+import org.hickorycleat.logic.log.StreamEvent;
+import org.hickorycleat.logic.log.StreamFollower;
+import org.hickorycleat.logic.membership.InstanceRegistration;
+import org.hickorycleat.logic.membership.InstanceRegistry;
+import org.hickorycleat.logic.membership.InstanceRegistry.Standing;
+import org.hickorycleat.logic.port.AgentLink;
+import org.hickorycleat.logic.port.LogRecord;
+import org.hickorycleat.logic.port.LogService;
+import org.hickorycleat.model.identifier.Incarnation;
+import org.hickorycleat.model.identifier.InstanceNumber;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.identifier.ServiceName;
+import org.hickorycleat.model.identifier.StreamName;
+import org.hickorycleat.model.message.AgentReport;
+import org.hickorycleat.model.message.Hello;
+import org.hickorycleat.model.message.InstanceStanding;
+import org.hickorycleat.model.message.TargetReport;
+
+/** Registers the runs of agents in the stream {@code instances} and tells agents their standing. */
+final class InstanceRegistrar implements AutoCloseable {
+    private static final EventLog LOG = EventLog.of(InstanceRegistrar.class);
+    private static final StreamName STREAM = new StreamName("instances");
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** Every entry registers what it sees, so the others usually are faster than a repeat. */
+    private static final long REPEAT_MS = 2_000;
+
+    private final LogService mLog;
+    private final AgentLink mAgents;
+    private final Scheduler mScheduler;
+    private final StreamFollower mFollower;
+    private final InstanceRegistry mRegistry = new InstanceRegistry();
+    private final Map<InstanceRegistration, Long> mAppendedMs = new ConcurrentHashMap<>();
+    private final CompositeDisposable mRunning = new CompositeDisposable();
+
+    InstanceRegistrar(LogService log, AgentLink agents, Random random, Scheduler scheduler) {
+        mLog = log;
+        mAgents = agents;
+        mScheduler = scheduler;
+        mFollower =
+                new StreamFollower(
+                        log,
+                        STREAM,
+                        0,
+                        StreamFollower.DEFAULT_WAIT,
+                        ExponentialBackoff.DEFAULT,
+                        random,
+                        scheduler);
+    }
+
+    /** Starts to read the stream. */
+    void start() {
+        mRunning.add(
+                mFollower
+                        .events()
+                        .subscribe(
+                                this::handle,
+                                cause ->
+                                        LOG.event("registrar_failed")
+                                                .with("cause", cause)
+                                                .error()));
+    }
+
+    /** Registers the targets of a report that are not registered, and answers for the others. */
+    void onReport(Hello agent, AgentReport report) {
+        for (TargetReport target : report.targets()) {
+            InstanceRegistration registration =
+                    new InstanceRegistration(
+                            target.service(),
+                            target.instance(),
+                            agent.process(),
+                            agent.incarnation());
+            Standing standing = mRegistry.standing(registration);
+            if (standing == Standing.UNREGISTERED) {
+                register(registration);
+            } else {
+                tell(agent, target, standing);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        mRunning.dispose();
+    }
+
+    private void tell(Hello agent, TargetReport target, Standing standing) {
+        mAgents.send(
+                agent.process(),
+                new InstanceStanding(
+                        target.service(), target.instance(), standing == Standing.ORIGINAL));
+    }
+
+    private void register(InstanceRegistration registration) {
+        long nowMs = mScheduler.now(TimeUnit.MILLISECONDS);
+        Long appendedMs = mAppendedMs.get(registration);
+        if (appendedMs != null && nowMs - appendedMs < REPEAT_MS) {
+            return;
+        }
+        mAppendedMs.put(registration, nowMs);
+        // A second copy changes nothing; a lost one is repeated at a later report.
+        mRunning.add(
+                mLog.append(STREAM, encode(registration)).subscribe(offset -> {}, error -> {}));
+    }
+
+    private void handle(StreamEvent event) {
+        if (event instanceof StreamEvent.Truncated) {
+            mRegistry.truncated();
+        } else if (event instanceof StreamEvent.RecordsRead read) {
+            read.page().records().forEach(this::apply);
+        }
+    }
+
+    private void apply(LogRecord record) {
+        Optional<InstanceRegistration> registration = decode(record.payload());
+        if (registration.isEmpty()) {
+            LOG.event("malformed_registration").with("offset", record.offset()).warn();
+            return;
+        }
+        mRegistry.apply(registration.get());
+        mAppendedMs.remove(registration.get());
+    }
+
+    private static byte[] encode(InstanceRegistration registration) {
+        ObjectNode node = MAPPER.createObjectNode();
+        node.put("service", registration.service().value());
+        node.put("instance", registration.instance().value());
+        node.put("agent", registration.agent().value());
+        node.put("incarnation", registration.incarnation().value());
+        return node.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static Optional<InstanceRegistration> decode(byte[] payload) {
+        try {
+            JsonNode node = MAPPER.readTree(payload);
+            return Optional.of(
+                    new InstanceRegistration(
+                            new ServiceName(node.path("service").asText()),
+                            new InstanceNumber(node.path("instance").asLong(-1)),
+                            new ProcessId(node.path("agent").asText()),
+                            new Incarnation(node.path("incarnation").asLong(-1))));
+        } catch (IOException | IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+}
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
@@ -14,6 +14,7 @@
 import org.hickorycleat.model.message.Fence;
 import org.hickorycleat.model.message.Forward;
 import org.hickorycleat.model.message.Hello;
+import org.hickorycleat.model.message.InstanceStanding;
 import org.hickorycleat.model.message.Invoke;
 import org.hickorycleat.model.message.InvokeResult;
 import org.hickorycleat.model.message.LeaseGrant;
@@ -60,7 +61,8 @@
                     TaskReport.class,
                     Forward.class,
                     PeerSummary.class,
-                    Failure.class);
+                    Failure.class,
+                    InstanceStanding.class);
 
     private final RecordCodec mRecords = new RecordCodec();
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/HostedTarget.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/HostedTarget.java
@@ -46,6 +46,14 @@
         return mQueue.configure(configuration.slots(), configuration.connections(), nowMs);
     }
 
+    /** No earlier agent served this instance, so no record of a key can be missing. */
+    synchronized void trustKeyMemory(InstanceNumber instance) {
+        Placement old = mPlacement;
+        if (old.instance().equals(instance)) {
+            mPlacement = new Placement(instance, Long.MIN_VALUE / 2, old.mapping());
+        }
+    }
+
     void setLeaving(boolean leaving) {
         mLeaving = leaving;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/InvocationService.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/InvocationService.java
@@ -15,6 +15,7 @@
 import org.hickorycleat.logic.port.TargetClient;
 import org.hickorycleat.logic.port.TargetNotReachedException;
 import org.hickorycleat.model.identifier.Incarnation;
+import org.hickorycleat.model.identifier.InstanceNumber;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.identifier.RequestId;
 import org.hickorycleat.model.identifier.ServiceName;
@@ -134,6 +135,12 @@
         Optional.ofNullable(mTargets.get(service)).ifPresent(target -> target.setLeaving(leaving));
     }
 
+    /** Accepts keys of an instance at once, because no earlier agent has served it. */
+    public void trustKeyMemory(ServiceName service, InstanceNumber instance) {
+        Optional.ofNullable(mTargets.get(service))
+                .ifPresent(target -> target.trustKeyMemory(instance));
+    }
+
     /** Returns the load of the target of a service. */
     public LoadSignal load(ServiceName service) {
         HostedTarget target = mTargets.get(service);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/KeyMapping.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/KeyMapping.java
@@ -46,12 +46,16 @@
         return new KeyMapping(service, version, instances, List.of(), windowMs);
     }
 
-    /** Returns the mapping after a change; a version that is not higher changes nothing. */
+    /** Returns the mapping after a change; the same instances change nothing. */
     public KeyMapping replacedBy(
             ConfigurationVersion version, List<InstanceNumber> instances, long nowMs) {
-        if (version.compareTo(mVersion) <= 0) {
+        if (instances.equals(mInstances)) {
             return this;
         }
+        if (mInstances.isEmpty()) {
+            // No key was mapped, so no record of one can be elsewhere.
+            return new KeyMapping(mService, version, instances, mReplaced, mWindowMs);
+        }
         List<Replaced> replaced =
                 Stream.concat(
                                 mReplaced.stream().filter(old -> inWindow(old, nowMs)),
--- /dev/null
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/InstanceRegistryTest.java
@@ -0,0 +1,68 @@
+package org.hickorycleat.logic.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.hickorycleat.logic.membership.InstanceRegistry.Standing;
+import org.hickorycleat.model.identifier.Incarnation;
+import org.hickorycleat.model.identifier.InstanceNumber;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.identifier.ServiceName;
+import org.junit.jupiter.api.Test;
+
+class InstanceRegistryTest {
+    private static final InstanceRegistration FIRST = registration("agent-1", 1);
+    private static final InstanceRegistration RESTARTED = registration("agent-1", 2);
+
+    private final InstanceRegistry mRegistry = new InstanceRegistry();
+
+    /** Guards against an agent that serves keys before a successor could know of it. */
+    @Test
+    void isUnregisteredUntilTheRecordWasRead() {
+        assertThat(mRegistry.standing(FIRST)).isEqualTo(Standing.UNREGISTERED);
+    }
+
+    /** Guards against keys being refused for over a minute at the first start of a fleet. */
+    @Test
+    void firstRunOfAnInstanceIsOriginal() {
+        mRegistry.apply(FIRST);
+        mRegistry.apply(FIRST);
+
+        assertThat(mRegistry.standing(FIRST)).isEqualTo(Standing.ORIGINAL);
+    }
+
+    /** Guards against a restarted agent that forgot its keys and runs a repeat again. */
+    @Test
+    void restartedAgentIsSuccessor() {
+        mRegistry.apply(FIRST);
+        mRegistry.apply(RESTARTED);
+
+        assertThat(mRegistry.standing(RESTARTED)).isEqualTo(Standing.SUCCESSOR);
+    }
+
+    /** Guards against a replacement at another VM that never saw the keys of the instance. */
+    @Test
+    void replacementOnAnotherVmIsSuccessor() {
+        mRegistry.apply(FIRST);
+        InstanceRegistration replacement = registration("agent-9", 7);
+        mRegistry.apply(replacement);
+
+        assertThat(mRegistry.standing(replacement)).isEqualTo(Standing.SUCCESSOR);
+    }
+
+    /** Guards against trusting a stream whose first records have expired. */
+    @Test
+    void nobodyIsOriginalInATruncatedStream() {
+        mRegistry.truncated();
+        mRegistry.apply(RESTARTED);
+
+        assertThat(mRegistry.standing(RESTARTED)).isEqualTo(Standing.SUCCESSOR);
+    }
+
+    private static InstanceRegistration registration(String agent, long incarnation) {
+        return new InstanceRegistration(
+                new ServiceName("booking"),
+                new InstanceNumber(3),
+                new ProcessId(agent),
+                new Incarnation(incarnation));
+    }
+}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Message.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Message.java
@@ -8,6 +8,7 @@
                 CheckpointTask,
                 ConfigurationUpdate,
                 Failure,
+                InstanceStanding,
                 Fence,
                 Forward,
                 Hello,
