Model the exchange of a request; cancel only what was sent

The model found a false not-run: a cancellation sent before the invoke was answered by one incarnation of the agent, and the invoke then went to the next one, which ran it. An attempt is now cancelled only after it was handed to the link.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/Attempt.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/Attempt.java
@@ -19,6 +19,7 @@
     // Written under the lock of the shard only.
     private volatile LinkSession mSession;
     private volatile boolean mUnresolved;
+    private volatile boolean mSent;
 
     Attempt(
             RequestId request,
@@ -59,6 +60,18 @@
         return mUnresolved;
     }
 
+    /**
+     * Tells whether it was handed to the link. A cancellation that went out before could be
+     * answered by an older incarnation of the agent than the one that then receives the attempt.
+     */
+    boolean sent() {
+        return mSent;
+    }
+
+    void markSent() {
+        mSent = true;
+    }
+
     void markUnresolved() {
         mUnresolved = true;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/Call.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/Call.java
@@ -174,8 +174,11 @@
             return finishIfInterrupted();
         }
         Attempt attempt = registered.get();
-        if (mCoordinator.link().send(agent, invoke(attempt))
-                || !mCoordinator.outstanding().remove(attempt)) {
+        if (mCoordinator.link().send(agent, invoke(attempt))) {
+            mCoordinator.onSent(attempt);
+            return true;
+        }
+        if (!mCoordinator.outstanding().remove(attempt)) {
             return true;
         }
         release(attempt, ResultCode.UNREACHABLE);
@@ -286,7 +289,9 @@
             mClosing = true;
             current = mCurrent;
         }
-        current.filter(mCoordinator.outstanding()::contains).ifPresent(this::cancelAtAgent);
+        current.filter(Attempt::sent)
+                .filter(mCoordinator.outstanding()::contains)
+                .ifPresent(this::cancelAtAgent);
     }
 
     private synchronized boolean closing() {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/RequestCoordinator.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/RequestCoordinator.java
@@ -141,8 +141,17 @@
         return mOutstanding.size();
     }
 
+    /** Resolves an attempt whose connection was replaced while it was being sent. */
+    void onSent(Attempt attempt) {
+        attempt.markSent();
+        if (attempt.unresolved()) {
+            resolve(attempt, attempt.session());
+        }
+    }
+
     private void resolve(Attempt attempt, LinkSession session) {
-        if (!mOutstanding.isExpected(attempt.request(), session)
+        if (!attempt.sent()
+                || !mOutstanding.isExpected(attempt.request(), session)
                 || mLink.send(session.agent(), new Cancel(attempt.request()))) {
             return;
         }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestPathSimulation.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestPathSimulation.java
@@ -92,6 +92,7 @@
                             .link((agent, message) -> simulation.send(this, agent, message))
                             .scheduler(simulation.mScheduler)
                             .retryBudget(new RetryBudget(1_000, 20))
+                            .shards(2)
                             .keyValidity(KEY_VALIDITY)
                             .build();
         }
