--- /dev/null
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/TextTable.java
@@ -0,0 +1,87 @@
+package org.hickorycleat.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Table in plain text that is never wider than a terminal: long cells continue below. */
+public final class TextTable {
+    /** Width of the terminal for which text is laid out. */
+    public static final int COLUMNS = 80;
+
+    private static final int GAP = 2;
+
+    private final List<List<String>> mRows = new ArrayList<>();
+
+    /** Creates a table with a heading. */
+    public TextTable(String... heading) {
+        mRows.add(List.of(heading));
+    }
+
+    /** Adds a row with a cell for each heading. */
+    public TextTable row(String... cells) {
+        if (cells.length != mRows.get(0).size()) {
+            throw new IllegalArgumentException("a row of " + cells.length + " cells");
+        }
+        mRows.add(List.of(cells));
+        return this;
+    }
+
+    /** Lays the table out; each line ends with a newline. */
+    public String render() {
+        int[] widths = widths();
+        StringBuilder text = new StringBuilder();
+        for (List<String> row : mRows) {
+            render(row, widths, text);
+        }
+        return text.toString();
+    }
+
+    private int[] widths() {
+        int[] widths = new int[mRows.get(0).size()];
+        int total = GAP * (widths.length - 1);
+        for (List<String> row : mRows) {
+            for (int column = 0; column < widths.length; column++) {
+                widths[column] = Math.max(widths[column], row.get(column).length());
+            }
+        }
+        for (int width : widths) {
+            total += width;
+        }
+        for (; total > COLUMNS; total--) {
+            widths[widest(widths)]--;
+        }
+        return widths;
+    }
+
+    private static int widest(int[] widths) {
+        int widest = 0;
+        for (int column = 1; column < widths.length; column++) {
+            if (widths[column] > widths[widest]) {
+                widest = column;
+            }
+        }
+        return widest;
+    }
+
+    private static void render(List<String> row, int[] widths, StringBuilder text) {
+        int lines = 1;
+        for (int column = 0; column < widths.length; column++) {
+            int length = row.get(column).length();
+            lines = Math.max(lines, (length + widths[column] - 1) / Math.max(1, widths[column]));
+        }
+        for (int line = 0; line < lines; line++) {
+            StringBuilder output = new StringBuilder();
+            for (int column = 0; column < widths.length; column++) {
+                output.append(" ".repeat(column == 0 ? 0 : GAP));
+                String part = part(row.get(column), line, widths[column]);
+                output.append(part).append(" ".repeat(widths[column] - part.length()));
+            }
+            text.append(output.toString().stripTrailing()).append('\n');
+        }
+    }
+
+    private static String part(String cell, int line, int width) {
+        int start = Math.min(cell.length(), line * width);
+        return cell.substring(start, Math.min(cell.length(), start + width));
+    }
+}
--- /dev/null
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/StatusText.java
@@ -0,0 +1,72 @@
+package org.hickorycleat.cli.admin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import org.hickorycleat.cli.TextTable;
+import org.hickorycleat.cli.TextWrap;
+
+/** Lays out the answers to GET /admin/status. */
+final class StatusText {
+    private StatusText() {}
+
+    static String render(List<AdminAnswer> answers) {
+        StringBuilder text = new StringBuilder();
+        for (AdminAnswer answer : answers) {
+            text.append(text.isEmpty() ? "" : "\n").append(process(answer.json()));
+        }
+        return text.toString();
+    }
+
+    private static String process(JsonNode status) {
+        JsonNode configuration = status.path("configuration");
+        JsonNode log = status.path("log");
+        String first =
+                "process %s role %s zone %s state %s"
+                        .formatted(
+                                status.path("process").asText("?"),
+                                status.path("role").asText("?"),
+                                status.path("zone").asText("?"),
+                                status.path("state").asText("?"));
+        String second =
+                "  configuration version %s source %s, log %s, in flight %d"
+                        .formatted(
+                                configuration.path("version").asText("none"),
+                                configuration.path("source").asText("none"),
+                                log.path("available").asBoolean() ? "available" : "unavailable",
+                                status.path("in_flight").asLong());
+        String reason = status.path("reason").asText("");
+        return TextWrap.wrap(first, "  ")
+                + TextWrap.wrap(second, "  ")
+                + (reason.isEmpty() ? "" : TextWrap.wrap("  reason: " + reason, "    "))
+                + services(status.path("services"))
+                + shards(status.path("shards"));
+    }
+
+    private static String services(JsonNode services) {
+        TextTable table =
+                new TextTable("service", "ready", "leaving", "suspect", "in flight", "queued");
+        for (JsonNode service : services) {
+            table.row(
+                    service.path("service").asText("?"),
+                    service.path("ready").asText("0"),
+                    service.path("leaving").asText("0"),
+                    service.path("suspect").asText("0"),
+                    service.path("in_flight").asText("0"),
+                    service.path("queued").asText("0"));
+        }
+        return services.isEmpty() ? "" : table.render();
+    }
+
+    private static String shards(JsonNode shards) {
+        TextTable table = new TextTable("shard", "owner", "epoch", "running", "waiting");
+        for (JsonNode shard : shards) {
+            table.row(
+                    shard.path("shard").asText("?"),
+                    shard.path("owner").asText("none"),
+                    shard.path("epoch").asText("?"),
+                    shard.path("tasks_running").asText("0"),
+                    shard.path("tasks_waiting").asText("0"));
+        }
+        return shards.isEmpty() ? "" : table.render();
+    }
+}
--- /dev/null
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' command line: dispatch, output and exit codes. */
+@NullMarked
+package org.hickorycleat.cli;
+
+import org.jspecify.annotations.NullMarked;
