--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/TaskLeaseKeeper.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/TaskLeaseKeeper.java
@@ -47,6 +47,9 @@
     /** Time for one answer of the worker; a lease survives two lost answers. */
     private static final long WORKER_TIMEOUT_MS = 1_000;
 
+    /** A stop waits this long for the checkpoint before it; the lease is not renewed meanwhile. */
+    private static final long CHECKPOINT_TIMEOUT_MS = 5_000;
+
     private final Object mLock = new Object();
     private final WorkerControl mWorker;
     private final KeeperOutput mOutput;
@@ -57,6 +60,7 @@
     private final Map<Long, SentRequest> mRequests = new LinkedHashMap<>();
     private final Map<TaskId, AttemptNumber> mLastAttempts = new HashMap<>();
     private final Map<TaskId, TaskUsage> mUsage = new HashMap<>();
+    private final Map<TaskId, Single<WorkerAnswer>> mCheckpoints = new HashMap<>();
     private Optional<Incarnation> mWorkerIncarnation = Optional.empty();
     private long mNextRequest;
     private boolean mListing;
@@ -144,6 +148,7 @@
             mRequests.clear();
         }
         mLastAttempts.clear();
+        mCheckpoints.keySet().retainAll(tasks(listing));
         listing.tasks().forEach(task -> seen(task.task(), task.attempt()));
         mOutput.workerListed(summary(listing));
         for (Map.Entry<ShardNumber, OwnerLink> entry : mOwners.entrySet()) {
@@ -175,6 +180,10 @@
         return held(listing).stream().filter(task -> task.shard().equals(shard)).toList();
     }
 
+    private static List<TaskId> tasks(WorkerListing listing) {
+        return listing.tasks().stream().map(WorkerTask::task).toList();
+    }
+
     private static List<HeldTask> held(WorkerListing listing) {
         return listing.tasks().stream()
                 .filter(WorkerTask::active)
@@ -268,13 +277,18 @@
 
     private void command(ProcessId owner, Message message) {
         if (message instanceof StopTask stop && !isStale(stop.shard(), stop.epoch())) {
-            call(
-                    mWorker.stop(stop.shard(), stop.epoch(), stop.task(), stop.attempt()),
+            subscribe(
+                    afterCheckpoint(
+                            stop.task(),
+                            limited(
+                                    mWorker.stop(
+                                            stop.shard(),
+                                            stop.epoch(),
+                                            stop.task(),
+                                            stop.attempt()))),
                     answer -> answered(owner, answer));
         } else if (message instanceof CheckpointTask save && !isStale(save.shard(), save.epoch())) {
-            call(
-                    mWorker.checkpoint(save.shard(), save.epoch(), save.task(), save.attempt()),
-                    answer -> answered(owner, answer));
+            checkpoint(owner, save);
         } else if (message instanceof ThrottleTask limit
                 && !isStale(limit.shard(), limit.epoch())) {
             call(
@@ -288,6 +302,24 @@
         }
     }
 
+    private void checkpoint(ProcessId owner, CheckpointTask save) {
+        Single<WorkerAnswer> answer =
+                mWorker.checkpoint(save.shard(), save.epoch(), save.task(), save.attempt())
+                        .timeout(CHECKPOINT_TIMEOUT_MS, TimeUnit.MILLISECONDS, mScheduler)
+                        .cache();
+        mCheckpoints.put(save.task(), answer);
+        subscribe(answer, value -> answered(owner, value));
+    }
+
+    /** A stop that overtook the checkpoint before it would lose the work that it saves. */
+    private Single<WorkerAnswer> afterCheckpoint(TaskId task, Single<WorkerAnswer> stop) {
+        Single<WorkerAnswer> checkpoint = mCheckpoints.remove(task);
+        if (checkpoint == null) {
+            return stop;
+        }
+        return checkpoint.ignoreElement().onErrorComplete().andThen(stop);
+    }
+
     private void answered(ProcessId owner, WorkerAnswer answer) {
         if (answer.code() == ResultCode.STALE_EPOCH) {
             mStaleEpochs++;
@@ -347,19 +379,26 @@
     }
 
     private <T> void call(Single<T> answer, Consumer<T> handler) {
+        subscribe(limited(answer), handler);
+    }
+
+    private <T> Single<T> limited(Single<T> answer) {
+        return answer.timeout(WORKER_TIMEOUT_MS, TimeUnit.MILLISECONDS, mScheduler);
+    }
+
+    private <T> void subscribe(Single<T> answer, Consumer<T> handler) {
         Disposable unused =
-                answer.timeout(WORKER_TIMEOUT_MS, TimeUnit.MILLISECONDS, mScheduler)
-                        .subscribe(
-                                value -> {
-                                    synchronized (mLock) {
-                                        handler.accept(value);
-                                    }
-                                },
-                                error -> {
-                                    synchronized (mLock) {
-                                        mWorkerErrors++;
-                                    }
-                                });
+                answer.subscribe(
+                        value -> {
+                            synchronized (mLock) {
+                                handler.accept(value);
+                            }
+                        },
+                        error -> {
+                            synchronized (mLock) {
+                                mWorkerErrors++;
+                            }
+                        });
     }
 
     private long nowMs() {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerControl.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerControl.java
@@ -11,9 +11,10 @@
 /**
  * The worker on the same VM.
  *
- * <p>Every call fails with {@link WorkerUnavailableException} when no answer came; the action may
- * then have taken effect. All calls but list and usage are refused with {@code STALE_EPOCH} when
- * the worker has seen a higher epoch of the shard, and raise its epoch otherwise.
+ * <p>A call is made when its Single is subscribed to. It fails with {@link
+ * WorkerUnavailableException} when no answer came; the action may then have taken effect. All calls
+ * but list and usage are refused with {@code STALE_EPOCH} when the worker has seen a higher epoch
+ * of the shard, and raise its epoch otherwise.
  */
 public interface WorkerControl {
     /** Returns the worker's incarnation, clock, capacity and the last attempt of each task. */
