Add fault injection fuzz, worker stand-in and its HTTP adapter

The fuzz runs two real owners and three real lease keepers on a test clock through pauses, restarts, lost answers, a slow, absent or truncated log, cut connections, evictions and cancellations.

--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/RunRecorder.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/RunRecorder.java
@@ -47,6 +47,10 @@
         return mRunning.containsKey(task.value());
     }
 
+    long runningInstances() {
+        return mRunning.keySet().stream().filter(task -> task.startsWith("service/")).count();
+    }
+
     int resumed() {
         return mResumed;
     }
--- /dev/null
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardFuzzTest.java
@@ -0,0 +1,79 @@
+package org.hickorycleat.logic.ownership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.EdgeCasesMode;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.LongRange;
+import org.hickorycleat.model.identifier.TaskId;
+
+/**
+ * Runs two owners and three workers through random faults. The oracle sees every run on every
+ * worker and knows nothing of epochs, leases or the log.
+ */
+class ShardFuzzTest {
+    /** Longest time in which a lease of a lost worker may still be valid, and all jobs run. */
+    private static final long QUIET_MS = 240_000;
+
+    /** Guards against double runs, overcommitment, lost work and replays that differ. */
+    @Property(seed = "20261204", tries = 40, edgeCases = EdgeCasesMode.NONE)
+    void neitherRunsTwiceNorLosesWork(
+            @ForAll @LongRange(min = 0, max = 1_000_000) long seed,
+            @ForAll("steps") List<FaultStep> steps) {
+        ShardSimulation simulation = new ShardSimulation(seed);
+
+        new FaultInjector(simulation).run(steps);
+        assertThat(simulation.mRecorder.violations()).isEmpty();
+
+        simulation.advance(QUIET_MS);
+        assertThat(simulation.mRecorder.violations()).isEmpty();
+        ShardReplay replay = simulation.mLog.replay();
+        assertThat(unfinished(simulation, replay.state())).isEmpty();
+        assertThat(stillRunning(simulation, replay.state())).isEmpty();
+        assertThat(simulation.mRecorder.runningInstances()).isEqualTo(1);
+        assertThat(simulation.mLog.replayKept().image()).isEqualTo(replay.image());
+    }
+
+    @Provide
+    Arbitrary<List<FaultStep>> steps() {
+        Arbitrary<Long> durations =
+                Arbitraries.oneOf(
+                        Arbitraries.longs().between(50, 3_000),
+                        Arbitraries.longs().between(3_000, 25_000));
+        return Combinators.combine(
+                        Arbitraries.of(Fault.values()),
+                        Arbitraries.integers().between(0, 5),
+                        durations,
+                        Arbitraries.longs().between(0, 6_000))
+                .as(FaultStep::new)
+                .list()
+                .ofMinSize(1)
+                .ofMaxSize(25);
+    }
+
+    private static List<String> unfinished(ShardSimulation simulation, ShardState state) {
+        return simulation.wantedJobs().stream()
+                .filter(
+                        job ->
+                                !state.ending(job)
+                                        .map(TaskEnding::outcome)
+                                        .equals(Optional.of(TaskEnding.Outcome.SUCCEEDED)))
+                .map(job -> job + ": " + state.task(job) + " " + state.ending(job))
+                .collect(Collectors.toList());
+    }
+
+    private static List<TaskId> stillRunning(ShardSimulation simulation, ShardState state) {
+        return state.ended().stream()
+                .map(EndedTask::task)
+                .filter(simulation.mRecorder::isRunning)
+                .toList();
+    }
+}
--- /dev/null
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/TaskKey.java
@@ -0,0 +1,8 @@
+package org.hickorycleat.standins.worker;
+
+import org.hickorycleat.model.identifier.AttemptNumber;
+import org.hickorycleat.model.identifier.ShardNumber;
+import org.hickorycleat.model.identifier.TaskId;
+
+/** An attempt of a task of a shard. */
+public record TaskKey(ShardNumber shard, TaskId task, AttemptNumber attempt) {}
--- /dev/null
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/TaskView.java
@@ -0,0 +1,14 @@
+package org.hickorycleat.standins.worker;
+
+import java.util.Optional;
+import org.hickorycleat.model.task.Resources;
+import org.hickorycleat.model.task.TaskState;
+
+/** State of an attempt for answers. */
+public record TaskView(
+        TaskKey key,
+        TaskState state,
+        Resources resources,
+        int permille,
+        Optional<String> checkpoint,
+        long savedMs) {}
--- /dev/null
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/WorkerJson.java
@@ -0,0 +1,170 @@
+package org.hickorycleat.standins.worker;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hickorycleat.model.identifier.AttemptNumber;
+import org.hickorycleat.model.identifier.Epoch;
+import org.hickorycleat.model.identifier.Incarnation;
+import org.hickorycleat.model.identifier.ShardNumber;
+import org.hickorycleat.model.identifier.TaskId;
+import org.hickorycleat.model.result.ResultCode;
+import org.hickorycleat.model.task.Resources;
+
+/** JSON of the worker's interface. */
+final class WorkerJson {
+    private final ObjectMapper mMapper = new ObjectMapper();
+
+    JsonNode parse(String body) {
+        try {
+            return mMapper.readTree(body);
+        } catch (JsonProcessingException exception) {
+            throw new IllegalArgumentException("body is not JSON", exception);
+        }
+    }
+
+    static long number(JsonNode body, String name) {
+        JsonNode value = body.path(name);
+        if (!value.isIntegralNumber()) {
+            throw new IllegalArgumentException(name + " is not a whole number");
+        }
+        return value.longValue();
+    }
+
+    static String text(JsonNode body, String name) {
+        JsonNode value = body.path(name);
+        if (!value.isTextual()) {
+            throw new IllegalArgumentException(name + " is not a string");
+        }
+        return value.textValue();
+    }
+
+    static ShardNumber shard(JsonNode body) {
+        return new ShardNumber(number(body, "shard"));
+    }
+
+    static Epoch epoch(JsonNode body) {
+        return new Epoch(number(body, "epoch"));
+    }
+
+    static Incarnation incarnation(JsonNode body) {
+        return new Incarnation(number(body, "incarnation"));
+    }
+
+    static TaskKey key(JsonNode body) {
+        return key(shard(body), body);
+    }
+
+    static List<TaskKey> keys(JsonNode body) {
+        List<TaskKey> keys = new ArrayList<>();
+        body.path("tasks").forEach(task -> keys.add(key(shard(body), task)));
+        return keys;
+    }
+
+    private static TaskKey key(ShardNumber shard, JsonNode task) {
+        return new TaskKey(
+                shard, new TaskId(text(task, "task")), new AttemptNumber(number(task, "attempt")));
+    }
+
+    static StartOrder start(JsonNode body) {
+        return new StartOrder(
+                key(body),
+                epoch(body),
+                incarnation(body),
+                new Resources(
+                        number(body, "processors_milli"),
+                        number(body, "memory_mebibytes"),
+                        number(body, "accelerators")),
+                number(body, "lease_until_ms"),
+                number(body, "run_ms"),
+                body.hasNonNull("checkpoint")
+                        ? Optional.of(text(body, "checkpoint"))
+                        : Optional.empty());
+    }
+
+    String code(ResultCode code) {
+        return object().put("code", code.number()).toString();
+    }
+
+    String reply(Reply reply) {
+        ObjectNode answer = object().put("code", reply.code().number());
+        reply.task().ifPresent(task -> answer.set("task", task(task)));
+        return answer.toString();
+    }
+
+    String listing(SimulatedWorker worker) {
+        List<TaskView> tasks = worker.tasks();
+        ObjectNode answer =
+                object().put("worker", worker.options().worker().value())
+                        .put("incarnation", worker.incarnation().value())
+                        .put("clock_ms", worker.clockMs())
+                        .put("rack", worker.options().rack().value());
+        resources(answer, worker.options().capacity());
+        ArrayNode array = answer.putArray("tasks");
+        tasks.forEach(task -> array.add(task(task)));
+        return answer.toString();
+    }
+
+    String usage(List<TaskUsageView> usages) {
+        ObjectNode answer = object();
+        ArrayNode array = answer.putArray("usage");
+        for (TaskUsageView usage : usages) {
+            array.addObject()
+                    .put("task", usage.task().value())
+                    .put("processors_milli", usage.processorsMilli())
+                    .put("memory_mebibytes", usage.memoryMebibytes())
+                    .put("measured_ago_ms", usage.measuredAgoMs());
+        }
+        return answer.toString();
+    }
+
+    String records(long clockMs, List<RunEvent> events) {
+        ObjectNode answer = object().put("clock_ms", clockMs);
+        ArrayNode array = answer.putArray("records");
+        for (RunEvent event : events) {
+            array.addObject()
+                    .put("at_ms", event.atMs())
+                    .put("event", event.event())
+                    .put("task", event.key().task().value())
+                    .put("attempt", event.key().attempt().value())
+                    .put("progress_ms", event.progressMs())
+                    .put("state", event.state().name());
+        }
+        return answer.toString();
+    }
+
+    String faults(WorkerFaults faults) {
+        return object().put("paused", faults.isPaused())
+                .put("failing", faults.isFailing())
+                .put("fail_after_ms", faults.failAfterMs())
+                .put("slow_ms", faults.slowMs())
+                .put("lost_answers", faults.lostAnswers())
+                .toString();
+    }
+
+    private ObjectNode object() {
+        return mMapper.createObjectNode();
+    }
+
+    private ObjectNode task(TaskView task) {
+        ObjectNode node =
+                object().put("shard", task.key().shard().value())
+                        .put("task", task.key().task().value())
+                        .put("attempt", task.key().attempt().value())
+                        .put("state", task.state().name())
+                        .put("progress_ms", task.savedMs());
+        task.checkpoint().ifPresent(name -> node.put("checkpoint", name));
+        return node;
+    }
+
+    private static void resources(ObjectNode node, Resources resources) {
+        node.put("processors_milli", resources.processorsMilli())
+                .put("memory_mebibytes", resources.memoryMebibytes())
+                .put("accelerators", resources.accelerators());
+    }
+}
