Serve the admin interface and run tasks on the worker beside an agent

Cause: operators' commands need the documented answers; an agent with a worker keeps its leases and passes on the commands of shard owners.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentDump.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentDump.java
@@ -1,11 +1,15 @@
 package org.hickorycleat.daemon.agent;
 
 import java.util.List;
+import java.util.Optional;
 import org.hickorycleat.model.message.TargetReport;
+import org.hickorycleat.model.message.WorkerSummary;
 
 /** State of an agent for operators. */
 record AgentDump(
         Object status,
         List<AgentEntries.SessionState> entries,
         List<TargetReport> targets,
-        long fencedInvokes) {}
+        long fencedInvokes,
+        Optional<WorkerSummary> worker,
+        Optional<Object> leases) {}
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentEntries.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentEntries.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.hickorycleat.daemon.http.ProcessStatus;
 import org.hickorycleat.daemon.link.EntryLinkOwner;
 import org.hickorycleat.daemon.link.EntryLinks;
 import org.hickorycleat.daemon.link.EntrySession;
@@ -39,6 +40,7 @@
     private final InvocationService mInvocations;
     private final ConfigurationHolder mConfiguration;
     private final HostedTargets mTargets;
+    private final Optional<WorkerLeases> mWorker;
     private final EntryLinks mLinks;
     private final AtomicLong mSessions = new AtomicLong();
     private final long mStartedMs;
@@ -51,13 +53,15 @@
             Scheduler scheduler,
             InvocationService invocations,
             ConfigurationHolder configuration,
-            HostedTargets targets) {
+            HostedTargets targets,
+            Optional<WorkerLeases> worker) {
         mSettings = settings;
         mIncarnation = incarnation;
         mScheduler = scheduler;
         mInvocations = invocations;
         mConfiguration = configuration;
         mTargets = targets;
+        mWorker = worker;
         mLinks = new EntryLinks(transport, scheduler, this, agentSettings.maximumLinks());
         mStartedMs = scheduler.now(TimeUnit.MILLISECONDS);
     }
@@ -75,6 +79,20 @@
         mLinks.sendToAll(newReport());
     }
 
+    /** Sends a message to one entry; it is lost when there is no session. */
+    void send(ProcessId entry, Message message) {
+        mLinks.sessions().stream()
+                .filter(session -> session.entry().equals(entry))
+                .forEach(session -> session.connection().send(message));
+    }
+
+    /** Returns the sessions for the status of the process. */
+    List<ProcessStatus.Link> links() {
+        return mLinks.sessions().stream()
+                .map(session -> new ProcessStatus.Link(session.entry().value(), "entry", ""))
+                .toList();
+    }
+
     /** Returns the open sessions. */
     List<SessionState> sessions() {
         return mLinks.sessions().stream()
@@ -143,12 +161,15 @@
             mConfiguration.offer(update, ConfigurationSource.ENTRY);
         } else if (message instanceof InstanceStanding standing) {
             mTargets.registered(standing);
+        } else {
+            mWorker.ifPresent(worker -> worker.onMessage(session.entry(), message));
         }
     }
 
     @Override
     public void onClosed(EntrySession session) {
         // Requests in progress run on; the entry asks for their outcome on its next session.
+        mWorker.ifPresent(worker -> worker.disconnected(session.entry()));
     }
 
     @Override
@@ -169,6 +190,6 @@
                 mScheduler.now(TimeUnit.MILLISECONDS) - mStartedMs,
                 mConfiguration.version(),
                 mTargets.reports(),
-                Optional.empty());
+                mWorker.flatMap(WorkerLeases::summary));
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentProcess.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentProcess.java
@@ -12,9 +12,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import okhttp3.HttpUrl;
 import org.hickorycleat.daemon.Lifecycle;
 import org.hickorycleat.daemon.http.AdminHttp;
 import org.hickorycleat.daemon.http.AdminView;
+import org.hickorycleat.daemon.http.ProcessStatus;
+import org.hickorycleat.daemon.http.TaskStatus;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.daemon.settings.AgentSettings;
 import org.hickorycleat.daemon.settings.DaemonSettings;
@@ -46,6 +49,8 @@
     private final AgentEntries mEntries;
     private final AdminHttp mAdmin;
     private final CompositeDisposable mRunning = new CompositeDisposable();
+    private final Optional<WorkerLeases> mWorker;
+    private final long mStartedMs;
     private volatile boolean mDraining;
 
     /** Creates the process. */
@@ -58,6 +63,7 @@
         mAgentSettings = agentSettings;
         mIncarnation = incarnation;
         mScheduler = scheduler;
+        mStartedMs = scheduler.now(TimeUnit.MILLISECONDS);
         mTransport = new MessageTransport(EVENT_LOOPS, new TransportMetrics(mMeters));
         mTargetClient = new HttpTargetClient(service -> targets().address(service));
         mInvocations =
@@ -65,6 +71,7 @@
                         .keyValidity(KeyValidity.of(agentSettings.keyValidity()))
                         .build();
         mTargets = new HostedTargets(mInvocations, scheduler);
+        mWorker = agentSettings.worker().map(address -> newWorker(address, incarnation, scheduler));
         mEntries =
                 new AgentEntries(
                         settings,
@@ -74,7 +81,8 @@
                         scheduler,
                         mInvocations,
                         mConfiguration,
-                        mTargets);
+                        mTargets,
+                        mWorker);
         mAdmin = new AdminHttp(this, mMeters, this::addRoutes);
         Gauge.builder("hickorycleat.invocations.in.progress", mInvocations::inProgress)
                 .register(mMeters);
@@ -95,6 +103,7 @@
                                                 .error()));
         mAdmin.start(mSettings.adminListen());
         mEntries.add(mAgentSettings.entries());
+        mWorker.ifPresent(WorkerLeases::start);
         mRunning.add(
                 mScheduler.schedulePeriodicallyDirect(
                         mEntries::report,
@@ -141,37 +150,47 @@
         mEntries.close();
         mTransport.close();
         mTargetClient.close();
+        mWorker.ifPresent(WorkerLeases::close);
         mAdmin.close();
         LOG.event("stopped").with("process", mSettings.process()).info();
     }
 
     @Override
-    public Object status() {
-        return new AgentStatus(
-                mSettings.process(),
+    public ProcessStatus status() {
+        return new ProcessStatus(
+                mSettings.process().value(),
                 "agent",
-                mSettings.zone(),
-                mIncarnation,
-                mConfiguration.version().value(),
-                mConfiguration.healthText(),
-                mEntries.sessions().size(),
+                mSettings.zone().value(),
+                mIncarnation.value(),
+                mScheduler.now(TimeUnit.MILLISECONDS) - mStartedMs,
+                state(),
+                String.join("; ", unreadyReasons()),
+                configurationStatus(),
+                new ProcessStatus.Log(false, "agents do not read the log"),
                 mInvocations.inProgress(),
-                mDraining);
+                mTargets.statuses(),
+                List.of(),
+                mEntries.links());
     }
 
     @Override
     public Object dump() {
         return new AgentDump(
-                status(), mEntries.sessions(), mTargets.reports(), mInvocations.fencedInvokes());
+                status(),
+                mEntries.sessions(),
+                mTargets.reports(),
+                mInvocations.fencedInvokes(),
+                mWorker.flatMap(WorkerLeases::summary),
+                mWorker.map(WorkerLeases::counts));
     }
 
     @Override
-    public List<Object> jobs() {
+    public List<TaskStatus> jobs() {
         return List.of();
     }
 
     @Override
-    public Optional<Object> explain(String task) {
+    public Optional<TaskStatus> explain(String task) {
         return Optional.empty();
     }
 
@@ -183,10 +202,33 @@
         return mEntries.sessions().isEmpty() ? List.of("no entry is connected") : List.of();
     }
 
+    private String state() {
+        if (mDraining) {
+            return "draining";
+        }
+        return unreadyReasons().isEmpty() ? "serving" : "waiting";
+    }
+
+    private ProcessStatus.Configuration configurationStatus() {
+        return new ProcessStatus.Configuration(
+                mConfiguration.version().value(),
+                mConfiguration.current().map(known -> known.source().word()).orElse("none"),
+                false);
+    }
+
     private HostedTargets targets() {
         return mTargets;
     }
 
+    private WorkerLeases newWorker(String address, Incarnation incarnation, Scheduler scheduler) {
+        return new WorkerLeases(
+                HttpUrl.get(address), incarnation, scheduler, () -> mEntries, this::reportWorker);
+    }
+
+    private void reportWorker() {
+        mEntries.report();
+    }
+
     private void addRoutes(JavalinConfig configuration) {
         configuration.routes.put("/v1/announcement", this::announce);
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HostedTargets.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HostedTargets.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.hickorycleat.daemon.http.ProcessStatus;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.logic.invocation.InvocationService;
 import org.hickorycleat.logic.invocation.KeyMappings;
@@ -111,6 +112,22 @@
         return mTargets.values().stream().map(hosted -> report(hosted.announcement())).toList();
     }
 
+    /** Returns the targets for the status of the process. */
+    List<ProcessStatus.Service> statuses() {
+        return reports().stream().map(HostedTargets::status).toList();
+    }
+
+    private static ProcessStatus.Service status(TargetReport target) {
+        boolean ready = target.state() == TargetState.READY;
+        return new ProcessStatus.Service(
+                target.service().value(),
+                ready ? 1 : 0,
+                ready ? 0 : 1,
+                0,
+                target.load().inFlight(),
+                target.load().queued());
+    }
+
     private TargetReport report(Announcement target) {
         return new TargetReport(
                 target.service(),
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/AgentConnections.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/AgentConnections.java
@@ -1,10 +1,13 @@
 package org.hickorycleat.daemon.entry;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
+import org.hickorycleat.daemon.http.ProcessStatus;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.daemon.transport.MessageCodec;
 import org.hickorycleat.daemon.transport.MessageConnection;
@@ -58,11 +61,26 @@
         mEntries.values().forEach(peer -> peer.connection().send(welcome));
     }
 
+    /** Returns the connections for the status of the process. */
+    List<ProcessStatus.Link> links() {
+        return Stream.concat(mAgents.values().stream(), mEntries.values().stream())
+                .map(Peer::hello)
+                .map(AgentConnections::link)
+                .toList();
+    }
+
     /** Returns the agents that are connected. */
     List<Hello> agents() {
         return mAgents.values().stream().map(Peer::hello).toList();
     }
 
+    private static ProcessStatus.Link link(Hello hello) {
+        return new ProcessStatus.Link(
+                hello.process().value(),
+                hello.role().name().toLowerCase(Locale.ROOT),
+                hello.zone().value());
+    }
+
     /** Handles one connection. */
     private final class Listener implements MessageListener {
         private Optional<Hello> mHello = Optional.empty();
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryConfiguration.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryConfiguration.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import org.hickorycleat.daemon.http.ProcessStatus;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.logic.configuration.ConfigurationHolder;
 import org.hickorycleat.logic.configuration.ConfigurationInForce;
@@ -19,6 +20,7 @@
 import org.hickorycleat.logic.log.ExponentialBackoff;
 import org.hickorycleat.logic.log.IdempotentAppender;
 import org.hickorycleat.logic.log.StreamFollower;
+import org.hickorycleat.logic.log.StreamHealth;
 import org.hickorycleat.logic.port.LogService;
 import org.hickorycleat.model.identifier.Incarnation;
 import org.hickorycleat.model.identifier.ProcessId;
@@ -35,6 +37,7 @@
     private static final long RETENTION_RECORDS = 10_000;
 
     private final ConfigurationHolder mHolder = new ConfigurationHolder();
+    private final StreamFollower mFollower;
     private final ConfigurationReader mReader;
     private final SnapshotAppender mSnapshots;
     private final CompositeDisposable mRunning = new CompositeDisposable();
@@ -42,16 +45,18 @@
     EntryConfiguration(
             ProcessId process, Incarnation incarnation, LogService log, Scheduler scheduler) {
         Random random = new Random(incarnation.value());
+        mFollower =
+                new StreamFollower(
+                        log,
+                        ConfigurationStream.NAME,
+                        0,
+                        StreamFollower.DEFAULT_WAIT,
+                        ExponentialBackoff.DEFAULT,
+                        random,
+                        scheduler);
         mReader =
                 new ConfigurationReader(
-                        new StreamFollower(
-                                log,
-                                ConfigurationStream.NAME,
-                                0,
-                                StreamFollower.DEFAULT_WAIT,
-                                ExponentialBackoff.DEFAULT,
-                                random,
-                                scheduler),
+                        mFollower,
                         mHolder,
                         (offset, outcome) ->
                                 LOG.event("configuration_record")
@@ -111,6 +116,20 @@
         mHolder.offer(update, ConfigurationSource.AGENT);
     }
 
+    /** Returns the configuration for the status of the process. */
+    ProcessStatus.Configuration status() {
+        return new ProcessStatus.Configuration(
+                version(),
+                current().map(current -> current.source().word()).orElse("none"),
+                current().map(current -> current.source().isComplete()).orElse(false));
+    }
+
+    /** Returns the state of reading for the status of the process. */
+    ProcessStatus.Log logStatus() {
+        StreamHealth health = mFollower.health();
+        return new ProcessStatus.Log(health.isAvailable(), health.lastError().orElse(""));
+    }
+
     /** Describes configuration and log for health output. */
     String healthText() {
         return mReader.healthText();
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryProcess.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryProcess.java
@@ -14,6 +14,8 @@
 import org.hickorycleat.daemon.Lifecycle;
 import org.hickorycleat.daemon.http.AdminHttp;
 import org.hickorycleat.daemon.http.AdminView;
+import org.hickorycleat.daemon.http.ProcessStatus;
+import org.hickorycleat.daemon.http.TaskStatus;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.daemon.logservice.HttpLogService;
 import org.hickorycleat.daemon.logservice.LogServiceTimeouts;
@@ -61,6 +63,7 @@
     private final CallerHttp mCallers;
     private final AdminHttp mAdmin;
     private final CompositeDisposable mTimers = new CompositeDisposable();
+    private final long mStartedMs;
     private volatile boolean mDraining;
 
     /** Creates the process. */
@@ -73,6 +76,7 @@
         mEntrySettings = entrySettings;
         mIncarnation = incarnation;
         mScheduler = scheduler;
+        mStartedMs = scheduler.now(TimeUnit.MILLISECONDS);
         mTransport = new MessageTransport(EVENT_LOOPS, new TransportMetrics(mMeters));
         mConnections = new AgentConnections(this::welcome, this);
         mPeers = new PeerEntries(address(), incarnation, mTransport, scheduler);
@@ -199,18 +203,21 @@
     }
 
     @Override
-    public Object status() {
-        return new EntryStatus(
-                mSettings.process(),
+    public ProcessStatus status() {
+        return new ProcessStatus(
+                mSettings.process().value(),
                 "entry",
-                mSettings.zone(),
-                mIncarnation,
-                mConfiguration.version(),
-                mConfiguration.healthText(),
-                mPeers.live().size(),
-                mConnections.agents().size(),
+                mSettings.zone().value(),
+                mIncarnation.value(),
+                mScheduler.now(TimeUnit.MILLISECONDS) - mStartedMs,
+                state(),
+                String.join("; ", unreadyReasons()),
+                mConfiguration.status(),
+                mConfiguration.logStatus(),
                 mCallers.inProgress(),
-                mDraining);
+                mRequests.statuses(),
+                mShards.statuses(),
+                mConnections.links());
     }
 
     @Override
@@ -220,13 +227,13 @@
     }
 
     @Override
-    public List<Object> jobs() {
-        return List.copyOf(mShards.jobs());
+    public List<TaskStatus> jobs() {
+        return mShards.jobs();
     }
 
     @Override
-    public Optional<Object> explain(String task) {
-        return mShards.explain(new TaskId(task)).map(Object.class::cast);
+    public Optional<TaskStatus> explain(String task) {
+        return mShards.explain(new TaskId(task)).map(TaskStatuses::of);
     }
 
     @Override
@@ -239,6 +246,13 @@
                 : List.of(mConfiguration.healthText());
     }
 
+    private String state() {
+        if (mDraining) {
+            return "draining";
+        }
+        return unreadyReasons().isEmpty() ? "serving" : "waiting";
+    }
+
     private void configurationChanged(ConfigurationInForce current) {
         mRequests.configure(current.configuration().manifest());
         LOG.event("configuration_in_force")
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/PlacementShards.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/PlacementShards.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.hickorycleat.daemon.http.ProcessStatus;
+import org.hickorycleat.daemon.http.TaskStatus;
 import org.hickorycleat.logic.ownership.OwnerIdentity;
 import org.hickorycleat.logic.ownership.ShardDump;
 import org.hickorycleat.logic.ownership.ShardEvent;
@@ -114,22 +116,35 @@
         return mRunners.values().stream().map(ShardRunner::dump).toList();
     }
 
-    /** Returns what is known of each job of the manifest. */
-    List<TaskExplanation> jobs() {
+    /** Returns the shards for the status of the process. */
+    List<ProcessStatus.Shard> statuses() {
+        return dump().stream().map(PlacementShards::status).toList();
+    }
+
+    /** Returns the jobs of the manifest that are in shards which this entry owns. */
+    List<TaskStatus> jobs() {
         List<TaskId> jobs;
         synchronized (this) {
             jobs = mJobs;
         }
-        List<TaskExplanation> explanations = new ArrayList<>();
-        jobs.forEach(job -> explain(job).ifPresent(explanations::add));
-        return explanations;
+        List<TaskStatus> statuses = new ArrayList<>();
+        for (ShardRunner runner : mRunners.values()) {
+            if (runner.dump().acting()) {
+                jobs.stream()
+                        .map(runner::explain)
+                        .filter(PlacementShards::isKnown)
+                        .map(TaskStatuses::of)
+                        .forEach(statuses::add);
+            }
+        }
+        return statuses;
     }
 
     /** Returns what is known of a task. */
     Optional<TaskExplanation> explain(TaskId task) {
         return mRunners.values().stream()
                 .map(runner -> runner.explain(task))
-                .filter(known -> known.record().isPresent() || known.ending().isPresent())
+                .filter(PlacementShards::isKnown)
                 .findFirst();
     }
 
@@ -138,6 +153,19 @@
         mRunners.values().forEach(ShardRunner::close);
     }
 
+    private static boolean isKnown(TaskExplanation explanation) {
+        return explanation.record().isPresent() || explanation.ending().isPresent();
+    }
+
+    private static ProcessStatus.Shard status(ShardDump shard) {
+        return new ProcessStatus.Shard(
+                shard.shard().value(),
+                shard.owner().map(owner -> owner.process().value()).orElse("none"),
+                shard.epoch().value(),
+                shard.placed(),
+                shard.pending());
+    }
+
     private Optional<ShardRunner> runnerOf(WorkerSummary worker) {
         int shards = mRunners.size();
         return shards == 0
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/RequestPath.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/RequestPath.java
@@ -7,10 +7,12 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
+import org.hickorycleat.daemon.http.ProcessStatus;
 import org.hickorycleat.logic.admission.AdmissionSettings;
 import org.hickorycleat.logic.admission.DirectoryCapacity;
 import org.hickorycleat.logic.admission.FairAdmissionControl;
 import org.hickorycleat.logic.invocation.KeyMappings;
+import org.hickorycleat.logic.membership.TargetCondition;
 import org.hickorycleat.logic.membership.TargetDirectory;
 import org.hickorycleat.logic.membership.TargetView;
 import org.hickorycleat.logic.port.AgentLink;
@@ -132,6 +134,14 @@
                 .toList();
     }
 
+    /** Returns the targets of each service for the status of the process. */
+    List<ProcessStatus.Service> statuses() {
+        long nowMs = mDirectory.nowMs();
+        return mDirectory.dump().entrySet().stream()
+                .map(entry -> status(entry.getKey(), entry.getValue(), nowMs))
+                .toList();
+    }
+
     /** Returns the state for the dump. */
     State state() {
         Map<ServiceName, List<TargetView>> targets = mDirectory.dump();
@@ -163,6 +173,21 @@
     /** Admission and routing of a service. */
     record ServiceState(Object admission, Object routes, List<TargetAddress> ejected) {}
 
+    private static ProcessStatus.Service status(
+            ServiceName service, List<TargetView> targets, long nowMs) {
+        return new ProcessStatus.Service(
+                service.value(),
+                count(targets, TargetCondition.READY, nowMs),
+                count(targets, TargetCondition.LEAVING, nowMs),
+                count(targets, TargetCondition.SUSPECT, nowMs),
+                targets.stream().mapToInt(target -> target.load().inFlight()).sum(),
+                targets.stream().mapToInt(target -> target.load().queued()).sum());
+    }
+
+    private static long count(List<TargetView> targets, TargetCondition condition, long nowMs) {
+        return targets.stream().filter(target -> target.condition(nowMs) == condition).count();
+    }
+
     private ServiceState serviceState(ServiceName service) {
         List<TargetAddress> ejected =
                 mDirectory.targets(service).stream()
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/TaskStatuses.java
@@ -0,0 +1,93 @@
+package org.hickorycleat.daemon.entry;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.hickorycleat.daemon.http.TaskStatus;
+import org.hickorycleat.logic.ownership.AttemptRecord;
+import org.hickorycleat.logic.ownership.TaskEnding;
+import org.hickorycleat.logic.ownership.TaskExplanation;
+import org.hickorycleat.logic.ownership.TaskRecord;
+import org.hickorycleat.model.task.TaskSpecification;
+
+/** Turns what a shard knows of a task into what operators see. */
+final class TaskStatuses {
+    private TaskStatuses() {}
+
+    static TaskStatus of(TaskExplanation explanation) {
+        String task = explanation.task().value();
+        int separator = task.indexOf('#');
+        Optional<TaskRecord> record = explanation.record();
+        Optional<TaskSpecification> specification = record.map(TaskRecord::specification);
+        Optional<AttemptRecord> attempt = record.flatMap(TaskRecord::attempt);
+        return new TaskStatus(
+                task,
+                separator < 0 ? task : task.substring(0, separator),
+                separator < 0 ? "" : task.substring(separator + 1),
+                specification.map(known -> known.team().value()).orElse(""),
+                specification.map(known -> known.criticality().word()).orElse(""),
+                state(explanation),
+                record.map(TaskRecord::lastAttempt).orElse(0L),
+                attempt.map(running -> running.worker().value()),
+                specification.map(TaskSpecification::deadlineMs).flatMap(TaskStatuses::time),
+                explanation.summary(),
+                events(explanation));
+    }
+
+    private static String state(TaskExplanation explanation) {
+        if (explanation.ending().isPresent()) {
+            return word(explanation.ending().get().outcome());
+        }
+        Optional<AttemptRecord> attempt = explanation.record().flatMap(TaskRecord::attempt);
+        if (attempt.isEmpty()) {
+            return "waiting";
+        }
+        if (attempt.get().stop().isPresent()) {
+            return "stopping";
+        }
+        return explanation.confirmed() ? "running" : "starting";
+    }
+
+    private static List<TaskStatus.Event> events(TaskExplanation explanation) {
+        List<TaskStatus.Event> events = new ArrayList<>();
+        explanation
+                .record()
+                .ifPresent(record -> events.add(event(record.submittedMs(), "accepted", "")));
+        explanation
+                .record()
+                .flatMap(TaskRecord::attempt)
+                .ifPresent(
+                        attempt ->
+                                events.add(
+                                        event(
+                                                attempt.startedMs(),
+                                                "started",
+                                                "attempt " + attempt.number())));
+        explanation
+                .ending()
+                .ifPresent(
+                        ending ->
+                                events.add(
+                                        event(
+                                                ending.endedMs(),
+                                                word(ending.outcome()),
+                                                ending.reason())));
+        return events;
+    }
+
+    private static TaskStatus.Event event(long timeMs, String event, String reason) {
+        return new TaskStatus.Event(Instant.ofEpochMilli(timeMs).toString(), event, reason);
+    }
+
+    private static Optional<String> time(long timeMs) {
+        return timeMs == Long.MAX_VALUE
+                ? Optional.empty()
+                : Optional.of(Instant.ofEpochMilli(timeMs).toString());
+    }
+
+    private static String word(TaskEnding.Outcome outcome) {
+        return outcome.name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminHttp.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminHttp.java
@@ -52,7 +52,8 @@
         configuration.routes.get("/metrics", context -> context.result(mMeters.scrape()));
         configuration.routes.get("/admin/status", context -> json(context, mView.status()));
         configuration.routes.get("/admin/dump", context -> json(context, mView.dump()));
-        configuration.routes.get("/admin/jobs", context -> json(context, mView.jobs()));
+        configuration.routes.get(
+                "/admin/jobs", context -> json(context, Map.of("jobs", mView.jobs())));
         configuration.routes.get("/admin/explain/{task}", this::explain);
         configuration.routes.post("/admin/drain", this::drain);
         routes.accept(configuration);
@@ -70,13 +71,7 @@
         var explanation = mView.explain(context.pathParam("task"));
         if (explanation.isEmpty()) {
             context.status(ResultCode.NOT_FOUND.httpStatus());
-            json(
-                    context,
-                    Map.of(
-                            "result",
-                            ResultCode.NOT_FOUND.number(),
-                            "detail",
-                            "no task of that name here"));
+            json(context, error(ResultCode.NOT_FOUND, "no task of that name here"));
             return;
         }
         json(context, explanation.get());
@@ -85,7 +80,18 @@
     private void drain(Context context) throws JsonProcessingException {
         mView.drain();
         context.status(ACCEPTED);
-        json(context, Map.of("draining", true));
+        ProcessStatus status = mView.status();
+        json(
+                context,
+                Map.of(
+                        "process", status.process(),
+                        "state", status.state(),
+                        "in_flight", status.inFlight()));
+    }
+
+    private static Map<String, Object> error(ResultCode code, String detail) {
+        return Map.of(
+                "error", Map.of("number", code.number(), "name", code.name(), "detail", detail));
     }
 
     private void json(Context context, Object value) throws JsonProcessingException {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminView.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminView.java
@@ -6,16 +6,16 @@
 /** What a process shows to operators; every value is turned into JSON. */
 public interface AdminView {
     /** Returns a short summary of the process. */
-    Object status();
+    ProcessStatus status();
 
     /** Returns the whole state of the process. */
     Object dump();
 
     /** Returns the jobs that the process knows. */
-    List<Object> jobs();
+    List<TaskStatus> jobs();
 
     /** Tells why a task waits or stands where it stands. */
-    Optional<Object> explain(String task);
+    Optional<TaskStatus> explain(String task);
 
     /** Returns why the process cannot serve; empty when it can. */
     List<String> unreadyReasons();
