--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/SimulatedAgent.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/SimulatedAgent.java
@@ -10,6 +10,7 @@
 import org.hickorycleat.logic.invocation.TargetConfiguration;
 import org.hickorycleat.logic.port.TargetAnswer;
 import org.hickorycleat.logic.port.TargetNotReachedException;
+import org.hickorycleat.logic.routing.TargetAddress;
 import org.hickorycleat.model.identifier.Incarnation;
 import org.hickorycleat.model.identifier.InstanceNumber;
 import org.hickorycleat.model.identifier.ProcessId;
@@ -63,6 +64,10 @@
                         CONNECTIONS));
     }
 
+    TargetAddress address() {
+        return new TargetAddress(mId, RequestPathSimulation.SERVICE, mInstance);
+    }
+
     boolean alive() {
         return mAlive;
     }
