Test replay, lease keeper and owner guards; cut owners off the log

The fuzz did not notice a missing epoch check because no fault separated one owner from the log while the other could read it, and no message was later than its lease. Owners are now cut off the log, connections are slow for up to 5 s, paused agents handle messages late, and faults last up to 80 s, longer than the limit without the log. The model is reduced by symmetry.

--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FaultInjector.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FaultInjector.java
@@ -25,7 +25,7 @@
             apply(step);
             mSimulation.advance(step.nextMs());
         }
-        mSimulation.advance(25_000);
+        mSimulation.advance(FaultStep.LONGEST_MS);
     }
 
     private void apply(FaultStep step) {
@@ -53,6 +53,7 @@
                             step,
                             () -> simulation.mLog.mDown = true,
                             () -> simulation.mLog.mDown = false);
+            case CUT_LOG -> during(step, () -> owner.mLogCut = true, () -> owner.mLogCut = false);
             case EXPIRE_LOG -> simulation.mLog.expire();
             case RESTART_WORKER -> worker.restart();
             case WORKER_UNREACHABLE ->
@@ -66,8 +67,9 @@
                             () -> worker.mLosesAnswers = true,
                             () -> worker.mLosesAnswers = false);
             case RESTART_AGENT -> agent.restart();
-            case PAUSE_AGENT ->
-                    during(step, () -> agent.mPaused = true, () -> agent.mPaused = false);
+            case PAUSE_AGENT -> during(step, agent::pause, agent::resume);
+            case SLOW_CONNECTIONS ->
+                    during(step, () -> agent.mSlow = true, () -> agent.mSlow = false);
             case CUT_CONNECTION -> during(step, () -> agent.cut(owner), () -> agent.restore(owner));
             case CUT_AGENT ->
                     during(
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FaultStep.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FaultStep.java
@@ -8,4 +8,7 @@
  * @param durationMs time until the fault ends
  * @param nextMs time until the next step, which may be before the end of this one
  */
-record FaultStep(Fault fault, int index, long durationMs, long nextMs) {}
+record FaultStep(Fault fault, int index, long durationMs, long nextMs) {
+    /** Longer than the limit without the log and one lease together. */
+    static final long LONGEST_MS = 80_000;
+}
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardFuzzTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardFuzzTest.java
@@ -47,7 +47,8 @@
         Arbitrary<Long> durations =
                 Arbitraries.oneOf(
                         Arbitraries.longs().between(50, 3_000),
-                        Arbitraries.longs().between(3_000, 25_000));
+                        Arbitraries.longs().between(3_000, 25_000),
+                        Arbitraries.longs().between(25_000, FaultStep.LONGEST_MS));
         return Combinators.combine(
                         Arbitraries.of(Fault.values()),
                         Arbitraries.integers().between(0, 5),
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardOwnerTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardOwnerTest.java
@@ -63,6 +63,61 @@
         assertThat(simulation.mRecorder.violations()).isEmpty();
     }
 
+    /** Guards against a new owner whose older manifest cancels jobs that it has not heard of. */
+    @Test
+    void ownerWithOlderManifestCancelsNothing() {
+        ShardSimulation simulation = new ShardSimulation(4);
+        simulation.addJob(0, 600);
+        simulation.advance(5_000);
+        SimulatedOwner old = simulation.actingProcess();
+        SimulatedOwner other =
+                simulation.mOwners.stream().filter(o -> o != old).findAny().orElseThrow();
+        ShardManifest stale = other.manifest();
+        TaskId job = simulation.addJob(1, 600);
+        other.manifest(stale);
+        simulation.advance(5_000);
+
+        old.mPaused = true;
+        simulation.advance(15_000);
+
+        assertThat(other.owner().dump().acting()).isTrue();
+        assertThat(other.owner().explain(job).record().get().attempt().get().stop()).isEmpty();
+    }
+
+    /** Guards against work that starts while nothing can be recorded, and leases that lapse. */
+    @Test
+    void withoutLogLeasesAreRenewedUpToTheLimitAndNothingStarts() {
+        ShardSimulation simulation = new ShardSimulation(5);
+        TaskId running = simulation.addJob(0, 6_000);
+        simulation.advance(5_000);
+        simulation.mLog.mDown = true;
+        TaskId added = simulation.addJob(1, 5);
+
+        simulation.advance(55_000);
+        assertThat(simulation.mRecorder.isRunning(running)).isTrue();
+        assertThat(simulation.mRecorder.isRunning(added)).isFalse();
+
+        simulation.advance(25_000);
+        assertThat(simulation.mRecorder.isRunning(running)).isFalse();
+        simulation.mLog.mDown = false;
+        simulation.advance(10_000);
+        assertThat(simulation.mRecorder.isRunning(running)).isTrue();
+        assertThat(simulation.mRecorder.violations()).isEmpty();
+    }
+
+    /** Guards against a policy whose decisions overcommit a worker. */
+    @Test
+    void decisionsThatOvercommitAreDroppedAndCounted() {
+        ShardSimulation simulation = new ShardSimulation(6, new CarelessPolicy());
+        IntStream.range(0, 8).forEach(number -> simulation.addJob(number, 600));
+
+        simulation.advance(10_000);
+
+        assertThat(simulation.actingOwner().get().dump().placed()).isEqualTo(2);
+        assertThat(simulation.actingOwner().get().dump().droppedDecisions()).isPositive();
+        assertThat(simulation.mRecorder.violations()).isEmpty();
+    }
+
     private static boolean succeeded(ShardSimulation simulation, TaskId job) {
         return simulation
                 .mLog
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardSimulation.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardSimulation.java
@@ -43,9 +43,14 @@
     private int mEvictions;
 
     ShardSimulation(long seed) {
+        this(seed, new FirstFitPolicy());
+    }
+
+    ShardSimulation(long seed, PlacementPolicy policy) {
         Random random = new Random(seed);
         for (String name : List.of("owner-a", "owner-b")) {
-            mOwners.add(new SimulatedOwner(name, mScheduler, mLog, random, SETTINGS, policy()));
+            mOwners.add(
+                    new SimulatedOwner(name, mScheduler, mLog, random, SETTINGS, evicting(policy)));
         }
         for (int index = 0; index < 3; index++) {
             FakeWorker worker =
@@ -131,6 +136,13 @@
                                         : second);
     }
 
+    SimulatedOwner actingProcess() {
+        return mOwners.stream()
+                .filter(owner -> owner.owner().dump().acting())
+                .findAny()
+                .orElseThrow();
+    }
+
     private void publish() {
         mVersion++;
         ShardManifest manifest =
@@ -157,11 +169,10 @@
                 UNIT);
     }
 
-    /** First fit, and an eviction of the first running batch task whenever a test asks for one. */
-    private PlacementPolicy policy() {
-        FirstFitPolicy firstFit = new FirstFitPolicy();
+    /** A policy, and an eviction of the first running batch task whenever a test asks for one. */
+    private PlacementPolicy evicting(PlacementPolicy policy) {
         return (view, nowMs) -> {
-            List<PlacementDecision> decisions = new ArrayList<>(firstFit.decide(view, nowMs));
+            List<PlacementDecision> decisions = new ArrayList<>(policy.decide(view, nowMs));
             if (mEvictions > 0) {
                 view.placedTasks().stream()
                         .filter(task -> task.phase() == PlacementView.Phase.RUNNING)
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/SimulatedAgent.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/SimulatedAgent.java
@@ -2,6 +2,8 @@
 
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,7 +32,9 @@
     private TaskLeaseKeeper mKeeper;
     private long mIncarnation;
     private long mTickMs;
-    boolean mPaused;
+    private final Deque<Runnable> mHeld = new ArrayDeque<>();
+    private boolean mPaused;
+    boolean mSlow;
 
     SimulatedAgent(
             String name,
@@ -68,11 +72,32 @@
 
     void restart() {
         mConnections.values().forEach(Connection::cut);
+        mHeld.clear();
         mSummary = Optional.empty();
         mKeeper = build();
         mConnections.values().forEach(Connection::restore);
     }
 
+    void pause() {
+        mPaused = true;
+    }
+
+    /** Messages that arrived during the pause are handled late, in their order. */
+    void resume() {
+        mPaused = false;
+        while (!mHeld.isEmpty()) {
+            mHeld.remove().run();
+        }
+    }
+
+    private void handle(Runnable action) {
+        if (mPaused) {
+            mHeld.add(action);
+        } else {
+            action.run();
+        }
+    }
+
     void cut(SimulatedOwner owner) {
         connection(owner.process()).cut();
     }
@@ -92,7 +117,7 @@
     void receive(ProcessId owner, Message message) {
         Connection connection = connection(owner);
         TaskLeaseKeeper keeper = mKeeper;
-        connection.toAgent(() -> keeper.onMessage(owner, message));
+        connection.toAgent(() -> handle(() -> keeper.onMessage(owner, message)));
     }
 
     private Connection connection(ProcessId owner) {
@@ -182,15 +207,19 @@
         }
 
         void toOwner(ShardEvent event) {
-            mLastToOwnerMs = Math.max(mLastToOwnerMs, nowMs() + 1 + mRandom.nextInt(10));
+            mLastToOwnerMs = Math.max(mLastToOwnerMs, nowMs() + delay());
             later(mLastToOwnerMs, () -> mOwner.deliver(event));
         }
 
         void toAgent(Runnable action) {
-            mLastToAgentMs = Math.max(mLastToAgentMs, nowMs() + 1 + mRandom.nextInt(10));
+            mLastToAgentMs = Math.max(mLastToAgentMs, nowMs() + delay());
             later(mLastToAgentMs, action);
         }
 
+        private long delay() {
+            return 1L + mRandom.nextInt(mSlow ? 5_000 : 10);
+        }
+
         private void later(long atMs, Runnable action) {
             long generation = mGeneration;
             if (!mUp) {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/SimulatedOwner.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/SimulatedOwner.java
@@ -32,6 +32,7 @@
     private long mIncarnation;
     private boolean mReading;
     boolean mPaused;
+    boolean mLogCut;
 
     SimulatedOwner(
             String name,
@@ -85,6 +86,10 @@
         deliver(new ShardEvent.ManifestChanged(manifest));
     }
 
+    ShardManifest manifest() {
+        return mManifest.orElseThrow();
+    }
+
     /** Events that arrive during a pause are handled after it. */
     void deliver(ShardEvent event) {
         mInbox.add(event);
@@ -138,7 +143,7 @@
     }
 
     private ShardEvent answer(long from, long requestedMs) {
-        if (mLog.mDown) {
+        if (mLog.mDown || mLogCut) {
             return new ShardEvent.LogReadFailed();
         }
         if (mLog.isTruncatedAt(from)) {
@@ -158,7 +163,7 @@
     }
 
     private void append(OwnerEffect.AppendRecord append) {
-        if (mLog.mDown) {
+        if (mLog.mDown || mLogCut) {
             later(1_000, () -> deliver(new ShardEvent.AppendFailed(append.token())));
             return;
         }
--- a/models/placement.pml
+++ b/models/placement.pml
@@ -7,6 +7,8 @@
  * owner may conclude that an attempt has ended only if the worker confirmed the owner's epoch and
  * the lease has passed, or the worker has a new incarnation.
  *
+ * By symmetry, owner 0 claims first and records its first attempt on worker 0.
+ *
  * Assertions: the task never runs in two places, no attempt runs twice, the record of an attempt
  * that may run is never overwritten, and nothing starts once the end of the task is recorded.
  */
@@ -114,11 +116,11 @@
 proctype Owner(byte o) {
 end:
     do
-    :: atomic { epoch < CLAIMS && epochOwner != o && !ended -> claim(o) }
+    :: atomic { epoch < CLAIMS && epochOwner != o && !ended && (epoch > 0 || o == 0) -> claim(o) }
     :: atomic { belief[o] > 0 && fenced[0] < belief[o] -> fence(o, 0) }
     :: atomic { belief[o] > 0 && fenced[1] < belief[o] -> fence(o, 1) }
     :: atomic { belief[o] > 0 && batchEpoch[o] == 0 && !ended && recordedAt == NONE && recorded < ATTEMPTS -> write(o, 0) }
-    :: atomic { belief[o] > 0 && batchEpoch[o] == 0 && !ended && recordedAt == NONE && recorded < ATTEMPTS -> write(o, 1) }
+    :: atomic { belief[o] > 0 && batchEpoch[o] == 0 && !ended && recordedAt == NONE && recorded < ATTEMPTS && (belief[o] > 1 || recorded > 0) -> write(o, 1) }
     :: atomic { batchEpoch[o] > 0 -> land(o) }
     /* The owner that recorded an attempt repeats its start until it is seen. */
     :: atomic { ACTING && recordedAt != NONE && startEpoch[recorded] == epoch && !onWay[recorded] && seen[recordedAt] < recorded -> onWay[recorded] = true }
