--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/BatchJob.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/BatchJob.java
@@ -9,8 +9,10 @@
  * @param submittedMs time since which it has been waiting
  * @param deadlineMs time by which it must have finished
  * @param remainingMs corrected run time that remains after its checkpoint
+ * @param processorsMilli thousandths of a core that it holds
  */
-public record BatchJob(TaskId task, long submittedMs, long deadlineMs, long remainingMs) {
+public record BatchJob(
+        TaskId task, long submittedMs, long deadlineMs, long remainingMs, long processorsMilli) {
     /** Time allowed beyond the run time to a job without deadline, so that it does not starve. */
     static final long DEFAULT_SLACK_MS = 24 * 3_600_000L;
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/PriorityRules.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/PriorityRules.java
@@ -5,6 +5,8 @@
     /** Above every slack ratio of a job that can still be on time. */
     private static final double LATE = 1e12;
 
+    private static final double TYPICAL_RUN_MS = 1_800_000;
+
     /** First come, first served. */
     public static final PriorityRule FIRST_COME_FIRST_SERVED = (job, nowMs) -> job.submittedMs();
 
@@ -31,5 +33,21 @@
                             ? LATE + job.remainingMs()
                             : DEADLINE_RISK.key(job, nowMs);
 
+    /**
+     * Deadline risk weighed against size: the least processor time first, later by a factor for
+     * each unit of slack over run time, so that with little slack anywhere the small jobs go first
+     * and most are on time, and with much slack the order is that of deadline risk.
+     */
+    public static final PriorityRule RISK_AND_SIZE =
+            (job, nowMs) ->
+                    Math.log((double) job.remainingMs() * Math.max(1, job.processorsMilli()))
+                            + Math.max(0, DEADLINE_RISK.key(job, nowMs));
+
+    /** Apparent tardiness cost: like {@link #RISK_AND_SIZE}, with slack over a typical run time. */
+    public static final PriorityRule APPARENT_TARDINESS_COST =
+            (job, nowMs) ->
+                    Math.log((double) job.remainingMs() * Math.max(1, job.processorsMilli()))
+                            + (double) Math.max(0, job.slackMs(nowMs)) / TYPICAL_RUN_MS;
+
     private PriorityRules() {}
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/InterferenceModel.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/InterferenceModel.java
@@ -23,6 +23,13 @@
     private static final double PRIOR_VARIANCE = 0.25;
     private static final double NOISE_VARIANCE = 0.04;
 
+    /**
+     * Noise for the effects. Noise comes in waves, so that several measurements are worth one, and
+     * the estimate leaves out that errors of the level and of an effect offset each other; with the
+     * plain noise, waves alone made pairs look harmful.
+     */
+    private static final double EFFECT_NOISE_VARIANCE = 4 * NOISE_VARIANCE;
+
     /** Growth of the variance of the level for each measurement; lets it follow load shifts. */
     private static final double LEVEL_DRIFT = 0.0004;
 
@@ -131,7 +138,8 @@
         for (Map.Entry<JobName, Double> entry : shares.entrySet()) {
             Effect effect = record.effect(entry.getKey());
             double share = entry.getValue();
-            effect.correct(error, share * effect.mVariance / variance, share);
+            double wider = variance - NOISE_VARIANCE + EFFECT_NOISE_VARIANCE;
+            effect.correct(error, share * effect.mVariance / wider, share);
         }
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/BatchPlacer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/BatchPlacer.java
@@ -16,6 +16,7 @@
     private final PlacementConstraint mConstraint;
     private final RunTimeEstimator mEstimator;
     private final GapRule mGapRule;
+    private final long mReserveAfterMs;
     private int mHeadSearches;
     private @Nullable HeadReservation mHead;
 
@@ -23,14 +24,16 @@
             PlacementRound round,
             PlacementConstraint constraint,
             RunTimeEstimator estimator,
-            GapRule gapRule) {
+            GapRule gapRule,
+            long reserveAfterMs) {
+        mReserveAfterMs = reserveAfterMs;
         mRound = round;
         mConstraint = constraint;
         mEstimator = estimator;
         mGapRule = gapRule;
     }
 
-    /** Starts the task if there is room for it; the first without room becomes the head. */
+    /** Starts it if there is room; the first without room that waited long becomes the head. */
     boolean place(PendingTask task) {
         TaskSpecification specification = task.specification();
         if (!mRound.withinQuota(specification)) {
@@ -40,7 +43,8 @@
         if (start(task, size)) {
             return true;
         }
-        if (mHead == null && mHeadSearches < MAXIMUM_HEAD_SEARCHES) {
+        boolean waitedLong = mRound.nowMs() - task.submittedMs() >= mReserveAfterMs;
+        if (mHead == null && waitedLong && mHeadSearches < MAXIMUM_HEAD_SEARCHES) {
             mHeadSearches++;
             mHead =
                     HeadReservation.find(
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/BatchQueue.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/BatchQueue.java
@@ -75,7 +75,8 @@
                         task.specification().task(),
                         task.submittedMs(),
                         task.specification().deadlineMs(),
-                        remainingMs);
+                        remainingMs,
+                        task.specification().resources().processorsMilli());
         return new Entry(task, job, mRule.key(job, nowMs));
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/DefaultPlacementPolicy.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/DefaultPlacementPolicy.java
@@ -63,7 +63,9 @@
                         .thenComparingLong(PendingTask::submittedMs)
                         .thenComparing(task -> task.specification().task()));
         ServicePlacer services = new ServicePlacer(round, mConstraint);
-        BatchPlacer urgent = new BatchPlacer(round, mConstraint, mEstimator, mGapRule);
+        BatchPlacer urgent =
+                new BatchPlacer(
+                        round, mConstraint, mEstimator, mGapRule, mSettings.reserveAfterMs());
         UrgentPlacer evictions = new UrgentPlacer(round, mConstraint, mSettings, mEstimator);
         for (PendingTask task : tasks) {
             TaskSpecification specification = task.specification();
@@ -85,7 +87,9 @@
     }
 
     private void placeBatch(PlacementRound round) {
-        BatchPlacer placer = new BatchPlacer(round, mConstraint, mEstimator, mGapRule);
+        BatchPlacer placer =
+                new BatchPlacer(
+                        round, mConstraint, mEstimator, mGapRule, mSettings.reserveAfterMs());
         int waiting = 0;
         for (BatchQueue.Entry entry : mQueue.first(round.view(), round.nowMs())) {
             if (round.starts() >= mSettings.maximumStarts()) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementSettings.java
@@ -10,6 +10,7 @@
  * @param reorderAlways length up to which the queue is ordered in each call
  * @param fleetSettleMs time after the first call before a task is rejected as never runnable; an
  *     agent counts as gone after 10 s, so by then every live worker has reported
+ * @param reserveAfterMs time that a batch task waits before it may have room reserved
  * @param urgentWaitMs time since submission within which room must come free by itself for urgent
  *     work to wait for it; the rest of its 10 s is left for a checkpoint and a stop
  */
@@ -20,8 +21,22 @@
         long reorderMs,
         int reorderAlways,
         long fleetSettleMs,
+        long reserveAfterMs,
         long urgentWaitMs) {
+    /** Returns the same limits with another time before reservations. */
+    public PlacementSettings withReserveAfterMs(long newReserveAfterMs) {
+        return new PlacementSettings(
+                maximumStarts,
+                maximumEvictionPlans,
+                backfillDepth,
+                reorderMs,
+                reorderAlways,
+                fleetSettleMs,
+                newReserveAfterMs,
+                urgentWaitMs);
+    }
+
     /** The default limits. */
     public static final PlacementSettings DEFAULT =
-            new PlacementSettings(200, 16, 512, 250, 1_000, 10_000, 4_000);
+            new PlacementSettings(200, 16, 512, 250, 1_000, 10_000, 600_000, 4_000);
 }
--- /dev/null
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/placement/UrgentWorkTest.java
@@ -0,0 +1,139 @@
+package org.hickorycleat.logic.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.hickorycleat.model.identifier.TaskId;
+import org.hickorycleat.model.task.PlacementDecision;
+import org.hickorycleat.model.task.Resources;
+import org.hickorycleat.model.task.TaskSpecification;
+import org.junit.jupiter.api.Test;
+
+class UrgentWorkTest {
+    private static final Resources CAPACITY = new Resources(16_000, 60_000, 0);
+    private static final Resources SMALL = new Resources(4_000, 15_000, 0);
+    private static final long LONG_MS = 3_600_000;
+
+    private final FakeFleet mFleet = new FakeFleet();
+    private final DefaultPlacementPolicy mPolicy = DefaultPlacementPolicy.builder().build();
+
+    /** Guards against urgent work that waits although evicting other work would make room. */
+    @Property(seed = "51", tries = 100)
+    void urgentWorkStartsWithinTenSecondsWhileEnoughOtherWorkRuns(
+            @ForAll @IntRange(min = 1, max = 10) int workers,
+            @ForAll @IntRange(min = 1, max = 40) int urgent,
+            @ForAll @IntRange(min = 0, max = 100_000) int seed) {
+        Random random = new Random(seed);
+        FakeFleet fleet = new FakeFleet().withWorkers(workers, CAPACITY);
+        DefaultPlacementPolicy policy = DefaultPlacementPolicy.builder().build();
+        for (int worker = 0; worker < workers; worker++) {
+            for (int i = 0; i < 4; i++) {
+                long declaredMs = 1L + random.nextInt(2_000_000);
+                fleet.run(batch(worker + "/" + i, declaredMs), worker, -random.nextInt(600_000));
+            }
+        }
+        int fitting = Math.min(urgent, workers * 4);
+        for (int i = 0; i < fitting; i++) {
+            fleet.submit(FakeFleet.urgent("urgent/" + i, SMALL), 0);
+        }
+        for (long nowMs = 0; nowMs < 10_000; nowMs += 1_000) {
+            fleet.apply(policy.decide(fleet.view(), nowMs), nowMs);
+            CapacityTest.assertWithinCapacity(fleet.view());
+            fleet.finishStops(nowMs);
+        }
+        assertThat(fleet.view().pendingFirst()).isEmpty();
+    }
+
+    /** Guards against evicting costly work, or more of it than the urgent task needs. */
+    @Test
+    void evictsOnlyTheCheapestTask() {
+        mFleet.withWorkers(2, CAPACITY);
+        for (int i = 0; i < 8; i++) {
+            mFleet.run(batch("old/" + i, LONG_MS), i / 4, -1_800_000 + i);
+        }
+        mFleet.view().removePlaced(new TaskId("old/6"));
+        mFleet.run(batch("fresh", LONG_MS), 1, -1_000);
+        mFleet.submit(FakeFleet.urgent("urgent", SMALL), 0);
+        assertThat(evicted(0)).containsExactly(new TaskId("fresh"));
+    }
+
+    /** Guards against evicting the same task again and again. */
+    @Test
+    void sparesWorkThatWasEvictedBefore() {
+        mFleet.withWorkers(1, CAPACITY);
+        for (int i = 0; i < 4; i++) {
+            mFleet.run(batch("task/" + i, LONG_MS), 0, -60_000, i == 2 ? 0 : 3);
+        }
+        mFleet.submit(FakeFleet.urgent("urgent", SMALL), 0);
+        assertThat(evicted(0)).containsExactly(new TaskId("task/2"));
+    }
+
+    /** Guards against an eviction when a task ends soon enough, and against waiting too long. */
+    @Test
+    void waitsForRoomThatComesFreeSoonButNotLonger() {
+        mFleet.withWorkers(1, CAPACITY);
+        for (int i = 0; i < 4; i++) {
+            mFleet.run(batch("task/" + i, i == 0 ? 62_000 : LONG_MS), 0, -60_000);
+        }
+        mFleet.submit(FakeFleet.urgent("urgent", SMALL), 0);
+        assertThat(evicted(0)).isEmpty();
+        assertThat(evicted(4_500)).hasSize(1);
+    }
+
+    /** Guards against a second eviction for the same urgent task while the first one stops. */
+    @Test
+    void evictsOnceForEachUrgentTask() {
+        mFleet.withWorkers(3, CAPACITY);
+        for (int i = 0; i < 12; i++) {
+            mFleet.run(batch("task/" + i, LONG_MS), i / 4, -60_000 - i);
+        }
+        mFleet.submit(FakeFleet.urgent("urgent/0", SMALL), 0);
+        mFleet.submit(FakeFleet.urgent("urgent/1", SMALL), 0);
+        List<PlacementDecision> first = mPolicy.decide(mFleet.view(), 0);
+        mFleet.apply(first, 0);
+        assertThat(first).hasSize(2);
+        assertThat(mPolicy.decide(mFleet.view(), 500)).isEmpty();
+    }
+
+    /** Guards against batch work that takes the room which an eviction made. */
+    @Test
+    void keepsTheRoomOfAnEvictionForTheUrgentTask() {
+        mFleet.withWorkers(1, CAPACITY);
+        for (int i = 0; i < 3; i++) {
+            mFleet.run(batch("task/" + i, LONG_MS), 0, -60_000);
+        }
+        Resources half = new Resources(8_000, 30_000, 0);
+        mFleet.submit(FakeFleet.urgent("urgent", half), 0);
+        mFleet.submit(batch("waiting", LONG_MS), 0);
+        mFleet.apply(mPolicy.decide(mFleet.view(), 0), 0);
+        assertThat(mFleet.view().pending(new TaskId("waiting"))).isPresent();
+        mFleet.finishStops(100);
+        mFleet.apply(mPolicy.decide(mFleet.view(), 200), 200);
+        assertThat(mFleet.view().pending(new TaskId("urgent"))).isEmpty();
+    }
+
+    /** Guards against evicting instances of services or other urgent work. */
+    @Test
+    void evictsNeitherServicesNorUrgentWork() {
+        mFleet.withWorkers(1, CAPACITY);
+        mFleet.run(FakeFleet.instance("service", 0, new Resources(8_000, 30_000, 0)), 0, 0);
+        mFleet.run(FakeFleet.urgent("running", new Resources(8_000, 30_000, 0)), 0, 0);
+        mFleet.submit(FakeFleet.urgent("urgent", SMALL), 600_000);
+        assertThat(evicted(600_000)).isEmpty();
+    }
+
+    private List<TaskId> evicted(long nowMs) {
+        return mPolicy.decide(mFleet.view(), nowMs).stream()
+                .filter(PlacementDecision.Evict.class::isInstance)
+                .map(PlacementDecision::task)
+                .toList();
+    }
+
+    private static TaskSpecification batch(String id, long estimatedMs) {
+        return FakeFleet.batch(id, SMALL, estimatedMs, Long.MAX_VALUE);
+    }
+}
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/BatchMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/BatchMeasurement.java
@@ -6,7 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Supplier;
-import java.util.function.ToDoubleFunction;
+import java.util.stream.LongStream;
 import org.hickorycleat.logic.batch.GapRule;
 import org.hickorycleat.logic.batch.GapRules;
 import org.hickorycleat.logic.batch.JobNaming;
@@ -16,6 +16,7 @@
 import org.hickorycleat.logic.batch.RunTimeEstimator;
 import org.hickorycleat.logic.placement.DefaultPlacementPolicy;
 import org.hickorycleat.logic.placement.PlacementPolicy;
+import org.hickorycleat.logic.placement.PlacementSettings;
 import org.hickorycleat.logic.scheduling.PlacementObserver;
 import org.hickorycleat.logic.scheduling.SchedulingPolicy;
 
@@ -60,6 +61,7 @@
                                 PriorityRules.EARLIEST_DEADLINE_FIRST,
                                 OrderedFirstFit.WhenBlocked.WAIT));
         addRules(all);
+        addReservations(all);
         addGaps(all);
         all.put("risk_declared", () -> declared(PriorityRules.DEADLINE_RISK));
         all.put("default", BatchMeasurement::whole);
@@ -83,6 +85,27 @@
                 () -> filling(PriorityRules.DEADLINE_RISK_LATE_LAST, GapRules.BEST_FIT));
     }
 
+    private static void addReservations(Map<String, Supplier<Contender>> all) {
+        for (PriorityRule rule :
+                List.of(
+                        PriorityRules.EARLIEST_DEADLINE_FIRST,
+                        PriorityRules.DEADLINE_RISK,
+                        PriorityRules.RISK_AND_SIZE,
+                        PriorityRules.APPARENT_TARDINESS_COST)) {
+            String name =
+                    rule == PriorityRules.DEADLINE_RISK
+                            ? "risk"
+                            : rule == PriorityRules.RISK_AND_SIZE
+                                    ? "ras"
+                                    : rule == PriorityRules.APPARENT_TARDINESS_COST ? "atc" : "edf";
+            for (long afterMs : new long[] {0, 600_000, 3_600_000, Long.MAX_VALUE / 4}) {
+                all.put(
+                        name + "_reserve_" + afterMs / 60_000,
+                        () -> filling(rule, GapRules.BEST_FIT, afterMs));
+            }
+        }
+    }
+
     private static void addGaps(Map<String, Supplier<Contender>> all) {
         all.put(
                 "risk_late_last_earliest_gap",
@@ -106,11 +129,16 @@
     }
 
     private static Contender filling(PriorityRule rule, GapRule gaps) {
+        return filling(rule, gaps, 0);
+    }
+
+    private static Contender filling(PriorityRule rule, GapRule gaps, long reserveAfterMs) {
         RunTimeCorrection correction = new RunTimeCorrection(JobNaming.BEFORE_LAST_SLASH);
         PlacementPolicy policy =
                 DefaultPlacementPolicy.builder()
                         .priorityRule(rule)
                         .gapRule(gaps)
+                        .settings(PlacementSettings.DEFAULT.withReserveAfterMs(reserveAfterMs))
                         .estimator(correction)
                         .build();
         return new Contender(policy, new CorrectionObserver(correction));
@@ -123,10 +151,11 @@
 
     private static String line(
             Firm firm, double load, String name, Supplier<Contender> maker, long[] seeds) {
-        List<FleetResult> results = new ArrayList<>();
-        for (long seed : seeds) {
-            results.add(runOnce(firm, load, maker.get(), seed));
-        }
+        List<FleetResult> results =
+                LongStream.of(seeds)
+                        .parallel()
+                        .mapToObj(seed -> runOnce(firm, load, maker.get(), seed))
+                        .toList();
         return String.format(
                 Locale.ROOT,
                 "measurement=batch firm=%s load=%.2f policy=%s seeds=%d on_time=%.4f"
@@ -136,16 +165,12 @@
                 load,
                 name,
                 seeds.length,
-                median(results, FleetResult::onTimeShare),
-                median(results, result -> result.mTardinessMs / 3_600_000.0),
-                median(results, FleetResult::coreHours),
-                median(results, result -> result.mEvictions),
-                median(results, result -> result.mLostMs / 3_600_000.0),
-                median(results, result -> result.mUnfinished));
-    }
-
-    private static double median(List<FleetResult> results, ToDoubleFunction<FleetResult> value) {
-        return Medians.median(results.stream().mapToDouble(value).toArray());
+                Medians.over(results, FleetResult::onTimeShare),
+                Medians.over(results, result -> result.mTardinessMs / 3_600_000.0),
+                Medians.over(results, FleetResult::coreHours),
+                Medians.over(results, result -> result.mEvictions),
+                Medians.over(results, result -> result.mLostMs / 3_600_000.0),
+                Medians.over(results, result -> result.mUnfinished));
     }
 
     private static FleetResult runOnce(Firm firm, double load, Contender contender, long seed) {
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/BatchWorkload.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/BatchWorkload.java
@@ -83,12 +83,12 @@
     }
 
     private Job job(int number) {
-        double size = Math.pow(2, mRandom.nextInt(5)) / 32;
-        double memory = size * (0.5 + mRandom.nextDouble());
+        double cores = Math.pow(2, mRandom.nextInt(mFirm.batchSizes()));
+        double memory = cores * 3_800 * (0.5 + mRandom.nextDouble());
         Resources resources =
                 new Resources(
-                        (long) (mFirm.capacity().processorsMilli() * size),
-                        (long) (mFirm.capacity().memoryMebibytes() * Math.min(0.8, memory)),
+                        (long) (cores * 1_000),
+                        (long) Math.min(memory, 0.8 * mFirm.capacity().memoryMebibytes()),
                         0);
         double typicalMs = Math.exp(Math.log(15 * 60_000.0) + 0.9 * mRandom.nextGaussian());
         double declared = Math.pow(10, 2 * mRandom.nextDouble() - 1);
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/Firm.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/Firm.java
@@ -10,22 +10,29 @@
 
 /** Fleet sizes of the firms of section 1.1 of the design page. */
 enum Firm {
-    GRAANVRACHT(4, 16_000, 60_000),
-    TOKACHI(3, 32_000, 125_000);
+    GRAANVRACHT(4, 16_000, 60_000, 4),
+    TOKACHI(3, 32_000, 125_000, 5);
 
     static final int WORKERS = 11;
     private static final int WORKERS_PER_RACK = 3;
 
     private final int mZones;
+    private final int mBatchSizes;
     private final long mProcessorsMilli;
     private final long mMemoryMebibytes;
 
-    Firm(int zones, long processorsMilli, long memoryMebibytes) {
+    Firm(int zones, long processorsMilli, long memoryMebibytes, int batchSizes) {
+        mBatchSizes = batchSizes;
         mZones = zones;
         mProcessorsMilli = processorsMilli;
         mMemoryMebibytes = memoryMebibytes;
     }
 
+    /** Returns the number of sizes of batch tasks: 1, 2, 4 cores and so on. */
+    int batchSizes() {
+        return mBatchSizes;
+    }
+
     Resources capacity() {
         return new Resources(mProcessorsMilli, mMemoryMebibytes, 0);
     }
--- /dev/null
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/InterferenceMeasurement.java
@@ -0,0 +1,169 @@
+package org.hickorycleat.measurements.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Supplier;
+import java.util.stream.LongStream;
+import org.hickorycleat.logic.batch.JobNaming;
+import org.hickorycleat.logic.interference.LatencyMeasurement;
+import org.hickorycleat.logic.placement.PlacementPolicy;
+import org.hickorycleat.logic.placement.PlacementView.PlacedTask;
+import org.hickorycleat.logic.scheduling.PlacementObserver;
+import org.hickorycleat.logic.scheduling.SchedulingPolicy;
+import org.hickorycleat.model.identifier.ServiceName;
+import org.hickorycleat.model.identifier.TaskId;
+import org.hickorycleat.model.identifier.TeamName;
+import org.hickorycleat.model.manifest.Criticality;
+import org.hickorycleat.model.task.Resources;
+import org.hickorycleat.model.task.TaskSpecification;
+import org.hickorycleat.model.task.TaskState;
+
+/** Measures the tail latency of services beside batch work, with and without the model. */
+public final class InterferenceMeasurement {
+    private static final long TICK_MS = 2_000;
+    private static final long DURATION_MS = 6 * 3_600_000L;
+    private static final long LEARNING_MS = 1_800_000;
+    private static final int JOBS = 16;
+    private static final double LOAD = 0.6;
+    private static final ServiceName EVERYWHERE = new ServiceName("everywhere");
+    private static final ServiceName SPARSE = new ServiceName("sparse");
+    private static final int SPARSE_INSTANCES = 4;
+
+    private record Contender(PlacementPolicy policy, PlacementObserver observer) {}
+
+    private record Run(FleetResult result, List<Double> latencies) {}
+
+    /** Returns one line for each firm and policy. */
+    public List<String> run(long[] seeds) {
+        List<String> lines = new ArrayList<>();
+        for (Firm firm : Firm.values()) {
+            lines.add(line(firm, "no_model", seeds, InterferenceMeasurement::withoutModel));
+            lines.add(line(firm, "default", seeds, InterferenceMeasurement::whole));
+        }
+        return lines;
+    }
+
+    private static Contender whole() {
+        SchedulingPolicy policy = new SchedulingPolicy(JobNaming.BEFORE_LAST_SLASH);
+        return new Contender(policy, policy);
+    }
+
+    /** The same policy, to which no latency is told. */
+    private static Contender withoutModel() {
+        SchedulingPolicy policy = new SchedulingPolicy(JobNaming.BEFORE_LAST_SLASH);
+        PlacementObserver deaf =
+                new IgnoringObserver() {
+                    @Override
+                    public void running(PlacedTask task, long nowMs) {
+                        policy.running(task, nowMs);
+                    }
+
+                    @Override
+                    public void ended(PlacedTask task, TaskState state, long nowMs) {
+                        policy.ended(task, state, nowMs);
+                    }
+
+                    @Override
+                    public void latencyMeasured(LatencyMeasurement measurement) {}
+                };
+        return new Contender(policy, deaf);
+    }
+
+    private static String line(
+            Firm firm, String name, long[] seeds, Supplier<Contender> contender) {
+        List<Run> runs =
+                LongStream.of(seeds)
+                        .parallel()
+                        .mapToObj(seed -> runOnce(firm, contender.get(), seed))
+                        .toList();
+        return String.format(
+                Locale.ROOT,
+                "measurement=interference firm=%s policy=%s seeds=%d latency_p50=%.3f"
+                        + " latency_p99=%.3f evictions=%.0f throttles=%.0f core_hours=%.0f"
+                        + " on_time=%.4f lost_hours=%.2f",
+                firm.name().toLowerCase(Locale.ROOT),
+                name,
+                seeds.length,
+                Medians.over(runs, run -> Medians.quantile(0.5, run.latencies)),
+                Medians.over(runs, run -> Medians.quantile(0.99, run.latencies)),
+                Medians.over(runs, run -> run.result.mEvictions),
+                Medians.over(runs, run -> run.result.mThrottles),
+                Medians.over(runs, run -> run.result.coreHours()),
+                Medians.over(runs, run -> run.result.onTimeShare()),
+                Medians.over(runs, run -> run.result.mLostMs / 3_600_000.0));
+    }
+
+    private static Run runOnce(Firm firm, Contender contender, long seed) {
+        FleetLoop loop = new FleetLoop(contender.policy, contender.observer, TICK_MS);
+        loop.addWorkers(firm.workers());
+        loop.addWork(work(firm, seed));
+        InterferenceFake fake = new InterferenceFake(loop, contender.observer, LEARNING_MS, seed);
+        fake.drawEffects(List.of(EVERYWHERE, SPARSE), JOBS);
+        fake.start();
+        return new Run(loop.run(DURATION_MS), fake.latencies());
+    }
+
+    private static List<Work> work(Firm firm, long seed) {
+        Random random = new Random(seed);
+        List<Work> work = new ArrayList<>();
+        for (int i = 0; i < Firm.WORKERS; i++) {
+            work.add(service(EVERYWHERE, i));
+        }
+        for (int i = 0; i < SPARSE_INSTANCES; i++) {
+            work.add(service(SPARSE, i));
+        }
+        double wanted =
+                LOAD * Firm.WORKERS * (firm.capacity().processorsMilli() - 3_000) * DURATION_MS;
+        double given = 0;
+        for (int i = 0; given < wanted; i++) {
+            Work item = batch(random, i);
+            work.add(item);
+            given += item.specification().resources().processorsMilli() * (double) item.runMs();
+        }
+        return work;
+    }
+
+    private static Work service(ServiceName service, int number) {
+        return new Work(
+                task(
+                        service + "/" + number,
+                        Optional.of(service),
+                        new Resources(2_000, 4_000, 0),
+                        0,
+                        Long.MAX_VALUE),
+                0,
+                Long.MAX_VALUE);
+    }
+
+    private static Work batch(Random random, int number) {
+        long cores = 1L << random.nextInt(3);
+        long runMs = (long) (900_000 * Math.exp(0.6 * random.nextGaussian()));
+        long arrivalMs = (long) (random.nextDouble() * (DURATION_MS - 3_600_000));
+        long deadlineMs = arrivalMs + (long) (runMs * (2 + 4 * random.nextDouble()));
+        String id = "job-" + random.nextInt(JOBS) + "/" + number;
+        Resources size = new Resources(cores * 1_000, cores * 3_700, 0);
+        return new Work(task(id, Optional.empty(), size, runMs, deadlineMs), arrivalMs, runMs);
+    }
+
+    private static TaskSpecification task(
+            String id,
+            Optional<ServiceName> service,
+            Resources size,
+            long estimatedMs,
+            long deadlineMs) {
+        return new TaskSpecification(
+                new TaskId(id),
+                new TeamName("team"),
+                service,
+                service.isPresent() ? Criticality.CRITICAL : Criticality.NORMAL,
+                size,
+                estimatedMs,
+                0,
+                deadlineMs,
+                true,
+                false);
+    }
+}
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/Medians.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/Medians.java
@@ -2,6 +2,8 @@
 
 import java.util.Arrays;
 import java.util.Collection;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
 
 /** Medians and quantiles of measured values. */
 final class Medians {
@@ -11,6 +13,11 @@
         return quantile(0.5, values);
     }
 
+    /** Returns the median of a value over several runs. */
+    static <T> double over(List<T> runs, ToDoubleFunction<T> value) {
+        return median(runs.stream().mapToDouble(value).toArray());
+    }
+
     static double quantile(double quantile, Collection<? extends Number> values) {
         return quantile(quantile, values.stream().mapToDouble(Number::doubleValue).toArray());
     }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/OrderedFirstFit.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/OrderedFirstFit.java
@@ -67,7 +67,8 @@
                             task.specification().task(),
                             task.submittedMs(),
                             task.specification().deadlineMs(),
-                            task.specification().estimatedMs() - task.progressMs());
+                            task.specification().estimatedMs() - task.progressMs(),
+                            task.specification().resources().processorsMilli());
             keyed.add(new Keyed(task, first ? -1e300 : mRule.key(job, nowMs)));
         }
         keyed.sort(Comparator.comparingDouble(Keyed::key));
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/PlacementMeasurements.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/PlacementMeasurements.java
@@ -17,6 +17,9 @@
     private static List<String> measure(String name) {
         return switch (name) {
             case "batch" -> new BatchMeasurement().run(SEEDS);
+            case "interference" -> new InterferenceMeasurement().run(SEEDS);
+            case "placement" -> new PlacementScaleMeasurement().run(SEEDS);
+            case "urgent" -> new UrgentMeasurement().run(SEEDS);
             default ->
                     throw new IllegalArgumentException(
                             "expected batch, interference, placement or urgent: " + name);
