--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/AdmissionSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/AdmissionSettings.java
@@ -30,7 +30,7 @@
                             Criticality.NORMAL, 0.2,
                             Criticality.SHEDDABLE, 0.1),
                     0.02,
-                    0.1,
+                    0.25,
                     16,
                     100,
                     30_000);
