--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/InstanceRegistryTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/InstanceRegistryTest.java
@@ -51,7 +51,7 @@
 
     /** Guards against trusting a stream whose first records have expired. */
     @Test
-    void nobodyIsOriginalInATruncatedStream() {
+    void truncatedStreamHasNoOriginal() {
         mRegistry.truncated();
         mRegistry.apply(RESTARTED);
 
