Free the slot of a caller that went away; treat server errors as failures

Cause: the HTTP server reads nothing from a connection while a request waits, so a caller that went away kept its slot until the deadline. A target that answers every request with 500 at once looked like the fastest one and attracted requests. A settings file with an address in use left the process hanging. The policy that learns run times, interference and quarantine was not used by entries. Ruled out: writing to the connection to notice a closed one, since that breaks the answer that follows.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Main.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Main.java
@@ -73,7 +73,8 @@
         Runtime.getRuntime().addShutdownHook(new Thread(shutdown::onSignal, "shutdown"));
         try {
             process.start();
-        } catch (RuntimeException e) {
+        } catch (Exception e) {
+            // The transport throws checked exceptions that it does not declare.
             System.err.println("event=start_failed cause=\"" + e.getMessage() + '"');
             Runtime.getRuntime().halt(ResultCode.INTERNAL.exitCode());
         }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HttpTargetClient.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HttpTargetClient.java
@@ -3,6 +3,7 @@
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.core.SingleEmitter;
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -11,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
 import okhttp3.Call;
 import okhttp3.Callback;
@@ -22,6 +24,7 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import okhttp3.ResponseBody;
+import org.hickorycleat.logic.port.AnswerTooLargeException;
 import org.hickorycleat.logic.port.TargetAnswer;
 import org.hickorycleat.logic.port.TargetClient;
 import org.hickorycleat.logic.port.TargetNotReachedException;
@@ -117,27 +120,30 @@
     }
 
     private static Exception translate(IOException cause) {
-        return cause instanceof ConnectException
-                ? new TargetNotReachedException("target refused the connection", cause)
-                : cause;
+        if (cause instanceof ConnectException) {
+            return new TargetNotReachedException("target refused the connection", cause);
+        }
+        if (cause instanceof InterruptedIOException) {
+            // The call ran into the deadline of the request.
+            TimeoutException timeout = new TimeoutException("target did not answer in time");
+            timeout.initCause(cause);
+            return timeout;
+        }
+        return cause;
     }
 
     private static void deliver(Response response, SingleEmitter<TargetAnswer> emitter) {
         try (ResponseBody body = response.body()) {
-            byte[] bytes =
-                    body.source().peek().request(MAXIMUM_BODY_BYTES + 1L)
-                            ? tooLarge()
-                            : body.bytes();
-            emitter.onSuccess(new TargetAnswer(response.code(), headers(response), bytes));
+            if (body.source().request(MAXIMUM_BODY_BYTES + 1L)) {
+                emitter.tryOnError(new AnswerTooLargeException(MAXIMUM_BODY_BYTES));
+                return;
+            }
+            emitter.onSuccess(new TargetAnswer(response.code(), headers(response), body.bytes()));
         } catch (IOException e) {
             emitter.tryOnError(e);
         }
     }
 
-    private static byte[] tooLarge() throws IOException {
-        throw new IOException("answer of the target is larger than " + MAXIMUM_BODY_BYTES);
-    }
-
     private static List<HttpHeader> headers(Response response) {
         List<HttpHeader> headers = new ArrayList<>();
         response.headers()
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/AgentConnections.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/AgentConnections.java
@@ -125,15 +125,14 @@
 
         private void accept(MessageConnection connection, Message message) {
             if (!(message instanceof Hello hello)) {
-                connection.closeWith(
-                        new Failure(ResultCode.UNKNOWN_MESSAGE, "expected Hello first"));
+                refuse(connection, ResultCode.UNKNOWN_MESSAGE, "expected Hello first");
                 return;
             }
             if (hello.protocolVersion() != MessageCodec.PROTOCOL_VERSION) {
-                connection.closeWith(
-                        new Failure(
-                                ResultCode.PROTOCOL_VERSION,
-                                "expected " + MessageCodec.PROTOCOL_VERSION));
+                refuse(
+                        connection,
+                        ResultCode.PROTOCOL_VERSION,
+                        "expected " + MessageCodec.PROTOCOL_VERSION);
                 return;
             }
             mHello = Optional.of(hello);
@@ -154,6 +153,15 @@
             }
         }
 
+        private void refuse(MessageConnection connection, ResultCode code, String detail) {
+            LOG.event("hello_refused")
+                    .with("peer", connection.peer())
+                    .with("result", code)
+                    .with("detail", detail)
+                    .warn();
+            connection.closeWith(new Failure(code, detail));
+        }
+
         private void replaceAgent(Hello hello, Peer peer) {
             // A delayed hello of an older session must not replace the newer one.
             Peer latest =
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerHttp.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerHttp.java
@@ -57,6 +57,7 @@
     private final Function<CallerRequest, CompletableFuture<InvokeResult>> mService;
     private final MeterRegistry mMeters;
     private final Map<ResultCode, Counter> mCounters = new ConcurrentHashMap<>();
+    private final CallerPresence mPresence = new CallerPresence();
     private final AtomicInteger mInProgress = new AtomicInteger();
     private final Javalin mServer;
     private volatile boolean mDraining;
@@ -81,6 +82,11 @@
         mDraining = true;
     }
 
+    /** Frees the slots of callers that went away; called several times a second. */
+    void checkCallers() {
+        mPresence.check();
+    }
+
     /** Returns the number of requests in progress. */
     int inProgress() {
         return mInProgress.get();
@@ -135,14 +141,28 @@
             return;
         }
         mInProgress.incrementAndGet();
+        CompletableFuture<InvokeResult> result = mService.apply(request.get());
+        CallerPresence.Caller caller = mPresence.watch(context, () -> abandon(result));
         CompletableFuture<?> written =
-                mService.apply(request.get())
-                        .thenAccept(result -> write(context, result))
-                        .whenComplete((ignored, error) -> mInProgress.decrementAndGet());
+                result.thenAccept(answer -> write(context, caller, answer))
+                        .whenComplete(
+                                (ignored, error) -> {
+                                    caller.answered();
+                                    mInProgress.decrementAndGet();
+                                });
         context.future(() -> written);
     }
 
-    private void write(Context context, InvokeResult result) {
+    /** Frees the slot of a request whose caller went away. */
+    private void abandon(CompletableFuture<InvokeResult> result) {
+        mMeters.counter("hickorycleat.requests.abandoned").increment();
+        result.cancel(true);
+    }
+
+    private void write(Context context, CallerPresence.Caller caller, InvokeResult result) {
+        if (caller.answered()) {
+            context.header("Connection", "close");
+        }
         if (result.code() != ResultCode.OK) {
             // Admission control has set when to try again.
             addHeaders(context, result);
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryProcess.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryProcess.java
@@ -45,6 +45,7 @@
     private static final EventLog LOG = EventLog.of(EntryProcess.class);
     private static final int EVENT_LOOPS = 4;
     private static final long TICK_MS = 1_000;
+    private static final long CALLER_CHECK_MS = 200;
 
     private final DaemonSettings mSettings;
     private final EntrySettings mEntrySettings;
@@ -111,6 +112,12 @@
         mTimers.add(
                 mScheduler.schedulePeriodicallyDirect(
                         this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS));
+        mTimers.add(
+                mScheduler.schedulePeriodicallyDirect(
+                        mCallers::checkCallers,
+                        CALLER_CHECK_MS,
+                        CALLER_CHECK_MS,
+                        TimeUnit.MILLISECONDS));
         mCallers.start(mEntrySettings.callerListen());
         mAdmin.start(mSettings.adminListen());
         LOG.event("started")
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/PlacementShards.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/PlacementShards.java
@@ -1,6 +1,7 @@
 package org.hickorycleat.daemon.entry;
 
 import io.reactivex.rxjava3.core.Scheduler;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -17,10 +18,11 @@
 import org.hickorycleat.logic.ownership.ShardManifest;
 import org.hickorycleat.logic.ownership.ShardOwner;
 import org.hickorycleat.logic.ownership.TaskExplanation;
-import org.hickorycleat.logic.placement.DefaultPlacementPolicy;
 import org.hickorycleat.logic.port.AgentLink;
 import org.hickorycleat.logic.port.LogService;
+import org.hickorycleat.logic.scheduling.SchedulingPolicy;
 import org.hickorycleat.model.configuration.AcceptedConfiguration;
+import org.hickorycleat.model.identifier.JobName;
 import org.hickorycleat.model.identifier.ShardNumber;
 import org.hickorycleat.model.identifier.StreamName;
 import org.hickorycleat.model.identifier.TaskId;
@@ -33,9 +35,12 @@
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.WorkerSummary;
 import org.hickorycleat.model.task.Resources;
+import org.hickorycleat.model.task.TaskSpecification;
 
 /** The placement shards that this entry owns or stands ready to own. */
 final class PlacementShards implements AutoCloseable {
+    private static final char RUN_SEPARATOR = '#';
+
     private final OwnerIdentity mSelf;
     private final LogService mLog;
     private final AgentLink mAgents;
@@ -71,6 +76,7 @@
             return;
         }
         WorkerSummary worker = report.worker().get();
+        runnerOf(worker).ifPresent(runner -> runner.observe(report));
         boolean first = mConnected.add(agent);
         runnerOf(worker)
                 .ifPresent(
@@ -174,13 +180,16 @@
     }
 
     private ShardRunner startRunner(ShardNumber shard) {
-        ShardOwner owner =
-                ShardOwner.builder(shard, mSelf, DefaultPlacementPolicy.builder().build())
-                        .scheduler(mScheduler)
-                        .build();
+        SchedulingPolicy policy = new SchedulingPolicy(PlacementShards::jobOf);
+        ShardOwner owner = ShardOwner.builder(shard, mSelf, policy).scheduler(mScheduler).build();
         ShardRunner runner =
                 new ShardRunner(
-                        new StreamName("placement-" + shard), owner, mLog, mAgents, mScheduler);
+                        new StreamName("placement-" + shard),
+                        owner,
+                        mLog,
+                        mAgents,
+                        new TaskObservation(policy, InstantSource.system()),
+                        mScheduler);
         runner.start();
         return runner;
     }
@@ -199,8 +208,15 @@
         return new ShardManifest(configuration.version(), jobs, List.of(), quotas);
     }
 
+    /** What is learned about one run of a job applies to its other runs. */
+    private static JobName jobOf(TaskSpecification task) {
+        String text = task.task().value();
+        int separator = text.lastIndexOf(RUN_SEPARATOR);
+        return new JobName(separator > 0 ? text.substring(0, separator) : text);
+    }
+
     private static TaskId task(JobSpecification job) {
-        return new TaskId(job.name() + "#" + job.run());
+        return new TaskId(job.name().value() + RUN_SEPARATOR + job.run());
     }
 
     private static ShardNumber shardOf(String name, int shards) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/ShardRunner.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/ShardRunner.java
@@ -19,6 +19,8 @@
 import org.hickorycleat.logic.port.LogTruncatedException;
 import org.hickorycleat.model.identifier.StreamName;
 import org.hickorycleat.model.identifier.TaskId;
+import org.hickorycleat.model.message.AgentReport;
+import org.hickorycleat.model.message.TaskReport;
 
 /** Runs one shard: feeds it the log, messages and time, and carries out what it decides. */
 final class ShardRunner implements AutoCloseable {
@@ -32,6 +34,7 @@
     private final ShardOwner mOwner;
     private final LogService mLog;
     private final AgentLink mAgents;
+    private final TaskObservation mObservation;
     private final Scheduler mScheduler;
     private final CompositeDisposable mRunning = new CompositeDisposable();
     private boolean mActing;
@@ -41,11 +44,13 @@
             ShardOwner owner,
             LogService log,
             AgentLink agents,
+            TaskObservation observation,
             Scheduler scheduler) {
         mStream = stream;
         mOwner = owner;
         mLog = log;
         mAgents = agents;
+        mObservation = observation;
         mScheduler = scheduler;
     }
 
@@ -66,11 +71,20 @@
 
     /** Handles an event and carries out its effects in order. */
     synchronized void handle(ShardEvent event) {
+        if (event instanceof ShardEvent.MessageReceived received
+                && received.message() instanceof TaskReport report) {
+            mObservation.onTaskReport(report, mOwner.explain(report.task()));
+        }
         List<OwnerEffect> effects = mOwner.onEvent(event);
         effects.forEach(this::carryOut);
         noteOwnership();
     }
 
+    /** Takes the latencies that an agent reported beside its worker. */
+    synchronized void observe(AgentReport report) {
+        mObservation.onAgentReport(report);
+    }
+
     /** Returns the state of the shard. */
     synchronized ShardDump dump() {
         return mOwner.dump();
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/InvocationService.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/InvocationService.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import org.hickorycleat.logic.port.AnswerTooLargeException;
 import org.hickorycleat.logic.port.TargetClient;
 import org.hickorycleat.logic.port.TargetNotReachedException;
 import org.hickorycleat.model.identifier.Incarnation;
@@ -217,6 +218,9 @@
         if (error instanceof TargetNotReachedException) {
             return ResultCode.NO_TARGET;
         }
+        if (error instanceof AnswerTooLargeException) {
+            return ResultCode.ANSWER_TOO_LARGE;
+        }
         return error instanceof TimeoutException
                 ? ResultCode.TARGET_TIMEOUT
                 : ResultCode.TARGET_FAILED;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/Call.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/Call.java
@@ -32,6 +32,9 @@
  * it by doing the same, or by a flag that is checked before the next attempt is sent.
  */
 final class Call implements AttemptOwner {
+    /** HTTP statuses with which a target says that it, not the request, is at fault. */
+    private static final Set<Integer> SERVER_ERRORS = Set.of(500, 502, 503, 504);
+
     /** Refusals after which another target may take the request. */
     private static final Set<ResultCode> RETRIED_ELSEWHERE =
             EnumSet.of(
@@ -209,12 +212,21 @@
 
     @Override
     public void onAnswer(Attempt attempt, InvokeResult result) {
-        attempt.release(result.code(), Optional.of(result.load()), mCoordinator.nowMicros());
+        boolean serverError = SERVER_ERRORS.contains(result.status());
+        // A target that fails at once would otherwise look like the fastest one.
+        attempt.release(
+                serverError ? ResultCode.TARGET_FAILED : result.code(),
+                Optional.of(result.load()),
+                mCoordinator.nowMicros());
         mTried.add(attempt.agent());
         if (result.code().outcome() == Outcome.NOT_RUN) {
             onRefusal(attempt, result);
         } else if (result.code().outcome() == Outcome.UNKNOWN) {
             onUnknown(result);
+        } else if (serverError && mRequest.repeatable()) {
+            // If no other target answers, the caller gets this answer.
+            mPossiblyRun = Optional.of(result);
+            retryOrFinish(true, result);
         } else {
             finish(result);
         }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestCoordinatorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestCoordinatorTest.java
@@ -139,6 +139,16 @@
                 request, code, 200, List.of(), new byte[0], new LoadSignal(1, 0, 5));
     }
 
+    private InvokeResult serverError(int index) {
+        return new InvokeResult(
+                invoke(index).request(),
+                ResultCode.OK,
+                500,
+                List.of(),
+                new byte[0],
+                new LoadSignal(1, 0, 5));
+    }
+
     private void answer(int index, ResultCode code) {
         mCoordinator.onInvokeResult(
                 session(mReceivers.get(index), 1, 1), result(invoke(index).request(), code));
@@ -198,6 +208,26 @@
         assertEnded(submit(unsafe().build()), ResultCode.NO_TARGET);
     }
 
+    /** Guards against a target that fails at once and so attracts more requests. */
+    @Test
+    void retriesServerErrorsOfIdempotentRequestsElsewhere() {
+        TestObserver<InvokeResult> caller = submit(unsafe().idempotent(true).build());
+        mCoordinator.onInvokeResult(session(mReceivers.get(0), 1, 1), serverError(0));
+        assertThat(mReceivers.get(1)).isNotEqualTo(mReceivers.get(0));
+        answer(1, ResultCode.OK);
+        assertEnded(caller, ResultCode.OK);
+        assertThat(caller.values().get(0).status()).isEqualTo(200);
+    }
+
+    /** Guards against a request that is not safe to repeat running again after it failed. */
+    @Test
+    void deliversServerErrorsOfUnsafeRequests() {
+        TestObserver<InvokeResult> caller = submit(unsafe().build());
+        mCoordinator.onInvokeResult(session(mReceivers.get(0), 1, 1), serverError(0));
+        assertThat(caller.values()).extracting(InvokeResult::status).containsExactly(500);
+        assertThat(mSent).hasSize(1);
+    }
+
     /** Guards against retries beyond the budget. */
     @Test
     void retriesRefusedRequestsWithinTheBudget() {
