--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/DecisionFields.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/DecisionFields.java
@@ -18,6 +18,7 @@
     private static final int SAVE_CHECKPOINT = 6;
     private static final int END_ATTEMPT = 7;
     private static final int END_TASK = 8;
+    private static final int FORGET = 9;
 
     private final TaskFields mTasks = new TaskFields();
 
@@ -51,6 +52,8 @@
         } else if (decision instanceof ShardDecision.EndTask end) {
             writer.number(END_TASK).text(end.task().value());
             mTasks.ending(writer, end.ending());
+        } else if (decision instanceof ShardDecision.Forget forget) {
+            writer.number(FORGET).text(forget.task().value());
         }
     }
 
@@ -86,6 +89,7 @@
                             reader.optional(() -> mTasks.checkpoint(reader)),
                             reader.number());
             case END_TASK -> new ShardDecision.EndTask(task(reader), mTasks.ending(reader));
+            case FORGET -> new ShardDecision.Forget(task(reader));
             default -> throw new IllegalArgumentException("type of decision is unknown: " + type);
         };
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/DecisionPlanner.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/DecisionPlanner.java
@@ -54,7 +54,8 @@
                                         worker,
                                         mSettings.serviceReplacementMs(),
                                         now.ownedSinceMs(),
-                                        now.monotonicMs()))
+                                        now.monotonicMs()),
+                        mSettings.endedRetentionMs())
                 .decisions(now.wallMs());
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ManifestReconciler.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ManifestReconciler.java
@@ -20,6 +20,7 @@
     private final ShardManifest mManifest;
     private final AttemptTracker mTracker;
     private final Predicate<WorkerId> mUnreachable;
+    private final long mEndedRetentionMs;
     private final Set<TaskId> mWanted = new HashSet<>();
     private final List<ShardDecision> mDecisions = new ArrayList<>();
 
@@ -27,11 +28,13 @@
             ShardState state,
             ShardManifest manifest,
             AttemptTracker tracker,
-            Predicate<WorkerId> unreachable) {
+            Predicate<WorkerId> unreachable,
+            long endedRetentionMs) {
         mState = state;
         mManifest = manifest;
         mTracker = tracker;
         mUnreachable = unreachable;
+        mEndedRetentionMs = endedRetentionMs;
     }
 
     /**
@@ -55,6 +58,9 @@
             }
         }
         mState.tasks().forEach(task -> cancelUnwanted(task, wallMs));
+        mState.endedBefore(wallMs - mEndedRetentionMs)
+                .filter(task -> !mWanted.contains(task))
+                .forEach(task -> mDecisions.add(new ShardDecision.Forget(task)));
         return mDecisions;
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/OwnerSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/OwnerSettings.java
@@ -14,6 +14,7 @@
  * @param snapshotDecisions decisions after which a snapshot is appended
  * @param retentionMs retention of the log; a snapshot is appended at half of it
  * @param checkpointIntervalMs interval of checkpoints of running tasks
+ * @param endedRetentionMs time after which a task that has ended and left the manifest is forgotten
  * @param serviceReplacementMs time that the worker of a service instance may be unreachable before
  *     the instance is replaced
  */
@@ -27,8 +28,12 @@
         long snapshotDecisions,
         long retentionMs,
         long checkpointIntervalMs,
+        long endedRetentionMs,
         long serviceReplacementMs) {
-    /** Settings of the design page; 500 decisions of about 200 bytes stay well below 1 MiB. */
+    /**
+     * Settings of the design page; 500 decisions of about 200 bytes stay well below 1 MiB. Without
+     * an end of the retention of ended tasks, snapshots would grow without bound.
+     */
     public static final OwnerSettings DEFAULT =
             new OwnerSettings(
                     LeaseSettings.DEFAULT,
@@ -40,5 +45,6 @@
                     5_000,
                     24 * 3_600_000L,
                     60_000,
+                    3 * 24 * 3_600_000L,
                     5_000);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardDecision.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardDecision.java
@@ -50,6 +50,9 @@
     /** Ends a task that has no attempt. */
     record EndTask(TaskId task, TaskEnding ending) implements ShardDecision {}
 
+    /** Forgets that a task has ended. */
+    record Forget(TaskId task) implements ShardDecision {}
+
     /** Creates the ending of a task that did not succeed. */
     static EndTask end(
             TaskId task, TaskEnding.Outcome outcome, ResultCode code, String reason, long nowMs) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardState.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardState.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
 import org.hickorycleat.model.identifier.ConfigurationVersion;
 import org.hickorycleat.model.identifier.TaskId;
 import org.hickorycleat.model.result.ResultCode;
@@ -66,6 +67,13 @@
         return mEnded.size();
     }
 
+    /** Returns batch tasks that ended before a time, in order of their end. */
+    Stream<TaskId> endedBefore(long wallMs) {
+        return mEnded.entrySet().stream()
+                .takeWhile(entry -> entry.getValue().endedMs() < wallMs)
+                .map(Map.Entry::getKey);
+    }
+
     List<EndedTask> ended() {
         return mEnded.entrySet().stream()
                 .map(entry -> new EndedTask(entry.getKey(), entry.getValue()))
@@ -104,6 +112,9 @@
         if (decision instanceof ShardDecision.EndAttempt end) {
             return endAttempt(end);
         }
+        if (decision instanceof ShardDecision.Forget forget) {
+            return mEnded.remove(forget.task()) != null;
+        }
         return endTask((ShardDecision.EndTask) decision);
     }
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardOwnerTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardOwnerTest.java
@@ -118,6 +118,61 @@
         assertThat(simulation.mRecorder.violations()).isEmpty();
     }
 
+    /** Guards against a shard that stands still for more than 5 s after its owner was lost. */
+    @Test
+    void workStartsWithinFiveSecondsOfTheLossOfTheOwner() {
+        ShardSimulation simulation = new ShardSimulation(7);
+        simulation.addJob(0, 600);
+        simulation.advance(5_000);
+        simulation.actingProcess().mPaused = true;
+        TaskId job = simulation.addJob(1, 600);
+
+        simulation.advance(5_000);
+
+        assertThat(simulation.mRecorder.isRunning(job)).isTrue();
+    }
+
+    /** Guards against snapshots that grow with every job that was ever run. */
+    @Test
+    void endedJobsAreForgottenOnlyAfterTheyLeftTheManifest() {
+        ShardSimulation simulation = new ShardSimulation(8);
+        TaskId kept = simulation.addJob(0, 1);
+        TaskId removed = simulation.addJob(1, 1);
+        simulation.advance(10_000);
+        simulation.cancelJob(removed);
+
+        simulation.advance(5_000);
+        assertThat(simulation.mLog.replay().state().ending(removed)).isPresent();
+        simulation.advance(3_600_000);
+
+        assertThat(simulation.mLog.replay().state().ending(removed)).isEmpty();
+        assertThat(simulation.mLog.replay().state().ending(kept)).isPresent();
+    }
+
+    /** Guards against a replaced owner without log that renews what its successor waits out. */
+    @Test
+    void replacedOwnerWithoutLogCannotRenewAfterTheFence() {
+        ShardSimulation simulation = new ShardSimulation(9);
+        TaskId job = simulation.addJob(0, 600);
+        simulation.advance(5_000);
+        SimulatedOwner old = simulation.actingProcess();
+        SimulatedAgent agent = simulation.agentOf(old.owner().explain(job));
+        old.mLogCut = true;
+        simulation.advance(6_000);
+        SimulatedOwner successor =
+                simulation.mOwners.stream().filter(o -> o != old).findAny().orElseThrow();
+        assertThat(successor.owner().dump().fencedAgents()).isEqualTo(3);
+
+        agent.cut(successor);
+        agent.cut(old);
+        agent.restore(old);
+        simulation.advance(15_000);
+
+        assertThat(old.owner().dump().acting()).isTrue();
+        assertThat(successor.owner().explain(job).record().get().lastAttempt()).isEqualTo(2);
+        assertThat(simulation.mRecorder.violations()).isEmpty();
+    }
+
     private static boolean succeeded(ShardSimulation simulation, TaskId job) {
         return simulation
                 .mLog
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardSimulation.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardSimulation.java
@@ -28,7 +28,17 @@
     static final LeaseSettings LEASES = new LeaseSettings(10_000, 3_000, 500, 60_000);
     static final OwnerSettings SETTINGS =
             new OwnerSettings(
-                    LEASES, 3_000, 1_000, 50, 2_000, 100, 25, 24 * 3_600_000L, 5_000, 5_000);
+                    LEASES,
+                    3_000,
+                    1_000,
+                    50,
+                    2_000,
+                    100,
+                    25,
+                    24 * 3_600_000L,
+                    5_000,
+                    3_600_000,
+                    5_000);
     private static final Resources UNIT = new Resources(1_000, 1_000, 0);
 
     final TestScheduler mScheduler = new TestScheduler();
@@ -143,6 +153,11 @@
                 .orElseThrow();
     }
 
+    SimulatedAgent agentOf(TaskExplanation task) {
+        String worker = task.record().get().attempt().get().worker().value();
+        return mAgents.get(Integer.parseInt(worker.substring("worker-".length())));
+    }
+
     private void publish() {
         mVersion++;
         ShardManifest manifest =
