--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ManifestReconciler.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ManifestReconciler.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.hickorycleat.model.identifier.InstanceNumber;
 import org.hickorycleat.model.identifier.TaskId;
 import org.hickorycleat.model.identifier.WorkerId;
@@ -50,7 +51,7 @@
             mDecisions.add(new ShardDecision.AdoptManifest(mManifest.version()));
         }
         for (JobSpecification job : mManifest.jobs()) {
-            want(job(job), wallMs);
+            want(identity(job), () -> job(job), wallMs);
         }
         for (ServiceDemand demand : mManifest.services()) {
             for (int instance = 0; instance < demand.service().instances(); instance++) {
@@ -69,11 +70,10 @@
         return new TaskId(job.name() + "#" + job.run());
     }
 
-    private void want(TaskSpecification specification, long wallMs) {
-        TaskId task = specification.task();
+    private void want(TaskId task, Supplier<TaskSpecification> specification, long wallMs) {
         mWanted.add(task);
         if (mState.task(task).isEmpty() && mState.ending(task).isEmpty()) {
-            mDecisions.add(new ShardDecision.Submit(specification, wallMs));
+            mDecisions.add(new ShardDecision.Submit(specification.get(), wallMs));
         }
     }
 
@@ -85,7 +85,8 @@
                 mState.task(new ServiceTask(instance, generation).task())
                         .filter(task -> !hasEnded(task));
         if (current.isEmpty() || isLost(current.get())) {
-            want(instance(demand, new ServiceTask(instance, generation + 1)), wallMs);
+            ServiceTask next = new ServiceTask(instance, generation + 1);
+            want(next.task(), () -> instance(demand, next), wallMs);
             current.ifPresent(task -> mWanted.add(task.task()));
             return;
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardOwner.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardOwner.java
@@ -49,7 +49,7 @@
     private List<OwnerEffect> mEffects = new ArrayList<>();
     private long mOwnedSinceMs;
     private long mFencesSentMs;
-    private long mPlannedMs;
+    private long mPlannedMs = Long.MIN_VALUE / 2;
     private boolean mChanged;
     private boolean mSkipped;
     private boolean mDraining;
@@ -86,7 +86,7 @@
     public List<OwnerEffect> onEvent(ShardEvent event) {
         mEffects = new ArrayList<>();
         handle(event);
-        mChanged |= !(event instanceof ShardEvent.Tick);
+        mChanged |= isNews(event);
         advance();
         return List.copyOf(mEffects);
     }
@@ -147,6 +147,18 @@
                 .orElse("pending after " + task.get().lastAttempt() + " attempts");
     }
 
+    /** Planning reads every task, so what arrives all the time waits for the next interval. */
+    private static boolean isNews(ShardEvent event) {
+        if (event instanceof ShardEvent.LogRead read) {
+            return !read.page().records().isEmpty();
+        }
+        if (event instanceof ShardEvent.MessageReceived received) {
+            return received.message() instanceof TaskReport report
+                    && AttemptTracker.isEnd(report.state());
+        }
+        return !(event instanceof ShardEvent.Tick || event instanceof ShardEvent.WorkerReported);
+    }
+
     private void handle(ShardEvent event) {
         if (event instanceof ShardEvent.LogRead read) {
             logRead(read);
@@ -362,8 +374,10 @@
         }
     }
 
+    /** Many events arrive between two batches; planning costs time for every task of the shard. */
     private boolean planDue(long nowMs) {
-        return mChanged || nowMs - mPlannedMs >= PLAN_INTERVAL_MS;
+        long intervalMs = mChanged ? mSettings.batchIntervalMs() : PLAN_INTERVAL_MS;
+        return nowMs - mPlannedMs >= intervalMs;
     }
 
     private DecisionPlanner.Moment moment() {
