--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ManifestReconciler.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ManifestReconciler.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.hickorycleat.model.identifier.InstanceNumber;
 import org.hickorycleat.model.identifier.TaskId;
 import org.hickorycleat.model.identifier.WorkerId;
@@ -20,6 +21,7 @@
     private final ShardManifest mManifest;
     private final AttemptTracker mTracker;
     private final Predicate<WorkerId> mUnreachable;
+    private final long mEndedRetentionMs;
     private final Set<TaskId> mWanted = new HashSet<>();
     private final List<ShardDecision> mDecisions = new ArrayList<>();
 
@@ -27,11 +29,13 @@
             ShardState state,
             ShardManifest manifest,
             AttemptTracker tracker,
-            Predicate<WorkerId> unreachable) {
+            Predicate<WorkerId> unreachable,
+            long endedRetentionMs) {
         mState = state;
         mManifest = manifest;
         mTracker = tracker;
         mUnreachable = unreachable;
+        mEndedRetentionMs = endedRetentionMs;
     }
 
     /**
@@ -47,7 +51,7 @@
             mDecisions.add(new ShardDecision.AdoptManifest(mManifest.version()));
         }
         for (JobSpecification job : mManifest.jobs()) {
-            want(job(job), wallMs);
+            want(identity(job), () -> job(job), wallMs);
         }
         for (ServiceDemand demand : mManifest.services()) {
             for (int instance = 0; instance < demand.service().instances(); instance++) {
@@ -55,6 +59,9 @@
             }
         }
         mState.tasks().forEach(task -> cancelUnwanted(task, wallMs));
+        mState.endedBefore(wallMs - mEndedRetentionMs)
+                .filter(task -> !mWanted.contains(task))
+                .forEach(task -> mDecisions.add(new ShardDecision.Forget(task)));
         return mDecisions;
     }
 
@@ -63,11 +70,10 @@
         return new TaskId(job.name() + "#" + job.run());
     }
 
-    private void want(TaskSpecification specification, long wallMs) {
-        TaskId task = specification.task();
+    private void want(TaskId task, Supplier<TaskSpecification> specification, long wallMs) {
         mWanted.add(task);
         if (mState.task(task).isEmpty() && mState.ending(task).isEmpty()) {
-            mDecisions.add(new ShardDecision.Submit(specification, wallMs));
+            mDecisions.add(new ShardDecision.Submit(specification.get(), wallMs));
         }
     }
 
@@ -79,7 +85,8 @@
                 mState.task(new ServiceTask(instance, generation).task())
                         .filter(task -> !hasEnded(task));
         if (current.isEmpty() || isLost(current.get())) {
-            want(instance(demand, new ServiceTask(instance, generation + 1)), wallMs);
+            ServiceTask next = new ServiceTask(instance, generation + 1);
+            want(next.task(), () -> instance(demand, next), wallMs);
             current.ifPresent(task -> mWanted.add(task.task()));
             return;
         }
