Order batch work by apparent tardiness cost and read long queues in slices

Ordering a queue of 18,000 in one call took 15 to 30 ms and 7 to 10% of a core at 190 starts a second; each call now reads at most 1,000 tasks.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/PriorityRules.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/PriorityRules.java
@@ -5,8 +5,6 @@
     /** Above every slack ratio of a job that can still be on time. */
     private static final double LATE = 1e12;
 
-    private static final double TYPICAL_RUN_MS = 1_800_000;
-
     /** First come, first served. */
     public static final PriorityRule FIRST_COME_FIRST_SERVED = (job, nowMs) -> job.submittedMs();
 
@@ -43,11 +41,15 @@
                     Math.log((double) job.remainingMs() * Math.max(1, job.processorsMilli()))
                             + Math.max(0, DEADLINE_RISK.key(job, nowMs));
 
-    /** Apparent tardiness cost: like {@link #RISK_AND_SIZE}, with slack over a typical run time. */
-    public static final PriorityRule APPARENT_TARDINESS_COST =
-            (job, nowMs) ->
-                    Math.log((double) job.remainingMs() * Math.max(1, job.processorsMilli()))
-                            + (double) Math.max(0, job.slackMs(nowMs)) / TYPICAL_RUN_MS;
+    /** Apparent tardiness cost with the run time that the measurement supports. */
+    public static final PriorityRule APPARENT_TARDINESS_COST = apparentTardinessCost(1_800_000);
 
     private PriorityRules() {}
+
+    /** Returns a rule like {@link #RISK_AND_SIZE} with slack over one run time for all jobs. */
+    public static PriorityRule apparentTardinessCost(long slackUnitMs) {
+        return (job, nowMs) ->
+                Math.log((double) job.remainingMs() * Math.max(1, job.processorsMilli()))
+                        + (double) Math.max(0, job.slackMs(nowMs)) / slackUnitMs;
+    }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/BatchQueue.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/BatchQueue.java
@@ -1,7 +1,9 @@
 package org.hickorycleat.logic.placement;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.Iterator;
 import java.util.List;
 import java.util.PriorityQueue;
 import org.hickorycleat.logic.batch.BatchJob;
@@ -21,7 +23,8 @@
     private final RunTimeEstimator mEstimator;
     private final PlacementSettings mSettings;
     private List<Entry> mOrdered = List.of();
-    private long mOrderedMs = Long.MIN_VALUE / 2;
+    private Iterator<PendingTask> mUnread = Collections.emptyIterator();
+    private PriorityQueue<Entry> mBest = emptyBest();
 
     BatchQueue(PriorityRule rule, RunTimeEstimator estimator, PlacementSettings settings) {
         mRule = rule;
@@ -36,36 +39,45 @@
         }
     }
 
-    /** Returns the first tasks in order; those that no longer wait must be passed over. */
+    /**
+     * Returns the first tasks in order; those that no longer wait must be passed over. A long queue
+     * is read in slices, one a call, so that no call takes long.
+     */
     List<Entry> first(IndexedPlacementView view, long nowMs) {
-        int length = view.pendingBatch().size();
-        if (length > mSettings.reorderAlways() && nowMs < mOrderedMs + mSettings.reorderMs()) {
-            return mOrdered;
+        boolean whole = view.pendingBatch().size() <= mSettings.orderSlice();
+        if (whole || !mUnread.hasNext()) {
+            mUnread = new ArrayList<>(view.pendingBatch()).iterator();
+            mBest = emptyBest();
+        }
+        readSlice(nowMs);
+        if (!mUnread.hasNext()) {
+            mOrdered = new ArrayList<>(mBest);
+            mOrdered.sort(ORDER);
         }
-        mOrderedMs = nowMs;
-        mOrdered = order(view, nowMs);
         return mOrdered;
     }
 
-    /** Orders anew in the next call, because all that was ordered has been started. */
+    /** Offers what has been read so far, because all that was ordered has been started. */
     void exhausted() {
-        mOrderedMs = Long.MIN_VALUE / 2;
+        mOrdered = new ArrayList<>(mBest);
+        mOrdered.sort(ORDER);
     }
 
-    private List<Entry> order(IndexedPlacementView view, long nowMs) {
-        PriorityQueue<Entry> last = new PriorityQueue<>(ORDER.reversed());
-        for (PendingTask task : view.pendingBatch()) {
+    private void readSlice(long nowMs) {
+        for (int i = 0; i < mSettings.orderSlice() && mUnread.hasNext(); i++) {
+            PendingTask task = mUnread.next();
             if (task.specification().releaseMs() > nowMs) {
                 continue;
             }
-            last.add(entry(task, nowMs));
-            if (last.size() > mSettings.backfillDepth()) {
-                last.poll();
+            mBest.add(entry(task, nowMs));
+            if (mBest.size() > mSettings.backfillDepth()) {
+                mBest.poll();
             }
         }
-        List<Entry> ordered = new ArrayList<>(last);
-        ordered.sort(ORDER);
-        return ordered;
+    }
+
+    private static PriorityQueue<Entry> emptyBest() {
+        return new PriorityQueue<>(ORDER.reversed());
     }
 
     private Entry entry(PendingTask task, long nowMs) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/DefaultPlacementPolicy.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/DefaultPlacementPolicy.java
@@ -18,7 +18,7 @@
 
 /**
  * The default policy: instances of services and urgent work first, with eviction, then batch work
- * by deadline risk with gap filling.
+ * by deadline risk weighed against size, with gap filling.
  *
  * <p>The view of each call must contain the effects of all earlier decisions that still stand: a
  * started task is placed, an evicted one is stopping. At most one thread may call.
@@ -95,9 +95,10 @@
             if (round.starts() >= mSettings.maximumStarts()) {
                 return;
             }
-            TaskSpecification specification = entry.task().specification();
-            boolean waits = round.view().pending(specification.task()).isPresent();
-            if (waits && !rejected(round, specification) && !placer.place(entry.task())) {
+            Optional<PendingTask> task = round.view().pending(entry.task().specification().task());
+            if (task.isPresent()
+                    && !rejected(round, task.get().specification())
+                    && !placer.place(task.get())) {
                 waiting++;
             }
         }
@@ -132,7 +133,7 @@
         private PlacementSettings mSettings = PlacementSettings.DEFAULT;
         private RunTimeEstimator mEstimator = RunTimeEstimator.DECLARED;
         private PlacementConstraint mConstraint = PlacementConstraint.NONE;
-        private PriorityRule mPriorityRule = PriorityRules.DEADLINE_RISK;
+        private PriorityRule mPriorityRule = PriorityRules.APPARENT_TARDINESS_COST;
         private GapRule mGapRule = GapRules.BEST_FIT;
 
         private Builder() {}
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementSettings.java
@@ -6,8 +6,8 @@
  * @param maximumStarts starts in one call; bounds the time of a call in a burst
  * @param maximumEvictionPlans urgent tasks for which one call may plan evictions
  * @param backfillDepth batch tasks that are considered behind the head in one call
- * @param reorderMs time between orderings of a queue too long to order in each call
- * @param reorderAlways length up to which the queue is ordered in each call
+ * @param orderSlice waiting batch tasks that one call reads to order them; reading a queue of
+ *     18,000 in one call took 15 to 30 ms
  * @param fleetSettleMs time after the first call before a task is rejected as never runnable; an
  *     agent counts as gone after 10 s, so by then every live worker has reported
  * @param reserveAfterMs time that a batch task waits before it may have room reserved
@@ -18,8 +18,7 @@
         int maximumStarts,
         int maximumEvictionPlans,
         int backfillDepth,
-        long reorderMs,
-        int reorderAlways,
+        int orderSlice,
         long fleetSettleMs,
         long reserveAfterMs,
         long urgentWaitMs) {
@@ -29,8 +28,7 @@
                 maximumStarts,
                 maximumEvictionPlans,
                 backfillDepth,
-                reorderMs,
-                reorderAlways,
+                orderSlice,
                 fleetSettleMs,
                 newReserveAfterMs,
                 urgentWaitMs);
@@ -38,5 +36,5 @@
 
     /** The default limits. */
     public static final PlacementSettings DEFAULT =
-            new PlacementSettings(200, 16, 512, 250, 1_000, 10_000, 600_000, 4_000);
+            new PlacementSettings(200, 16, 512, 1_000, 10_000, 600_000, 4_000);
 }
