Sharpen the tests of fences, key times and cancellation races

Removing the acknowledged floor, the margin of the key times or the lock of a cancellation went unnoticed before: the late request was queued behind another one, the times came from the code under test, and the Lincheck scenarios rarely raced a start with a cancellation.

--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/InvocationServiceTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/InvocationServiceTest.java
@@ -25,6 +25,10 @@
 class InvocationServiceTest {
     private static final SessionNumber SESSION = new SessionNumber(1);
 
+    // Validity of 60 s plus 5 s to launch and 10 s on the way.
+    private static final long KEYS_TRUSTED_MS = 75_000;
+    private static final long KEYS_KEPT_MS = 120_000;
+
     private final TestScheduler mScheduler = new TestScheduler();
     private final List<Invoke> mExchanges = new ArrayList<>();
     private final List<SingleSubject<TargetAnswer>> mAnswers = new ArrayList<>();
@@ -77,7 +81,7 @@
     }
 
     private void trustKeys() {
-        advance(KeyValidity.STANDARD.uncertainty().toMillis());
+        advance(KEYS_TRUSTED_MS);
     }
 
     private void advance(long ms) {
@@ -194,6 +198,7 @@
     void startsNothingBelowTheAcknowledgedCounter() {
         invoke(TestInvokes.acknowledging(20, 20));
         mService.acknowledge(TestInvokes.ENTRY, TestInvokes.INCARNATION, 20);
+        answer(0);
         invoke(TestInvokes.invoke(5));
         CancelResult settled = mService.cancel(TestInvokes.request(6));
         assertThat(executed()).containsExactly(20L);
@@ -242,7 +247,7 @@
         trustKeys();
         invoke(TestInvokes.keyed(1, "key", "body"));
         mAnswers.get(0).onError(new IllegalStateException("reset"));
-        advance(KeyValidity.STANDARD.retention().toMillis() - 1);
+        advance(KEYS_KEPT_MS - 1);
         invoke(TestInvokes.keyed(2, "key", "body"));
         assertThat(codes()).containsExactly(ResultCode.TARGET_FAILED, ResultCode.OUTCOME_UNKNOWN);
         advance(1);
@@ -263,7 +268,7 @@
     /** Guards against a copy that arrives as late as possible at a restarted agent. */
     @Test
     void refusesKeysUntilNoRecordCanBeMissing() {
-        advance(KeyValidity.STANDARD.uncertainty().toMillis() - 1);
+        advance(KEYS_TRUSTED_MS - 1);
         invoke(TestInvokes.keyed(1, "key", "body"));
         advance(1);
         invoke(TestInvokes.keyed(2, "key", "body"));
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/RequestRecordsLincheckTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/RequestRecordsLincheckTest.java
@@ -2,71 +2,84 @@
 
 import java.util.Optional;
 import org.hickorycleat.model.identifier.SessionNumber;
-import org.hickorycleat.model.result.ResultCode;
+import org.hickorycleat.model.message.Invoke;
 import org.jetbrains.lincheck.datastructures.ModelCheckingOptions;
 import org.jetbrains.lincheck.datastructures.Operation;
 import org.junit.jupiter.api.Test;
 
-/** Guards against a request that starts although its cancellation or fence said that it did not. */
+/** Guards against a request that starts although its cancellation said that it did not. */
 public class RequestRecordsLincheckTest {
     private final RequestRecords mRecords =
             new RequestRecords(2, new RetainedBytes(Long.MAX_VALUE));
-    private final Execution mExecution = new Execution(TestInvokes.invoke(1), 1_000, 1);
-    private final Waiter mWaiter =
-            new Waiter(
-                    new SessionNumber(1), TestInvokes.invoke(1), 1_000, mExecution, result -> {});
+    private final Waiter mRegistered = waiter(1);
+    private final Waiter mArriving = waiter(2);
 
-    /** Opens the first session. */
+    /** Opens the first session and registers one request. */
     public RequestRecordsLincheckTest() {
         open(1);
+        register(mRegistered);
     }
 
-    /** Registers the request that the first session brought. */
+    /** Registers the request that arrives meanwhile. */
     @Operation
     public String register() {
-        return mRecords.register(mWaiter, 0).name();
+        return register(mArriving);
     }
 
-    /** Starts the execution, as a free slot does. */
+    /** Starts the registered request, as a free slot does. */
     @Operation
-    public boolean start() {
-        return mExecution.start(0).isPresent();
+    public boolean startRegistered() {
+        return mRegistered.execution().start(0).isPresent();
     }
 
-    /** Cancels the request. */
+    /** Starts the arriving request. */
     @Operation
-    public String cancel() {
-        return mRecords.cancel(mWaiter.request(), Optional.empty(), Long.MAX_VALUE)
-                .getClass()
-                .getSimpleName();
+    public boolean startArriving() {
+        return mArriving.execution().start(0).isPresent();
     }
 
-    /** Opens the second session. */
+    /** Cancels the registered request. */
     @Operation
-    public int fence() {
-        return open(2);
+    public String cancelRegistered() {
+        return cancel(mRegistered);
     }
 
-    /** Ends the execution. */
+    /** Cancels the arriving request. */
     @Operation
-    public boolean end() {
-        Answer answer = Answer.of(ResultCode.OK);
-        return mRecords.end(mWaiter, answer, Long.MAX_VALUE).isPresent();
+    public String cancelArriving() {
+        return cancel(mArriving);
+    }
+
+    private static Waiter waiter(long counter) {
+        Invoke invoke = TestInvokes.invoke(counter);
+        Execution execution = new Execution(invoke, 1_000, counter);
+        return new Waiter(new SessionNumber(1), invoke, 1_000, execution, result -> {});
+    }
+
+    private String register(Waiter waiter) {
+        return mRecords.register(waiter, 0).name();
+    }
+
+    private String cancel(Waiter waiter) {
+        return mRecords.cancel(waiter.request(), Optional.empty(), Long.MAX_VALUE)
+                .getClass()
+                .getSimpleName();
     }
 
-    private int open(long session) {
-        return mRecords.openSession(
-                        TestInvokes.ENTRY, TestInvokes.INCARNATION, new SessionNumber(session))
-                .size();
+    private void open(long session) {
+        mRecords.openSession(
+                TestInvokes.ENTRY, TestInvokes.INCARNATION, new SessionNumber(session));
     }
 
     @Test
     void theStepsOfOneRequestAreLinearizable() {
         new ModelCheckingOptions()
-                .iterations(4)
+                .iterations(6)
                 .invocationsPerIteration(50)
                 .threads(2)
-                .actorsPerThread(3)
+                .actorsPerThread(2)
+                .actorsBefore(0)
+                .actorsAfter(0)
                 .check(RequestRecordsLincheckTest.class);
     }
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestCoordinatorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestCoordinatorTest.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.hickorycleat.logic.admission.Admission;
-import org.hickorycleat.logic.invocation.KeyValidity;
 import org.hickorycleat.logic.routing.TargetAddress;
 import org.hickorycleat.logic.routing.TargetReservation;
 import org.hickorycleat.model.identifier.ConfigurationVersion;
@@ -306,7 +305,7 @@
         assertEnded(submit(keyed("key")), ResultCode.MAPPING_CHANGED);
         CallerRequest current =
                 unsafe().mappingVersion(next).idempotencyKey(new IdempotencyKey("key")).build();
-        advance(KeyValidity.STANDARD.mappingWindow().toMillis() - 1);
+        advance(78_000 - 1);
         assertEnded(submit(current), ResultCode.MAPPING_CHANGED);
         advance(1);
         TestObserver<InvokeResult> caller = submit(current);
@@ -324,7 +323,7 @@
                                 .remainingMs(Duration.ofSeconds(60).toMillis())
                                 .build());
         LinkSession next = session(AGENTS.get(0), 1, 2);
-        advance(KeyValidity.STANDARD.launch().toMillis() + 1);
+        advance(5_000 + 1);
         mCoordinator.onLinkOpened(next);
         cancelled(next, CancelState.NOT_RUN);
         assertEnded(caller, ResultCode.NO_TARGET);
