Replace the test of the key mapping by version

Cause: refusesKeysByAnotherMapping changed the version but not the instances and expected a refusal. The mapping depends on the instances alone and is now compared by them, so that test was wrong after the change. It now changes the instances and expects the same refusal; a second test holds that the same instances refuse nothing. Ruled out: keeping the comparison by version, since processes that skipped manifests disagree on it for ever.

--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/InvocationServiceTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/InvocationServiceTest.java
@@ -280,12 +280,29 @@
     @Test
     void refusesKeysByAnotherMapping() {
         trustKeys();
-        mService.configure(configuration(1, 2, 8, 1));
+        mService.configure(configuration(1, 2, 8, 2));
         invoke(TestInvokes.keyed(1, "key", "body"));
         assertThat(codes()).containsExactly(ResultCode.MAPPING_CHANGED);
         assertThat(executed()).isEmpty();
     }
 
+    /** Guards against a manifest that leaves the service alone and yet refuses its keys. */
+    @Test
+    void servesKeysAfterAChangeThatKeepsTheInstances() {
+        trustKeys();
+        mService.configure(configuration(1, 2, 8, 1));
+        invoke(TestInvokes.keyed(1, "key", "body"));
+        assertThat(executed()).containsExactly(1L);
+    }
+
+    /** Guards against keys being refused by an agent whose instance nobody served before. */
+    @Test
+    void servesKeysAtOnceWhenTheirMemoryIsTrusted() {
+        mService.trustKeyMemory(TestInvokes.SERVICE, new InstanceNumber(0));
+        invoke(TestInvokes.keyed(1, "key", "body"));
+        assertThat(executed()).containsExactly(1L);
+    }
+
     /** Guards against old records being dropped for new ones when the memory is full. */
     @Test
     void refusesNewKeysWhenTheRecordsAreFull() {
