--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/InvocationServiceTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/InvocationServiceTest.java
@@ -288,7 +288,7 @@
 
     /** Guards against a manifest that leaves the service alone and yet refuses its keys. */
     @Test
-    void servesKeysAfterAChangeThatKeepsTheInstances() {
+    void servesKeysAfterChangesThatKeepTheInstances() {
         trustKeys();
         mService.configure(configuration(1, 2, 8, 1));
         invoke(TestInvokes.keyed(1, "key", "body"));
