Restore the size of the Lincheck scenarios that finds missing locks

With 6 iterations of 2 operations a thread, the test passed without the lock of Execution.depart or of the cancellation.

--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/RequestRecordsLincheckTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/RequestRecordsLincheckTest.java
@@ -74,12 +74,12 @@
     @Test
     void theStepsOfOneRequestAreLinearizable() {
         new ModelCheckingOptions()
-                .iterations(6)
-                .invocationsPerIteration(50)
+                .iterations(10)
+                .invocationsPerIteration(60)
                 .threads(2)
-                .actorsPerThread(2)
+                .actorsPerThread(3)
                 .actorsBefore(0)
-                .actorsAfter(0)
+                .actorsAfter(1)
                 .check(RequestRecordsLincheckTest.class);
     }
 }
