--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/PublishCommand.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/PublishCommand.java
@@ -67,7 +67,7 @@
 
     @Override
     public String summary() {
-        return "Publishes a manifest and reports the version under which it was accepted";
+        return "Publishes a manifest and reports its version";
     }
 
     @Override
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/SnapshotClock.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/SnapshotClock.java
@@ -31,9 +31,9 @@
             return false;
         }
         long now = mScheduler.now(TimeUnit.MILLISECONDS);
-        if (history.lastCopyOffset() != mCopyOffset) {
+        if (history.lastSnapshotOffset() != mCopyOffset) {
             boolean isFirstLook = mCopyOffset == Long.MIN_VALUE;
-            mCopyOffset = history.lastCopyOffset();
+            mCopyOffset = history.lastSnapshotOffset();
             mDueAtMs = now + (isFirstLook ? startDelayMs() : ageMs());
         }
         return now >= mDueAtMs || history.nextOffset() - mCopyOffset > mPolicy.maximumRecords();
