--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/entry/CallerHttpTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/entry/CallerHttpTest.java
@@ -135,7 +135,7 @@
 
     /** Guards against a slot that stays taken by a caller that has gone away. */
     @Test
-    void cancelsTheRequestOfACallerThatWentAway() throws Exception {
+    void cancelsTheRequestOfCallersThatWentAway() throws Exception {
         mAnswersAtOnce = false;
         try (Socket socket = new Socket(mAddress.getAddress(), mAddress.getPort())) {
             socket.getOutputStream()
