--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementSettings.java
@@ -36,5 +36,5 @@
 
     /** The default limits. */
     public static final PlacementSettings DEFAULT =
-            new PlacementSettings(200, 16, 512, 1_000, 10_000, 600_000, 4_000);
+            new PlacementSettings(200, 16, 512, 500, 10_000, 600_000, 4_000);
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/quarantine/WorkerQuarantineTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/quarantine/WorkerQuarantineTest.java
@@ -53,6 +53,18 @@
         assertThat(mQuarantine.quarantined()).isEmpty();
     }
 
+    /** Guards against quarantining the fleet because a job that used to succeed is broken now. */
+    @Test
+    void blamesTheJobThatBreaksAfterItSucceeded() {
+        end("changed", 0, healthy(9), false, 0);
+        for (int run = 1; run < 20; run++) {
+            for (int worker = 0; worker < 3; worker++) {
+                end("changed", run, healthy(worker), true, run);
+            }
+        }
+        assertThat(mQuarantine.quarantined()).isEmpty();
+    }
+
     /** Guards against a bad worker that hides behind a fleet that runs a single job. */
     @Test
     void quarantinesTheWorkerThatFailsAloneOnTheOnlyJob() {
