Keep the admission tests at 0.1 queued requests per slot

The bound of 1.1 times the slots is the slots plus the queue allowed at the former default of 0.1. The test fake has no network delay, the reason for the higher default, so it now sets 0.1 itself; scenario and bounds are the same as before.

--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/admission/AdmissionFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/admission/AdmissionFixture.java
@@ -19,9 +19,13 @@
     static final ServiceName SERVICE = new ServiceName("booking");
     private static final double HOLD_MS = 100;
 
+    /** Requests spend no time on a network here, so that only a short queue is needed. */
+    private static final AdmissionSettings SETTINGS =
+            new AdmissionSettings(AdmissionSettings.DEFAULT.shares(), 0.02, 0.1, 16, 100, 30_000);
+
     final TestScheduler mScheduler = new TestScheduler(1_000, MILLISECONDS);
     final FairAdmissionControl mControl =
-            new FairAdmissionControl(this::slots, mScheduler, AdmissionSettings.DEFAULT, 3);
+            new FairAdmissionControl(this::slots, mScheduler, SETTINGS, 3);
     final Map<Source, Tally> mTallies = new HashMap<>();
     private final List<Source> mSources = new ArrayList<>();
     private final SplittableRandom mRandom;
