--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/Publisher.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/Publisher.java
@@ -130,10 +130,12 @@
                 ResultCode.LOG_UNAVAILABLE, exception.getMessage() + "; " + effect);
     }
 
-    private static CommandFailure undecided() {
+    private CommandFailure undecided() {
+        String effect = mWasAppended ? "the manifest may have been published; " : "";
         return new CommandFailure(
                 ResultCode.NO_CONFIGURATION,
-                "the stream no longer holds its start and holds no usable snapshot, so the current"
+                effect
+                        + "the stream no longer holds its start and holds no usable snapshot, so the current"
                         + " version is unknown; start an entry that has peers, or try again"
                         + " after the next snapshot");
     }
