--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/AgentConnections.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/AgentConnections.java
@@ -29,6 +29,7 @@
     private final AgentEvents mEvents;
     private final Map<ProcessId, Peer> mAgents = new ConcurrentHashMap<>();
     private final Map<ProcessId, Peer> mEntries = new ConcurrentHashMap<>();
+    private volatile Optional<Welcome> mLastWelcome = Optional.empty();
 
     AgentConnections(Supplier<Welcome> welcome, AgentEvents events) {
         mWelcome = welcome;
@@ -54,11 +55,23 @@
         mAgents.values().forEach(peer -> peer.connection().send(message));
     }
 
-    /** Sends the list of entries to everybody; keeps idle connections open. */
+    /**
+     * Sends the list of entries to everybody if it has changed, and an empty one otherwise.
+     *
+     * <p>A connection that is silent is closed; the whole list each second would use up most of
+     * what control may cost a node.
+     */
     void sendWelcomes() {
         Welcome welcome = mWelcome.get();
-        mAgents.values().forEach(peer -> peer.connection().send(welcome));
-        mEntries.values().forEach(peer -> peer.connection().send(welcome));
+        boolean changed = !Optional.of(welcome).equals(mLastWelcome);
+        mLastWelcome = Optional.of(welcome);
+        Message message = changed ? welcome : withoutEntries(welcome);
+        mAgents.values().forEach(peer -> peer.connection().send(message));
+        mEntries.values().forEach(peer -> peer.connection().send(message));
+    }
+
+    private static Welcome withoutEntries(Welcome welcome) {
+        return new Welcome(welcome.process(), welcome.incarnation(), welcome.zone(), List.of());
     }
 
     /** Returns the connections for the status of the process. */
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/PeerEntries.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/PeerEntries.java
@@ -3,6 +3,7 @@
 import io.reactivex.rxjava3.core.Scheduler;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -76,6 +77,7 @@
                 .filter(heard -> nowMs - heard.atMs() < LIVE_LIMIT_MS)
                 .flatMap(heard -> heard.address().stream())
                 .forEach(live::add);
+        live.sort(Comparator.comparing(EntryAddress::process));
         return live;
     }
 
