Check admission shares with the default settings

The fixture pins 0.1 queued requests per slot, while the default is 0.25. The flood scenarios now also run with AdmissionSettings.DEFAULT, with the same bounds on refusals and the lower total. The upper total is 88 slots plus 0.25 queued plus 0.1 margin per slot, 118.8.

--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/admission/AdmissionFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/admission/AdmissionFixture.java
@@ -24,14 +24,18 @@
             new AdmissionSettings(AdmissionSettings.DEFAULT.shares(), 0.02, 0.1, 16, 100, 30_000);
 
     final TestScheduler mScheduler = new TestScheduler(1_000, MILLISECONDS);
-    final FairAdmissionControl mControl =
-            new FairAdmissionControl(this::slots, mScheduler, SETTINGS, 3);
+    final FairAdmissionControl mControl;
     final Map<Source, Tally> mTallies = new HashMap<>();
     private final List<Source> mSources = new ArrayList<>();
     private final SplittableRandom mRandom;
     private int mInFlight;
 
     AdmissionFixture(long seed) {
+        this(seed, SETTINGS);
+    }
+
+    AdmissionFixture(long seed, AdmissionSettings settings) {
+        mControl = new FairAdmissionControl(this::slots, mScheduler, settings, 3);
         mRandom = new SplittableRandom(seed);
     }
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/admission/AdmissionPropertiesTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/admission/AdmissionPropertiesTest.java
@@ -29,7 +29,22 @@
     @Property(seed = "21", tries = 12, edgeCases = EdgeCasesMode.NONE)
     void sharesHoldUnderFloodOfEachClass(
             @ForAll Criticality flooding, @ForAll @IntRange(max = 1_000) int seed) {
-        AdmissionFixture fixture = new AdmissionFixture(seed);
+        double total = totalUnderFlood(new AdmissionFixture(seed), flooding);
+        assertThat(total).isBetween(0.95 * SLOTS, 1.1 * SLOTS);
+    }
+
+    /** Guards against the shipped settings losing shares that hold with a shorter queue. */
+    @Property(seed = "21", tries = 12, edgeCases = EdgeCasesMode.NONE)
+    void sharesHoldUnderFloodOfEachClassWithDefaultSettings(
+            @ForAll Criticality flooding, @ForAll @IntRange(max = 1_000) int seed) {
+        AdmissionSettings settings = AdmissionSettings.DEFAULT;
+        double total = totalUnderFlood(new AdmissionFixture(seed, settings), flooding);
+        double maximum = (1 + settings.queuedPerSlot() + 0.1) * SLOTS;
+        assertThat(total).isBetween(0.95 * SLOTS, maximum);
+    }
+
+    /** Checks that other classes are not refused, and returns the mean requests in flight. */
+    private static double totalUnderFlood(AdmissionFixture fixture, Criticality flooding) {
         Map<Criticality, Source> sources = new EnumMap<>(Criticality.class);
         for (Criticality criticality : Criticality.values()) {
             double share = AdmissionSettings.DEFAULT.share(criticality) * SLOTS;
@@ -46,13 +61,26 @@
                         .isLessThan(0.01);
             }
         }
-        assertThat(total).isBetween(0.95 * SLOTS, 1.1 * SLOTS);
+        return total;
     }
 
     /** Guards against a class losing its guarantee when all classes flood. */
     @Property(seed = "22", tries = 3, edgeCases = EdgeCasesMode.NONE)
     void everyClassKeepsItsGuaranteeWhenAllFlood(@ForAll @IntRange(max = 1_000) int seed) {
-        AdmissionFixture fixture = new AdmissionFixture(seed);
+        floodAllClasses(new AdmissionFixture(seed));
+    }
+
+    /** Guards against a class losing its guarantee with the shipped settings. */
+    @Property(seed = "22", tries = 3, edgeCases = EdgeCasesMode.NONE)
+    void everyClassKeepsItsGuaranteeWithDefaultSettings(@ForAll @IntRange(max = 1_000) int seed) {
+        AdmissionSettings settings = AdmissionSettings.DEFAULT;
+        double total = floodAllClasses(new AdmissionFixture(seed, settings));
+        double maximum = (1 + settings.queuedPerSlot() + 0.1) * SLOTS;
+        assertThat(total).isBetween(0.95 * SLOTS, maximum);
+    }
+
+    /** Checks the guarantee of each class, and returns the mean requests in flight. */
+    private static double floodAllClasses(AdmissionFixture fixture) {
         Map<Criticality, Source> sources = new EnumMap<>(Criticality.class);
         for (Criticality criticality : Criticality.values()) {
             sources.put(criticality, fixture.offer(criticality, "any", 3 * SLOTS));
@@ -66,6 +94,9 @@
                                         0.9
                                                 * SLOTS
                                                 * AdmissionSettings.DEFAULT.share(criticality)));
+        return sources.values().stream()
+                .mapToDouble(source -> fixture.meanInFlight(source, RUN_MS))
+                .sum();
     }
 
     /** Guards against leaked or doubly freed permits under random sequences. */
