Detect an unlocked release of a route shard

The stress run passes without the lock on RouteShard.release: 1200 invocations of at most 8 calls rarely hit the counter update. Four threads now make 20000 reserve and release pairs each on one shard, 5 rounds, and no request may stay counted. Without the lock (scratch copy) round 0 ends with 1 request in flight instead of 0, in two of two runs. Lincheck model checking (4 iterations of 200 invocations) was tried; the test class had not finished after 150 s.

--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/RouteShardLincheckTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/RouteShardLincheckTest.java
@@ -1,11 +1,16 @@
 package org.hickorycleat.logic.routing;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import org.hickorycleat.logic.membership.TargetView;
 import org.hickorycleat.model.identifier.Incarnation;
 import org.hickorycleat.model.identifier.InstanceNumber;
@@ -23,6 +28,9 @@
 /** Concurrent reserve and release on one shard with a target of two requests. */
 public class RouteShardLincheckTest {
     private static final int THREADS = 2;
+    private static final int CALLERS = 4;
+    private static final int CALLS = 20_000;
+    private static final int ROUNDS = 5;
     private static final ZoneId ZONE = new ZoneId("a");
     private static final TargetAddress TARGET =
             new TargetAddress(
@@ -79,4 +87,37 @@
                 .actorsPerThread(4)
                 .check(RouteShardLincheckTest.class);
     }
+
+    /**
+     * Guards against a release that takes no lock. Lincheck's invocations are too few to stop a
+     * thread between the read and the write of the counter, so many more calls run here.
+     */
+    @Test
+    void noRequestStaysCountedAfterManyConcurrentCalls() {
+        for (int round = 0; round < ROUNDS; round++) {
+            RouteShard shard = new RouteShard(RoutingSettings.DEFAULT, ZONE, round);
+            CompletableFuture<?>[] callers = new CompletableFuture<?>[CALLERS];
+            ExecutorService threads = Executors.newFixedThreadPool(CALLERS);
+            try {
+                for (int caller = 0; caller < CALLERS; caller++) {
+                    callers[caller] = CompletableFuture.runAsync(() -> callOften(shard), threads);
+                }
+                CompletableFuture.allOf(callers).join();
+            } finally {
+                threads.shutdown();
+            }
+            assertThat(inFlight(shard)).as("requests in flight, round %s", round).isZero();
+        }
+    }
+
+    private static void callOften(RouteShard shard) {
+        for (int call = 0; call < CALLS; call++) {
+            shard.reserve(READY, Set.of(TARGET), 1, 20_000)
+                    .ifPresent(one -> shard.release(one, AnswerKind.SUCCESS, 1_000, 20_000));
+        }
+    }
+
+    private static int inFlight(RouteShard shard) {
+        return shard.status(20_000).stream().mapToInt(RouteStatus::inFlight).sum();
+    }
 }
