Detect routing by ended requests in late reports

The new scenario has one entry and bursts; targets with an even number report the burst, the others the pause, and reports arrive between bursts.

--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/HerdingTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/HerdingTest.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.IntPredicate;
+import java.util.stream.IntStream;
 import org.hickorycleat.logic.membership.AgentFixture;
 import org.hickorycleat.logic.membership.TargetDirectory;
 import org.hickorycleat.model.identifier.ZoneId;
@@ -18,7 +20,7 @@
 import org.hickorycleat.model.result.ResultCode;
 import org.junit.jupiter.api.Test;
 
-/** Several entries that learn of each other's load only from reports that are a second late. */
+/** Entries that learn of the load of targets only from reports that are a second late. */
 class HerdingTest {
     private static final int ENTRIES = 4;
     private static final int TARGETS = 11;
@@ -32,16 +34,27 @@
     /** Keeps 5.5 of 8 slots of each target in use on average. */
     private static final double REQUESTS_PER_MS = 5.5 * TARGETS / HOLD_MS;
 
+    /** Reports of a burst that are a second late arrive 10 ms before a later burst. */
+    private static final int BURST_PERIOD_MS = 580;
+
+    private static final int BURST_MS = 150;
+    private static final int BURSTS = 100;
+
+    /** Keeps 4 of 8 slots of each target in use during a burst. */
+    private static final double BURST_REQUESTS_PER_MS = 4.0 * TARGETS / HOLD_MS;
+
     private final TestScheduler mScheduler = new TestScheduler(100_000, MILLISECONDS);
     private final SplittableRandom mRandom = new SplittableRandom(5);
     private final List<PowerOfTwoSelector> mSelectors = new ArrayList<>();
     private final List<AgentFixture> mAgents = new ArrayList<>();
     private final int[] mInFlight = new int[TARGETS];
 
-    HerdingTest() {
-        for (int entry = 0; entry < ENTRIES; entry++) {
+    private final int[] mRequests = new int[TARGETS];
+
+    private void createEntries(int entries) {
+        for (int entry = 0; entry < entries; entry++) {
             TargetDirectory directory = new TargetDirectory(mScheduler);
-            directory.setLiveEntries(ENTRIES);
+            directory.setLiveEntries(entries);
             mSelectors.add(
                     new PowerOfTwoSelector(
                             directory, new ZoneId("a"), RoutingSettings.DEFAULT, entry));
@@ -60,6 +73,7 @@
      */
     @Test
     void lateReportsCauseNeitherHerdingNorOscillation() {
+        createEntries(ENTRIES);
         double[] secondSums = new double[TARGETS];
         int overloaded = 0;
         for (int ms = 0; ms < RUN_MS; ms++) {
@@ -79,23 +93,63 @@
         assertThat(share).as("share of time beyond 12 requests").isLessThan(0.01);
     }
 
+    /**
+     * Guards against an entry that takes its own ended requests for those of others. Targets with
+     * an even number report at the end of each burst, the others between bursts; both kinds of
+     * report arrive between bursts, when the entry has no requests in flight.
+     */
+    @Test
+    void lateReportsOfOwnBurstsDoNotMoveTheNextBurst() {
+        createEntries(1);
+        for (int ms = 0; ms < BURSTS * BURST_PERIOD_MS; ms++) {
+            int phaseMs = ms % BURST_PERIOD_MS;
+            if (phaseMs == BURST_MS) {
+                sendLateReports(target -> target % 2 == 0);
+            } else if (phaseMs == BURST_PERIOD_MS - 100) {
+                sendLateReports(target -> target % 2 == 1);
+            }
+            if (phaseMs < BURST_MS) {
+                arrive(BURST_REQUESTS_PER_MS);
+            }
+            mScheduler.advanceTimeBy(1, MILLISECONDS);
+        }
+        assertThat(meanRequests(0) / meanRequests(1))
+                .as("requests of even to odd targets, of %s", Arrays.toString(mRequests))
+                .isBetween(0.95, 1.05);
+    }
+
+    private double meanRequests(int remainder) {
+        return IntStream.range(0, TARGETS)
+                .filter(target -> target % 2 == remainder)
+                .map(target -> mRequests[target])
+                .average()
+                .orElseThrow();
+    }
+
     private void step(int ms) {
         if (ms % 1_000 == 0) {
-            sendLateReports();
+            sendLateReports(target -> true);
         }
-        int arrivals = (int) REQUESTS_PER_MS;
-        if (mRandom.nextDouble() < REQUESTS_PER_MS - arrivals) {
+        arrive(REQUESTS_PER_MS);
+        mScheduler.advanceTimeBy(1, MILLISECONDS);
+    }
+
+    private void arrive(double requestsPerMs) {
+        int arrivals = (int) requestsPerMs;
+        if (mRandom.nextDouble() < requestsPerMs - arrivals) {
             arrivals++;
         }
         for (int i = 0; i < arrivals; i++) {
             request();
         }
-        mScheduler.advanceTimeBy(1, MILLISECONDS);
     }
 
-    private void sendLateReports() {
+    private void sendLateReports(IntPredicate reporting) {
         long uptimeMs = mScheduler.now(MILLISECONDS) - 100_000;
         for (int i = 0; i < mAgents.size(); i++) {
+            if (!reporting.test(i % TARGETS)) {
+                continue;
+            }
             AgentFixture agent = mAgents.get(i);
             int inFlight = mInFlight[i % TARGETS];
             LoadSignal load =
@@ -106,12 +160,13 @@
     }
 
     private void request() {
-        PowerOfTwoSelector selector = mSelectors.get(mRandom.nextInt(ENTRIES));
+        PowerOfTwoSelector selector = mSelectors.get(mRandom.nextInt(mSelectors.size()));
         Optional<TargetReservation> reservation = selector.reserve(SERVICE, target -> true);
         if (reservation.isEmpty()) {
             return;
         }
         int target = (int) reservation.get().target().instance().value();
+        mRequests[target]++;
         mInFlight[target]++;
         long holdMs = 50L + mRandom.nextInt(HOLD_MS);
         mScheduler.scheduleDirect(
