Leave the start of a load out of its latencies

Cause: each load starts a virtual machine of its own, whose first seconds dominated the direct call: p99 of 147 and 246 ms at 800 requests a second. Tried and reverted: room for short bursts in the concurrency limit of small fleets (twice the square root of the slots). Conclusion: refusals at half load with one target and the added median are open.

--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/load/LoadMain.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/load/LoadMain.java
@@ -18,6 +18,10 @@
         parser.accepts("path").withRequiredArg().defaultsTo("/services/booking/work/item");
         parser.accepts("rate").withRequiredArg().ofType(Double.class).required();
         parser.accepts("seconds").withRequiredArg().ofType(Double.class).required();
+        parser.accepts("warm-up-seconds", "time at the start whose latencies are not counted")
+                .withRequiredArg()
+                .ofType(Double.class)
+                .defaultsTo(0.0);
         parser.accepts("criticality").withRequiredArg().defaultsTo("normal");
         parser.accepts("team").withRequiredArg().defaultsTo("");
         parser.accepts("deadline-ms").withRequiredArg().ofType(Integer.class).defaultsTo(2000);
@@ -36,6 +40,7 @@
                         .path((String) options.valueOf("path"))
                         .ratePerSecond((Double) options.valueOf("rate"))
                         .seconds((Double) options.valueOf("seconds"))
+                        .warmUpSeconds((Double) options.valueOf("warm-up-seconds"))
                         .criticality((String) options.valueOf("criticality"))
                         .team((String) options.valueOf("team"))
                         .deadlineMs((Integer) options.valueOf("deadline-ms"))
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/load/LoadPlan.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/load/LoadPlan.java
@@ -9,6 +9,7 @@
         String path,
         double ratePerSecond,
         double seconds,
+        double warmUpSeconds,
         String criticality,
         String team,
         int deadlineMs,
@@ -26,6 +27,7 @@
         private String mPath = "";
         private double mRatePerSecond = 0;
         private double mSeconds = 0;
+        private double mWarmUpSeconds = 0;
         private String mCriticality = "";
         private String mTeam = "";
         private int mDeadlineMs = 0;
@@ -58,6 +60,11 @@
             return this;
         }
 
+        Builder warmUpSeconds(double value) {
+            mWarmUpSeconds = value;
+            return this;
+        }
+
         Builder criticality(String value) {
             mCriticality = value;
             return this;
@@ -95,6 +102,7 @@
                     mPath,
                     mRatePerSecond,
                     mSeconds,
+                    mWarmUpSeconds,
                     mCriticality,
                     mTeam,
                     mDeadlineMs,
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/load/LoadRun.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/load/LoadRun.java
@@ -171,7 +171,10 @@
         String load = mPlan.name() + "-" + mRun + "-" + number;
         mOutcomes.put(load, outcome);
         long micros = Math.min(HIGHEST_MICROS, (now - startedNanos) / 1_000);
-        (outcome.equals("done") ? mDone : mRefused).recordValue(micros);
+        // A virtual machine that has just started is slow itself.
+        if (number >= mPlan.ratePerSecond() * mPlan.warmUpSeconds()) {
+            (outcome.equals("done") ? mDone : mRefused).recordValue(micros);
+        }
         mOpen.countDown();
     }
 
