--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/load/LoadRun.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/load/LoadRun.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.CountDownLatch;
@@ -162,10 +163,8 @@
         }
         boolean repeat = mPlan.keyed() && !outcome.equals("done") && attempt + 1 < MAXIMUM_TRIES;
         if (repeat) {
-            var unused =
-                    java.util.concurrent.CompletableFuture.delayedExecutor(
-                            REPEAT_DELAY_MS, TimeUnit.MILLISECONDS);
-            unused.execute(() -> send(number, attempt + 1, startedNanos));
+            CompletableFuture.delayedExecutor(REPEAT_DELAY_MS, TimeUnit.MILLISECONDS)
+                    .execute(() -> send(number, attempt + 1, startedNanos));
             return;
         }
         String load = mPlan.name() + "-" + mRun + "-" + number;
