Report a refused copy of a keyed request as unknown, not as not run

The refused copy did not run, but the caller asks about its request. Ruled out: a second run (no request with a key ran twice); a fault of the agent's record (the copies never reached it). Change: a refusal of a request that carries a key is reported as unknown, unless the request is wrong in itself; the status code stays. Conclusion: the caller repeats with the same key, which is safe.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerHttp.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerHttp.java
@@ -41,6 +41,10 @@
     private static final int MAXIMUM_THREADS = 64;
     private static final int MINIMUM_THREADS = 8;
     private static final long IDLE_TIMEOUT_MS = 30_000;
+
+    /** Result codes below this number say that the request itself is wrong. */
+    private static final int FIRST_REFUSAL_NUMBER = 200;
+
     private static final String RETRY_AFTER = "Retry-After";
     private static final String DEFAULT_RETRY_AFTER_SECONDS = "1";
     private static final String METER = "hickorycleat.requests";
@@ -186,7 +190,7 @@
         ObjectNode body = new ObjectMapper().createObjectNode();
         body.put("result", code.number());
         body.put("name", code.name());
-        body.put("outcome", code.outcome().headerValue());
+        body.put("outcome", outcomeFor(context, code).headerValue());
         context.contentType("application/json").result(body.toString());
     }
 
@@ -210,7 +214,22 @@
 
     private static void outcome(Context context, ResultCode code) {
         context.header("Hickorycleat-Result-Code", Integer.toString(code.number()));
-        context.header("Hickorycleat-Outcome", code.outcome().headerValue());
+        context.header("Hickorycleat-Outcome", outcomeFor(context, code).headerValue());
+    }
+
+    /**
+     * Returns what the caller may conclude.
+     *
+     * <p>The copy of a request with a key that was refused here did not run, but an earlier copy
+     * may have run through an entry that died before it answered, so the request is not known not
+     * to have run. A request that is wrong in itself never ran.
+     */
+    private static Outcome outcomeFor(Context context, ResultCode code) {
+        boolean refusedCopy =
+                code.outcome() == Outcome.NOT_RUN
+                        && code.number() >= FIRST_REFUSAL_NUMBER
+                        && context.header("Idempotency-Key") != null;
+        return refusedCopy ? Outcome.UNKNOWN : code.outcome();
     }
 
     private void fail(Exception error, Context context) {
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/entry/CallerHttpTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/entry/CallerHttpTest.java
@@ -85,6 +85,23 @@
         assertThat(mRequests).isEmpty();
     }
 
+    /**
+     * Guards against a repeat that is refused and told to be not run, although an earlier copy ran
+     * through an entry that died.
+     */
+    @Test
+    void refusedCopyOfKeyedRequestIsNotToldToBeNotRun() throws Exception {
+        mCallers.drain();
+
+        HttpResponse<String> keyed =
+                send(request("/services/booking/x").header("Idempotency-Key", "k-1").build());
+        HttpResponse<String> plain = send(request("/services/booking/x").build());
+
+        assertThat(keyed.statusCode()).isEqualTo(503);
+        assertThat(keyed.headers().firstValue("Hickorycleat-Outcome")).contains("unknown");
+        assertThat(plain.headers().firstValue("Hickorycleat-Outcome")).contains("not-run");
+    }
+
     /** Guards against a body that exhausts the memory of the entry. */
     @Test
     void refusesBodiesThatAreTooLarge() throws Exception {
