--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/AgentConnections.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/AgentConnections.java
@@ -50,11 +50,6 @@
         return peer != null && peer.connection().send(message);
     }
 
-    /** Sends a message to every agent. */
-    void sendToAgents(Message message) {
-        mAgents.values().forEach(peer -> peer.connection().send(message));
-    }
-
     /**
      * Sends the list of entries to everybody if it has changed, and an empty one otherwise.
      *
