--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Lifecycle.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Lifecycle.java
@@ -19,6 +19,11 @@
     /** Returns how long a drain may wait for work in progress. */
     Duration drainLimit();
 
+    /** Returns how long a drain lasts at least, so that peers learn of it. */
+    default Duration drainNotice() {
+        return Duration.ofSeconds(2);
+    }
+
     @Override
     void close();
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Main.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Main.java
@@ -4,19 +4,23 @@
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.logging.Level;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import org.hickorycleat.daemon.agent.AgentProcess;
 import org.hickorycleat.daemon.entry.EntryProcess;
+import org.hickorycleat.daemon.fleet.FleetProcess;
 import org.hickorycleat.daemon.logging.LineFormatter;
 import org.hickorycleat.daemon.settings.DaemonSettings;
 import org.hickorycleat.daemon.settings.SettingError;
 import org.hickorycleat.daemon.settings.SettingsParser;
 import org.hickorycleat.model.identifier.Incarnation;
 import org.hickorycleat.model.result.ResultCode;
+import org.hickorycleat.platform.NodeSettingsReader;
 
 /** Entry point of {@code hickorycleatd}. */
 public final class Main {
@@ -26,6 +30,10 @@
     public static void main(String[] arguments) throws Exception {
         // Leases and deadlines must not move with the wall clock.
         System.setProperty("rx3.scheduler.use-nanotime", "true");
+        if (arguments.length == 1 && arguments[0].equals("platform")) {
+            runOnPlatform();
+            return;
+        }
         OptionParser parser = new OptionParser();
         parser.accepts("settings", "settings file").withRequiredArg();
         parser.accepts("check", "check the settings and exit");
@@ -44,6 +52,12 @@
         run(settings);
     }
 
+    private static void runOnPlatform() throws Exception {
+        LineFormatter.install(Level.INFO);
+        Path file = Path.of(System.getenv(NodeSettingsReader.PATH_VARIABLE));
+        run(FleetProcess.create(NodeSettingsReader.read(Files.readAllBytes(file))));
+    }
+
     private static OptionSet parse(OptionParser parser, String[] arguments) throws IOException {
         try {
             return parser.parse(arguments);
@@ -68,7 +82,10 @@
         // The wall clock is the only thing that grows across restarts on a VM without disk.
         Incarnation incarnation = new Incarnation(System.currentTimeMillis());
         Scheduler scheduler = Schedulers.computation();
-        Lifecycle process = create(settings, incarnation, scheduler);
+        run(create(settings, incarnation, scheduler));
+    }
+
+    private static void run(Lifecycle process) throws InterruptedException {
         ShutdownRunner shutdown = new ShutdownRunner(process);
         Runtime.getRuntime().addShutdownHook(new Thread(shutdown::onSignal, "shutdown"));
         try {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/ShutdownRunner.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/ShutdownRunner.java
@@ -4,16 +4,10 @@
 import org.hickorycleat.daemon.logging.EventLog;
 
 /** Turns SIGTERM and drain requests of operators into a graceful shutdown. */
-final class ShutdownRunner {
+public final class ShutdownRunner {
     private static final EventLog LOG = EventLog.of(ShutdownRunner.class);
     private static final long POLL_MS = 50;
 
-    /**
-     * New work is refused for this long before the process may exit: peers learn within a second
-     * that it is leaving, and a refusal is better than a lost connection.
-     */
-    private static final long NOTICE_MS = 2_000;
-
     private final Lifecycle mProcess;
     private boolean mClosed;
 
@@ -58,6 +52,6 @@
 
     private boolean mayExit(long startNanos) {
         long passedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
-        return passedMs >= NOTICE_MS && mProcess.isIdle();
+        return passedMs >= mProcess.drainNotice().toMillis() && mProcess.isIdle();
     }
 }
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/NettyHttpCaller.java
@@ -0,0 +1,148 @@
+package org.hickorycleat.daemon.exchange;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.reactivex.rxjava3.core.Single;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.hickorycleat.logic.port.HttpCall;
+import org.hickorycleat.logic.port.HttpCallException;
+import org.hickorycleat.logic.port.HttpCaller;
+import org.hickorycleat.logic.port.HttpResponse;
+
+/**
+ * Makes calls over HTTP/1.1 on kept connections, one call at a time on each.
+ *
+ * <p>A connection whose call got no whole response is closed and never used again.
+ */
+// The outcome of every call is reported through its Single.
+@SuppressWarnings("FutureReturnValueIgnored")
+public final class NettyHttpCaller implements HttpCaller {
+    /** Largest response body, in bytes: above the largest page of the store. */
+    private static final int MAXIMUM_BODY_BYTES = 4 << 20;
+
+    /** Connections kept open to one address. */
+    private static final int MAXIMUM_IDLE = 8;
+
+    private final EventLoop mEventLoop;
+    private final Map<InetSocketAddress, Deque<Channel>> mIdle = new HashMap<>();
+
+    /** Creates a caller on one of the event loops. */
+    public NettyHttpCaller(EventLoopGroup eventLoops) {
+        mEventLoop = eventLoops.next();
+    }
+
+    @Override
+    public Single<HttpResponse> call(HttpCall call) {
+        return Single.create(
+                emitter ->
+                        mEventLoop.execute(
+                                () -> start(new PendingCall(call, emitter, mEventLoop, this))));
+    }
+
+    private void start(PendingCall pending) {
+        Optional<Channel> idle = takeIdle(pending.call().address());
+        if (idle.isPresent()) {
+            send(idle.get(), pending);
+            return;
+        }
+        new Bootstrap()
+                .group(mEventLoop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, pending.call().timeoutMs())
+                .handler(
+                        new ChannelInitializer<SocketChannel>() {
+                            @Override
+                            protected void initChannel(SocketChannel channel) {
+                                channel.pipeline()
+                                        .addLast(new HttpClientCodec())
+                                        .addLast(new HttpObjectAggregator(MAXIMUM_BODY_BYTES))
+                                        .addLast(new HttpClientHandler());
+                            }
+                        })
+                .connect(pending.call().address())
+                .addListener(
+                        (io.netty.channel.ChannelFuture connected) -> {
+                            if (connected.isSuccess()) {
+                                send(connected.channel(), pending);
+                            } else {
+                                pending.fail(
+                                        new HttpCallException(
+                                                String.valueOf(connected.cause()), false));
+                            }
+                        });
+    }
+
+    private Optional<Channel> takeIdle(InetSocketAddress address) {
+        Deque<Channel> idle = mIdle.getOrDefault(address, new ArrayDeque<>());
+        while (!idle.isEmpty()) {
+            Channel channel = idle.removeLast();
+            if (channel.isActive()) {
+                return Optional.of(channel);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Keeps a connection for a later call. */
+    void release(InetSocketAddress address, Channel channel) {
+        Deque<Channel> idle = mIdle.computeIfAbsent(address, key -> new ArrayDeque<>());
+        if (!channel.isActive() || idle.size() >= MAXIMUM_IDLE) {
+            channel.close();
+            return;
+        }
+        idle.addLast(channel);
+    }
+
+    private static void send(Channel channel, PendingCall pending) {
+        if (pending.isFinished()) {
+            channel.close();
+            return;
+        }
+        channel.pipeline().get(HttpClientHandler.class).begin(pending);
+        pending.onSent(channel);
+        channel.writeAndFlush(request(pending.call()));
+    }
+
+    private static FullHttpRequest request(HttpCall call) {
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        HttpMethod.valueOf(call.method()),
+                        call.target(),
+                        Unpooled.wrappedBuffer(call.body()));
+        request.headers()
+                .set(
+                        HttpHeaderNames.HOST,
+                        call.address().getAddress().getHostAddress()
+                                + ":"
+                                + call.address().getPort());
+        if (call.body().length > 0) {
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+        }
+        HttpUtil.setContentLength(request, call.body().length);
+        call.headers().forEach((name, value) -> request.headers().set(name, value));
+        return request;
+    }
+}
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/package-info.java
@@ -0,0 +1,5 @@
+/** HTTP/1.1 server and client on the event loops of the process. */
+@NullMarked
+package org.hickorycleat.daemon.exchange;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -0,0 +1,493 @@
+package org.hickorycleat.daemon.fleet;
+
+import io.netty.channel.EventLoopGroup;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.hickorycleat.daemon.Lifecycle;
+import org.hickorycleat.daemon.exchange.NettyHttpCaller;
+import org.hickorycleat.daemon.exchange.NettyHttpServer;
+import org.hickorycleat.daemon.logging.EventLog;
+import org.hickorycleat.daemon.transport.MessageTransport;
+import org.hickorycleat.logic.directory.JobDirectory;
+import org.hickorycleat.logic.directory.JobRecord;
+import org.hickorycleat.logic.dispatch.DispatchSettings;
+import org.hickorycleat.logic.election.OwnerElection;
+import org.hickorycleat.logic.port.Calls;
+import org.hickorycleat.logic.port.HttpResponse;
+import org.hickorycleat.model.identifier.Epoch;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.job.JobId;
+import org.hickorycleat.model.job.JobSubmission;
+import org.hickorycleat.model.job.WorkloadConfiguration;
+import org.hickorycleat.model.message.ConfigurationCopy;
+import org.hickorycleat.model.message.EntryHeartbeat;
+import org.hickorycleat.model.message.FleetNode;
+import org.hickorycleat.model.message.JobAccepted;
+import org.hickorycleat.model.message.JobCancelled;
+import org.hickorycleat.model.message.JobStates;
+import org.hickorycleat.model.message.Message;
+import org.hickorycleat.model.message.OwnershipOffer;
+import org.hickorycleat.model.message.ProcessRole;
+import org.hickorycleat.model.message.RunRejected;
+import org.hickorycleat.model.message.StoreAnswer;
+import org.hickorycleat.model.message.StoreCall;
+import org.hickorycleat.model.message.WorkerReport;
+import org.hickorycleat.model.node.NodeSettings;
+import org.hickorycleat.model.store.AppendOutcome;
+import org.hickorycleat.model.store.AppendResult;
+import org.hickorycleat.model.store.AppendTerms;
+import org.hickorycleat.model.store.Producer;
+import org.hickorycleat.model.store.StoreRecord;
+import org.hickorycleat.platform.CallerCalls;
+import org.hickorycleat.platform.PlatformStore;
+import org.hickorycleat.platform.WorkloadConfigurationReader;
+
+/** Role of an entry: takes jobs of callers, and owns all jobs when it is its turn. */
+final class EntryRole implements Lifecycle, FleetListener, JobIntake.Listener {
+    private static final EventLog LOG = EventLog.of(EntryRole.class);
+
+    /** Time limit of a call to the store, in milliseconds: above its answers on slow days. */
+    private static final int STORE_TIMEOUT_MS = 1_000;
+
+    /** How long the store may hold a read of the configuration, in milliseconds. */
+    private static final int CONFIGURATION_WAIT_MS = 1_000;
+
+    /** How long the store may hold a read of the jobs, in milliseconds. */
+    private static final int JOBS_WAIT_MS = 1_000;
+
+    /** Pause between two reads of the jobs; peers tell the news earlier, in milliseconds. */
+    private static final long JOBS_PAUSE_MS = 500;
+
+    /** Time between two heartbeats to peers, in milliseconds. */
+    private static final long HEARTBEAT_MS = 200;
+
+    /** Time between two readings of the list of entries, in milliseconds. */
+    private static final long ENTRIES_INTERVAL_MS = 5_000;
+
+    /** Longest time that a drain waits for work in progress, in milliseconds. */
+    private static final long DRAIN_LIMIT_MS = 5_000;
+
+    private final NodeSettings mSettings;
+    private final FleetNode mSelf;
+    private final Scheduler mScheduler;
+    private final FleetLinks mLinks;
+    private final RelayingStore mStore;
+    private final JobLogCodec mCodec = new JobLogCodec();
+    private final JobDirectory mDirectory = new JobDirectory();
+    private final ConfigurationInForce mConfiguration;
+    private final TopicFollower mConfigurationFollower;
+    private final TopicFollower mJobsFollower;
+    private final JobIntake mIntake;
+    private final OwnerElection mElection;
+    private final NettyHttpServer mCallerServer;
+    private final NettyHttpServer mReadinessServer;
+    private final Map<ProcessId, EntryHeartbeat> mPeers = new HashMap<>();
+    private Optional<OwnerRole> mOwner = Optional.empty();
+    private boolean mClaiming;
+    private boolean mDraining;
+    private long mEntriesReadAtMs = Long.MIN_VALUE / 2;
+
+    EntryRole(
+            NodeSettings settings,
+            FleetNode self,
+            EventLoopGroup eventLoops,
+            MessageTransport transport,
+            Scheduler scheduler) {
+        mSettings = settings;
+        mSelf = self;
+        mScheduler = scheduler;
+        mLinks = new FleetLinks(transport, self, this, scheduler);
+        PlatformStore direct =
+                new PlatformStore(
+                        new NettyHttpCaller(eventLoops), settings.store(), STORE_TIMEOUT_MS);
+        mStore = new RelayingStore(direct, mLinks, this::relay, scheduler);
+        mConfiguration = new ConfigurationInForce(this::onConfiguration);
+        mConfigurationFollower =
+                new TopicFollower(
+                        mStore,
+                        WorkloadConfigurationReader.TOPIC,
+                        this::onOperatorRecord,
+                        scheduler,
+                        CONFIGURATION_WAIT_MS,
+                        0);
+        mJobsFollower =
+                new TopicFollower(
+                        mStore,
+                        JobLogCodec.JOBS_TOPIC,
+                        this::onJobRecord,
+                        scheduler,
+                        JOBS_WAIT_MS,
+                        JOBS_PAUSE_MS);
+        mIntake =
+                new JobIntake(
+                        mStore,
+                        mJobsFollower,
+                        mDirectory,
+                        mCodec,
+                        mConfiguration::configuration,
+                        this,
+                        scheduler);
+        mElection = new OwnerElection(self.process(), self.capacityMilli(), nowMs());
+        mCallerServer = new NettyHttpServer(eventLoops);
+        mReadinessServer = new NettyHttpServer(eventLoops);
+    }
+
+    @Override
+    public void start() throws InterruptedException {
+        mLinks.start(mSettings.seeds());
+        mConfigurationFollower.start();
+        mJobsFollower.start();
+        announce();
+        CallerCalls calls = new CallerCalls(mIntake, System::currentTimeMillis);
+        mCallerServer.listen(mSettings.callerAddress().orElseThrow(), calls);
+        mReadinessServer.listen(mSettings.readinessAddress().orElseThrow(), request -> readiness());
+        tick();
+    }
+
+    private Single<HttpResponse> readiness() {
+        return Single.just(HttpResponse.of(isReady() ? 200 : 503, new byte[] {'{', '}'}));
+    }
+
+    private synchronized boolean isReady() {
+        return !mDraining && mConfiguration.configuration().isPresent() && mJobsFollower.isLoaded();
+    }
+
+    private void announce() {
+        Calls.whenDone(
+                mStore.append(
+                        AppendTerms.unconditional(JobLogCodec.ENTRIES_TOPIC, 0),
+                        List.of(mCodec.encodeEntry(mSelf))),
+                outcome -> {
+                    if (outcome.result() != AppendResult.APPENDED) {
+                        mScheduler.scheduleDirect(
+                                this::announce, ENTRIES_INTERVAL_MS, TimeUnit.MILLISECONDS);
+                    }
+                },
+                error -> LOG.event("announce_failed").with("cause", error).warn());
+    }
+
+    private void readEntries() {
+        mEntriesReadAtMs = nowMs();
+        Calls.whenDone(
+                mStore.read(
+                        org.hickorycleat.model.store.ReadTerms.newest(
+                                JobLogCodec.ENTRIES_TOPIC, 0, "")),
+                page ->
+                        mLinks.learn(
+                                page.records().stream()
+                                        .map(mCodec::decodeEntry)
+                                        .flatMap(Optional::stream)
+                                        .toList()),
+                error -> LOG.event("entries_unread").with("cause", error).info());
+    }
+
+    private void tick() {
+        heartbeat();
+        if (nowMs() - mEntriesReadAtMs > ENTRIES_INTERVAL_MS) {
+            readEntries();
+        }
+        claimIfNeeded();
+        mScheduler.scheduleDirect(this::tick, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void heartbeat() {
+        mLinks.broadcast(
+                new EntryHeartbeat(
+                        mElection.owner(),
+                        mElection.epoch(),
+                        mElection.ownerHeardMs(nowMs()),
+                        mConfiguration.version(),
+                        mStore.isDirectlyReachable()),
+                ProcessRole.ENTRY);
+    }
+
+    private Optional<ProcessId> relay() {
+        synchronized (mPeers) {
+            return mPeers.entrySet().stream()
+                    .filter(peer -> peer.getValue().storeReachable())
+                    .map(Map.Entry::getKey)
+                    .findFirst();
+        }
+    }
+
+    // ---- ownership
+
+    private synchronized void claimIfNeeded() {
+        if (mClaiming || mDraining || mOwner.isPresent() || !mJobsFollower.isLoaded()) {
+            return;
+        }
+        if (!mElection.shouldClaim(nowMs())) {
+            return;
+        }
+        mClaiming = true;
+        LOG.event("owner_claiming")
+                .with("former", mElection.owner())
+                .with("epoch", mElection.epoch())
+                .with("heard_ms", mElection.ownerHeardMs(nowMs()))
+                .info();
+        Epoch before = mElection.epoch();
+        Calls.whenDone(
+                mJobsFollower.catchUp(),
+                endOffset -> claim(before, endOffset),
+                error -> claimEnded("unread", error));
+    }
+
+    private void claim(Epoch before, long endOffset) {
+        if (!mDirectory.epoch().equals(before) && mDirectory.epoch().compareTo(before) > 0) {
+            claimEnded("claimed_by_other", mDirectory.epoch());
+            return;
+        }
+        Epoch epoch = new Epoch(endOffset + 1);
+        JobRecord.Claimed record = new JobRecord.Claimed(mSelf, epoch);
+        AppendTerms terms =
+                new AppendTerms(
+                        JobLogCodec.JOBS_TOPIC,
+                        0,
+                        Optional.of(endOffset),
+                        Optional.of(new Producer(OwnerRole.PRODUCER, epoch.value(), 0)));
+        Calls.whenDone(
+                mStore.append(terms, List.of(mCodec.encode(record))),
+                outcome -> onClaimOutcome(record, outcome),
+                error -> claimEnded("failed", error));
+    }
+
+    private void onClaimOutcome(JobRecord.Claimed record, AppendOutcome outcome) {
+        if (outcome.result() == AppendResult.APPENDED) {
+            mDirectory.apply(record);
+            becomeOwner(record.epoch());
+            return;
+        }
+        // The claim may have taken effect although its answer was lost: the log tells.
+        Calls.whenDone(
+                mJobsFollower.catchUp(),
+                endOffset -> {
+                    boolean own =
+                            mDirectory.epoch().equals(record.epoch())
+                                    && mDirectory.owner().equals(Optional.of(mSelf));
+                    if (own) {
+                        becomeOwner(record.epoch());
+                    } else {
+                        claimEnded("lost", outcome);
+                    }
+                },
+                error -> claimEnded("unsettled", error));
+    }
+
+    private synchronized void claimEnded(String result, Object detail) {
+        mClaiming = false;
+        LOG.event("owner_claim_ended").with("result", result).with("detail", detail).info();
+    }
+
+    private synchronized void becomeOwner(Epoch epoch) {
+        mClaiming = false;
+        if (mDraining || epoch.compareTo(mElection.epoch()) <= 0) {
+            return;
+        }
+        mElection.onClaim(mSelf.process(), epoch, nowMs());
+        LOG.event("owner_started")
+                .with("epoch", epoch)
+                .with("jobs", mDirectory.jobs().size())
+                .info();
+        OwnerRole owner =
+                new OwnerRole(
+                        mSelf,
+                        epoch,
+                        mStore,
+                        mLinks,
+                        mDirectory,
+                        mCodec,
+                        mScheduler,
+                        DispatchSettings.of(mSettings.maximumLeaseMs()),
+                        this::onFenced);
+        mOwner = Optional.of(owner);
+        heartbeat();
+        owner.start(mConfiguration.configuration());
+    }
+
+    private synchronized void onFenced() {
+        mOwner.ifPresent(OwnerRole::end);
+        mOwner = Optional.empty();
+    }
+
+    private synchronized void endIfSucceeded() {
+        if (mOwner.isPresent() && !mElection.isOwner()) {
+            LOG.event("owner_succeeded").with("epoch", mElection.epoch()).info();
+            onFenced();
+        }
+    }
+
+    private synchronized Optional<OwnerRole> ownerRole() {
+        return mOwner;
+    }
+
+    // ---- records
+
+    private void onOperatorRecord(StoreRecord record) {
+        if (record.key().equals(WorkloadConfigurationReader.KEY)) {
+            mConfiguration.onContent(record.value(), "store");
+        }
+    }
+
+    private void onConfiguration(WorkloadConfiguration configuration) {
+        ownerRole().ifPresent(owner -> owner.dispatcher().onConfiguration(configuration));
+    }
+
+    private void onJobRecord(StoreRecord stored) {
+        Optional<JobRecord> record = mCodec.decode(stored);
+        if (record.isEmpty()) {
+            return;
+        }
+        mDirectory.apply(record.get());
+        if (record.get() instanceof JobRecord.Claimed claimed) {
+            mElection.onClaim(claimed.owner().process(), claimed.epoch(), nowMs());
+            endIfSucceeded();
+        } else if (record.get() instanceof JobRecord.Submitted submitted) {
+            ownerRole().ifPresent(owner -> owner.dispatcher().onSubmission(submitted.submission()));
+        } else if (record.get() instanceof JobRecord.Cancelled cancelled) {
+            ownerRole().ifPresent(owner -> owner.dispatcher().onCancel(cancelled.job()));
+        }
+    }
+
+    @Override
+    public void onSubmitted(JobSubmission submission) {
+        ownerRole().ifPresent(owner -> owner.dispatcher().onSubmission(submission));
+        mLinks.broadcast(new JobAccepted(submission), ProcessRole.ENTRY);
+    }
+
+    @Override
+    public void onCancelled(JobId job) {
+        ownerRole().ifPresent(owner -> owner.dispatcher().onCancel(job));
+        mLinks.broadcast(new JobCancelled(job), ProcessRole.ENTRY);
+    }
+
+    // ---- links
+
+    @Override
+    public void onConnected(FleetNode peer) {
+        if (peer.role() == ProcessRole.AGENT) {
+            ownerRole().ifPresent(owner -> owner.onAgentConnected(peer.process()));
+        } else {
+            heartbeat();
+        }
+    }
+
+    @Override
+    public void onDisconnected(FleetNode peer) {
+        if (peer.role() == ProcessRole.AGENT) {
+            ownerRole().ifPresent(owner -> owner.dispatcher().onAgentDisconnected(peer.process()));
+            return;
+        }
+        mElection.onDisconnected(peer.process());
+        synchronized (mPeers) {
+            mPeers.remove(peer.process());
+        }
+    }
+
+    @Override
+    public void onMessage(FleetNode peer, Message message) {
+        if (message instanceof WorkerReport report) {
+            ownerRole().ifPresent(owner -> owner.dispatcher().onReport(peer.process(), report));
+        } else if (message instanceof RunRejected rejected) {
+            ownerRole().ifPresent(owner -> owner.dispatcher().onRejected(peer.process(), rejected));
+        } else if (message instanceof EntryHeartbeat heartbeat) {
+            onHeartbeat(peer.process(), heartbeat);
+        } else if (message instanceof JobAccepted accepted) {
+            mDirectory.onSubmission(accepted.submission());
+            ownerRole().ifPresent(owner -> owner.dispatcher().onSubmission(accepted.submission()));
+        } else if (message instanceof JobCancelled cancelled) {
+            mDirectory.onCancelled(cancelled.job());
+            ownerRole().ifPresent(owner -> owner.dispatcher().onCancel(cancelled.job()));
+        } else if (message instanceof JobStates states) {
+            states.jobs().forEach(mDirectory::onStatus);
+        } else if (message instanceof StoreCall call) {
+            mStore.onCall(peer.process(), call);
+        } else if (message instanceof StoreAnswer answer) {
+            mStore.onAnswer(answer);
+        } else if (message instanceof ConfigurationCopy copy) {
+            mConfiguration.onContent(copy.content(), "peer");
+        } else if (message instanceof OwnershipOffer offer) {
+            mElection.onOffer(offer.epoch(), nowMs());
+            claimIfNeeded();
+        }
+    }
+
+    private void onHeartbeat(ProcessId peer, EntryHeartbeat heartbeat) {
+        Optional<EntryHeartbeat> before;
+        synchronized (mPeers) {
+            before = Optional.ofNullable(mPeers.put(peer, heartbeat));
+        }
+        mElection.onHeartbeat(peer, heartbeat, nowMs());
+        endIfSucceeded();
+        boolean stillBehind =
+                before.isPresent()
+                        && before.get().configurationVersion() == heartbeat.configurationVersion()
+                        && heartbeat.configurationVersion() < mConfiguration.version();
+        if (stillBehind) {
+            mLinks.send(peer, new ConfigurationCopy(mConfiguration.content()));
+        }
+    }
+
+    // ---- shutdown
+
+    @Override
+    public void drain() {
+        synchronized (this) {
+            mDraining = true;
+        }
+        LOG.event("drain_started").with("owner", ownerRole().isPresent()).info();
+        mCallerServer.closeGracefully();
+        ownerRole().ifPresent(this::handOver);
+    }
+
+    private void handOver(OwnerRole owner) {
+        owner.dispatcher().halt();
+        if (!owner.dispatcher().isSettled()) {
+            mScheduler.scheduleDirect(
+                    () -> handOver(owner), HEARTBEAT_MS / 10, TimeUnit.MILLISECONDS);
+            return;
+        }
+        Optional<FleetNode> successor =
+                mLinks.connected(ProcessRole.ENTRY).stream()
+                        .filter(peer -> isReachableByStore(peer.process()))
+                        .max(Comparator.comparingLong(FleetNode::capacityMilli));
+        LOG.event("owner_handing_over").with("successor", successor).info();
+        successor.ifPresent(peer -> mLinks.send(peer.process(), new OwnershipOffer(owner.epoch())));
+    }
+
+    private boolean isReachableByStore(ProcessId peer) {
+        synchronized (mPeers) {
+            return mPeers.containsKey(peer) && mPeers.get(peer).storeReachable();
+        }
+    }
+
+    @Override
+    public synchronized boolean isDraining() {
+        return mDraining;
+    }
+
+    @Override
+    public boolean isIdle() {
+        return mCallerServer.inProgress() == 0 && mIntake.isIdle() && ownerRole().isEmpty();
+    }
+
+    @Override
+    public Duration drainLimit() {
+        return Duration.ofMillis(DRAIN_LIMIT_MS);
+    }
+
+    @Override
+    public void close() {
+        ownerRole().ifPresent(OwnerRole::end);
+    }
+
+    private long nowMs() {
+        return mScheduler.now(TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -0,0 +1,202 @@
+package org.hickorycleat.daemon.fleet;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.hickorycleat.daemon.logging.EventLog;
+import org.hickorycleat.logic.directory.JobDirectory;
+import org.hickorycleat.logic.directory.JobEntry;
+import org.hickorycleat.logic.directory.JobRecord;
+import org.hickorycleat.logic.dispatch.DispatchOutput;
+import org.hickorycleat.logic.dispatch.DispatchSettings;
+import org.hickorycleat.logic.dispatch.Dispatcher;
+import org.hickorycleat.logic.port.Calls;
+import org.hickorycleat.model.identifier.Epoch;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.job.JobProgress;
+import org.hickorycleat.model.job.JobStatus;
+import org.hickorycleat.model.job.WorkloadConfiguration;
+import org.hickorycleat.model.message.FleetNode;
+import org.hickorycleat.model.message.JobStates;
+import org.hickorycleat.model.message.Message;
+import org.hickorycleat.model.message.OwnerAnnouncement;
+import org.hickorycleat.model.message.ProcessRole;
+import org.hickorycleat.model.store.AppendOutcome;
+import org.hickorycleat.model.store.AppendResult;
+import org.hickorycleat.model.store.AppendTerms;
+import org.hickorycleat.model.store.Producer;
+
+/** One term of this process as the owner of the jobs. */
+final class OwnerRole implements DispatchOutput {
+    /** Name of the producer that only owners use; its epoch fences earlier owners. */
+    static final String PRODUCER = "owner";
+
+    private static final EventLog LOG = EventLog.of(OwnerRole.class);
+
+    /** Time between two checks of leases and progress, in milliseconds. */
+    private static final long TICK_MS = 100;
+
+    /** Pause before an append is repeated, in milliseconds. */
+    private static final long RETRY_MS = 50;
+
+    /** Jobs of one append; keeps its size below the limits of the store. */
+    private static final int MAXIMUM_BATCH = 200;
+
+    private final FleetNode mSelf;
+    private final Epoch mEpoch;
+    private final RelayingStore mStore;
+    private final FleetLinks mLinks;
+    private final JobDirectory mDirectory;
+    private final JobLogCodec mCodec;
+    private final Scheduler mScheduler;
+    private final Runnable mOnFenced;
+    private final Dispatcher mDispatcher;
+    private long mSequence;
+    private volatile boolean mEnded;
+
+    OwnerRole(
+            FleetNode self,
+            Epoch epoch,
+            RelayingStore store,
+            FleetLinks links,
+            JobDirectory directory,
+            JobLogCodec codec,
+            Scheduler scheduler,
+            DispatchSettings settings,
+            Runnable onFenced) {
+        mSelf = self;
+        mEpoch = epoch;
+        mStore = store;
+        mLinks = links;
+        mDirectory = directory;
+        mCodec = codec;
+        mScheduler = scheduler;
+        mOnFenced = onFenced;
+        mDispatcher =
+                new Dispatcher(
+                        epoch,
+                        this,
+                        scheduler,
+                        System::currentTimeMillis,
+                        settings,
+                        EventLog.of(Dispatcher.class)::record);
+    }
+
+    Epoch epoch() {
+        return mEpoch;
+    }
+
+    Dispatcher dispatcher() {
+        return mDispatcher;
+    }
+
+    /** Takes over all jobs and tells every agent. */
+    void start(Optional<WorkloadConfiguration> configuration) {
+        configuration.ifPresent(mDispatcher::onConfiguration);
+        for (JobEntry job : mDirectory.jobs()) {
+            job.submission()
+                    .ifPresent(
+                            submission ->
+                                    mDispatcher.restore(
+                                            submission, job.progress(), job.isCancelled()));
+        }
+        for (FleetNode agent : mLinks.connected(ProcessRole.AGENT)) {
+            onAgentConnected(agent.process());
+        }
+        tick();
+    }
+
+    /** Opens a session with an agent. */
+    void onAgentConnected(ProcessId agent) {
+        long session = mDispatcher.onAgentConnected(agent);
+        mLinks.send(agent, new OwnerAnnouncement(mSelf.process(), mEpoch, session));
+    }
+
+    /** Ends the term; nothing is sent or stored any more. */
+    void end() {
+        mEnded = true;
+        mDispatcher.halt();
+    }
+
+    private void tick() {
+        if (mEnded) {
+            return;
+        }
+        mDispatcher.tick();
+        mScheduler.scheduleDirect(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public boolean send(ProcessId agent, Message message) {
+        return !mEnded && mLinks.send(agent, message);
+    }
+
+    @Override
+    public void persist(List<JobProgress> progress, Runnable durable) {
+        int size = Math.min(MAXIMUM_BATCH, progress.size());
+        List<JobProgress> batch = progress.subList(0, size);
+        List<JobProgress> rest = progress.subList(size, progress.size());
+        mSequence++;
+        append(batch, mSequence, rest.isEmpty() ? durable : () -> persist(rest, durable));
+    }
+
+    private void append(List<JobProgress> batch, long sequence, Runnable durable) {
+        if (mEnded) {
+            return;
+        }
+        AppendTerms terms =
+                new AppendTerms(
+                        JobLogCodec.JOBS_TOPIC,
+                        0,
+                        Optional.empty(),
+                        Optional.of(new Producer(PRODUCER, mEpoch.value(), sequence)));
+        Calls.whenDone(
+                mStore.append(
+                        terms,
+                        batch.stream().map(JobRecord.Progressed::new).map(mCodec::encode).toList()),
+                outcome -> onOutcome(batch, sequence, outcome, durable),
+                error ->
+                        onOutcome(
+                                batch,
+                                sequence,
+                                new AppendOutcome(AppendResult.UNKNOWN, 0),
+                                durable));
+    }
+
+    private void onOutcome(
+            List<JobProgress> batch, long sequence, AppendOutcome outcome, Runnable durable) {
+        boolean repeated =
+                outcome.result() == AppendResult.SEQUENCE_GAP && outcome.offset() > sequence;
+        if (outcome.result() == AppendResult.APPENDED || repeated) {
+            if (!mEnded) {
+                durable.run();
+            }
+            return;
+        }
+        boolean lost =
+                outcome.result() == AppendResult.FENCED
+                        || outcome.result() == AppendResult.SEQUENCE_GAP;
+        if (lost) {
+            LOG.event("owner_fenced").with("epoch", mEpoch).with("result", outcome).warn();
+            mOnFenced.run();
+            return;
+        }
+        mScheduler.scheduleDirect(
+                () -> append(batch, sequence, durable), RETRY_MS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void publish(List<JobStatus> states) {
+        if (mEnded) {
+            return;
+        }
+        states.forEach(mDirectory::onStatus);
+        mLinks.broadcast(new JobStates(states), ProcessRole.ENTRY);
+    }
+
+    @Override
+    public boolean mayExtendLeases() {
+        return !mEnded && mStore.silenceMs() < DispatchSettings.STORE_SILENCE_LIMIT_MS;
+    }
+}
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingStore.java
@@ -0,0 +1,264 @@
+package org.hickorycleat.daemon.fleet;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.subjects.SingleSubject;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.hickorycleat.daemon.logging.EventLog;
+import org.hickorycleat.logic.port.Calls;
+import org.hickorycleat.logic.port.RecordStore;
+import org.hickorycleat.logic.port.StoreUnavailableException;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.message.StoreAnswer;
+import org.hickorycleat.model.message.StoreCall;
+import org.hickorycleat.model.store.AppendOutcome;
+import org.hickorycleat.model.store.AppendResult;
+import org.hickorycleat.model.store.AppendTerms;
+import org.hickorycleat.model.store.ReadTerms;
+import org.hickorycleat.model.store.StorePage;
+import org.hickorycleat.model.store.StoreRecord;
+
+/**
+ * Reaches the store directly, or through a peer while the store turns this machine away.
+ *
+ * <p>An append that may have taken effect is sent again through a peer; callers therefore only
+ * append what may be appended twice or names a producer.
+ */
+final class RelayingStore implements RecordStore {
+    private static final EventLog LOG = EventLog.of(RelayingStore.class);
+
+    /** How long peers are asked first after the direct way failed, in milliseconds. */
+    private static final long AVOID_MS = 1_000;
+
+    /** Time limit of a call through a peer, in milliseconds. */
+    private static final long RELAY_TIMEOUT_MS = 1_000;
+
+    private final RecordStore mDirect;
+    private final FleetLinks mLinks;
+    private final Supplier<Optional<ProcessId>> mRelays;
+    private final Scheduler mScheduler;
+    private final Map<Long, SingleSubject<StoreAnswer>> mCalls = new HashMap<>();
+    private long mLastCall;
+    private long mAvoidUntilMs = Long.MIN_VALUE;
+    private long mAnsweredAtMs;
+    private long mDirectlyAnsweredAtMs;
+
+    /**
+     * Creates the store.
+     *
+     * @param relays names a peer that reaches the store
+     */
+    RelayingStore(
+            RecordStore direct,
+            FleetLinks links,
+            Supplier<Optional<ProcessId>> relays,
+            Scheduler scheduler) {
+        mDirect = direct;
+        mLinks = links;
+        mRelays = relays;
+        mScheduler = scheduler;
+    }
+
+    /** Returns how long ago the store answered, by any way, in milliseconds. */
+    synchronized long silenceMs() {
+        return nowMs() - mAnsweredAtMs;
+    }
+
+    /** Tells whether the store answers this process itself. */
+    synchronized boolean isDirectlyReachable() {
+        return nowMs() >= mAvoidUntilMs && mDirectlyAnsweredAtMs > 0;
+    }
+
+    @Override
+    public Single<AppendOutcome> append(AppendTerms terms, List<StoreRecord> records) {
+        Optional<ProcessId> relay = mRelays.get();
+        if (relay.isPresent() && isAvoided()) {
+            return relayAppend(relay.get(), terms, records)
+                    .flatMap(
+                            outcome ->
+                                    isAnswered(outcome)
+                                            ? Single.just(outcome)
+                                            : directAppend(terms, records)
+                                                    .map(last -> joined(outcome, last)));
+        }
+        return directAppend(terms, records)
+                .flatMap(
+                        outcome ->
+                                isAnswered(outcome) || mRelays.get().isEmpty()
+                                        ? Single.just(outcome)
+                                        : relayAppend(mRelays.get().get(), terms, records)
+                                                .map(last -> joined(outcome, last)));
+    }
+
+    // A refusal only counts as such when no earlier try may have taken effect.
+    private static AppendOutcome joined(AppendOutcome first, AppendOutcome last) {
+        boolean unknown =
+                last.result() == AppendResult.REFUSED && first.result() == AppendResult.UNKNOWN;
+        return unknown ? first : last;
+    }
+
+    private static boolean isAnswered(AppendOutcome outcome) {
+        return outcome.result() != AppendResult.REFUSED && outcome.result() != AppendResult.UNKNOWN;
+    }
+
+    private Single<AppendOutcome> directAppend(AppendTerms terms, List<StoreRecord> records) {
+        return mDirect.append(terms, records)
+                .doOnSuccess(
+                        outcome -> {
+                            if (isAnswered(outcome)) {
+                                onDirectAnswer();
+                            } else {
+                                onDirectFailure(outcome.result().name());
+                            }
+                        });
+    }
+
+    private Single<AppendOutcome> relayAppend(
+            ProcessId relay, AppendTerms terms, List<StoreRecord> records) {
+        return relayed(
+                        relay,
+                        number ->
+                                new StoreCall(
+                                        number, Optional.of(terms), records, Optional.empty()))
+                .map(answer -> answer.append().orElse(new AppendOutcome(AppendResult.UNKNOWN, 0)))
+                .doOnSuccess(
+                        outcome -> {
+                            if (isAnswered(outcome)) {
+                                onAnswer();
+                            }
+                        })
+                .onErrorReturnItem(new AppendOutcome(AppendResult.UNKNOWN, 0));
+    }
+
+    @Override
+    public Single<StorePage> read(ReadTerms terms) {
+        Optional<ProcessId> relay = mRelays.get();
+        if (relay.isPresent() && isAvoided()) {
+            return relayRead(relay.get(), terms).onErrorResumeNext(error -> directRead(terms));
+        }
+        return directRead(terms)
+                .onErrorResumeNext(
+                        error ->
+                                mRelays.get()
+                                        .map(peer -> relayRead(peer, terms))
+                                        .orElseGet(() -> Single.error(error)));
+    }
+
+    private Single<StorePage> directRead(ReadTerms terms) {
+        return mDirect.read(terms)
+                .doOnSuccess(page -> onDirectAnswer())
+                .doOnError(error -> onDirectFailure(String.valueOf(error.getMessage())));
+    }
+
+    private Single<StorePage> relayRead(ProcessId relay, ReadTerms terms) {
+        // A peer must not be made to hold a read for this process.
+        ReadTerms atOnce =
+                terms.newest()
+                        ? terms
+                        : ReadTerms.log(terms.topic(), terms.partition(), terms.fromOffset(), 0);
+        return relayed(
+                        relay,
+                        number ->
+                                new StoreCall(
+                                        number, Optional.empty(), List.of(), Optional.of(atOnce)))
+                .flatMap(
+                        answer ->
+                                answer.page().isPresent()
+                                        ? Single.just(answer.page().get())
+                                        : Single.error(
+                                                new StoreUnavailableException("not relayed")))
+                .doOnSuccess(page -> onAnswer());
+    }
+
+    private Single<StoreAnswer> relayed(
+            ProcessId relay, java.util.function.LongFunction<StoreCall> call) {
+        SingleSubject<StoreAnswer> answer = SingleSubject.create();
+        long number;
+        synchronized (this) {
+            number = ++mLastCall;
+            mCalls.put(number, answer);
+        }
+        if (!mLinks.send(relay, call.apply(number))) {
+            forget(number);
+            return Single.error(new StoreUnavailableException("no link to relay"));
+        }
+        return answer.timeout(RELAY_TIMEOUT_MS, TimeUnit.MILLISECONDS, mScheduler)
+                .doFinally(() -> forget(number));
+    }
+
+    private synchronized void forget(long number) {
+        mCalls.remove(number);
+    }
+
+    /** Takes the answer of a relay. */
+    void onAnswer(StoreAnswer answer) {
+        SingleSubject<StoreAnswer> waiting;
+        synchronized (this) {
+            waiting = mCalls.get(answer.number());
+        }
+        if (waiting != null) {
+            waiting.onSuccess(answer);
+        }
+    }
+
+    /** Makes a call for a peer. */
+    void onCall(ProcessId peer, StoreCall call) {
+        if (call.append().isPresent()) {
+            Calls.whenDone(
+                    directAppend(call.append().get(), call.records()),
+                    outcome ->
+                            mLinks.send(
+                                    peer,
+                                    new StoreAnswer(
+                                            call.number(), Optional.of(outcome), Optional.empty())),
+                    error -> relayFailed(peer, call, error));
+        } else if (call.read().isPresent()) {
+            Calls.whenDone(
+                    directRead(call.read().get()),
+                    page ->
+                            mLinks.send(
+                                    peer,
+                                    new StoreAnswer(
+                                            call.number(), Optional.empty(), Optional.of(page))),
+                    error -> relayFailed(peer, call, error));
+        }
+    }
+
+    private void relayFailed(ProcessId peer, StoreCall call, Throwable error) {
+        LOG.event("relay_failed").with("peer", peer).with("cause", error).info();
+        mLinks.send(peer, new StoreAnswer(call.number(), Optional.empty(), Optional.empty()));
+    }
+
+    private synchronized boolean isAvoided() {
+        return nowMs() < mAvoidUntilMs;
+    }
+
+    private synchronized void onAnswer() {
+        mAnsweredAtMs = nowMs();
+    }
+
+    private synchronized void onDirectAnswer() {
+        mAnsweredAtMs = nowMs();
+        mDirectlyAnsweredAtMs = nowMs();
+        if (mAvoidUntilMs != Long.MIN_VALUE) {
+            mAvoidUntilMs = Long.MIN_VALUE;
+            LOG.event("store_regained").info();
+        }
+    }
+
+    private synchronized void onDirectFailure(String cause) {
+        if (mAvoidUntilMs == Long.MIN_VALUE) {
+            LOG.event("store_lost").with("cause", cause).warn();
+        }
+        mAvoidUntilMs = nowMs() + AVOID_MS;
+    }
+
+    private long nowMs() {
+        return mScheduler.now(TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/package-info.java
@@ -0,0 +1,5 @@
+/** Roles entry and agent on the users' platform, and the links between them. */
+@NullMarked
+package org.hickorycleat.daemon.fleet;
+
+import org.jspecify.annotations.NullMarked;
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/EventLog.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/EventLog.java
@@ -20,6 +20,15 @@
         return new Line(mLogger, name);
     }
 
+    /** Writes a line at level info with keys and values in turn. */
+    public void record(String name, Object... pairs) {
+        Line line = event(name);
+        for (int i = 0; i + 1 < pairs.length; i += 2) {
+            line.with(String.valueOf(pairs[i]), pairs[i + 1]);
+        }
+        line.info();
+    }
+
     /** A line under construction. */
     public static final class Line {
         private final Logger mLogger;
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
@@ -9,23 +9,40 @@
 import org.hickorycleat.model.message.Cancel;
 import org.hickorycleat.model.message.CancelResult;
 import org.hickorycleat.model.message.CheckpointTask;
+import org.hickorycleat.model.message.ConfigurationCopy;
 import org.hickorycleat.model.message.ConfigurationUpdate;
+import org.hickorycleat.model.message.EntryHeartbeat;
 import org.hickorycleat.model.message.Failure;
 import org.hickorycleat.model.message.Fence;
+import org.hickorycleat.model.message.FleetEntries;
+import org.hickorycleat.model.message.FleetHello;
 import org.hickorycleat.model.message.Forward;
 import org.hickorycleat.model.message.Hello;
 import org.hickorycleat.model.message.InstanceStanding;
 import org.hickorycleat.model.message.Invoke;
 import org.hickorycleat.model.message.InvokeResult;
+import org.hickorycleat.model.message.JobAccepted;
+import org.hickorycleat.model.message.JobCancelled;
+import org.hickorycleat.model.message.JobStates;
+import org.hickorycleat.model.message.LeaseExtension;
 import org.hickorycleat.model.message.LeaseGrant;
 import org.hickorycleat.model.message.LeaseRequest;
 import org.hickorycleat.model.message.Message;
+import org.hickorycleat.model.message.OwnerAnnouncement;
+import org.hickorycleat.model.message.OwnershipOffer;
 import org.hickorycleat.model.message.PeerSummary;
+import org.hickorycleat.model.message.RunRejected;
+import org.hickorycleat.model.message.RunTraits;
+import org.hickorycleat.model.message.StartRun;
 import org.hickorycleat.model.message.StartTask;
+import org.hickorycleat.model.message.StopRun;
 import org.hickorycleat.model.message.StopTask;
+import org.hickorycleat.model.message.StoreAnswer;
+import org.hickorycleat.model.message.StoreCall;
 import org.hickorycleat.model.message.TaskReport;
 import org.hickorycleat.model.message.ThrottleTask;
 import org.hickorycleat.model.message.Welcome;
+import org.hickorycleat.model.message.WorkerReport;
 import org.hickorycleat.model.result.ResultCode;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -62,7 +79,24 @@
                     Forward.class,
                     PeerSummary.class,
                     Failure.class,
-                    InstanceStanding.class);
+                    InstanceStanding.class,
+                    FleetHello.class,
+                    FleetEntries.class,
+                    EntryHeartbeat.class,
+                    OwnerAnnouncement.class,
+                    OwnershipOffer.class,
+                    WorkerReport.class,
+                    LeaseExtension.class,
+                    StartRun.class,
+                    StopRun.class,
+                    RunRejected.class,
+                    RunTraits.class,
+                    JobAccepted.class,
+                    JobCancelled.class,
+                    JobStates.class,
+                    StoreCall.class,
+                    StoreAnswer.class,
+                    ConfigurationCopy.class);
 
     private final RecordCodec mRecords = new RecordCodec();
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageTransport.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageTransport.java
@@ -41,7 +41,12 @@
 
     /** Creates a transport with the given number of event loop threads. */
     public MessageTransport(int threads, TransportMetrics metrics) {
-        mEventLoops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+        this(new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory()), metrics);
+    }
+
+    /** Creates a transport on event loops that it shares with others. */
+    public MessageTransport(EventLoopGroup eventLoops, TransportMetrics metrics) {
+        mEventLoops = eventLoops;
         mMetrics = metrics;
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/RecordCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/RecordCodec.java
@@ -23,19 +23,19 @@
  * <p>A record with one component, such as an identifier, is written as the bare component; an enum
  * as its ordinal; an {@link Optional} as its value or nil.
  */
-final class RecordCodec {
+public final class RecordCodec {
     private static final MethodType CONSTRUCTOR_TYPE =
             MethodType.methodType(Object.class, Object[].class);
 
     private final Map<Type, ValueCodec> mCodecs = new ConcurrentHashMap<>();
 
     /** Writes a value of the given type. */
-    void write(MessagePacker packer, Type type, Object value) throws IOException {
+    public void write(MessagePacker packer, Type type, Object value) throws IOException {
         codec(type).write(packer, value);
     }
 
     /** Reads a value of the given type. */
-    Object read(MessageUnpacker unpacker, Type type) throws IOException {
+    public Object read(MessageUnpacker unpacker, Type type) throws IOException {
         return codec(type).read(unpacker);
     }
 
@@ -67,7 +67,7 @@
     }
 
     private static ValueCodec simpleCodec(Class<?> type) {
-        if (type == int.class) {
+        if (type == int.class || type == Integer.class) {
             return ValueCodec.of(
                     (packer, value) -> packer.packInt((int) value), MessageUnpacker::unpackInt);
         }
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobRecord.java
@@ -0,0 +1,22 @@
+package org.hickorycleat.logic.directory;
+
+import org.hickorycleat.model.identifier.Epoch;
+import org.hickorycleat.model.job.JobId;
+import org.hickorycleat.model.job.JobProgress;
+import org.hickorycleat.model.job.JobSubmission;
+import org.hickorycleat.model.message.FleetNode;
+
+/** A record of the log of jobs. */
+public sealed interface JobRecord {
+    /** A job that an entry took. */
+    record Submitted(JobSubmission submission) implements JobRecord {}
+
+    /** A cancellation that an entry took. */
+    record Cancelled(JobId job) implements JobRecord {}
+
+    /** Progress that the owner made durable. */
+    record Progressed(JobProgress progress) implements JobRecord {}
+
+    /** An entry became the owner; its epoch follows from the offset of the claim. */
+    record Claimed(FleetNode owner, Epoch epoch) implements JobRecord {}
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -0,0 +1,705 @@
+package org.hickorycleat.logic.dispatch;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.hickorycleat.logic.port.DecisionLog;
+import org.hickorycleat.model.identifier.Epoch;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.job.EndCause;
+import org.hickorycleat.model.job.EndedRun;
+import org.hickorycleat.model.job.JobId;
+import org.hickorycleat.model.job.JobProgress;
+import org.hickorycleat.model.job.JobQueue;
+import org.hickorycleat.model.job.JobState;
+import org.hickorycleat.model.job.JobStatus;
+import org.hickorycleat.model.job.JobSubmission;
+import org.hickorycleat.model.job.RunId;
+import org.hickorycleat.model.job.RunSample;
+import org.hickorycleat.model.job.TaskKey;
+import org.hickorycleat.model.job.TaskProgress;
+import org.hickorycleat.model.job.TaskStatus;
+import org.hickorycleat.model.job.WorkerLife;
+import org.hickorycleat.model.job.WorkerPool;
+import org.hickorycleat.model.job.WorkloadConfiguration;
+import org.hickorycleat.model.message.LeaseExtension;
+import org.hickorycleat.model.message.RunRejected;
+import org.hickorycleat.model.message.RunTraits;
+import org.hickorycleat.model.message.StartRun;
+import org.hickorycleat.model.message.StopRun;
+import org.hickorycleat.model.message.WorkerReport;
+
+/**
+ * Decides for the owner of the jobs which task runs where.
+ *
+ * <p>Every start and every end is durable before anything outside follows from it. A run is given
+ * up only when its end is listed, its worker has a new life, the agent proves that it is not there,
+ * or its lease has certainly expired.
+ */
+public final class Dispatcher {
+    /** Pause before a task starts again after a rejection, in milliseconds. */
+    private static final long REJECTED_PAUSE_MS = 150;
+
+    /** Time without progress after which a run counts as stalled, in milliseconds. */
+    private static final long STALL_MS = 1_500;
+
+    /** Time kept between the expected end of a run and that of its worker, in milliseconds. */
+    private static final long DRAIN_MARGIN_MS = 500;
+
+    /** Most starts of one round; the rest follows in the next. */
+    private static final int MAXIMUM_STARTS = 200;
+
+    private final Epoch mEpoch;
+    private final DispatchOutput mOutput;
+    private final Scheduler mScheduler;
+    private final LongSupplier mUnixClockMs;
+    private final DispatchSettings mSettings;
+    private final DecisionLog mLog;
+    private final WorkerChooser mChooser = new WorkerChooser();
+
+    private final Map<JobId, JobTrack> mJobs = new LinkedHashMap<>();
+    private final Map<ProcessId, WorkerTrack> mWorkers = new LinkedHashMap<>();
+    private final Map<RunId, RunTrack> mRuns = new HashMap<>();
+    private final Set<JobTrack> mDirty = new LinkedHashSet<>();
+    private final List<Runnable> mAfterDurable = new ArrayList<>();
+    private final Set<JobTrack> mToPublish = new LinkedHashSet<>();
+    private Optional<WorkloadConfiguration> mConfiguration = Optional.empty();
+    private boolean mPersisting;
+    private boolean mHalted;
+    private long mLastSession;
+
+    /** Creates the dispatcher of an owner. */
+    public Dispatcher(
+            Epoch epoch,
+            DispatchOutput output,
+            Scheduler scheduler,
+            LongSupplier unixClockMs,
+            DispatchSettings settings,
+            DecisionLog log) {
+        mEpoch = epoch;
+        mOutput = output;
+        mScheduler = scheduler;
+        mUnixClockMs = unixClockMs;
+        mSettings = settings;
+        mLog = log;
+    }
+
+    /** Starts no further run: the owner is about to hand over. */
+    public synchronized void halt() {
+        mHalted = true;
+    }
+
+    /** Tells whether every decision so far is durable. */
+    public synchronized boolean isSettled() {
+        return !mPersisting && mDirty.isEmpty();
+    }
+
+    /** Takes the configuration in force. */
+    public synchronized void onConfiguration(WorkloadConfiguration configuration) {
+        mConfiguration = Optional.of(configuration);
+        for (JobTrack job : mJobs.values()) {
+            configuration.queue(job.submission().queue()).ifPresent(job::onQueue);
+        }
+    }
+
+    /** Takes a job and its durable progress from the log. */
+    public synchronized void restore(
+            JobSubmission submission, Optional<JobProgress> progress, boolean cancelled) {
+        if (mJobs.containsKey(submission.id())) {
+            return;
+        }
+        JobTrack job = new JobTrack(submission, queue(submission));
+        mJobs.put(job.id(), job);
+        progress.ifPresent(known -> restore(job, known));
+        if (cancelled && !job.state().isFinal()) {
+            cancel(job);
+        }
+        mToPublish.add(job);
+    }
+
+    private void restore(JobTrack job, JobProgress progress) {
+        job.onState(progress.state());
+        for (TaskProgress row : progress.tasks()) {
+            TaskKey key = new TaskKey(job.id(), row.occurrence(), row.step(), row.index());
+            Optional<TaskTrack> task = job.task(key);
+            if (task.isEmpty()) {
+                mLog.record("progress_ignored", "task", key, "reason", "no_such_task");
+                continue;
+            }
+            task.get().restore(row);
+            if (row.status() == TaskStatus.ACTIVE) {
+                inherit(task.get(), row);
+            }
+        }
+    }
+
+    private void inherit(TaskTrack task, TaskProgress row) {
+        if (row.agent().isEmpty() || row.life().isEmpty()) {
+            task.onPending(nowMs());
+            return;
+        }
+        WorkerTrack worker = worker(row.agent().get());
+        RunId id = new RunId(task.key(), row.run());
+        RunTrack run = new RunTrack(id, task, worker, row.life().get(), RunPhase.INHERITED);
+        worker.add(run);
+        mRuns.put(id, run);
+        task.onRun(run);
+    }
+
+    private JobQueue queue(JobSubmission submission) {
+        return mConfiguration
+                .flatMap(configuration -> configuration.queue(submission.queue()))
+                .orElseGet(() -> removedQueue(submission));
+    }
+
+    // A queue that is no longer configured: its jobs wait, as no service may run them.
+    private static JobQueue removedQueue(JobSubmission submission) {
+        return new JobQueue(
+                submission.queue(),
+                "",
+                "",
+                new org.hickorycleat.model.identifier.ServiceName("none"),
+                Integer.MAX_VALUE / 2,
+                1,
+                1,
+                0,
+                0,
+                Optional.empty());
+    }
+
+    private WorkerTrack worker(ProcessId agent) {
+        return mWorkers.computeIfAbsent(
+                agent,
+                id ->
+                        new WorkerTrack(
+                                id,
+                                nowMs() + mSettings.formerLeaseMs() + mSettings.certainExpiryMs()));
+    }
+
+    /** Takes a job that is durable. */
+    public synchronized void onSubmission(JobSubmission submission) {
+        if (mJobs.containsKey(submission.id())) {
+            return;
+        }
+        JobTrack job = new JobTrack(submission, queue(submission));
+        mJobs.put(job.id(), job);
+        mLog.record(
+                "job_taken",
+                "job",
+                job.id(),
+                "queue",
+                submission.queue(),
+                "steps",
+                submission.steps().size(),
+                "age_ms",
+                mUnixClockMs.getAsLong() - submission.acceptedAtMs());
+        mToPublish.add(job);
+        advance();
+    }
+
+    /** Takes a cancellation that is durable. */
+    public synchronized void onCancel(JobId id) {
+        JobTrack job = mJobs.get(id);
+        if (job != null && !job.state().isFinal()) {
+            cancel(job);
+            advance();
+        }
+    }
+
+    private void cancel(JobTrack job) {
+        mLog.record("job_cancelled", "job", job.id(), "state", job.state());
+        finish(job, JobState.CANCELLED);
+    }
+
+    private void finish(JobTrack job, JobState state) {
+        job.onState(state);
+        for (TaskTrack task : job.tasks()) {
+            task.run().ifPresent(run -> stop(run, state.name()));
+        }
+        mDirty.add(job);
+    }
+
+    private void stop(RunTrack run, String cause) {
+        if (run.isStopping()) {
+            return;
+        }
+        run.onStopOrdered();
+        mLog.record("run_stop", "run", run.id(), "agent", run.worker().agent(), "cause", cause);
+        if (run.phase() == RunPhase.PERSISTING) {
+            return;
+        }
+        sendStop(run);
+    }
+
+    private void sendStop(RunTrack run) {
+        WorkerTrack worker = run.worker();
+        if (worker.isConnected()) {
+            sendOrder(worker, new StopRun(mEpoch, worker.nextOrder(), run.id()));
+        }
+    }
+
+    private void sendOrder(WorkerTrack worker, org.hickorycleat.model.message.Message order) {
+        if (!mOutput.send(worker.agent(), order)) {
+            mLog.record("order_unsent", "agent", worker.agent(), "order", order);
+        }
+    }
+
+    /**
+     * An agent opened a link.
+     *
+     * @return number of the session, which the agent has to be told first
+     */
+    public synchronized long onAgentConnected(ProcessId agent) {
+        mLastSession++;
+        worker(agent).onSession(mLastSession);
+        mLog.record("agent_connected", "agent", agent, "session", mLastSession);
+        return mLastSession;
+    }
+
+    /** The link to an agent is gone. */
+    public synchronized void onAgentDisconnected(ProcessId agent) {
+        worker(agent).onDisconnected();
+        mLog.record("agent_disconnected", "agent", agent);
+    }
+
+    /** Takes the state of a worker. */
+    public synchronized void onReport(ProcessId agent, WorkerReport report) {
+        WorkerTrack worker = worker(agent);
+        if (!report.epoch().equals(mEpoch) || report.session() != worker.session()) {
+            return;
+        }
+        Optional<WorkerLife> before = worker.life();
+        worker.onReport(report, nowMs());
+        if (!before.equals(worker.life())) {
+            mLog.record("worker_life", "agent", agent, "life", worker.life());
+        }
+        report.ended().forEach(end -> onEnd(worker, end));
+        reconcile(worker, report);
+        acknowledgeEnds(worker);
+        extendLease(worker, report.number());
+        advance();
+    }
+
+    private void extendLease(WorkerTrack worker, long report) {
+        int leaseMs = mOutput.mayExtendLeases() ? mSettings.leaseMs() : 0;
+        if (leaseMs > 0) {
+            worker.onLeaseExtended(nowMs() + mSettings.certainExpiryMs());
+        }
+        mOutput.send(
+                worker.agent(),
+                new LeaseExtension(
+                        mEpoch, report, leaseMs, worker.life(), worker.acknowledgedEnds()));
+    }
+
+    private void acknowledgeEnds(WorkerTrack worker) {
+        Optional<WorkerLife> life = worker.life();
+        long processed = worker.processedEnds();
+        if (processed <= worker.acknowledgedEnds()) {
+            return;
+        }
+        mAfterDurable.add(
+                () -> {
+                    worker.onEndsDurable(life, processed);
+                    mOutput.send(
+                            worker.agent(),
+                            new LeaseExtension(mEpoch, 0, 0, life, worker.acknowledgedEnds()));
+                });
+    }
+
+    private void reconcile(WorkerTrack worker, WorkerReport report) {
+        if (report.leaseExpired()) {
+            giveUpAll(worker, "lease_expired_at_agent");
+            return;
+        }
+        if (report.life().isEmpty()) {
+            return;
+        }
+        Set<RunId> listed = new HashSet<>(report.pending());
+        for (RunSample sample : report.running()) {
+            listed.add(sample.run());
+            onSample(worker, sample);
+        }
+        report.ended().forEach(end -> listed.add(end.run()));
+        for (RunTrack run : worker.runs()) {
+            if (run.phase() == RunPhase.PERSISTING) {
+                continue;
+            }
+            if (!run.life().equals(report.life().get())) {
+                giveUp(run, "worker_restarted");
+            } else if (!listed.contains(run.id())
+                    && run.isDisprovedBy(report.session(), report.ordersSeen())) {
+                giveUp(run, "not_on_worker");
+            }
+        }
+    }
+
+    private void onSample(WorkerTrack worker, RunSample sample) {
+        Optional<RunTrack> known = worker.run(sample.run());
+        if (known.isEmpty()) {
+            mLog.record("unknown_run", "run", sample.run(), "agent", worker.agent());
+            sendOrder(worker, new StopRun(mEpoch, worker.nextOrder(), sample.run()));
+            return;
+        }
+        RunTrack run = known.get();
+        if (run.phase() == RunPhase.INHERITED) {
+            mOutput.send(worker.agent(), new RunTraits(mEpoch, run.id(), run.task().traits()));
+        }
+        run.onSample(sample.percent(), sample.measurement(), nowMs());
+        run.task().onCheckpoint(sample.checkpoint());
+        if (run.isStopping()) {
+            sendStop(run);
+        }
+    }
+
+    private void onEnd(WorkerTrack worker, EndedRun end) {
+        if (!worker.isNewEnd(end.number())) {
+            return;
+        }
+        mLog.record(
+                "run_ended",
+                "run",
+                end.run(),
+                "agent",
+                worker.agent(),
+                "cause",
+                end.cause(),
+                "number",
+                end.number());
+        worker.run(end.run()).ifPresent(this::forget);
+        JobTrack job = mJobs.get(end.run().task().job());
+        Optional<TaskTrack> task = job == null ? Optional.empty() : job.task(end.run().task());
+        if (job == null || task.isEmpty()) {
+            mLog.record("end_ignored", "run", end.run(), "reason", "no_such_task");
+            return;
+        }
+        onEnd(worker, job, task.get(), end);
+        mDirty.add(job);
+    }
+
+    private void onEnd(WorkerTrack worker, JobTrack job, TaskTrack task, EndedRun end) {
+        boolean current = task.run().isPresent() && task.run().get().id().equals(end.run());
+        boolean lasts = task.specification().perpetual();
+        if (task.status() == TaskStatus.DONE) {
+            return;
+        }
+        if (end.cause() == EndCause.DONE && !lasts) {
+            worker.health().onSuccess();
+            task.run().filter(run -> !run.id().equals(end.run())).ifPresent(this::supersede);
+            task.onDone();
+            completeIfDone(job);
+            return;
+        }
+        if (end.cause() == EndCause.FAILED) {
+            onFailure(worker, job, task, lasts);
+        }
+        if (current) {
+            task.onCheckpoint(end.checkpoint());
+            task.onPending(nowMs());
+        }
+    }
+
+    private void onFailure(WorkerTrack worker, JobTrack job, TaskTrack task, boolean lasts) {
+        task.onFailure(worker.agent());
+        if (worker.health().onFailure(nowMs())) {
+            mLog.record("worker_set_aside", "agent", worker.agent(), "cause", "failures");
+        }
+        if (!lasts && !job.state().isFinal() && task.failures() >= job.queue().maximumAttempts()) {
+            mLog.record("job_failed", "job", job.id(), "task", task.key());
+            finish(job, JobState.FAILED);
+        }
+    }
+
+    private void supersede(RunTrack other) {
+        stop(other, "done_elsewhere");
+    }
+
+    private void completeIfDone(JobTrack job) {
+        if (!job.state().isFinal() && job.isDone()) {
+            mLog.record("job_completed", "job", job.id());
+            job.onState(JobState.COMPLETED);
+        }
+    }
+
+    private void forget(RunTrack run) {
+        run.worker().remove(run);
+        mRuns.remove(run.id());
+    }
+
+    private void giveUpAll(WorkerTrack worker, String cause) {
+        for (RunTrack run : worker.runs()) {
+            if (run.phase() != RunPhase.PERSISTING) {
+                giveUp(run, cause);
+            }
+        }
+    }
+
+    private void giveUp(RunTrack run, String cause) {
+        mLog.record("run_given_up", "run", run.id(), "agent", run.worker().agent(), "cause", cause);
+        forget(run);
+        TaskTrack task = run.task();
+        boolean current = task.run().isPresent() && task.run().get() == run;
+        if (current && task.status() == TaskStatus.ACTIVE) {
+            task.onPending(nowMs());
+            mDirty.add(task.step().job());
+        }
+    }
+
+    /** The agent tells that a run was not started. */
+    public synchronized void onRejected(ProcessId agent, RunRejected rejection) {
+        Optional<RunTrack> run = worker(agent).run(rejection.run());
+        if (run.isEmpty()) {
+            return;
+        }
+        giveUp(run.get(), "rejected_" + rejection.reason());
+        if (run.get().task().status() == TaskStatus.PENDING) {
+            run.get().task().onPending(nowMs() + REJECTED_PAUSE_MS);
+        }
+        advance();
+    }
+
+    /** Checks leases and progress and places what waits; called several times a second. */
+    public synchronized void tick() {
+        for (WorkerTrack worker : mWorkers.values()) {
+            if (!worker.runs().isEmpty() && worker.isLeaseCertainlyOver(nowMs())) {
+                giveUpAll(worker, "lease_expired");
+            }
+            if (worker.isDraining()) {
+                emptyDraining(worker);
+            }
+            stopStalled(worker);
+        }
+        advance();
+    }
+
+    private void emptyDraining(WorkerTrack worker) {
+        long remainingMs = worker.description().orElseThrow().remainingMs();
+        for (RunTrack run : worker.runs()) {
+            if (run.phase() != RunPhase.RUNNING || run.isStopping()) {
+                continue;
+            }
+            long needsMs = run.remainingMs(nowMs());
+            boolean lasts = run.task().specification().perpetual();
+            if (lasts || needsMs > remainingMs - DRAIN_MARGIN_MS) {
+                stop(run, "worker_draining");
+            }
+        }
+    }
+
+    private void stopStalled(WorkerTrack worker) {
+        if (!worker.isAvailable() || worker.fillPercent() == 0) {
+            return;
+        }
+        List<RunTrack> finite = new ArrayList<>();
+        for (RunTrack run : worker.runs()) {
+            boolean waits = run.task().specification().gang();
+            if (run.phase() == RunPhase.RUNNING
+                    && !run.task().specification().perpetual()
+                    && !waits) {
+                finite.add(run);
+            }
+        }
+        boolean stalled =
+                !finite.isEmpty()
+                        && finite.stream().allMatch(run -> run.stalledMs(nowMs()) > STALL_MS);
+        if (!stalled) {
+            return;
+        }
+        if (worker.health().setAside(nowMs())) {
+            mLog.record("worker_set_aside", "agent", worker.agent(), "cause", "stalled");
+        }
+        finite.forEach(run -> stop(run, "stalled"));
+    }
+
+    private void advance() {
+        if (!mHalted) {
+            place();
+        }
+        flush();
+    }
+
+    private void place() {
+        List<TaskTrack> ready = ready();
+        ready.sort(DispatchOrder.COMPARATOR);
+        int starts = 0;
+        for (TaskTrack task : ready) {
+            if (starts >= MAXIMUM_STARTS) {
+                return;
+            }
+            Optional<WorkerPool> pool =
+                    mConfiguration.flatMap(
+                            configuration ->
+                                    configuration.pool(task.step().job().queue().service()));
+            Optional<WorkerTrack> worker = mChooser.choose(task, mWorkers.values(), pool, nowMs());
+            if (worker.isPresent()) {
+                start(task, worker.get());
+                starts++;
+            }
+        }
+    }
+
+    private List<TaskTrack> ready() {
+        List<TaskTrack> ready = new ArrayList<>();
+        long unixMs = mUnixClockMs.getAsLong();
+        for (JobTrack job : mJobs.values()) {
+            if (job.state().isFinal()) {
+                continue;
+            }
+            for (List<StepTrack> steps : job.occurrences()) {
+                for (StepTrack step : steps) {
+                    addReady(step, unixMs, ready);
+                }
+            }
+        }
+        return ready;
+    }
+
+    private void addReady(StepTrack step, long unixMs, List<TaskTrack> ready) {
+        boolean checked = false;
+        for (TaskTrack task : step.tasks()) {
+            if (!task.isReady(nowMs())) {
+                continue;
+            }
+            if (!checked && !step.job().isDue(step, unixMs)) {
+                return;
+            }
+            checked = true;
+            ready.add(task);
+        }
+    }
+
+    private void start(TaskTrack task, WorkerTrack worker) {
+        RunId id = new RunId(task.key(), task.nextRunNumber());
+        RunTrack run =
+                new RunTrack(id, task, worker, worker.life().orElseThrow(), RunPhase.PERSISTING);
+        worker.add(run);
+        mRuns.put(id, run);
+        task.onRun(run);
+        JobTrack job = task.step().job();
+        if (job.state() == JobState.QUEUED) {
+            job.onState(JobState.RUNNING);
+        }
+        mDirty.add(job);
+        mLog.record(
+                "run_placed",
+                "run",
+                id,
+                "agent",
+                worker.agent(),
+                "free_milli",
+                worker.freeProcessorsMilli(),
+                "idle_milli",
+                worker.idleProcessorsMilli(),
+                "report_age_ms",
+                nowMs() - worker.reportedAtMs());
+        mAfterDurable.add(() -> order(run));
+    }
+
+    private void order(RunTrack run) {
+        WorkerTrack worker = run.worker();
+        boolean current = mRuns.get(run.id()) == run;
+        if (!current) {
+            return;
+        }
+        boolean sendable =
+                worker.isAvailable()
+                        && worker.life().equals(Optional.of(run.life()))
+                        && !run.isStopping();
+        TaskTrack task = run.task();
+        long order = sendable ? worker.nextOrder() : 0;
+        run.onOrdered(worker.session(), order, nowMs());
+        boolean sent =
+                sendable
+                        && mOutput.send(
+                                worker.agent(),
+                                new StartRun(
+                                        mEpoch,
+                                        order,
+                                        run.life(),
+                                        run.id(),
+                                        task.step().job().submission().payload(),
+                                        task.checkpoint(),
+                                        Optional.empty(),
+                                        task.traits()));
+        if (!sent) {
+            giveUp(run, "never_sent");
+        }
+    }
+
+    private void flush() {
+        if (mPersisting || (mDirty.isEmpty() && mAfterDurable.isEmpty())) {
+            publish(mPersisting ? List.of() : takePublished());
+            return;
+        }
+        List<JobProgress> progress = new ArrayList<>();
+        List<JobStatus> states = takePublished();
+        for (JobTrack job : mDirty) {
+            progress.add(job.progress());
+            states.add(job.status());
+        }
+        mDirty.clear();
+        List<Runnable> effects = new ArrayList<>(mAfterDurable);
+        mAfterDurable.clear();
+        if (progress.isEmpty()) {
+            effects.forEach(Runnable::run);
+            publish(states);
+            return;
+        }
+        mPersisting = true;
+        mOutput.persist(progress, () -> onDurable(effects, states));
+    }
+
+    private synchronized void onDurable(List<Runnable> effects, List<JobStatus> states) {
+        mPersisting = false;
+        effects.forEach(Runnable::run);
+        publish(states);
+        advance();
+    }
+
+    private List<JobStatus> takePublished() {
+        List<JobStatus> states = new ArrayList<>();
+        for (JobTrack job : mToPublish) {
+            if (!mDirty.contains(job)) {
+                states.add(job.status());
+            }
+        }
+        mToPublish.clear();
+        return states;
+    }
+
+    private void publish(List<JobStatus> states) {
+        if (!states.isEmpty()) {
+            mOutput.publish(states);
+        }
+    }
+
+    /** Returns the workers, for the state dump. */
+    public synchronized Collection<String> describeWorkers() {
+        List<String> lines = new ArrayList<>();
+        for (WorkerTrack worker : mWorkers.values()) {
+            lines.add(
+                    "agent="
+                            + worker.agent()
+                            + " available="
+                            + worker.isAvailable()
+                            + " runs="
+                            + worker.runs().size()
+                            + " free_milli="
+                            + worker.freeProcessorsMilli());
+        }
+        return lines;
+    }
+
+    private long nowMs() {
+        return mScheduler.now(TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/JobTrack.java
@@ -0,0 +1,121 @@
+package org.hickorycleat.logic.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hickorycleat.model.job.JobId;
+import org.hickorycleat.model.job.JobProgress;
+import org.hickorycleat.model.job.JobQueue;
+import org.hickorycleat.model.job.JobState;
+import org.hickorycleat.model.job.JobStatus;
+import org.hickorycleat.model.job.JobSubmission;
+import org.hickorycleat.model.job.StepSpecification;
+import org.hickorycleat.model.job.TaskKey;
+import org.hickorycleat.model.job.TaskProgress;
+
+/** State of one job. */
+final class JobTrack {
+    private final JobSubmission mSubmission;
+    private final List<List<StepTrack>> mOccurrences = new ArrayList<>();
+    private JobQueue mQueue;
+    private JobState mState = JobState.QUEUED;
+
+    JobTrack(JobSubmission submission, JobQueue queue) {
+        mSubmission = submission;
+        mQueue = queue;
+        for (int i = 0; i < submission.occurrences(); i++) {
+            List<StepTrack> steps = new ArrayList<>();
+            for (StepSpecification step : submission.steps()) {
+                steps.add(new StepTrack(this, i, steps.size(), step));
+            }
+            mOccurrences.add(steps);
+        }
+    }
+
+    JobId id() {
+        return mSubmission.id();
+    }
+
+    JobSubmission submission() {
+        return mSubmission;
+    }
+
+    JobQueue queue() {
+        return mQueue;
+    }
+
+    void onQueue(JobQueue queue) {
+        mQueue = queue;
+    }
+
+    JobState state() {
+        return mState;
+    }
+
+    void onState(JobState state) {
+        mState = state;
+    }
+
+    List<List<StepTrack>> occurrences() {
+        return mOccurrences;
+    }
+
+    Optional<TaskTrack> task(TaskKey key) {
+        if (key.occurrence() >= mOccurrences.size()) {
+            return Optional.empty();
+        }
+        List<StepTrack> steps = mOccurrences.get(key.occurrence());
+        if (key.step() >= steps.size() || key.index() >= steps.get(key.step()).tasks().size()) {
+            return Optional.empty();
+        }
+        return Optional.of(steps.get(key.step()).tasks().get(key.index()));
+    }
+
+    /** Tells whether the steps before a step are done and its time has come. */
+    boolean isDue(StepTrack step, long unixMs) {
+        Optional<Long> dueAtMs = mSubmission.dueAtMs(step.occurrence());
+        if (dueAtMs.isPresent() && unixMs < dueAtMs.get()) {
+            return false;
+        }
+        List<StepTrack> steps = mOccurrences.get(step.occurrence());
+        for (int earlier : step.specification().after()) {
+            if (!steps.get(earlier).isDone()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    boolean isDone() {
+        for (List<StepTrack> steps : mOccurrences) {
+            for (StepTrack step : steps) {
+                if (!step.isDone()) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    List<TaskTrack> tasks() {
+        List<TaskTrack> tasks = new ArrayList<>();
+        for (List<StepTrack> steps : mOccurrences) {
+            for (StepTrack step : steps) {
+                tasks.addAll(step.tasks());
+            }
+        }
+        return tasks;
+    }
+
+    JobProgress progress() {
+        List<TaskProgress> progress = new ArrayList<>();
+        for (TaskTrack task : tasks()) {
+            task.progress().ifPresent(progress::add);
+        }
+        return new JobProgress(id(), mState, progress);
+    }
+
+    JobStatus status() {
+        return new JobStatus(id(), mSubmission.queue(), mState, mSubmission.firstDueMs() != 0);
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunTrack.java
@@ -0,0 +1,110 @@
+package org.hickorycleat.logic.dispatch;
+
+import org.hickorycleat.model.job.RunId;
+import org.hickorycleat.model.job.WorkerLife;
+
+/** A run that may be on a worker. */
+final class RunTrack {
+    private static final int FULL_PERCENT = 100;
+
+    private final RunId mId;
+    private final TaskTrack mTask;
+    private final WorkerTrack mWorker;
+    private final WorkerLife mLife;
+    private RunPhase mPhase;
+    private long mSession;
+    private long mOrder;
+    private boolean mStopping;
+    private int mPercent;
+    private int mFirstPercent = -1;
+    private long mFirstPercentAtMs;
+    private long mAdvancedAtMs;
+    private long mMeasurement;
+
+    RunTrack(RunId id, TaskTrack task, WorkerTrack worker, WorkerLife life, RunPhase phase) {
+        mId = id;
+        mTask = task;
+        mWorker = worker;
+        mLife = life;
+        mPhase = phase;
+    }
+
+    RunId id() {
+        return mId;
+    }
+
+    TaskTrack task() {
+        return mTask;
+    }
+
+    WorkerTrack worker() {
+        return mWorker;
+    }
+
+    WorkerLife life() {
+        return mLife;
+    }
+
+    RunPhase phase() {
+        return mPhase;
+    }
+
+    boolean isStopping() {
+        return mStopping;
+    }
+
+    void onStopOrdered() {
+        mStopping = true;
+    }
+
+    int percent() {
+        return mPercent;
+    }
+
+    long measurement() {
+        return mMeasurement;
+    }
+
+    /** The start was sent. */
+    void onOrdered(long session, long order, long nowMs) {
+        mPhase = RunPhase.ORDERED;
+        mSession = session;
+        mOrder = order;
+        mAdvancedAtMs = nowMs;
+    }
+
+    /** The worker listed the run. */
+    void onSample(int percent, long measurement, long nowMs) {
+        if (mPhase != RunPhase.RUNNING) {
+            mPhase = RunPhase.RUNNING;
+            mFirstPercent = percent;
+            mFirstPercentAtMs = nowMs;
+            mAdvancedAtMs = nowMs;
+        }
+        if (percent != mPercent) {
+            mAdvancedAtMs = nowMs;
+        }
+        mPercent = percent;
+        mMeasurement = measurement;
+    }
+
+    /** Tells whether a report that omits the run proves that it is not on the worker. */
+    boolean isDisprovedBy(long session, long ordersSeen) {
+        return mPhase != RunPhase.PERSISTING
+                && (mPhase == RunPhase.INHERITED || mSession != session || mOrder <= ordersSeen);
+    }
+
+    /** Returns how long the run has not advanced, in milliseconds. */
+    long stalledMs(long nowMs) {
+        return mPhase == RunPhase.RUNNING ? nowMs - mAdvancedAtMs : 0;
+    }
+
+    /** Returns the time to the end at the pace so far, in milliseconds; -1 when unknown. */
+    long remainingMs(long nowMs) {
+        int advanced = mPercent - mFirstPercent;
+        if (mPhase != RunPhase.RUNNING || advanced <= 0) {
+            return -1;
+        }
+        return (nowMs - mFirstPercentAtMs) * (FULL_PERCENT - mPercent) / advanced;
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/StepTrack.java
@@ -0,0 +1,66 @@
+package org.hickorycleat.logic.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hickorycleat.model.job.StepSpecification;
+import org.hickorycleat.model.job.TaskKey;
+import org.hickorycleat.model.job.TaskStatus;
+
+/** State of one step of one occurrence of a job. */
+final class StepTrack {
+    private final JobTrack mJob;
+    private final int mOccurrence;
+    private final int mNumber;
+    private final StepSpecification mSpecification;
+    private final List<TaskTrack> mTasks = new ArrayList<>();
+
+    StepTrack(JobTrack job, int occurrence, int number, StepSpecification specification) {
+        mJob = job;
+        mOccurrence = occurrence;
+        mNumber = number;
+        mSpecification = specification;
+        for (int i = 0; i < specification.count(); i++) {
+            mTasks.add(new TaskTrack(new TaskKey(job.id(), occurrence, number, i), this));
+        }
+    }
+
+    JobTrack job() {
+        return mJob;
+    }
+
+    int occurrence() {
+        return mOccurrence;
+    }
+
+    int number() {
+        return mNumber;
+    }
+
+    StepSpecification specification() {
+        return mSpecification;
+    }
+
+    List<TaskTrack> tasks() {
+        return mTasks;
+    }
+
+    boolean isDone() {
+        for (TaskTrack task : mTasks) {
+            if (task.status() != TaskStatus.DONE) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns how many tasks of the step may be on a worker. */
+    int activeOn(WorkerTrack worker) {
+        int active = 0;
+        for (TaskTrack task : mTasks) {
+            if (task.run().isPresent() && task.run().get().worker() == worker) {
+                active++;
+            }
+        }
+        return active;
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TaskTrack.java
@@ -0,0 +1,140 @@
+package org.hickorycleat.logic.dispatch;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.job.StepSpecification;
+import org.hickorycleat.model.job.TaskKey;
+import org.hickorycleat.model.job.TaskProgress;
+import org.hickorycleat.model.job.TaskStatus;
+import org.hickorycleat.model.job.TaskTraits;
+import org.jspecify.annotations.Nullable;
+
+/** State of one task. */
+final class TaskTrack {
+    private final TaskKey mKey;
+    private final StepTrack mStep;
+    private final Set<ProcessId> mFailedOn = new HashSet<>();
+    private TaskStatus mStatus = TaskStatus.PENDING;
+    private int mRunNumber;
+    private int mFailures;
+    private Optional<String> mCheckpoint = Optional.empty();
+    private @Nullable RunTrack mRun;
+    private long mNotBeforeMs = Long.MIN_VALUE;
+
+    TaskTrack(TaskKey key, StepTrack step) {
+        mKey = key;
+        mStep = step;
+    }
+
+    TaskKey key() {
+        return mKey;
+    }
+
+    StepTrack step() {
+        return mStep;
+    }
+
+    StepSpecification specification() {
+        return mStep.specification();
+    }
+
+    TaskStatus status() {
+        return mStatus;
+    }
+
+    int failures() {
+        return mFailures;
+    }
+
+    Optional<String> checkpoint() {
+        return mCheckpoint;
+    }
+
+    Optional<RunTrack> run() {
+        return Optional.ofNullable(mRun);
+    }
+
+    boolean hasFailedOn(ProcessId agent) {
+        return mFailedOn.contains(agent);
+    }
+
+    boolean isReady(long nowMs) {
+        return mStatus == TaskStatus.PENDING && nowMs >= mNotBeforeMs;
+    }
+
+    /** Restores durable state. */
+    void restore(TaskProgress progress) {
+        mStatus = progress.status();
+        mRunNumber = progress.run();
+        mFailures = progress.failures();
+        mCheckpoint = progress.checkpoint();
+    }
+
+    /** Returns the number of a further run. */
+    int nextRunNumber() {
+        return mRunNumber + 1;
+    }
+
+    /** A run may be on a worker from now on. */
+    void onRun(RunTrack run) {
+        mStatus = TaskStatus.ACTIVE;
+        mRunNumber = run.id().number();
+        mRun = run;
+    }
+
+    /** Keeps the newest checkpoint. */
+    void onCheckpoint(String checkpoint) {
+        if (!checkpoint.isEmpty()) {
+            mCheckpoint = Optional.of(checkpoint);
+        }
+    }
+
+    /** The task has to run again, not before a time. */
+    void onPending(long notBeforeMs) {
+        mStatus = TaskStatus.PENDING;
+        mRun = null;
+        mNotBeforeMs = notBeforeMs;
+    }
+
+    /** A run failed on a worker. */
+    void onFailure(ProcessId agent) {
+        mFailures++;
+        mFailedOn.add(agent);
+    }
+
+    /** The task is done. */
+    void onDone() {
+        mStatus = TaskStatus.DONE;
+        mRun = null;
+        mCheckpoint = Optional.empty();
+    }
+
+    /** Returns the durable state; empty before the first run. */
+    Optional<TaskProgress> progress() {
+        if (mRunNumber == 0) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new TaskProgress(
+                        mKey.occurrence(),
+                        mKey.step(),
+                        mKey.index(),
+                        mStatus,
+                        mRunNumber,
+                        mFailures,
+                        run().map(run -> run.worker().agent()),
+                        run().map(RunTrack::life),
+                        mCheckpoint));
+    }
+
+    TaskTraits traits() {
+        StepSpecification step = specification();
+        return new TaskTraits(
+                step.image(),
+                step.fills(),
+                step.targetLatencyMs(),
+                step.request().processorsMilli());
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerChooser.java
@@ -0,0 +1,101 @@
+package org.hickorycleat.logic.dispatch;
+
+import java.util.Collection;
+import java.util.Optional;
+import org.hickorycleat.model.job.StepSpecification;
+import org.hickorycleat.model.job.WorkerPool;
+import org.jspecify.annotations.Nullable;
+
+/** Chooses the worker of a task. */
+final class WorkerChooser {
+    /** Share of the request of a task that fills that must be idle on its worker. */
+    private static final double FILL_SHARE = 0.7;
+
+    /** Share of fill work below which a worker takes no further tasks that fill, in percent. */
+    private static final int LOWEST_FILL_PERCENT = 40;
+
+    /** Weight of a rack with the data of the task, in thousandths of a processor. */
+    private static final long RACK_WEIGHT = 1_000_000;
+
+    /** Weight against a worker that has just failed a task, in thousandths of a processor. */
+    private static final long SUSPECT_WEIGHT = 100_000_000;
+
+    /** Weight against a further task of the step on a worker, in thousandths of a processor. */
+    private static final long SPREAD_WEIGHT = 500;
+
+    /** Returns the best worker for a task; empty when none can take it now. */
+    Optional<WorkerTrack> choose(
+            TaskTrack task,
+            Collection<WorkerTrack> workers,
+            Optional<WorkerPool> pool,
+            long nowMs) {
+        @Nullable WorkerTrack best = null;
+        long bestScore = Long.MIN_VALUE;
+        for (WorkerTrack worker : workers) {
+            if (!isEligible(task, worker, pool, nowMs)) {
+                continue;
+            }
+            long score = score(task, worker, nowMs);
+            if (score > bestScore) {
+                best = worker;
+                bestScore = score;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private static boolean isEligible(
+            TaskTrack task, WorkerTrack worker, Optional<WorkerPool> pool, long nowMs) {
+        StepSpecification step = task.specification();
+        if (!worker.isAvailable() || pool.isEmpty()) {
+            return false;
+        }
+        if (!worker.description().orElseThrow().service().equals(pool.get().service())) {
+            return false;
+        }
+        if (step.requiredLabel().isPresent() && !worker.hasLabel(step.requiredLabel().get())) {
+            return false;
+        }
+        if (!worker.hasRoomFor(step.reservation())) {
+            return false;
+        }
+        if (step.maximumPerWorker() > 0
+                && task.step().activeOn(worker) >= step.maximumPerWorker()) {
+            return false;
+        }
+        if (!worker.health().mayStart(nowMs, startedRuns(worker))) {
+            return false;
+        }
+        return !step.fills() || hasIdleProcessors(step, worker);
+    }
+
+    private static int startedRuns(WorkerTrack worker) {
+        int started = 0;
+        for (RunTrack run : worker.runs()) {
+            if (!run.task().specification().perpetual()) {
+                started++;
+            }
+        }
+        return started;
+    }
+
+    private static boolean hasIdleProcessors(StepSpecification step, WorkerTrack worker) {
+        return worker.fillPercent() >= LOWEST_FILL_PERCENT
+                && worker.idleProcessorsMilli() >= step.request().processorsMilli() * FILL_SHARE;
+    }
+
+    private static long score(TaskTrack task, WorkerTrack worker, long nowMs) {
+        StepSpecification step = task.specification();
+        long score =
+                step.fills()
+                        ? worker.idleProcessorsMilli() * worker.fillPercent() / 100
+                        : worker.freeProcessorsMilli();
+        if (step.preferredRack().isPresent() && worker.hasLabel(step.preferredRack().get())) {
+            score += RACK_WEIGHT;
+        }
+        if (worker.health().isSuspect(nowMs) || task.hasFailedOn(worker.agent())) {
+            score -= SUSPECT_WEIGHT;
+        }
+        return score - SPREAD_WEIGHT * task.step().activeOn(worker);
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerTrack.java
@@ -0,0 +1,210 @@
+package org.hickorycleat.logic.dispatch;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.job.RunId;
+import org.hickorycleat.model.job.WorkerDescription;
+import org.hickorycleat.model.job.WorkerLife;
+import org.hickorycleat.model.message.WorkerReport;
+import org.hickorycleat.model.task.Resources;
+
+/** A worker as its agent reports it, and what may be on it. */
+final class WorkerTrack {
+    /** Processors that a serving task uses of those it asks for; the rest is left to others. */
+    private static final double SERVING_USE = 0.55;
+
+    private final ProcessId mAgent;
+    private final WorkerHealth mHealth = new WorkerHealth();
+    private final Map<RunId, RunTrack> mRuns = new LinkedHashMap<>();
+    private Optional<WorkerDescription> mDescription = Optional.empty();
+    private Optional<WorkerLife> mLife = Optional.empty();
+    private boolean mConnected;
+    private boolean mReachable;
+    private long mSession;
+    private long mLastOrder;
+    private long mProcessedEnds;
+    private long mAcknowledgedEnds;
+    private long mLeaseCertainlyOverAtMs;
+    private int mFillPercent = 100;
+    private long mReportedAtMs = Long.MIN_VALUE / 2;
+
+    WorkerTrack(ProcessId agent, long leaseCertainlyOverAtMs) {
+        mAgent = agent;
+        mLeaseCertainlyOverAtMs = leaseCertainlyOverAtMs;
+    }
+
+    ProcessId agent() {
+        return mAgent;
+    }
+
+    WorkerHealth health() {
+        return mHealth;
+    }
+
+    Optional<WorkerDescription> description() {
+        return mDescription;
+    }
+
+    Optional<WorkerLife> life() {
+        return mLife;
+    }
+
+    long session() {
+        return mSession;
+    }
+
+    int fillPercent() {
+        return mFillPercent;
+    }
+
+    List<RunTrack> runs() {
+        return new ArrayList<>(mRuns.values());
+    }
+
+    boolean isConnected() {
+        return mConnected;
+    }
+
+    long reportedAtMs() {
+        return mReportedAtMs;
+    }
+
+    /** The agent opened a session. */
+    void onSession(long session) {
+        mConnected = true;
+        mSession = session;
+        mLastOrder = 0;
+    }
+
+    /** The link to the agent is gone. */
+    void onDisconnected() {
+        mConnected = false;
+        mReachable = false;
+    }
+
+    /** Takes the state of the worker; the lists are handled elsewhere. */
+    void onReport(WorkerReport report, long nowMs) {
+        mReportedAtMs = nowMs;
+        mDescription = report.description();
+        mReachable = report.reachable();
+        mFillPercent = report.fillPercent();
+        if (report.life().isPresent() && !report.life().equals(mLife)) {
+            mLife = report.life();
+            mProcessedEnds = 0;
+            mAcknowledgedEnds = 0;
+            mHealth.reset();
+        }
+    }
+
+    /** Tells whether starts may be ordered. */
+    boolean isAvailable() {
+        return mConnected
+                && mReachable
+                && mLife.isPresent()
+                && mDescription.isPresent()
+                && mDescription.get().life().equals(mLife.get())
+                && !mDescription.get().draining();
+    }
+
+    boolean isDraining() {
+        return mDescription.isPresent() && mDescription.get().draining();
+    }
+
+    long nextOrder() {
+        return ++mLastOrder;
+    }
+
+    void add(RunTrack run) {
+        mRuns.put(run.id(), run);
+    }
+
+    void remove(RunTrack run) {
+        mRuns.remove(run.id());
+    }
+
+    Optional<RunTrack> run(RunId id) {
+        return Optional.ofNullable(mRuns.get(id));
+    }
+
+    /** Tells whether an end is new, and remembers it. */
+    boolean isNewEnd(long number) {
+        if (number <= mProcessedEnds) {
+            return false;
+        }
+        mProcessedEnds = number;
+        return true;
+    }
+
+    long processedEnds() {
+        return mProcessedEnds;
+    }
+
+    long acknowledgedEnds() {
+        return mAcknowledgedEnds;
+    }
+
+    /** Ends up to a number of a life are durable. */
+    void onEndsDurable(Optional<WorkerLife> life, long number) {
+        if (life.equals(mLife)) {
+            mAcknowledgedEnds = Math.max(mAcknowledgedEnds, number);
+        }
+    }
+
+    /** The lease was extended. */
+    void onLeaseExtended(long certainlyOverAtMs) {
+        mLeaseCertainlyOverAtMs = Math.max(mLeaseCertainlyOverAtMs, certainlyOverAtMs);
+    }
+
+    boolean isLeaseCertainlyOver(long nowMs) {
+        return nowMs > mLeaseCertainlyOverAtMs;
+    }
+
+    Resources capacity() {
+        return mDescription.map(WorkerDescription::capacity).orElse(Resources.NONE);
+    }
+
+    boolean hasLabel(String label) {
+        return mDescription.isPresent() && mDescription.get().labels().contains(label);
+    }
+
+    /** Tells whether the reservation fits beside what may be on the worker. */
+    boolean hasRoomFor(Resources reservation) {
+        Resources capacity = capacity();
+        long processors = reservation.processorsMilli();
+        long memory = reservation.memoryMebibytes();
+        long accelerators = reservation.accelerators();
+        for (RunTrack run : mRuns.values()) {
+            Resources taken = run.task().specification().reservation();
+            processors += taken.processorsMilli();
+            memory += taken.memoryMebibytes();
+            accelerators += taken.accelerators();
+        }
+        return processors <= capacity.processorsMilli()
+                && memory <= capacity.memoryMebibytes()
+                && accelerators <= capacity.accelerators();
+    }
+
+    /** Returns the unreserved processors, in thousandths. */
+    long freeProcessorsMilli() {
+        long free = capacity().processorsMilli();
+        for (RunTrack run : mRuns.values()) {
+            free -= run.task().specification().reservation().processorsMilli();
+        }
+        return free;
+    }
+
+    /** Returns the processors that are left to further tasks that fill, in thousandths. */
+    long idleProcessorsMilli() {
+        double idle = capacity().processorsMilli();
+        for (RunTrack run : mRuns.values()) {
+            long requested = run.task().specification().request().processorsMilli();
+            boolean serves = run.task().specification().targetLatencyMs() > 0;
+            idle -= serves ? requested * SERVING_USE : requested;
+        }
+        return (long) idle;
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/Calls.java
@@ -0,0 +1,33 @@
+package org.hickorycleat.logic.port;
+
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.core.SingleObserver;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.function.Consumer;
+
+/** Runs calls that end by themselves, as each has a time limit. */
+public final class Calls {
+    private Calls() {}
+
+    /** Starts a call and passes its outcome on. */
+    public static <T> void whenDone(
+            Single<T> call, Consumer<? super T> onSuccess, Consumer<Throwable> onError) {
+        call.subscribe(
+                new SingleObserver<T>() {
+                    @Override
+                    public void onSubscribe(Disposable disposable) {
+                        // The call is never cancelled.
+                    }
+
+                    @Override
+                    public void onSuccess(T value) {
+                        onSuccess.accept(value);
+                    }
+
+                    @Override
+                    public void onError(Throwable error) {
+                        onError.accept(error);
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/HttpCall.java
@@ -0,0 +1,24 @@
+package org.hickorycleat.logic.port;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+
+/**
+ * A call over HTTP/1.1.
+ *
+ * @param target path and query
+ * @param timeoutMs time after which the call fails, in milliseconds
+ */
+@SuppressWarnings("ArrayRecordComponent") // Copied neither in nor out: never changed.
+public record HttpCall(
+        InetSocketAddress address,
+        String method,
+        String target,
+        Map<String, String> headers,
+        byte[] body,
+        int timeoutMs) {
+    /** Copies the headers. */
+    public HttpCall {
+        headers = Map.copyOf(headers);
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/ListingAnswer.java
@@ -0,0 +1,30 @@
+package org.hickorycleat.logic.port;
+
+import java.util.List;
+import org.hickorycleat.model.job.EndedRun;
+import org.hickorycleat.model.job.RunSample;
+
+/**
+ * Lists of a worker.
+ *
+ * @param fenced whether the worker has seen a higher fencing token; the lists are empty then
+ * @param startedAtMs start of the life that answered, in Unix milliseconds
+ * @param clockMs clock of the worker at the answer
+ */
+public record ListingAnswer(
+        boolean fenced,
+        long startedAtMs,
+        long clockMs,
+        List<RunSample> running,
+        List<EndedRun> ended) {
+    /** Copies the lists. */
+    public ListingAnswer {
+        running = List.copyOf(running);
+        ended = List.copyOf(ended);
+    }
+
+    /** The answer to a token that is too low. */
+    public static ListingAnswer refused() {
+        return new ListingAnswer(true, 0, 0, List.of(), List.of());
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/RunOrder.java
@@ -0,0 +1,20 @@
+package org.hickorycleat.logic.port;
+
+import java.util.Optional;
+import org.hickorycleat.model.job.RunId;
+import org.hickorycleat.model.job.WorkerLife;
+
+/**
+ * Order to start a run.
+ *
+ * @param life the only life of the worker that may carry it out
+ * @param leaseDeadlineMs end of the lease on the clock of the worker
+ */
+public record RunOrder(
+        WorkerLife life,
+        RunId run,
+        String payload,
+        long leaseDeadlineMs,
+        long fencingToken,
+        Optional<String> checkpoint,
+        Optional<String> ticket) {}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/StateResult.java
@@ -0,0 +1,12 @@
+package org.hickorycleat.logic.port;
+
+import java.util.Optional;
+import org.hickorycleat.model.job.JobState;
+
+/**
+ * Outcome of a question for the state of a job.
+ *
+ * @param known whether the entry could tell
+ * @param state state of the job; empty when no such job exists
+ */
+public record StateResult(boolean known, Optional<JobState> state) {}
--- /dev/null
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerRuntime.java
@@ -0,0 +1,27 @@
+package org.hickorycleat.logic.port;
+
+import io.reactivex.rxjava3.core.Single;
+import java.util.Optional;
+import org.hickorycleat.model.job.RunId;
+
+/** Orders to the worker beside an agent. Calls without an answer fail and may take effect later. */
+public interface WorkerRuntime {
+    /** Starts a run. */
+    Single<OrderAnswer> start(RunOrder order);
+
+    /** Stops a run. */
+    Single<OrderAnswer> stop(RunId run, long fencingToken);
+
+    /** Sets the share at which a run works, in percent. */
+    Single<OrderAnswer> pace(RunId run, int percent, long fencingToken);
+
+    /**
+     * Lists what runs and what ended.
+     *
+     * @param leaseDeadlineMs new end of the lease on the clock of the worker
+     * @param acknowledgedEnds number up to which ends are forgotten
+     * @param waitMs how long the worker may wait for an end, in milliseconds
+     */
+    Single<ListingAnswer> list(
+            long fencingToken, Optional<Long> leaseDeadlineMs, long acknowledgedEnds, int waitMs);
+}
--- /dev/null
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobId.java
@@ -0,0 +1,21 @@
+package org.hickorycleat.model.job;
+
+/** Identifier of a job, chosen by its caller; submissions with the same id are one job. */
+public record JobId(String value) implements Comparable<JobId> {
+    /** Creates the identifier. */
+    public JobId {
+        if (value.isBlank()) {
+            throw new IllegalArgumentException("job id is blank");
+        }
+    }
+
+    @Override
+    public int compareTo(JobId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobState.java
@@ -0,0 +1,20 @@
+package org.hickorycleat.model.job;
+
+/** State of a job as callers see it. */
+public enum JobState {
+    /** No task has started. */
+    QUEUED,
+    /** A task has started. */
+    RUNNING,
+    /** All tasks are done. */
+    COMPLETED,
+    /** A task has failed as often as its queue allows. */
+    FAILED,
+    /** Its caller cancelled it. */
+    CANCELLED;
+
+    /** Tells whether the state is final. */
+    public boolean isFinal() {
+        return this == COMPLETED || this == FAILED || this == CANCELLED;
+    }
+}
--- /dev/null
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerPool.java
@@ -0,0 +1,11 @@
+package org.hickorycleat.model.job;
+
+import org.hickorycleat.model.identifier.ServiceName;
+
+/**
+ * The workers of a service.
+ *
+ * @param guardsCapacity whether its workers reject what does not fit
+ * @param standby whether its machines are off
+ */
+public record WorkerPool(ServiceName service, boolean guardsCapacity, boolean standby) {}
--- /dev/null
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/FleetEntries.java
@@ -0,0 +1,11 @@
+package org.hickorycleat.model.message;
+
+import java.util.List;
+
+/** Entries that the sender knows. */
+public record FleetEntries(List<FleetNode> entries) implements Message {
+    /** Copies the list. */
+    public FleetEntries {
+        entries = List.copyOf(entries);
+    }
+}
--- /dev/null
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/OwnershipOffer.java
@@ -0,0 +1,6 @@
+package org.hickorycleat.model.message;
+
+import org.hickorycleat.model.identifier.Epoch;
+
+/** Asks a peer to become the owner after the one with this epoch. */
+public record OwnershipOffer(Epoch epoch) implements Message {}
--- /dev/null
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/StartRun.java
@@ -0,0 +1,24 @@
+package org.hickorycleat.model.message;
+
+import java.util.Optional;
+import org.hickorycleat.model.identifier.Epoch;
+import org.hickorycleat.model.job.RunId;
+import org.hickorycleat.model.job.TaskTraits;
+import org.hickorycleat.model.job.WorkerLife;
+
+/**
+ * Starts a run on the worker beside the agent.
+ *
+ * @param order number of the order in the session, from 1
+ * @param life the only life of the worker that may run it
+ */
+public record StartRun(
+        Epoch epoch,
+        long order,
+        WorkerLife life,
+        RunId run,
+        String payload,
+        Optional<String> checkpoint,
+        Optional<String> ticket,
+        TaskTraits traits)
+        implements Message {}
--- /dev/null
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/StopRun.java
@@ -0,0 +1,11 @@
+package org.hickorycleat.model.message;
+
+import org.hickorycleat.model.identifier.Epoch;
+import org.hickorycleat.model.job.RunId;
+
+/**
+ * Stops a run on the worker beside the agent.
+ *
+ * @param order number of the order in the session, from 1
+ */
+public record StopRun(Epoch epoch, long order, RunId run) implements Message {}
