--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Main.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Main.java
@@ -14,6 +14,7 @@
 import org.hickorycleat.daemon.agent.AgentProcess;
 import org.hickorycleat.daemon.entry.EntryProcess;
 import org.hickorycleat.daemon.fleet.FleetProcess;
+import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.daemon.logging.LineFormatter;
 import org.hickorycleat.daemon.settings.DaemonSettings;
 import org.hickorycleat.daemon.settings.SettingError;
@@ -55,6 +56,7 @@
     private static void runOnPlatform() throws Exception {
         LineFormatter.install(Level.INFO);
         Path file = Path.of(System.getenv(NodeSettingsReader.PATH_VARIABLE));
+        HangupSignal.handle(() -> EventLog.of(Main.class).event("reload").with("file", file).info());
         run(FleetProcess.create(NodeSettingsReader.read(Files.readAllBytes(file))));
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
@@ -15,6 +15,7 @@
 import org.hickorycleat.logic.supervision.SupervisorSettings;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.message.FillWeights;
 import org.hickorycleat.model.message.FleetNode;
 import org.hickorycleat.model.message.LeaseExtension;
 import org.hickorycleat.model.message.Message;
@@ -170,6 +171,8 @@
             mSupervisor.onStop(stop);
         } else if (message instanceof RunTraits traits) {
             mSupervisor.onTraits(traits);
+        } else if (message instanceof FillWeights weights) {
+            mSupervisor.onWeights(weights);
         }
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -54,7 +54,7 @@
     private static final EventLog LOG = EventLog.of(EntryRole.class);
 
     /** Time limit of a call to the store, in milliseconds: above its answers on slow days. */
-    private static final int STORE_TIMEOUT_MS = 1_000;
+    private static final int STORE_TIMEOUT_MS = 600;
 
     /** How long the store may hold a read of the configuration, in milliseconds. */
     private static final int CONFIGURATION_WAIT_MS = 1_000;
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobIntake.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobIntake.java
@@ -13,7 +13,6 @@
 import org.hickorycleat.logic.directory.JobRecord;
 import org.hickorycleat.logic.port.Calls;
 import org.hickorycleat.logic.port.JobService;
-import org.hickorycleat.logic.port.RecordStore;
 import org.hickorycleat.logic.port.ServiceResult;
 import org.hickorycleat.logic.port.StateResult;
 import org.hickorycleat.model.job.JobId;
@@ -42,10 +41,10 @@
     /** Pause before an append is repeated, in milliseconds. */
     private static final long RETRY_MS = 100;
 
-    /** Share of a caller's time after which its request is given up. */
-    private static final double TIME_SHARE = 0.4;
+    /** Time after which a request that cannot be made durable is given up, in milliseconds. */
+    private static final long GIVE_UP_MS = 500;
 
-    private final RecordStore mStore;
+    private final RelayingStore mStore;
     private final TopicFollower mFollower;
     private final JobDirectory mDirectory;
     private final JobLogCodec mCodec;
@@ -80,7 +79,7 @@
     }
 
     JobIntake(
-            RecordStore store,
+            RelayingStore store,
             TopicFollower follower,
             JobDirectory directory,
             JobLogCodec codec,
@@ -171,9 +170,12 @@
     }
 
     private Single<ServiceResult> append(JobRecord record, int timeLimitMs) {
+        if (mStore.isLost()) {
+            return Single.just(ServiceResult.NOT_DONE);
+        }
         Pending pending =
                 new Pending(
-                        record, mCodec.encode(record), nowMs() + (long) (timeLimitMs * TIME_SHARE));
+                        record, mCodec.encode(record), nowMs() + Math.min(timeLimitMs / 2, GIVE_UP_MS));
         synchronized (this) {
             mQueue.add(pending);
         }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingStore.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingStore.java
@@ -33,10 +33,13 @@
     private static final EventLog LOG = EventLog.of(RelayingStore.class);
 
     /** How long peers are asked first after the direct way failed, in milliseconds. */
-    private static final long AVOID_MS = 1_000;
+    private static final long AVOID_MS = 1_500;
 
     /** Time limit of a call through a peer, in milliseconds. */
-    private static final long RELAY_TIMEOUT_MS = 1_000;
+    private static final long RELAY_TIMEOUT_MS = 700;
+
+    /** Without an answer for this long the store counts as lost, in milliseconds. */
+    private static final long LOST_MS = 600;
 
     private final RecordStore mDirect;
     private final FleetLinks mLinks;
@@ -69,6 +72,11 @@
         return nowMs() - mAnsweredAtMs;
     }
 
+    /** Tells whether the store has stopped to answer, by any way. */
+    synchronized boolean isLost() {
+        return isAvoided() && silenceMs() > LOST_MS;
+    }
+
     /** Tells whether the store answers this process itself. */
     synchronized boolean isDirectlyReachable() {
         return nowMs() >= mAvoidUntilMs && mDirectlyAnsweredAtMs > 0;
@@ -76,6 +84,10 @@
 
     @Override
     public Single<AppendOutcome> append(AppendTerms terms, List<StoreRecord> records) {
+        return Single.defer(() -> appendSomehow(terms, records));
+    }
+
+    private Single<AppendOutcome> appendSomehow(AppendTerms terms, List<StoreRecord> records) {
         Optional<ProcessId> relay = mRelays.get();
         if (relay.isPresent() && isAvoided()) {
             return relayAppend(relay.get(), terms, records)
@@ -137,6 +149,10 @@
 
     @Override
     public Single<StorePage> read(ReadTerms terms) {
+        return Single.defer(() -> readSomehow(terms));
+    }
+
+    private Single<StorePage> readSomehow(ReadTerms terms) {
         Optional<ProcessId> relay = mRelays.get();
         if (relay.isPresent() && isAvoided()) {
             return relayRead(relay.get(), terms).onErrorResumeNext(error -> directRead(terms));
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/TopicFollower.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/TopicFollower.java
@@ -120,7 +120,7 @@
 
     private void read() {
         Calls.whenDone(
-                mStore.read(ReadTerms.log(mTopic, 0, nextOffset(), mWaitMs)),
+                mStore.read(ReadTerms.log(mTopic, 0, nextOffset(), mFailing ? 0 : mWaitMs)),
                 this::onPage,
                 error -> retry(error, this::read));
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
@@ -14,6 +14,7 @@
 import org.hickorycleat.model.message.EntryHeartbeat;
 import org.hickorycleat.model.message.Failure;
 import org.hickorycleat.model.message.Fence;
+import org.hickorycleat.model.message.FillWeights;
 import org.hickorycleat.model.message.FleetEntries;
 import org.hickorycleat.model.message.FleetHello;
 import org.hickorycleat.model.message.Forward;
@@ -96,7 +97,8 @@
                     JobStates.class,
                     StoreCall.class,
                     StoreAnswer.class,
-                    ConfigurationCopy.class);
+                    ConfigurationCopy.class,
+                    FillWeights.class);
 
     private final RecordCodec mRecords = new RecordCodec();
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/RecordCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/RecordCodec.java
@@ -71,11 +71,11 @@
             return ValueCodec.of(
                     (packer, value) -> packer.packInt((int) value), MessageUnpacker::unpackInt);
         }
-        if (type == long.class) {
+        if (type == long.class || type == Long.class) {
             return ValueCodec.of(
                     (packer, value) -> packer.packLong((long) value), MessageUnpacker::unpackLong);
         }
-        if (type == boolean.class) {
+        if (type == boolean.class || type == Boolean.class) {
             return ValueCodec.of(
                     (packer, value) -> packer.packBoolean((boolean) value),
                     MessageUnpacker::unpackBoolean);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -32,6 +32,7 @@
 import org.hickorycleat.model.job.WorkerLife;
 import org.hickorycleat.model.job.WorkerPool;
 import org.hickorycleat.model.job.WorkloadConfiguration;
+import org.hickorycleat.model.message.FillWeights;
 import org.hickorycleat.model.message.LeaseExtension;
 import org.hickorycleat.model.message.RunRejected;
 import org.hickorycleat.model.message.RunTraits;
@@ -65,7 +66,8 @@
     private final LongSupplier mUnixClockMs;
     private final DispatchSettings mSettings;
     private final DecisionLog mLog;
-    private final WorkerChooser mChooser = new WorkerChooser();
+    private final InterferenceEstimates mInterference = new InterferenceEstimates();
+    private final WorkerChooser mChooser = new WorkerChooser(mInterference);
 
     private final Map<JobId, JobTrack> mJobs = new LinkedHashMap<>();
     private final Map<ProcessId, WorkerTrack> mWorkers = new LinkedHashMap<>();
@@ -285,6 +287,8 @@
         }
         report.ended().forEach(end -> onEnd(worker, end));
         reconcile(worker, report);
+        mInterference.observe(worker);
+        sendWeights(worker);
         acknowledgeEnds(worker);
         extendLease(worker, report.number());
         advance();
@@ -301,6 +305,16 @@
                         mEpoch, report, leaseMs, worker.life(), worker.acknowledgedEnds()));
     }
 
+    private void sendWeights(WorkerTrack worker) {
+        if (!worker.areWeightsDue(nowMs())) {
+            return;
+        }
+        List<FillWeights.ImageWeight> weights = mInterference.weights(worker);
+        if (!weights.isEmpty()) {
+            mOutput.send(worker.agent(), new FillWeights(mEpoch, weights));
+        }
+    }
+
     private void acknowledgeEnds(WorkerTrack worker) {
         Optional<WorkerLife> life = worker.life();
         long processed = worker.processedEnds();
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerChooser.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerChooser.java
@@ -11,8 +11,11 @@
     /** Share of the request of a task that fills that must be idle on its worker. */
     private static final double FILL_SHARE = 0.7;
 
-    /** Share of fill work below which a worker takes no further tasks that fill, in percent. */
-    private static final int LOWEST_FILL_PERCENT = 40;
+    /** Highest expected ratio of tail to target at which a task that fills is added at half pace. */
+    private static final double HIGHEST_RATIO = 0.95;
+
+    /** Share of its pace that a task that fills needs to be worth a start. */
+    private static final double LOWEST_PACE = 0.5;
 
     /** Weight of a rack with the data of the task, in thousandths of a processor. */
     private static final long RACK_WEIGHT = 1_000_000;
@@ -23,6 +26,12 @@
     /** Weight against a further task of the step on a worker, in thousandths of a processor. */
     private static final long SPREAD_WEIGHT = 500;
 
+    private final InterferenceEstimates mInterference;
+
+    WorkerChooser(InterferenceEstimates interference) {
+        mInterference = interference;
+    }
+
     /** Returns the best worker for a task; empty when none can take it now. */
     Optional<WorkerTrack> choose(
             TaskTrack task,
@@ -44,7 +53,7 @@
         return Optional.ofNullable(best);
     }
 
-    private static boolean isEligible(
+    private boolean isEligible(
             TaskTrack task, WorkerTrack worker, Optional<WorkerPool> pool, long nowMs) {
         StepSpecification step = task.specification();
         if (!worker.isAvailable() || pool.isEmpty()) {
@@ -79,16 +88,22 @@
         return started;
     }
 
-    private static boolean hasIdleProcessors(StepSpecification step, WorkerTrack worker) {
-        return worker.fillPercent() >= LOWEST_FILL_PERCENT
-                && worker.idleProcessorsMilli() >= step.request().processorsMilli() * FILL_SHARE;
+    private boolean hasIdleProcessors(StepSpecification step, WorkerTrack worker) {
+        return worker.idleProcessorsMilli() >= step.request().processorsMilli() * FILL_SHARE
+                && mInterference.expectedRatio(worker, step, LOWEST_PACE) <= HIGHEST_RATIO;
+    }
+
+    // Below the target by far is as good as no serving task at all.
+    private double headroom(WorkerTrack worker, StepSpecification step) {
+        double ratio = mInterference.expectedRatio(worker, step, 1);
+        return Math.max(0.05, Math.min(1, 2 * (1 - ratio)));
     }
 
-    private static long score(TaskTrack task, WorkerTrack worker, long nowMs) {
+    private long score(TaskTrack task, WorkerTrack worker, long nowMs) {
         StepSpecification step = task.specification();
         long score =
                 step.fills()
-                        ? worker.idleProcessorsMilli() * worker.fillPercent() / 100
+                        ? (long) (worker.idleProcessorsMilli() * headroom(worker, step))
                         : worker.freeProcessorsMilli();
         if (step.preferredRack().isPresent() && worker.hasLabel(step.preferredRack().get())) {
             score += RACK_WEIGHT;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerTrack.java
@@ -17,6 +17,9 @@
     /** Processors that a serving task uses of those it asks for; the rest is left to others. */
     private static final double SERVING_USE = 0.55;
 
+    /** Time between two messages with the weights of images, in milliseconds. */
+    private static final long WEIGHTS_INTERVAL_MS = 1_000;
+
     private final ProcessId mAgent;
     private final WorkerHealth mHealth = new WorkerHealth();
     private final Map<RunId, RunTrack> mRuns = new LinkedHashMap<>();
@@ -29,6 +32,7 @@
     private long mProcessedEnds;
     private long mAcknowledgedEnds;
     private long mLeaseCertainlyOverAtMs;
+    private long mWeightsSentAtMs = Long.MIN_VALUE / 2;
     private int mFillPercent = 100;
     private long mReportedAtMs = Long.MIN_VALUE / 2;
 
@@ -171,6 +175,15 @@
         return mDescription.isPresent() && mDescription.get().labels().contains(label);
     }
 
+    /** Tells whether the agent should be told the weights of images again. */
+    boolean areWeightsDue(long nowMs) {
+        if (nowMs - mWeightsSentAtMs < WEIGHTS_INTERVAL_MS) {
+            return false;
+        }
+        mWeightsSentAtMs = nowMs;
+        return true;
+    }
+
     /** Tells whether the reservation fits beside what may be on the worker. */
     boolean hasRoomFor(Resources reservation) {
         Resources capacity = capacity();
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/FillPacer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/FillPacer.java
@@ -2,65 +2,120 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.RunSample;
 import org.hickorycleat.model.job.TaskTraits;
+import org.hickorycleat.model.message.FillWeights;
 
 /**
- * Chooses the share at which tasks that fill may work, so that serving tasks beside them stay below
- * their target.
+ * Chooses the share at which each image that fills may work, so that serving tasks beside it stay
+ * below their target.
  *
- * <p>The share drops in proportion to the excess and rises in small steps, so that the measurement
- * lag of the tail does not make it oscillate.
+ * <p>When a tail is too high, the images that contribute most are slowed down, in proportion to the
+ * excess; shares rise again in steps, so that the lag of the measurement does not make them
+ * oscillate.
  */
 final class FillPacer {
-    private static final int FULL_PERCENT = 100;
+    static final int FULL_PERCENT = 100;
 
-    /** Ratio of tail to target above which the share is lowered. */
-    private static final double UPPER_RATIO = 0.85;
+    /** Ratio of tail to target above which shares are lowered. */
+    private static final double UPPER_RATIO = 0.92;
 
-    /** Ratio of tail to target below which the share is raised. */
-    private static final double LOWER_RATIO = 0.65;
+    /** Ratio of tail to target below which shares are raised. */
+    private static final double LOWER_RATIO = 0.8;
 
-    /** Step by which the share rises, in percent. */
-    private static final int RAISE_PERCENT = 8;
+    /** Ratio of tail to target that a reduction aims at. */
+    private static final double AIMED_RATIO = 0.75;
 
     /** Strongest reduction in one step. */
-    private static final double STRONGEST_CUT = 0.35;
+    private static final double STRONGEST_CUT = 0.4;
+
+    /** Step by which shares rise, in percent. */
+    private static final int RAISE_PERCENT = 12;
+
+    /** Images with at least this share of the largest contribution are slowed down. */
+    private static final double CONTRIBUTION_SHARE = 0.4;
+
+    /** Weight of an image that nothing is known of, in thousandths of a target. */
+    private static final long UNKNOWN_WEIGHT = 50;
 
     /** Least time between two changes, in milliseconds: the worker averages over half a second. */
     private static final long CHANGE_INTERVAL_MS = 450;
 
-    private int mPercent = FULL_PERCENT;
+    private final Map<String, Long> mWeights = new HashMap<>();
+    private final Map<String, Integer> mPercents = new HashMap<>();
     private long mChangedAtMs = Long.MIN_VALUE / 2;
+    private double mRatio;
 
-    /** Takes new measurements and returns the share in percent. */
-    int update(Collection<RunSample> samples, Map<RunId, TaskTraits> traits, long nowMs) {
+    /** Takes how much images disturb the serving tasks of this worker. */
+    void onWeights(List<FillWeights.ImageWeight> weights) {
+        weights.forEach(weight -> mWeights.put(weight.image(), weight.weightMilli()));
+    }
+
+    /** Takes new measurements and returns whether a share has changed. */
+    boolean update(Collection<RunSample> samples, Map<RunId, TaskTraits> traits, long nowMs) {
+        mRatio = worstRatio(samples, traits);
         if (nowMs - mChangedAtMs < CHANGE_INTERVAL_MS) {
-            return mPercent;
+            return false;
+        }
+        Map<String, Double> contributions = contributions(samples, traits);
+        mPercents.keySet().retainAll(contributions.keySet());
+        boolean changed = false;
+        if (mRatio > UPPER_RATIO) {
+            changed = lower(contributions);
+        } else if (mRatio < LOWER_RATIO) {
+            changed = raise();
         }
-        double ratio = worstRatio(samples, traits);
-        int next = next(ratio);
-        if (next != mPercent) {
-            mPercent = next;
+        if (changed) {
             mChangedAtMs = nowMs;
         }
-        return mPercent;
+        return changed;
     }
 
-    private int next(double ratio) {
-        if (ratio > UPPER_RATIO) {
-            double cut = Math.max(STRONGEST_CUT, UPPER_RATIO / ratio * 0.9);
-            return (int) (mPercent * cut);
+    private boolean lower(Map<String, Double> contributions) {
+        double largest =
+                contributions.values().stream().mapToDouble(Double::doubleValue).max().orElse(0);
+        double cut = Math.max(STRONGEST_CUT, AIMED_RATIO / mRatio);
+        boolean changed = false;
+        for (Map.Entry<String, Double> image : contributions.entrySet()) {
+            if (image.getValue() >= CONTRIBUTION_SHARE * largest) {
+                int before = percent(image.getKey());
+                int lowered = (int) (before * cut);
+                mPercents.put(image.getKey(), lowered);
+                changed |= lowered != before;
+            }
         }
-        if (ratio < LOWER_RATIO) {
-            return Math.min(FULL_PERCENT, mPercent + RAISE_PERCENT);
+        return changed;
+    }
+
+    private boolean raise() {
+        boolean changed = !mPercents.isEmpty();
+        mPercents.replaceAll((image, percent) -> percent + RAISE_PERCENT);
+        mPercents.values().removeIf(percent -> percent >= FULL_PERCENT);
+        return changed;
+    }
+
+    private Map<String, Double> contributions(
+            Collection<RunSample> samples, Map<RunId, TaskTraits> traits) {
+        Map<String, Double> contributions = new HashMap<>();
+        for (RunSample sample : samples) {
+            TaskTraits trait = traits.get(sample.run());
+            if (trait != null && trait.fills()) {
+                long weight =
+                        Math.max(
+                                UNKNOWN_WEIGHT,
+                                mWeights.getOrDefault(trait.image(), UNKNOWN_WEIGHT));
+                double used = Math.max(1, sample.measurement());
+                contributions.merge(trait.image(), weight * used, Double::sum);
+            }
         }
-        return mPercent;
+        return contributions;
     }
 
-    private static double worstRatio(Collection<RunSample> samples, Map<RunId, TaskTraits> traits) {
+    private static double worstRatio(
+            Collection<RunSample> samples, Map<RunId, TaskTraits> traits) {
         double worst = 0;
         for (RunSample sample : samples) {
             TaskTraits trait = traits.get(sample.run());
@@ -71,20 +126,23 @@
         return worst;
     }
 
-    /** Returns the shares to set: the runs that fill and do not work at the chosen share. */
-    static Map<RunId, Integer> changes(
-            Collection<RunSample> samples,
-            Map<RunId, TaskTraits> traits,
-            Map<RunId, Integer> inForce,
-            int percent) {
-        Map<RunId, Integer> changes = new HashMap<>();
-        for (RunSample sample : samples) {
-            TaskTraits trait = traits.get(sample.run());
-            boolean fills = trait != null && trait.fills();
-            if (fills && inForce.getOrDefault(sample.run(), FULL_PERCENT) != percent) {
-                changes.put(sample.run(), percent);
-            }
-        }
-        return changes;
+    /** Returns the highest ratio of tail to target at the last update. */
+    double ratio() {
+        return mRatio;
+    }
+
+    /** Returns the share of an image in percent. */
+    int percent(String image) {
+        return mPercents.getOrDefault(image, FULL_PERCENT);
+    }
+
+    /** Returns the reduced shares. */
+    Map<String, Integer> percents() {
+        return Map.copyOf(mPercents);
+    }
+
+    /** Returns the lowest share in percent. */
+    int lowestPercent() {
+        return mPercents.values().stream().mapToInt(Integer::intValue).min().orElse(FULL_PERCENT);
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -26,6 +26,7 @@
 import org.hickorycleat.model.job.TaskTraits;
 import org.hickorycleat.model.job.WorkerDescription;
 import org.hickorycleat.model.job.WorkerLife;
+import org.hickorycleat.model.message.FillWeights;
 import org.hickorycleat.model.message.LeaseExtension;
 import org.hickorycleat.model.message.RunRejected;
 import org.hickorycleat.model.message.RunTraits;
@@ -50,6 +51,9 @@
     /** Without an answer for this long the worker counts as unreachable, in milliseconds. */
     private static final long SILENCE_MS = 900;
 
+    /** Time after which a stop whose end is not listed is repeated, in milliseconds. */
+    private static final long STOP_REPEAT_MS = 300;
+
     /** Distance between two tokens of one agent; above any drift of the clock between lives. */
     private static final long TOKEN_STEP = 1;
 
@@ -67,7 +71,7 @@
     private final Map<RunId, PendingRun> mPending = new LinkedHashMap<>();
     private final Map<RunId, TaskTraits> mTraits = new HashMap<>();
     private final Map<RunId, Integer> mPercents = new HashMap<>();
-    private final Set<RunId> mStopping = new HashSet<>();
+    private final Map<RunId, Long> mStopSentAtMs = new HashMap<>();
     private final Map<Long, Optional<Long>> mClockAtReport = new HashMap<>();
 
     private Optional<WorkerDescription> mDescription = Optional.empty();
@@ -84,7 +88,6 @@
     private long mLeaseDeadlineMs;
     private long mLeaseCertainlyOverAtMs;
     private long mAnsweredAtMs;
-    private int mFillPercent = 100;
     private boolean mStopped;
 
     /**
@@ -226,6 +229,7 @@
         }
         if (answer.carriedOut()) {
             mLog.record("run_started", "run", pending.order().run(), "token", token);
+            paceIfNeeded(pending.order().run());
             return;
         }
         if (answer.fenced()) {
@@ -251,7 +255,7 @@
 
     private void reject(RunId run, RejectionReason reason) {
         mTraits.remove(run);
-        mStopping.remove(run);
+        mStopSentAtMs.remove(run);
         mLog.record("run_rejected", "run", run, "reason", reason);
         mOutput.toOwner(new RunRejected(mEpoch, run, reason));
     }
@@ -267,11 +271,18 @@
             return;
         }
         mOrdersSeen = order.order();
-        mStopping.add(order.run());
-        sendStop(order.run());
+        if (isStopDue(order.run())) {
+            sendStop(order.run());
+        }
+    }
+
+    private boolean isStopDue(RunId run) {
+        Long sentAtMs = mStopSentAtMs.get(run);
+        return sentAtMs == null || nowMs() - sentAtMs > STOP_REPEAT_MS;
     }
 
     private void sendStop(RunId run) {
+        mStopSentAtMs.put(run, nowMs());
         Calls.whenDone(
                 mRuntime.stop(run, mToken),
                 answer -> onStopAnswer(run, answer),
@@ -414,7 +425,7 @@
         mLeaseDeadlineMs = 0;
         mAcknowledged = 0;
         mPending.clear();
-        mStopping.clear();
+        mStopSentAtMs.clear();
         mTraits.clear();
         mPercents.clear();
     }
@@ -455,24 +466,45 @@
         present.addAll(mPending.keySet());
         mTraits.keySet().retainAll(present);
         mPercents.keySet().retainAll(present);
-        mStopping.retainAll(present);
+        mStopSentAtMs.keySet().retainAll(present);
     }
 
     private void repeatStops() {
         for (RunSample sample : mRunning) {
-            if (mStopping.contains(sample.run())) {
+            boolean stopping = mStopSentAtMs.containsKey(sample.run());
+            if (stopping && isStopDue(sample.run())) {
                 sendStop(sample.run());
             }
         }
     }
 
+    /** Takes how much images that fill disturb the serving tasks of this worker. */
+    public synchronized void onWeights(FillWeights message) {
+        mPacer.onWeights(message.weights());
+    }
+
     private void pace() {
-        int percent = mPacer.update(mRunning, mTraits, nowMs());
-        if (percent != mFillPercent) {
-            mLog.record("fill_paced", "percent", percent, "before", mFillPercent);
-            mFillPercent = percent;
+        if (mPacer.update(mRunning, mTraits, nowMs())) {
+            mLog.record(
+                    "fill_paced",
+                    "ratio", mPacer.ratio(),
+                    "percents", mPacer.percents(),
+                    "runs", mRunning.size());
+        }
+        for (RunSample sample : mRunning) {
+            paceIfNeeded(sample.run());
+        }
+    }
+
+    private void paceIfNeeded(RunId run) {
+        TaskTraits traits = mTraits.get(run);
+        if (traits == null || !traits.fills()) {
+            return;
+        }
+        int percent = mPacer.percent(traits.image());
+        if (mPercents.getOrDefault(run, FillPacer.FULL_PERCENT) != percent) {
+            sendPace(run, percent);
         }
-        FillPacer.changes(mRunning, mTraits, mPercents, percent).forEach(this::sendPace);
     }
 
     private void sendPace(RunId run, int percent) {
@@ -521,7 +553,7 @@
                         mEnded,
                         !reachable && nowMs() > mLeaseCertainlyOverAtMs,
                         reachable,
-                        mFillPercent));
+                        mPacer.lowestPercent()));
     }
 
     private synchronized void run(Runnable action) {
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Message.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Message.java
@@ -5,6 +5,7 @@
         permits AgentReport,
                 ConfigurationCopy,
                 EntryHeartbeat,
+                FillWeights,
                 FleetEntries,
                 FleetHello,
                 JobAccepted,
