--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -54,6 +54,12 @@
     /** Time without progress after which a run counts as stalled, in milliseconds. */
     private static final long STALL_MS = 1_500;
 
+    /** Time after which a task that hardly works beside its neighbours is moved, in milliseconds. */
+    private static final long SLOWED_LIMIT_MS = 1_500;
+
+    /** Progress from which on a task is not moved any more, in percent. */
+    private static final int MOVABLE_PERCENT = 80;
+
     /** Time kept between the expected end of a run and that of its worker, in milliseconds. */
     private static final long DRAIN_MARGIN_MS = 500;
 
@@ -414,7 +420,7 @@
             return;
         }
         if (end.cause() == EndCause.FAILED) {
-            onFailure(worker, job, task, lasts);
+            onFailure(worker, job, task, end.run().number());
         }
         if (current) {
             task.onCheckpoint(end.checkpoint());
@@ -422,12 +428,12 @@
         }
     }
 
-    private void onFailure(WorkerTrack worker, JobTrack job, TaskTrack task, boolean lasts) {
-        task.onFailure(worker.agent());
+    private void onFailure(WorkerTrack worker, JobTrack job, TaskTrack task, int run) {
+        task.onFailure(run, worker.agent());
         if (worker.health().onFailure(nowMs())) {
             mLog.record("worker_set_aside", "agent", worker.agent(), "cause", "failures");
         }
-        if (!lasts && !job.state().isFinal() && task.failures() >= job.queue().maximumAttempts()) {
+        if (!job.state().isFinal() && task.failures() >= job.queue().maximumAttempts()) {
             mLog.record("job_failed", "job", job.id(), "task", task.key());
             finish(job, JobState.FAILED);
         }
@@ -491,6 +497,7 @@
                 emptyDraining(worker);
             }
             stopStalled(worker);
+            moveSlowed(worker);
         }
         advance();
     }
@@ -509,6 +516,33 @@
         }
     }
 
+    // A task that its neighbours do not let work goes on elsewhere from its checkpoint.
+    private void moveSlowed(WorkerTrack worker) {
+        for (RunTrack run : worker.runs()) {
+            boolean worthIt =
+                    run.task().specification().fills()
+                            && !run.isStopping()
+                            && run.percent() < MOVABLE_PERCENT
+                            && run.slowedMs(nowMs()) > SLOWED_LIMIT_MS;
+            if (!worthIt) {
+                continue;
+            }
+            Optional<WorkerTrack> other = choose(run.task());
+            if (other.isPresent() && other.get() != worker) {
+                stop(run, "slowed_by_neighbours");
+                return;
+            }
+        }
+    }
+
+    private Optional<WorkerTrack> choose(TaskTrack task) {
+        Optional<WorkerPool> pool =
+                mConfiguration.flatMap(
+                        configuration ->
+                                configuration.pool(task.step().job().queue().service()));
+        return mChooser.choose(task, mWorkers.values(), pool, nowMs());
+    }
+
     private void stopStalled(WorkerTrack worker) {
         if (!worker.isAvailable() || worker.fillPercent() == 0) {
             return;
@@ -549,11 +583,7 @@
             if (starts >= MAXIMUM_STARTS) {
                 return;
             }
-            Optional<WorkerPool> pool =
-                    mConfiguration.flatMap(
-                            configuration ->
-                                    configuration.pool(task.step().job().queue().service()));
-            Optional<WorkerTrack> worker = mChooser.choose(task, mWorkers.values(), pool, nowMs());
+            Optional<WorkerTrack> worker = choose(task);
             if (worker.isPresent()) {
                 start(task, worker.get());
                 starts++;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/InterferenceEstimates.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/InterferenceEstimates.java
@@ -16,11 +16,11 @@
  * prediction (normalised least mean squares) and are never negative.
  */
 final class InterferenceEstimates {
-    private static final double WEIGHT_RATE = 0.15;
+    private static final double WEIGHT_RATE = 0.3;
     private static final double BASE_RATE = 0.02;
 
     /** Keeps the step finite when little fills. */
-    private static final double REGULARISATION = 0.01;
+    private static final double REGULARISATION = 0.05;
 
     /** Base of an image that has not been seen, as a ratio of tail to target. */
     private static final double FIRST_BASE = 0.4;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunTrack.java
@@ -7,6 +7,9 @@
 final class RunTrack {
     private static final int FULL_PERCENT = 100;
 
+    /** Part of the processors asked for below which a run counts as slowed down. */
+    private static final double SLOWED_SHARE = 0.35;
+
     private final RunId mId;
     private final TaskTrack mTask;
     private final WorkerTrack mWorker;
@@ -20,6 +23,7 @@
     private long mFirstPercentAtMs;
     private long mAdvancedAtMs;
     private long mMeasurement;
+    private long mFastAtMs = Long.MIN_VALUE / 2;
 
     RunTrack(RunId id, TaskTrack task, WorkerTrack worker, WorkerLife life, RunPhase phase) {
         mId = id;
@@ -86,6 +90,15 @@
         }
         mPercent = percent;
         mMeasurement = measurement;
+        long wanted = mTask.specification().request().processorsMilli();
+        if (measurement >= wanted * SLOWED_SHARE) {
+            mFastAtMs = nowMs;
+        }
+    }
+
+    /** Returns how long the run has worked at a small part of its pace, in milliseconds. */
+    long slowedMs(long nowMs) {
+        return mPhase == RunPhase.RUNNING ? nowMs - Math.max(mFastAtMs, mFirstPercentAtMs) : 0;
     }
 
     /** Tells whether a report that omits the run proves that it is not on the worker. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TaskTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TaskTrack.java
@@ -1,8 +1,10 @@
 package org.hickorycleat.logic.dispatch;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.job.StepSpecification;
 import org.hickorycleat.model.job.TaskKey;
@@ -18,7 +20,7 @@
     private final Set<ProcessId> mFailedOn = new HashSet<>();
     private TaskStatus mStatus = TaskStatus.PENDING;
     private int mRunNumber;
-    private int mFailures;
+    private final Set<Integer> mFailedRuns = new TreeSet<>();
     private Optional<String> mCheckpoint = Optional.empty();
     private @Nullable RunTrack mRun;
     private long mNotBeforeMs = Long.MIN_VALUE;
@@ -45,7 +47,7 @@
     }
 
     int failures() {
-        return mFailures;
+        return mFailedRuns.size();
     }
 
     Optional<String> checkpoint() {
@@ -68,7 +70,7 @@
     void restore(TaskProgress progress) {
         mStatus = progress.status();
         mRunNumber = progress.run();
-        mFailures = progress.failures();
+        mFailedRuns.addAll(progress.failedRuns());
         mCheckpoint = progress.checkpoint();
     }
 
@@ -98,10 +100,12 @@
         mNotBeforeMs = notBeforeMs;
     }
 
-    /** A run failed on a worker. */
-    void onFailure(ProcessId agent) {
-        mFailures++;
+    /** A run failed on a worker; an end that is listed again to a new owner counts once. */
+    void onFailure(int run, ProcessId agent) {
         mFailedOn.add(agent);
+        if (!specification().perpetual()) {
+            mFailedRuns.add(run);
+        }
     }
 
     /** The task is done. */
@@ -123,7 +127,7 @@
                         mKey.index(),
                         mStatus,
                         mRunNumber,
-                        mFailures,
+                        List.copyOf(mFailedRuns),
                         run().map(run -> run.worker().agent()),
                         run().map(RunTrack::life),
                         mCheckpoint));
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerChooser.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerChooser.java
@@ -11,11 +11,8 @@
     /** Share of the request of a task that fills that must be idle on its worker. */
     private static final double FILL_SHARE = 0.7;
 
-    /** Highest expected ratio of tail to target at which a task that fills is added at half pace. */
-    private static final double HIGHEST_RATIO = 0.95;
-
-    /** Share of its pace that a task that fills needs to be worth a start. */
-    private static final double LOWEST_PACE = 0.5;
+    /** Highest expected ratio of tail to target at which a task that fills is added. */
+    private static final double HIGHEST_RATIO = 0.9;
 
     /** Weight of a rack with the data of the task, in thousandths of a processor. */
     private static final long RACK_WEIGHT = 1_000_000;
@@ -23,6 +20,9 @@
     /** Weight against a worker that has just failed a task, in thousandths of a processor. */
     private static final long SUSPECT_WEIGHT = 100_000_000;
 
+    /** Weight of each serving task of the same or another image, in thousandths of a processor. */
+    private static final long IMAGE_WEIGHT = 50_000;
+
     /** Weight against a further task of the step on a worker, in thousandths of a processor. */
     private static final long SPREAD_WEIGHT = 500;
 
@@ -90,7 +90,7 @@
 
     private boolean hasIdleProcessors(StepSpecification step, WorkerTrack worker) {
         return worker.idleProcessorsMilli() >= step.request().processorsMilli() * FILL_SHARE
-                && mInterference.expectedRatio(worker, step, LOWEST_PACE) <= HIGHEST_RATIO;
+                && mInterference.expectedRatio(worker, step, 1) <= HIGHEST_RATIO;
     }
 
     // Below the target by far is as good as no serving task at all.
@@ -99,6 +99,19 @@
         return Math.max(0.05, Math.min(1, 2 * (1 - ratio)));
     }
 
+    // Each image that serves is disturbed by other images that fill: workers whose serving tasks
+    // are of one image leave a place for every image that fills.
+    private static int imageBalance(WorkerTrack worker, String image) {
+        int balance = 0;
+        for (RunTrack run : worker.runs()) {
+            StepSpecification other = run.task().specification();
+            if (other.targetLatencyMs() > 0) {
+                balance += other.image().equals(image) ? 1 : -1;
+            }
+        }
+        return balance;
+    }
+
     private long score(TaskTrack task, WorkerTrack worker, long nowMs) {
         StepSpecification step = task.specification();
         long score =
@@ -111,6 +124,9 @@
         if (worker.health().isSuspect(nowMs) || task.hasFailedOn(worker.agent())) {
             score -= SUSPECT_WEIGHT;
         }
+        if (step.targetLatencyMs() > 0) {
+            score += IMAGE_WEIGHT * imageBalance(worker, step.image());
+        }
         return score - SPREAD_WEIGHT * task.step().activeOn(worker);
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/FillPacer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/FillPacer.java
@@ -24,22 +24,30 @@
     private static final double UPPER_RATIO = 0.92;
 
     /** Ratio of tail to target below which shares are raised. */
-    private static final double LOWER_RATIO = 0.8;
+    private static final double LOWER_RATIO = 0.78;
 
-    /** Ratio of tail to target that a reduction aims at. */
-    private static final double AIMED_RATIO = 0.75;
+    /** Ratio of tail to target that a change aims at. */
+    private static final double AIMED_RATIO = 0.82;
 
     /** Strongest reduction in one step. */
-    private static final double STRONGEST_CUT = 0.4;
+    private static final double STRONGEST_CUT = 0.25;
 
-    /** Step by which shares rise, in percent. */
-    private static final int RAISE_PERCENT = 12;
+    /** Most by which a share rises in one step, in percent. */
+    private static final int RAISE_PERCENT = 30;
+
+    /** Least by which a share rises in one step, in percent. */
+    private static final int LEAST_RAISE_PERCENT = 8;
 
     /** Images with at least this share of the largest contribution are slowed down. */
     private static final double CONTRIBUTION_SHARE = 0.4;
 
     /** Weight of an image that nothing is known of, in thousandths of a target. */
-    private static final long UNKNOWN_WEIGHT = 50;
+    private static final long UNKNOWN_WEIGHT = 1_000;
+
+    /** Least weight that is reckoned with, in thousandths of a target. */
+    private static final long LEAST_WEIGHT = 50;
+
+    private static final double MILLI = 1000;
 
     /** Least time between two changes, in milliseconds: the worker averages over half a second. */
     private static final long CHANGE_INTERVAL_MS = 450;
@@ -54,19 +62,27 @@
         weights.forEach(weight -> mWeights.put(weight.image(), weight.weightMilli()));
     }
 
-    /** Takes new measurements and returns whether a share has changed. */
-    boolean update(Collection<RunSample> samples, Map<RunId, TaskTraits> traits, long nowMs) {
+    /**
+     * Takes new measurements and returns whether a share has changed.
+     *
+     * @param capacityMilli processors of the worker, in thousandths
+     */
+    boolean update(
+            Collection<RunSample> samples,
+            Map<RunId, TaskTraits> traits,
+            long capacityMilli,
+            long nowMs) {
         mRatio = worstRatio(samples, traits);
         if (nowMs - mChangedAtMs < CHANGE_INTERVAL_MS) {
             return false;
         }
-        Map<String, Double> contributions = contributions(samples, traits);
+        Map<String, Double> contributions = contributions(samples, traits, capacityMilli);
         mPercents.keySet().retainAll(contributions.keySet());
         boolean changed = false;
         if (mRatio > UPPER_RATIO) {
             changed = lower(contributions);
         } else if (mRatio < LOWER_RATIO) {
-            changed = raise();
+            changed = raise(contributions);
         }
         if (changed) {
             mChangedAtMs = nowMs;
@@ -77,38 +93,47 @@
     private boolean lower(Map<String, Double> contributions) {
         double largest =
                 contributions.values().stream().mapToDouble(Double::doubleValue).max().orElse(0);
-        double cut = Math.max(STRONGEST_CUT, AIMED_RATIO / mRatio);
+        Map<String, Double> causes = new HashMap<>(contributions);
+        causes.values().removeIf(contribution -> contribution < CONTRIBUTION_SHARE * largest);
+        double sum = causes.values().stream().mapToDouble(Double::doubleValue).sum();
+        double cut = Math.max(STRONGEST_CUT, 1 - (mRatio - AIMED_RATIO) / Math.max(sum, 0.01));
         boolean changed = false;
-        for (Map.Entry<String, Double> image : contributions.entrySet()) {
-            if (image.getValue() >= CONTRIBUTION_SHARE * largest) {
-                int before = percent(image.getKey());
-                int lowered = (int) (before * cut);
-                mPercents.put(image.getKey(), lowered);
-                changed |= lowered != before;
-            }
+        for (String image : causes.keySet()) {
+            int before = percent(image);
+            int lowered = (int) (before * cut);
+            mPercents.put(image, lowered);
+            changed |= lowered != before;
         }
         return changed;
     }
 
-    private boolean raise() {
+    private boolean raise(Map<String, Double> contributions) {
         boolean changed = !mPercents.isEmpty();
-        mPercents.replaceAll((image, percent) -> percent + RAISE_PERCENT);
+        mPercents.replaceAll(
+                (image, percent) -> percent + rise(percent, contributions.getOrDefault(image, 0.0)));
         mPercents.values().removeIf(percent -> percent >= FULL_PERCENT);
         return changed;
     }
 
+    private int rise(int percent, double contribution) {
+        double room = AIMED_RATIO - mRatio;
+        double rise = percent * room / Math.max(contribution, 0.01);
+        return (int) Math.max(LEAST_RAISE_PERCENT, Math.min(RAISE_PERCENT, rise));
+    }
+
+    // In the ratio of tail to target that the images add at their present share.
     private Map<String, Double> contributions(
-            Collection<RunSample> samples, Map<RunId, TaskTraits> traits) {
+            Collection<RunSample> samples, Map<RunId, TaskTraits> traits, long capacityMilli) {
         Map<String, Double> contributions = new HashMap<>();
         for (RunSample sample : samples) {
             TaskTraits trait = traits.get(sample.run());
             if (trait != null && trait.fills()) {
-                long weight =
-                        Math.max(
-                                UNKNOWN_WEIGHT,
-                                mWeights.getOrDefault(trait.image(), UNKNOWN_WEIGHT));
-                double used = Math.max(1, sample.measurement());
-                contributions.merge(trait.image(), weight * used, Double::sum);
+                long weight = mWeights.getOrDefault(trait.image(), UNKNOWN_WEIGHT);
+                double used = Math.max(1.0, (double) sample.measurement()) / Math.max(1.0, (double) capacityMilli);
+                contributions.merge(
+                        trait.image(),
+                        Math.max(LEAST_WEIGHT, weight) / MILLI * used,
+                        Double::sum);
             }
         }
         return contributions;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -484,7 +484,9 @@
     }
 
     private void pace() {
-        if (mPacer.update(mRunning, mTraits, nowMs())) {
+        long capacityMilli =
+                mDescription.map(known -> known.capacity().processorsMilli()).orElse(0L);
+        if (mPacer.update(mRunning, mTraits, capacityMilli, nowMs())) {
             mLog.record(
                     "fill_paced",
                     "ratio", mPacer.ratio(),
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/TaskProgress.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/TaskProgress.java
@@ -1,5 +1,6 @@
 package org.hickorycleat.model.job;
 
+import java.util.List;
 import java.util.Optional;
 import org.hickorycleat.model.identifier.ProcessId;
 
@@ -7,7 +8,7 @@
  * Durable state of a task that has started at least once.
  *
  * @param run number of its latest run
- * @param failures runs that ended in failure
+ * @param failedRuns numbers of the runs that ended in failure, each of which counts once
  * @param agent agent that the latest run was ordered from
  * @param life life of the worker that the latest run was ordered on
  */
@@ -17,7 +18,12 @@
         int index,
         TaskStatus status,
         int run,
-        int failures,
+        List<Integer> failedRuns,
         Optional<ProcessId> agent,
         Optional<WorkerLife> life,
-        Optional<String> checkpoint) {}
+        Optional<String> checkpoint) {
+    /** Copies the list. */
+    public TaskProgress {
+        failedRuns = List.copyOf(failedRuns);
+    }
+}
