--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Main.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Main.java
@@ -56,7 +56,8 @@
     private static void runOnPlatform() throws Exception {
         LineFormatter.install(Level.INFO);
         Path file = Path.of(System.getenv(NodeSettingsReader.PATH_VARIABLE));
-        HangupSignal.handle(() -> EventLog.of(Main.class).event("reload").with("file", file).info());
+        HangupSignal.handle(
+                () -> EventLog.of(Main.class).event("reload").with("file", file).info());
         run(FleetProcess.create(NodeSettingsReader.read(Files.readAllBytes(file))));
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobIntake.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobIntake.java
@@ -175,7 +175,9 @@
         }
         Pending pending =
                 new Pending(
-                        record, mCodec.encode(record), nowMs() + Math.min(timeLimitMs / 2, GIVE_UP_MS));
+                        record,
+                        mCodec.encode(record),
+                        nowMs() + Math.min(timeLimitMs / 2, GIVE_UP_MS));
         synchronized (this) {
             mQueue.add(pending);
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -54,7 +54,9 @@
     /** Time without progress after which a run counts as stalled, in milliseconds. */
     private static final long STALL_MS = 1_500;
 
-    /** Time after which a task that hardly works beside its neighbours is moved, in milliseconds. */
+    /**
+     * Time after which a task that hardly works beside its neighbours is moved, in milliseconds.
+     */
     private static final long SLOWED_LIMIT_MS = 1_500;
 
     /** Progress from which on a task is not moved any more, in percent. */
@@ -287,6 +289,7 @@
             return;
         }
         Optional<WorkerLife> before = worker.life();
+        worker.onObeyed(nowMs() + mSettings.certainExpiryMs());
         worker.onReport(report, nowMs());
         if (!before.equals(worker.life())) {
             mLog.record("worker_life", "agent", agent, "life", worker.life());
@@ -538,8 +541,7 @@
     private Optional<WorkerTrack> choose(TaskTrack task) {
         Optional<WorkerPool> pool =
                 mConfiguration.flatMap(
-                        configuration ->
-                                configuration.pool(task.step().job().queue().service()));
+                        configuration -> configuration.pool(task.step().job().queue().service()));
         return mChooser.choose(task, mWorkers.values(), pool, nowMs());
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerChooser.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerChooser.java
@@ -8,6 +8,9 @@
 
 /** Chooses the worker of a task. */
 final class WorkerChooser {
+    /** A worker without a report for this long takes nothing new, in milliseconds. */
+    private static final long SILENCE_LIMIT_MS = 1_500;
+
     /** Share of the request of a task that fills that must be idle on its worker. */
     private static final double FILL_SHARE = 0.7;
 
@@ -56,7 +59,7 @@
     private boolean isEligible(
             TaskTrack task, WorkerTrack worker, Optional<WorkerPool> pool, long nowMs) {
         StepSpecification step = task.specification();
-        if (!worker.isAvailable() || pool.isEmpty()) {
+        if (!worker.isAvailable() || pool.isEmpty() || isSilent(worker, nowMs)) {
             return false;
         }
         if (!worker.description().orElseThrow().service().equals(pool.get().service())) {
@@ -78,6 +81,10 @@
         return !step.fills() || hasIdleProcessors(step, worker);
     }
 
+    private static boolean isSilent(WorkerTrack worker, long nowMs) {
+        return nowMs - worker.reportedAtMs() > SILENCE_LIMIT_MS;
+    }
+
     private static int startedRuns(WorkerTrack worker) {
         int started = 0;
         for (RunTrack run : worker.runs()) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerTrack.java
@@ -27,6 +27,7 @@
     private Optional<WorkerLife> mLife = Optional.empty();
     private boolean mConnected;
     private boolean mReachable;
+    private boolean mObeys;
     private long mSession;
     private long mLastOrder;
     private long mProcessedEnds;
@@ -163,6 +164,14 @@
         mLeaseCertainlyOverAtMs = Math.max(mLeaseCertainlyOverAtMs, certainlyOverAtMs);
     }
 
+    /** The agent obeys this owner: what a former one extended ends by the given time. */
+    void onObeyed(long certainlyOverAtMs) {
+        if (!mObeys) {
+            mObeys = true;
+            mLeaseCertainlyOverAtMs = certainlyOverAtMs;
+        }
+    }
+
     boolean isLeaseCertainlyOver(long nowMs) {
         return nowMs > mLeaseCertainlyOverAtMs;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/FillPacer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/FillPacer.java
@@ -110,7 +110,8 @@
     private boolean raise(Map<String, Double> contributions) {
         boolean changed = !mPercents.isEmpty();
         mPercents.replaceAll(
-                (image, percent) -> percent + rise(percent, contributions.getOrDefault(image, 0.0)));
+                (image, percent) ->
+                        percent + rise(percent, contributions.getOrDefault(image, 0.0)));
         mPercents.values().removeIf(percent -> percent >= FULL_PERCENT);
         return changed;
     }
@@ -129,18 +130,17 @@
             TaskTraits trait = traits.get(sample.run());
             if (trait != null && trait.fills()) {
                 long weight = mWeights.getOrDefault(trait.image(), UNKNOWN_WEIGHT);
-                double used = Math.max(1.0, (double) sample.measurement()) / Math.max(1.0, (double) capacityMilli);
+                double used =
+                        Math.max(1.0, (double) sample.measurement())
+                                / Math.max(1.0, (double) capacityMilli);
                 contributions.merge(
-                        trait.image(),
-                        Math.max(LEAST_WEIGHT, weight) / MILLI * used,
-                        Double::sum);
+                        trait.image(), Math.max(LEAST_WEIGHT, weight) / MILLI * used, Double::sum);
             }
         }
         return contributions;
     }
 
-    private static double worstRatio(
-            Collection<RunSample> samples, Map<RunId, TaskTraits> traits) {
+    private static double worstRatio(Collection<RunSample> samples, Map<RunId, TaskTraits> traits) {
         double worst = 0;
         for (RunSample sample : samples) {
             TaskTraits trait = traits.get(sample.run());
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -45,6 +45,9 @@
     /** Pause before the worker is asked again after it gave no answer, in milliseconds. */
     private static final long RETRY_MS = 100;
 
+    /** Pause between listings, should the worker answer without waiting, in milliseconds. */
+    private static final long LIST_PAUSE_MS = 10;
+
     /** Pause between listings while ends wait to become durable, in milliseconds. */
     private static final long UNACKNOWLEDGED_PAUSE_MS = 40;
 
@@ -387,7 +390,8 @@
             apply(answer, token);
         }
         if (regular) {
-            after(mEnded.isEmpty() && mPending.isEmpty() ? 0 : UNACKNOWLEDGED_PAUSE_MS, this::list);
+            boolean settled = mEnded.isEmpty() && mPending.isEmpty();
+            after(settled ? LIST_PAUSE_MS : UNACKNOWLEDGED_PAUSE_MS, this::list);
         }
     }
 
@@ -489,9 +493,12 @@
         if (mPacer.update(mRunning, mTraits, capacityMilli, nowMs())) {
             mLog.record(
                     "fill_paced",
-                    "ratio", mPacer.ratio(),
-                    "percents", mPacer.percents(),
-                    "runs", mRunning.size());
+                    "ratio",
+                    mPacer.ratio(),
+                    "percents",
+                    mPacer.percents(),
+                    "runs",
+                    mRunning.size());
         }
         for (RunSample sample : mRunning) {
             paceIfNeeded(sample.run());
--- /dev/null
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
@@ -0,0 +1,235 @@
+package org.hickorycleat.logic.dispatch;
+
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.hickorycleat.logic.port.DecisionLog;
+import org.hickorycleat.model.identifier.Epoch;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.identifier.ServiceName;
+import org.hickorycleat.model.identifier.WorkerId;
+import org.hickorycleat.model.job.EndedRun;
+import org.hickorycleat.model.job.JobId;
+import org.hickorycleat.model.job.JobProgress;
+import org.hickorycleat.model.job.JobQueue;
+import org.hickorycleat.model.job.JobState;
+import org.hickorycleat.model.job.JobStatus;
+import org.hickorycleat.model.job.JobSubmission;
+import org.hickorycleat.model.job.QueueName;
+import org.hickorycleat.model.job.RunId;
+import org.hickorycleat.model.job.RunSample;
+import org.hickorycleat.model.job.StepSpecification;
+import org.hickorycleat.model.job.WorkerDescription;
+import org.hickorycleat.model.job.WorkerLife;
+import org.hickorycleat.model.job.WorkerPool;
+import org.hickorycleat.model.job.WorkloadConfiguration;
+import org.hickorycleat.model.message.LeaseExtension;
+import org.hickorycleat.model.message.Message;
+import org.hickorycleat.model.message.StartRun;
+import org.hickorycleat.model.message.StopRun;
+import org.hickorycleat.model.message.WorkerReport;
+import org.hickorycleat.model.task.Resources;
+
+/** A dispatcher whose store, links and workers a test decides. */
+final class DispatchFixture implements DispatchOutput {
+    static final Epoch EPOCH = new Epoch(3);
+    static final QueueName QUEUE = new QueueName("allocations");
+    static final ServiceName SERVICE = new ServiceName("booking");
+    static final int MAXIMUM_ATTEMPTS = 2;
+    static final int LEASE_MS = 6_000;
+
+    final TestScheduler mScheduler = new TestScheduler();
+    final List<StartRun> mStarts = new ArrayList<>();
+    final List<ProcessId> mStartedOn = new ArrayList<>();
+    final List<StopRun> mStops = new ArrayList<>();
+    final List<LeaseExtension> mLeases = new ArrayList<>();
+    final List<JobStatus> mPublished = new ArrayList<>();
+    final List<JobProgress> mStored = new ArrayList<>();
+    final List<Runnable> mWaiting = new ArrayList<>();
+    final Dispatcher mDispatcher;
+    boolean mStoreHolds;
+    boolean mMayExtend = true;
+    private long mReport;
+
+    DispatchFixture() {
+        mScheduler.advanceTimeBy(1, TimeUnit.MINUTES);
+        mDispatcher = newDispatcher();
+    }
+
+    Dispatcher newDispatcher() {
+        Dispatcher dispatcher =
+                new Dispatcher(
+                        EPOCH,
+                        this,
+                        mScheduler,
+                        () -> mScheduler.now(TimeUnit.MILLISECONDS),
+                        new DispatchSettings(LEASE_MS, 6_000),
+                        DecisionLog.NONE);
+        JobQueue queue =
+                new JobQueue(
+                        QUEUE,
+                        "host",
+                        "/allocations/",
+                        SERVICE,
+                        0,
+                        MAXIMUM_ATTEMPTS,
+                        2,
+                        1_000,
+                        3_000,
+                        Optional.empty());
+        dispatcher.onConfiguration(
+                new WorkloadConfiguration(
+                        1, List.of(queue), List.of(new WorkerPool(SERVICE, true, false)), 100_000));
+        return dispatcher;
+    }
+
+    @Override
+    public boolean send(ProcessId agent, Message message) {
+        if (message instanceof StartRun start) {
+            mStarts.add(start);
+            mStartedOn.add(agent);
+        } else if (message instanceof StopRun stop) {
+            mStops.add(stop);
+        } else if (message instanceof LeaseExtension lease) {
+            mLeases.add(lease);
+        }
+        return true;
+    }
+
+    @Override
+    public void persist(List<JobProgress> progress, Runnable durable) {
+        mStored.addAll(progress);
+        if (mStoreHolds) {
+            mWaiting.add(durable);
+        } else {
+            durable.run();
+        }
+    }
+
+    @Override
+    public void publish(List<JobStatus> states) {
+        mPublished.addAll(states);
+    }
+
+    @Override
+    public boolean mayExtendLeases() {
+        return mMayExtend;
+    }
+
+    /** Makes everything durable that waits. */
+    void release() {
+        mStoreHolds = false;
+        List<Runnable> waiting = new ArrayList<>(mWaiting);
+        mWaiting.clear();
+        waiting.forEach(Runnable::run);
+    }
+
+    static ProcessId agent(int number) {
+        return new ProcessId("agent-" + number);
+    }
+
+    static WorkerLife life(int number, long startedAtMs) {
+        return new WorkerLife(new WorkerId("i-" + number), startedAtMs);
+    }
+
+    /** Connects an agent whose worker is empty. */
+    long connect(int number) {
+        long session = mDispatcher.onAgentConnected(agent(number));
+        report(number, session, 1, 0, List.of(), List.of());
+        return session;
+    }
+
+    void report(
+            int number,
+            long session,
+            long startedAtMs,
+            long ordersSeen,
+            List<RunSample> running,
+            List<EndedRun> ended) {
+        mReport++;
+        WorkerLife life = life(number, startedAtMs);
+        WorkerDescription description =
+                new WorkerDescription(
+                        life,
+                        SERVICE,
+                        new Resources(16_000, 64_000, 0),
+                        List.of("a", "r1-" + number),
+                        false,
+                        0,
+                        1);
+        mDispatcher.onReport(
+                agent(number),
+                new WorkerReport(
+                        mReport,
+                        EPOCH,
+                        session,
+                        Optional.of(description),
+                        Optional.of(life),
+                        ordersSeen,
+                        List.of(),
+                        running,
+                        ended,
+                        false,
+                        true,
+                        100));
+    }
+
+    static StepSpecification step(int count, boolean perpetual) {
+        return new StepSpecification(
+                count,
+                new Resources(1_000, 1_000, 0),
+                1_000,
+                List.of(),
+                true,
+                false,
+                false,
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                false,
+                perpetual,
+                "image",
+                0,
+                false,
+                -1);
+    }
+
+    JobSubmission submit(String id, StepSpecification... steps) {
+        JobSubmission submission =
+                new JobSubmission(
+                        new JobId(id),
+                        QUEUE,
+                        "payload",
+                        List.of(steps),
+                        0,
+                        0,
+                        0,
+                        mScheduler.now(TimeUnit.MILLISECONDS));
+        mDispatcher.onSubmission(submission);
+        return submission;
+    }
+
+    RunSample sample(int start) {
+        return new RunSample(mStarts.get(start).run(), "checkpoint", 50, 900);
+    }
+
+    RunId run(int start) {
+        return mStarts.get(start).run();
+    }
+
+    Optional<JobState> published(String id) {
+        return mPublished.stream()
+                .filter(status -> status.id().value().equals(id))
+                .map(JobStatus::state)
+                .reduce((first, second) -> second);
+    }
+
+    void pass(long milliseconds) {
+        for (long passed = 0; passed < milliseconds; passed += 100) {
+            mScheduler.advanceTimeBy(100, TimeUnit.MILLISECONDS);
+            mDispatcher.tick();
+        }
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatesTest.java
@@ -0,0 +1,149 @@
+package org.hickorycleat.logic.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.identifier.ServiceName;
+import org.hickorycleat.model.identifier.WorkerId;
+import org.hickorycleat.model.job.JobId;
+import org.hickorycleat.model.job.JobQueue;
+import org.hickorycleat.model.job.JobSubmission;
+import org.hickorycleat.model.job.RunId;
+import org.hickorycleat.model.job.StepSpecification;
+import org.hickorycleat.model.job.WorkerDescription;
+import org.hickorycleat.model.job.WorkerLife;
+import org.hickorycleat.model.message.WorkerReport;
+import org.hickorycleat.model.task.Resources;
+import org.junit.jupiter.api.Test;
+
+class InterferenceEstimatesTest {
+    private static final int TARGET_MS = 50;
+    private static final WorkerLife LIFE = new WorkerLife(new WorkerId("i-1"), 1);
+
+    private final InterferenceEstimates mEstimates = new InterferenceEstimates();
+
+    private static StepSpecification step(String image, int targetMs, boolean fills) {
+        return new StepSpecification(
+                1,
+                new Resources(2_000, 1_000, 0),
+                0,
+                List.of(),
+                false,
+                false,
+                false,
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                false,
+                false,
+                image,
+                targetMs,
+                fills,
+                -1);
+    }
+
+    private static WorkerTrack worker() {
+        WorkerTrack worker = new WorkerTrack(new ProcessId("agent"), 0);
+        WorkerDescription description =
+                new WorkerDescription(
+                        LIFE,
+                        new ServiceName("booking"),
+                        new Resources(16_000, 64_000, 0),
+                        List.of(),
+                        false,
+                        0,
+                        1);
+        worker.onReport(
+                new WorkerReport(
+                        1,
+                        DispatchFixture.EPOCH,
+                        0,
+                        Optional.of(description),
+                        Optional.of(LIFE),
+                        0,
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        false,
+                        true,
+                        100),
+                0);
+        return worker;
+    }
+
+    private static RunTrack add(WorkerTrack worker, StepSpecification step, long measurement) {
+        JobSubmission submission =
+                new JobSubmission(
+                        new JobId("job-" + step.image()),
+                        DispatchFixture.QUEUE,
+                        "",
+                        List.of(step),
+                        0,
+                        0,
+                        0,
+                        0);
+        JobQueue queue =
+                new JobQueue(
+                        DispatchFixture.QUEUE,
+                        "",
+                        "",
+                        DispatchFixture.SERVICE,
+                        0,
+                        1,
+                        1,
+                        0,
+                        0,
+                        Optional.empty());
+        JobTrack job = new JobTrack(submission, queue);
+        TaskTrack task = job.tasks().get(0);
+        RunTrack run =
+                new RunTrack(new RunId(task.key(), 1), task, worker, LIFE, RunPhase.PERSISTING);
+        run.onSample(50, measurement, 0);
+        worker.add(run);
+        return run;
+    }
+
+    private void observe(String filling, long tailMs) {
+        WorkerTrack worker = worker();
+        add(worker, step("serving", TARGET_MS, false), tailMs);
+        add(worker, step(filling, 0, true), 2_000);
+        mEstimates.observe(worker);
+    }
+
+    @Test
+    void tellsDisturbingFromHarmlessImages() {
+        for (int i = 0; i < 100; i++) {
+            observe("harmful", 60);
+            observe("harmless", 20);
+        }
+        WorkerTrack worker = worker();
+        add(worker, step("serving", TARGET_MS, false), 20);
+
+        double harmful = mEstimates.expectedRatio(worker, step("harmful", 0, true), 1);
+        double harmless = mEstimates.expectedRatio(worker, step("harmless", 0, true), 1);
+
+        assertThat(harmful).isGreaterThan(1);
+        assertThat(harmless).isLessThan(0.6);
+    }
+
+    @Test
+    void countsTasksThatDoNotShowInTheMeasurementYet() {
+        for (int i = 0; i < 100; i++) {
+            observe("harmful", 60);
+        }
+        WorkerTrack worker = worker();
+        add(worker, step("serving", TARGET_MS, false), 10);
+        double before = mEstimates.expectedRatio(worker, step("harmful", 0, true), 1);
+        add(worker, step("harmful", 0, true), 0);
+
+        assertThat(mEstimates.expectedRatio(worker, step("harmful", 0, true), 1))
+                .isGreaterThan(before);
+    }
+
+    @Test
+    void expectsNothingWithoutServingTasks() {
+        assertThat(mEstimates.expectedRatio(worker(), step("harmful", 0, true), 1)).isZero();
+    }
+}
--- /dev/null
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/OwnerElectionTest.java
@@ -0,0 +1,91 @@
+package org.hickorycleat.logic.election;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import org.hickorycleat.model.identifier.Epoch;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.message.EntryHeartbeat;
+import org.junit.jupiter.api.Test;
+
+class OwnerElectionTest {
+    private static final ProcessId SELF = new ProcessId("entry-1");
+    private static final ProcessId OWNER = new ProcessId("entry-2");
+    private static final ProcessId PEER = new ProcessId("entry-3");
+    private static final Epoch EPOCH = new Epoch(7);
+    private static final long CAPACITY_MILLI = 1_000;
+
+    private final OwnerElection mElection = new OwnerElection(SELF, CAPACITY_MILLI, 0);
+
+    private static EntryHeartbeat heartbeat(ProcessId owner, Epoch epoch, long heardMs) {
+        return new EntryHeartbeat(Optional.of(owner), epoch, heardMs, 1, true);
+    }
+
+    @Test
+    void claimsWhenThereIsNoOwner() {
+        assertThat(mElection.shouldClaim(100)).isFalse();
+        assertThat(mElection.shouldClaim(1_000)).isTrue();
+    }
+
+    @Test
+    void leavesOwnerAloneThatItHears() {
+        for (long nowMs = 0; nowMs < 5_000; nowMs += 200) {
+            mElection.onHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), nowMs);
+            assertThat(mElection.shouldClaim(nowMs)).isFalse();
+        }
+    }
+
+    @Test
+    void claimsWithinTwoSecondsOfSilence() {
+        mElection.onHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), 0);
+
+        assertThat(mElection.shouldClaim(1_000)).isFalse();
+        assertThat(mElection.shouldClaim(1_500)).isTrue();
+    }
+
+    @Test
+    void claimsSoonerWhenAllLinksToOwnerAreClosed() {
+        mElection.onHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), 0);
+        mElection.onDisconnected(OWNER);
+
+        assertThat(mElection.shouldClaim(700)).isTrue();
+    }
+
+    @Test
+    void leavesOwnerAloneThatAPeerHears() {
+        mElection.onHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), 0);
+        mElection.onHeartbeat(PEER, heartbeat(OWNER, EPOCH, 100), 1_900);
+
+        assertThat(mElection.shouldClaim(2_000)).isFalse();
+        assertThat(mElection.shouldClaim(4_000)).isTrue();
+    }
+
+    @Test
+    void followsHighestEpochOnly() {
+        mElection.onClaim(OWNER, EPOCH, 0);
+        mElection.onClaim(PEER, new Epoch(6), 0);
+
+        assertThat(mElection.owner()).contains(OWNER);
+        assertThat(mElection.epoch()).isEqualTo(EPOCH);
+    }
+
+    @Test
+    void takesOfferOfCurrentOwnerOnly() {
+        mElection.onHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), 0);
+        mElection.onOffer(new Epoch(6), 100);
+        assertThat(mElection.shouldClaim(100)).isFalse();
+
+        mElection.onOffer(EPOCH, 100);
+        assertThat(mElection.shouldClaim(100)).isTrue();
+    }
+
+    @Test
+    void knowsThatItWasSucceeded() {
+        mElection.onClaim(SELF, EPOCH, 0);
+        assertThat(mElection.isOwner()).isTrue();
+
+        mElection.onHeartbeat(PEER, heartbeat(PEER, new Epoch(9), 0), 10);
+
+        assertThat(mElection.isOwner()).isFalse();
+    }
+}
