--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/LineFormatter.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/LineFormatter.java
@@ -1,13 +1,16 @@
 package org.hickorycleat.daemon.logging;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.Locale;
-import java.util.logging.ConsoleHandler;
 import java.util.logging.Formatter;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 
-/** Formats log records as one line of key=value pairs on standard error. */
+/** Formats log records as one line of key=value pairs on standard output. */
 public final class LineFormatter extends Formatter {
     private static final String OWN_PACKAGE = "org.hickorycleat";
 
@@ -18,9 +21,13 @@
         for (java.util.logging.Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
         }
-        ConsoleHandler handler = new ConsoleHandler();
+        BoundedLogHandler handler =
+                new BoundedLogHandler(
+                        new PrintStream(
+                                new FileOutputStream(FileDescriptor.out),
+                                false,
+                                StandardCharsets.UTF_8));
         handler.setLevel(Level.ALL);
-        handler.setFormatter(new LineFormatter());
         root.addHandler(handler);
         // Libraries speak only when something is wrong.
         root.setLevel(Level.WARNING);
