Claim ownership with an epoch of one's own; start gangs whole; serve metrics

On a busy topic a hand-over lost its claim seven times. Epochs now differ by process and a claimant reads its claim back.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
@@ -53,6 +53,8 @@
     private final FleetLinks mLinks;
     private final PlatformStore mStore;
     private final NettyHttpServer mWorkerServer;
+    private final NettyHttpServer mAdminServer;
+    private final ProcessMetrics mMetrics;
     private final RunSupervisor mSupervisor;
     private final JobLogCodec mCodec = new JobLogCodec();
     private Optional<ProcessId> mOwner = Optional.empty();
@@ -66,7 +68,10 @@
             FleetNode self,
             EventLoopGroup eventLoops,
             MessageTransport transport,
-            Scheduler scheduler) {
+            Scheduler scheduler,
+            ProcessMetrics metrics) {
+        mMetrics = metrics;
+        mAdminServer = new NettyHttpServer(eventLoops);
         mSettings = settings;
         mScheduler = scheduler;
         mLinks = new FleetLinks(transport, self, this, scheduler);
@@ -82,12 +87,13 @@
                         SupervisorSettings.of(settings.maximumLeaseMs()),
                         // Grows with every agent of the machine, which keeps nothing itself.
                         self.startedAtMs(),
-                        EventLog.of(RunSupervisor.class)::record);
+                        metrics.decisions(RunSupervisor.class));
     }
 
     @Override
     public void start() throws InterruptedException {
         mWorkerServer.listen(mSettings.workerAddress().orElseThrow(), new WorkerCalls(mSupervisor));
+        mAdminServer.listen(mSettings.adminAddress(), mMetrics::serve);
         mLinks.start(mSettings.seeds());
         mSupervisor.start();
         mLinkedAtMs = nowMs();
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -18,8 +18,11 @@
 import org.hickorycleat.logic.directory.JobDirectory;
 import org.hickorycleat.logic.directory.JobRecord;
 import org.hickorycleat.logic.dispatch.DispatchSettings;
+import org.hickorycleat.logic.dispatch.Dispatcher;
+import org.hickorycleat.logic.election.ClaimEpochs;
 import org.hickorycleat.logic.election.OwnerElection;
 import org.hickorycleat.logic.port.Calls;
+import org.hickorycleat.logic.port.HttpRequest;
 import org.hickorycleat.logic.port.HttpResponse;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
@@ -88,6 +91,8 @@
     private final OwnerElection mElection;
     private final NettyHttpServer mCallerServer;
     private final NettyHttpServer mReadinessServer;
+    private final NettyHttpServer mAdminServer;
+    private final ProcessMetrics mMetrics;
     private final Map<ProcessId, EntryHeartbeat> mPeers = new HashMap<>();
     private Optional<OwnerRole> mOwner = Optional.empty();
     private boolean mClaiming;
@@ -99,7 +104,10 @@
             FleetNode self,
             EventLoopGroup eventLoops,
             MessageTransport transport,
-            Scheduler scheduler) {
+            Scheduler scheduler,
+            ProcessMetrics metrics) {
+        mMetrics = metrics;
+        mAdminServer = new NettyHttpServer(eventLoops);
         mSettings = settings;
         mSelf = self;
         mScheduler = scheduler;
@@ -107,7 +115,7 @@
         PlatformStore direct =
                 new PlatformStore(
                         new NettyHttpCaller(eventLoops), settings.store(), STORE_TIMEOUT_MS);
-        mStore = new RelayingStore(direct, mLinks, this::relay, scheduler);
+        mStore = new RelayingStore(direct, mLinks::send, this::relay, scheduler);
         mConfiguration = new ConfigurationInForce(this::onConfiguration);
         mConfigurationFollower =
                 new TopicFollower(
@@ -141,16 +149,24 @@
 
     @Override
     public void start() throws InterruptedException {
+        mAdminServer.listen(mSettings.adminAddress(), mMetrics::serve);
         mLinks.start(mSettings.seeds());
         mConfigurationFollower.start();
         mJobsFollower.start();
         announce();
         CallerCalls calls = new CallerCalls(mIntake, System::currentTimeMillis);
-        mCallerServer.listen(mSettings.callerAddress().orElseThrow(), calls);
+        mCallerServer.listen(
+                mSettings.callerAddress().orElseThrow(), request -> timed(calls, request));
         mReadinessServer.listen(mSettings.readinessAddress().orElseThrow(), request -> readiness());
         tick();
     }
 
+    private Single<HttpResponse> timed(CallerCalls calls, HttpRequest request) {
+        long startNanos = System.nanoTime();
+        return calls.handle(request)
+                .doOnSuccess(response -> mMetrics.onAnswer(System.nanoTime() - startNanos));
+    }
+
     private Single<HttpResponse> readiness() {
         return Single.just(HttpResponse.of(isReady() ? 200 : 503, new byte[] {'{', '}'}));
     }
@@ -232,47 +248,39 @@
                 .with("epoch", mElection.epoch())
                 .with("heard_ms", mElection.ownerHeardMs(nowMs()))
                 .info();
-        Epoch before = mElection.epoch();
-        Calls.whenDone(
-                mJobsFollower.catchUp(),
-                endOffset -> claim(before, endOffset),
-                error -> claimEnded("unread", error));
+        claim(ClaimEpochs.next(newest(mElection.epoch(), mDirectory.epoch()), mSelf));
     }
 
-    private void claim(Epoch before, long endOffset) {
-        if (!mDirectory.epoch().equals(before) && mDirectory.epoch().compareTo(before) > 0) {
-            claimEnded("claimed_by_other", mDirectory.epoch());
-            return;
-        }
-        Epoch epoch = new Epoch(endOffset + 1);
-        JobRecord.Claimed record = new JobRecord.Claimed(mSelf, epoch);
+    private static Epoch newest(Epoch left, Epoch right) {
+        return left.compareTo(right) > 0 ? left : right;
+    }
+
+    // The producer epoch makes this entry the only writer of progress; every earlier record lies
+    // before the claim in the log.
+    private void claim(Epoch epoch) {
         AppendTerms terms =
                 new AppendTerms(
                         JobLogCodec.JOBS_TOPIC,
                         0,
-                        Optional.of(endOffset),
+                        Optional.empty(),
                         Optional.of(new Producer(OwnerRole.PRODUCER, epoch.value(), 0)));
+        StoreRecord record = mCodec.encode(new JobRecord.Claimed(mSelf, epoch));
         Calls.whenDone(
-                mStore.append(terms, List.of(mCodec.encode(record))),
-                outcome -> onClaimOutcome(record, outcome),
+                mStore.append(terms, List.of(record)),
+                outcome -> onClaimOutcome(epoch, outcome),
                 error -> claimEnded("failed", error));
     }
 
-    private void onClaimOutcome(JobRecord.Claimed record, AppendOutcome outcome) {
-        if (outcome.result() == AppendResult.APPENDED) {
-            mDirectory.apply(record);
-            becomeOwner(record.epoch());
-            return;
-        }
-        // The claim may have taken effect although its answer was lost: the log tells.
+    // The log tells who owns the jobs, also when the answer to the claim was lost.
+    private void onClaimOutcome(Epoch epoch, AppendOutcome outcome) {
         Calls.whenDone(
                 mJobsFollower.catchUp(),
                 endOffset -> {
                     boolean own =
-                            mDirectory.epoch().equals(record.epoch())
+                            mDirectory.epoch().equals(epoch)
                                     && mDirectory.owner().equals(Optional.of(mSelf));
                     if (own) {
-                        becomeOwner(record.epoch());
+                        becomeOwner(epoch);
                     } else {
                         claimEnded("lost", outcome);
                     }
@@ -287,7 +295,7 @@
 
     private synchronized void becomeOwner(Epoch epoch) {
         mClaiming = false;
-        if (mDraining || epoch.compareTo(mElection.epoch()) <= 0) {
+        if (mDraining || epoch.compareTo(mElection.epoch()) < 0) {
             return;
         }
         mElection.onClaim(mSelf.process(), epoch, nowMs());
@@ -305,6 +313,7 @@
                         mCodec,
                         mScheduler,
                         DispatchSettings.of(mSettings.maximumLeaseMs()),
+                        mMetrics.decisions(Dispatcher.class),
                         this::onFenced);
         mOwner = Optional.of(owner);
         heartbeat();
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetProcess.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetProcess.java
@@ -1,6 +1,5 @@
 package org.hickorycleat.daemon.fleet;
 
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -22,8 +21,9 @@
         // Machines have one core; the state is locked, so more threads would work as well.
         EventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Scheduler scheduler = Schedulers.from(eventLoops);
+        ProcessMetrics metrics = new ProcessMetrics();
         MessageTransport transport =
-                new MessageTransport(eventLoops, new TransportMetrics(new SimpleMeterRegistry()));
+                new MessageTransport(eventLoops, new TransportMetrics(metrics.registry()));
         ProcessRole role =
                 settings.workerEndpoint().isPresent() ? ProcessRole.AGENT : ProcessRole.ENTRY;
         FleetNode self =
@@ -36,7 +36,7 @@
                         settings.capacityMilli(),
                         System.currentTimeMillis());
         return role == ProcessRole.AGENT
-                ? new AgentRole(settings, self, eventLoops, transport, scheduler)
-                : new EntryRole(settings, self, eventLoops, transport, scheduler);
+                ? new AgentRole(settings, self, eventLoops, transport, scheduler, metrics)
+                : new EntryRole(settings, self, eventLoops, transport, scheduler, metrics);
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -12,6 +12,7 @@
 import org.hickorycleat.logic.dispatch.DispatchSettings;
 import org.hickorycleat.logic.dispatch.Dispatcher;
 import org.hickorycleat.logic.port.Calls;
+import org.hickorycleat.logic.port.DecisionLog;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.job.JobProgress;
@@ -64,6 +65,7 @@
             JobLogCodec codec,
             Scheduler scheduler,
             DispatchSettings settings,
+            DecisionLog log,
             Runnable onFenced) {
         mSelf = self;
         mEpoch = epoch;
@@ -74,13 +76,7 @@
         mScheduler = scheduler;
         mOnFenced = onFenced;
         mDispatcher =
-                new Dispatcher(
-                        epoch,
-                        this,
-                        scheduler,
-                        System::currentTimeMillis,
-                        settings,
-                        EventLog.of(Dispatcher.class)::record);
+                new Dispatcher(epoch, this, scheduler, System::currentTimeMillis, settings, log);
     }
 
     Epoch epoch() {
--- /dev/null
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/ProcessMetrics.java
@@ -0,0 +1,62 @@
+package org.hickorycleat.daemon.fleet;
+
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.reactivex.rxjava3.core.Single;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import org.hickorycleat.daemon.logging.EventLog;
+import org.hickorycleat.logic.port.DecisionLog;
+import org.hickorycleat.logic.port.HttpRequest;
+import org.hickorycleat.logic.port.HttpResponse;
+
+/** Counts every kind of decision and times answers; serves both as text. */
+final class ProcessMetrics {
+    private static final String PATH = "/metrics";
+
+    private final PrometheusMeterRegistry mRegistry =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Timer mAnswers =
+            Timer.builder("hickorycleat.caller.answers")
+                    .description("time from a whole request of a caller to its answer")
+                    .serviceLevelObjectives(
+                            Duration.ofMillis(10),
+                            Duration.ofMillis(30),
+                            Duration.ofMillis(100),
+                            Duration.ofMillis(300),
+                            Duration.ofSeconds(1),
+                            Duration.ofSeconds(3))
+                    .register(mRegistry);
+
+    PrometheusMeterRegistry registry() {
+        return mRegistry;
+    }
+
+    /** Returns a log that writes a line and counts it by its event. */
+    DecisionLog decisions(Class<?> type) {
+        EventLog log = EventLog.of(type);
+        return (event, pairs) -> {
+            mRegistry.counter("hickorycleat.decisions", "event", event).increment();
+            log.record(event, pairs);
+        };
+    }
+
+    /** Times an answer to a caller. */
+    void onAnswer(long nanoseconds) {
+        mAnswers.record(Duration.ofNanos(nanoseconds));
+    }
+
+    /** Serves the metrics. */
+    Single<HttpResponse> serve(HttpRequest request) {
+        if (!request.path().equals(PATH)) {
+            return Single.just(HttpResponse.of(404, new byte[0]));
+        }
+        return Single.just(
+                new HttpResponse(
+                        200,
+                        Map.of("content-type", "text/plain; version=0.0.4"),
+                        mRegistry.scrape().getBytes(StandardCharsets.UTF_8)));
+    }
+}
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingStore.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingStore.java
@@ -14,6 +14,7 @@
 import org.hickorycleat.logic.port.RecordStore;
 import org.hickorycleat.logic.port.StoreUnavailableException;
 import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.StoreAnswer;
 import org.hickorycleat.model.message.StoreCall;
 import org.hickorycleat.model.store.AppendOutcome;
@@ -42,7 +43,7 @@
     private static final long LOST_MS = 600;
 
     private final RecordStore mDirect;
-    private final FleetLinks mLinks;
+    private final PeerSender mLinks;
     private final Supplier<Optional<ProcessId>> mRelays;
     private final Scheduler mScheduler;
     private final Map<Long, SingleSubject<StoreAnswer>> mCalls = new HashMap<>();
@@ -51,6 +52,13 @@
     private long mAnsweredAtMs;
     private long mDirectlyAnsweredAtMs;
 
+    /** Sends messages to peers. */
+    @FunctionalInterface
+    interface PeerSender {
+        /** Sends a message; returns false when it is certain that it is never sent. */
+        boolean send(ProcessId peer, Message message);
+    }
+
     /**
      * Creates the store.
      *
@@ -58,7 +66,7 @@
      */
     RelayingStore(
             RecordStore direct,
-            FleetLinks links,
+            PeerSender links,
             Supplier<Optional<ProcessId>> relays,
             Scheduler scheduler) {
         mDirect = direct;
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/BoundedLogHandler.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/BoundedLogHandler.java
@@ -97,8 +97,11 @@
         }
     }
 
-    private synchronized void write(LogRecord record) {
-        mOut.print(getFormatter().format(record));
+    // Under a lock of its own: callers never wait for the output.
+    private void write(LogRecord record) {
+        synchronized (mOut) {
+            mOut.print(getFormatter().format(record));
+        }
     }
 
     @Override
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/LayersTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/LayersTest.java
@@ -1,5 +1,7 @@
 package org.hickorycleat;
 
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
 
 import com.tngtech.archunit.core.importer.ImportOption;
@@ -25,4 +27,34 @@
                     .mayNotBeAccessedByAnyLayer()
                     .whereLayer("logic")
                     .mayOnlyBeAccessedByLayers("daemon");
+
+    /** Guards against decisions in the adapter to the users' platform. */
+    @ArchTest
+    static final ArchRule PLATFORM_TRANSLATES_ONLY =
+            classes()
+                    .that()
+                    .resideInAPackage("org.hickorycleat.platform..")
+                    .should()
+                    .onlyDependOnClassesThat()
+                    .resideInAnyPackage(
+                            "org.hickorycleat.platform..",
+                            "org.hickorycleat.model..",
+                            "org.hickorycleat.logic.port..",
+                            "com.fasterxml.jackson..",
+                            "io.reactivex..",
+                            "org.jspecify..",
+                            "java..");
+
+    /** Guards against names of the platform's wire outside of its adapter. */
+    @ArchTest
+    static final ArchRule ONLY_ROLES_KNOW_THE_PLATFORM =
+            noClasses()
+                    .that()
+                    .resideOutsideOfPackages(
+                            "org.hickorycleat.platform..",
+                            "org.hickorycleat.daemon",
+                            "org.hickorycleat.daemon.fleet..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAPackage("org.hickorycleat.platform..");
 }
--- /dev/null
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/exchange/HttpExchangeTest.java
@@ -0,0 +1,120 @@
+package org.hickorycleat.daemon.exchange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.observers.TestObserver;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.hickorycleat.logic.port.HttpCall;
+import org.hickorycleat.logic.port.HttpCallException;
+import org.hickorycleat.logic.port.HttpHandler;
+import org.hickorycleat.logic.port.HttpResponse;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class HttpExchangeTest {
+    private static final int TIMEOUT_MS = 300;
+
+    private final EventLoopGroup mEventLoops =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final NettyHttpCaller mCaller = new NettyHttpCaller(mEventLoops);
+    private final NettyHttpServer mServer = new NettyHttpServer(mEventLoops);
+
+    @AfterEach
+    void close() {
+        mEventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+        }
+    }
+
+    private InetSocketAddress serve(HttpHandler handler) throws Exception {
+        InetSocketAddress address = freeAddress();
+        mServer.listen(address, handler);
+        return address;
+    }
+
+    private TestObserver<HttpResponse> call(InetSocketAddress address, String target) {
+        byte[] body = "body".getBytes(StandardCharsets.UTF_8);
+        return mCaller.call(new HttpCall(address, "POST", target, Map.of(), body, TIMEOUT_MS))
+                .test()
+                .awaitDone(5, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void carriesRequestAndResponseWhole() throws Exception {
+        InetSocketAddress address =
+                serve(request -> Single.just(HttpResponse.of(201, request.body())));
+
+        HttpResponse response = call(address, "/path?x=1").values().get(0);
+
+        assertThat(response.status()).isEqualTo(201);
+        assertThat(new String(response.body(), StandardCharsets.UTF_8)).isEqualTo("body");
+    }
+
+    @Test
+    void servesManyCallsOnKeptConnections() throws Exception {
+        InetSocketAddress address =
+                serve(
+                        request ->
+                                Single.just(
+                                        HttpResponse.of(
+                                                200,
+                                                request.path().getBytes(StandardCharsets.UTF_8))));
+        for (int i = 0; i < 50; i++) {
+            HttpResponse response = call(address, "/" + i).values().get(0);
+            assertThat(new String(response.body(), StandardCharsets.UTF_8)).isEqualTo("/" + i);
+        }
+    }
+
+    @Test
+    void endsCallWithoutAnswerAndCannotTellWhetherItRan() throws Exception {
+        InetSocketAddress address = serve(request -> Single.never());
+
+        call(address, "/silent")
+                .assertError(
+                        error -> error instanceof HttpCallException failure && failure.wasSent());
+    }
+
+    @Test
+    void knowsThatRefusedConnectionCarriedNothing() throws Exception {
+        call(freeAddress(), "/")
+                .assertError(
+                        error -> error instanceof HttpCallException failure && !failure.wasSent());
+    }
+
+    @Test
+    void neverGivesALateResponseToALaterCall() throws Exception {
+        InetSocketAddress address =
+                serve(
+                        request ->
+                                request.path().equals("/slow")
+                                        ? Single.just(HttpResponse.of(500, new byte[0]))
+                                                .delay(2 * TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                                        : Single.just(HttpResponse.of(200, new byte[0])));
+        call(address, "/slow").assertError(HttpCallException.class);
+        Thread.sleep(2 * TIMEOUT_MS);
+
+        assertThat(call(address, "/fast").values().get(0).status()).isEqualTo(200);
+    }
+
+    @Test
+    void breaksConnectionOffWhenHandlerFails() throws Exception {
+        InetSocketAddress address = serve(request -> Single.error(new IOException("broken")));
+
+        call(address, "/").assertError(HttpCallException.class);
+        assertThat(mServer.inProgress()).isZero();
+    }
+}
--- /dev/null
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RelayingStoreTest.java
@@ -0,0 +1,131 @@
+package org.hickorycleat.daemon.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.hickorycleat.logic.port.RecordStore;
+import org.hickorycleat.logic.port.StoreUnavailableException;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.message.Message;
+import org.hickorycleat.model.message.StoreAnswer;
+import org.hickorycleat.model.message.StoreCall;
+import org.hickorycleat.model.store.AppendOutcome;
+import org.hickorycleat.model.store.AppendResult;
+import org.hickorycleat.model.store.AppendTerms;
+import org.hickorycleat.model.store.ReadTerms;
+import org.hickorycleat.model.store.StorePage;
+import org.hickorycleat.model.store.StoreRecord;
+import org.junit.jupiter.api.Test;
+
+class RelayingStoreTest implements RecordStore {
+    private static final ProcessId PEER = new ProcessId("entry-2");
+    private static final AppendTerms TERMS = AppendTerms.unconditional("keyed.jobs", 0);
+
+    private final TestScheduler mScheduler = new TestScheduler();
+    private final List<Message> mSent = new ArrayList<>();
+    private Optional<ProcessId> mRelay = Optional.of(PEER);
+    private AppendResult mDirect = AppendResult.APPENDED;
+    private int mDirectCalls;
+    private final RelayingStore mStore =
+            new RelayingStore(
+                    this,
+                    (peer, message) -> {
+                        mSent.add(message);
+                        return true;
+                    },
+                    () -> mRelay,
+                    mScheduler);
+
+    @Override
+    public Single<AppendOutcome> append(AppendTerms terms, List<StoreRecord> records) {
+        mDirectCalls++;
+        return Single.just(new AppendOutcome(mDirect, 4));
+    }
+
+    @Override
+    public Single<StorePage> read(ReadTerms terms) {
+        mDirectCalls++;
+        return Single.error(new StoreUnavailableException("down"));
+    }
+
+    private void answer(AppendResult result) {
+        StoreCall call = (StoreCall) mSent.get(mSent.size() - 1);
+        mStore.onAnswer(
+                new StoreAnswer(
+                        call.number(),
+                        Optional.of(new AppendOutcome(result, 9)),
+                        Optional.empty()));
+    }
+
+    @Test
+    void appendsDirectlyWhileItCan() {
+        mStore.append(TERMS, List.of()).test().assertValue(new AppendOutcome(mDirect, 4));
+        assertThat(mSent).isEmpty();
+    }
+
+    @Test
+    void appendsThroughPeerWhenTurnedAway() {
+        mDirect = AppendResult.REFUSED;
+        var outcome = mStore.append(TERMS, List.of()).test();
+        answer(AppendResult.APPENDED);
+
+        outcome.assertValue(new AppendOutcome(AppendResult.APPENDED, 9));
+        assertThat(mStore.isLost()).isFalse();
+    }
+
+    @Test
+    void asksPeerFirstAfterAFailure() {
+        mDirect = AppendResult.UNKNOWN;
+        var first = mStore.append(TERMS, List.of()).test();
+        answer(AppendResult.APPENDED);
+        var outcome = mStore.append(TERMS, List.of()).test();
+        answer(AppendResult.APPENDED);
+
+        first.assertComplete();
+        outcome.assertComplete();
+        assertThat(mDirectCalls).isEqualTo(1);
+    }
+
+    /** A refusal after a try without answer must not be told as "not taken". */
+    @Test
+    void staysUnknownWhenAnEarlierTryMayHaveTakenEffect() {
+        mDirect = AppendResult.UNKNOWN;
+        var outcome = mStore.append(TERMS, List.of()).test();
+        answer(AppendResult.REFUSED);
+
+        outcome.assertValue(value -> value.result() == AppendResult.UNKNOWN);
+    }
+
+    @Test
+    void endsWhenPeerDoesNotAnswer() {
+        mDirect = AppendResult.REFUSED;
+        var outcome = mStore.append(TERMS, List.of()).test();
+        mScheduler.advanceTimeBy(1, TimeUnit.SECONDS);
+
+        outcome.assertValue(value -> value.result() == AppendResult.UNKNOWN);
+    }
+
+    @Test
+    void knowsThatTheStoreIsLost() {
+        mScheduler.advanceTimeBy(10, TimeUnit.SECONDS);
+        mRelay = Optional.empty();
+        mDirect = AppendResult.REFUSED;
+        mStore.append(TERMS, List.of()).test().assertComplete();
+
+        assertThat(mStore.isLost()).isTrue();
+        assertThat(mStore.isDirectlyReachable()).isFalse();
+    }
+
+    @Test
+    void failsReadThatNobodyCanMake() {
+        mRelay = Optional.empty();
+        mStore.read(ReadTerms.newest("keyed.jobs", 0, ""))
+                .test()
+                .assertError(StoreUnavailableException.class);
+    }
+}
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/transport/RandomRecords.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/transport/RandomRecords.java
@@ -63,10 +63,10 @@
     }
 
     private Object nextSimple(Class<?> type) {
-        if (type == int.class) {
+        if (type == int.class || type == Integer.class) {
             return 1 + mRandom.nextInt(NUMBER_LIMIT);
         }
-        if (type == long.class) {
+        if (type == long.class || type == Long.class) {
             return 1L + mRandom.nextInt(NUMBER_LIMIT);
         }
         if (type == boolean.class) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobRecord.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobRecord.java
@@ -17,6 +17,6 @@
     /** Progress that the owner made durable. */
     record Progressed(JobProgress progress) implements JobRecord {}
 
-    /** An entry became the owner; its epoch follows from the offset of the claim. */
+    /** An entry became the owner; the highest epoch counts. */
     record Claimed(FleetNode owner, Epoch epoch) implements JobRecord {}
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -418,7 +418,7 @@
         if (end.cause() == EndCause.DONE && !lasts) {
             worker.health().onSuccess();
             task.run().filter(run -> !run.id().equals(end.run())).ifPresent(this::supersede);
-            task.onDone();
+            onDone(task);
             completeIfDone(job);
             return;
         }
@@ -436,12 +436,21 @@
         if (worker.health().onFailure(nowMs())) {
             mLog.record("worker_set_aside", "agent", worker.agent(), "cause", "failures");
         }
-        if (!job.state().isFinal() && task.failures() >= job.queue().maximumAttempts()) {
+        if (!job.state().isFinal() && task.attemptsFailed() >= job.queue().maximumAttempts()) {
             mLog.record("job_failed", "job", job.id(), "task", task.key());
             finish(job, JobState.FAILED);
         }
     }
 
+    private static void onDone(TaskTrack task) {
+        if (task.specification().gang()) {
+            // One end speaks for all members.
+            task.step().tasks().forEach(TaskTrack::onDone);
+        } else {
+            task.onDone();
+        }
+    }
+
     private void supersede(RunTrack other) {
         stop(other, "done_elsewhere");
     }
@@ -585,14 +594,43 @@
             if (starts >= MAXIMUM_STARTS) {
                 return;
             }
+            if (task.specification().gang()) {
+                starts += startGang(task.step());
+                continue;
+            }
             Optional<WorkerTrack> worker = choose(task);
             if (worker.isPresent()) {
-                start(task, worker.get());
+                start(reserve(task, worker.get(), task.nextRunNumber()));
                 starts++;
             }
         }
     }
 
+    // All members of a gang start under one run number, or none does.
+    private int startGang(StepTrack step) {
+        if (!step.tasks().stream().allMatch(task -> task.isReady(nowMs()))) {
+            return 0;
+        }
+        int number = step.tasks().stream().mapToInt(TaskTrack::nextRunNumber).max().orElse(1);
+        List<RunTrack> reserved = new ArrayList<>();
+        for (TaskTrack task : step.tasks()) {
+            Optional<WorkerTrack> worker = choose(task);
+            if (worker.isEmpty()) {
+                reserved.forEach(this::cancelReservation);
+                return 0;
+            }
+            reserved.add(reserve(task, worker.get(), number));
+        }
+        step.shareCheckpoint();
+        reserved.forEach(this::start);
+        return reserved.size();
+    }
+
+    private void cancelReservation(RunTrack run) {
+        forget(run);
+        run.task().onRunDropped();
+    }
+
     private List<TaskTrack> ready() {
         List<TaskTrack> ready = new ArrayList<>();
         long unixMs = mUnixClockMs.getAsLong();
@@ -623,14 +661,19 @@
         }
     }
 
-    private void start(TaskTrack task, WorkerTrack worker) {
-        RunId id = new RunId(task.key(), task.nextRunNumber());
+    private RunTrack reserve(TaskTrack task, WorkerTrack worker, int number) {
+        RunId id = new RunId(task.key(), number);
         RunTrack run =
                 new RunTrack(id, task, worker, worker.life().orElseThrow(), RunPhase.PERSISTING);
         worker.add(run);
         mRuns.put(id, run);
         task.onRun(run);
-        JobTrack job = task.step().job();
+        return run;
+    }
+
+    private void start(RunTrack run) {
+        WorkerTrack worker = run.worker();
+        JobTrack job = run.task().step().job();
         if (job.state() == JobState.QUEUED) {
             job.onState(JobState.RUNNING);
         }
@@ -638,7 +681,7 @@
         mLog.record(
                 "run_placed",
                 "run",
-                id,
+                run.id(),
                 "agent",
                 worker.agent(),
                 "free_milli",
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/StepTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/StepTrack.java
@@ -1,7 +1,11 @@
 package org.hickorycleat.logic.dispatch;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import org.hickorycleat.model.job.StepSpecification;
 import org.hickorycleat.model.job.TaskKey;
 import org.hickorycleat.model.job.TaskStatus;
@@ -53,6 +57,22 @@
         return true;
     }
 
+    /** Returns the numbers of the runs in which a member of the gang failed. */
+    Set<Integer> failedRuns() {
+        Set<Integer> failed = new TreeSet<>();
+        mTasks.forEach(task -> failed.addAll(task.failedRuns()));
+        return failed;
+    }
+
+    /** Gives all members of a gang the newest checkpoint of any; checkpoints sort by progress. */
+    void shareCheckpoint() {
+        mTasks.stream()
+                .map(TaskTrack::checkpoint)
+                .flatMap(Optional::stream)
+                .max(Comparator.naturalOrder())
+                .ifPresent(newest -> mTasks.forEach(task -> task.onCheckpoint(newest)));
+    }
+
     /** Returns how many tasks of the step may be on a worker. */
     int activeOn(WorkerTrack worker) {
         int active = 0;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TaskTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TaskTrack.java
@@ -20,6 +20,7 @@
     private final Set<ProcessId> mFailedOn = new HashSet<>();
     private TaskStatus mStatus = TaskStatus.PENDING;
     private int mRunNumber;
+    private int mEarlierRunNumber;
     private final Set<Integer> mFailedRuns = new TreeSet<>();
     private Optional<String> mCheckpoint = Optional.empty();
     private @Nullable RunTrack mRun;
@@ -46,8 +47,13 @@
         return mStatus;
     }
 
-    int failures() {
-        return mFailedRuns.size();
+    /** Returns how often the task, or the gang that it belongs to, has failed. */
+    int attemptsFailed() {
+        return specification().gang() ? mStep.failedRuns().size() : mFailedRuns.size();
+    }
+
+    Set<Integer> failedRuns() {
+        return mFailedRuns;
     }
 
     Optional<String> checkpoint() {
@@ -82,10 +88,18 @@
     /** A run may be on a worker from now on. */
     void onRun(RunTrack run) {
         mStatus = TaskStatus.ACTIVE;
+        mEarlierRunNumber = mRunNumber;
         mRunNumber = run.id().number();
         mRun = run;
     }
 
+    /** The run was only planned; its number is free again. */
+    void onRunDropped() {
+        mStatus = TaskStatus.PENDING;
+        mRun = null;
+        mRunNumber = mEarlierRunNumber;
+    }
+
     /** Keeps the newest checkpoint. */
     void onCheckpoint(String checkpoint) {
         if (!checkpoint.isEmpty()) {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
@@ -277,6 +277,49 @@
         assertThat(mFixture.mStarts).hasSize(1);
     }
 
+    private static StepSpecification gang(int count) {
+        return new StepSpecification(
+                count,
+                new Resources(10_000, 1_000, 0),
+                0,
+                List.of(),
+                false,
+                true,
+                false,
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                false,
+                false,
+                "image",
+                0,
+                false,
+                -1);
+    }
+
+    @Test
+    void startsGangWholeOrNotAtAll() {
+        mFixture.connect(1);
+        mFixture.submit(JOB, gang(2));
+        assertThat(mFixture.mStarts).isEmpty();
+
+        mFixture.connect(2);
+
+        assertThat(mFixture.mStarts).hasSize(2);
+        assertThat(mFixture.mStarts).allMatch(start -> start.run().number() == 1);
+    }
+
+    @Test
+    void takesOneEndForTheWholeGang() {
+        long session = mFixture.connect(1);
+        mFixture.connect(2);
+        mFixture.submit(JOB, gang(2));
+        int onFirst = mFixture.mStartedOn.indexOf(DispatchFixture.agent(1));
+        reportEnd(session, 1, onFirst, EndCause.DONE);
+
+        assertThat(mFixture.published(JOB)).contains(JobState.COMPLETED);
+    }
+
     @Test
     void startsNothingOnWorkerThatFellSilent() {
         mFixture.connect(1);
