--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -51,20 +51,6 @@
     /** Pause before a task starts again after a rejection, in milliseconds. */
     private static final long REJECTED_PAUSE_MS = 150;
 
-    /** Time without progress after which a run counts as stalled, in milliseconds. */
-    private static final long STALL_MS = 1_500;
-
-    /**
-     * Time after which a task that hardly works beside its neighbours is moved, in milliseconds.
-     */
-    private static final long SLOWED_LIMIT_MS = 1_500;
-
-    /** Progress from which on a task is not moved any more, in percent. */
-    private static final int MOVABLE_PERCENT = 80;
-
-    /** Time kept between the expected end of a run and that of its worker, in milliseconds. */
-    private static final long DRAIN_MARGIN_MS = 500;
-
     /** Most starts of one round; the rest follows in the next. */
     private static final int MAXIMUM_STARTS = 200;
 
@@ -76,6 +62,7 @@
     private final DecisionLog mLog;
     private final InterferenceEstimates mInterference = new InterferenceEstimates();
     private final WorkerChooser mChooser = new WorkerChooser(mInterference);
+    private final RunWatch mWatch;
 
     private final Map<JobId, JobTrack> mJobs = new LinkedHashMap<>();
     private final Map<ProcessId, WorkerTrack> mWorkers = new LinkedHashMap<>();
@@ -102,6 +89,7 @@
         mUnixClockMs = unixClockMs;
         mSettings = settings;
         mLog = log;
+        mWatch = new RunWatch(this::choose, this::stop, log);
     }
 
     /** Starts no further run: the owner is about to hand over. */
@@ -169,22 +157,7 @@
     private JobQueue queue(JobSubmission submission) {
         return mConfiguration
                 .flatMap(configuration -> configuration.queue(submission.queue()))
-                .orElseGet(() -> removedQueue(submission));
-    }
-
-    // A queue that is no longer configured: its jobs wait, as no service may run them.
-    private static JobQueue removedQueue(JobSubmission submission) {
-        return new JobQueue(
-                submission.queue(),
-                "",
-                "",
-                new org.hickorycleat.model.identifier.ServiceName("none"),
-                Integer.MAX_VALUE / 2,
-                1,
-                1,
-                0,
-                0,
-                Optional.empty());
+                .orElseGet(() -> JobQueue.removed(submission.queue()));
     }
 
     private WorkerTrack worker(ProcessId agent) {
@@ -505,48 +478,11 @@
             if (!worker.runs().isEmpty() && worker.isLeaseCertainlyOver(nowMs())) {
                 giveUpAll(worker, "lease_expired");
             }
-            if (worker.isDraining()) {
-                emptyDraining(worker);
-            }
-            stopStalled(worker);
-            moveSlowed(worker);
+            mWatch.check(worker, nowMs());
         }
         advance();
     }
 
-    private void emptyDraining(WorkerTrack worker) {
-        long remainingMs = worker.description().orElseThrow().remainingMs();
-        for (RunTrack run : worker.runs()) {
-            if (run.phase() != RunPhase.RUNNING || run.isStopping()) {
-                continue;
-            }
-            long needsMs = run.remainingMs(nowMs());
-            boolean lasts = run.task().specification().perpetual();
-            if (lasts || needsMs > remainingMs - DRAIN_MARGIN_MS) {
-                stop(run, "worker_draining");
-            }
-        }
-    }
-
-    // A task that its neighbours do not let work goes on elsewhere from its checkpoint.
-    private void moveSlowed(WorkerTrack worker) {
-        for (RunTrack run : worker.runs()) {
-            boolean worthIt =
-                    run.task().specification().fills()
-                            && !run.isStopping()
-                            && run.percent() < MOVABLE_PERCENT
-                            && run.slowedMs(nowMs()) > SLOWED_LIMIT_MS;
-            if (!worthIt) {
-                continue;
-            }
-            Optional<WorkerTrack> other = choose(run.task());
-            if (other.isPresent() && other.get() != worker) {
-                stop(run, "slowed_by_neighbours");
-                return;
-            }
-        }
-    }
-
     private Optional<WorkerTrack> choose(TaskTrack task) {
         Optional<WorkerPool> pool =
                 mConfiguration.flatMap(
@@ -554,31 +490,6 @@
         return mChooser.choose(task, mWorkers.values(), pool, nowMs());
     }
 
-    private void stopStalled(WorkerTrack worker) {
-        if (!worker.isAvailable() || worker.fillPercent() == 0) {
-            return;
-        }
-        List<RunTrack> finite = new ArrayList<>();
-        for (RunTrack run : worker.runs()) {
-            boolean waits = run.task().specification().gang();
-            if (run.phase() == RunPhase.RUNNING
-                    && !run.task().specification().perpetual()
-                    && !waits) {
-                finite.add(run);
-            }
-        }
-        boolean stalled =
-                !finite.isEmpty()
-                        && finite.stream().allMatch(run -> run.stalledMs(nowMs()) > STALL_MS);
-        if (!stalled) {
-            return;
-        }
-        if (worker.health().setAside(nowMs())) {
-            mLog.record("worker_set_aside", "agent", worker.agent(), "cause", "stalled");
-        }
-        finite.forEach(run -> stop(run, "stalled"));
-    }
-
     private void advance() {
         if (!mHalted) {
             place();
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobQueue.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobQueue.java
@@ -25,4 +25,12 @@
         double stretch,
         int targetDurationMs,
         int timeoutMs,
-        Optional<AdviceTerms> advice) {}
+        Optional<AdviceTerms> advice) {
+    private static final ServiceName NO_SERVICE = new ServiceName("none");
+
+    /** Returns a queue that is no longer configured: its jobs wait, as no service may run them. */
+    public static JobQueue removed(QueueName name) {
+        return new JobQueue(
+                name, "", "", NO_SERVICE, Integer.MAX_VALUE / 2, 1, 1, 0, 0, Optional.empty());
+    }
+}
