Hand the ownership to an entry that stays; dispatch until there is one

A draining entry no longer counts as reaching the store, and the owner goes on until a successor is at hand.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -74,6 +74,9 @@
     /** Time between two readings of the list of entries, in milliseconds. */
     private static final long ENTRIES_INTERVAL_MS = 5_000;
 
+    /** Time between two checks whether all decisions are durable, in milliseconds. */
+    private static final long SETTLE_CHECK_MS = 20;
+
     /** Longest time that a drain waits for work in progress, in milliseconds. */
     private static final long DRAIN_LIMIT_MS = 5_000;
 
@@ -220,7 +223,7 @@
                         mElection.epoch(),
                         mElection.ownerHeardMs(nowMs()),
                         mConfiguration.version(),
-                        mStore.isDirectlyReachable()),
+                        mStore.isDirectlyReachable() && !isDraining()),
                 ProcessRole.ENTRY);
     }
 
@@ -455,19 +458,28 @@
         ownerRole().ifPresent(this::handOver);
     }
 
+    // Dispatching goes on until a successor is at hand.
     private void handOver(OwnerRole owner) {
+        Optional<FleetNode> successor =
+                mLinks.connected(ProcessRole.ENTRY).stream()
+                        .filter(peer -> isReachableByStore(peer.process()))
+                        .max(Comparator.comparingLong(FleetNode::capacityMilli));
+        if (successor.isEmpty()) {
+            mScheduler.scheduleDirect(() -> handOver(owner), HEARTBEAT_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
         owner.dispatcher().halt();
+        offer(owner, successor.get());
+    }
+
+    private void offer(OwnerRole owner, FleetNode successor) {
         if (!owner.dispatcher().isSettled()) {
             mScheduler.scheduleDirect(
-                    () -> handOver(owner), HEARTBEAT_MS / 10, TimeUnit.MILLISECONDS);
+                    () -> offer(owner, successor), SETTLE_CHECK_MS, TimeUnit.MILLISECONDS);
             return;
         }
-        Optional<FleetNode> successor =
-                mLinks.connected(ProcessRole.ENTRY).stream()
-                        .filter(peer -> isReachableByStore(peer.process()))
-                        .max(Comparator.comparingLong(FleetNode::capacityMilli));
-        LOG.event("owner_handing_over").with("successor", successor).info();
-        successor.ifPresent(peer -> mLinks.send(peer.process(), new OwnershipOffer(owner.epoch())));
+        LOG.event("owner_handing_over").with("successor", successor.process()).info();
+        mLinks.send(successor.process(), new OwnershipOffer(owner.epoch()));
     }
 
     private boolean isReachableByStore(ProcessId peer) {
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/EntryHeartbeat.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/EntryHeartbeat.java
@@ -10,7 +10,7 @@
  * @param owner owner that it follows, if any; its own process when it owns the jobs
  * @param ownerHeardMs how long ago it heard from the owner, in milliseconds
  * @param configurationVersion configuration that it has in force
- * @param storeReachable whether it reaches the store itself
+ * @param storeReachable whether it reaches the store itself and does not drain
  */
 public record EntryHeartbeat(
         Optional<ProcessId> owner,
