--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/HttpServerHandler.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/HttpServerHandler.java
@@ -121,6 +121,7 @@
         return new HttpRequest(
                 request.method().name(),
                 query < 0 ? path : path.substring(0, query),
+                query < 0 ? "" : path.substring(query + 1),
                 headers,
                 body);
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
@@ -50,6 +50,7 @@
 
     private final NodeSettings mSettings;
     private final Scheduler mScheduler;
+    private final MessageTransport mTransport;
     private final FleetLinks mLinks;
     private final PlatformStore mStore;
     private final NettyHttpServer mWorkerServer;
@@ -74,6 +75,7 @@
         mAdminServer = new NettyHttpServer(eventLoops);
         mSettings = settings;
         mScheduler = scheduler;
+        mTransport = transport;
         mLinks = new FleetLinks(transport, self, this, scheduler);
         NettyHttpCaller caller = new NettyHttpCaller(eventLoops);
         mStore = new PlatformStore(caller, settings.store(), STORE_TIMEOUT_MS);
@@ -230,6 +232,8 @@
     @Override
     public void close() {
         mSupervisor.stop();
+        // Ends the event loops, which all servers and clients of the role share.
+        mTransport.close();
     }
 
     private long nowMs() {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -83,6 +83,7 @@
     private final NodeSettings mSettings;
     private final FleetNode mSelf;
     private final Scheduler mScheduler;
+    private final MessageTransport mTransport;
     private final FleetLinks mLinks;
     private final RelayingStore mStore;
     private final JobLogCodec mCodec = new JobLogCodec();
@@ -114,6 +115,7 @@
         mSettings = settings;
         mSelf = self;
         mScheduler = scheduler;
+        mTransport = transport;
         mLinks = new FleetLinks(transport, self, this, scheduler);
         PlatformStore direct =
                 new PlatformStore(
@@ -506,6 +508,8 @@
     @Override
     public void close() {
         ownerRole().ifPresent(OwnerRole::end);
+        // Ends the event loops, which all servers and clients of the role share.
+        mTransport.close();
     }
 
     private long nowMs() {
--- /dev/null
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPathTest.java
@@ -0,0 +1,216 @@
+package org.hickorycleat.daemon.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.awaitility.Awaitility;
+import org.hickorycleat.daemon.Lifecycle;
+import org.hickorycleat.daemon.exchange.NettyHttpCaller;
+import org.hickorycleat.daemon.exchange.NettyHttpServer;
+import org.hickorycleat.logic.port.HttpCall;
+import org.hickorycleat.logic.port.HttpResponse;
+import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.identifier.ServiceName;
+import org.hickorycleat.model.identifier.ZoneId;
+import org.hickorycleat.model.node.NodeSettings;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The whole path on loopback: two entries and an agent against stand-ins of store and worker. */
+class FleetPathTest {
+    private static final Duration LIMIT = Duration.ofSeconds(20);
+    private static final String CONFIGURATION =
+            "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\","
+                    + "\"path_prefix\":\"/jobs/\",\"service\":\"booking\",\"timeout_ms\":3000,"
+                    + "\"max_attempts\":2,\"stretch\":1.5}],"
+                    + "\"services\":[{\"name\":\"booking\",\"enforces_capacity\":true}],"
+                    + "\"limits\":{\"max_body_bytes\":100000}}";
+    private static final String JOB =
+            "{\"task_spec\":\"text\",\"steps\":[{\"count\":3,\"cpu\":500,\"mem_mb\":256},"
+                    + "{\"count\":2,\"cpu\":500,\"mem_mb\":256,\"after\":[0]}]}";
+
+    private final EventLoopGroup mEventLoops =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final NettyHttpCaller mCaller = new NettyHttpCaller(mEventLoops);
+    private final StoreStandIn mStore = new StoreStandIn();
+    private final WorkerStandIn mWorker = new WorkerStandIn();
+    private final List<NodeSettings> mEntries = new ArrayList<>();
+    private final List<Lifecycle> mProcesses = new ArrayList<>();
+    private NodeSettings mAgent;
+    private long mSequence;
+
+    @BeforeEach
+    void startFleet() throws Exception {
+        InetSocketAddress store = address();
+        InetSocketAddress worker = address();
+        new NettyHttpServer(mEventLoops).listen(store, mStore);
+        new NettyHttpServer(mEventLoops).listen(worker, mWorker);
+        mStore.put("keyed.op", "config", CONFIGURATION);
+        mEntries.add(settings("entry-1", store, Optional.empty(), List.of()));
+        List<InetSocketAddress> seeds = List.of(mEntries.get(0).linkAddress());
+        mEntries.add(settings("entry-2", store, Optional.empty(), seeds));
+        mAgent = settings("agent-1", store, Optional.of(worker), seeds);
+        for (NodeSettings settings : List.of(mEntries.get(0), mEntries.get(1), mAgent)) {
+            Lifecycle process = FleetProcess.create(settings);
+            process.start();
+            mProcesses.add(process);
+        }
+        Awaitility.await().atMost(LIMIT).until(() -> isReady(0) && isReady(1));
+    }
+
+    @AfterEach
+    void stopFleet() throws InterruptedException {
+        mProcesses.forEach(Lifecycle::close);
+        // The stand-ins answer what is under way.
+        TimeUnit.MILLISECONDS.sleep(300);
+        mEventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private static InetSocketAddress address() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+        }
+    }
+
+    private static NodeSettings settings(
+            String name,
+            InetSocketAddress store,
+            Optional<InetSocketAddress> worker,
+            List<InetSocketAddress> seeds)
+            throws IOException {
+        return new NodeSettings(
+                new ProcessId(name),
+                new ZoneId("north"),
+                Optional.of(address()),
+                Optional.of(address()),
+                Optional.of(address()),
+                address(),
+                address(),
+                worker,
+                worker.map(any -> new ServiceName("booking")),
+                seeds,
+                1_000,
+                store,
+                Optional.empty(),
+                10_000,
+                1_000,
+                400,
+                120_000,
+                4_000);
+    }
+
+    private HttpResponse call(InetSocketAddress address, String method, String path, String body) {
+        return mCaller.call(
+                        new HttpCall(
+                                address,
+                                method,
+                                path,
+                                Map.of("Host", "h.example"),
+                                body.getBytes(StandardCharsets.UTF_8),
+                                3_000))
+                .onErrorReturnItem(HttpResponse.of(0, new byte[0]))
+                .blockingGet();
+    }
+
+    private boolean isReady(int entry) {
+        announceWorker();
+        InetSocketAddress address = mEntries.get(entry).readinessAddress().orElseThrow();
+        return call(address, "GET", "/ready", "").status() == 200;
+    }
+
+    private void announceWorker() {
+        mSequence++;
+        call(
+                mAgent.workerAddress().orElseThrow(),
+                "POST",
+                "/instances/i-1/heartbeat",
+                mWorker.heartbeat(mSequence));
+    }
+
+    private HttpResponse caller(int entry, String method, String job, String body) {
+        InetSocketAddress address = mEntries.get(entry).callerAddress().orElseThrow();
+        return call(address, method, "/jobs/" + job, body);
+    }
+
+    private String state(int entry, String job) {
+        announceWorker();
+        return new String(caller(entry, "GET", job, "").body(), StandardCharsets.UTF_8);
+    }
+
+    private void awaitCompleted(int entry, String job) {
+        Awaitility.await().atMost(LIMIT).until(() -> state(entry, job).contains("\"completed\""));
+    }
+
+    @Test
+    void completesJobThatWasHandedInAtAnyEntry() {
+        assertThat(caller(0, "POST", "00000000000000a1", JOB).status()).isEqualTo(200);
+        assertThat(caller(1, "POST", "00000000000000a2", JOB).status()).isEqualTo(200);
+
+        awaitCompleted(1, "00000000000000a1");
+        awaitCompleted(0, "00000000000000a2");
+        assertThat(mWorker.starts()).hasSize(10);
+        assertThat(new HashSet<>(mWorker.starts())).hasSize(10);
+    }
+
+    @Test
+    void runsJobOnceThatIsHandedInAtBothEntries() {
+        caller(0, "POST", "00000000000000b1", JOB);
+        caller(1, "POST", "00000000000000b1", JOB);
+
+        awaitCompleted(0, "00000000000000b1");
+        assertThat(mWorker.starts()).hasSize(5);
+    }
+
+    @Test
+    void knowsNoJobThatNobodyHandedIn() {
+        assertThat(caller(0, "GET", "00000000000000c1", "").status()).isEqualTo(410);
+    }
+
+    @Test
+    void refusesAtOnceWhileTheStoreIsDownAndGoesOnAfterwards() {
+        mStore.setDown(true);
+        Awaitility.await()
+                .atMost(LIMIT)
+                .until(() -> caller(0, "POST", "00000000000000d1", JOB).status() == 503);
+        long startNanos = System.nanoTime();
+        HttpResponse refusal = caller(0, "POST", "00000000000000d2", JOB);
+        long passedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        assertThat(refusal.status()).isEqualTo(503);
+        assertThat(passedMs).isLessThan(1_500);
+
+        mStore.setDown(false);
+
+        Awaitility.await()
+                .atMost(LIMIT)
+                .until(() -> caller(0, "POST", "00000000000000d3", JOB).status() == 200);
+        awaitCompleted(1, "00000000000000d3");
+        assertThat(mWorker.starts()).hasSize(5);
+    }
+
+    @Test
+    void handsOwnershipOverWhenAnEntryDrains() {
+        caller(0, "POST", "00000000000000e1", JOB);
+        awaitCompleted(1, "00000000000000e1");
+        mProcesses.get(0).drain();
+
+        caller(1, "POST", "00000000000000e2", JOB);
+
+        awaitCompleted(1, "00000000000000e2");
+        assertThat(new HashSet<>(mWorker.starts())).hasSize(mWorker.starts().size());
+    }
+}
