--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/OwnerElectionTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/OwnerElectionTest.java
@@ -52,7 +52,7 @@
     }
 
     @Test
-    void leavesOwnerAloneThatAPeerHears() {
+    void leavesOwnerAloneThatOnePeerHears() {
         mElection.onHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), 0);
         mElection.onHeartbeat(PEER, heartbeat(OWNER, EPOCH, 100), 1_900);
 
