--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/exchange/HttpExchangeTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/exchange/HttpExchangeTest.java
@@ -96,7 +96,7 @@
     }
 
     @Test
-    void neverGivesALateResponseToALaterCall() throws Exception {
+    void neverGivesLateResponseToLaterCall() throws Exception {
         InetSocketAddress address =
                 serve(
                         request ->
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/JobLogCodecTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/JobLogCodecTest.java
@@ -86,7 +86,7 @@
     }
 
     @Test
-    void keepsKindsOfRecordsOfAJobUnderDifferentKeys() {
+    void keepsKindsOfRecordsUnderDifferentKeys() {
         assertThat(records().stream().map(mCodec::encode).map(StoreRecord::key).distinct())
                 .hasSize(4);
     }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RelayingStoreTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RelayingStoreTest.java
@@ -79,7 +79,7 @@
     }
 
     @Test
-    void asksPeerFirstAfterAFailure() {
+    void asksPeerFirstAfterFailure() {
         mDirect = AppendResult.UNKNOWN;
         var first = mStore.append(TERMS, List.of()).test();
         answer(AppendResult.APPENDED);
