Read the list of entries in one place; drop a second index of runs

Both roles held the same reading of the list of entries, and the dispatcher an index of runs beside the one of each worker.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
@@ -10,7 +10,6 @@
 import org.hickorycleat.daemon.exchange.NettyHttpServer;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.daemon.transport.MessageTransport;
-import org.hickorycleat.logic.port.Calls;
 import org.hickorycleat.logic.supervision.RunSupervisor;
 import org.hickorycleat.logic.supervision.SupervisorSettings;
 import org.hickorycleat.model.identifier.Epoch;
@@ -25,7 +24,6 @@
 import org.hickorycleat.model.message.StartRun;
 import org.hickorycleat.model.message.StopRun;
 import org.hickorycleat.model.node.NodeSettings;
-import org.hickorycleat.model.store.ReadTerms;
 import org.hickorycleat.platform.PlatformStore;
 import org.hickorycleat.platform.PlatformWorker;
 import org.hickorycleat.platform.WorkerCalls;
@@ -52,12 +50,11 @@
     private final Scheduler mScheduler;
     private final MessageTransport mTransport;
     private final FleetLinks mLinks;
-    private final PlatformStore mStore;
+    private final EntryListReader mEntryListReader;
     private final NettyHttpServer mWorkerServer;
     private final NettyHttpServer mAdminServer;
     private final ProcessMetrics mMetrics;
     private final RunSupervisor mSupervisor;
-    private final JobLogCodec mCodec = new JobLogCodec();
     private Optional<ProcessId> mOwner = Optional.empty();
     private Epoch mEpoch = new Epoch(-1);
     private long mOwnerHeardAtMs;
@@ -78,7 +75,11 @@
         mTransport = transport;
         mLinks = new FleetLinks(transport, self, this, scheduler);
         NettyHttpCaller caller = new NettyHttpCaller(eventLoops);
-        mStore = new PlatformStore(caller, settings.store(), STORE_TIMEOUT_MS);
+        mEntryListReader =
+                new EntryListReader(
+                        new PlatformStore(caller, settings.store(), STORE_TIMEOUT_MS),
+                        mLinks,
+                        new JobLogCodec());
         mWorkerServer = new NettyHttpServer(eventLoops);
         mSupervisor =
                 new RunSupervisor(
@@ -130,7 +131,7 @@
         }
         silent.ifPresent(this::redial);
         if (lost) {
-            readEntries();
+            mEntryListReader.read();
         }
         mScheduler.scheduleDirect(this::check, CHECK_MS, TimeUnit.MILLISECONDS);
     }
@@ -140,18 +141,6 @@
         mLinks.reset(owner);
     }
 
-    private void readEntries() {
-        Calls.whenDone(
-                mStore.read(ReadTerms.newest(JobLogCodec.ENTRIES_TOPIC, 0, "")),
-                page ->
-                        mLinks.learn(
-                                page.records().stream()
-                                        .map(mCodec::decodeEntry)
-                                        .flatMap(Optional::stream)
-                                        .toList()),
-                error -> LOG.event("entries_unread").with("cause", error).info());
-    }
-
     @Override
     public void onConnected(FleetNode peer) {
         LOG.event("entry_connected").with("entry", peer.process()).info();
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -86,6 +86,7 @@
     private final MessageTransport mTransport;
     private final FleetLinks mLinks;
     private final RelayingStore mStore;
+    private final EntryListReader mEntryListReader;
     private final JobLogCodec mCodec = new JobLogCodec();
     private final JobDirectory mDirectory = new JobDirectory();
     private final ConfigurationInForce mConfiguration;
@@ -121,6 +122,7 @@
                 new PlatformStore(
                         new NettyHttpCaller(eventLoops), settings.store(), STORE_TIMEOUT_MS);
         mStore = new RelayingStore(direct, mLinks::send, this::relay, scheduler);
+        mEntryListReader = new EntryListReader(mStore, mLinks, mCodec);
         mConfiguration = new ConfigurationInForce(this::onConfiguration);
         mConfigurationFollower =
                 new TopicFollower(
@@ -194,25 +196,11 @@
                 error -> LOG.event("announce_failed").with("cause", error).warn());
     }
 
-    private void readEntries() {
-        mEntriesReadAtMs = nowMs();
-        Calls.whenDone(
-                mStore.read(
-                        org.hickorycleat.model.store.ReadTerms.newest(
-                                JobLogCodec.ENTRIES_TOPIC, 0, "")),
-                page ->
-                        mLinks.learn(
-                                page.records().stream()
-                                        .map(mCodec::decodeEntry)
-                                        .flatMap(Optional::stream)
-                                        .toList()),
-                error -> LOG.event("entries_unread").with("cause", error).info());
-    }
-
     private void tick() {
         heartbeat();
         if (nowMs() - mEntriesReadAtMs > ENTRIES_INTERVAL_MS) {
-            readEntries();
+            mEntriesReadAtMs = nowMs();
+            mEntryListReader.read();
         }
         claimIfNeeded();
         mScheduler.scheduleDirect(this::tick, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -3,7 +3,6 @@
 import io.reactivex.rxjava3.core.Scheduler;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -66,7 +65,6 @@
 
     private final Map<JobId, JobTrack> mJobs = new LinkedHashMap<>();
     private final Map<ProcessId, WorkerTrack> mWorkers = new LinkedHashMap<>();
-    private final Map<RunId, RunTrack> mRuns = new HashMap<>();
     private final Set<JobTrack> mDirty = new LinkedHashSet<>();
     private final List<Runnable> mAfterDurable = new ArrayList<>();
     private final Set<JobTrack> mToPublish = new LinkedHashSet<>();
@@ -150,7 +148,6 @@
         RunId id = new RunId(task.key(), row.run());
         RunTrack run = new RunTrack(id, task, worker, row.life().get(), RunPhase.INHERITED);
         worker.add(run);
-        mRuns.put(id, run);
         task.onRun(run);
     }
 
@@ -437,7 +434,6 @@
 
     private void forget(RunTrack run) {
         run.worker().remove(run);
-        mRuns.remove(run.id());
     }
 
     private void giveUpAll(WorkerTrack worker, String cause) {
@@ -577,7 +573,6 @@
         RunTrack run =
                 new RunTrack(id, task, worker, worker.life().orElseThrow(), RunPhase.PERSISTING);
         worker.add(run);
-        mRuns.put(id, run);
         task.onRun(run);
         return run;
     }
@@ -606,7 +601,7 @@
 
     private void order(RunTrack run) {
         WorkerTrack worker = run.worker();
-        boolean current = mRuns.get(run.id()) == run;
+        boolean current = worker.run(run.id()).equals(Optional.of(run));
         if (!current) {
             return;
         }
