--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -62,6 +62,8 @@
     private final InterferenceEstimates mInterference = new InterferenceEstimates();
     private final WorkerChooser mChooser = new WorkerChooser(mInterference);
     private final RunWatch mWatch;
+    private final RunTimeRatios mRunTimes = new RunTimeRatios();
+    private final DispatchOrder mOrder = new DispatchOrder(mRunTimes);
 
     private final Map<JobId, JobTrack> mJobs = new LinkedHashMap<>();
     private final Map<ProcessId, WorkerTrack> mWorkers = new LinkedHashMap<>();
@@ -115,7 +117,7 @@
             return;
         }
         JobTrack job = new JobTrack(submission, queue(submission));
-        mJobs.put(job.id(), job);
+        add(job);
         progress.ifPresent(known -> restore(job, known));
         if (cancelled && !job.state().isFinal()) {
             cancel(job);
@@ -151,6 +153,12 @@
         task.onRun(run);
     }
 
+    private void add(JobTrack job) {
+        job.onActive(nowMs());
+        mJobs.put(job.id(), job);
+        mOrder.onJob(job);
+    }
+
     private JobQueue queue(JobSubmission submission) {
         return mConfiguration
                 .flatMap(configuration -> configuration.queue(submission.queue()))
@@ -172,7 +180,7 @@
             return;
         }
         JobTrack job = new JobTrack(submission, queue(submission));
-        mJobs.put(job.id(), job);
+        add(job);
         mLog.record(
                 "job_taken",
                 "job",
@@ -387,6 +395,7 @@
         }
         if (end.cause() == EndCause.DONE && !lasts) {
             worker.health().onSuccess();
+            task.run().filter(run -> run.id().equals(end.run())).ifPresent(this::learnRunTime);
             task.run().filter(run -> !run.id().equals(end.run())).ifPresent(this::supersede);
             onDone(task);
             completeIfDone(job);
@@ -412,6 +421,15 @@
         }
     }
 
+    private void learnRunTime(RunTrack run) {
+        if (run.phase() == RunPhase.RUNNING && run.task().checkpoint().isEmpty()) {
+            mRunTimes.onDone(
+                    run.task().step().job().queue().name(),
+                    run.task().specification().estimateMs(),
+                    nowMs() - run.orderedAtMs());
+        }
+    }
+
     private static void onDone(TaskTrack task) {
         if (task.specification().gang()) {
             // One end speaks for all members.
@@ -480,10 +498,27 @@
     }
 
     private Optional<WorkerTrack> choose(TaskTrack task) {
-        Optional<WorkerPool> pool =
-                mConfiguration.flatMap(
-                        configuration -> configuration.pool(task.step().job().queue().service()));
-        return mChooser.choose(task, mWorkers.values(), pool, nowMs());
+        return mChooser.choose(task, mWorkers.values(), pool(task), nowMs());
+    }
+
+    // Work that fills waits for a quiet place, but a job does not stand still for that.
+    private Optional<WorkerTrack> chooseForStarved(TaskTrack task) {
+        JobTrack job = task.step().job();
+        if (!task.specification().fills() || !job.isStarved(nowMs())) {
+            return Optional.empty();
+        }
+        Optional<WorkerTrack> worker =
+                mChooser.chooseLeastDisturbed(task, mWorkers.values(), pool(task), nowMs());
+        worker.ifPresent(
+                chosen ->
+                        mLog.record(
+                                "starved_job_placed", "job", job.id(), "agent", chosen.agent()));
+        return worker;
+    }
+
+    private Optional<WorkerPool> pool(TaskTrack task) {
+        return mConfiguration.flatMap(
+                configuration -> configuration.pool(task.step().job().queue().service()));
     }
 
     private void advance() {
@@ -495,7 +530,7 @@
 
     private void place() {
         List<TaskTrack> ready = ready();
-        ready.sort(DispatchOrder.COMPARATOR);
+        mOrder.sort(ready, mUnixClockMs.getAsLong());
         int starts = 0;
         for (TaskTrack task : ready) {
             if (starts >= MAXIMUM_STARTS) {
@@ -505,7 +540,7 @@
                 starts += startGang(task.step());
                 continue;
             }
-            Optional<WorkerTrack> worker = choose(task);
+            Optional<WorkerTrack> worker = choose(task).or(() -> chooseForStarved(task));
             if (worker.isPresent()) {
                 start(reserve(task, worker.get(), task.nextRunNumber()));
                 starts++;
@@ -545,6 +580,9 @@
             if (job.state().isFinal()) {
                 continue;
             }
+            if (job.hasRuns()) {
+                job.onActive(nowMs());
+            }
             for (List<StepTrack> steps : job.occurrences()) {
                 for (StepTrack step : steps) {
                     addReady(step, unixMs, ready);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/JobTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/JobTrack.java
@@ -15,10 +15,14 @@
 
 /** State of one job. */
 final class JobTrack {
+    /** A job without any run for this long is starved, in milliseconds. */
+    private static final long STARVED_LIMIT_MS = 1_500;
+
     private final JobSubmission mSubmission;
     private final List<List<StepTrack>> mOccurrences = new ArrayList<>();
     private JobQueue mQueue;
     private JobState mState = JobState.QUEUED;
+    private long mActiveAtMs;
 
     JobTrack(JobSubmission submission, JobQueue queue) {
         mSubmission = submission;
@@ -97,6 +101,28 @@
         return true;
     }
 
+    /** Tells whether a run of the job may be on a worker. */
+    boolean hasRuns() {
+        for (List<StepTrack> steps : mOccurrences) {
+            for (StepTrack step : steps) {
+                if (step.hasRuns()) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    /** The job has a run, or has just come. */
+    void onActive(long nowMs) {
+        mActiveAtMs = nowMs;
+    }
+
+    /** Tells whether the job has stood still for long. */
+    boolean isStarved(long nowMs) {
+        return nowMs - mActiveAtMs > STARVED_LIMIT_MS;
+    }
+
     List<TaskTrack> tasks() {
         List<TaskTrack> tasks = new ArrayList<>();
         for (List<StepTrack> steps : mOccurrences) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunTrack.java
@@ -17,6 +17,7 @@
     private RunPhase mPhase;
     private long mSession;
     private long mOrder;
+    private long mOrderedAtMs;
     private boolean mStopping;
     private int mPercent;
     private int mFirstPercent = -1;
@@ -74,9 +75,15 @@
         mPhase = RunPhase.ORDERED;
         mSession = session;
         mOrder = order;
+        mOrderedAtMs = nowMs;
         mAdvancedAtMs = nowMs;
     }
 
+    /** Returns when the start was sent; only known to the owner that sent it. */
+    long orderedAtMs() {
+        return mOrderedAtMs;
+    }
+
     /** The worker listed the run. */
     void onSample(int percent, long measurement, long nowMs) {
         if (mPhase != RunPhase.RUNNING) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/StepTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/StepTrack.java
@@ -73,6 +73,15 @@
                 .ifPresent(newest -> mTasks.forEach(task -> task.onCheckpoint(newest)));
     }
 
+    boolean hasRuns() {
+        for (TaskTrack task : mTasks) {
+            if (task.run().isPresent()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns how many tasks of the step may be on a worker. */
     int activeOn(WorkerTrack worker) {
         int active = 0;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerChooser.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerChooser.java
@@ -2,6 +2,8 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import org.hickorycleat.model.job.StepSpecification;
 import org.hickorycleat.model.job.WorkerPool;
 import org.jspecify.annotations.Nullable;
@@ -41,13 +43,41 @@
             Collection<WorkerTrack> workers,
             Optional<WorkerPool> pool,
             long nowMs) {
+        StepSpecification step = task.specification();
+        return best(
+                workers,
+                worker ->
+                        isEligible(task, worker, pool, nowMs)
+                                && (!step.fills() || hasIdleProcessors(step, worker)),
+                worker -> score(task, worker, nowMs));
+    }
+
+    /**
+     * Returns the worker whose serving tasks a task that fills disturbs least, whatever they
+     * expect; empty when none has room.
+     */
+    Optional<WorkerTrack> chooseLeastDisturbed(
+            TaskTrack task,
+            Collection<WorkerTrack> workers,
+            Optional<WorkerPool> pool,
+            long nowMs) {
+        return best(
+                workers,
+                worker -> isEligible(task, worker, pool, nowMs),
+                worker -> -mInterference.expectedRatio(worker, task.specification(), 1));
+    }
+
+    private static Optional<WorkerTrack> best(
+            Collection<WorkerTrack> workers,
+            Predicate<WorkerTrack> eligible,
+            ToDoubleFunction<WorkerTrack> scores) {
         @Nullable WorkerTrack best = null;
-        long bestScore = Long.MIN_VALUE;
+        double bestScore = Double.NEGATIVE_INFINITY;
         for (WorkerTrack worker : workers) {
-            if (!isEligible(task, worker, pool, nowMs)) {
+            if (!eligible.test(worker)) {
                 continue;
             }
-            long score = score(task, worker, nowMs);
+            double score = scores.applyAsDouble(worker);
             if (score > bestScore) {
                 best = worker;
                 bestScore = score;
@@ -75,10 +105,7 @@
                 && task.step().activeOn(worker) >= step.maximumPerWorker()) {
             return false;
         }
-        if (!worker.health().mayStart(nowMs, startedRuns(worker))) {
-            return false;
-        }
-        return !step.fills() || hasIdleProcessors(step, worker);
+        return worker.health().mayStart(nowMs, startedRuns(worker));
     }
 
     private static boolean isSilent(WorkerTrack worker, long nowMs) {
