Pace by the load of serving tasks; tell their neighbours' shares apart

Cause: the tail of a serving task explodes near saturation (ratios of tail to target of 5 to 100 in the agents' lines), so a linear model of the ratio learnt weights in the hundreds, and every start beside a disturbed image cost a second over the target. The new tests of the dispatcher were not run against the former code.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -53,6 +53,9 @@
     /** Most starts of one round; the rest follows in the next. */
     private static final int MAXIMUM_STARTS = 200;
 
+    /** Time between two lines with the learnt interference, in milliseconds. */
+    private static final long DESCRIBE_INTERVAL_MS = 5_000;
+
     private final Epoch mEpoch;
     private final DispatchOutput mOutput;
     private final Scheduler mScheduler;
@@ -74,6 +77,7 @@
     private boolean mPersisting;
     private boolean mHalted;
     private long mLastSession;
+    private long mDescribedAtMs;
 
     /** Creates the dispatcher of an owner. */
     public Dispatcher(
@@ -494,9 +498,18 @@
             }
             mWatch.check(worker, nowMs());
         }
+        describeInterference();
         advance();
     }
 
+    private void describeInterference() {
+        if (nowMs() - mDescribedAtMs < DESCRIBE_INTERVAL_MS) {
+            return;
+        }
+        mDescribedAtMs = nowMs();
+        mLog.record("interference_learnt", "weights", mInterference.describe());
+    }
+
     private Optional<WorkerTrack> choose(TaskTrack task) {
         return mChooser.choose(task, mWorkers.values(), pool(task), nowMs());
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/InterferenceEstimates.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/InterferenceEstimates.java
@@ -3,42 +3,85 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
+import org.hickorycleat.logic.interference.ServingLoad;
 import org.hickorycleat.model.job.StepSpecification;
 import org.hickorycleat.model.message.FillWeights;
 
 /**
- * Estimates from late measurements how much each image that fills raises the tail of each image
+ * Estimates from late measurements how much each image that fills adds to the load of each image
  * that serves.
  *
- * <p>The ratio of tail to target is taken as a base and a sum over the images that fill, each in
- * proportion to the share of the processors that it uses; the weights follow the error of each
- * prediction (normalised least mean squares) and are never negative.
+ * <p>The load of a serving run is taken as its own load, which drifts, and a sum over the images
+ * that fill beside it, each in proportion to the share of the processors that it uses. Both are
+ * tracked by a Kalman filter without cross-covariances, so that a jump beside a new neighbour is
+ * put down to that neighbour and a slow change to the run itself.
  */
 final class InterferenceEstimates {
-    private static final double WEIGHT_RATE = 0.3;
-    private static final double BASE_RATE = 0.02;
+    /** Load of a serving run before anything is known of it, and its variance. */
+    private static final double FIRST_LOAD = 0.45;
 
-    /** Keeps the step finite when little fills. */
-    private static final double REGULARISATION = 0.05;
+    private static final double FIRST_LOAD_VARIANCE = 0.02;
 
-    /** Base of an image that has not been seen, as a ratio of tail to target. */
-    private static final double FIRST_BASE = 0.4;
+    /** Weight of a pair of images before it has been seen, and its variance. */
+    private static final double FIRST_WEIGHT = 1.2;
+
+    private static final double FIRST_WEIGHT_VARIANCE = 2;
+
+    /** Growth of the variances between two measurements. */
+    private static final double LOAD_DRIFT = 0.001;
+
+    private static final double WEIGHT_DRIFT = 0.002;
+
+    /** Relative error of a measured tail. */
+    private static final double TAIL_ERROR = 0.1;
+
+    /** Least standard deviation of a measured load. */
+    private static final double LEAST_ERROR = 0.02;
+
+    /** Load above which a measurement only tells that the load is at least that high. */
+    private static final double SATURATED_LOAD = 0.93;
 
     private static final double MILLI = 1000;
 
-    private final Map<String, Double> mBases = new HashMap<>();
-    private final Map<Pair, Double> mWeights = new HashMap<>();
+    private final Map<Pair, Estimate> mWeights = new HashMap<>();
 
     private record Pair(String serving, String filling) {}
 
+    /** A mean and its variance. */
+    static final class Estimate {
+        private double mMean;
+        private double mVariance;
+
+        Estimate(double mean, double variance) {
+            mMean = mean;
+            mVariance = variance;
+        }
+
+        double mean() {
+            return mMean;
+        }
+
+        private void correct(double gain, double error, double sensitivity) {
+            mMean = Math.max(0, mMean + gain * error);
+            mVariance *= Math.max(0, 1 - gain * sensitivity);
+        }
+    }
+
+    /** Returns what is known of the own load of a run that was never measured. */
+    static Estimate firstLoad() {
+        return new Estimate(FIRST_LOAD, FIRST_LOAD_VARIANCE);
+    }
+
     /** Learns from the newest measurements of a worker. */
     void observe(WorkerTrack worker) {
         Map<String, Double> shares = shares(worker);
         for (RunTrack run : worker.runs()) {
             StepSpecification step = run.task().specification();
-            if (step.targetLatencyMs() > 0 && run.measurement() > 0) {
-                observe(step.image(), ratio(run), shares);
+            if (step.targetLatencyMs() > 0 && run.takeNewMeasurement()) {
+                observe(step.image(), run.ownLoad(), load(run), shares);
             }
         }
     }
@@ -55,52 +98,76 @@
         return shares;
     }
 
-    private void observe(String serving, double ratio, Map<String, Double> shares) {
-        double base = mBases.getOrDefault(serving, FIRST_BASE);
-        double predicted = base;
-        double norm = REGULARISATION;
+    private void observe(String serving, Estimate own, double load, Map<String, Double> shares) {
+        double expected = own.mMean;
+        double noise = Math.max(LEAST_ERROR, TAIL_ERROR * (1 - load));
+        own.mVariance += LOAD_DRIFT;
+        double variance = own.mVariance + noise * noise;
         for (Map.Entry<String, Double> share : shares.entrySet()) {
-            predicted += weight(serving, share.getKey()) * share.getValue();
-            norm += share.getValue() * share.getValue();
+            Estimate weight = estimate(serving, share.getKey());
+            weight.mVariance = Math.min(FIRST_WEIGHT_VARIANCE, weight.mVariance + WEIGHT_DRIFT);
+            expected += weight.mMean * share.getValue();
+            variance += share.getValue() * share.getValue() * weight.mVariance;
+        }
+        double error = load - expected;
+        if (load > SATURATED_LOAD && error < 0) {
+            return;
         }
-        double error = ratio - predicted;
-        mBases.put(serving, Math.max(0, base + BASE_RATE * error));
+        own.correct(own.mVariance / variance, error, 1);
         for (Map.Entry<String, Double> share : shares.entrySet()) {
-            double step = WEIGHT_RATE * error * share.getValue() / norm;
-            Pair pair = new Pair(serving, share.getKey());
-            mWeights.put(pair, Math.max(0, weight(serving, share.getKey()) + step));
+            Estimate weight = estimate(serving, share.getKey());
+            double gain = share.getValue() * weight.mVariance / variance;
+            weight.correct(gain, error, share.getValue());
         }
     }
 
+    private Estimate estimate(String serving, String filling) {
+        return mWeights.computeIfAbsent(
+                new Pair(serving, filling),
+                pair -> new Estimate(FIRST_WEIGHT, FIRST_WEIGHT_VARIANCE));
+    }
+
     private double weight(String serving, String filling) {
-        return mWeights.getOrDefault(new Pair(serving, filling), 0.0);
+        Estimate known = mWeights.get(new Pair(serving, filling));
+        return known == null ? FIRST_WEIGHT : known.mMean;
     }
 
-    private static double ratio(RunTrack run) {
-        return (double) run.measurement() / run.task().specification().targetLatencyMs();
+    private static double load(RunTrack run) {
+        return ServingLoad.of(run.measurement(), run.task().specification().targetLatencyMs());
     }
 
-    /**
-     * Returns the highest ratio of tail to target that is expected on a worker with a further task.
-     *
-     * @param pace share at which the further task works
-     */
-    double expectedRatio(WorkerTrack worker, StepSpecification further, double pace) {
+    /** Returns the highest load of a serving task on a worker with a further task that fills. */
+    double expectedLoad(WorkerTrack worker, StepSpecification further) {
         double capacity = Math.max(1, worker.capacity().processorsMilli());
+        double share = further.request().processorsMilli() / capacity;
         double highest = 0;
         for (RunTrack run : worker.runs()) {
             StepSpecification step = run.task().specification();
             if (step.targetLatencyMs() <= 0) {
                 continue;
             }
-            double added = further.request().processorsMilli() * pace;
-            double expected = ratio(run) + weight(step.image(), further.image()) * added / capacity;
+            double known = run.measurement() > 0 ? load(run) : FIRST_LOAD;
+            double expected = known + weight(step.image(), further.image()) * share;
             highest = Math.max(highest, expected + unmeasured(worker, step, capacity));
         }
         return highest;
     }
 
-    // Tasks that have just been started do not show in the measured tail yet.
+    /** Returns the most that a further task that fills adds to the load of a serving task. */
+    double addedLoad(WorkerTrack worker, StepSpecification further) {
+        double capacity = Math.max(1, worker.capacity().processorsMilli());
+        double share = further.request().processorsMilli() / capacity;
+        double highest = 0;
+        for (RunTrack run : worker.runs()) {
+            StepSpecification step = run.task().specification();
+            if (step.targetLatencyMs() > 0) {
+                highest = Math.max(highest, weight(step.image(), further.image()) * share);
+            }
+        }
+        return highest;
+    }
+
+    // Tasks that have just been started do not show in the measurement yet.
     private double unmeasured(WorkerTrack worker, StepSpecification serving, double capacity) {
         double added = 0;
         for (RunTrack run : worker.runs()) {
@@ -115,6 +182,22 @@
         return added;
     }
 
+    /** Describes the weights for the log, by serving image. */
+    String describe() {
+        Map<String, StringBuilder> lines = new TreeMap<>();
+        mWeights.forEach(
+                (pair, weight) ->
+                        lines.computeIfAbsent(pair.serving(), image -> new StringBuilder())
+                                .append(
+                                        String.format(
+                                                Locale.ROOT,
+                                                " %s:%.1f~%.1f",
+                                                pair.filling(),
+                                                weight.mMean,
+                                                Math.sqrt(weight.mVariance))));
+        return lines.toString();
+    }
+
     /** Returns the weights of the images that fill on a worker, for its serving tasks. */
     List<FillWeights.ImageWeight> weights(WorkerTrack worker) {
         List<FillWeights.ImageWeight> weights = new ArrayList<>();
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunTrack.java
@@ -24,6 +24,8 @@
     private long mFirstPercentAtMs;
     private long mAdvancedAtMs;
     private long mMeasurement;
+    private boolean mMeasured;
+    private final InterferenceEstimates.Estimate mOwnLoad = InterferenceEstimates.firstLoad();
     private long mFastAtMs = Long.MIN_VALUE / 2;
 
     RunTrack(RunId id, TaskTrack task, WorkerTrack worker, WorkerLife life, RunPhase phase) {
@@ -70,6 +72,18 @@
         return mMeasurement;
     }
 
+    /** Tells whether a measurement came since the last call. */
+    boolean takeNewMeasurement() {
+        boolean measured = mMeasured;
+        mMeasured = false;
+        return measured;
+    }
+
+    /** Returns the load that a serving run has without neighbours. */
+    InterferenceEstimates.Estimate ownLoad() {
+        return mOwnLoad;
+    }
+
     /** The start was sent. */
     void onOrdered(long session, long order, long nowMs) {
         mPhase = RunPhase.ORDERED;
@@ -97,6 +111,7 @@
         }
         mPercent = percent;
         mMeasurement = measurement;
+        mMeasured = measurement > 0;
         long wanted = mTask.specification().request().processorsMilli();
         if (measurement >= wanted * SLOWED_SHARE) {
             mFastAtMs = nowMs;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerChooser.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerChooser.java
@@ -16,8 +16,8 @@
     /** Share of the request of a task that fills that must be idle on its worker. */
     private static final double FILL_SHARE = 0.7;
 
-    /** Highest expected ratio of tail to target at which a task that fills is added. */
-    private static final double HIGHEST_RATIO = 0.9;
+    /** Highest expected load of a serving task at which a task that fills is added. */
+    private static final double HIGHEST_LOAD = 0.8;
 
     /** Weight of a rack with the data of the task, in thousandths of a processor. */
     private static final long RACK_WEIGHT = 1_000_000;
@@ -28,6 +28,9 @@
     /** Weight of each serving task of the same or another image, in thousandths of a processor. */
     private static final long IMAGE_WEIGHT = 50_000;
 
+    /** Weight of a load that is added to serving tasks, in capacities of the worker. */
+    private static final double ADDED_LOAD_WEIGHT = 4;
+
     /** Weight against a further task of the step on a worker, in thousandths of a processor. */
     private static final long SPREAD_WEIGHT = 500;
 
@@ -64,7 +67,7 @@
         return best(
                 workers,
                 worker -> isEligible(task, worker, pool, nowMs),
-                worker -> -mInterference.expectedRatio(worker, task.specification(), 1));
+                worker -> -mInterference.expectedLoad(worker, task.specification()));
     }
 
     private static Optional<WorkerTrack> best(
@@ -124,13 +127,7 @@
 
     private boolean hasIdleProcessors(StepSpecification step, WorkerTrack worker) {
         return worker.idleProcessorsMilli() >= step.request().processorsMilli() * FILL_SHARE
-                && mInterference.expectedRatio(worker, step, 1) <= HIGHEST_RATIO;
-    }
-
-    // Below the target by far is as good as no serving task at all.
-    private double headroom(WorkerTrack worker, StepSpecification step) {
-        double ratio = mInterference.expectedRatio(worker, step, 1);
-        return Math.max(0.05, Math.min(1, 2 * (1 - ratio)));
+                && mInterference.expectedLoad(worker, step) <= HIGHEST_LOAD;
     }
 
     // Each image that serves is disturbed by other images that fill: workers whose serving tasks
@@ -146,12 +143,16 @@
         return balance;
     }
 
+    // Room for a task is lost both with processors and with load of the serving tasks.
+    private long fillScore(WorkerTrack worker, StepSpecification step) {
+        double added = mInterference.addedLoad(worker, step);
+        return worker.idleProcessorsMilli()
+                - (long) (ADDED_LOAD_WEIGHT * added * worker.capacity().processorsMilli());
+    }
+
     private long score(TaskTrack task, WorkerTrack worker, long nowMs) {
         StepSpecification step = task.specification();
-        long score =
-                step.fills()
-                        ? (long) (worker.idleProcessorsMilli() * headroom(worker, step))
-                        : worker.freeProcessorsMilli();
+        long score = step.fills() ? fillScore(worker, step) : worker.freeProcessorsMilli();
         if (step.preferredRack().isPresent() && worker.hasLabel(step.preferredRack().get())) {
             score += RACK_WEIGHT;
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/FillPacer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/FillPacer.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hickorycleat.logic.interference.ServingLoad;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.RunSample;
 import org.hickorycleat.model.job.TaskTraits;
@@ -20,14 +21,17 @@
 final class FillPacer {
     static final int FULL_PERCENT = 100;
 
-    /** Ratio of tail to target above which shares are lowered. */
-    private static final double UPPER_RATIO = 0.92;
+    /** Load of a serving task above which shares are lowered; below that of its target. */
+    private static final double UPPER_LOAD = 0.785;
 
-    /** Ratio of tail to target below which shares are raised. */
-    private static final double LOWER_RATIO = 0.78;
+    /** Load below which shares are raised. */
+    private static final double LOWER_LOAD = 0.745;
 
-    /** Ratio of tail to target that a change aims at. */
-    private static final double AIMED_RATIO = 0.82;
+    /** Load from which on the excess cannot be read from the tail any more. */
+    private static final double SATURATED_LOAD = 0.93;
+
+    /** Load that a change aims at. */
+    private static final double AIMED_LOAD = 0.76;
 
     /** Strongest reduction in one step. */
     private static final double STRONGEST_CUT = 0.25;
@@ -41,10 +45,10 @@
     /** Images with at least this share of the largest contribution are slowed down. */
     private static final double CONTRIBUTION_SHARE = 0.4;
 
-    /** Weight of an image that nothing is known of, in thousandths of a target. */
+    /** Weight of an image that nothing is known of, in thousandths of a load. */
     private static final long UNKNOWN_WEIGHT = 1_000;
 
-    /** Least weight that is reckoned with, in thousandths of a target. */
+    /** Least weight that is reckoned with, in thousandths of a load. */
     private static final long LEAST_WEIGHT = 50;
 
     private static final double MILLI = 1000;
@@ -55,7 +59,7 @@
     private final Map<String, Long> mWeights = new HashMap<>();
     private final Map<String, Integer> mPercents = new HashMap<>();
     private long mChangedAtMs = Long.MIN_VALUE / 2;
-    private double mRatio;
+    private double mLoad;
 
     /** Takes how much images disturb the serving tasks of this worker. */
     void onWeights(List<FillWeights.ImageWeight> weights) {
@@ -72,16 +76,16 @@
             Map<RunId, TaskTraits> traits,
             long capacityMilli,
             long nowMs) {
-        mRatio = worstRatio(samples, traits);
+        mLoad = highestLoad(samples, traits);
         if (nowMs - mChangedAtMs < CHANGE_INTERVAL_MS) {
             return false;
         }
         Map<String, Double> contributions = contributions(samples, traits, capacityMilli);
         mPercents.keySet().retainAll(contributions.keySet());
         boolean changed = false;
-        if (mRatio > UPPER_RATIO) {
+        if (mLoad > UPPER_LOAD) {
             changed = lower(contributions);
-        } else if (mRatio < LOWER_RATIO) {
+        } else if (mLoad < LOWER_LOAD) {
             changed = raise(contributions);
         }
         if (changed) {
@@ -96,7 +100,7 @@
         Map<String, Double> causes = new HashMap<>(contributions);
         causes.values().removeIf(contribution -> contribution < CONTRIBUTION_SHARE * largest);
         double sum = causes.values().stream().mapToDouble(Double::doubleValue).sum();
-        double cut = Math.max(STRONGEST_CUT, 1 - (mRatio - AIMED_RATIO) / Math.max(sum, 0.01));
+        double cut = cut(sum);
         boolean changed = false;
         for (String image : causes.keySet()) {
             int before = percent(image);
@@ -107,6 +111,13 @@
         return changed;
     }
 
+    private double cut(double contribution) {
+        if (mLoad >= SATURATED_LOAD) {
+            return STRONGEST_CUT;
+        }
+        return Math.max(STRONGEST_CUT, 1 - (mLoad - AIMED_LOAD) / Math.max(contribution, 0.01));
+    }
+
     private boolean raise(Map<String, Double> contributions) {
         boolean changed = !mPercents.isEmpty();
         mPercents.replaceAll(
@@ -117,12 +128,12 @@
     }
 
     private int rise(int percent, double contribution) {
-        double room = AIMED_RATIO - mRatio;
+        double room = AIMED_LOAD - mLoad;
         double rise = percent * room / Math.max(contribution, 0.01);
         return (int) Math.max(LEAST_RAISE_PERCENT, Math.min(RAISE_PERCENT, rise));
     }
 
-    // In the ratio of tail to target that the images add at their present share.
+    // In the load that the images add at their present share.
     private Map<String, Double> contributions(
             Collection<RunSample> samples, Map<RunId, TaskTraits> traits, long capacityMilli) {
         Map<String, Double> contributions = new HashMap<>();
@@ -140,20 +151,24 @@
         return contributions;
     }
 
-    private static double worstRatio(Collection<RunSample> samples, Map<RunId, TaskTraits> traits) {
-        double worst = 0;
+    private static double highestLoad(
+            Collection<RunSample> samples, Map<RunId, TaskTraits> traits) {
+        double highest = 0;
         for (RunSample sample : samples) {
             TaskTraits trait = traits.get(sample.run());
             if (trait != null && trait.targetLatencyMs() > 0) {
-                worst = Math.max(worst, (double) sample.measurement() / trait.targetLatencyMs());
+                highest =
+                        Math.max(
+                                highest,
+                                ServingLoad.of(sample.measurement(), trait.targetLatencyMs()));
             }
         }
-        return worst;
+        return highest;
     }
 
-    /** Returns the highest ratio of tail to target at the last update. */
-    double ratio() {
-        return mRatio;
+    /** Returns the highest load of a serving task at the last update. */
+    double load() {
+        return mLoad;
     }
 
     /** Returns the share of an image in percent. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -493,8 +493,8 @@
         if (mPacer.update(mRunning, mTraits, capacityMilli, nowMs())) {
             mLog.record(
                     "fill_paced",
-                    "ratio",
-                    mPacer.ratio(),
+                    "load",
+                    mPacer.load(),
                     "percents",
                     mPacer.percents(),
                     "runs",
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
@@ -11,6 +11,7 @@
 import org.hickorycleat.model.job.JobState;
 import org.hickorycleat.model.job.JobSubmission;
 import org.hickorycleat.model.job.RejectionReason;
+import org.hickorycleat.model.job.RunSample;
 import org.hickorycleat.model.job.StepSpecification;
 import org.hickorycleat.model.message.RunRejected;
 import org.hickorycleat.model.message.StartRun;
@@ -383,4 +384,84 @@
 
         assertThat(mFixture.mStarts).isEmpty();
     }
+
+    private static StepSpecification filling(int count, int estimateMs) {
+        return new StepSpecification(
+                count,
+                new Resources(4_000, 1_000, 0),
+                estimateMs,
+                List.of(),
+                true,
+                false,
+                false,
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                false,
+                false,
+                "filling",
+                0,
+                true,
+                -1);
+    }
+
+    private static StepSpecification serving(int count) {
+        return new StepSpecification(
+                count,
+                new Resources(3_000, 1_000, 0),
+                0,
+                List.of(),
+                false,
+                false,
+                false,
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                false,
+                true,
+                "serving",
+                50,
+                false,
+                -1);
+    }
+
+    /** A job must not stand still beside free processors, however its image disturbs others. */
+    @Test
+    void startsJobThatFillsAfterAWhileThoughItDisturbs() {
+        long session = mFixture.connect(1);
+        mFixture.submit(JOB, serving(1));
+        RunSample atTarget = new RunSample(mFixture.run(0), "", 100, 50);
+        mFixture.report(1, session, 1, 1, List.of(atTarget), List.of());
+        mFixture.submit("00000000000000bb", filling(1, 1_000));
+        assertThat(mFixture.mStarts).hasSize(1);
+
+        for (int passedMs = 0; passedMs < 2_000; passedMs += 500) {
+            mFixture.pass(500);
+            mFixture.report(1, session, 1, 1, List.of(atTarget), List.of());
+        }
+
+        assertThat(mFixture.mStarts).hasSize(2);
+    }
+
+    /** The job that came first has lost its objective; the other can still meet it. */
+    @Test
+    void placesWhatCanBeOnTimeBeforeWhatCannot() {
+        mFixture.submit("00000000000000c1", filling(1, 1_000));
+        mFixture.pass(20_000);
+        mFixture.submit("00000000000000c2", filling(1, 1_000));
+        mFixture.connect(1);
+
+        assertThat(mFixture.mStarts).hasSize(2);
+        assertThat(mFixture.run(0).task().job().value()).isEqualTo("00000000000000c2");
+    }
+
+    /** Of two jobs that can both be on time, the one with less work for its worth goes first. */
+    @Test
+    void placesMostWorthForTheWorkFirst() {
+        mFixture.submit("00000000000000d1", filling(4, 1_000));
+        mFixture.submit("00000000000000d2", filling(1, 1_000));
+        mFixture.connect(1);
+
+        assertThat(mFixture.run(0).task().job().value()).isEqualTo("00000000000000d2");
+    }
 }
