--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobLogCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobLogCodec.java
@@ -25,6 +25,7 @@
     private static final String CANCELLED = "c:";
     private static final String PROGRESSED = "p:";
     private static final String CLAIMED = "owner";
+    private static final String LEARNT = "interference";
 
     private final RecordCodec mRecords = new RecordCodec();
 
@@ -38,7 +39,7 @@
         if (record instanceof JobRecord.Progressed progressed) {
             return stored(PROGRESSED + progressed.progress().id(), progressed);
         }
-        return stored(CLAIMED, record);
+        return stored(record instanceof JobRecord.Learnt ? LEARNT : CLAIMED, record);
     }
 
     /** Decodes a record; empty when it is none of ours. */
@@ -58,6 +59,9 @@
         if (record.key().equals(CLAIMED)) {
             return read(record, JobRecord.Claimed.class);
         }
+        if (record.key().equals(LEARNT)) {
+            return read(record, JobRecord.Learnt.class);
+        }
         return Optional.empty();
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -15,6 +15,7 @@
 import org.hickorycleat.logic.port.DecisionLog;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.job.InterferenceWeight;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobStatus;
 import org.hickorycleat.model.job.WorkloadConfiguration;
@@ -90,6 +91,7 @@
     /** Takes over all jobs and tells every agent. */
     void start(Optional<WorkloadConfiguration> configuration) {
         configuration.ifPresent(mDispatcher::onConfiguration);
+        mDispatcher.restoreInterference(mDirectory.interference());
         for (JobEntry job : mDirectory.jobs()) {
             job.submission()
                     .ifPresent(
@@ -191,6 +193,23 @@
         mLinks.broadcast(new JobStates(states), ProcessRole.ENTRY);
     }
 
+    @Override
+    public void remember(List<InterferenceWeight> weights) {
+        if (mEnded) {
+            return;
+        }
+        Calls.whenDone(
+                mStore.append(
+                        AppendTerms.unconditional(JobLogCodec.JOBS_TOPIC, 0),
+                        List.of(mCodec.encode(new JobRecord.Learnt(weights)))),
+                outcome -> {
+                    if (outcome.result() != AppendResult.APPENDED) {
+                        LOG.event("interference_unstored").with("result", outcome.result()).info();
+                    }
+                },
+                error -> LOG.event("interference_unstored").with("result", error).info());
+    }
+
     @Override
     public boolean mayExtendLeases() {
         return !mEnded && mStore.silenceMs() < DispatchSettings.STORE_SILENCE_LIMIT_MS;
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/JobLogCodecTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/JobLogCodecTest.java
@@ -9,6 +9,7 @@
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.identifier.ZoneId;
+import org.hickorycleat.model.job.InterferenceWeight;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobState;
@@ -76,7 +77,8 @@
                                 JOB, new QueueName("q"), "text", List.of(step), 0, 0, 0, 7)),
                 new JobRecord.Cancelled(JOB),
                 new JobRecord.Progressed(new JobProgress(JOB, JobState.RUNNING, List.of(task))),
-                new JobRecord.Claimed(NODE, new Epoch(12)));
+                new JobRecord.Claimed(NODE, new Epoch(12)),
+                new JobRecord.Learnt(List.of(new InterferenceWeight("s", "f", 1_200, 40))));
     }
 
     @ParameterizedTest
@@ -88,7 +90,7 @@
     @Test
     void keepsKindsOfRecordsUnderDifferentKeys() {
         assertThat(records().stream().map(mCodec::encode).map(StoreRecord::key).distinct())
-                .hasSize(4);
+                .hasSize(5);
     }
 
     @Test
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/WorkerStandIn.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/WorkerStandIn.java
@@ -14,25 +14,51 @@
 import org.hickorycleat.logic.port.HttpRequest;
 import org.hickorycleat.logic.port.HttpResponse;
 
-/** A small worker that speaks the platform's wire and runs every task for a fixed time. */
+/**
+ * A small worker that speaks the platform's wire, runs every task for a fixed time and ends
+ * everything when its lease expires.
+ */
 final class WorkerStandIn implements HttpHandler {
-    private static final long RUN_MS = 200;
+    private static final long SHORT_RUN_MS = 200;
     private static final long LONGEST_WAIT_MS = 50;
 
     private final ObjectMapper mMapper = new ObjectMapper();
-    private final long mStartedAtMs = System.currentTimeMillis();
+    private final RunHistory mHistory;
+    private final long mRunMs;
+    private long mStartedAtMs = System.currentTimeMillis();
+    private long mLeaseDeadlineMs;
     private final Map<String, Long> mRunning = new LinkedHashMap<>();
     private final List<String> mEnded = new ArrayList<>();
     private final List<String> mStarts = new ArrayList<>();
     private long mToken;
-    private long mAcknowledged;
+    private int mAcknowledged;
+
+    WorkerStandIn() {
+        this(new RunHistory(), SHORT_RUN_MS);
+    }
+
+    WorkerStandIn(RunHistory history, long runMs) {
+        mHistory = history;
+        mRunMs = runMs;
+    }
+
+    /** Crashes and begins a new life, which knows nothing of before. */
+    synchronized void restart() {
+        mRunning.keySet().forEach(mHistory::onGone);
+        mRunning.clear();
+        mEnded.clear();
+        mToken = 0;
+        mAcknowledged = 0;
+        mLeaseDeadlineMs = 0;
+        mStartedAtMs = System.currentTimeMillis();
+    }
 
     /** Returns every start in order, as task and run. */
     synchronized List<String> starts() {
         return new ArrayList<>(mStarts);
     }
 
-    String heartbeat(long sequence) {
+    synchronized String heartbeat(long sequence) {
         return "{\"service\":\"booking\",\"state\":\"ready\",\"seq\":"
                 + sequence
                 + ",\"born\":"
@@ -56,6 +82,9 @@
 
     private synchronized HttpResponse answer(String path, JsonNode body) {
         finish();
+        if (body.has("deadline_ms")) {
+            mLeaseDeadlineMs = Math.max(mLeaseDeadlineMs, body.path("deadline_ms").asLong());
+        }
         if (body.path("fencing_token").asLong() < mToken) {
             return text(409, "{\"reason\":\"fence\"," + clock() + "}");
         }
@@ -63,8 +92,11 @@
         String run = "\"" + body.path("task").asText() + "\"," + body.path("run").asInt();
         return switch (path) {
             case "/run-start" -> {
-                mStarts.add(run);
-                mRunning.put(run, System.currentTimeMillis() + RUN_MS);
+                if (!mRunning.containsKey(run)) {
+                    mStarts.add(run);
+                    mHistory.onStart(run);
+                    mRunning.put(run, System.currentTimeMillis() + mRunMs);
+                }
                 yield text(200, "{" + clock() + "}");
             }
             case "/run-stop" -> {
@@ -72,14 +104,15 @@
                 yield text(200, "{" + clock() + "}");
             }
             case "/hold" -> {
-                mAcknowledged = Math.max(mAcknowledged, body.path("ack_cursor").asLong());
+                acknowledge(body.path("ack_cursor").asInt());
                 yield text(200, lists());
             }
             default -> text(404, "{}");
         };
     }
 
-    private void finish() {
+    /** Ends what has run its time, or has lost its lease. */
+    synchronized void finish() {
         long nowMs = System.currentTimeMillis();
         List<String> done = new ArrayList<>();
         mRunning.forEach(
@@ -89,10 +122,21 @@
                     }
                 });
         done.forEach(run -> end(run, "done"));
+        if (nowMs - mStartedAtMs > mLeaseDeadlineMs) {
+            new ArrayList<>(mRunning.keySet()).forEach(run -> end(run, "lapsed"));
+        }
+    }
+
+    private void acknowledge(int cursor) {
+        for (int i = mAcknowledged; i < Math.min(cursor, mEnded.size()); i++) {
+            mHistory.onAcknowledged(mEnded.get(i));
+        }
+        mAcknowledged = Math.max(mAcknowledged, cursor);
     }
 
     private void end(String run, String cause) {
         if (mRunning.remove(run) != null) {
+            mHistory.onGone(run);
             mEnded.add("[" + (mEnded.size() + 1) + "," + run + ",\"" + cause + "\",\"\"]");
         }
     }
@@ -104,7 +148,7 @@
     private String lists() {
         List<String> running = new ArrayList<>();
         mRunning.keySet().forEach(run -> running.add("[" + run + ",\"\",50,900]"));
-        List<String> ended = mEnded.subList((int) mAcknowledged, mEnded.size());
+        List<String> ended = mEnded.subList(mAcknowledged, mEnded.size());
         return "{\"born\":"
                 + mStartedAtMs
                 + ","
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobDirectory.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobDirectory.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.hickorycleat.model.identifier.Epoch;
+import org.hickorycleat.model.job.InterferenceWeight;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobState;
 import org.hickorycleat.model.job.JobStatus;
@@ -18,6 +19,7 @@
     private final Map<JobId, JobEntry> mJobs = new LinkedHashMap<>();
     private Optional<FleetNode> mOwner = Optional.empty();
     private Epoch mEpoch = new Epoch(-1);
+    private List<InterferenceWeight> mInterference = List.of();
 
     /** Takes a record of the log. */
     public synchronized void apply(JobRecord record) {
@@ -29,6 +31,8 @@
             entry(progressed.progress().id()).onProgress(progressed.progress());
         } else if (record instanceof JobRecord.Claimed claimed) {
             onClaim(claimed);
+        } else if (record instanceof JobRecord.Learnt learnt) {
+            mInterference = learnt.weights();
         }
     }
 
@@ -68,6 +72,11 @@
         return mEpoch;
     }
 
+    /** Returns what the last owner that told so had learnt of images. */
+    public synchronized List<InterferenceWeight> interference() {
+        return mInterference;
+    }
+
     /** Returns the state of a job. */
     public synchronized Optional<JobState> state(JobId id) {
         return Optional.ofNullable(mJobs.get(id)).map(JobEntry::state);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobRecord.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobRecord.java
@@ -1,6 +1,8 @@
 package org.hickorycleat.logic.directory;
 
+import java.util.List;
 import org.hickorycleat.model.identifier.Epoch;
+import org.hickorycleat.model.job.InterferenceWeight;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobSubmission;
@@ -19,4 +21,12 @@
 
     /** An entry became the owner; the highest epoch counts. */
     record Claimed(FleetNode owner, Epoch epoch) implements JobRecord {}
+
+    /** What an owner has learnt of images; the newest counts. */
+    record Learnt(List<InterferenceWeight> weights) implements JobRecord {
+        /** Copies the list. */
+        public Learnt {
+            weights = List.copyOf(weights);
+        }
+    }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOutput.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOutput.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.job.InterferenceWeight;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobStatus;
 import org.hickorycleat.model.message.Message;
@@ -23,4 +24,7 @@
 
     /** Tells whether this process may still be the only owner. */
     boolean mayExtendLeases();
+
+    /** Keeps what was learnt of images for a successor; a copy that is lost does no harm. */
+    void remember(List<InterferenceWeight> weights);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchSettings.java
@@ -6,8 +6,9 @@
  * @param leaseMs lease that each report of a worker extends, in milliseconds
  * @param formerLeaseMs longest time that a former owner may have extended leases after it lost the
  *     store, in milliseconds
+ * @param longestLeaseMs longest lease that a worker grants, in milliseconds; from the platform
  */
-public record DispatchSettings(int leaseMs, int formerLeaseMs) {
+public record DispatchSettings(int leaseMs, int formerLeaseMs, int longestLeaseMs) {
     /** Longest lease that is asked for, in milliseconds; longer than most partitions. */
     private static final int LONGEST_LEASE_MS = 6_000;
 
@@ -17,12 +18,12 @@
     /** Returns the settings for workers that grant leases up to the given length. */
     public static DispatchSettings of(int maximumLeaseMs) {
         return new DispatchSettings(
-                Math.min(maximumLeaseMs, LONGEST_LEASE_MS), STORE_SILENCE_LIMIT_MS);
+                Math.min(maximumLeaseMs, LONGEST_LEASE_MS), STORE_SILENCE_LIMIT_MS, maximumLeaseMs);
     }
 
     /** Returns after how long a lease that was just extended has certainly expired. */
-    int certainExpiryMs() {
+    int certainExpiryMs(int extendedMs) {
         // A worker's clock may be 2% slow; the rest covers rounding and scheduling.
-        return leaseMs + leaseMs * 3 / 100 + 100;
+        return extendedMs + extendedMs * 3 / 100 + 100;
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -17,6 +17,7 @@
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.job.EndCause;
 import org.hickorycleat.model.job.EndedRun;
+import org.hickorycleat.model.job.InterferenceWeight;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobQueue;
@@ -53,8 +54,8 @@
     /** Most starts of one round; the rest follows in the next. */
     private static final int MAXIMUM_STARTS = 200;
 
-    /** Time between two lines with the learnt interference, in milliseconds. */
-    private static final long DESCRIBE_INTERVAL_MS = 5_000;
+    /** Time between two copies of what was learnt of images, in milliseconds. */
+    private static final long REMEMBER_INTERVAL_MS = 5_000;
 
     private final Epoch mEpoch;
     private final DispatchOutput mOutput;
@@ -77,7 +78,7 @@
     private boolean mPersisting;
     private boolean mHalted;
     private long mLastSession;
-    private long mDescribedAtMs;
+    private long mRememberedAtMs;
 
     /** Creates the dispatcher of an owner. */
     public Dispatcher(
@@ -114,6 +115,11 @@
         }
     }
 
+    /** Takes over what a former owner learnt of images. */
+    public synchronized void restoreInterference(List<InterferenceWeight> weights) {
+        mInterference.restore(weights);
+    }
+
     /** Takes a job and its durable progress from the log. */
     public synchronized void restore(
             JobSubmission submission, Optional<JobProgress> progress, boolean cancelled) {
@@ -175,7 +181,9 @@
                 id ->
                         new WorkerTrack(
                                 id,
-                                nowMs() + mSettings.formerLeaseMs() + mSettings.certainExpiryMs()));
+                                nowMs()
+                                        + mSettings.formerLeaseMs()
+                                        + mSettings.certainExpiryMs(mSettings.leaseMs())));
     }
 
     /** Takes a job that is durable. */
@@ -271,9 +279,14 @@
             return;
         }
         Optional<WorkerLife> before = worker.life();
-        worker.onObeyed(nowMs() + mSettings.certainExpiryMs());
+        worker.onObeyed(nowMs() + mSettings.certainExpiryMs(mSettings.leaseMs()));
         worker.onReport(report, nowMs());
         if (!before.equals(worker.life())) {
+            if (before.isPresent()) {
+                // The first call to a new life still carries a deadline on the former clock.
+                worker.onLeaseExtended(
+                        nowMs() + mSettings.certainExpiryMs(mSettings.longestLeaseMs()));
+            }
             mLog.record("worker_life", "agent", agent, "life", worker.life());
         }
         report.ended().forEach(end -> onEnd(worker, end));
@@ -288,7 +301,7 @@
     private void extendLease(WorkerTrack worker, long report) {
         int leaseMs = mOutput.mayExtendLeases() ? mSettings.leaseMs() : 0;
         if (leaseMs > 0) {
-            worker.onLeaseExtended(nowMs() + mSettings.certainExpiryMs());
+            worker.onLeaseExtended(nowMs() + mSettings.certainExpiryMs(mSettings.leaseMs()));
         }
         mOutput.send(
                 worker.agent(),
@@ -339,7 +352,11 @@
             if (run.phase() == RunPhase.PERSISTING) {
                 continue;
             }
-            if (!run.life().equals(report.life().get())) {
+            boolean otherLife = !run.life().equals(report.life().get());
+            if (otherLife && listed.contains(run.id())) {
+                mLog.record("run_in_new_life", "run", run.id(), "agent", worker.agent());
+                run.onLife(report.life().get());
+            } else if (otherLife) {
                 giveUp(run, "worker_restarted");
             } else if (!listed.contains(run.id())
                     && run.isDisprovedBy(report.session(), report.ordersSeen())) {
@@ -498,16 +515,20 @@
             }
             mWatch.check(worker, nowMs());
         }
-        describeInterference();
+        rememberInterference();
         advance();
     }
 
-    private void describeInterference() {
-        if (nowMs() - mDescribedAtMs < DESCRIBE_INTERVAL_MS) {
+    private void rememberInterference() {
+        if (nowMs() - mRememberedAtMs < REMEMBER_INTERVAL_MS) {
             return;
         }
-        mDescribedAtMs = nowMs();
-        mLog.record("interference_learnt", "weights", mInterference.describe());
+        mRememberedAtMs = nowMs();
+        List<InterferenceWeight> weights = mInterference.snapshot();
+        if (!weights.isEmpty()) {
+            mLog.record("interference_learnt", "weights", weights.size());
+            mOutput.remember(weights);
+        }
     }
 
     private Optional<WorkerTrack> choose(TaskTrack task) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/InterferenceEstimates.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/InterferenceEstimates.java
@@ -3,10 +3,9 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
-import java.util.TreeMap;
 import org.hickorycleat.logic.interference.ServingLoad;
+import org.hickorycleat.model.job.InterferenceWeight;
 import org.hickorycleat.model.job.StepSpecification;
 import org.hickorycleat.model.message.FillWeights;
 
@@ -182,20 +181,27 @@
         return added;
     }
 
-    /** Describes the weights for the log, by serving image. */
-    String describe() {
-        Map<String, StringBuilder> lines = new TreeMap<>();
+    /** Returns all weights, for a successor. */
+    List<InterferenceWeight> snapshot() {
+        List<InterferenceWeight> weights = new ArrayList<>();
         mWeights.forEach(
                 (pair, weight) ->
-                        lines.computeIfAbsent(pair.serving(), image -> new StringBuilder())
-                                .append(
-                                        String.format(
-                                                Locale.ROOT,
-                                                " %s:%.1f~%.1f",
-                                                pair.filling(),
-                                                weight.mMean,
-                                                Math.sqrt(weight.mVariance))));
-        return lines.toString();
+                        weights.add(
+                                new InterferenceWeight(
+                                        pair.serving(),
+                                        pair.filling(),
+                                        Math.round(weight.mMean * MILLI),
+                                        Math.round(weight.mVariance * MILLI))));
+        return weights;
+    }
+
+    /** Takes over weights that were learnt elsewhere. */
+    void restore(List<InterferenceWeight> weights) {
+        for (InterferenceWeight weight : weights) {
+            mWeights.put(
+                    new Pair(weight.serving(), weight.filling()),
+                    new Estimate(weight.meanMilli() / MILLI, weight.varianceMilli() / MILLI));
+        }
     }
 
     /** Returns the weights of the images that fill on a worker, for its serving tasks. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunTrack.java
@@ -13,7 +13,7 @@
     private final RunId mId;
     private final TaskTrack mTask;
     private final WorkerTrack mWorker;
-    private final WorkerLife mLife;
+    private WorkerLife mLife;
     private RunPhase mPhase;
     private long mSession;
     private long mOrder;
@@ -52,6 +52,11 @@
         return mLife;
     }
 
+    /** The start reached a later life of the worker than it was meant for. */
+    void onLife(WorkerLife life) {
+        mLife = life;
+    }
+
     RunPhase phase() {
         return mPhase;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -79,6 +79,8 @@
 
     private Optional<WorkerDescription> mDescription = Optional.empty();
     private long mListedLifeMs = -1;
+    private long mCandidateLifeMs = -1;
+    private long mCandidateToken;
     private List<RunSample> mRunning = List.of();
     private List<EndedRun> mEnded = List.of();
     private Epoch mEpoch = new Epoch(-1);
@@ -195,7 +197,7 @@
     }
 
     private Optional<RejectionReason> refusal(StartRun order) {
-        if (!life().equals(Optional.of(order.life()))) {
+        if (isChangingLife() || !life().equals(Optional.of(order.life()))) {
             return Optional.of(RejectionReason.UNAVAILABLE);
         }
         if (mDescription.isPresent() && mDescription.get().draining()) {
@@ -239,7 +241,12 @@
             if (token >= mToken) {
                 raiseToken("start_fenced");
             }
-            sendStart(pending);
+            if (isChangingLife()) {
+                mPending.remove(pending.order().run());
+                reject(pending.order().run(), RejectionReason.UNAVAILABLE);
+            } else {
+                sendStart(pending);
+            }
             return;
         }
         mPending.remove(pending.order().run());
@@ -399,7 +406,11 @@
         if (answer.startedAtMs() < mListedLifeMs) {
             return;
         }
-        if (answer.startedAtMs() > mListedLifeMs) {
+        boolean newLife = answer.startedAtMs() > mListedLifeMs;
+        if (newLife && !isConfirmed(answer.startedAtMs(), token)) {
+            return;
+        }
+        if (newLife) {
             onNewLife(answer.startedAtMs());
         }
         mClock.onReading(answer.clockMs(), nowMs());
@@ -409,6 +420,9 @@
         mRunning = answer.running();
         mEnded = ended;
         settlePending(token);
+        if (newLife) {
+            rejectPending();
+        }
         repeatStops();
         pace();
         if (changed) {
@@ -418,22 +432,44 @@
         }
     }
 
-    private void onNewLife(long startedAtMs) {
-        if (mListedLifeMs >= 0) {
+    // A start that was meant for the former life may still reach the new one, which has seen no
+    // token; a listing under a higher one tells for good what of it is there.
+    private boolean isConfirmed(long startedAtMs, long token) {
+        if (mListedLifeMs < 0) {
+            return true;
+        }
+        if (startedAtMs > mCandidateLifeMs) {
             mLog.record("worker_restarted", "born", startedAtMs, "before", mListedLifeMs);
             raiseToken("worker_restarted");
+            mCandidateLifeMs = startedAtMs;
+            mCandidateToken = mToken;
+            mLeaseDeadlineMs = 0;
+            listNow();
+            return false;
         }
+        return token >= mCandidateToken;
+    }
+
+    private boolean isChangingLife() {
+        return mCandidateLifeMs > mListedLifeMs;
+    }
+
+    private void onNewLife(long startedAtMs) {
         mListedLifeMs = startedAtMs;
         mClock.reset();
         mClockAtReport.clear();
         mLeaseDeadlineMs = 0;
         mAcknowledged = 0;
-        mPending.clear();
         mStopSentAtMs.clear();
-        mTraits.clear();
         mPercents.clear();
     }
 
+    private void rejectPending() {
+        List<RunId> gone = List.copyOf(mPending.keySet());
+        mPending.clear();
+        gone.forEach(run -> reject(run, RejectionReason.UNAVAILABLE));
+    }
+
     private static boolean sameEnds(List<EndedRun> left, List<EndedRun> right) {
         return left.size() == right.size()
                 && (left.isEmpty()
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
@@ -11,6 +11,7 @@
 import org.hickorycleat.model.identifier.ServiceName;
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.job.EndedRun;
+import org.hickorycleat.model.job.InterferenceWeight;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobQueue;
@@ -47,6 +48,7 @@
     final List<LeaseExtension> mLeases = new ArrayList<>();
     final List<JobStatus> mPublished = new ArrayList<>();
     final List<JobProgress> mStored = new ArrayList<>();
+    final List<InterferenceWeight> mRemembered = new ArrayList<>();
     final List<Runnable> mWaiting = new ArrayList<>();
     final Dispatcher mDispatcher;
     boolean mStoreHolds;
@@ -65,7 +67,7 @@
                         this,
                         mScheduler,
                         () -> mScheduler.now(TimeUnit.MILLISECONDS),
-                        new DispatchSettings(LEASE_MS, 6_000),
+                        new DispatchSettings(LEASE_MS, 6_000, 10_000),
                         DecisionLog.NONE);
         JobQueue queue =
                 new JobQueue(
@@ -108,6 +110,11 @@
         }
     }
 
+    @Override
+    public void remember(List<InterferenceWeight> weights) {
+        mRemembered.addAll(weights);
+    }
+
     @Override
     public void publish(List<JobStatus> states) {
         mPublished.addAll(states);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
@@ -464,4 +464,23 @@
 
         assertThat(mFixture.run(0).task().job().value()).isEqualTo("00000000000000d2");
     }
+
+    @Test
+    void adoptsRunThatReachedALaterLifeOfItsWorker() {
+        long session = mFixture.connect(1);
+        mFixture.submit(JOB, DispatchFixture.step(1, false));
+        mFixture.report(1, session, 2, 1, List.of(mFixture.sample(0)), List.of());
+
+        assertThat(mFixture.mStarts).hasSize(1);
+        assertThat(mFixture.mStops).isEmpty();
+    }
+
+    @Test
+    void startsAgainWhatALaterLifeDoesNotHold() {
+        long session = mFixture.connect(1);
+        mFixture.submit(JOB, DispatchFixture.step(1, false));
+        mFixture.report(1, session, 2, 1, List.of(), List.of());
+
+        assertThat(mFixture.mStarts).hasSize(2);
+    }
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatesTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatesTest.java
@@ -180,4 +180,18 @@
         assertThat(mEstimates.addedLoad(worker, step("filling", 0, true)))
                 .isCloseTo(before, within(0.05));
     }
+
+    @Test
+    void handsOnWhatItLearnt() {
+        for (int i = 0; i < 100; i++) {
+            observe("harmful", 60);
+        }
+        InterferenceEstimates successor = new InterferenceEstimates();
+        successor.restore(mEstimates.snapshot());
+        WorkerTrack worker = worker();
+        add(worker, step("serving", TARGET_MS, false), 20);
+
+        assertThat(successor.addedLoad(worker, step("harmful", 0, true)))
+                .isCloseTo(mEstimates.addedLoad(worker, step("harmful", 0, true)), within(0.001));
+    }
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
@@ -248,4 +248,51 @@
 
         assertThat(mWorker.mStops.size()).isBetween(2, 5);
     }
+
+    /** The worker may restart under its id between the order and its execution. */
+    @Test
+    void reportsNewLifeOnlyAfterAllEarlierStartsAreRuledOut() {
+        mSupervisor.onStart(start(EPOCH));
+        long token = mWorker.mStarts.get(0).fencingToken();
+        mWorker.mStartedAtMs = 2_000;
+        mWorker.mClockMs = 10;
+        mSupervisor.onDescription(
+                new WorkerDescription(
+                        new WorkerLife(new WorkerId("i-1"), 2_000),
+                        new ServiceName("booking"),
+                        new Resources(16_000, 64_000, 0),
+                        List.of("a", "r1-1"),
+                        false,
+                        0,
+                        1));
+        pass(1_000);
+
+        int confirming = mWorker.mListTokens.size() - 1;
+        assertThat(mWorker.mListTokens.get(confirming)).isGreaterThan(token);
+        assertThat(lastReport().life()).contains(new WorkerLife(new WorkerId("i-1"), 2_000));
+        assertThat(rejections()).hasSize(1);
+    }
+
+    @Test
+    void keepsStartThatReachedTheNewLife() {
+        mSupervisor.onStart(start(EPOCH));
+        mWorker.mStartedAtMs = 2_000;
+        mWorker.mClockMs = 10;
+        mWorker.mRunning.add(new RunSample(RUN, "", 0, 0));
+        pass(1_000);
+
+        assertThat(rejections()).isEmpty();
+        assertThat(lastReport().running()).hasSize(1);
+    }
+
+    @Test
+    void sendsNoStartWhileTheNewLifeIsNotConfirmed() {
+        mWorker.mStartedAtMs = 2_000;
+        mWorker.mClockMs = 10;
+        pass(1_000);
+        mSupervisor.onStart(start(EPOCH));
+
+        assertThat(mWorker.mStarts).isEmpty();
+        assertThat(rejections()).hasSize(1);
+    }
 }
