Bound the time of placing; look at the tasks of a step once a round

Change: loads and reservations of a worker are kept until its next report or run, a step that finds no worker is left out for the round, and a round is followed by a pause of three times its length.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -51,6 +51,9 @@
     /** Pause before a task starts again after a rejection, in milliseconds. */
     private static final long REJECTED_PAUSE_MS = 150;
 
+    /** Pause after a round of placing, as a multiple of the time that it took. */
+    private static final long PLACE_PAUSE_FACTOR = 3;
+
     /** Most starts of one round; the rest follows in the next. */
     private static final int MAXIMUM_STARTS = 200;
 
@@ -78,6 +81,8 @@
     private boolean mPersisting;
     private boolean mHalted;
     private long mLastSession;
+    private long mPlaceNotBeforeNanos = Long.MIN_VALUE;
+    private boolean mPlaceScheduled;
     private long mRememberedAtMs;
 
     /** Creates the dispatcher of an owner. */
@@ -557,19 +562,45 @@
 
     private void advance() {
         if (!mHalted) {
-            place();
+            placeIfDue();
         }
         flush();
     }
 
+    // Placing takes a bounded part of the processor, however many reports come in.
+    private void placeIfDue() {
+        long nowNanos = nowNanos();
+        if (nowNanos < mPlaceNotBeforeNanos) {
+            if (!mPlaceScheduled) {
+                mPlaceScheduled = true;
+                mScheduler.scheduleDirect(
+                        this::placeLater, mPlaceNotBeforeNanos - nowNanos, TimeUnit.NANOSECONDS);
+            }
+            return;
+        }
+        place();
+        long endNanos = nowNanos();
+        mPlaceNotBeforeNanos = endNanos + PLACE_PAUSE_FACTOR * (endNanos - nowNanos);
+    }
+
+    private synchronized void placeLater() {
+        mPlaceScheduled = false;
+        advance();
+    }
+
     private void place() {
         List<TaskTrack> ready = ready();
         mOrder.sort(ready, mUnixClockMs.getAsLong());
         int starts = 0;
+        // The tasks of a step are alike: where one finds no worker, none of the others does.
+        Set<StepTrack> unplaceable = new HashSet<>();
         for (TaskTrack task : ready) {
             if (starts >= MAXIMUM_STARTS) {
                 return;
             }
+            if (unplaceable.contains(task.step())) {
+                continue;
+            }
             if (task.specification().gang()) {
                 starts += startGang(task.step());
                 continue;
@@ -578,6 +609,8 @@
             if (worker.isPresent()) {
                 start(reserve(task, worker.get(), task.nextRunNumber()));
                 starts++;
+            } else {
+                unplaceable.add(task.step());
             }
         }
     }
@@ -766,6 +799,10 @@
         return lines;
     }
 
+    private long nowNanos() {
+        return mScheduler.now(TimeUnit.NANOSECONDS);
+    }
+
     private long nowMs() {
         return mScheduler.now(TimeUnit.MILLISECONDS);
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/InterferenceEstimates.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/InterferenceEstimates.java
@@ -137,48 +137,54 @@
 
     /** Returns the highest load of a serving task on a worker with a further task that fills. */
     double expectedLoad(WorkerTrack worker, StepSpecification further) {
-        double capacity = Math.max(1, worker.capacity().processorsMilli());
-        double share = further.request().processorsMilli() / capacity;
+        double share = share(worker, further);
         double highest = 0;
-        for (RunTrack run : worker.runs()) {
-            StepSpecification step = run.task().specification();
-            if (step.targetLatencyMs() <= 0) {
-                continue;
-            }
-            double known = run.measurement() > 0 ? load(run) : FIRST_LOAD;
-            double expected = known + weight(step.image(), further.image()) * share;
-            highest = Math.max(highest, expected + unmeasured(worker, step, capacity));
+        for (Map.Entry<String, Double> serving : loads(worker).entrySet()) {
+            double added = weight(serving.getKey(), further.image()) * share;
+            highest = Math.max(highest, serving.getValue() + added);
         }
         return highest;
     }
 
     /** Returns the most that a further task that fills adds to the load of a serving task. */
     double addedLoad(WorkerTrack worker, StepSpecification further) {
-        double capacity = Math.max(1, worker.capacity().processorsMilli());
-        double share = further.request().processorsMilli() / capacity;
         double highest = 0;
+        for (String serving : loads(worker).keySet()) {
+            highest = Math.max(highest, weight(serving, further.image()));
+        }
+        return highest * share(worker, further);
+    }
+
+    private static double share(WorkerTrack worker, StepSpecification step) {
+        return step.request().processorsMilli()
+                / Math.max(1.0, (double) worker.capacity().processorsMilli());
+    }
+
+    private Map<String, Double> loads(WorkerTrack worker) {
+        return worker.servingLoads(() -> computeLoads(worker));
+    }
+
+    // The highest load of each serving image, with tasks that do not show in a measurement yet.
+    private Map<String, Double> computeLoads(WorkerTrack worker) {
+        Map<String, Double> loads = new HashMap<>();
         for (RunTrack run : worker.runs()) {
             StepSpecification step = run.task().specification();
             if (step.targetLatencyMs() > 0) {
-                highest = Math.max(highest, weight(step.image(), further.image()) * share);
+                double known = run.measurement() > 0 ? load(run) : FIRST_LOAD;
+                loads.merge(step.image(), known, Math::max);
             }
         }
-        return highest;
-    }
-
-    // Tasks that have just been started do not show in the measurement yet.
-    private double unmeasured(WorkerTrack worker, StepSpecification serving, double capacity) {
-        double added = 0;
+        if (loads.isEmpty()) {
+            return loads;
+        }
         for (RunTrack run : worker.runs()) {
             StepSpecification step = run.task().specification();
             if (step.fills() && run.measurement() == 0) {
-                added +=
-                        weight(serving.image(), step.image())
-                                * step.request().processorsMilli()
-                                / capacity;
+                double share = share(worker, step);
+                loads.replaceAll((serving, load) -> load + weight(serving, step.image()) * share);
             }
         }
-        return added;
+        return loads;
     }
 
     /** Returns all weights, for a successor. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerTrack.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.WorkerDescription;
@@ -36,6 +37,8 @@
     private long mWeightsSentAtMs = Long.MIN_VALUE / 2;
     private int mFillPercent = 100;
     private long mReportedAtMs = Long.MIN_VALUE / 2;
+    private Optional<Map<String, Double>> mServingLoads = Optional.empty();
+    private Resources mReserved = Resources.NONE;
 
     WorkerTrack(ProcessId agent, long leaseCertainlyOverAtMs) {
         mAgent = agent;
@@ -94,6 +97,7 @@
     /** Takes the state of the worker; the lists are handled elsewhere. */
     void onReport(WorkerReport report, long nowMs) {
         mReportedAtMs = nowMs;
+        mServingLoads = Optional.empty();
         mDescription = report.description();
         mReachable = report.reachable();
         mFillPercent = report.fillPercent();
@@ -125,10 +129,34 @@
 
     void add(RunTrack run) {
         mRuns.put(run.id(), run);
+        onRunsChanged();
     }
 
     void remove(RunTrack run) {
         mRuns.remove(run.id());
+        onRunsChanged();
+    }
+
+    private void onRunsChanged() {
+        long processors = 0;
+        long memory = 0;
+        long accelerators = 0;
+        for (RunTrack run : mRuns.values()) {
+            Resources taken = run.task().specification().reservation();
+            processors += taken.processorsMilli();
+            memory += taken.memoryMebibytes();
+            accelerators += taken.accelerators();
+        }
+        mReserved = new Resources(processors, memory, accelerators);
+        mServingLoads = Optional.empty();
+    }
+
+    /** Returns the loads of the serving images; computed anew after a report or another run. */
+    Map<String, Double> servingLoads(Supplier<Map<String, Double>> source) {
+        if (mServingLoads.isEmpty()) {
+            mServingLoads = Optional.of(source.get());
+        }
+        return mServingLoads.get();
     }
 
     Optional<RunTrack> run(RunId id) {
@@ -196,27 +224,16 @@
     /** Tells whether the reservation fits beside what may be on the worker. */
     boolean hasRoomFor(Resources reservation) {
         Resources capacity = capacity();
-        long processors = reservation.processorsMilli();
-        long memory = reservation.memoryMebibytes();
-        long accelerators = reservation.accelerators();
-        for (RunTrack run : mRuns.values()) {
-            Resources taken = run.task().specification().reservation();
-            processors += taken.processorsMilli();
-            memory += taken.memoryMebibytes();
-            accelerators += taken.accelerators();
-        }
-        return processors <= capacity.processorsMilli()
-                && memory <= capacity.memoryMebibytes()
-                && accelerators <= capacity.accelerators();
+        return mReserved.processorsMilli() + reservation.processorsMilli()
+                        <= capacity.processorsMilli()
+                && mReserved.memoryMebibytes() + reservation.memoryMebibytes()
+                        <= capacity.memoryMebibytes()
+                && mReserved.accelerators() + reservation.accelerators() <= capacity.accelerators();
     }
 
     /** Returns the unreserved processors, in thousandths. */
     long freeProcessorsMilli() {
-        long free = capacity().processorsMilli();
-        for (RunTrack run : mRuns.values()) {
-            free -= run.task().specification().reservation().processorsMilli();
-        }
-        return free;
+        return capacity().processorsMilli() - mReserved.processorsMilli();
     }
 
     /** Returns the processors that are left to further tasks that fill, in thousandths. */
