--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -30,7 +30,6 @@
 import org.hickorycleat.model.job.TaskProgress;
 import org.hickorycleat.model.job.TaskStatus;
 import org.hickorycleat.model.job.WorkerLife;
-import org.hickorycleat.model.job.WorkerPool;
 import org.hickorycleat.model.job.WorkloadConfiguration;
 import org.hickorycleat.model.message.FillWeights;
 import org.hickorycleat.model.message.LeaseExtension;
@@ -54,9 +53,6 @@
     /** Pause after a round of placing, as a multiple of the time that it took. */
     private static final long PLACE_PAUSE_FACTOR = 3;
 
-    /** Most starts of one round; the rest follows in the next. */
-    private static final int MAXIMUM_STARTS = 200;
-
     /** Time between two copies of what was learnt of images, in milliseconds. */
     private static final long REMEMBER_INTERVAL_MS = 5_000;
 
@@ -67,8 +63,8 @@
     private final DispatchSettings mSettings;
     private final DecisionLog mLog;
     private final InterferenceEstimates mInterference = new InterferenceEstimates();
-    private final WorkerChooser mChooser = new WorkerChooser(mInterference);
     private final RunWatch mWatch;
+    private final TaskPlacer mPlacer;
     private final RunTimeRatios mRunTimes = new RunTimeRatios();
     private final DispatchOrder mOrder = new DispatchOrder(mRunTimes);
 
@@ -99,7 +95,15 @@
         mUnixClockMs = unixClockMs;
         mSettings = settings;
         mLog = log;
-        mWatch = new RunWatch(this::choose, this::stop, log);
+        mPlacer =
+                new TaskPlacer(
+                        new WorkerChooser(mInterference),
+                        mOrder,
+                        mJobs.values(),
+                        mWorkers.values(),
+                        this::start,
+                        log);
+        mWatch = new RunWatch(task -> mPlacer.choose(task, nowMs()), this::stop, log);
     }
 
     /** Starts no further run: the owner is about to hand over. */
@@ -115,6 +119,7 @@
     /** Takes the configuration in force. */
     public synchronized void onConfiguration(WorkloadConfiguration configuration) {
         mConfiguration = Optional.of(configuration);
+        mPlacer.onConfiguration(configuration);
         for (JobTrack job : mJobs.values()) {
             configuration.queue(job.submission().queue()).ifPresent(job::onQueue);
         }
@@ -536,30 +541,6 @@
         }
     }
 
-    private Optional<WorkerTrack> choose(TaskTrack task) {
-        return mChooser.choose(task, mWorkers.values(), pool(task), nowMs());
-    }
-
-    // Work that fills waits for a quiet place, but a job does not stand still for that.
-    private Optional<WorkerTrack> chooseForStarved(TaskTrack task) {
-        JobTrack job = task.step().job();
-        if (!task.specification().fills() || !job.isStarved(nowMs())) {
-            return Optional.empty();
-        }
-        Optional<WorkerTrack> worker =
-                mChooser.chooseLeastDisturbed(task, mWorkers.values(), pool(task), nowMs());
-        worker.ifPresent(
-                chosen ->
-                        mLog.record(
-                                "starved_job_placed", "job", job.id(), "agent", chosen.agent()));
-        return worker;
-    }
-
-    private Optional<WorkerPool> pool(TaskTrack task) {
-        return mConfiguration.flatMap(
-                configuration -> configuration.pool(task.step().job().queue().service()));
-    }
-
     private void advance() {
         if (!mHalted) {
             placeIfDue();
@@ -578,7 +559,7 @@
             }
             return;
         }
-        place();
+        mPlacer.place(nowMs(), mUnixClockMs.getAsLong());
         long endNanos = nowNanos();
         mPlaceNotBeforeNanos = endNanos + PLACE_PAUSE_FACTOR * (endNanos - nowNanos);
     }
@@ -588,100 +569,6 @@
         advance();
     }
 
-    private void place() {
-        List<TaskTrack> ready = ready();
-        mOrder.sort(ready, mUnixClockMs.getAsLong());
-        int starts = 0;
-        // The tasks of a step are alike: where one finds no worker, none of the others does.
-        Set<StepTrack> unplaceable = new HashSet<>();
-        for (TaskTrack task : ready) {
-            if (starts >= MAXIMUM_STARTS) {
-                return;
-            }
-            if (unplaceable.contains(task.step())) {
-                continue;
-            }
-            if (task.specification().gang()) {
-                starts += startGang(task.step());
-                continue;
-            }
-            Optional<WorkerTrack> worker = choose(task).or(() -> chooseForStarved(task));
-            if (worker.isPresent()) {
-                start(reserve(task, worker.get(), task.nextRunNumber()));
-                starts++;
-            } else {
-                unplaceable.add(task.step());
-            }
-        }
-    }
-
-    // All members of a gang start under one run number, or none does.
-    private int startGang(StepTrack step) {
-        if (!step.tasks().stream().allMatch(task -> task.isReady(nowMs()))) {
-            return 0;
-        }
-        int number = step.tasks().stream().mapToInt(TaskTrack::nextRunNumber).max().orElse(1);
-        List<RunTrack> reserved = new ArrayList<>();
-        for (TaskTrack task : step.tasks()) {
-            Optional<WorkerTrack> worker = choose(task);
-            if (worker.isEmpty()) {
-                reserved.forEach(this::cancelReservation);
-                return 0;
-            }
-            reserved.add(reserve(task, worker.get(), number));
-        }
-        step.shareCheckpoint();
-        reserved.forEach(this::start);
-        return reserved.size();
-    }
-
-    private void cancelReservation(RunTrack run) {
-        forget(run);
-        run.task().onRunDropped();
-    }
-
-    private List<TaskTrack> ready() {
-        List<TaskTrack> ready = new ArrayList<>();
-        long unixMs = mUnixClockMs.getAsLong();
-        for (JobTrack job : mJobs.values()) {
-            if (job.state().isFinal()) {
-                continue;
-            }
-            if (job.hasRuns()) {
-                job.onActive(nowMs());
-            }
-            for (List<StepTrack> steps : job.occurrences()) {
-                for (StepTrack step : steps) {
-                    addReady(step, unixMs, ready);
-                }
-            }
-        }
-        return ready;
-    }
-
-    private void addReady(StepTrack step, long unixMs, List<TaskTrack> ready) {
-        boolean checked = false;
-        for (TaskTrack task : step.tasks()) {
-            if (!task.isReady(nowMs())) {
-                continue;
-            }
-            if (!checked && !step.job().isDue(step, unixMs)) {
-                return;
-            }
-            checked = true;
-            ready.add(task);
-        }
-    }
-
-    private RunTrack reserve(TaskTrack task, WorkerTrack worker, int number) {
-        RunId id = new RunId(task.key(), number);
-        RunTrack run =
-                new RunTrack(id, task, worker, worker.life().orElseThrow(), RunPhase.PERSISTING);
-        worker.add(run);
-        task.onRun(run);
-        return run;
-    }
-
     private void start(RunTrack run) {
         WorkerTrack worker = run.worker();
         JobTrack job = run.task().step().job();
