--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingsParser.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingsParser.java
@@ -22,6 +22,7 @@
     private static final Duration DEFAULT_KEY_VALIDITY = Duration.ofSeconds(60);
     private static final int DEFAULT_MAXIMUM_LINKS = 8;
     private static final int LINKS_LIMIT = 64;
+    private static final String BYTE_ORDER_MARK = "\uFEFF";
     private static final InetSocketAddress NO_ADDRESS = InetSocketAddress.createUnresolved("-", 0);
 
     private SettingsParser() {}
@@ -37,7 +38,8 @@
     }
 
     /** Parses the text of a file; the left side holds every error. */
-    public static Either<List<SettingError>, DaemonSettings> parse(String file, String text) {
+    public static Either<List<SettingError>, DaemonSettings> parse(String file, String content) {
+        String text = content.startsWith(BYTE_ORDER_MARK) ? content.substring(1) : content;
         Ini ini = new Ini();
         Config configuration = new Config();
         configuration.setEscape(false);
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingsReader.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingsReader.java
@@ -62,6 +62,10 @@
                 }
             }
         }
+        mLines.repeated()
+                .forEach(
+                        (setting, line) ->
+                                mErrors.add(new SettingError(mFile, line, setting, "given twice")));
         return List.copyOf(mErrors);
     }
 
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/settings/SettingsParserTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/settings/SettingsParserTest.java
@@ -70,6 +70,26 @@
         assertThat(errors).extracting(SettingError::setting).containsExactly("agent.entries");
     }
 
+    /** Guards against the last of two values silently taking effect. */
+    @Test
+    void refusesWhatIsGivenTwice() {
+        String text =
+                ENTRY.replace("id = entry-1\n", "id = entry-1\nid = entry-2\n")
+                        + "[process]\nlog_level = info\n";
+
+        List<SettingError> errors = SettingsParser.parse("entry.ini", text).getLeft();
+
+        assertThat(errors)
+                .extracting(SettingError::line, SettingError::setting)
+                .containsExactlyInAnyOrder(tuple(4, "process.id"), tuple(14, "process"));
+    }
+
+    /** Guards against editors that write a byte-order mark. */
+    @Test
+    void readsOverByteOrderMark() {
+        assertThat(SettingsParser.parse("entry.ini", "\uFEFF" + ENTRY).isRight()).isTrue();
+    }
+
     /** Guards against an exception on a file that is not INI at all. */
     @Property(seed = "3", tries = 500)
     void anyTextIsParsedOrRefused(@ForAll String text) {
