--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
@@ -427,7 +427,7 @@
 
     /** A job must not stand still beside free processors, however its image disturbs others. */
     @Test
-    void startsJobThatFillsAfterAWhileThoughItDisturbs() {
+    void startsJobThatFillsAfterSomeTimeThoughItDisturbs() {
         long session = mFixture.connect(1);
         mFixture.submit(JOB, serving(1));
         RunSample atTarget = new RunSample(mFixture.run(0), "", 100, 50);
@@ -466,7 +466,7 @@
     }
 
     @Test
-    void adoptsRunThatReachedALaterLifeOfItsWorker() {
+    void adoptsRunThatReachedNextLifeOfItsWorker() {
         long session = mFixture.connect(1);
         mFixture.submit(JOB, DispatchFixture.step(1, false));
         mFixture.report(1, session, 2, 1, List.of(mFixture.sample(0)), List.of());
@@ -476,7 +476,7 @@
     }
 
     @Test
-    void startsAgainWhatALaterLifeDoesNotHold() {
+    void startsAgainWhatNextLifeDoesNotHold() {
         long session = mFixture.connect(1);
         mFixture.submit(JOB, DispatchFixture.step(1, false));
         mFixture.report(1, session, 2, 1, List.of(), List.of());
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatesTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatesTest.java
@@ -150,7 +150,7 @@
 
     /** A tail near saturation is no measure of the excess; it must not ruin the weights. */
     @Test
-    void learnsNoMoreThanSaturationFromAnExplodingTail() {
+    void learnsNoMoreThanSaturationFromExplodingTail() {
         for (int i = 0; i < 50; i++) {
             observe("harmful", 5_000);
         }
