--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FaultyProxy.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FaultyProxy.java
@@ -35,7 +35,7 @@
 
     FaultyProxy(InetSocketAddress target) throws IOException {
         mTarget = target;
-        mServer = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        mServer = new ServerSocket(FreePorts.next(), 50, InetAddress.getLoopbackAddress());
         daemon(this::accept);
     }
 
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPathTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPathTest.java
@@ -5,10 +5,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -81,18 +79,15 @@
         mEventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
-    private static InetSocketAddress address() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-        }
+    private static InetSocketAddress address() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), FreePorts.next());
     }
 
     private static NodeSettings settings(
             String name,
             InetSocketAddress store,
             Optional<InetSocketAddress> worker,
-            List<InetSocketAddress> seeds)
-            throws IOException {
+            List<InetSocketAddress> seeds) {
         return new NodeSettings(
                 new ProcessId(name),
                 new ZoneId("north"),
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetSoakTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetSoakTest.java
@@ -8,7 +8,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -85,21 +84,15 @@
         mEventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     private void startFleet(Path directory) throws IOException, InterruptedException {
         InetSocketAddress store =
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), FreePorts.next());
         new NettyHttpServer(mEventLoops).listen(store, mStore);
         mStore.put("keyed.op", "config", CONFIGURATION);
-        int callers = freePort();
-        int readiness = freePort();
-        int links = freePort();
-        int workers = freePort();
+        int callers = FreePorts.next();
+        int readiness = FreePorts.next();
+        int links = FreePorts.next();
+        int workers = FreePorts.next();
         for (int i = 0; i < ENTRIES + AGENTS; i++) {
             FaultyProxy path = new FaultyProxy(store);
             mPaths.add(path);
