--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/InterferenceEstimates.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/InterferenceEstimates.java
@@ -59,10 +59,6 @@
             mVariance = variance;
         }
 
-        double mean() {
-            return mMean;
-        }
-
         private void correct(double gain, double error, double sensitivity) {
             mMean = Math.max(0, mMean + gain * error);
             mVariance *= Math.max(0, 1 - gain * sensitivity);
