--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPathTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPathTest.java
@@ -32,15 +32,6 @@
 /** The whole path on loopback: two entries and an agent against stand-ins of store and worker. */
 class FleetPathTest {
     private static final Duration LIMIT = Duration.ofSeconds(20);
-    private static final String CONFIGURATION =
-            "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\","
-                    + "\"path_prefix\":\"/jobs/\",\"service\":\"booking\",\"timeout_ms\":3000,"
-                    + "\"max_attempts\":2,\"stretch\":1.5}],"
-                    + "\"services\":[{\"name\":\"booking\",\"enforces_capacity\":true}],"
-                    + "\"limits\":{\"max_body_bytes\":100000}}";
-    private static final String JOB =
-            "{\"task_spec\":\"text\",\"steps\":[{\"count\":3,\"cpu\":500,\"mem_mb\":256},"
-                    + "{\"count\":2,\"cpu\":500,\"mem_mb\":256,\"after\":[0]}]}";
 
     private final EventLoopGroup mEventLoops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -58,7 +49,7 @@
         InetSocketAddress worker = address();
         new NettyHttpServer(mEventLoops).listen(store, mStore);
         new NettyHttpServer(mEventLoops).listen(worker, mWorker);
-        mStore.put("keyed.op", "config", CONFIGURATION);
+        mStore.put("keyed.op", "config", FleetExamples.CONFIGURATION);
         mEntries.add(settings("entry-1", store, Optional.empty(), List.of()));
         List<InetSocketAddress> seeds = List.of(mEntries.get(0).linkAddress());
         mEntries.add(settings("entry-2", store, Optional.empty(), seeds));
@@ -153,8 +144,10 @@
 
     @Test
     void completesJobThatWasHandedInAtAnyEntry() {
-        assertThat(caller(0, "POST", "00000000000000a1", JOB).status()).isEqualTo(200);
-        assertThat(caller(1, "POST", "00000000000000a2", JOB).status()).isEqualTo(200);
+        assertThat(caller(0, "POST", "00000000000000a1", FleetExamples.JOB).status())
+                .isEqualTo(200);
+        assertThat(caller(1, "POST", "00000000000000a2", FleetExamples.JOB).status())
+                .isEqualTo(200);
 
         awaitCompleted(1, "00000000000000a1");
         awaitCompleted(0, "00000000000000a2");
@@ -164,8 +157,8 @@
 
     @Test
     void runsJobOnceThatIsHandedInAtBothEntries() {
-        caller(0, "POST", "00000000000000b1", JOB);
-        caller(1, "POST", "00000000000000b1", JOB);
+        caller(0, "POST", "00000000000000b1", FleetExamples.JOB);
+        caller(1, "POST", "00000000000000b1", FleetExamples.JOB);
 
         awaitCompleted(0, "00000000000000b1");
         assertThat(mWorker.starts()).hasSize(5);
@@ -181,9 +174,12 @@
         mStore.setDown(true);
         Awaitility.await()
                 .atMost(LIMIT)
-                .until(() -> caller(0, "POST", "00000000000000d1", JOB).status() == 503);
+                .until(
+                        () ->
+                                caller(0, "POST", "00000000000000d1", FleetExamples.JOB).status()
+                                        == 503);
         long startNanos = System.nanoTime();
-        HttpResponse refusal = caller(0, "POST", "00000000000000d2", JOB);
+        HttpResponse refusal = caller(0, "POST", "00000000000000d2", FleetExamples.JOB);
         long passedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
         assertThat(refusal.status()).isEqualTo(503);
         assertThat(passedMs).isLessThan(1_500);
@@ -192,18 +188,21 @@
 
         Awaitility.await()
                 .atMost(LIMIT)
-                .until(() -> caller(0, "POST", "00000000000000d3", JOB).status() == 200);
+                .until(
+                        () ->
+                                caller(0, "POST", "00000000000000d3", FleetExamples.JOB).status()
+                                        == 200);
         awaitCompleted(1, "00000000000000d3");
         assertThat(mWorker.starts()).hasSize(5);
     }
 
     @Test
     void handsOwnershipOverWhenAnEntryDrains() {
-        caller(0, "POST", "00000000000000e1", JOB);
+        caller(0, "POST", "00000000000000e1", FleetExamples.JOB);
         awaitCompleted(1, "00000000000000e1");
         mProcesses.get(0).drain();
 
-        caller(1, "POST", "00000000000000e2", JOB);
+        caller(1, "POST", "00000000000000e2", FleetExamples.JOB);
 
         awaitCompleted(1, "00000000000000e2");
         assertThat(new HashSet<>(mWorker.starts())).hasSize(mWorker.starts().size());
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetSoakTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetSoakTest.java
@@ -46,15 +46,6 @@
     private static final long RUN_MS = 1_500;
     private static final long WORK_INTERVAL_MS = 10;
     private static final int CALL_LIMIT_MS = 2_500;
-    private static final String CONFIGURATION =
-            "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\","
-                    + "\"path_prefix\":\"/jobs/\",\"service\":\"booking\",\"timeout_ms\":3000,"
-                    + "\"max_attempts\":2,\"stretch\":1.5}],"
-                    + "\"services\":[{\"name\":\"booking\",\"enforces_capacity\":true}],"
-                    + "\"limits\":{\"max_body_bytes\":100000}}";
-    private static final String JOB =
-            "{\"task_spec\":\"text\",\"steps\":[{\"count\":3,\"cpu\":500,\"mem_mb\":256},"
-                    + "{\"count\":2,\"cpu\":500,\"mem_mb\":256,\"after\":[0]}]}";
 
     private final EventLoopGroup mEventLoops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -88,7 +79,7 @@
         InetSocketAddress store =
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), FreePorts.next());
         new NettyHttpServer(mEventLoops).listen(store, mStore);
-        mStore.put("keyed.op", "config", CONFIGURATION);
+        mStore.put("keyed.op", "config", FleetExamples.CONFIGURATION);
         int callers = FreePorts.next();
         int readiness = FreePorts.next();
         int links = FreePorts.next();
@@ -195,7 +186,7 @@
         boolean unknown = false;
         for (int attempt = 0; attempt < 2; attempt++) {
             InetSocketAddress entry = mCallerAddresses.get(random.nextInt(ENTRIES));
-            int status = call(entry, "POST", "/jobs/" + job, JOB).status();
+            int status = call(entry, "POST", "/jobs/" + job, FleetExamples.JOB).status();
             if (status == 200) {
                 mTaken.add(job);
                 return;
