--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPathTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPathTest.java
@@ -67,7 +67,7 @@
         mProcesses.forEach(Lifecycle::close);
         // The stand-ins answer what is under way.
         TimeUnit.MILLISECONDS.sleep(300);
-        mEventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        mEventLoops.shutdownGracefully(1, 10, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
     private static InetSocketAddress address() {
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetSoakTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetSoakTest.java
@@ -72,7 +72,7 @@
         for (FaultyProxy path : mPaths) {
             path.close();
         }
-        mEventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        mEventLoops.shutdownGracefully(1, 10, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
     private void startFleet(Path directory) throws IOException, InterruptedException {
