Keep the load of saturation and the expiry of leases in one place

Read again: the load from which on a tail tells no excess stood in the pacer and in the estimates, the lease that each report extends was passed at four places that all meant the same one, and PendingRun had an accessor that nobody called. Behaviour and tests stay; the tests of dispatcher, estimates, pacer and supervisor pass.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchSettings.java
@@ -22,7 +22,16 @@
     }
 
     /** Returns after how long a lease that was just extended has certainly expired. */
-    int certainExpiryMs(int extendedMs) {
+    int certainExpiryMs() {
+        return certainExpiryMs(leaseMs);
+    }
+
+    /** Returns after how long any lease that has just been granted has certainly expired. */
+    int longestCertainExpiryMs() {
+        return certainExpiryMs(longestLeaseMs);
+    }
+
+    private static int certainExpiryMs(int extendedMs) {
         // A worker's clock may be 2% slow; the rest covers rounding and scheduling.
         return extendedMs + extendedMs * 3 / 100 + 100;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -191,9 +191,7 @@
                 id ->
                         new WorkerTrack(
                                 id,
-                                nowMs()
-                                        + mSettings.formerLeaseMs()
-                                        + mSettings.certainExpiryMs(mSettings.leaseMs())));
+                                nowMs() + mSettings.formerLeaseMs() + mSettings.certainExpiryMs()));
     }
 
     /** Takes a job that is durable. */
@@ -289,13 +287,12 @@
             return;
         }
         Optional<WorkerLife> before = worker.life();
-        worker.onObeyed(nowMs() + mSettings.certainExpiryMs(mSettings.leaseMs()));
+        worker.onObeyed(nowMs() + mSettings.certainExpiryMs());
         worker.onReport(report, nowMs());
         if (!before.equals(worker.life())) {
             if (before.isPresent()) {
                 // The first call to a new life still carries a deadline on the former clock.
-                worker.onLeaseExtended(
-                        nowMs() + mSettings.certainExpiryMs(mSettings.longestLeaseMs()));
+                worker.onLeaseExtended(nowMs() + mSettings.longestCertainExpiryMs());
             }
             mLog.record("worker_life", "agent", agent, "life", worker.life());
         }
@@ -311,7 +308,7 @@
     private void extendLease(WorkerTrack worker, long report) {
         int leaseMs = mOutput.mayExtendLeases() ? mSettings.leaseMs() : 0;
         if (leaseMs > 0) {
-            worker.onLeaseExtended(nowMs() + mSettings.certainExpiryMs(mSettings.leaseMs()));
+            worker.onLeaseExtended(nowMs() + mSettings.certainExpiryMs());
         }
         mOutput.send(
                 worker.agent(),
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/InterferenceEstimates.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/InterferenceEstimates.java
@@ -40,9 +40,6 @@
     /** Least standard deviation of a measured load. */
     private static final double LEAST_ERROR = 0.02;
 
-    /** Load above which a measurement only tells that the load is at least that high. */
-    private static final double SATURATED_LOAD = 0.93;
-
     private static final double MILLI = 1000;
 
     private final Map<Pair, Estimate> mWeights = new HashMap<>();
@@ -105,7 +102,7 @@
             variance += share.getValue() * share.getValue() * weight.mVariance;
         }
         double error = load - expected;
-        if (load > SATURATED_LOAD && error < 0) {
+        if (load > ServingLoad.SATURATED && error < 0) {
             return;
         }
         own.correct(own.mVariance / variance, error, 1);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/ServingLoad.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/ServingLoad.java
@@ -13,6 +13,9 @@
     /** Load at which the tail reaches its target. */
     public static final double AT_TARGET = 1 - IDLE_RATIO;
 
+    /** Load from which on a tail only tells that the load is at least that high. */
+    public static final double SATURATED = 0.93;
+
     private ServingLoad() {}
 
     /** Returns the load of a task, from 0 for idle to 1 for saturated. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/FillPacer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/FillPacer.java
@@ -27,9 +27,6 @@
     /** Load below which shares are raised. */
     private static final double LOWER_LOAD = 0.745;
 
-    /** Load from which on the excess cannot be read from the tail any more. */
-    private static final double SATURATED_LOAD = 0.93;
-
     /** Load that a change aims at. */
     private static final double AIMED_LOAD = 0.76;
 
@@ -112,7 +109,7 @@
     }
 
     private double cut(double contribution) {
-        if (mLoad >= SATURATED_LOAD) {
+        if (mLoad >= ServingLoad.SATURATED) {
             return STRONGEST_CUT;
         }
         return Math.max(STRONGEST_CUT, 1 - (mLoad - AIMED_LOAD) / Math.max(contribution, 0.01));
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/PendingRun.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/PendingRun.java
@@ -27,10 +27,6 @@
         mDoubtful = true;
     }
 
-    boolean isDoubtful() {
-        return mDoubtful;
-    }
-
     /** Tells whether a listing under the given token proves that the run will never start. */
     boolean isRuledOutBy(long listingToken) {
         return mDoubtful && listingToken > mToken;
