--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminCommand.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminCommand.java
@@ -87,12 +87,12 @@
 
     private Either<CommandFailure, CommandOutput> ask(
             List<AdminAddress> addresses, List<String> arguments, Duration timeout) {
-        List<AdminAnswer> answers = new ArrayList<>();
+        List<AdminResponse> answers = new ArrayList<>();
         List<CommandFailure> failures = new ArrayList<>();
         try (AdminClient client = new AdminClient(timeout)) {
             for (AdminAddress address : addresses) {
                 mRequest.send(client, address, arguments)
-                        .peek(json -> answers.add(new AdminAnswer(address, json)))
+                        .peek(json -> answers.add(new AdminResponse(address, json)))
                         .peekLeft(failures::add);
             }
         }
@@ -117,9 +117,9 @@
         return Optional.of(new CommandFailure(first.code(), first.detail(), rest));
     }
 
-    private static JsonNode json(List<AdminAnswer> answers) {
+    private static JsonNode json(List<AdminResponse> answers) {
         ArrayNode list = MAPPER.createArrayNode();
-        for (AdminAnswer answer : answers) {
+        for (AdminResponse answer : answers) {
             ObjectNode item = list.addObject().put("admin", answer.address().text());
             item.set("answer", answer.json());
         }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminRenderer.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminRenderer.java
@@ -6,5 +6,5 @@
 @FunctionalInterface
 interface AdminRenderer {
     /** Returns lines of at most 80 columns. */
-    String render(List<AdminAnswer> answers);
+    String render(List<AdminResponse> answers);
 }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminAnswer.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminResponse.java
@@ -3,4 +3,4 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 /** Answer of one process. */
-record AdminAnswer(AdminAddress address, JsonNode json) {}
+record AdminResponse(AdminAddress address, JsonNode json) {}
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/DrainText.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/DrainText.java
@@ -7,9 +7,9 @@
 final class DrainText {
     private DrainText() {}
 
-    static String render(List<AdminAnswer> answers) {
+    static String render(List<AdminResponse> answers) {
         TextTable table = new TextTable("process", "state", "in flight");
-        for (AdminAnswer answer : answers) {
+        for (AdminResponse answer : answers) {
             table.row(
                     answer.json().path("process").asText(answer.address().text()),
                     answer.json().path("state").asText("?"),
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/DumpText.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/DumpText.java
@@ -9,9 +9,9 @@
 final class DumpText {
     private DumpText() {}
 
-    static String render(List<AdminAnswer> answers) {
+    static String render(List<AdminResponse> answers) {
         StringBuilder text = new StringBuilder();
-        for (AdminAnswer answer : answers) {
+        for (AdminResponse answer : answers) {
             text.append("process ").append(answer.address().text()).append('\n');
             append("", answer.json(), text);
         }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/ExplainText.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/ExplainText.java
@@ -9,7 +9,7 @@
 final class ExplainText {
     private ExplainText() {}
 
-    static String render(List<AdminAnswer> answers) {
+    static String render(List<AdminResponse> answers) {
         StringBuilder text = new StringBuilder();
         answers.forEach(answer -> text.append(task(answer.json())));
         return text.toString();
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/JobsText.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/JobsText.java
@@ -8,10 +8,10 @@
 final class JobsText {
     private JobsText() {}
 
-    static String render(List<AdminAnswer> answers) {
+    static String render(List<AdminResponse> answers) {
         TextTable table = new TextTable("job", "run", "state", "try", "worker", "deadline", "why");
         int rows = 0;
-        for (AdminAnswer answer : answers) {
+        for (AdminResponse answer : answers) {
             for (JsonNode job : answer.json().path("jobs")) {
                 rows++;
                 table.row(
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/StatusText.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/StatusText.java
@@ -9,9 +9,9 @@
 final class StatusText {
     private StatusText() {}
 
-    static String render(List<AdminAnswer> answers) {
+    static String render(List<AdminResponse> answers) {
         StringBuilder text = new StringBuilder();
-        for (AdminAnswer answer : answers) {
+        for (AdminResponse answer : answers) {
             text.append(text.isEmpty() ? "" : "\n").append(process(answer.json()));
         }
         return text.toString();
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/LogClient.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/LogClient.java
@@ -46,7 +46,7 @@
         }
     }
 
-    LogRead read(long from) throws IOException {
+    LogReadResult read(long from) throws IOException {
         HttpUrl url =
                 mRecords.newBuilder()
                         .addQueryParameter("from", Long.toString(from))
@@ -62,7 +62,7 @@
             if (!first.canConvertToLong()) {
                 throw new LogClientException("the read was answered without first_offset");
             }
-            return new LogRead(response.code() == GONE, first.longValue(), records(body));
+            return new LogReadResult(response.code() == GONE, first.longValue(), records(body));
         }
     }
 
@@ -72,14 +72,14 @@
         mClient.connectionPool().evictAll();
     }
 
-    private static List<LogRead.Item> records(JsonNode body) throws IOException {
-        List<LogRead.Item> records = new ArrayList<>();
+    private static List<LogReadResult.StreamRecord> records(JsonNode body) throws IOException {
+        List<LogReadResult.StreamRecord> records = new ArrayList<>();
         for (JsonNode record : body.path("records")) {
             byte[] payload = record.path("payload").binaryValue();
             if (payload == null || !record.path("offset").canConvertToLong()) {
                 throw new LogClientException("the read was answered with a broken record");
             }
-            records.add(new LogRead.Item(record.path("offset").longValue(), payload));
+            records.add(new LogReadResult.StreamRecord(record.path("offset").longValue(), payload));
         }
         return records;
     }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/LogRead.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/LogReadResult.java
@@ -9,8 +9,8 @@
  * @param firstOffset oldest offset kept
  * @param records records in order
  */
-record LogRead(boolean isTruncated, long firstOffset, List<Item> records) {
+record LogReadResult(boolean isTruncated, long firstOffset, List<StreamRecord> records) {
     /** A record of the stream. */
     @SuppressWarnings("ArrayRecordComponent") // Copied neither in nor out: never changed.
-    record Item(long offset, byte[] payload) {}
+    record StreamRecord(long offset, byte[] payload) {}
 }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/Publication.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/PublicationResult.java
@@ -9,4 +9,4 @@
  * @param outcome what its record did
  * @param version current version directly after the record
  */
-record Publication(RecordOutcome outcome, ConfigurationVersion version) {}
+record PublicationResult(RecordOutcome outcome, ConfigurationVersion version) {}
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/PublishCommand.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/PublishCommand.java
@@ -100,7 +100,7 @@
                 .flatMap(ManifestFile::parse);
     }
 
-    private Either<CommandFailure, Publication> publish(
+    private Either<CommandFailure, PublicationResult> publish(
             ManifestFile file, HttpUrl address, OptionSet options) {
         Duration timeout = Duration.ofMillis(options.valueOf(mTimeoutMs));
         try (LogClient log = new LogClient(address, EXCHANGE_TIMEOUT)) {
@@ -113,8 +113,8 @@
         }
     }
 
-    private static Either<CommandFailure, Publication> check(
-            Publication published, ManifestFile file) {
+    private static Either<CommandFailure, PublicationResult> check(
+            PublicationResult published, ManifestFile file) {
         return switch (published.outcome()) {
             case ACCEPTED, REPEATED -> Either.right(published);
             case STALE_BASE ->
@@ -134,7 +134,7 @@
     }
 
     private CommandOutput await(
-            Publication published, List<AdminAddress> entries, OptionSet options) {
+            PublicationResult published, List<AdminAddress> entries, OptionSet options) {
         boolean isRepeated = published.outcome() == RecordOutcome.REPEATED;
         String word = isRepeated ? "repeated" : "accepted";
         ObjectNode json = MAPPER.createObjectNode();
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/Publisher.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/Publisher.java
@@ -27,7 +27,7 @@
     private final RecordId mId;
     private final long mDeadlineNanos;
     private ConfigurationHistory mHistory = ConfigurationHistory.startingAt(0);
-    private Optional<Publication> mFound = Optional.empty();
+    private Optional<PublicationResult> mFound = Optional.empty();
     private boolean mWasAppended;
 
     Publisher(LogClient log, RecordId id, Duration timeout) {
@@ -37,12 +37,13 @@
     }
 
     /** Publishes until the outcome is known or time is up. */
-    Either<CommandFailure, Publication> publish(byte[] manifest, ConfigurationVersion base)
+    Either<CommandFailure, PublicationResult> publish(byte[] manifest, ConfigurationVersion base)
             throws InterruptedException {
         long pauseMs = FIRST_PAUSE_MS;
         while (true) {
             try {
-                Optional<Either<CommandFailure, Publication>> result = attempt(manifest, base);
+                Optional<Either<CommandFailure, PublicationResult>> result =
+                        attempt(manifest, base);
                 if (result.isPresent()) {
                     return result.get();
                 }
@@ -61,17 +62,17 @@
         return mHistory.version();
     }
 
-    private Optional<Either<CommandFailure, Publication>> attempt(
+    private Optional<Either<CommandFailure, PublicationResult>> attempt(
             byte[] manifest, ConfigurationVersion base) throws IOException {
         readToEnd();
         if (mFound.isPresent()) {
             return mFound.map(Either::right);
         }
-        if (!mHistory.isDecided()) {
+        if (!mHistory.isVersionKnown()) {
             return Optional.of(Either.left(undecided()));
         }
         if (!mWasAppended) {
-            Optional<Publication> known = withoutAppend(manifest, base);
+            Optional<PublicationResult> known = withoutAppend(manifest, base);
             if (known.isPresent()) {
                 return known.map(Either::right);
             }
@@ -85,20 +86,20 @@
     }
 
     /** Decides what needs no record: a version that was left behind never becomes current again. */
-    private Optional<Publication> withoutAppend(byte[] manifest, ConfigurationVersion base) {
+    private Optional<PublicationResult> withoutAppend(byte[] manifest, ConfigurationVersion base) {
         Optional<AcceptedConfiguration> current = mHistory.current();
         if (current.isPresent() && Arrays.equals(current.get().bytes(), manifest)) {
-            return Optional.of(new Publication(RecordOutcome.REPEATED, mHistory.version()));
+            return Optional.of(new PublicationResult(RecordOutcome.REPEATED, mHistory.version()));
         }
         if (!base.equals(mHistory.version())) {
-            return Optional.of(new Publication(RecordOutcome.STALE_BASE, mHistory.version()));
+            return Optional.of(new PublicationResult(RecordOutcome.STALE_BASE, mHistory.version()));
         }
         return Optional.empty();
     }
 
     private void readToEnd() throws IOException {
         while (true) {
-            LogRead read = mLog.read(mHistory.nextOffset());
+            LogReadResult read = mLog.read(mHistory.nextOffset());
             if (read.isTruncated()) {
                 mHistory = ConfigurationHistory.startingAt(read.firstOffset());
             } else if (read.records().isEmpty()) {
@@ -108,15 +109,15 @@
         }
     }
 
-    private void apply(LogRead.Item record) {
-        ConfigurationHistory.Step step = mHistory.apply(record.offset(), record.payload());
+    private void apply(LogReadResult.StreamRecord record) {
+        ConfigurationHistory.ApplyResult step = mHistory.apply(record.offset(), record.payload());
         mHistory = step.history();
         boolean isOwn =
                 ConfigurationRecordCodec.decode(record.payload())
                         .filter(decoded -> decoded.id().equals(mId))
                         .isPresent();
         if (isOwn && mFound.isEmpty()) {
-            mFound = Optional.of(new Publication(step.outcome(), mHistory.version()));
+            mFound = Optional.of(new PublicationResult(step.outcome(), mHistory.version()));
         }
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Lifecycle.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Lifecycle.java
@@ -17,10 +17,10 @@
     boolean isIdle();
 
     /** Returns how long a drain may wait for work in progress. */
-    Duration drainLimit();
+    Duration drainTimeout();
 
     /** Returns how long a drain lasts at least, so that peers learn of it. */
-    default Duration drainNotice() {
+    default Duration minimumDrainDuration() {
         return Duration.ofSeconds(2);
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Main.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Main.java
@@ -13,9 +13,9 @@
 import joptsimple.OptionSet;
 import org.hickorycleat.daemon.agent.AgentProcess;
 import org.hickorycleat.daemon.entry.EntryProcess;
-import org.hickorycleat.daemon.fleet.FleetProcess;
+import org.hickorycleat.daemon.fleet.FleetProcessFactory;
 import org.hickorycleat.daemon.logging.EventLog;
-import org.hickorycleat.daemon.logging.LineFormatter;
+import org.hickorycleat.daemon.logging.KeyValueLogFormatter;
 import org.hickorycleat.daemon.settings.DaemonSettings;
 import org.hickorycleat.daemon.settings.SettingError;
 import org.hickorycleat.daemon.settings.SettingsParser;
@@ -49,16 +49,16 @@
             System.out.println("settings=ok process=" + settings.process());
             System.exit(0);
         }
-        LineFormatter.install(settings.logLevel());
+        KeyValueLogFormatter.configureLogging(settings.logLevel());
         run(settings);
     }
 
     private static void runOnPlatform() throws Exception {
-        LineFormatter.install(Level.INFO);
+        KeyValueLogFormatter.configureLogging(Level.INFO);
         Path file = Path.of(System.getenv(NodeSettingsReader.PATH_VARIABLE));
         HangupSignal.handle(
                 () -> EventLog.of(Main.class).event("reload").with("file", file).info());
-        run(FleetProcess.create(NodeSettingsReader.read(Files.readAllBytes(file))));
+        run(FleetProcessFactory.create(NodeSettingsReader.read(Files.readAllBytes(file))));
     }
 
     private static OptionSet parse(OptionParser parser, String[] arguments) throws IOException {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/ShutdownRunner.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/ShutdownRunner.java
@@ -36,7 +36,7 @@
         }
         mClosed = true;
         long startNanos = System.nanoTime();
-        long limitNanos = mProcess.drainLimit().toNanos();
+        long limitNanos = mProcess.drainTimeout().toNanos();
         try {
             while (System.nanoTime() - startNanos < limitNanos && !mayExit(startNanos)) {
                 TimeUnit.MILLISECONDS.sleep(POLL_MS);
@@ -52,6 +52,6 @@
 
     private boolean mayExit(long startNanos) {
         long passedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
-        return passedMs >= mProcess.drainNotice().toMillis() && mProcess.isIdle();
+        return passedMs >= mProcess.minimumDrainDuration().toMillis() && mProcess.isIdle();
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentDump.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentDump.java
@@ -8,7 +8,7 @@
 /** State of an agent for operators. */
 record AgentDump(
         Object status,
-        List<AgentEntries.SessionState> entries,
+        List<EntrySessions.SessionState> entries,
         List<TargetReport> targets,
         long fencedInvokes,
         Optional<WorkerSummary> worker,
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentProcess.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentProcess.java
@@ -14,10 +14,10 @@
 import java.util.concurrent.TimeUnit;
 import okhttp3.HttpUrl;
 import org.hickorycleat.daemon.Lifecycle;
-import org.hickorycleat.daemon.http.AdminHttp;
-import org.hickorycleat.daemon.http.AdminView;
+import org.hickorycleat.daemon.http.AdminHttpServer;
+import org.hickorycleat.daemon.http.AdminOperations;
+import org.hickorycleat.daemon.http.AdminTaskStatus;
 import org.hickorycleat.daemon.http.ProcessStatus;
-import org.hickorycleat.daemon.http.TaskStatus;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.daemon.settings.AgentSettings;
 import org.hickorycleat.daemon.settings.DaemonSettings;
@@ -29,7 +29,7 @@
 import org.hickorycleat.model.identifier.Incarnation;
 
 /** A daemon in the agent role. */
-public final class AgentProcess implements AdminView, Lifecycle {
+public final class AgentProcess implements AdminOperations, Lifecycle {
     private static final EventLog LOG = EventLog.of(AgentProcess.class);
     private static final int EVENT_LOOPS = 1;
     private static final long REPORT_INTERVAL_MS = 1_000;
@@ -45,9 +45,9 @@
     private final ConfigurationHolder mConfiguration = new ConfigurationHolder();
     private final HttpTargetClient mTargetClient;
     private final InvocationService mInvocations;
-    private final HostedTargets mTargets;
-    private final AgentEntries mEntries;
-    private final AdminHttp mAdmin;
+    private final AnnouncedTargets mTargets;
+    private final EntrySessions mEntries;
+    private final AdminHttpServer mAdmin;
     private final CompositeDisposable mRunning = new CompositeDisposable();
     private final Optional<WorkerLeases> mWorker;
     private final long mStartedMs;
@@ -70,10 +70,10 @@
                 InvocationService.builder(mTargetClient, scheduler)
                         .keyValidity(KeyValidity.of(agentSettings.keyValidity()))
                         .build();
-        mTargets = new HostedTargets(mInvocations, scheduler);
+        mTargets = new AnnouncedTargets(mInvocations, scheduler);
         mWorker = agentSettings.worker().map(address -> newWorker(address, incarnation, scheduler));
         mEntries =
-                new AgentEntries(
+                new EntrySessions(
                         settings,
                         agentSettings,
                         incarnation,
@@ -83,7 +83,7 @@
                         mConfiguration,
                         mTargets,
                         mWorker);
-        mAdmin = new AdminHttp(this, mMeters, this::addRoutes);
+        mAdmin = new AdminHttpServer(this, mMeters, this::addRoutes);
         Gauge.builder("hickorycleat.invocations.in.progress", mInvocations::inProgress)
                 .register(mMeters);
         Gauge.builder("hickorycleat.invocations.fenced", mInvocations::fencedInvokes)
@@ -124,7 +124,7 @@
             return;
         }
         mDraining = true;
-        mTargets.leave();
+        mTargets.startLeaving();
         mEntries.report();
         LOG.event("draining").with("in_progress", mInvocations.inProgress()).info();
     }
@@ -140,7 +140,7 @@
     }
 
     @Override
-    public Duration drainLimit() {
+    public Duration drainTimeout() {
         return mSettings.drainLimit();
     }
 
@@ -164,7 +164,7 @@
                 mIncarnation.value(),
                 mScheduler.now(TimeUnit.MILLISECONDS) - mStartedMs,
                 state(),
-                String.join("; ", unreadyReasons()),
+                String.join("; ", notReadyReasons()),
                 configurationStatus(),
                 new ProcessStatus.Log(false, "agents do not read the log"),
                 mInvocations.inProgress(),
@@ -185,17 +185,17 @@
     }
 
     @Override
-    public List<TaskStatus> jobs() {
+    public List<AdminTaskStatus> jobs() {
         return List.of();
     }
 
     @Override
-    public Optional<TaskStatus> explain(String task) {
+    public Optional<AdminTaskStatus> explain(String task) {
         return Optional.empty();
     }
 
     @Override
-    public List<String> unreadyReasons() {
+    public List<String> notReadyReasons() {
         if (mDraining) {
             return List.of("draining");
         }
@@ -206,17 +206,17 @@
         if (mDraining) {
             return "draining";
         }
-        return unreadyReasons().isEmpty() ? "serving" : "waiting";
+        return notReadyReasons().isEmpty() ? "serving" : "waiting";
     }
 
     private ProcessStatus.Configuration configurationStatus() {
         return new ProcessStatus.Configuration(
                 mConfiguration.version().value(),
-                mConfiguration.current().map(known -> known.source().word()).orElse("none"),
+                mConfiguration.current().map(known -> known.source().label()).orElse("none"),
                 false);
     }
 
-    private HostedTargets targets() {
+    private AnnouncedTargets targets() {
         return mTargets;
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HostedTargets.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AnnouncedTargets.java
@@ -11,19 +11,19 @@
 import org.hickorycleat.daemon.http.ProcessStatus;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.logic.invocation.InvocationService;
-import org.hickorycleat.logic.invocation.KeyMappings;
+import org.hickorycleat.logic.invocation.ManifestKeyMapping;
 import org.hickorycleat.logic.invocation.TargetConfiguration;
 import org.hickorycleat.model.identifier.ConfigurationVersion;
 import org.hickorycleat.model.identifier.ServiceName;
 import org.hickorycleat.model.manifest.Manifest;
 import org.hickorycleat.model.manifest.ServiceSpecification;
-import org.hickorycleat.model.message.InstanceStanding;
+import org.hickorycleat.model.message.RegistrationConfirmation;
 import org.hickorycleat.model.message.TargetReport;
 import org.hickorycleat.model.message.TargetState;
 
 /** The targets that announce themselves to this agent, at most one of each service. */
-final class HostedTargets {
-    private static final EventLog LOG = EventLog.of(HostedTargets.class);
+final class AnnouncedTargets {
+    private static final EventLog LOG = EventLog.of(AnnouncedTargets.class);
 
     /** A target that has not announced itself for this long is no longer reported. */
     private static final long ANNOUNCEMENT_LIFETIME_MS = 3_000;
@@ -33,11 +33,11 @@
     private final InvocationService mInvocations;
     private final Scheduler mScheduler;
     private final Map<ServiceName, Hosted> mTargets = new ConcurrentHashMap<>();
-    private final Set<InstanceStanding> mRegistered = ConcurrentHashMap.newKeySet();
+    private final Set<RegistrationConfirmation> mRegistered = ConcurrentHashMap.newKeySet();
     private volatile Optional<Manifest> mManifest = Optional.empty();
     private volatile boolean mLeaving;
 
-    HostedTargets(InvocationService invocations, Scheduler scheduler) {
+    AnnouncedTargets(InvocationService invocations, Scheduler scheduler) {
         mInvocations = invocations;
         mScheduler = scheduler;
     }
@@ -70,7 +70,7 @@
     }
 
     /** Serves keys of an instance from now on; entries have recorded that this agent does. */
-    void registered(InstanceStanding standing) {
+    void onInstanceRegistered(RegistrationConfirmation standing) {
         Hosted hosted = mTargets.get(standing.service());
         if (hosted == null
                 || !hosted.announcement().instance().equals(standing.instance())
@@ -78,20 +78,20 @@
             return;
         }
         configure(hosted.announcement());
-        if (standing.original()) {
-            mInvocations.trustKeyMemory(standing.service(), standing.instance());
+        if (standing.firstRegistration()) {
+            mInvocations.markKeyRecordsComplete(standing.service(), standing.instance());
         }
         LOG.event("instance_registered")
                 .with("service", standing.service())
                 .with("instance", standing.instance())
-                .with("original", standing.original())
+                .with("original", standing.firstRegistration())
                 .info();
     }
 
     /** Reports every target as leaving from now on and refuses new requests. */
-    void leave() {
+    void startLeaving() {
         mLeaving = true;
-        mInvocations.leave();
+        mInvocations.startDrain();
     }
 
     /** Finds the address of the target of a service. */
@@ -114,7 +114,7 @@
 
     /** Returns the targets for the status of the process. */
     List<ProcessStatus.Service> statuses() {
-        return reports().stream().map(HostedTargets::status).toList();
+        return reports().stream().map(AnnouncedTargets::status).toList();
     }
 
     private static ProcessStatus.Service status(TargetReport target) {
@@ -146,9 +146,9 @@
                         target.service(),
                         target.instance(),
                         isRegistered(target)
-                                ? service.map(KeyMappings::instances).orElse(List.of())
+                                ? service.map(ManifestKeyMapping::instances).orElse(List.of())
                                 : List.of(),
-                        service.map(KeyMappings::version).orElse(NO_MAPPING),
+                        service.map(ManifestKeyMapping::version).orElse(NO_MAPPING),
                         slots(target),
                         target.connections()));
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentEntries.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/EntrySessions.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.hickorycleat.daemon.http.ProcessStatus;
-import org.hickorycleat.daemon.link.EntryLinkOwner;
+import org.hickorycleat.daemon.link.EntryLinkHandler;
 import org.hickorycleat.daemon.link.EntryLinks;
 import org.hickorycleat.daemon.link.EntrySession;
 import org.hickorycleat.daemon.settings.AgentSettings;
@@ -25,27 +25,27 @@
 import org.hickorycleat.model.message.ConfigurationUpdate;
 import org.hickorycleat.model.message.EntryAddress;
 import org.hickorycleat.model.message.Hello;
-import org.hickorycleat.model.message.InstanceStanding;
 import org.hickorycleat.model.message.Invoke;
 import org.hickorycleat.model.message.InvokeResult;
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.ProcessRole;
+import org.hickorycleat.model.message.RegistrationConfirmation;
 import org.hickorycleat.model.message.Welcome;
 
 /** The entries of an agent: sessions, reports, and the requests that arrive over them. */
-final class AgentEntries implements EntryLinkOwner {
+final class EntrySessions implements EntryLinkHandler {
     private final DaemonSettings mSettings;
     private final Incarnation mIncarnation;
     private final Scheduler mScheduler;
     private final InvocationService mInvocations;
     private final ConfigurationHolder mConfiguration;
-    private final HostedTargets mTargets;
+    private final AnnouncedTargets mTargets;
     private final Optional<WorkerLeases> mWorker;
     private final EntryLinks mLinks;
     private final AtomicLong mSessions = new AtomicLong();
     private final long mStartedMs;
 
-    AgentEntries(
+    EntrySessions(
             DaemonSettings settings,
             AgentSettings agentSettings,
             Incarnation incarnation,
@@ -53,7 +53,7 @@
             Scheduler scheduler,
             InvocationService invocations,
             ConfigurationHolder configuration,
-            HostedTargets targets,
+            AnnouncedTargets targets,
             Optional<WorkerLeases> worker) {
         mSettings = settings;
         mIncarnation = incarnation;
@@ -76,7 +76,7 @@
 
     /** Sends a report to every entry. */
     void report() {
-        mLinks.sendToAll(newReport());
+        mLinks.broadcast(newReport());
     }
 
     /** Sends a message to one entry; it is lost when there is no session. */
@@ -109,7 +109,7 @@
     }
 
     @Override
-    public SessionNumber nextSession() {
+    public SessionNumber nextSessionNumber() {
         return new SessionNumber(mSessions.incrementAndGet());
     }
 
@@ -126,8 +126,8 @@
     }
 
     @Override
-    public boolean onWelcome(EntrySession session, Welcome welcome) {
-        if (mLinks.isConnectedTo(session.entry(), session)) {
+    public boolean acceptWelcome(EntrySession session, Welcome welcome) {
+        if (mLinks.hasSessionWith(session.entry(), session)) {
             return false;
         }
         mInvocations.openSession(session.entry(), session.incarnation(), session.number());
@@ -135,7 +135,7 @@
     }
 
     @Override
-    public void onOpened(EntrySession session) {
+    public void onSessionOpened(EntrySession session) {
         session.connection().send(newReport());
         mConfiguration
                 .current()
@@ -158,23 +158,23 @@
         } else if (message instanceof Cancel cancel) {
             reply(session, mInvocations.cancel(cancel.request(), result -> reply(session, result)));
         } else if (message instanceof ConfigurationUpdate update) {
-            mConfiguration.offer(update, ConfigurationSource.ENTRY);
-        } else if (message instanceof InstanceStanding standing) {
-            mTargets.registered(standing);
+            mConfiguration.updateIfNewer(update, ConfigurationSource.ENTRY);
+        } else if (message instanceof RegistrationConfirmation standing) {
+            mTargets.onInstanceRegistered(standing);
         } else {
             mWorker.ifPresent(worker -> worker.onMessage(session.entry(), message));
         }
     }
 
     @Override
-    public void onClosed(EntrySession session) {
+    public void onSessionClosed(EntrySession session) {
         // Requests in progress run on; the entry asks for their outcome on its next session.
-        mWorker.ifPresent(worker -> worker.disconnected(session.entry()));
+        mWorker.ifPresent(worker -> worker.onEntryDisconnected(session.entry()));
     }
 
     @Override
-    public void onEntriesKnown(List<EntryAddress> entries) {
-        mLinks.addKnown(entries);
+    public void onEntriesDiscovered(List<EntryAddress> entries) {
+        mLinks.addDiscovered(entries);
     }
 
     private static void reply(EntrySession session, Message message) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HttpTargetClient.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HttpTargetClient.java
@@ -24,10 +24,10 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import okhttp3.ResponseBody;
-import org.hickorycleat.logic.port.AnswerTooLargeException;
-import org.hickorycleat.logic.port.TargetAnswer;
+import org.hickorycleat.logic.port.ResponseTooLargeException;
 import org.hickorycleat.logic.port.TargetClient;
 import org.hickorycleat.logic.port.TargetNotReachedException;
+import org.hickorycleat.logic.port.TargetResponse;
 import org.hickorycleat.model.identifier.ServiceName;
 import org.hickorycleat.model.message.HttpHeader;
 import org.hickorycleat.model.message.Invoke;
@@ -85,7 +85,7 @@
     }
 
     @Override
-    public Single<TargetAnswer> exchange(Invoke invoke) {
+    public Single<TargetResponse> exchange(Invoke invoke) {
         return Single.create(emitter -> start(invoke, emitter));
     }
 
@@ -95,7 +95,7 @@
         mClient.connectionPool().evictAll();
     }
 
-    private void start(Invoke invoke, SingleEmitter<TargetAnswer> emitter) {
+    private void start(Invoke invoke, SingleEmitter<TargetResponse> emitter) {
         Optional<InetSocketAddress> address = mAddresses.apply(invoke.service());
         if (address.isEmpty()) {
             emitter.onError(
@@ -132,13 +132,13 @@
         return cause;
     }
 
-    private static void deliver(Response response, SingleEmitter<TargetAnswer> emitter) {
+    private static void deliver(Response response, SingleEmitter<TargetResponse> emitter) {
         try (ResponseBody body = response.body()) {
             if (body.source().request(MAXIMUM_BODY_BYTES + 1L)) {
-                emitter.tryOnError(new AnswerTooLargeException(MAXIMUM_BODY_BYTES));
+                emitter.tryOnError(new ResponseTooLargeException(MAXIMUM_BODY_BYTES));
                 return;
             }
-            emitter.onSuccess(new TargetAnswer(response.code(), headers(response), body.bytes()));
+            emitter.onSuccess(new TargetResponse(response.code(), headers(response), body.bytes()));
         } catch (IOException e) {
             emitter.tryOnError(e);
         }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/WorkerLeases.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/WorkerLeases.java
@@ -8,22 +8,22 @@
 import okhttp3.HttpUrl;
 import okhttp3.OkHttpClient;
 import org.hickorycleat.daemon.worker.HttpWorkerControl;
-import org.hickorycleat.logic.lease.KeeperOutput;
+import org.hickorycleat.logic.lease.LeaseManagerOutput;
 import org.hickorycleat.logic.lease.LeaseSettings;
-import org.hickorycleat.logic.lease.TaskLeaseKeeper;
+import org.hickorycleat.logic.lease.TaskLeaseManager;
 import org.hickorycleat.model.identifier.Incarnation;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.WorkerSummary;
 
 /** The worker beside the agent: runs the lease keeper and carries its messages. */
-final class WorkerLeases implements KeeperOutput, AutoCloseable {
+final class WorkerLeases implements LeaseManagerOutput, AutoCloseable {
     private static final long TICK_MS = 1_000;
     private static final long CONNECT_TIMEOUT_MS = 500;
 
-    private final TaskLeaseKeeper mKeeper;
+    private final TaskLeaseManager mKeeper;
     private final Scheduler mScheduler;
-    private final Supplier<AgentEntries> mEntries;
+    private final Supplier<EntrySessions> mEntries;
     private final Runnable mReport;
     private final OkHttpClient mClient =
             new OkHttpClient.Builder()
@@ -36,13 +36,13 @@
             HttpUrl worker,
             Incarnation agent,
             Scheduler scheduler,
-            Supplier<AgentEntries> entries,
+            Supplier<EntrySessions> entries,
             Runnable report) {
         mScheduler = scheduler;
         mEntries = entries;
         mReport = report;
         mKeeper =
-                new TaskLeaseKeeper(
+                new TaskLeaseManager(
                         new HttpWorkerControl(mClient, worker),
                         this,
                         agent,
@@ -68,7 +68,7 @@
     }
 
     /** The connection to an entry is lost. */
-    void disconnected(ProcessId entry) {
+    void onEntryDisconnected(ProcessId entry) {
         mKeeper.disconnected(entry);
     }
 
@@ -83,7 +83,7 @@
     }
 
     @Override
-    public void workerListed(WorkerSummary worker) {
+    public void publishWorker(WorkerSummary worker) {
         boolean restarted =
                 !mSummary.map(WorkerSummary::incarnation).equals(Optional.of(worker.incarnation()));
         mSummary = Optional.of(worker);
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/TaskStatuses.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/AdminTaskStatusFactory.java
@@ -5,40 +5,42 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import org.hickorycleat.daemon.http.TaskStatus;
+import org.hickorycleat.daemon.http.AdminTaskStatus;
 import org.hickorycleat.logic.ownership.AttemptRecord;
-import org.hickorycleat.logic.ownership.TaskEnding;
 import org.hickorycleat.logic.ownership.TaskExplanation;
 import org.hickorycleat.logic.ownership.TaskRecord;
+import org.hickorycleat.logic.ownership.TaskResult;
 import org.hickorycleat.model.task.TaskSpecification;
 
 /** Turns what a shard knows of a task into what operators see. */
-final class TaskStatuses {
-    private TaskStatuses() {}
+final class AdminTaskStatusFactory {
+    private AdminTaskStatusFactory() {}
 
-    static TaskStatus of(TaskExplanation explanation) {
+    static AdminTaskStatus of(TaskExplanation explanation) {
         String task = explanation.task().value();
         int separator = task.indexOf('#');
         Optional<TaskRecord> record = explanation.record();
         Optional<TaskSpecification> specification = record.map(TaskRecord::specification);
         Optional<AttemptRecord> attempt = record.flatMap(TaskRecord::attempt);
-        return new TaskStatus(
+        return new AdminTaskStatus(
                 task,
                 separator < 0 ? task : task.substring(0, separator),
                 separator < 0 ? "" : task.substring(separator + 1),
                 specification.map(known -> known.team().value()).orElse(""),
-                specification.map(known -> known.criticality().word()).orElse(""),
+                specification.map(known -> known.criticality().wireName()).orElse(""),
                 state(explanation),
                 record.map(TaskRecord::lastAttempt).orElse(0L),
                 attempt.map(running -> running.worker().value()),
-                specification.map(TaskSpecification::deadlineMs).flatMap(TaskStatuses::time),
+                specification
+                        .map(TaskSpecification::deadlineMs)
+                        .flatMap(AdminTaskStatusFactory::time),
                 explanation.summary(),
                 events(explanation));
     }
 
     private static String state(TaskExplanation explanation) {
-        if (explanation.ending().isPresent()) {
-            return word(explanation.ending().get().outcome());
+        if (explanation.result().isPresent()) {
+            return word(explanation.result().get().outcome());
         }
         Optional<AttemptRecord> attempt = explanation.record().flatMap(TaskRecord::attempt);
         if (attempt.isEmpty()) {
@@ -50,8 +52,8 @@
         return explanation.confirmed() ? "running" : "starting";
     }
 
-    private static List<TaskStatus.Event> events(TaskExplanation explanation) {
-        List<TaskStatus.Event> events = new ArrayList<>();
+    private static List<AdminTaskStatus.Event> events(TaskExplanation explanation) {
+        List<AdminTaskStatus.Event> events = new ArrayList<>();
         explanation
                 .record()
                 .ifPresent(record -> events.add(event(record.submittedMs(), "accepted", "")));
@@ -66,7 +68,7 @@
                                                 "started",
                                                 "attempt " + attempt.number())));
         explanation
-                .ending()
+                .result()
                 .ifPresent(
                         ending ->
                                 events.add(
@@ -77,8 +79,8 @@
         return events;
     }
 
-    private static TaskStatus.Event event(long timeMs, String event, String reason) {
-        return new TaskStatus.Event(Instant.ofEpochMilli(timeMs).toString(), event, reason);
+    private static AdminTaskStatus.Event event(long timeMs, String event, String reason) {
+        return new AdminTaskStatus.Event(Instant.ofEpochMilli(timeMs).toString(), event, reason);
     }
 
     private static Optional<String> time(long timeMs) {
@@ -87,7 +89,7 @@
                 : Optional.of(Instant.ofEpochMilli(timeMs).toString());
     }
 
-    private static String word(TaskEnding.Outcome outcome) {
+    private static String word(TaskResult.Outcome outcome) {
         return outcome.name().toLowerCase(Locale.ROOT);
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerPresence.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerDisconnectDetector.java
@@ -15,7 +15,7 @@
  * <p>The HTTP server does not read from a connection while it handles a request, so it would learn
  * of a closed connection only when it writes the answer.
  */
-final class CallerPresence {
+final class CallerDisconnectDetector {
     private final Set<Caller> mCallers = ConcurrentHashMap.newKeySet();
 
     /** Watches the caller of a request; {@code onGone} is called once if it goes away. */
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerHttp.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerHttpServer.java
@@ -32,8 +32,8 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /** HTTP towards callers: checks requests, hands them on and writes the answers. */
-final class CallerHttp implements AutoCloseable {
-    private static final EventLog LOG = EventLog.of(CallerHttp.class);
+final class CallerHttpServer implements AutoCloseable {
+    private static final EventLog LOG = EventLog.of(CallerHttpServer.class);
 
     /** Largest body of a request, in bytes. */
     private static final long MAXIMUM_BODY_BYTES = 512 << 10;
@@ -61,12 +61,12 @@
     private final Function<CallerRequest, CompletableFuture<InvokeResult>> mService;
     private final MeterRegistry mMeters;
     private final Map<ResultCode, Counter> mCounters = new ConcurrentHashMap<>();
-    private final CallerPresence mPresence = new CallerPresence();
+    private final CallerDisconnectDetector mPresence = new CallerDisconnectDetector();
     private final AtomicInteger mInProgress = new AtomicInteger();
     private final Javalin mServer;
     private volatile boolean mDraining;
 
-    CallerHttp(
+    CallerHttpServer(
             Supplier<Optional<Manifest>> manifest,
             Function<CallerRequest, CompletableFuture<InvokeResult>> service,
             MeterRegistry meters) {
@@ -146,7 +146,7 @@
         }
         mInProgress.incrementAndGet();
         CompletableFuture<InvokeResult> result = mService.apply(request.get());
-        CallerPresence.Caller caller = mPresence.watch(context, () -> abandon(result));
+        CallerDisconnectDetector.Caller caller = mPresence.watch(context, () -> abandon(result));
         CompletableFuture<?> written =
                 result.thenAccept(answer -> write(context, caller, answer))
                         .whenComplete(
@@ -163,7 +163,8 @@
         result.cancel(true);
     }
 
-    private void write(Context context, CallerPresence.Caller caller, InvokeResult result) {
+    private void write(
+            Context context, CallerDisconnectDetector.Caller caller, InvokeResult result) {
         if (caller.answered()) {
             context.header("Connection", "close");
         }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerRequestParser.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerRequestParser.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.regex.Pattern;
-import org.hickorycleat.logic.invocation.KeyMappings;
+import org.hickorycleat.logic.invocation.ManifestKeyMapping;
 import org.hickorycleat.logic.retry.CallerRequest;
 import org.hickorycleat.model.identifier.IdempotencyKey;
 import org.hickorycleat.model.identifier.ServiceName;
@@ -84,7 +84,7 @@
                         .criticality(criticality.get())
                         .remainingMs(deadline.get())
                         .idempotent(idempotent.get())
-                        .mappingVersion(KeyMappings.version(service));
+                        .mappingVersion(ManifestKeyMapping.version(service));
         key.get().ifPresent(request::idempotencyKey);
         return Either.right(request.build());
     }
@@ -105,7 +105,7 @@
         if (text.isEmpty()) {
             return Either.right(service.criticality());
         }
-        return Criticality.ofWord(text.get())
+        return Criticality.ofWireName(text.get())
                 .<Either<ResultCode, Criticality>>map(Either::right)
                 .orElseGet(() -> Either.left(ResultCode.INVALID_CRITICALITY));
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/AgentSlices.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/ConfigurationSliceTracker.java
@@ -12,7 +12,7 @@
 import org.hickorycleat.model.message.TargetReport;
 
 /** Which services each agent hosts and which slice of the configuration it was sent last. */
-final class AgentSlices {
+final class ConfigurationSliceTracker {
     private final Map<Hello, Set<ServiceName>> mServices = new ConcurrentHashMap<>();
     private final Map<Hello, Sent> mSent = new ConcurrentHashMap<>();
 
@@ -29,7 +29,7 @@
     }
 
     /** Returns the services that a session is to be sent at a version; empty when it has them. */
-    Optional<Set<ServiceName>> needed(Hello agent, ConfigurationVersion version) {
+    Optional<Set<ServiceName>> servicesToSend(Hello agent, ConfigurationVersion version) {
         Set<ServiceName> services = mServices.getOrDefault(agent, Set.of());
         Sent sent = mSent.get(agent);
         boolean has =
@@ -37,11 +37,11 @@
         return has ? Optional.empty() : Optional.of(services);
     }
 
-    void sent(Hello agent, ConfigurationVersion version, Set<ServiceName> services) {
+    void recordSent(Hello agent, ConfigurationVersion version, Set<ServiceName> services) {
         mSent.put(agent, new Sent(version, services));
     }
 
-    void forget(Hello agent) {
+    void remove(Hello agent) {
         mServices.remove(agent);
         mSent.remove(agent);
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryConfiguration.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryConfiguration.java
@@ -10,8 +10,8 @@
 import java.util.function.Consumer;
 import org.hickorycleat.daemon.http.ProcessStatus;
 import org.hickorycleat.daemon.logging.EventLog;
+import org.hickorycleat.logic.configuration.ActiveConfiguration;
 import org.hickorycleat.logic.configuration.ConfigurationHolder;
-import org.hickorycleat.logic.configuration.ConfigurationInForce;
 import org.hickorycleat.logic.configuration.ConfigurationReader;
 import org.hickorycleat.logic.configuration.ConfigurationSource;
 import org.hickorycleat.logic.configuration.ConfigurationStream;
@@ -82,7 +82,7 @@
     }
 
     /** Starts to follow the log; {@code onChange} is called for each configuration in force. */
-    void start(Consumer<ConfigurationInForce> onChange) {
+    void start(Consumer<ActiveConfiguration> onChange) {
         mRunning.add(
                 mHolder.changes()
                         .observeOn(Schedulers.single())
@@ -97,7 +97,7 @@
     }
 
     /** Returns the configuration in force. */
-    Optional<ConfigurationInForce> current() {
+    Optional<ActiveConfiguration> current() {
         return mHolder.current();
     }
 
@@ -108,19 +108,19 @@
 
     /** Takes the configuration of another entry. */
     void offerFromPeer(ConfigurationUpdate update) {
-        mHolder.offer(update, ConfigurationSource.PEER);
+        mHolder.updateIfNewer(update, ConfigurationSource.PEER);
     }
 
     /** Takes the slice that an agent holds; it only counts when nothing better is known. */
     void offerFromAgent(ConfigurationUpdate update) {
-        mHolder.offer(update, ConfigurationSource.AGENT);
+        mHolder.updateIfNewer(update, ConfigurationSource.AGENT);
     }
 
     /** Returns the configuration for the status of the process. */
     ProcessStatus.Configuration status() {
         return new ProcessStatus.Configuration(
                 version(),
-                current().map(current -> current.source().word()).orElse("none"),
+                current().map(current -> current.source().label()).orElse("none"),
                 current().map(current -> current.source().isComplete()).orElse(false));
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryDump.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryDump.java
@@ -10,5 +10,5 @@
         Object status,
         List<EntryAddress> liveEntries,
         List<Hello> agents,
-        RequestPath.State requests,
+        RequestPipeline.State requests,
         List<ShardDump> shards) {}
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryProcess.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryProcess.java
@@ -12,10 +12,10 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.daemon.Lifecycle;
-import org.hickorycleat.daemon.http.AdminHttp;
-import org.hickorycleat.daemon.http.AdminView;
+import org.hickorycleat.daemon.http.AdminHttpServer;
+import org.hickorycleat.daemon.http.AdminOperations;
+import org.hickorycleat.daemon.http.AdminTaskStatus;
 import org.hickorycleat.daemon.http.ProcessStatus;
-import org.hickorycleat.daemon.http.TaskStatus;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.daemon.logservice.HttpLogService;
 import org.hickorycleat.daemon.logservice.LogServiceTimeouts;
@@ -23,7 +23,7 @@
 import org.hickorycleat.daemon.settings.EntrySettings;
 import org.hickorycleat.daemon.transport.MessageTransport;
 import org.hickorycleat.daemon.transport.TransportMetrics;
-import org.hickorycleat.logic.configuration.ConfigurationInForce;
+import org.hickorycleat.logic.configuration.ActiveConfiguration;
 import org.hickorycleat.logic.ownership.OwnerIdentity;
 import org.hickorycleat.model.configuration.AcceptedConfiguration;
 import org.hickorycleat.model.identifier.ConfigurationVersion;
@@ -41,7 +41,7 @@
 import org.hickorycleat.model.message.Welcome;
 
 /** A daemon in the entry role. */
-public final class EntryProcess implements AgentEvents, AdminView, Lifecycle {
+public final class EntryProcess implements InboundConnectionListener, AdminOperations, Lifecycle {
     private static final EventLog LOG = EventLog.of(EntryProcess.class);
     private static final int EVENT_LOOPS = 4;
     private static final long TICK_MS = 1_000;
@@ -54,15 +54,15 @@
     private final PrometheusMeterRegistry mMeters =
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final MessageTransport mTransport;
-    private final AgentConnections mConnections;
+    private final InboundConnections mConnections;
     private final PeerEntries mPeers;
     private final EntryConfiguration mConfiguration;
-    private final RequestPath mRequests;
+    private final RequestPipeline mRequests;
     private final PlacementShards mShards;
     private final InstanceRegistrar mRegistrar;
-    private final AgentSlices mSlices = new AgentSlices();
-    private final CallerHttp mCallers;
-    private final AdminHttp mAdmin;
+    private final ConfigurationSliceTracker mSlices = new ConfigurationSliceTracker();
+    private final CallerHttpServer mCallers;
+    private final AdminHttpServer mAdmin;
     private final CompositeDisposable mTimers = new CompositeDisposable();
     private final long mStartedMs;
     private volatile boolean mDraining;
@@ -79,7 +79,7 @@
         mScheduler = scheduler;
         mStartedMs = scheduler.now(TimeUnit.MILLISECONDS);
         mTransport = new MessageTransport(EVENT_LOOPS, new TransportMetrics(mMeters));
-        mConnections = new AgentConnections(this::welcome, this);
+        mConnections = new InboundConnections(this::welcome, this);
         mPeers = new PeerEntries(address(), incarnation, mTransport, scheduler);
         HttpLogService log =
                 new HttpLogService(entrySettings.logService(), LogServiceTimeouts.DEFAULT);
@@ -94,10 +94,10 @@
                 new InstanceRegistrar(
                         log, mConnections, new Random(incarnation.value()), scheduler);
         mRequests =
-                new RequestPath(
+                new RequestPipeline(
                         settings.process(), incarnation, settings.zone(), mConnections, scheduler);
-        mCallers = new CallerHttp(mConfiguration::manifest, mRequests::serve, mMeters);
-        mAdmin = new AdminHttp(this, mMeters, configuration -> {});
+        mCallers = new CallerHttpServer(mConfiguration::manifest, mRequests::serve, mMeters);
+        mAdmin = new AdminHttpServer(this, mMeters, configuration -> {});
         Gauge.builder("hickorycleat.configuration.version", mConfiguration::version)
                 .register(mMeters);
         Gauge.builder("hickorycleat.requests.in.progress", mCallers::inProgress).register(mMeters);
@@ -150,7 +150,7 @@
     }
 
     @Override
-    public Duration drainLimit() {
+    public Duration drainTimeout() {
         return mSettings.drainLimit();
     }
 
@@ -179,31 +179,31 @@
         }
         if (message instanceof AgentReport report) {
             sendSlice(agent, report);
-            mRegistrar.onReport(agent, report);
-            mShards.onReport(agent, report);
+            mRegistrar.onAgentReport(agent, report);
+            mShards.onAgentReport(agent, report);
         } else if (message instanceof ConfigurationUpdate update) {
             mConfiguration.offerFromAgent(update);
         } else {
-            mShards.onMessage(agent, message);
+            mShards.onAgentMessage(agent, message);
         }
     }
 
     @Override
     public void onAgentClosed(Hello agent) {
         mRequests.onAgentClosed(agent);
-        mShards.onClosed(agent);
-        mSlices.forget(agent);
+        mShards.onAgentClosed(agent);
+        mSlices.remove(agent);
     }
 
     @Override
     public void onPeerOpened(Hello peer) {
-        mPeers.heardFrom(peer);
+        mPeers.recordHeartbeat(peer);
         mConfiguration.current().ifPresent(current -> mPeers.send(update(current)));
     }
 
     @Override
     public void onPeerMessage(Hello peer, Message message) {
-        mPeers.heardFrom(peer);
+        mPeers.recordHeartbeat(peer);
         if (message instanceof ConfigurationUpdate update) {
             mConfiguration.offerFromPeer(update);
         }
@@ -218,7 +218,7 @@
                 mIncarnation.value(),
                 mScheduler.now(TimeUnit.MILLISECONDS) - mStartedMs,
                 state(),
-                String.join("; ", unreadyReasons()),
+                String.join("; ", notReadyReasons()),
                 mConfiguration.status(),
                 mConfiguration.logStatus(),
                 mCallers.inProgress(),
@@ -230,21 +230,25 @@
     @Override
     public Object dump() {
         return new EntryDump(
-                status(), mPeers.live(), mConnections.agents(), mRequests.state(), mShards.dump());
+                status(),
+                mPeers.liveEntries(),
+                mConnections.agents(),
+                mRequests.state(),
+                mShards.dump());
     }
 
     @Override
-    public List<TaskStatus> jobs() {
+    public List<AdminTaskStatus> jobs() {
         return mShards.jobs();
     }
 
     @Override
-    public Optional<TaskStatus> explain(String task) {
-        return mShards.explain(new TaskId(task)).map(TaskStatuses::of);
+    public Optional<AdminTaskStatus> explain(String task) {
+        return mShards.explain(new TaskId(task)).map(AdminTaskStatusFactory::of);
     }
 
     @Override
-    public List<String> unreadyReasons() {
+    public List<String> notReadyReasons() {
         if (mDraining) {
             return List.of("draining");
         }
@@ -257,14 +261,14 @@
         if (mDraining) {
             return "draining";
         }
-        return unreadyReasons().isEmpty() ? "serving" : "waiting";
+        return notReadyReasons().isEmpty() ? "serving" : "waiting";
     }
 
-    private void configurationChanged(ConfigurationInForce current) {
+    private void configurationChanged(ActiveConfiguration current) {
         mRequests.configure(current.configuration().manifest());
         LOG.event("configuration_in_force")
                 .with("version", current.version())
-                .with("source", current.source().word())
+                .with("source", current.source().label())
                 .info();
         mShards.configure(current.configuration());
         mPeers.send(update(current));
@@ -272,27 +276,27 @@
     }
 
     private void sendSlice(Hello agent, AgentReport report) {
-        Set<ServiceName> services = AgentSlices.services(report);
+        Set<ServiceName> services = ConfigurationSliceTracker.services(report);
         mSlices.setServices(agent, services);
         mConfiguration.current().ifPresent(current -> sendSlice(agent, current));
     }
 
-    private void sendSlice(Hello agent, ConfigurationInForce current) {
-        Optional<Set<ServiceName>> needed = mSlices.needed(agent, current.version());
+    private void sendSlice(Hello agent, ActiveConfiguration current) {
+        Optional<Set<ServiceName>> needed = mSlices.servicesToSend(agent, current.version());
         if (needed.isEmpty()) {
             return;
         }
         AcceptedConfiguration whole = current.configuration();
         byte[] slice = ManifestWriter.write(ManifestSlices.slice(whole.manifest(), needed.get()));
         if (mConnections.send(agent.process(), new ConfigurationUpdate(current.version(), slice))) {
-            mSlices.sent(agent, current.version(), needed.get());
+            mSlices.recordSent(agent, current.version(), needed.get());
         }
     }
 
     private void tick() {
-        List<EntryAddress> live = mPeers.live();
+        List<EntryAddress> live = mPeers.liveEntries();
         mRequests.setLiveEntries(live.size());
-        mRequests.forgetGone();
+        mRequests.removeExpired();
         mConnections.sendWelcomes();
         mPeers.send(
                 new PeerSummary(
@@ -302,7 +306,8 @@
     }
 
     private Welcome welcome() {
-        return new Welcome(mSettings.process(), mIncarnation, mSettings.zone(), mPeers.live());
+        return new Welcome(
+                mSettings.process(), mIncarnation, mSettings.zone(), mPeers.liveEntries());
     }
 
     private EntryAddress address() {
@@ -313,7 +318,7 @@
                 mEntrySettings.peerListen().getPort());
     }
 
-    private static ConfigurationUpdate update(ConfigurationInForce current) {
+    private static ConfigurationUpdate update(ActiveConfiguration current) {
         return new ConfigurationUpdate(current.version(), current.configuration().bytes());
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/AgentEvents.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/InboundConnectionListener.java
@@ -4,7 +4,7 @@
 import org.hickorycleat.model.message.Message;
 
 /** What an entry learns from the connections of agents and other entries. */
-interface AgentEvents {
+interface InboundConnectionListener {
     /** An agent opened a session. */
     void onAgentOpened(Hello agent);
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/AgentConnections.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/InboundConnections.java
@@ -22,16 +22,16 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /** The connections that agents and other entries opened to this entry. */
-final class AgentConnections implements AgentLink {
-    private static final EventLog LOG = EventLog.of(AgentConnections.class);
+final class InboundConnections implements AgentLink {
+    private static final EventLog LOG = EventLog.of(InboundConnections.class);
 
     private final Supplier<Welcome> mWelcome;
-    private final AgentEvents mEvents;
+    private final InboundConnectionListener mEvents;
     private final Map<ProcessId, Peer> mAgents = new ConcurrentHashMap<>();
     private final Map<ProcessId, Peer> mEntries = new ConcurrentHashMap<>();
     private volatile Optional<Welcome> mLastWelcome = Optional.empty();
 
-    AgentConnections(Supplier<Welcome> welcome, AgentEvents events) {
+    InboundConnections(Supplier<Welcome> welcome, InboundConnectionListener events) {
         mWelcome = welcome;
         mEvents = events;
     }
@@ -73,7 +73,7 @@
     List<ProcessStatus.Link> links() {
         return Stream.concat(mAgents.values().stream(), mEntries.values().stream())
                 .map(Peer::hello)
-                .map(AgentConnections::link)
+                .map(InboundConnections::link)
                 .toList();
     }
 
@@ -163,11 +163,11 @@
 
         private void refuse(MessageConnection connection, ResultCode code, String detail) {
             LOG.event("hello_refused")
-                    .with("peer", connection.peer())
+                    .with("peer", connection.remoteAddress())
                     .with("result", code)
                     .with("detail", detail)
                     .warn();
-            connection.closeWith(new Failure(code, detail));
+            connection.sendAndClose(new Failure(code, detail));
         }
 
         private void replaceAgent(Hello hello, Peer peer) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/InstanceRegistrar.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/InstanceRegistrar.java
@@ -18,7 +18,7 @@
 import org.hickorycleat.logic.log.StreamFollower;
 import org.hickorycleat.logic.membership.InstanceRegistration;
 import org.hickorycleat.logic.membership.InstanceRegistry;
-import org.hickorycleat.logic.membership.InstanceRegistry.Standing;
+import org.hickorycleat.logic.membership.InstanceRegistry.RegistrationStatus;
 import org.hickorycleat.logic.port.AgentLink;
 import org.hickorycleat.logic.port.LogRecord;
 import org.hickorycleat.logic.port.LogService;
@@ -29,7 +29,7 @@
 import org.hickorycleat.model.identifier.StreamName;
 import org.hickorycleat.model.message.AgentReport;
 import org.hickorycleat.model.message.Hello;
-import org.hickorycleat.model.message.InstanceStanding;
+import org.hickorycleat.model.message.RegistrationConfirmation;
 import org.hickorycleat.model.message.TargetReport;
 
 /** Registers the runs of agents in the stream {@code instances} and tells agents their standing. */
@@ -78,7 +78,7 @@
     }
 
     /** Registers the targets of a report that are not registered, and answers for the others. */
-    void onReport(Hello agent, AgentReport report) {
+    void onAgentReport(Hello agent, AgentReport report) {
         for (TargetReport target : report.targets()) {
             InstanceRegistration registration =
                     new InstanceRegistration(
@@ -86,8 +86,8 @@
                             target.instance(),
                             agent.process(),
                             agent.incarnation());
-            Standing standing = mRegistry.standing(registration);
-            if (standing == Standing.UNREGISTERED) {
+            RegistrationStatus standing = mRegistry.registrationStatus(registration);
+            if (standing == RegistrationStatus.UNREGISTERED) {
                 register(registration);
             } else {
                 tell(agent, target, standing);
@@ -100,11 +100,13 @@
         mRunning.dispose();
     }
 
-    private void tell(Hello agent, TargetReport target, Standing standing) {
+    private void tell(Hello agent, TargetReport target, RegistrationStatus standing) {
         mAgents.send(
                 agent.process(),
-                new InstanceStanding(
-                        target.service(), target.instance(), standing == Standing.ORIGINAL));
+                new RegistrationConfirmation(
+                        target.service(),
+                        target.instance(),
+                        standing == RegistrationStatus.ORIGINAL));
     }
 
     private void register(InstanceRegistration registration) {
@@ -121,7 +123,7 @@
 
     private void handle(StreamEvent event) {
         if (event instanceof StreamEvent.Truncated) {
-            mRegistry.truncated();
+            mRegistry.onStreamTruncated();
         } else if (event instanceof StreamEvent.RecordsRead read) {
             read.page().records().forEach(this::apply);
         }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/PeerEntries.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/PeerEntries.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import org.hickorycleat.daemon.link.EntryLinkOwner;
+import org.hickorycleat.daemon.link.EntryLinkHandler;
 import org.hickorycleat.daemon.link.EntryLinks;
 import org.hickorycleat.daemon.link.EntrySession;
 import org.hickorycleat.daemon.transport.MessageCodec;
@@ -25,7 +25,7 @@
 import org.hickorycleat.model.message.Welcome;
 
 /** The other entries: which are alive, where they listen, and a link to each. */
-final class PeerEntries implements EntryLinkOwner {
+final class PeerEntries implements EntryLinkHandler {
     /** Entries that an entry keeps links to; 8 availability zones with up to 8 entries each. */
     private static final int MAXIMUM_LINKS = 64;
 
@@ -60,17 +60,17 @@
 
     /** Sends a message to every other entry. */
     void send(Message message) {
-        mLinks.sendToAll(message);
+        mLinks.broadcast(message);
     }
 
     /** Another entry opened a connection or sent something over it. */
-    void heardFrom(Hello peer) {
+    void recordHeartbeat(Hello peer) {
         mHeard.put(peer.process(), new Heard(peer.address(), nowMs()));
-        peer.address().ifPresent(address -> onEntriesKnown(List.of(address)));
+        peer.address().ifPresent(address -> onEntriesDiscovered(List.of(address)));
     }
 
     /** Returns this entry and the others that are alive, with their addresses. */
-    List<EntryAddress> live() {
+    List<EntryAddress> liveEntries() {
         long nowMs = nowMs();
         List<EntryAddress> live = new ArrayList<>(List.of(mSelf));
         mHeard.values().stream()
@@ -87,7 +87,7 @@
     }
 
     @Override
-    public SessionNumber nextSession() {
+    public SessionNumber nextSessionNumber() {
         return new SessionNumber(mSessions.incrementAndGet());
     }
 
@@ -104,13 +104,13 @@
     }
 
     @Override
-    public boolean onWelcome(EntrySession session, Welcome welcome) {
-        onEntriesKnown(welcome.entries());
+    public boolean acceptWelcome(EntrySession session, Welcome welcome) {
+        onEntriesDiscovered(welcome.entries());
         return !welcome.process().equals(mSelf.process());
     }
 
     @Override
-    public void onOpened(EntrySession session) {
+    public void onSessionOpened(EntrySession session) {
         // The next summary goes out within a second.
     }
 
@@ -120,13 +120,13 @@
     }
 
     @Override
-    public void onClosed(EntrySession session) {
+    public void onSessionClosed(EntrySession session) {
         // The entry counts as alive until its summaries stop.
     }
 
     @Override
-    public void onEntriesKnown(List<EntryAddress> entries) {
-        mLinks.addKnown(
+    public void onEntriesDiscovered(List<EntryAddress> entries) {
+        mLinks.addDiscovered(
                 entries.stream()
                         .filter(entry -> !entry.process().equals(mSelf.process()))
                         .toList());
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/PlacementShards.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/PlacementShards.java
@@ -10,8 +10,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.hickorycleat.daemon.http.AdminTaskStatus;
 import org.hickorycleat.daemon.http.ProcessStatus;
-import org.hickorycleat.daemon.http.TaskStatus;
 import org.hickorycleat.logic.ownership.OwnerIdentity;
 import org.hickorycleat.logic.ownership.ShardDump;
 import org.hickorycleat.logic.ownership.ShardEvent;
@@ -71,12 +71,12 @@
     }
 
     /** Takes the worker of a report; the first of a session announces the connection. */
-    synchronized void onReport(Hello agent, AgentReport report) {
+    synchronized void onAgentReport(Hello agent, AgentReport report) {
         if (report.worker().isEmpty()) {
             return;
         }
         WorkerSummary worker = report.worker().get();
-        runnerOf(worker).ifPresent(runner -> runner.observe(report));
+        runnerOf(worker).ifPresent(runner -> runner.onAgentReport(report));
         boolean first = mConnected.add(agent);
         runnerOf(worker)
                 .ifPresent(
@@ -93,7 +93,7 @@
     }
 
     /** Takes a message about tasks; shards ignore those of other shards. */
-    void onMessage(Hello agent, Message message) {
+    void onAgentMessage(Hello agent, Message message) {
         mRunners.values()
                 .forEach(
                         runner ->
@@ -102,7 +102,7 @@
     }
 
     /** The session of an agent is lost. */
-    synchronized void onClosed(Hello agent) {
+    synchronized void onAgentClosed(Hello agent) {
         if (mConnected.remove(agent)) {
             mRunners.values()
                     .forEach(
@@ -128,18 +128,18 @@
     }
 
     /** Returns the jobs of the manifest that are in shards which this entry owns. */
-    List<TaskStatus> jobs() {
+    List<AdminTaskStatus> jobs() {
         List<TaskId> jobs;
         synchronized (this) {
             jobs = mJobs;
         }
-        List<TaskStatus> statuses = new ArrayList<>();
+        List<AdminTaskStatus> statuses = new ArrayList<>();
         for (ShardRunner runner : mRunners.values()) {
             if (runner.dump().acting()) {
                 jobs.stream()
                         .map(runner::explain)
                         .filter(PlacementShards::isKnown)
-                        .map(TaskStatuses::of)
+                        .map(AdminTaskStatusFactory::of)
                         .forEach(statuses::add);
             }
         }
@@ -160,7 +160,7 @@
     }
 
     private static boolean isKnown(TaskExplanation explanation) {
-        return explanation.record().isPresent() || explanation.ending().isPresent();
+        return explanation.record().isPresent() || explanation.result().isPresent();
     }
 
     private static ProcessStatus.Shard status(ShardDump shard) {
@@ -188,7 +188,7 @@
                         owner,
                         mLog,
                         mAgents,
-                        new TaskObservation(policy, InstantSource.system()),
+                        new TaskReportObserver(policy, InstantSource.system()),
                         mScheduler);
         runner.start();
         return runner;
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/RequestPath.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/RequestPipeline.java
@@ -9,9 +9,9 @@
 import java.util.stream.Collectors;
 import org.hickorycleat.daemon.http.ProcessStatus;
 import org.hickorycleat.logic.admission.AdmissionSettings;
-import org.hickorycleat.logic.admission.DirectoryCapacity;
+import org.hickorycleat.logic.admission.DirectoryCapacitySource;
 import org.hickorycleat.logic.admission.FairAdmissionControl;
-import org.hickorycleat.logic.invocation.KeyMappings;
+import org.hickorycleat.logic.invocation.ManifestKeyMapping;
 import org.hickorycleat.logic.membership.TargetCondition;
 import org.hickorycleat.logic.membership.TargetDirectory;
 import org.hickorycleat.logic.membership.TargetView;
@@ -38,13 +38,13 @@
 import org.hickorycleat.model.message.ServiceCapacity;
 
 /** The path of a request through the entry: admission, routing, retries and outcomes. */
-final class RequestPath {
+final class RequestPipeline {
     private final TargetDirectory mDirectory;
     private final PowerOfTwoSelector mSelector;
     private final FairAdmissionControl mAdmission;
     private final RequestCoordinator mCoordinator;
 
-    RequestPath(
+    RequestPipeline(
             ProcessId entry,
             Incarnation incarnation,
             ZoneId zone,
@@ -55,7 +55,8 @@
         mSelector = new PowerOfTwoSelector(mDirectory, zone, RoutingSettings.DEFAULT, seed);
         mAdmission =
                 new FairAdmissionControl(
-                        new DirectoryCapacity(mDirectory, target -> !mSelector.isEjected(target)),
+                        new DirectoryCapacitySource(
+                                mDirectory, target -> !mSelector.isEjected(target)),
                         scheduler,
                         AdmissionSettings.DEFAULT,
                         seed);
@@ -77,7 +78,9 @@
     void configure(Manifest manifest) {
         for (ServiceSpecification service : manifest.services()) {
             mCoordinator.configureMapping(
-                    service.name(), KeyMappings.version(service), KeyMappings.instances(service));
+                    service.name(),
+                    ManifestKeyMapping.version(service),
+                    ManifestKeyMapping.instances(service));
         }
         Map<TeamName, Integer> weights = new HashMap<>();
         for (TeamSpecification team : manifest.teams()) {
@@ -122,9 +125,9 @@
     }
 
     /** Drops what has been gone for long; called now and then. */
-    void forgetGone() {
-        mDirectory.forgetGone();
-        mSelector.forgetGone();
+    void removeExpired() {
+        mDirectory.removeGoneTargets();
+        mSelector.removeGoneTargets();
     }
 
     /** Returns the services with free slots. */
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/ShardRunner.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/ShardRunner.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.daemon.logging.EventLog;
-import org.hickorycleat.logic.ownership.OwnerEffect;
+import org.hickorycleat.logic.ownership.OwnerAction;
 import org.hickorycleat.logic.ownership.ShardDump;
 import org.hickorycleat.logic.ownership.ShardEvent;
 import org.hickorycleat.logic.ownership.ShardOwner;
@@ -34,7 +34,7 @@
     private final ShardOwner mOwner;
     private final LogService mLog;
     private final AgentLink mAgents;
-    private final TaskObservation mObservation;
+    private final TaskReportObserver mObservation;
     private final Scheduler mScheduler;
     private final CompositeDisposable mRunning = new CompositeDisposable();
     private boolean mActing;
@@ -44,7 +44,7 @@
             ShardOwner owner,
             LogService log,
             AgentLink agents,
-            TaskObservation observation,
+            TaskReportObserver observation,
             Scheduler scheduler) {
         mStream = stream;
         mOwner = owner;
@@ -75,13 +75,13 @@
                 && received.message() instanceof TaskReport report) {
             mObservation.onTaskReport(report, mOwner.explain(report.task()));
         }
-        List<OwnerEffect> effects = mOwner.onEvent(event);
+        List<OwnerAction> effects = mOwner.onEvent(event);
         effects.forEach(this::carryOut);
         noteOwnership();
     }
 
     /** Takes the latencies that an agent reported beside its worker. */
-    synchronized void observe(AgentReport report) {
+    synchronized void onAgentReport(AgentReport report) {
         mObservation.onAgentReport(report);
     }
 
@@ -100,13 +100,13 @@
         mRunning.dispose();
     }
 
-    private void carryOut(OwnerEffect effect) {
-        if (effect instanceof OwnerEffect.SendMessage send) {
+    private void carryOut(OwnerAction effect) {
+        if (effect instanceof OwnerAction.SendMessage send) {
             // A message that is not sent is lost with its connection; the owner repeats it.
             mAgents.send(send.agent(), send.message());
             return;
         }
-        if (effect instanceof OwnerEffect.AppendRecord append) {
+        if (effect instanceof OwnerAction.AppendRecord append) {
             mRunning.add(
                     mLog.append(append.stream(), append.payload())
                             .subscribe(
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/TaskObservation.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/TaskReportObserver.java
@@ -23,23 +23,23 @@
 import org.hickorycleat.model.task.TaskState;
 
 /** Tells the policy of a shard what agents report; used by one thread at a time. */
-final class TaskObservation {
+final class TaskReportObserver {
     private final PlacementObserver mObserver;
     private final InstantSource mClock;
     // Agents repeat the report of an end until it is recorded; the policy must count it once.
     private final Map<TaskId, AttemptNumber> mEnded = new HashMap<>();
     private final Map<WorkerId, Incarnation> mWorkers = new HashMap<>();
 
-    TaskObservation(PlacementObserver observer, InstantSource clock) {
+    TaskReportObserver(PlacementObserver observer, InstantSource clock) {
         mObserver = observer;
         mClock = clock;
     }
 
     /** Takes a report on a task, with what was known of the task before. */
     void onTaskReport(TaskReport report, TaskExplanation before) {
-        if (before.ending().isPresent()) {
+        if (before.result().isPresent()) {
             mEnded.remove(report.task());
-            mObserver.forgotten(report.task());
+            mObserver.onTaskRemoved(report.task());
             return;
         }
         Optional<TaskRecord> record = before.record().filter(known -> known.isAt(report.attempt()));
@@ -49,15 +49,15 @@
         AttemptRecord attempt = record.get().attempt().orElseThrow();
         PlacedTask placed = placed(record.get(), attempt);
         if (report.state() == TaskState.RUNNING) {
-            mObserver.running(placed, mClock.millis());
-            mObserver.usageMeasured(
+            mObserver.onAttemptRunning(placed, mClock.millis());
+            mObserver.onUsageMeasured(
                     placed.specification(),
                     new Resources(
                             report.usedProcessorsMilli(),
                             report.usedMemoryMebibytes(),
                             placed.specification().resources().accelerators()));
         } else if (isEnd(report.state()) && isNew(report)) {
-            mObserver.ended(placed, report.state(), mClock.millis());
+            mObserver.onAttemptEnded(placed, report.state(), mClock.millis());
         }
     }
 
@@ -69,11 +69,11 @@
         WorkerSummary worker = report.worker().get();
         Incarnation known = mWorkers.put(worker.worker(), worker.incarnation());
         if (known != null && !known.equals(worker.incarnation())) {
-            mObserver.workerRestarted(worker.worker());
+            mObserver.onWorkerRestarted(worker.worker());
         }
         for (TargetReport target : report.targets()) {
             if (target.load().latencyMicros() > 0) {
-                mObserver.latencyMeasured(
+                mObserver.onLatencyMeasured(
                         new LatencyMeasurement(
                                 target.service(),
                                 worker.worker(),
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/HttpServerHandler.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/HttpServerHandler.java
@@ -21,10 +21,10 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.hickorycleat.daemon.logging.EventLog;
-import org.hickorycleat.logic.port.Calls;
 import org.hickorycleat.logic.port.HttpHandler;
 import org.hickorycleat.logic.port.HttpRequest;
 import org.hickorycleat.logic.port.HttpResponse;
+import org.hickorycleat.logic.port.SingleCallbacks;
 
 /** Answers the requests of one connection one after the other. */
 // A write that fails closes the channel; nobody needs its future.
@@ -64,7 +64,7 @@
         context.channel().config().setAutoRead(false);
         Waiting waiting = mWaiting.remove();
         mInProgress.incrementAndGet();
-        Calls.whenDone(
+        SingleCallbacks.subscribe(
                 mHandler.handle(waiting.request()),
                 response -> answer(context, response, waiting.keepAlive()),
                 error -> breakOff(context, error));
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/NettyHttpCaller.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/NettyHttpClient.java
@@ -27,7 +27,7 @@
 import java.util.Optional;
 import org.hickorycleat.logic.port.HttpCall;
 import org.hickorycleat.logic.port.HttpCallException;
-import org.hickorycleat.logic.port.HttpCaller;
+import org.hickorycleat.logic.port.HttpClient;
 import org.hickorycleat.logic.port.HttpResponse;
 
 /**
@@ -37,7 +37,7 @@
  */
 // The outcome of every call is reported through its Single.
 @SuppressWarnings("FutureReturnValueIgnored")
-public final class NettyHttpCaller implements HttpCaller {
+public final class NettyHttpClient implements HttpClient {
     /** Largest response body, in bytes: above the largest page of the store. */
     private static final int MAXIMUM_BODY_BYTES = 4 << 20;
 
@@ -48,7 +48,7 @@
     private final Map<InetSocketAddress, Deque<Channel>> mIdle = new HashMap<>();
 
     /** Creates a caller on one of the event loops. */
-    public NettyHttpCaller(EventLoopGroup eventLoops) {
+    public NettyHttpClient(EventLoopGroup eventLoops) {
         mEventLoop = eventLoops.next();
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/NettyHttpServer.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/NettyHttpServer.java
@@ -63,12 +63,12 @@
     }
 
     /** Returns how many requests are being answered. */
-    public int inProgress() {
+    public int requestsInProgress() {
         return mInProgress.get();
     }
 
     /** Asks callers to open no further requests on their connections. */
-    public void closeGracefully() {
+    public void disableKeepAlive() {
         mClosing.set(true);
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/PendingCall.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/PendingCall.java
@@ -16,7 +16,7 @@
 final class PendingCall {
     private final HttpCall mCall;
     private final SingleEmitter<HttpResponse> mEmitter;
-    private final NettyHttpCaller mCaller;
+    private final NettyHttpClient mCaller;
     private final Future<?> mTimer;
     private @Nullable Channel mChannel;
     private boolean mFinished;
@@ -25,7 +25,7 @@
             HttpCall call,
             SingleEmitter<HttpResponse> emitter,
             EventLoop eventLoop,
-            NettyHttpCaller caller) {
+            NettyHttpClient caller) {
         mCall = call;
         mEmitter = emitter;
         mCaller = caller;
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
@@ -6,7 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.daemon.Lifecycle;
-import org.hickorycleat.daemon.exchange.NettyHttpCaller;
+import org.hickorycleat.daemon.exchange.NettyHttpClient;
 import org.hickorycleat.daemon.exchange.NettyHttpServer;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.daemon.transport.MessageTransport;
@@ -14,8 +14,8 @@
 import org.hickorycleat.logic.supervision.SupervisorSettings;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
-import org.hickorycleat.model.message.FillWeights;
 import org.hickorycleat.model.message.FleetNode;
+import org.hickorycleat.model.message.InterferenceWeights;
 import org.hickorycleat.model.message.LeaseExtension;
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.OwnerAnnouncement;
@@ -24,12 +24,12 @@
 import org.hickorycleat.model.message.StartRun;
 import org.hickorycleat.model.message.StopRun;
 import org.hickorycleat.model.node.NodeSettings;
-import org.hickorycleat.platform.PlatformStore;
-import org.hickorycleat.platform.PlatformWorker;
-import org.hickorycleat.platform.WorkerCalls;
+import org.hickorycleat.platform.HttpRecordStore;
+import org.hickorycleat.platform.HttpWorkerRuntime;
+import org.hickorycleat.platform.WorkerHeartbeatHandler;
 
 /** Role of an agent: carries out the orders of the owner on the worker of its machine. */
-final class AgentRole implements Lifecycle, FleetListener {
+final class AgentRole implements Lifecycle, FleetLinkListener {
     private static final EventLog LOG = EventLog.of(AgentRole.class);
 
     /** Time after which an order to the worker counts as unanswered, in milliseconds. */
@@ -74,28 +74,32 @@
         mScheduler = scheduler;
         mTransport = transport;
         mLinks = new FleetLinks(transport, self, this, scheduler);
-        NettyHttpCaller caller = new NettyHttpCaller(eventLoops);
+        NettyHttpClient caller = new NettyHttpClient(eventLoops);
         mEntryListReader =
                 new EntryListReader(
-                        new PlatformStore(caller, settings.store(), STORE_TIMEOUT_MS),
+                        new HttpRecordStore(caller, settings.storeAddress(), STORE_TIMEOUT_MS),
                         mLinks,
                         new JobLogCodec());
         mWorkerServer = new NettyHttpServer(eventLoops);
         mSupervisor =
                 new RunSupervisor(
-                        new PlatformWorker(
-                                caller, settings.workerEndpoint().orElseThrow(), ORDER_TIMEOUT_MS),
+                        new HttpWorkerRuntime(
+                                caller,
+                                settings.workerControlAddress().orElseThrow(),
+                                ORDER_TIMEOUT_MS),
                         this::toOwner,
                         scheduler,
                         SupervisorSettings.of(settings.maximumLeaseMs()),
                         // Grows with every agent of the machine, which keeps nothing itself.
                         self.startedAtMs(),
-                        metrics.decisions(RunSupervisor.class));
+                        metrics.decisionLog(RunSupervisor.class));
     }
 
     @Override
     public void start() throws InterruptedException {
-        mWorkerServer.listen(mSettings.workerAddress().orElseThrow(), new WorkerCalls(mSupervisor));
+        mWorkerServer.listen(
+                mSettings.workerHeartbeatAddress().orElseThrow(),
+                new WorkerHeartbeatHandler(mSupervisor));
         mAdminServer.listen(mSettings.adminAddress(), mMetrics::serve);
         mLinks.start(mSettings.seeds());
         mSupervisor.start();
@@ -120,7 +124,7 @@
                 silent = mOwner;
                 mOwnerHeardAtMs = nowMs();
             }
-            boolean linked = !mLinks.connected(ProcessRole.ENTRY).isEmpty();
+            boolean linked = !mLinks.connectedPeers(ProcessRole.ENTRY).isEmpty();
             if (linked) {
                 mLinkedAtMs = nowMs();
             }
@@ -138,7 +142,7 @@
 
     private void redial(ProcessId owner) {
         LOG.event("owner_silent").with("owner", owner).info();
-        mLinks.reset(owner);
+        mLinks.closeLinksTo(owner);
     }
 
     @Override
@@ -161,15 +165,15 @@
             return;
         }
         if (message instanceof LeaseExtension extension) {
-            mSupervisor.onLease(extension);
+            mSupervisor.onLeaseExtension(extension);
         } else if (message instanceof StartRun start) {
-            mSupervisor.onStart(start);
+            mSupervisor.onStartRun(start);
         } else if (message instanceof StopRun stop) {
-            mSupervisor.onStop(stop);
+            mSupervisor.onStopRun(stop);
         } else if (message instanceof RunTraits traits) {
-            mSupervisor.onTraits(traits);
-        } else if (message instanceof FillWeights weights) {
-            mSupervisor.onWeights(weights);
+            mSupervisor.onRunTraits(traits);
+        } else if (message instanceof InterferenceWeights weights) {
+            mSupervisor.onInterferenceWeights(weights);
         }
     }
 
@@ -182,7 +186,7 @@
             mOwner = Optional.of(announcement.owner());
             mOwnerHeardAtMs = nowMs();
         }
-        mSupervisor.onOwner(announcement.epoch(), announcement.session());
+        mSupervisor.onOwnerSession(announcement.epoch(), announcement.session());
     }
 
     private synchronized boolean isFromOwner(FleetNode peer) {
@@ -209,12 +213,12 @@
     }
 
     @Override
-    public Duration drainNotice() {
+    public Duration minimumDrainDuration() {
         return Duration.ZERO;
     }
 
     @Override
-    public Duration drainLimit() {
+    public Duration drainTimeout() {
         return Duration.ofSeconds(1);
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobIntake.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/DurableJobService.java
@@ -11,10 +11,10 @@
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.logic.directory.JobDirectory;
 import org.hickorycleat.logic.directory.JobRecord;
-import org.hickorycleat.logic.port.Calls;
+import org.hickorycleat.logic.port.JobChangeResult;
 import org.hickorycleat.logic.port.JobService;
-import org.hickorycleat.logic.port.ServiceResult;
-import org.hickorycleat.logic.port.StateResult;
+import org.hickorycleat.logic.port.JobStateResult;
+import org.hickorycleat.logic.port.SingleCallbacks;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobQueue;
 import org.hickorycleat.model.job.JobState;
@@ -22,7 +22,7 @@
 import org.hickorycleat.model.job.WorkloadConfiguration;
 import org.hickorycleat.model.store.AppendOutcome;
 import org.hickorycleat.model.store.AppendResult;
-import org.hickorycleat.model.store.AppendTerms;
+import org.hickorycleat.model.store.StoreAppendRequest;
 import org.hickorycleat.model.store.StoreRecord;
 
 /**
@@ -32,8 +32,8 @@
  * simply repeated. A caller is told that its job was not taken only when no append of it can take
  * effect any more.
  */
-final class JobIntake implements JobService {
-    private static final EventLog LOG = EventLog.of(JobIntake.class);
+final class DurableJobService implements JobService {
+    private static final EventLog LOG = EventLog.of(DurableJobService.class);
 
     /** Most records of one append. */
     private static final int MAXIMUM_BATCH = 64;
@@ -44,8 +44,8 @@
     /** Time after which a request that cannot be made durable is given up, in milliseconds. */
     private static final long GIVE_UP_MS = 500;
 
-    private final RelayingStore mStore;
-    private final TopicFollower mFollower;
+    private final RelayingRecordStore mStore;
+    private final TopicConsumer mFollower;
     private final JobDirectory mDirectory;
     private final JobLogCodec mCodec;
     private final Supplier<Optional<WorkloadConfiguration>> mConfiguration;
@@ -57,10 +57,10 @@
     /** Learns of what has become durable. */
     interface Listener {
         /** A job is durable. */
-        void onSubmitted(JobSubmission submission);
+        void onJobSubmitted(JobSubmission submission);
 
         /** A cancellation is durable. */
-        void onCancelled(JobId job);
+        void onJobCancelled(JobId job);
     }
 
     /** A record that waits to become durable. */
@@ -68,7 +68,7 @@
         private final JobRecord mRecord;
         private final StoreRecord mStored;
         private final long mGiveUpAtMs;
-        private final SingleSubject<ServiceResult> mResult = SingleSubject.create();
+        private final SingleSubject<JobChangeResult> mResult = SingleSubject.create();
         private boolean mMayHaveTakenEffect;
 
         Pending(JobRecord record, StoreRecord stored, long giveUpAtMs) {
@@ -78,9 +78,9 @@
         }
     }
 
-    JobIntake(
-            RelayingStore store,
-            TopicFollower follower,
+    DurableJobService(
+            RelayingRecordStore store,
+            TopicConsumer follower,
             JobDirectory directory,
             JobLogCodec codec,
             Supplier<Optional<WorkloadConfiguration>> configuration,
@@ -101,10 +101,11 @@
     }
 
     @Override
-    public Single<ServiceResult> submit(JobQueue queue, JobSubmission submission, int timeLimitMs) {
+    public Single<JobChangeResult> submit(
+            JobQueue queue, JobSubmission submission, int timeLimitMs) {
         if (mDirectory.state(submission.id()).isPresent()) {
             LOG.event("job_repeated").with("job", submission.id()).info();
-            return Single.just(ServiceResult.DONE);
+            return Single.just(JobChangeResult.DONE);
         }
         return append(new JobRecord.Submitted(submission), timeLimitMs)
                 .doOnSuccess(
@@ -117,15 +118,15 @@
     }
 
     @Override
-    public Single<StateResult> state(JobQueue queue, JobId job) {
+    public Single<JobStateResult> jobState(JobQueue queue, JobId job) {
         Optional<JobState> known = mDirectory.state(job);
         if (known.isPresent()) {
-            return Single.just(new StateResult(true, known));
+            return Single.just(new JobStateResult(true, known));
         }
         return mFollower
                 .catchUp()
-                .map(end -> new StateResult(true, mDirectory.state(job)))
-                .onErrorReturnItem(new StateResult(false, Optional.empty()))
+                .map(end -> new JobStateResult(true, mDirectory.state(job)))
+                .onErrorReturnItem(new JobStateResult(false, Optional.empty()))
                 .doOnSuccess(
                         result ->
                                 LOG.event("job_unknown")
@@ -136,18 +137,18 @@
     }
 
     @Override
-    public Single<ServiceResult> cancel(JobQueue queue, JobId job, int timeLimitMs) {
-        return state(queue, job)
+    public Single<JobChangeResult> cancel(JobQueue queue, JobId job, int timeLimitMs) {
+        return jobState(queue, job)
                 .flatMap(
                         result -> {
                             if (!result.known()) {
-                                return Single.just(ServiceResult.NOT_DONE);
+                                return Single.just(JobChangeResult.NOT_DONE);
                             }
                             if (result.state().isEmpty()) {
-                                return Single.just(ServiceResult.NO_SUCH_JOB);
+                                return Single.just(JobChangeResult.NO_SUCH_JOB);
                             }
                             if (result.state().get().isFinal()) {
-                                return Single.just(ServiceResult.DONE);
+                                return Single.just(JobChangeResult.DONE);
                             }
                             return append(new JobRecord.Cancelled(job), timeLimitMs);
                         })
@@ -160,7 +161,7 @@
     }
 
     @Override
-    public int waiting(JobQueue queue) {
+    public int waitingJobCount(JobQueue queue) {
         return mDirectory.waiting(queue.name());
     }
 
@@ -169,9 +170,9 @@
         return mQueue.isEmpty() && !mAppending;
     }
 
-    private Single<ServiceResult> append(JobRecord record, int timeLimitMs) {
-        if (mStore.isLost()) {
-            return Single.just(ServiceResult.NOT_DONE);
+    private Single<JobChangeResult> append(JobRecord record, int timeLimitMs) {
+        if (mStore.isUnavailable()) {
+            return Single.just(JobChangeResult.NOT_DONE);
         }
         Pending pending =
                 new Pending(
@@ -195,9 +196,9 @@
             mQueue.subList(0, batch.size()).clear();
             mAppending = true;
         }
-        Calls.whenDone(
+        SingleCallbacks.subscribe(
                 mStore.append(
-                        AppendTerms.unconditional(JobLogCodec.JOBS_TOPIC, 0),
+                        StoreAppendRequest.unconditional(JobLogCodec.JOBS_TOPIC, 0),
                         batch.stream().map(pending -> pending.mStored).toList()),
                 outcome -> onOutcome(batch, outcome),
                 error -> onOutcome(batch, new AppendOutcome(AppendResult.UNKNOWN, 0)));
@@ -218,8 +219,8 @@
             if (nowMs() >= pending.mGiveUpAtMs) {
                 pending.mResult.onSuccess(
                         pending.mMayHaveTakenEffect
-                                ? ServiceResult.UNKNOWN
-                                : ServiceResult.NOT_DONE);
+                                ? JobChangeResult.UNKNOWN
+                                : JobChangeResult.NOT_DONE);
             } else {
                 again.add(pending);
             }
@@ -233,11 +234,11 @@
     private void onDurable(Pending pending) {
         mDirectory.apply(pending.mRecord);
         if (pending.mRecord instanceof JobRecord.Submitted submitted) {
-            mListener.onSubmitted(submitted.submission());
+            mListener.onJobSubmitted(submitted.submission());
         } else if (pending.mRecord instanceof JobRecord.Cancelled cancelled) {
-            mListener.onCancelled(cancelled.job());
+            mListener.onJobCancelled(cancelled.job());
         }
-        pending.mResult.onSuccess(ServiceResult.DONE);
+        pending.mResult.onSuccess(JobChangeResult.DONE);
     }
 
     private long nowMs() {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryListReader.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryListReader.java
@@ -2,9 +2,9 @@
 
 import java.util.Optional;
 import org.hickorycleat.daemon.logging.EventLog;
-import org.hickorycleat.logic.port.Calls;
 import org.hickorycleat.logic.port.RecordStore;
-import org.hickorycleat.model.store.ReadTerms;
+import org.hickorycleat.logic.port.SingleCallbacks;
+import org.hickorycleat.model.store.StoreReadRequest;
 
 /** Reads the list of entries from the store and lets the links learn them. */
 final class EntryListReader {
@@ -22,10 +22,10 @@
 
     /** Reads the list once. */
     void read() {
-        Calls.whenDone(
-                mStore.read(ReadTerms.newest(JobLogCodec.ENTRIES_TOPIC, 0, "")),
+        SingleCallbacks.subscribe(
+                mStore.read(StoreReadRequest.newest(JobLogCodec.ENTRIES_TOPIC, 0, "")),
                 page ->
-                        mLinks.learn(
+                        mLinks.addEntries(
                                 page.records().stream()
                                         .map(mCodec::decodeEntry)
                                         .flatMap(Optional::stream)
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -11,7 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.daemon.Lifecycle;
-import org.hickorycleat.daemon.exchange.NettyHttpCaller;
+import org.hickorycleat.daemon.exchange.NettyHttpClient;
 import org.hickorycleat.daemon.exchange.NettyHttpServer;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.daemon.transport.MessageTransport;
@@ -19,11 +19,11 @@
 import org.hickorycleat.logic.directory.JobRecord;
 import org.hickorycleat.logic.dispatch.DispatchSettings;
 import org.hickorycleat.logic.dispatch.Dispatcher;
-import org.hickorycleat.logic.election.ClaimEpochs;
+import org.hickorycleat.logic.election.EpochGenerator;
 import org.hickorycleat.logic.election.OwnerElection;
-import org.hickorycleat.logic.port.Calls;
 import org.hickorycleat.logic.port.HttpRequest;
 import org.hickorycleat.logic.port.HttpResponse;
+import org.hickorycleat.logic.port.SingleCallbacks;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.job.JobId;
@@ -38,22 +38,22 @@
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.OwnershipOffer;
 import org.hickorycleat.model.message.ProcessRole;
+import org.hickorycleat.model.message.RelayedStoreRequest;
+import org.hickorycleat.model.message.RelayedStoreResponse;
 import org.hickorycleat.model.message.RunRejected;
-import org.hickorycleat.model.message.StoreAnswer;
-import org.hickorycleat.model.message.StoreCall;
 import org.hickorycleat.model.message.WorkerReport;
 import org.hickorycleat.model.node.NodeSettings;
 import org.hickorycleat.model.store.AppendOutcome;
 import org.hickorycleat.model.store.AppendResult;
-import org.hickorycleat.model.store.AppendTerms;
 import org.hickorycleat.model.store.Producer;
+import org.hickorycleat.model.store.StoreAppendRequest;
 import org.hickorycleat.model.store.StoreRecord;
-import org.hickorycleat.platform.CallerCalls;
-import org.hickorycleat.platform.PlatformStore;
+import org.hickorycleat.platform.HttpRecordStore;
+import org.hickorycleat.platform.JobRequestHandler;
 import org.hickorycleat.platform.WorkloadConfigurationReader;
 
 /** Role of an entry: takes jobs of callers, and owns all jobs when it is its turn. */
-final class EntryRole implements Lifecycle, FleetListener, JobIntake.Listener {
+final class EntryRole implements Lifecycle, FleetLinkListener, DurableJobService.Listener {
     private static final EventLog LOG = EventLog.of(EntryRole.class);
 
     /** Time limit of a call to the store, in milliseconds: above its answers on slow days. */
@@ -85,14 +85,14 @@
     private final Scheduler mScheduler;
     private final MessageTransport mTransport;
     private final FleetLinks mLinks;
-    private final RelayingStore mStore;
+    private final RelayingRecordStore mStore;
     private final EntryListReader mEntryListReader;
     private final JobLogCodec mCodec = new JobLogCodec();
     private final JobDirectory mDirectory = new JobDirectory();
-    private final ConfigurationInForce mConfiguration;
-    private final TopicFollower mConfigurationFollower;
-    private final TopicFollower mJobsFollower;
-    private final JobIntake mIntake;
+    private final WorkloadConfigurationCache mConfiguration;
+    private final TopicConsumer mConfigurationFollower;
+    private final TopicConsumer mJobsFollower;
+    private final DurableJobService mIntake;
     private final OwnerElection mElection;
     private final NettyHttpServer mCallerServer;
     private final NettyHttpServer mReadinessServer;
@@ -118,14 +118,14 @@
         mScheduler = scheduler;
         mTransport = transport;
         mLinks = new FleetLinks(transport, self, this, scheduler);
-        PlatformStore direct =
-                new PlatformStore(
-                        new NettyHttpCaller(eventLoops), settings.store(), STORE_TIMEOUT_MS);
-        mStore = new RelayingStore(direct, mLinks::send, this::relay, scheduler);
+        HttpRecordStore direct =
+                new HttpRecordStore(
+                        new NettyHttpClient(eventLoops), settings.storeAddress(), STORE_TIMEOUT_MS);
+        mStore = new RelayingRecordStore(direct, mLinks::send, this::relay, scheduler);
         mEntryListReader = new EntryListReader(mStore, mLinks, mCodec);
-        mConfiguration = new ConfigurationInForce(this::onConfiguration);
+        mConfiguration = new WorkloadConfigurationCache(this::onConfiguration);
         mConfigurationFollower =
-                new TopicFollower(
+                new TopicConsumer(
                         mStore,
                         WorkloadConfigurationReader.TOPIC,
                         this::onOperatorRecord,
@@ -133,7 +133,7 @@
                         CONFIGURATION_WAIT_MS,
                         0);
         mJobsFollower =
-                new TopicFollower(
+                new TopicConsumer(
                         mStore,
                         JobLogCodec.JOBS_TOPIC,
                         this::onJobRecord,
@@ -141,7 +141,7 @@
                         JOBS_WAIT_MS,
                         JOBS_PAUSE_MS);
         mIntake =
-                new JobIntake(
+                new DurableJobService(
                         mStore,
                         mJobsFollower,
                         mDirectory,
@@ -161,17 +161,18 @@
         mConfigurationFollower.start();
         mJobsFollower.start();
         announce();
-        CallerCalls calls = new CallerCalls(mIntake, System::currentTimeMillis);
+        JobRequestHandler calls = new JobRequestHandler(mIntake, System::currentTimeMillis);
         mCallerServer.listen(
                 mSettings.callerAddress().orElseThrow(), request -> timed(calls, request));
         mReadinessServer.listen(mSettings.readinessAddress().orElseThrow(), request -> readiness());
         tick();
     }
 
-    private Single<HttpResponse> timed(CallerCalls calls, HttpRequest request) {
+    private Single<HttpResponse> timed(JobRequestHandler calls, HttpRequest request) {
         long startNanos = System.nanoTime();
         return calls.handle(request)
-                .doOnSuccess(response -> mMetrics.onAnswer(System.nanoTime() - startNanos));
+                .doOnSuccess(
+                        response -> mMetrics.recordResponseTime(System.nanoTime() - startNanos));
     }
 
     private Single<HttpResponse> readiness() {
@@ -183,9 +184,9 @@
     }
 
     private void announce() {
-        Calls.whenDone(
+        SingleCallbacks.subscribe(
                 mStore.append(
-                        AppendTerms.unconditional(JobLogCodec.ENTRIES_TOPIC, 0),
+                        StoreAppendRequest.unconditional(JobLogCodec.ENTRIES_TOPIC, 0),
                         List.of(mCodec.encodeEntry(mSelf))),
                 outcome -> {
                     if (outcome.result() != AppendResult.APPENDED) {
@@ -211,7 +212,7 @@
                 new EntryHeartbeat(
                         mElection.owner(),
                         mElection.epoch(),
-                        mElection.ownerHeardMs(nowMs()),
+                        mElection.ownerHeartbeatAgeMs(nowMs()),
                         mConfiguration.version(),
                         mStore.isDirectlyReachable() && !isDraining()),
                 ProcessRole.ENTRY);
@@ -232,16 +233,16 @@
         if (mClaiming || mDraining || mOwner.isPresent() || !mJobsFollower.isLoaded()) {
             return;
         }
-        if (!mElection.shouldClaim(nowMs())) {
+        if (!mElection.shouldClaimOwnership(nowMs())) {
             return;
         }
         mClaiming = true;
         LOG.event("owner_claiming")
                 .with("former", mElection.owner())
                 .with("epoch", mElection.epoch())
-                .with("heard_ms", mElection.ownerHeardMs(nowMs()))
+                .with("heard_ms", mElection.ownerHeartbeatAgeMs(nowMs()))
                 .info();
-        claim(ClaimEpochs.next(newest(mElection.epoch(), mDirectory.epoch()), mSelf));
+        claim(EpochGenerator.next(newest(mElection.epoch(), mDirectory.epoch()), mSelf));
     }
 
     private static Epoch newest(Epoch left, Epoch right) {
@@ -251,14 +252,14 @@
     // The producer epoch makes this entry the only writer of progress; every earlier record lies
     // before the claim in the log.
     private void claim(Epoch epoch) {
-        AppendTerms terms =
-                new AppendTerms(
+        StoreAppendRequest terms =
+                new StoreAppendRequest(
                         JobLogCodec.JOBS_TOPIC,
                         0,
                         Optional.empty(),
                         Optional.of(new Producer(OwnerRole.PRODUCER, epoch.value(), 0)));
         StoreRecord record = mCodec.encode(new JobRecord.Claimed(mSelf, epoch));
-        Calls.whenDone(
+        SingleCallbacks.subscribe(
                 mStore.append(terms, List.of(record)),
                 outcome -> onClaimOutcome(epoch, outcome),
                 error -> claimEnded("failed", error));
@@ -266,7 +267,7 @@
 
     // The log tells who owns the jobs, also when the answer to the claim was lost.
     private void onClaimOutcome(Epoch epoch, AppendOutcome outcome) {
-        Calls.whenDone(
+        SingleCallbacks.subscribe(
                 mJobsFollower.catchUp(),
                 endOffset -> {
                     boolean own =
@@ -291,7 +292,7 @@
         if (mDraining || epoch.compareTo(mElection.epoch()) < 0) {
             return;
         }
-        mElection.onClaim(mSelf.process(), epoch, nowMs());
+        mElection.onOwnershipClaimed(mSelf.process(), epoch, nowMs());
         LOG.event("owner_started")
                 .with("epoch", epoch)
                 .with("jobs", mDirectory.jobs().size())
@@ -306,7 +307,7 @@
                         mCodec,
                         mScheduler,
                         DispatchSettings.of(mSettings.maximumLeaseMs()),
-                        mMetrics.decisions(Dispatcher.class),
+                        mMetrics.decisionLog(Dispatcher.class),
                         this::onFenced);
         mOwner = Optional.of(owner);
         heartbeat();
@@ -314,7 +315,7 @@
     }
 
     private synchronized void onFenced() {
-        mOwner.ifPresent(OwnerRole::end);
+        mOwner.ifPresent(OwnerRole::stop);
         mOwner = Optional.empty();
     }
 
@@ -333,12 +334,12 @@
 
     private void onOperatorRecord(StoreRecord record) {
         if (record.key().equals(WorkloadConfigurationReader.KEY)) {
-            mConfiguration.onContent(record.value(), "store");
+            mConfiguration.updateIfNewer(record.value(), "store");
         }
     }
 
     private void onConfiguration(WorkloadConfiguration configuration) {
-        ownerRole().ifPresent(owner -> owner.dispatcher().onConfiguration(configuration));
+        ownerRole().ifPresent(owner -> owner.dispatcher().onConfigurationChanged(configuration));
     }
 
     private void onJobRecord(StoreRecord stored) {
@@ -348,24 +349,25 @@
         }
         mDirectory.apply(record.get());
         if (record.get() instanceof JobRecord.Claimed claimed) {
-            mElection.onClaim(claimed.owner().process(), claimed.epoch(), nowMs());
+            mElection.onOwnershipClaimed(claimed.owner().process(), claimed.epoch(), nowMs());
             endIfSucceeded();
         } else if (record.get() instanceof JobRecord.Submitted submitted) {
-            ownerRole().ifPresent(owner -> owner.dispatcher().onSubmission(submitted.submission()));
+            ownerRole()
+                    .ifPresent(owner -> owner.dispatcher().onJobSubmitted(submitted.submission()));
         } else if (record.get() instanceof JobRecord.Cancelled cancelled) {
-            ownerRole().ifPresent(owner -> owner.dispatcher().onCancel(cancelled.job()));
+            ownerRole().ifPresent(owner -> owner.dispatcher().onJobCancelled(cancelled.job()));
         }
     }
 
     @Override
-    public void onSubmitted(JobSubmission submission) {
-        ownerRole().ifPresent(owner -> owner.dispatcher().onSubmission(submission));
+    public void onJobSubmitted(JobSubmission submission) {
+        ownerRole().ifPresent(owner -> owner.dispatcher().onJobSubmitted(submission));
         mLinks.broadcast(new JobAccepted(submission), ProcessRole.ENTRY);
     }
 
     @Override
-    public void onCancelled(JobId job) {
-        ownerRole().ifPresent(owner -> owner.dispatcher().onCancel(job));
+    public void onJobCancelled(JobId job) {
+        ownerRole().ifPresent(owner -> owner.dispatcher().onJobCancelled(job));
         mLinks.broadcast(new JobCancelled(job), ProcessRole.ENTRY);
     }
 
@@ -386,7 +388,7 @@
             ownerRole().ifPresent(owner -> owner.dispatcher().onAgentDisconnected(peer.process()));
             return;
         }
-        mElection.onDisconnected(peer.process());
+        mElection.onPeerDisconnected(peer.process());
         synchronized (mPeers) {
             mPeers.remove(peer.process());
         }
@@ -395,27 +397,30 @@
     @Override
     public void onMessage(FleetNode peer, Message message) {
         if (message instanceof WorkerReport report) {
-            ownerRole().ifPresent(owner -> owner.dispatcher().onReport(peer.process(), report));
+            ownerRole()
+                    .ifPresent(owner -> owner.dispatcher().onWorkerReport(peer.process(), report));
         } else if (message instanceof RunRejected rejected) {
-            ownerRole().ifPresent(owner -> owner.dispatcher().onRejected(peer.process(), rejected));
+            ownerRole()
+                    .ifPresent(owner -> owner.dispatcher().onRunRejected(peer.process(), rejected));
         } else if (message instanceof EntryHeartbeat heartbeat) {
             onHeartbeat(peer.process(), heartbeat);
         } else if (message instanceof JobAccepted accepted) {
-            mDirectory.onSubmission(accepted.submission());
-            ownerRole().ifPresent(owner -> owner.dispatcher().onSubmission(accepted.submission()));
+            mDirectory.onJobSubmitted(accepted.submission());
+            ownerRole()
+                    .ifPresent(owner -> owner.dispatcher().onJobSubmitted(accepted.submission()));
         } else if (message instanceof JobCancelled cancelled) {
-            mDirectory.onCancelled(cancelled.job());
-            ownerRole().ifPresent(owner -> owner.dispatcher().onCancel(cancelled.job()));
+            mDirectory.onJobCancelled(cancelled.job());
+            ownerRole().ifPresent(owner -> owner.dispatcher().onJobCancelled(cancelled.job()));
         } else if (message instanceof JobStates states) {
             states.jobs().forEach(mDirectory::onStatus);
-        } else if (message instanceof StoreCall call) {
-            mStore.onCall(peer.process(), call);
-        } else if (message instanceof StoreAnswer answer) {
+        } else if (message instanceof RelayedStoreRequest call) {
+            mStore.onRelayedRequest(peer.process(), call);
+        } else if (message instanceof RelayedStoreResponse answer) {
             mStore.onAnswer(answer);
         } else if (message instanceof ConfigurationCopy copy) {
-            mConfiguration.onContent(copy.content(), "peer");
+            mConfiguration.updateIfNewer(copy.content(), "peer");
         } else if (message instanceof OwnershipOffer offer) {
-            mElection.onOffer(offer.epoch(), nowMs());
+            mElection.onOwnershipOffered(offer.epoch(), nowMs());
             claimIfNeeded();
         }
     }
@@ -425,7 +430,7 @@
         synchronized (mPeers) {
             before = Optional.ofNullable(mPeers.put(peer, heartbeat));
         }
-        mElection.onHeartbeat(peer, heartbeat, nowMs());
+        mElection.onPeerHeartbeat(peer, heartbeat, nowMs());
         endIfSucceeded();
         boolean stillBehind =
                 before.isPresent()
@@ -444,26 +449,26 @@
             mDraining = true;
         }
         LOG.event("drain_started").with("owner", ownerRole().isPresent()).info();
-        mCallerServer.closeGracefully();
+        mCallerServer.disableKeepAlive();
         ownerRole().ifPresent(this::handOver);
     }
 
     // Dispatching goes on until a successor is at hand.
     private void handOver(OwnerRole owner) {
         Optional<FleetNode> successor =
-                mLinks.connected(ProcessRole.ENTRY).stream()
+                mLinks.connectedPeers(ProcessRole.ENTRY).stream()
                         .filter(peer -> isReachableByStore(peer.process()))
                         .max(Comparator.comparingLong(FleetNode::capacityMilli));
         if (successor.isEmpty()) {
             mScheduler.scheduleDirect(() -> handOver(owner), HEARTBEAT_MS, TimeUnit.MILLISECONDS);
             return;
         }
-        owner.dispatcher().halt();
+        owner.dispatcher().stopPlacement();
         offer(owner, successor.get());
     }
 
     private void offer(OwnerRole owner, FleetNode successor) {
-        if (!owner.dispatcher().isSettled()) {
+        if (!owner.dispatcher().isDurable()) {
             mScheduler.scheduleDirect(
                     () -> offer(owner, successor), SETTLE_CHECK_MS, TimeUnit.MILLISECONDS);
             return;
@@ -485,17 +490,17 @@
 
     @Override
     public boolean isIdle() {
-        return mCallerServer.inProgress() == 0 && mIntake.isIdle() && ownerRole().isEmpty();
+        return mCallerServer.requestsInProgress() == 0 && mIntake.isIdle() && ownerRole().isEmpty();
     }
 
     @Override
-    public Duration drainLimit() {
+    public Duration drainTimeout() {
         return Duration.ofMillis(DRAIN_LIMIT_MS);
     }
 
     @Override
     public void close() {
-        ownerRole().ifPresent(OwnerRole::end);
+        ownerRole().ifPresent(OwnerRole::stop);
         // Ends the event loops, which all servers and clients of the role share.
         mTransport.close();
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetListener.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinkListener.java
@@ -4,7 +4,7 @@
 import org.hickorycleat.model.message.Message;
 
 /** Receives the events of the links of a process. */
-public interface FleetListener {
+public interface FleetLinkListener {
     /** The first link to a peer is open. */
     void onConnected(FleetNode peer);
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
@@ -46,7 +46,7 @@
 
     private final MessageTransport mTransport;
     private final FleetNode mSelf;
-    private final FleetListener mListener;
+    private final FleetLinkListener mListener;
     private final Scheduler mScheduler;
     private final Map<ProcessId, FleetNode> mEntries = new LinkedHashMap<>();
     private final Map<InetSocketAddress, Dial> mDials = new HashMap<>();
@@ -64,7 +64,7 @@
     FleetLinks(
             MessageTransport transport,
             FleetNode self,
-            FleetListener listener,
+            FleetLinkListener listener,
             Scheduler scheduler) {
         mTransport = transport;
         mSelf = self;
@@ -77,12 +77,12 @@
         mTransport.listen(
                 new InetSocketAddress(mSelf.host(), mSelf.port()),
                 () -> new Link(Optional.empty()));
-        learnAddresses(seeds);
+        addAddresses(seeds);
         dialRound();
     }
 
     /** Learns addresses at which entries may be. */
-    synchronized void learnAddresses(Collection<InetSocketAddress> addresses) {
+    synchronized void addAddresses(Collection<InetSocketAddress> addresses) {
         for (InetSocketAddress address : addresses) {
             if (!address.equals(new InetSocketAddress(mSelf.host(), mSelf.port()))) {
                 mDials.computeIfAbsent(address, key -> newDial());
@@ -97,11 +97,11 @@
     }
 
     /** Learns entries; the newest address of each counts. */
-    void learn(Collection<FleetNode> entries) {
+    void addEntries(Collection<FleetNode> entries) {
         boolean news = false;
         synchronized (this) {
             for (FleetNode entry : entries) {
-                news |= learn(entry);
+                news |= addEntries(entry);
             }
         }
         if (news) {
@@ -109,7 +109,7 @@
         }
     }
 
-    private boolean learn(FleetNode entry) {
+    private boolean addEntries(FleetNode entry) {
         if (entry.role() != ProcessRole.ENTRY || entry.process().equals(mSelf.process())) {
             return false;
         }
@@ -123,7 +123,7 @@
                 .with("started", entry.startedAtMs())
                 .info();
         mEntries.put(entry.process(), entry);
-        learnAddresses(List.of(new InetSocketAddress(entry.host(), entry.port())));
+        addAddresses(List.of(new InetSocketAddress(entry.host(), entry.port())));
         return true;
     }
 
@@ -137,7 +137,7 @@
     }
 
     /** Returns the connected peers of a role. */
-    synchronized List<FleetNode> connected(ProcessRole role) {
+    synchronized List<FleetNode> connectedPeers(ProcessRole role) {
         List<FleetNode> peers = new ArrayList<>();
         for (List<Link> links : mLinks.values()) {
             FleetNode peer = links.get(0).mPeer.orElseThrow();
@@ -164,13 +164,13 @@
 
     /** Sends a message to all connected peers of a role. */
     void broadcast(Message message, ProcessRole role) {
-        for (FleetNode peer : connected(role)) {
+        for (FleetNode peer : connectedPeers(role)) {
             send(peer.process(), message);
         }
     }
 
     /** Closes the links to a peer, so that they are opened anew. */
-    void reset(ProcessId peer) {
+    void closeLinksTo(ProcessId peer) {
         List<Link> links;
         synchronized (this) {
             links = List.copyOf(mLinks.getOrDefault(peer, List.of()));
@@ -210,7 +210,7 @@
     }
 
     private void dial(InetSocketAddress address) {
-        mTransport.dial(
+        mTransport.connect(
                 address, new Link(Optional.of(address)), error -> onDialFailed(address, error));
     }
 
@@ -284,7 +284,7 @@
                 return;
             }
             if (message instanceof FleetEntries entries) {
-                learn(entries.entries());
+                addEntries(entries.entries());
                 return;
             }
             mPeer.ifPresent(peer -> mListener.onMessage(peer, message));
@@ -312,7 +312,7 @@
                 links.add(this);
             }
             replaced.forEach(Link::close);
-            learn(List.of(peer));
+            addEntries(List.of(peer));
             if (first) {
                 LOG.event("link_opened").with("peer", peer.process()).info();
                 mListener.onConnected(peer);
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetProcess.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetProcessFactory.java
@@ -13,8 +13,8 @@
 import org.hickorycleat.model.node.NodeSettings;
 
 /** Builds the roles of processes on the users' platform. */
-public final class FleetProcess {
-    private FleetProcess() {}
+public final class FleetProcessFactory {
+    private FleetProcessFactory() {}
 
     /** Creates a process in the role that its settings ask for. */
     public static Lifecycle create(NodeSettings settings) {
@@ -25,7 +25,7 @@
         MessageTransport transport =
                 new MessageTransport(eventLoops, new TransportMetrics(metrics.registry()));
         ProcessRole role =
-                settings.workerEndpoint().isPresent() ? ProcessRole.AGENT : ProcessRole.ENTRY;
+                settings.workerControlAddress().isPresent() ? ProcessRole.AGENT : ProcessRole.ENTRY;
         FleetNode self =
                 new FleetNode(
                         settings.process(),
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobLogCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobLogCodec.java
@@ -39,7 +39,7 @@
         if (record instanceof JobRecord.Progressed progressed) {
             return stored(PROGRESSED + progressed.progress().id(), progressed);
         }
-        return stored(record instanceof JobRecord.Learnt ? LEARNT : CLAIMED, record);
+        return stored(record instanceof JobRecord.InterferenceUpdate ? LEARNT : CLAIMED, record);
     }
 
     /** Decodes a record; empty when it is none of ours. */
@@ -60,7 +60,7 @@
             return read(record, JobRecord.Claimed.class);
         }
         if (record.key().equals(LEARNT)) {
-            return read(record, JobRecord.Learnt.class);
+            return read(record, JobRecord.InterferenceUpdate.class);
         }
         return Optional.empty();
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -11,11 +11,11 @@
 import org.hickorycleat.logic.dispatch.DispatchOutput;
 import org.hickorycleat.logic.dispatch.DispatchSettings;
 import org.hickorycleat.logic.dispatch.Dispatcher;
-import org.hickorycleat.logic.port.Calls;
 import org.hickorycleat.logic.port.DecisionLog;
+import org.hickorycleat.logic.port.SingleCallbacks;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
-import org.hickorycleat.model.job.InterferenceWeight;
+import org.hickorycleat.model.job.InterferenceEstimate;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobStatus;
 import org.hickorycleat.model.job.WorkloadConfiguration;
@@ -26,8 +26,8 @@
 import org.hickorycleat.model.message.ProcessRole;
 import org.hickorycleat.model.store.AppendOutcome;
 import org.hickorycleat.model.store.AppendResult;
-import org.hickorycleat.model.store.AppendTerms;
 import org.hickorycleat.model.store.Producer;
+import org.hickorycleat.model.store.StoreAppendRequest;
 
 /** One term of this process as the owner of the jobs. */
 final class OwnerRole implements DispatchOutput {
@@ -47,7 +47,7 @@
 
     private final FleetNode mSelf;
     private final Epoch mEpoch;
-    private final RelayingStore mStore;
+    private final RelayingRecordStore mStore;
     private final FleetLinks mLinks;
     private final JobDirectory mDirectory;
     private final JobLogCodec mCodec;
@@ -60,7 +60,7 @@
     OwnerRole(
             FleetNode self,
             Epoch epoch,
-            RelayingStore store,
+            RelayingRecordStore store,
             FleetLinks links,
             JobDirectory directory,
             JobLogCodec codec,
@@ -90,16 +90,16 @@
 
     /** Takes over all jobs and tells every agent. */
     void start(Optional<WorkloadConfiguration> configuration) {
-        configuration.ifPresent(mDispatcher::onConfiguration);
-        mDispatcher.restoreInterference(mDirectory.interference());
+        configuration.ifPresent(mDispatcher::onConfigurationChanged);
+        mDispatcher.restoreInterferenceWeights(mDirectory.interferenceWeights());
         for (JobEntry job : mDirectory.jobs()) {
             job.submission()
                     .ifPresent(
                             submission ->
-                                    mDispatcher.restore(
+                                    mDispatcher.restoreJob(
                                             submission, job.progress(), job.isCancelled()));
         }
-        for (FleetNode agent : mLinks.connected(ProcessRole.AGENT)) {
+        for (FleetNode agent : mLinks.connectedPeers(ProcessRole.AGENT)) {
             onAgentConnected(agent.process());
         }
         tick();
@@ -112,9 +112,9 @@
     }
 
     /** Ends the term; nothing is sent or stored any more. */
-    void end() {
+    void stop() {
         mEnded = true;
-        mDispatcher.halt();
+        mDispatcher.stopPlacement();
     }
 
     private void tick() {
@@ -131,25 +131,25 @@
     }
 
     @Override
-    public void persist(List<JobProgress> progress, Runnable durable) {
+    public void persistProgress(List<JobProgress> progress, Runnable durable) {
         int size = Math.min(MAXIMUM_BATCH, progress.size());
         List<JobProgress> batch = progress.subList(0, size);
         List<JobProgress> rest = progress.subList(size, progress.size());
         mSequence++;
-        append(batch, mSequence, rest.isEmpty() ? durable : () -> persist(rest, durable));
+        append(batch, mSequence, rest.isEmpty() ? durable : () -> persistProgress(rest, durable));
     }
 
     private void append(List<JobProgress> batch, long sequence, Runnable durable) {
         if (mEnded) {
             return;
         }
-        AppendTerms terms =
-                new AppendTerms(
+        StoreAppendRequest terms =
+                new StoreAppendRequest(
                         JobLogCodec.JOBS_TOPIC,
                         0,
                         Optional.empty(),
                         Optional.of(new Producer(PRODUCER, mEpoch.value(), sequence)));
-        Calls.whenDone(
+        SingleCallbacks.subscribe(
                 mStore.append(
                         terms,
                         batch.stream().map(JobRecord.Progressed::new).map(mCodec::encode).toList()),
@@ -185,7 +185,7 @@
     }
 
     @Override
-    public void publish(List<JobStatus> states) {
+    public void publishJobStates(List<JobStatus> states) {
         if (mEnded) {
             return;
         }
@@ -194,14 +194,14 @@
     }
 
     @Override
-    public void remember(List<InterferenceWeight> weights) {
+    public void saveInterferenceWeights(List<InterferenceEstimate> weights) {
         if (mEnded) {
             return;
         }
-        Calls.whenDone(
+        SingleCallbacks.subscribe(
                 mStore.append(
-                        AppendTerms.unconditional(JobLogCodec.JOBS_TOPIC, 0),
-                        List.of(mCodec.encode(new JobRecord.Learnt(weights)))),
+                        StoreAppendRequest.unconditional(JobLogCodec.JOBS_TOPIC, 0),
+                        List.of(mCodec.encode(new JobRecord.InterferenceUpdate(weights)))),
                 outcome -> {
                     if (outcome.result() != AppendResult.APPENDED) {
                         LOG.event("interference_unstored").with("result", outcome.result()).info();
@@ -212,6 +212,6 @@
 
     @Override
     public boolean mayExtendLeases() {
-        return !mEnded && mStore.silenceMs() < DispatchSettings.STORE_SILENCE_LIMIT_MS;
+        return !mEnded && mStore.lastResponseAgeMs() < DispatchSettings.STORE_TIMEOUT_MS;
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/ProcessMetrics.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/ProcessMetrics.java
@@ -35,7 +35,7 @@
     }
 
     /** Returns a log that writes a line and counts it by its event. */
-    DecisionLog decisions(Class<?> type) {
+    DecisionLog decisionLog(Class<?> type) {
         EventLog log = EventLog.of(type);
         return (event, pairs) -> {
             mRegistry.counter("hickorycleat.decisions", "event", event).increment();
@@ -44,7 +44,7 @@
     }
 
     /** Times an answer to a caller. */
-    void onAnswer(long nanoseconds) {
+    void recordResponseTime(long nanoseconds) {
         mAnswers.record(Duration.ofNanos(nanoseconds));
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingStore.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingRecordStore.java
@@ -10,18 +10,18 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.hickorycleat.daemon.logging.EventLog;
-import org.hickorycleat.logic.port.Calls;
 import org.hickorycleat.logic.port.RecordStore;
+import org.hickorycleat.logic.port.SingleCallbacks;
 import org.hickorycleat.logic.port.StoreUnavailableException;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.message.Message;
-import org.hickorycleat.model.message.StoreAnswer;
-import org.hickorycleat.model.message.StoreCall;
+import org.hickorycleat.model.message.RelayedStoreRequest;
+import org.hickorycleat.model.message.RelayedStoreResponse;
 import org.hickorycleat.model.store.AppendOutcome;
 import org.hickorycleat.model.store.AppendResult;
-import org.hickorycleat.model.store.AppendTerms;
-import org.hickorycleat.model.store.ReadTerms;
+import org.hickorycleat.model.store.StoreAppendRequest;
 import org.hickorycleat.model.store.StorePage;
+import org.hickorycleat.model.store.StoreReadRequest;
 import org.hickorycleat.model.store.StoreRecord;
 
 /**
@@ -30,8 +30,8 @@
  * <p>An append that may have taken effect is sent again through a peer; callers therefore only
  * append what may be appended twice or names a producer.
  */
-final class RelayingStore implements RecordStore {
-    private static final EventLog LOG = EventLog.of(RelayingStore.class);
+final class RelayingRecordStore implements RecordStore {
+    private static final EventLog LOG = EventLog.of(RelayingRecordStore.class);
 
     /** How long peers are asked first after the direct way failed, in milliseconds. */
     private static final long AVOID_MS = 1_500;
@@ -46,7 +46,7 @@
     private final PeerSender mLinks;
     private final Supplier<Optional<ProcessId>> mRelays;
     private final Scheduler mScheduler;
-    private final Map<Long, SingleSubject<StoreAnswer>> mCalls = new HashMap<>();
+    private final Map<Long, SingleSubject<RelayedStoreResponse>> mCalls = new HashMap<>();
     private long mLastCall;
     private long mAvoidUntilMs = Long.MIN_VALUE;
     private long mAnsweredAtMs;
@@ -64,7 +64,7 @@
      *
      * @param relays names a peer that reaches the store
      */
-    RelayingStore(
+    RelayingRecordStore(
             RecordStore direct,
             PeerSender links,
             Supplier<Optional<ProcessId>> relays,
@@ -76,13 +76,13 @@
     }
 
     /** Returns how long ago the store answered, by any way, in milliseconds. */
-    synchronized long silenceMs() {
+    synchronized long lastResponseAgeMs() {
         return nowMs() - mAnsweredAtMs;
     }
 
     /** Tells whether the store has stopped to answer, by any way. */
-    synchronized boolean isLost() {
-        return isAvoided() && silenceMs() > LOST_MS;
+    synchronized boolean isUnavailable() {
+        return isAvoided() && lastResponseAgeMs() > LOST_MS;
     }
 
     /** Tells whether the store answers this process itself. */
@@ -91,11 +91,12 @@
     }
 
     @Override
-    public Single<AppendOutcome> append(AppendTerms terms, List<StoreRecord> records) {
+    public Single<AppendOutcome> append(StoreAppendRequest terms, List<StoreRecord> records) {
         return Single.defer(() -> appendSomehow(terms, records));
     }
 
-    private Single<AppendOutcome> appendSomehow(AppendTerms terms, List<StoreRecord> records) {
+    private Single<AppendOutcome> appendSomehow(
+            StoreAppendRequest terms, List<StoreRecord> records) {
         Optional<ProcessId> relay = mRelays.get();
         if (relay.isPresent() && isAvoided()) {
             return relayAppend(relay.get(), terms, records)
@@ -126,7 +127,8 @@
         return outcome.result() != AppendResult.REFUSED && outcome.result() != AppendResult.UNKNOWN;
     }
 
-    private Single<AppendOutcome> directAppend(AppendTerms terms, List<StoreRecord> records) {
+    private Single<AppendOutcome> directAppend(
+            StoreAppendRequest terms, List<StoreRecord> records) {
         return mDirect.append(terms, records)
                 .doOnSuccess(
                         outcome -> {
@@ -139,11 +141,11 @@
     }
 
     private Single<AppendOutcome> relayAppend(
-            ProcessId relay, AppendTerms terms, List<StoreRecord> records) {
+            ProcessId relay, StoreAppendRequest terms, List<StoreRecord> records) {
         return relayed(
                         relay,
                         number ->
-                                new StoreCall(
+                                new RelayedStoreRequest(
                                         number, Optional.of(terms), records, Optional.empty()))
                 .map(answer -> answer.append().orElse(new AppendOutcome(AppendResult.UNKNOWN, 0)))
                 .doOnSuccess(
@@ -156,11 +158,11 @@
     }
 
     @Override
-    public Single<StorePage> read(ReadTerms terms) {
+    public Single<StorePage> read(StoreReadRequest terms) {
         return Single.defer(() -> readSomehow(terms));
     }
 
-    private Single<StorePage> readSomehow(ReadTerms terms) {
+    private Single<StorePage> readSomehow(StoreReadRequest terms) {
         Optional<ProcessId> relay = mRelays.get();
         if (relay.isPresent() && isAvoided()) {
             return relayRead(relay.get(), terms).onErrorResumeNext(error -> directRead(terms));
@@ -173,22 +175,23 @@
                                         .orElseGet(() -> Single.error(error)));
     }
 
-    private Single<StorePage> directRead(ReadTerms terms) {
+    private Single<StorePage> directRead(StoreReadRequest terms) {
         return mDirect.read(terms)
                 .doOnSuccess(page -> onDirectAnswer())
                 .doOnError(error -> onDirectFailure(String.valueOf(error.getMessage())));
     }
 
-    private Single<StorePage> relayRead(ProcessId relay, ReadTerms terms) {
+    private Single<StorePage> relayRead(ProcessId relay, StoreReadRequest terms) {
         // A peer must not be made to hold a read for this process.
-        ReadTerms atOnce =
+        StoreReadRequest atOnce =
                 terms.newest()
                         ? terms
-                        : ReadTerms.log(terms.topic(), terms.partition(), terms.fromOffset(), 0);
+                        : StoreReadRequest.log(
+                                terms.topic(), terms.partition(), terms.fromOffset(), 0);
         return relayed(
                         relay,
                         number ->
-                                new StoreCall(
+                                new RelayedStoreRequest(
                                         number, Optional.empty(), List.of(), Optional.of(atOnce)))
                 .flatMap(
                         answer ->
@@ -199,9 +202,9 @@
                 .doOnSuccess(page -> onAnswer());
     }
 
-    private Single<StoreAnswer> relayed(
-            ProcessId relay, java.util.function.LongFunction<StoreCall> call) {
-        SingleSubject<StoreAnswer> answer = SingleSubject.create();
+    private Single<RelayedStoreResponse> relayed(
+            ProcessId relay, java.util.function.LongFunction<RelayedStoreRequest> call) {
+        SingleSubject<RelayedStoreResponse> answer = SingleSubject.create();
         long number;
         synchronized (this) {
             number = ++mLastCall;
@@ -220,8 +223,8 @@
     }
 
     /** Takes the answer of a relay. */
-    void onAnswer(StoreAnswer answer) {
-        SingleSubject<StoreAnswer> waiting;
+    void onAnswer(RelayedStoreResponse answer) {
+        SingleSubject<RelayedStoreResponse> waiting;
         synchronized (this) {
             waiting = mCalls.get(answer.number());
         }
@@ -231,31 +234,32 @@
     }
 
     /** Makes a call for a peer. */
-    void onCall(ProcessId peer, StoreCall call) {
+    void onRelayedRequest(ProcessId peer, RelayedStoreRequest call) {
         if (call.append().isPresent()) {
-            Calls.whenDone(
+            SingleCallbacks.subscribe(
                     directAppend(call.append().get(), call.records()),
                     outcome ->
                             mLinks.send(
                                     peer,
-                                    new StoreAnswer(
+                                    new RelayedStoreResponse(
                                             call.number(), Optional.of(outcome), Optional.empty())),
                     error -> relayFailed(peer, call, error));
         } else if (call.read().isPresent()) {
-            Calls.whenDone(
+            SingleCallbacks.subscribe(
                     directRead(call.read().get()),
                     page ->
                             mLinks.send(
                                     peer,
-                                    new StoreAnswer(
+                                    new RelayedStoreResponse(
                                             call.number(), Optional.empty(), Optional.of(page))),
                     error -> relayFailed(peer, call, error));
         }
     }
 
-    private void relayFailed(ProcessId peer, StoreCall call, Throwable error) {
+    private void relayFailed(ProcessId peer, RelayedStoreRequest call, Throwable error) {
         LOG.event("relay_failed").with("peer", peer).with("cause", error).info();
-        mLinks.send(peer, new StoreAnswer(call.number(), Optional.empty(), Optional.empty()));
+        mLinks.send(
+                peer, new RelayedStoreResponse(call.number(), Optional.empty(), Optional.empty()));
     }
 
     private synchronized boolean isAvoided() {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/TopicFollower.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/TopicConsumer.java
@@ -5,15 +5,15 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.hickorycleat.daemon.logging.EventLog;
-import org.hickorycleat.logic.port.Calls;
 import org.hickorycleat.logic.port.RecordStore;
-import org.hickorycleat.model.store.ReadTerms;
+import org.hickorycleat.logic.port.SingleCallbacks;
 import org.hickorycleat.model.store.StorePage;
+import org.hickorycleat.model.store.StoreReadRequest;
 import org.hickorycleat.model.store.StoreRecord;
 
 /** Reads the newest record of each key of a topic, then every further record. */
-final class TopicFollower {
-    private static final EventLog LOG = EventLog.of(TopicFollower.class);
+final class TopicConsumer {
+    private static final EventLog LOG = EventLog.of(TopicConsumer.class);
 
     /** Pause after a read that failed, in milliseconds. */
     private static final long RETRY_MS = 200;
@@ -36,7 +36,7 @@
      * @param waitMs how long the store may hold a read, in milliseconds
      * @param pauseMs pause between two reads, in milliseconds
      */
-    TopicFollower(
+    TopicConsumer(
             RecordStore store,
             String topic,
             Consumer<StoreRecord> sink,
@@ -76,7 +76,7 @@
         if (!isLoaded()) {
             return Single.error(new IllegalStateException("not loaded yet"));
         }
-        return mStore.read(ReadTerms.log(mTopic, 0, nextOffset(), 0))
+        return mStore.read(StoreReadRequest.log(mTopic, 0, nextOffset(), 0))
                 .flatMap(
                         page -> {
                             if (page.truncated()) {
@@ -94,8 +94,8 @@
     }
 
     private void load(String afterKey, long firstEndOffset) {
-        Calls.whenDone(
-                mStore.read(ReadTerms.newest(mTopic, 0, afterKey)),
+        SingleCallbacks.subscribe(
+                mStore.read(StoreReadRequest.newest(mTopic, 0, afterKey)),
                 page -> onNewest(page, firstEndOffset),
                 error -> retry(error, () -> load(afterKey, firstEndOffset)));
     }
@@ -119,8 +119,8 @@
     }
 
     private void read() {
-        Calls.whenDone(
-                mStore.read(ReadTerms.log(mTopic, 0, nextOffset(), mFailing ? 0 : mWaitMs)),
+        SingleCallbacks.subscribe(
+                mStore.read(StoreReadRequest.log(mTopic, 0, nextOffset(), mFailing ? 0 : mWaitMs)),
                 this::onPage,
                 error -> retry(error, this::read));
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/ConfigurationInForce.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/WorkloadConfigurationCache.java
@@ -8,14 +8,14 @@
 import org.hickorycleat.platform.WorkloadConfigurationReader;
 
 /** Holds the newest configuration that this process knows; its version never decreases. */
-final class ConfigurationInForce {
-    private static final EventLog LOG = EventLog.of(ConfigurationInForce.class);
+final class WorkloadConfigurationCache {
+    private static final EventLog LOG = EventLog.of(WorkloadConfigurationCache.class);
 
     private final Consumer<WorkloadConfiguration> mListener;
     private Optional<WorkloadConfiguration> mConfiguration = Optional.empty();
     private byte[] mContent = {};
 
-    ConfigurationInForce(Consumer<WorkloadConfiguration> listener) {
+    WorkloadConfigurationCache(Consumer<WorkloadConfiguration> listener) {
         mListener = listener;
     }
 
@@ -33,7 +33,7 @@
     }
 
     /** Takes a configuration if it is newer. */
-    void onContent(byte[] content, String source) {
+    void updateIfNewer(byte[] content, String source) {
         WorkloadConfiguration configuration;
         try {
             configuration = WorkloadConfigurationReader.read(content);
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminHttp.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminHttpServer.java
@@ -14,21 +14,21 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /** Admin HTTP of a process: health, readiness, status, dump, jobs, drain and metrics. */
-public final class AdminHttp implements AutoCloseable {
+public final class AdminHttpServer implements AutoCloseable {
     /** Jetty needs a few threads for itself: acceptor, selector and a reserve. */
     private static final int THREADS = 8;
 
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int ACCEPTED = 202;
 
-    private final AdminView mView;
+    private final AdminOperations mView;
     private final PrometheusMeterRegistry mMeters;
-    private final ObjectMapper mMapper = StateMapper.create();
+    private final ObjectMapper mMapper = AdminJsonMapper.create();
     private final Javalin mServer;
 
     /** Creates the server; {@code routes} adds routes of the role. */
-    public AdminHttp(
-            AdminView view, PrometheusMeterRegistry meters, Consumer<JavalinConfig> routes) {
+    public AdminHttpServer(
+            AdminOperations view, PrometheusMeterRegistry meters, Consumer<JavalinConfig> routes) {
         mView = view;
         mMeters = meters;
         mServer = Javalin.create(configuration -> configure(configuration, routes));
@@ -60,7 +60,7 @@
     }
 
     private void ready(Context context) throws JsonProcessingException {
-        List<String> reasons = mView.unreadyReasons();
+        List<String> reasons = mView.notReadyReasons();
         if (!reasons.isEmpty()) {
             context.status(SERVICE_UNAVAILABLE);
         }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/StateMapper.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminJsonMapper.java
@@ -21,8 +21,8 @@
 import org.hickorycleat.model.identifier.ZoneId;
 
 /** Creates the JSON mapper for the state that operators see. */
-final class StateMapper {
-    private StateMapper() {}
+final class AdminJsonMapper {
+    private AdminJsonMapper() {}
 
     static ObjectMapper create() {
         SimpleModule identifiers = new SimpleModule();
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminView.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminOperations.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 
 /** What a process shows to operators; every value is turned into JSON. */
-public interface AdminView {
+public interface AdminOperations {
     /** Returns a short summary of the process. */
     ProcessStatus status();
 
@@ -12,13 +12,13 @@
     Object dump();
 
     /** Returns the jobs that the process knows. */
-    List<TaskStatus> jobs();
+    List<AdminTaskStatus> jobs();
 
     /** Tells why a task waits or stands where it stands. */
-    Optional<TaskStatus> explain(String task);
+    Optional<AdminTaskStatus> explain(String task);
 
     /** Returns why the process cannot serve; empty when it can. */
-    List<String> unreadyReasons();
+    List<String> notReadyReasons();
 
     /** Starts a graceful shutdown. */
     void drain();
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/TaskStatus.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminTaskStatus.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 
 /** A task as operators see it; docs/interfaces.md describes the fields. */
-public record TaskStatus(
+public record AdminTaskStatus(
         String task,
         String name,
         String run,
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/link/EntryLink.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/link/EntryLink.java
@@ -26,7 +26,7 @@
     private final InetSocketAddress mAddress;
     private final MessageTransport mTransport;
     private final Scheduler mScheduler;
-    private final EntryLinkOwner mOwner;
+    private final EntryLinkHandler mOwner;
     // Written by the event loop of the current connection only.
     private volatile Optional<EntrySession> mSession = Optional.empty();
     private volatile long mDownSinceMs;
@@ -37,7 +37,7 @@
             InetSocketAddress address,
             MessageTransport transport,
             Scheduler scheduler,
-            EntryLinkOwner owner) {
+            EntryLinkHandler owner) {
         mAddress = address;
         mTransport = transport;
         mScheduler = scheduler;
@@ -48,7 +48,7 @@
     /** Starts to connect, and connects again whenever the connection is lost. */
     void connect() {
         if (!mClosed) {
-            mTransport.dial(mAddress, new Listener(), cause -> connectLater());
+            mTransport.connect(mAddress, new Listener(), cause -> connectLater());
         }
     }
 
@@ -77,7 +77,7 @@
 
     /** Handles one connection. */
     private final class Listener implements MessageListener {
-        private final SessionNumber mNumber = mOwner.nextSession();
+        private final SessionNumber mNumber = mOwner.nextSessionNumber();
 
         @Override
         public void onOpen(MessageConnection connection) {
@@ -106,26 +106,26 @@
             Optional<EntrySession> lost = mSession;
             mSession = Optional.empty();
             mDownSinceMs = mScheduler.now(TimeUnit.MILLISECONDS);
-            lost.ifPresent(mOwner::onClosed);
+            lost.ifPresent(mOwner::onSessionClosed);
             connectLater();
         }
 
         private void welcome(MessageConnection connection, Welcome welcome) {
             if (session().isPresent()) {
                 // The list of entries changed.
-                mOwner.onEntriesKnown(welcome.entries());
+                mOwner.onEntriesDiscovered(welcome.entries());
                 return;
             }
             EntrySession session =
                     new EntrySession(welcome.process(), welcome.incarnation(), mNumber, connection);
-            if (!mOwner.onWelcome(session, welcome)) {
+            if (!mOwner.acceptWelcome(session, welcome)) {
                 mClosed = true;
                 connection.close();
                 return;
             }
             mDelayMs = FIRST_DELAY_MS;
             mSession = Optional.of(session);
-            mOwner.onOpened(session);
+            mOwner.onSessionOpened(session);
         }
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/link/EntryLinks.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/link/EntryLinks.java
@@ -17,7 +17,7 @@
 
     private final MessageTransport mTransport;
     private final Scheduler mScheduler;
-    private final EntryLinkOwner mOwner;
+    private final EntryLinkHandler mOwner;
     private final int mMaximumLinks;
     private final Map<InetSocketAddress, EntryLink> mLinks = new ConcurrentHashMap<>();
 
@@ -25,7 +25,7 @@
     public EntryLinks(
             MessageTransport transport,
             Scheduler scheduler,
-            EntryLinkOwner owner,
+            EntryLinkHandler owner,
             int maximumLinks) {
         mTransport = transport;
         mScheduler = scheduler;
@@ -39,12 +39,12 @@
     }
 
     /** Adds links to entries that another entry knows. */
-    public void addKnown(List<EntryAddress> entries) {
+    public void addDiscovered(List<EntryAddress> entries) {
         entries.forEach(entry -> add(new InetSocketAddress(entry.host(), entry.port())));
     }
 
     /** Tells whether another link than the given address leads to this entry already. */
-    public boolean isConnectedTo(ProcessId entry, EntrySession except) {
+    public boolean hasSessionWith(ProcessId entry, EntrySession except) {
         return mLinks.values().stream()
                 .flatMap(link -> link.session().stream())
                 .anyMatch(
@@ -54,7 +54,7 @@
     }
 
     /** Sends a message over every open session. */
-    public void sendToAll(Message message) {
+    public void broadcast(Message message) {
         sessions().forEach(session -> session.connection().send(message));
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/LineFormatter.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/KeyValueLogFormatter.java
@@ -11,18 +11,18 @@
 import java.util.logging.Logger;
 
 /** Formats log records as one line of key=value pairs on standard output. */
-public final class LineFormatter extends Formatter {
+public final class KeyValueLogFormatter extends Formatter {
     private static final String OWN_PACKAGE = "org.hickorycleat";
 
     /** Makes every log of the process go through this formatter at the given level. */
-    public static void install(Level level) {
+    public static void configureLogging(Level level) {
         System.setProperty("org.jboss.logging.provider", "jdk");
         Logger root = Logger.getLogger("");
         for (java.util.logging.Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
         }
-        BoundedLogHandler handler =
-                new BoundedLogHandler(
+        RateLimitedLogHandler handler =
+                new RateLimitedLogHandler(
                         new PrintStream(
                                 new FileOutputStream(FileDescriptor.out),
                                 false,
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/BoundedLogHandler.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/RateLimitedLogHandler.java
@@ -15,7 +15,7 @@
  * <p>A line that is over the budget or finds the queue full is counted and left out; a line tells
  * the count once a second.
  */
-public final class BoundedLogHandler extends Handler {
+public final class RateLimitedLogHandler extends Handler {
     /** Lines of one kind of event in a second; further ones are counted. */
     private static final int BUDGET_PER_SECOND = 60;
 
@@ -32,9 +32,9 @@
     private long mWindowStartMs;
 
     /** Creates a handler and starts its thread. */
-    public BoundedLogHandler(PrintStream out) {
+    public RateLimitedLogHandler(PrintStream out) {
         mOut = out;
-        setFormatter(new LineFormatter());
+        setFormatter(new KeyValueLogFormatter());
         mWriter.setDaemon(true);
         mWriter.start();
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logservice/HttpLogService.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logservice/HttpLogService.java
@@ -56,7 +56,7 @@
                         .connectionPool(new ConnectionPool(MAXIMUM_EXCHANGES, 30, TimeUnit.SECONDS))
                         .connectTimeout(timeouts.connect())
                         .readTimeout(Duration.ZERO)
-                        .writeTimeout(timeouts.answer())
+                        .writeTimeout(timeouts.response())
                         // A silent retry of an append would add a second copy of its record.
                         .retryOnConnectionFailure(false)
                         .build();
@@ -69,7 +69,7 @@
                         .url(records(stream).build())
                         .post(RequestBody.create(payload, BYTES))
                         .build();
-        return exchange(request, mTimeouts.answer(), HttpLogService::offset);
+        return exchange(request, mTimeouts.response(), HttpLogService::offset);
     }
 
     @Override
@@ -81,7 +81,7 @@
                         .addQueryParameter("wait_ms", Long.toString(wait.toMillis()))
                         .build();
         Request request = new Request.Builder().url(url).build();
-        return exchange(request, mTimeouts.answer().plus(wait), HttpLogService::page);
+        return exchange(request, mTimeouts.response().plus(wait), HttpLogService::page);
     }
 
     @Override
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logservice/LogServiceTimeouts.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logservice/LogServiceTimeouts.java
@@ -6,9 +6,9 @@
  * Limits on the exchanges with the log service.
  *
  * @param connect longest time to open a connection
- * @param answer longest time for an append, and for a read beyond the time that it asks to wait
+ * @param response longest time for an append, and for a read beyond the time that it asks to wait
  */
-public record LogServiceTimeouts(Duration connect, Duration answer) {
+public record LogServiceTimeouts(Duration connect, Duration response) {
     /**
      * A lost packet is retransmitted after about 200 ms and again after 400 ms, so 2 s outlast
      * three losses in a row and still leave 1 s of the 3 s in which a configuration takes effect.
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingLines.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingLineIndex.java
@@ -7,12 +7,12 @@
 import java.util.Set;
 
 /** Line numbers and repetitions of the settings of a file, which the INI library does not keep. */
-final class SettingLines {
+final class SettingLineIndex {
     private final Map<String, Integer> mLines = new HashMap<>();
     private final Map<String, Integer> mRepeated = new LinkedHashMap<>();
     private final Set<String> mSections = new HashSet<>();
 
-    SettingLines(String text) {
+    SettingLineIndex(String text) {
         String section = "";
         int number = 0;
         for (String line : text.lines().toList()) {
@@ -43,7 +43,7 @@
     }
 
     /** Returns the sections and settings that are given again, with the line of the last time. */
-    Map<String, Integer> repeated() {
+    Map<String, Integer> duplicates() {
         return Map.copyOf(mRepeated);
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingsParser.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingsParser.java
@@ -52,7 +52,7 @@
             return Either.left(
                     List.of(new SettingError(file, 0, "file", "not INI: " + e.getMessage())));
         }
-        return read(new SettingsReader(file, ini, new SettingLines(text)));
+        return read(new SettingsReader(file, ini, new SettingLineIndex(text)));
     }
 
     private static Either<List<SettingError>, DaemonSettings> read(SettingsReader reader) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingsReader.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingsReader.java
@@ -13,11 +13,11 @@
 final class SettingsReader {
     private final String mFile;
     private final Ini mIni;
-    private final SettingLines mLines;
+    private final SettingLineIndex mLines;
     private final List<SettingError> mErrors = new ArrayList<>();
     private final Set<String> mKnown = new HashSet<>();
 
-    SettingsReader(String file, Ini ini, SettingLines lines) {
+    SettingsReader(String file, Ini ini, SettingLineIndex lines) {
         mFile = file;
         mIni = ini;
         mLines = lines;
@@ -62,7 +62,7 @@
                 }
             }
         }
-        mLines.repeated()
+        mLines.duplicates()
                 .forEach(
                         (setting, line) ->
                                 mErrors.add(new SettingError(mFile, line, setting, "given twice")));
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
@@ -14,12 +14,11 @@
 import org.hickorycleat.model.message.EntryHeartbeat;
 import org.hickorycleat.model.message.Failure;
 import org.hickorycleat.model.message.Fence;
-import org.hickorycleat.model.message.FillWeights;
 import org.hickorycleat.model.message.FleetEntries;
 import org.hickorycleat.model.message.FleetHello;
 import org.hickorycleat.model.message.Forward;
 import org.hickorycleat.model.message.Hello;
-import org.hickorycleat.model.message.InstanceStanding;
+import org.hickorycleat.model.message.InterferenceWeights;
 import org.hickorycleat.model.message.Invoke;
 import org.hickorycleat.model.message.InvokeResult;
 import org.hickorycleat.model.message.JobAccepted;
@@ -32,14 +31,15 @@
 import org.hickorycleat.model.message.OwnerAnnouncement;
 import org.hickorycleat.model.message.OwnershipOffer;
 import org.hickorycleat.model.message.PeerSummary;
+import org.hickorycleat.model.message.RegistrationConfirmation;
+import org.hickorycleat.model.message.RelayedStoreRequest;
+import org.hickorycleat.model.message.RelayedStoreResponse;
 import org.hickorycleat.model.message.RunRejected;
 import org.hickorycleat.model.message.RunTraits;
 import org.hickorycleat.model.message.StartRun;
 import org.hickorycleat.model.message.StartTask;
 import org.hickorycleat.model.message.StopRun;
 import org.hickorycleat.model.message.StopTask;
-import org.hickorycleat.model.message.StoreAnswer;
-import org.hickorycleat.model.message.StoreCall;
 import org.hickorycleat.model.message.TaskReport;
 import org.hickorycleat.model.message.ThrottleTask;
 import org.hickorycleat.model.message.Welcome;
@@ -80,7 +80,7 @@
                     Forward.class,
                     PeerSummary.class,
                     Failure.class,
-                    InstanceStanding.class,
+                    RegistrationConfirmation.class,
                     FleetHello.class,
                     FleetEntries.class,
                     EntryHeartbeat.class,
@@ -95,10 +95,10 @@
                     JobAccepted.class,
                     JobCancelled.class,
                     JobStates.class,
-                    StoreCall.class,
-                    StoreAnswer.class,
+                    RelayedStoreRequest.class,
+                    RelayedStoreResponse.class,
                     ConfigurationCopy.class,
-                    FillWeights.class);
+                    InterferenceWeights.class);
 
     private final RecordCodec mRecords = new RecordCodec();
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageConnection.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageConnection.java
@@ -42,7 +42,7 @@
     }
 
     /** Sends a last message, then closes. */
-    public void closeWith(Message message) {
+    public void sendAndClose(Message message) {
         mChannel.writeAndFlush(Unpooled.wrappedBuffer(mCodec.encode(message)))
                 .addListener(ChannelFutureListener.CLOSE);
     }
@@ -53,7 +53,7 @@
     }
 
     /** Returns the address of the peer. */
-    public String peer() {
+    public String remoteAddress() {
         return String.valueOf(mChannel.remoteAddress());
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageHandler.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageHandler.java
@@ -68,7 +68,7 @@
             return;
         }
         LOG.event("connection_failed")
-                .with("peer", connection(context).peer())
+                .with("peer", connection(context).remoteAddress())
                 .with("cause", cause)
                 .info();
         context.close();
@@ -77,11 +77,11 @@
     private void refuse(ChannelHandlerContext context, Failure failure) {
         mMetrics.countError(failure.code());
         LOG.event("protocol_error")
-                .with("peer", connection(context).peer())
+                .with("peer", connection(context).remoteAddress())
                 .with("result", failure.code())
                 .with("detail", failure.detail())
                 .warn();
-        connection(context).closeWith(failure);
+        connection(context).sendAndClose(failure);
     }
 
     private MessageConnection connection(ChannelHandlerContext context) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageTransport.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageTransport.java
@@ -65,7 +65,7 @@
     }
 
     /** Opens a connection; {@code onFailure} is called when it cannot be opened. */
-    public void dial(
+    public void connect(
             InetSocketAddress address, MessageListener listener, Consumer<Throwable> onFailure) {
         new Bootstrap()
                 .group(mEventLoops)
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/worker/HttpWorkerControl.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/worker/HttpWorkerControl.java
@@ -32,7 +32,7 @@
 
     private final OkHttpClient mClient;
     private final HttpUrl mBase;
-    private final WorkerBodies mBodies = new WorkerBodies();
+    private final WorkerJsonCodec mBodies = new WorkerJsonCodec();
 
     /**
      * Creates the adapter.
@@ -47,24 +47,25 @@
 
     @Override
     public Single<WorkerListing> list() {
-        return exchange(get("tasks"), WorkerBodies::listing);
+        return exchange(get("tasks"), WorkerJsonCodec::listing);
     }
 
     @Override
     public Single<WorkerAnswer> start(WorkerStart start) {
-        return exchange(post("start", mBodies.start(start)), WorkerBodies::answer);
+        return exchange(post("start", mBodies.start(start)), WorkerJsonCodec::answer);
     }
 
     @Override
     public Single<ResultCode> renew(WorkerRenewal renewal) {
-        return exchange(post("renew", mBodies.renewal(renewal)), WorkerBodies::code);
+        return exchange(post("renew", mBodies.renewal(renewal)), WorkerJsonCodec::code);
     }
 
     @Override
     public Single<WorkerAnswer> stop(
             ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt) {
         return exchange(
-                post("stop", mBodies.attempt(shard, epoch, task, attempt)), WorkerBodies::answer);
+                post("stop", mBodies.attempt(shard, epoch, task, attempt)),
+                WorkerJsonCodec::answer);
     }
 
     @Override
@@ -72,7 +73,7 @@
             ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt) {
         return exchange(
                 post("checkpoint", mBodies.attempt(shard, epoch, task, attempt)),
-                WorkerBodies::answer);
+                WorkerJsonCodec::answer);
     }
 
     @Override
@@ -82,17 +83,17 @@
                 post(
                         "throttle",
                         mBodies.attempt(shard, epoch, task, attempt).put("permille", permille)),
-                WorkerBodies::answer);
+                WorkerJsonCodec::answer);
     }
 
     @Override
     public Single<List<TaskUsage>> usage() {
-        return exchange(get("usage"), WorkerBodies::usage);
+        return exchange(get("usage"), WorkerJsonCodec::usage);
     }
 
     @Override
     public Single<ResultCode> fence(ShardNumber shard, Epoch epoch) {
-        return exchange(post("fence", mBodies.fence(shard, epoch)), WorkerBodies::code);
+        return exchange(post("fence", mBodies.fence(shard, epoch)), WorkerJsonCodec::code);
     }
 
     private Request get(String path) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/worker/WorkerBodies.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/worker/WorkerJsonCodec.java
@@ -26,7 +26,7 @@
 import org.hickorycleat.model.task.TaskState;
 
 /** JSON bodies of the worker's interface; malformed answers fail with IOException. */
-final class WorkerBodies {
+final class WorkerJsonCodec {
     private final ObjectMapper mMapper = new ObjectMapper();
 
     ObjectNode fence(ShardNumber shard, Epoch epoch) {
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/entry/CallerHttpTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/entry/CallerHttpServerTest.java
@@ -42,13 +42,14 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class CallerHttpTest {
+class CallerHttpServerTest {
     private final Queue<CallerRequest> mRequests = new ConcurrentLinkedQueue<>();
     private final Queue<CompletableFuture<InvokeResult>> mResults = new ConcurrentLinkedQueue<>();
     private final HttpClient mClient = HttpClient.newHttpClient();
     private final InetSocketAddress mAddress = freeAddress();
-    private final CallerHttp mCallers =
-            new CallerHttp(() -> Optional.of(manifest()), this::serve, new SimpleMeterRegistry());
+    private final CallerHttpServer mCallers =
+            new CallerHttpServer(
+                    () -> Optional.of(manifest()), this::serve, new SimpleMeterRegistry());
     private boolean mAnswersAtOnce = true;
 
     @BeforeEach
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/exchange/HttpExchangeTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/exchange/HttpExchangeTest.java
@@ -26,7 +26,7 @@
 
     private final EventLoopGroup mEventLoops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final NettyHttpCaller mCaller = new NettyHttpCaller(mEventLoops);
+    private final NettyHttpClient mCaller = new NettyHttpClient(mEventLoops);
     private final NettyHttpServer mServer = new NettyHttpServer(mEventLoops);
 
     @AfterEach
@@ -85,14 +85,18 @@
 
         call(address, "/silent")
                 .assertError(
-                        error -> error instanceof HttpCallException failure && failure.wasSent());
+                        error ->
+                                error instanceof HttpCallException failure
+                                        && failure.mayHaveBeenSent());
     }
 
     @Test
     void knowsThatRefusedConnectionCarriedNothing() throws Exception {
         call(freeAddress(), "/")
                 .assertError(
-                        error -> error instanceof HttpCallException failure && !failure.wasSent());
+                        error ->
+                                error instanceof HttpCallException failure
+                                        && !failure.mayHaveBeenSent());
     }
 
     @Test
@@ -115,6 +119,6 @@
         InetSocketAddress address = serve(request -> Single.error(new IOException("broken")));
 
         call(address, "/").assertError(HttpCallException.class);
-        assertThat(mServer.inProgress()).isZero();
+        assertThat(mServer.requestsInProgress()).isZero();
     }
 }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPathTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPathTest.java
@@ -17,7 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import org.awaitility.Awaitility;
 import org.hickorycleat.daemon.Lifecycle;
-import org.hickorycleat.daemon.exchange.NettyHttpCaller;
+import org.hickorycleat.daemon.exchange.NettyHttpClient;
 import org.hickorycleat.daemon.exchange.NettyHttpServer;
 import org.hickorycleat.logic.port.HttpCall;
 import org.hickorycleat.logic.port.HttpResponse;
@@ -35,7 +35,7 @@
 
     private final EventLoopGroup mEventLoops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final NettyHttpCaller mCaller = new NettyHttpCaller(mEventLoops);
+    private final NettyHttpClient mCaller = new NettyHttpClient(mEventLoops);
     private final StoreStandIn mStore = new StoreStandIn();
     private final WorkerStandIn mWorker = new WorkerStandIn();
     private final List<NodeSettings> mEntries = new ArrayList<>();
@@ -55,7 +55,7 @@
         mEntries.add(settings("entry-2", store, Optional.empty(), seeds));
         mAgent = settings("agent-1", store, Optional.of(worker), seeds);
         for (NodeSettings settings : List.of(mEntries.get(0), mEntries.get(1), mAgent)) {
-            Lifecycle process = FleetProcess.create(settings);
+            Lifecycle process = FleetProcessFactory.create(settings);
             process.start();
             mProcesses.add(process);
         }
@@ -122,7 +122,7 @@
     private void announceWorker() {
         mSequence++;
         call(
-                mAgent.workerAddress().orElseThrow(),
+                mAgent.workerHeartbeatAddress().orElseThrow(),
                 "POST",
                 "/instances/i-1/heartbeat",
                 mWorker.heartbeat(mSequence));
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetSoakTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetSoakTest.java
@@ -19,7 +19,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.awaitility.Awaitility;
-import org.hickorycleat.daemon.exchange.NettyHttpCaller;
+import org.hickorycleat.daemon.exchange.NettyHttpClient;
 import org.hickorycleat.daemon.exchange.NettyHttpServer;
 import org.hickorycleat.logic.port.HttpCall;
 import org.hickorycleat.logic.port.HttpResponse;
@@ -49,7 +49,7 @@
 
     private final EventLoopGroup mEventLoops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final NettyHttpCaller mCaller = new NettyHttpCaller(mEventLoops);
+    private final NettyHttpClient mCaller = new NettyHttpClient(mEventLoops);
     private final StoreStandIn mStore = new StoreStandIn();
     private final RunHistory mHistory = new RunHistory();
     private final List<WorkerStandIn> mWorkers = new ArrayList<>();
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/JobLogCodecTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/JobLogCodecTest.java
@@ -9,7 +9,7 @@
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.identifier.ZoneId;
-import org.hickorycleat.model.job.InterferenceWeight;
+import org.hickorycleat.model.job.InterferenceEstimate;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobState;
@@ -18,7 +18,7 @@
 import org.hickorycleat.model.job.StepSpecification;
 import org.hickorycleat.model.job.TaskProgress;
 import org.hickorycleat.model.job.TaskStatus;
-import org.hickorycleat.model.job.WorkerLife;
+import org.hickorycleat.model.job.WorkerIncarnation;
 import org.hickorycleat.model.message.FleetNode;
 import org.hickorycleat.model.message.ProcessRole;
 import org.hickorycleat.model.store.StoreRecord;
@@ -69,7 +69,7 @@
                         4,
                         List.of(1, 3),
                         Optional.of(new ProcessId("agent-1")),
-                        Optional.of(new WorkerLife(new WorkerId("i-1"), 99)),
+                        Optional.of(new WorkerIncarnation(new WorkerId("i-1"), 99)),
                         Optional.of("saved"));
         return List.of(
                 new JobRecord.Submitted(
@@ -78,7 +78,8 @@
                 new JobRecord.Cancelled(JOB),
                 new JobRecord.Progressed(new JobProgress(JOB, JobState.RUNNING, List.of(task))),
                 new JobRecord.Claimed(NODE, new Epoch(12)),
-                new JobRecord.Learnt(List.of(new InterferenceWeight("s", "f", 1_200, 40))));
+                new JobRecord.InterferenceUpdate(
+                        List.of(new InterferenceEstimate("s", "f", 1_200, 40))));
     }
 
     @ParameterizedTest
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RelayingStoreTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RelayingRecordStoreTest.java
@@ -12,27 +12,28 @@
 import org.hickorycleat.logic.port.StoreUnavailableException;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.message.Message;
-import org.hickorycleat.model.message.StoreAnswer;
-import org.hickorycleat.model.message.StoreCall;
+import org.hickorycleat.model.message.RelayedStoreRequest;
+import org.hickorycleat.model.message.RelayedStoreResponse;
 import org.hickorycleat.model.store.AppendOutcome;
 import org.hickorycleat.model.store.AppendResult;
-import org.hickorycleat.model.store.AppendTerms;
-import org.hickorycleat.model.store.ReadTerms;
+import org.hickorycleat.model.store.StoreAppendRequest;
 import org.hickorycleat.model.store.StorePage;
+import org.hickorycleat.model.store.StoreReadRequest;
 import org.hickorycleat.model.store.StoreRecord;
 import org.junit.jupiter.api.Test;
 
-class RelayingStoreTest implements RecordStore {
+class RelayingRecordStoreTest implements RecordStore {
     private static final ProcessId PEER = new ProcessId("entry-2");
-    private static final AppendTerms TERMS = AppendTerms.unconditional("keyed.jobs", 0);
+    private static final StoreAppendRequest TERMS =
+            StoreAppendRequest.unconditional("keyed.jobs", 0);
 
     private final TestScheduler mScheduler = new TestScheduler();
     private final List<Message> mSent = new ArrayList<>();
     private Optional<ProcessId> mRelay = Optional.of(PEER);
     private AppendResult mDirect = AppendResult.APPENDED;
     private int mDirectCalls;
-    private final RelayingStore mStore =
-            new RelayingStore(
+    private final RelayingRecordStore mStore =
+            new RelayingRecordStore(
                     this,
                     (peer, message) -> {
                         mSent.add(message);
@@ -42,21 +43,21 @@
                     mScheduler);
 
     @Override
-    public Single<AppendOutcome> append(AppendTerms terms, List<StoreRecord> records) {
+    public Single<AppendOutcome> append(StoreAppendRequest terms, List<StoreRecord> records) {
         mDirectCalls++;
         return Single.just(new AppendOutcome(mDirect, 4));
     }
 
     @Override
-    public Single<StorePage> read(ReadTerms terms) {
+    public Single<StorePage> read(StoreReadRequest terms) {
         mDirectCalls++;
         return Single.error(new StoreUnavailableException("down"));
     }
 
     private void answer(AppendResult result) {
-        StoreCall call = (StoreCall) mSent.get(mSent.size() - 1);
+        RelayedStoreRequest call = (RelayedStoreRequest) mSent.get(mSent.size() - 1);
         mStore.onAnswer(
-                new StoreAnswer(
+                new RelayedStoreResponse(
                         call.number(),
                         Optional.of(new AppendOutcome(result, 9)),
                         Optional.empty()));
@@ -75,7 +76,7 @@
         answer(AppendResult.APPENDED);
 
         outcome.assertValue(new AppendOutcome(AppendResult.APPENDED, 9));
-        assertThat(mStore.isLost()).isFalse();
+        assertThat(mStore.isUnavailable()).isFalse();
     }
 
     @Test
@@ -117,14 +118,14 @@
         mDirect = AppendResult.REFUSED;
         mStore.append(TERMS, List.of()).test().assertComplete();
 
-        assertThat(mStore.isLost()).isTrue();
+        assertThat(mStore.isUnavailable()).isTrue();
         assertThat(mStore.isDirectlyReachable()).isFalse();
     }
 
     @Test
     void failsReadThatNobodyCanMake() {
         mRelay = Optional.empty();
-        mStore.read(ReadTerms.newest("keyed.jobs", 0, ""))
+        mStore.read(StoreReadRequest.newest("keyed.jobs", 0, ""))
                 .test()
                 .assertError(StoreUnavailableException.class);
     }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/logging/BoundedLogHandlerTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/logging/RateLimitedLogHandlerTest.java
@@ -11,10 +11,10 @@
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
 
-class BoundedLogHandlerTest {
+class RateLimitedLogHandlerTest {
     private final ByteArrayOutputStream mOut = new ByteArrayOutputStream();
-    private final BoundedLogHandler mHandler =
-            new BoundedLogHandler(new PrintStream(mOut, true, StandardCharsets.UTF_8));
+    private final RateLimitedLogHandler mHandler =
+            new RateLimitedLogHandler(new PrintStream(mOut, true, StandardCharsets.UTF_8));
 
     private void log(String message) {
         mHandler.publish(new LogRecord(Level.INFO, message));
@@ -61,7 +61,7 @@
                         }
                     }
                 };
-        BoundedLogHandler handler = new BoundedLogHandler(stuck);
+        RateLimitedLogHandler handler = new RateLimitedLogHandler(stuck);
         Thread caller =
                 new Thread(
                         () -> {
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/worker/HttpWorkerControlTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/worker/HttpWorkerControlTest.java
@@ -27,11 +27,11 @@
 import org.hickorycleat.model.identifier.ShardNumber;
 import org.hickorycleat.model.identifier.TaskId;
 import org.hickorycleat.model.identifier.WorkerId;
-import org.hickorycleat.model.message.HeldTask;
+import org.hickorycleat.model.message.TaskAttempt;
 import org.hickorycleat.model.result.ResultCode;
 import org.hickorycleat.model.task.Resources;
 import org.hickorycleat.model.task.TaskState;
-import org.hickorycleat.standins.worker.RunEvent;
+import org.hickorycleat.standins.worker.AttemptEvent;
 import org.hickorycleat.standins.worker.SimulatedWorker;
 import org.hickorycleat.standins.worker.WorkerOptions;
 import org.hickorycleat.standins.worker.WorkerServer;
@@ -117,7 +117,7 @@
         renew(20_000);
 
         assertThat(state()).isEqualTo(TaskState.EXPIRED);
-        assertThat(mWorker.events().stream().map(RunEvent::event))
+        assertThat(mWorker.events().stream().map(AttemptEvent::event))
                 .containsExactly("start", "expire");
     }
 
@@ -156,7 +156,7 @@
                                 SHARD,
                                 new Epoch(1),
                                 mWorker.incarnation(),
-                                List.of(new HeldTask(SHARD, TASK, attempt(1))),
+                                List.of(new TaskAttempt(SHARD, TASK, attempt(1))),
                                 untilMs)));
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/DirectoryCapacity.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/DirectoryCapacitySource.java
@@ -7,7 +7,7 @@
 import org.hickorycleat.model.identifier.ServiceName;
 
 /** Capacity of the ready targets of a {@link TargetDirectory} that routing would use. */
-public final class DirectoryCapacity implements CapacitySource {
+public final class DirectoryCapacitySource implements CapacitySource {
     /** Half-life of free slots, which other entries may have taken since the signal. */
     private static final double FREE_HALF_LIFE_MS = 500;
 
@@ -15,7 +15,7 @@
     private final Predicate<TargetAddress> mUsable;
 
     /** Creates the source; {@code usable} leaves out targets that get no requests. */
-    public DirectoryCapacity(TargetDirectory directory, Predicate<TargetAddress> usable) {
+    public DirectoryCapacitySource(TargetDirectory directory, Predicate<TargetAddress> usable) {
         mDirectory = directory;
         mUsable = usable;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/GapRules.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/GapRules.java
@@ -6,7 +6,7 @@
     public static final GapRule EARLIEST_GAP = gap -> gap.openMs() + gap.order() / 1e6;
 
     /** The gap with the most free room. */
-    public static final GapRule BIGGEST_HOLE = gap -> -gap.freeShare();
+    public static final GapRule WORST_FIT = gap -> -gap.freeShare();
 
     /** The gap with the least free room, which keeps large gaps for large jobs. */
     public static final GapRule BEST_FIT = Gap::freeShare;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/PriorityRules.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/PriorityRules.java
@@ -36,7 +36,7 @@
      * each unit of slack over run time, so that with little slack anywhere the small jobs go first
      * and most are on time, and with much slack the order is that of deadline risk.
      */
-    public static final PriorityRule RISK_AND_SIZE =
+    public static final PriorityRule DEADLINE_RISK_AND_SIZE =
             (job, nowMs) ->
                     Math.log((double) job.remainingMs() * Math.max(1, job.processorsMilli()))
                             + Math.max(0, DEADLINE_RISK.key(job, nowMs));
@@ -46,7 +46,10 @@
 
     private PriorityRules() {}
 
-    /** Returns a rule like {@link #RISK_AND_SIZE} with slack over one run time for all jobs. */
+    /**
+     * Returns a rule like {@link #DEADLINE_RISK_AND_SIZE} with slack over one run time for all
+     * jobs.
+     */
     public static PriorityRule apparentTardinessCost(long slackUnitMs) {
         return (job, nowMs) ->
                 Math.log((double) job.remainingMs() * Math.max(1, job.processorsMilli()))
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/RunTimeCorrection.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/RunTimeCorrection.java
@@ -64,7 +64,7 @@
     }
 
     /** Learns from a run that ended well; {@code runMs} is its whole run time. */
-    public void runEnded(TaskSpecification task, long runMs) {
+    public void recordRun(TaskSpecification task, long runMs) {
         if (task.service().isPresent() || task.estimatedMs() <= 0) {
             return;
         }
@@ -74,7 +74,7 @@
     }
 
     /** Learns from a measurement of what a task uses. */
-    public void usageMeasured(TaskSpecification task, Resources used) {
+    public void recordUsage(TaskSpecification task, Resources used) {
         Resources declared = task.resources();
         if (declared.processorsMilli() > 0) {
             job(task).processors().add(ratio(used.processorsMilli(), declared.processorsMilli()));
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ConfigurationInForce.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ActiveConfiguration.java
@@ -13,15 +13,14 @@
  * @param configuration accepted configuration, or a slice of it
  * @param source where it came from
  */
-public record ConfigurationInForce(
-        AcceptedConfiguration configuration, ConfigurationSource source) {
+public record ActiveConfiguration(AcceptedConfiguration configuration, ConfigurationSource source) {
     /** Returns the version. */
     public ConfigurationVersion version() {
         return configuration.version();
     }
 
     /** Returns what is in force after an offer; empty if the offer changes nothing. */
-    Optional<ConfigurationInForce> after(ConfigurationInForce offered) {
+    Optional<ActiveConfiguration> after(ActiveConfiguration offered) {
         int comparison = offered.version().compareTo(version());
         if (source.isComplete() && !offered.source.isComplete()) {
             return Optional.empty();
@@ -36,14 +35,14 @@
         return merge(offered);
     }
 
-    private Optional<ConfigurationInForce> merge(ConfigurationInForce offered) {
+    private Optional<ActiveConfiguration> merge(ActiveConfiguration offered) {
         Manifest own = configuration.manifest();
         Manifest merged = ManifestSlices.merge(own, offered.configuration.manifest());
         if (merged.equals(ManifestSlices.merge(own, own))) {
             return Optional.empty();
         }
         return Optional.of(
-                new ConfigurationInForce(
+                new ActiveConfiguration(
                         new AcceptedConfiguration(version(), merged, ManifestWriter.write(merged)),
                         source));
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ConfigurationHolder.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ConfigurationHolder.java
@@ -21,15 +21,15 @@
 public final class ConfigurationHolder {
     private static final ConfigurationVersion NO_VERSION = new ConfigurationVersion(-1);
 
-    private volatile Optional<ConfigurationInForce> mCurrent = Optional.empty();
+    private volatile Optional<ActiveConfiguration> mCurrent = Optional.empty();
 
     /** Only signals that something changed; each observer then reads the current value itself. */
     private final FlowableProcessor<Boolean> mSignals =
             BehaviorProcessor.createDefault(true).toSerialized();
 
     /** Puts a configuration in force if it is newer; tells whether anything changed. */
-    public boolean offer(AcceptedConfiguration configuration, ConfigurationSource source) {
-        boolean isChanged = replace(new ConfigurationInForce(configuration, source));
+    public boolean updateIfNewer(AcceptedConfiguration configuration, ConfigurationSource source) {
+        boolean isChanged = replace(new ActiveConfiguration(configuration, source));
         if (isChanged) {
             mSignals.onNext(true);
         }
@@ -37,14 +37,14 @@
     }
 
     /** Does the same with a message of another process; one that does not parse is ignored. */
-    public boolean offer(ConfigurationUpdate update, ConfigurationSource source) {
+    public boolean updateIfNewer(ConfigurationUpdate update, ConfigurationSource source) {
         if (update.version().value() < 0) {
             return false;
         }
         return ManifestParser.parse(update.manifest())
                 .map(
                         manifest ->
-                                offer(
+                                updateIfNewer(
                                         new AcceptedConfiguration(
                                                 update.version(), manifest, update.manifest()),
                                         source))
@@ -52,20 +52,20 @@
     }
 
     /** Returns the configuration in force. */
-    public Optional<ConfigurationInForce> current() {
+    public Optional<ActiveConfiguration> current() {
         return mCurrent;
     }
 
     /** Returns the version in force, -1 for none. */
     public ConfigurationVersion version() {
-        return current().map(ConfigurationInForce::version).orElse(NO_VERSION);
+        return current().map(ActiveConfiguration::version).orElse(NO_VERSION);
     }
 
     /**
      * Emits the configuration in force, then each later one; an observer that is slow misses
      * intermediate ones but never the newest.
      */
-    public Flowable<ConfigurationInForce> changes() {
+    public Flowable<ActiveConfiguration> changes() {
         return mSignals.startWithItem(true)
                 .onBackpressureLatest()
                 .concatMapMaybe(signal -> Maybe.fromOptional(current()))
@@ -80,7 +80,7 @@
                                 "configuration_version="
                                         + current.version()
                                         + " source="
-                                        + current.source().word()
+                                        + current.source().label()
                                         + " complete="
                                         + current.source().isComplete())
                 .orElse(
@@ -88,8 +88,8 @@
                                 + " has provided one\"");
     }
 
-    private synchronized boolean replace(ConfigurationInForce offered) {
-        Optional<ConfigurationInForce> next =
+    private synchronized boolean replace(ActiveConfiguration offered) {
+        Optional<ActiveConfiguration> next =
                 mCurrent.isEmpty() ? Optional.of(offered) : mCurrent.get().after(offered);
         if (next.isPresent()) {
             mCurrent = next;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ConfigurationReader.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ConfigurationReader.java
@@ -12,13 +12,15 @@
 public final class ConfigurationReader {
     private final StreamFollower mFollower;
     private final ConfigurationHolder mHolder;
-    private final RecordListener mListener;
+    private final ConfigurationRecordListener mListener;
     private volatile ConfigurationHistory mHistory = ConfigurationHistory.startingAt(0);
     private volatile boolean mCaughtUp;
 
     /** Creates a reader on a follower that begins at offset 0. */
     public ConfigurationReader(
-            StreamFollower follower, ConfigurationHolder holder, RecordListener listener) {
+            StreamFollower follower,
+            ConfigurationHolder holder,
+            ConfigurationRecordListener listener) {
         mFollower = follower;
         mHolder = holder;
         mListener = listener;
@@ -45,7 +47,8 @@
         String log =
                 error.map(message -> "unavailable log_error=\"" + message + "\"")
                         .orElse(mFollower.health().isAvailable() ? "available" : "not-read");
-        String decided = mCaughtUp && !mHistory.isDecided() ? " stream=truncated-no-snapshot" : "";
+        String decided =
+                mCaughtUp && !mHistory.isVersionKnown() ? " stream=truncated-no-snapshot" : "";
         return mHolder.healthText() + " log=" + log + decided;
     }
 
@@ -60,12 +63,13 @@
         // Versions passed through while catching up were in force long ago and are skipped.
         if (mCaughtUp) {
             mHistory.current()
-                    .ifPresent(accepted -> mHolder.offer(accepted, ConfigurationSource.LOG));
+                    .ifPresent(
+                            accepted -> mHolder.updateIfNewer(accepted, ConfigurationSource.LOG));
         }
     }
 
     private void apply(LogRecord record) {
-        ConfigurationHistory.Step step = mHistory.apply(record.offset(), record.payload());
+        ConfigurationHistory.ApplyResult step = mHistory.apply(record.offset(), record.payload());
         mHistory = step.history();
         RecordOutcome outcome = step.outcome();
         mListener.onRecord(record.offset(), outcome);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ConfigurationSource.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ConfigurationSource.java
@@ -25,7 +25,7 @@
     }
 
     /** Returns the word used in health output. */
-    public String word() {
+    public String label() {
         return name().toLowerCase(Locale.ROOT);
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/SnapshotClock.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/SnapshotClock.java
@@ -27,7 +27,7 @@
 
     /** Tells whether a snapshot is due; to be called at least every tenth of the maximum age. */
     boolean isDue(ConfigurationHistory history) {
-        if (!history.isDecided() || history.nextOffset() == 0) {
+        if (!history.isVersionKnown() || history.nextOffset() == 0) {
             return false;
         }
         long now = mScheduler.now(TimeUnit.MILLISECONDS);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobDirectory.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobDirectory.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.hickorycleat.model.identifier.Epoch;
-import org.hickorycleat.model.job.InterferenceWeight;
+import org.hickorycleat.model.job.InterferenceEstimate;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobState;
 import org.hickorycleat.model.job.JobStatus;
@@ -19,19 +19,19 @@
     private final Map<JobId, JobEntry> mJobs = new LinkedHashMap<>();
     private Optional<FleetNode> mOwner = Optional.empty();
     private Epoch mEpoch = new Epoch(-1);
-    private List<InterferenceWeight> mInterference = List.of();
+    private List<InterferenceEstimate> mInterference = List.of();
 
     /** Takes a record of the log. */
     public synchronized void apply(JobRecord record) {
         if (record instanceof JobRecord.Submitted submitted) {
-            onSubmission(submitted.submission());
+            onJobSubmitted(submitted.submission());
         } else if (record instanceof JobRecord.Cancelled cancelled) {
-            onCancelled(cancelled.job());
+            onJobCancelled(cancelled.job());
         } else if (record instanceof JobRecord.Progressed progressed) {
             entry(progressed.progress().id()).onProgress(progressed.progress());
         } else if (record instanceof JobRecord.Claimed claimed) {
             onClaim(claimed);
-        } else if (record instanceof JobRecord.Learnt learnt) {
+        } else if (record instanceof JobRecord.InterferenceUpdate learnt) {
             mInterference = learnt.weights();
         }
     }
@@ -44,12 +44,12 @@
     }
 
     /** Takes a job that is durable. */
-    public synchronized void onSubmission(JobSubmission submission) {
+    public synchronized void onJobSubmitted(JobSubmission submission) {
         entry(submission.id()).onSubmission(submission);
     }
 
     /** Takes a cancellation that is durable. */
-    public synchronized void onCancelled(JobId job) {
+    public synchronized void onJobCancelled(JobId job) {
         entry(job).onCancelled();
     }
 
@@ -73,7 +73,7 @@
     }
 
     /** Returns what the last owner that told so had learnt of images. */
-    public synchronized List<InterferenceWeight> interference() {
+    public synchronized List<InterferenceEstimate> interferenceWeights() {
         return mInterference;
     }
 
