--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobRecord.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobRecord.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import org.hickorycleat.model.identifier.Epoch;
-import org.hickorycleat.model.job.InterferenceWeight;
+import org.hickorycleat.model.job.InterferenceEstimate;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobSubmission;
@@ -23,9 +23,9 @@
     record Claimed(FleetNode owner, Epoch epoch) implements JobRecord {}
 
     /** What an owner has learnt of images; the newest counts. */
-    record Learnt(List<InterferenceWeight> weights) implements JobRecord {
+    record InterferenceUpdate(List<InterferenceEstimate> weights) implements JobRecord {
         /** Copies the list. */
-        public Learnt {
+        public InterferenceUpdate {
             weights = List.copyOf(weights);
         }
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/JobOutlook.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/CompletionEstimate.java
@@ -11,7 +11,7 @@
  * @param standing whether its completion still counts
  * @param worthPerWork worth of its completion for each unit of processor time that it still needs
  */
-record JobOutlook(Standing standing, double worthPerWork) {
+record CompletionEstimate(Standing standing, double worthPerWork) {
     /** A job counts for a part of its worth up to this multiple of its objective. */
     private static final int LATE_FACTOR = 3;
 
@@ -39,8 +39,8 @@
      * @param ratio factor from estimated to real run times
      * @param meanWork processor time of a mean job of the queue, in the unit of {@link #work}
      */
-    static JobOutlook of(
-            List<StepTrack> steps,
+    static CompletionEstimate of(
+            List<TrackedStep> steps,
             JobQueue queue,
             long sinceMs,
             double ratio,
@@ -57,38 +57,38 @@
                                 + (1 - FIXED_WORTH) * work(steps, false) / Math.max(1, meanWork));
         double worthPerWork = worth / Math.max(1, work(steps, true));
         if (endsAfterMs <= objectiveMs) {
-            return new JobOutlook(Standing.ON_TIME, worthPerWork);
+            return new CompletionEstimate(Standing.ON_TIME, worthPerWork);
         }
         Standing standing =
                 endsAfterMs <= LATE_FACTOR * objectiveMs ? Standing.LATE : Standing.OVERDUE;
-        return new JobOutlook(standing, worthPerWork);
+        return new CompletionEstimate(standing, worthPerWork);
     }
 
     /** Returns the estimated processor time of steps, in processor-milliseconds by thousands. */
-    static double work(List<StepTrack> steps, boolean onlyRest) {
+    static double work(List<TrackedStep> steps, boolean onlyRest) {
         double work = 0;
-        for (StepTrack step : steps) {
+        for (TrackedStep step : steps) {
             StepSpecification specification = step.specification();
             long tasks = onlyRest ? unfinished(step) : step.tasks().size();
             work +=
                     (double) tasks
                             * specification.estimateMs()
-                            * specification.request().processorsMilli();
+                            * specification.resources().processorsMilli();
         }
         return work;
     }
 
-    private static long unfinished(StepTrack step) {
+    private static long unfinished(TrackedStep step) {
         return step.tasks().stream().filter(task -> task.status() != TaskStatus.DONE).count();
     }
 
-    private static double longestChainMs(List<StepTrack> steps, boolean onlyRest) {
+    private static double longestChainMs(List<TrackedStep> steps, boolean onlyRest) {
         double[] endsAtMs = new double[steps.size()];
         double longest = 0;
         for (int i = 0; i < steps.size(); i++) {
             StepSpecification step = steps.get(i).specification();
             double startsAtMs = 0;
-            for (int earlier : step.after()) {
+            for (int earlier : step.predecessors()) {
                 startsAtMs = Math.max(startsAtMs, endsAtMs[earlier]);
             }
             boolean done = onlyRest && steps.get(i).isDone();
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOrder.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOrder.java
@@ -28,17 +28,17 @@
     }
 
     /** Learns the size of the jobs of a queue. */
-    void onJob(JobTrack job) {
-        double work = JobOutlook.work(job.occurrences().get(0), false);
+    void onJob(TrackedJob job) {
+        double work = CompletionEstimate.work(job.occurrences().get(0), false);
         mMeanWork.merge(
                 job.queue().name(), work, (mean, newest) -> mean + NEWEST_WEIGHT * (newest - mean));
     }
 
     /** Sorts the tasks that are ready. */
-    void sort(List<TaskTrack> ready, long unixMs) {
-        IdentityHashMap<List<StepTrack>, JobOutlook> outlooks = new IdentityHashMap<>();
-        Comparator<TaskTrack> order =
-                Comparator.<TaskTrack>comparingInt(DispatchOrder::rank)
+    void sort(List<TrackedTask> ready, long unixMs) {
+        IdentityHashMap<List<TrackedStep>, CompletionEstimate> outlooks = new IdentityHashMap<>();
+        Comparator<TrackedTask> order =
+                Comparator.<TrackedTask>comparingInt(DispatchOrder::rank)
                         .thenComparing(task -> outlook(task, outlooks, unixMs).standing())
                         .thenComparingDouble(
                                 task -> -outlook(task, outlooks, unixMs).worthPerWork())
@@ -46,27 +46,29 @@
         ready.sort(order);
     }
 
-    private static int rank(TaskTrack task) {
+    private static int rank(TrackedTask task) {
         StepSpecification step = task.specification();
         if (step.perpetual()) {
             return -1;
         }
-        return task.step().job().queue().priority() + (step.fills() ? FILL_RANK : 0);
+        return task.step().job().queue().priority() + (step.bestEffort() ? FILL_RANK : 0);
     }
 
-    private static long sinceMs(TaskTrack task) {
+    private static long sinceMs(TrackedTask task) {
         JobSubmission submission = task.step().job().submission();
         return submission.dueAtMs(task.key().occurrence()).orElse(submission.acceptedAtMs());
     }
 
-    private JobOutlook outlook(
-            TaskTrack task, IdentityHashMap<List<StepTrack>, JobOutlook> outlooks, long unixMs) {
-        JobTrack job = task.step().job();
-        List<StepTrack> steps = job.occurrences().get(task.key().occurrence());
+    private CompletionEstimate outlook(
+            TrackedTask task,
+            IdentityHashMap<List<TrackedStep>, CompletionEstimate> outlooks,
+            long unixMs) {
+        TrackedJob job = task.step().job();
+        List<TrackedStep> steps = job.occurrences().get(task.key().occurrence());
         return outlooks.computeIfAbsent(
                 steps,
                 key ->
-                        JobOutlook.of(
+                        CompletionEstimate.of(
                                 key,
                                 job.queue(),
                                 sinceMs(task),
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOutput.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOutput.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import org.hickorycleat.model.identifier.ProcessId;
-import org.hickorycleat.model.job.InterferenceWeight;
+import org.hickorycleat.model.job.InterferenceEstimate;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobStatus;
 import org.hickorycleat.model.message.Message;
@@ -17,14 +17,14 @@
     boolean send(ProcessId agent, Message message);
 
     /** Makes the progress of jobs durable; one call at a time, until {@code durable} has run. */
-    void persist(List<JobProgress> progress, Runnable durable);
+    void persistProgress(List<JobProgress> progress, Runnable durable);
 
     /** Tells all entries the durable states of jobs. */
-    void publish(List<JobStatus> states);
+    void publishJobStates(List<JobStatus> states);
 
     /** Tells whether this process may still be the only owner. */
     boolean mayExtendLeases();
 
     /** Keeps what was learnt of images for a successor; a copy that is lost does no harm. */
-    void remember(List<InterferenceWeight> weights);
+    void saveInterferenceWeights(List<InterferenceEstimate> weights);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -17,7 +17,7 @@
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.job.EndCause;
 import org.hickorycleat.model.job.EndedRun;
-import org.hickorycleat.model.job.InterferenceWeight;
+import org.hickorycleat.model.job.InterferenceEstimate;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobQueue;
@@ -29,9 +29,9 @@
 import org.hickorycleat.model.job.TaskKey;
 import org.hickorycleat.model.job.TaskProgress;
 import org.hickorycleat.model.job.TaskStatus;
-import org.hickorycleat.model.job.WorkerLife;
+import org.hickorycleat.model.job.WorkerIncarnation;
 import org.hickorycleat.model.job.WorkloadConfiguration;
-import org.hickorycleat.model.message.FillWeights;
+import org.hickorycleat.model.message.InterferenceWeights;
 import org.hickorycleat.model.message.LeaseExtension;
 import org.hickorycleat.model.message.RunRejected;
 import org.hickorycleat.model.message.RunTraits;
@@ -63,16 +63,16 @@
     private final DispatchSettings mSettings;
     private final DecisionLog mLog;
     private final InterferenceEstimates mInterference = new InterferenceEstimates();
-    private final RunWatch mWatch;
+    private final RunMonitor mWatch;
     private final TaskPlacer mPlacer;
     private final RunTimeRatios mRunTimes = new RunTimeRatios();
     private final DispatchOrder mOrder = new DispatchOrder(mRunTimes);
 
-    private final Map<JobId, JobTrack> mJobs = new LinkedHashMap<>();
-    private final Map<ProcessId, WorkerTrack> mWorkers = new LinkedHashMap<>();
-    private final Set<JobTrack> mDirty = new LinkedHashSet<>();
+    private final Map<JobId, TrackedJob> mJobs = new LinkedHashMap<>();
+    private final Map<ProcessId, TrackedWorker> mWorkers = new LinkedHashMap<>();
+    private final Set<TrackedJob> mDirty = new LinkedHashSet<>();
     private final List<Runnable> mAfterDurable = new ArrayList<>();
-    private final Set<JobTrack> mToPublish = new LinkedHashSet<>();
+    private final Set<TrackedJob> mToPublish = new LinkedHashSet<>();
     private Optional<WorkloadConfiguration> mConfiguration = Optional.empty();
     private boolean mPersisting;
     private boolean mHalted;
@@ -97,59 +97,59 @@
         mLog = log;
         mPlacer =
                 new TaskPlacer(
-                        new WorkerChooser(mInterference),
+                        new WorkerSelector(mInterference),
                         mOrder,
                         mJobs.values(),
                         mWorkers.values(),
                         this::start,
                         log);
-        mWatch = new RunWatch(task -> mPlacer.choose(task, nowMs()), this::stop, log);
+        mWatch = new RunMonitor(task -> mPlacer.choose(task, nowMs()), this::stop, log);
     }
 
     /** Starts no further run: the owner is about to hand over. */
-    public synchronized void halt() {
+    public synchronized void stopPlacement() {
         mHalted = true;
     }
 
     /** Tells whether every decision so far is durable. */
-    public synchronized boolean isSettled() {
+    public synchronized boolean isDurable() {
         return !mPersisting && mDirty.isEmpty();
     }
 
     /** Takes the configuration in force. */
-    public synchronized void onConfiguration(WorkloadConfiguration configuration) {
+    public synchronized void onConfigurationChanged(WorkloadConfiguration configuration) {
         mConfiguration = Optional.of(configuration);
         mPlacer.onConfiguration(configuration);
-        for (JobTrack job : mJobs.values()) {
+        for (TrackedJob job : mJobs.values()) {
             configuration.queue(job.submission().queue()).ifPresent(job::onQueue);
         }
     }
 
     /** Takes over what a former owner learnt of images. */
-    public synchronized void restoreInterference(List<InterferenceWeight> weights) {
+    public synchronized void restoreInterferenceWeights(List<InterferenceEstimate> weights) {
         mInterference.restore(weights);
     }
 
     /** Takes a job and its durable progress from the log. */
-    public synchronized void restore(
+    public synchronized void restoreJob(
             JobSubmission submission, Optional<JobProgress> progress, boolean cancelled) {
         if (mJobs.containsKey(submission.id())) {
             return;
         }
-        JobTrack job = new JobTrack(submission, queue(submission));
+        TrackedJob job = new TrackedJob(submission, queue(submission));
         add(job);
-        progress.ifPresent(known -> restore(job, known));
+        progress.ifPresent(known -> restoreJob(job, known));
         if (cancelled && !job.state().isFinal()) {
             cancel(job);
         }
         mToPublish.add(job);
     }
 
-    private void restore(JobTrack job, JobProgress progress) {
+    private void restoreJob(TrackedJob job, JobProgress progress) {
         job.onState(progress.state());
         for (TaskProgress row : progress.tasks()) {
             TaskKey key = new TaskKey(job.id(), row.occurrence(), row.step(), row.index());
-            Optional<TaskTrack> task = job.task(key);
+            Optional<TrackedTask> task = job.task(key);
             if (task.isEmpty()) {
                 mLog.record("progress_ignored", "task", key, "reason", "no_such_task");
                 continue;
@@ -161,19 +161,20 @@
         }
     }
 
-    private void inherit(TaskTrack task, TaskProgress row) {
-        if (row.agent().isEmpty() || row.life().isEmpty()) {
+    private void inherit(TrackedTask task, TaskProgress row) {
+        if (row.agent().isEmpty() || row.incarnation().isEmpty()) {
             task.onPending(nowMs());
             return;
         }
-        WorkerTrack worker = worker(row.agent().get());
+        TrackedWorker worker = worker(row.agent().get());
         RunId id = new RunId(task.key(), row.run());
-        RunTrack run = new RunTrack(id, task, worker, row.life().get(), RunPhase.INHERITED);
+        TrackedRun run =
+                new TrackedRun(id, task, worker, row.incarnation().get(), RunPhase.INHERITED);
         worker.add(run);
         task.onRun(run);
     }
 
-    private void add(JobTrack job) {
+    private void add(TrackedJob job) {
         job.onActive(nowMs());
         mJobs.put(job.id(), job);
         mOrder.onJob(job);
@@ -185,21 +186,23 @@
                 .orElseGet(() -> JobQueue.removed(submission.queue()));
     }
 
-    private WorkerTrack worker(ProcessId agent) {
+    private TrackedWorker worker(ProcessId agent) {
         return mWorkers.computeIfAbsent(
                 agent,
                 id ->
-                        new WorkerTrack(
+                        new TrackedWorker(
                                 id,
-                                nowMs() + mSettings.formerLeaseMs() + mSettings.certainExpiryMs()));
+                                nowMs()
+                                        + mSettings.previousOwnerLeaseMs()
+                                        + mSettings.certainExpiryMs()));
     }
 
     /** Takes a job that is durable. */
-    public synchronized void onSubmission(JobSubmission submission) {
+    public synchronized void onJobSubmitted(JobSubmission submission) {
         if (mJobs.containsKey(submission.id())) {
             return;
         }
-        JobTrack job = new JobTrack(submission, queue(submission));
+        TrackedJob job = new TrackedJob(submission, queue(submission));
         add(job);
         mLog.record(
                 "job_taken",
@@ -216,28 +219,28 @@
     }
 
     /** Takes a cancellation that is durable. */
-    public synchronized void onCancel(JobId id) {
-        JobTrack job = mJobs.get(id);
+    public synchronized void onJobCancelled(JobId id) {
+        TrackedJob job = mJobs.get(id);
         if (job != null && !job.state().isFinal()) {
             cancel(job);
             advance();
         }
     }
 
-    private void cancel(JobTrack job) {
+    private void cancel(TrackedJob job) {
         mLog.record("job_cancelled", "job", job.id(), "state", job.state());
         finish(job, JobState.CANCELLED);
     }
 
-    private void finish(JobTrack job, JobState state) {
+    private void finish(TrackedJob job, JobState state) {
         job.onState(state);
-        for (TaskTrack task : job.tasks()) {
+        for (TrackedTask task : job.tasks()) {
             task.run().ifPresent(run -> stop(run, state.name()));
         }
         mDirty.add(job);
     }
 
-    private void stop(RunTrack run, String cause) {
+    private void stop(TrackedRun run, String cause) {
         if (run.isStopping()) {
             return;
         }
@@ -249,14 +252,14 @@
         sendStop(run);
     }
 
-    private void sendStop(RunTrack run) {
-        WorkerTrack worker = run.worker();
+    private void sendStop(TrackedRun run) {
+        TrackedWorker worker = run.worker();
         if (worker.isConnected()) {
             sendOrder(worker, new StopRun(mEpoch, worker.nextOrder(), run.id()));
         }
     }
 
-    private void sendOrder(WorkerTrack worker, org.hickorycleat.model.message.Message order) {
+    private void sendOrder(TrackedWorker worker, org.hickorycleat.model.message.Message order) {
         if (!mOutput.send(worker.agent(), order)) {
             mLog.record("order_unsent", "agent", worker.agent(), "order", order);
         }
@@ -281,12 +284,12 @@
     }
 
     /** Takes the state of a worker. */
-    public synchronized void onReport(ProcessId agent, WorkerReport report) {
-        WorkerTrack worker = worker(agent);
+    public synchronized void onWorkerReport(ProcessId agent, WorkerReport report) {
+        TrackedWorker worker = worker(agent);
         if (!report.epoch().equals(mEpoch) || report.session() != worker.session()) {
             return;
         }
-        Optional<WorkerLife> before = worker.life();
+        Optional<WorkerIncarnation> before = worker.life();
         worker.onObeyed(nowMs() + mSettings.certainExpiryMs());
         worker.onReport(report, nowMs());
         if (!before.equals(worker.life())) {
@@ -305,7 +308,7 @@
         advance();
     }
 
-    private void extendLease(WorkerTrack worker, long report) {
+    private void extendLease(TrackedWorker worker, long report) {
         int leaseMs = mOutput.mayExtendLeases() ? mSettings.leaseMs() : 0;
         if (leaseMs > 0) {
             worker.onLeaseExtended(nowMs() + mSettings.certainExpiryMs());
@@ -316,18 +319,18 @@
                         mEpoch, report, leaseMs, worker.life(), worker.acknowledgedEnds()));
     }
 
-    private void sendWeights(WorkerTrack worker) {
+    private void sendWeights(TrackedWorker worker) {
         if (!worker.areWeightsDue(nowMs())) {
             return;
         }
-        List<FillWeights.ImageWeight> weights = mInterference.weights(worker);
+        List<InterferenceWeights.ImageWeight> weights = mInterference.weights(worker);
         if (!weights.isEmpty()) {
-            mOutput.send(worker.agent(), new FillWeights(mEpoch, weights));
+            mOutput.send(worker.agent(), new InterferenceWeights(mEpoch, weights));
         }
     }
 
-    private void acknowledgeEnds(WorkerTrack worker) {
-        Optional<WorkerLife> life = worker.life();
+    private void acknowledgeEnds(TrackedWorker worker) {
+        Optional<WorkerIncarnation> life = worker.life();
         long processed = worker.processedEnds();
         if (processed <= worker.acknowledgedEnds()) {
             return;
@@ -341,12 +344,12 @@
                 });
     }
 
-    private void reconcile(WorkerTrack worker, WorkerReport report) {
+    private void reconcile(TrackedWorker worker, WorkerReport report) {
         if (report.leaseExpired()) {
             giveUpAll(worker, "lease_expired_at_agent");
             return;
         }
-        if (report.life().isEmpty()) {
+        if (report.incarnation().isEmpty()) {
             return;
         }
         Set<RunId> listed = new HashSet<>(report.pending());
@@ -355,42 +358,42 @@
             onSample(worker, sample);
         }
         report.ended().forEach(end -> listed.add(end.run()));
-        for (RunTrack run : worker.runs()) {
+        for (TrackedRun run : worker.runs()) {
             if (run.phase() == RunPhase.PERSISTING) {
                 continue;
             }
-            boolean otherLife = !run.life().equals(report.life().get());
+            boolean otherLife = !run.life().equals(report.incarnation().get());
             if (otherLife && listed.contains(run.id())) {
                 mLog.record("run_in_new_life", "run", run.id(), "agent", worker.agent());
-                run.onLife(report.life().get());
+                run.onLife(report.incarnation().get());
             } else if (otherLife) {
                 giveUp(run, "worker_restarted");
             } else if (!listed.contains(run.id())
-                    && run.isDisprovedBy(report.session(), report.ordersSeen())) {
+                    && run.isDisprovedBy(report.session(), report.lastCommandNumber())) {
                 giveUp(run, "not_on_worker");
             }
         }
     }
 
-    private void onSample(WorkerTrack worker, RunSample sample) {
-        Optional<RunTrack> known = worker.run(sample.run());
+    private void onSample(TrackedWorker worker, RunSample sample) {
+        Optional<TrackedRun> known = worker.run(sample.run());
         if (known.isEmpty()) {
             mLog.record("unknown_run", "run", sample.run(), "agent", worker.agent());
             sendOrder(worker, new StopRun(mEpoch, worker.nextOrder(), sample.run()));
             return;
         }
-        RunTrack run = known.get();
+        TrackedRun run = known.get();
         if (run.phase() == RunPhase.INHERITED) {
             mOutput.send(worker.agent(), new RunTraits(mEpoch, run.id(), run.task().traits()));
         }
-        run.onSample(sample.percent(), sample.measurement(), nowMs());
+        run.onSample(sample.progressPercent(), sample.measurement(), nowMs());
         run.task().onCheckpoint(sample.checkpoint());
         if (run.isStopping()) {
             sendStop(run);
         }
     }
 
-    private void onEnd(WorkerTrack worker, EndedRun end) {
+    private void onEnd(TrackedWorker worker, EndedRun end) {
         if (!worker.isNewEnd(end.number())) {
             return;
         }
@@ -405,8 +408,8 @@
                 "number",
                 end.number());
         worker.run(end.run()).ifPresent(this::forget);
-        JobTrack job = mJobs.get(end.run().task().job());
-        Optional<TaskTrack> task = job == null ? Optional.empty() : job.task(end.run().task());
+        TrackedJob job = mJobs.get(end.run().task().job());
+        Optional<TrackedTask> task = job == null ? Optional.empty() : job.task(end.run().task());
         if (job == null || task.isEmpty()) {
             mLog.record("end_ignored", "run", end.run(), "reason", "no_such_task");
             return;
@@ -415,7 +418,7 @@
         mDirty.add(job);
     }
 
-    private void onEnd(WorkerTrack worker, JobTrack job, TaskTrack task, EndedRun end) {
+    private void onEnd(TrackedWorker worker, TrackedJob job, TrackedTask task, EndedRun end) {
         boolean current = task.run().isPresent() && task.run().get().id().equals(end.run());
         boolean lasts = task.specification().perpetual();
         if (task.status() == TaskStatus.DONE) {
@@ -438,7 +441,7 @@
         }
     }
 
-    private void onFailure(WorkerTrack worker, JobTrack job, TaskTrack task, int run) {
+    private void onFailure(TrackedWorker worker, TrackedJob job, TrackedTask task, int run) {
         task.onFailure(run, worker.agent());
         if (worker.health().onFailure(nowMs())) {
             mLog.record("worker_set_aside", "agent", worker.agent(), "cause", "failures");
@@ -449,7 +452,7 @@
         }
     }
 
-    private void learnRunTime(RunTrack run) {
+    private void learnRunTime(TrackedRun run) {
         if (run.phase() == RunPhase.RUNNING && run.task().checkpoint().isEmpty()) {
             mRunTimes.onDone(
                     run.task().step().job().queue().name(),
@@ -458,42 +461,42 @@
         }
     }
 
-    private static void onDone(TaskTrack task) {
+    private static void onDone(TrackedTask task) {
         if (task.specification().gang()) {
             // One end speaks for all members.
-            task.step().tasks().forEach(TaskTrack::onDone);
+            task.step().tasks().forEach(TrackedTask::onDone);
         } else {
             task.onDone();
         }
     }
 
-    private void supersede(RunTrack other) {
+    private void supersede(TrackedRun other) {
         stop(other, "done_elsewhere");
     }
 
-    private void completeIfDone(JobTrack job) {
+    private void completeIfDone(TrackedJob job) {
         if (!job.state().isFinal() && job.isDone()) {
             mLog.record("job_completed", "job", job.id());
             job.onState(JobState.COMPLETED);
         }
     }
 
-    private void forget(RunTrack run) {
+    private void forget(TrackedRun run) {
         run.worker().remove(run);
     }
 
-    private void giveUpAll(WorkerTrack worker, String cause) {
-        for (RunTrack run : worker.runs()) {
+    private void giveUpAll(TrackedWorker worker, String cause) {
+        for (TrackedRun run : worker.runs()) {
             if (run.phase() != RunPhase.PERSISTING) {
                 giveUp(run, cause);
             }
         }
     }
 
-    private void giveUp(RunTrack run, String cause) {
+    private void giveUp(TrackedRun run, String cause) {
         mLog.record("run_given_up", "run", run.id(), "agent", run.worker().agent(), "cause", cause);
         forget(run);
-        TaskTrack task = run.task();
+        TrackedTask task = run.task();
         boolean current = task.run().isPresent() && task.run().get() == run;
         if (current && task.status() == TaskStatus.ACTIVE) {
             task.onPending(nowMs());
@@ -502,8 +505,8 @@
     }
 
     /** The agent tells that a run was not started. */
-    public synchronized void onRejected(ProcessId agent, RunRejected rejection) {
-        Optional<RunTrack> run = worker(agent).run(rejection.run());
+    public synchronized void onRunRejected(ProcessId agent, RunRejected rejection) {
+        Optional<TrackedRun> run = worker(agent).run(rejection.run());
         if (run.isEmpty()) {
             return;
         }
@@ -516,7 +519,7 @@
 
     /** Checks leases and progress and places what waits; called several times a second. */
     public synchronized void tick() {
-        for (WorkerTrack worker : mWorkers.values()) {
+        for (TrackedWorker worker : mWorkers.values()) {
             if (!worker.runs().isEmpty() && worker.isLeaseCertainlyOver(nowMs())) {
                 giveUpAll(worker, "lease_expired");
             }
@@ -531,10 +534,10 @@
             return;
         }
         mRememberedAtMs = nowMs();
-        List<InterferenceWeight> weights = mInterference.snapshot();
+        List<InterferenceEstimate> weights = mInterference.snapshot();
         if (!weights.isEmpty()) {
             mLog.record("interference_learnt", "weights", weights.size());
-            mOutput.remember(weights);
+            mOutput.saveInterferenceWeights(weights);
         }
     }
 
@@ -566,9 +569,9 @@
         advance();
     }
 
-    private void start(RunTrack run) {
-        WorkerTrack worker = run.worker();
-        JobTrack job = run.task().step().job();
+    private void start(TrackedRun run) {
+        TrackedWorker worker = run.worker();
+        TrackedJob job = run.task().step().job();
         if (job.state() == JobState.QUEUED) {
             job.onState(JobState.RUNNING);
         }
@@ -588,8 +591,8 @@
         mAfterDurable.add(() -> order(run));
     }
 
-    private void order(RunTrack run) {
-        WorkerTrack worker = run.worker();
+    private void order(TrackedRun run) {
+        TrackedWorker worker = run.worker();
         boolean current = worker.run(run.id()).equals(Optional.of(run));
         if (!current) {
             return;
@@ -598,7 +601,7 @@
                 worker.isAvailable()
                         && worker.life().equals(Optional.of(run.life()))
                         && !run.isStopping();
-        TaskTrack task = run.task();
+        TrackedTask task = run.task();
         long order = sendable ? worker.nextOrder() : 0;
         run.onOrdered(worker.session(), order, nowMs());
         boolean sent =
@@ -626,7 +629,7 @@
         }
         List<JobProgress> progress = new ArrayList<>();
         List<JobStatus> states = takePublished();
-        for (JobTrack job : mDirty) {
+        for (TrackedJob job : mDirty) {
             progress.add(job.progress());
             states.add(job.status());
         }
@@ -639,7 +642,7 @@
             return;
         }
         mPersisting = true;
-        mOutput.persist(progress, () -> onDurable(effects, states));
+        mOutput.persistProgress(progress, () -> onDurable(effects, states));
     }
 
     private synchronized void onDurable(List<Runnable> effects, List<JobStatus> states) {
@@ -651,7 +654,7 @@
 
     private List<JobStatus> takePublished() {
         List<JobStatus> states = new ArrayList<>();
-        for (JobTrack job : mToPublish) {
+        for (TrackedJob job : mToPublish) {
             if (!mDirty.contains(job)) {
                 states.add(job.status());
             }
@@ -662,14 +665,14 @@
 
     private void publish(List<JobStatus> states) {
         if (!states.isEmpty()) {
-            mOutput.publish(states);
+            mOutput.publishJobStates(states);
         }
     }
 
     /** Returns the workers, for the state dump. */
     public synchronized Collection<String> describeWorkers() {
         List<String> lines = new ArrayList<>();
-        for (WorkerTrack worker : mWorkers.values()) {
+        for (TrackedWorker worker : mWorkers.values()) {
             lines.add(
                     "agent="
                             + worker.agent()
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/InterferenceEstimates.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/InterferenceEstimates.java
@@ -5,9 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import org.hickorycleat.logic.interference.ServingLoad;
-import org.hickorycleat.model.job.InterferenceWeight;
+import org.hickorycleat.model.job.InterferenceEstimate;
 import org.hickorycleat.model.job.StepSpecification;
-import org.hickorycleat.model.message.FillWeights;
+import org.hickorycleat.model.message.InterferenceWeights;
 
 /**
  * Estimates from late measurements how much each image that fills adds to the load of each image
@@ -68,9 +68,9 @@
     }
 
     /** Learns from the newest measurements of a worker. */
-    void observe(WorkerTrack worker) {
+    void observe(TrackedWorker worker) {
         Map<String, Double> shares = shares(worker);
-        for (RunTrack run : worker.runs()) {
+        for (TrackedRun run : worker.runs()) {
             StepSpecification step = run.task().specification();
             if (step.targetLatencyMs() > 0 && run.takeNewMeasurement()) {
                 observe(step.image(), run.ownLoad(), load(run), shares);
@@ -78,12 +78,12 @@
         }
     }
 
-    private static Map<String, Double> shares(WorkerTrack worker) {
+    private static Map<String, Double> shares(TrackedWorker worker) {
         Map<String, Double> shares = new HashMap<>();
         double capacity = Math.max(1, worker.capacity().processorsMilli());
-        for (RunTrack run : worker.runs()) {
+        for (TrackedRun run : worker.runs()) {
             StepSpecification step = run.task().specification();
-            if (step.fills()) {
+            if (step.bestEffort()) {
                 shares.merge(step.image(), run.measurement() / capacity, Double::sum);
             }
         }
@@ -102,7 +102,7 @@
             variance += share.getValue() * share.getValue() * weight.mVariance;
         }
         double error = load - expected;
-        if (load > ServingLoad.SATURATED && error < 0) {
+        if (load > ServingLoad.SATURATION_LOAD && error < 0) {
             return;
         }
         own.correct(own.mVariance / variance, error, 1);
@@ -124,12 +124,12 @@
         return known == null ? FIRST_WEIGHT : known.mMean;
     }
 
-    private static double load(RunTrack run) {
+    private static double load(TrackedRun run) {
         return ServingLoad.of(run.measurement(), run.task().specification().targetLatencyMs());
     }
 
     /** Returns the highest load of a serving task on a worker with a further task that fills. */
-    double expectedLoad(WorkerTrack worker, StepSpecification further) {
+    double expectedLoad(TrackedWorker worker, StepSpecification further) {
         double share = share(worker, further);
         double highest = 0;
         for (Map.Entry<String, Double> serving : loads(worker).entrySet()) {
@@ -140,7 +140,7 @@
     }
 
     /** Returns the most that a further task that fills adds to the load of a serving task. */
-    double addedLoad(WorkerTrack worker, StepSpecification further) {
+    double addedLoad(TrackedWorker worker, StepSpecification further) {
         double highest = 0;
         for (String serving : loads(worker).keySet()) {
             highest = Math.max(highest, weight(serving, further.image()));
@@ -148,19 +148,19 @@
         return highest * share(worker, further);
     }
 
-    private static double share(WorkerTrack worker, StepSpecification step) {
-        return step.request().processorsMilli()
+    private static double share(TrackedWorker worker, StepSpecification step) {
+        return step.resources().processorsMilli()
                 / Math.max(1.0, (double) worker.capacity().processorsMilli());
     }
 
-    private Map<String, Double> loads(WorkerTrack worker) {
+    private Map<String, Double> loads(TrackedWorker worker) {
         return worker.servingLoads(() -> computeLoads(worker));
     }
 
     // The highest load of each serving image, with tasks that do not show in a measurement yet.
-    private Map<String, Double> computeLoads(WorkerTrack worker) {
+    private Map<String, Double> computeLoads(TrackedWorker worker) {
         Map<String, Double> loads = new HashMap<>();
-        for (RunTrack run : worker.runs()) {
+        for (TrackedRun run : worker.runs()) {
             StepSpecification step = run.task().specification();
             if (step.targetLatencyMs() > 0) {
                 double known = run.measurement() > 0 ? load(run) : FIRST_LOAD;
@@ -170,9 +170,9 @@
         if (loads.isEmpty()) {
             return loads;
         }
-        for (RunTrack run : worker.runs()) {
+        for (TrackedRun run : worker.runs()) {
             StepSpecification step = run.task().specification();
-            if (step.fills() && run.measurement() == 0) {
+            if (step.bestEffort() && run.measurement() == 0) {
                 double share = share(worker, step);
                 loads.replaceAll((serving, load) -> load + weight(serving, step.image()) * share);
             }
@@ -181,12 +181,12 @@
     }
 
     /** Returns all weights, for a successor. */
-    List<InterferenceWeight> snapshot() {
-        List<InterferenceWeight> weights = new ArrayList<>();
+    List<InterferenceEstimate> snapshot() {
+        List<InterferenceEstimate> weights = new ArrayList<>();
         mWeights.forEach(
                 (pair, weight) ->
                         weights.add(
-                                new InterferenceWeight(
+                                new InterferenceEstimate(
                                         pair.serving(),
                                         pair.filling(),
                                         Math.round(weight.mMean * MILLI),
@@ -195,26 +195,26 @@
     }
 
     /** Takes over weights that were learnt elsewhere. */
-    void restore(List<InterferenceWeight> weights) {
-        for (InterferenceWeight weight : weights) {
+    void restore(List<InterferenceEstimate> weights) {
+        for (InterferenceEstimate weight : weights) {
             mWeights.put(
-                    new Pair(weight.serving(), weight.filling()),
+                    new Pair(weight.servingImage(), weight.bestEffortImage()),
                     new Estimate(weight.meanMilli() / MILLI, weight.varianceMilli() / MILLI));
         }
     }
 
     /** Returns the weights of the images that fill on a worker, for its serving tasks. */
-    List<FillWeights.ImageWeight> weights(WorkerTrack worker) {
-        List<FillWeights.ImageWeight> weights = new ArrayList<>();
+    List<InterferenceWeights.ImageWeight> weights(TrackedWorker worker) {
+        List<InterferenceWeights.ImageWeight> weights = new ArrayList<>();
         for (String filling : shares(worker).keySet()) {
             double highest = 0;
-            for (RunTrack run : worker.runs()) {
+            for (TrackedRun run : worker.runs()) {
                 StepSpecification step = run.task().specification();
                 if (step.targetLatencyMs() > 0) {
                     highest = Math.max(highest, weight(step.image(), filling));
                 }
             }
-            weights.add(new FillWeights.ImageWeight(filling, Math.round(highest * MILLI)));
+            weights.add(new InterferenceWeights.ImageWeight(filling, Math.round(highest * MILLI)));
         }
         return weights;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunWatch.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunMonitor.java
@@ -7,7 +7,7 @@
 import org.hickorycleat.logic.port.DecisionLog;
 
 /** Stops runs that should go on elsewhere: on workers that leave, stand still, or are crowded. */
-final class RunWatch {
+final class RunMonitor {
     /** Time without progress after which a run counts as stalled, in milliseconds. */
     private static final long STALL_MS = 1_500;
 
@@ -22,24 +22,27 @@
     /** Time kept between the expected end of a run and that of its worker, in milliseconds. */
     private static final long DRAIN_MARGIN_MS = 500;
 
-    private final Function<TaskTrack, Optional<WorkerTrack>> mChooser;
+    private final Function<TrackedTask, Optional<TrackedWorker>> mChooser;
     private final Stopper mStopper;
     private final DecisionLog mLog;
 
     /** Orders stops. */
     interface Stopper {
         /** Stops a run; the task starts again when its end is listed. */
-        void stop(RunTrack run, String cause);
+        void stop(TrackedRun run, String cause);
     }
 
-    RunWatch(Function<TaskTrack, Optional<WorkerTrack>> chooser, Stopper stopper, DecisionLog log) {
+    RunMonitor(
+            Function<TrackedTask, Optional<TrackedWorker>> chooser,
+            Stopper stopper,
+            DecisionLog log) {
         mChooser = chooser;
         mStopper = stopper;
         mLog = log;
     }
 
     /** Checks the runs of a worker. */
-    void check(WorkerTrack worker, long nowMs) {
+    void check(TrackedWorker worker, long nowMs) {
         if (worker.isDraining()) {
             emptyDraining(worker, nowMs);
         }
@@ -47,9 +50,9 @@
         moveSlowed(worker, nowMs);
     }
 
-    private void emptyDraining(WorkerTrack worker, long nowMs) {
+    private void emptyDraining(TrackedWorker worker, long nowMs) {
         long remainingMs = worker.description().orElseThrow().remainingMs();
-        for (RunTrack run : worker.runs()) {
+        for (TrackedRun run : worker.runs()) {
             if (run.phase() != RunPhase.RUNNING || run.isStopping()) {
                 continue;
             }
@@ -62,17 +65,17 @@
     }
 
     // A task that its neighbours do not let work goes on elsewhere from its checkpoint.
-    private void moveSlowed(WorkerTrack worker, long nowMs) {
-        for (RunTrack run : worker.runs()) {
+    private void moveSlowed(TrackedWorker worker, long nowMs) {
+        for (TrackedRun run : worker.runs()) {
             boolean worthIt =
-                    run.task().specification().fills()
+                    run.task().specification().bestEffort()
                             && !run.isStopping()
                             && run.percent() < MOVABLE_PERCENT
                             && run.slowedMs(nowMs) > SLOWED_LIMIT_MS;
             if (!worthIt) {
                 continue;
             }
-            Optional<WorkerTrack> other = mChooser.apply(run.task());
+            Optional<TrackedWorker> other = mChooser.apply(run.task());
             if (other.isPresent() && other.get() != worker) {
                 mStopper.stop(run, "slowed_by_neighbours");
                 return;
@@ -80,12 +83,12 @@
         }
     }
 
-    private void stopStalled(WorkerTrack worker, long nowMs) {
+    private void stopStalled(TrackedWorker worker, long nowMs) {
         if (!worker.isAvailable() || worker.fillPercent() == 0) {
             return;
         }
-        List<RunTrack> finite = new ArrayList<>();
-        for (RunTrack run : worker.runs()) {
+        List<TrackedRun> finite = new ArrayList<>();
+        for (TrackedRun run : worker.runs()) {
             boolean waits = run.task().specification().gang();
             if (run.phase() == RunPhase.RUNNING
                     && !run.task().specification().perpetual()
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TaskPlacer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TaskPlacer.java
@@ -17,11 +17,11 @@
     /** Most starts of one round; the rest follows in the next. */
     private static final int MAXIMUM_STARTS = 200;
 
-    private final WorkerChooser mChooser;
+    private final WorkerSelector mChooser;
     private final DispatchOrder mOrder;
-    private final Collection<JobTrack> mJobs;
-    private final Collection<WorkerTrack> mWorkers;
-    private final Consumer<RunTrack> mStarter;
+    private final Collection<TrackedJob> mJobs;
+    private final Collection<TrackedWorker> mWorkers;
+    private final Consumer<TrackedRun> mStarter;
     private final DecisionLog mLog;
     private Optional<WorkloadConfiguration> mConfiguration = Optional.empty();
     private long mNowMs;
@@ -34,11 +34,11 @@
      * @param starter makes placed runs durable and orders them
      */
     TaskPlacer(
-            WorkerChooser chooser,
+            WorkerSelector chooser,
             DispatchOrder order,
-            Collection<JobTrack> jobs,
-            Collection<WorkerTrack> workers,
-            Consumer<RunTrack> starter,
+            Collection<TrackedJob> jobs,
+            Collection<TrackedWorker> workers,
+            Consumer<TrackedRun> starter,
             DecisionLog log) {
         mChooser = chooser;
         mOrder = order;
@@ -53,19 +53,19 @@
     }
 
     /** Returns the best worker for a task; empty when none can take it now. */
-    Optional<WorkerTrack> choose(TaskTrack task, long nowMs) {
+    Optional<TrackedWorker> choose(TrackedTask task, long nowMs) {
         return mChooser.choose(task, mWorkers, pool(task), nowMs);
     }
 
     /** Places what can be placed now. */
     void place(long nowMs, long unixMs) {
         mNowMs = nowMs;
-        List<TaskTrack> ready = ready(unixMs);
+        List<TrackedTask> ready = ready(unixMs);
         mOrder.sort(ready, unixMs);
         int starts = 0;
         // The tasks of a step are alike: where one finds no worker, none of the others does.
-        Set<StepTrack> unplaceable = new HashSet<>();
-        for (TaskTrack task : ready) {
+        Set<TrackedStep> unplaceable = new HashSet<>();
+        for (TrackedTask task : ready) {
             if (starts >= MAXIMUM_STARTS) {
                 return;
             }
@@ -76,7 +76,7 @@
                 starts += startGang(task.step());
                 continue;
             }
-            Optional<WorkerTrack> worker = choose(task, nowMs).or(() -> chooseForStarved(task));
+            Optional<TrackedWorker> worker = choose(task, nowMs).or(() -> chooseForStarved(task));
             if (worker.isPresent()) {
                 mStarter.accept(reserve(task, worker.get(), task.nextRunNumber()));
                 starts++;
@@ -87,14 +87,14 @@
     }
 
     // All members of a gang start under one run number, or none does.
-    private int startGang(StepTrack step) {
+    private int startGang(TrackedStep step) {
         if (!step.tasks().stream().allMatch(task -> task.isReady(mNowMs))) {
             return 0;
         }
-        int number = step.tasks().stream().mapToInt(TaskTrack::nextRunNumber).max().orElse(1);
-        List<RunTrack> reserved = new ArrayList<>();
-        for (TaskTrack task : step.tasks()) {
-            Optional<WorkerTrack> worker = choose(task, mNowMs);
+        int number = step.tasks().stream().mapToInt(TrackedTask::nextRunNumber).max().orElse(1);
+        List<TrackedRun> reserved = new ArrayList<>();
+        for (TrackedTask task : step.tasks()) {
+            Optional<TrackedWorker> worker = choose(task, mNowMs);
             if (worker.isEmpty()) {
                 reserved.forEach(TaskPlacer::cancelReservation);
                 return 0;
@@ -107,12 +107,12 @@
     }
 
     // Work that fills waits for a quiet place, but a job does not stand still for that.
-    private Optional<WorkerTrack> chooseForStarved(TaskTrack task) {
-        JobTrack job = task.step().job();
-        if (!task.specification().fills() || !job.isStarved(mNowMs)) {
+    private Optional<TrackedWorker> chooseForStarved(TrackedTask task) {
+        TrackedJob job = task.step().job();
+        if (!task.specification().bestEffort() || !job.isStarved(mNowMs)) {
             return Optional.empty();
         }
-        Optional<WorkerTrack> worker =
+        Optional<TrackedWorker> worker =
                 mChooser.chooseLeastDisturbed(task, mWorkers, pool(task), mNowMs);
         worker.ifPresent(
                 chosen ->
@@ -121,27 +121,27 @@
         return worker;
     }
 
-    private Optional<WorkerPool> pool(TaskTrack task) {
+    private Optional<WorkerPool> pool(TrackedTask task) {
         return mConfiguration.flatMap(
                 configuration -> configuration.pool(task.step().job().queue().service()));
     }
 
-    private static void cancelReservation(RunTrack run) {
+    private static void cancelReservation(TrackedRun run) {
         run.worker().remove(run);
         run.task().onRunDropped();
     }
 
-    private List<TaskTrack> ready(long unixMs) {
-        List<TaskTrack> ready = new ArrayList<>();
-        for (JobTrack job : mJobs) {
+    private List<TrackedTask> ready(long unixMs) {
+        List<TrackedTask> ready = new ArrayList<>();
+        for (TrackedJob job : mJobs) {
             if (job.state().isFinal()) {
                 continue;
             }
             if (job.hasRuns()) {
                 job.onActive(mNowMs);
             }
-            for (List<StepTrack> steps : job.occurrences()) {
-                for (StepTrack step : steps) {
+            for (List<TrackedStep> steps : job.occurrences()) {
+                for (TrackedStep step : steps) {
                     addReady(step, unixMs, ready);
                 }
             }
@@ -149,9 +149,9 @@
         return ready;
     }
 
-    private void addReady(StepTrack step, long unixMs, List<TaskTrack> ready) {
+    private void addReady(TrackedStep step, long unixMs, List<TrackedTask> ready) {
         boolean checked = false;
-        for (TaskTrack task : step.tasks()) {
+        for (TrackedTask task : step.tasks()) {
             if (!task.isReady(mNowMs)) {
                 continue;
             }
@@ -163,10 +163,10 @@
         }
     }
 
-    private static RunTrack reserve(TaskTrack task, WorkerTrack worker, int number) {
+    private static TrackedRun reserve(TrackedTask task, TrackedWorker worker, int number) {
         RunId id = new RunId(task.key(), number);
-        RunTrack run =
-                new RunTrack(id, task, worker, worker.life().orElseThrow(), RunPhase.PERSISTING);
+        TrackedRun run =
+                new TrackedRun(id, task, worker, worker.life().orElseThrow(), RunPhase.PERSISTING);
         worker.add(run);
         task.onRun(run);
         return run;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/JobTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedJob.java
@@ -14,23 +14,23 @@
 import org.hickorycleat.model.job.TaskProgress;
 
 /** State of one job. */
-final class JobTrack {
+final class TrackedJob {
     /** A job without any run for this long is starved, in milliseconds. */
     private static final long STARVED_LIMIT_MS = 1_500;
 
     private final JobSubmission mSubmission;
-    private final List<List<StepTrack>> mOccurrences = new ArrayList<>();
+    private final List<List<TrackedStep>> mOccurrences = new ArrayList<>();
     private JobQueue mQueue;
     private JobState mState = JobState.QUEUED;
     private long mActiveAtMs;
 
-    JobTrack(JobSubmission submission, JobQueue queue) {
+    TrackedJob(JobSubmission submission, JobQueue queue) {
         mSubmission = submission;
         mQueue = queue;
         for (int i = 0; i < submission.occurrences(); i++) {
-            List<StepTrack> steps = new ArrayList<>();
+            List<TrackedStep> steps = new ArrayList<>();
             for (StepSpecification step : submission.steps()) {
-                steps.add(new StepTrack(this, i, steps.size(), step));
+                steps.add(new TrackedStep(this, i, steps.size(), step));
             }
             mOccurrences.add(steps);
         }
@@ -60,15 +60,15 @@
         mState = state;
     }
 
-    List<List<StepTrack>> occurrences() {
+    List<List<TrackedStep>> occurrences() {
         return mOccurrences;
     }
 
-    Optional<TaskTrack> task(TaskKey key) {
+    Optional<TrackedTask> task(TaskKey key) {
         if (key.occurrence() >= mOccurrences.size()) {
             return Optional.empty();
         }
-        List<StepTrack> steps = mOccurrences.get(key.occurrence());
+        List<TrackedStep> steps = mOccurrences.get(key.occurrence());
         if (key.step() >= steps.size() || key.index() >= steps.get(key.step()).tasks().size()) {
             return Optional.empty();
         }
@@ -76,13 +76,13 @@
     }
 
     /** Tells whether the steps before a step are done and its time has come. */
-    boolean isDue(StepTrack step, long unixMs) {
+    boolean isDue(TrackedStep step, long unixMs) {
         Optional<Long> dueAtMs = mSubmission.dueAtMs(step.occurrence());
         if (dueAtMs.isPresent() && unixMs < dueAtMs.get()) {
             return false;
         }
-        List<StepTrack> steps = mOccurrences.get(step.occurrence());
-        for (int earlier : step.specification().after()) {
+        List<TrackedStep> steps = mOccurrences.get(step.occurrence());
+        for (int earlier : step.specification().predecessors()) {
             if (!steps.get(earlier).isDone()) {
                 return false;
             }
@@ -91,8 +91,8 @@
     }
 
     boolean isDone() {
-        for (List<StepTrack> steps : mOccurrences) {
-            for (StepTrack step : steps) {
+        for (List<TrackedStep> steps : mOccurrences) {
+            for (TrackedStep step : steps) {
                 if (!step.isDone()) {
                     return false;
                 }
@@ -103,8 +103,8 @@
 
     /** Tells whether a run of the job may be on a worker. */
     boolean hasRuns() {
-        for (List<StepTrack> steps : mOccurrences) {
-            for (StepTrack step : steps) {
+        for (List<TrackedStep> steps : mOccurrences) {
+            for (TrackedStep step : steps) {
                 if (step.hasRuns()) {
                     return true;
                 }
@@ -123,10 +123,10 @@
         return nowMs - mActiveAtMs > STARVED_LIMIT_MS;
     }
 
-    List<TaskTrack> tasks() {
-        List<TaskTrack> tasks = new ArrayList<>();
-        for (List<StepTrack> steps : mOccurrences) {
-            for (StepTrack step : steps) {
+    List<TrackedTask> tasks() {
+        List<TrackedTask> tasks = new ArrayList<>();
+        for (List<TrackedStep> steps : mOccurrences) {
+            for (TrackedStep step : steps) {
                 tasks.addAll(step.tasks());
             }
         }
@@ -135,7 +135,7 @@
 
     JobProgress progress() {
         List<TaskProgress> progress = new ArrayList<>();
-        for (TaskTrack task : tasks()) {
+        for (TrackedTask task : tasks()) {
             task.progress().ifPresent(progress::add);
         }
         return new JobProgress(id(), mState, progress);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedRun.java
@@ -1,19 +1,19 @@
 package org.hickorycleat.logic.dispatch;
 
 import org.hickorycleat.model.job.RunId;
-import org.hickorycleat.model.job.WorkerLife;
+import org.hickorycleat.model.job.WorkerIncarnation;
 
 /** A run that may be on a worker. */
-final class RunTrack {
+final class TrackedRun {
     private static final int FULL_PERCENT = 100;
 
     /** Part of the processors asked for below which a run counts as slowed down. */
     private static final double SLOWED_SHARE = 0.35;
 
     private final RunId mId;
-    private final TaskTrack mTask;
-    private final WorkerTrack mWorker;
-    private WorkerLife mLife;
+    private final TrackedTask mTask;
+    private final TrackedWorker mWorker;
+    private WorkerIncarnation mLife;
     private RunPhase mPhase;
     private long mSession;
     private long mOrder;
@@ -28,7 +28,12 @@
     private final InterferenceEstimates.Estimate mOwnLoad = InterferenceEstimates.firstLoad();
     private long mFastAtMs = Long.MIN_VALUE / 2;
 
-    RunTrack(RunId id, TaskTrack task, WorkerTrack worker, WorkerLife life, RunPhase phase) {
+    TrackedRun(
+            RunId id,
+            TrackedTask task,
+            TrackedWorker worker,
+            WorkerIncarnation life,
+            RunPhase phase) {
         mId = id;
         mTask = task;
         mWorker = worker;
@@ -40,20 +45,20 @@
         return mId;
     }
 
-    TaskTrack task() {
+    TrackedTask task() {
         return mTask;
     }
 
-    WorkerTrack worker() {
+    TrackedWorker worker() {
         return mWorker;
     }
 
-    WorkerLife life() {
+    WorkerIncarnation life() {
         return mLife;
     }
 
     /** The start reached a later life of the worker than it was meant for. */
-    void onLife(WorkerLife life) {
+    void onLife(WorkerIncarnation life) {
         mLife = life;
     }
 
@@ -117,7 +122,7 @@
         mPercent = percent;
         mMeasurement = measurement;
         mMeasured = measurement > 0;
-        long wanted = mTask.specification().request().processorsMilli();
+        long wanted = mTask.specification().resources().processorsMilli();
         if (measurement >= wanted * SLOWED_SHARE) {
             mFastAtMs = nowMs;
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/StepTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedStep.java
@@ -11,24 +11,24 @@
 import org.hickorycleat.model.job.TaskStatus;
 
 /** State of one step of one occurrence of a job. */
-final class StepTrack {
-    private final JobTrack mJob;
+final class TrackedStep {
+    private final TrackedJob mJob;
     private final int mOccurrence;
     private final int mNumber;
     private final StepSpecification mSpecification;
-    private final List<TaskTrack> mTasks = new ArrayList<>();
+    private final List<TrackedTask> mTasks = new ArrayList<>();
 
-    StepTrack(JobTrack job, int occurrence, int number, StepSpecification specification) {
+    TrackedStep(TrackedJob job, int occurrence, int number, StepSpecification specification) {
         mJob = job;
         mOccurrence = occurrence;
         mNumber = number;
         mSpecification = specification;
         for (int i = 0; i < specification.count(); i++) {
-            mTasks.add(new TaskTrack(new TaskKey(job.id(), occurrence, number, i), this));
+            mTasks.add(new TrackedTask(new TaskKey(job.id(), occurrence, number, i), this));
         }
     }
 
-    JobTrack job() {
+    TrackedJob job() {
         return mJob;
     }
 
@@ -44,12 +44,12 @@
         return mSpecification;
     }
 
-    List<TaskTrack> tasks() {
+    List<TrackedTask> tasks() {
         return mTasks;
     }
 
     boolean isDone() {
-        for (TaskTrack task : mTasks) {
+        for (TrackedTask task : mTasks) {
             if (task.status() != TaskStatus.DONE) {
                 return false;
             }
@@ -67,14 +67,14 @@
     /** Gives all members of a gang the newest checkpoint of any; checkpoints sort by progress. */
     void shareCheckpoint() {
         mTasks.stream()
-                .map(TaskTrack::checkpoint)
+                .map(TrackedTask::checkpoint)
                 .flatMap(Optional::stream)
                 .max(Comparator.naturalOrder())
                 .ifPresent(newest -> mTasks.forEach(task -> task.onCheckpoint(newest)));
     }
 
     boolean hasRuns() {
-        for (TaskTrack task : mTasks) {
+        for (TrackedTask task : mTasks) {
             if (task.run().isPresent()) {
                 return true;
             }
@@ -83,9 +83,9 @@
     }
 
     /** Returns how many tasks of the step may be on a worker. */
-    int activeOn(WorkerTrack worker) {
+    int activeOn(TrackedWorker worker) {
         int active = 0;
-        for (TaskTrack task : mTasks) {
+        for (TrackedTask task : mTasks) {
             if (task.run().isPresent() && task.run().get().worker() == worker) {
                 active++;
             }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TaskTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedTask.java
@@ -14,19 +14,19 @@
 import org.jspecify.annotations.Nullable;
 
 /** State of one task. */
-final class TaskTrack {
+final class TrackedTask {
     private final TaskKey mKey;
-    private final StepTrack mStep;
+    private final TrackedStep mStep;
     private final Set<ProcessId> mFailedOn = new HashSet<>();
     private TaskStatus mStatus = TaskStatus.PENDING;
     private int mRunNumber;
     private int mEarlierRunNumber;
     private final Set<Integer> mFailedRuns = new TreeSet<>();
     private Optional<String> mCheckpoint = Optional.empty();
-    private @Nullable RunTrack mRun;
+    private @Nullable TrackedRun mRun;
     private long mNotBeforeMs = Long.MIN_VALUE;
 
-    TaskTrack(TaskKey key, StepTrack step) {
+    TrackedTask(TaskKey key, TrackedStep step) {
         mKey = key;
         mStep = step;
     }
@@ -35,7 +35,7 @@
         return mKey;
     }
 
-    StepTrack step() {
+    TrackedStep step() {
         return mStep;
     }
 
@@ -60,7 +60,7 @@
         return mCheckpoint;
     }
 
-    Optional<RunTrack> run() {
+    Optional<TrackedRun> run() {
         return Optional.ofNullable(mRun);
     }
 
@@ -86,7 +86,7 @@
     }
 
     /** A run may be on a worker from now on. */
-    void onRun(RunTrack run) {
+    void onRun(TrackedRun run) {
         mStatus = TaskStatus.ACTIVE;
         mEarlierRunNumber = mRunNumber;
         mRunNumber = run.id().number();
@@ -143,7 +143,7 @@
                         mRunNumber,
                         List.copyOf(mFailedRuns),
                         run().map(run -> run.worker().agent()),
-                        run().map(RunTrack::life),
+                        run().map(TrackedRun::life),
                         mCheckpoint));
     }
 
@@ -151,8 +151,8 @@
         StepSpecification step = specification();
         return new TaskTraits(
                 step.image(),
-                step.fills(),
+                step.bestEffort(),
                 step.targetLatencyMs(),
-                step.request().processorsMilli());
+                step.resources().processorsMilli());
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerTrack.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedWorker.java
@@ -9,12 +9,12 @@
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.WorkerDescription;
-import org.hickorycleat.model.job.WorkerLife;
+import org.hickorycleat.model.job.WorkerIncarnation;
 import org.hickorycleat.model.message.WorkerReport;
 import org.hickorycleat.model.task.Resources;
 
 /** A worker as its agent reports it, and what may be on it. */
-final class WorkerTrack {
+final class TrackedWorker {
     /** Processors that a serving task uses of those it asks for; the rest is left to others. */
     private static final double SERVING_USE = 0.55;
 
@@ -23,9 +23,9 @@
 
     private final ProcessId mAgent;
     private final WorkerHealth mHealth = new WorkerHealth();
-    private final Map<RunId, RunTrack> mRuns = new LinkedHashMap<>();
+    private final Map<RunId, TrackedRun> mRuns = new LinkedHashMap<>();
     private Optional<WorkerDescription> mDescription = Optional.empty();
-    private Optional<WorkerLife> mLife = Optional.empty();
+    private Optional<WorkerIncarnation> mLife = Optional.empty();
     private boolean mConnected;
     private boolean mReachable;
     private boolean mObeys;
@@ -40,7 +40,7 @@
     private Optional<Map<String, Double>> mServingLoads = Optional.empty();
     private Resources mReserved = Resources.NONE;
 
-    WorkerTrack(ProcessId agent, long leaseCertainlyOverAtMs) {
+    TrackedWorker(ProcessId agent, long leaseCertainlyOverAtMs) {
         mAgent = agent;
         mLeaseCertainlyOverAtMs = leaseCertainlyOverAtMs;
     }
@@ -57,7 +57,7 @@
         return mDescription;
     }
 
-    Optional<WorkerLife> life() {
+    Optional<WorkerIncarnation> life() {
         return mLife;
     }
 
@@ -69,7 +69,7 @@
         return mFillPercent;
     }
 
-    List<RunTrack> runs() {
+    List<TrackedRun> runs() {
         return new ArrayList<>(mRuns.values());
     }
 
@@ -100,9 +100,9 @@
         mServingLoads = Optional.empty();
         mDescription = report.description();
         mReachable = report.reachable();
-        mFillPercent = report.fillPercent();
-        if (report.life().isPresent() && !report.life().equals(mLife)) {
-            mLife = report.life();
+        mFillPercent = report.bestEffortPercent();
+        if (report.incarnation().isPresent() && !report.incarnation().equals(mLife)) {
+            mLife = report.incarnation();
             mProcessedEnds = 0;
             mAcknowledgedEnds = 0;
             mHealth.reset();
@@ -115,7 +115,7 @@
                 && mReachable
                 && mLife.isPresent()
                 && mDescription.isPresent()
-                && mDescription.get().life().equals(mLife.get())
+                && mDescription.get().incarnation().equals(mLife.get())
                 && !mDescription.get().draining();
     }
 
@@ -127,12 +127,12 @@
         return ++mLastOrder;
     }
 
-    void add(RunTrack run) {
+    void add(TrackedRun run) {
         mRuns.put(run.id(), run);
         onRunsChanged();
     }
 
-    void remove(RunTrack run) {
+    void remove(TrackedRun run) {
         mRuns.remove(run.id());
         onRunsChanged();
     }
@@ -141,7 +141,7 @@
         long processors = 0;
         long memory = 0;
         long accelerators = 0;
-        for (RunTrack run : mRuns.values()) {
+        for (TrackedRun run : mRuns.values()) {
             Resources taken = run.task().specification().reservation();
             processors += taken.processorsMilli();
             memory += taken.memoryMebibytes();
@@ -159,7 +159,7 @@
         return mServingLoads.get();
     }
 
-    Optional<RunTrack> run(RunId id) {
+    Optional<TrackedRun> run(RunId id) {
         return Optional.ofNullable(mRuns.get(id));
     }
 
@@ -181,7 +181,7 @@
     }
 
     /** Ends up to a number of a life are durable. */
-    void onEndsDurable(Optional<WorkerLife> life, long number) {
+    void onEndsDurable(Optional<WorkerIncarnation> life, long number) {
         if (life.equals(mLife)) {
             mAcknowledgedEnds = Math.max(mAcknowledgedEnds, number);
         }
@@ -239,8 +239,8 @@
     /** Returns the processors that are left to further tasks that fill, in thousandths. */
     long idleProcessorsMilli() {
         double idle = capacity().processorsMilli();
-        for (RunTrack run : mRuns.values()) {
-            long requested = run.task().specification().request().processorsMilli();
+        for (TrackedRun run : mRuns.values()) {
+            long requested = run.task().specification().resources().processorsMilli();
             boolean serves = run.task().specification().targetLatencyMs() > 0;
             idle -= serves ? requested * SERVING_USE : requested;
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerChooser.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerSelector.java
@@ -9,7 +9,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** Chooses the worker of a task. */
-final class WorkerChooser {
+final class WorkerSelector {
     /** A worker without a report for this long takes nothing new, in milliseconds. */
     private static final long SILENCE_LIMIT_MS = 1_500;
 
@@ -36,14 +36,14 @@
 
     private final InterferenceEstimates mInterference;
 
-    WorkerChooser(InterferenceEstimates interference) {
+    WorkerSelector(InterferenceEstimates interference) {
         mInterference = interference;
     }
 
     /** Returns the best worker for a task; empty when none can take it now. */
-    Optional<WorkerTrack> choose(
-            TaskTrack task,
-            Collection<WorkerTrack> workers,
+    Optional<TrackedWorker> choose(
+            TrackedTask task,
+            Collection<TrackedWorker> workers,
             Optional<WorkerPool> pool,
             long nowMs) {
         StepSpecification step = task.specification();
@@ -51,7 +51,7 @@
                 workers,
                 worker ->
                         isEligible(task, worker, pool, nowMs)
-                                && (!step.fills() || hasIdleProcessors(step, worker)),
+                                && (!step.bestEffort() || hasIdleProcessors(step, worker)),
                 worker -> score(task, worker, nowMs));
     }
 
@@ -59,9 +59,9 @@
      * Returns the worker whose serving tasks a task that fills disturbs least, whatever they
      * expect; empty when none has room.
      */
-    Optional<WorkerTrack> chooseLeastDisturbed(
-            TaskTrack task,
-            Collection<WorkerTrack> workers,
+    Optional<TrackedWorker> chooseLeastDisturbed(
+            TrackedTask task,
+            Collection<TrackedWorker> workers,
             Optional<WorkerPool> pool,
             long nowMs) {
         return best(
@@ -70,13 +70,13 @@
                 worker -> -mInterference.expectedLoad(worker, task.specification()));
     }
 
-    private static Optional<WorkerTrack> best(
-            Collection<WorkerTrack> workers,
-            Predicate<WorkerTrack> eligible,
-            ToDoubleFunction<WorkerTrack> scores) {
-        @Nullable WorkerTrack best = null;
+    private static Optional<TrackedWorker> best(
+            Collection<TrackedWorker> workers,
+            Predicate<TrackedWorker> eligible,
+            ToDoubleFunction<TrackedWorker> scores) {
+        @Nullable TrackedWorker best = null;
         double bestScore = Double.NEGATIVE_INFINITY;
-        for (WorkerTrack worker : workers) {
+        for (TrackedWorker worker : workers) {
             if (!eligible.test(worker)) {
                 continue;
             }
@@ -90,7 +90,7 @@
     }
 
     private boolean isEligible(
-            TaskTrack task, WorkerTrack worker, Optional<WorkerPool> pool, long nowMs) {
+            TrackedTask task, TrackedWorker worker, Optional<WorkerPool> pool, long nowMs) {
         StepSpecification step = task.specification();
         if (!worker.isAvailable() || pool.isEmpty() || isSilent(worker, nowMs)) {
             return false;
@@ -111,13 +111,13 @@
         return worker.health().mayStart(nowMs, startedRuns(worker));
     }
 
-    private static boolean isSilent(WorkerTrack worker, long nowMs) {
+    private static boolean isSilent(TrackedWorker worker, long nowMs) {
         return nowMs - worker.reportedAtMs() > SILENCE_LIMIT_MS;
     }
 
-    private static int startedRuns(WorkerTrack worker) {
+    private static int startedRuns(TrackedWorker worker) {
         int started = 0;
-        for (RunTrack run : worker.runs()) {
+        for (TrackedRun run : worker.runs()) {
             if (!run.task().specification().perpetual()) {
                 started++;
             }
@@ -125,16 +125,16 @@
         return started;
     }
 
-    private boolean hasIdleProcessors(StepSpecification step, WorkerTrack worker) {
-        return worker.idleProcessorsMilli() >= step.request().processorsMilli() * FILL_SHARE
+    private boolean hasIdleProcessors(StepSpecification step, TrackedWorker worker) {
+        return worker.idleProcessorsMilli() >= step.resources().processorsMilli() * FILL_SHARE
                 && mInterference.expectedLoad(worker, step) <= HIGHEST_LOAD;
     }
 
     // Each image that serves is disturbed by other images that fill: workers whose serving tasks
     // are of one image leave a place for every image that fills.
-    private static int imageBalance(WorkerTrack worker, String image) {
+    private static int imageBalance(TrackedWorker worker, String image) {
         int balance = 0;
-        for (RunTrack run : worker.runs()) {
+        for (TrackedRun run : worker.runs()) {
             StepSpecification other = run.task().specification();
             if (other.targetLatencyMs() > 0) {
                 balance += other.image().equals(image) ? 1 : -1;
@@ -144,15 +144,15 @@
     }
 
     // Room for a task is lost both with processors and with load of the serving tasks.
-    private long fillScore(WorkerTrack worker, StepSpecification step) {
+    private long fillScore(TrackedWorker worker, StepSpecification step) {
         double added = mInterference.addedLoad(worker, step);
         return worker.idleProcessorsMilli()
                 - (long) (ADDED_LOAD_WEIGHT * added * worker.capacity().processorsMilli());
     }
 
-    private long score(TaskTrack task, WorkerTrack worker, long nowMs) {
+    private long score(TrackedTask task, TrackedWorker worker, long nowMs) {
         StepSpecification step = task.specification();
-        long score = step.fills() ? fillScore(worker, step) : worker.freeProcessorsMilli();
+        long score = step.bestEffort() ? fillScore(worker, step) : worker.freeProcessorsMilli();
         if (step.preferredRack().isPresent() && worker.hasLabel(step.preferredRack().get())) {
             score += RACK_WEIGHT;
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/election/ClaimEpochs.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/election/EpochGenerator.java
@@ -10,13 +10,13 @@
  * <p>Two claims with one epoch would look to the store like one append that is repeated, and both
  * processes would be told that they own the jobs.
  */
-public final class ClaimEpochs {
+public final class EpochGenerator {
     /** Bits that tell processes apart; the bits above count the claims. */
     private static final int PROCESS_BITS = 24;
 
     private static final long PROCESS_MASK = (1L << PROCESS_BITS) - 1;
 
-    private ClaimEpochs() {}
+    private EpochGenerator() {}
 
     /** Returns an epoch above a known one that no other process chooses. */
     public static Epoch next(Epoch known, FleetNode self) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/election/OwnerElection.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/election/OwnerElection.java
@@ -54,7 +54,7 @@
     }
 
     /** Learns of a claim. */
-    public synchronized void onClaim(ProcessId owner, Epoch epoch, long nowMs) {
+    public synchronized void onOwnershipClaimed(ProcessId owner, Epoch epoch, long nowMs) {
         if (epoch.compareTo(mEpoch) <= 0) {
             return;
         }
@@ -65,9 +65,9 @@
     }
 
     /** Takes the heartbeat of a peer. */
-    public synchronized void onHeartbeat(ProcessId peer, EntryHeartbeat heartbeat, long nowMs) {
+    public synchronized void onPeerHeartbeat(ProcessId peer, EntryHeartbeat heartbeat, long nowMs) {
         mPeers.put(peer, new PeerView(heartbeat, nowMs));
-        heartbeat.owner().ifPresent(owner -> onClaim(owner, heartbeat.epoch(), nowMs));
+        heartbeat.owner().ifPresent(owner -> onOwnershipClaimed(owner, heartbeat.epoch(), nowMs));
         boolean speaksAsOwner =
                 heartbeat.owner().equals(Optional.of(peer)) && heartbeat.epoch().equals(mEpoch);
         if (speaksAsOwner) {
@@ -77,7 +77,7 @@
     }
 
     /** All links to a peer are closed. */
-    public synchronized void onDisconnected(ProcessId peer) {
+    public synchronized void onPeerDisconnected(ProcessId peer) {
         mPeers.remove(peer);
         if (mOwner.equals(Optional.of(peer))) {
             mConnected = false;
@@ -85,7 +85,7 @@
     }
 
     /** The owner asks this entry to take over. */
-    public synchronized void onOffer(Epoch epoch, long nowMs) {
+    public synchronized void onOwnershipOffered(Epoch epoch, long nowMs) {
         if (epoch.equals(mEpoch)) {
             mOfferedUntilMs = nowMs + SILENCE_LIMIT_MS;
         }
@@ -102,7 +102,7 @@
     }
 
     /** Returns how long ago the owner was heard, in milliseconds. */
-    public synchronized long ownerHeardMs(long nowMs) {
+    public synchronized long ownerHeartbeatAgeMs(long nowMs) {
         return isOwner() ? 0 : nowMs - mHeardAtMs;
     }
 
@@ -112,7 +112,7 @@
     }
 
     /** Tells whether this entry should claim the jobs now. */
-    public synchronized boolean shouldClaim(long nowMs) {
+    public synchronized boolean shouldClaimOwnership(long nowMs) {
         if (nowMs < mOfferedUntilMs) {
             return true;
         }
@@ -133,6 +133,6 @@
         EntryHeartbeat heartbeat = view.heartbeat();
         return heartbeat.epoch().equals(mEpoch)
                 && !heartbeat.owner().equals(Optional.of(mSelf))
-                && heartbeat.ownerHeardMs() + nowMs - view.receivedAtMs() < limitMs();
+                && heartbeat.ownerHeartbeatAgeMs() + nowMs - view.receivedAtMs() < limitMs();
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/ColocationHistory.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/ColocationHistory.java
@@ -31,14 +31,14 @@
     }
 
     /** Records that a task runs on a worker with a share of its processor time from now on. */
-    public void running(WorkerId worker, TaskId task, JobName job, double share, long nowMs) {
-        ended(worker, task, nowMs);
+    public void recordRunning(WorkerId worker, TaskId task, JobName job, double share, long nowMs) {
+        recordEnd(worker, task, nowMs);
         mStays.computeIfAbsent(worker, key -> new ArrayList<>())
                 .add(new Stay(task, job, share, nowMs, Long.MAX_VALUE));
     }
 
     /** Records that a task no longer runs on a worker. */
-    public void ended(WorkerId worker, TaskId task, long nowMs) {
+    public void recordEnd(WorkerId worker, TaskId task, long nowMs) {
         List<Stay> stays = mStays.get(worker);
         if (stays == null) {
             return;
@@ -55,7 +55,7 @@
     }
 
     /** Returns the batch work on a worker at a time. */
-    public List<Neighbour> at(WorkerId worker, long timeMs) {
+    public List<Neighbour> neighboursAt(WorkerId worker, long timeMs) {
         List<Neighbour> neighbours = new ArrayList<>();
         for (Stay stay : mStays.getOrDefault(worker, List.of())) {
             if (stay.covers(timeMs)) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/InterferenceConstraint.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/InterferenceConstraint.java
@@ -26,7 +26,7 @@
     }
 
     @Override
-    public boolean concerns(TaskSpecification task) {
+    public boolean appliesTo(TaskSpecification task) {
         if (!mModel.anyHarm()) {
             return false;
         }
@@ -35,7 +35,7 @@
 
     @Override
     public double penalty(TaskSpecification task, WorkerView worker, IndexedPlacementView view) {
-        if (!concerns(task)) {
+        if (!appliesTo(task)) {
             return 0;
         }
         Optional<ServiceName> service = task.service();
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/InterferenceResponse.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/InterferenceMitigation.java
@@ -21,7 +21,7 @@
  * Throttles batch tasks that disturb a service, and moves those that still disturb it at the lowest
  * share. Not safe for use by several threads.
  */
-public final class InterferenceResponse {
+public final class InterferenceMitigation {
     private static final int FULL_PERMILLE = 1_000;
     private static final long MINUTE_MS = 60_000;
 
@@ -34,7 +34,7 @@
     private long mEvaluatedMs = Long.MIN_VALUE / 2;
 
     /** Creates the response. */
-    public InterferenceResponse(
+    public InterferenceMitigation(
             InterferenceModel model,
             JobNaming naming,
             InterferenceConstraint constraint,
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/ServingLoad.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/ServingLoad.java
@@ -11,10 +11,10 @@
     private static final double IDLE_RATIO = 0.2;
 
     /** Load at which the tail reaches its target. */
-    public static final double AT_TARGET = 1 - IDLE_RATIO;
+    public static final double LOAD_AT_TARGET = 1 - IDLE_RATIO;
 
     /** Load from which on a tail only tells that the load is at least that high. */
-    public static final double SATURATED = 0.93;
+    public static final double SATURATION_LOAD = 0.93;
 
     private ServingLoad() {}
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/Answer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/Answer.java
@@ -1,7 +1,7 @@
 package org.hickorycleat.logic.invocation;
 
 import java.util.List;
-import org.hickorycleat.logic.port.TargetAnswer;
+import org.hickorycleat.logic.port.TargetResponse;
 import org.hickorycleat.model.identifier.RequestId;
 import org.hickorycleat.model.message.HttpHeader;
 import org.hickorycleat.model.message.InvokeResult;
@@ -26,7 +26,7 @@
         return new Answer(code, 0, List.of(), new byte[0]);
     }
 
-    static Answer of(TargetAnswer answer) {
+    static Answer of(TargetResponse answer) {
         if (answer.body().length > MAXIMUM_BODY_BYTES) {
             return of(ResultCode.ANSWER_TOO_LARGE);
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/InvocationService.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/InvocationService.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import org.hickorycleat.logic.port.AnswerTooLargeException;
+import org.hickorycleat.logic.port.ResponseTooLargeException;
 import org.hickorycleat.logic.port.TargetClient;
 import org.hickorycleat.logic.port.TargetNotReachedException;
 import org.hickorycleat.model.identifier.Incarnation;
@@ -127,7 +127,7 @@
     }
 
     /** Refuses everything new from now on; what runs or waits finishes. */
-    public void leave() {
+    public void startDrain() {
         mLeaving = true;
     }
 
@@ -137,7 +137,7 @@
     }
 
     /** Accepts keys of an instance at once, because no earlier agent has served it. */
-    public void trustKeyMemory(ServiceName service, InstanceNumber instance) {
+    public void markKeyRecordsComplete(ServiceName service, InstanceNumber instance) {
         Optional.ofNullable(mTargets.get(service))
                 .ifPresent(target -> target.trustKeyMemory(instance));
     }
@@ -218,7 +218,7 @@
         if (error instanceof TargetNotReachedException) {
             return ResultCode.NO_TARGET;
         }
-        if (error instanceof AnswerTooLargeException) {
+        if (error instanceof ResponseTooLargeException) {
             return ResultCode.ANSWER_TOO_LARGE;
         }
         return error instanceof TimeoutException
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/KeyMappings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/ManifestKeyMapping.java
@@ -7,8 +7,8 @@
 import org.hickorycleat.model.manifest.ServiceSpecification;
 
 /** Derives the mapping of keys to instances from the manifest. */
-public final class KeyMappings {
-    private KeyMappings() {}
+public final class ManifestKeyMapping {
+    private ManifestKeyMapping() {}
 
     /**
      * Returns the version of the mapping of a service.
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/LeaseLedger.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/LeaseExpiryTracker.java
@@ -9,17 +9,17 @@
  * Times at which leases have certainly expired, by the owner's clock. An attempt without an entry
  * is never proven to have expired.
  */
-public final class LeaseLedger {
+public final class LeaseExpiryTracker {
     private final LeaseSettings mSettings;
     private final Map<TaskId, Entry> mEntries = new HashMap<>();
 
     /** Creates an empty ledger. */
-    public LeaseLedger(LeaseSettings settings) {
+    public LeaseExpiryTracker(LeaseSettings settings) {
         mSettings = settings;
     }
 
     /** Records a grant that is about to be sent. */
-    public void granted(TaskId task, AttemptNumber attempt, long nowMs) {
+    public void recordGrant(TaskId task, AttemptNumber attempt, long nowMs) {
         long expiryMs = nowMs + mSettings.leaseMs() + mSettings.driftMarginMs();
         Entry before = mEntries.get(task);
         if (before == null || !before.attempt().equals(attempt) || before.expiryMs() < expiryMs) {
@@ -28,25 +28,25 @@
     }
 
     /** Records a grant unless one is recorded for the attempt. */
-    public void grantedIfAbsent(TaskId task, AttemptNumber attempt, long nowMs) {
+    public void recordGrantIfAbsent(TaskId task, AttemptNumber attempt, long nowMs) {
         if (expiryMs(task, attempt) == Long.MAX_VALUE) {
-            granted(task, attempt, nowMs);
+            recordGrant(task, attempt, nowMs);
         }
     }
 
     /** Records that earlier owners may go on granting until their limit without the log. */
-    public void grantedByOthers(TaskId task, AttemptNumber attempt, long claimedMs) {
+    public void recordPreviousOwnerGrants(TaskId task, AttemptNumber attempt, long claimedMs) {
         mEntries.put(task, new Entry(attempt, claimedMs + mSettings.unreachableWaitMs()));
     }
 
     /** Records that the worker refuses the grants of earlier owners from now on. */
-    public void fenced(TaskId task, AttemptNumber attempt, long nowMs) {
+    public void recordFence(TaskId task, AttemptNumber attempt, long nowMs) {
         long expiryMs = nowMs + mSettings.leaseMs() + mSettings.driftMarginMs();
         mEntries.put(task, new Entry(attempt, expiryMs));
     }
 
     /** Tells whether the lease of the attempt has certainly expired. */
-    public boolean expired(TaskId task, AttemptNumber attempt, long nowMs) {
+    public boolean isExpired(TaskId task, AttemptNumber attempt, long nowMs) {
         Entry entry = mEntries.get(task);
         return entry != null && entry.attempt().equals(attempt) && entry.expiryMs() <= nowMs;
     }
@@ -58,7 +58,7 @@
     }
 
     /** Forgets the attempts of a task. */
-    public void forget(TaskId task) {
+    public void remove(TaskId task) {
         mEntries.remove(task);
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/KeeperCounts.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/LeaseManagerCounters.java
@@ -8,5 +8,5 @@
  * @param staleAttempts starts of attempts older than the last one seen
  * @param workerErrors calls that the worker did not answer
  */
-public record KeeperCounts(
+public record LeaseManagerCounters(
         long staleEpochs, long lateGrants, long staleAttempts, long workerErrors) {}
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/KeeperOutput.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/LeaseManagerOutput.java
@@ -5,7 +5,7 @@
 import org.hickorycleat.model.message.WorkerSummary;
 
 /** What a lease keeper wants sent; both methods must keep the order of the calls. */
-public interface KeeperOutput {
+public interface LeaseManagerOutput {
     /** Sends a message to an owner; it may be lost with the connection. */
     void send(ProcessId owner, Message message);
 
@@ -14,5 +14,5 @@
      * sent before anything that is sent later: the owner then starts nothing that was recorded for
      * the previous incarnation.
      */
-    void workerListed(WorkerSummary worker);
+    void publishWorker(WorkerSummary worker);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/TaskLeaseKeeper.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/TaskLeaseManager.java
@@ -25,12 +25,12 @@
 import org.hickorycleat.model.identifier.TaskId;
 import org.hickorycleat.model.message.CheckpointTask;
 import org.hickorycleat.model.message.Fence;
-import org.hickorycleat.model.message.HeldTask;
 import org.hickorycleat.model.message.LeaseGrant;
 import org.hickorycleat.model.message.LeaseRequest;
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.StartTask;
 import org.hickorycleat.model.message.StopTask;
+import org.hickorycleat.model.message.TaskAttempt;
 import org.hickorycleat.model.message.TaskReport;
 import org.hickorycleat.model.message.ThrottleTask;
 import org.hickorycleat.model.message.WorkerSummary;
@@ -43,7 +43,7 @@
  * proof that the attempt never runs again. A command that the worker did not answer is not
  * reported; the owner repeats it. Thread-safe; output is called with its lock held.
  */
-public final class TaskLeaseKeeper {
+public final class TaskLeaseManager {
     /** Time for one answer of the worker; a lease survives two lost answers. */
     private static final long WORKER_TIMEOUT_MS = 1_000;
 
@@ -52,7 +52,7 @@
 
     private final Object mLock = new Object();
     private final WorkerControl mWorker;
-    private final KeeperOutput mOutput;
+    private final LeaseManagerOutput mOutput;
     private final LeaseSettings mSettings;
     private final Scheduler mScheduler;
     private final Map<ShardNumber, OwnerLink> mOwners = new HashMap<>();
@@ -74,9 +74,9 @@
      *
      * @param agent incarnation of the agent; request numbers are never reused by a later one
      */
-    public TaskLeaseKeeper(
+    public TaskLeaseManager(
             WorkerControl worker,
-            KeeperOutput output,
+            LeaseManagerOutput output,
             Incarnation agent,
             LeaseSettings settings,
             Scheduler scheduler) {
@@ -122,9 +122,10 @@
     }
 
     /** Returns the counters. */
-    public KeeperCounts counts() {
+    public LeaseManagerCounters counts() {
         synchronized (mLock) {
-            return new KeeperCounts(mStaleEpochs, mLateGrants, mStaleAttempts, mWorkerErrors);
+            return new LeaseManagerCounters(
+                    mStaleEpochs, mLateGrants, mStaleAttempts, mWorkerErrors);
         }
     }
 
@@ -150,7 +151,7 @@
         mLastAttempts.clear();
         mCheckpoints.keySet().retainAll(tasks(listing));
         listing.tasks().forEach(task -> seen(task.task(), task.attempt()));
-        mOutput.workerListed(summary(listing));
+        mOutput.publishWorker(summary(listing));
         for (Map.Entry<ShardNumber, OwnerLink> entry : mOwners.entrySet()) {
             if (entry.getValue().connected() && requestDue(entry.getKey())) {
                 request(entry.getKey(), entry.getValue().owner(), listing);
@@ -176,7 +177,7 @@
         mOutput.send(owner, new LeaseRequest(shard, number, held(listing, shard)));
     }
 
-    private static List<HeldTask> held(WorkerListing listing, ShardNumber shard) {
+    private static List<TaskAttempt> held(WorkerListing listing, ShardNumber shard) {
         return held(listing).stream().filter(task -> task.shard().equals(shard)).toList();
     }
 
@@ -184,10 +185,10 @@
         return listing.tasks().stream().map(WorkerTask::task).toList();
     }
 
-    private static List<HeldTask> held(WorkerListing listing) {
+    private static List<TaskAttempt> held(WorkerListing listing) {
         return listing.tasks().stream()
-                .filter(WorkerTask::active)
-                .map(task -> new HeldTask(task.shard(), task.task(), task.attempt()))
+                .filter(WorkerTask::isActive)
+                .map(task -> new TaskAttempt(task.shard(), task.task(), task.attempt()))
                 .toList();
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/AppendRequest.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/AppendRequest.java
@@ -7,8 +7,8 @@
  *
  * @param id identity that the payload carries
  * @param payload content
- * @param searchFrom offset at or before which the record cannot be, for example the next offset
- *     that the writer had to read when it created the record
+ * @param searchFromOffset offset at or before which the record cannot be, for example the next
+ *     offset that the writer had to read when it created the record
  */
 @SuppressWarnings("ArrayRecordComponent") // Copied neither in nor out: never changed.
-public record AppendRequest(RecordId id, byte[] payload, long searchFrom) {}
+public record AppendRequest(RecordId id, byte[] payload, long searchFromOffset) {}
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/DuplicateFilter.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/DuplicateFilter.java
@@ -17,7 +17,7 @@
     private final Map<ProcessId, RecordId> mNewest = new HashMap<>();
 
     /** Tells whether a record is the first copy, and remembers it. */
-    public boolean isFirst(RecordId id) {
+    public boolean acceptIfFirst(RecordId id) {
         RecordId newest = mNewest.get(id.writer());
         if (newest != null && !isAfter(id, newest)) {
             return false;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/IdempotentAppender.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/IdempotentAppender.java
@@ -104,7 +104,7 @@
             return Single.error(error);
         }
         return Single.defer(() -> pause(failures))
-                .flatMap(paused -> search(request.id(), request.searchFrom()))
+                .flatMap(paused -> search(request.id(), request.searchFromOffset()))
                 .flatMap(
                         found ->
                                 found.map(Single::just)
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/InstanceRegistry.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/InstanceRegistry.java
@@ -23,8 +23,8 @@
     /** An instance of a service. */
     private record Instance(ServiceName service, InstanceNumber number) {}
 
-    /** Standing of a run of an agent. */
-    public enum Standing {
+    /** Registration status of a run of an agent. */
+    public enum RegistrationStatus {
         /** Its registration was not read yet. */
         UNREGISTERED,
         /** Another run may have served the instance before. */
@@ -41,17 +41,19 @@
     }
 
     /** The start of the stream is gone, so earlier registrations may have been missed. */
-    public synchronized void truncated() {
+    public synchronized void onStreamTruncated() {
         mComplete = false;
     }
 
     /** Returns the standing of a run. */
-    public synchronized Standing standing(InstanceRegistration registration) {
+    public synchronized RegistrationStatus registrationStatus(InstanceRegistration registration) {
         if (!mRegistered.contains(registration)) {
-            return Standing.UNREGISTERED;
+            return RegistrationStatus.UNREGISTERED;
         }
         InstanceRegistration first =
                 mFirst.get(new Instance(registration.service(), registration.instance()));
-        return mComplete && registration.equals(first) ? Standing.ORIGINAL : Standing.SUCCESSOR;
+        return mComplete && registration.equals(first)
+                ? RegistrationStatus.ORIGINAL
+                : RegistrationStatus.SUCCESSOR;
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/TargetDirectory.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/TargetDirectory.java
@@ -95,7 +95,7 @@
     }
 
     /** Records that the agent refused work because the target is leaving. */
-    public void onLeaving(TargetAddress target, Incarnation incarnation) {
+    public void onTargetLeaving(TargetAddress target, Incarnation incarnation) {
         update(
                 target,
                 view ->
@@ -142,7 +142,7 @@
     }
 
     /** Drops agents and targets that have been gone for a minute; called now and then. */
-    public void forgetGone() {
+    public void removeGoneTargets() {
         long nowMs = nowMs();
         mShards.values().forEach(shard -> shard.forget(nowMs, FORGET_AFTER_MS));
         mAgents.values()
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/AgentMessages.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/AgentMessages.java
@@ -6,8 +6,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.hickorycleat.model.identifier.TaskId;
-import org.hickorycleat.model.message.HeldTask;
 import org.hickorycleat.model.message.LeaseRequest;
+import org.hickorycleat.model.message.TaskAttempt;
 import org.hickorycleat.model.message.TaskReport;
 
 /** Answers the messages of agents from the recorded state. */
@@ -30,7 +30,8 @@
                     .filter(agent::holds)
                     .ifPresent(
                             attempt ->
-                                    mTracker.ledger().fenced(task.task(), attempt.number(), nowMs));
+                                    mTracker.ledger()
+                                            .recordFence(task.task(), attempt.number(), nowMs));
         }
     }
 
@@ -45,9 +46,9 @@
             ShardState state,
             DecisionPlanner.Moment now) {
         agent.requested(request.number());
-        List<HeldTask> granted = new ArrayList<>();
+        List<TaskAttempt> granted = new ArrayList<>();
         Set<TaskId> held = new HashSet<>();
-        for (HeldTask task : request.tasks()) {
+        for (TaskAttempt task : request.tasks()) {
             Optional<TaskRecord> recorded = recorded(agent, task, state);
             if (recorded.isEmpty()) {
                 mCommands.stop(agent, task.task(), task.attempt());
@@ -109,7 +110,7 @@
     }
 
     private static Optional<TaskRecord> recorded(
-            AgentSession agent, HeldTask held, ShardState state) {
+            AgentSession agent, TaskAttempt held, ShardState state) {
         return state.task(held.task())
                 .filter(task -> task.isAt(held.attempt()))
                 .filter(task -> task.attempt().filter(agent::holds).isPresent());
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/AttemptTracker.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/AttemptTracker.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import org.hickorycleat.logic.lease.LeaseLedger;
+import org.hickorycleat.logic.lease.LeaseExpiryTracker;
 import org.hickorycleat.logic.lease.LeaseSettings;
 import org.hickorycleat.model.identifier.AttemptNumber;
 import org.hickorycleat.model.identifier.TaskId;
@@ -13,13 +13,13 @@
 /** What the owner has observed of recorded attempts in its epoch. */
 final class AttemptTracker {
     private final Map<TaskId, Observation> mObservations = new HashMap<>();
-    private final LeaseLedger mLedger;
+    private final LeaseExpiryTracker mLedger;
 
     AttemptTracker(LeaseSettings settings) {
-        mLedger = new LeaseLedger(settings);
+        mLedger = new LeaseExpiryTracker(settings);
     }
 
-    LeaseLedger ledger() {
+    LeaseExpiryTracker ledger() {
         return mLedger;
     }
 
@@ -30,7 +30,7 @@
 
     void forget(TaskId task) {
         mObservations.remove(task);
-        mLedger.forget(task);
+        mLedger.remove(task);
     }
 
     void confirmed(TaskId task, AttemptNumber attempt) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/CommandSender.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/CommandSender.java
@@ -3,30 +3,33 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.hickorycleat.logic.lease.LeaseLedger;
+import org.hickorycleat.logic.lease.LeaseExpiryTracker;
 import org.hickorycleat.model.identifier.AttemptNumber;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ShardNumber;
 import org.hickorycleat.model.identifier.TaskId;
 import org.hickorycleat.model.message.CheckpointTask;
 import org.hickorycleat.model.message.Fence;
-import org.hickorycleat.model.message.HeldTask;
 import org.hickorycleat.model.message.LeaseGrant;
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.StartTask;
 import org.hickorycleat.model.message.StopTask;
+import org.hickorycleat.model.message.TaskAttempt;
 import org.hickorycleat.model.message.ThrottleTask;
 
 /** Turns recorded decisions into messages to agents. */
 final class CommandSender {
     private final ShardNumber mShard;
     private final long mLeaseMs;
-    private final LeaseLedger mLedger;
-    private final Consumer<OwnerEffect> mEffects;
+    private final LeaseExpiryTracker mLedger;
+    private final Consumer<OwnerAction> mEffects;
     private Epoch mEpoch = new Epoch(-1);
 
     CommandSender(
-            ShardNumber shard, long leaseMs, LeaseLedger ledger, Consumer<OwnerEffect> effects) {
+            ShardNumber shard,
+            long leaseMs,
+            LeaseExpiryTracker ledger,
+            Consumer<OwnerAction> effects) {
         mShard = shard;
         mLeaseMs = leaseMs;
         mLedger = ledger;
@@ -48,7 +51,7 @@
             return;
         }
         AttemptNumber attempt = recorded.get().number();
-        mLedger.granted(task.task(), attempt, nowMs);
+        mLedger.recordGrant(task.task(), attempt, nowMs);
         send(
                 agent,
                 new StartTask(
@@ -90,12 +93,12 @@
         }
     }
 
-    void grant(AgentSession agent, long requestNumber, List<HeldTask> tasks, long nowMs) {
-        tasks.forEach(held -> mLedger.granted(held.task(), held.attempt(), nowMs));
+    void grant(AgentSession agent, long requestNumber, List<TaskAttempt> tasks, long nowMs) {
+        tasks.forEach(held -> mLedger.recordGrant(held.task(), held.attempt(), nowMs));
         send(agent, new LeaseGrant(mShard, mEpoch, requestNumber, tasks, mLeaseMs));
     }
 
     private void send(AgentSession agent, Message message) {
-        mEffects.accept(new OwnerEffect.SendMessage(agent.agent(), message));
+        mEffects.accept(new OwnerAction.SendMessage(agent.agent(), message));
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/DecisionFields.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/DecisionFields.java
@@ -52,7 +52,7 @@
         } else if (decision instanceof ShardDecision.EndTask end) {
             writer.number(END_TASK).text(end.task().value());
             mTasks.ending(writer, end.ending());
-        } else if (decision instanceof ShardDecision.Forget forget) {
+        } else if (decision instanceof ShardDecision.RemoveTombstone forget) {
             writer.number(FORGET).text(forget.task().value());
         }
     }
@@ -89,7 +89,7 @@
                             reader.optional(() -> mTasks.checkpoint(reader)),
                             reader.number());
             case END_TASK -> new ShardDecision.EndTask(task(reader), mTasks.ending(reader));
-            case FORGET -> new ShardDecision.Forget(task(reader));
+            case FORGET -> new ShardDecision.RemoveTombstone(task(reader));
             default -> throw new IllegalArgumentException("type of decision is unknown: " + type);
         };
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/DecisionPlanner.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/DecisionPlanner.java
@@ -97,7 +97,7 @@
                                         agent.incarnation().compareTo(attempt.workerIncarnation())
                                                 > 0)
                         .orElse(false);
-        boolean expired = mTracker.ledger().expired(task, attempt.number(), nowMs);
+        boolean expired = mTracker.ledger().isExpired(task, attempt.number(), nowMs);
         return restarted || expired ? Optional.of(TaskState.EXPIRED) : Optional.empty();
     }
 
@@ -137,7 +137,7 @@
             return Optional.of(
                     ShardDecision.end(
                             task.task(),
-                            TaskEnding.Outcome.FAILED,
+                            TaskResult.Outcome.FAILED,
                             reject.code(),
                             reject.reason(),
                             now.wallMs()));
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ImageFields.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ImageFields.java
@@ -14,7 +14,7 @@
 final class ImageFields {
     private final TaskFields mTasks = new TaskFields();
 
-    void write(FieldWriter writer, ShardImage image) {
+    void write(FieldWriter writer, ShardSnapshot image) {
         writer.number(image.epoch().value())
                 .optional(image.owner(), owner -> ShardRecordCodec.owner(writer, owner))
                 .number(image.lastSequence())
@@ -24,19 +24,20 @@
                         image.ended(),
                         ended -> {
                             writer.text(ended.task().value());
-                            mTasks.ending(writer, ended.ending());
+                            mTasks.ending(writer, ended.result());
                         })
                 .list(image.generations(), run -> generation(writer, run));
     }
 
-    ShardImage read(FieldReader reader) throws IOException {
-        return new ShardImage(
+    ShardSnapshot read(FieldReader reader) throws IOException {
+        return new ShardSnapshot(
                 new Epoch(reader.number()),
                 reader.optional(() -> ShardRecordCodec.owner(reader)),
                 reader.number(),
                 new ConfigurationVersion(reader.number()),
                 reader.list(() -> task(reader)),
-                reader.list(() -> new EndedTask(new TaskId(reader.text()), mTasks.ending(reader))),
+                reader.list(
+                        () -> new TaskTombstone(new TaskId(reader.text()), mTasks.ending(reader))),
                 reader.list(() -> generation(reader)));
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ManifestReconciler.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ManifestReconciler.java
@@ -61,7 +61,7 @@
         mState.tasks().forEach(task -> cancelUnwanted(task, wallMs));
         mState.endedBefore(wallMs - mEndedRetentionMs)
                 .filter(task -> !mWanted.contains(task))
-                .forEach(task -> mDecisions.add(new ShardDecision.Forget(task)));
+                .forEach(task -> mDecisions.add(new ShardDecision.RemoveTombstone(task)));
         return mDecisions;
     }
 
@@ -72,7 +72,7 @@
 
     private void want(TaskId task, Supplier<TaskSpecification> specification, long wallMs) {
         mWanted.add(task);
-        if (mState.task(task).isEmpty() && mState.ending(task).isEmpty()) {
+        if (mState.task(task).isEmpty() && mState.taskResult(task).isEmpty()) {
             mDecisions.add(new ShardDecision.Submit(specification.get(), wallMs));
         }
     }
@@ -124,7 +124,7 @@
             mDecisions.add(
                     ShardDecision.end(
                             task.task(),
-                            TaskEnding.Outcome.REPLACED,
+                            TaskResult.Outcome.REPLACED,
                             ResultCode.OK,
                             "the run of the instance ended",
                             wallMs));
@@ -137,7 +137,7 @@
             mDecisions.add(
                     ShardDecision.end(
                             task.task(),
-                            TaskEnding.Outcome.CANCELLED,
+                            TaskResult.Outcome.CANCELLED,
                             ResultCode.CANCELLED,
                             "not in manifest " + mManifest.version(),
                             wallMs));
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/RecordAppender.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/RecordAppender.java
@@ -10,7 +10,7 @@
     private final StreamName mStream;
     private final OwnerIdentity mSelf;
     private final OwnerSettings mSettings;
-    private final Consumer<OwnerEffect> mEffects;
+    private final Consumer<OwnerAction> mEffects;
     private final ShardRecordCodec mCodec = new ShardRecordCodec();
     private final BatchWriter mBatches;
     private Epoch mEpoch = new Epoch(-1);
@@ -25,7 +25,7 @@
             StreamName stream,
             OwnerIdentity self,
             OwnerSettings settings,
-            Consumer<OwnerEffect> effects) {
+            Consumer<OwnerAction> effects) {
         mStream = stream;
         mSelf = self;
         mSettings = settings;
@@ -95,11 +95,11 @@
             return;
         }
         mSnapshotSentMs = nowMs;
-        append(new ShardRecord.Snapshot(replay.nextOffset() - 1, replay.image()));
+        append(new ShardRecord.Snapshot(replay.nextOffset() - 1, replay.snapshot()));
     }
 
     private void append(ShardRecord content) {
         mToken++;
-        mEffects.accept(new OwnerEffect.AppendRecord(mStream, mToken, mCodec.encode(content)));
+        mEffects.accept(new OwnerAction.AppendRecord(mStream, mToken, mCodec.encode(content)));
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ReplayStep.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ReplayStep.java
@@ -5,9 +5,9 @@
     /** Meaning of a record at its position in the log. */
     public enum Result {
         /** The record took effect. */
-        EFFECTIVE,
+        APPLIED,
         /** A newer claim stands before it, or a claim replaces the wrong one. */
-        VOID,
+        INVALID,
         /** The batch was seen before. */
         DUPLICATE
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardDecision.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardDecision.java
@@ -48,14 +48,14 @@
             implements ShardDecision {}
 
     /** Ends a task that has no attempt. */
-    record EndTask(TaskId task, TaskEnding ending) implements ShardDecision {}
+    record EndTask(TaskId task, TaskResult ending) implements ShardDecision {}
 
     /** Forgets that a task has ended. */
-    record Forget(TaskId task) implements ShardDecision {}
+    record RemoveTombstone(TaskId task) implements ShardDecision {}
 
     /** Creates the ending of a task that did not succeed. */
     static EndTask end(
-            TaskId task, TaskEnding.Outcome outcome, ResultCode code, String reason, long nowMs) {
-        return new EndTask(task, new TaskEnding(outcome, code, reason, nowMs));
+            TaskId task, TaskResult.Outcome outcome, ResultCode code, String reason, long nowMs) {
+        return new EndTask(task, new TaskResult(outcome, code, reason, nowMs));
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardOwner.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardOwner.java
@@ -46,7 +46,7 @@
     private final RecordAppender mAppender;
     private Optional<ShardManifest> mManifest = Optional.empty();
     private Optional<Epoch> mActingEpoch = Optional.empty();
-    private List<OwnerEffect> mEffects = new ArrayList<>();
+    private List<OwnerAction> mEffects = new ArrayList<>();
     private long mOwnedSinceMs;
     private long mFencesSentMs;
     private long mPlannedMs = Long.MIN_VALUE / 2;
@@ -83,7 +83,7 @@
     }
 
     /** Handles an event and returns what to do about it, in order. */
-    public List<OwnerEffect> onEvent(ShardEvent event) {
+    public List<OwnerAction> onEvent(ShardEvent event) {
         mEffects = new ArrayList<>();
         handle(event);
         mChanged |= isNews(event);
@@ -96,7 +96,7 @@
         long placed = mReplay.state().tasks().stream().filter(t -> t.attempt().isPresent()).count();
         return new ShardDump(
                 mShard,
-                mReplay.based(),
+                mReplay.isStateKnown(),
                 acting(),
                 mReplay.epoch(),
                 mReplay.owner(),
@@ -115,7 +115,7 @@
     /** Returns what is known of a task. */
     public TaskExplanation explain(TaskId id) {
         Optional<TaskRecord> task = mReplay.state().task(id);
-        Optional<TaskEnding> ending = mReplay.state().ending(id);
+        Optional<TaskResult> ending = mReplay.state().taskResult(id);
         Optional<AttemptRecord> attempt = task.flatMap(TaskRecord::attempt);
         boolean confirmed =
                 attempt.map(a -> mTracker.observation(id, a.number()).confirmed()).orElse(false);
@@ -133,7 +133,7 @@
     }
 
     private static String summary(
-            Optional<TaskRecord> task, Optional<TaskEnding> ending, boolean confirmed) {
+            Optional<TaskRecord> task, Optional<TaskResult> ending, boolean confirmed) {
         if (ending.isPresent()) {
             return "ended " + ending.get().outcome() + " " + ending.get().reason();
         }
@@ -188,7 +188,7 @@
     }
 
     private boolean acting() {
-        return mReplay.based() && mActingEpoch.equals(Optional.of(mReplay.epoch()));
+        return mReplay.isStateKnown() && mActingEpoch.equals(Optional.of(mReplay.epoch()));
     }
 
     private void logRead(ShardEvent.LogRead read) {
@@ -198,7 +198,7 @@
                 steps.stream()
                         .anyMatch(
                                 step ->
-                                        step.result() == ReplayStep.Result.EFFECTIVE
+                                        step.result() == ReplayStep.Result.APPLIED
                                                 && !(step.content()
                                                         instanceof ShardRecord.Snapshot));
         if (ownerSign) {
@@ -209,7 +209,7 @@
     }
 
     private void updateOwnership() {
-        if (!mReplay.based()) {
+        if (!mReplay.isStateKnown()) {
             return;
         }
         if (mActingEpoch.equals(Optional.of(mReplay.epoch()))) {
@@ -228,13 +228,14 @@
         mActingEpoch = Optional.of(mReplay.epoch());
         mOwnedSinceMs = nowMs;
         mCommands.epoch(mReplay.epoch());
-        mAppender.epoch(mReplay.epoch(), mReplay.image().lastSequence());
+        mAppender.epoch(mReplay.epoch(), mReplay.snapshot().lastSequence());
         for (TaskRecord task : mReplay.state().tasks()) {
             task.attempt()
                     .ifPresent(
                             attempt ->
                                     mTracker.ledger()
-                                            .grantedByOthers(task.task(), attempt.number(), nowMs));
+                                            .recordPreviousOwnerGrants(
+                                                    task.task(), attempt.number(), nowMs));
         }
         mAgents.sessions().forEach(AgentSession::unfence);
         sendFences(nowMs);
@@ -251,7 +252,7 @@
                         .ifPresent(
                                 attempt ->
                                         mTracker.ledger()
-                                                .grantedIfAbsent(
+                                                .recordGrantIfAbsent(
                                                         task.task(), attempt.number(), nowMs()));
             }
         }
@@ -265,7 +266,7 @@
     }
 
     private void readBack(ReplayStep step) {
-        if (!acting() || step.result() == ReplayStep.Result.VOID) {
+        if (!acting() || step.result() == ReplayStep.Result.INVALID) {
             return;
         }
         if (step.content() instanceof ShardRecord.Renewal) {
@@ -274,7 +275,7 @@
         if (step.content() instanceof ShardRecord.DecisionBatch batch
                 && mActingEpoch.equals(Optional.of(batch.epoch()))) {
             mAppender.batches().readBack(batch.sequence());
-            if (step.result() == ReplayStep.Result.EFFECTIVE) {
+            if (step.result() == ReplayStep.Result.APPLIED) {
                 batch.decisions().forEach(this::committed);
             }
         }
@@ -283,7 +284,7 @@
     /** Acts on a decision that is recorded in this epoch; the state already reflects it. */
     private void committed(ShardDecision decision) {
         if (decision instanceof ShardDecision.Start start) {
-            mTracker.ledger().granted(start.task(), start.attempt(), nowMs());
+            mTracker.ledger().recordGrant(start.task(), start.attempt(), nowMs());
             command(start.task(), start.attempt());
         } else if (decision instanceof ShardDecision.Stop stop) {
             command(stop.task(), stop.attempt());
@@ -338,7 +339,7 @@
     }
 
     private void advance() {
-        if (!mReplay.based() || mDraining) {
+        if (!mReplay.isStateKnown() || mDraining) {
             return;
         }
         long nowMs = nowMs();
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardRecord.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardRecord.java
@@ -25,5 +25,5 @@
      * Result of the replay of all records up to an offset. It depends on nothing but those records,
      * so it holds whoever wrote it and whatever claims lie between that offset and its own.
      */
-    record Snapshot(long throughOffset, ShardImage image) implements ShardRecord {}
+    record Snapshot(long throughOffset, ShardSnapshot content) implements ShardRecord {}
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardRecordCodec.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardRecordCodec.java
@@ -34,7 +34,7 @@
                     .list(batch.decisions(), decision -> decisions.write(writer, decision));
         } else if (content instanceof ShardRecord.Snapshot snapshot) {
             writer.number(SNAPSHOT).number(snapshot.throughOffset());
-            new ImageFields().write(writer, snapshot.image());
+            new ImageFields().write(writer, snapshot.content());
         }
         return writer.bytes();
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardReplay.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardReplay.java
@@ -27,7 +27,7 @@
     private long mLastTimestampMs;
 
     /** Tells whether the state is known: replay began at the start of the stream or a snapshot. */
-    public boolean based() {
+    public boolean isStateKnown() {
         return mBased;
     }
 
@@ -77,7 +77,7 @@
         mNextOffset = firstOffset;
         mBased = firstOffset == 0;
         reset(
-                new ShardImage(
+                new ShardSnapshot(
                         new Epoch(-1),
                         Optional.empty(),
                         0,
@@ -108,8 +108,8 @@
     }
 
     /** Returns the state as of the last record. */
-    public ShardImage image() {
-        return new ShardImage(
+    public ShardSnapshot snapshot() {
+        return new ShardSnapshot(
                 mEpoch,
                 mOwner,
                 mLastSequence,
@@ -132,7 +132,7 @@
         if (snapshot.throughOffset() + 1 < mBeforeSnapshot.get(0).offset()) {
             return;
         }
-        reset(snapshot.image());
+        reset(snapshot.content());
         mBased = true;
         for (LogRecord buffered : mBeforeSnapshot) {
             if (buffered.offset() > snapshot.throughOffset()) {
@@ -142,7 +142,7 @@
         mBeforeSnapshot.clear();
     }
 
-    private void reset(ShardImage image) {
+    private void reset(ShardSnapshot image) {
         mState = new ShardState(image);
         mEpoch = image.epoch();
         mOwner = image.owner();
@@ -171,30 +171,30 @@
         }
         if (content instanceof ShardRecord.Renewal renewal) {
             return isCurrent(renewal.epoch(), renewal.owner())
-                    ? ReplayStep.Result.EFFECTIVE
-                    : ReplayStep.Result.VOID;
+                    ? ReplayStep.Result.APPLIED
+                    : ReplayStep.Result.INVALID;
         }
         if (content instanceof ShardRecord.DecisionBatch batch) {
             return batch(batch);
         }
         mDecisionsSinceSnapshot = 0;
         mSnapshotTimestampMs = record.timestampMs();
-        return ReplayStep.Result.EFFECTIVE;
+        return ReplayStep.Result.APPLIED;
     }
 
     private ReplayStep.Result claim(long offset, ShardRecord.Claim claim) {
         if (!claim.replaced().equals(mEpoch)) {
-            return ReplayStep.Result.VOID;
+            return ReplayStep.Result.INVALID;
         }
         mEpoch = new Epoch(offset);
         mOwner = Optional.of(claim.owner());
         mLastSequence = 0;
-        return ReplayStep.Result.EFFECTIVE;
+        return ReplayStep.Result.APPLIED;
     }
 
     private ReplayStep.Result batch(ShardRecord.DecisionBatch batch) {
         if (!isCurrent(batch.epoch(), batch.owner())) {
-            return ReplayStep.Result.VOID;
+            return ReplayStep.Result.INVALID;
         }
         if (batch.sequence() <= mLastSequence) {
             return ReplayStep.Result.DUPLICATE;
@@ -206,7 +206,7 @@
             }
         }
         mDecisionsSinceSnapshot += batch.decisions().size();
-        return ReplayStep.Result.EFFECTIVE;
+        return ReplayStep.Result.APPLIED;
     }
 
     private boolean isCurrent(Epoch epoch, OwnerIdentity owner) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardImage.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardSnapshot.java
@@ -16,16 +16,16 @@
  * @param ended batch tasks that have ended
  * @param generations latest run of each service instance
  */
-public record ShardImage(
+public record ShardSnapshot(
         Epoch epoch,
         Optional<OwnerIdentity> owner,
         long lastSequence,
         ConfigurationVersion manifestVersion,
         List<TaskRecord> tasks,
-        List<EndedTask> ended,
+        List<TaskTombstone> ended,
         List<ServiceTask> generations) {
     /** Copies the collections. */
-    public ShardImage {
+    public ShardSnapshot {
         tasks = List.copyOf(tasks);
         ended = List.copyOf(ended);
         generations = List.copyOf(generations);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardState.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardState.java
@@ -18,15 +18,15 @@
 /** Tasks of a shard; changes only by decisions, so equal logs give equal states. */
 public final class ShardState {
     private final Map<TaskId, TaskRecord> mTasks = new LinkedHashMap<>();
-    private final Map<TaskId, TaskEnding> mEnded = new LinkedHashMap<>();
+    private final Map<TaskId, TaskResult> mEnded = new LinkedHashMap<>();
     private final Map<ServiceTask.ServiceInstance, Long> mGenerations = new HashMap<>();
     private ConfigurationVersion mManifestVersion = new ConfigurationVersion(-1);
 
     ShardState() {}
 
-    ShardState(ShardImage image) {
+    ShardState(ShardSnapshot image) {
         image.tasks().forEach(task -> mTasks.put(task.task(), task));
-        image.ended().forEach(ended -> mEnded.put(ended.task(), ended.ending()));
+        image.ended().forEach(ended -> mEnded.put(ended.task(), ended.result()));
         image.generations()
                 .forEach(latest -> mGenerations.put(latest.instance(), latest.generation()));
         mManifestVersion = image.manifestVersion();
@@ -43,7 +43,7 @@
     }
 
     /** Finds the ending of a task. */
-    public Optional<TaskEnding> ending(TaskId task) {
+    public Optional<TaskResult> taskResult(TaskId task) {
         return Optional.ofNullable(mEnded.get(task));
     }
 
@@ -74,9 +74,9 @@
                 .map(Map.Entry::getKey);
     }
 
-    List<EndedTask> ended() {
+    List<TaskTombstone> ended() {
         return mEnded.entrySet().stream()
-                .map(entry -> new EndedTask(entry.getKey(), entry.getValue()))
+                .map(entry -> new TaskTombstone(entry.getKey(), entry.getValue()))
                 .toList();
     }
 
@@ -112,7 +112,7 @@
         if (decision instanceof ShardDecision.EndAttempt end) {
             return endAttempt(end);
         }
-        if (decision instanceof ShardDecision.Forget forget) {
+        if (decision instanceof ShardDecision.RemoveTombstone forget) {
             return mEnded.remove(forget.task()) != null;
         }
         return endTask((ShardDecision.EndTask) decision);
@@ -171,7 +171,7 @@
         if (end.state() == TaskState.SUCCEEDED) {
             finish(
                     end.task(),
-                    new TaskEnding(TaskEnding.Outcome.SUCCEEDED, ResultCode.OK, "", end.endedMs()));
+                    new TaskResult(TaskResult.Outcome.SUCCEEDED, ResultCode.OK, "", end.endedMs()));
             return true;
         }
         TaskRecord saved = end.checkpoint().map(task::withCheckpoint).orElse(task);
@@ -203,7 +203,7 @@
     }
 
     /** Runs of service instances are not kept: their generations never repeat. */
-    private void finish(TaskId task, TaskEnding ending) {
+    private void finish(TaskId task, TaskResult ending) {
         TaskRecord removed = mTasks.remove(task);
         if (removed != null && removed.specification().service().isEmpty()) {
             mEnded.put(task, ending);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/TaskExplanation.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/TaskExplanation.java
@@ -9,7 +9,7 @@
  *
  * @param task the task
  * @param record its record while it has not ended
- * @param ending its ending
+ * @param result its ending
  * @param confirmed whether the worker confirmed the attempt in this epoch
  * @param leaseExpiresInMs time until the lease has certainly expired
  * @param summary one sentence for operators
@@ -17,7 +17,7 @@
 public record TaskExplanation(
         TaskId task,
         Optional<TaskRecord> record,
-        Optional<TaskEnding> ending,
+        Optional<TaskResult> result,
         boolean confirmed,
         OptionalLong leaseExpiresInMs,
         String summary) {}
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/TaskFields.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/TaskFields.java
@@ -48,16 +48,16 @@
         return new Checkpoint(reader.text(), reader.number(), reader.number());
     }
 
-    void ending(FieldWriter writer, TaskEnding ending) {
+    void ending(FieldWriter writer, TaskResult ending) {
         writer.text(ending.outcome().name())
                 .number(ending.code().number())
                 .text(ending.reason())
                 .number(ending.endedMs());
     }
 
-    TaskEnding ending(FieldReader reader) throws IOException {
-        return new TaskEnding(
-                TaskEnding.Outcome.valueOf(reader.text()),
+    TaskResult ending(FieldReader reader) throws IOException {
+        return new TaskResult(
+                TaskResult.Outcome.valueOf(reader.text()),
                 ResultCode.ofNumber(reader.smallNumber())
                         .orElseThrow(() -> new IllegalArgumentException("result code")),
                 reader.text(),
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/TaskEnding.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/TaskResult.java
@@ -3,7 +3,7 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /** Final result of a task. */
-public record TaskEnding(Outcome outcome, ResultCode code, String reason, long endedMs) {
+public record TaskResult(Outcome outcome, ResultCode code, String reason, long endedMs) {
     /** How the task ended. */
     public enum Outcome {
         /** Ran to its end. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/BatchPlacer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/BatchPlacer.java
@@ -82,7 +82,7 @@
 
     private int best(TaskSpecification task, Resources size, long endMs) {
         WorkerTable table = mRound.table();
-        boolean concerned = mConstraint.concerns(task);
+        boolean concerned = mConstraint.appliesTo(task);
         int best = -1;
         double lowest = PlacementConstraint.FORBIDDEN;
         for (int i = 0; i < table.size(); i++) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/DefaultPlacementPolicy.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/DefaultPlacementPolicy.java
@@ -65,7 +65,7 @@
         ServicePlacer services = new ServicePlacer(round, mConstraint);
         BatchPlacer urgent =
                 new BatchPlacer(
-                        round, mConstraint, mEstimator, mGapRule, mSettings.reserveAfterMs());
+                        round, mConstraint, mEstimator, mGapRule, mSettings.reservationDelayMs());
         UrgentPlacer evictions = new UrgentPlacer(round, mConstraint, mSettings, mEstimator);
         for (PendingTask task : tasks) {
             TaskSpecification specification = task.specification();
@@ -89,7 +89,7 @@
     private void placeBatch(PlacementRound round) {
         BatchPlacer placer =
                 new BatchPlacer(
-                        round, mConstraint, mEstimator, mGapRule, mSettings.reserveAfterMs());
+                        round, mConstraint, mEstimator, mGapRule, mSettings.reservationDelayMs());
         int waiting = 0;
         for (BatchQueue.Entry entry : mQueue.first(round.view(), round.nowMs())) {
             if (round.starts() >= mSettings.maximumStarts()) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementConstraint.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementConstraint.java
@@ -17,10 +17,10 @@
     double penalty(TaskSpecification task, WorkerView worker, IndexedPlacementView view);
 
     /** Tells whether the penalty of a task is not 0 anywhere. */
-    default boolean concerns(TaskSpecification task) {
+    default boolean appliesTo(TaskSpecification task) {
         return true;
     }
 
     /** Learns that a start was decided. */
-    default void started(TaskSpecification task, WorkerView worker) {}
+    default void onStart(TaskSpecification task, WorkerView worker) {}
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementRound.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementRound.java
@@ -69,7 +69,7 @@
             mAdded.merge(specification.team(), specification.resources(), Resources::plus);
         }
         add(new PlacementDecision.Start(specification.task(), mTable.worker(worker).worker()));
-        mConstraint.started(specification, mTable.worker(worker));
+        mConstraint.onStart(specification, mTable.worker(worker));
         mStarts++;
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementSettings.java
@@ -10,7 +10,7 @@
  *     18,000 in one call took 15 to 30 ms
  * @param fleetSettleMs time after the first call before a task is rejected as never runnable; an
  *     agent counts as gone after 10 s, so by then every live worker has reported
- * @param reserveAfterMs time that a batch task waits before it may have room reserved
+ * @param reservationDelayMs time that a batch task waits before it may have room reserved
  * @param urgentWaitMs time since submission within which room must come free by itself for urgent
  *     work to wait for it; the rest of its 10 s is left for a checkpoint and a stop
  */
@@ -20,10 +20,10 @@
         int backfillDepth,
         int orderSlice,
         long fleetSettleMs,
-        long reserveAfterMs,
+        long reservationDelayMs,
         long urgentWaitMs) {
     /** Returns the same limits with another time before reservations. */
-    public PlacementSettings withReserveAfterMs(long newReserveAfterMs) {
+    public PlacementSettings withReservationDelayMs(long newReserveAfterMs) {
         return new PlacementSettings(
                 maximumStarts,
                 maximumEvictionPlans,
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/HttpCallException.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/HttpCallException.java
@@ -13,7 +13,7 @@
     }
 
     /** Tells whether the call may have reached the other side. */
-    public boolean wasSent() {
+    public boolean mayHaveBeenSent() {
         return mSent;
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/HttpCaller.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/HttpClient.java
@@ -4,7 +4,7 @@
 
 /** Makes calls over HTTP. */
 @FunctionalInterface
-public interface HttpCaller {
+public interface HttpClient {
     /** Makes one call; fails with {@link HttpCallException}. */
     Single<HttpResponse> call(HttpCall call);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/ServiceResult.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/JobChangeResult.java
@@ -1,7 +1,7 @@
 package org.hickorycleat.logic.port;
 
 /** Outcome of a change that a caller asked for. */
-public enum ServiceResult {
+public enum JobChangeResult {
     /** The change is durable. */
     DONE,
     /** The change has not taken effect and never will. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/JobService.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/JobService.java
@@ -17,14 +17,14 @@
      *
      * @param timeLimitMs how long the caller waits, in milliseconds
      */
-    Single<ServiceResult> submit(JobQueue queue, JobSubmission submission, int timeLimitMs);
+    Single<JobChangeResult> submit(JobQueue queue, JobSubmission submission, int timeLimitMs);
 
     /** Returns the state of a job. */
-    Single<StateResult> state(JobQueue queue, JobId job);
+    Single<JobStateResult> jobState(JobQueue queue, JobId job);
 
     /** Cancels a job. */
-    Single<ServiceResult> cancel(JobQueue queue, JobId job, int timeLimitMs);
+    Single<JobChangeResult> cancel(JobQueue queue, JobId job, int timeLimitMs);
 
     /** Returns how many accepted jobs of the queue have not begun. */
-    int waiting(JobQueue queue);
+    int waitingJobCount(JobQueue queue);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/StateResult.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/JobStateResult.java
@@ -9,4 +9,4 @@
  * @param known whether the entry could tell
  * @param state state of the job; empty when no such job exists
  */
-public record StateResult(boolean known, Optional<JobState> state) {}
+public record JobStateResult(boolean known, Optional<JobState> state) {}
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/RecordStore.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/RecordStore.java
@@ -3,16 +3,16 @@
 import io.reactivex.rxjava3.core.Single;
 import java.util.List;
 import org.hickorycleat.model.store.AppendOutcome;
-import org.hickorycleat.model.store.AppendTerms;
-import org.hickorycleat.model.store.ReadTerms;
+import org.hickorycleat.model.store.StoreAppendRequest;
 import org.hickorycleat.model.store.StorePage;
+import org.hickorycleat.model.store.StoreReadRequest;
 import org.hickorycleat.model.store.StoreRecord;
 
 /** Keyed topics that outlast every process. */
 public interface RecordStore {
     /** Appends all records or none; never fails, see the outcome. */
-    Single<AppendOutcome> append(AppendTerms terms, List<StoreRecord> records);
+    Single<AppendOutcome> append(StoreAppendRequest terms, List<StoreRecord> records);
 
     /** Reads a page; fails with {@link StoreUnavailableException}. */
-    Single<StorePage> read(ReadTerms terms);
+    Single<StorePage> read(StoreReadRequest terms);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/ListingAnswer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/RunListing.java
@@ -11,20 +11,20 @@
  * @param startedAtMs start of the life that answered, in Unix milliseconds
  * @param clockMs clock of the worker at the answer
  */
-public record ListingAnswer(
+public record RunListing(
         boolean fenced,
         long startedAtMs,
         long clockMs,
         List<RunSample> running,
         List<EndedRun> ended) {
     /** Copies the lists. */
-    public ListingAnswer {
+    public RunListing {
         running = List.copyOf(running);
         ended = List.copyOf(ended);
     }
 
     /** The answer to a token that is too low. */
-    public static ListingAnswer refused() {
-        return new ListingAnswer(true, 0, 0, List.of(), List.of());
+    public static RunListing rejectedAsFenced() {
+        return new RunListing(true, 0, 0, List.of(), List.of());
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/Calls.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/SingleCallbacks.java
@@ -6,11 +6,11 @@
 import java.util.function.Consumer;
 
 /** Runs calls that end by themselves, as each has a time limit. */
-public final class Calls {
-    private Calls() {}
+public final class SingleCallbacks {
+    private SingleCallbacks() {}
 
     /** Starts a call and passes its outcome on. */
-    public static <T> void whenDone(
+    public static <T> void subscribe(
             Single<T> call, Consumer<? super T> onSuccess, Consumer<Throwable> onError) {
         call.subscribe(
                 new SingleObserver<T>() {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/TargetClient.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/TargetClient.java
@@ -12,5 +12,5 @@
      * <p>Fails with {@link TargetNotReachedException} when the request provably did not reach the
      * target, and with any other exception when that is not known.
      */
-    Single<TargetAnswer> exchange(Invoke invoke);
+    Single<TargetResponse> exchange(Invoke invoke);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/TargetAnswer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/TargetResponse.java
@@ -5,9 +5,9 @@
 
 /** Whole answer of a target. */
 @SuppressWarnings("ArrayRecordComponent") // Copied neither in nor out: never changed.
-public record TargetAnswer(int status, List<HttpHeader> headers, byte[] body) {
+public record TargetResponse(int status, List<HttpHeader> headers, byte[] body) {
     /** Copies the headers. */
-    public TargetAnswer {
+    public TargetResponse {
         headers = List.copyOf(headers);
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerRenewal.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerRenewal.java
@@ -4,7 +4,7 @@
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.Incarnation;
 import org.hickorycleat.model.identifier.ShardNumber;
-import org.hickorycleat.model.message.HeldTask;
+import org.hickorycleat.model.message.TaskAttempt;
 
 /**
  * Extension of leases.
@@ -19,7 +19,7 @@
         ShardNumber shard,
         Epoch epoch,
         Incarnation incarnation,
-        List<HeldTask> tasks,
+        List<TaskAttempt> tasks,
         long leaseUntilMs) {
     /** Copies the collections. */
     public WorkerRenewal {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerRuntime.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerRuntime.java
@@ -7,13 +7,13 @@
 /** Orders to the worker beside an agent. Calls without an answer fail and may take effect later. */
 public interface WorkerRuntime {
     /** Starts a run. */
-    Single<OrderAnswer> start(RunOrder order);
+    Single<RunCommandResult> start(StartRunCommand order);
 
     /** Stops a run. */
-    Single<OrderAnswer> stop(RunId run, long fencingToken);
+    Single<RunCommandResult> stop(RunId run, long fencingToken);
 
     /** Sets the share at which a run works, in percent. */
-    Single<OrderAnswer> pace(RunId run, int percent, long fencingToken);
+    Single<RunCommandResult> throttle(RunId run, int percent, long fencingToken);
 
     /**
      * Lists what runs and what ended.
@@ -22,6 +22,6 @@
      * @param acknowledgedEnds number up to which ends are forgotten
      * @param waitMs how long the worker may wait for an end, in milliseconds
      */
-    Single<ListingAnswer> list(
+    Single<RunListing> list(
             long fencingToken, Optional<Long> leaseDeadlineMs, long acknowledgedEnds, int waitMs);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerAnnouncements.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerStatusListener.java
@@ -4,10 +4,10 @@
 import org.hickorycleat.model.job.WorkerDescription;
 
 /** What the worker beside an agent tells of itself. */
-public interface WorkerAnnouncements {
+public interface WorkerStatusListener {
     /** The worker described itself. */
-    void onDescription(WorkerDescription description);
+    void onWorkerDescribed(WorkerDescription description);
 
     /** The worker has ended as planned. */
-    void onLeft(WorkerId worker);
+    void onWorkerLeft(WorkerId worker);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerTask.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerTask.java
@@ -24,7 +24,7 @@
         Optional<String> checkpoint,
         long progressMs) {
     /** Tells whether the attempt still holds resources of the worker. */
-    public boolean active() {
+    public boolean isActive() {
         return state == TaskState.STARTING
                 || state == TaskState.RUNNING
                 || state == TaskState.STOPPING;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/quarantine/QuarantineConstraint.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/quarantine/QuarantineConstraint.java
@@ -54,8 +54,8 @@
     }
 
     @Override
-    public boolean concerns(TaskSpecification task) {
-        return mAnyQuarantined || !mQuarantine.failures(task.task()).isEmpty();
+    public boolean appliesTo(TaskSpecification task) {
+        return mAnyQuarantined || !mQuarantine.failedWorkers(task.task()).isEmpty();
     }
 
     @Override
@@ -74,7 +74,7 @@
     }
 
     @Override
-    public void started(TaskSpecification task, WorkerView worker) {
+    public void onStart(TaskSpecification task, WorkerView worker) {
         mQuarantine.started(task.task(), worker.worker());
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/quarantine/WorkerQuarantine.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/quarantine/WorkerQuarantine.java
@@ -46,7 +46,7 @@
     }
 
     /** Learns from the end of an attempt. */
-    public void attemptEnded(AttemptEnd end) {
+    public void recordAttemptEnd(AttemptEnd end) {
         if (end.failed()) {
             failed(end);
         } else {
@@ -63,12 +63,12 @@
     }
 
     /** Forgets a task that ended for good or was cancelled. */
-    public void forget(TaskId task) {
+    public void clearHistory(TaskId task) {
         mFailedOn.remove(task);
     }
 
     /** Forgets a worker that was replaced or came back with a new incarnation. */
-    public void forget(WorkerId worker) {
+    public void clearHistory(WorkerId worker) {
         mWorkers.remove(worker);
     }
 
@@ -110,17 +110,17 @@
     }
 
     /** Returns the tasks that failed on too many different healthy workers. */
-    public List<TaskId> tasksAtFault() {
+    public List<TaskId> failingTasks() {
         return mFailedOn.keySet().stream().filter(this::taskAtFault).toList();
     }
 
     /** Tells whether a task failed on the worker and should be tried elsewhere. */
     public boolean failedOn(TaskId task, WorkerId worker) {
-        return failures(task).contains(worker);
+        return failedWorkers(task).contains(worker);
     }
 
     /** Returns the healthy workers on which a task failed. */
-    public Set<WorkerId> failures(TaskId task) {
+    public Set<WorkerId> failedWorkers(TaskId task) {
         return Set.copyOf(mFailedOn.getOrDefault(task, Set.of()));
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/PowerOfTwoSelector.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/PowerOfTwoSelector.java
@@ -65,7 +65,7 @@
     }
 
     /** Drops the state of targets that the directory has forgotten; called now and then. */
-    public void forgetGone() {
+    public void removeGoneTargets() {
         mShards.forEach(
                 (service, shard) -> {
                     Set<TargetAddress> known = new HashSet<>();
@@ -102,7 +102,7 @@
             Incarnation incarnation = mReserved.view().incarnation();
             load.ifPresent(signal -> mDirectory.onLoadSignal(target(), incarnation, signal));
             if (code == ResultCode.TARGET_LEAVING) {
-                mDirectory.onLeaving(target(), incarnation);
+                mDirectory.onTargetLeaving(target(), incarnation);
             }
         }
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/scheduling/CombinedConstraint.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/scheduling/CombinedConstraint.java
@@ -15,13 +15,13 @@
     }
 
     @Override
-    public boolean concerns(TaskSpecification task) {
-        return first.concerns(task) || second.concerns(task);
+    public boolean appliesTo(TaskSpecification task) {
+        return first.appliesTo(task) || second.appliesTo(task);
     }
 
     @Override
-    public void started(TaskSpecification task, WorkerView worker) {
-        first.started(task, worker);
-        second.started(task, worker);
+    public void onStart(TaskSpecification task, WorkerView worker) {
+        first.onStart(task, worker);
+        second.onStart(task, worker);
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/scheduling/PlacementObserver.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/scheduling/PlacementObserver.java
@@ -11,20 +11,20 @@
 /** What the owner of a shard tells the policy, on the thread that calls it. */
 public interface PlacementObserver {
     /** Records that an attempt runs, or that its throttle changed. */
-    void running(PlacedTask task, long nowMs);
+    void onAttemptRunning(PlacedTask task, long nowMs);
 
     /** Records the end of an attempt in a state that ends it. */
-    void ended(PlacedTask task, TaskState state, long nowMs);
+    void onAttemptEnded(PlacedTask task, TaskState state, long nowMs);
 
     /** Records that a task is gone for good: done, rejected or cancelled. */
-    void forgotten(TaskId task);
+    void onTaskRemoved(TaskId task);
 
     /** Records that a worker came back with a new incarnation. */
-    void workerRestarted(WorkerId worker);
+    void onWorkerRestarted(WorkerId worker);
 
     /** Records what a task uses. */
-    void usageMeasured(TaskSpecification task, Resources used);
+    void onUsageMeasured(TaskSpecification task, Resources used);
 
     /** Records a latency of a service. */
-    void latencyMeasured(LatencyMeasurement measurement);
+    void onLatencyMeasured(LatencyMeasurement measurement);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/scheduling/SchedulingPolicy.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/scheduling/SchedulingPolicy.java
@@ -8,8 +8,8 @@
 import org.hickorycleat.logic.batch.RunTimeCorrection;
 import org.hickorycleat.logic.interference.ColocationHistory;
 import org.hickorycleat.logic.interference.InterferenceConstraint;
+import org.hickorycleat.logic.interference.InterferenceMitigation;
 import org.hickorycleat.logic.interference.InterferenceModel;
-import org.hickorycleat.logic.interference.InterferenceResponse;
 import org.hickorycleat.logic.interference.InterferenceSettings;
 import org.hickorycleat.logic.interference.LatencyMeasurement;
 import org.hickorycleat.logic.placement.DefaultPlacementPolicy;
@@ -40,7 +40,7 @@
     private final QuarantineConstraint mQuarantineConstraint;
     private final ColocationHistory mHistory = new ColocationHistory();
     private final InterferenceModel mModel = new InterferenceModel();
-    private final InterferenceResponse mResponse;
+    private final InterferenceMitigation mResponse;
     private final DefaultPlacementPolicy mPlacement;
 
     /** Creates the policy with default limits. */
@@ -51,7 +51,7 @@
         mQuarantineConstraint = new QuarantineConstraint(mQuarantine);
         InterferenceConstraint interference = new InterferenceConstraint(mModel, naming);
         mResponse =
-                new InterferenceResponse(
+                new InterferenceMitigation(
                         mModel, naming, interference, InterferenceSettings.DEFAULT);
         mPlacement =
                 DefaultPlacementPolicy.builder()
@@ -61,7 +61,7 @@
     }
 
     /** Returns the corrected run times, for the snapshot of the shard. */
-    public RunTimeCorrection correction() {
+    public RunTimeCorrection runTimeCorrection() {
         return mCorrection;
     }
 
@@ -71,7 +71,7 @@
     }
 
     /** Returns the interference model, for metrics. */
-    public InterferenceModel interference() {
+    public InterferenceModel interferenceModel() {
         return mModel;
     }
 
@@ -98,10 +98,10 @@
 
     private List<PlacementDecision> rejections(IndexedPlacementView view) {
         List<PlacementDecision> rejections = new ArrayList<>();
-        for (TaskId task : mQuarantine.tasksAtFault()) {
+        for (TaskId task : mQuarantine.failingTasks()) {
             if (view.pending(task).isPresent()) {
                 String reason =
-                        "failed on " + mQuarantine.failures(task) + ", which run other work";
+                        "failed on " + mQuarantine.failedWorkers(task) + ", which run other work";
                 rejections.add(new PlacementDecision.Reject(task, ResultCode.TASK_FAILED, reason));
             }
         }
@@ -109,10 +109,10 @@
     }
 
     @Override
-    public void running(PlacedTask task, long nowMs) {
+    public void onAttemptRunning(PlacedTask task, long nowMs) {
         TaskSpecification specification = task.specification();
         if (specification.service().isEmpty()) {
-            mHistory.running(
+            mHistory.recordRunning(
                     task.worker(),
                     specification.task(),
                     mNaming.jobOf(specification),
@@ -122,16 +122,16 @@
     }
 
     @Override
-    public void ended(PlacedTask task, TaskState state, long nowMs) {
+    public void onAttemptEnded(PlacedTask task, TaskState state, long nowMs) {
         TaskSpecification specification = task.specification();
-        mHistory.ended(task.worker(), specification.task(), nowMs);
+        mHistory.recordEnd(task.worker(), specification.task(), nowMs);
         boolean succeeded = state == TaskState.SUCCEEDED;
         boolean failed = state == TaskState.FAILED || state == TaskState.REFUSED;
         if (succeeded && task.throttlePermille() == 1_000) {
-            mCorrection.runEnded(specification, task.progressMs() + nowMs - task.startedMs());
+            mCorrection.recordRun(specification, task.progressMs() + nowMs - task.startedMs());
         }
         if (succeeded || failed) {
-            mQuarantine.attemptEnded(
+            mQuarantine.recordAttemptEnd(
                     new AttemptEnd(
                             specification.task(),
                             mNaming.jobOf(specification),
@@ -142,25 +142,25 @@
     }
 
     @Override
-    public void forgotten(TaskId task) {
-        mQuarantine.forget(task);
+    public void onTaskRemoved(TaskId task) {
+        mQuarantine.clearHistory(task);
     }
 
     @Override
-    public void workerRestarted(WorkerId worker) {
-        mQuarantine.forget(worker);
+    public void onWorkerRestarted(WorkerId worker) {
+        mQuarantine.clearHistory(worker);
     }
 
     @Override
-    public void usageMeasured(TaskSpecification task, Resources used) {
-        mCorrection.usageMeasured(task, used);
+    public void onUsageMeasured(TaskSpecification task, Resources used) {
+        mCorrection.recordUsage(task, used);
     }
 
     @Override
-    public void latencyMeasured(LatencyMeasurement measurement) {
+    public void onLatencyMeasured(LatencyMeasurement measurement) {
         mModel.learn(
                 measurement.service(),
                 measurement.latencyMs(),
-                mHistory.at(measurement.worker(), measurement.measuredMs()));
+                mHistory.neighboursAt(measurement.worker(), measurement.measuredMs()));
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/FillPacer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/BestEffortThrottle.java
@@ -8,7 +8,7 @@
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.RunSample;
 import org.hickorycleat.model.job.TaskTraits;
-import org.hickorycleat.model.message.FillWeights;
+import org.hickorycleat.model.message.InterferenceWeights;
 
 /**
  * Chooses the share at which each image that fills may work, so that serving tasks beside it stay
@@ -18,7 +18,7 @@
  * excess; shares rise again in steps, so that the lag of the measurement does not make them
  * oscillate.
  */
-final class FillPacer {
+final class BestEffortThrottle {
     static final int FULL_PERCENT = 100;
 
     /** Load of a serving task above which shares are lowered; below that of its target. */
@@ -59,7 +59,7 @@
     private double mLoad;
 
     /** Takes how much images disturb the serving tasks of this worker. */
-    void onWeights(List<FillWeights.ImageWeight> weights) {
+    void onWeights(List<InterferenceWeights.ImageWeight> weights) {
         weights.forEach(weight -> mWeights.put(weight.image(), weight.weightMilli()));
     }
 
@@ -109,7 +109,7 @@
     }
 
     private double cut(double contribution) {
-        if (mLoad >= ServingLoad.SATURATED) {
+        if (mLoad >= ServingLoad.SATURATION_LOAD) {
             return STRONGEST_CUT;
         }
         return Math.max(STRONGEST_CUT, 1 - (mLoad - AIMED_LOAD) / Math.max(contribution, 0.01));
@@ -136,7 +136,7 @@
         Map<String, Double> contributions = new HashMap<>();
         for (RunSample sample : samples) {
             TaskTraits trait = traits.get(sample.run());
-            if (trait != null && trait.fills()) {
+            if (trait != null && trait.bestEffort()) {
                 long weight = mWeights.getOrDefault(trait.image(), UNKNOWN_WEIGHT);
                 double used =
                         Math.max(1.0, (double) sample.measurement())
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -10,13 +10,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.hickorycleat.logic.port.Calls;
 import org.hickorycleat.logic.port.DecisionLog;
-import org.hickorycleat.logic.port.ListingAnswer;
-import org.hickorycleat.logic.port.OrderAnswer;
-import org.hickorycleat.logic.port.RunOrder;
-import org.hickorycleat.logic.port.WorkerAnnouncements;
+import org.hickorycleat.logic.port.RunCommandResult;
+import org.hickorycleat.logic.port.RunListing;
+import org.hickorycleat.logic.port.SingleCallbacks;
+import org.hickorycleat.logic.port.StartRunCommand;
 import org.hickorycleat.logic.port.WorkerRuntime;
+import org.hickorycleat.logic.port.WorkerStatusListener;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.job.EndedRun;
@@ -25,8 +25,8 @@
 import org.hickorycleat.model.job.RunSample;
 import org.hickorycleat.model.job.TaskTraits;
 import org.hickorycleat.model.job.WorkerDescription;
-import org.hickorycleat.model.job.WorkerLife;
-import org.hickorycleat.model.message.FillWeights;
+import org.hickorycleat.model.job.WorkerIncarnation;
+import org.hickorycleat.model.message.InterferenceWeights;
 import org.hickorycleat.model.message.LeaseExtension;
 import org.hickorycleat.model.message.RunRejected;
 import org.hickorycleat.model.message.RunTraits;
@@ -41,7 +41,7 @@
  * start without an answer is settled by a listing under a higher token: what is not listed then
  * will never run.
  */
-public final class RunSupervisor implements WorkerAnnouncements {
+public final class RunSupervisor implements WorkerStatusListener {
     /** Pause before the worker is asked again after it gave no answer, in milliseconds. */
     private static final long RETRY_MS = 100;
 
@@ -70,7 +70,7 @@
     private final DecisionLog mLog;
 
     private final WorkerClock mClock = new WorkerClock();
-    private final FillPacer mPacer = new FillPacer();
+    private final BestEffortThrottle mPacer = new BestEffortThrottle();
     private final Map<RunId, PendingRun> mPending = new LinkedHashMap<>();
     private final Map<RunId, TaskTraits> mTraits = new HashMap<>();
     private final Map<RunId, Integer> mPercents = new HashMap<>();
@@ -129,7 +129,7 @@
     }
 
     @Override
-    public synchronized void onDescription(WorkerDescription description) {
+    public synchronized void onWorkerDescribed(WorkerDescription description) {
         Optional<WorkerDescription> known = mDescription;
         if (known.isPresent() && isOlder(description, known.get())) {
             return;
@@ -137,15 +137,15 @@
         mDescription = Optional.of(description);
         boolean changed =
                 known.isEmpty()
-                        || !known.get().life().equals(description.life())
+                        || !known.get().incarnation().equals(description.incarnation())
                         || known.get().draining() != description.draining();
         if (changed) {
             mLog.record(
                     "worker_described",
                     "worker",
-                    description.life().worker(),
+                    description.incarnation().worker(),
                     "born",
-                    description.life().startedAtMs(),
+                    description.incarnation().startedAtMs(),
                     "draining",
                     description.draining(),
                     "remaining_ms",
@@ -155,19 +155,19 @@
     }
 
     private static boolean isOlder(WorkerDescription candidate, WorkerDescription known) {
-        if (candidate.life().startedAtMs() != known.life().startedAtMs()) {
-            return candidate.life().startedAtMs() < known.life().startedAtMs();
+        if (candidate.incarnation().startedAtMs() != known.incarnation().startedAtMs()) {
+            return candidate.incarnation().startedAtMs() < known.incarnation().startedAtMs();
         }
         return candidate.sequence() < known.sequence();
     }
 
     @Override
-    public synchronized void onLeft(WorkerId worker) {
+    public synchronized void onWorkerLeft(WorkerId worker) {
         mLog.record("worker_left", "worker", worker);
     }
 
     /** An owner opened a session; orders are counted anew. */
-    public synchronized void onOwner(Epoch epoch, long session) {
+    public synchronized void onOwnerSession(Epoch epoch, long session) {
         if (epoch.compareTo(mEpoch) < 0) {
             return;
         }
@@ -180,11 +180,11 @@
     }
 
     /** Carries out a start. */
-    public synchronized void onStart(StartRun order) {
+    public synchronized void onStartRun(StartRun order) {
         if (!obeys(order.epoch(), "start", order.run())) {
             return;
         }
-        mOrdersSeen = order.order();
+        mOrdersSeen = order.commandNumber();
         Optional<RejectionReason> refusal = refusal(order);
         if (refusal.isPresent()) {
             reject(order.run(), refusal.get());
@@ -197,7 +197,7 @@
     }
 
     private Optional<RejectionReason> refusal(StartRun order) {
-        if (isChangingLife() || !life().equals(Optional.of(order.life()))) {
+        if (isChangingLife() || !life().equals(Optional.of(order.incarnation()))) {
             return Optional.of(RejectionReason.UNAVAILABLE);
         }
         if (mDescription.isPresent() && mDescription.get().draining()) {
@@ -212,9 +212,9 @@
     private void sendStart(PendingRun pending) {
         StartRun order = pending.order();
         pending.onSent(mToken);
-        RunOrder call =
-                new RunOrder(
-                        order.life(),
+        StartRunCommand call =
+                new StartRunCommand(
+                        order.incarnation(),
                         order.run(),
                         order.payload(),
                         mLeaseDeadlineMs,
@@ -222,17 +222,18 @@
                         order.checkpoint(),
                         order.ticket());
         long token = mToken;
-        Calls.whenDone(
+        SingleCallbacks.subscribe(
                 mRuntime.start(call),
                 answer -> onStartAnswer(pending, answer, token),
                 error -> onStartUnanswered(pending, error));
     }
 
-    private synchronized void onStartAnswer(PendingRun pending, OrderAnswer answer, long token) {
+    private synchronized void onStartAnswer(
+            PendingRun pending, RunCommandResult answer, long token) {
         if (mPending.get(pending.order().run()) != pending) {
             return;
         }
-        if (answer.carriedOut()) {
+        if (answer.applied()) {
             mLog.record("run_started", "run", pending.order().run(), "token", token);
             paceIfNeeded(pending.order().run());
             return;
@@ -267,7 +268,7 @@
         mTraits.remove(run);
         mStopSentAtMs.remove(run);
         mLog.record("run_rejected", "run", run, "reason", reason);
-        mOutput.toOwner(new RunRejected(mEpoch, run, reason));
+        mOutput.sendToOwner(new RunRejected(mEpoch, run, reason));
     }
 
     private void raiseToken(String cause) {
@@ -276,11 +277,11 @@
     }
 
     /** Carries out a stop. */
-    public synchronized void onStop(StopRun order) {
+    public synchronized void onStopRun(StopRun order) {
         if (!obeys(order.epoch(), "stop", order.run())) {
             return;
         }
-        mOrdersSeen = order.order();
+        mOrdersSeen = order.commandNumber();
         if (isStopDue(order.run())) {
             sendStop(order.run());
         }
@@ -293,41 +294,43 @@
 
     private void sendStop(RunId run) {
         mStopSentAtMs.put(run, nowMs());
-        Calls.whenDone(
+        SingleCallbacks.subscribe(
                 mRuntime.stop(run, mToken),
                 answer -> onStopAnswer(run, answer),
                 error -> mLog.record("stop_unanswered", "run", run, "cause", error));
     }
 
-    private synchronized void onStopAnswer(RunId run, OrderAnswer answer) {
+    private synchronized void onStopAnswer(RunId run, RunCommandResult answer) {
         if (answer.fenced()) {
             raiseToken("stop_fenced");
             sendStop(run);
             return;
         }
-        mLog.record("run_stop_sent", "run", run, "accepted", answer.carriedOut());
+        mLog.record("run_stop_sent", "run", run, "accepted", answer.applied());
     }
 
     /** Takes the traits of a run that was found on the worker. */
-    public synchronized void onTraits(RunTraits message) {
+    public synchronized void onRunTraits(RunTraits message) {
         mTraits.put(message.run(), message.traits());
         // An earlier agent may have set any share.
         mPercents.put(message.run(), UNKNOWN_PERCENT);
     }
 
     /** Takes a lease and the ends that have become durable. */
-    public synchronized void onLease(LeaseExtension extension) {
+    public synchronized void onLeaseExtension(LeaseExtension extension) {
         if (extension.epoch().compareTo(mEpoch) < 0) {
             return;
         }
-        Optional<Long> clock = mClockAtReport.getOrDefault(extension.report(), Optional.empty());
-        mClockAtReport.keySet().removeIf(number -> number <= extension.report());
+        Optional<Long> clock =
+                mClockAtReport.getOrDefault(extension.reportNumber(), Optional.empty());
+        mClockAtReport.keySet().removeIf(number -> number <= extension.reportNumber());
         if (extension.leaseMs() > 0 && clock.isPresent()) {
             mLeaseDeadlineMs = Math.max(mLeaseDeadlineMs, clock.get() + extension.leaseMs());
         }
-        boolean sameLife = extension.life().isPresent() && extension.life().equals(life());
-        if (sameLife && extension.acknowledgedEnds() > mAcknowledged) {
-            mAcknowledged = extension.acknowledgedEnds();
+        boolean sameLife =
+                extension.incarnation().isPresent() && extension.incarnation().equals(life());
+        if (sameLife && extension.acknowledgedEndNumber() > mAcknowledged) {
+            mAcknowledged = extension.acknowledgedEndNumber();
             mEnded = mEnded.stream().filter(end -> end.number() > mAcknowledged).toList();
         }
     }
@@ -340,9 +343,9 @@
         return false;
     }
 
-    private Optional<WorkerLife> life() {
+    private Optional<WorkerIncarnation> life() {
         return mDescription
-                .map(WorkerDescription::life)
+                .map(WorkerDescription::incarnation)
                 .filter(life -> life.startedAtMs() == mListedLifeMs);
     }
 
@@ -369,7 +372,7 @@
                             mLeaseCertainlyOverAtMs,
                             mClock.certainlyPassedAtMs(mLeaseDeadlineMs, nowMs()));
         }
-        Calls.whenDone(
+        SingleCallbacks.subscribe(
                 mRuntime.list(token, deadline, mAcknowledged, waitMs),
                 answer -> onListing(answer, token, regular),
                 error -> onListingFailed(error, regular));
@@ -385,7 +388,7 @@
         }
     }
 
-    private synchronized void onListing(ListingAnswer answer, long token, boolean regular) {
+    private synchronized void onListing(RunListing answer, long token, boolean regular) {
         mAnsweredAtMs = nowMs();
         if (answer.fenced()) {
             if (token >= mToken) {
@@ -402,7 +405,7 @@
         }
     }
 
-    private void apply(ListingAnswer answer, long token) {
+    private void apply(RunListing answer, long token) {
         if (answer.startedAtMs() < mListedLifeMs) {
             return;
         }
@@ -519,7 +522,7 @@
     }
 
     /** Takes how much images that fill disturb the serving tasks of this worker. */
-    public synchronized void onWeights(FillWeights message) {
+    public synchronized void onInterferenceWeights(InterferenceWeights message) {
         mPacer.onWeights(message.weights());
     }
 
@@ -543,25 +546,25 @@
 
     private void paceIfNeeded(RunId run) {
         TaskTraits traits = mTraits.get(run);
-        if (traits == null || !traits.fills()) {
+        if (traits == null || !traits.bestEffort()) {
             return;
         }
         int percent = mPacer.percent(traits.image());
-        if (mPercents.getOrDefault(run, FillPacer.FULL_PERCENT) != percent) {
+        if (mPercents.getOrDefault(run, BestEffortThrottle.FULL_PERCENT) != percent) {
             sendPace(run, percent);
         }
     }
 
     private void sendPace(RunId run, int percent) {
         mPercents.put(run, percent);
-        Calls.whenDone(
-                mRuntime.pace(run, percent, mToken),
+        SingleCallbacks.subscribe(
+                mRuntime.throttle(run, percent, mToken),
                 answer -> onPaceAnswer(run, answer),
                 error -> onPaceUnanswered(run));
     }
 
-    private synchronized void onPaceAnswer(RunId run, OrderAnswer answer) {
-        if (!answer.carriedOut()) {
+    private synchronized void onPaceAnswer(RunId run, RunCommandResult answer) {
+        if (!answer.applied()) {
             mPercents.remove(run);
         }
     }
@@ -585,7 +588,7 @@
         mReportNumber++;
         mClockAtReport.put(mReportNumber, mClock.lowerBoundMs(nowMs()));
         boolean reachable = isReachable();
-        mOutput.toOwner(
+        mOutput.sendToOwner(
                 new WorkerReport(
                         mReportNumber,
                         mEpoch,
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/SupervisorOutput.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/SupervisorOutput.java
@@ -6,5 +6,5 @@
 @FunctionalInterface
 public interface SupervisorOutput {
     /** Sends a message over the link to the owner; it is dropped when there is none. */
-    void toOwner(Message message);
+    void sendToOwner(Message message);
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/batch/RunTimeCorrectionTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/batch/RunTimeCorrectionTest.java
@@ -40,7 +40,7 @@
     void learnsTheFactorOfEachJob(@ForAll @DoubleRange(min = 0.1, max = 10) double factor) {
         RunTimeCorrection correction = new RunTimeCorrection(JobNaming.BEFORE_LAST_SLASH);
         for (int i = 0; i < 20; i++) {
-            correction.runEnded(run("job", i), Math.round(DECLARED_MS * factor));
+            correction.recordRun(run("job", i), Math.round(DECLARED_MS * factor));
         }
         long expected = Math.round(DECLARED_MS * factor);
         assertThat(correction.expectedMs(run("job", 99)))
@@ -50,10 +50,10 @@
     /** Guards against trusting one run, and against one outlier among many. */
     @Test
     void isRobustAgainstSingleRuns() {
-        mCorrection.runEnded(run("job", 0), 10 * DECLARED_MS);
+        mCorrection.recordRun(run("job", 0), 10 * DECLARED_MS);
         assertThat(mCorrection.expectedMs(run("job", 1))).isLessThan(8 * DECLARED_MS);
         for (int i = 1; i < 20; i++) {
-            mCorrection.runEnded(run("job", i), DECLARED_MS);
+            mCorrection.recordRun(run("job", i), DECLARED_MS);
         }
         assertThat(mCorrection.expectedMs(run("job", 99)))
                 .isCloseTo(DECLARED_MS, Percentage.withPercentage(5));
@@ -63,7 +63,7 @@
     @Test
     void theUpperEstimateCoversMostRuns() {
         for (int i = 0; i < 30; i++) {
-            mCorrection.runEnded(run("job", i), DECLARED_MS * (1 + i % 10) / 5);
+            mCorrection.recordRun(run("job", i), DECLARED_MS * (1 + i % 10) / 5);
         }
         assertThat(mCorrection.upperMs(run("job", 99)))
                 .isGreaterThan(mCorrection.expectedMs(run("job", 99)))
@@ -75,7 +75,7 @@
     void sizesGrowWithUseAndNeverShrink() {
         assertThat(mCorrection.size(run("job", 0))).isEqualTo(SIZE);
         for (int i = 0; i < 20; i++) {
-            mCorrection.usageMeasured(run("job", i), new Resources(100, 3_000, 0));
+            mCorrection.recordUsage(run("job", i), new Resources(100, 3_000, 0));
         }
         Resources size = mCorrection.size(run("job", 99));
         assertThat(size.processorsMilli()).isEqualTo(1_000);
@@ -86,7 +86,7 @@
     @Test
     void survivesSnapshotAndRestore() {
         for (int i = 0; i < 20; i++) {
-            mCorrection.runEnded(run("job", i), 4 * DECLARED_MS);
+            mCorrection.recordRun(run("job", i), 4 * DECLARED_MS);
         }
         RunTimeCorrection restored = new RunTimeCorrection(JobNaming.BEFORE_LAST_SLASH);
         restored.restore(mCorrection.snapshot());
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/configuration/ConfigurationHolderTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/configuration/ConfigurationHolderTest.java
@@ -29,9 +29,9 @@
     /** Guards against a configuration that reverts when an old message arrives late. */
     @Test
     void lowerVersionsChangeNothingWhateverTheirSource() {
-        mHolder.offer(accepted(5, WHOLE), ConfigurationSource.PEER);
+        mHolder.updateIfNewer(accepted(5, WHOLE), ConfigurationSource.PEER);
         for (ConfigurationSource source : ConfigurationSource.values()) {
-            assertThat(mHolder.offer(accepted(4, WHOLE), source)).isFalse();
+            assertThat(mHolder.updateIfNewer(accepted(4, WHOLE), source)).isFalse();
         }
 
         assertThat(mHolder.version()).isEqualTo(new ConfigurationVersion(5));
@@ -40,24 +40,26 @@
     /** Guards against an entry that forgets services because one agent holds only some. */
     @Test
     void sliceNeverReplacesWholeManifest() {
-        mHolder.offer(accepted(5, WHOLE), ConfigurationSource.LOG);
+        mHolder.updateIfNewer(accepted(5, WHOLE), ConfigurationSource.LOG);
 
-        assertThat(mHolder.offer(accepted(6, slice("a")), ConfigurationSource.AGENT)).isFalse();
+        assertThat(mHolder.updateIfNewer(accepted(6, slice("a")), ConfigurationSource.AGENT))
+                .isFalse();
         assertThat(mHolder.current().get().configuration().manifest()).isEqualTo(WHOLE);
     }
 
     /** Guards against an entry without log and peers that serves only one agent's services. */
     @Test
     void slicesOfOneVersionAreJoinedUntilTheWholeManifestArrives() {
-        mHolder.offer(accepted(5, slice("a")), ConfigurationSource.AGENT);
-        mHolder.offer(accepted(5, slice("b")), ConfigurationSource.AGENT);
+        mHolder.updateIfNewer(accepted(5, slice("a")), ConfigurationSource.AGENT);
+        mHolder.updateIfNewer(accepted(5, slice("b")), ConfigurationSource.AGENT);
 
         assertThat(mHolder.current().get().configuration().manifest().services())
                 .containsExactlyInAnyOrderElementsOf(WHOLE.services());
-        assertThat(mHolder.offer(accepted(5, slice("b")), ConfigurationSource.AGENT)).isFalse();
+        assertThat(mHolder.updateIfNewer(accepted(5, slice("b")), ConfigurationSource.AGENT))
+                .isFalse();
         assertThat(mHolder.healthText()).contains("source=agent complete=false");
 
-        mHolder.offer(accepted(5, WHOLE), ConfigurationSource.LOG);
+        mHolder.updateIfNewer(accepted(5, WHOLE), ConfigurationSource.LOG);
 
         assertThat(mHolder.healthText()).contains("version=5 source=log complete=true");
     }
@@ -70,15 +72,15 @@
         ConfigurationUpdate none =
                 new ConfigurationUpdate(new ConfigurationVersion(-1), ManifestWriter.write(WHOLE));
 
-        assertThat(mHolder.offer(broken, ConfigurationSource.PEER)).isFalse();
-        assertThat(mHolder.offer(none, ConfigurationSource.PEER)).isFalse();
+        assertThat(mHolder.updateIfNewer(broken, ConfigurationSource.PEER)).isFalse();
+        assertThat(mHolder.updateIfNewer(none, ConfigurationSource.PEER)).isFalse();
         assertThat(mHolder.healthText()).contains("configuration_version=none");
     }
 
     /** Guards against observers that see a version go lower or never see the newest. */
     @Test
     void observersOfRacingOffersNeverGoToLowerVersionsAndEndAtTheNewest() throws Exception {
-        TestSubscriber<ConfigurationInForce> early = mHolder.changes().test();
+        TestSubscriber<ActiveConfiguration> early = mHolder.changes().test();
         ExecutorService executor = Executors.newFixedThreadPool(4);
         try {
             List<Future<?>> offers =
@@ -86,7 +88,7 @@
                             .<Future<?>>mapToObj(
                                     part -> executor.submit(() -> offerEveryFourth(part)))
                             .toList();
-            TestSubscriber<ConfigurationInForce> late = mHolder.changes().test();
+            TestSubscriber<ActiveConfiguration> late = mHolder.changes().test();
             awaitAll(offers);
 
             assertThat(early.values()).isSortedAccordingTo(ConfigurationHolderTest::compare);
@@ -100,7 +102,7 @@
 
     private void offerEveryFourth(int part) {
         for (int version = part; version < 2_000; version += 4) {
-            mHolder.offer(accepted(version, WHOLE), ConfigurationSource.PEER);
+            mHolder.updateIfNewer(accepted(version, WHOLE), ConfigurationSource.PEER);
         }
     }
 
@@ -111,11 +113,11 @@
         }
     }
 
-    private static int compare(ConfigurationInForce first, ConfigurationInForce second) {
+    private static int compare(ActiveConfiguration first, ActiveConfiguration second) {
         return first.version().compareTo(second.version());
     }
 
-    private static ConfigurationVersion last(TestSubscriber<ConfigurationInForce> observer) {
+    private static ConfigurationVersion last(TestSubscriber<ActiveConfiguration> observer) {
         return observer.values().get(observer.values().size() - 1).version();
     }
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
@@ -11,7 +11,7 @@
 import org.hickorycleat.model.identifier.ServiceName;
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.job.EndedRun;
-import org.hickorycleat.model.job.InterferenceWeight;
+import org.hickorycleat.model.job.InterferenceEstimate;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobQueue;
@@ -23,7 +23,7 @@
 import org.hickorycleat.model.job.RunSample;
 import org.hickorycleat.model.job.StepSpecification;
 import org.hickorycleat.model.job.WorkerDescription;
-import org.hickorycleat.model.job.WorkerLife;
+import org.hickorycleat.model.job.WorkerIncarnation;
 import org.hickorycleat.model.job.WorkerPool;
 import org.hickorycleat.model.job.WorkloadConfiguration;
 import org.hickorycleat.model.message.LeaseExtension;
@@ -48,7 +48,7 @@
     final List<LeaseExtension> mLeases = new ArrayList<>();
     final List<JobStatus> mPublished = new ArrayList<>();
     final List<JobProgress> mStored = new ArrayList<>();
-    final List<InterferenceWeight> mRemembered = new ArrayList<>();
+    final List<InterferenceEstimate> mRemembered = new ArrayList<>();
     final List<Runnable> mWaiting = new ArrayList<>();
     final Dispatcher mDispatcher;
     boolean mStoreHolds;
@@ -81,7 +81,7 @@
                         1_000,
                         3_000,
                         Optional.empty());
-        dispatcher.onConfiguration(
+        dispatcher.onConfigurationChanged(
                 new WorkloadConfiguration(
                         1, List.of(queue), List.of(new WorkerPool(SERVICE, true, false)), 100_000));
         return dispatcher;
@@ -101,7 +101,7 @@
     }
 
     @Override
-    public void persist(List<JobProgress> progress, Runnable durable) {
+    public void persistProgress(List<JobProgress> progress, Runnable durable) {
         mStored.addAll(progress);
         if (mStoreHolds) {
             mWaiting.add(durable);
@@ -111,12 +111,12 @@
     }
 
     @Override
-    public void remember(List<InterferenceWeight> weights) {
+    public void saveInterferenceWeights(List<InterferenceEstimate> weights) {
         mRemembered.addAll(weights);
     }
 
     @Override
-    public void publish(List<JobStatus> states) {
+    public void publishJobStates(List<JobStatus> states) {
         mPublished.addAll(states);
     }
 
@@ -137,8 +137,8 @@
         return new ProcessId("agent-" + number);
     }
 
-    static WorkerLife life(int number, long startedAtMs) {
-        return new WorkerLife(new WorkerId("i-" + number), startedAtMs);
+    static WorkerIncarnation life(int number, long startedAtMs) {
+        return new WorkerIncarnation(new WorkerId("i-" + number), startedAtMs);
     }
 
     /** Connects an agent whose worker is empty. */
@@ -156,7 +156,7 @@
             List<RunSample> running,
             List<EndedRun> ended) {
         mReport++;
-        WorkerLife life = life(number, startedAtMs);
+        WorkerIncarnation life = life(number, startedAtMs);
         WorkerDescription description =
                 new WorkerDescription(
                         life,
@@ -166,7 +166,7 @@
                         false,
                         0,
                         1);
-        mDispatcher.onReport(
+        mDispatcher.onWorkerReport(
                 agent(number),
                 new WorkerReport(
                         mReport,
@@ -214,7 +214,7 @@
                         0,
                         0,
                         mScheduler.now(TimeUnit.MILLISECONDS));
-        mDispatcher.onSubmission(submission);
+        mDispatcher.onJobSubmitted(submission);
         return submission;
     }
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
@@ -50,12 +50,12 @@
         mFixture.mStoreHolds = true;
         reportEnd(session, 1, 0, EndCause.DONE);
         assertThat(mFixture.published(JOB)).contains(JobState.RUNNING);
-        assertThat(mFixture.mLeases).allMatch(lease -> lease.acknowledgedEnds() == 0);
+        assertThat(mFixture.mLeases).allMatch(lease -> lease.acknowledgedEndNumber() == 0);
 
         mFixture.release();
 
         assertThat(mFixture.published(JOB)).contains(JobState.COMPLETED);
-        assertThat(mFixture.mLeases.get(mFixture.mLeases.size() - 1).acknowledgedEnds())
+        assertThat(mFixture.mLeases.get(mFixture.mLeases.size() - 1).acknowledgedEndNumber())
                 .isEqualTo(1);
     }
 
@@ -76,10 +76,10 @@
     private static StepSpecification after(StepSpecification step) {
         return new StepSpecification(
                 step.count(),
-                step.request(),
+                step.resources(),
                 step.estimateMs(),
                 List.of(0),
-                step.savesProgress(),
+                step.checkpointable(),
                 false,
                 false,
                 Optional.empty(),
@@ -124,10 +124,10 @@
         JobProgress stored = mFixture.mStored.get(mFixture.mStored.size() - 1);
 
         Dispatcher successor = mFixture.newDispatcher();
-        successor.restore(submission, Optional.of(stored), false);
+        successor.restoreJob(submission, Optional.of(stored), false);
         DispatchFixture other = mFixture;
         long newSession = successor.onAgentConnected(DispatchFixture.agent(1));
-        successor.onReport(
+        successor.onWorkerReport(
                 DispatchFixture.agent(1),
                 new org.hickorycleat.model.message.WorkerReport(
                         1,
@@ -164,7 +164,7 @@
     void stopsRunsOfCancelledJobAndStartsNoMore() {
         mFixture.connect(1);
         mFixture.submit(JOB, DispatchFixture.step(2, false));
-        mFixture.mDispatcher.onCancel(new JobId(JOB));
+        mFixture.mDispatcher.onJobCancelled(new JobId(JOB));
 
         assertThat(mFixture.mStops).hasSize(2);
         assertThat(mFixture.published(JOB)).contains(JobState.CANCELLED);
@@ -177,7 +177,7 @@
         mFixture.connect(1);
         mFixture.mStoreHolds = true;
         mFixture.submit(JOB, DispatchFixture.step(1, false));
-        mFixture.mDispatcher.onCancel(new JobId(JOB));
+        mFixture.mDispatcher.onJobCancelled(new JobId(JOB));
         mFixture.release();
 
         assertThat(mFixture.mStarts).isEmpty();
@@ -190,7 +190,7 @@
         mFixture.report(1, session, 2, 1, List.of(), List.of());
 
         assertThat(mFixture.mStarts).hasSize(2);
-        assertThat(mFixture.mStarts.get(1).life()).isEqualTo(DispatchFixture.life(1, 2));
+        assertThat(mFixture.mStarts.get(1).incarnation()).isEqualTo(DispatchFixture.life(1, 2));
     }
 
     @Test
@@ -235,7 +235,7 @@
         mFixture.report(1, session, 1, 1, List.of(mFixture.sample(0)), List.of());
         JobProgress stored = mFixture.mStored.get(0);
         Dispatcher successor = mFixture.newDispatcher();
-        successor.restore(submission, Optional.of(stored), false);
+        successor.restoreJob(submission, Optional.of(stored), false);
         mFixture.mScheduler.advanceTimeBy(11, java.util.concurrent.TimeUnit.SECONDS);
         successor.tick();
         int before = mFixture.mStored.size();
@@ -259,7 +259,7 @@
     void stopsRunsThatItDoesNotKnow() {
         long session = mFixture.connect(1);
         mFixture.submit(JOB, DispatchFixture.step(1, false));
-        mFixture.mDispatcher.onRejected(
+        mFixture.mDispatcher.onRunRejected(
                 DispatchFixture.agent(1),
                 new RunRejected(
                         DispatchFixture.EPOCH, mFixture.run(0), RejectionReason.UNAVAILABLE));
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatesTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatesTest.java
@@ -15,14 +15,14 @@
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.StepSpecification;
 import org.hickorycleat.model.job.WorkerDescription;
-import org.hickorycleat.model.job.WorkerLife;
+import org.hickorycleat.model.job.WorkerIncarnation;
 import org.hickorycleat.model.message.WorkerReport;
 import org.hickorycleat.model.task.Resources;
 import org.junit.jupiter.api.Test;
 
 class InterferenceEstimatesTest {
     private static final int TARGET_MS = 50;
-    private static final WorkerLife LIFE = new WorkerLife(new WorkerId("i-1"), 1);
+    private static final WorkerIncarnation LIFE = new WorkerIncarnation(new WorkerId("i-1"), 1);
 
     private final InterferenceEstimates mEstimates = new InterferenceEstimates();
 
@@ -46,8 +46,8 @@
                 -1);
     }
 
-    private static WorkerTrack worker() {
-        WorkerTrack worker = new WorkerTrack(new ProcessId("agent"), 0);
+    private static TrackedWorker worker() {
+        TrackedWorker worker = new TrackedWorker(new ProcessId("agent"), 0);
         WorkerDescription description =
                 new WorkerDescription(
                         LIFE,
@@ -75,7 +75,7 @@
         return worker;
     }
 
-    private static RunTrack add(WorkerTrack worker, StepSpecification step, long measurement) {
+    private static TrackedRun add(TrackedWorker worker, StepSpecification step, long measurement) {
         JobSubmission submission =
                 new JobSubmission(
                         new JobId("job-" + step.image()),
@@ -98,17 +98,17 @@
                         0,
                         0,
                         Optional.empty());
-        JobTrack job = new JobTrack(submission, queue);
-        TaskTrack task = job.tasks().get(0);
-        RunTrack run =
-                new RunTrack(new RunId(task.key(), 1), task, worker, LIFE, RunPhase.PERSISTING);
+        TrackedJob job = new TrackedJob(submission, queue);
+        TrackedTask task = job.tasks().get(0);
+        TrackedRun run =
+                new TrackedRun(new RunId(task.key(), 1), task, worker, LIFE, RunPhase.PERSISTING);
         run.onSample(50, measurement, 0);
         worker.add(run);
         return run;
     }
 
     private void observe(String filling, long tailMs) {
-        WorkerTrack worker = worker();
+        TrackedWorker worker = worker();
         add(worker, step("serving", TARGET_MS, false), tailMs);
         add(worker, step(filling, 0, true), 2_000);
         mEstimates.observe(worker);
@@ -120,13 +120,13 @@
             observe("harmful", 60);
             observe("harmless", 20);
         }
-        WorkerTrack worker = worker();
+        TrackedWorker worker = worker();
         add(worker, step("serving", TARGET_MS, false), 20);
 
         double harmful = mEstimates.expectedLoad(worker, step("harmful", 0, true));
         double harmless = mEstimates.expectedLoad(worker, step("harmless", 0, true));
 
-        assertThat(harmful).isGreaterThan(ServingLoad.AT_TARGET);
+        assertThat(harmful).isGreaterThan(ServingLoad.LOAD_AT_TARGET);
         assertThat(harmless).isLessThan(ServingLoad.of(30, TARGET_MS));
     }
 
@@ -135,7 +135,7 @@
         for (int i = 0; i < 100; i++) {
             observe("harmful", 60);
         }
-        WorkerTrack worker = worker();
+        TrackedWorker worker = worker();
         add(worker, step("serving", TARGET_MS, false), 10);
         double before = mEstimates.expectedLoad(worker, step("harmful", 0, true));
         add(worker, step("harmful", 0, true), 0);
@@ -154,7 +154,7 @@
         for (int i = 0; i < 50; i++) {
             observe("harmful", 5_000);
         }
-        WorkerTrack worker = worker();
+        TrackedWorker worker = worker();
         add(worker, step("serving", TARGET_MS, false), 20);
 
         assertThat(mEstimates.addedLoad(worker, step("harmful", 0, true))).isBetween(0.2, 1.0);
@@ -162,9 +162,9 @@
 
     @Test
     void putsSlowChangesDownToTheServingRunItself() {
-        WorkerTrack worker = worker();
-        RunTrack serving = add(worker, step("serving", TARGET_MS, false), 18);
-        RunTrack filling = add(worker, step("filling", 0, true), 2_000);
+        TrackedWorker worker = worker();
+        TrackedRun serving = add(worker, step("serving", TARGET_MS, false), 18);
+        TrackedRun filling = add(worker, step("filling", 0, true), 2_000);
         for (int i = 0; i < 40; i++) {
             serving.onSample(50, 18 + i / 4, i);
             filling.onSample(50, 2_000, i);
@@ -188,7 +188,7 @@
         }
         InterferenceEstimates successor = new InterferenceEstimates();
         successor.restore(mEstimates.snapshot());
-        WorkerTrack worker = worker();
+        TrackedWorker worker = worker();
         add(worker, step("serving", TARGET_MS, false), 20);
 
         assertThat(successor.addedLoad(worker, step("harmful", 0, true)))
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/ClaimEpochsTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/EpochGeneratorTest.java
@@ -9,7 +9,7 @@
 import org.hickorycleat.model.message.ProcessRole;
 import org.junit.jupiter.api.Test;
 
-class ClaimEpochsTest {
+class EpochGeneratorTest {
     private static FleetNode node(String process, long startedAtMs) {
         return new FleetNode(
                 new ProcessId(process),
@@ -26,17 +26,17 @@
     void differsBetweenProcessesThatKnowTheSameEpoch() {
         Epoch known = new Epoch(-1);
 
-        assertThat(ClaimEpochs.next(known, node("entry-1", 5)))
-                .isNotEqualTo(ClaimEpochs.next(known, node("entry-2", 5)));
-        assertThat(ClaimEpochs.next(known, node("entry-1", 5)))
-                .isNotEqualTo(ClaimEpochs.next(known, node("entry-1", 6)));
+        assertThat(EpochGenerator.next(known, node("entry-1", 5)))
+                .isNotEqualTo(EpochGenerator.next(known, node("entry-2", 5)));
+        assertThat(EpochGenerator.next(known, node("entry-1", 5)))
+                .isNotEqualTo(EpochGenerator.next(known, node("entry-1", 6)));
     }
 
     @Test
     void exceedsEveryKnownEpoch() {
         Epoch epoch = new Epoch(-1);
         for (int i = 0; i < 100; i++) {
-            Epoch next = ClaimEpochs.next(epoch, node("entry-" + i % 3, i));
+            Epoch next = EpochGenerator.next(epoch, node("entry-" + i % 3, i));
             assertThat(next).isGreaterThan(epoch);
             epoch = next;
         }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/OwnerElectionTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/OwnerElectionTest.java
@@ -23,47 +23,47 @@
 
     @Test
     void claimsWhenThereIsNoOwner() {
-        assertThat(mElection.shouldClaim(100)).isFalse();
-        assertThat(mElection.shouldClaim(1_000)).isTrue();
+        assertThat(mElection.shouldClaimOwnership(100)).isFalse();
+        assertThat(mElection.shouldClaimOwnership(1_000)).isTrue();
     }
 
     @Test
     void leavesOwnerAloneThatItHears() {
         for (long nowMs = 0; nowMs < 5_000; nowMs += 200) {
-            mElection.onHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), nowMs);
-            assertThat(mElection.shouldClaim(nowMs)).isFalse();
+            mElection.onPeerHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), nowMs);
+            assertThat(mElection.shouldClaimOwnership(nowMs)).isFalse();
         }
     }
 
     @Test
     void claimsWithinTwoSecondsOfSilence() {
-        mElection.onHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), 0);
+        mElection.onPeerHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), 0);
 
-        assertThat(mElection.shouldClaim(1_000)).isFalse();
-        assertThat(mElection.shouldClaim(1_500)).isTrue();
+        assertThat(mElection.shouldClaimOwnership(1_000)).isFalse();
+        assertThat(mElection.shouldClaimOwnership(1_500)).isTrue();
     }
 
     @Test
     void claimsSoonerWhenAllLinksToOwnerAreClosed() {
-        mElection.onHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), 0);
-        mElection.onDisconnected(OWNER);
+        mElection.onPeerHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), 0);
+        mElection.onPeerDisconnected(OWNER);
 
-        assertThat(mElection.shouldClaim(700)).isTrue();
+        assertThat(mElection.shouldClaimOwnership(700)).isTrue();
     }
 
     @Test
     void leavesOwnerAloneThatOnePeerHears() {
-        mElection.onHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), 0);
-        mElection.onHeartbeat(PEER, heartbeat(OWNER, EPOCH, 100), 1_900);
+        mElection.onPeerHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), 0);
+        mElection.onPeerHeartbeat(PEER, heartbeat(OWNER, EPOCH, 100), 1_900);
 
-        assertThat(mElection.shouldClaim(2_000)).isFalse();
-        assertThat(mElection.shouldClaim(4_000)).isTrue();
+        assertThat(mElection.shouldClaimOwnership(2_000)).isFalse();
+        assertThat(mElection.shouldClaimOwnership(4_000)).isTrue();
     }
 
     @Test
     void followsHighestEpochOnly() {
-        mElection.onClaim(OWNER, EPOCH, 0);
-        mElection.onClaim(PEER, new Epoch(6), 0);
+        mElection.onOwnershipClaimed(OWNER, EPOCH, 0);
+        mElection.onOwnershipClaimed(PEER, new Epoch(6), 0);
 
         assertThat(mElection.owner()).contains(OWNER);
         assertThat(mElection.epoch()).isEqualTo(EPOCH);
@@ -71,20 +71,20 @@
 
     @Test
     void takesOfferOfCurrentOwnerOnly() {
-        mElection.onHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), 0);
-        mElection.onOffer(new Epoch(6), 100);
-        assertThat(mElection.shouldClaim(100)).isFalse();
+        mElection.onPeerHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), 0);
+        mElection.onOwnershipOffered(new Epoch(6), 100);
+        assertThat(mElection.shouldClaimOwnership(100)).isFalse();
 
-        mElection.onOffer(EPOCH, 100);
-        assertThat(mElection.shouldClaim(100)).isTrue();
+        mElection.onOwnershipOffered(EPOCH, 100);
+        assertThat(mElection.shouldClaimOwnership(100)).isTrue();
     }
 
     @Test
     void knowsThatItWasSucceeded() {
-        mElection.onClaim(SELF, EPOCH, 0);
+        mElection.onOwnershipClaimed(SELF, EPOCH, 0);
         assertThat(mElection.isOwner()).isTrue();
 
-        mElection.onHeartbeat(PEER, heartbeat(PEER, new Epoch(9), 0), 10);
+        mElection.onPeerHeartbeat(PEER, heartbeat(PEER, new Epoch(9), 0), 10);
 
         assertThat(mElection.isOwner()).isFalse();
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/interference/InterferenceResponseTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/interference/InterferenceMitigationTest.java
@@ -27,15 +27,15 @@
 import org.hickorycleat.model.task.TaskSpecification;
 import org.junit.jupiter.api.Test;
 
-class InterferenceResponseTest {
+class InterferenceMitigationTest {
     private static final ServiceName SERVICE = new ServiceName("service");
     private static final JobName NOISY = new JobName("noisy");
     private static final Resources SIZE = new Resources(2_000, 4_000, 0);
     private static final int WORKERS = 10;
 
     private final InterferenceModel mModel = new InterferenceModel();
-    private final InterferenceResponse mResponse =
-            new InterferenceResponse(
+    private final InterferenceMitigation mResponse =
+            new InterferenceMitigation(
                     mModel,
                     JobNaming.BEFORE_LAST_SLASH,
                     new InterferenceConstraint(mModel, JobNaming.BEFORE_LAST_SLASH),
@@ -46,8 +46,8 @@
     @Property(seed = "95", tries = 20)
     void takesNoStepsForNoiseInWaves(@ForAll @IntRange(min = 0, max = 100_000) int seed) {
         InterferenceModel model = new InterferenceModel();
-        InterferenceResponse response =
-                new InterferenceResponse(
+        InterferenceMitigation response =
+                new InterferenceMitigation(
                         model,
                         JobNaming.BEFORE_LAST_SLASH,
                         new InterferenceConstraint(model, JobNaming.BEFORE_LAST_SLASH),
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/interference/InterferenceModelTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/interference/InterferenceModelTest.java
@@ -49,11 +49,11 @@
     void creditsTheTasksOfTheTimeOfMeasurement() {
         ColocationHistory history = new ColocationHistory();
         WorkerId worker = new WorkerId("worker");
-        history.running(worker, new TaskId("a"), NOISY, 1, 0);
-        history.ended(worker, new TaskId("a"), 10_000);
-        history.running(worker, new TaskId("b"), QUIET, 1, 10_000);
-        assertThat(history.at(worker, 9_000)).containsExactly(new Neighbour(NOISY, 1));
-        assertThat(history.at(worker, 10_000)).containsExactly(new Neighbour(QUIET, 1));
+        history.recordRunning(worker, new TaskId("a"), NOISY, 1, 0);
+        history.recordEnd(worker, new TaskId("a"), 10_000);
+        history.recordRunning(worker, new TaskId("b"), QUIET, 1, 10_000);
+        assertThat(history.neighboursAt(worker, 9_000)).containsExactly(new Neighbour(NOISY, 1));
+        assertThat(history.neighboursAt(worker, 10_000)).containsExactly(new Neighbour(QUIET, 1));
     }
 
     /** Guards against a history that grows with every task that ever ran. */
@@ -61,11 +61,12 @@
     void forgetsStaysOlderThanTheLatestMeasurement() {
         ColocationHistory history = new ColocationHistory();
         WorkerId worker = new WorkerId("worker");
-        history.running(worker, new TaskId("a"), NOISY, 1, 0);
-        history.ended(worker, new TaskId("a"), 1_000);
-        history.running(worker, new TaskId("b"), QUIET, 0.5, 100_000);
-        assertThat(history.at(worker, 500)).isEmpty();
-        assertThat(history.at(worker, 100_000)).containsExactly(new Neighbour(QUIET, 0.5));
+        history.recordRunning(worker, new TaskId("a"), NOISY, 1, 0);
+        history.recordEnd(worker, new TaskId("a"), 1_000);
+        history.recordRunning(worker, new TaskId("b"), QUIET, 0.5, 100_000);
+        assertThat(history.neighboursAt(worker, 500)).isEmpty();
+        assertThat(history.neighboursAt(worker, 100_000))
+                .containsExactly(new Neighbour(QUIET, 0.5));
     }
 
     /** Guards against certainty from a few measurements. */
