--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/InvocationServiceTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/InvocationServiceTest.java
@@ -8,8 +8,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.hickorycleat.logic.port.TargetAnswer;
 import org.hickorycleat.logic.port.TargetNotReachedException;
+import org.hickorycleat.logic.port.TargetResponse;
 import org.hickorycleat.model.identifier.ConfigurationVersion;
 import org.hickorycleat.model.identifier.InstanceNumber;
 import org.hickorycleat.model.identifier.SessionNumber;
@@ -31,7 +31,7 @@
 
     private final TestScheduler mScheduler = new TestScheduler();
     private final List<Invoke> mExchanges = new ArrayList<>();
-    private final List<SingleSubject<TargetAnswer>> mAnswers = new ArrayList<>();
+    private final List<SingleSubject<TargetResponse>> mAnswers = new ArrayList<>();
     private final List<InvokeResult> mResults = new ArrayList<>();
     private InvocationService mService = newService(100);
 
@@ -46,7 +46,7 @@
                 .build();
     }
 
-    private Single<TargetAnswer> exchange(Invoke invoke) {
+    private Single<TargetResponse> exchange(Invoke invoke) {
         mExchanges.add(invoke);
         mAnswers.add(SingleSubject.create());
         return mAnswers.get(mAnswers.size() - 1);
@@ -77,7 +77,7 @@
     }
 
     private void answer(int exchange) {
-        mAnswers.get(exchange).onSuccess(new TargetAnswer(200, List.of(), new byte[] {1}));
+        mAnswers.get(exchange).onSuccess(new TargetResponse(200, List.of(), new byte[] {1}));
     }
 
     private void trustKeys() {
@@ -210,7 +210,7 @@
     void leavingRefusesNewWorkAndFinishesTheRest() {
         invoke(TestInvokes.invoke(1));
         invoke(TestInvokes.invoke(2));
-        mService.leave();
+        mService.startDrain();
         invoke(TestInvokes.invoke(3));
         answer(0);
         answer(1);
@@ -298,7 +298,7 @@
     /** Guards against keys being refused by an agent whose instance nobody served before. */
     @Test
     void servesKeysAtOnceWhenTheirMemoryIsTrusted() {
-        mService.trustKeyMemory(TestInvokes.SERVICE, new InstanceNumber(0));
+        mService.markKeyRecordsComplete(TestInvokes.SERVICE, new InstanceNumber(0));
         invoke(TestInvokes.keyed(1, "key", "body"));
         assertThat(executed()).containsExactly(1L);
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/lease/TaskLeaseKeeperTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/lease/TaskLeaseManagerTest.java
@@ -23,17 +23,17 @@
 import org.hickorycleat.model.identifier.TaskId;
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.message.Fence;
-import org.hickorycleat.model.message.HeldTask;
 import org.hickorycleat.model.message.LeaseGrant;
 import org.hickorycleat.model.message.LeaseRequest;
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.StartTask;
+import org.hickorycleat.model.message.TaskAttempt;
 import org.hickorycleat.model.message.WorkerSummary;
 import org.hickorycleat.model.result.ResultCode;
 import org.hickorycleat.model.task.Resources;
 import org.junit.jupiter.api.Test;
 
-class TaskLeaseKeeperTest {
+class TaskLeaseManagerTest {
     private static final ShardNumber SHARD = new ShardNumber(0);
     private static final ProcessId OWNER = new ProcessId("a");
     private static final ProcessId NEWER = new ProcessId("b");
@@ -42,8 +42,8 @@
     private final TestScheduler mScheduler = new TestScheduler();
     private final StubWorker mWorker = new StubWorker();
     private final Sent mSent = new Sent();
-    private final TaskLeaseKeeper mKeeper =
-            new TaskLeaseKeeper(
+    private final TaskLeaseManager mKeeper =
+            new TaskLeaseManager(
                     mWorker, mSent, new Incarnation(3), LeaseSettings.DEFAULT, mScheduler);
 
     /** Guards against a lease that is counted from the arrival of its grant. */
@@ -116,8 +116,8 @@
     void restartedAgentUsesHigherRequestNumbers() {
         mKeeper.onMessage(OWNER, new Fence(SHARD, new Epoch(5)));
         long before = mSent.lastRequest();
-        TaskLeaseKeeper restarted =
-                new TaskLeaseKeeper(
+        TaskLeaseManager restarted =
+                new TaskLeaseManager(
                         mWorker, mSent, new Incarnation(4), LeaseSettings.DEFAULT, mScheduler);
         restarted.onMessage(OWNER, new Fence(SHARD, new Epoch(5)));
 
@@ -157,11 +157,11 @@
                 SHARD,
                 new Epoch(epoch),
                 request,
-                List.of(new HeldTask(SHARD, TASK, new AttemptNumber(1))),
+                List.of(new TaskAttempt(SHARD, TASK, new AttemptNumber(1))),
                 10_000);
     }
 
-    private static final class Sent implements KeeperOutput {
+    private static final class Sent implements LeaseManagerOutput {
         private final List<Message> mMessages = new ArrayList<>();
         private final List<ProcessId> mReceivers = new ArrayList<>();
 
@@ -172,7 +172,7 @@
         }
 
         @Override
-        public void workerListed(WorkerSummary worker) {}
+        public void publishWorker(WorkerSummary worker) {}
 
         long lastRequest() {
             return mMessages.stream()
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/log/IdempotentAppenderTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/log/IdempotentAppenderTest.java
@@ -126,7 +126,7 @@
         long expected = 0;
         for (int offset = 0; offset < log.size(); offset++) {
             RecordId id = id(log.payload(offset)).get();
-            if (filter.isFirst(id)) {
+            if (filter.acceptIfFirst(id)) {
                 assertThat(id.sequence()).isEqualTo(expected++);
             }
         }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/InstanceRegistryTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/InstanceRegistryTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import org.hickorycleat.logic.membership.InstanceRegistry.Standing;
+import org.hickorycleat.logic.membership.InstanceRegistry.RegistrationStatus;
 import org.hickorycleat.model.identifier.Incarnation;
 import org.hickorycleat.model.identifier.InstanceNumber;
 import org.hickorycleat.model.identifier.ProcessId;
@@ -18,7 +18,7 @@
     /** Guards against an agent that serves keys before a successor could know of it. */
     @Test
     void isUnregisteredUntilTheRecordWasRead() {
-        assertThat(mRegistry.standing(FIRST)).isEqualTo(Standing.UNREGISTERED);
+        assertThat(mRegistry.registrationStatus(FIRST)).isEqualTo(RegistrationStatus.UNREGISTERED);
     }
 
     /** Guards against keys being refused for over a minute at the first start of a fleet. */
@@ -27,7 +27,7 @@
         mRegistry.apply(FIRST);
         mRegistry.apply(FIRST);
 
-        assertThat(mRegistry.standing(FIRST)).isEqualTo(Standing.ORIGINAL);
+        assertThat(mRegistry.registrationStatus(FIRST)).isEqualTo(RegistrationStatus.ORIGINAL);
     }
 
     /** Guards against a restarted agent that forgot its keys and runs a repeat again. */
@@ -36,7 +36,7 @@
         mRegistry.apply(FIRST);
         mRegistry.apply(RESTARTED);
 
-        assertThat(mRegistry.standing(RESTARTED)).isEqualTo(Standing.SUCCESSOR);
+        assertThat(mRegistry.registrationStatus(RESTARTED)).isEqualTo(RegistrationStatus.SUCCESSOR);
     }
 
     /** Guards against a replacement at another VM that never saw the keys of the instance. */
@@ -46,16 +46,17 @@
         InstanceRegistration replacement = registration("agent-9", 7);
         mRegistry.apply(replacement);
 
-        assertThat(mRegistry.standing(replacement)).isEqualTo(Standing.SUCCESSOR);
+        assertThat(mRegistry.registrationStatus(replacement))
+                .isEqualTo(RegistrationStatus.SUCCESSOR);
     }
 
     /** Guards against trusting a stream whose first records have expired. */
     @Test
     void truncatedStreamHasNoOriginal() {
-        mRegistry.truncated();
+        mRegistry.onStreamTruncated();
         mRegistry.apply(RESTARTED);
 
-        assertThat(mRegistry.standing(RESTARTED)).isEqualTo(Standing.SUCCESSOR);
+        assertThat(mRegistry.registrationStatus(RESTARTED)).isEqualTo(RegistrationStatus.SUCCESSOR);
     }
 
     private static InstanceRegistration registration(String agent, long incarnation) {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/TargetDirectoryTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/TargetDirectoryTest.java
@@ -105,7 +105,7 @@
         var earlier = mAgent.incarnation();
         mAgent.restart();
         mAgent.report();
-        mDirectory.onLeaving(mAgent.address(), earlier);
+        mDirectory.onTargetLeaving(mAgent.address(), earlier);
         mDirectory.onLoadSignal(mAgent.address(), earlier, new LoadSignal(8, 9, 1));
         assertThat(mAgent.condition()).isEqualTo(TargetCondition.READY);
         assertThat(mAgent.view().load()).isEqualTo(IDLE);
@@ -136,10 +136,10 @@
     void goneTargetsAreForgottenAfterOneMinute() {
         mAgent.disconnect();
         advance(59_000);
-        mDirectory.forgetGone();
+        mDirectory.removeGoneTargets();
         assertThat(mDirectory.dump().get(SERVICE)).hasSize(1);
         advance(1_000);
-        mDirectory.forgetGone();
+        mDirectory.removeGoneTargets();
         assertThat(mDirectory.dump().get(SERVICE)).isEmpty();
     }
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FakeWorker.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FakeWorker.java
@@ -25,7 +25,7 @@
 import org.hickorycleat.model.identifier.ShardNumber;
 import org.hickorycleat.model.identifier.TaskId;
 import org.hickorycleat.model.identifier.WorkerId;
-import org.hickorycleat.model.message.HeldTask;
+import org.hickorycleat.model.message.TaskAttempt;
 import org.hickorycleat.model.result.ResultCode;
 import org.hickorycleat.model.task.Resources;
 import org.hickorycleat.model.task.TaskState;
@@ -146,7 +146,7 @@
                     if (renewal.incarnation().value() != mIncarnation) {
                         return ResultCode.LEASE_EXPIRED;
                     }
-                    for (HeldTask held : renewal.tasks()) {
+                    for (TaskAttempt held : renewal.tasks()) {
                         Run run = mRuns.get(held.task());
                         if (run != null && run.mAttempt == held.attempt().value()) {
                             run.mLeaseUntilMs = Math.max(run.mLeaseUntilMs, renewal.leaseUntilMs());
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardFuzzTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardFuzzTest.java
@@ -39,7 +39,7 @@
         assertThat(unfinished(simulation, replay.state())).isEmpty();
         assertThat(stillRunning(simulation, replay.state())).isEmpty();
         assertThat(simulation.mRecorder.runningInstances()).isEqualTo(1);
-        assertThat(simulation.mLog.replayKept().image()).isEqualTo(replay.image());
+        assertThat(simulation.mLog.replayKept().snapshot()).isEqualTo(replay.snapshot());
     }
 
     @Provide
@@ -64,16 +64,16 @@
         return simulation.wantedJobs().stream()
                 .filter(
                         job ->
-                                !state.ending(job)
-                                        .map(TaskEnding::outcome)
-                                        .equals(Optional.of(TaskEnding.Outcome.SUCCEEDED)))
-                .map(job -> job + ": " + state.task(job) + " " + state.ending(job))
+                                !state.taskResult(job)
+                                        .map(TaskResult::outcome)
+                                        .equals(Optional.of(TaskResult.Outcome.SUCCEEDED)))
+                .map(job -> job + ": " + state.task(job) + " " + state.taskResult(job))
                 .collect(Collectors.toList());
     }
 
     private static List<TaskId> stillRunning(ShardSimulation simulation, ShardState state) {
         return state.ended().stream()
-                .map(EndedTask::task)
+                .map(TaskTombstone::task)
                 .filter(simulation.mRecorder::isRunning)
                 .toList();
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardOwnerTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardOwnerTest.java
@@ -142,11 +142,11 @@
         simulation.cancelJob(removed);
 
         simulation.advance(5_000);
-        assertThat(simulation.mLog.replay().state().ending(removed)).isPresent();
+        assertThat(simulation.mLog.replay().state().taskResult(removed)).isPresent();
         simulation.advance(130_000);
 
-        assertThat(simulation.mLog.replay().state().ending(removed)).isEmpty();
-        assertThat(simulation.mLog.replay().state().ending(kept)).isPresent();
+        assertThat(simulation.mLog.replay().state().taskResult(removed)).isEmpty();
+        assertThat(simulation.mLog.replay().state().taskResult(kept)).isPresent();
     }
 
     /** Guards against a replaced owner without log that renews what its successor waits out. */
@@ -178,8 +178,8 @@
                 .mLog
                 .replay()
                 .state()
-                .ending(job)
-                .filter(ending -> ending.outcome() == TaskEnding.Outcome.SUCCEEDED)
+                .taskResult(job)
+                .filter(ending -> ending.outcome() == TaskResult.Outcome.SUCCEEDED)
                 .isPresent();
     }
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardReplayTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardReplayTest.java
@@ -41,7 +41,7 @@
 
         List<ReplayStep> steps = new ShardReplay().accept(mLog);
 
-        assertThat(steps.get(3).result()).isEqualTo(ReplayStep.Result.VOID);
+        assertThat(steps.get(3).result()).isEqualTo(ReplayStep.Result.INVALID);
         assertThat(replay().state().task(TASK).get().attempt()).isEmpty();
     }
 
@@ -74,7 +74,7 @@
     @Example
     void snapshotThatLeavesGapIsNotUsed() {
         append(new ShardRecord.Claim(FIRST, new Epoch(-1)));
-        ShardImage image = replay().image();
+        ShardSnapshot image = replay().snapshot();
         append(new ShardRecord.Claim(SECOND, new Epoch(0)));
         append(new ShardRecord.Renewal(new Epoch(1), SECOND));
         append(new ShardRecord.Snapshot(0, image));
@@ -83,7 +83,7 @@
 
         late.accept(mLog.subList(2, mLog.size()));
 
-        assertThat(late.based()).isFalse();
+        assertThat(late.isStateKnown()).isFalse();
     }
 
     /** Guards against a snapshot written before a newer claim that hides that claim. */
@@ -91,7 +91,7 @@
     void recordsBetweenSnapshotAndItsPositionCount() {
         append(new ShardRecord.Claim(FIRST, new Epoch(-1)));
         append(batch(0, FIRST, 1, submit()));
-        ShardImage image = replay().image();
+        ShardSnapshot image = replay().snapshot();
         append(new ShardRecord.Claim(SECOND, new Epoch(0)));
         append(new ShardRecord.Snapshot(1, image));
         ShardReplay late = new ShardReplay();
@@ -99,9 +99,9 @@
 
         late.accept(mLog.subList(2, mLog.size()));
 
-        assertThat(late.based()).isTrue();
+        assertThat(late.isStateKnown()).isTrue();
         assertThat(late.owner()).contains(SECOND);
-        assertThat(late.image()).isEqualTo(replay().image());
+        assertThat(late.snapshot()).isEqualTo(replay().snapshot());
     }
 
     /** Guards against a finished task that is accepted or started again. */
@@ -115,8 +115,8 @@
         append(batch(0, FIRST, 5, start(2)));
 
         assertThat(replay().state().task(TASK)).isEmpty();
-        assertThat(replay().state().ending(TASK).get().outcome())
-                .isEqualTo(TaskEnding.Outcome.SUCCEEDED);
+        assertThat(replay().state().taskResult(TASK).get().outcome())
+                .isEqualTo(TaskResult.Outcome.SUCCEEDED);
         assertThat(replay().ineffectiveDecisions()).isEqualTo(2);
     }
 
@@ -145,7 +145,7 @@
                         4,
                         new ShardDecision.Stop(
                                 TASK, new AttemptNumber(1), StopCause.EVICTED, "room")));
-        ShardRecord snapshot = new ShardRecord.Snapshot(4, replay().image());
+        ShardRecord snapshot = new ShardRecord.Snapshot(4, replay().snapshot());
 
         assertThat(mCodec.decode(mCodec.encode(snapshot))).contains(snapshot);
         byte[] cut = mCodec.encode(snapshot);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/SimulatedAgent.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/SimulatedAgent.java
@@ -11,9 +11,9 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
-import org.hickorycleat.logic.lease.KeeperOutput;
+import org.hickorycleat.logic.lease.LeaseManagerOutput;
 import org.hickorycleat.logic.lease.LeaseSettings;
-import org.hickorycleat.logic.lease.TaskLeaseKeeper;
+import org.hickorycleat.logic.lease.TaskLeaseManager;
 import org.hickorycleat.model.identifier.Incarnation;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.identifier.ZoneId;
@@ -29,7 +29,7 @@
     private final LeaseSettings mSettings;
     private final Map<ProcessId, Connection> mConnections = new HashMap<>();
     private Optional<WorkerSummary> mSummary = Optional.empty();
-    private TaskLeaseKeeper mKeeper;
+    private TaskLeaseManager mKeeper;
     private long mIncarnation;
     private long mTickMs;
     private final Deque<Runnable> mHeld = new ArrayDeque<>();
@@ -52,9 +52,9 @@
         owners.forEach(owner -> mConnections.put(owner.process(), new Connection(owner)));
     }
 
-    private TaskLeaseKeeper build() {
+    private TaskLeaseManager build() {
         mIncarnation++;
-        return new TaskLeaseKeeper(
+        return new TaskLeaseManager(
                 mWorker,
                 new Output(mIncarnation),
                 new Incarnation(mIncarnation),
@@ -66,7 +66,7 @@
         return mProcess;
     }
 
-    TaskLeaseKeeper keeper() {
+    TaskLeaseManager keeper() {
         return mKeeper;
     }
 
@@ -116,7 +116,7 @@
     /** Delivers a message of an owner, unless the connection is cut on the way. */
     void receive(ProcessId owner, Message message) {
         Connection connection = connection(owner);
-        TaskLeaseKeeper keeper = mKeeper;
+        TaskLeaseManager keeper = mKeeper;
         connection.toAgent(() -> handle(() -> keeper.onMessage(owner, message)));
     }
 
@@ -141,7 +141,7 @@
     }
 
     /** Output of one run of the agent; what an earlier run still sends is lost. */
-    private final class Output implements KeeperOutput {
+    private final class Output implements LeaseManagerOutput {
         private final long mRun;
 
         Output(long run) {
@@ -156,7 +156,7 @@
         }
 
         @Override
-        public void workerListed(WorkerSummary worker) {
+        public void publishWorker(WorkerSummary worker) {
             if (mRun == mIncarnation) {
                 listed(worker);
             }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/SimulatedOwner.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/SimulatedOwner.java
@@ -153,16 +153,16 @@
         return new ShardEvent.LogRead(page, FakeLog.LIMIT, requestedMs);
     }
 
-    private void perform(OwnerEffect effect) {
-        if (effect instanceof OwnerEffect.SendMessage send) {
+    private void perform(OwnerAction effect) {
+        if (effect instanceof OwnerAction.SendMessage send) {
             mLinks.send(send.agent(), send.message());
-        } else if (effect instanceof OwnerEffect.AppendRecord append) {
+        } else if (effect instanceof OwnerAction.AppendRecord append) {
             long delayMs = mLog.mSlow ? mRandom.nextInt(9_000) : delay();
             later(delayMs, () -> append(append));
         }
     }
 
-    private void append(OwnerEffect.AppendRecord append) {
+    private void append(OwnerAction.AppendRecord append) {
         if (mLog.mDown || mLogCut) {
             later(1_000, () -> deliver(new ShardEvent.AppendFailed(append.token())));
             return;
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/placement/BackfillTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/placement/BackfillTest.java
@@ -21,7 +21,7 @@
     private static DefaultPlacementPolicy policy() {
         return DefaultPlacementPolicy.builder()
                 .priorityRule(PriorityRules.FIRST_COME_FIRST_SERVED)
-                .settings(PlacementSettings.DEFAULT.withReserveAfterMs(0))
+                .settings(PlacementSettings.DEFAULT.withReservationDelayMs(0))
                 .build();
     }
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/quarantine/WorkerQuarantineTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/quarantine/WorkerQuarantineTest.java
@@ -17,7 +17,7 @@
     private final WorkerQuarantine mQuarantine = new WorkerQuarantine(QuarantineSettings.DEFAULT);
 
     private void end(String job, int run, WorkerId worker, boolean failed, long nowMs) {
-        mQuarantine.attemptEnded(
+        mQuarantine.recordAttemptEnd(
                 new AttemptEnd(
                         new TaskId(job + "/" + run), new JobName(job), worker, failed, nowMs));
     }
@@ -35,7 +35,7 @@
         assertThat(mQuarantine.quarantined()).containsExactly(BAD);
         for (int i = 0; i < 3; i++) {
             TaskId task = new TaskId("job-" + i + "/0");
-            assertThat(mQuarantine.failures(task)).isEmpty();
+            assertThat(mQuarantine.failedWorkers(task)).isEmpty();
         }
     }
 
@@ -48,7 +48,7 @@
             }
             TaskId task = new TaskId("broken/" + run);
             assertThat(mQuarantine.taskAtFault(task)).isTrue();
-            mQuarantine.forget(task);
+            mQuarantine.clearHistory(task);
         }
         assertThat(mQuarantine.quarantined()).isEmpty();
     }
@@ -86,7 +86,7 @@
         end("probe", 0, BAD, true, 50_000);
         assertThat(mQuarantine.probeDue(BAD, 100_000)).isFalse();
         assertThat(mQuarantine.probeDue(BAD, 110_000)).isTrue();
-        assertThat(mQuarantine.failures(new TaskId("probe/0"))).isEmpty();
+        assertThat(mQuarantine.failedWorkers(new TaskId("probe/0"))).isEmpty();
     }
 
     /** Guards against a worker that stays quarantined after it was repaired. */
@@ -116,11 +116,11 @@
             boolean failed = worker == 0 || job == 0;
             if (!quarantine.quarantined(id) && !quarantine.taskAtFault(task)) {
                 JobName name = new JobName("job-" + job);
-                quarantine.attemptEnded(new AttemptEnd(task, name, id, failed, i));
+                quarantine.recordAttemptEnd(new AttemptEnd(task, name, id, failed, i));
             }
         }
         assertThat(quarantine.quarantined()).containsExactly(healthy(0));
-        assertThat(quarantine.tasksAtFault())
+        assertThat(quarantine.failingTasks())
                 .isNotEmpty()
                 .allSatisfy(task -> assertThat(task.value()).startsWith("job-0/"));
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestPathPropertyTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestPipelinePropertyTest.java
@@ -14,10 +14,11 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /** Runs coordinators and invocation services together against the oracle. */
-class RequestPathPropertyTest {
+class RequestPipelinePropertyTest {
     /** One step of a scenario. */
-    private record Step(String description, Consumer<RequestPathSimulation> action) {
-        static Step of(Consumer<RequestPathSimulation> action, String name, Object... arguments) {
+    private record Step(String description, Consumer<RequestPipelineSimulation> action) {
+        static Step of(
+                Consumer<RequestPipelineSimulation> action, String name, Object... arguments) {
             return new Step(name + Arrays.toString(arguments), action);
         }
 
@@ -33,7 +34,7 @@
      */
     @Property(tries = 2_000, seed = "20261204")
     void everyCallerIsToldTheTruth(@ForAll("scenarios") List<Step> steps, @ForAll long randomness) {
-        RequestPathSimulation simulation = new RequestPathSimulation(randomness);
+        RequestPipelineSimulation simulation = new RequestPipelineSimulation(randomness);
         steps.forEach(step -> step.action().accept(simulation));
         for (RequestOracle.CallRecord call : simulation.finish().calls()) {
             call.mResults.forEach(result -> Statistics.collect(result.code()));
@@ -70,9 +71,9 @@
 
     private static Arbitrary<Step> step() {
         Arbitrary<Integer> entry =
-                Arbitraries.integers().between(0, RequestPathSimulation.ENTRIES - 1);
+                Arbitraries.integers().between(0, RequestPipelineSimulation.ENTRIES - 1);
         Arbitrary<Integer> agent =
-                Arbitraries.integers().between(0, RequestPathSimulation.AGENTS - 1);
+                Arbitraries.integers().between(0, RequestPipelineSimulation.AGENTS - 1);
         Arbitrary<Integer> deadline = Arbitraries.of(50, 200, 1_000, 3_000);
         Arbitrary<Integer> small = Arbitraries.integers().between(0, 2);
         Arbitrary<Boolean> rarely = Arbitraries.of(true, false, false, false, false);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestPathSimulation.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestPipelineSimulation.java
@@ -37,7 +37,7 @@
  * handle them. What is under way when a connection breaks is lost or arrives later all the same,
  * even after the next session was opened.
  */
-final class RequestPathSimulation {
+final class RequestPipelineSimulation {
     static final ServiceName SERVICE = new ServiceName("booking");
     static final int ENTRIES = 2;
     static final int AGENTS = 3;
@@ -63,7 +63,7 @@
     private long mIncarnations;
     private Mapping mMapping = mapping(0, AGENTS);
 
-    RequestPathSimulation(long seed) {
+    RequestPipelineSimulation(long seed) {
         mRandom = new Random(seed);
         RxJavaPlugins.setErrorHandler(error -> mOracle.violation("uncaught: " + error));
         for (int index = 0; index < ENTRIES; index++) {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/SimulatedAgent.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/SimulatedAgent.java
@@ -8,8 +8,8 @@
 import org.hickorycleat.logic.invocation.InvocationService;
 import org.hickorycleat.logic.invocation.KeyValidity;
 import org.hickorycleat.logic.invocation.TargetConfiguration;
-import org.hickorycleat.logic.port.TargetAnswer;
 import org.hickorycleat.logic.port.TargetNotReachedException;
+import org.hickorycleat.logic.port.TargetResponse;
 import org.hickorycleat.logic.routing.TargetAddress;
 import org.hickorycleat.model.identifier.Incarnation;
 import org.hickorycleat.model.identifier.InstanceNumber;
@@ -53,10 +53,10 @@
                         .build();
     }
 
-    void configure(RequestPathSimulation.Mapping mapping) {
+    void configure(RequestPipelineSimulation.Mapping mapping) {
         mService.configure(
                 new TargetConfiguration(
-                        RequestPathSimulation.SERVICE,
+                        RequestPipelineSimulation.SERVICE,
                         mInstance,
                         List.copyOf(mapping.instances()),
                         mapping.version(),
@@ -65,7 +65,7 @@
     }
 
     TargetAddress address() {
-        return new TargetAddress(mId, RequestPathSimulation.SERVICE, mInstance);
+        return new TargetAddress(mId, RequestPipelineSimulation.SERVICE, mInstance);
     }
 
     boolean alive() {
@@ -78,10 +78,10 @@
     }
 
     void leave() {
-        mService.leave();
+        mService.startDrain();
     }
 
-    private Single<TargetAnswer> exchange(Invoke invoke) {
+    private Single<TargetResponse> exchange(Invoke invoke) {
         if (!mAlive) {
             return Single.never();
         }
@@ -97,7 +97,7 @@
         return respond(answer).doOnTerminate(() -> mRunning--).doOnDispose(() -> mRunning--);
     }
 
-    private Single<TargetAnswer> respond(byte[] answer) {
+    private Single<TargetResponse> respond(byte[] answer) {
         int fate = mRandom.nextInt(10);
         if (fate == 0) {
             return Single.never();
@@ -107,6 +107,6 @@
         if (fate == 1) {
             return delay.flatMap(tick -> Single.error(new IllegalStateException("reset")));
         }
-        return delay.map(tick -> new TargetAnswer(200, List.of(), answer));
+        return delay.map(tick -> new TargetResponse(200, List.of(), answer));
     }
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/SimulatedEntry.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/SimulatedEntry.java
@@ -35,14 +35,14 @@
     final RequestCoordinator mCoordinator;
     final List<RequestOracle.CallRecord> mCalls = new ArrayList<>();
     final Map<ProcessId, Connection> mConnections = new HashMap<>();
-    RequestPathSimulation.Mapping mMapping =
-            new RequestPathSimulation.Mapping(new ConfigurationVersion(0), List.of());
+    RequestPipelineSimulation.Mapping mMapping =
+            new RequestPipelineSimulation.Mapping(new ConfigurationVersion(0), List.of());
     boolean mAlive = true;
     int mReservations;
     int mPermits;
-    private final RequestPathSimulation mSimulation;
+    private final RequestPipelineSimulation mSimulation;
 
-    SimulatedEntry(ProcessId id, Incarnation incarnation, RequestPathSimulation simulation) {
+    SimulatedEntry(ProcessId id, Incarnation incarnation, RequestPipelineSimulation simulation) {
         mId = id;
         mIncarnation = incarnation;
         mSimulation = simulation;
@@ -53,16 +53,16 @@
                         .link((agent, message) -> simulation.send(this, agent, message))
                         .scheduler(simulation.mScheduler)
                         .retryBudget(new RetryBudget(1_000, 20))
-                        .keyValidity(RequestPathSimulation.KEY_VALIDITY)
+                        .keyValidity(RequestPipelineSimulation.KEY_VALIDITY)
                         .shards(2)
                         .build();
     }
 
-    void configure(RequestPathSimulation.Mapping mapping) {
+    void configure(RequestPipelineSimulation.Mapping mapping) {
         if (mapping.version().compareTo(mMapping.version()) >= 0) {
             mMapping = mapping;
             mCoordinator.configureMapping(
-                    RequestPathSimulation.SERVICE, mapping.version(), mapping.instances());
+                    RequestPipelineSimulation.SERVICE, mapping.version(), mapping.instances());
         }
     }
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/scheduling/SchedulingPolicyTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/scheduling/SchedulingPolicyTest.java
@@ -98,8 +98,8 @@
         PlacedTask placed =
                 new PlacedTask(
                         task(id), new WorkerId("w" + worker), 0, 0, 0, 0, Phase.RUNNING, 1_000);
-        mPolicy.running(placed, 0);
-        mPolicy.ended(placed, TaskState.FAILED, 0);
+        mPolicy.onAttemptRunning(placed, 0);
+        mPolicy.onAttemptEnded(placed, TaskState.FAILED, 0);
     }
 
     private static TaskSpecification task(String id) {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/FillPacerTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/BestEffortThrottleTest.java
@@ -9,10 +9,10 @@
 import org.hickorycleat.model.job.RunSample;
 import org.hickorycleat.model.job.TaskKey;
 import org.hickorycleat.model.job.TaskTraits;
-import org.hickorycleat.model.message.FillWeights;
+import org.hickorycleat.model.message.InterferenceWeights;
 import org.junit.jupiter.api.Test;
 
-class FillPacerTest {
+class BestEffortThrottleTest {
     private static final long CAPACITY_MILLI = 16_000;
     private static final int TARGET_MS = 50;
     private static final RunId SERVING = run(0);
@@ -24,7 +24,7 @@
                     HARMFUL, new TaskTraits("harmful", true, 0, 2_000),
                     HARMLESS, new TaskTraits("harmless", true, 0, 2_000));
 
-    private final FillPacer mPacer = new FillPacer();
+    private final BestEffortThrottle mPacer = new BestEffortThrottle();
 
     private static RunId run(int index) {
         return new RunId(new TaskKey(new JobId("00000000000000aa"), 0, 0, index), 1);
@@ -44,8 +44,8 @@
     private void learn() {
         mPacer.onWeights(
                 List.of(
-                        new FillWeights.ImageWeight("harmful", 2_000),
-                        new FillWeights.ImageWeight("harmless", 33)));
+                        new InterferenceWeights.ImageWeight("harmful", 2_000),
+                        new InterferenceWeights.ImageWeight("harmless", 33)));
     }
 
     @Test
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/FakeWorker.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/FakeWorker.java
@@ -5,9 +5,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.hickorycleat.logic.port.ListingAnswer;
-import org.hickorycleat.logic.port.OrderAnswer;
-import org.hickorycleat.logic.port.RunOrder;
+import org.hickorycleat.logic.port.RunCommandResult;
+import org.hickorycleat.logic.port.RunListing;
+import org.hickorycleat.logic.port.StartRunCommand;
 import org.hickorycleat.logic.port.WorkerRuntime;
 import org.hickorycleat.model.job.EndedRun;
 import org.hickorycleat.model.job.RunId;
@@ -15,8 +15,8 @@
 
 /** A worker whose answers a test decides. */
 final class FakeWorker implements WorkerRuntime {
-    final List<RunOrder> mStarts = new ArrayList<>();
-    final List<SingleSubject<OrderAnswer>> mStartAnswers = new ArrayList<>();
+    final List<StartRunCommand> mStarts = new ArrayList<>();
+    final List<SingleSubject<RunCommandResult>> mStartAnswers = new ArrayList<>();
     final List<RunId> mStops = new ArrayList<>();
     final List<Integer> mPaces = new ArrayList<>();
     final List<Long> mListTokens = new ArrayList<>();
@@ -29,27 +29,27 @@
     boolean mSilent;
 
     @Override
-    public Single<OrderAnswer> start(RunOrder order) {
+    public Single<RunCommandResult> start(StartRunCommand order) {
         mStarts.add(order);
-        SingleSubject<OrderAnswer> answer = SingleSubject.create();
+        SingleSubject<RunCommandResult> answer = SingleSubject.create();
         mStartAnswers.add(answer);
         return answer;
     }
 
     @Override
-    public Single<OrderAnswer> stop(RunId run, long fencingToken) {
+    public Single<RunCommandResult> stop(RunId run, long fencingToken) {
         mStops.add(run);
-        return Single.just(OrderAnswer.DONE);
+        return Single.just(RunCommandResult.DONE);
     }
 
     @Override
-    public Single<OrderAnswer> pace(RunId run, int percent, long fencingToken) {
+    public Single<RunCommandResult> throttle(RunId run, int percent, long fencingToken) {
         mPaces.add(percent);
-        return Single.just(OrderAnswer.DONE);
+        return Single.just(RunCommandResult.DONE);
     }
 
     @Override
-    public Single<ListingAnswer> list(
+    public Single<RunListing> list(
             long fencingToken, Optional<Long> leaseDeadlineMs, long acknowledgedEnds, int waitMs) {
         mListTokens.add(fencingToken);
         if (mSilent) {
@@ -60,6 +60,6 @@
         List<EndedRun> ended =
                 mEnded.stream().filter(end -> end.number() > acknowledgedEnds).toList();
         return Single.just(
-                new ListingAnswer(false, mStartedAtMs, mClockMs, List.copyOf(mRunning), ended));
+                new RunListing(false, mStartedAtMs, mClockMs, List.copyOf(mRunning), ended));
     }
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
@@ -8,7 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.logic.port.DecisionLog;
-import org.hickorycleat.logic.port.OrderAnswer;
+import org.hickorycleat.logic.port.RunCommandResult;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ServiceName;
 import org.hickorycleat.model.identifier.WorkerId;
@@ -21,7 +21,7 @@
 import org.hickorycleat.model.job.TaskKey;
 import org.hickorycleat.model.job.TaskTraits;
 import org.hickorycleat.model.job.WorkerDescription;
-import org.hickorycleat.model.job.WorkerLife;
+import org.hickorycleat.model.job.WorkerIncarnation;
 import org.hickorycleat.model.message.LeaseExtension;
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.RunRejected;
@@ -42,7 +42,7 @@
     private final TestScheduler mScheduler = new TestScheduler();
     private final FakeWorker mWorker = new FakeWorker();
     private final List<Message> mSent = new ArrayList<>();
-    private final WorkerLife mLife = new WorkerLife(new WorkerId("i-1"), 1_000);
+    private final WorkerIncarnation mLife = new WorkerIncarnation(new WorkerId("i-1"), 1_000);
     private final RunSupervisor mSupervisor =
             new RunSupervisor(
                     mWorker,
@@ -57,8 +57,8 @@
     void startWithLease() {
         mScheduler.advanceTimeBy(1, TimeUnit.SECONDS);
         mSupervisor.start();
-        mSupervisor.onOwner(EPOCH, 1);
-        mSupervisor.onDescription(description(false));
+        mSupervisor.onOwnerSession(EPOCH, 1);
+        mSupervisor.onWorkerDescribed(description(false));
         extendLease();
     }
 
@@ -74,7 +74,7 @@
     }
 
     private void extendLease() {
-        mSupervisor.onLease(
+        mSupervisor.onLeaseExtension(
                 new LeaseExtension(EPOCH, lastReport().number(), LEASE_MS, Optional.of(mLife), 0));
     }
 
@@ -112,7 +112,7 @@
 
     @Test
     void startsRunWithLeaseCountedFromReport() {
-        mSupervisor.onStart(start(EPOCH));
+        mSupervisor.onStartRun(start(EPOCH));
 
         assertThat(mWorker.mStarts).hasSize(1);
         assertThat(mWorker.mStarts.get(0).fencingToken()).isEqualTo(FIRST_TOKEN);
@@ -122,8 +122,8 @@
 
     @Test
     void ignoresOrdersOfOlderEpoch() {
-        mSupervisor.onStart(start(new Epoch(4)));
-        mSupervisor.onStop(new StopRun(new Epoch(4), 1, RUN));
+        mSupervisor.onStartRun(start(new Epoch(4)));
+        mSupervisor.onStopRun(new StopRun(new Epoch(4), 1, RUN));
 
         assertThat(mWorker.mStarts).isEmpty();
         assertThat(mWorker.mStops).isEmpty();
@@ -131,7 +131,7 @@
 
     @Test
     void rejectsUnansweredStartOnlyAfterListingUnderHigherToken() {
-        mSupervisor.onStart(start(EPOCH));
+        mSupervisor.onStartRun(start(EPOCH));
         mWorker.mSilent = true;
         mWorker.mStartAnswers.get(0).onError(new IllegalStateException("no answer"));
         pass(300);
@@ -148,7 +148,7 @@
 
     @Test
     void keepsUnansweredStartThatTheWorkerLists() {
-        mSupervisor.onStart(start(EPOCH));
+        mSupervisor.onStartRun(start(EPOCH));
         mWorker.mRunning.add(new RunSample(RUN, "", 0, 0));
         mWorker.mStartAnswers.get(0).onError(new IllegalStateException("no answer"));
         pass(500);
@@ -159,8 +159,8 @@
 
     @Test
     void repeatsFencedStartUnderHigherToken() {
-        mSupervisor.onStart(start(EPOCH));
-        mWorker.mStartAnswers.get(0).onSuccess(OrderAnswer.FENCED);
+        mSupervisor.onStartRun(start(EPOCH));
+        mWorker.mStartAnswers.get(0).onSuccess(RunCommandResult.FENCED);
 
         assertThat(mWorker.mStarts).hasSize(2);
         assertThat(mWorker.mStarts.get(1).fencingToken()).isGreaterThan(FIRST_TOKEN);
@@ -168,17 +168,17 @@
 
     @Test
     void reportsPendingRunUntilListed() {
-        mSupervisor.onStart(start(EPOCH));
+        mSupervisor.onStartRun(start(EPOCH));
         pass(600);
 
         assertThat(lastReport().pending()).containsExactly(RUN);
-        assertThat(lastReport().ordersSeen()).isEqualTo(1);
+        assertThat(lastReport().lastCommandNumber()).isEqualTo(1);
     }
 
     @Test
     void rejectsStartOnDrainingWorker() {
-        mSupervisor.onDescription(description(true));
-        mSupervisor.onStart(start(EPOCH));
+        mSupervisor.onWorkerDescribed(description(true));
+        mSupervisor.onStartRun(start(EPOCH));
 
         assertThat(mWorker.mStarts).isEmpty();
         assertThat(rejections())
@@ -189,7 +189,7 @@
     void rejectsStartForEarlierLife() {
         mWorker.mStartedAtMs = 2_000;
         pass(500);
-        mSupervisor.onStart(start(EPOCH));
+        mSupervisor.onStartRun(start(EPOCH));
 
         assertThat(mWorker.mStarts).isEmpty();
         assertThat(rejections()).hasSize(1);
@@ -211,7 +211,7 @@
         assertThat(lastReport().ended()).hasSize(1);
         assertThat(mWorker.mAcknowledged).isZero();
 
-        mSupervisor.onLease(new LeaseExtension(EPOCH, 0, 0, Optional.of(mLife), 1));
+        mSupervisor.onLeaseExtension(new LeaseExtension(EPOCH, 0, 0, Optional.of(mLife), 1));
         pass(100);
 
         assertThat(mWorker.mAcknowledged).isEqualTo(1);
@@ -220,8 +220,8 @@
     @Test
     void ignoresAcknowledgementForEarlierLife() {
         mWorker.mEnded.add(new EndedRun(1, RUN, EndCause.DONE, ""));
-        WorkerLife earlier = new WorkerLife(new WorkerId("i-1"), 500);
-        mSupervisor.onLease(new LeaseExtension(EPOCH, 0, 0, Optional.of(earlier), 1));
+        WorkerIncarnation earlier = new WorkerIncarnation(new WorkerId("i-1"), 500);
+        mSupervisor.onLeaseExtension(new LeaseExtension(EPOCH, 0, 0, Optional.of(earlier), 1));
         pass(500);
 
         assertThat(mWorker.mAcknowledged).isZero();
@@ -243,7 +243,7 @@
     @Test
     void repeatsStopWhileRunIsListed() {
         mWorker.mRunning.add(new RunSample(RUN, "", 10, 0));
-        mSupervisor.onStop(new StopRun(EPOCH, 1, RUN));
+        mSupervisor.onStopRun(new StopRun(EPOCH, 1, RUN));
         pass(1_000);
 
         assertThat(mWorker.mStops.size()).isBetween(2, 5);
@@ -252,13 +252,13 @@
     /** The worker may restart under its id between the order and its execution. */
     @Test
     void reportsNewLifeOnlyAfterAllEarlierStartsAreRuledOut() {
-        mSupervisor.onStart(start(EPOCH));
+        mSupervisor.onStartRun(start(EPOCH));
         long token = mWorker.mStarts.get(0).fencingToken();
         mWorker.mStartedAtMs = 2_000;
         mWorker.mClockMs = 10;
-        mSupervisor.onDescription(
+        mSupervisor.onWorkerDescribed(
                 new WorkerDescription(
-                        new WorkerLife(new WorkerId("i-1"), 2_000),
+                        new WorkerIncarnation(new WorkerId("i-1"), 2_000),
                         new ServiceName("booking"),
                         new Resources(16_000, 64_000, 0),
                         List.of("a", "r1-1"),
@@ -269,13 +269,14 @@
 
         int confirming = mWorker.mListTokens.size() - 1;
         assertThat(mWorker.mListTokens.get(confirming)).isGreaterThan(token);
-        assertThat(lastReport().life()).contains(new WorkerLife(new WorkerId("i-1"), 2_000));
+        assertThat(lastReport().incarnation())
+                .contains(new WorkerIncarnation(new WorkerId("i-1"), 2_000));
         assertThat(rejections()).hasSize(1);
     }
 
     @Test
     void keepsStartThatReachedTheNewLife() {
-        mSupervisor.onStart(start(EPOCH));
+        mSupervisor.onStartRun(start(EPOCH));
         mWorker.mStartedAtMs = 2_000;
         mWorker.mClockMs = 10;
         mWorker.mRunning.add(new RunSample(RUN, "", 0, 0));
@@ -290,7 +291,7 @@
         mWorker.mStartedAtMs = 2_000;
         mWorker.mClockMs = 10;
         pass(1_000);
-        mSupervisor.onStart(start(EPOCH));
+        mSupervisor.onStartRun(start(EPOCH));
 
         assertThat(mWorker.mStarts).isEmpty();
         assertThat(rejections()).hasSize(1);
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/Measurements.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/Measurements.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.hickorycleat.measurements.requests.AdmissionDecision;
-import org.hickorycleat.measurements.requests.RoutingDecision;
+import org.hickorycleat.measurements.requests.AdmissionMeasurement;
+import org.hickorycleat.measurements.requests.RoutingMeasurement;
 
 /** Runs a measurement by name with the given seeds, or lists the names. */
 public final class Measurements {
@@ -31,8 +31,8 @@
 
     private static Map<String, Measurement> all() {
         Map<String, Measurement> all = new TreeMap<>();
-        all.put("admission-decision", new AdmissionDecision());
-        all.put("routing-decision", new RoutingDecision());
+        all.put("admission-decision", new AdmissionMeasurement());
+        all.put("routing-decision", new RoutingMeasurement());
         return all;
     }
 
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/capacity/AgentSwarm.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/capacity/AgentSwarm.java
@@ -57,7 +57,7 @@
         ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
         for (int agent = 0; agent < agents; agent++) {
             Agent listener = new Agent(agent);
-            mTransport.dial(entry, listener, cause -> System.err.println("event=" + cause));
+            mTransport.connect(entry, listener, cause -> System.err.println("event=" + cause));
             var unused =
                     timer.scheduleAtFixedRate(
                             listener::report,
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/BatchMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/BatchMeasurement.java
@@ -34,7 +34,7 @@
     /** Returns one line for each firm, load and policy, with medians over the seeds. */
     public List<String> run(long[] seeds) {
         List<String> lines = new ArrayList<>();
-        for (Firm firm : Firm.values()) {
+        for (FleetProfile firm : FleetProfile.values()) {
             for (double load : LOADS) {
                 contenders()
                         .forEach((name, maker) -> lines.add(line(firm, load, name, maker, seeds)));
@@ -83,7 +83,7 @@
         rules.put("filling_mttd", PriorityRules.MINIMUM_TIME_TO_DUE_DATE);
         rules.put("filling_risk", PriorityRules.DEADLINE_RISK);
         rules.put("filling_risk_late_last", PriorityRules.DEADLINE_RISK_LATE_LAST);
-        rules.put("filling_risk_and_size", PriorityRules.RISK_AND_SIZE);
+        rules.put("filling_risk_and_size", PriorityRules.DEADLINE_RISK_AND_SIZE);
         rules.put("filling_atc", PriorityRules.APPARENT_TARDINESS_COST);
         return rules;
     }
@@ -97,11 +97,11 @@
 
     private static void addGaps(Map<String, Supplier<Contender>> all) {
         all.put("earliest_gap", () -> filling(CHOSEN, GapRules.EARLIEST_GAP));
-        all.put("biggest_hole", () -> filling(CHOSEN, GapRules.BIGGEST_HOLE));
+        all.put("biggest_hole", () -> filling(CHOSEN, GapRules.WORST_FIT));
     }
 
     private static Contender baseline(PriorityRule rule, OrderedFirstFit.WhenBlocked blocked) {
-        return new Contender(new OrderedFirstFit(rule, blocked), new IgnoringObserver());
+        return new Contender(new OrderedFirstFit(rule, blocked), new NoOpPlacementObserver());
     }
 
     private static Contender declared(PriorityRule rule) {
@@ -110,7 +110,7 @@
                         .priorityRule(rule)
                         .estimator(RunTimeEstimator.DECLARED)
                         .build();
-        return new Contender(policy, new IgnoringObserver());
+        return new Contender(policy, new NoOpPlacementObserver());
     }
 
     private static Contender filling(PriorityRule rule, GapRule gaps) {
@@ -123,10 +123,10 @@
                 DefaultPlacementPolicy.builder()
                         .priorityRule(rule)
                         .gapRule(gaps)
-                        .settings(PlacementSettings.DEFAULT.withReserveAfterMs(reserveAfterMs))
+                        .settings(PlacementSettings.DEFAULT.withReservationDelayMs(reserveAfterMs))
                         .estimator(correction)
                         .build();
-        return new Contender(policy, new CorrectionObserver(correction));
+        return new Contender(policy, new RunTimeCorrectionObserver(correction));
     }
 
     private static Contender whole() {
@@ -135,7 +135,7 @@
     }
 
     private static String line(
-            Firm firm, double load, String name, Supplier<Contender> maker, long[] seeds) {
+            FleetProfile firm, double load, String name, Supplier<Contender> maker, long[] seeds) {
         List<FleetResult> results =
                 LongStream.of(seeds)
                         .parallel()
@@ -158,8 +158,9 @@
                 Medians.over(results, result -> result.mUnfinished));
     }
 
-    private static FleetResult runOnce(Firm firm, double load, Contender contender, long seed) {
-        FleetLoop loop = new FleetLoop(contender.policy, contender.observer, TICK_MS);
+    private static FleetResult runOnce(
+            FleetProfile firm, double load, Contender contender, long seed) {
+        FleetSimulation loop = new FleetSimulation(contender.policy, contender.observer, TICK_MS);
         loop.addWorkers(firm.workers());
         loop.addWork(new BatchWorkload(firm, load, seed).work());
         return loop.run(BatchWorkload.NIGHTS * BatchWorkload.NIGHT_MS + 3_600_000);
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/BatchWorkload.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/BatchWorkload.java
@@ -21,10 +21,10 @@
     private static final int TEAMS = 6;
 
     private final Random mRandom;
-    private final Firm mFirm;
+    private final FleetProfile mFirm;
     private final double mLoad;
 
-    BatchWorkload(Firm firm, double load, long seed) {
+    BatchWorkload(FleetProfile firm, double load, long seed) {
         mFirm = firm;
         mLoad = load;
         mRandom = new Random(seed);
@@ -33,8 +33,8 @@
     private record Job(int number, Resources size, double typicalMs, double declaredFactor) {}
 
     /** Returns the instances of services and the runs of all nights. */
-    List<Work> work() {
-        List<Work> work = new ArrayList<>(services());
+    List<WorkloadTask> work() {
+        List<WorkloadTask> work = new ArrayList<>(services());
         List<Job> jobs = jobs();
         for (int night = 0; night < NIGHTS; night++) {
             for (Job job : jobs) {
@@ -44,14 +44,14 @@
         return work;
     }
 
-    private List<Work> services() {
-        List<Work> services = new ArrayList<>();
+    private List<WorkloadTask> services() {
+        List<WorkloadTask> services = new ArrayList<>();
         Resources size =
                 new Resources(
                         mFirm.capacity().processorsMilli() / 8,
                         mFirm.capacity().memoryMebibytes() / 8,
                         0);
-        for (int i = 0; i < Firm.WORKERS; i++) {
+        for (int i = 0; i < FleetProfile.WORKERS; i++) {
             TaskSpecification task =
                     new TaskSpecification(
                             new TaskId("service/" + i),
@@ -64,14 +64,15 @@
                             Long.MAX_VALUE,
                             false,
                             false);
-            services.add(new Work(task, 0, Long.MAX_VALUE));
+            services.add(new WorkloadTask(task, 0, Long.MAX_VALUE));
         }
         return services;
     }
 
     /** Draws jobs until they need the wanted share of what the services leave of a night. */
     private List<Job> jobs() {
-        double room = 7.0 / 8 * Firm.WORKERS * mFirm.capacity().processorsMilli() * NIGHT_MS;
+        double room =
+                7.0 / 8 * FleetProfile.WORKERS * mFirm.capacity().processorsMilli() * NIGHT_MS;
         List<Job> jobs = new ArrayList<>();
         double needed = 0;
         while (needed < mLoad * room) {
@@ -95,7 +96,7 @@
         return new Job(number, resources, Math.min(typicalMs, NIGHT_MS / 4.0), declared);
     }
 
-    private Work run(Job job, int night) {
+    private WorkloadTask run(Job job, int night) {
         long runMs = (long) (job.typicalMs * Math.exp(0.15 * mRandom.nextGaussian()));
         long arrivalMs = night * NIGHT_MS + (long) (mRandom.nextDouble() * NIGHT_MS * 0.8);
         boolean morning = mRandom.nextInt(10) < 4;
@@ -116,6 +117,6 @@
                         deadlineMs,
                         mRandom.nextInt(10) < 7,
                         false);
-        return new Work(task, arrivalMs, runMs);
+        return new WorkloadTask(task, arrivalMs, runMs);
     }
 }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/Firm.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/FleetProfile.java
@@ -9,7 +9,7 @@
 import org.hickorycleat.model.task.Resources;
 
 /** Fleet sizes of the firms of section 1.1 of the design page. */
-enum Firm {
+enum FleetProfile {
     GRAANVRACHT(4, 16_000, 60_000, 4),
     TOKACHI(3, 32_000, 125_000, 5);
 
@@ -21,7 +21,7 @@
     private final long mProcessorsMilli;
     private final long mMemoryMebibytes;
 
-    Firm(int zones, long processorsMilli, long memoryMebibytes, int batchSizes) {
+    FleetProfile(int zones, long processorsMilli, long memoryMebibytes, int batchSizes) {
         mBatchSizes = batchSizes;
         mZones = zones;
         mProcessorsMilli = processorsMilli;
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/FleetLoop.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/FleetSimulation.java
@@ -20,7 +20,7 @@
 import org.hickorycleat.model.task.TaskState;
 
 /** An event loop that calls a policy, applies its decisions and completes tasks in virtual time. */
-final class FleetLoop {
+final class FleetSimulation {
     /** Time from the decision to evict until the task has stopped. */
     private static final long STOP_MS = 2_000;
 
@@ -28,8 +28,8 @@
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::atMs).thenComparingLong(Event::sequence));
-    private final Map<TaskId, Attempt> mAttempts = new HashMap<>();
-    private final Map<TaskId, Work> mWork = new HashMap<>();
+    private final Map<TaskId, RunningAttempt> mAttempts = new HashMap<>();
+    private final Map<TaskId, WorkloadTask> mWork = new HashMap<>();
     private final PlacementPolicy mPolicy;
     private final PlacementObserver mObserver;
     private final long mTickMs;
@@ -38,7 +38,7 @@
     private long mNowMs;
     private long mNextTickMs = Long.MAX_VALUE;
 
-    FleetLoop(PlacementPolicy policy, PlacementObserver observer, long tickMs) {
+    FleetSimulation(PlacementPolicy policy, PlacementObserver observer, long tickMs) {
         mPolicy = policy;
         mObserver = observer;
         mTickMs = tickMs;
@@ -66,7 +66,7 @@
         workers.forEach(mView::putWorker);
     }
 
-    void addWork(List<Work> work) {
+    void addWork(List<WorkloadTask> work) {
         work.forEach(item -> at(item.arrivalMs(), () -> arrive(item)));
     }
 
@@ -84,7 +84,7 @@
         return mResult;
     }
 
-    private void countUnfinished(Work work) {
+    private void countUnfinished(WorkloadTask work) {
         mResult.mUnfinished++;
         countDeadline(work.specification());
     }
@@ -98,7 +98,7 @@
         mResult.mTardinessMs += Math.max(0, mNowMs - task.deadlineMs());
     }
 
-    private void arrive(Work work) {
+    private void arrive(WorkloadTask work) {
         mWork.put(work.specification().task(), work);
         mView.addPending(new PendingTask(work.specification(), mNowMs, 0, 0, 0));
         tickSoon();
@@ -135,7 +135,7 @@
         } else if (decision instanceof PlacementDecision.Reject reject) {
             mView.removePending(reject.task());
             mWork.remove(reject.task());
-            mObserver.forgotten(reject.task());
+            mObserver.onTaskRemoved(reject.task());
             mResult.mRejected++;
         }
     }
@@ -154,24 +154,24 @@
                         Phase.RUNNING,
                         1_000);
         mView.putPlaced(placed);
-        Attempt attempt =
-                new Attempt(Objects.requireNonNull(mWork.get(task.task())), placed, mNowMs);
+        RunningAttempt attempt =
+                new RunningAttempt(Objects.requireNonNull(mWork.get(task.task())), placed, mNowMs);
         mAttempts.put(task.task(), attempt);
-        mObserver.running(placed, mNowMs);
+        mObserver.onAttemptRunning(placed, mNowMs);
         if (task.urgent()) {
             mResult.mUrgentWaitsMs.add(mNowMs - pending.submittedMs());
         }
         scheduleEnd(attempt);
     }
 
-    private void scheduleEnd(Attempt attempt) {
+    private void scheduleEnd(RunningAttempt attempt) {
         long endMs = attempt.endMs();
         if (endMs < Long.MAX_VALUE) {
             at(endMs, () -> end(attempt, endMs));
         }
     }
 
-    private void end(Attempt attempt, long endMs) {
+    private void end(RunningAttempt attempt, long endMs) {
         TaskId id = attempt.work().specification().task();
         boolean current = mAttempts.get(id) == attempt && attempt.endMs() == endMs;
         if (!current || attempt.task().phase() != Phase.RUNNING) {
@@ -180,8 +180,8 @@
         mAttempts.remove(id);
         mWork.remove(id);
         mView.removePlaced(id);
-        mObserver.ended(attempt.task(), TaskState.SUCCEEDED, mNowMs);
-        mObserver.forgotten(id);
+        mObserver.onAttemptEnded(attempt.task(), TaskState.SUCCEEDED, mNowMs);
+        mObserver.onTaskRemoved(id);
         Resources size = attempt.work().specification().resources();
         mResult.mDone++;
         mResult.mWorkDoneCoreMs += attempt.work().runMs() * (size.processorsMilli() / 1_000.0);
@@ -190,20 +190,20 @@
         tickSoon();
     }
 
-    private void evict(Attempt attempt) {
+    private void evict(RunningAttempt attempt) {
         mResult.mEvictions++;
         change(attempt, Phase.STOPPING, attempt.task().throttlePermille());
         at(mNowMs + STOP_MS, () -> stopped(attempt));
     }
 
-    private void throttle(Attempt attempt, int permille) {
+    private void throttle(RunningAttempt attempt, int permille) {
         mResult.mThrottles++;
         change(attempt, Phase.RUNNING, permille);
-        mObserver.running(attempt.task(), mNowMs);
+        mObserver.onAttemptRunning(attempt.task(), mNowMs);
         scheduleEnd(attempt);
     }
 
-    private void change(Attempt attempt, Phase phase, int permille) {
+    private void change(RunningAttempt attempt, Phase phase, int permille) {
         PlacedTask task = attempt.task();
         PlacedTask changed =
                 new PlacedTask(
@@ -219,11 +219,11 @@
         mView.putPlaced(changed);
     }
 
-    private void stopped(Attempt attempt) {
+    private void stopped(RunningAttempt attempt) {
         TaskSpecification task = attempt.work().specification();
         mAttempts.remove(task.task());
         mView.removePlaced(task.task());
-        mObserver.ended(attempt.task(), TaskState.STOPPED, mNowMs);
+        mObserver.onAttemptEnded(attempt.task(), TaskState.STOPPED, mNowMs);
         double done = attempt.doneMs(mNowMs);
         long saved = task.checkpointable() ? (long) done - STOP_MS : attempt.savedMs();
         saved = Math.max(attempt.savedMs(), saved);
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/InterferenceFake.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/InterferenceFake.java
@@ -22,7 +22,7 @@
     private static final double NOISE = 0.15;
     private static final double DISTURBING = 0.25;
 
-    private final FleetLoop mLoop;
+    private final FleetSimulation mLoop;
     private final PlacementObserver mObserver;
     private final Random mEffectRandom;
     private final Random mNoise;
@@ -30,7 +30,7 @@
     private final Map<Pair, Double> mEffects = new HashMap<>();
     private final List<Double> mLatencies = new ArrayList<>();
 
-    InterferenceFake(FleetLoop loop, PlacementObserver observer, long fromMs, long seed) {
+    InterferenceFake(FleetSimulation loop, PlacementObserver observer, long fromMs, long seed) {
         mLoop = loop;
         mObserver = observer;
         mFromMs = fromMs;
@@ -86,6 +86,6 @@
         LatencyMeasurement measurement =
                 new LatencyMeasurement(service, worker.worker(), mLoop.nowMs(), BASE_MS * factor);
         long arrivesMs = mLoop.nowMs() + 5_000 + mNoise.nextInt(25_000);
-        mLoop.at(arrivesMs, () -> mObserver.latencyMeasured(measurement));
+        mLoop.at(arrivesMs, () -> mObserver.onLatencyMeasured(measurement));
     }
 }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/InterferenceMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/InterferenceMeasurement.java
@@ -39,7 +39,7 @@
     /** Returns one line for each firm and policy. */
     public List<String> run(long[] seeds) {
         List<String> lines = new ArrayList<>();
-        for (Firm firm : Firm.values()) {
+        for (FleetProfile firm : FleetProfile.values()) {
             lines.add(line(firm, "no_model", seeds, InterferenceMeasurement::withoutModel));
             lines.add(line(firm, "default", seeds, InterferenceMeasurement::whole));
         }
@@ -55,25 +55,25 @@
     private static Contender withoutModel() {
         SchedulingPolicy policy = new SchedulingPolicy(JobNaming.BEFORE_LAST_SLASH);
         PlacementObserver deaf =
-                new IgnoringObserver() {
+                new NoOpPlacementObserver() {
                     @Override
-                    public void running(PlacedTask task, long nowMs) {
-                        policy.running(task, nowMs);
+                    public void onAttemptRunning(PlacedTask task, long nowMs) {
+                        policy.onAttemptRunning(task, nowMs);
                     }
 
                     @Override
-                    public void ended(PlacedTask task, TaskState state, long nowMs) {
-                        policy.ended(task, state, nowMs);
+                    public void onAttemptEnded(PlacedTask task, TaskState state, long nowMs) {
+                        policy.onAttemptEnded(task, state, nowMs);
                     }
 
                     @Override
-                    public void latencyMeasured(LatencyMeasurement measurement) {}
+                    public void onLatencyMeasured(LatencyMeasurement measurement) {}
                 };
         return new Contender(policy, deaf);
     }
 
     private static String line(
-            Firm firm, String name, long[] seeds, Supplier<Contender> contender) {
+            FleetProfile firm, String name, long[] seeds, Supplier<Contender> contender) {
         List<Run> runs =
                 LongStream.of(seeds)
                         .parallel()
@@ -96,8 +96,8 @@
                 Medians.over(runs, run -> run.result.mLostMs / 3_600_000.0));
     }
 
-    private static Run runOnce(Firm firm, Contender contender, long seed) {
-        FleetLoop loop = new FleetLoop(contender.policy, contender.observer, TICK_MS);
+    private static Run runOnce(FleetProfile firm, Contender contender, long seed) {
+        FleetSimulation loop = new FleetSimulation(contender.policy, contender.observer, TICK_MS);
         loop.addWorkers(firm.workers());
         loop.addWork(work(firm, seed));
         InterferenceFake fake = new InterferenceFake(loop, contender.observer, LEARNING_MS, seed);
@@ -106,28 +106,31 @@
         return new Run(loop.run(DURATION_MS), fake.latencies());
     }
 
-    private static List<Work> work(Firm firm, long seed) {
+    private static List<WorkloadTask> work(FleetProfile firm, long seed) {
         Random random = new Random(seed);
-        List<Work> work = new ArrayList<>();
-        for (int i = 0; i < Firm.WORKERS; i++) {
+        List<WorkloadTask> work = new ArrayList<>();
+        for (int i = 0; i < FleetProfile.WORKERS; i++) {
             work.add(service(EVERYWHERE, i));
         }
         for (int i = 0; i < SPARSE_INSTANCES; i++) {
             work.add(service(SPARSE, i));
         }
         double wanted =
-                LOAD * Firm.WORKERS * (firm.capacity().processorsMilli() - 3_000) * DURATION_MS;
+                LOAD
+                        * FleetProfile.WORKERS
+                        * (firm.capacity().processorsMilli() - 3_000)
+                        * DURATION_MS;
         double given = 0;
         for (int i = 0; given < wanted; i++) {
-            Work item = batch(random, i);
+            WorkloadTask item = batch(random, i);
             work.add(item);
             given += item.specification().resources().processorsMilli() * (double) item.runMs();
         }
         return work;
     }
 
-    private static Work service(ServiceName service, int number) {
-        return new Work(
+    private static WorkloadTask service(ServiceName service, int number) {
+        return new WorkloadTask(
                 task(
                         service + "/" + number,
                         Optional.of(service),
@@ -138,14 +141,15 @@
                 Long.MAX_VALUE);
     }
 
-    private static Work batch(Random random, int number) {
+    private static WorkloadTask batch(Random random, int number) {
         long cores = 1L << random.nextInt(3);
         long runMs = (long) (900_000 * Math.exp(0.6 * random.nextGaussian()));
         long arrivalMs = (long) (random.nextDouble() * (DURATION_MS - 3_600_000));
         long deadlineMs = arrivalMs + (long) (runMs * (2 + 4 * random.nextDouble()));
         String id = "job-" + random.nextInt(JOBS) + "/" + number;
         Resources size = new Resources(cores * 1_000, cores * 3_700, 0);
-        return new Work(task(id, Optional.empty(), size, runMs, deadlineMs), arrivalMs, runMs);
+        return new WorkloadTask(
+                task(id, Optional.empty(), size, runMs, deadlineMs), arrivalMs, runMs);
     }
 
     private static TaskSpecification task(
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/IgnoringObserver.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/NoOpPlacementObserver.java
@@ -10,22 +10,22 @@
 import org.hickorycleat.model.task.TaskState;
 
 /** Observer of policies that learn nothing. */
-class IgnoringObserver implements PlacementObserver {
+class NoOpPlacementObserver implements PlacementObserver {
     @Override
-    public void running(PlacedTask task, long nowMs) {}
+    public void onAttemptRunning(PlacedTask task, long nowMs) {}
 
     @Override
-    public void ended(PlacedTask task, TaskState state, long nowMs) {}
+    public void onAttemptEnded(PlacedTask task, TaskState state, long nowMs) {}
 
     @Override
-    public void forgotten(TaskId task) {}
+    public void onTaskRemoved(TaskId task) {}
 
     @Override
-    public void workerRestarted(WorkerId worker) {}
+    public void onWorkerRestarted(WorkerId worker) {}
 
     @Override
-    public void usageMeasured(TaskSpecification task, Resources used) {}
+    public void onUsageMeasured(TaskSpecification task, Resources used) {}
 
     @Override
-    public void latencyMeasured(LatencyMeasurement measurement) {}
+    public void onLatencyMeasured(LatencyMeasurement measurement) {}
 }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/CorrectionObserver.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/RunTimeCorrectionObserver.java
@@ -5,17 +5,17 @@
 import org.hickorycleat.model.task.TaskState;
 
 /** Observer that corrects run times and learns nothing else. */
-final class CorrectionObserver extends IgnoringObserver {
+final class RunTimeCorrectionObserver extends NoOpPlacementObserver {
     private final RunTimeCorrection mCorrection;
 
-    CorrectionObserver(RunTimeCorrection correction) {
+    RunTimeCorrectionObserver(RunTimeCorrection correction) {
         mCorrection = correction;
     }
 
     @Override
-    public void ended(PlacedTask task, TaskState state, long nowMs) {
+    public void onAttemptEnded(PlacedTask task, TaskState state, long nowMs) {
         if (state == TaskState.SUCCEEDED) {
-            mCorrection.runEnded(
+            mCorrection.recordRun(
                     task.specification(), task.progressMs() + nowMs - task.startedMs());
         }
     }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/Attempt.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/RunningAttempt.java
@@ -3,14 +3,14 @@
 import org.hickorycleat.logic.placement.PlacementView.PlacedTask;
 
 /** A running attempt and the run time done so far; the speed follows the throttle. */
-final class Attempt {
-    private final Work mWork;
+final class RunningAttempt {
+    private final WorkloadTask mWork;
     private final long mSavedMs;
     private double mDoneMs;
     private long mSinceMs;
     private PlacedTask mTask;
 
-    Attempt(Work work, PlacedTask task, long nowMs) {
+    RunningAttempt(WorkloadTask work, PlacedTask task, long nowMs) {
         mWork = work;
         mTask = task;
         mSavedMs = task.progressMs();
@@ -18,7 +18,7 @@
         mSinceMs = nowMs;
     }
 
-    Work work() {
+    WorkloadTask work() {
         return mWork;
     }
 
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/ScaleFleet.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/ScaleFleet.java
@@ -33,7 +33,7 @@
     /** Fills a fleet with the tasks that its share of the full size has. */
     ScaleFleet(int workers, long seed) {
         mRandom = new Random(seed);
-        Firm.TOKACHI.workers(workers).forEach(mView::putWorker);
+        FleetProfile.TOKACHI.workers(workers).forEach(mView::putWorker);
         for (int i = 0; i < TEAMS; i++) {
             mView.putQuota(new TeamName("team-" + i), new Resources(1_000_000, 4_000_000, 100));
         }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/UrgentMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/UrgentMeasurement.java
@@ -18,7 +18,7 @@
     /** Returns one line for each firm and policy. */
     public List<String> run(long[] seeds) {
         List<String> lines = new ArrayList<>();
-        for (Firm firm : Firm.values()) {
+        for (FleetProfile firm : FleetProfile.values()) {
             lines.add(line(firm, "fcfs_first_fit", seeds, UrgentMeasurement::baseline));
             lines.add(line(firm, "default", seeds, UrgentMeasurement::whole));
         }
@@ -31,7 +31,7 @@
         PlacementPolicy policy =
                 new OrderedFirstFit(
                         PriorityRules.FIRST_COME_FIRST_SERVED, OrderedFirstFit.WhenBlocked.PASS);
-        return new Contender(policy, new IgnoringObserver());
+        return new Contender(policy, new NoOpPlacementObserver());
     }
 
     private static Contender whole() {
@@ -40,7 +40,7 @@
     }
 
     private static String line(
-            Firm firm, String name, long[] seeds, Supplier<Contender> contender) {
+            FleetProfile firm, String name, long[] seeds, Supplier<Contender> contender) {
         List<FleetResult> results =
                 LongStream.of(seeds)
                         .parallel()
@@ -63,8 +63,8 @@
                 Medians.over(results, FleetResult::coreHours));
     }
 
-    private static FleetResult runOnce(Firm firm, Contender contender, long seed) {
-        FleetLoop loop = new FleetLoop(contender.policy, contender.observer, TICK_MS);
+    private static FleetResult runOnce(FleetProfile firm, Contender contender, long seed) {
+        FleetSimulation loop = new FleetSimulation(contender.policy, contender.observer, TICK_MS);
         loop.addWorkers(firm.workers());
         loop.addWork(new UrgentWorkload(firm, seed).work());
         return loop.run(UrgentWorkload.DURATION_MS);
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/UrgentWorkload.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/UrgentWorkload.java
@@ -19,15 +19,15 @@
     private static final int BURST = 11;
 
     private final Random mRandom;
-    private final Firm mFirm;
+    private final FleetProfile mFirm;
 
-    UrgentWorkload(Firm firm, long seed) {
+    UrgentWorkload(FleetProfile firm, long seed) {
         mFirm = firm;
         mRandom = new Random(seed);
     }
 
-    List<Work> work() {
-        List<Work> work = new ArrayList<>();
+    List<WorkloadTask> work() {
+        List<WorkloadTask> work = new ArrayList<>();
         addBatch(work);
         for (long ms = FILL_MS; ms < DURATION_MS - 60_000; ms += BETWEEN_MS) {
             work.add(urgent("urgent-" + ms, ms + mRandom.nextInt((int) BETWEEN_MS)));
@@ -40,17 +40,18 @@
         return work;
     }
 
-    private void addBatch(List<Work> work) {
-        double wanted = 2.0 * Firm.WORKERS * mFirm.capacity().processorsMilli() * DURATION_MS;
+    private void addBatch(List<WorkloadTask> work) {
+        double wanted =
+                2.0 * FleetProfile.WORKERS * mFirm.capacity().processorsMilli() * DURATION_MS;
         double given = 0;
         for (int i = 0; given < wanted; i++) {
-            Work item = batch(i);
+            WorkloadTask item = batch(i);
             work.add(item);
             given += item.specification().resources().processorsMilli() * (double) item.runMs();
         }
     }
 
-    private Work batch(int number) {
+    private WorkloadTask batch(int number) {
         long cores = 1L << mRandom.nextInt(mFirm.batchSizes());
         long runMs = (long) (600_000 * Math.exp(0.9 * mRandom.nextGaussian()));
         long declaredMs = (long) (runMs * Math.pow(10, 2 * mRandom.nextDouble() - 1));
@@ -67,10 +68,10 @@
                         runMs * 4 + DURATION_MS / 2,
                         mRandom.nextInt(10) < 7,
                         false);
-        return new Work(task, mRandom.nextInt((int) FILL_MS / 2), runMs);
+        return new WorkloadTask(task, mRandom.nextInt((int) FILL_MS / 2), runMs);
     }
 
-    private Work urgent(String name, long arrivalMs) {
+    private WorkloadTask urgent(String name, long arrivalMs) {
         long cores = 1L << mRandom.nextInt(3);
         TaskSpecification task =
                 new TaskSpecification(
@@ -84,6 +85,6 @@
                         Long.MAX_VALUE,
                         true,
                         true);
-        return new Work(task, arrivalMs, 30_000 + mRandom.nextInt(60_000));
+        return new WorkloadTask(task, arrivalMs, 30_000 + mRandom.nextInt(60_000));
     }
 }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/Work.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/WorkloadTask.java
@@ -9,4 +9,4 @@
  * @param arrivalMs time of arrival
  * @param runMs run time that it really has; {@code Long.MAX_VALUE} for services
  */
-record Work(TaskSpecification specification, long arrivalMs, long runMs) {}
+record WorkloadTask(TaskSpecification specification, long arrivalMs, long runMs) {}
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/AdmissionDecision.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/AdmissionMeasurement.java
@@ -14,7 +14,7 @@
 import org.hickorycleat.logic.admission.Admission;
 import org.hickorycleat.logic.admission.AdmissionControl;
 import org.hickorycleat.logic.admission.AdmissionSettings;
-import org.hickorycleat.logic.admission.DirectoryCapacity;
+import org.hickorycleat.logic.admission.DirectoryCapacitySource;
 import org.hickorycleat.logic.admission.FairAdmissionControl;
 import org.hickorycleat.logic.admission.UnlimitedAdmission;
 import org.hickorycleat.logic.routing.PowerOfTwoSelector;
@@ -34,7 +34,7 @@
  * ratio of their p99 to that at a tenth of their load, {@code p99_without_flood} the ratio to that
  * of the same load without the flood, {@code refusal_us} the wall-clock time of a refusal.
  */
-public final class AdmissionDecision implements Measurement {
+public final class AdmissionMeasurement implements Measurement {
     private static final long WARM_UP_MS = 3_000;
     private static final long RUN_MS = 8_000;
     private static final double FLOOD = 10;
@@ -59,7 +59,8 @@
 
     private AdmissionControl fair(FleetFake fleet, PowerOfTwoSelector selector, long seed) {
         return new FairAdmissionControl(
-                new DirectoryCapacity(fleet.mDirectory, target -> !selector.isEjected(target)),
+                new DirectoryCapacitySource(
+                        fleet.mDirectory, target -> !selector.isEjected(target)),
                 fleet.mScheduler,
                 AdmissionSettings.DEFAULT,
                 seed);
@@ -86,7 +87,7 @@
         output.accept(
                 new Figures()
                         .with("measurement", "admission-decision")
-                        .with("flooding", flooding.word())
+                        .with("flooding", flooding.wireName())
                         .with("policy", policy)
                         .with("seeds", seeds.size())
                         .with("p99_ms", Median.of(runs, run -> run.flood().p99Ms()))
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/RoutingDecision.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/RoutingMeasurement.java
@@ -25,7 +25,7 @@
  * <p>Requests are not retried. A request without an answer counts as an error; {@code p99_all_ms}
  * is over all requests, a failed one counting as long as the caller waited.
  */
-public final class RoutingDecision implements Measurement {
+public final class RoutingMeasurement implements Measurement {
     private static final long HEALTHY_MS = 5_000;
     private static final long FAULTY_MS = 30_000;
     private static final double[] LOADS = {0.3, 0.5, 0.6};
@@ -39,7 +39,7 @@
 
     private static final List<Policy> POLICIES =
             List.of(
-                    new Policy("power-of-two", RoutingDecision::powerOfTwo),
+                    new Policy("power-of-two", RoutingMeasurement::powerOfTwo),
                     new Policy(
                             "round-robin",
                             (fleet, seed) -> new RoundRobinSelector(fleet.mDirectory)),
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/configuration/ConfigurationHistory.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/configuration/ConfigurationHistory.java
@@ -49,7 +49,7 @@
     private record PendingPublication(long offset, byte[] manifest) {}
 
     /** History after a record, and what the record did. */
-    public record Step(ConfigurationHistory history, RecordOutcome outcome) {}
+    public record ApplyResult(ConfigurationHistory history, RecordOutcome outcome) {}
 
     /** Returns the history of a reader that begins at the given first kept offset. */
     public static ConfigurationHistory startingAt(long firstOffset) {
@@ -61,9 +61,9 @@
      * Applies the next record. An offset already applied changes nothing; after a gap the current
      * version is unknown, as for a reader that begins there.
      */
-    public Step apply(long offset, byte[] payload) {
+    public ApplyResult apply(long offset, byte[] payload) {
         if (offset < mNextOffset) {
-            return new Step(this, RecordOutcome.REPEATED);
+            return new ApplyResult(this, RecordOutcome.REPEATED);
         }
         if (offset > mNextOffset) {
             return startingAt(offset).apply(offset, payload);
@@ -78,7 +78,7 @@
     }
 
     /** Tells whether the current version is known, even if it is none. */
-    public boolean isDecided() {
+    public boolean isVersionKnown() {
         return mDecided;
     }
 
@@ -105,16 +105,16 @@
         return mLastSnapshotOffset;
     }
 
-    private Step publication(long offset, byte[] manifest) {
+    private ApplyResult publication(long offset, byte[] manifest) {
         if (!mDecided) {
             Vector<PendingPublication> pending =
                     mPending.append(new PendingPublication(offset, manifest));
-            return new Step(
+            return new ApplyResult(
                     with(offset + 1, mCurrent, mLastSnapshotOffset, pending),
                     RecordOutcome.UNDECIDED);
         }
         if (mCurrent.isPresent() && Arrays.equals(mCurrent.get().bytes(), manifest)) {
-            return new Step(
+            return new ApplyResult(
                     with(offset + 1, mCurrent, mLastSnapshotOffset, mPending),
                     RecordOutcome.REPEATED);
         }
@@ -127,15 +127,15 @@
         }
         AcceptedConfiguration accepted =
                 new AcceptedConfiguration(new ConfigurationVersion(offset), parsed.get(), manifest);
-        return new Step(
+        return new ApplyResult(
                 with(offset + 1, Optional.of(accepted), mLastSnapshotOffset, mPending),
                 RecordOutcome.ACCEPTED);
     }
 
-    private Step snapshot(long offset, Snapshot snapshot) {
+    private ApplyResult snapshot(long offset, Snapshot snapshot) {
         if (mDecided) {
             boolean isCurrent = snapshot.version().equals(version());
-            return new Step(
+            return new ApplyResult(
                     with(offset + 1, mCurrent, isCurrent ? offset : mLastSnapshotOffset, mPending),
                     RecordOutcome.SNAPSHOT);
         }
@@ -143,7 +143,8 @@
         if (snapshot.asOf() < mFirstOffset || copied.isEmpty()) {
             return advance(offset, RecordOutcome.UNDECIDED);
         }
-        return new Step(recover(offset, snapshot.asOf(), copied.get()), RecordOutcome.RECOVERED);
+        return new ApplyResult(
+                recover(offset, snapshot.asOf(), copied.get()), RecordOutcome.RECOVERED);
     }
 
     /** Returns what the snapshot holds, or empty if it is invalid; version -1 stands for none. */
@@ -182,8 +183,8 @@
         return configuration.map(AcceptedConfiguration::version).orElse(NO_VERSION);
     }
 
-    private Step advance(long offset, RecordOutcome outcome) {
-        return new Step(with(offset + 1, mCurrent, mLastSnapshotOffset, mPending), outcome);
+    private ApplyResult advance(long offset, RecordOutcome outcome) {
+        return new ApplyResult(with(offset + 1, mCurrent, mLastSnapshotOffset, mPending), outcome);
     }
 
     private ConfigurationHistory with(
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/AdviceTerms.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/AdviceServiceSettings.java
@@ -7,4 +7,4 @@
  * @param perWorkerMs part for each worker named, in milliseconds
  * @param validMs how long a ticket is valid, in milliseconds
  */
-public record AdviceTerms(int decisionMs, int perWorkerMs, int validMs) {}
+public record AdviceServiceSettings(int decisionMs, int perWorkerMs, int validMs) {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobQueue.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobQueue.java
@@ -25,7 +25,7 @@
         double stretch,
         int targetDurationMs,
         int timeoutMs,
-        Optional<AdviceTerms> advice) {
+        Optional<AdviceServiceSettings> advice) {
     private static final ServiceName NO_SERVICE = new ServiceName("none");
 
     /** Returns a queue that is no longer configured: its jobs wait, as no service may run them. */
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/StepSpecification.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/StepSpecification.java
@@ -8,10 +8,10 @@
  * A step of a job: a number of equal tasks.
  *
  * @param count number of tasks
- * @param request what each task asks for
+ * @param resources what each task asks for
  * @param estimateMs rough estimate of the run time of a task, in milliseconds; 0 if none
- * @param after numbers of the steps that must be done first
- * @param savesProgress whether tasks write checkpoints
+ * @param predecessors numbers of the steps that must be done first
+ * @param checkpointable whether tasks write checkpoints
  * @param gang whether tasks work only all together
  * @param sameRack whether a gang slows down when it spans racks
  * @param requiredLabel label that the worker must have
@@ -21,15 +21,16 @@
  * @param perpetual whether tasks run until the job is cancelled
  * @param image what the tasks run; tasks of one image behave alike
  * @param targetLatencyMs bound of the tail latency of a serving task, in milliseconds; 0 if none
- * @param fills whether tasks only use processors that others leave idle
- * @param mayMiss how many tasks may be unavailable at once through planned actions; -1 if no limit
+ * @param bestEffort whether tasks only use processors that others leave idle
+ * @param maximumUnavailable how many tasks may be unavailable at once through planned actions; -1
+ *     if no limit
  */
 public record StepSpecification(
         int count,
-        Resources request,
+        Resources resources,
         int estimateMs,
-        List<Integer> after,
-        boolean savesProgress,
+        List<Integer> predecessors,
+        boolean checkpointable,
         boolean gang,
         boolean sameRack,
         Optional<String> requiredLabel,
@@ -39,17 +40,17 @@
         boolean perpetual,
         String image,
         int targetLatencyMs,
-        boolean fills,
-        int mayMiss) {
+        boolean bestEffort,
+        int maximumUnavailable) {
     /** Copies the list. */
     public StepSpecification {
-        after = List.copyOf(after);
+        predecessors = List.copyOf(predecessors);
     }
 
     /** Returns what a task takes of the guarded room of a worker. */
     public Resources reservation() {
-        return fills
-                ? new Resources(0, request.memoryMebibytes(), request.accelerators())
-                : request;
+        return bestEffort
+                ? new Resources(0, resources.memoryMebibytes(), resources.accelerators())
+                : resources;
     }
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/TaskProgress.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/TaskProgress.java
@@ -10,7 +10,7 @@
  * @param run number of its latest run
  * @param failedRuns numbers of the runs that ended in failure, each of which counts once
  * @param agent agent that the latest run was ordered from
- * @param life life of the worker that the latest run was ordered on
+ * @param incarnation life of the worker that the latest run was ordered on
  */
 public record TaskProgress(
         int occurrence,
@@ -20,7 +20,7 @@
         int run,
         List<Integer> failedRuns,
         Optional<ProcessId> agent,
-        Optional<WorkerLife> life,
+        Optional<WorkerIncarnation> incarnation,
         Optional<String> checkpoint) {
     /** Copies the list. */
     public TaskProgress {
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerDescription.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerDescription.java
@@ -12,7 +12,7 @@
  * @param sequence rises with each description of one life
  */
 public record WorkerDescription(
-        WorkerLife life,
+        WorkerIncarnation incarnation,
         ServiceName service,
         Resources capacity,
         List<String> labels,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerLife.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerIncarnation.java
@@ -7,4 +7,4 @@
  *
  * @param startedAtMs when it began, in Unix milliseconds
  */
-public record WorkerLife(WorkerId worker, long startedAtMs) {}
+public record WorkerIncarnation(WorkerId worker, long startedAtMs) {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerPool.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerPool.java
@@ -5,7 +5,7 @@
 /**
  * The workers of a service.
  *
- * @param guardsCapacity whether its workers reject what does not fit
+ * @param enforcesCapacity whether its workers reject what does not fit
  * @param standby whether its machines are off
  */
-public record WorkerPool(ServiceName service, boolean guardsCapacity, boolean standby) {}
+public record WorkerPool(ServiceName service, boolean enforcesCapacity, boolean standby) {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/Criticality.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/Criticality.java
@@ -15,14 +15,14 @@
     SHEDDABLE;
 
     /** Returns the word used in headers and manifests. */
-    public String word() {
+    public String wireName() {
         return name().toLowerCase(Locale.ROOT);
     }
 
     /** Finds the criticality of a word. */
-    public static Optional<Criticality> ofWord(String word) {
+    public static Optional<Criticality> ofWireName(String word) {
         for (Criticality criticality : values()) {
-            if (criticality.word().equals(word)) {
+            if (criticality.wireName().equals(word)) {
                 return Optional.of(criticality);
             }
         }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestObjectReader.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestObjectReader.java
@@ -67,7 +67,7 @@
             return Criticality.NORMAL;
         }
         Optional<Criticality> found =
-                node.isTextual() ? Criticality.ofWord(node.textValue()) : Optional.empty();
+                node.isTextual() ? Criticality.ofWireName(node.textValue()) : Optional.empty();
         if (found.isEmpty()) {
             report(path(field), node, "critical, important, normal or sheddable");
         }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestWriter.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestWriter.java
@@ -40,7 +40,7 @@
     private static void write(ServiceSpecification service, ObjectNode json) {
         json.put("name", service.name().value());
         json.put("team", service.team().value());
-        json.put("criticality", service.criticality().word());
+        json.put("criticality", service.criticality().wireName());
         json.put("instances", service.instances());
         json.put("slots", service.slots());
         json.put("connections", service.connections());
@@ -55,7 +55,7 @@
         json.put("name", job.name().value());
         json.put("run", job.run());
         json.put("team", job.team().value());
-        json.put("criticality", job.criticality().word());
+        json.put("criticality", job.criticality().wireName());
         write(job.resources(), json.putObject("resources"));
         json.put("estimated_seconds", job.estimatedSeconds());
         job.release().ifPresent(release -> json.put("release", release.toString()));
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/FillWeights.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/InterferenceWeights.java
@@ -4,9 +4,9 @@
 import org.hickorycleat.model.identifier.Epoch;
 
 /** Tells an agent how much images that fill disturb the serving tasks of its worker. */
-public record FillWeights(Epoch epoch, List<ImageWeight> weights) implements Message {
+public record InterferenceWeights(Epoch epoch, List<ImageWeight> weights) implements Message {
     /** Copies the list. */
-    public FillWeights {
+    public InterferenceWeights {
         weights = List.copyOf(weights);
     }
 
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/LeaseGrant.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/LeaseGrant.java
@@ -6,7 +6,7 @@
 
 /** Answer to {@link LeaseRequest}, counted from the moment the request was sent. */
 public record LeaseGrant(
-        ShardNumber shard, Epoch epoch, long requestNumber, List<HeldTask> tasks, long leaseMs)
+        ShardNumber shard, Epoch epoch, long requestNumber, List<TaskAttempt> tasks, long leaseMs)
         implements Message {
     /** Copies the collections. */
     public LeaseGrant {
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/LeaseRequest.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/LeaseRequest.java
@@ -4,7 +4,7 @@
 import org.hickorycleat.model.identifier.ShardNumber;
 
 /** Asks the owner of a shard to extend leases. */
-public record LeaseRequest(ShardNumber shard, long number, List<HeldTask> tasks)
+public record LeaseRequest(ShardNumber shard, long number, List<TaskAttempt> tasks)
         implements Message {
     /** Copies the collections. */
     public LeaseRequest {
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/InstanceStanding.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/RegistrationConfirmation.java
@@ -8,7 +8,8 @@
  *
  * @param service the service
  * @param instance the instance
- * @param original whether no other run has served the instance before
+ * @param firstRegistration whether no other run has served the instance before
  */
-public record InstanceStanding(ServiceName service, InstanceNumber instance, boolean original)
+public record RegistrationConfirmation(
+        ServiceName service, InstanceNumber instance, boolean firstRegistration)
         implements Message {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/StoreCall.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/RelayedStoreRequest.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
-import org.hickorycleat.model.store.AppendTerms;
-import org.hickorycleat.model.store.ReadTerms;
+import org.hickorycleat.model.store.StoreAppendRequest;
+import org.hickorycleat.model.store.StoreReadRequest;
 import org.hickorycleat.model.store.StoreRecord;
 
 /**
@@ -12,9 +12,9 @@
  * @param number identifies the call on its link
  * @param records records to append; empty for a read
  */
-public record StoreCall(
+public record RelayedStoreRequest(
         long number,
-        Optional<AppendTerms> append,
+        Optional<StoreAppendRequest> append,
         List<StoreRecord> records,
-        Optional<ReadTerms> read)
+        Optional<StoreReadRequest> read)
         implements Message {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/StartRun.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/StartRun.java
@@ -4,18 +4,18 @@
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.TaskTraits;
-import org.hickorycleat.model.job.WorkerLife;
+import org.hickorycleat.model.job.WorkerIncarnation;
 
 /**
  * Starts a run on the worker beside the agent.
  *
- * @param order number of the order in the session, from 1
- * @param life the only life of the worker that may run it
+ * @param commandNumber number of the order in the session, from 1
+ * @param incarnation the only life of the worker that may run it
  */
 public record StartRun(
         Epoch epoch,
-        long order,
-        WorkerLife life,
+        long commandNumber,
+        WorkerIncarnation incarnation,
         RunId run,
         String payload,
         Optional<String> checkpoint,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/StopRun.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/StopRun.java
@@ -6,6 +6,6 @@
 /**
  * Stops a run on the worker beside the agent.
  *
- * @param order number of the order in the session, from 1
+ * @param commandNumber number of the order in the session, from 1
  */
-public record StopRun(Epoch epoch, long order, RunId run) implements Message {}
+public record StopRun(Epoch epoch, long commandNumber, RunId run) implements Message {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/StoreAnswer.java
+++ /dev/null
@@ -1,9 +0,0 @@
-package org.hickorycleat.model.message;
-
-import java.util.Optional;
-import org.hickorycleat.model.store.AppendOutcome;
-import org.hickorycleat.model.store.StorePage;
-
-/** Outcome of a {@link StoreCall}; neither is present when a read failed. */
-public record StoreAnswer(long number, Optional<AppendOutcome> append, Optional<StorePage> page)
-        implements Message {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/HeldTask.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/TaskAttempt.java
@@ -5,4 +5,4 @@
 import org.hickorycleat.model.identifier.TaskId;
 
 /** An attempt of a task that a worker holds. */
-public record HeldTask(ShardNumber shard, TaskId task, AttemptNumber attempt) {}
+public record TaskAttempt(ShardNumber shard, TaskId task, AttemptNumber attempt) {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/WorkerSummary.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/WorkerSummary.java
@@ -12,7 +12,7 @@
         Incarnation incarnation,
         RackId rack,
         Resources capacity,
-        List<HeldTask> tasks) {
+        List<TaskAttempt> tasks) {
     /** Copies the collections. */
     public WorkerSummary {
         tasks = List.copyOf(tasks);
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/node/NodeSettings.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/node/NodeSettings.java
@@ -12,38 +12,39 @@
  *
  * @param callerAddress where callers are served
  * @param readinessAddress where readiness is asked
- * @param workerAddress where the worker beside an agent announces itself
+ * @param workerHeartbeatAddress where the worker beside an agent announces itself
  * @param linkAddress where other processes connect
  * @param adminAddress where metrics and the state dump are served
- * @param workerEndpoint where the worker beside an agent takes orders
+ * @param workerControlAddress where the worker beside an agent takes orders
  * @param seeds addresses of links of other processes; may be stale
  * @param capacityMilli share of a processor, in thousandths
- * @param advice address of the advice service
+ * @param adviceAddress address of the advice service
  * @param maximumLeaseMs longest lease that workers grant, in milliseconds
  * @param checkpointIntervalMs time between checkpoints of a task, in milliseconds
  * @param stopGraceMs longest time that a stop of a run takes, in milliseconds
  * @param statusRetentionMs how long the state of a finished job is kept, in milliseconds
- * @param impactMs how long a serving task may miss its target because of others, in milliseconds
+ * @param maximumInterferenceMs how long a serving task may miss its target because of others, in
+ *     milliseconds
  */
 public record NodeSettings(
         ProcessId process,
         ZoneId zone,
         Optional<InetSocketAddress> callerAddress,
         Optional<InetSocketAddress> readinessAddress,
-        Optional<InetSocketAddress> workerAddress,
+        Optional<InetSocketAddress> workerHeartbeatAddress,
         InetSocketAddress linkAddress,
         InetSocketAddress adminAddress,
-        Optional<InetSocketAddress> workerEndpoint,
+        Optional<InetSocketAddress> workerControlAddress,
         Optional<ServiceName> service,
         List<InetSocketAddress> seeds,
         long capacityMilli,
-        InetSocketAddress store,
-        Optional<InetSocketAddress> advice,
+        InetSocketAddress storeAddress,
+        Optional<InetSocketAddress> adviceAddress,
         int maximumLeaseMs,
         int checkpointIntervalMs,
         int stopGraceMs,
         long statusRetentionMs,
-        int impactMs) {
+        int maximumInterferenceMs) {
     /** Copies the list. */
     public NodeSettings {
         seeds = List.copyOf(seeds);
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/store/AppendTerms.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/store/StoreAppendRequest.java
@@ -8,10 +8,10 @@
  * @param atOffset offset at which the partition has to end
  * @param producer identity that makes a repeated append take effect once
  */
-public record AppendTerms(
+public record StoreAppendRequest(
         String topic, int partition, Optional<Long> atOffset, Optional<Producer> producer) {
     /** Appends without a condition. */
-    public static AppendTerms unconditional(String topic, int partition) {
-        return new AppendTerms(topic, partition, Optional.empty(), Optional.empty());
+    public static StoreAppendRequest unconditional(String topic, int partition) {
+        return new StoreAppendRequest(topic, partition, Optional.empty(), Optional.empty());
     }
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/store/ReadTerms.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/store/StoreReadRequest.java
@@ -8,15 +8,15 @@
  * @param afterKey for the newest records, the key after which to go on; empty for the start
  * @param waitMs how long the store may wait for a record, in milliseconds
  */
-public record ReadTerms(
+public record StoreReadRequest(
         String topic, int partition, boolean newest, long fromOffset, String afterKey, int waitMs) {
     /** Reads the log from an offset. */
-    public static ReadTerms log(String topic, int partition, long fromOffset, int waitMs) {
-        return new ReadTerms(topic, partition, false, fromOffset, "", waitMs);
+    public static StoreReadRequest log(String topic, int partition, long fromOffset, int waitMs) {
+        return new StoreReadRequest(topic, partition, false, fromOffset, "", waitMs);
     }
 
     /** Reads the newest record of each key. */
-    public static ReadTerms newest(String topic, int partition, String afterKey) {
-        return new ReadTerms(topic, partition, true, 0, afterKey, 0);
+    public static StoreReadRequest newest(String topic, int partition, String afterKey) {
+        return new StoreReadRequest(topic, partition, true, 0, afterKey, 0);
     }
 }
--- a/hickorycleat-model/src/test/java/org/hickorycleat/model/configuration/ConfigurationHistoryPropertyTest.java
+++ b/hickorycleat-model/src/test/java/org/hickorycleat/model/configuration/ConfigurationHistoryPropertyTest.java
@@ -27,7 +27,7 @@
                 history = applyAndCompare(stream, history, offset);
             }
             if (first > 0) {
-                Statistics.label("late reader is decided").collect(history.isDecided());
+                Statistics.label("late reader is decided").collect(history.isVersionKnown());
             }
         }
         // Without this the property would hold for a reader that never decides.
@@ -62,15 +62,15 @@
             Stream stream, ConfigurationHistory before, int offset) {
         ConfigurationHistory after = before.apply(offset, stream.payload(offset)).history();
         boolean isGap = offset > before.nextOffset();
-        if (before.isDecided() && !isGap) {
-            assertThat(after.isDecided()).as("still decided after %d", offset).isTrue();
+        if (before.isVersionKnown() && !isGap) {
+            assertThat(after.isVersionKnown()).as("still decided after %d", offset).isTrue();
         }
-        if (after.isDecided()) {
+        if (after.isVersionKnown()) {
             assertThat(after.version().value())
                     .as("version after offset %d of %s", offset, stream)
                     .isEqualTo(stream.versionBefore(offset + 1));
         }
-        if (after.isDecided() && before.isDecided()) {
+        if (after.isVersionKnown() && before.isVersionKnown()) {
             assertThat(after.version().value()).isGreaterThanOrEqualTo(before.version().value());
         }
         return after;
--- a/hickorycleat-model/src/test/java/org/hickorycleat/model/configuration/ConfigurationHistoryTest.java
+++ b/hickorycleat-model/src/test/java/org/hickorycleat/model/configuration/ConfigurationHistoryTest.java
@@ -71,7 +71,7 @@
 
         ConfigurationHistory history = readFrom(1);
 
-        assertThat(history.isDecided()).isFalse();
+        assertThat(history.isVersionKnown()).isFalse();
         assertThat(history.current()).isEmpty();
     }
 
@@ -93,7 +93,7 @@
         publish(0, "b");
         snapshot(0, 1);
 
-        assertThat(readFrom(2).isDecided()).isFalse();
+        assertThat(readFrom(2).isVersionKnown()).isFalse();
 
         snapshot(1, 3);
 
@@ -120,7 +120,7 @@
         publish(-1, "a");
         ConfigurationHistory history = readFrom(0);
 
-        assertThat(history.apply(5, mLog.get(0)).history().isDecided()).isFalse();
+        assertThat(history.apply(5, mLog.get(0)).history().isVersionKnown()).isFalse();
         assertThat(history.apply(0, mLog.get(0)).history()).isSameAs(history);
     }
 
@@ -162,7 +162,7 @@
         List<RecordOutcome> outcomes = new ArrayList<>();
         ConfigurationHistory history = ConfigurationHistory.startingAt(first);
         for (int offset = first; offset < mLog.size(); offset++) {
-            ConfigurationHistory.Step step = history.apply(offset, mLog.get(offset));
+            ConfigurationHistory.ApplyResult step = history.apply(offset, mLog.get(offset));
             history = step.history();
             outcomes.add(step.outcome());
         }
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/LogFaults.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/LogFaults.java
@@ -7,13 +7,13 @@
  *
  * @param outage what happens to every request
  * @param delayMs added to each request, half of it before and half after it takes effect
- * @param loseAnswerRate share of appends from 0 to 1 that take effect and whose connection is then
- *     closed without an answer
+ * @param lostResponseRate share of appends from 0 to 1 that take effect and whose connection is
+ *     then closed without an answer
  * @param appendLimitPerSecond appends per second beyond which appends are answered 429 without
  *     effect; 0 for no limit
  */
 public record LogFaults(
-        LogOutage outage, long delayMs, double loseAnswerRate, int appendLimitPerSecond) {
+        LogOutage outage, long delayMs, double lostResponseRate, int appendLimitPerSecond) {
     /** No faults. */
     public static final LogFaults NONE = new LogFaults(LogOutage.NONE, 0, 0, 0);
 
@@ -22,21 +22,21 @@
         if (delayMs < 0 || appendLimitPerSecond < 0) {
             throw new IllegalArgumentException("negative delay or limit");
         }
-        if (!(loseAnswerRate >= 0 && loseAnswerRate <= 1)) {
+        if (!(lostResponseRate >= 0 && lostResponseRate <= 1)) {
             throw new IllegalArgumentException("lose_answer_rate is not from 0 to 1");
         }
     }
 
     /** Returns these faults with the fields that the JSON names replaced. */
     LogFaults with(JsonNode json) {
-        String word = json.path("outage").asText(outage.word());
+        String word = json.path("outage").asText(outage.wireName());
         LogOutage changed =
-                LogOutage.ofWord(word)
+                LogOutage.ofWireName(word)
                         .orElseThrow(() -> new IllegalArgumentException("outage: " + word));
         return new LogFaults(
                 changed,
                 json.path("delay_ms").asLong(delayMs),
-                json.path("lose_answer_rate").asDouble(loseAnswerRate),
+                json.path("lose_answer_rate").asDouble(lostResponseRate),
                 json.path("append_limit_per_second").asInt(appendLimitPerSecond));
     }
 }
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/LogOutage.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/LogOutage.java
@@ -12,13 +12,13 @@
     /** Connections are held without an answer until the outage ends. */
     HOLD;
 
-    String word() {
+    String wireName() {
         return name().toLowerCase(Locale.ROOT);
     }
 
-    static Optional<LogOutage> ofWord(String word) {
+    static Optional<LogOutage> ofWireName(String word) {
         for (LogOutage outage : values()) {
-            if (outage.word().equals(word)) {
+            if (outage.wireName().equals(word)) {
                 return Optional.of(outage);
             }
         }
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/LogServer.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/LogServer.java
@@ -210,9 +210,9 @@
     private void describe(Context context) {
         LogFaults faults = mFaults;
         ObjectNode json = MAPPER.createObjectNode();
-        json.put("outage", faults.outage().word());
+        json.put("outage", faults.outage().wireName());
         json.put("delay_ms", faults.delayMs());
-        json.put("lose_answer_rate", faults.loseAnswerRate());
+        json.put("lose_answer_rate", faults.lostResponseRate());
         json.put("append_limit_per_second", faults.appendLimitPerSecond());
         json.putObject("counts")
                 .put("appends", mCounts.mAppends.sum())
@@ -234,7 +234,7 @@
     }
 
     private boolean loses() {
-        double rate = mFaults.loseAnswerRate();
+        double rate = mFaults.lostResponseRate();
         if (rate == 0) {
             return false;
         }
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/LogStream.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/LogStream.java
@@ -67,8 +67,8 @@
     private void dropExpired() {
         long now = mClockMs.getAsLong();
         while (!mRecords.isEmpty()
-                && (mRecords.size() > mRetention.records()
-                        || now - mRecords.getFirst().timestampMs() > mRetention.ageMs())) {
+                && (mRecords.size() > mRetention.maximumRecords()
+                        || now - mRecords.getFirst().timestampMs() > mRetention.maximumAgeMs())) {
             mRecords.removeFirst();
         }
     }
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/RunEvent.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/AttemptEvent.java
@@ -11,4 +11,5 @@
  * @param progressMs run time reached
  * @param state state after the event
  */
-public record RunEvent(long atMs, String event, TaskKey key, long progressMs, TaskState state) {}
+public record AttemptEvent(
+        long atMs, String event, AttemptKey key, long progressMs, TaskState state) {}
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/TaskKey.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/AttemptKey.java
@@ -5,4 +5,4 @@
 import org.hickorycleat.model.identifier.TaskId;
 
 /** An attempt of a task of a shard. */
-public record TaskKey(ShardNumber shard, TaskId task, AttemptNumber attempt) {}
+public record AttemptKey(ShardNumber shard, TaskId task, AttemptNumber attempt) {}
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/TaskView.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/AttemptStatus.java
@@ -5,10 +5,10 @@
 import org.hickorycleat.model.task.TaskState;
 
 /** State of an attempt for answers. */
-public record TaskView(
-        TaskKey key,
+public record AttemptStatus(
+        AttemptKey key,
         TaskState state,
         Resources resources,
-        int permille,
+        int throttlePermille,
         Optional<String> checkpoint,
-        long savedMs) {}
+        long checkpointedProgressMs) {}
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/TaskRun.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/SimulatedAttempt.java
@@ -5,8 +5,8 @@
 import org.hickorycleat.model.task.TaskState;
 
 /** An attempt of a task; progress is run time, slowed down by throttling. */
-final class TaskRun {
-    private final TaskKey mKey;
+final class SimulatedAttempt {
+    private final AttemptKey mKey;
     private final Resources mResources;
     private final long mRunMs;
     private TaskState mState;
@@ -18,7 +18,8 @@
     private Optional<String> mCheckpoint = Optional.empty();
     private long mEndedMs = Long.MAX_VALUE;
 
-    TaskRun(TaskKey key, Resources resources, long runMs, long leaseUntilMs, TaskState state) {
+    SimulatedAttempt(
+            AttemptKey key, Resources resources, long runMs, long leaseUntilMs, TaskState state) {
         mKey = key;
         mResources = resources;
         mRunMs = runMs;
@@ -31,7 +32,7 @@
         mProgressAtMs = nowMs;
     }
 
-    TaskKey key() {
+    AttemptKey key() {
         return mKey;
     }
 
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/SimulatedWorker.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/SimulatedWorker.java
@@ -24,9 +24,9 @@
     private final WorkerOptions mOptions;
     private final LongSupplier mClock;
     private final LongSupplier mWallClock;
-    private final Map<TaskId, TaskRun> mRuns = new LinkedHashMap<>();
+    private final Map<TaskId, SimulatedAttempt> mRuns = new LinkedHashMap<>();
     private final Map<ShardNumber, Epoch> mEpochs = new HashMap<>();
-    private final List<RunEvent> mEvents = new ArrayList<>();
+    private final List<AttemptEvent> mEvents = new ArrayList<>();
     private Incarnation mIncarnation;
     private boolean mFailing;
     private long mFailAfterMs = 100;
@@ -60,15 +60,15 @@
     }
 
     /** Sets whether every task that starts fails. */
-    public synchronized void failing(boolean failing, long afterMs) {
+    public synchronized void setFailing(boolean failing, long afterMs) {
         mFailing = failing;
         mFailAfterMs = afterMs;
     }
 
     /** Ends what has reached its end or the end of its lease by now. */
-    public synchronized void settle() {
+    public synchronized void endDueAttempts() {
         long nowMs = clockMs();
-        for (TaskRun run : mRuns.values()) {
+        for (SimulatedAttempt run : mRuns.values()) {
             if (!run.isRunning()) {
                 continue;
             }
@@ -84,8 +84,8 @@
 
     /** Drops all tasks and memory, as a restart of the VM does. */
     public synchronized void restart() {
-        settle();
-        for (TaskRun run : mRuns.values()) {
+        endDueAttempts();
+        for (SimulatedAttempt run : mRuns.values()) {
             if (run.isRunning()) {
                 end(run, "end", TaskState.FAILED, clockMs());
             }
@@ -97,7 +97,7 @@
 
     /** Raises the epoch of a shard. */
     public synchronized ResultCode fence(ShardNumber shard, Epoch epoch) {
-        settle();
+        endDueAttempts();
         Epoch highest = mEpochs.getOrDefault(shard, new Epoch(-1));
         if (epoch.compareTo(highest) < 0) {
             return ResultCode.STALE_EPOCH;
@@ -107,27 +107,29 @@
     }
 
     /** Starts an attempt. */
-    public synchronized Reply start(StartOrder order) {
+    public synchronized CommandResponse start(StartCommand order) {
         ResultCode fenced = fence(order.key().shard(), order.epoch());
         if (fenced != ResultCode.OK) {
-            return Reply.of(fenced);
+            return CommandResponse.of(fenced);
         }
         if (!order.incarnation().equals(mIncarnation) || order.leaseUntilMs() <= clockMs()) {
-            return Reply.of(ResultCode.LEASE_EXPIRED);
+            return CommandResponse.of(ResultCode.LEASE_EXPIRED);
         }
-        Optional<TaskRun> last = Optional.ofNullable(mRuns.get(order.key().task()));
+        Optional<SimulatedAttempt> last = Optional.ofNullable(mRuns.get(order.key().task()));
         int comparison = last.map(run -> compare(run, order.key())).orElse(-1);
         if (comparison >= 0) {
-            return comparison == 0 ? reply(last.get()) : Reply.of(ResultCode.STALE_ATTEMPT);
+            return comparison == 0
+                    ? reply(last.get())
+                    : CommandResponse.of(ResultCode.STALE_ATTEMPT);
         }
-        last.filter(TaskRun::isRunning).ifPresent(this::stopRun);
+        last.filter(SimulatedAttempt::isRunning).ifPresent(this::stopRun);
         return startNew(order);
     }
 
-    private Reply startNew(StartOrder order) {
+    private CommandResponse startNew(StartCommand order) {
         boolean fits = used().plus(order.resources()).fitsInto(mOptions.capacity());
-        TaskRun run =
-                new TaskRun(
+        SimulatedAttempt run =
+                new SimulatedAttempt(
                         order.key(),
                         order.resources(),
                         realRunMs(order.runMs()),
@@ -137,7 +139,7 @@
         run.resume(order.checkpoint().map(SimulatedWorker::progress).orElse(0L), clockMs());
         if (!fits) {
             run.end(TaskState.REFUSED, clockMs());
-            return new Reply(ResultCode.INSUFFICIENT_RESOURCES, Optional.of(view(run)));
+            return new CommandResponse(ResultCode.INSUFFICIENT_RESOURCES, Optional.of(view(run)));
         }
         record("start", run);
         return reply(run);
@@ -155,7 +157,7 @@
             ShardNumber shard,
             Epoch epoch,
             Incarnation incarnation,
-            List<TaskKey> tasks,
+            List<AttemptKey> tasks,
             long leaseUntilMs) {
         ResultCode fenced = fence(shard, epoch);
         if (fenced != ResultCode.OK) {
@@ -169,19 +171,20 @@
     }
 
     /** Stops an attempt; one that was never seen is recorded as stopped. */
-    public synchronized Reply stop(TaskKey key, Epoch epoch) {
+    public synchronized CommandResponse stop(AttemptKey key, Epoch epoch) {
         ResultCode fenced = fence(key.shard(), epoch);
         if (fenced != ResultCode.OK) {
-            return Reply.of(fenced);
+            return CommandResponse.of(fenced);
         }
-        Optional<TaskRun> last = Optional.ofNullable(mRuns.get(key.task()));
+        Optional<SimulatedAttempt> last = Optional.ofNullable(mRuns.get(key.task()));
         int order = last.map(run -> compare(run, key)).orElse(-1);
         if (order > 0) {
-            return Reply.of(ResultCode.STALE_ATTEMPT);
+            return CommandResponse.of(ResultCode.STALE_ATTEMPT);
         }
-        last.filter(TaskRun::isRunning).ifPresent(this::stopRun);
+        last.filter(SimulatedAttempt::isRunning).ifPresent(this::stopRun);
         if (order < 0) {
-            TaskRun run = new TaskRun(key, Resources.NONE, 0, 0, TaskState.STOPPED);
+            SimulatedAttempt run =
+                    new SimulatedAttempt(key, Resources.NONE, 0, 0, TaskState.STOPPED);
             run.end(TaskState.STOPPED, clockMs());
             mRuns.put(key.task(), run);
             return reply(run);
@@ -190,61 +193,61 @@
     }
 
     /** Saves a checkpoint. */
-    public synchronized Reply checkpoint(TaskKey key, Epoch epoch) {
+    public synchronized CommandResponse checkpoint(AttemptKey key, Epoch epoch) {
         return change(key, epoch, run -> run.save(clockMs()));
     }
 
     /** Limits the speed of an attempt. */
-    public synchronized Reply throttle(TaskKey key, Epoch epoch, int permille) {
+    public synchronized CommandResponse throttle(AttemptKey key, Epoch epoch, int permille) {
         return change(key, epoch, run -> run.throttle(permille, clockMs()));
     }
 
-    private Reply change(TaskKey key, Epoch epoch, Consumer<TaskRun> change) {
+    private CommandResponse change(AttemptKey key, Epoch epoch, Consumer<SimulatedAttempt> change) {
         ResultCode fenced = fence(key.shard(), epoch);
         if (fenced != ResultCode.OK) {
-            return Reply.of(fenced);
+            return CommandResponse.of(fenced);
         }
-        Optional<TaskRun> run =
+        Optional<SimulatedAttempt> run =
                 Optional.ofNullable(mRuns.get(key.task())).filter(last -> last.key().equals(key));
         if (run.isEmpty()) {
-            return Reply.of(ResultCode.UNKNOWN_TASK);
+            return CommandResponse.of(ResultCode.UNKNOWN_TASK);
         }
-        run.filter(TaskRun::isRunning).ifPresent(change);
+        run.filter(SimulatedAttempt::isRunning).ifPresent(change);
         return reply(run.get());
     }
 
     /** Returns the last attempt of each task. */
-    public synchronized List<TaskView> tasks() {
-        settle();
+    public synchronized List<AttemptStatus> tasks() {
+        endDueAttempts();
         return mRuns.values().stream().map(SimulatedWorker::view).toList();
     }
 
     /** Returns a copy of the worker's own record. */
-    public synchronized List<RunEvent> events() {
-        settle();
+    public synchronized List<AttemptEvent> events() {
+        endDueAttempts();
         return List.copyOf(mEvents);
     }
 
-    private Optional<TaskRun> running(TaskKey key) {
+    private Optional<SimulatedAttempt> running(AttemptKey key) {
         return Optional.ofNullable(mRuns.get(key.task()))
                 .filter(run -> run.isRunning() && run.key().equals(key));
     }
 
     private Resources used() {
         return mRuns.values().stream()
-                .filter(TaskRun::isRunning)
-                .map(TaskRun::resources)
+                .filter(SimulatedAttempt::isRunning)
+                .map(SimulatedAttempt::resources)
                 .reduce(Resources.NONE, Resources::plus);
     }
 
-    private void stopRun(TaskRun run) {
+    private void stopRun(SimulatedAttempt run) {
         end(run, "stop", TaskState.STOPPED, clockMs());
     }
 
-    private void end(TaskRun run, String event, TaskState state, long atMs) {
+    private void end(SimulatedAttempt run, String event, TaskState state, long atMs) {
         run.end(state, atMs);
         mEvents.add(
-                new RunEvent(
+                new AttemptEvent(
                         mWallClock.getAsLong() - (clockMs() - atMs),
                         event,
                         run.key(),
@@ -252,9 +255,9 @@
                         state));
     }
 
-    private void record(String event, TaskRun run) {
+    private void record(String event, SimulatedAttempt run) {
         mEvents.add(
-                new RunEvent(
+                new AttemptEvent(
                         mWallClock.getAsLong(),
                         event,
                         run.key(),
@@ -262,16 +265,16 @@
                         run.state()));
     }
 
-    private static int compare(TaskRun run, TaskKey key) {
+    private static int compare(SimulatedAttempt run, AttemptKey key) {
         return run.key().attempt().compareTo(key.attempt());
     }
 
-    private static Reply reply(TaskRun run) {
-        return new Reply(ResultCode.OK, Optional.of(view(run)));
+    private static CommandResponse reply(SimulatedAttempt run) {
+        return new CommandResponse(ResultCode.OK, Optional.of(view(run)));
     }
 
-    private static TaskView view(TaskRun run) {
-        return new TaskView(
+    private static AttemptStatus view(SimulatedAttempt run) {
+        return new AttemptStatus(
                 run.key(),
                 run.state(),
                 run.resources(),
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/StartOrder.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/StartCommand.java
@@ -6,8 +6,8 @@
 import org.hickorycleat.model.task.Resources;
 
 /** Body of a start. */
-public record StartOrder(
-        TaskKey key,
+public record StartCommand(
+        AttemptKey key,
         Epoch epoch,
         Incarnation incarnation,
         Resources resources,
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/UsageSampler.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/UsageSampler.java
@@ -22,7 +22,7 @@
         if (!mSamples.isEmpty() && nowMs - mSamples.getLast().atMs() < INTERVAL_MS) {
             return;
         }
-        List<TaskView> running =
+        List<AttemptStatus> running =
                 mWorker.tasks().stream().filter(task -> task.state() == TaskState.RUNNING).toList();
         mSamples.addLast(new Sample(nowMs, running));
         while (mSamples.size() > 1 && isDue(second(), nowMs)) {
@@ -31,7 +31,7 @@
     }
 
     /** Returns the latest measurement that is older than the lag. */
-    synchronized List<TaskUsageView> usage() {
+    synchronized List<TaskUsageSample> usage() {
         long nowMs = mWorker.clockMs();
         if (mSamples.isEmpty() || !isDue(mSamples.getFirst(), nowMs)) {
             return List.of();
@@ -40,9 +40,11 @@
         return sample.running().stream()
                 .map(
                         task ->
-                                new TaskUsageView(
+                                new TaskUsageSample(
                                         task.key().task(),
-                                        task.resources().processorsMilli() * task.permille() / 1000,
+                                        task.resources().processorsMilli()
+                                                * task.throttlePermille()
+                                                / 1000,
                                         task.resources().memoryMebibytes(),
                                         nowMs - sample.atMs()))
                 .toList();
@@ -56,5 +58,5 @@
         return nowMs - sample.atMs() >= mWorker.options().usageLagMs();
     }
 
-    private record Sample(long atMs, List<TaskView> running) {}
+    private record Sample(long atMs, List<AttemptStatus> running) {}
 }
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/WorkerJson.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/WorkerJson.java
@@ -56,23 +56,23 @@
         return new Incarnation(number(body, "incarnation"));
     }
 
-    static TaskKey key(JsonNode body) {
+    static AttemptKey key(JsonNode body) {
         return key(shard(body), body);
     }
 
-    static List<TaskKey> keys(JsonNode body) {
-        List<TaskKey> keys = new ArrayList<>();
+    static List<AttemptKey> keys(JsonNode body) {
+        List<AttemptKey> keys = new ArrayList<>();
         body.path("tasks").forEach(task -> keys.add(key(shard(body), task)));
         return keys;
     }
 
-    private static TaskKey key(ShardNumber shard, JsonNode task) {
-        return new TaskKey(
+    private static AttemptKey key(ShardNumber shard, JsonNode task) {
+        return new AttemptKey(
                 shard, new TaskId(text(task, "task")), new AttemptNumber(number(task, "attempt")));
     }
 
-    static StartOrder start(JsonNode body) {
-        return new StartOrder(
+    static StartCommand start(JsonNode body) {
+        return new StartCommand(
                 key(body),
                 epoch(body),
                 incarnation(body),
@@ -91,14 +91,14 @@
         return object().put("code", code.number()).toString();
     }
 
-    String reply(Reply reply) {
+    String reply(CommandResponse reply) {
         ObjectNode answer = object().put("code", reply.code().number());
         reply.task().ifPresent(task -> answer.set("task", task(task)));
         return answer.toString();
     }
 
     String listing(SimulatedWorker worker) {
-        List<TaskView> tasks = worker.tasks();
+        List<AttemptStatus> tasks = worker.tasks();
         ObjectNode answer =
                 object().put("worker", worker.options().worker().value())
                         .put("incarnation", worker.incarnation().value())
@@ -110,10 +110,10 @@
         return answer.toString();
     }
 
-    String usage(List<TaskUsageView> usages) {
+    String usage(List<TaskUsageSample> usages) {
         ObjectNode answer = object();
         ArrayNode array = answer.putArray("usage");
-        for (TaskUsageView usage : usages) {
+        for (TaskUsageSample usage : usages) {
             array.addObject()
                     .put("task", usage.task().value())
                     .put("processors_milli", usage.processorsMilli())
@@ -123,10 +123,10 @@
         return answer.toString();
     }
 
-    String records(long clockMs, List<RunEvent> events) {
+    String records(long clockMs, List<AttemptEvent> events) {
         ObjectNode answer = object().put("clock_ms", clockMs);
         ArrayNode array = answer.putArray("records");
-        for (RunEvent event : events) {
+        for (AttemptEvent event : events) {
             array.addObject()
                     .put("at_ms", event.atMs())
                     .put("event", event.event())
@@ -151,13 +151,13 @@
         return mMapper.createObjectNode();
     }
 
-    private ObjectNode task(TaskView task) {
+    private ObjectNode task(AttemptStatus task) {
         ObjectNode node =
                 object().put("shard", task.key().shard().value())
                         .put("task", task.key().task().value())
                         .put("attempt", task.key().attempt().value())
                         .put("state", task.state().name())
-                        .put("progress_ms", task.savedMs());
+                        .put("progress_ms", task.checkpointedProgressMs());
         task.checkpoint().ifPresent(name -> node.put("checkpoint", name));
         return node;
     }
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/WorkerServer.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/WorkerServer.java
@@ -51,7 +51,7 @@
 
     private void settle() {
         if (!mFaults.isPaused()) {
-            mWorker.settle();
+            mWorker.endDueAttempts();
             mSampler.sample();
         }
     }
@@ -70,12 +70,12 @@
         configuration.routes.post("/control", this::control);
     }
 
-    private Reply fence(JsonNode body) {
-        return Reply.of(mWorker.fence(WorkerJson.shard(body), WorkerJson.epoch(body)));
+    private CommandResponse fence(JsonNode body) {
+        return CommandResponse.of(mWorker.fence(WorkerJson.shard(body), WorkerJson.epoch(body)));
     }
 
-    private Reply renew(JsonNode body) {
-        return Reply.of(
+    private CommandResponse renew(JsonNode body) {
+        return CommandResponse.of(
                 mWorker.renew(
                         WorkerJson.shard(body),
                         WorkerJson.epoch(body),
@@ -84,19 +84,19 @@
                         WorkerJson.number(body, "lease_until_ms")));
     }
 
-    private Reply start(JsonNode body) {
+    private CommandResponse start(JsonNode body) {
         return mWorker.start(WorkerJson.start(body));
     }
 
-    private Reply stop(JsonNode body) {
+    private CommandResponse stop(JsonNode body) {
         return mWorker.stop(WorkerJson.key(body), WorkerJson.epoch(body));
     }
 
-    private Reply checkpoint(JsonNode body) {
+    private CommandResponse checkpoint(JsonNode body) {
         return mWorker.checkpoint(WorkerJson.key(body), WorkerJson.epoch(body));
     }
 
-    private Reply throttle(JsonNode body) {
+    private CommandResponse throttle(JsonNode body) {
         long permille = WorkerJson.number(body, "permille");
         if (permille < 1 || permille > 1000) {
             throw new IllegalArgumentException("permille is not from 1 to 1000");
@@ -139,7 +139,7 @@
         if (body.has("lost_answers")) {
             mFaults.lostAnswers((int) WorkerJson.number(body, "lost_answers"));
         }
-        mWorker.failing(mFaults.isFailing(), mFaults.failAfterMs());
+        mWorker.setFailing(mFaults.isFailing(), mFaults.failAfterMs());
         if (body.path("restart").asBoolean()) {
             mWorker.restart();
         }
@@ -148,12 +148,12 @@
         }
     }
 
-    private void command(Context exchange, Function<JsonNode, Reply> action) {
+    private void command(Context exchange, Function<JsonNode, CommandResponse> action) {
         JsonNode body;
         try {
             body = mJson.parse(exchange.body());
             mFaults.awaitRunning();
-            Reply reply = action.apply(body);
+            CommandResponse reply = action.apply(body);
             exchange.status(reply.code().httpStatus());
             send(exchange, mJson.reply(reply));
         } catch (IllegalArgumentException exception) {
