--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/CompletionEstimate.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/CompletionEstimate.java
@@ -6,38 +6,40 @@
 import org.hickorycleat.model.job.TaskStatus;
 
 /**
- * What an occurrence of a job still needs, and what it is worth to go on with it.
+ * Estimates when an occurrence of a job can complete and the value of continuing it.
  *
- * @param standing whether its completion still counts
- * @param worthPerWork worth of its completion for each unit of processor time that it still needs
+ * @param objectiveStatus whether the objective can still be met
+ * @param valuePerWork value of its completion per unit of remaining processor time
  */
-record CompletionEstimate(Standing standing, double worthPerWork) {
-    /** A job counts for a part of its worth up to this multiple of its objective. */
-    private static final int LATE_FACTOR = 3;
+record CompletionEstimate(ObjectiveStatus objectiveStatus, double valuePerWork) {
+    /** Multiple of the objective up to which a late job keeps part of its value. */
+    private static final int LATE_LIMIT_FACTOR = 3;
 
-    /** Part of the worth that does not depend on the size of a job. */
-    private static final double FIXED_WORTH = 0.3;
+    /** Part of the value that does not depend on the size of a job. */
+    private static final double FIXED_VALUE = 0.3;
 
-    /** Most that a job is worth, as a multiple of the mean of its queue. */
-    private static final double HIGHEST_WORTH = 4;
+    /** Maximum value of a job; 1 is the value of a job with the mean work of its queue. */
+    private static final double MAXIMUM_VALUE = 4;
 
-    /** Whether the completion of a job still counts; earlier values go first. */
-    enum Standing {
-        /** The objective can be met. */
+    /**
+     * Whether a job can still meet its objective; tasks with an earlier constant are placed first.
+     */
+    enum ObjectiveStatus {
+        /** The objective can still be met. */
         ON_TIME,
-        /** Only a part of the worth can be had. */
+        /** The objective is missed, but completion still has part of the value. */
         LATE,
-        /** Nothing can be had any more; the job is still carried out. */
+        /** Completion has no value any more; the job still runs. */
         OVERDUE
     }
 
     /**
-     * Estimates the outlook.
+     * Estimates completion time and value of one occurrence.
      *
      * @param steps the steps of one occurrence
-     * @param sinceMs when the time of the occurrence began to count, in Unix milliseconds
-     * @param ratio factor from estimated to real run times
-     * @param meanWork processor time of a mean job of the queue, in the unit of {@link #work}
+     * @param sinceMs when the time for the objective started, in Unix milliseconds
+     * @param ratio factor from estimated to actual run times
+     * @param meanWork mean work of the jobs of the queue, in the unit of {@link #work}
      */
     static CompletionEstimate of(
             List<TrackedStep> steps,
@@ -46,30 +48,32 @@
             double ratio,
             double meanWork,
             long unixMs) {
-        double chainMs = longestChainMs(steps, false) * ratio;
-        double restMs = longestChainMs(steps, true) * ratio;
-        double objectiveMs = chainMs * queue.stretch() + queue.targetDurationMs();
-        double endsAfterMs = unixMs - sinceMs + restMs;
-        double worth =
+        double criticalPathMs = criticalPathMs(steps, false) * ratio;
+        double remainingMs = criticalPathMs(steps, true) * ratio;
+        double objectiveMs = criticalPathMs * queue.stretch() + queue.targetDurationMs();
+        double completionAfterMs = unixMs - sinceMs + remainingMs;
+        double value =
                 Math.min(
-                        HIGHEST_WORTH,
-                        FIXED_WORTH
-                                + (1 - FIXED_WORTH) * work(steps, false) / Math.max(1, meanWork));
-        double worthPerWork = worth / Math.max(1, work(steps, true));
-        if (endsAfterMs <= objectiveMs) {
-            return new CompletionEstimate(Standing.ON_TIME, worthPerWork);
+                        MAXIMUM_VALUE,
+                        FIXED_VALUE
+                                + (1 - FIXED_VALUE) * work(steps, false) / Math.max(1, meanWork));
+        double valuePerWork = value / Math.max(1, work(steps, true));
+        if (completionAfterMs <= objectiveMs) {
+            return new CompletionEstimate(ObjectiveStatus.ON_TIME, valuePerWork);
         }
-        Standing standing =
-                endsAfterMs <= LATE_FACTOR * objectiveMs ? Standing.LATE : Standing.OVERDUE;
-        return new CompletionEstimate(standing, worthPerWork);
+        ObjectiveStatus status =
+                completionAfterMs <= LATE_LIMIT_FACTOR * objectiveMs
+                        ? ObjectiveStatus.LATE
+                        : ObjectiveStatus.OVERDUE;
+        return new CompletionEstimate(status, valuePerWork);
     }
 
-    /** Returns the estimated processor time of steps, in processor-milliseconds by thousands. */
-    static double work(List<TrackedStep> steps, boolean onlyRest) {
+    /** Returns the estimated work of steps, in thousandths of a processor times milliseconds. */
+    static double work(List<TrackedStep> steps, boolean onlyUnfinished) {
         double work = 0;
         for (TrackedStep step : steps) {
             StepSpecification specification = step.specification();
-            long tasks = onlyRest ? unfinished(step) : step.tasks().size();
+            long tasks = onlyUnfinished ? unfinishedTasks(step) : step.tasks().size();
             work +=
                     (double) tasks
                             * specification.estimateMs()
@@ -78,22 +82,22 @@
         return work;
     }
 
-    private static long unfinished(TrackedStep step) {
+    private static long unfinishedTasks(TrackedStep step) {
         return step.tasks().stream().filter(task -> task.status() != TaskStatus.DONE).count();
     }
 
-    private static double longestChainMs(List<TrackedStep> steps, boolean onlyRest) {
-        double[] endsAtMs = new double[steps.size()];
+    private static double criticalPathMs(List<TrackedStep> steps, boolean onlyUnfinished) {
+        double[] endMs = new double[steps.size()];
         double longest = 0;
         for (int i = 0; i < steps.size(); i++) {
             StepSpecification step = steps.get(i).specification();
-            double startsAtMs = 0;
-            for (int earlier : step.predecessors()) {
-                startsAtMs = Math.max(startsAtMs, endsAtMs[earlier]);
+            double startMs = 0;
+            for (int predecessor : step.predecessors()) {
+                startMs = Math.max(startMs, endMs[predecessor]);
             }
-            boolean done = onlyRest && steps.get(i).isDone();
-            endsAtMs[i] = startsAtMs + (done ? 0 : step.estimateMs());
-            longest = Math.max(longest, endsAtMs[i]);
+            boolean done = onlyUnfinished && steps.get(i).isDone();
+            endMs[i] = startMs + (done ? 0 : step.estimateMs());
+            longest = Math.max(longest, endMs[i]);
         }
         return longest;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOrder.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOrder.java
@@ -10,39 +10,41 @@
 import org.hickorycleat.model.job.StepSpecification;
 
 /**
- * Order in which tasks are placed: tasks that last, then by priority, then jobs that can still meet
- * their objective, then what is worth most for the processor time that it still needs.
+ * Orders tasks for placement: long-running tasks first, then by queue priority, then by whether the
+ * job can still meet its objective, then by value per remaining processor time, then by age.
  */
 final class DispatchOrder {
-    /** Places work that only fills behind all other work. */
-    private static final int FILL_RANK = 1_000;
+    /** Added to the priority of best-effort tasks; ranks them behind all other work. */
+    private static final int BEST_EFFORT_RANK = 1_000;
 
-    /** Weight of the newest job in the mean work of its queue. */
-    private static final double NEWEST_WEIGHT = 0.1;
+    /** Weight of the newest job in the moving average of the work of its queue. */
+    private static final double NEWEST_JOB_WEIGHT = 0.1;
 
-    private final RunTimeRatios mRatios;
-    private final Map<QueueName, Double> mMeanWork = new HashMap<>();
+    private final RunTimeRatios mRunTimeRatios;
+    private final Map<QueueName, Double> mMeanWorkByQueue = new HashMap<>();
 
     DispatchOrder(RunTimeRatios ratios) {
-        mRatios = ratios;
+        mRunTimeRatios = ratios;
     }
 
-    /** Learns the size of the jobs of a queue. */
-    void onJob(TrackedJob job) {
+    /** Updates the mean work of the jobs of a queue. */
+    void recordJob(TrackedJob job) {
         double work = CompletionEstimate.work(job.occurrences().get(0), false);
-        mMeanWork.merge(
-                job.queue().name(), work, (mean, newest) -> mean + NEWEST_WEIGHT * (newest - mean));
+        mMeanWorkByQueue.merge(
+                job.queue().name(),
+                work,
+                (mean, newest) -> mean + NEWEST_JOB_WEIGHT * (newest - mean));
     }
 
-    /** Sorts the tasks that are ready. */
+    /** Sorts ready tasks into the order of placement. */
     void sort(List<TrackedTask> ready, long unixMs) {
-        IdentityHashMap<List<TrackedStep>, CompletionEstimate> outlooks = new IdentityHashMap<>();
+        IdentityHashMap<List<TrackedStep>, CompletionEstimate> estimates = new IdentityHashMap<>();
         Comparator<TrackedTask> order =
                 Comparator.<TrackedTask>comparingInt(DispatchOrder::rank)
-                        .thenComparing(task -> outlook(task, outlooks, unixMs).standing())
+                        .thenComparing(task -> estimate(task, estimates, unixMs).objectiveStatus())
                         .thenComparingDouble(
-                                task -> -outlook(task, outlooks, unixMs).worthPerWork())
-                        .thenComparingLong(DispatchOrder::sinceMs);
+                                task -> -estimate(task, estimates, unixMs).valuePerWork())
+                        .thenComparingLong(DispatchOrder::waitingSinceMs);
         ready.sort(order);
     }
 
@@ -51,29 +53,29 @@
         if (step.perpetual()) {
             return -1;
         }
-        return task.step().job().queue().priority() + (step.bestEffort() ? FILL_RANK : 0);
+        return task.step().job().queue().priority() + (step.bestEffort() ? BEST_EFFORT_RANK : 0);
     }
 
-    private static long sinceMs(TrackedTask task) {
+    private static long waitingSinceMs(TrackedTask task) {
         JobSubmission submission = task.step().job().submission();
         return submission.dueAtMs(task.key().occurrence()).orElse(submission.acceptedAtMs());
     }
 
-    private CompletionEstimate outlook(
+    private CompletionEstimate estimate(
             TrackedTask task,
-            IdentityHashMap<List<TrackedStep>, CompletionEstimate> outlooks,
+            IdentityHashMap<List<TrackedStep>, CompletionEstimate> estimates,
             long unixMs) {
         TrackedJob job = task.step().job();
         List<TrackedStep> steps = job.occurrences().get(task.key().occurrence());
-        return outlooks.computeIfAbsent(
+        return estimates.computeIfAbsent(
                 steps,
                 key ->
                         CompletionEstimate.of(
                                 key,
                                 job.queue(),
-                                sinceMs(task),
-                                mRatios.ratio(job.queue().name()),
-                                mMeanWork.getOrDefault(job.queue().name(), 0.0),
+                                waitingSinceMs(task),
+                                mRunTimeRatios.ratio(job.queue().name()),
+                                mMeanWorkByQueue.getOrDefault(job.queue().name(), 0.0),
                                 unixMs));
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOutput.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOutput.java
@@ -7,24 +7,29 @@
 import org.hickorycleat.model.job.JobStatus;
 import org.hickorycleat.model.message.Message;
 
-/** What a dispatcher asks of its process. */
+/** Connects a dispatcher to the links and the store of its process. */
 public interface DispatchOutput {
     /**
      * Sends a message to an agent.
      *
-     * @return false when there is no link; the message is then never sent
+     * @return false if there is no link to the agent; the message is then never sent
      */
     boolean send(ProcessId agent, Message message);
 
-    /** Makes the progress of jobs durable; one call at a time, until {@code durable} has run. */
-    void persistProgress(List<JobProgress> progress, Runnable durable);
+    /**
+     * Persists the progress of jobs and then runs {@code onDurable}. Only one call is in flight at
+     * a time.
+     */
+    void persistProgress(List<JobProgress> progress, Runnable onDurable);
 
-    /** Tells all entries the durable states of jobs. */
+    /** Publishes the durable states of jobs to all entries. */
     void publishJobStates(List<JobStatus> states);
 
-    /** Tells whether this process may still be the only owner. */
+    /**
+     * Returns whether this process may extend leases: no other process can have become the owner.
+     */
     boolean mayExtendLeases();
 
-    /** Keeps what was learnt of images for a successor; a copy that is lost does no harm. */
+    /** Saves interference weights for the next owner. Losing a copy is harmless. */
     void saveInterferenceWeights(List<InterferenceEstimate> weights);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchSettings.java
@@ -1,38 +1,49 @@
 package org.hickorycleat.logic.dispatch;
 
 /**
- * Times of the owner.
+ * Lease durations that the owner uses.
  *
- * @param leaseMs lease that each report of a worker extends, in milliseconds
- * @param previousOwnerLeaseMs longest time that a former owner may have extended leases after it
- *     lost the store, in milliseconds
- * @param maximumLeaseMs longest lease that a worker grants, in milliseconds; from the platform
+ * @param leaseMs length to which each worker report extends the lease, in milliseconds
+ * @param previousOwnerLeaseMs longest time for which a previous owner may have extended leases
+ *     after it lost the store, in milliseconds
+ * @param maximumLeaseMs longest lease that a worker grants, in milliseconds; as the platform
+ *     defines it
  */
 public record DispatchSettings(int leaseMs, int previousOwnerLeaseMs, int maximumLeaseMs) {
-    /** Longest lease that is asked for, in milliseconds; longer than most partitions. */
-    private static final int LONGEST_LEASE_MS = 6_000;
+    /** Longest lease that the owner requests, in milliseconds; outlasts most network partitions. */
+    private static final int LEASE_LIMIT_MS = 6_000;
 
-    /** How long an owner extends leases without an answer of the store, in milliseconds. */
+    /**
+     * Time without a response of the store after which an owner stops extending leases, in
+     * milliseconds.
+     */
     public static final int STORE_TIMEOUT_MS = 6_000;
 
     /** Returns the settings for workers that grant leases up to the given length. */
     public static DispatchSettings of(int maximumLeaseMs) {
         return new DispatchSettings(
-                Math.min(maximumLeaseMs, LONGEST_LEASE_MS), STORE_TIMEOUT_MS, maximumLeaseMs);
+                Math.min(maximumLeaseMs, LEASE_LIMIT_MS), STORE_TIMEOUT_MS, maximumLeaseMs);
     }
 
-    /** Returns after how long a lease that was just extended has certainly expired. */
+    /**
+     * Returns the time after which a lease that was just extended has certainly expired, in
+     * milliseconds.
+     */
     int certainExpiryMs() {
         return certainExpiryMs(leaseMs);
     }
 
-    /** Returns after how long any lease that has just been granted has certainly expired. */
-    int longestCertainExpiryMs() {
+    /**
+     * Returns the time after which any lease granted just now has certainly expired, in
+     * milliseconds.
+     */
+    int maximumCertainExpiryMs() {
         return certainExpiryMs(maximumLeaseMs);
     }
 
     private static int certainExpiryMs(int extendedMs) {
-        // A worker's clock may be 2% slow; the rest covers rounding and scheduling.
+        // A worker's clock may run 2% slow; the remaining margin covers rounding and scheduling
+        // delays.
         return extendedMs + extendedMs * 3 / 100 + 100;
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -40,21 +40,21 @@
 import org.hickorycleat.model.message.WorkerReport;
 
 /**
- * Decides for the owner of the jobs which task runs where.
+ * Places the tasks of all jobs on workers; runs on the owner of the jobs.
  *
- * <p>Every start and every end is durable before anything outside follows from it. A run is given
- * up only when its end is listed, its worker has a new life, the agent proves that it is not there,
- * or its lease has certainly expired.
+ * <p>Every start and every end is durable before it has any effect outside this process. A run
+ * counts as over only when its end is listed, its worker has a new incarnation, the agent proves
+ * that it is not there, or its lease has certainly expired.
  */
 public final class Dispatcher {
-    /** Pause before a task starts again after a rejection, in milliseconds. */
-    private static final long REJECTED_PAUSE_MS = 150;
+    /** Delay before a task is placed again after a rejection, in milliseconds. */
+    private static final long REJECTION_DELAY_MS = 150;
 
-    /** Pause after a round of placing, as a multiple of the time that it took. */
-    private static final long PLACE_PAUSE_FACTOR = 3;
+    /** Pause after a placement round, as a multiple of the duration of the round. */
+    private static final long PLACEMENT_PAUSE_FACTOR = 3;
 
-    /** Time between two copies of what was learnt of images, in milliseconds. */
-    private static final long REMEMBER_INTERVAL_MS = 5_000;
+    /** Time between two saves of the interference weights, in milliseconds. */
+    private static final long INTERFERENCE_SAVE_INTERVAL_MS = 5_000;
 
     private final Epoch mEpoch;
     private final DispatchOutput mOutput;
@@ -62,26 +62,26 @@
     private final LongSupplier mUnixClockMs;
     private final DispatchSettings mSettings;
     private final DecisionLog mLog;
-    private final InterferenceEstimates mInterference = new InterferenceEstimates();
-    private final RunMonitor mWatch;
+    private final InterferenceEstimator mInterferenceEstimator = new InterferenceEstimator();
+    private final RunMonitor mRunMonitor;
     private final TaskPlacer mPlacer;
-    private final RunTimeRatios mRunTimes = new RunTimeRatios();
-    private final DispatchOrder mOrder = new DispatchOrder(mRunTimes);
+    private final RunTimeRatios mRunTimeRatios = new RunTimeRatios();
+    private final DispatchOrder mDispatchOrder = new DispatchOrder(mRunTimeRatios);
 
     private final Map<JobId, TrackedJob> mJobs = new LinkedHashMap<>();
     private final Map<ProcessId, TrackedWorker> mWorkers = new LinkedHashMap<>();
-    private final Set<TrackedJob> mDirty = new LinkedHashSet<>();
-    private final List<Runnable> mAfterDurable = new ArrayList<>();
-    private final Set<TrackedJob> mToPublish = new LinkedHashSet<>();
+    private final Set<TrackedJob> mUnsavedJobs = new LinkedHashSet<>();
+    private final List<Runnable> mActionsAfterDurable = new ArrayList<>();
+    private final Set<TrackedJob> mUnpublishedJobs = new LinkedHashSet<>();
     private Optional<WorkloadConfiguration> mConfiguration = Optional.empty();
     private boolean mPersisting;
-    private boolean mHalted;
+    private boolean mPlacementStopped;
     private long mLastSession;
-    private long mPlaceNotBeforeNanos = Long.MIN_VALUE;
-    private boolean mPlaceScheduled;
-    private long mRememberedAtMs;
+    private long mNextPlacementAtNanos = Long.MIN_VALUE;
+    private boolean mPlacementScheduled;
+    private long mInterferenceSavedAtMs;
 
-    /** Creates the dispatcher of an owner. */
+    /** Creates the dispatcher of an owner with the epoch of its claim. */
     public Dispatcher(
             Epoch epoch,
             DispatchOutput output,
@@ -97,87 +97,88 @@
         mLog = log;
         mPlacer =
                 new TaskPlacer(
-                        new WorkerSelector(mInterference),
-                        mOrder,
+                        new WorkerSelector(mInterferenceEstimator),
+                        mDispatchOrder,
                         mJobs.values(),
                         mWorkers.values(),
-                        this::start,
+                        this::startWhenDurable,
                         log);
-        mWatch = new RunMonitor(task -> mPlacer.choose(task, nowMs()), this::stop, log);
+        mRunMonitor =
+                new RunMonitor(task -> mPlacer.selectWorker(task, nowMs()), this::requestStop, log);
     }
 
-    /** Starts no further run: the owner is about to hand over. */
+    /** Stops placing tasks because the owner is about to hand over. */
     public synchronized void stopPlacement() {
-        mHalted = true;
+        mPlacementStopped = true;
     }
 
-    /** Tells whether every decision so far is durable. */
+    /** Returns whether every decision so far is durable. */
     public synchronized boolean isDurable() {
-        return !mPersisting && mDirty.isEmpty();
+        return !mPersisting && mUnsavedJobs.isEmpty();
     }
 
-    /** Takes the configuration in force. */
+    /** Handles a new active configuration. */
     public synchronized void onConfigurationChanged(WorkloadConfiguration configuration) {
         mConfiguration = Optional.of(configuration);
-        mPlacer.onConfiguration(configuration);
+        mPlacer.onConfigurationChanged(configuration);
         for (TrackedJob job : mJobs.values()) {
-            configuration.queue(job.submission().queue()).ifPresent(job::onQueue);
+            configuration.queue(job.submission().queue()).ifPresent(job::onQueueChanged);
         }
     }
 
-    /** Takes over what a former owner learnt of images. */
+    /** Restores the interference weights that a previous owner saved. */
     public synchronized void restoreInterferenceWeights(List<InterferenceEstimate> weights) {
-        mInterference.restore(weights);
+        mInterferenceEstimator.restore(weights);
     }
 
-    /** Takes a job and its durable progress from the log. */
+    /** Restores a job and its durable progress from the log. */
     public synchronized void restoreJob(
             JobSubmission submission, Optional<JobProgress> progress, boolean cancelled) {
         if (mJobs.containsKey(submission.id())) {
             return;
         }
         TrackedJob job = new TrackedJob(submission, queue(submission));
-        add(job);
-        progress.ifPresent(known -> restoreJob(job, known));
+        addJob(job);
+        progress.ifPresent(saved -> restoreJob(job, saved));
         if (cancelled && !job.state().isFinal()) {
             cancel(job);
         }
-        mToPublish.add(job);
+        mUnpublishedJobs.add(job);
     }
 
     private void restoreJob(TrackedJob job, JobProgress progress) {
-        job.onState(progress.state());
-        for (TaskProgress row : progress.tasks()) {
-            TaskKey key = new TaskKey(job.id(), row.occurrence(), row.step(), row.index());
+        job.onStateChanged(progress.state());
+        for (TaskProgress saved : progress.tasks()) {
+            TaskKey key = new TaskKey(job.id(), saved.occurrence(), saved.step(), saved.index());
             Optional<TrackedTask> task = job.task(key);
             if (task.isEmpty()) {
                 mLog.record("progress_ignored", "task", key, "reason", "no_such_task");
                 continue;
             }
-            task.get().restore(row);
-            if (row.status() == TaskStatus.ACTIVE) {
-                inherit(task.get(), row);
+            task.get().restore(saved);
+            if (saved.status() == TaskStatus.ACTIVE) {
+                restoreActiveRun(task.get(), saved);
             }
         }
     }
 
-    private void inherit(TrackedTask task, TaskProgress row) {
-        if (row.agent().isEmpty() || row.incarnation().isEmpty()) {
+    private void restoreActiveRun(TrackedTask task, TaskProgress saved) {
+        if (saved.agent().isEmpty() || saved.incarnation().isEmpty()) {
             task.onPending(nowMs());
             return;
         }
-        TrackedWorker worker = worker(row.agent().get());
-        RunId id = new RunId(task.key(), row.run());
+        TrackedWorker worker = worker(saved.agent().get());
+        RunId id = new RunId(task.key(), saved.run());
         TrackedRun run =
-                new TrackedRun(id, task, worker, row.incarnation().get(), RunPhase.INHERITED);
+                new TrackedRun(id, task, worker, saved.incarnation().get(), RunPhase.INHERITED);
         worker.add(run);
-        task.onRun(run);
+        task.onRunAssigned(run);
     }
 
-    private void add(TrackedJob job) {
-        job.onActive(nowMs());
+    private void addJob(TrackedJob job) {
+        job.markActive(nowMs());
         mJobs.put(job.id(), job);
-        mOrder.onJob(job);
+        mDispatchOrder.recordJob(job);
     }
 
     private JobQueue queue(JobSubmission submission) {
@@ -197,13 +198,13 @@
                                         + mSettings.certainExpiryMs()));
     }
 
-    /** Takes a job that is durable. */
+    /** Handles the submission of a job that is durable. */
     public synchronized void onJobSubmitted(JobSubmission submission) {
         if (mJobs.containsKey(submission.id())) {
             return;
         }
         TrackedJob job = new TrackedJob(submission, queue(submission));
-        add(job);
+        addJob(job);
         mLog.record(
                 "job_taken",
                 "job",
@@ -214,16 +215,16 @@
                 submission.steps().size(),
                 "age_ms",
                 mUnixClockMs.getAsLong() - submission.acceptedAtMs());
-        mToPublish.add(job);
-        advance();
+        mUnpublishedJobs.add(job);
+        placeAndFlush();
     }
 
-    /** Takes a cancellation that is durable. */
+    /** Handles the cancellation of a job that is durable. */
     public synchronized void onJobCancelled(JobId id) {
         TrackedJob job = mJobs.get(id);
         if (job != null && !job.state().isFinal()) {
             cancel(job);
-            advance();
+            placeAndFlush();
         }
     }
 
@@ -233,18 +234,18 @@
     }
 
     private void finish(TrackedJob job, JobState state) {
-        job.onState(state);
+        job.onStateChanged(state);
         for (TrackedTask task : job.tasks()) {
-            task.run().ifPresent(run -> stop(run, state.name()));
+            task.run().ifPresent(run -> requestStop(run, state.name()));
         }
-        mDirty.add(job);
+        mUnsavedJobs.add(job);
     }
 
-    private void stop(TrackedRun run, String cause) {
+    private void requestStop(TrackedRun run, String cause) {
         if (run.isStopping()) {
             return;
         }
-        run.onStopOrdered();
+        run.onStopRequested();
         mLog.record("run_stop", "run", run.id(), "agent", run.worker().agent(), "cause", cause);
         if (run.phase() == RunPhase.PERSISTING) {
             return;
@@ -255,60 +256,61 @@
     private void sendStop(TrackedRun run) {
         TrackedWorker worker = run.worker();
         if (worker.isConnected()) {
-            sendOrder(worker, new StopRun(mEpoch, worker.nextOrder(), run.id()));
+            sendCommand(worker, new StopRun(mEpoch, worker.nextCommandNumber(), run.id()));
         }
     }
 
-    private void sendOrder(TrackedWorker worker, org.hickorycleat.model.message.Message order) {
-        if (!mOutput.send(worker.agent(), order)) {
-            mLog.record("order_unsent", "agent", worker.agent(), "order", order);
+    private void sendCommand(TrackedWorker worker, org.hickorycleat.model.message.Message command) {
+        if (!mOutput.send(worker.agent(), command)) {
+            mLog.record("order_unsent", "agent", worker.agent(), "order", command);
         }
     }
 
     /**
-     * An agent opened a link.
+     * Handles a new link of an agent.
      *
-     * @return number of the session, which the agent has to be told first
+     * @return number of the new session, which must be sent to the agent before any command
      */
     public synchronized long onAgentConnected(ProcessId agent) {
         mLastSession++;
-        worker(agent).onSession(mLastSession);
+        worker(agent).onSessionOpened(mLastSession);
         mLog.record("agent_connected", "agent", agent, "session", mLastSession);
         return mLastSession;
     }
 
-    /** The link to an agent is gone. */
+    /** Handles the loss of the link to an agent. */
     public synchronized void onAgentDisconnected(ProcessId agent) {
         worker(agent).onDisconnected();
         mLog.record("agent_disconnected", "agent", agent);
     }
 
-    /** Takes the state of a worker. */
+    /** Handles the report of an agent on its worker. */
     public synchronized void onWorkerReport(ProcessId agent, WorkerReport report) {
         TrackedWorker worker = worker(agent);
         if (!report.epoch().equals(mEpoch) || report.session() != worker.session()) {
             return;
         }
-        Optional<WorkerIncarnation> before = worker.life();
-        worker.onObeyed(nowMs() + mSettings.certainExpiryMs());
+        Optional<WorkerIncarnation> before = worker.incarnation();
+        worker.onOwnerAdopted(nowMs() + mSettings.certainExpiryMs());
         worker.onReport(report, nowMs());
-        if (!before.equals(worker.life())) {
+        if (!before.equals(worker.incarnation())) {
             if (before.isPresent()) {
-                // The first call to a new life still carries a deadline on the former clock.
-                worker.onLeaseExtended(nowMs() + mSettings.longestCertainExpiryMs());
+                // The first request to a new incarnation still carries a deadline on the previous
+                // clock.
+                worker.onLeaseExtended(nowMs() + mSettings.maximumCertainExpiryMs());
             }
-            mLog.record("worker_life", "agent", agent, "life", worker.life());
+            mLog.record("worker_life", "agent", agent, "life", worker.incarnation());
         }
         report.ended().forEach(end -> onEnd(worker, end));
         reconcile(worker, report);
-        mInterference.observe(worker);
+        mInterferenceEstimator.update(worker);
         sendWeights(worker);
         acknowledgeEnds(worker);
         extendLease(worker, report.number());
-        advance();
+        placeAndFlush();
     }
 
-    private void extendLease(TrackedWorker worker, long report) {
+    private void extendLease(TrackedWorker worker, long reportNumber) {
         int leaseMs = mOutput.mayExtendLeases() ? mSettings.leaseMs() : 0;
         if (leaseMs > 0) {
             worker.onLeaseExtended(nowMs() + mSettings.certainExpiryMs());
@@ -316,37 +318,42 @@
         mOutput.send(
                 worker.agent(),
                 new LeaseExtension(
-                        mEpoch, report, leaseMs, worker.life(), worker.acknowledgedEnds()));
+                        mEpoch,
+                        reportNumber,
+                        leaseMs,
+                        worker.incarnation(),
+                        worker.acknowledgedEndNumber()));
     }
 
     private void sendWeights(TrackedWorker worker) {
         if (!worker.areWeightsDue(nowMs())) {
             return;
         }
-        List<InterferenceWeights.ImageWeight> weights = mInterference.weights(worker);
+        List<InterferenceWeights.ImageWeight> weights = mInterferenceEstimator.weightsFor(worker);
         if (!weights.isEmpty()) {
             mOutput.send(worker.agent(), new InterferenceWeights(mEpoch, weights));
         }
     }
 
     private void acknowledgeEnds(TrackedWorker worker) {
-        Optional<WorkerIncarnation> life = worker.life();
-        long processed = worker.processedEnds();
-        if (processed <= worker.acknowledgedEnds()) {
+        Optional<WorkerIncarnation> incarnation = worker.incarnation();
+        long lastEndNumber = worker.lastEndNumber();
+        if (lastEndNumber <= worker.acknowledgedEndNumber()) {
             return;
         }
-        mAfterDurable.add(
+        mActionsAfterDurable.add(
                 () -> {
-                    worker.onEndsDurable(life, processed);
+                    worker.onEndsDurable(incarnation, lastEndNumber);
                     mOutput.send(
                             worker.agent(),
-                            new LeaseExtension(mEpoch, 0, 0, life, worker.acknowledgedEnds()));
+                            new LeaseExtension(
+                                    mEpoch, 0, 0, incarnation, worker.acknowledgedEndNumber()));
                 });
     }
 
     private void reconcile(TrackedWorker worker, WorkerReport report) {
         if (report.leaseExpired()) {
-            giveUpAll(worker, "lease_expired_at_agent");
+            declareAllLost(worker, "lease_expired_at_agent");
             return;
         }
         if (report.incarnation().isEmpty()) {
@@ -362,15 +369,15 @@
             if (run.phase() == RunPhase.PERSISTING) {
                 continue;
             }
-            boolean otherLife = !run.life().equals(report.incarnation().get());
-            if (otherLife && listed.contains(run.id())) {
+            boolean otherIncarnation = !run.incarnation().equals(report.incarnation().get());
+            if (otherIncarnation && listed.contains(run.id())) {
                 mLog.record("run_in_new_life", "run", run.id(), "agent", worker.agent());
-                run.onLife(report.incarnation().get());
-            } else if (otherLife) {
-                giveUp(run, "worker_restarted");
+                run.onIncarnationChanged(report.incarnation().get());
+            } else if (otherIncarnation) {
+                declareLost(run, "worker_restarted");
             } else if (!listed.contains(run.id())
-                    && run.isDisprovedBy(report.session(), report.lastCommandNumber())) {
-                giveUp(run, "not_on_worker");
+                    && run.isProvenAbsentBy(report.session(), report.lastCommandNumber())) {
+                declareLost(run, "not_on_worker");
             }
         }
     }
@@ -379,7 +386,7 @@
         Optional<TrackedRun> known = worker.run(sample.run());
         if (known.isEmpty()) {
             mLog.record("unknown_run", "run", sample.run(), "agent", worker.agent());
-            sendOrder(worker, new StopRun(mEpoch, worker.nextOrder(), sample.run()));
+            sendCommand(worker, new StopRun(mEpoch, worker.nextCommandNumber(), sample.run()));
             return;
         }
         TrackedRun run = known.get();
@@ -394,7 +401,7 @@
     }
 
     private void onEnd(TrackedWorker worker, EndedRun end) {
-        if (!worker.isNewEnd(end.number())) {
+        if (!worker.recordEndIfNew(end.number())) {
             return;
         }
         mLog.record(
@@ -407,7 +414,7 @@
                 end.cause(),
                 "number",
                 end.number());
-        worker.run(end.run()).ifPresent(this::forget);
+        worker.run(end.run()).ifPresent(this::removeRun);
         TrackedJob job = mJobs.get(end.run().task().job());
         Optional<TrackedTask> task = job == null ? Optional.empty() : job.task(end.run().task());
         if (job == null || task.isEmpty()) {
@@ -415,19 +422,19 @@
             return;
         }
         onEnd(worker, job, task.get(), end);
-        mDirty.add(job);
+        mUnsavedJobs.add(job);
     }
 
     private void onEnd(TrackedWorker worker, TrackedJob job, TrackedTask task, EndedRun end) {
         boolean current = task.run().isPresent() && task.run().get().id().equals(end.run());
-        boolean lasts = task.specification().perpetual();
+        boolean longRunning = task.specification().perpetual();
         if (task.status() == TaskStatus.DONE) {
             return;
         }
-        if (end.cause() == EndCause.DONE && !lasts) {
+        if (end.cause() == EndCause.DONE && !longRunning) {
             worker.health().onSuccess();
-            task.run().filter(run -> run.id().equals(end.run())).ifPresent(this::learnRunTime);
-            task.run().filter(run -> !run.id().equals(end.run())).ifPresent(this::supersede);
+            task.run().filter(run -> run.id().equals(end.run())).ifPresent(this::recordRunTime);
+            task.run().filter(run -> !run.id().equals(end.run())).ifPresent(this::stopSuperseded);
             onDone(task);
             completeIfDone(job);
             return;
@@ -452,130 +459,132 @@
         }
     }
 
-    private void learnRunTime(TrackedRun run) {
+    private void recordRunTime(TrackedRun run) {
         if (run.phase() == RunPhase.RUNNING && run.task().checkpoint().isEmpty()) {
-            mRunTimes.onDone(
+            mRunTimeRatios.recordRun(
                     run.task().step().job().queue().name(),
                     run.task().specification().estimateMs(),
-                    nowMs() - run.orderedAtMs());
+                    nowMs() - run.startSentAtMs());
         }
     }
 
     private static void onDone(TrackedTask task) {
         if (task.specification().gang()) {
-            // One end speaks for all members.
+            // The end of one member completes all of them.
             task.step().tasks().forEach(TrackedTask::onDone);
         } else {
             task.onDone();
         }
     }
 
-    private void supersede(TrackedRun other) {
-        stop(other, "done_elsewhere");
+    private void stopSuperseded(TrackedRun other) {
+        requestStop(other, "done_elsewhere");
     }
 
     private void completeIfDone(TrackedJob job) {
         if (!job.state().isFinal() && job.isDone()) {
             mLog.record("job_completed", "job", job.id());
-            job.onState(JobState.COMPLETED);
+            job.onStateChanged(JobState.COMPLETED);
         }
     }
 
-    private void forget(TrackedRun run) {
+    private void removeRun(TrackedRun run) {
         run.worker().remove(run);
     }
 
-    private void giveUpAll(TrackedWorker worker, String cause) {
+    private void declareAllLost(TrackedWorker worker, String cause) {
         for (TrackedRun run : worker.runs()) {
             if (run.phase() != RunPhase.PERSISTING) {
-                giveUp(run, cause);
+                declareLost(run, cause);
             }
         }
     }
 
-    private void giveUp(TrackedRun run, String cause) {
+    private void declareLost(TrackedRun run, String cause) {
         mLog.record("run_given_up", "run", run.id(), "agent", run.worker().agent(), "cause", cause);
-        forget(run);
+        removeRun(run);
         TrackedTask task = run.task();
         boolean current = task.run().isPresent() && task.run().get() == run;
         if (current && task.status() == TaskStatus.ACTIVE) {
             task.onPending(nowMs());
-            mDirty.add(task.step().job());
+            mUnsavedJobs.add(task.step().job());
         }
     }
 
-    /** The agent tells that a run was not started. */
+    /** Handles the rejection of a run that was not started. */
     public synchronized void onRunRejected(ProcessId agent, RunRejected rejection) {
         Optional<TrackedRun> run = worker(agent).run(rejection.run());
         if (run.isEmpty()) {
             return;
         }
-        giveUp(run.get(), "rejected_" + rejection.reason());
+        declareLost(run.get(), "rejected_" + rejection.reason());
         if (run.get().task().status() == TaskStatus.PENDING) {
-            run.get().task().onPending(nowMs() + REJECTED_PAUSE_MS);
+            run.get().task().onPending(nowMs() + REJECTION_DELAY_MS);
         }
-        advance();
+        placeAndFlush();
     }
 
-    /** Checks leases and progress and places what waits; called several times a second. */
+    /** Checks leases and progress and places ready tasks; called several times a second. */
     public synchronized void tick() {
         for (TrackedWorker worker : mWorkers.values()) {
-            if (!worker.runs().isEmpty() && worker.isLeaseCertainlyOver(nowMs())) {
-                giveUpAll(worker, "lease_expired");
+            if (!worker.runs().isEmpty() && worker.isLeaseCertainlyExpired(nowMs())) {
+                declareAllLost(worker, "lease_expired");
             }
-            mWatch.check(worker, nowMs());
+            mRunMonitor.check(worker, nowMs());
         }
-        rememberInterference();
-        advance();
+        saveInterferenceIfDue();
+        placeAndFlush();
     }
 
-    private void rememberInterference() {
-        if (nowMs() - mRememberedAtMs < REMEMBER_INTERVAL_MS) {
+    private void saveInterferenceIfDue() {
+        if (nowMs() - mInterferenceSavedAtMs < INTERFERENCE_SAVE_INTERVAL_MS) {
             return;
         }
-        mRememberedAtMs = nowMs();
-        List<InterferenceEstimate> weights = mInterference.snapshot();
+        mInterferenceSavedAtMs = nowMs();
+        List<InterferenceEstimate> weights = mInterferenceEstimator.snapshot();
         if (!weights.isEmpty()) {
             mLog.record("interference_learnt", "weights", weights.size());
             mOutput.saveInterferenceWeights(weights);
         }
     }
 
-    private void advance() {
-        if (!mHalted) {
+    private void placeAndFlush() {
+        if (!mPlacementStopped) {
             placeIfDue();
         }
         flush();
     }
 
-    // Placing takes a bounded part of the processor, however many reports come in.
+    // Bounds the processor share of placement, however many reports arrive.
     private void placeIfDue() {
         long nowNanos = nowNanos();
-        if (nowNanos < mPlaceNotBeforeNanos) {
-            if (!mPlaceScheduled) {
-                mPlaceScheduled = true;
+        if (nowNanos < mNextPlacementAtNanos) {
+            if (!mPlacementScheduled) {
+                mPlacementScheduled = true;
                 mScheduler.scheduleDirect(
-                        this::placeLater, mPlaceNotBeforeNanos - nowNanos, TimeUnit.NANOSECONDS);
+                        this::placeAfterPause,
+                        mNextPlacementAtNanos - nowNanos,
+                        TimeUnit.NANOSECONDS);
             }
             return;
         }
         mPlacer.place(nowMs(), mUnixClockMs.getAsLong());
         long endNanos = nowNanos();
-        mPlaceNotBeforeNanos = endNanos + PLACE_PAUSE_FACTOR * (endNanos - nowNanos);
+        mNextPlacementAtNanos = endNanos + PLACEMENT_PAUSE_FACTOR * (endNanos - nowNanos);
     }
 
-    private synchronized void placeLater() {
-        mPlaceScheduled = false;
-        advance();
+    private synchronized void placeAfterPause() {
+        mPlacementScheduled = false;
+        placeAndFlush();
     }
 
-    private void start(TrackedRun run) {
+    private void startWhenDurable(TrackedRun run) {
         TrackedWorker worker = run.worker();
         TrackedJob job = run.task().step().job();
         if (job.state() == JobState.QUEUED) {
-            job.onState(JobState.RUNNING);
+            job.onStateChanged(JobState.RUNNING);
         }
-        mDirty.add(job);
+        mUnsavedJobs.add(job);
         mLog.record(
                 "run_placed",
                 "run",
@@ -588,10 +597,10 @@
                 worker.idleProcessorsMilli(),
                 "report_age_ms",
                 nowMs() - worker.reportedAtMs());
-        mAfterDurable.add(() -> order(run));
+        mActionsAfterDurable.add(() -> sendStart(run));
     }
 
-    private void order(TrackedRun run) {
+    private void sendStart(TrackedRun run) {
         TrackedWorker worker = run.worker();
         boolean current = worker.run(run.id()).equals(Optional.of(run));
         if (!current) {
@@ -599,67 +608,67 @@
         }
         boolean sendable =
                 worker.isAvailable()
-                        && worker.life().equals(Optional.of(run.life()))
+                        && worker.incarnation().equals(Optional.of(run.incarnation()))
                         && !run.isStopping();
         TrackedTask task = run.task();
-        long order = sendable ? worker.nextOrder() : 0;
-        run.onOrdered(worker.session(), order, nowMs());
+        long commandNumber = sendable ? worker.nextCommandNumber() : 0;
+        run.onStartSent(worker.session(), commandNumber, nowMs());
         boolean sent =
                 sendable
                         && mOutput.send(
                                 worker.agent(),
                                 new StartRun(
                                         mEpoch,
-                                        order,
-                                        run.life(),
+                                        commandNumber,
+                                        run.incarnation(),
                                         run.id(),
                                         task.step().job().submission().payload(),
                                         task.checkpoint(),
                                         Optional.empty(),
                                         task.traits()));
         if (!sent) {
-            giveUp(run, "never_sent");
+            declareLost(run, "never_sent");
         }
     }
 
     private void flush() {
-        if (mPersisting || (mDirty.isEmpty() && mAfterDurable.isEmpty())) {
-            publish(mPersisting ? List.of() : takePublished());
+        if (mPersisting || (mUnsavedJobs.isEmpty() && mActionsAfterDurable.isEmpty())) {
+            publish(mPersisting ? List.of() : takeDurableStates());
             return;
         }
         List<JobProgress> progress = new ArrayList<>();
-        List<JobStatus> states = takePublished();
-        for (TrackedJob job : mDirty) {
+        List<JobStatus> states = takeDurableStates();
+        for (TrackedJob job : mUnsavedJobs) {
             progress.add(job.progress());
             states.add(job.status());
         }
-        mDirty.clear();
-        List<Runnable> effects = new ArrayList<>(mAfterDurable);
-        mAfterDurable.clear();
+        mUnsavedJobs.clear();
+        List<Runnable> actions = new ArrayList<>(mActionsAfterDurable);
+        mActionsAfterDurable.clear();
         if (progress.isEmpty()) {
-            effects.forEach(Runnable::run);
+            actions.forEach(Runnable::run);
             publish(states);
             return;
         }
         mPersisting = true;
-        mOutput.persistProgress(progress, () -> onDurable(effects, states));
+        mOutput.persistProgress(progress, () -> onDurable(actions, states));
     }
 
-    private synchronized void onDurable(List<Runnable> effects, List<JobStatus> states) {
+    private synchronized void onDurable(List<Runnable> actions, List<JobStatus> states) {
         mPersisting = false;
-        effects.forEach(Runnable::run);
+        actions.forEach(Runnable::run);
         publish(states);
-        advance();
+        placeAndFlush();
     }
 
-    private List<JobStatus> takePublished() {
+    private List<JobStatus> takeDurableStates() {
         List<JobStatus> states = new ArrayList<>();
-        for (TrackedJob job : mToPublish) {
-            if (!mDirty.contains(job)) {
+        for (TrackedJob job : mUnpublishedJobs) {
+            if (!mUnsavedJobs.contains(job)) {
                 states.add(job.status());
             }
         }
-        mToPublish.clear();
+        mUnpublishedJobs.clear();
         return states;
     }
 
@@ -669,7 +678,7 @@
         }
     }
 
-    /** Returns the workers, for the state dump. */
+    /** Returns a line on each worker for the state dump. */
     public synchronized Collection<String> describeWorkers() {
         List<String> lines = new ArrayList<>();
         for (TrackedWorker worker : mWorkers.values()) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunPhase.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunPhase.java
@@ -1,13 +1,13 @@
 package org.hickorycleat.logic.dispatch;
 
-/** Where a run stands in the eyes of the owner. */
+/** Phase of a run as the owner knows it. */
 enum RunPhase {
-    /** The start is being made durable; nothing has been sent. */
+    /** The start is being persisted; nothing has been sent. */
     PERSISTING,
-    /** The start was sent in this session of the agent. */
-    ORDERED,
-    /** The worker has listed it. */
+    /** The start was sent to the agent by this owner. */
+    START_SENT,
+    /** The worker has listed the run. */
     RUNNING,
-    /** A former owner may have started it. */
+    /** A previous owner may have started the run. */
     INHERITED
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunTimeRatios.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunTimeRatios.java
@@ -4,30 +4,31 @@
 import java.util.Map;
 import org.hickorycleat.model.job.QueueName;
 
-/** Learns by which factor the run times of a queue differ from their estimates. */
+/** Estimates for each queue the ratio of actual to estimated run times. */
 final class RunTimeRatios {
-    /** Weight of the newest run. */
-    private static final double NEWEST_WEIGHT = 0.1;
+    /** Weight of the newest run in the moving average. */
+    private static final double NEWEST_RUN_WEIGHT = 0.1;
 
-    /** Bounds of the factor; estimates are off by up to ten times. */
-    private static final double LOWEST = 0.1;
+    /** Bounds of the ratio: estimates are wrong by a factor of up to ten. */
+    private static final double MINIMUM_RATIO = 0.1;
 
-    private static final double HIGHEST = 10;
+    private static final double MAXIMUM_RATIO = 10;
 
-    private final Map<QueueName, Double> mLogarithms = new HashMap<>();
+    private final Map<QueueName, Double> mLogRatioByQueue = new HashMap<>();
 
-    /** Learns from a run that ended well after the given time, in milliseconds. */
-    void onDone(QueueName queue, int estimateMs, long tookMs) {
-        if (estimateMs <= 0 || tookMs <= 0) {
+    /** Records a successful run that took the given time, in milliseconds. */
+    void recordRun(QueueName queue, int estimateMs, long actualMs) {
+        if (estimateMs <= 0 || actualMs <= 0) {
             return;
         }
-        double ratio = Math.max(LOWEST, Math.min(HIGHEST, (double) tookMs / estimateMs));
-        double before = mLogarithms.getOrDefault(queue, 0.0);
-        mLogarithms.put(queue, before + NEWEST_WEIGHT * (Math.log(ratio) - before));
+        double ratio =
+                Math.max(MINIMUM_RATIO, Math.min(MAXIMUM_RATIO, (double) actualMs / estimateMs));
+        double before = mLogRatioByQueue.getOrDefault(queue, 0.0);
+        mLogRatioByQueue.put(queue, before + NEWEST_RUN_WEIGHT * (Math.log(ratio) - before));
     }
 
-    /** Returns the factor of a queue. */
+    /** Returns the ratio of actual to estimated run times of a queue. */
     double ratio(QueueName queue) {
-        return Math.exp(mLogarithms.getOrDefault(queue, 0.0));
+        return Math.exp(mLogRatioByQueue.getOrDefault(queue, 0.0));
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TaskPlacer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TaskPlacer.java
@@ -12,13 +12,13 @@
 import org.hickorycleat.model.job.WorkerPool;
 import org.hickorycleat.model.job.WorkloadConfiguration;
 
-/** Places the tasks that are ready on workers, in rounds. */
+/** Places ready tasks on workers in rounds. */
 final class TaskPlacer {
-    /** Most starts of one round; the rest follows in the next. */
-    private static final int MAXIMUM_STARTS = 200;
+    /** Maximum number of starts in one round; the remaining tasks follow in the next. */
+    private static final int MAXIMUM_STARTS_PER_ROUND = 200;
 
-    private final WorkerSelector mChooser;
-    private final DispatchOrder mOrder;
+    private final WorkerSelector mSelector;
+    private final DispatchOrder mDispatchOrder;
     private final Collection<TrackedJob> mJobs;
     private final Collection<TrackedWorker> mWorkers;
     private final Consumer<TrackedRun> mStarter;
@@ -31,42 +31,43 @@
      *
      * @param jobs view of all jobs
      * @param workers view of all workers
-     * @param starter makes placed runs durable and orders them
+     * @param starter persists placed runs and then sends their starts
      */
     TaskPlacer(
-            WorkerSelector chooser,
+            WorkerSelector selector,
             DispatchOrder order,
             Collection<TrackedJob> jobs,
             Collection<TrackedWorker> workers,
             Consumer<TrackedRun> starter,
             DecisionLog log) {
-        mChooser = chooser;
-        mOrder = order;
+        mSelector = selector;
+        mDispatchOrder = order;
         mJobs = jobs;
         mWorkers = workers;
         mStarter = starter;
         mLog = log;
     }
 
-    void onConfiguration(WorkloadConfiguration configuration) {
+    void onConfigurationChanged(WorkloadConfiguration configuration) {
         mConfiguration = Optional.of(configuration);
     }
 
-    /** Returns the best worker for a task; empty when none can take it now. */
-    Optional<TrackedWorker> choose(TrackedTask task, long nowMs) {
-        return mChooser.choose(task, mWorkers, pool(task), nowMs);
+    /** Returns the best worker for a task, or empty if none is eligible now. */
+    Optional<TrackedWorker> selectWorker(TrackedTask task, long nowMs) {
+        return mSelector.select(task, mWorkers, pool(task), nowMs);
     }
 
-    /** Places what can be placed now. */
+    /** Places the ready tasks for which a worker is available. */
     void place(long nowMs, long unixMs) {
         mNowMs = nowMs;
         List<TrackedTask> ready = ready(unixMs);
-        mOrder.sort(ready, unixMs);
+        mDispatchOrder.sort(ready, unixMs);
         int starts = 0;
-        // The tasks of a step are alike: where one finds no worker, none of the others does.
+        // All tasks of a step are equal: if there is no worker for one, there is none for the
+        // others.
         Set<TrackedStep> unplaceable = new HashSet<>();
         for (TrackedTask task : ready) {
-            if (starts >= MAXIMUM_STARTS) {
+            if (starts >= MAXIMUM_STARTS_PER_ROUND) {
                 return;
             }
             if (unplaceable.contains(task.step())) {
@@ -76,7 +77,8 @@
                 starts += startGang(task.step());
                 continue;
             }
-            Optional<TrackedWorker> worker = choose(task, nowMs).or(() -> chooseForStarved(task));
+            Optional<TrackedWorker> worker =
+                    selectWorker(task, nowMs).or(() -> selectForStarvedJob(task));
             if (worker.isPresent()) {
                 mStarter.accept(reserve(task, worker.get(), task.nextRunNumber()));
                 starts++;
@@ -86,7 +88,7 @@
         }
     }
 
-    // All members of a gang start under one run number, or none does.
+    // Either all members of a gang start under one run number, or none does.
     private int startGang(TrackedStep step) {
         if (!step.tasks().stream().allMatch(task -> task.isReady(mNowMs))) {
             return 0;
@@ -94,7 +96,7 @@
         int number = step.tasks().stream().mapToInt(TrackedTask::nextRunNumber).max().orElse(1);
         List<TrackedRun> reserved = new ArrayList<>();
         for (TrackedTask task : step.tasks()) {
-            Optional<TrackedWorker> worker = choose(task, mNowMs);
+            Optional<TrackedWorker> worker = selectWorker(task, mNowMs);
             if (worker.isEmpty()) {
                 reserved.forEach(TaskPlacer::cancelReservation);
                 return 0;
@@ -106,14 +108,14 @@
         return reserved.size();
     }
 
-    // Work that fills waits for a quiet place, but a job does not stand still for that.
-    private Optional<TrackedWorker> chooseForStarved(TrackedTask task) {
+    // Best-effort tasks wait for a worker with little interference, but not until the job starves.
+    private Optional<TrackedWorker> selectForStarvedJob(TrackedTask task) {
         TrackedJob job = task.step().job();
         if (!task.specification().bestEffort() || !job.isStarved(mNowMs)) {
             return Optional.empty();
         }
         Optional<TrackedWorker> worker =
-                mChooser.chooseLeastDisturbed(task, mWorkers, pool(task), mNowMs);
+                mSelector.selectLeastInterference(task, mWorkers, pool(task), mNowMs);
         worker.ifPresent(
                 chosen ->
                         mLog.record(
@@ -128,7 +130,7 @@
 
     private static void cancelReservation(TrackedRun run) {
         run.worker().remove(run);
-        run.task().onRunDropped();
+        run.task().onReservationCancelled();
     }
 
     private List<TrackedTask> ready(long unixMs) {
@@ -138,7 +140,7 @@
                 continue;
             }
             if (job.hasRuns()) {
-                job.onActive(mNowMs);
+                job.markActive(mNowMs);
             }
             for (List<TrackedStep> steps : job.occurrences()) {
                 for (TrackedStep step : steps) {
@@ -166,9 +168,10 @@
     private static TrackedRun reserve(TrackedTask task, TrackedWorker worker, int number) {
         RunId id = new RunId(task.key(), number);
         TrackedRun run =
-                new TrackedRun(id, task, worker, worker.life().orElseThrow(), RunPhase.PERSISTING);
+                new TrackedRun(
+                        id, task, worker, worker.incarnation().orElseThrow(), RunPhase.PERSISTING);
         worker.add(run);
-        task.onRun(run);
+        task.onRunAssigned(run);
         return run;
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedJob.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedJob.java
@@ -13,10 +13,10 @@
 import org.hickorycleat.model.job.TaskKey;
 import org.hickorycleat.model.job.TaskProgress;
 
-/** State of one job. */
+/** Tracks the state of one job. */
 final class TrackedJob {
-    /** A job without any run for this long is starved, in milliseconds. */
-    private static final long STARVED_LIMIT_MS = 1_500;
+    /** Time without any run after which a job counts as starved, in milliseconds. */
+    private static final long STARVATION_TIMEOUT_MS = 1_500;
 
     private final JobSubmission mSubmission;
     private final List<List<TrackedStep>> mOccurrences = new ArrayList<>();
@@ -48,7 +48,7 @@
         return mQueue;
     }
 
-    void onQueue(JobQueue queue) {
+    void onQueueChanged(JobQueue queue) {
         mQueue = queue;
     }
 
@@ -56,7 +56,7 @@
         return mState;
     }
 
-    void onState(JobState state) {
+    void onStateChanged(JobState state) {
         mState = state;
     }
 
@@ -75,15 +75,15 @@
         return Optional.of(steps.get(key.step()).tasks().get(key.index()));
     }
 
-    /** Tells whether the steps before a step are done and its time has come. */
+    /** Returns whether all predecessors of a step are done and its due time has passed. */
     boolean isDue(TrackedStep step, long unixMs) {
         Optional<Long> dueAtMs = mSubmission.dueAtMs(step.occurrence());
         if (dueAtMs.isPresent() && unixMs < dueAtMs.get()) {
             return false;
         }
         List<TrackedStep> steps = mOccurrences.get(step.occurrence());
-        for (int earlier : step.specification().predecessors()) {
-            if (!steps.get(earlier).isDone()) {
+        for (int predecessor : step.specification().predecessors()) {
+            if (!steps.get(predecessor).isDone()) {
                 return false;
             }
         }
@@ -101,7 +101,7 @@
         return true;
     }
 
-    /** Tells whether a run of the job may be on a worker. */
+    /** Returns whether a run of the job may be on a worker. */
     boolean hasRuns() {
         for (List<TrackedStep> steps : mOccurrences) {
             for (TrackedStep step : steps) {
@@ -113,14 +113,14 @@
         return false;
     }
 
-    /** The job has a run, or has just come. */
-    void onActive(long nowMs) {
+    /** Restarts the starvation timeout: the job has a run or was just submitted. */
+    void markActive(long nowMs) {
         mActiveAtMs = nowMs;
     }
 
-    /** Tells whether the job has stood still for long. */
+    /** Returns whether the job has had no run for longer than the starvation timeout. */
     boolean isStarved(long nowMs) {
-        return nowMs - mActiveAtMs > STARVED_LIMIT_MS;
+        return nowMs - mActiveAtMs > STARVATION_TIMEOUT_MS;
     }
 
     List<TrackedTask> tasks() {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedRun.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedRun.java
@@ -3,41 +3,41 @@
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.WorkerIncarnation;
 
-/** A run that may be on a worker. */
+/** Tracks a run that may be on a worker. */
 final class TrackedRun {
     private static final int FULL_PERCENT = 100;
 
-    /** Part of the processors asked for below which a run counts as slowed down. */
+    /** Share of the requested processors below which a run counts as slowed down. */
     private static final double SLOWED_SHARE = 0.35;
 
     private final RunId mId;
     private final TrackedTask mTask;
     private final TrackedWorker mWorker;
-    private WorkerIncarnation mLife;
+    private WorkerIncarnation mIncarnation;
     private RunPhase mPhase;
     private long mSession;
-    private long mOrder;
-    private long mOrderedAtMs;
+    private long mCommandNumber;
+    private long mStartSentAtMs;
     private boolean mStopping;
     private int mPercent;
     private int mFirstPercent = -1;
     private long mFirstPercentAtMs;
-    private long mAdvancedAtMs;
+    private long mLastProgressAtMs;
     private long mMeasurement;
-    private boolean mMeasured;
-    private final InterferenceEstimates.Estimate mOwnLoad = InterferenceEstimates.firstLoad();
-    private long mFastAtMs = Long.MIN_VALUE / 2;
+    private boolean mHasNewMeasurement;
+    private final InterferenceEstimator.Estimate mOwnLoad = InterferenceEstimator.initialLoad();
+    private long mNotSlowedAtMs = Long.MIN_VALUE / 2;
 
     TrackedRun(
             RunId id,
             TrackedTask task,
             TrackedWorker worker,
-            WorkerIncarnation life,
+            WorkerIncarnation incarnation,
             RunPhase phase) {
         mId = id;
         mTask = task;
         mWorker = worker;
-        mLife = life;
+        mIncarnation = incarnation;
         mPhase = phase;
     }
 
@@ -53,13 +53,13 @@
         return mWorker;
     }
 
-    WorkerIncarnation life() {
-        return mLife;
+    WorkerIncarnation incarnation() {
+        return mIncarnation;
     }
 
-    /** The start reached a later life of the worker than it was meant for. */
-    void onLife(WorkerIncarnation life) {
-        mLife = life;
+    /** Handles a start that reached a later incarnation of the worker than the intended one. */
+    void onIncarnationChanged(WorkerIncarnation incarnation) {
+        mIncarnation = incarnation;
     }
 
     RunPhase phase() {
@@ -70,7 +70,7 @@
         return mStopping;
     }
 
-    void onStopOrdered() {
+    void onStopRequested() {
         mStopping = true;
     }
 
@@ -82,74 +82,83 @@
         return mMeasurement;
     }
 
-    /** Tells whether a measurement came since the last call. */
+    /** Returns whether a measurement arrived since the last call. */
     boolean takeNewMeasurement() {
-        boolean measured = mMeasured;
-        mMeasured = false;
+        boolean measured = mHasNewMeasurement;
+        mHasNewMeasurement = false;
         return measured;
     }
 
-    /** Returns the load that a serving run has without neighbours. */
-    InterferenceEstimates.Estimate ownLoad() {
+    /**
+     * Returns the estimated load of a latency-critical run without best-effort work on its worker.
+     */
+    InterferenceEstimator.Estimate ownLoad() {
         return mOwnLoad;
     }
 
-    /** The start was sent. */
-    void onOrdered(long session, long order, long nowMs) {
-        mPhase = RunPhase.ORDERED;
+    /** Records that the start was sent. */
+    void onStartSent(long session, long commandNumber, long nowMs) {
+        mPhase = RunPhase.START_SENT;
         mSession = session;
-        mOrder = order;
-        mOrderedAtMs = nowMs;
-        mAdvancedAtMs = nowMs;
+        mCommandNumber = commandNumber;
+        mStartSentAtMs = nowMs;
+        mLastProgressAtMs = nowMs;
     }
 
-    /** Returns when the start was sent; only known to the owner that sent it. */
-    long orderedAtMs() {
-        return mOrderedAtMs;
+    /** Returns when the start was sent, in milliseconds; only valid on the owner that sent it. */
+    long startSentAtMs() {
+        return mStartSentAtMs;
     }
 
-    /** The worker listed the run. */
+    /** Updates the run from the listing of the worker. */
     void onSample(int percent, long measurement, long nowMs) {
         if (mPhase != RunPhase.RUNNING) {
             mPhase = RunPhase.RUNNING;
             mFirstPercent = percent;
             mFirstPercentAtMs = nowMs;
-            mAdvancedAtMs = nowMs;
+            mLastProgressAtMs = nowMs;
         }
         if (percent != mPercent) {
-            mAdvancedAtMs = nowMs;
+            mLastProgressAtMs = nowMs;
         }
         mPercent = percent;
         mMeasurement = measurement;
-        mMeasured = measurement > 0;
-        long wanted = mTask.specification().resources().processorsMilli();
-        if (measurement >= wanted * SLOWED_SHARE) {
-            mFastAtMs = nowMs;
+        mHasNewMeasurement = measurement > 0;
+        long requestedMilli = mTask.specification().resources().processorsMilli();
+        if (measurement >= requestedMilli * SLOWED_SHARE) {
+            mNotSlowedAtMs = nowMs;
         }
     }
 
-    /** Returns how long the run has worked at a small part of its pace, in milliseconds. */
+    /**
+     * Returns how long the run has used less than the slowed-down share of its processors, in
+     * milliseconds.
+     */
     long slowedMs(long nowMs) {
-        return mPhase == RunPhase.RUNNING ? nowMs - Math.max(mFastAtMs, mFirstPercentAtMs) : 0;
+        return mPhase == RunPhase.RUNNING ? nowMs - Math.max(mNotSlowedAtMs, mFirstPercentAtMs) : 0;
     }
 
-    /** Tells whether a report that omits the run proves that it is not on the worker. */
-    boolean isDisprovedBy(long session, long ordersSeen) {
+    /** Returns whether a report that omits the run proves that it is not on the worker. */
+    boolean isProvenAbsentBy(long session, long lastCommandNumber) {
         return mPhase != RunPhase.PERSISTING
-                && (mPhase == RunPhase.INHERITED || mSession != session || mOrder <= ordersSeen);
+                && (mPhase == RunPhase.INHERITED
+                        || mSession != session
+                        || mCommandNumber <= lastCommandNumber);
     }
 
-    /** Returns how long the run has not advanced, in milliseconds. */
+    /** Returns how long the run has made no progress, in milliseconds. */
     long stalledMs(long nowMs) {
-        return mPhase == RunPhase.RUNNING ? nowMs - mAdvancedAtMs : 0;
+        return mPhase == RunPhase.RUNNING ? nowMs - mLastProgressAtMs : 0;
     }
 
-    /** Returns the time to the end at the pace so far, in milliseconds; -1 when unknown. */
+    /**
+     * Returns the remaining run time at the average rate so far, in milliseconds; -1 if unknown.
+     */
     long remainingMs(long nowMs) {
-        int advanced = mPercent - mFirstPercent;
-        if (mPhase != RunPhase.RUNNING || advanced <= 0) {
+        int progressed = mPercent - mFirstPercent;
+        if (mPhase != RunPhase.RUNNING || progressed <= 0) {
             return -1;
         }
-        return (nowMs - mFirstPercentAtMs) * (FULL_PERCENT - mPercent) / advanced;
+        return (nowMs - mFirstPercentAtMs) * (FULL_PERCENT - mPercent) / progressed;
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedStep.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedStep.java
@@ -10,7 +10,7 @@
 import org.hickorycleat.model.job.TaskKey;
 import org.hickorycleat.model.job.TaskStatus;
 
-/** State of one step of one occurrence of a job. */
+/** Tracks the state of one step of one occurrence of a job. */
 final class TrackedStep {
     private final TrackedJob mJob;
     private final int mOccurrence;
@@ -57,14 +57,16 @@
         return true;
     }
 
-    /** Returns the numbers of the runs in which a member of the gang failed. */
+    /** Returns the numbers of the runs in which any task of the step failed. */
     Set<Integer> failedRuns() {
         Set<Integer> failed = new TreeSet<>();
         mTasks.forEach(task -> failed.addAll(task.failedRuns()));
         return failed;
     }
 
-    /** Gives all members of a gang the newest checkpoint of any; checkpoints sort by progress. */
+    /**
+     * Sets the newest checkpoint of any gang member on all of them; checkpoints sort by progress.
+     */
     void shareCheckpoint() {
         mTasks.stream()
                 .map(TrackedTask::checkpoint)
@@ -82,8 +84,8 @@
         return false;
     }
 
-    /** Returns how many tasks of the step may be on a worker. */
-    int activeOn(TrackedWorker worker) {
+    /** Returns the number of tasks of the step that may be on a worker. */
+    int activeTasksOn(TrackedWorker worker) {
         int active = 0;
         for (TrackedTask task : mTasks) {
             if (task.run().isPresent() && task.run().get().worker() == worker) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedTask.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedTask.java
@@ -13,14 +13,14 @@
 import org.hickorycleat.model.job.TaskTraits;
 import org.jspecify.annotations.Nullable;
 
-/** State of one task. */
+/** Tracks the state of one task. */
 final class TrackedTask {
     private final TaskKey mKey;
     private final TrackedStep mStep;
     private final Set<ProcessId> mFailedOn = new HashSet<>();
     private TaskStatus mStatus = TaskStatus.PENDING;
     private int mRunNumber;
-    private int mEarlierRunNumber;
+    private int mPreviousRunNumber;
     private final Set<Integer> mFailedRuns = new TreeSet<>();
     private Optional<String> mCheckpoint = Optional.empty();
     private @Nullable TrackedRun mRun;
@@ -47,7 +47,7 @@
         return mStatus;
     }
 
-    /** Returns how often the task, or the gang that it belongs to, has failed. */
+    /** Returns the number of failed runs of the task, or of its whole gang. */
     int attemptsFailed() {
         return specification().gang() ? mStep.failedRuns().size() : mFailedRuns.size();
     }
@@ -72,7 +72,7 @@
         return mStatus == TaskStatus.PENDING && nowMs >= mNotBeforeMs;
     }
 
-    /** Restores durable state. */
+    /** Restores the durable progress. */
     void restore(TaskProgress progress) {
         mStatus = progress.status();
         mRunNumber = progress.run();
@@ -80,41 +80,41 @@
         mCheckpoint = progress.checkpoint();
     }
 
-    /** Returns the number of a further run. */
+    /** Returns the number of the next run. */
     int nextRunNumber() {
         return mRunNumber + 1;
     }
 
-    /** A run may be on a worker from now on. */
-    void onRun(TrackedRun run) {
+    /** Records the current run, which may be on a worker from now on. */
+    void onRunAssigned(TrackedRun run) {
         mStatus = TaskStatus.ACTIVE;
-        mEarlierRunNumber = mRunNumber;
+        mPreviousRunNumber = mRunNumber;
         mRunNumber = run.id().number();
         mRun = run;
     }
 
-    /** The run was only planned; its number is free again. */
-    void onRunDropped() {
+    /** Cancels a reserved run whose start was not persisted; its number is free again. */
+    void onReservationCancelled() {
         mStatus = TaskStatus.PENDING;
         mRun = null;
-        mRunNumber = mEarlierRunNumber;
+        mRunNumber = mPreviousRunNumber;
     }
 
-    /** Keeps the newest checkpoint. */
+    /** Records the newest checkpoint. */
     void onCheckpoint(String checkpoint) {
         if (!checkpoint.isEmpty()) {
             mCheckpoint = Optional.of(checkpoint);
         }
     }
 
-    /** The task has to run again, not before a time. */
+    /** Marks the task for another run, not before the given time. */
     void onPending(long notBeforeMs) {
         mStatus = TaskStatus.PENDING;
         mRun = null;
         mNotBeforeMs = notBeforeMs;
     }
 
-    /** A run failed on a worker; an end that is listed again to a new owner counts once. */
+    /** Records a failed run; an end that is listed again to the next owner counts only once. */
     void onFailure(int run, ProcessId agent) {
         mFailedOn.add(agent);
         if (!specification().perpetual()) {
@@ -122,14 +122,14 @@
         }
     }
 
-    /** The task is done. */
+    /** Marks the task as done. */
     void onDone() {
         mStatus = TaskStatus.DONE;
         mRun = null;
         mCheckpoint = Optional.empty();
     }
 
-    /** Returns the durable state; empty before the first run. */
+    /** Returns the progress to persist; empty before the first run. */
     Optional<TaskProgress> progress() {
         if (mRunNumber == 0) {
             return Optional.empty();
@@ -143,7 +143,7 @@
                         mRunNumber,
                         List.copyOf(mFailedRuns),
                         run().map(run -> run.worker().agent()),
-                        run().map(TrackedRun::life),
+                        run().map(TrackedRun::incarnation),
                         mCheckpoint));
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedWorker.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedWorker.java
@@ -13,36 +13,36 @@
 import org.hickorycleat.model.message.WorkerReport;
 import org.hickorycleat.model.task.Resources;
 
-/** A worker as its agent reports it, and what may be on it. */
+/** Tracks a worker as its agent reports it, and the runs that may be on it. */
 final class TrackedWorker {
-    /** Processors that a serving task uses of those it asks for; the rest is left to others. */
-    private static final double SERVING_USE = 0.55;
+    /** Share of its requested processors that a latency-critical task uses; the rest is idle. */
+    private static final double LATENCY_CRITICAL_USE = 0.55;
 
-    /** Time between two messages with the weights of images, in milliseconds. */
+    /** Time between two messages with interference weights to the agent, in milliseconds. */
     private static final long WEIGHTS_INTERVAL_MS = 1_000;
 
     private final ProcessId mAgent;
     private final WorkerHealth mHealth = new WorkerHealth();
     private final Map<RunId, TrackedRun> mRuns = new LinkedHashMap<>();
     private Optional<WorkerDescription> mDescription = Optional.empty();
-    private Optional<WorkerIncarnation> mLife = Optional.empty();
+    private Optional<WorkerIncarnation> mIncarnation = Optional.empty();
     private boolean mConnected;
     private boolean mReachable;
-    private boolean mObeys;
+    private boolean mOwnerAdopted;
     private long mSession;
-    private long mLastOrder;
-    private long mProcessedEnds;
-    private long mAcknowledgedEnds;
-    private long mLeaseCertainlyOverAtMs;
+    private long mLastCommandNumber;
+    private long mLastEndNumber;
+    private long mAcknowledgedEndNumber;
+    private long mLeaseExpiredByMs;
     private long mWeightsSentAtMs = Long.MIN_VALUE / 2;
-    private int mFillPercent = 100;
+    private int mBestEffortPercent = 100;
     private long mReportedAtMs = Long.MIN_VALUE / 2;
-    private Optional<Map<String, Double>> mServingLoads = Optional.empty();
+    private Optional<Map<String, Double>> mLatencyCriticalLoads = Optional.empty();
     private Resources mReserved = Resources.NONE;
 
-    TrackedWorker(ProcessId agent, long leaseCertainlyOverAtMs) {
+    TrackedWorker(ProcessId agent, long leaseExpiredByMs) {
         mAgent = agent;
-        mLeaseCertainlyOverAtMs = leaseCertainlyOverAtMs;
+        mLeaseExpiredByMs = leaseExpiredByMs;
     }
 
     ProcessId agent() {
@@ -57,16 +57,16 @@
         return mDescription;
     }
 
-    Optional<WorkerIncarnation> life() {
-        return mLife;
+    Optional<WorkerIncarnation> incarnation() {
+        return mIncarnation;
     }
 
     long session() {
         return mSession;
     }
 
-    int fillPercent() {
-        return mFillPercent;
+    int bestEffortPercent() {
+        return mBestEffortPercent;
     }
 
     List<TrackedRun> runs() {
@@ -81,41 +81,41 @@
         return mReportedAtMs;
     }
 
-    /** The agent opened a session. */
-    void onSession(long session) {
+    /** Handles a new session of the agent. */
+    void onSessionOpened(long session) {
         mConnected = true;
         mSession = session;
-        mLastOrder = 0;
+        mLastCommandNumber = 0;
     }
 
-    /** The link to the agent is gone. */
+    /** Handles the loss of the link to the agent. */
     void onDisconnected() {
         mConnected = false;
         mReachable = false;
     }
 
-    /** Takes the state of the worker; the lists are handled elsewhere. */
+    /** Updates the worker from a report; the dispatcher handles the lists of runs in it. */
     void onReport(WorkerReport report, long nowMs) {
         mReportedAtMs = nowMs;
-        mServingLoads = Optional.empty();
+        mLatencyCriticalLoads = Optional.empty();
         mDescription = report.description();
         mReachable = report.reachable();
-        mFillPercent = report.bestEffortPercent();
-        if (report.incarnation().isPresent() && !report.incarnation().equals(mLife)) {
-            mLife = report.incarnation();
-            mProcessedEnds = 0;
-            mAcknowledgedEnds = 0;
+        mBestEffortPercent = report.bestEffortPercent();
+        if (report.incarnation().isPresent() && !report.incarnation().equals(mIncarnation)) {
+            mIncarnation = report.incarnation();
+            mLastEndNumber = 0;
+            mAcknowledgedEndNumber = 0;
             mHealth.reset();
         }
     }
 
-    /** Tells whether starts may be ordered. */
+    /** Returns whether tasks can be started on the worker. */
     boolean isAvailable() {
         return mConnected
                 && mReachable
-                && mLife.isPresent()
+                && mIncarnation.isPresent()
                 && mDescription.isPresent()
-                && mDescription.get().incarnation().equals(mLife.get())
+                && mDescription.get().incarnation().equals(mIncarnation.get())
                 && !mDescription.get().draining();
     }
 
@@ -123,8 +123,8 @@
         return mDescription.isPresent() && mDescription.get().draining();
     }
 
-    long nextOrder() {
-        return ++mLastOrder;
+    long nextCommandNumber() {
+        return ++mLastCommandNumber;
     }
 
     void add(TrackedRun run) {
@@ -142,66 +142,72 @@
         long memory = 0;
         long accelerators = 0;
         for (TrackedRun run : mRuns.values()) {
-            Resources taken = run.task().specification().reservation();
-            processors += taken.processorsMilli();
-            memory += taken.memoryMebibytes();
-            accelerators += taken.accelerators();
+            Resources reservation = run.task().specification().reservation();
+            processors += reservation.processorsMilli();
+            memory += reservation.memoryMebibytes();
+            accelerators += reservation.accelerators();
         }
         mReserved = new Resources(processors, memory, accelerators);
-        mServingLoads = Optional.empty();
+        mLatencyCriticalLoads = Optional.empty();
     }
 
-    /** Returns the loads of the serving images; computed anew after a report or another run. */
-    Map<String, Double> servingLoads(Supplier<Map<String, Double>> source) {
-        if (mServingLoads.isEmpty()) {
-            mServingLoads = Optional.of(source.get());
+    /**
+     * Returns the loads of the latency-critical images; cached until the next report or change of
+     * the runs.
+     */
+    Map<String, Double> latencyCriticalLoads(Supplier<Map<String, Double>> source) {
+        if (mLatencyCriticalLoads.isEmpty()) {
+            mLatencyCriticalLoads = Optional.of(source.get());
         }
-        return mServingLoads.get();
+        return mLatencyCriticalLoads.get();
     }
 
     Optional<TrackedRun> run(RunId id) {
         return Optional.ofNullable(mRuns.get(id));
     }
 
-    /** Tells whether an end is new, and remembers it. */
-    boolean isNewEnd(long number) {
-        if (number <= mProcessedEnds) {
+    /** Records an end and returns whether it is new. */
+    boolean recordEndIfNew(long number) {
+        if (number <= mLastEndNumber) {
             return false;
         }
-        mProcessedEnds = number;
+        mLastEndNumber = number;
         return true;
     }
 
-    long processedEnds() {
-        return mProcessedEnds;
+    long lastEndNumber() {
+        return mLastEndNumber;
     }
 
-    long acknowledgedEnds() {
-        return mAcknowledgedEnds;
+    long acknowledgedEndNumber() {
+        return mAcknowledgedEndNumber;
     }
 
-    /** Ends up to a number of a life are durable. */
-    void onEndsDurable(Optional<WorkerIncarnation> life, long number) {
-        if (life.equals(mLife)) {
-            mAcknowledgedEnds = Math.max(mAcknowledgedEnds, number);
+    /** Records that all ends of an incarnation up to a number are durable. */
+    void onEndsDurable(Optional<WorkerIncarnation> incarnation, long number) {
+        if (incarnation.equals(mIncarnation)) {
+            mAcknowledgedEndNumber = Math.max(mAcknowledgedEndNumber, number);
         }
     }
 
-    /** The lease was extended. */
-    void onLeaseExtended(long certainlyOverAtMs) {
-        mLeaseCertainlyOverAtMs = Math.max(mLeaseCertainlyOverAtMs, certainlyOverAtMs);
+    /** Records an extension of the lease. */
+    void onLeaseExtended(long leaseExpiredByMs) {
+        mLeaseExpiredByMs = Math.max(mLeaseExpiredByMs, leaseExpiredByMs);
     }
 
-    /** The agent obeys this owner: what a former one extended ends by the given time. */
-    void onObeyed(long certainlyOverAtMs) {
-        if (!mObeys) {
-            mObeys = true;
-            mLeaseCertainlyOverAtMs = certainlyOverAtMs;
+    /**
+     * Records that the agent has adopted this owner: leases extended by a previous owner expire by
+     * the given time.
+     */
+    void onOwnerAdopted(long leaseExpiredByMs) {
+        if (!mOwnerAdopted) {
+            mOwnerAdopted = true;
+            mLeaseExpiredByMs = leaseExpiredByMs;
         }
     }
 
-    boolean isLeaseCertainlyOver(long nowMs) {
-        return nowMs > mLeaseCertainlyOverAtMs;
+    boolean isLeaseCertainlyExpired(long nowMs) {
+        return nowMs > mLeaseExpiredByMs;
     }
 
     Resources capacity() {
@@ -212,7 +218,10 @@
         return mDescription.isPresent() && mDescription.get().labels().contains(label);
     }
 
-    /** Tells whether the agent should be told the weights of images again. */
+    /**
+     * Returns whether interference weights are due for the agent, and starts the next interval if
+     * so.
+     */
     boolean areWeightsDue(long nowMs) {
         if (nowMs - mWeightsSentAtMs < WEIGHTS_INTERVAL_MS) {
             return false;
@@ -221,8 +230,8 @@
         return true;
     }
 
-    /** Tells whether the reservation fits beside what may be on the worker. */
-    boolean hasRoomFor(Resources reservation) {
+    /** Returns whether the reservation fits into the unreserved resources of the worker. */
+    boolean hasFreeResources(Resources reservation) {
         Resources capacity = capacity();
         return mReserved.processorsMilli() + reservation.processorsMilli()
                         <= capacity.processorsMilli()
@@ -236,13 +245,13 @@
         return capacity().processorsMilli() - mReserved.processorsMilli();
     }
 
-    /** Returns the processors that are left to further tasks that fill, in thousandths. */
+    /** Returns the processors that further best-effort tasks can use, in thousandths. */
     long idleProcessorsMilli() {
         double idle = capacity().processorsMilli();
         for (TrackedRun run : mRuns.values()) {
             long requested = run.task().specification().resources().processorsMilli();
-            boolean serves = run.task().specification().targetLatencyMs() > 0;
-            idle -= serves ? requested * SERVING_USE : requested;
+            boolean latencyCritical = run.task().specification().targetLatencyMs() > 0;
+            idle -= latencyCritical ? requested * LATENCY_CRITICAL_USE : requested;
         }
         return (long) idle;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerHealth.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerHealth.java
@@ -1,73 +1,75 @@
 package org.hickorycleat.logic.dispatch;
 
 /**
- * Sets a worker aside that fails what it starts, and tries it again with single tasks.
+ * Quarantines a worker on which tasks keep failing, and later probes it with single tasks.
  *
- * <p>A task that fails by its own fault fails on other workers too; a worker is suspected only
- * after several failures in a row.
+ * <p>A faulty task fails on other workers too, so a worker is quarantined only after several
+ * consecutive failures.
  */
 final class WorkerHealth {
-    /** Failures in a row after which a worker is set aside. */
+    /** Number of consecutive failures after which a worker is quarantined. */
     private static final int FAILURE_LIMIT = 3;
 
-    /** First time that a worker is set aside, in milliseconds; doubled with each further one. */
-    private static final long FIRST_PAUSE_MS = 2_000;
+    /** Duration of the first quarantine, in milliseconds; doubled with each further one. */
+    private static final long INITIAL_QUARANTINE_MS = 2_000;
 
-    private static final long LONGEST_PAUSE_MS = 8_000;
+    private static final long MAXIMUM_QUARANTINE_MS = 8_000;
 
-    private int mFailuresInRow;
-    private long mPauseMs = FIRST_PAUSE_MS;
-    private long mAsideUntilMs = Long.MIN_VALUE;
-    private boolean mOnProbation;
+    private int mConsecutiveFailures;
+    private long mQuarantineMs = INITIAL_QUARANTINE_MS;
+    private long mQuarantinedUntilMs = Long.MIN_VALUE;
+    private boolean mProbing;
 
-    /** A new life of the worker starts without suspicion. */
+    /** Resets the state for a new incarnation of the worker. */
     void reset() {
-        mFailuresInRow = 0;
-        mPauseMs = FIRST_PAUSE_MS;
-        mAsideUntilMs = Long.MIN_VALUE;
-        mOnProbation = false;
+        mConsecutiveFailures = 0;
+        mQuarantineMs = INITIAL_QUARANTINE_MS;
+        mQuarantinedUntilMs = Long.MIN_VALUE;
+        mProbing = false;
     }
 
-    /** A task ended well. */
+    /** Records a task that succeeded. */
     void onSuccess() {
-        mFailuresInRow = 0;
-        mPauseMs = FIRST_PAUSE_MS;
-        mOnProbation = false;
+        mConsecutiveFailures = 0;
+        mQuarantineMs = INITIAL_QUARANTINE_MS;
+        mProbing = false;
     }
 
     /**
-     * A task failed.
+     * Records a failed task.
      *
-     * @return whether the worker is set aside by this
+     * @return whether this quarantines the worker
      */
     boolean onFailure(long nowMs) {
-        mFailuresInRow++;
-        if (mFailuresInRow < FAILURE_LIMIT && !mOnProbation) {
+        mConsecutiveFailures++;
+        if (mConsecutiveFailures < FAILURE_LIMIT && !mProbing) {
             return false;
         }
-        return setAside(nowMs);
+        return quarantine(nowMs);
     }
 
-    /** Sets the worker aside; returns false when it already is. */
-    boolean setAside(long nowMs) {
-        if (nowMs < mAsideUntilMs) {
+    /** Quarantines the worker; returns false if it already is. */
+    boolean quarantine(long nowMs) {
+        if (nowMs < mQuarantinedUntilMs) {
             return false;
         }
-        mAsideUntilMs = nowMs + mPauseMs;
-        mPauseMs = Math.min(LONGEST_PAUSE_MS, 2 * mPauseMs);
-        mOnProbation = true;
+        mQuarantinedUntilMs = nowMs + mQuarantineMs;
+        mQuarantineMs = Math.min(MAXIMUM_QUARANTINE_MS, 2 * mQuarantineMs);
+        mProbing = true;
         return true;
     }
 
-    /** Tells whether a further task may start beside the given number of runs. */
-    boolean mayStart(long nowMs, int startedRuns) {
-        if (nowMs < mAsideUntilMs) {
+    /**
+     * Returns whether another task may start on a worker that has the given number of finite runs.
+     */
+    boolean mayStart(long nowMs, int finiteRuns) {
+        if (nowMs < mQuarantinedUntilMs) {
             return false;
         }
-        return !mOnProbation || startedRuns == 0;
+        return !mProbing || finiteRuns == 0;
     }
 
     boolean isSuspect(long nowMs) {
-        return nowMs < mAsideUntilMs || mOnProbation || mFailuresInRow > 0;
+        return nowMs < mQuarantinedUntilMs || mProbing || mConsecutiveFailures > 0;
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerSelector.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerSelector.java
@@ -8,40 +8,50 @@
 import org.hickorycleat.model.job.WorkerPool;
 import org.jspecify.annotations.Nullable;
 
-/** Chooses the worker of a task. */
+/** Selects the worker for a task. */
 final class WorkerSelector {
-    /** A worker without a report for this long takes nothing new, in milliseconds. */
-    private static final long SILENCE_LIMIT_MS = 1_500;
+    /** Time without a report after which no task is placed on a worker, in milliseconds. */
+    private static final long REPORT_TIMEOUT_MS = 1_500;
 
-    /** Share of the request of a task that fills that must be idle on its worker. */
-    private static final double FILL_SHARE = 0.7;
+    /** Share of the requested processors of a best-effort task that must be idle on the worker. */
+    private static final double BEST_EFFORT_IDLE_SHARE = 0.7;
 
-    /** Highest expected load of a serving task at which a task that fills is added. */
-    private static final double HIGHEST_LOAD = 0.8;
+    /** Maximum expected load of a latency-critical task when a best-effort task is added. */
+    private static final double MAXIMUM_EXPECTED_LOAD = 0.8;
 
-    /** Weight of a rack with the data of the task, in thousandths of a processor. */
+    /** Score for a worker in the rack with the data of the task, in thousandths of a processor. */
     private static final long RACK_WEIGHT = 1_000_000;
 
-    /** Weight against a worker that has just failed a task, in thousandths of a processor. */
+    /**
+     * Score deducted for a worker that is suspect or on which the task has failed, in thousandths
+     * of a processor.
+     */
     private static final long SUSPECT_WEIGHT = 100_000_000;
 
-    /** Weight of each serving task of the same or another image, in thousandths of a processor. */
+    /**
+     * Score added for each latency-critical task of the same image on the worker and deducted for
+     * each of another image, in thousandths of a processor.
+     */
     private static final long IMAGE_WEIGHT = 50_000;
 
-    /** Weight of a load that is added to serving tasks, in capacities of the worker. */
+    /**
+     * Score deducted per unit of load added to latency-critical tasks, in capacities of the worker.
+     */
     private static final double ADDED_LOAD_WEIGHT = 4;
 
-    /** Weight against a further task of the step on a worker, in thousandths of a processor. */
+    /**
+     * Score deducted for each task of the same step on the worker, in thousandths of a processor.
+     */
     private static final long SPREAD_WEIGHT = 500;
 
-    private final InterferenceEstimates mInterference;
+    private final InterferenceEstimator mInterferenceEstimator;
 
-    WorkerSelector(InterferenceEstimates interference) {
-        mInterference = interference;
+    WorkerSelector(InterferenceEstimator interferenceEstimator) {
+        mInterferenceEstimator = interferenceEstimator;
     }
 
-    /** Returns the best worker for a task; empty when none can take it now. */
-    Optional<TrackedWorker> choose(
+    /** Returns the best worker for a task, or empty if none is eligible now. */
+    Optional<TrackedWorker> select(
             TrackedTask task,
             Collection<TrackedWorker> workers,
             Optional<WorkerPool> pool,
@@ -51,15 +61,15 @@
                 workers,
                 worker ->
                         isEligible(task, worker, pool, nowMs)
-                                && (!step.bestEffort() || hasIdleProcessors(step, worker)),
+                                && (!step.bestEffort() || canAddBestEffort(step, worker)),
                 worker -> score(task, worker, nowMs));
     }
 
     /**
-     * Returns the worker whose serving tasks a task that fills disturbs least, whatever they
-     * expect; empty when none has room.
+     * Returns the worker with the lowest expected load of latency-critical tasks after adding a
+     * best-effort task, without a bound on that load; empty if none is eligible.
      */
-    Optional<TrackedWorker> chooseLeastDisturbed(
+    Optional<TrackedWorker> selectLeastInterference(
             TrackedTask task,
             Collection<TrackedWorker> workers,
             Optional<WorkerPool> pool,
@@ -67,7 +77,7 @@
         return best(
                 workers,
                 worker -> isEligible(task, worker, pool, nowMs),
-                worker -> -mInterference.expectedLoad(worker, task.specification()));
+                worker -> -mInterferenceEstimator.expectedLoad(worker, task.specification()));
     }
 
     private static Optional<TrackedWorker> best(
@@ -92,7 +102,7 @@
     private boolean isEligible(
             TrackedTask task, TrackedWorker worker, Optional<WorkerPool> pool, long nowMs) {
         StepSpecification step = task.specification();
-        if (!worker.isAvailable() || pool.isEmpty() || isSilent(worker, nowMs)) {
+        if (!worker.isAvailable() || pool.isEmpty() || isReportOverdue(worker, nowMs)) {
             return false;
         }
         if (!worker.description().orElseThrow().service().equals(pool.get().service())) {
@@ -101,37 +111,38 @@
         if (step.requiredLabel().isPresent() && !worker.hasLabel(step.requiredLabel().get())) {
             return false;
         }
-        if (!worker.hasRoomFor(step.reservation())) {
+        if (!worker.hasFreeResources(step.reservation())) {
             return false;
         }
         if (step.maximumPerWorker() > 0
-                && task.step().activeOn(worker) >= step.maximumPerWorker()) {
+                && task.step().activeTasksOn(worker) >= step.maximumPerWorker()) {
             return false;
         }
-        return worker.health().mayStart(nowMs, startedRuns(worker));
+        return worker.health().mayStart(nowMs, finiteRuns(worker));
     }
 
-    private static boolean isSilent(TrackedWorker worker, long nowMs) {
-        return nowMs - worker.reportedAtMs() > SILENCE_LIMIT_MS;
+    private static boolean isReportOverdue(TrackedWorker worker, long nowMs) {
+        return nowMs - worker.reportedAtMs() > REPORT_TIMEOUT_MS;
     }
 
-    private static int startedRuns(TrackedWorker worker) {
-        int started = 0;
+    private static int finiteRuns(TrackedWorker worker) {
+        int count = 0;
         for (TrackedRun run : worker.runs()) {
             if (!run.task().specification().perpetual()) {
-                started++;
+                count++;
             }
         }
-        return started;
+        return count;
     }
 
-    private boolean hasIdleProcessors(StepSpecification step, TrackedWorker worker) {
-        return worker.idleProcessorsMilli() >= step.resources().processorsMilli() * FILL_SHARE
-                && mInterference.expectedLoad(worker, step) <= HIGHEST_LOAD;
+    private boolean canAddBestEffort(StepSpecification step, TrackedWorker worker) {
+        return worker.idleProcessorsMilli()
+                        >= step.resources().processorsMilli() * BEST_EFFORT_IDLE_SHARE
+                && mInterferenceEstimator.expectedLoad(worker, step) <= MAXIMUM_EXPECTED_LOAD;
     }
 
-    // Each image that serves is disturbed by other images that fill: workers whose serving tasks
-    // are of one image leave a place for every image that fills.
+    // Each latency-critical image is affected by different best-effort images. Workers whose
+    // latency-critical tasks share one image leave a suitable worker for every best-effort image.
     private static int imageBalance(TrackedWorker worker, String image) {
         int balance = 0;
         for (TrackedRun run : worker.runs()) {
@@ -143,16 +154,17 @@
         return balance;
     }
 
-    // Room for a task is lost both with processors and with load of the serving tasks.
-    private long fillScore(TrackedWorker worker, StepSpecification step) {
-        double added = mInterference.addedLoad(worker, step);
+    // A best-effort task consumes both idle processors and load headroom of latency-critical tasks.
+    private long bestEffortScore(TrackedWorker worker, StepSpecification step) {
+        double addedLoad = mInterferenceEstimator.addedLoad(worker, step);
         return worker.idleProcessorsMilli()
-                - (long) (ADDED_LOAD_WEIGHT * added * worker.capacity().processorsMilli());
+                - (long) (ADDED_LOAD_WEIGHT * addedLoad * worker.capacity().processorsMilli());
     }
 
     private long score(TrackedTask task, TrackedWorker worker, long nowMs) {
         StepSpecification step = task.specification();
-        long score = step.bestEffort() ? fillScore(worker, step) : worker.freeProcessorsMilli();
+        long score =
+                step.bestEffort() ? bestEffortScore(worker, step) : worker.freeProcessorsMilli();
         if (step.preferredRack().isPresent() && worker.hasLabel(step.preferredRack().get())) {
             score += RACK_WEIGHT;
         }
@@ -162,6 +174,6 @@
         if (step.targetLatencyMs() > 0) {
             score += IMAGE_WEIGHT * imageBalance(worker, step.image());
         }
-        return score - SPREAD_WEIGHT * task.step().activeOn(worker);
+        return score - SPREAD_WEIGHT * task.step().activeTasksOn(worker);
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/package-info.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/package-info.java
@@ -1,4 +1,4 @@
-/** Decisions of the owner of the jobs: which task runs where, and what happens when runs end. */
+/** Placement of tasks on workers by the owner of the jobs, and handling of the ends of runs. */
 @NullMarked
 package org.hickorycleat.logic.dispatch;
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
@@ -33,7 +33,7 @@
 import org.hickorycleat.model.message.WorkerReport;
 import org.hickorycleat.model.task.Resources;
 
-/** A dispatcher whose store, links and workers a test decides. */
+/** Dispatcher whose store, links and workers a test controls. */
 final class DispatchFixture implements DispatchOutput {
     static final Epoch EPOCH = new Epoch(3);
     static final QueueName QUEUE = new QueueName("allocations");
@@ -47,13 +47,13 @@
     final List<StopRun> mStops = new ArrayList<>();
     final List<LeaseExtension> mLeases = new ArrayList<>();
     final List<JobStatus> mPublished = new ArrayList<>();
-    final List<JobProgress> mStored = new ArrayList<>();
-    final List<InterferenceEstimate> mRemembered = new ArrayList<>();
-    final List<Runnable> mWaiting = new ArrayList<>();
+    final List<JobProgress> mPersisted = new ArrayList<>();
+    final List<InterferenceEstimate> mSavedWeights = new ArrayList<>();
+    final List<Runnable> mWaitingCallbacks = new ArrayList<>();
     final Dispatcher mDispatcher;
-    boolean mStoreHolds;
-    boolean mMayExtend = true;
-    private long mReport;
+    boolean mStoreBlocked;
+    boolean mMayExtendLeases = true;
+    private long mReportNumber;
 
     DispatchFixture() {
         mScheduler.advanceTimeBy(1, TimeUnit.MINUTES);
@@ -101,18 +101,18 @@
     }
 
     @Override
-    public void persistProgress(List<JobProgress> progress, Runnable durable) {
-        mStored.addAll(progress);
-        if (mStoreHolds) {
-            mWaiting.add(durable);
+    public void persistProgress(List<JobProgress> progress, Runnable onDurable) {
+        mPersisted.addAll(progress);
+        if (mStoreBlocked) {
+            mWaitingCallbacks.add(onDurable);
         } else {
-            durable.run();
+            onDurable.run();
         }
     }
 
     @Override
     public void saveInterferenceWeights(List<InterferenceEstimate> weights) {
-        mRemembered.addAll(weights);
+        mSavedWeights.addAll(weights);
     }
 
     @Override
@@ -122,14 +122,14 @@
 
     @Override
     public boolean mayExtendLeases() {
-        return mMayExtend;
+        return mMayExtendLeases;
     }
 
-    /** Makes everything durable that waits. */
-    void release() {
-        mStoreHolds = false;
-        List<Runnable> waiting = new ArrayList<>(mWaiting);
-        mWaiting.clear();
+    /** Unblocks the store and completes all waiting writes. */
+    void persistWaiting() {
+        mStoreBlocked = false;
+        List<Runnable> waiting = new ArrayList<>(mWaitingCallbacks);
+        mWaitingCallbacks.clear();
         waiting.forEach(Runnable::run);
     }
 
@@ -137,11 +137,11 @@
         return new ProcessId("agent-" + number);
     }
 
-    static WorkerIncarnation life(int number, long startedAtMs) {
+    static WorkerIncarnation incarnation(int number, long startedAtMs) {
         return new WorkerIncarnation(new WorkerId("i-" + number), startedAtMs);
     }
 
-    /** Connects an agent whose worker is empty. */
+    /** Connects an agent whose worker has no runs. */
     long connect(int number) {
         long session = mDispatcher.onAgentConnected(agent(number));
         report(number, session, 1, 0, List.of(), List.of());
@@ -152,14 +152,14 @@
             int number,
             long session,
             long startedAtMs,
-            long ordersSeen,
+            long lastCommandNumber,
             List<RunSample> running,
             List<EndedRun> ended) {
-        mReport++;
-        WorkerIncarnation life = life(number, startedAtMs);
+        mReportNumber++;
+        WorkerIncarnation incarnation = incarnation(number, startedAtMs);
         WorkerDescription description =
                 new WorkerDescription(
-                        life,
+                        incarnation,
                         SERVICE,
                         new Resources(16_000, 64_000, 0),
                         List.of("a", "r1-" + number),
@@ -169,12 +169,12 @@
         mDispatcher.onWorkerReport(
                 agent(number),
                 new WorkerReport(
-                        mReport,
+                        mReportNumber,
                         EPOCH,
                         session,
                         Optional.of(description),
-                        Optional.of(life),
-                        ordersSeen,
+                        Optional.of(incarnation),
+                        lastCommandNumber,
                         List.of(),
                         running,
                         ended,
@@ -226,14 +226,14 @@
         return mStarts.get(start).run();
     }
 
-    Optional<JobState> published(String id) {
+    Optional<JobState> lastPublishedState(String id) {
         return mPublished.stream()
                 .filter(status -> status.id().value().equals(id))
                 .map(JobStatus::state)
                 .reduce((first, second) -> second);
     }
 
-    void pass(long milliseconds) {
+    void advanceTime(long milliseconds) {
         for (long passed = 0; passed < milliseconds; passed += 100) {
             mScheduler.advanceTimeBy(100, TimeUnit.MILLISECONDS);
             mDispatcher.tick();
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
@@ -32,38 +32,38 @@
     }
 
     @Test
-    void startsOnlyWhatIsDurable() {
+    void sendsStartOnlyAfterItIsDurable() {
         mFixture.connect(1);
-        mFixture.mStoreHolds = true;
+        mFixture.mStoreBlocked = true;
         mFixture.submit(JOB, DispatchFixture.step(1, false));
         assertThat(mFixture.mStarts).isEmpty();
 
-        mFixture.release();
+        mFixture.persistWaiting();
 
         assertThat(mFixture.mStarts).hasSize(1);
     }
 
     @Test
-    void acknowledgesAndShowsEndsOnlyWhenDurable() {
+    void acknowledgesAndPublishesEndsOnlyWhenDurable() {
         long session = mFixture.connect(1);
         mFixture.submit(JOB, DispatchFixture.step(1, false));
-        mFixture.mStoreHolds = true;
+        mFixture.mStoreBlocked = true;
         reportEnd(session, 1, 0, EndCause.DONE);
-        assertThat(mFixture.published(JOB)).contains(JobState.RUNNING);
+        assertThat(mFixture.lastPublishedState(JOB)).contains(JobState.RUNNING);
         assertThat(mFixture.mLeases).allMatch(lease -> lease.acknowledgedEndNumber() == 0);
 
-        mFixture.release();
+        mFixture.persistWaiting();
 
-        assertThat(mFixture.published(JOB)).contains(JobState.COMPLETED);
+        assertThat(mFixture.lastPublishedState(JOB)).contains(JobState.COMPLETED);
         assertThat(mFixture.mLeases.get(mFixture.mLeases.size() - 1).acknowledgedEndNumber())
                 .isEqualTo(1);
     }
 
     @Test
-    void startsStepOnlyAfterAllTasksBeforeItAreDone() {
+    void startsStepOnlyAfterItsPredecessorsAreDone() {
         long session = mFixture.connect(1);
         StepSpecification first = DispatchFixture.step(2, false);
-        mFixture.submit(JOB, first, after(first));
+        mFixture.submit(JOB, first, withPredecessor(first));
         assertThat(mFixture.mStarts).hasSize(2);
 
         reportEnd(session, 1, 0, EndCause.DONE);
@@ -73,7 +73,7 @@
         assertThat(mFixture.mStarts).hasSize(4);
     }
 
-    private static StepSpecification after(StepSpecification step) {
+    private static StepSpecification withPredecessor(StepSpecification step) {
         return new StepSpecification(
                 step.count(),
                 step.resources(),
@@ -112,29 +112,32 @@
         reportEnd(session, 2, 1, EndCause.FAILED);
 
         assertThat(mFixture.mStarts).hasSize(2);
-        assertThat(mFixture.published(JOB)).contains(JobState.FAILED);
+        assertThat(mFixture.lastPublishedState(JOB)).contains(JobState.FAILED);
     }
 
-    /** A new owner gets ends listed again that the former one counted but did not acknowledge. */
+    /**
+     * Guards against counting a failure twice: the next owner sees ends again that the previous
+     * owner counted but did not acknowledge.
+     */
     @Test
-    void countsFailureOnceThoughItIsListedAgainToNewOwner() {
+    void countsFailureOnceWhenItIsListedAgainToNextOwner() {
         long session = mFixture.connect(1);
         JobSubmission submission = mFixture.submit(JOB, DispatchFixture.step(1, false));
         reportEnd(session, 1, 0, EndCause.FAILED);
-        JobProgress stored = mFixture.mStored.get(mFixture.mStored.size() - 1);
+        JobProgress stored = mFixture.mPersisted.get(mFixture.mPersisted.size() - 1);
 
-        Dispatcher successor = mFixture.newDispatcher();
-        successor.restoreJob(submission, Optional.of(stored), false);
+        Dispatcher nextOwner = mFixture.newDispatcher();
+        nextOwner.restoreJob(submission, Optional.of(stored), false);
         DispatchFixture other = mFixture;
-        long newSession = successor.onAgentConnected(DispatchFixture.agent(1));
-        successor.onWorkerReport(
+        long newSession = nextOwner.onAgentConnected(DispatchFixture.agent(1));
+        nextOwner.onWorkerReport(
                 DispatchFixture.agent(1),
                 new org.hickorycleat.model.message.WorkerReport(
                         1,
                         DispatchFixture.EPOCH,
                         newSession,
                         Optional.empty(),
-                        Optional.of(DispatchFixture.life(1, 1)),
+                        Optional.of(DispatchFixture.incarnation(1, 1)),
                         0,
                         List.of(),
                         List.of(),
@@ -143,58 +146,59 @@
                         true,
                         100));
 
-        assertThat(mFixture.published(JOB)).isNotEqualTo(Optional.of(JobState.FAILED));
+        assertThat(mFixture.lastPublishedState(JOB)).isNotEqualTo(Optional.of(JobState.FAILED));
     }
 
     @Test
-    void restartsLastingTaskHoweverItEnds() {
+    void restartsLongRunningTaskHoweverItEnds() {
         long session = mFixture.connect(1);
         mFixture.submit(JOB, DispatchFixture.step(1, true));
         for (int i = 0; i < 4; i++) {
             reportEnd(session, i + 1, i, i % 2 == 0 ? EndCause.FAILED : EndCause.DONE);
-            mFixture.pass(3_000);
+            mFixture.advanceTime(3_000);
             mFixture.report(1, session, 1, i + 1, List.of(), List.of());
         }
 
         assertThat(mFixture.mStarts.size()).isGreaterThanOrEqualTo(5);
-        assertThat(mFixture.published(JOB)).contains(JobState.RUNNING);
+        assertThat(mFixture.lastPublishedState(JOB)).contains(JobState.RUNNING);
     }
 
     @Test
-    void stopsRunsOfCancelledJobAndStartsNoMore() {
+    void stopsRunsOfCancelledJobAndStartsNoOthers() {
         mFixture.connect(1);
         mFixture.submit(JOB, DispatchFixture.step(2, false));
         mFixture.mDispatcher.onJobCancelled(new JobId(JOB));
 
         assertThat(mFixture.mStops).hasSize(2);
-        assertThat(mFixture.published(JOB)).contains(JobState.CANCELLED);
-        mFixture.pass(1_000);
+        assertThat(mFixture.lastPublishedState(JOB)).contains(JobState.CANCELLED);
+        mFixture.advanceTime(1_000);
         assertThat(mFixture.mStarts).hasSize(2);
     }
 
     @Test
-    void neverSendsStartOfJobThatWasCancelledMeanwhile() {
+    void sendsNoStartOfJobCancelledBeforeStartIsDurable() {
         mFixture.connect(1);
-        mFixture.mStoreHolds = true;
+        mFixture.mStoreBlocked = true;
         mFixture.submit(JOB, DispatchFixture.step(1, false));
         mFixture.mDispatcher.onJobCancelled(new JobId(JOB));
-        mFixture.release();
+        mFixture.persistWaiting();
 
         assertThat(mFixture.mStarts).isEmpty();
     }
 
     @Test
-    void givesUpRunsOfWorkerThatRestarted() {
+    void restartsTasksOfWorkerThatRestarted() {
         long session = mFixture.connect(1);
         mFixture.submit(JOB, DispatchFixture.step(1, false));
         mFixture.report(1, session, 2, 1, List.of(), List.of());
 
         assertThat(mFixture.mStarts).hasSize(2);
-        assertThat(mFixture.mStarts.get(1).incarnation()).isEqualTo(DispatchFixture.life(1, 2));
+        assertThat(mFixture.mStarts.get(1).incarnation())
+                .isEqualTo(DispatchFixture.incarnation(1, 2));
     }
 
     @Test
-    void keepsRunThatReportDoesNotCoverYet() {
+    void keepsRunWhoseStartReportDoesNotCoverYet() {
         long session = mFixture.connect(1);
         mFixture.submit(JOB, DispatchFixture.step(1, false));
         mFixture.report(1, session, 1, 0, List.of(), List.of());
@@ -203,7 +207,7 @@
     }
 
     @Test
-    void restartsRunThatReportDisproves() {
+    void restartsTaskWhoseRunReportProvesAbsent() {
         long session = mFixture.connect(1);
         mFixture.submit(JOB, DispatchFixture.step(1, false));
         mFixture.report(1, session, 1, 1, List.of(), List.of());
@@ -218,45 +222,48 @@
         long other = mFixture.connect(2);
         mFixture.mDispatcher.onAgentDisconnected(DispatchFixture.agent(1));
 
-        mFixture.pass(6_000);
+        mFixture.advanceTime(6_000);
         mFixture.report(2, other, 1, 0, List.of(), List.of());
         assertThat(mFixture.mStarts).hasSize(1);
-        mFixture.pass(500);
+        mFixture.advanceTime(500);
 
         assertThat(mFixture.mStarts).hasSize(2);
         assertThat(mFixture.mStartedOn.get(1)).isEqualTo(DispatchFixture.agent(2));
     }
 
-    /** A former owner may have extended leases for a while without the store. */
+    /**
+     * Guards against restarting a task while its previous run still has a lease: a previous owner
+     * may have extended leases for some time without the store.
+     */
     @Test
-    void waitsLongerForWorkersThatOnlyTheFormerOwnerReached() {
+    void waitsLongerForWorkersThatOnlyPreviousOwnerReached() {
         long session = mFixture.connect(1);
         JobSubmission submission = mFixture.submit(JOB, DispatchFixture.step(1, false));
         mFixture.report(1, session, 1, 1, List.of(mFixture.sample(0)), List.of());
-        JobProgress stored = mFixture.mStored.get(0);
-        Dispatcher successor = mFixture.newDispatcher();
-        successor.restoreJob(submission, Optional.of(stored), false);
+        JobProgress stored = mFixture.mPersisted.get(0);
+        Dispatcher nextOwner = mFixture.newDispatcher();
+        nextOwner.restoreJob(submission, Optional.of(stored), false);
         mFixture.mScheduler.advanceTimeBy(11, java.util.concurrent.TimeUnit.SECONDS);
-        successor.tick();
-        int before = mFixture.mStored.size();
+        nextOwner.tick();
+        int before = mFixture.mPersisted.size();
 
         mFixture.mScheduler.advanceTimeBy(2, java.util.concurrent.TimeUnit.SECONDS);
-        successor.tick();
+        nextOwner.tick();
 
-        assertThat(mFixture.mStored).hasSize(before + 1);
+        assertThat(mFixture.mPersisted).hasSize(before + 1);
     }
 
     @Test
-    void extendsNoLeaseOnceItMayHaveBeenSucceeded() {
+    void extendsNoLeaseWhenOwnershipMayBeLost() {
         long session = mFixture.connect(1);
-        mFixture.mMayExtend = false;
+        mFixture.mMayExtendLeases = false;
         mFixture.report(1, session, 1, 0, List.of(), List.of());
 
         assertThat(mFixture.mLeases.get(mFixture.mLeases.size() - 1).leaseMs()).isZero();
     }
 
     @Test
-    void stopsRunsThatItDoesNotKnow() {
+    void stopsUnknownRuns() {
         long session = mFixture.connect(1);
         mFixture.submit(JOB, DispatchFixture.step(1, false));
         mFixture.mDispatcher.onRunRejected(
@@ -299,7 +306,7 @@
     }
 
     @Test
-    void startsGangWholeOrNotAtAll() {
+    void startsAllMembersOfGangOrNone() {
         mFixture.connect(1);
         mFixture.submit(JOB, gang(2));
         assertThat(mFixture.mStarts).isEmpty();
@@ -311,27 +318,27 @@
     }
 
     @Test
-    void takesOneEndForTheWholeGang() {
+    void completesGangWithOneEnd() {
         long session = mFixture.connect(1);
         mFixture.connect(2);
         mFixture.submit(JOB, gang(2));
         int onFirst = mFixture.mStartedOn.indexOf(DispatchFixture.agent(1));
         reportEnd(session, 1, onFirst, EndCause.DONE);
 
-        assertThat(mFixture.published(JOB)).contains(JobState.COMPLETED);
+        assertThat(mFixture.lastPublishedState(JOB)).contains(JobState.COMPLETED);
     }
 
     @Test
-    void startsNothingOnWorkerThatFellSilent() {
+    void startsNothingOnWorkerWithoutRecentReport() {
         mFixture.connect(1);
-        mFixture.pass(2_000);
+        mFixture.advanceTime(2_000);
         mFixture.submit(JOB, DispatchFixture.step(1, false));
 
         assertThat(mFixture.mStarts).isEmpty();
     }
 
     @Test
-    void neverCommitsWorkerBeyondItsRoom() {
+    void neverReservesMoreThanWorkerCapacity() {
         mFixture.connect(1);
         mFixture.submit(JOB, DispatchFixture.step(20, false));
 
@@ -339,7 +346,7 @@
     }
 
     @Test
-    void setsWorkerAsideThatFailsWhatItStarts() {
+    void quarantinesWorkerAfterConsecutiveFailures() {
         long first = mFixture.connect(1);
         for (int i = 0; i < 3; i++) {
             mFixture.submit("00000000000000a" + i, DispatchFixture.step(1, false));
@@ -360,7 +367,7 @@
     }
 
     @Test
-    void handsOutRoomThatOnlyFillersLeave() {
+    void startsNothingLargerThanWorkerCapacity() {
         mFixture.connect(1);
         StepSpecification whole =
                 new StepSpecification(
@@ -385,7 +392,7 @@
         assertThat(mFixture.mStarts).isEmpty();
     }
 
-    private static StepSpecification filling(int count, int estimateMs) {
+    private static StepSpecification bestEffort(int count, int estimateMs) {
         return new StepSpecification(
                 count,
                 new Resources(4_000, 1_000, 0),
@@ -405,7 +412,7 @@
                 -1);
     }
 
-    private static StepSpecification serving(int count) {
+    private static StepSpecification latencyCritical(int count) {
         return new StepSpecification(
                 count,
                 new Resources(3_000, 1_000, 0),
@@ -425,48 +432,53 @@
                 -1);
     }
 
-    /** A job must not stand still beside free processors, however its image disturbs others. */
+    /**
+     * Guards against starvation of a best-effort job while processors are idle, whatever
+     * interference its image causes.
+     */
     @Test
-    void startsJobThatFillsAfterSomeTimeThoughItDisturbs() {
+    void startsStarvedBestEffortJobDespiteInterference() {
         long session = mFixture.connect(1);
-        mFixture.submit(JOB, serving(1));
+        mFixture.submit(JOB, latencyCritical(1));
         RunSample atTarget = new RunSample(mFixture.run(0), "", 100, 50);
         mFixture.report(1, session, 1, 1, List.of(atTarget), List.of());
-        mFixture.submit("00000000000000bb", filling(1, 1_000));
+        mFixture.submit("00000000000000bb", bestEffort(1, 1_000));
         assertThat(mFixture.mStarts).hasSize(1);
 
         for (int passedMs = 0; passedMs < 2_000; passedMs += 500) {
-            mFixture.pass(500);
+            mFixture.advanceTime(500);
             mFixture.report(1, session, 1, 1, List.of(atTarget), List.of());
         }
 
         assertThat(mFixture.mStarts).hasSize(2);
     }
 
-    /** The job that came first has lost its objective; the other can still meet it. */
+    /** The job that was submitted first can no longer meet its objective; the other one can. */
     @Test
-    void placesWhatCanBeOnTimeBeforeWhatCannot() {
-        mFixture.submit("00000000000000c1", filling(1, 1_000));
-        mFixture.pass(20_000);
-        mFixture.submit("00000000000000c2", filling(1, 1_000));
+    void placesJobsThatCanMeetObjectiveFirst() {
+        mFixture.submit("00000000000000c1", bestEffort(1, 1_000));
+        mFixture.advanceTime(20_000);
+        mFixture.submit("00000000000000c2", bestEffort(1, 1_000));
         mFixture.connect(1);
 
         assertThat(mFixture.mStarts).hasSize(2);
         assertThat(mFixture.run(0).task().job().value()).isEqualTo("00000000000000c2");
     }
 
-    /** Of two jobs that can both be on time, the one with less work for its worth goes first. */
+    /**
+     * Of two jobs that can both meet their objective, the one with more value per work goes first.
+     */
     @Test
-    void placesMostWorthForTheWorkFirst() {
-        mFixture.submit("00000000000000d1", filling(4, 1_000));
-        mFixture.submit("00000000000000d2", filling(1, 1_000));
+    void placesHighestValuePerWorkFirst() {
+        mFixture.submit("00000000000000d1", bestEffort(4, 1_000));
+        mFixture.submit("00000000000000d2", bestEffort(1, 1_000));
         mFixture.connect(1);
 
         assertThat(mFixture.run(0).task().job().value()).isEqualTo("00000000000000d2");
     }
 
     @Test
-    void adoptsRunThatReachedNextLifeOfItsWorker() {
+    void adoptsRunThatReachedNextIncarnationOfWorker() {
         long session = mFixture.connect(1);
         mFixture.submit(JOB, DispatchFixture.step(1, false));
         mFixture.report(1, session, 2, 1, List.of(mFixture.sample(0)), List.of());
@@ -476,7 +488,7 @@
     }
 
     @Test
-    void startsAgainWhatNextLifeDoesNotHold() {
+    void restartsTaskThatNextIncarnationDoesNotRun() {
         long session = mFixture.connect(1);
         mFixture.submit(JOB, DispatchFixture.step(1, false));
         mFixture.report(1, session, 2, 1, List.of(), List.of());
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatesTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatorTest.java
@@ -20,13 +20,14 @@
 import org.hickorycleat.model.task.Resources;
 import org.junit.jupiter.api.Test;
 
-class InterferenceEstimatesTest {
+class InterferenceEstimatorTest {
     private static final int TARGET_MS = 50;
-    private static final WorkerIncarnation LIFE = new WorkerIncarnation(new WorkerId("i-1"), 1);
+    private static final WorkerIncarnation INCARNATION =
+            new WorkerIncarnation(new WorkerId("i-1"), 1);
 
-    private final InterferenceEstimates mEstimates = new InterferenceEstimates();
+    private final InterferenceEstimator mEstimator = new InterferenceEstimator();
 
-    private static StepSpecification step(String image, int targetMs, boolean fills) {
+    private static StepSpecification step(String image, int targetMs, boolean bestEffort) {
         return new StepSpecification(
                 1,
                 new Resources(2_000, 1_000, 0),
@@ -42,7 +43,7 @@
                 false,
                 image,
                 targetMs,
-                fills,
+                bestEffort,
                 -1);
     }
 
@@ -50,7 +51,7 @@
         TrackedWorker worker = new TrackedWorker(new ProcessId("agent"), 0);
         WorkerDescription description =
                 new WorkerDescription(
-                        LIFE,
+                        INCARNATION,
                         new ServiceName("booking"),
                         new Resources(16_000, 64_000, 0),
                         List.of(),
@@ -63,7 +64,7 @@
                         DispatchFixture.EPOCH,
                         0,
                         Optional.of(description),
-                        Optional.of(LIFE),
+                        Optional.of(INCARNATION),
                         0,
                         List.of(),
                         List.of(),
@@ -101,21 +102,22 @@
         TrackedJob job = new TrackedJob(submission, queue);
         TrackedTask task = job.tasks().get(0);
         TrackedRun run =
-                new TrackedRun(new RunId(task.key(), 1), task, worker, LIFE, RunPhase.PERSISTING);
+                new TrackedRun(
+                        new RunId(task.key(), 1), task, worker, INCARNATION, RunPhase.PERSISTING);
         run.onSample(50, measurement, 0);
         worker.add(run);
         return run;
     }
 
-    private void observe(String filling, long tailMs) {
+    private void observe(String bestEffort, long tailMs) {
         TrackedWorker worker = worker();
         add(worker, step("serving", TARGET_MS, false), tailMs);
-        add(worker, step(filling, 0, true), 2_000);
-        mEstimates.observe(worker);
+        add(worker, step(bestEffort, 0, true), 2_000);
+        mEstimator.update(worker);
     }
 
     @Test
-    void tellsDisturbingFromHarmlessImages() {
+    void distinguishesHarmfulFromHarmlessImages() {
         for (int i = 0; i < 100; i++) {
             observe("harmful", 60);
             observe("harmless", 20);
@@ -123,75 +125,78 @@
         TrackedWorker worker = worker();
         add(worker, step("serving", TARGET_MS, false), 20);
 
-        double harmful = mEstimates.expectedLoad(worker, step("harmful", 0, true));
-        double harmless = mEstimates.expectedLoad(worker, step("harmless", 0, true));
+        double harmful = mEstimator.expectedLoad(worker, step("harmful", 0, true));
+        double harmless = mEstimator.expectedLoad(worker, step("harmless", 0, true));
 
         assertThat(harmful).isGreaterThan(ServingLoad.LOAD_AT_TARGET);
         assertThat(harmless).isLessThan(ServingLoad.of(30, TARGET_MS));
     }
 
     @Test
-    void countsTasksThatDoNotShowInTheMeasurementYet() {
+    void countsTasksWithoutMeasurement() {
         for (int i = 0; i < 100; i++) {
             observe("harmful", 60);
         }
         TrackedWorker worker = worker();
         add(worker, step("serving", TARGET_MS, false), 10);
-        double before = mEstimates.expectedLoad(worker, step("harmful", 0, true));
+        double before = mEstimator.expectedLoad(worker, step("harmful", 0, true));
         add(worker, step("harmful", 0, true), 0);
 
-        assertThat(mEstimates.expectedLoad(worker, step("harmful", 0, true))).isGreaterThan(before);
+        assertThat(mEstimator.expectedLoad(worker, step("harmful", 0, true))).isGreaterThan(before);
     }
 
     @Test
-    void expectsNothingWithoutServingTasks() {
-        assertThat(mEstimates.expectedLoad(worker(), step("harmful", 0, true))).isZero();
+    void expectsNoLoadWithoutLatencyCriticalTasks() {
+        assertThat(mEstimator.expectedLoad(worker(), step("harmful", 0, true))).isZero();
     }
 
-    /** A tail near saturation is no measure of the excess; it must not ruin the weights. */
+    /**
+     * Guards against wrong weights from saturated tail latencies: close to saturation, the tail
+     * latency does not measure the excess load.
+     */
     @Test
-    void learnsNoMoreThanSaturationFromExplodingTail() {
+    void boundsWeightsWhenTailExceedsSaturation() {
         for (int i = 0; i < 50; i++) {
             observe("harmful", 5_000);
         }
         TrackedWorker worker = worker();
         add(worker, step("serving", TARGET_MS, false), 20);
 
-        assertThat(mEstimates.addedLoad(worker, step("harmful", 0, true))).isBetween(0.2, 1.0);
+        assertThat(mEstimator.addedLoad(worker, step("harmful", 0, true))).isBetween(0.2, 1.0);
     }
 
     @Test
-    void putsSlowChangesDownToTheServingRunItself() {
+    void attributesSlowDriftToLatencyCriticalRun() {
         TrackedWorker worker = worker();
-        TrackedRun serving = add(worker, step("serving", TARGET_MS, false), 18);
-        TrackedRun filling = add(worker, step("filling", 0, true), 2_000);
+        TrackedRun latencyCritical = add(worker, step("serving", TARGET_MS, false), 18);
+        TrackedRun bestEffort = add(worker, step("filling", 0, true), 2_000);
         for (int i = 0; i < 40; i++) {
-            serving.onSample(50, 18 + i / 4, i);
-            filling.onSample(50, 2_000, i);
-            mEstimates.observe(worker);
+            latencyCritical.onSample(50, 18 + i / 4, i);
+            bestEffort.onSample(50, 2_000, i);
+            mEstimator.update(worker);
         }
-        double before = mEstimates.addedLoad(worker, step("filling", 0, true));
+        double before = mEstimator.addedLoad(worker, step("filling", 0, true));
         for (int i = 40; i < 80; i++) {
-            serving.onSample(50, 28 - (i - 40) / 4, i);
-            filling.onSample(50, 2_000, i);
-            mEstimates.observe(worker);
+            latencyCritical.onSample(50, 28 - (i - 40) / 4, i);
+            bestEffort.onSample(50, 2_000, i);
+            mEstimator.update(worker);
         }
 
-        assertThat(mEstimates.addedLoad(worker, step("filling", 0, true)))
+        assertThat(mEstimator.addedLoad(worker, step("filling", 0, true)))
                 .isCloseTo(before, within(0.05));
     }
 
     @Test
-    void handsOnWhatItLearnt() {
+    void restoresWeightsFromSnapshot() {
         for (int i = 0; i < 100; i++) {
             observe("harmful", 60);
         }
-        InterferenceEstimates successor = new InterferenceEstimates();
-        successor.restore(mEstimates.snapshot());
+        InterferenceEstimator restored = new InterferenceEstimator();
+        restored.restore(mEstimator.snapshot());
         TrackedWorker worker = worker();
         add(worker, step("serving", TARGET_MS, false), 20);
 
-        assertThat(successor.addedLoad(worker, step("harmful", 0, true)))
-                .isCloseTo(mEstimates.addedLoad(worker, step("harmful", 0, true)), within(0.001));
+        assertThat(restored.addedLoad(worker, step("harmful", 0, true)))
+                .isCloseTo(mEstimator.addedLoad(worker, step("harmful", 0, true)), within(0.001));
     }
 }
