Use scheduling terms in the run supervisor

Names for pacing, listed lives and doubtful orders were private to the project; they now say throttle, incarnation and command. Behaviour is unchanged.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/BestEffortThrottle.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/BestEffortThrottle.java
@@ -11,46 +11,50 @@
 import org.hickorycleat.model.message.InterferenceWeights;
 
 /**
- * Chooses the share at which each image that fills may work, so that serving tasks beside it stay
- * below their target.
+ * Chooses the share at which each best-effort image may run, so that latency-critical tasks on the
+ * same worker stay below their latency target.
  *
- * <p>When a tail is too high, the images that contribute most are slowed down, in proportion to the
- * excess; shares rise again in steps, so that the lag of the measurement does not make them
- * oscillate.
+ * <p>When a tail latency is too high, the images that contribute most are throttled in proportion
+ * to the excess. Shares are raised again in steps, so that the delay of the measurement does not
+ * cause oscillation.
  */
 final class BestEffortThrottle {
     static final int FULL_PERCENT = 100;
 
-    /** Load of a serving task above which shares are lowered; below that of its target. */
+    /**
+     * Load of a latency-critical task above which shares are lowered; below the load at its target.
+     */
     private static final double UPPER_LOAD = 0.785;
 
     /** Load below which shares are raised. */
     private static final double LOWER_LOAD = 0.745;
 
-    /** Load that a change aims at. */
-    private static final double AIMED_LOAD = 0.76;
+    /** Load that each change of the shares aims for. */
+    private static final double TARGET_LOAD = 0.76;
 
-    /** Strongest reduction in one step. */
-    private static final double STRONGEST_CUT = 0.25;
+    /** Smallest factor by which a share is reduced in one step. */
+    private static final double MINIMUM_CUT_FACTOR = 0.25;
 
-    /** Most by which a share rises in one step, in percent. */
-    private static final int RAISE_PERCENT = 30;
+    /** Largest increase of a share in one step, in percentage points. */
+    private static final int MAXIMUM_RAISE_PERCENT = 30;
 
-    /** Least by which a share rises in one step, in percent. */
-    private static final int LEAST_RAISE_PERCENT = 8;
+    /** Smallest increase of a share in one step, in percentage points. */
+    private static final int MINIMUM_RAISE_PERCENT = 8;
 
-    /** Images with at least this share of the largest contribution are slowed down. */
+    /** Share of the largest contribution from which an image is throttled. */
     private static final double CONTRIBUTION_SHARE = 0.4;
 
-    /** Weight of an image that nothing is known of, in thousandths of a load. */
-    private static final long UNKNOWN_WEIGHT = 1_000;
+    /** Weight assumed for an image without an estimate, in thousandths of a load. */
+    private static final long DEFAULT_WEIGHT_MILLI = 1_000;
 
-    /** Least weight that is reckoned with, in thousandths of a load. */
-    private static final long LEAST_WEIGHT = 50;
+    /** Minimum weight that is assumed for any image, in thousandths of a load. */
+    private static final long MINIMUM_WEIGHT_MILLI = 50;
 
     private static final double MILLI = 1000;
 
-    /** Least time between two changes, in milliseconds: the worker averages over half a second. */
+    /**
+     * Minimum time between two changes, in milliseconds; the worker averages over half a second.
+     */
     private static final long CHANGE_INTERVAL_MS = 450;
 
     private final Map<String, Long> mWeights = new HashMap<>();
@@ -58,13 +62,15 @@
     private long mChangedAtMs = Long.MIN_VALUE / 2;
     private double mLoad;
 
-    /** Takes how much images disturb the serving tasks of this worker. */
-    void onWeights(List<InterferenceWeights.ImageWeight> weights) {
+    /**
+     * Updates how much each image adds to the load of the latency-critical tasks of this worker.
+     */
+    void updateWeights(List<InterferenceWeights.ImageWeight> weights) {
         weights.forEach(weight -> mWeights.put(weight.image(), weight.weightMilli()));
     }
 
     /**
-     * Takes new measurements and returns whether a share has changed.
+     * Updates the shares from new measurements and returns whether any has changed.
      *
      * @param capacityMilli processors of the worker, in thousandths
      */
@@ -94,55 +100,58 @@
     private boolean lower(Map<String, Double> contributions) {
         double largest =
                 contributions.values().stream().mapToDouble(Double::doubleValue).max().orElse(0);
-        Map<String, Double> causes = new HashMap<>(contributions);
-        causes.values().removeIf(contribution -> contribution < CONTRIBUTION_SHARE * largest);
-        double sum = causes.values().stream().mapToDouble(Double::doubleValue).sum();
-        double cut = cut(sum);
+        Map<String, Double> throttled = new HashMap<>(contributions);
+        throttled.values().removeIf(contribution -> contribution < CONTRIBUTION_SHARE * largest);
+        double sum = throttled.values().stream().mapToDouble(Double::doubleValue).sum();
+        double factor = cutFactor(sum);
         boolean changed = false;
-        for (String image : causes.keySet()) {
+        for (String image : throttled.keySet()) {
             int before = percent(image);
-            int lowered = (int) (before * cut);
-            mPercents.put(image, lowered);
-            changed |= lowered != before;
+            int reduced = (int) (before * factor);
+            mPercents.put(image, reduced);
+            changed |= reduced != before;
         }
         return changed;
     }
 
-    private double cut(double contribution) {
+    private double cutFactor(double contribution) {
         if (mLoad >= ServingLoad.SATURATION_LOAD) {
-            return STRONGEST_CUT;
+            return MINIMUM_CUT_FACTOR;
         }
-        return Math.max(STRONGEST_CUT, 1 - (mLoad - AIMED_LOAD) / Math.max(contribution, 0.01));
+        return Math.max(
+                MINIMUM_CUT_FACTOR, 1 - (mLoad - TARGET_LOAD) / Math.max(contribution, 0.01));
     }
 
     private boolean raise(Map<String, Double> contributions) {
         boolean changed = !mPercents.isEmpty();
         mPercents.replaceAll(
                 (image, percent) ->
-                        percent + rise(percent, contributions.getOrDefault(image, 0.0)));
+                        percent + raisePercent(percent, contributions.getOrDefault(image, 0.0)));
         mPercents.values().removeIf(percent -> percent >= FULL_PERCENT);
         return changed;
     }
 
-    private int rise(int percent, double contribution) {
-        double room = AIMED_LOAD - mLoad;
-        double rise = percent * room / Math.max(contribution, 0.01);
-        return (int) Math.max(LEAST_RAISE_PERCENT, Math.min(RAISE_PERCENT, rise));
+    private int raisePercent(int percent, double contribution) {
+        double headroom = TARGET_LOAD - mLoad;
+        double increase = percent * headroom / Math.max(contribution, 0.01);
+        return (int) Math.max(MINIMUM_RAISE_PERCENT, Math.min(MAXIMUM_RAISE_PERCENT, increase));
     }
 
-    // In the load that the images add at their present share.
+    // Returns the load that each image adds at its current share.
     private Map<String, Double> contributions(
             Collection<RunSample> samples, Map<RunId, TaskTraits> traits, long capacityMilli) {
         Map<String, Double> contributions = new HashMap<>();
         for (RunSample sample : samples) {
-            TaskTraits trait = traits.get(sample.run());
-            if (trait != null && trait.bestEffort()) {
-                long weight = mWeights.getOrDefault(trait.image(), UNKNOWN_WEIGHT);
+            TaskTraits taskTraits = traits.get(sample.run());
+            if (taskTraits != null && taskTraits.bestEffort()) {
+                long weight = mWeights.getOrDefault(taskTraits.image(), DEFAULT_WEIGHT_MILLI);
                 double used =
                         Math.max(1.0, (double) sample.measurement())
                                 / Math.max(1.0, (double) capacityMilli);
                 contributions.merge(
-                        trait.image(), Math.max(LEAST_WEIGHT, weight) / MILLI * used, Double::sum);
+                        taskTraits.image(),
+                        Math.max(MINIMUM_WEIGHT_MILLI, weight) / MILLI * used,
+                        Double::sum);
             }
         }
         return contributions;
@@ -152,33 +161,33 @@
             Collection<RunSample> samples, Map<RunId, TaskTraits> traits) {
         double highest = 0;
         for (RunSample sample : samples) {
-            TaskTraits trait = traits.get(sample.run());
-            if (trait != null && trait.targetLatencyMs() > 0) {
+            TaskTraits taskTraits = traits.get(sample.run());
+            if (taskTraits != null && taskTraits.targetLatencyMs() > 0) {
                 highest =
                         Math.max(
                                 highest,
-                                ServingLoad.of(sample.measurement(), trait.targetLatencyMs()));
+                                ServingLoad.of(sample.measurement(), taskTraits.targetLatencyMs()));
             }
         }
         return highest;
     }
 
-    /** Returns the highest load of a serving task at the last update. */
+    /** Returns the highest load of a latency-critical task at the last update. */
     double load() {
         return mLoad;
     }
 
-    /** Returns the share of an image in percent. */
+    /** Returns the share at which an image may run, in percent. */
     int percent(String image) {
         return mPercents.getOrDefault(image, FULL_PERCENT);
     }
 
-    /** Returns the reduced shares. */
+    /** Returns the shares of the throttled images, in percent. */
     Map<String, Integer> percents() {
         return Map.copyOf(mPercents);
     }
 
-    /** Returns the lowest share in percent. */
+    /** Returns the lowest share of any image, in percent. */
     int lowestPercent() {
         return mPercents.values().stream().mapToInt(Integer::intValue).min().orElse(FULL_PERCENT);
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/PendingRun.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/PendingRun.java
@@ -2,33 +2,39 @@
 
 import org.hickorycleat.model.message.StartRun;
 
-/** A start that has been ordered and does not appear in the lists of the worker yet. */
+/** Tracks a run whose start was commanded and that the worker has not listed yet. */
 final class PendingRun {
-    private final StartRun mOrder;
+    private final StartRun mCommand;
     private long mToken;
-    private boolean mDoubtful;
+    private boolean mOutcomeUnknown;
 
-    PendingRun(StartRun order) {
-        mOrder = order;
+    PendingRun(StartRun command) {
+        mCommand = command;
     }
 
-    StartRun order() {
-        return mOrder;
+    StartRun command() {
+        return mCommand;
     }
 
-    /** The order was sent with a fencing token. */
+    /** Records that the command was sent under a fencing token. */
     void onSent(long token) {
         mToken = token;
-        mDoubtful = false;
+        mOutcomeUnknown = false;
     }
 
-    /** No answer came: the order may be carried out until a higher token is in force. */
-    void onUnanswered() {
-        mDoubtful = true;
+    /**
+     * Records that no response arrived: the command may still be executed until the worker has seen
+     * a higher token.
+     */
+    void onNoResponse() {
+        mOutcomeUnknown = true;
     }
 
-    /** Tells whether a listing under the given token proves that the run will never start. */
+    /**
+     * Returns whether a listing under the given token that omits the run proves that it will never
+     * start.
+     */
     boolean isRuledOutBy(long listingToken) {
-        return mDoubtful && listingToken > mToken;
+        return mOutcomeUnknown && listingToken > mToken;
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -35,32 +35,32 @@
 import org.hickorycleat.model.message.WorkerReport;
 
 /**
- * Carries out the orders of the owner on one worker and reports what runs there.
+ * Executes the commands of the owner on the local worker and reports its runs.
  *
- * <p>The agent is the only caller of its worker, so its fencing token decides which orders count. A
- * start without an answer is settled by a listing under a higher token: what is not listed then
- * will never run.
+ * <p>The agent is the only client of its worker, so its fencing token decides which commands are
+ * executed. A start without a response is resolved by a listing under a higher token: a run that is
+ * not listed then will never start.
  */
 public final class RunSupervisor implements WorkerStatusListener {
-    /** Pause before the worker is asked again after it gave no answer, in milliseconds. */
-    private static final long RETRY_MS = 100;
+    /** Delay before the next listing after a listing without a response, in milliseconds. */
+    private static final long RETRY_DELAY_MS = 100;
 
-    /** Pause between listings, should the worker answer without waiting, in milliseconds. */
+    /** Pause between listings in case the worker responds without waiting, in milliseconds. */
     private static final long LIST_PAUSE_MS = 10;
 
-    /** Pause between listings while ends wait to become durable, in milliseconds. */
+    /** Pause between listings while starts or ends are unconfirmed, in milliseconds. */
     private static final long UNACKNOWLEDGED_PAUSE_MS = 40;
 
-    /** Without an answer for this long the worker counts as unreachable, in milliseconds. */
-    private static final long SILENCE_MS = 900;
+    /** Time without a response after which the worker counts as unreachable, in milliseconds. */
+    private static final long UNREACHABLE_TIMEOUT_MS = 900;
 
-    /** Time after which a stop whose end is not listed is repeated, in milliseconds. */
-    private static final long STOP_REPEAT_MS = 300;
+    /** Time after which a stop is retried while its run is still listed, in milliseconds. */
+    private static final long STOP_RETRY_MS = 300;
 
-    /** Distance between two tokens of one agent; above any drift of the clock between lives. */
+    /** Increment between two tokens of one agent; exceeds any clock drift between incarnations. */
     private static final long TOKEN_STEP = 1;
 
-    /** Stands for a share that only a new order makes known. */
+    /** Represents an unknown share, which only a new throttle command determines. */
     private static final int UNKNOWN_PERCENT = -1;
 
     private final WorkerRuntime mRuntime;
@@ -70,35 +70,35 @@
     private final DecisionLog mLog;
 
     private final WorkerClock mClock = new WorkerClock();
-    private final BestEffortThrottle mPacer = new BestEffortThrottle();
+    private final BestEffortThrottle mThrottle = new BestEffortThrottle();
     private final Map<RunId, PendingRun> mPending = new LinkedHashMap<>();
     private final Map<RunId, TaskTraits> mTraits = new HashMap<>();
-    private final Map<RunId, Integer> mPercents = new HashMap<>();
+    private final Map<RunId, Integer> mSentPercents = new HashMap<>();
     private final Map<RunId, Long> mStopSentAtMs = new HashMap<>();
-    private final Map<Long, Optional<Long>> mClockAtReport = new HashMap<>();
+    private final Map<Long, Optional<Long>> mWorkerClockByReport = new HashMap<>();
 
     private Optional<WorkerDescription> mDescription = Optional.empty();
-    private long mListedLifeMs = -1;
-    private long mCandidateLifeMs = -1;
+    private long mIncarnationStartedAtMs = -1;
+    private long mCandidateStartedAtMs = -1;
     private long mCandidateToken;
     private List<RunSample> mRunning = List.of();
     private List<EndedRun> mEnded = List.of();
     private Epoch mEpoch = new Epoch(-1);
     private long mSession;
     private long mToken;
-    private long mOrdersSeen;
+    private long mLastCommandNumber;
     private long mReportNumber;
     private long mReportedAtMs;
-    private long mAcknowledged;
+    private long mAcknowledgedEndNumber;
     private long mLeaseDeadlineMs;
-    private long mLeaseCertainlyOverAtMs;
-    private long mAnsweredAtMs;
+    private long mLeaseExpiredByMs;
+    private long mRespondedAtMs;
     private boolean mStopped;
 
     /**
      * Creates a supervisor.
      *
-     * @param firstToken above the tokens of every earlier agent of this worker
+     * @param firstToken higher than the tokens of every earlier incarnation of the agent
      */
     public RunSupervisor(
             WorkerRuntime runtime,
@@ -115,15 +115,15 @@
         mLog = log;
     }
 
-    /** Starts to list. */
+    /** Starts the periodic listings. */
     public synchronized void start() {
-        mAnsweredAtMs = nowMs();
-        // An earlier agent may have extended the lease just before it died.
-        mLeaseCertainlyOverAtMs = nowMs() + mSettings.maximumLeaseMs() * 21L / 20;
+        mRespondedAtMs = nowMs();
+        // An earlier incarnation of the agent may have extended the lease just before it crashed.
+        mLeaseExpiredByMs = nowMs() + mSettings.maximumLeaseMs() * 21L / 20;
         list();
     }
 
-    /** Stops to list. */
+    /** Stops the periodic listings. */
     public synchronized void stop() {
         mStopped = true;
     }
@@ -166,7 +166,7 @@
         mLog.record("worker_left", "worker", worker);
     }
 
-    /** An owner opened a session; orders are counted anew. */
+    /** Handles a new session of an owner; command numbers start again. */
     public synchronized void onOwnerSession(Epoch epoch, long session) {
         if (epoch.compareTo(mEpoch) < 0) {
             return;
@@ -174,30 +174,30 @@
         mLog.record("owner_adopted", "epoch", epoch, "session", session, "before", mEpoch);
         mEpoch = epoch;
         mSession = session;
-        mOrdersSeen = 0;
-        mClockAtReport.clear();
+        mLastCommandNumber = 0;
+        mWorkerClockByReport.clear();
         report();
     }
 
-    /** Carries out a start. */
-    public synchronized void onStartRun(StartRun order) {
-        if (!obeys(order.epoch(), "start", order.run())) {
+    /** Executes a start command of the owner. */
+    public synchronized void onStartRun(StartRun command) {
+        if (!acceptsEpoch(command.epoch(), "start", command.run())) {
             return;
         }
-        mOrdersSeen = order.commandNumber();
-        Optional<RejectionReason> refusal = refusal(order);
-        if (refusal.isPresent()) {
-            reject(order.run(), refusal.get());
+        mLastCommandNumber = command.commandNumber();
+        Optional<RejectionReason> rejection = rejectionReason(command);
+        if (rejection.isPresent()) {
+            reject(command.run(), rejection.get());
             return;
         }
-        PendingRun pending = new PendingRun(order);
-        mPending.put(order.run(), pending);
-        mTraits.put(order.run(), order.traits());
+        PendingRun pending = new PendingRun(command);
+        mPending.put(command.run(), pending);
+        mTraits.put(command.run(), command.traits());
         sendStart(pending);
     }
 
-    private Optional<RejectionReason> refusal(StartRun order) {
-        if (isChangingLife() || !life().equals(Optional.of(order.incarnation()))) {
+    private Optional<RejectionReason> rejectionReason(StartRun command) {
+        if (isIncarnationChanging() || !incarnation().equals(Optional.of(command.incarnation()))) {
             return Optional.of(RejectionReason.UNAVAILABLE);
         }
         if (mDescription.isPresent() && mDescription.get().draining()) {
@@ -210,56 +210,56 @@
     }
 
     private void sendStart(PendingRun pending) {
-        StartRun order = pending.order();
+        StartRun command = pending.command();
         pending.onSent(mToken);
-        StartRunCommand call =
+        StartRunCommand startCommand =
                 new StartRunCommand(
-                        order.incarnation(),
-                        order.run(),
-                        order.payload(),
+                        command.incarnation(),
+                        command.run(),
+                        command.payload(),
                         mLeaseDeadlineMs,
                         mToken,
-                        order.checkpoint(),
-                        order.ticket());
+                        command.checkpoint(),
+                        command.ticket());
         long token = mToken;
         SingleCallbacks.subscribe(
-                mRuntime.start(call),
-                answer -> onStartAnswer(pending, answer, token),
-                error -> onStartUnanswered(pending, error));
+                mRuntime.start(startCommand),
+                response -> onStartResponse(pending, response, token),
+                error -> onStartFailed(pending, error));
     }
 
-    private synchronized void onStartAnswer(
-            PendingRun pending, RunCommandResult answer, long token) {
-        if (mPending.get(pending.order().run()) != pending) {
+    private synchronized void onStartResponse(
+            PendingRun pending, RunCommandResult response, long token) {
+        if (mPending.get(pending.command().run()) != pending) {
             return;
         }
-        if (answer.applied()) {
-            mLog.record("run_started", "run", pending.order().run(), "token", token);
-            paceIfNeeded(pending.order().run());
+        if (response.applied()) {
+            mLog.record("run_started", "run", pending.command().run(), "token", token);
+            throttleIfNeeded(pending.command().run());
             return;
         }
-        if (answer.fenced()) {
+        if (response.fenced()) {
             if (token >= mToken) {
                 raiseToken("start_fenced");
             }
-            if (isChangingLife()) {
-                mPending.remove(pending.order().run());
-                reject(pending.order().run(), RejectionReason.UNAVAILABLE);
+            if (isIncarnationChanging()) {
+                mPending.remove(pending.command().run());
+                reject(pending.command().run(), RejectionReason.UNAVAILABLE);
             } else {
                 sendStart(pending);
             }
             return;
         }
-        mPending.remove(pending.order().run());
-        reject(pending.order().run(), answer.reason().orElse(RejectionReason.UNAVAILABLE));
+        mPending.remove(pending.command().run());
+        reject(pending.command().run(), response.reason().orElse(RejectionReason.UNAVAILABLE));
     }
 
-    private synchronized void onStartUnanswered(PendingRun pending, Throwable error) {
-        if (mPending.get(pending.order().run()) != pending) {
+    private synchronized void onStartFailed(PendingRun pending, Throwable error) {
+        if (mPending.get(pending.command().run()) != pending) {
             return;
         }
-        pending.onUnanswered();
-        mLog.record("start_unanswered", "run", pending.order().run(), "cause", error);
+        pending.onNoResponse();
+        mLog.record("start_unanswered", "run", pending.command().run(), "cause", error);
         raiseToken("start_unanswered");
         listNow();
     }
@@ -276,158 +276,165 @@
         mLog.record("token_raised", "token", mToken, "cause", cause);
     }
 
-    /** Carries out a stop. */
-    public synchronized void onStopRun(StopRun order) {
-        if (!obeys(order.epoch(), "stop", order.run())) {
+    /** Executes a stop command of the owner. */
+    public synchronized void onStopRun(StopRun command) {
+        if (!acceptsEpoch(command.epoch(), "stop", command.run())) {
             return;
         }
-        mOrdersSeen = order.commandNumber();
-        if (isStopDue(order.run())) {
-            sendStop(order.run());
+        mLastCommandNumber = command.commandNumber();
+        if (isStopDue(command.run())) {
+            sendStop(command.run());
         }
     }
 
     private boolean isStopDue(RunId run) {
         Long sentAtMs = mStopSentAtMs.get(run);
-        return sentAtMs == null || nowMs() - sentAtMs > STOP_REPEAT_MS;
+        return sentAtMs == null || nowMs() - sentAtMs > STOP_RETRY_MS;
     }
 
     private void sendStop(RunId run) {
         mStopSentAtMs.put(run, nowMs());
         SingleCallbacks.subscribe(
                 mRuntime.stop(run, mToken),
-                answer -> onStopAnswer(run, answer),
+                response -> onStopResponse(run, response),
                 error -> mLog.record("stop_unanswered", "run", run, "cause", error));
     }
 
-    private synchronized void onStopAnswer(RunId run, RunCommandResult answer) {
-        if (answer.fenced()) {
+    private synchronized void onStopResponse(RunId run, RunCommandResult response) {
+        if (response.fenced()) {
             raiseToken("stop_fenced");
             sendStop(run);
             return;
         }
-        mLog.record("run_stop_sent", "run", run, "accepted", answer.applied());
+        mLog.record("run_stop_sent", "run", run, "accepted", response.applied());
     }
 
-    /** Takes the traits of a run that was found on the worker. */
+    /** Handles the traits of a run that was found on the worker. */
     public synchronized void onRunTraits(RunTraits message) {
         mTraits.put(message.run(), message.traits());
-        // An earlier agent may have set any share.
-        mPercents.put(message.run(), UNKNOWN_PERCENT);
+        // An earlier incarnation of the agent may have set any share.
+        mSentPercents.put(message.run(), UNKNOWN_PERCENT);
     }
 
-    /** Takes a lease and the ends that have become durable. */
+    /** Handles a lease extension and removes the ends that have become durable. */
     public synchronized void onLeaseExtension(LeaseExtension extension) {
         if (extension.epoch().compareTo(mEpoch) < 0) {
             return;
         }
         Optional<Long> clock =
-                mClockAtReport.getOrDefault(extension.reportNumber(), Optional.empty());
-        mClockAtReport.keySet().removeIf(number -> number <= extension.reportNumber());
+                mWorkerClockByReport.getOrDefault(extension.reportNumber(), Optional.empty());
+        mWorkerClockByReport.keySet().removeIf(number -> number <= extension.reportNumber());
         if (extension.leaseMs() > 0 && clock.isPresent()) {
             mLeaseDeadlineMs = Math.max(mLeaseDeadlineMs, clock.get() + extension.leaseMs());
         }
-        boolean sameLife =
-                extension.incarnation().isPresent() && extension.incarnation().equals(life());
-        if (sameLife && extension.acknowledgedEndNumber() > mAcknowledged) {
-            mAcknowledged = extension.acknowledgedEndNumber();
-            mEnded = mEnded.stream().filter(end -> end.number() > mAcknowledged).toList();
+        boolean sameIncarnation =
+                extension.incarnation().isPresent()
+                        && extension.incarnation().equals(incarnation());
+        if (sameIncarnation && extension.acknowledgedEndNumber() > mAcknowledgedEndNumber) {
+            mAcknowledgedEndNumber = extension.acknowledgedEndNumber();
+            mEnded = mEnded.stream().filter(end -> end.number() > mAcknowledgedEndNumber).toList();
         }
     }
 
-    private boolean obeys(Epoch epoch, String order, RunId run) {
+    private boolean acceptsEpoch(Epoch epoch, String command, RunId run) {
         if (epoch.compareTo(mEpoch) >= 0) {
             return true;
         }
-        mLog.record("order_ignored", "order", order, "run", run, "epoch", epoch, "obeys", mEpoch);
+        mLog.record("order_ignored", "order", command, "run", run, "epoch", epoch, "obeys", mEpoch);
         return false;
     }
 
-    private Optional<WorkerIncarnation> life() {
+    private Optional<WorkerIncarnation> incarnation() {
         return mDescription
                 .map(WorkerDescription::incarnation)
-                .filter(life -> life.startedAtMs() == mListedLifeMs);
+                .filter(incarnation -> incarnation.startedAtMs() == mIncarnationStartedAtMs);
     }
 
     private void list() {
         if (mStopped) {
             return;
         }
-        int waitMs = mEnded.isEmpty() && mPending.isEmpty() ? mSettings.listWaitMs() : 0;
-        list(waitMs, true);
+        int longPollMs = mEnded.isEmpty() && mPending.isEmpty() ? mSettings.longPollMs() : 0;
+        list(longPollMs, true);
     }
 
-    /** Lists once more beside the regular listing, to settle a doubtful order. */
+    /**
+     * Sends a separate listing in addition to the periodic one, to resolve a start without a
+     * response.
+     */
     private void listNow() {
         list(0, false);
     }
 
-    private void list(int waitMs, boolean regular) {
+    private void list(int longPollMs, boolean periodic) {
         long token = mToken;
         boolean extend = isReachable() && mLeaseDeadlineMs > 0;
         Optional<Long> deadline = extend ? Optional.of(mLeaseDeadlineMs) : Optional.empty();
         if (extend) {
-            mLeaseCertainlyOverAtMs =
+            mLeaseExpiredByMs =
                     Math.max(
-                            mLeaseCertainlyOverAtMs,
+                            mLeaseExpiredByMs,
                             mClock.certainlyPassedAtMs(mLeaseDeadlineMs, nowMs()));
         }
         SingleCallbacks.subscribe(
-                mRuntime.list(token, deadline, mAcknowledged, waitMs),
-                answer -> onListing(answer, token, regular),
-                error -> onListingFailed(error, regular));
+                mRuntime.list(token, deadline, mAcknowledgedEndNumber, longPollMs),
+                response -> onListing(response, token, periodic),
+                error -> onListingFailed(error, periodic));
     }
 
-    private synchronized void onListingFailed(Throwable error, boolean regular) {
-        if (isReachable() && nowMs() - mAnsweredAtMs > SILENCE_MS / 2) {
+    private synchronized void onListingFailed(Throwable error, boolean periodic) {
+        if (isReachable() && nowMs() - mRespondedAtMs > UNREACHABLE_TIMEOUT_MS / 2) {
             mLog.record("worker_unanswered", "cause", error);
         }
         reportIfDue();
-        if (regular) {
-            after(RETRY_MS, this::list);
+        if (periodic) {
+            schedule(RETRY_DELAY_MS, this::list);
         }
     }
 
-    private synchronized void onListing(RunListing answer, long token, boolean regular) {
-        mAnsweredAtMs = nowMs();
-        if (answer.fenced()) {
+    private synchronized void onListing(RunListing response, long token, boolean periodic) {
+        mRespondedAtMs = nowMs();
+        if (response.fenced()) {
             if (token >= mToken) {
-                // Another agent of this worker had a clock ahead of ours.
+                // Another agent of this worker started with a higher token because its clock was
+                // ahead.
                 mToken += TimeUnit.MINUTES.toMillis(1);
                 mLog.record("token_raised", "token", mToken, "cause", "listing_fenced");
             }
         } else {
-            apply(answer, token);
+            apply(response, token);
         }
-        if (regular) {
-            boolean settled = mEnded.isEmpty() && mPending.isEmpty();
-            after(settled ? LIST_PAUSE_MS : UNACKNOWLEDGED_PAUSE_MS, this::list);
+        if (periodic) {
+            boolean nothingPending = mEnded.isEmpty() && mPending.isEmpty();
+            schedule(nothingPending ? LIST_PAUSE_MS : UNACKNOWLEDGED_PAUSE_MS, this::list);
         }
     }
 
-    private void apply(RunListing answer, long token) {
-        if (answer.startedAtMs() < mListedLifeMs) {
+    private void apply(RunListing response, long token) {
+        if (response.startedAtMs() < mIncarnationStartedAtMs) {
             return;
         }
-        boolean newLife = answer.startedAtMs() > mListedLifeMs;
-        if (newLife && !isConfirmed(answer.startedAtMs(), token)) {
+        boolean newIncarnation = response.startedAtMs() > mIncarnationStartedAtMs;
+        if (newIncarnation && !isConfirmed(response.startedAtMs(), token)) {
             return;
         }
-        if (newLife) {
-            onNewLife(answer.startedAtMs());
+        if (newIncarnation) {
+            onNewIncarnation(response.startedAtMs());
         }
-        mClock.onReading(answer.clockMs(), nowMs());
+        mClock.onReading(response.clockMs(), nowMs());
         List<EndedRun> ended =
-                answer.ended().stream().filter(end -> end.number() > mAcknowledged).toList();
-        boolean changed = !sameEnds(ended, mEnded) || !sameRuns(answer.running(), mRunning);
-        mRunning = answer.running();
+                response.ended().stream()
+                        .filter(end -> end.number() > mAcknowledgedEndNumber)
+                        .toList();
+        boolean changed = !hasSameEnds(ended, mEnded) || !hasSameRuns(response.running(), mRunning);
+        mRunning = response.running();
         mEnded = ended;
-        settlePending(token);
-        if (newLife) {
+        resolvePending(token);
+        if (newIncarnation) {
             rejectPending();
         }
-        repeatStops();
-        pace();
+        retryStops();
+        throttle();
         if (changed) {
             report();
         } else {
@@ -435,16 +442,17 @@
         }
     }
 
-    // A start that was meant for the former life may still reach the new one, which has seen no
-    // token; a listing under a higher one tells for good what of it is there.
+    // A start that was meant for the previous incarnation may still reach the new one, which has
+    // seen no token yet. After a listing under a higher token, such a start is either listed or
+    // fenced permanently.
     private boolean isConfirmed(long startedAtMs, long token) {
-        if (mListedLifeMs < 0) {
+        if (mIncarnationStartedAtMs < 0) {
             return true;
         }
-        if (startedAtMs > mCandidateLifeMs) {
-            mLog.record("worker_restarted", "born", startedAtMs, "before", mListedLifeMs);
+        if (startedAtMs > mCandidateStartedAtMs) {
+            mLog.record("worker_restarted", "born", startedAtMs, "before", mIncarnationStartedAtMs);
             raiseToken("worker_restarted");
-            mCandidateLifeMs = startedAtMs;
+            mCandidateStartedAtMs = startedAtMs;
             mCandidateToken = mToken;
             mLeaseDeadlineMs = 0;
             listNow();
@@ -453,38 +461,38 @@
         return token >= mCandidateToken;
     }
 
-    private boolean isChangingLife() {
-        return mCandidateLifeMs > mListedLifeMs;
+    private boolean isIncarnationChanging() {
+        return mCandidateStartedAtMs > mIncarnationStartedAtMs;
     }
 
-    private void onNewLife(long startedAtMs) {
-        mListedLifeMs = startedAtMs;
+    private void onNewIncarnation(long startedAtMs) {
+        mIncarnationStartedAtMs = startedAtMs;
         mClock.reset();
-        mClockAtReport.clear();
+        mWorkerClockByReport.clear();
         mLeaseDeadlineMs = 0;
-        mAcknowledged = 0;
+        mAcknowledgedEndNumber = 0;
         mStopSentAtMs.clear();
-        mPercents.clear();
+        mSentPercents.clear();
     }
 
     private void rejectPending() {
-        List<RunId> gone = List.copyOf(mPending.keySet());
+        List<RunId> rejected = List.copyOf(mPending.keySet());
         mPending.clear();
-        gone.forEach(run -> reject(run, RejectionReason.UNAVAILABLE));
+        rejected.forEach(run -> reject(run, RejectionReason.UNAVAILABLE));
     }
 
-    private static boolean sameEnds(List<EndedRun> left, List<EndedRun> right) {
+    private static boolean hasSameEnds(List<EndedRun> left, List<EndedRun> right) {
         return left.size() == right.size()
                 && (left.isEmpty()
                         || left.get(left.size() - 1).number()
                                 == right.get(right.size() - 1).number());
     }
 
-    private static boolean sameRuns(List<RunSample> left, List<RunSample> right) {
-        return left.size() == right.size() && runs(left).equals(runs(right));
+    private static boolean hasSameRuns(List<RunSample> left, List<RunSample> right) {
+        return left.size() == right.size() && runIds(left).equals(runIds(right));
     }
 
-    private static Set<RunId> runs(List<RunSample> samples) {
+    private static Set<RunId> runIds(List<RunSample> samples) {
         Set<RunId> runs = new HashSet<>();
         for (RunSample sample : samples) {
             runs.add(sample.run());
@@ -492,7 +500,7 @@
         return runs;
     }
 
-    private void settlePending(long token) {
+    private void resolvePending(long token) {
         for (RunSample sample : mRunning) {
             mPending.remove(sample.run());
         }
@@ -502,17 +510,17 @@
         List<PendingRun> ruledOut =
                 mPending.values().stream().filter(pending -> pending.isRuledOutBy(token)).toList();
         for (PendingRun pending : ruledOut) {
-            mPending.remove(pending.order().run());
-            reject(pending.order().run(), RejectionReason.UNAVAILABLE);
+            mPending.remove(pending.command().run());
+            reject(pending.command().run(), RejectionReason.UNAVAILABLE);
         }
-        Set<RunId> present = runs(mRunning);
+        Set<RunId> present = runIds(mRunning);
         present.addAll(mPending.keySet());
         mTraits.keySet().retainAll(present);
-        mPercents.keySet().retainAll(present);
+        mSentPercents.keySet().retainAll(present);
         mStopSentAtMs.keySet().retainAll(present);
     }
 
-    private void repeatStops() {
+    private void retryStops() {
         for (RunSample sample : mRunning) {
             boolean stopping = mStopSentAtMs.containsKey(sample.run());
             if (stopping && isStopDue(sample.run())) {
@@ -521,60 +529,63 @@
         }
     }
 
-    /** Takes how much images that fill disturb the serving tasks of this worker. */
+    /**
+     * Updates how much best-effort images add to the load of the latency-critical tasks of this
+     * worker.
+     */
     public synchronized void onInterferenceWeights(InterferenceWeights message) {
-        mPacer.onWeights(message.weights());
+        mThrottle.updateWeights(message.weights());
     }
 
-    private void pace() {
+    private void throttle() {
         long capacityMilli =
                 mDescription.map(known -> known.capacity().processorsMilli()).orElse(0L);
-        if (mPacer.update(mRunning, mTraits, capacityMilli, nowMs())) {
+        if (mThrottle.update(mRunning, mTraits, capacityMilli, nowMs())) {
             mLog.record(
                     "fill_paced",
                     "load",
-                    mPacer.load(),
+                    mThrottle.load(),
                     "percents",
-                    mPacer.percents(),
+                    mThrottle.percents(),
                     "runs",
                     mRunning.size());
         }
         for (RunSample sample : mRunning) {
-            paceIfNeeded(sample.run());
+            throttleIfNeeded(sample.run());
         }
     }
 
-    private void paceIfNeeded(RunId run) {
+    private void throttleIfNeeded(RunId run) {
         TaskTraits traits = mTraits.get(run);
         if (traits == null || !traits.bestEffort()) {
             return;
         }
-        int percent = mPacer.percent(traits.image());
-        if (mPercents.getOrDefault(run, BestEffortThrottle.FULL_PERCENT) != percent) {
-            sendPace(run, percent);
+        int percent = mThrottle.percent(traits.image());
+        if (mSentPercents.getOrDefault(run, BestEffortThrottle.FULL_PERCENT) != percent) {
+            sendThrottle(run, percent);
         }
     }
 
-    private void sendPace(RunId run, int percent) {
-        mPercents.put(run, percent);
+    private void sendThrottle(RunId run, int percent) {
+        mSentPercents.put(run, percent);
         SingleCallbacks.subscribe(
                 mRuntime.throttle(run, percent, mToken),
-                answer -> onPaceAnswer(run, answer),
-                error -> onPaceUnanswered(run));
+                response -> onThrottleResponse(run, response),
+                error -> onThrottleFailed(run));
     }
 
-    private synchronized void onPaceAnswer(RunId run, RunCommandResult answer) {
-        if (!answer.applied()) {
-            mPercents.remove(run);
+    private synchronized void onThrottleResponse(RunId run, RunCommandResult response) {
+        if (!response.applied()) {
+            mSentPercents.remove(run);
         }
     }
 
-    private synchronized void onPaceUnanswered(RunId run) {
-        mPercents.put(run, UNKNOWN_PERCENT);
+    private synchronized void onThrottleFailed(RunId run) {
+        mSentPercents.put(run, UNKNOWN_PERCENT);
     }
 
     private boolean isReachable() {
-        return nowMs() - mAnsweredAtMs <= SILENCE_MS + mSettings.listWaitMs();
+        return nowMs() - mRespondedAtMs <= UNREACHABLE_TIMEOUT_MS + mSettings.longPollMs();
     }
 
     private void reportIfDue() {
@@ -586,7 +597,7 @@
     private void report() {
         mReportedAtMs = nowMs();
         mReportNumber++;
-        mClockAtReport.put(mReportNumber, mClock.lowerBoundMs(nowMs()));
+        mWorkerClockByReport.put(mReportNumber, mClock.lowerBoundMs(nowMs()));
         boolean reachable = isReachable();
         mOutput.sendToOwner(
                 new WorkerReport(
@@ -594,22 +605,22 @@
                         mEpoch,
                         mSession,
                         mDescription,
-                        life(),
-                        mOrdersSeen,
+                        incarnation(),
+                        mLastCommandNumber,
                         new ArrayList<>(mPending.keySet()),
                         mRunning,
                         mEnded,
-                        !reachable && nowMs() > mLeaseCertainlyOverAtMs,
+                        !reachable && nowMs() > mLeaseExpiredByMs,
                         reachable,
-                        mPacer.lowestPercent()));
+                        mThrottle.lowestPercent()));
     }
 
-    private synchronized void run(Runnable action) {
+    private synchronized void runLocked(Runnable action) {
         action.run();
     }
 
-    private void after(long delayMs, Runnable action) {
-        mScheduler.scheduleDirect(() -> run(action), delayMs, TimeUnit.MILLISECONDS);
+    private void schedule(long delayMs, Runnable action) {
+        mScheduler.scheduleDirect(() -> runLocked(action), delayMs, TimeUnit.MILLISECONDS);
     }
 
     private long nowMs() {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/SupervisorSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/SupervisorSettings.java
@@ -1,18 +1,20 @@
 package org.hickorycleat.logic.supervision;
 
 /**
- * Times of a supervisor.
+ * Intervals and timeouts of a supervisor.
  *
- * @param listWaitMs how long the worker may wait for an end before it answers, in milliseconds
+ * @param longPollMs long poll timeout: how long the worker may wait for a new end before it
+ *     responds, in milliseconds
  * @param reportIntervalMs longest time between two reports, in milliseconds
- * @param maximumLeaseMs longest lease that a worker grants, in milliseconds; from the platform
+ * @param maximumLeaseMs longest lease that a worker grants, in milliseconds; as the platform
+ *     defines it
  */
-public record SupervisorSettings(int listWaitMs, int reportIntervalMs, int maximumLeaseMs) {
-    private static final int LIST_WAIT_MS = 300;
+public record SupervisorSettings(int longPollMs, int reportIntervalMs, int maximumLeaseMs) {
+    private static final int LONG_POLL_MS = 300;
     private static final int REPORT_INTERVAL_MS = 500;
 
     /** Returns the settings for workers that grant leases up to the given length. */
     public static SupervisorSettings of(int maximumLeaseMs) {
-        return new SupervisorSettings(LIST_WAIT_MS, REPORT_INTERVAL_MS, maximumLeaseMs);
+        return new SupervisorSettings(LONG_POLL_MS, REPORT_INTERVAL_MS, maximumLeaseMs);
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/package-info.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/package-info.java
@@ -1,4 +1,6 @@
-/** Supervision of the runs on the worker beside an agent: orders, leases, fencing, pacing. */
+/**
+ * Supervision of the runs on the local worker of an agent: commands, leases, fencing, throttling.
+ */
 @NullMarked
 package org.hickorycleat.logic.supervision;
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/FakeWorker.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/FakeWorker.java
@@ -13,27 +13,27 @@
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.RunSample;
 
-/** A worker whose answers a test decides. */
+/** Fake worker whose responses a test controls. */
 final class FakeWorker implements WorkerRuntime {
     final List<StartRunCommand> mStarts = new ArrayList<>();
-    final List<SingleSubject<RunCommandResult>> mStartAnswers = new ArrayList<>();
+    final List<SingleSubject<RunCommandResult>> mStartResponses = new ArrayList<>();
     final List<RunId> mStops = new ArrayList<>();
-    final List<Integer> mPaces = new ArrayList<>();
+    final List<Integer> mThrottlePercents = new ArrayList<>();
     final List<Long> mListTokens = new ArrayList<>();
     final List<RunSample> mRunning = new ArrayList<>();
     final List<EndedRun> mEnded = new ArrayList<>();
     Optional<Long> mLeaseDeadline = Optional.empty();
-    long mAcknowledged;
+    long mAcknowledgedEndNumber;
     long mStartedAtMs = 1_000;
     long mClockMs = 50_000;
-    boolean mSilent;
+    boolean mUnresponsive;
 
     @Override
-    public Single<RunCommandResult> start(StartRunCommand order) {
-        mStarts.add(order);
-        SingleSubject<RunCommandResult> answer = SingleSubject.create();
-        mStartAnswers.add(answer);
-        return answer;
+    public Single<RunCommandResult> start(StartRunCommand command) {
+        mStarts.add(command);
+        SingleSubject<RunCommandResult> response = SingleSubject.create();
+        mStartResponses.add(response);
+        return response;
     }
 
     @Override
@@ -44,21 +44,24 @@
 
     @Override
     public Single<RunCommandResult> throttle(RunId run, int percent, long fencingToken) {
-        mPaces.add(percent);
+        mThrottlePercents.add(percent);
         return Single.just(RunCommandResult.DONE);
     }
 
     @Override
     public Single<RunListing> list(
-            long fencingToken, Optional<Long> leaseDeadlineMs, long acknowledgedEnds, int waitMs) {
+            long fencingToken,
+            Optional<Long> leaseDeadlineMs,
+            long acknowledgedEndNumber,
+            int waitMs) {
         mListTokens.add(fencingToken);
-        if (mSilent) {
-            return Single.error(new IllegalStateException("no answer"));
+        if (mUnresponsive) {
+            return Single.error(new IllegalStateException("no response"));
         }
         leaseDeadlineMs.ifPresent(deadline -> mLeaseDeadline = Optional.of(deadline));
-        mAcknowledged = acknowledgedEnds;
+        mAcknowledgedEndNumber = acknowledgedEndNumber;
         List<EndedRun> ended =
-                mEnded.stream().filter(end -> end.number() > acknowledgedEnds).toList();
+                mEnded.stream().filter(end -> end.number() > acknowledgedEndNumber).toList();
         return Single.just(
                 new RunListing(false, mStartedAtMs, mClockMs, List.copyOf(mRunning), ended));
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
@@ -42,7 +42,8 @@
     private final TestScheduler mScheduler = new TestScheduler();
     private final FakeWorker mWorker = new FakeWorker();
     private final List<Message> mSent = new ArrayList<>();
-    private final WorkerIncarnation mLife = new WorkerIncarnation(new WorkerId("i-1"), 1_000);
+    private final WorkerIncarnation mIncarnation =
+            new WorkerIncarnation(new WorkerId("i-1"), 1_000);
     private final RunSupervisor mSupervisor =
             new RunSupervisor(
                     mWorker,
@@ -51,7 +52,7 @@
                     SupervisorSettings.of(10_000),
                     FIRST_TOKEN,
                     DecisionLog.NONE);
-    private long mOrder;
+    private long mCommandNumber;
 
     @BeforeEach
     void startWithLease() {
@@ -64,7 +65,7 @@
 
     private WorkerDescription description(boolean draining) {
         return new WorkerDescription(
-                mLife,
+                mIncarnation,
                 new ServiceName("booking"),
                 new Resources(16_000, 64_000, 0),
                 List.of("a", "r1-1"),
@@ -75,7 +76,8 @@
 
     private void extendLease() {
         mSupervisor.onLeaseExtension(
-                new LeaseExtension(EPOCH, lastReport().number(), LEASE_MS, Optional.of(mLife), 0));
+                new LeaseExtension(
+                        EPOCH, lastReport().number(), LEASE_MS, Optional.of(mIncarnation), 0));
     }
 
     private WorkerReport lastReport() {
@@ -94,11 +96,11 @@
     }
 
     private StartRun start(Epoch epoch) {
-        mOrder++;
+        mCommandNumber++;
         return new StartRun(
                 epoch,
-                mOrder,
-                mLife,
+                mCommandNumber,
+                mIncarnation,
                 RUN,
                 "payload",
                 Optional.empty(),
@@ -106,7 +108,7 @@
                 new TaskTraits("image", true, 0, 1_000));
     }
 
-    private void pass(long milliseconds) {
+    private void advanceTime(long milliseconds) {
         mScheduler.advanceTimeBy(milliseconds, TimeUnit.MILLISECONDS);
     }
 
@@ -121,7 +123,7 @@
     }
 
     @Test
-    void ignoresOrdersOfOlderEpoch() {
+    void ignoresCommandsOfOlderEpoch() {
         mSupervisor.onStartRun(start(new Epoch(4)));
         mSupervisor.onStopRun(new StopRun(new Epoch(4), 1, RUN));
 
@@ -132,13 +134,13 @@
     @Test
     void rejectsUnansweredStartOnlyAfterListingUnderHigherToken() {
         mSupervisor.onStartRun(start(EPOCH));
-        mWorker.mSilent = true;
-        mWorker.mStartAnswers.get(0).onError(new IllegalStateException("no answer"));
-        pass(300);
+        mWorker.mUnresponsive = true;
+        mWorker.mStartResponses.get(0).onError(new IllegalStateException("no response"));
+        advanceTime(300);
         assertThat(rejections()).isEmpty();
 
-        mWorker.mSilent = false;
-        pass(200);
+        mWorker.mUnresponsive = false;
+        advanceTime(200);
 
         assertThat(rejections())
                 .containsExactly(new RunRejected(EPOCH, RUN, RejectionReason.UNAVAILABLE));
@@ -147,20 +149,20 @@
     }
 
     @Test
-    void keepsUnansweredStartThatTheWorkerLists() {
+    void keepsUnansweredStartThatWorkerLists() {
         mSupervisor.onStartRun(start(EPOCH));
         mWorker.mRunning.add(new RunSample(RUN, "", 0, 0));
-        mWorker.mStartAnswers.get(0).onError(new IllegalStateException("no answer"));
-        pass(500);
+        mWorker.mStartResponses.get(0).onError(new IllegalStateException("no response"));
+        advanceTime(500);
 
         assertThat(rejections()).isEmpty();
         assertThat(lastReport().running()).extracting(RunSample::run).containsExactly(RUN);
     }
 
     @Test
-    void repeatsFencedStartUnderHigherToken() {
+    void retriesFencedStartUnderHigherToken() {
         mSupervisor.onStartRun(start(EPOCH));
-        mWorker.mStartAnswers.get(0).onSuccess(RunCommandResult.FENCED);
+        mWorker.mStartResponses.get(0).onSuccess(RunCommandResult.FENCED);
 
         assertThat(mWorker.mStarts).hasSize(2);
         assertThat(mWorker.mStarts.get(1).fencingToken()).isGreaterThan(FIRST_TOKEN);
@@ -169,7 +171,7 @@
     @Test
     void reportsPendingRunUntilListed() {
         mSupervisor.onStartRun(start(EPOCH));
-        pass(600);
+        advanceTime(600);
 
         assertThat(lastReport().pending()).containsExactly(RUN);
         assertThat(lastReport().lastCommandNumber()).isEqualTo(1);
@@ -186,9 +188,9 @@
     }
 
     @Test
-    void rejectsStartForEarlierLife() {
+    void rejectsStartForEarlierIncarnation() {
         mWorker.mStartedAtMs = 2_000;
-        pass(500);
+        advanceTime(500);
         mSupervisor.onStartRun(start(EPOCH));
 
         assertThat(mWorker.mStarts).isEmpty();
@@ -196,9 +198,9 @@
     }
 
     @Test
-    void raisesTokenForNewLifeSoThatLateOrdersAreFenced() {
+    void raisesTokenForNewIncarnationSoThatLateCommandsAreFenced() {
         mWorker.mStartedAtMs = 2_000;
-        pass(500);
+        advanceTime(500);
 
         assertThat(mWorker.mListTokens.get(mWorker.mListTokens.size() - 1))
                 .isGreaterThan(FIRST_TOKEN);
@@ -207,51 +209,54 @@
     @Test
     void acknowledgesEndsOnlyWhenDurable() {
         mWorker.mEnded.add(new EndedRun(1, RUN, EndCause.DONE, ""));
-        pass(500);
+        advanceTime(500);
         assertThat(lastReport().ended()).hasSize(1);
-        assertThat(mWorker.mAcknowledged).isZero();
+        assertThat(mWorker.mAcknowledgedEndNumber).isZero();
 
-        mSupervisor.onLeaseExtension(new LeaseExtension(EPOCH, 0, 0, Optional.of(mLife), 1));
-        pass(100);
+        mSupervisor.onLeaseExtension(new LeaseExtension(EPOCH, 0, 0, Optional.of(mIncarnation), 1));
+        advanceTime(100);
 
-        assertThat(mWorker.mAcknowledged).isEqualTo(1);
+        assertThat(mWorker.mAcknowledgedEndNumber).isEqualTo(1);
     }
 
     @Test
-    void ignoresAcknowledgementForEarlierLife() {
+    void ignoresAcknowledgementForEarlierIncarnation() {
         mWorker.mEnded.add(new EndedRun(1, RUN, EndCause.DONE, ""));
         WorkerIncarnation earlier = new WorkerIncarnation(new WorkerId("i-1"), 500);
         mSupervisor.onLeaseExtension(new LeaseExtension(EPOCH, 0, 0, Optional.of(earlier), 1));
-        pass(500);
+        advanceTime(500);
 
-        assertThat(mWorker.mAcknowledged).isZero();
+        assertThat(mWorker.mAcknowledgedEndNumber).isZero();
     }
 
     @Test
-    void tellsThatLeaseExpiredOnlyAfterItCertainlyHas() {
-        pass(500);
-        mWorker.mSilent = true;
-        pass(5_000);
+    void reportsLeaseExpiryOnlyWhenCertain() {
+        advanceTime(500);
+        mWorker.mUnresponsive = true;
+        advanceTime(5_000);
         assertThat(lastReport().reachable()).isFalse();
         assertThat(lastReport().leaseExpired()).isFalse();
 
-        pass(10_000);
+        advanceTime(10_000);
 
         assertThat(lastReport().leaseExpired()).isTrue();
     }
 
     @Test
-    void repeatsStopWhileRunIsListed() {
+    void retriesStopWhileRunIsListed() {
         mWorker.mRunning.add(new RunSample(RUN, "", 10, 0));
         mSupervisor.onStopRun(new StopRun(EPOCH, 1, RUN));
-        pass(1_000);
+        advanceTime(1_000);
 
         assertThat(mWorker.mStops.size()).isBetween(2, 5);
     }
 
-    /** The worker may restart under its id between the order and its execution. */
+    /**
+     * Guards against a start that the next incarnation of the worker executes after it was reported
+     * lost: the worker may restart under the same ID between the command and its execution.
+     */
     @Test
-    void reportsNewLifeOnlyAfterAllEarlierStartsAreRuledOut() {
+    void reportsNewIncarnationOnlyAfterEarlierStartsAreRuledOut() {
         mSupervisor.onStartRun(start(EPOCH));
         long token = mWorker.mStarts.get(0).fencingToken();
         mWorker.mStartedAtMs = 2_000;
@@ -265,32 +270,32 @@
                         false,
                         0,
                         1));
-        pass(1_000);
+        advanceTime(1_000);
 
-        int confirming = mWorker.mListTokens.size() - 1;
-        assertThat(mWorker.mListTokens.get(confirming)).isGreaterThan(token);
+        int lastListing = mWorker.mListTokens.size() - 1;
+        assertThat(mWorker.mListTokens.get(lastListing)).isGreaterThan(token);
         assertThat(lastReport().incarnation())
                 .contains(new WorkerIncarnation(new WorkerId("i-1"), 2_000));
         assertThat(rejections()).hasSize(1);
     }
 
     @Test
-    void keepsStartThatReachedTheNewLife() {
+    void keepsStartThatReachedNewIncarnation() {
         mSupervisor.onStartRun(start(EPOCH));
         mWorker.mStartedAtMs = 2_000;
         mWorker.mClockMs = 10;
         mWorker.mRunning.add(new RunSample(RUN, "", 0, 0));
-        pass(1_000);
+        advanceTime(1_000);
 
         assertThat(rejections()).isEmpty();
         assertThat(lastReport().running()).hasSize(1);
     }
 
     @Test
-    void sendsNoStartWhileTheNewLifeIsNotConfirmed() {
+    void sendsNoStartWhileNewIncarnationIsUnconfirmed() {
         mWorker.mStartedAtMs = 2_000;
         mWorker.mClockMs = 10;
-        pass(1_000);
+        advanceTime(1_000);
         mSupervisor.onStartRun(start(EPOCH));
 
         assertThat(mWorker.mStarts).isEmpty();
