--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/election/EpochGenerator.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/election/EpochGenerator.java
@@ -5,20 +5,21 @@
 import org.hickorycleat.model.message.FleetNode;
 
 /**
- * Chooses the epochs of claims: above every known one, and different for each process.
+ * Generates epochs for ownership claims: higher than the highest known one, and different for each
+ * process.
  *
- * <p>Two claims with one epoch would look to the store like one append that is repeated, and both
- * processes would be told that they own the jobs.
+ * <p>The store would treat two claims with the same epoch as duplicates of one append and confirm
+ * the ownership to both processes.
  */
 public final class EpochGenerator {
-    /** Bits that tell processes apart; the bits above count the claims. */
+    /** Number of low bits that identify the process; the higher bits count the claims. */
     private static final int PROCESS_BITS = 24;
 
     private static final long PROCESS_MASK = (1L << PROCESS_BITS) - 1;
 
     private EpochGenerator() {}
 
-    /** Returns an epoch above a known one that no other process chooses. */
+    /** Returns an epoch that is higher than a known one and that no other process generates. */
     public static Epoch next(Epoch known, FleetNode self) {
         long claims = Math.max(0, known.value()) >> PROCESS_BITS;
         long process = Objects.hash(self.process(), self.startedAtMs()) * 0x9E3779B97F4A7C15L;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/election/OwnerElection.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/election/OwnerElection.java
@@ -8,131 +8,137 @@
 import org.hickorycleat.model.message.EntryHeartbeat;
 
 /**
- * Decides when an entry should claim the jobs.
+ * Decides when an entry should claim the ownership of the jobs.
  *
- * <p>The store decides who wins; this only keeps entries from claiming without need. An entry
- * claims when neither it nor any peer has heard from the owner for a while; stronger entries claim
- * earlier.
+ * <p>The store decides which claim wins; this class only prevents needless claims. An entry claims
+ * when neither it nor any peer has received a heartbeat of the owner within the timeout; entries
+ * with more processor capacity claim earlier.
  */
 public final class OwnerElection {
-    /** An owner that nobody heard for this long has failed, in milliseconds. */
-    private static final long SILENCE_LIMIT_MS = 1_200;
+    /** Time without a heartbeat after which the owner counts as failed, in milliseconds. */
+    private static final long OWNER_TIMEOUT_MS = 1_200;
 
-    /** An owner whose links are closed has this long to open them again, in milliseconds. */
-    private static final long CLOSED_LIMIT_MS = 400;
+    /** Time within which an owner whose links are closed must reconnect, in milliseconds. */
+    private static final long RECONNECT_TIMEOUT_MS = 400;
 
-    /** A peer's heartbeat older than this no longer speaks for the owner, in milliseconds. */
-    private static final long PEER_MEMORY_MS = 1_000;
+    /** Maximum age at which a peer's heartbeat still confirms the owner, in milliseconds. */
+    private static final long PEER_HEARTBEAT_VALIDITY_MS = 1_000;
 
-    /** Delay of the claim of an entry with one whole processor, in milliseconds. */
+    /**
+     * Claim delay of an entry with one whole processor, in milliseconds; inversely proportional to
+     * the capacity.
+     */
     private static final long CLAIM_DELAY_MS = 100;
 
-    private static final long LONGEST_CLAIM_DELAY_MS = 600;
+    private static final long MAXIMUM_CLAIM_DELAY_MS = 600;
 
     private final ProcessId mSelf;
     private final long mClaimDelayMs;
-    private final Map<ProcessId, PeerView> mPeers = new HashMap<>();
+    private final Map<ProcessId, ReceivedHeartbeat> mPeers = new HashMap<>();
     private Optional<ProcessId> mOwner = Optional.empty();
     private Epoch mEpoch = new Epoch(-1);
-    private long mHeardAtMs;
-    private boolean mConnected;
+    private long mOwnerHeartbeatAtMs;
+    private boolean mOwnerConnected;
     private long mOfferedUntilMs = Long.MIN_VALUE;
 
-    private record PeerView(EntryHeartbeat heartbeat, long receivedAtMs) {}
+    private record ReceivedHeartbeat(EntryHeartbeat heartbeat, long receivedAtMs) {}
 
     /**
      * Creates the election of an entry.
      *
-     * @param capacityMilli share of a processor of this entry, in thousandths
+     * @param capacityMilli processor capacity of this entry, in thousandths of a processor
      */
     public OwnerElection(ProcessId self, long capacityMilli, long nowMs) {
         mSelf = self;
         mClaimDelayMs =
                 Math.min(
-                        LONGEST_CLAIM_DELAY_MS, CLAIM_DELAY_MS * 1000 / Math.max(1, capacityMilli));
-        mHeardAtMs = nowMs;
+                        MAXIMUM_CLAIM_DELAY_MS, CLAIM_DELAY_MS * 1000 / Math.max(1, capacityMilli));
+        mOwnerHeartbeatAtMs = nowMs;
     }
 
-    /** Learns of a claim. */
+    /** Handles a claim; ignores it unless its epoch is the highest so far. */
     public synchronized void onOwnershipClaimed(ProcessId owner, Epoch epoch, long nowMs) {
         if (epoch.compareTo(mEpoch) <= 0) {
             return;
         }
         mOwner = Optional.of(owner);
         mEpoch = epoch;
-        mHeardAtMs = nowMs;
-        mConnected = true;
+        mOwnerHeartbeatAtMs = nowMs;
+        mOwnerConnected = true;
     }
 
-    /** Takes the heartbeat of a peer. */
+    /** Handles the heartbeat of a peer. */
     public synchronized void onPeerHeartbeat(ProcessId peer, EntryHeartbeat heartbeat, long nowMs) {
-        mPeers.put(peer, new PeerView(heartbeat, nowMs));
+        mPeers.put(peer, new ReceivedHeartbeat(heartbeat, nowMs));
         heartbeat.owner().ifPresent(owner -> onOwnershipClaimed(owner, heartbeat.epoch(), nowMs));
-        boolean speaksAsOwner =
+        boolean sentByOwner =
                 heartbeat.owner().equals(Optional.of(peer)) && heartbeat.epoch().equals(mEpoch);
-        if (speaksAsOwner) {
-            mHeardAtMs = nowMs;
-            mConnected = true;
+        if (sentByOwner) {
+            mOwnerHeartbeatAtMs = nowMs;
+            mOwnerConnected = true;
         }
     }
 
-    /** All links to a peer are closed. */
+    /** Handles the loss of all links to a peer. */
     public synchronized void onPeerDisconnected(ProcessId peer) {
         mPeers.remove(peer);
         if (mOwner.equals(Optional.of(peer))) {
-            mConnected = false;
+            mOwnerConnected = false;
         }
     }
 
-    /** The owner asks this entry to take over. */
+    /**
+     * Handles the offer of the owner to hand over to this entry; ignores offers of another epoch.
+     */
     public synchronized void onOwnershipOffered(Epoch epoch, long nowMs) {
         if (epoch.equals(mEpoch)) {
-            mOfferedUntilMs = nowMs + SILENCE_LIMIT_MS;
+            mOfferedUntilMs = nowMs + OWNER_TIMEOUT_MS;
         }
     }
 
-    /** Returns the owner that this entry follows. */
+    /** Returns the owner with the highest known epoch. */
     public synchronized Optional<ProcessId> owner() {
         return mOwner;
     }
 
-    /** Returns the epoch of that owner. */
+    /** Returns the epoch of the known owner. */
     public synchronized Epoch epoch() {
         return mEpoch;
     }
 
-    /** Returns how long ago the owner was heard, in milliseconds. */
+    /** Returns the time since the last heartbeat of the owner, in milliseconds. */
     public synchronized long ownerHeartbeatAgeMs(long nowMs) {
-        return isOwner() ? 0 : nowMs - mHeardAtMs;
+        return isOwner() ? 0 : nowMs - mOwnerHeartbeatAtMs;
     }
 
-    /** Tells whether this entry is the newest owner it knows. */
+    /** Returns whether this entry has the highest claim that it knows of. */
     public synchronized boolean isOwner() {
         return mOwner.equals(Optional.of(mSelf));
     }
 
-    /** Tells whether this entry should claim the jobs now. */
+    /** Returns whether this entry should claim the ownership of the jobs now. */
     public synchronized boolean shouldClaimOwnership(long nowMs) {
         if (nowMs < mOfferedUntilMs) {
             return true;
         }
-        if (!isOwner() && nowMs - mHeardAtMs < limitMs() + mClaimDelayMs) {
+        if (!isOwner() && nowMs - mOwnerHeartbeatAtMs < ownerTimeoutMs() + mClaimDelayMs) {
             return false;
         }
-        return mPeers.values().stream().noneMatch(view -> vouches(view, nowMs));
+        return mPeers.values().stream().noneMatch(received -> confirmsOwner(received, nowMs));
     }
 
-    private long limitMs() {
-        return mOwner.isPresent() && mConnected ? SILENCE_LIMIT_MS : CLOSED_LIMIT_MS;
+    private long ownerTimeoutMs() {
+        return mOwner.isPresent() && mOwnerConnected ? OWNER_TIMEOUT_MS : RECONNECT_TIMEOUT_MS;
     }
 
-    private boolean vouches(PeerView view, long nowMs) {
-        if (nowMs - view.receivedAtMs() > PEER_MEMORY_MS || mOwner.isEmpty()) {
+    private boolean confirmsOwner(ReceivedHeartbeat received, long nowMs) {
+        if (nowMs - received.receivedAtMs() > PEER_HEARTBEAT_VALIDITY_MS || mOwner.isEmpty()) {
             return false;
         }
-        EntryHeartbeat heartbeat = view.heartbeat();
+        EntryHeartbeat heartbeat = received.heartbeat();
         return heartbeat.epoch().equals(mEpoch)
                 && !heartbeat.owner().equals(Optional.of(mSelf))
-                && heartbeat.ownerHeartbeatAgeMs() + nowMs - view.receivedAtMs() < limitMs();
+                && heartbeat.ownerHeartbeatAgeMs() + nowMs - received.receivedAtMs()
+                        < ownerTimeoutMs();
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/election/package-info.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/election/package-info.java
@@ -1,4 +1,4 @@
-/** Choice of the one entry that owns the jobs. */
+/** Election of the one entry that owns the jobs. */
 @NullMarked
 package org.hickorycleat.logic.election;
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/EpochGeneratorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/EpochGeneratorTest.java
@@ -21,7 +21,10 @@
                 startedAtMs);
     }
 
-    /** Guards against two entries that claim at once and are both told that they won. */
+    /**
+     * Guards against two simultaneous claims with the same epoch, which the store would both
+     * confirm.
+     */
     @Test
     void differsBetweenProcessesThatKnowTheSameEpoch() {
         Epoch known = new Epoch(-1);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/OwnerElectionTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/OwnerElectionTest.java
@@ -28,7 +28,7 @@
     }
 
     @Test
-    void leavesOwnerAloneThatItHears() {
+    void claimsNothingWhileOwnerSendsHeartbeats() {
         for (long nowMs = 0; nowMs < 5_000; nowMs += 200) {
             mElection.onPeerHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), nowMs);
             assertThat(mElection.shouldClaimOwnership(nowMs)).isFalse();
@@ -36,7 +36,7 @@
     }
 
     @Test
-    void claimsWithinTwoSecondsOfSilence() {
+    void claimsWithinTwoSecondsAfterLastHeartbeat() {
         mElection.onPeerHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), 0);
 
         assertThat(mElection.shouldClaimOwnership(1_000)).isFalse();
@@ -52,7 +52,7 @@
     }
 
     @Test
-    void leavesOwnerAloneThatOnePeerHears() {
+    void claimsNothingWhilePeerConfirmsOwner() {
         mElection.onPeerHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), 0);
         mElection.onPeerHeartbeat(PEER, heartbeat(OWNER, EPOCH, 100), 1_900);
 
@@ -70,7 +70,7 @@
     }
 
     @Test
-    void takesOfferOfCurrentOwnerOnly() {
+    void acceptsOfferOfCurrentEpochOnly() {
         mElection.onPeerHeartbeat(OWNER, heartbeat(OWNER, EPOCH, 0), 0);
         mElection.onOwnershipOffered(new Epoch(6), 100);
         assertThat(mElection.shouldClaimOwnership(100)).isFalse();
@@ -80,7 +80,7 @@
     }
 
     @Test
-    void knowsThatItWasSucceeded() {
+    void ceasesToBeOwnerOnHigherEpoch() {
         mElection.onOwnershipClaimed(SELF, EPOCH, 0);
         assertThat(mElection.isOwner()).isTrue();
 
