--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/scheduling/CombinedConstraint.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/scheduling/CombinedConstraint.java
@@ -5,7 +5,7 @@
 import org.hickorycleat.logic.placement.WorkerView;
 import org.hickorycleat.model.task.TaskSpecification;
 
-/** Adds two constraints. */
+/** Combines two constraints: adds their penalties and forbids what either forbids. */
 record CombinedConstraint(PlacementConstraint first, PlacementConstraint second)
         implements PlacementConstraint {
     @Override
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/scheduling/PlacementObserver.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/scheduling/PlacementObserver.java
@@ -8,23 +8,23 @@
 import org.hickorycleat.model.task.TaskSpecification;
 import org.hickorycleat.model.task.TaskState;
 
-/** What the owner of a shard tells the policy, on the thread that calls it. */
+/** Receives the observations of the owner of a shard, on the thread that also calls the policy. */
 public interface PlacementObserver {
-    /** Records that an attempt runs, or that its throttle changed. */
+    /** Records that an attempt is running or that its throttle changed. */
     void onAttemptRunning(PlacedTask task, long nowMs);
 
-    /** Records the end of an attempt in a state that ends it. */
+    /** Records the end of an attempt in a final state. */
     void onAttemptEnded(PlacedTask task, TaskState state, long nowMs);
 
-    /** Records that a task is gone for good: done, rejected or cancelled. */
+    /** Records that a task was removed permanently: done, rejected or cancelled. */
     void onTaskRemoved(TaskId task);
 
-    /** Records that a worker came back with a new incarnation. */
+    /** Records that a worker restarted with a new incarnation. */
     void onWorkerRestarted(WorkerId worker);
 
-    /** Records what a task uses. */
+    /** Records the measured resource usage of a task. */
     void onUsageMeasured(TaskSpecification task, Resources used);
 
-    /** Records a latency of a service. */
+    /** Records a measured latency of a service. */
     void onLatencyMeasured(LatencyMeasurement measurement);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/scheduling/SchedulingPolicy.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/scheduling/SchedulingPolicy.java
@@ -30,8 +30,9 @@
 import org.hickorycleat.model.task.TaskState;
 
 /**
- * The policy of a shard with all that it learns. The view of each call must contain the effects of
- * all earlier decisions that still stand. Not safe for use by several threads.
+ * Scheduling policy of a shard with its run time, quarantine and interference estimates. The view
+ * passed to each call must contain the effects of all earlier decisions that are still valid. Not
+ * thread-safe.
  */
 public final class SchedulingPolicy implements PlacementPolicy, PlacementObserver {
     private final JobNaming mNaming;
@@ -60,7 +61,7 @@
                         .build();
     }
 
-    /** Returns the corrected run times, for the snapshot of the shard. */
+    /** Returns the run time correction, for the snapshot of the shard. */
     public RunTimeCorrection runTimeCorrection() {
         return mCorrection;
     }
@@ -82,7 +83,7 @@
         List<PlacementDecision> decisions = new ArrayList<>(rejections(indexed));
         Set<TaskId> decided = new HashSet<>();
         decisions.forEach(decision -> decided.add(decision.task()));
-        // Evictions for urgent work go before steps against interference on the same task.
+        // Evictions for urgent work take precedence over interference mitigation on the same task.
         for (PlacementDecision decision : mPlacement.decide(indexed, nowMs)) {
             if (decided.add(decision.task())) {
                 decisions.add(decision);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/scheduling/package-info.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/scheduling/package-info.java
@@ -1,4 +1,7 @@
-/** The whole placement policy: placement, corrections, interference and quarantine together. */
+/**
+ * Scheduling policy that combines placement, run time correction, interference mitigation and
+ * quarantine.
+ */
 @NullMarked
 package org.hickorycleat.logic.scheduling;
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/scheduling/SchedulingPolicyTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/scheduling/SchedulingPolicyTest.java
@@ -30,12 +30,12 @@
     private final SchedulingPolicy mPolicy = new SchedulingPolicy(JobNaming.BEFORE_LAST_SLASH);
     private final IncrementalPlacementView mView = new IncrementalPlacementView();
 
-    /** Guards against a broken job that is tried on one worker after the other for ever. */
+    /** Guards against a failing task that is retried on one worker after the other without end. */
     @Test
-    void rejectsTheTaskThatFailsOnSeveralWorkers() {
+    void rejectsTaskThatFailsOnSeveralWorkers() {
         addWorkers(4);
         for (int worker = 0; worker < 3; worker++) {
-            fail("broken/1", worker);
+            recordFailure("broken/1", worker);
         }
         submit("broken/1");
         assertThat(mPolicy.decide(mView, 10))
@@ -46,21 +46,24 @@
                         reject -> assertThat(reject.code()).isEqualTo(ResultCode.TASK_FAILED));
     }
 
-    /** Guards against decisions that start a task and reject it at once. */
+    /** Guards against two decisions on one task in one round, such as a start and a rejection. */
     @Test
     void decidesOnceAboutEachTask() {
-        rejectsTheTaskThatFailsOnSeveralWorkers();
+        rejectsTaskThatFailsOnSeveralWorkers();
         assertThat(mPolicy.decide(mView, 20))
                 .extracting(PlacementDecision::task)
                 .doesNotHaveDuplicates();
     }
 
-    /** Guards against work on a worker that fails everything, and against several probes. */
+    /**
+     * Guards against normal starts, and more than one probe task at a time, on a quarantined
+     * worker.
+     */
     @Test
-    void givesOneProbeAtOnceToQuarantinedWorkers() {
+    void startsOneProbeTaskOnQuarantinedWorker() {
         addWorkers(2);
         for (int i = 0; i < 3; i++) {
-            fail("job-" + i + "/1", 0);
+            recordFailure("job-" + i + "/1", 0);
         }
         for (int i = 0; i < 5; i++) {
             submit("waiting-" + i + "/1");
@@ -94,7 +97,7 @@
         mView.addPending(new PendingTask(task(id), 0, 0, 0, 0));
     }
 
-    private void fail(String id, int worker) {
+    private void recordFailure(String id, int worker) {
         PlacedTask placed =
                 new PlacedTask(
                         task(id), new WorkerId("w" + worker), 0, 0, 0, 0, Phase.RUNNING, 1_000);
