--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/configuration/AcceptedConfiguration.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/configuration/AcceptedConfiguration.java
@@ -6,10 +6,10 @@
 /**
  * A manifest that was accepted.
  *
- * @param version offset of its publication
- * @param manifest parsed manifest
- * @param bytes bytes as published
+ * @param version offset of its publication in the configuration stream
+ * @param manifest parsed form of {@code bytes}
+ * @param bytes serialized manifest, exactly as published
  */
-@SuppressWarnings("ArrayRecordComponent") // Copied neither in nor out: never changed.
+@SuppressWarnings("ArrayRecordComponent") // Shared without copying; never modified.
 public record AcceptedConfiguration(
         ConfigurationVersion version, Manifest manifest, byte[] bytes) {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/configuration/ConfigurationHistory.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/configuration/ConfigurationHistory.java
@@ -12,19 +12,20 @@
 import org.hickorycleat.model.manifest.ManifestParser;
 
 /**
- * The accepted configuration as a pure function of the records read; immutable.
+ * Computes the accepted configuration as a pure function of the records read; immutable.
  *
- * <p>A reader that begins after the start of the stream knows no current version. It learns it from
- * a snapshot whose writer had read at least up to where this reader began, then judges the
- * publications between that place and the snapshot itself. An earlier snapshot is not enough: a
- * manifest accepted after it may have been dropped by retention.
+ * <p>A reader that begins after the start of the stream does not know the current version. It
+ * recovers the version from a snapshot whose writer had read at least up to the offset where this
+ * reader began, and then evaluates the publications between {@code asOf} and the snapshot. An
+ * earlier snapshot is not sufficient, because retention may have removed a manifest that was
+ * accepted after it.
  */
 public final class ConfigurationHistory {
     private static final ConfigurationVersion NO_VERSION = new ConfigurationVersion(-1);
 
     private final long mFirstOffset;
     private final long mNextOffset;
-    private final boolean mDecided;
+    private final boolean mVersionKnown;
     private final Optional<AcceptedConfiguration> mCurrent;
     private final long mLastSnapshotOffset;
     private final Vector<PendingPublication> mPending;
@@ -32,34 +33,37 @@
     private ConfigurationHistory(
             long firstOffset,
             long nextOffset,
-            boolean decided,
+            boolean versionKnown,
             Optional<AcceptedConfiguration> current,
             long lastSnapshotOffset,
             Vector<PendingPublication> pending) {
         mFirstOffset = firstOffset;
         mNextOffset = nextOffset;
-        mDecided = decided;
+        mVersionKnown = versionKnown;
         mCurrent = current;
         mLastSnapshotOffset = lastSnapshotOffset;
         mPending = pending;
     }
 
     /** A publication read before the current version was known. */
-    @SuppressWarnings("ArrayRecordComponent") // Copied neither in nor out: never changed.
+    @SuppressWarnings("ArrayRecordComponent") // Shared without copying; never modified.
     private record PendingPublication(long offset, byte[] manifest) {}
 
-    /** History after a record, and what the record did. */
+    /** The history after a record and the outcome of that record. */
     public record ApplyResult(ConfigurationHistory history, RecordOutcome outcome) {}
 
-    /** Returns the history of a reader that begins at the given first kept offset. */
+    /**
+     * Returns the history of a reader that begins at the given offset; the version is known from
+     * the start only at offset 0.
+     */
     public static ConfigurationHistory startingAt(long firstOffset) {
         return new ConfigurationHistory(
                 firstOffset, firstOffset, firstOffset == 0, Optional.empty(), -1, Vector.empty());
     }
 
     /**
-     * Applies the next record. An offset already applied changes nothing; after a gap the current
-     * version is unknown, as for a reader that begins there.
+     * Applies the next record. An offset that was already applied changes nothing. After a gap in
+     * the offsets the current version is unknown, as for a reader that begins at this offset.
      */
     public ApplyResult apply(long offset, byte[] payload) {
         if (offset < mNextOffset) {
@@ -73,21 +77,21 @@
             return advance(offset, RecordOutcome.MALFORMED);
         }
         return decoded.get() instanceof Snapshot snapshot
-                ? snapshot(offset, snapshot)
-                : publication(offset, decoded.get().manifest());
+                ? applySnapshot(offset, snapshot)
+                : applyPublication(offset, decoded.get().manifest());
     }
 
-    /** Tells whether the current version is known, even if it is none. */
+    /** Returns whether the current version is known; a known version may be -1. */
     public boolean isVersionKnown() {
-        return mDecided;
+        return mVersionKnown;
     }
 
-    /** Returns the current configuration; empty if there is none or it is not known. */
+    /** Returns the current configuration; empty if none was accepted or the version is unknown. */
     public Optional<AcceptedConfiguration> current() {
         return mCurrent;
     }
 
-    /** Returns the current version, -1 for none. */
+    /** Returns the current version; -1 if none was accepted or the version is unknown. */
     public ConfigurationVersion version() {
         return versionOf(mCurrent);
     }
@@ -98,15 +102,16 @@
     }
 
     /**
-     * Returns the offset of the newest snapshot of the then current manifest, -1 for none. A
-     * publication does not count: a reader that begins after the start cannot judge it.
+     * Returns the offset of the newest snapshot of the manifest that was current at that offset; -1
+     * for none. Publications do not count, because a reader that begins after the start of the
+     * stream cannot evaluate them.
      */
     public long lastSnapshotOffset() {
         return mLastSnapshotOffset;
     }
 
-    private ApplyResult publication(long offset, byte[] manifest) {
-        if (!mDecided) {
+    private ApplyResult applyPublication(long offset, byte[] manifest) {
+        if (!mVersionKnown) {
             Vector<PendingPublication> pending =
                     mPending.append(new PendingPublication(offset, manifest));
             return new ApplyResult(
@@ -132,23 +137,26 @@
                 RecordOutcome.ACCEPTED);
     }
 
-    private ApplyResult snapshot(long offset, Snapshot snapshot) {
-        if (mDecided) {
+    private ApplyResult applySnapshot(long offset, Snapshot snapshot) {
+        if (mVersionKnown) {
             boolean isCurrent = snapshot.version().equals(version());
             return new ApplyResult(
                     with(offset + 1, mCurrent, isCurrent ? offset : mLastSnapshotOffset, mPending),
                     RecordOutcome.SNAPSHOT);
         }
-        Optional<Optional<AcceptedConfiguration>> copied = copied(snapshot);
-        if (snapshot.asOf() < mFirstOffset || copied.isEmpty()) {
+        Optional<Optional<AcceptedConfiguration>> content = snapshotContent(snapshot);
+        if (snapshot.asOf() < mFirstOffset || content.isEmpty()) {
             return advance(offset, RecordOutcome.UNDECIDED);
         }
         return new ApplyResult(
-                recover(offset, snapshot.asOf(), copied.get()), RecordOutcome.RECOVERED);
+                recover(offset, snapshot.asOf(), content.get()), RecordOutcome.RECOVERED);
     }
 
-    /** Returns what the snapshot holds, or empty if it is invalid; version -1 stands for none. */
-    private static Optional<Optional<AcceptedConfiguration>> copied(Snapshot snapshot) {
+    /**
+     * Returns the configuration in the snapshot, or empty if its manifest is invalid; version -1
+     * represents no configuration.
+     */
+    private static Optional<Optional<AcceptedConfiguration>> snapshotContent(Snapshot snapshot) {
         if (snapshot.version().equals(NO_VERSION)) {
             return Optional.of(Optional.empty());
         }
@@ -163,15 +171,15 @@
     }
 
     private ConfigurationHistory recover(
-            long offset, long asOf, Optional<AcceptedConfiguration> copied) {
+            long offset, long asOf, Optional<AcceptedConfiguration> snapshotContent) {
         ConfigurationHistory history =
-                new ConfigurationHistory(asOf, asOf, true, copied, offset, Vector.empty());
+                new ConfigurationHistory(asOf, asOf, true, snapshotContent, offset, Vector.empty());
         for (PendingPublication pending : mPending) {
             if (pending.offset() >= asOf) {
-                history = history.publication(pending.offset(), pending.manifest()).history();
+                history = history.applyPublication(pending.offset(), pending.manifest()).history();
             }
         }
-        boolean isCurrent = history.version().equals(versionOf(copied));
+        boolean isCurrent = history.version().equals(versionOf(snapshotContent));
         return history.with(
                 offset + 1,
                 history.mCurrent,
@@ -193,6 +201,6 @@
             long lastSnapshotOffset,
             Vector<PendingPublication> pending) {
         return new ConfigurationHistory(
-                mFirstOffset, nextOffset, mDecided, current, lastSnapshotOffset, pending);
+                mFirstOffset, nextOffset, mVersionKnown, current, lastSnapshotOffset, pending);
     }
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/configuration/ConfigurationRecord.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/configuration/ConfigurationRecord.java
@@ -8,23 +8,23 @@
     /** Returns the identity of the record. */
     RecordId id();
 
-    /** Returns the bytes of the manifest, exactly as published. */
+    /** Returns the serialized manifest, exactly as published. */
     byte[] manifest();
 
-    /** An operator's publication. */
-    @SuppressWarnings("ArrayRecordComponent") // Copied neither in nor out: never changed.
+    /** A manifest that an operator published. */
+    @SuppressWarnings("ArrayRecordComponent") // Shared without copying; never modified.
     record Publication(RecordId id, byte[] manifest) implements ConfigurationRecord {}
 
     /**
-     * A copy of an accepted manifest, appended before retention drops the original.
+     * A copy of an accepted manifest, appended before retention removes the original.
      *
      * @param id identity of the record
      * @param version offset of the original publication
-     * @param asOf offset before which the writer had read everything; {@code version} was the
-     *     current one there. Another manifest may have been accepted between it and the snapshot.
-     * @param manifest bytes of the manifest
+     * @param asOf offset before which the writer had read every record; {@code version} was current
+     *     there. Another manifest may have been accepted between this offset and the snapshot.
+     * @param manifest serialized manifest
      */
-    @SuppressWarnings("ArrayRecordComponent") // Copied neither in nor out: never changed.
+    @SuppressWarnings("ArrayRecordComponent") // Shared without copying; never modified.
     record Snapshot(RecordId id, ConfigurationVersion version, long asOf, byte[] manifest)
             implements ConfigurationRecord {}
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/configuration/ConfigurationRecordCodec.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/configuration/ConfigurationRecordCodec.java
@@ -36,11 +36,11 @@
         try {
             return MAPPER.writeValueAsBytes(node);
         } catch (JsonProcessingException exception) {
-            throw new IllegalStateException("a tree of plain values cannot be written", exception);
+            throw new IllegalStateException("failed to serialize a JSON tree", exception);
         }
     }
 
-    /** Decodes a record; empty if it is not one, which every reader skips alike. */
+    /** Decodes a record; empty if the payload is malformed, in which case every reader skips it. */
     public static Optional<ConfigurationRecord> decode(byte[] payload) {
         try {
             return decode(MAPPER.readTree(payload));
@@ -57,8 +57,8 @@
         RecordId id =
                 new RecordId(
                         new ProcessId(node.path("writer").textValue()),
-                        new Incarnation(whole(node, "incarnation")),
-                        whole(node, "sequence"));
+                        new Incarnation(requireInteger(node, "incarnation")),
+                        requireInteger(node, "sequence"));
         return switch (node.path("kind").asText()) {
             case PUBLICATION ->
                     Optional.of(new ConfigurationRecord.Publication(id, manifest.binaryValue()));
@@ -70,12 +70,12 @@
     private static ConfigurationRecord snapshot(RecordId id, JsonNode node, byte[] manifest) {
         return new ConfigurationRecord.Snapshot(
                 id,
-                new ConfigurationVersion(whole(node, "version")),
-                whole(node, "as_of"),
+                new ConfigurationVersion(requireInteger(node, "version")),
+                requireInteger(node, "as_of"),
                 manifest);
     }
 
-    private static long whole(JsonNode node, String field) {
+    private static long requireInteger(JsonNode node, String field) {
         JsonNode value = node.path(field);
         if (!value.isIntegralNumber() || !value.canConvertToLong()) {
             throw new IllegalArgumentException(field + " is not a whole number");
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/configuration/RecordOutcome.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/configuration/RecordOutcome.java
@@ -1,21 +1,21 @@
 package org.hickorycleat.model.configuration;
 
-/** What a record of the configuration stream did. */
+/** Effect of a record of the configuration stream. */
 public enum RecordOutcome {
-    /** The manifest became the current one. */
+    /** The manifest became the current configuration. */
     ACCEPTED,
-    /** The bytes repeat the current manifest, so it is the same publication. */
+    /** A duplicate: the bytes equal the current manifest. The version is unchanged. */
     REPEATED,
-    /** The manifest was made from a version that was not the current one at its place. */
+    /** The manifest is based on a version that was not current at the record's offset. */
     STALE_BASE,
-    /** The manifest has errors. */
+    /** The manifest failed validation. */
     INVALID_MANIFEST,
-    /** A snapshot of a known version; it changes nothing. */
+    /** A snapshot read while the version was already known; it changes nothing. */
     SNAPSHOT,
-    /** A snapshot from which a reader of a truncated stream learned the current version. */
+    /** A snapshot from which a reader of a truncated stream recovered the current version. */
     RECOVERED,
-    /** The reader cannot judge the record, because it knows no version to start from. */
+    /** The record cannot be evaluated yet, because the reader does not know the current version. */
     UNDECIDED,
-    /** Not a record of this stream; it is skipped. */
+    /** The payload is not a configuration record; it is skipped. */
     MALFORMED
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/configuration/package-info.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/configuration/package-info.java
@@ -1,4 +1,4 @@
-/** Records of the configuration stream and the rule by which manifests are accepted. */
+/** Records of the configuration stream and the rule that decides which manifests are accepted. */
 @NullMarked
 package org.hickorycleat.model.configuration;
 
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/Criticality.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/Criticality.java
@@ -3,26 +3,29 @@
 import java.util.Locale;
 import java.util.Optional;
 
-/** How much it matters that a request or task is served, most critical first. */
+/**
+ * Importance of a request or task, from most to least critical; load shedding rejects the least
+ * critical first.
+ */
 public enum Criticality {
-    /** Users wait and lose money without the answer. */
+    /** Users wait for the response and lose money without it. */
     CRITICAL,
-    /** Users wait for the answer. */
+    /** Users wait for the response. */
     IMPORTANT,
-    /** The default. */
+    /** Used when no criticality is specified. */
     NORMAL,
-    /** Shed first. */
+    /** Rejected first under overload. */
     SHEDDABLE;
 
-    /** Returns the word used in headers and manifests. */
+    /** Returns the name used in headers and manifests. */
     public String wireName() {
         return name().toLowerCase(Locale.ROOT);
     }
 
-    /** Finds the criticality of a word. */
-    public static Optional<Criticality> ofWireName(String word) {
+    /** Returns the criticality with the given wire name; empty if there is none. */
+    public static Optional<Criticality> ofWireName(String wireName) {
         for (Criticality criticality : values()) {
-            if (criticality.wireName().equals(word)) {
+            if (criticality.wireName().equals(wireName)) {
                 return Optional.of(criticality);
             }
         }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/JobSpecification.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/JobSpecification.java
@@ -7,14 +7,14 @@
 import org.hickorycleat.model.task.Resources;
 
 /**
- * A batch job of the manifest; name and run together identify it, so that a later manifest with the
- * same pair does not run it again.
+ * A batch job of the manifest. Name and run together identify it, so a later manifest with the same
+ * pair does not run it again.
  *
  * @param name name of the job
  * @param run label of this run, for example a date
- * @param team team whose quota it uses
+ * @param team team whose quota the job uses
  * @param criticality criticality of the job
- * @param resources resources that it declares
+ * @param resources declared resources
  * @param estimatedSeconds declared run time in seconds
  * @param release earliest start
  * @param deadline time by which it must have finished
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/Manifest.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/Manifest.java
@@ -7,13 +7,13 @@
 import org.hickorycleat.model.identifier.TeamName;
 
 /**
- * What operators publish.
+ * The desired state that operators publish: services, batch jobs and teams.
  *
- * @param base version that the manifest was made from, -1 for the first
+ * @param base configuration version that the manifest is based on; -1 for the first
  * @param placementShards number of placement shards
- * @param services services
+ * @param services latency-critical services
  * @param jobs batch jobs
- * @param teams teams
+ * @param teams owners of the services and jobs, with their quotas
  */
 public record Manifest(
         ConfigurationVersion base,
@@ -28,12 +28,12 @@
         teams = List.copyOf(teams);
     }
 
-    /** Finds a service by name. */
+    /** Returns the service with the given name; empty if there is none. */
     public Optional<ServiceSpecification> service(ServiceName name) {
         return services.stream().filter(service -> service.name().equals(name)).findFirst();
     }
 
-    /** Finds a team by name. */
+    /** Returns the team with the given name; empty if there is none. */
     public Optional<TeamSpecification> team(TeamName name) {
         return teams.stream().filter(team -> team.name().equals(name)).findFirst();
     }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestError.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestError.java
@@ -1,11 +1,11 @@
 package org.hickorycleat.model.manifest;
 
 /**
- * One fault of a manifest.
+ * A validation error of a manifest.
  *
  * @param path JSON path of the value, for example {@code $.services[0].slots}
- * @param value value found, shortened to 60 characters
- * @param expected what was expected in its place
+ * @param value value found, truncated to 60 characters
+ * @param expected description of an acceptable value
  */
 public record ManifestError(String path, String value, String expected) {
     @Override
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestObjectReader.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestObjectReader.java
@@ -13,19 +13,19 @@
 import java.util.regex.Pattern;
 
 /**
- * Reads the fields of one JSON object, collecting every error instead of stopping at the first; a
- * field in error yields a stand-in value, and the result is discarded once there is any error.
+ * Reads the fields of one JSON object and collects every error instead of stopping at the first. An
+ * invalid field yields a placeholder value; the result is discarded if there is any error.
  */
 final class ManifestObjectReader {
-    private static final int SHOWN_CHARACTERS = 60;
+    private static final int MAXIMUM_VALUE_CHARACTERS = 60;
 
-    /** Stands for a name in error; no valid name contains it. */
-    static final String STAND_IN_NAME = "?";
+    /** Placeholder for an invalid name; no valid name contains it. */
+    static final String PLACEHOLDER_NAME = "?";
 
     private final JsonNode mNode;
     private final String mPath;
     private final List<ManifestError> mErrors;
-    private final Set<String> mKnown = new HashSet<>();
+    private final Set<String> mReadFields = new HashSet<>();
 
     ManifestObjectReader(JsonNode node, String path, List<ManifestError> errors) {
         mNode = node;
@@ -41,20 +41,20 @@
     }
 
     String name(String field) {
-        return name(path(field), take(field));
+        return name(path(field), readField(field));
     }
 
     long number(String field, long minimum, long maximum) {
-        return number(path(field), take(field), minimum, maximum);
+        return number(path(field), readField(field), minimum, maximum);
     }
 
-    long number(String field, long minimum, long maximum, long absent) {
-        JsonNode node = take(field);
-        return node.isMissingNode() ? absent : number(path(field), node, minimum, maximum);
+    long number(String field, long minimum, long maximum, long defaultValue) {
+        JsonNode node = readField(field);
+        return node.isMissingNode() ? defaultValue : number(path(field), node, minimum, maximum);
     }
 
     boolean flag(String field) {
-        JsonNode node = take(field);
+        JsonNode node = readField(field);
         if (!node.isMissingNode() && !node.isBoolean()) {
             report(path(field), node, "true or false");
         }
@@ -62,7 +62,7 @@
     }
 
     Criticality criticality(String field) {
-        JsonNode node = take(field);
+        JsonNode node = readField(field);
         if (node.isMissingNode()) {
             return Criticality.NORMAL;
         }
@@ -75,7 +75,7 @@
     }
 
     Optional<Instant> instant(String field) {
-        JsonNode node = take(field);
+        JsonNode node = readField(field);
         if (node.isMissingNode()) {
             return Optional.empty();
         }
@@ -87,9 +87,11 @@
         }
     }
 
-    /** Reads a list of distinct strings of a form; an absent field gives an empty list. */
-    List<String> strings(String field, Pattern form, String description) {
-        JsonNode node = take(field);
+    /**
+     * Reads a list of distinct strings that match a pattern; an absent field gives an empty list.
+     */
+    List<String> strings(String field, Pattern pattern, String description) {
+        JsonNode node = readField(field);
         List<String> values = new ArrayList<>();
         if (!isAbsentOrArray(field, node)) {
             return values;
@@ -97,7 +99,7 @@
         for (int index = 0; index < node.size(); index++) {
             String path = path(field) + "[" + index + "]";
             JsonNode element = node.get(index);
-            if (!element.isTextual() || !form.matcher(element.textValue()).matches()) {
+            if (!element.isTextual() || !pattern.matcher(element.textValue()).matches()) {
                 report(path, element, description);
             } else if (values.contains(element.textValue())) {
                 report(path, element, "a value that is not in the list yet");
@@ -110,7 +112,7 @@
 
     /** Reads a list of objects; an absent field gives an empty list. */
     <T> List<T> objects(String field, Function<ManifestObjectReader, T> read) {
-        JsonNode node = take(field);
+        JsonNode node = readField(field);
         List<T> values = new ArrayList<>();
         if (!isAbsentOrArray(field, node)) {
             return values;
@@ -124,19 +126,19 @@
 
     /** Reads a required object. */
     <T> T object(String field, Function<ManifestObjectReader, T> read) {
-        return object(take(field), path(field), read);
+        return object(readField(field), path(field), read);
     }
 
     void report(String field, String expected) {
         report(path(field), mNode.path(field), expected);
     }
 
-    /** Reports every field that nothing has asked for. */
+    /** Reports an error for each field that has not been read. */
     void reportUnknownFields() {
         mNode.fieldNames()
                 .forEachRemaining(
                         field -> {
-                            if (!mKnown.contains(field)) {
+                            if (!mReadFields.contains(field)) {
                                 report(field, "no such field in schema " + ManifestLimits.SCHEMA);
                             }
                         });
@@ -144,23 +146,26 @@
 
     private <T> T object(JsonNode node, String path, Function<ManifestObjectReader, T> read) {
         ManifestObjectReader reader = new ManifestObjectReader(node, path, mErrors);
-        int before = mErrors.size();
+        int errorsBefore = mErrors.size();
         T value = read.apply(node.isObject() ? reader : new ManifestObjectReader(node));
-        if (before == mErrors.size() || node.isObject()) {
+        if (errorsBefore == mErrors.size() || node.isObject()) {
             reader.reportUnknownFields();
         }
         return value;
     }
 
-    /** Reads stand-in values from what is not an object, whose errors nobody needs. */
+    /**
+     * Creates a reader that yields placeholder values for a node that is not an object. The type
+     * error is reported by the caller, so errors of its fields are discarded.
+     */
     private ManifestObjectReader(JsonNode node) {
         mNode = node;
         mPath = "";
         mErrors = new ArrayList<>();
     }
 
-    private JsonNode take(String field) {
-        mKnown.add(field);
+    private JsonNode readField(String field) {
+        mReadFields.add(field);
         JsonNode node = mNode.get(field);
         return node == null ? MissingNode.getInstance() : node;
     }
@@ -170,7 +175,7 @@
             return node.textValue();
         }
         report(path, node, ManifestLimits.NAME_DESCRIPTION);
-        return STAND_IN_NAME;
+        return PLACEHOLDER_NAME;
     }
 
     private long number(String path, JsonNode node, long minimum, long maximum) {
@@ -193,16 +198,16 @@
     }
 
     private void report(String path, JsonNode node, String expected) {
-        mErrors.add(new ManifestError(path, shown(node), expected));
+        mErrors.add(new ManifestError(path, abbreviate(node), expected));
     }
 
-    private static String shown(JsonNode node) {
+    private static String abbreviate(JsonNode node) {
         if (node.isMissingNode()) {
             return "nothing";
         }
         String text = node.toString();
-        return text.length() <= SHOWN_CHARACTERS
+        return text.length() <= MAXIMUM_VALUE_CHARACTERS
                 ? text
-                : text.substring(0, SHOWN_CHARACTERS - 3) + "...";
+                : text.substring(0, MAXIMUM_VALUE_CHARACTERS - 3) + "...";
     }
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestParser.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestParser.java
@@ -25,7 +25,8 @@
 /**
  * Parses and validates a manifest and reports all of its errors at once.
  *
- * <p>The result depends on the bytes only, since every reader of the log must agree on it.
+ * <p>The result depends only on the bytes, because all readers of the log must reach the same
+ * result.
  */
 public final class ManifestParser {
     private static final ObjectMapper MAPPER =
@@ -34,12 +35,14 @@
                     .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
                     .build();
 
-    /** Only methods that by their definition change nothing are repeated without being listed. */
+    /**
+     * Methods that HTTP defines as safe; other methods are retried only if the manifest lists them.
+     */
     private static final Set<String> DEFAULT_IDEMPOTENT_METHODS = Set.of("GET", "HEAD");
 
     private ManifestParser() {}
 
-    /** Parses the bytes of a manifest. */
+    /** Parses a serialized manifest; returns either the manifest or all validation errors. */
     public static Validation<Seq<ManifestError>, Manifest> parse(byte[] bytes) {
         if (bytes.length > ManifestLimits.MAXIMUM_BYTES) {
             return invalid(
@@ -48,7 +51,8 @@
         try {
             return parse(MAPPER.readTree(bytes));
         } catch (JsonProcessingException exception) {
-            return invalid(describe(exception), "well-formed JSON without repeated fields");
+            return invalid(
+                    errorWithLocation(exception), "well-formed JSON without repeated fields");
         } catch (IOException exception) {
             return invalid(String.valueOf(exception.getMessage()), "well-formed JSON");
         }
@@ -58,7 +62,7 @@
         return Validation.invalid(Vector.of(new ManifestError("$", value, expected)));
     }
 
-    private static String describe(JsonProcessingException exception) {
+    private static String errorWithLocation(JsonProcessingException exception) {
         String message = exception.getOriginalMessage();
         return exception.getLocation() == null
                 ? message
@@ -172,9 +176,9 @@
     }
 
     private static void checkReferences(Manifest manifest, List<ManifestError> errors) {
-        reportRepeated(manifest.teams(), "$.teams", team -> team.name().value(), errors);
-        reportRepeated(manifest.services(), "$.services", item -> item.name().value(), errors);
-        reportRepeated(manifest.jobs(), "$.jobs", ManifestParser::identity, errors);
+        reportDuplicates(manifest.teams(), "$.teams", team -> team.name().value(), errors);
+        reportDuplicates(manifest.services(), "$.services", item -> item.name().value(), errors);
+        reportDuplicates(manifest.jobs(), "$.jobs", ManifestParser::jobIdentity, errors);
         Set<TeamName> teams = new HashSet<>();
         manifest.teams().forEach(team -> teams.add(team.name()));
         reportUnknownTeams(
@@ -182,16 +186,16 @@
         reportUnknownTeams(manifest.jobs(), "$.jobs", JobSpecification::team, teams, errors);
     }
 
-    private static String identity(JobSpecification job) {
+    private static String jobIdentity(JobSpecification job) {
         return job.name() + " run " + job.run();
     }
 
-    private static <T> void reportRepeated(
+    private static <T> void reportDuplicates(
             List<T> items, String path, Function<T, String> key, List<ManifestError> errors) {
         Set<String> seen = new HashSet<>();
         for (int index = 0; index < items.size(); index++) {
             String value = key.apply(items.get(index));
-            if (!seen.add(value) && !value.contains(ManifestObjectReader.STAND_IN_NAME)) {
+            if (!seen.add(value) && !value.contains(ManifestObjectReader.PLACEHOLDER_NAME)) {
                 errors.add(
                         new ManifestError(
                                 path + "[" + index + "]", value, "a name that is not taken"));
@@ -207,7 +211,8 @@
             List<ManifestError> errors) {
         for (int index = 0; index < items.size(); index++) {
             TeamName name = team.apply(items.get(index));
-            if (!teams.contains(name) && !name.value().equals(ManifestObjectReader.STAND_IN_NAME)) {
+            if (!teams.contains(name)
+                    && !name.value().equals(ManifestObjectReader.PLACEHOLDER_NAME)) {
                 errors.add(
                         new ManifestError(
                                 path + "[" + index + "].team",
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestSlices.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestSlices.java
@@ -8,11 +8,17 @@
 import org.hickorycleat.model.identifier.ServiceName;
 import org.hickorycleat.model.identifier.TeamName;
 
-/** Parts of a manifest; a slice is itself a valid manifest. */
+/**
+ * Extracts and merges configuration slices: the part of a manifest that concerns some services. A
+ * slice is itself a valid manifest.
+ */
 public final class ManifestSlices {
     private ManifestSlices() {}
 
-    /** Returns the part that an agent of the given services needs: no jobs, only their teams. */
+    /**
+     * Returns the slice for an agent that hosts the given services: these services and their teams,
+     * without jobs.
+     */
     public static Manifest slice(Manifest manifest, Set<ServiceName> names) {
         List<ServiceSpecification> services =
                 manifest.services().stream().filter(item -> names.contains(item.name())).toList();
@@ -26,7 +32,7 @@
                 manifest.teams().stream().filter(team -> teams.contains(team.name())).toList());
     }
 
-    /** Joins two slices of the same manifest. */
+    /** Returns the union of two slices of the same manifest. */
     public static Manifest merge(Manifest first, Manifest second) {
         return new Manifest(
                 first.base(),
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestWriter.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestWriter.java
@@ -6,13 +6,13 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.hickorycleat.model.task.Resources;
 
-/** Writes a manifest as JSON that {@link ManifestParser} reads back as an equal manifest. */
+/** Serializes a manifest to JSON; {@link ManifestParser} reads it back as an equal manifest. */
 public final class ManifestWriter {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private ManifestWriter() {}
 
-    /** Writes a manifest. */
+    /** Returns the manifest as UTF-8 encoded JSON. */
     public static byte[] write(Manifest manifest) {
         ObjectNode json = MAPPER.createObjectNode();
         json.put("schema", ManifestLimits.SCHEMA);
@@ -27,7 +27,7 @@
         try {
             return MAPPER.writeValueAsBytes(json);
         } catch (JsonProcessingException exception) {
-            throw new IllegalStateException("a tree of plain values cannot be written", exception);
+            throw new IllegalStateException("failed to serialize a JSON tree", exception);
         }
     }
 
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ServiceSpecification.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ServiceSpecification.java
@@ -9,15 +9,15 @@
 /**
  * A latency-critical service of the manifest.
  *
- * @param name name in the path of requests
+ * @param name service name, as used in request paths
  * @param team team that owns it
  * @param criticality default criticality of its requests
- * @param instances number of instances, numbered from 0
- * @param slots requests that one target runs at once
- * @param connections connections that one target accepts
+ * @param instances number of instances; instance numbers start at 0
+ * @param slots maximum concurrent requests of one target
+ * @param connections maximum connections of one target
  * @param latencyGoalMs latency goal at the 99th percentile in milliseconds
- * @param zones availability zones that it is spread over; empty for all
- * @param idempotentMethods HTTP methods whose requests may be repeated
+ * @param zones availability zones over which instances are spread; empty for all
+ * @param idempotentMethods HTTP methods whose requests may be retried
  */
 public record ServiceSpecification(
         ServiceName name,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/TeamSpecification.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/TeamSpecification.java
@@ -7,7 +7,7 @@
  * A team of the manifest.
  *
  * @param name name of the team
- * @param weight relative share of requests under load, at least 1
- * @param quota resources that its batch tasks may hold at once
+ * @param weight relative share of requests under overload, at least 1
+ * @param quota maximum resources that its batch tasks may hold at once
  */
 public record TeamSpecification(TeamName name, int weight, Resources quota) {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/package-info.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/package-info.java
@@ -1,4 +1,4 @@
-/** The manifest that operators publish and its validation. */
+/** The manifest that operators publish, its JSON form and its validation. */
 @NullMarked
 package org.hickorycleat.model.manifest;
 
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/result/Outcome.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/result/Outcome.java
@@ -2,16 +2,16 @@
 
 import java.util.Locale;
 
-/** What a caller may conclude about its request. */
+/** Whether a request was executed, as far as its caller may conclude. */
 public enum Outcome {
-    /** The request ran and ended. */
+    /** The request was executed to its end. */
     DONE,
-    /** The request did not run and will not run. */
+    /** The request was not executed and will not be. */
     NOT_RUN,
-    /** The request may or may not have run. */
+    /** The request may have been executed. */
     UNKNOWN;
 
-    /** Returns the word used in the header {@code Hickorycleat-Outcome}. */
+    /** Returns the value of the header {@code Hickorycleat-Outcome}. */
     public String headerValue() {
         return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/result/package-info.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/result/package-info.java
@@ -1,4 +1,4 @@
-/** Numbered result codes and the outcome of a request. */
+/** Numbered result codes and the request outcomes that they imply. */
 @NullMarked
 package org.hickorycleat.model.result;
 
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/task/Resources.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/task/Resources.java
@@ -1,24 +1,24 @@
 package org.hickorycleat.model.task;
 
 /**
- * Amount of processor, memory and accelerators.
+ * Amounts of processors, memory and accelerators.
  *
- * @param processorsMilli thousandths of a processor core
- * @param memoryMebibytes MiB of memory
- * @param accelerators whole accelerators
+ * @param processorsMilli processor cores, in thousandths
+ * @param memoryMebibytes memory, in MiB
+ * @param accelerators number of accelerators
  */
 public record Resources(long processorsMilli, long memoryMebibytes, long accelerators) {
-    /** Nothing of anything. */
+    /** Zero of every resource. */
     public static final Resources NONE = new Resources(0, 0, 0);
 
-    /** Creates the amount; none may be negative. */
+    /** Creates the amounts; none may be negative. */
     public Resources {
         if (processorsMilli < 0 || memoryMebibytes < 0 || accelerators < 0) {
-            throw new IllegalArgumentException("negative resources");
+            throw new IllegalArgumentException("resource amounts must not be negative");
         }
     }
 
-    /** Returns the sum. */
+    /** Returns the sum of both amounts. */
     public Resources plus(Resources other) {
         return new Resources(
                 processorsMilli + other.processorsMilli,
@@ -26,7 +26,7 @@
                 accelerators + other.accelerators);
     }
 
-    /** Returns the difference; fails if it would be negative. */
+    /** Returns the difference; throws {@link IllegalArgumentException} if any part is negative. */
     public Resources minus(Resources other) {
         return new Resources(
                 processorsMilli - other.processorsMilli,
@@ -34,7 +34,7 @@
                 accelerators - other.accelerators);
     }
 
-    /** Tells whether this amount fits into the given one in every dimension. */
+    /** Returns whether this amount fits into the given capacity in every dimension. */
     public boolean fitsInto(Resources capacity) {
         return processorsMilli <= capacity.processorsMilli
                 && memoryMebibytes <= capacity.memoryMebibytes
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/task/TaskState.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/task/TaskState.java
@@ -2,20 +2,20 @@
 
 /** State of an attempt of a task. */
 public enum TaskState {
-    /** Sent to the worker, not confirmed. */
+    /** The start was sent to the worker and is not confirmed yet. */
     STARTING,
-    /** Runs. */
+    /** The worker runs it. */
     RUNNING,
-    /** Asked to stop, not confirmed. */
+    /** The stop was sent to the worker and is not confirmed yet. */
     STOPPING,
-    /** Ended by a stop, with its last checkpoint. */
+    /** Stopped on request; its last checkpoint is available. */
     STOPPED,
-    /** Ended well. */
+    /** Completed successfully. */
     SUCCEEDED,
-    /** Ended with a failure. */
+    /** Completed with a failure. */
     FAILED,
-    /** Ended because its lease expired. */
+    /** Terminated because its lease expired. */
     EXPIRED,
-    /** The worker did not start it. */
+    /** Rejected by the worker; it was not started. */
     REFUSED
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/task/package-info.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/task/package-info.java
@@ -1,4 +1,4 @@
-/** Resources, tasks and the records of the placement log. */
+/** Resources, tasks to place and the decisions of the placement policy. */
 @NullMarked
 package org.hickorycleat.model.task;
 
--- a/hickorycleat-model/src/test/java/org/hickorycleat/model/configuration/ConfigurationHistoryPropertyTest.java
+++ b/hickorycleat-model/src/test/java/org/hickorycleat/model/configuration/ConfigurationHistoryPropertyTest.java
@@ -17,9 +17,12 @@
 class ConfigurationHistoryPropertyTest {
     private static final int MAXIMUM_RECORDS = 24;
 
-    /** Guards against a reader that begins late and knows another version than one that saw all. */
+    /**
+     * Guards against a reader that starts late and recovers another version than a reader of the
+     * whole stream.
+     */
     @Property(seed = "1", tries = 500)
-    void readerThatBeginsAnywhereIsUndecidedOrAgreesWithTheOracle(@ForAll long seed) {
+    void readerThatStartsAnywhereHasUnknownOrOracleVersion(@ForAll long seed) {
         Stream stream = randomStream(new Random(seed));
         for (int first = 0; first < stream.size(); first++) {
             ConfigurationHistory history = ConfigurationHistory.startingAt(first);
@@ -27,17 +30,19 @@
                 history = applyAndCompare(stream, history, offset);
             }
             if (first > 0) {
-                Statistics.label("late reader is decided").collect(history.isVersionKnown());
+                Statistics.label("late reader knows the version").collect(history.isVersionKnown());
             }
         }
-        // Without this the property would hold for a reader that never decides.
-        Statistics.label("late reader is decided")
+        // Without this check the property would hold for a reader that never recovers a version.
+        Statistics.label("late reader knows the version")
                 .coverage(coverage -> coverage.check(true).percentage(share -> share > 30));
     }
 
-    /** Guards against a version that survives a restart or a gap without having been judged. */
+    /**
+     * Guards against a version that is carried over a restart or a gap without the missed records.
+     */
     @Property(seed = "2", tries = 500)
-    void readerThatRestartsAndMissesRecordsIsUndecidedOrAgreesWithTheOracle(@ForAll long seed) {
+    void readerWithRestartsAndGapsHasUnknownOrOracleVersion(@ForAll long seed) {
         Random random = new Random(seed);
         Stream stream = randomStream(random);
         ConfigurationHistory history = ConfigurationHistory.startingAt(0);
@@ -63,7 +68,9 @@
         ConfigurationHistory after = before.apply(offset, stream.payload(offset)).history();
         boolean isGap = offset > before.nextOffset();
         if (before.isVersionKnown() && !isGap) {
-            assertThat(after.isVersionKnown()).as("still decided after %d", offset).isTrue();
+            assertThat(after.isVersionKnown())
+                    .as("version still known after offset %d", offset)
+                    .isTrue();
         }
         if (after.isVersionKnown()) {
             assertThat(after.version().value())
@@ -78,7 +85,7 @@
 
     private static Stream randomStream(Random random) {
         Stream stream = new Stream();
-        // At least two, so that at least one reader begins late.
+        // At least two, so that at least one reader starts late.
         int records = 2 + random.nextInt(MAXIMUM_RECORDS - 1);
         while (stream.size() < records) {
             int size = stream.size();
@@ -93,12 +100,17 @@
         return stream;
     }
 
-    /** A stream and, computed while it is written, the version after every record. */
+    /**
+     * A stream with the oracle: the version after every record, computed while the stream is
+     * written.
+     */
     private static final class Stream {
         private final List<Entry> mEntries = new ArrayList<>();
         private final List<Long> mVersions = new ArrayList<>(List.of(-1L));
 
-        /** A record; a snapshot has no base and is never accepted. */
+        /**
+         * A record of the stream; a snapshot has no base and is never accepted as a publication.
+         */
         private record Entry(
                 ConfigurationRecord record, String manifest, long base, boolean isAcceptable) {}
 
@@ -131,14 +143,17 @@
                             isValid));
         }
 
-        /** Appends an earlier record again; does nothing at the end of the stream. */
+        /**
+         * Appends a duplicate of an earlier record; does nothing if the offset is the end of the
+         * stream.
+         */
         void repeat(int offset) {
             if (offset < size()) {
                 add(mEntries.get(offset));
             }
         }
 
-        /** Appends the snapshot of a writer that has read the records before an offset. */
+        /** Appends the snapshot of a writer that has read all records before {@code asOf}. */
         void snapshot(int asOf) {
             long version = versionBefore(asOf);
             String manifest = version < 0 ? "" : mEntries.get((int) version).manifest();
--- a/hickorycleat-model/src/test/java/org/hickorycleat/model/configuration/ConfigurationHistoryTest.java
+++ b/hickorycleat-model/src/test/java/org/hickorycleat/model/configuration/ConfigurationHistoryTest.java
@@ -14,15 +14,15 @@
 class ConfigurationHistoryTest {
     private final List<byte[]> mLog = new ArrayList<>();
 
-    /** Guards against two operators who both believe that their change is in force. */
+    /** Guards against concurrent publications on the same base that are both accepted. */
     @Test
-    void onlyTheFirstOfTwoManifestsWithOneBaseIsAccepted() {
+    void onlyFirstOfTwoManifestsWithSameBaseIsAccepted() {
         publish(-1, "a");
         publish(0, "b");
         publish(0, "c");
         publish(1, "d");
 
-        assertThat(outcomesFrom(0))
+        assertThat(outcomesOfReaderFrom(0))
                 .containsExactly(
                         RecordOutcome.ACCEPTED,
                         RecordOutcome.ACCEPTED,
@@ -31,15 +31,15 @@
         assertThat(readFrom(0).version()).isEqualTo(new ConfigurationVersion(3));
     }
 
-    /** Guards against a second copy of an append that counts as a change, or revives an old one. */
+    /** Guards against a duplicate append that changes the version or restores an old manifest. */
     @Test
-    void repeatOfTheCurrentManifestKeepsTheVersionAndRepeatOfAnOldOneIsStale() {
+    void duplicateOfCurrentManifestKeepsVersionAndDuplicateOfOldOneIsStale() {
         publish(-1, "a");
         publish(-1, "a");
         publish(0, "b");
         publish(-1, "a");
 
-        assertThat(outcomesFrom(0))
+        assertThat(outcomesOfReaderFrom(0))
                 .containsExactly(
                         RecordOutcome.ACCEPTED,
                         RecordOutcome.REPEATED,
@@ -47,15 +47,18 @@
                         RecordOutcome.STALE_BASE);
     }
 
-    /** Guards against an invalid manifest that takes effect, and a stray record that stops all. */
+    /**
+     * Guards against an invalid manifest that becomes active, and a malformed record that stops the
+     * reader.
+     */
     @Test
-    void invalidManifestsAndForeignRecordsChangeNothing() {
+    void invalidManifestsAndMalformedRecordsChangeNothing() {
         mLog.add("{}".getBytes(StandardCharsets.UTF_8));
         mLog.add(new byte[] {1, 2});
         append("{\"schema\":1,\"base\":-1,\"x\":0}");
         publish(-1, "a");
 
-        assertThat(outcomesFrom(0))
+        assertThat(outcomesOfReaderFrom(0))
                 .containsExactly(
                         RecordOutcome.MALFORMED,
                         RecordOutcome.MALFORMED,
@@ -63,9 +66,12 @@
                         RecordOutcome.ACCEPTED);
     }
 
-    /** Guards against a reader that accepts on the ground of what it has not read. */
+    /**
+     * Guards against a reader that accepts a manifest although it has not read the version it is
+     * based on.
+     */
     @Test
-    void readerOfTruncatedStreamWithoutSnapshotDecidesNothing() {
+    void versionIsUnknownInTruncatedStreamWithoutSnapshot() {
         publish(-1, "a");
         publish(0, "b");
 
@@ -75,9 +81,12 @@
         assertThat(history.current()).isEmpty();
     }
 
-    /** Guards against a snapshot that hides a manifest accepted after its writer had read. */
+    /**
+     * Guards against a snapshot that hides a manifest accepted after the snapshot's {@code asOf}
+     * offset.
+     */
     @Test
-    void snapshotOvertakenByManifestLeadsToThatManifest() {
+    void manifestAcceptedAfterSnapshotOffsetIsRecovered() {
         publish(-1, "a");
         publish(0, "b");
         snapshot(0, 1);
@@ -86,9 +95,12 @@
         assertThat(readFrom(0).lastSnapshotOffset()).isEqualTo(-1);
     }
 
-    /** Guards against an overtaken snapshot whose successor retention has dropped. */
+    /**
+     * Guards against an outdated snapshot when retention has removed the manifest accepted after
+     * it.
+     */
     @Test
-    void snapshotOlderThanTheFirstKeptOffsetIsNotEnough() {
+    void snapshotBeforeFirstRetainedOffsetIsInsufficient() {
         publish(-1, "a");
         publish(0, "b");
         snapshot(0, 1);
@@ -101,9 +113,12 @@
         assertThat(readFrom(3).version()).isEqualTo(new ConfigurationVersion(1));
     }
 
-    /** Guards against a stream that can never be used again after its invalid records expired. */
+    /**
+     * Guards against a stream that accepts no manifest after retention has removed its invalid
+     * records.
+     */
     @Test
-    void snapshotOfNoConfigurationLetsTheFirstManifestIn() {
+    void snapshotWithoutConfigurationAllowsFirstManifest() {
         publish(7, "a");
         mLog.add(
                 ConfigurationRecordCodec.encode(
@@ -114,9 +129,9 @@
         assertThat(readFrom(1).version()).isEqualTo(new ConfigurationVersion(2));
     }
 
-    /** Guards against a reader that carries a version across records it has missed. */
+    /** Guards against a reader that keeps its version across a gap in the offsets. */
     @Test
-    void gapInTheOffsetsMakesTheVersionUnknown() {
+    void offsetGapMakesVersionUnknown() {
         publish(-1, "a");
         ConfigurationHistory history = readFrom(0);
 
@@ -158,7 +173,7 @@
         return history;
     }
 
-    private List<RecordOutcome> outcomesFrom(int first) {
+    private List<RecordOutcome> outcomesOfReaderFrom(int first) {
         List<RecordOutcome> outcomes = new ArrayList<>();
         ConfigurationHistory history = ConfigurationHistory.startingAt(first);
         for (int offset = first; offset < mLog.size(); offset++) {
--- a/hickorycleat-model/src/test/java/org/hickorycleat/model/manifest/ManifestParserTest.java
+++ b/hickorycleat-model/src/test/java/org/hickorycleat/model/manifest/ManifestParserTest.java
@@ -16,10 +16,13 @@
 import org.junit.jupiter.api.Test;
 
 class ManifestParserTest {
-    /** Guards against documentation whose example does not work. */
+    /**
+     * Guards against a documented example that the parser rejects, and against fields lost on
+     * writing.
+     */
     @Test
-    void exampleOfTheDocumentationIsValidAndKeepsItsMeaningWhenWritten() throws IOException {
-        Manifest manifest = parse(example());
+    void documentedExampleIsValidAndSurvivesRoundTrip() throws IOException {
+        Manifest manifest = parse(documentedExample());
 
         assertThat(manifest.services()).hasSize(2);
         assertThat(manifest.jobs()).hasSize(2);
@@ -27,7 +30,10 @@
                 .isEqualTo(manifest);
     }
 
-    /** Guards against operators who must publish once per error to find them all. */
+    /**
+     * Guards against a parser that stops at the first error, so that operators publish once per
+     * error.
+     */
     @Test
     void allErrorsAreReportedAtOnceWithPathValueAndExpectation() {
         String text =
@@ -76,7 +82,10 @@
                         "$.jobs[0].urgent: found 1, expected true or false");
     }
 
-    /** Guards against errors that only follow from another error. */
+    /**
+     * Guards against follow-up errors that another error causes, such as a placeholder name
+     * reported as a duplicate.
+     */
     @Test
     void missingNamesAreReportedOnceEach() {
         String quota = "\"quota\":{\"processors_milli\":0,\"memory_mebibytes\":0}";
@@ -93,19 +102,22 @@
                 .containsExactly("$.services[0].team", "$.teams[0].name", "$.teams[1].name");
     }
 
-    /** Guards against two readers that pick different ones of two equal fields. */
+    /** Guards against readers that disagree on which of two duplicate fields counts. */
     @Test
-    void repeatedFieldsAndTrailingTextAreErrors() {
+    void duplicateFieldsAndTrailingTextAreErrors() {
         assertThat(errors("{\"schema\":1,\"base\":-1,\"base\":0}")).hasSize(1);
         assertThat(errors("{\"schema\":1,\"base\":-1} {}")).hasSize(1);
         assertThat(errors("")).hasSize(1);
         assertThat(errors("[]")).hasSize(1);
     }
 
-    /** Guards against a parser that throws on what anyone may append to the log. */
+    /**
+     * Guards against a parser that throws on corrupted bytes, since any client can append to the
+     * log.
+     */
     @Property(seed = "11", tries = 2000)
-    void damagedManifestsNeverThrow(@ForAll long seed) throws IOException {
-        byte[] bytes = example().getBytes(StandardCharsets.UTF_8);
+    void corruptedManifestsNeverThrow(@ForAll long seed) throws IOException {
+        byte[] bytes = documentedExample().getBytes(StandardCharsets.UTF_8);
         Random random = new Random(seed);
         int changes = 1 + random.nextInt(4);
         for (int change = 0; change < changes; change++) {
@@ -115,10 +127,13 @@
         assertThat(ManifestParser.parse(bytes)).isNotNull();
     }
 
-    /** Guards against agents that lose services of the slices they were sent. */
+    /**
+     * Guards against slices that are invalid manifests, and against a merge that loses or
+     * duplicates services.
+     */
     @Test
     void slicesAreValidManifestsAndMergeWithoutDuplicates() throws IOException {
-        Manifest whole = parse(example());
+        Manifest whole = parse(documentedExample());
         Set<ServiceName> names =
                 whole.services().stream()
                         .map(ServiceSpecification::name)
@@ -135,7 +150,7 @@
         assertThat(merged.teams()).doesNotHaveDuplicates();
     }
 
-    private static String example() throws IOException {
+    private static String documentedExample() throws IOException {
         String page = Files.readString(Path.of("..", "docs", "manifest.md"));
         String begin = "```json\n";
         int start = page.indexOf(begin) + begin.length();
--- a/hickorycleat-model/src/test/java/org/hickorycleat/model/result/ResultCodeTest.java
+++ b/hickorycleat-model/src/test/java/org/hickorycleat/model/result/ResultCodeTest.java
@@ -11,9 +11,9 @@
 import org.junit.jupiter.api.Test;
 
 class ResultCodeTest {
-    /** Guards against a code that operators cannot look up, or a row that no longer holds. */
+    /** Guards against an undocumented result code or an outdated row in the documentation. */
     @Test
-    void documentationHoldsExactlyTheCodes() throws IOException {
+    void documentationListsExactlyTheCodes() throws IOException {
         List<String> documented =
                 Files.readAllLines(Path.of("..", "docs", "result-codes.md")).stream()
                         .filter(line -> line.matches("\\| \\d+ \\|.*"))
@@ -28,7 +28,7 @@
         assertThat(documented).containsExactlyElementsOf(expected);
     }
 
-    /** Guards against two meanings for one number. */
+    /** Guards against two codes with the same number. */
     @Test
     void numbersAreUnique() {
         assertThat(Arrays.stream(ResultCode.values()).map(ResultCode::number))
--- a/hickorycleat-model/src/test/java/org/hickorycleat/model/task/ResourcesTest.java
+++ b/hickorycleat-model/src/test/java/org/hickorycleat/model/task/ResourcesTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test;
 
 class ResourcesTest {
-    /** Guards against a worker that is committed in one dimension while only others are checked. */
+    /** Guards against overcommitting a worker in a dimension that is not checked. */
     @Property(seed = "1", tries = 200)
     void fitsOnlyWhenEveryDimensionFits(
             @ForAll @LongRange(max = 3) long processors,
@@ -21,9 +21,9 @@
                 .isEqualTo(processors <= 2 && memory <= 2 && accelerators <= 2);
     }
 
-    /** Guards against a reservation that is released twice. */
+    /** Guards against releasing a reservation twice. */
     @Test
-    void refusesNegativeRemainder() {
+    void rejectsNegativeDifference() {
         assertThatThrownBy(() -> Resources.NONE.minus(new Resources(1, 0, 0)))
                 .isInstanceOf(IllegalArgumentException.class);
     }
