Reword the message, job and store model

Records were described as lives, orders, answers and things told. Their doc comments now name incarnations, commands, responses and reports, with units.

--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/Epoch.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/Epoch.java
@@ -1,8 +1,8 @@
 package org.hickorycleat.model.identifier;
 
-/** Fencing token of a placement shard: the log offset of the claim of its owner. */
+/** Fencing token of a placement shard: the log offset of its owner's claim. */
 public record Epoch(long value) implements Comparable<Epoch> {
-    /** Creates the identifier. */
+    /** Creates the identifier; the value must be at least -1. */
     public Epoch {
         if (value < -1) {
             throw new IllegalArgumentException("epoch is below -1: " + value);
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/IdempotencyKey.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/IdempotencyKey.java
@@ -1,8 +1,8 @@
 package org.hickorycleat.model.identifier;
 
-/** Key that a caller gives to a request that must not run twice. */
+/** Idempotency key that a caller assigns to a request that must not run twice. */
 public record IdempotencyKey(String value) implements Comparable<IdempotencyKey> {
-    /** Creates the identifier. */
+    /** Creates the identifier; the value must not be blank. */
     public IdempotencyKey {
         if (value.isBlank()) {
             throw new IllegalArgumentException("idempotency key is blank");
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/Incarnation.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/Incarnation.java
@@ -1,8 +1,8 @@
 package org.hickorycleat.model.identifier;
 
-/** Number that a process draws at each start; a later start has a higher number. */
+/** Number assigned to a process at each start; a later start has a higher number. */
 public record Incarnation(long value) implements Comparable<Incarnation> {
-    /** Creates the identifier. */
+    /** Creates the identifier; the value must be at least 0. */
     public Incarnation {
         if (value < 0) {
             throw new IllegalArgumentException("incarnation is below 0: " + value);
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/ProcessId.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/ProcessId.java
@@ -1,8 +1,8 @@
 package org.hickorycleat.model.identifier;
 
-/** Name of a process of hickorycleat, unique in the fleet and taken from its settings. */
+/** Name of a hickorycleat process, unique in the fleet and taken from its settings. */
 public record ProcessId(String value) implements Comparable<ProcessId> {
-    /** Creates the identifier. */
+    /** Creates the identifier; the value must not be blank. */
     public ProcessId {
         if (value.isBlank()) {
             throw new IllegalArgumentException("process id is blank");
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/RackId.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/RackId.java
@@ -2,10 +2,10 @@
 
 /** Name of a rack. */
 public record RackId(String value) implements Comparable<RackId> {
-    /** Creates the identifier. */
+    /** Creates the identifier; the value must not be blank. */
     public RackId {
         if (value.isBlank()) {
-            throw new IllegalArgumentException("rack is blank");
+            throw new IllegalArgumentException("rack id is blank");
         }
     }
 
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/RecordId.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/RecordId.java
@@ -1,11 +1,11 @@
 package org.hickorycleat.model.identifier;
 
 /**
- * Identity of a record that a process appends; a record appended twice keeps its identity.
+ * Identity of a record that a process appends; duplicates of a record have the same identity.
  *
- * @param writer process that appends it
- * @param incarnation start of that process
- * @param sequence number of the record within the incarnation, increasing
+ * @param writer process that appends the record
+ * @param incarnation incarnation of the writer
+ * @param sequence number of the record within the incarnation; increases with each record
  */
 public record RecordId(ProcessId writer, Incarnation incarnation, long sequence) {
     @Override
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/RequestId.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/RequestId.java
@@ -1,8 +1,8 @@
 package org.hickorycleat.model.identifier;
 
 /**
- * Identity of a request: the incarnation of the entry that accepted it and a counter, so that it
- * never repeats across restarts.
+ * Identity of a request: the entry that accepted it, that entry's incarnation and a counter. The
+ * incarnation keeps ids unique across restarts.
  */
 public record RequestId(ProcessId entry, Incarnation incarnation, long counter) {
     @Override
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/ServiceName.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/ServiceName.java
@@ -2,7 +2,7 @@
 
 /** Name of a service in the manifest. */
 public record ServiceName(String value) implements Comparable<ServiceName> {
-    /** Creates the identifier. */
+    /** Creates the identifier; the value must not be blank. */
     public ServiceName {
         if (value.isBlank()) {
             throw new IllegalArgumentException("service name is blank");
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/ShardNumber.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/ShardNumber.java
@@ -2,7 +2,7 @@
 
 /** Number of a placement shard. */
 public record ShardNumber(long value) implements Comparable<ShardNumber> {
-    /** Creates the identifier. */
+    /** Creates the identifier; the value must be at least 0. */
     public ShardNumber {
         if (value < 0) {
             throw new IllegalArgumentException("shard number is below 0: " + value);
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/TeamName.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/TeamName.java
@@ -2,7 +2,7 @@
 
 /** Name of a team in the manifest. */
 public record TeamName(String value) implements Comparable<TeamName> {
-    /** Creates the identifier. */
+    /** Creates the identifier; the value must not be blank. */
     public TeamName {
         if (value.isBlank()) {
             throw new IllegalArgumentException("team name is blank");
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/WorkerId.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/WorkerId.java
@@ -2,10 +2,10 @@
 
 /** Name of a worker. */
 public record WorkerId(String value) implements Comparable<WorkerId> {
-    /** Creates the identifier. */
+    /** Creates the identifier; the value must not be blank. */
     public WorkerId {
         if (value.isBlank()) {
-            throw new IllegalArgumentException("worker is blank");
+            throw new IllegalArgumentException("worker id is blank");
         }
     }
 
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/package-info.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/identifier/package-info.java
@@ -1,4 +1,4 @@
-/** Value types for the identifiers that processes exchange. */
+/** Value types for the identifiers in messages and stored records. */
 @NullMarked
 package org.hickorycleat.model.identifier;
 
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/AdviceServiceSettings.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/AdviceServiceSettings.java
@@ -1,10 +1,10 @@
 package org.hickorycleat.model.job;
 
 /**
- * What a call to the advice service costs.
+ * Response times of the advice service and validity of its tickets.
  *
- * @param decisionMs constant part of its time, in milliseconds
- * @param perWorkerMs part for each worker named, in milliseconds
+ * @param decisionMs constant part of the response time, in milliseconds
+ * @param perWorkerMs response time added by each worker in the request, in milliseconds
  * @param validMs how long a ticket is valid, in milliseconds
  */
 public record AdviceServiceSettings(int decisionMs, int perWorkerMs, int validMs) {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/EndCause.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/EndCause.java
@@ -1,12 +1,12 @@
 package org.hickorycleat.model.job;
 
-/** How a run ended. */
+/** Reason why a run ended. */
 public enum EndCause {
-    /** It did its work. */
+    /** The run completed successfully. */
     DONE,
-    /** It failed, through its own fault or the worker's. */
+    /** The run failed, through an error of its own or of the worker. */
     FAILED,
-    /** It was stopped on an order. */
+    /** The run was stopped by a command. */
     STOPPED,
     /** The lease expired. */
     LAPSED,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/InterferenceEstimate.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/InterferenceEstimate.java
@@ -1,11 +1,12 @@
 package org.hickorycleat.model.job;
 
 /**
- * How much an image that fills adds to the load of an image that serves, as an owner has learnt it.
+ * Estimated load that a best-effort image adds to a latency-critical image on the same worker.
  *
- * @param servingImage image of the serving tasks
- * @param bestEffortImage image of the tasks that fill beside them
- * @param meanMilli load added by a share of all processors, in thousandths
+ * @param servingImage image of the latency-critical tasks
+ * @param bestEffortImage image of the colocated best-effort tasks
+ * @param meanMilli added load when the best-effort image uses all processors of the worker, in
+ *     thousandths
  * @param varianceMilli variance of the estimate, in thousandths
  */
 public record InterferenceEstimate(
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobQueue.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobQueue.java
@@ -4,16 +4,17 @@
 import org.hickorycleat.model.identifier.ServiceName;
 
 /**
- * A queue of jobs as the operator configures it.
+ * Configuration of a job queue.
  *
- * @param host host name of the callers' requests
- * @param pathPrefix prefix of the callers' paths
- * @param priority 0 is the most urgent
- * @param maximumAttempts failed runs after which a task has failed
- * @param stretch factor on the chain of work that the objective allows
- * @param targetDurationMs constant part of the objective, in milliseconds
- * @param timeoutMs longest time of one request, in milliseconds
- * @param advice whether starts need a ticket of the advice service
+ * @param host host name that requests must have to select the queue
+ * @param pathPrefix path prefix that requests must have to select the queue
+ * @param priority priority of its jobs; 0 is the highest
+ * @param maximumAttempts number of failed runs after which a task counts as failed
+ * @param stretch proportional part of the completion-time objective, as a multiple of the job's
+ *     critical path
+ * @param targetDurationMs constant part of the completion-time objective, in milliseconds
+ * @param timeoutMs timeout of a request, in milliseconds
+ * @param advice advice service whose ticket each start requires; empty if none
  */
 public record JobQueue(
         QueueName name,
@@ -28,7 +29,10 @@
         Optional<AdviceServiceSettings> advice) {
     private static final ServiceName NO_SERVICE = new ServiceName("none");
 
-    /** Returns a queue that is no longer configured: its jobs wait, as no service may run them. */
+    /**
+     * Returns a placeholder for a queue that is no longer configured; its jobs wait because no
+     * service can run them.
+     */
     public static JobQueue removed(QueueName name) {
         return new JobQueue(
                 name, "", "", NO_SERVICE, Integer.MAX_VALUE / 2, 1, 1, 0, 0, Optional.empty());
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobState.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobState.java
@@ -8,12 +8,12 @@
     RUNNING,
     /** All tasks are done. */
     COMPLETED,
-    /** A task has failed as often as its queue allows. */
+    /** A task has failed the maximum number of times that its queue allows. */
     FAILED,
-    /** Its caller cancelled it. */
+    /** The caller cancelled the job. */
     CANCELLED;
 
-    /** Tells whether the state is final. */
+    /** Returns whether the state is final. */
     public boolean isFinal() {
         return this == COMPLETED || this == FAILED || this == CANCELLED;
     }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobStatus.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobStatus.java
@@ -1,4 +1,4 @@
 package org.hickorycleat.model.job;
 
-/** State of a job that entries tell each other. */
+/** State of a job as entries publish it to each other. */
 public record JobStatus(JobId id, QueueName queue, JobState state, boolean scheduled) {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobSubmission.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobSubmission.java
@@ -4,14 +4,14 @@
 import java.util.Optional;
 
 /**
- * A job as its caller handed it in.
+ * A job as submitted by its caller.
  *
- * @param queue name of the queue that took it
- * @param payload opaque description that each task receives
+ * @param queue name of the queue that accepted the job
+ * @param payload opaque task specification that each task receives
  * @param repeatCount occurrences of a scheduled job; 0 for a job that runs once
  * @param firstDueMs due time of occurrence 0, in Unix milliseconds; 0 if none
  * @param intervalMs time between occurrences, in milliseconds
- * @param acceptedAtMs when the entry took it, in Unix milliseconds
+ * @param acceptedAtMs time at which an entry accepted the job, in Unix milliseconds
  */
 public record JobSubmission(
         JobId id,
@@ -32,7 +32,10 @@
         return Math.max(1, repeatCount);
     }
 
-    /** Returns when an occurrence may start, in Unix milliseconds; empty for at once. */
+    /**
+     * Returns the earliest start of an occurrence, in Unix milliseconds; empty if it may start
+     * immediately.
+     */
     public Optional<Long> dueAtMs(int occurrence) {
         return firstDueMs == 0
                 ? Optional.empty()
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/QueueName.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/QueueName.java
@@ -1,8 +1,8 @@
 package org.hickorycleat.model.job;
 
-/** Name of a queue of jobs in the configuration. */
+/** Name of a job queue in the configuration. */
 public record QueueName(String value) implements Comparable<QueueName> {
-    /** Creates the name. */
+    /** Creates the name; it must not be blank. */
     public QueueName {
         if (value.isBlank()) {
             throw new IllegalArgumentException("queue name is blank");
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/RejectionReason.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/RejectionReason.java
@@ -1,19 +1,19 @@
 package org.hickorycleat.model.job;
 
-/** Why a run was not started; in every case it has not run and never will. */
+/** Reason why a run was rejected; in every case it has not run and never will. */
 public enum RejectionReason {
-    /** The worker has no room. */
+    /** The worker has too few free resources. */
     NO_ROOM,
-    /** The run number is not above that of an earlier run there. */
+    /** The run number is not higher than that of an earlier run of the task on the worker. */
     OLD_RUN,
-    /** The lease had expired or none was granted yet. */
+    /** The lease has expired or none was granted yet. */
     NO_LEASE,
     /** The ticket is missing or no longer valid. */
     NO_TICKET,
-    /** The worker is leaving. */
+    /** The worker is draining. */
     DRAINING,
     /** The worker is unhealthy or could not be reached. */
     UNAVAILABLE,
-    /** The worker refused the order as malformed. */
+    /** The worker rejected the command as malformed. */
     MALFORMED
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/RunId.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/RunId.java
@@ -1,9 +1,9 @@
 package org.hickorycleat.model.job;
 
 /**
- * One run of a task on a worker.
+ * Identifies one run of a task on a worker.
  *
- * @param number rises with each run of the task, from 1
+ * @param number number of the run; starts at 1 and increases with each run of the task
  */
 public record RunId(TaskKey task, int number) {
     @Override
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/StepSpecification.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/StepSpecification.java
@@ -5,25 +5,26 @@
 import org.hickorycleat.model.task.Resources;
 
 /**
- * A step of a job: a number of equal tasks.
+ * A step of a job: a number of identical tasks.
  *
  * @param count number of tasks
- * @param resources what each task asks for
+ * @param resources resources that each task requests
  * @param estimateMs rough estimate of the run time of a task, in milliseconds; 0 if none
- * @param predecessors numbers of the steps that must be done first
+ * @param predecessors numbers of the steps that must complete first
  * @param checkpointable whether tasks write checkpoints
- * @param gang whether tasks work only all together
+ * @param gang whether the tasks make progress only while all of them run (gang scheduling)
  * @param sameRack whether a gang slows down when it spans racks
  * @param requiredLabel label that the worker must have
- * @param preferredRack rack where the data of the tasks is
- * @param maximumPerWorker most tasks of the step on one worker; 0 for no limit
- * @param speculative whether copies of a task may run in parallel
- * @param perpetual whether tasks run until the job is cancelled
- * @param image what the tasks run; tasks of one image behave alike
- * @param targetLatencyMs bound of the tail latency of a serving task, in milliseconds; 0 if none
- * @param bestEffort whether tasks only use processors that others leave idle
- * @param maximumUnavailable how many tasks may be unavailable at once through planned actions; -1
- *     if no limit
+ * @param preferredRack rack that holds the data of the tasks
+ * @param maximumPerWorker maximum number of tasks of the step on one worker; 0 for no limit
+ * @param speculative whether a task may have speculative copies that run in parallel
+ * @param perpetual whether tasks are long-running, that is, run until the job is cancelled
+ * @param image program that the tasks run; tasks of one image behave alike
+ * @param targetLatencyMs upper bound on the tail latency of a latency-critical task, in
+ *     milliseconds; 0 for other tasks
+ * @param bestEffort whether tasks only use idle processors
+ * @param maximumUnavailable disruption budget: maximum number of tasks that planned actions may
+ *     make unavailable at once; -1 for no limit
  */
 public record StepSpecification(
         int count,
@@ -47,7 +48,10 @@
         predecessors = List.copyOf(predecessors);
     }
 
-    /** Returns what a task takes of the guarded room of a worker. */
+    /**
+     * Returns the resources that a task reserves on its worker; a best-effort task reserves no
+     * processors.
+     */
     public Resources reservation() {
         return bestEffort
                 ? new Resources(0, resources.memoryMebibytes(), resources.accelerators())
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/TaskKey.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/TaskKey.java
@@ -10,19 +10,19 @@
  * @param index number of the task within its step, from 0
  */
 public record TaskKey(JobId job, int occurrence, int step, int index) {
-    private static final int PARTS = 4;
+    private static final int PART_COUNT = 4;
 
-    /** Creates the key; no number may be negative. */
+    /** Creates the key; throws {@link IllegalArgumentException} if a number is negative. */
     public TaskKey {
         if (occurrence < 0 || step < 0 || index < 0) {
-            throw new IllegalArgumentException("negative number in task key");
+            throw new IllegalArgumentException("task key numbers must not be negative");
         }
     }
 
-    /** Parses the form that {@link #toString()} writes; empty when the text has another form. */
+    /** Parses the output of {@link #toString()}; returns empty if the text is malformed. */
     public static Optional<TaskKey> parse(String text) {
         String[] parts = text.split("\\.", -1);
-        if (parts.length != PARTS || parts[0].isBlank()) {
+        if (parts.length != PART_COUNT || parts[0].isBlank()) {
             return Optional.empty();
         }
         try {
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/TaskProgress.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/TaskProgress.java
@@ -8,9 +8,9 @@
  * Durable state of a task that has started at least once.
  *
  * @param run number of its latest run
- * @param failedRuns numbers of the runs that ended in failure, each of which counts once
- * @param agent agent that the latest run was ordered from
- * @param incarnation life of the worker that the latest run was ordered on
+ * @param failedRuns numbers of the failed runs; each counts once, however often its end is reported
+ * @param agent agent that was commanded to start the latest run
+ * @param incarnation worker incarnation on which the latest run was started
  */
 public record TaskProgress(
         int occurrence,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/TaskStatus.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/TaskStatus.java
@@ -1,11 +1,11 @@
 package org.hickorycleat.model.job;
 
-/** Where a task stands. */
+/** Status of a task. */
 public enum TaskStatus {
     /** Not on any worker. */
     PENDING,
-    /** A run of it may be on a worker. */
+    /** A run of the task may be on a worker. */
     ACTIVE,
-    /** A run of it has ended well. */
+    /** A run of the task has completed successfully. */
     DONE
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/TaskTraits.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/TaskTraits.java
@@ -1,12 +1,13 @@
 package org.hickorycleat.model.job;
 
 /**
- * What an agent needs to know of a task to limit interference.
+ * Properties of a task that an agent needs to limit interference.
  *
- * @param image what the task runs
+ * @param image program that the task runs
  * @param bestEffort whether the task uses only idle processors
- * @param targetLatencyMs bound of the tail latency of a serving task, in milliseconds; 0 if none
- * @param processorsMilli processors that the task asks for, in thousandths
+ * @param targetLatencyMs upper bound on the tail latency of a latency-critical task, in
+ *     milliseconds; 0 for other tasks
+ * @param processorsMilli processors that the task requests, in thousandths
  */
 public record TaskTraits(
         String image, boolean bestEffort, int targetLatencyMs, long processorsMilli) {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerDescription.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerDescription.java
@@ -5,11 +5,11 @@
 import org.hickorycleat.model.task.Resources;
 
 /**
- * What a worker tells of itself.
+ * State that a worker announces in its heartbeats.
  *
- * @param draining whether it leaves soon
- * @param remainingMs least time until it leaves, in milliseconds; meaningful when it drains
- * @param sequence rises with each description of one life
+ * @param draining whether the worker is draining
+ * @param remainingMs minimum time until it leaves, in milliseconds; only meaningful while draining
+ * @param sequence increases with each description from the same incarnation
  */
 public record WorkerDescription(
         WorkerIncarnation incarnation,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerIncarnation.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerIncarnation.java
@@ -3,8 +3,8 @@
 import org.hickorycleat.model.identifier.WorkerId;
 
 /**
- * One life of a worker, which ends with a crash, a restart or a planned end.
+ * Identifies one incarnation of a worker; it ends with a crash, a restart or a planned shutdown.
  *
- * @param startedAtMs when it began, in Unix milliseconds
+ * @param startedAtMs start time of the incarnation, in Unix milliseconds
  */
 public record WorkerIncarnation(WorkerId worker, long startedAtMs) {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerPool.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerPool.java
@@ -5,7 +5,7 @@
 /**
  * The workers of a service.
  *
- * @param enforcesCapacity whether its workers reject what does not fit
- * @param standby whether its machines are off
+ * @param enforcesCapacity whether its workers reject runs that exceed their capacity
+ * @param standby whether its machines are switched off
  */
 public record WorkerPool(ServiceName service, boolean enforcesCapacity, boolean standby) {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkloadConfiguration.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkloadConfiguration.java
@@ -6,9 +6,9 @@
 import org.hickorycleat.model.identifier.ServiceName;
 
 /**
- * Queues and worker pools in force.
+ * Configuration of job queues and worker pools.
  *
- * @param maximumBodyBytes largest body of a caller's request
+ * @param maximumBodyBytes maximum body size of a caller's request, in bytes
  */
 public record WorkloadConfiguration(
         long version, List<JobQueue> queues, List<WorkerPool> pools, int maximumBodyBytes) {
@@ -18,19 +18,22 @@
         pools = List.copyOf(pools);
     }
 
-    /** Returns the queue with the longest prefix that the path begins with. */
+    /**
+     * Returns the queue for a request: of the queues with the same host, the one with the longest
+     * matching path prefix; empty if none matches.
+     */
     public Optional<JobQueue> match(String host, String path) {
         return queues.stream()
                 .filter(queue -> queue.host().equals(host) && path.startsWith(queue.pathPrefix()))
                 .max(Comparator.comparingInt(queue -> queue.pathPrefix().length()));
     }
 
-    /** Returns the queue of a name. */
+    /** Returns the queue with the given name; empty if there is none. */
     public Optional<JobQueue> queue(QueueName name) {
         return queues.stream().filter(queue -> queue.name().equals(name)).findFirst();
     }
 
-    /** Returns the pool of a service. */
+    /** Returns the worker pool of the given service; empty if there is none. */
     public Optional<WorkerPool> pool(ServiceName service) {
         return pools.stream().filter(pool -> pool.service().equals(service)).findFirst();
     }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/package-info.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/package-info.java
@@ -1,4 +1,4 @@
-/** Jobs of steps that callers submit, their tasks, and the workers that run them. */
+/** Jobs that callers submit, their steps and tasks, and the workers that run them. */
 @NullMarked
 package org.hickorycleat.model.job;
 
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/AgentReport.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/AgentReport.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 import org.hickorycleat.model.identifier.ConfigurationVersion;
 
-/** State of an agent, sent once a second; serves as heartbeat. */
+/** State of an agent, sent once a second as its heartbeat. */
 public record AgentReport(
         long uptimeMs,
         ConfigurationVersion configurationVersion,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/CancelState.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/CancelState.java
@@ -1,11 +1,11 @@
 package org.hickorycleat.model.message;
 
-/** What the agent knows of a cancelled request. */
+/** State of a cancelled request at its agent. */
 public enum CancelState {
-    /** It did not run and will not run. */
+    /** The request was not executed and will not be. */
     NOT_RUN,
-    /** It is running. */
+    /** The request is being executed. */
     RUNNING,
-    /** It ended; the result is attached. */
+    /** The request has ended; the result is attached. */
     FINISHED
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/CheckpointTask.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/CheckpointTask.java
@@ -5,6 +5,6 @@
 import org.hickorycleat.model.identifier.ShardNumber;
 import org.hickorycleat.model.identifier.TaskId;
 
-/** Checkpoints an attempt of a task. */
+/** Commands the worker to checkpoint an attempt of a task. */
 public record CheckpointTask(ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt)
         implements Message {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/ConfigurationCopy.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/ConfigurationCopy.java
@@ -1,6 +1,6 @@
 package org.hickorycleat.model.message;
 
-/** The newest configuration that an entry has in force, as the operator wrote it. */
-// Compared by nobody; copying each value would double the work of a read.
+/** The active configuration of an entry, as the operator wrote it. */
+// Never compared, and copying each value would double the cost of a read.
 @SuppressWarnings("ArrayRecordComponent")
 public record ConfigurationCopy(byte[] content) implements Message {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/ConfigurationUpdate.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/ConfigurationUpdate.java
@@ -2,8 +2,8 @@
 
 import org.hickorycleat.model.identifier.ConfigurationVersion;
 
-/** The configuration in force at the sender, or the slice that the receiver needs. */
+/** The active configuration of the sender, or the configuration slice that the receiver needs. */
 @SuppressWarnings(
-        "ArrayRecordComponent") // Copied neither in nor out: bodies are large and never changed.
+        "ArrayRecordComponent") // Shared without copying: manifests are large and never modified.
 public record ConfigurationUpdate(ConfigurationVersion version, byte[] manifest)
         implements Message {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/EntryAddress.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/EntryAddress.java
@@ -3,5 +3,5 @@
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.identifier.ZoneId;
 
-/** Peer address of an entry. */
+/** Address on which an entry accepts connections from its peers. */
 public record EntryAddress(ProcessId process, ZoneId zone, String host, int port) {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/EntryHeartbeat.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/EntryHeartbeat.java
@@ -5,12 +5,12 @@
 import org.hickorycleat.model.identifier.ProcessId;
 
 /**
- * Liveness of an entry and its view of the owner.
+ * Heartbeat of an entry, with its view of the owner.
  *
- * @param owner owner that it follows, if any; its own process when it owns the jobs
- * @param ownerHeartbeatAgeMs how long ago it heard from the owner, in milliseconds
- * @param configurationVersion configuration that it has in force
- * @param storeReachable whether it reaches the store itself and does not drain
+ * @param owner owner that the entry follows, if any; its own process when it owns the jobs
+ * @param ownerHeartbeatAgeMs time since the last heartbeat of the owner, in milliseconds
+ * @param configurationVersion version of its active configuration
+ * @param storeReachable whether the entry reaches the store directly and is not draining
  */
 public record EntryHeartbeat(
         Optional<ProcessId> owner,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/FleetEntries.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/FleetEntries.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** Entries that the sender knows. */
+/** Entries known to the sender. */
 public record FleetEntries(List<FleetNode> entries) implements Message {
     /** Copies the list. */
     public FleetEntries {
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/FleetNode.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/FleetNode.java
@@ -4,12 +4,13 @@
 import org.hickorycleat.model.identifier.ZoneId;
 
 /**
- * Address of a process of the fleet.
+ * Identity and address of a process of the fleet.
  *
  * @param host IP address
- * @param port port of its links
- * @param capacityMilli share of a processor that it has, in thousandths
- * @param startedAtMs when the process started, in Unix milliseconds; the newest address wins
+ * @param port port on which it accepts links
+ * @param capacityMilli processor share of the process, in thousandths of a core
+ * @param startedAtMs start time of the process, in Unix milliseconds; of two addresses of a process
+ *     the later start wins
  */
 public record FleetNode(
         ProcessId process,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Forward.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Forward.java
@@ -1,4 +1,4 @@
 package org.hickorycleat.model.message;
 
-/** A request for a service that the sender has no agent for. */
+/** Forwards a request to another entry because the sender has no agent for its service. */
 public record Forward(Invoke invoke) implements Message {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Hello.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Hello.java
@@ -6,7 +6,10 @@
 import org.hickorycleat.model.identifier.SessionNumber;
 import org.hickorycleat.model.identifier.ZoneId;
 
-/** First message of the process that dialed; an entry names the address that it listens on. */
+/**
+ * First message from the process that opened the connection; an entry includes the address that it
+ * listens on.
+ */
 public record Hello(
         int protocolVersion,
         ProcessId process,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/InterferenceWeights.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/InterferenceWeights.java
@@ -3,7 +3,10 @@
 import java.util.List;
 import org.hickorycleat.model.identifier.Epoch;
 
-/** Tells an agent how much images that fill disturb the serving tasks of its worker. */
+/**
+ * Sends an agent the interference of best-effort images with the latency-critical tasks of its
+ * worker.
+ */
 public record InterferenceWeights(Epoch epoch, List<ImageWeight> weights) implements Message {
     /** Copies the list. */
     public InterferenceWeights {
@@ -11,10 +14,10 @@
     }
 
     /**
-     * Weight of one image.
+     * Interference weight of one best-effort image.
      *
-     * @param weightMilli thousandths of a target by which the tail grows when the image uses all
-     *     processors of the worker
+     * @param weightMilli growth of the tail latency, in thousandths of the latency target, when the
+     *     image uses all processors of the worker
      */
     public record ImageWeight(String image, long weightMilli) {}
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Invoke.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Invoke.java
@@ -10,9 +10,9 @@
 import org.hickorycleat.model.identifier.TeamName;
 import org.hickorycleat.model.manifest.Criticality;
 
-/** A request to run on one instance. */
+/** Sends a request to the agent of one instance. */
 @SuppressWarnings(
-        "ArrayRecordComponent") // Copied neither in nor out: bodies are large and never changed.
+        "ArrayRecordComponent") // Shared without copying: bodies are large and never modified.
 public record Invoke(
         RequestId request,
         ServiceName service,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/InvokeResult.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/InvokeResult.java
@@ -4,9 +4,9 @@
 import org.hickorycleat.model.identifier.RequestId;
 import org.hickorycleat.model.result.ResultCode;
 
-/** The result of an {@link Invoke}; the HTTP status is 0 unless the target answered. */
+/** Result of an {@link Invoke}; the HTTP status is 0 unless the target responded. */
 @SuppressWarnings(
-        "ArrayRecordComponent") // Copied neither in nor out: bodies are large and never changed.
+        "ArrayRecordComponent") // Shared without copying: bodies are large and never modified.
 public record InvokeResult(
         RequestId request,
         ResultCode code,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/JobAccepted.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/JobAccepted.java
@@ -2,5 +2,5 @@
 
 import org.hickorycleat.model.job.JobSubmission;
 
-/** A job that the sending entry has made durable. */
+/** Notifies entries of a job that the sender has accepted and made durable. */
 public record JobAccepted(JobSubmission submission) implements Message {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/JobCancelled.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/JobCancelled.java
@@ -2,5 +2,5 @@
 
 import org.hickorycleat.model.job.JobId;
 
-/** A cancellation that the sending entry has made durable. */
+/** Notifies entries of a job cancellation that the sender has made durable. */
 public record JobCancelled(JobId job) implements Message {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/JobStates.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/JobStates.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import org.hickorycleat.model.job.JobStatus;
 
-/** Durable states of jobs, from an entry to its peers. */
+/** Publishes durable job states from an entry to its peers. */
 public record JobStates(List<JobStatus> jobs) implements Message {
     /** Copies the list. */
     public JobStates {
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/LeaseGrant.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/LeaseGrant.java
@@ -4,7 +4,7 @@
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ShardNumber;
 
-/** Answer to {@link LeaseRequest}, counted from the moment the request was sent. */
+/** Response to {@link LeaseRequest}; the lease starts when the request was sent. */
 public record LeaseGrant(
         ShardNumber shard, Epoch epoch, long requestNumber, List<TaskAttempt> tasks, long leaseMs)
         implements Message {
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/OwnerAnnouncement.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/OwnerAnnouncement.java
@@ -4,8 +4,8 @@
 import org.hickorycleat.model.identifier.ProcessId;
 
 /**
- * Tells an agent which entry owns the jobs; opens a session.
+ * Announces to an agent which entry owns the jobs and opens a session.
  *
- * @param session number of the session; orders and reports of earlier ones no longer count
+ * @param session number of the session; commands and reports of earlier sessions are ignored
  */
 public record OwnerAnnouncement(ProcessId owner, Epoch epoch, long session) implements Message {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/PeerSummary.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/PeerSummary.java
@@ -4,7 +4,7 @@
 import org.hickorycleat.model.identifier.ConfigurationVersion;
 import org.hickorycleat.model.identifier.ZoneId;
 
-/** What an entry can still take, for other entries. */
+/** Free capacity of an entry, sent to other entries. */
 public record PeerSummary(
         ZoneId zone, ConfigurationVersion configurationVersion, List<ServiceCapacity> services)
         implements Message {
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/ProcessRole.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/ProcessRole.java
@@ -4,6 +4,6 @@
 public enum ProcessRole {
     /** Serves callers and owns placement shards. */
     ENTRY,
-    /** Runs beside a target or worker. */
+    /** Runs next to a local target or worker. */
     AGENT
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/RegistrationConfirmation.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/RegistrationConfirmation.java
@@ -4,11 +4,12 @@
 import org.hickorycleat.model.identifier.ServiceName;
 
 /**
- * Tells an agent that its run is registered for an instance, so that it may serve keys.
+ * Confirms to an agent that its incarnation is registered for an instance, so that it may serve
+ * requests with idempotency keys.
  *
- * @param service the service
- * @param instance the instance
- * @param firstRegistration whether no other run has served the instance before
+ * @param service service of the instance
+ * @param instance instance number
+ * @param firstRegistration whether no other incarnation has served the instance before
  */
 public record RegistrationConfirmation(
         ServiceName service, InstanceNumber instance, boolean firstRegistration)
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/RelayedStoreRequest.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/RelayedStoreRequest.java
@@ -7,9 +7,9 @@
 import org.hickorycleat.model.store.StoreRecord;
 
 /**
- * A call to the store that the sender cannot make itself.
+ * A request to the store that a peer relays because the sender cannot reach the store.
  *
- * @param number identifies the call on its link
+ * @param number identifies the request on its link
  * @param records records to append; empty for a read
  */
 public record RelayedStoreRequest(
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/RunTraits.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/RunTraits.java
@@ -4,5 +4,5 @@
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.TaskTraits;
 
-/** Traits of a run that an agent found on its worker after a restart. */
+/** Sends an agent the traits of a run that it found on its worker after a restart of the agent. */
 public record RunTraits(Epoch epoch, RunId run, TaskTraits traits) implements Message {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/ServiceCapacity.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/ServiceCapacity.java
@@ -2,5 +2,5 @@
 
 import org.hickorycleat.model.identifier.ServiceName;
 
-/** Slots of a service that an entry sees as free. */
+/** Number of slots of a service that an entry observes as free. */
 public record ServiceCapacity(ServiceName service, int freeSlots) {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/StartRun.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/StartRun.java
@@ -7,10 +7,10 @@
 import org.hickorycleat.model.job.WorkerIncarnation;
 
 /**
- * Starts a run on the worker beside the agent.
+ * Commands an agent to start a run on its local worker.
  *
- * @param commandNumber number of the order in the session, from 1
- * @param incarnation the only life of the worker that may run it
+ * @param commandNumber number of the command in the session, from 1
+ * @param incarnation the only worker incarnation that may execute the run
  */
 public record StartRun(
         Epoch epoch,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/StartTask.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/StartTask.java
@@ -7,7 +7,7 @@
 import org.hickorycleat.model.identifier.TaskId;
 import org.hickorycleat.model.task.Resources;
 
-/** Starts an attempt of a task on the worker beside the agent; is a lease grant too. */
+/** Commands an agent to start a task attempt on its local worker; also grants its lease. */
 public record StartTask(
         ShardNumber shard,
         Epoch epoch,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/StopRun.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/StopRun.java
@@ -4,8 +4,8 @@
 import org.hickorycleat.model.job.RunId;
 
 /**
- * Stops a run on the worker beside the agent.
+ * Commands an agent to stop a run on its local worker.
  *
- * @param commandNumber number of the order in the session, from 1
+ * @param commandNumber number of the command in the session, from 1
  */
 public record StopRun(Epoch epoch, long commandNumber, RunId run) implements Message {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/TargetState.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/TargetState.java
@@ -2,8 +2,8 @@
 
 /** State that a target announces. */
 public enum TargetState {
-    /** Takes requests. */
+    /** Accepts requests. */
     READY,
-    /** Takes nothing new. */
+    /** Draining: accepts no new requests. */
     LEAVING
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/TaskAttempt.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/TaskAttempt.java
@@ -4,5 +4,5 @@
 import org.hickorycleat.model.identifier.ShardNumber;
 import org.hickorycleat.model.identifier.TaskId;
 
-/** An attempt of a task that a worker holds. */
+/** Identifies an attempt of a task, as held by a worker. */
 public record TaskAttempt(ShardNumber shard, TaskId task, AttemptNumber attempt) {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/TaskReport.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/TaskReport.java
@@ -6,7 +6,7 @@
 import org.hickorycleat.model.identifier.TaskId;
 import org.hickorycleat.model.task.TaskState;
 
-/** State of an attempt of a task as the worker reports it. */
+/** State of a task attempt as reported by the worker. */
 public record TaskReport(
         ShardNumber shard,
         TaskId task,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Welcome.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Welcome.java
@@ -5,7 +5,7 @@
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.identifier.ZoneId;
 
-/** Answer to {@link Hello}; names the entries that the acceptor knows. */
+/** Response to {@link Hello}; lists the entries known to the accepting process. */
 public record Welcome(
         ProcessId process, Incarnation incarnation, ZoneId zone, List<EntryAddress> entries)
         implements Message {
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/WorkerReport.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/WorkerReport.java
@@ -10,18 +10,19 @@
 import org.hickorycleat.model.job.WorkerIncarnation;
 
 /**
- * State of a worker and of everything on it.
+ * State of a worker and of the runs on it.
  *
- * @param number rises with each report of an agent
- * @param epoch newest owner that the agent obeys
- * @param session session with that owner
- * @param description what the worker last told of itself
- * @param incarnation life that the lists belong to; empty until the worker has been listed
- * @param lastCommandNumber number of the last order of the session that the lists take into account
- * @param pending runs that are being ordered and appear in no list yet
- * @param leaseExpired whether everything on the worker has certainly ended with its lease
- * @param reachable whether the worker answers
- * @param bestEffortPercent share at which tasks that fill may work
+ * @param number report number; increases with each report of an agent
+ * @param epoch epoch of the newest owner whose commands the agent accepts
+ * @param session number of the session with that owner
+ * @param description newest description that the worker announced
+ * @param incarnation worker incarnation of the lists; empty until the runs of the worker have been
+ *     listed
+ * @param lastCommandNumber number of the last command of the session that the lists reflect
+ * @param pending runs whose start command is in flight and that are in no list yet
+ * @param leaseExpired whether all runs on the worker have certainly ended because the lease expired
+ * @param reachable whether the worker responds
+ * @param bestEffortPercent throttle of best-effort tasks, in percent of full speed
  */
 public record WorkerReport(
         long number,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/WorkerSummary.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/WorkerSummary.java
@@ -6,7 +6,7 @@
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.task.Resources;
 
-/** The worker beside an agent. */
+/** State of the local worker of an agent, with the task attempts that it holds. */
 public record WorkerSummary(
         WorkerId worker,
         Incarnation incarnation,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/package-info.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/package-info.java
@@ -1,4 +1,4 @@
-/** Messages that entries and agents exchange. */
+/** Messages that entries and agents exchange, and the values that they carry. */
 @NullMarked
 package org.hickorycleat.model.message;
 
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/node/NodeSettings.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/node/NodeSettings.java
@@ -10,21 +10,21 @@
 /**
  * Settings of a process on the users' platform.
  *
- * @param callerAddress where callers are served
- * @param readinessAddress where readiness is asked
- * @param workerHeartbeatAddress where the worker beside an agent announces itself
- * @param linkAddress where other processes connect
- * @param adminAddress where metrics and the state dump are served
- * @param workerControlAddress where the worker beside an agent takes orders
- * @param seeds addresses of links of other processes; may be stale
- * @param capacityMilli share of a processor, in thousandths
+ * @param callerAddress listen address for requests of callers
+ * @param readinessAddress listen address for readiness checks
+ * @param workerHeartbeatAddress listen address for heartbeats of the local worker
+ * @param linkAddress listen address for links of other processes
+ * @param adminAddress listen address for metrics and the state dump
+ * @param workerControlAddress address at which the local worker accepts commands
+ * @param seeds link addresses of other processes; may be stale
+ * @param capacityMilli processor share of the process, in thousandths of a core
  * @param adviceAddress address of the advice service
- * @param maximumLeaseMs longest lease that workers grant, in milliseconds
+ * @param maximumLeaseMs maximum lease that workers accept, in milliseconds
  * @param checkpointIntervalMs time between checkpoints of a task, in milliseconds
- * @param stopGraceMs longest time that a stop of a run takes, in milliseconds
+ * @param stopGraceMs maximum time that stopping a run takes, in milliseconds
  * @param statusRetentionMs how long the state of a finished job is kept, in milliseconds
- * @param maximumInterferenceMs how long a serving task may miss its target because of others, in
- *     milliseconds
+ * @param maximumInterferenceMs maximum time that a latency-critical task may miss its target
+ *     because of interference, in milliseconds
  */
 public record NodeSettings(
         ProcessId process,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/node/package-info.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/node/package-info.java
@@ -1,4 +1,4 @@
-/** Settings that a process gets from the platform. */
+/** Settings that a process receives from the platform. */
 @NullMarked
 package org.hickorycleat.model.node;
 
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/store/AppendResult.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/store/AppendResult.java
@@ -1,17 +1,17 @@
 package org.hickorycleat.model.store;
 
-/** Kinds of outcome of an append. */
+/** Result of an append. */
 public enum AppendResult {
     /** The records are durable. */
     APPENDED,
-    /** The partition does not end at the offset that the call named. */
+    /** The partition does not end at the offset that the request expects. */
     OFFSET_CHANGED,
     /** A newer epoch of the producer exists. */
     FENCED,
-    /** The sequence number does not follow the last one. */
+    /** The sequence number does not directly follow the last one. */
     SEQUENCE_GAP,
-    /** The store refused the call and did nothing. */
+    /** The store rejected the request, or the request was never sent; nothing was appended. */
     REFUSED,
-    /** The call may have taken effect or may do so later. */
+    /** The append may have been committed or may still be. */
     UNKNOWN
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/store/StorePage.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/store/StorePage.java
@@ -3,11 +3,11 @@
 import java.util.List;
 
 /**
- * Answer of a read.
+ * Records returned by a read.
  *
- * @param endOffset end of the partition
- * @param hasMore for the newest records, whether further keys follow
- * @param truncated whether the records asked for are no longer kept
+ * @param endOffset end offset of the partition
+ * @param hasMore for a read of the newest records, whether further keys follow
+ * @param truncated whether retention has removed requested records
  */
 public record StorePage(
         List<StoreRecord> records, long endOffset, boolean hasMore, boolean truncated) {
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/store/StoreRecord.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/store/StoreRecord.java
@@ -3,8 +3,8 @@
 /**
  * A record of a keyed topic.
  *
- * @param value empty when the key was dropped
+ * @param value content of the record; empty if it is a tombstone for the key
  */
-// Compared by nobody; copying each value would double the work of a read.
+// Never compared, and copying each value would double the cost of a read.
 @SuppressWarnings("ArrayRecordComponent")
 public record StoreRecord(long offset, String key, byte[] value) {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/store/package-info.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/store/package-info.java
@@ -1,4 +1,4 @@
-/** Calls to the store of the platform and their outcomes. */
+/** Requests to the platform's record store and their outcomes. */
 @NullMarked
 package org.hickorycleat.model.store;
 
