--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/configuration/ConfigurationHistory.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/configuration/ConfigurationHistory.java
@@ -16,9 +16,9 @@
  *
  * <p>A reader that begins after the start of the stream does not know the current version. It
  * recovers the version from a snapshot whose writer had read at least up to the offset where this
- * reader began, and then evaluates the publications between {@code asOf} and the snapshot. An
- * earlier snapshot is not sufficient, because retention may have removed a manifest that was
- * accepted after it.
+ * reader began, and then evaluates the publications between that writer's read offset and the
+ * snapshot. An earlier snapshot is not sufficient, because retention may have removed a manifest
+ * that was accepted after it.
  */
 public final class ConfigurationHistory {
     private static final ConfigurationVersion NO_VERSION = new ConfigurationVersion(-1);
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestParser.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/manifest/ManifestParser.java
@@ -108,7 +108,8 @@
         long instances = reader.number("instances", 1, ManifestLimits.MAXIMUM_INSTANCES);
         long slots = reader.number("slots", 1, ManifestLimits.MAXIMUM_SLOTS);
         long connections = reader.number("connections", 1, ManifestLimits.MAXIMUM_CONNECTIONS);
-        long goal = reader.number("latency_goal_ms", 1, ManifestLimits.MAXIMUM_LATENCY_GOAL_MS);
+        long latencyGoalMs =
+                reader.number("latency_goal_ms", 1, ManifestLimits.MAXIMUM_LATENCY_GOAL_MS);
         if (connections < slots) {
             reader.report("connections", "at least the number of slots, " + slots);
         }
@@ -119,7 +120,7 @@
                 (int) instances,
                 (int) slots,
                 (int) connections,
-                goal,
+                latencyGoalMs,
                 zones(reader),
                 methods(reader));
     }
--- a/hickorycleat-model/src/test/java/org/hickorycleat/model/configuration/ConfigurationHistoryPropertyTest.java
+++ b/hickorycleat-model/src/test/java/org/hickorycleat/model/configuration/ConfigurationHistoryPropertyTest.java
@@ -158,10 +158,10 @@
             long version = versionBefore(asOf);
             String manifest = version < 0 ? "" : mEntries.get((int) version).manifest();
             byte[] bytes = manifest.getBytes(StandardCharsets.UTF_8);
-            ConfigurationVersion named = new ConfigurationVersion(version);
+            ConfigurationVersion snapshotVersion = new ConfigurationVersion(version);
             add(
                     new Entry(
-                            new ConfigurationRecord.Snapshot(id(), named, asOf, bytes),
+                            new ConfigurationRecord.Snapshot(id(), snapshotVersion, asOf, bytes),
                             manifest,
                             -1,
                             false));
--- a/hickorycleat-model/src/test/java/org/hickorycleat/model/manifest/ManifestParserTest.java
+++ b/hickorycleat-model/src/test/java/org/hickorycleat/model/manifest/ManifestParserTest.java
@@ -133,20 +133,20 @@
      */
     @Test
     void slicesAreValidManifestsAndMergeWithoutDuplicates() throws IOException {
-        Manifest whole = parse(documentedExample());
+        Manifest manifest = parse(documentedExample());
         Set<ServiceName> names =
-                whole.services().stream()
+                manifest.services().stream()
                         .map(ServiceSpecification::name)
                         .collect(Collectors.toSet());
-        Manifest merged = new Manifest(whole.base(), 1, List.of(), List.of(), List.of());
+        Manifest merged = new Manifest(manifest.base(), 1, List.of(), List.of(), List.of());
         for (ServiceName name : names) {
-            Manifest slice = ManifestSlices.slice(whole, Set.of(name));
+            Manifest slice = ManifestSlices.slice(manifest, Set.of(name));
             assertThat(slice.services()).hasSize(1);
             assertThat(ManifestParser.parse(ManifestWriter.write(slice)).isValid()).isTrue();
             merged = ManifestSlices.merge(ManifestSlices.merge(merged, slice), slice);
         }
 
-        assertThat(merged.services()).containsExactlyInAnyOrderElementsOf(whole.services());
+        assertThat(merged.services()).containsExactlyInAnyOrderElementsOf(manifest.services());
         assertThat(merged.teams()).doesNotHaveDuplicates();
     }
 
