--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/BatchPlacer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/BatchPlacer.java
@@ -7,17 +7,17 @@
 import org.hickorycleat.model.task.TaskSpecification;
 import org.jspecify.annotations.Nullable;
 
-/** Places batch work in order, and fills gaps without delaying the head of the queue. */
+/** Places batch tasks in queue order and backfills without delaying the head of the queue. */
 final class BatchPlacer {
-    /** Bounds the time of a call when the first tasks in order cannot be given a reservation. */
-    private static final int MAXIMUM_HEAD_SEARCHES = 4;
+    /** Bounds the time of a call when no reservation can be found for the first tasks in order. */
+    private static final int MAXIMUM_RESERVATION_SEARCHES = 4;
 
     private final PlacementRound mRound;
     private final PlacementConstraint mConstraint;
     private final RunTimeEstimator mEstimator;
     private final GapRule mGapRule;
-    private final long mReserveAfterMs;
-    private int mHeadSearches;
+    private final long mReservationDelayMs;
+    private int mReservationSearches;
     private @Nullable HeadReservation mHead;
 
     BatchPlacer(
@@ -25,31 +25,34 @@
             PlacementConstraint constraint,
             RunTimeEstimator estimator,
             GapRule gapRule,
-            long reserveAfterMs) {
-        mReserveAfterMs = reserveAfterMs;
+            long reservationDelayMs) {
+        mReservationDelayMs = reservationDelayMs;
         mRound = round;
         mConstraint = constraint;
         mEstimator = estimator;
         mGapRule = gapRule;
     }
 
-    /** Starts it if there is room; the first without room that waited long becomes the head. */
+    /**
+     * Starts the task if its resources are free. Otherwise the first task that has waited for the
+     * reservation delay becomes the head and gets a reservation.
+     */
     boolean place(PendingTask task) {
         TaskSpecification specification = task.specification();
-        if (!mRound.withinQuota(specification)) {
+        if (!mRound.isWithinQuota(specification)) {
             return false;
         }
         Resources size = mEstimator.size(specification);
         if (start(task, size)) {
             return true;
         }
-        boolean waitedLong = mRound.nowMs() - task.submittedMs() >= mReserveAfterMs;
-        if (mHead == null && waitedLong && mHeadSearches < MAXIMUM_HEAD_SEARCHES) {
-            mHeadSearches++;
+        boolean delayPassed = mRound.nowMs() - task.submittedMs() >= mReservationDelayMs;
+        if (mHead == null && delayPassed && mReservationSearches < MAXIMUM_RESERVATION_SEARCHES) {
+            mReservationSearches++;
             mHead =
                     HeadReservation.find(
                             mRound,
-                            new RunningEnds(mEstimator),
+                            new CompletionTimes(mEstimator),
                             size,
                             worker ->
                                     penalty(specification, worker) < PlacementConstraint.FORBIDDEN);
@@ -57,42 +60,42 @@
         return false;
     }
 
-    /** Starts the task if there is room for it, without a reservation otherwise. */
+    /** Starts the task if its resources are free; never makes a reservation. */
     boolean placeWithoutReservation(PendingTask task) {
         TaskSpecification specification = task.specification();
-        return mRound.withinQuota(specification) && start(task, mEstimator.size(specification));
+        return mRound.isWithinQuota(specification) && start(task, mEstimator.size(specification));
     }
 
     private boolean start(PendingTask task, Resources size) {
-        if (!mRound.table().anyFits(size)) {
+        if (!mRound.table().fitsAnyWorker(size)) {
             return false;
         }
         TaskSpecification specification = task.specification();
         long endMs = mRound.nowMs() + mEstimator.upperMs(specification) - task.progressMs();
-        int worker = best(specification, size, endMs);
+        int worker = bestWorker(specification, size, endMs);
         if (worker < 0) {
             return false;
         }
         if (mHead != null && worker == mHead.worker()) {
-            mHead.started(size, endMs);
+            mHead.recordStart(size, endMs);
         }
         mRound.start(task, worker);
         return true;
     }
 
-    private int best(TaskSpecification task, Resources size, long endMs) {
+    private int bestWorker(TaskSpecification task, Resources size, long endMs) {
         WorkerTable table = mRound.table();
-        boolean concerned = mConstraint.appliesTo(task);
+        boolean constrained = mConstraint.appliesTo(task);
         int best = -1;
-        double lowest = PlacementConstraint.FORBIDDEN;
+        double lowestCost = PlacementConstraint.FORBIDDEN;
         for (int i = 0; i < table.size(); i++) {
-            if (!table.fits(i, size) || !admitted(i, size, endMs)) {
+            if (!table.fits(i, size) || !respectsReservation(i, size, endMs)) {
                 continue;
             }
-            double cost = mGapRule.cost(Fit.gap(table, i, mRound.nowMs(), gapEndMs(i)));
-            cost += concerned ? penalty(task, i) : 0;
-            if (cost < lowest) {
-                lowest = cost;
+            double cost = mGapRule.cost(FreeResources.gap(table, i, mRound.nowMs(), gapEndMs(i)));
+            cost += constrained ? penalty(task, i) : 0;
+            if (cost < lowestCost) {
+                lowestCost = cost;
                 best = i;
             }
         }
@@ -103,7 +106,7 @@
         return mConstraint.penalty(task, mRound.table().worker(worker), mRound.view());
     }
 
-    private boolean admitted(int worker, Resources size, long endMs) {
+    private boolean respectsReservation(int worker, Resources size, long endMs) {
         return mHead == null || worker != mHead.worker() || mHead.admits(size, endMs);
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/BatchQueue.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/BatchQueue.java
@@ -12,7 +12,7 @@
 import org.hickorycleat.logic.placement.PlacementView.PendingTask;
 import org.hickorycleat.model.manifest.Criticality;
 
-/** Order of the waiting batch tasks, kept for a short time between calls when the queue is long. */
+/** Priority order of the waiting batch tasks; a long queue reuses the order over several calls. */
 final class BatchQueue {
     private static final Comparator<Entry> ORDER =
             Comparator.comparing(Entry::criticality)
@@ -32,7 +32,7 @@
         mSettings = settings;
     }
 
-    /** A waiting task with its key. */
+    /** A waiting task with its priority key. */
     record Entry(PendingTask task, BatchJob job, double key) {
         Criticality criticality() {
             return task.specification().criticality();
@@ -40,16 +40,17 @@
     }
 
     /**
-     * Returns the first tasks in order; those that no longer wait must be passed over. A long queue
-     * is read in slices, one a call, so that no call takes long.
+     * Returns the first tasks in priority order. Tasks that are no longer waiting may be among them
+     * and must be skipped. A long queue is read in chunks, one per call, to bound the time of a
+     * call.
      */
-    List<Entry> first(IndexedPlacementView view, long nowMs) {
-        boolean whole = view.pendingBatch().size() <= mSettings.orderSlice();
-        if (whole || !mUnread.hasNext()) {
+    List<Entry> firstInOrder(IndexedPlacementView view, long nowMs) {
+        boolean fitsInOneChunk = view.pendingBatch().size() <= mSettings.orderingChunkSize();
+        if (fitsInOneChunk || !mUnread.hasNext()) {
             mUnread = new ArrayList<>(view.pendingBatch()).iterator();
             mBest = emptyBest();
         }
-        readSlice(nowMs);
+        readChunk(nowMs);
         if (!mUnread.hasNext()) {
             mOrdered = new ArrayList<>(mBest);
             mOrdered.sort(ORDER);
@@ -57,14 +58,14 @@
         return mOrdered;
     }
 
-    /** Offers what has been read so far, because all that was ordered has been started. */
-    void exhausted() {
+    /** Orders the tasks read so far, because every task of the last order has been started. */
+    void orderTasksReadSoFar() {
         mOrdered = new ArrayList<>(mBest);
         mOrdered.sort(ORDER);
     }
 
-    private void readSlice(long nowMs) {
-        for (int i = 0; i < mSettings.orderSlice() && mUnread.hasNext(); i++) {
+    private void readChunk(long nowMs) {
+        for (int i = 0; i < mSettings.orderingChunkSize() && mUnread.hasNext(); i++) {
             PendingTask task = mUnread.next();
             if (task.specification().releaseMs() > nowMs) {
                 continue;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/RunningEnds.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/CompletionTimes.java
@@ -3,16 +3,20 @@
 import org.hickorycleat.logic.batch.RunTimeEstimator;
 import org.hickorycleat.logic.placement.PlacementView.PlacedTask;
 
-/** Expected ends of placed tasks. */
-final class RunningEnds {
+/** Estimates when placed tasks end. */
+final class CompletionTimes {
     private final RunTimeEstimator mEstimator;
 
-    RunningEnds(RunTimeEstimator estimator) {
+    CompletionTimes(RunTimeEstimator estimator) {
         mEstimator = estimator;
     }
 
-    /** Returns the expected end; a service has none, an overdue task a quarter of its time more. */
-    long endMs(PlacedTask task, long nowMs) {
+    /**
+     * Returns the expected end of a task; {@code Long.MAX_VALUE} for a service or an uncertain
+     * task. A task that has run past its estimate is expected to run for another quarter of its
+     * time, and for at least 1 s.
+     */
+    long expectedEndMs(PlacedTask task, long nowMs) {
         if (task.specification().service().isPresent()) {
             return Long.MAX_VALUE;
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/DefaultPlacementPolicy.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/DefaultPlacementPolicy.java
@@ -17,11 +17,11 @@
 import org.hickorycleat.model.task.TaskSpecification;
 
 /**
- * The default policy: instances of services and urgent work first, with eviction, then batch work
- * by deadline risk weighed against size, with gap filling.
+ * The default policy: service instances and urgent tasks first, with eviction, then batch tasks by
+ * apparent tardiness cost, which weighs deadline risk against size, with backfilling.
  *
- * <p>The view of each call must contain the effects of all earlier decisions that still stand: a
- * started task is placed, an evicted one is stopping. At most one thread may call.
+ * <p>The view of each call must reflect all earlier decisions that have not been undone: a started
+ * task is placed and an evicted one is stopping. Not safe for use by several threads.
  */
 public final class DefaultPlacementPolicy implements PlacementPolicy {
     private final PlacementSettings mSettings;
@@ -51,13 +51,13 @@
         }
         PlacementRound round =
                 new PlacementRound(IndexedPlacementView.of(view), nowMs, mConstraint);
-        placeFirst(round);
+        placeHighPriority(round);
         placeBatch(round);
         return round.decisions();
     }
 
-    private void placeFirst(PlacementRound round) {
-        List<PendingTask> tasks = new ArrayList<>(round.view().pendingFirst());
+    private void placeHighPriority(PlacementRound round) {
+        List<PendingTask> tasks = new ArrayList<>(round.view().pendingHighPriority());
         tasks.sort(
                 Comparator.comparing((PendingTask task) -> task.specification().criticality())
                         .thenComparingLong(PendingTask::submittedMs)
@@ -66,13 +66,15 @@
         BatchPlacer urgent =
                 new BatchPlacer(
                         round, mConstraint, mEstimator, mGapRule, mSettings.reservationDelayMs());
-        UrgentPlacer evictions = new UrgentPlacer(round, mConstraint, mSettings, mEstimator);
+        EvictionPlanner evictionPlanner =
+                new EvictionPlanner(round, mConstraint, mSettings, mEstimator);
         for (PendingTask task : tasks) {
             TaskSpecification specification = task.specification();
-            if (round.starts() >= mSettings.maximumStarts()) {
+            if (round.startCount() >= mSettings.maximumStarts()) {
                 return;
             }
-            if (specification.releaseMs() > round.nowMs() || rejected(round, specification)) {
+            if (specification.releaseMs() > round.nowMs()
+                    || rejectIfNeverRunnable(round, specification)) {
                 continue;
             }
             Optional<ServiceName> service = specification.service();
@@ -80,8 +82,8 @@
                     service.isPresent()
                             ? services.place(task, service.get())
                             : urgent.placeWithoutReservation(task);
-            if (!placed && round.withinQuota(specification)) {
-                evictions.makeRoom(task);
+            if (!placed && round.isWithinQuota(specification)) {
+                evictionPlanner.claimOrEvict(task);
             }
         }
     }
@@ -91,24 +93,24 @@
                 new BatchPlacer(
                         round, mConstraint, mEstimator, mGapRule, mSettings.reservationDelayMs());
         int waiting = 0;
-        for (BatchQueue.Entry entry : mQueue.first(round.view(), round.nowMs())) {
-            if (round.starts() >= mSettings.maximumStarts()) {
+        for (BatchQueue.Entry entry : mQueue.firstInOrder(round.view(), round.nowMs())) {
+            if (round.startCount() >= mSettings.maximumStarts()) {
                 return;
             }
             Optional<PendingTask> task = round.view().pending(entry.task().specification().task());
             if (task.isPresent()
-                    && !rejected(round, task.get().specification())
+                    && !rejectIfNeverRunnable(round, task.get().specification())
                     && !placer.place(task.get())) {
                 waiting++;
             }
         }
         if (waiting == 0) {
-            mQueue.exhausted();
+            mQueue.orderTasksReadSoFar();
         }
     }
 
-    /** Rejects a task that can never run. */
-    private boolean rejected(PlacementRound round, TaskSpecification task) {
+    /** Rejects a task that can never run; returns whether it did. */
+    private boolean rejectIfNeverRunnable(PlacementRound round, TaskSpecification task) {
         Resources quota = round.view().quotas().get(task.team());
         if (task.service().isEmpty() && quota != null && !task.resources().fitsInto(quota)) {
             round.reject(
@@ -117,18 +119,21 @@
                     "needs " + task.resources() + " but the quota of its team is " + quota);
             return true;
         }
-        boolean settled = round.nowMs() - mFirstCallMs >= mSettings.fleetSettleMs();
-        if (settled && round.table().size() > 0 && !round.table().everFits(task.resources())) {
+        boolean allWorkersReported =
+                round.nowMs() - mFirstCallMs >= mSettings.neverRunnableDelayMs();
+        if (allWorkersReported
+                && round.table().size() > 0
+                && !round.table().fitsAnyCapacity(task.resources())) {
             round.reject(
                     task.task(),
                     ResultCode.NEVER_RUNNABLE,
-                    "needs " + task.resources() + ", more than any worker has");
+                    "needs " + task.resources() + ", more than the capacity of any worker");
             return true;
         }
         return false;
     }
 
-    /** Builds a policy. */
+    /** Builds a {@link DefaultPlacementPolicy}. */
     public static final class Builder {
         private PlacementSettings mSettings = PlacementSettings.DEFAULT;
         private RunTimeEstimator mEstimator = RunTimeEstimator.DECLARED;
@@ -138,31 +143,31 @@
 
         private Builder() {}
 
-        /** Sets the limits. */
+        /** Sets the limits of a call and the delays. */
         public Builder settings(PlacementSettings settings) {
             mSettings = settings;
             return this;
         }
 
-        /** Sets the source of run times and sizes. */
+        /** Sets the estimator of run times and resources. */
         public Builder estimator(RunTimeEstimator estimator) {
             mEstimator = estimator;
             return this;
         }
 
-        /** Sets the constraint on workers. */
+        /** Sets the constraint that allows, penalizes or forbids workers. */
         public Builder constraint(PlacementConstraint constraint) {
             mConstraint = constraint;
             return this;
         }
 
-        /** Sets the order of batch work. */
+        /** Sets the rule that orders batch tasks. */
         public Builder priorityRule(PriorityRule rule) {
             mPriorityRule = rule;
             return this;
         }
 
-        /** Sets the choice among gaps. */
+        /** Sets the rule that selects among workers with enough free resources. */
         public Builder gapRule(GapRule rule) {
             mGapRule = rule;
             return this;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/EvictionCost.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/EvictionCost.java
@@ -5,9 +5,9 @@
 import org.hickorycleat.model.manifest.Criticality;
 import org.hickorycleat.model.task.TaskSpecification;
 
-/** Cost of evicting a running batch task, in milliseconds of run time. */
+/** Computes the cost of evicting a running batch task, in milliseconds of run time. */
 final class EvictionCost {
-    /** Time to stop and start a task again. */
+    /** Time to stop a task and start it again. */
     private static final long RESTART_MS = 5_000;
 
     private final RunTimeEstimator mEstimator;
@@ -16,17 +16,19 @@
         mEstimator = estimator;
     }
 
-    /** Tells whether a task may be evicted at all: running batch work that is not urgent. */
-    static boolean evictable(PlacedTask task) {
+    /** Returns whether a task may be evicted: only running batch tasks that are not urgent. */
+    static boolean isEvictable(PlacedTask task) {
         TaskSpecification specification = task.specification();
         return task.phase() == PlacementView.Phase.RUNNING
                 && specification.service().isEmpty()
                 && !specification.urgent();
     }
 
-    /** Returns the cost: work lost, deadline risk, evictions before, criticality. */
-    double of(PlacedTask task, long nowMs) {
-        long lostMs = lostMs(task, nowMs) + RESTART_MS;
+    /**
+     * Returns the cost: lost work and deadline risk, weighted by criticality and past evictions.
+     */
+    double costOf(PlacedTask task, long nowMs) {
+        long lostMs = lostWorkMs(task, nowMs) + RESTART_MS;
         double cost = lostMs + deadlineRiskMs(task, lostMs, nowMs);
         return cost * weight(task.specification().criticality()) * (1 + task.evictions());
     }
@@ -41,10 +43,11 @@
     }
 
     /**
-     * Work since the checkpoint. The eviction takes a checkpoint first, but that may fail, so a
-     * share of the work counts as lost.
+     * Returns the run time that an eviction loses. An eviction takes a checkpoint first, which may
+     * fail, so a quarter of the work since the last checkpoint counts as lost. A task without
+     * checkpoints loses all work since its start.
      */
-    private static long lostMs(PlacedTask task, long nowMs) {
+    private static long lostWorkMs(PlacedTask task, long nowMs) {
         if (task.specification().checkpointable()) {
             return (nowMs - task.checkpointMs()) / 4;
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/UrgentPlacer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/EvictionPlanner.java
@@ -11,20 +11,22 @@
 import org.hickorycleat.model.task.TaskSpecification;
 import org.jspecify.annotations.Nullable;
 
-/** Makes room for urgent work and instances of services by evicting the cheapest batch work. */
-final class UrgentPlacer {
-    /** Workers among which the cheapest plan is sought; more are read only if none has a plan. */
-    private static final int SAMPLE = 64;
+/** Frees resources for urgent tasks and service instances by evicting the cheapest batch tasks. */
+final class EvictionPlanner {
+    /**
+     * Number of workers searched for the cheapest plan; the search goes on only if none has one.
+     */
+    private static final int SAMPLED_WORKERS = 64;
 
     private final PlacementRound mRound;
     private final PlacementConstraint mConstraint;
     private final PlacementSettings mSettings;
-    private final RunningEnds mEnds;
+    private final CompletionTimes mCompletionTimes;
     private final EvictionCost mCost;
-    private final List<Resources> mWithoutPlan = new ArrayList<>();
-    private int mPlans;
+    private final List<Resources> mSizesWithoutPlan = new ArrayList<>();
+    private int mPlanCount;
 
-    UrgentPlacer(
+    EvictionPlanner(
             PlacementRound round,
             PlacementConstraint constraint,
             PlacementSettings settings,
@@ -32,29 +34,29 @@
         mRound = round;
         mConstraint = constraint;
         mSettings = settings;
-        mEnds = new RunningEnds(estimator);
+        mCompletionTimes = new CompletionTimes(estimator);
         mCost = new EvictionCost(estimator);
     }
 
-    /** An eviction plan: the room of a worker, the tasks to evict and their cost. */
+    /** An eviction plan: a worker, the tasks to evict from it and their total cost. */
     private record Plan(int worker, List<PlacedTask> victims, double cost) {}
 
-    /** Claims room that is coming free soon enough, or evicts for it. */
-    void makeRoom(PendingTask task) {
+    /** Claims resources that become free soon enough, or evicts tasks to free them. */
+    void claimOrEvict(PendingTask task) {
         Resources size = task.specification().resources();
-        if (mPlans >= mSettings.maximumEvictionPlans() || knownWithoutPlan(size)) {
+        if (mPlanCount >= mSettings.maximumEvictionPlans() || isKnownWithoutPlan(size)) {
             return;
         }
-        mPlans++;
-        if (claimComingRoom(task)) {
+        mPlanCount++;
+        if (claimExpectedResources(task)) {
             return;
         }
-        Plan plan = cheapest(task.specification());
+        Plan plan = cheapestPlan(task.specification());
         if (plan == null) {
-            mWithoutPlan.add(size);
+            mSizesWithoutPlan.add(size);
             return;
         }
-        String reason = "room for " + task.specification().task();
+        String reason = "evicted to free resources for " + task.specification().task();
         plan.victims.forEach(
                 victim ->
                         mRound.add(
@@ -63,17 +65,21 @@
         mRound.claims().claim(plan.worker, size);
     }
 
-    private boolean knownWithoutPlan(Resources size) {
-        return mWithoutPlan.stream().anyMatch(failed -> failed.fitsInto(size));
+    private boolean isKnownWithoutPlan(Resources size) {
+        return mSizesWithoutPlan.stream().anyMatch(failed -> failed.fitsInto(size));
     }
 
-    /** Room of stopping tasks, or of tasks that should end in time, that no other task claims. */
-    private boolean claimComingRoom(PendingTask task) {
+    /**
+     * Claims resources of tasks that are stopping or should end in time, if no other task claims
+     * them; returns whether it did.
+     */
+    private boolean claimExpectedResources(PendingTask task) {
         TaskSpecification specification = task.specification();
-        long byMs = task.submittedMs() + mSettings.urgentWaitMs();
+        long limitMs = task.submittedMs() + mSettings.urgentWaitLimitMs();
         WorkerTable table = mRound.table();
         for (int i = 0; i < table.size(); i++) {
-            if (allowed(specification, i) && specification.resources().fitsInto(coming(i, byMs))) {
+            if (isAllowed(specification, i)
+                    && specification.resources().fitsInto(expectedFree(i, limitMs))) {
                 mRound.claims().claim(i, specification.resources());
                 return true;
             }
@@ -81,28 +87,31 @@
         return false;
     }
 
-    private Resources coming(int worker, long byMs) {
-        Resources room = mRound.table().free(worker);
+    private Resources expectedFree(int worker, long limitMs) {
+        Resources free = mRound.table().free(worker);
         for (PlacedTask placed : placedOn(worker)) {
-            if (leaving(placed) || mEnds.endMs(placed, mRound.nowMs()) <= byMs) {
-                room = room.plus(placed.specification().resources());
+            if (isStopping(placed)
+                    || mCompletionTimes.expectedEndMs(placed, mRound.nowMs()) <= limitMs) {
+                free = free.plus(placed.specification().resources());
             }
         }
-        return mRound.claims().remaining(worker, room);
+        return mRound.claims().remaining(worker, free);
     }
 
-    private boolean leaving(PlacedTask placed) {
+    private boolean isStopping(PlacedTask placed) {
         return placed.phase() == PlacementView.Phase.STOPPING
-                || mRound.decided(placed.specification().task());
+                || mRound.isDecided(placed.specification().task());
     }
 
-    private @Nullable Plan cheapest(TaskSpecification task) {
+    private @Nullable Plan cheapestPlan(TaskSpecification task) {
         int size = mRound.table().size();
         int first = size == 0 ? 0 : Math.floorMod(task.task().hashCode(), size);
         Plan best = null;
-        for (int n = 0; n < size && (n < SAMPLE || best == null); n++) {
-            int worker = (first + n) % size;
-            Plan plan = allowed(task, worker) ? plan(task, worker) : null;
+        for (int searched = 0;
+                searched < size && (searched < SAMPLED_WORKERS || best == null);
+                searched++) {
+            int worker = (first + searched) % size;
+            Plan plan = isAllowed(task, worker) ? planOn(task, worker) : null;
             if (plan != null && (best == null || plan.cost < best.cost)) {
                 best = plan;
             }
@@ -110,57 +119,57 @@
         return best;
     }
 
-    private boolean allowed(TaskSpecification task, int worker) {
+    private boolean isAllowed(TaskSpecification task, int worker) {
         WorkerTable table = mRound.table();
-        return table.usable(worker)
+        return table.isUsable(worker)
                 && task.resources().fitsInto(table.worker(worker).capacity())
                 && mConstraint.penalty(task, table.worker(worker), mRound.view())
                         < PlacementConstraint.FORBIDDEN;
     }
 
-    /** Evicts by increasing cost until there is room, then spares whom it need not evict. */
-    private @Nullable Plan plan(TaskSpecification task, int worker) {
-        Resources room = coming(worker, mRound.nowMs() - 1);
-        List<PlacedTask> candidates = candidates(worker);
+    /** Selects victims by increasing cost until the task fits, then drops those not needed. */
+    private @Nullable Plan planOn(TaskSpecification task, int worker) {
+        Resources free = expectedFree(worker, mRound.nowMs() - 1);
+        List<PlacedTask> candidates = evictionCandidates(worker);
         List<PlacedTask> victims = new ArrayList<>();
         for (PlacedTask candidate : candidates) {
-            if (task.resources().fitsInto(room)) {
+            if (task.resources().fitsInto(free)) {
                 break;
             }
             victims.add(candidate);
-            room = room.plus(candidate.specification().resources());
+            free = free.plus(candidate.specification().resources());
         }
-        if (!task.resources().fitsInto(room)) {
+        if (!task.resources().fitsInto(free)) {
             return null;
         }
-        return spare(task, worker, victims, room);
+        return withoutUnneededVictims(task, worker, victims, free);
     }
 
-    private Plan spare(
-            TaskSpecification task, int worker, List<PlacedTask> victims, Resources room) {
+    private Plan withoutUnneededVictims(
+            TaskSpecification task, int worker, List<PlacedTask> victims, Resources free) {
         double cost = 0;
-        Resources left = room;
+        Resources remaining = free;
         List<PlacedTask> needed = new ArrayList<>();
         for (int i = victims.size() - 1; i >= 0; i--) {
             Resources size = victims.get(i).specification().resources();
-            if (size.fitsInto(left) && task.resources().fitsInto(left.minus(size))) {
-                left = left.minus(size);
+            if (size.fitsInto(remaining) && task.resources().fitsInto(remaining.minus(size))) {
+                remaining = remaining.minus(size);
             } else {
                 needed.add(victims.get(i));
-                cost += mCost.of(victims.get(i), mRound.nowMs());
+                cost += mCost.costOf(victims.get(i), mRound.nowMs());
             }
         }
         return new Plan(worker, needed, cost);
     }
 
-    private List<PlacedTask> candidates(int worker) {
+    private List<PlacedTask> evictionCandidates(int worker) {
         List<PlacedTask> candidates = new ArrayList<>();
         for (PlacedTask placed : placedOn(worker)) {
-            if (EvictionCost.evictable(placed) && !leaving(placed)) {
+            if (EvictionCost.isEvictable(placed) && !isStopping(placed)) {
                 candidates.add(placed);
             }
         }
-        candidates.sort(Comparator.comparingDouble(placed -> mCost.of(placed, mRound.nowMs())));
+        candidates.sort(Comparator.comparingDouble(placed -> mCost.costOf(placed, mRound.nowMs())));
         return candidates;
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/HeadReservation.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/HeadReservation.java
@@ -7,34 +7,43 @@
 import org.hickorycleat.model.task.Resources;
 import org.jspecify.annotations.Nullable;
 
-/** The worker and time at which the head of the queue can start at the latest estimate. */
+/** The worker reserved for the head of the queue and the estimated time at which it can start. */
 final class HeadReservation {
-    /** Workers that are read for a reservation; bounds the time of a call at full size. */
-    private static final int SAMPLE = 256;
+    /**
+     * Approximate number of workers searched for a reservation; bounds the time of a call on a
+     * large fleet.
+     */
+    private static final int SAMPLED_WORKERS = 256;
 
     private final int mWorker;
     private final long mStartMs;
-    private Resources mSpare;
+    private Resources mFreeAfterStart;
 
-    private HeadReservation(int worker, long startMs, Resources spare) {
+    private HeadReservation(int worker, long startMs, Resources freeAfterStart) {
         mWorker = worker;
         mStartMs = startMs;
-        mSpare = spare;
+        mFreeAfterStart = freeAfterStart;
     }
 
-    /** Finds the earliest start of a size, or nothing if no worker will have the room. */
+    /**
+     * Finds the earliest start of a task of this size; null if no searched worker will have the
+     * resources.
+     */
     static @Nullable HeadReservation find(
-            PlacementRound round, RunningEnds ends, Resources size, WorkerChoice choice) {
+            PlacementRound round,
+            CompletionTimes completionTimes,
+            Resources size,
+            WorkerFilter filter) {
         WorkerTable table = round.table();
         HeadReservation best = null;
-        int step = Math.max(1, table.size() / SAMPLE);
+        int step = Math.max(1, table.size() / SAMPLED_WORKERS);
         for (int i = 0; i < table.size(); i += step) {
-            if (!table.usable(i)
+            if (!table.isUsable(i)
                     || !size.fitsInto(table.worker(i).capacity())
-                    || !choice.allows(i)) {
+                    || !filter.allows(i)) {
                 continue;
             }
-            HeadReservation found = onWorker(round, ends, size, i);
+            HeadReservation found = findOnWorker(round, completionTimes, size, i);
             if (found != null && (best == null || found.mStartMs < best.mStartMs)) {
                 best = found;
             }
@@ -42,25 +51,25 @@
         return best;
     }
 
-    /** Choice of workers that may be reserved. */
+    /** Selects the workers that may be reserved. */
     @FunctionalInterface
-    interface WorkerChoice {
+    interface WorkerFilter {
         boolean allows(int worker);
     }
 
-    private record End(long endMs, Resources size) {}
+    private record ExpectedEnd(long endMs, Resources size) {}
 
-    private static @Nullable HeadReservation onWorker(
-            PlacementRound round, RunningEnds ends, Resources size, int worker) {
-        List<End> running = new ArrayList<>();
+    private static @Nullable HeadReservation findOnWorker(
+            PlacementRound round, CompletionTimes completionTimes, Resources size, int worker) {
+        List<ExpectedEnd> running = new ArrayList<>();
         WorkerView view = round.table().worker(worker);
         for (PlacedTask placed : round.view().placedOn(view.worker())) {
-            long endMs = ends.endMs(placed, round.nowMs());
-            running.add(new End(endMs, placed.specification().resources()));
+            long endMs = completionTimes.expectedEndMs(placed, round.nowMs());
+            running.add(new ExpectedEnd(endMs, placed.specification().resources()));
         }
-        running.sort(Comparator.comparingLong(End::endMs));
+        running.sort(Comparator.comparingLong(ExpectedEnd::endMs));
         Resources free = round.table().free(worker);
-        for (End end : running) {
+        for (ExpectedEnd end : running) {
             if (end.endMs == Long.MAX_VALUE) {
                 return null;
             }
@@ -80,15 +89,18 @@
         return mStartMs;
     }
 
-    /** Tells whether a task on the reserved worker would leave the head its room and time. */
+    /** Returns whether a task on the reserved worker would not delay the start of the head. */
     boolean admits(Resources size, long endMs) {
-        return endMs <= mStartMs || size.fitsInto(mSpare);
+        return endMs <= mStartMs || size.fitsInto(mFreeAfterStart);
     }
 
-    /** Records a task started on the reserved worker. */
-    void started(Resources size, long endMs) {
+    /**
+     * Records a task started on the reserved worker; one that outlasts the start of the head uses
+     * the resources left beside it.
+     */
+    void recordStart(Resources size, long endMs) {
         if (endMs > mStartMs) {
-            mSpare = mSpare.minus(size);
+            mFreeAfterStart = mFreeAfterStart.minus(size);
         }
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/IncrementalPlacementView.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/IncrementalPlacementView.java
@@ -14,20 +14,20 @@
 import org.hickorycleat.model.task.TaskSpecification;
 
 /**
- * A view that its owner changes between calls of the policy. Every change costs constant time, so a
- * wave of cancellations costs as much as the removals. Not safe for use by several threads.
+ * A placement view that is updated between calls of the policy. Every update takes constant time,
+ * so that many cancellations at once stay cheap. Not safe for use by several threads.
  */
 public final class IncrementalPlacementView implements IndexedPlacementView {
     private final Map<WorkerId, WorkerView> mWorkers = new LinkedHashMap<>();
-    private final Map<TaskId, PendingTask> mFirst = new LinkedHashMap<>();
-    private final Map<TaskId, PendingTask> mBatch = new LinkedHashMap<>();
+    private final Map<TaskId, PendingTask> mPendingHighPriority = new LinkedHashMap<>();
+    private final Map<TaskId, PendingTask> mPendingBatch = new LinkedHashMap<>();
     private final Map<TaskId, PlacedTask> mPlaced = new LinkedHashMap<>();
-    private final Map<WorkerId, Map<TaskId, PlacedTask>> mPlacedOn = new HashMap<>();
-    private final Map<ServiceName, Map<TaskId, PlacedTask>> mPlacedOf = new HashMap<>();
+    private final Map<WorkerId, Map<TaskId, PlacedTask>> mPlacedByWorker = new HashMap<>();
+    private final Map<ServiceName, Map<TaskId, PlacedTask>> mPlacedByService = new HashMap<>();
     private final Map<TeamName, Resources> mUsage = new HashMap<>();
     private final Map<TeamName, Resources> mQuotas = new HashMap<>();
 
-    /** Copies any view. */
+    /** Returns an indexed copy of a view. */
     public static IncrementalPlacementView copyOf(PlacementView view) {
         IncrementalPlacementView copy = new IncrementalPlacementView();
         view.placedTasks().forEach(copy::addPlaced);
@@ -37,7 +37,9 @@
         return copy;
     }
 
-    /** Adds a worker or changes its place, capacity or availability; its reservations are kept. */
+    /**
+     * Adds a worker or updates its rack, zone, capacity or availability; keeps its reservations.
+     */
     public void putWorker(WorkerView worker) {
         Resources reserved = Resources.NONE;
         for (PlacedTask task : placedOn(worker.worker())) {
@@ -46,7 +48,7 @@
         mWorkers.put(worker.worker(), withReserved(worker, reserved));
     }
 
-    /** Removes a worker; its tasks stay placed until they are removed. */
+    /** Removes a worker; its tasks stay placed until they are removed too. */
     public void removeWorker(WorkerId worker) {
         mWorkers.remove(worker);
     }
@@ -54,18 +56,18 @@
     /** Adds a waiting task or replaces its record. */
     public void addPending(PendingTask task) {
         TaskSpecification specification = task.specification();
-        boolean first = specification.urgent() || specification.service().isPresent();
-        (first ? mFirst : mBatch).put(specification.task(), task);
+        boolean highPriority = specification.urgent() || specification.service().isPresent();
+        (highPriority ? mPendingHighPriority : mPendingBatch).put(specification.task(), task);
     }
 
     /** Removes a waiting task. */
     public void removePending(TaskId task) {
-        if (mBatch.remove(task) == null) {
-            mFirst.remove(task);
+        if (mPendingBatch.remove(task) == null) {
+            mPendingHighPriority.remove(task);
         }
     }
 
-    /** Adds a placed task or replaces its record; it no longer waits. */
+    /** Adds a placed task or replaces its record, and removes it from the waiting tasks. */
     public void putPlaced(PlacedTask task) {
         TaskId id = task.specification().task();
         removePending(id);
@@ -74,15 +76,15 @@
         reserve(task.worker(), task.specification().resources());
     }
 
-    /** Removes a placed task and releases what it held. */
+    /** Removes a placed task and releases its resources. */
     public void removePlaced(TaskId id) {
         PlacedTask task = mPlaced.remove(id);
         if (task == null) {
             return;
         }
         TaskSpecification specification = task.specification();
-        remove(mPlacedOn, task.worker(), id);
-        specification.service().ifPresent(service -> remove(mPlacedOf, service, id));
+        remove(mPlacedByWorker, task.worker(), id);
+        specification.service().ifPresent(service -> remove(mPlacedByService, service, id));
         if (specification.service().isEmpty()) {
             mUsage.computeIfPresent(
                     specification.team(), (team, used) -> used.minus(specification.resources()));
@@ -116,8 +118,8 @@
 
     @Override
     public Collection<PendingTask> pendingTasks() {
-        Map<TaskId, PendingTask> all = new LinkedHashMap<>(mFirst);
-        all.putAll(mBatch);
+        Map<TaskId, PendingTask> all = new LinkedHashMap<>(mPendingHighPriority);
+        all.putAll(mPendingBatch);
         return all.values();
     }
 
@@ -132,29 +134,29 @@
     }
 
     @Override
-    public Collection<PendingTask> pendingFirst() {
-        return Collections.unmodifiableCollection(mFirst.values());
+    public Collection<PendingTask> pendingHighPriority() {
+        return Collections.unmodifiableCollection(mPendingHighPriority.values());
     }
 
     @Override
     public Collection<PendingTask> pendingBatch() {
-        return Collections.unmodifiableCollection(mBatch.values());
+        return Collections.unmodifiableCollection(mPendingBatch.values());
     }
 
     @Override
     public Optional<PendingTask> pending(TaskId task) {
-        PendingTask batch = mBatch.get(task);
-        return Optional.ofNullable(batch != null ? batch : mFirst.get(task));
+        PendingTask batch = mPendingBatch.get(task);
+        return Optional.ofNullable(batch != null ? batch : mPendingHighPriority.get(task));
     }
 
     @Override
     public Collection<PlacedTask> placedOn(WorkerId worker) {
-        return mPlacedOn.getOrDefault(worker, Map.of()).values();
+        return mPlacedByWorker.getOrDefault(worker, Map.of()).values();
     }
 
     @Override
-    public Collection<PlacedTask> placedOf(ServiceName service) {
-        return mPlacedOf.getOrDefault(service, Map.of()).values();
+    public Collection<PlacedTask> instancesOf(ServiceName service) {
+        return mPlacedByService.getOrDefault(service, Map.of()).values();
     }
 
     @Override
@@ -166,12 +168,12 @@
         TaskSpecification specification = task.specification();
         TaskId id = specification.task();
         mPlaced.put(id, task);
-        mPlacedOn.computeIfAbsent(task.worker(), key -> new LinkedHashMap<>()).put(id, task);
+        mPlacedByWorker.computeIfAbsent(task.worker(), key -> new LinkedHashMap<>()).put(id, task);
         specification
                 .service()
                 .ifPresent(
                         service ->
-                                mPlacedOf
+                                mPlacedByService
                                         .computeIfAbsent(service, key -> new LinkedHashMap<>())
                                         .put(id, task));
         if (specification.service().isEmpty()) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/IndexedPlacementView.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/IndexedPlacementView.java
@@ -8,7 +8,7 @@
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.task.Resources;
 
-/** A view with the indexes that a policy needs, so that a call does not read every task. */
+/** A placement view with indexes, so that a call of the policy does not read every task. */
 public interface IndexedPlacementView extends PlacementView {
     /** Returns the view itself if it has indexes, otherwise an indexed copy. */
     static IndexedPlacementView of(PlacementView view) {
@@ -18,21 +18,21 @@
         return IncrementalPlacementView.copyOf(view);
     }
 
-    /** Returns waiting instances of services and urgent tasks. */
-    Collection<PendingTask> pendingFirst();
+    /** Returns the waiting service instances and urgent tasks. */
+    Collection<PendingTask> pendingHighPriority();
 
-    /** Returns the other waiting tasks. */
+    /** Returns the waiting batch tasks that are not urgent. */
     Collection<PendingTask> pendingBatch();
 
-    /** Finds a waiting task. */
+    /** Returns a waiting task, if there is one with this id. */
     Optional<PendingTask> pending(TaskId task);
 
     /** Returns the tasks that hold resources of a worker. */
     Collection<PlacedTask> placedOn(WorkerId worker);
 
     /** Returns the placed instances of a service. */
-    Collection<PlacedTask> placedOf(ServiceName service);
+    Collection<PlacedTask> instancesOf(ServiceName service);
 
-    /** Returns what the placed batch tasks of a team hold. */
+    /** Returns the resources that the placed batch tasks of a team hold. */
     Resources usageOf(TeamName team);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementConstraint.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementConstraint.java
@@ -2,25 +2,25 @@
 
 import org.hickorycleat.model.task.TaskSpecification;
 
-/** Decides whether and how gladly a task is placed on a worker that has room for it. */
+/** Allows, penalizes or forbids the placement of a task on a worker with enough free resources. */
 public interface PlacementConstraint {
-    /** Allows everything. */
+    /** Allows every placement without a penalty. */
     PlacementConstraint NONE = (task, worker, view) -> 0;
 
     /** Penalty that forbids the placement. */
     double FORBIDDEN = Double.POSITIVE_INFINITY;
 
     /**
-     * Returns a penalty, in units in which 1 outweighs any difference in free room; a negative one
-     * attracts, infinity forbids the placement.
+     * Returns the penalty of a placement. A penalty of 1 outweighs any difference in free
+     * resources, a negative one makes the placement preferred, and {@link #FORBIDDEN} rules it out.
      */
     double penalty(TaskSpecification task, WorkerView worker, IndexedPlacementView view);
 
-    /** Tells whether the penalty of a task is not 0 anywhere. */
+    /** Returns whether the penalty of a task may differ from 0 on some worker. */
     default boolean appliesTo(TaskSpecification task) {
         return true;
     }
 
-    /** Learns that a start was decided. */
+    /** Handles the decision to start a task on a worker. */
     default void onStart(TaskSpecification task, WorkerView worker) {}
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementRound.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementRound.java
@@ -14,24 +14,24 @@
 import org.hickorycleat.model.task.Resources;
 import org.hickorycleat.model.task.TaskSpecification;
 
-/** Working state of one call: what is free after the decisions made so far. */
+/** State of one call of the policy: decisions so far and the resources they leave free. */
 final class PlacementRound {
     private final IndexedPlacementView mView;
     private final long mNowMs;
     private final WorkerTable mTable;
-    private final RoomClaims mClaims;
-    private final Map<TeamName, Resources> mAdded = new HashMap<>();
+    private final ResourceClaims mClaims;
+    private final Map<TeamName, Resources> mAddedUsage = new HashMap<>();
     private final Set<TaskId> mDecided = new HashSet<>();
     private final List<PlacementDecision> mDecisions = new ArrayList<>();
     private final PlacementConstraint mConstraint;
-    private int mStarts;
+    private int mStartCount;
 
     PlacementRound(IndexedPlacementView view, long nowMs, PlacementConstraint constraint) {
         mConstraint = constraint;
         mView = view;
         mNowMs = nowMs;
         mTable = new WorkerTable(view.workers());
-        mClaims = new RoomClaims(mTable);
+        mClaims = new ResourceClaims(mTable);
     }
 
     IndexedPlacementView view() {
@@ -46,7 +46,7 @@
         return mTable;
     }
 
-    RoomClaims claims() {
+    ResourceClaims claims() {
         return mClaims;
     }
 
@@ -54,11 +54,11 @@
         return mDecisions;
     }
 
-    int starts() {
-        return mStarts;
+    int startCount() {
+        return mStartCount;
     }
 
-    boolean decided(TaskId task) {
+    boolean isDecided(TaskId task) {
         return mDecided.contains(task);
     }
 
@@ -66,11 +66,11 @@
         TaskSpecification specification = task.specification();
         mTable.take(worker, specification.resources());
         if (specification.service().isEmpty()) {
-            mAdded.merge(specification.team(), specification.resources(), Resources::plus);
+            mAddedUsage.merge(specification.team(), specification.resources(), Resources::plus);
         }
         add(new PlacementDecision.Start(specification.task(), mTable.worker(worker).worker()));
         mConstraint.onStart(specification, mTable.worker(worker));
-        mStarts++;
+        mStartCount++;
     }
 
     void reject(TaskId task, ResultCode code, String reason) {
@@ -82,14 +82,15 @@
         mDecisions.add(decision);
     }
 
-    /** Tells whether the team may hold this much more now; services do not use the quota. */
-    boolean withinQuota(TaskSpecification task) {
+    /** Returns whether a task fits into the quota of its team; services do not count against it. */
+    boolean isWithinQuota(TaskSpecification task) {
         Resources quota = mView.quotas().get(task.team());
         if (quota == null || task.service().isPresent()) {
             return true;
         }
         Resources used =
-                mView.usageOf(task.team()).plus(mAdded.getOrDefault(task.team(), Resources.NONE));
+                mView.usageOf(task.team())
+                        .plus(mAddedUsage.getOrDefault(task.team(), Resources.NONE));
         return used.plus(task.resources()).fitsInto(quota);
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementView.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementView.java
@@ -8,31 +8,31 @@
 import org.hickorycleat.model.task.Resources;
 import org.hickorycleat.model.task.TaskSpecification;
 
-/** What a placement policy may see of a shard; a snapshot that does not change while it decides. */
+/** State of a shard as a placement policy sees it; must not change during a call of the policy. */
 public interface PlacementView {
     /** Returns the workers of the shard. */
     Collection<WorkerView> workers();
 
-    /** Finds a worker. */
+    /** Returns a worker, if the shard has it. */
     Optional<WorkerView> worker(WorkerId worker);
 
-    /** Returns tasks that are not on any worker. */
+    /** Returns the tasks that wait for placement. */
     Collection<PendingTask> pendingTasks();
 
-    /** Returns tasks that hold resources, including starting, stopping and uncertain ones. */
+    /** Returns the tasks that hold resources, including starting, stopping and uncertain ones. */
     Collection<PlacedTask> placedTasks();
 
-    /** Returns the quota of each team; a team without entry has none to observe. */
+    /** Returns the quota of each team; a team without an entry is not limited. */
     Map<TeamName, Resources> quotas();
 
     /**
-     * A task to place.
+     * A task that waits for placement.
      *
      * @param specification the task
-     * @param submittedMs time since which it has been waiting
+     * @param submittedMs time from which it has been waiting
      * @param progressMs run time saved in its checkpoint
-     * @param evictions times it was evicted
-     * @param failures times it failed
+     * @param evictions number of times it was evicted
+     * @param failures number of times it failed
      */
     record PendingTask(
             TaskSpecification specification,
@@ -49,9 +49,10 @@
      * @param startedMs start of the attempt
      * @param checkpointMs time of the last checkpoint, or the start
      * @param progressMs run time saved in its checkpoint when the attempt started
-     * @param evictions times it was evicted
+     * @param evictions number of times it was evicted
      * @param phase phase of the attempt
-     * @param throttlePermille share of the processor time that it may use; 1000 for all
+     * @param throttlePermille share of its processor time that it may use, in thousandths; 1000 if
+     *     not throttled
      */
     record PlacedTask(
             TaskSpecification specification,
@@ -65,13 +66,13 @@
 
     /** Phase of a placed task. */
     enum Phase {
-        /** Recorded, not confirmed by the worker. */
+        /** Start recorded but not confirmed by the worker. */
         STARTING,
-        /** Confirmed by the worker. */
+        /** Start confirmed by the worker. */
         RUNNING,
-        /** Asked to stop. */
+        /** Stop requested. */
         STOPPING,
-        /** On a worker that does not answer. */
+        /** On a worker that does not respond. */
         UNCERTAIN
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/RoomClaims.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/ResourceClaims.java
@@ -4,16 +4,16 @@
 import java.util.Map;
 import org.hickorycleat.model.task.Resources;
 
-/** Room that is coming free on workers and is already meant for a task. */
-final class RoomClaims {
+/** Resources of workers that are about to become free and are claimed for a task. */
+final class ResourceClaims {
     private final WorkerTable mTable;
     private final Map<Integer, Resources> mClaimed = new HashMap<>();
 
-    RoomClaims(WorkerTable table) {
+    ResourceClaims(WorkerTable table) {
         mTable = table;
     }
 
-    /** Keeps room of a worker for a task and takes the free part of it from other tasks. */
+    /** Claims resources of a worker; the part that is free now is taken from the worker table. */
     void claim(int worker, Resources size) {
         Resources free = mTable.free(worker);
         mTable.take(worker, size);
@@ -21,10 +21,10 @@
         mClaimed.merge(worker, later, Resources::plus);
     }
 
-    /** Returns what is left of free and coming room after the claims. */
-    Resources remaining(int worker, Resources room) {
+    /** Returns what the claims on a worker leave of its free and expected resources. */
+    Resources remaining(int worker, Resources resources) {
         Resources claimed = mClaimed.get(worker);
-        return claimed == null ? room : clampedMinus(room, claimed);
+        return claimed == null ? resources : clampedMinus(resources, claimed);
     }
 
     private static Resources clampedMinus(Resources from, Resources part) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/ServicePlacer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/ServicePlacer.java
@@ -11,7 +11,7 @@
 import org.hickorycleat.model.identifier.ZoneId;
 import org.hickorycleat.model.task.TaskSpecification;
 
-/** Chooses workers for instances of services, spread over availability zones and racks. */
+/** Selects workers for service instances, spread over availability zones and racks. */
 final class ServicePlacer {
     private static final double ZONE_WEIGHT = 1e6;
     private static final double RACK_WEIGHT = 1e3;
@@ -25,13 +25,13 @@
         mConstraint = constraint;
     }
 
-    /** Starts the instance where the service has the fewest instances, if there is room. */
+    /** Starts the instance where its service has the fewest instances, if resources are free. */
     boolean place(PendingTask task, ServiceName service) {
-        if (!mRound.table().anyFits(task.specification().resources())) {
+        if (!mRound.table().fitsAnyWorker(task.specification().resources())) {
             return false;
         }
-        Spread spread = mSpreads.computeIfAbsent(service, this::count);
-        int best = best(task.specification(), spread);
+        Spread spread = mSpreads.computeIfAbsent(service, this::countInstances);
+        int best = bestWorker(task.specification(), spread);
         if (best < 0) {
             return false;
         }
@@ -40,15 +40,15 @@
         return true;
     }
 
-    private int best(TaskSpecification task, Spread spread) {
+    private int bestWorker(TaskSpecification task, Spread spread) {
         WorkerTable table = mRound.table();
         int best = -1;
-        double lowest = PlacementConstraint.FORBIDDEN;
+        double lowestCost = PlacementConstraint.FORBIDDEN;
         for (int i = 0; i < table.size(); i++) {
             if (table.fits(i, task.resources())) {
                 double cost = cost(task, spread, i);
-                if (cost < lowest) {
-                    lowest = cost;
+                if (cost < lowestCost) {
+                    lowestCost = cost;
                     best = i;
                 }
             }
@@ -58,20 +58,20 @@
 
     private double cost(TaskSpecification task, Spread spread, int i) {
         WorkerView worker = mRound.table().worker(i);
-        double used = 1 - Fit.freeShare(mRound.table(), i);
-        return spread.cost(worker) + mConstraint.penalty(task, worker, mRound.view()) + used;
+        double usedShare = 1 - FreeResources.freeShare(mRound.table(), i);
+        return spread.cost(worker) + mConstraint.penalty(task, worker, mRound.view()) + usedShare;
     }
 
-    private Spread count(ServiceName service) {
+    private Spread countInstances(ServiceName service) {
         Spread spread = new Spread();
-        Collection<PlacedTask> placed = mRound.view().placedOf(service);
+        Collection<PlacedTask> placed = mRound.view().instancesOf(service);
         for (PlacedTask task : placed) {
             mRound.view().worker(task.worker()).ifPresent(spread::add);
         }
         return spread;
     }
 
-    /** Instances of one service by availability zone, rack and worker. */
+    /** Instance counts of one service by availability zone, rack and worker. */
     private static final class Spread {
         private final Map<ZoneId, Integer> mZones = new HashMap<>();
         private final Map<RackId, Integer> mRacks = new HashMap<>();
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/WorkerTable.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/WorkerTable.java
@@ -8,20 +8,20 @@
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.task.Resources;
 
-/** Free resources of the workers during one call, in arrays so that a search is one fast scan. */
+/** Free resources of the workers during one call, in arrays to make a search one fast scan. */
 final class WorkerTable {
     private final WorkerView[] mWorkers;
-    private final long[] mProcessors;
-    private final long[] mMemory;
-    private final long[] mAccelerators;
+    private final long[] mFreeProcessorsMilli;
+    private final long[] mFreeMemoryMebibytes;
+    private final long[] mFreeAccelerators;
     private final Map<WorkerId, Integer> mIndexes;
-    private final List<Resources> mWithoutRoom = new ArrayList<>();
+    private final List<Resources> mSizesWithoutWorker = new ArrayList<>();
 
     WorkerTable(Collection<WorkerView> workers) {
         mWorkers = workers.toArray(new WorkerView[0]);
-        mProcessors = new long[mWorkers.length];
-        mMemory = new long[mWorkers.length];
-        mAccelerators = new long[mWorkers.length];
+        mFreeProcessorsMilli = new long[mWorkers.length];
+        mFreeMemoryMebibytes = new long[mWorkers.length];
+        mFreeAccelerators = new long[mWorkers.length];
         mIndexes = new HashMap<>(mWorkers.length * 2);
         for (int i = 0; i < mWorkers.length; i++) {
             mIndexes.put(mWorkers[i].worker(), i);
@@ -29,15 +29,16 @@
         }
     }
 
-    /** A worker that is not available, or holds more than its capacity, has nothing free. */
+    /** Loads a worker; one that is unavailable or overcommitted is marked as unusable. */
     private void load(int i, WorkerView worker) {
         boolean usable = worker.available() && worker.reserved().fitsInto(worker.capacity());
-        mProcessors[i] =
+        mFreeProcessorsMilli[i] =
                 usable
                         ? worker.capacity().processorsMilli() - worker.reserved().processorsMilli()
                         : -1;
-        mMemory[i] = worker.capacity().memoryMebibytes() - worker.reserved().memoryMebibytes();
-        mAccelerators[i] = worker.capacity().accelerators() - worker.reserved().accelerators();
+        mFreeMemoryMebibytes[i] =
+                worker.capacity().memoryMebibytes() - worker.reserved().memoryMebibytes();
+        mFreeAccelerators[i] = worker.capacity().accelerators() - worker.reserved().accelerators();
     }
 
     int size() {
@@ -48,24 +49,27 @@
         return mWorkers[i];
     }
 
-    /** Returns the position of a worker, or -1. */
+    /** Returns the index of a worker, or -1 if the table does not have it. */
     int indexOf(WorkerId worker) {
         return mIndexes.getOrDefault(worker, -1);
     }
 
-    boolean usable(int i) {
-        return mProcessors[i] >= 0;
+    boolean isUsable(int i) {
+        return mFreeProcessorsMilli[i] >= 0;
     }
 
     boolean fits(int i, Resources size) {
-        return size.processorsMilli() <= mProcessors[i]
-                && size.memoryMebibytes() <= mMemory[i]
-                && size.accelerators() <= mAccelerators[i];
+        return size.processorsMilli() <= mFreeProcessorsMilli[i]
+                && size.memoryMebibytes() <= mFreeMemoryMebibytes[i]
+                && size.accelerators() <= mFreeAccelerators[i];
     }
 
-    /** Tells whether any worker has room; remembers sizes without room, as room only shrinks. */
-    boolean anyFits(Resources size) {
-        for (Resources failed : mWithoutRoom) {
+    /**
+     * Returns whether the size fits on any worker; caches failures, since free resources never grow
+     * during a call.
+     */
+    boolean fitsAnyWorker(Resources size) {
+        for (Resources failed : mSizesWithoutWorker) {
             if (failed.fitsInto(size)) {
                 return false;
             }
@@ -75,27 +79,27 @@
                 return true;
             }
         }
-        mWithoutRoom.removeIf(size::fitsInto);
-        mWithoutRoom.add(size);
+        mSizesWithoutWorker.removeIf(size::fitsInto);
+        mSizesWithoutWorker.add(size);
         return false;
     }
 
     Resources free(int i) {
         return new Resources(
-                Math.max(0, mProcessors[i]),
-                Math.max(0, mMemory[i]),
-                Math.max(0, mAccelerators[i]));
+                Math.max(0, mFreeProcessorsMilli[i]),
+                Math.max(0, mFreeMemoryMebibytes[i]),
+                Math.max(0, mFreeAccelerators[i]));
     }
 
-    /** Takes free room; for a claim on room that is coming free, no more than there is. */
+    /** Subtracts from the free resources, down to 0: a claim may exceed what is free now. */
     void take(int i, Resources size) {
-        mProcessors[i] = Math.max(0, mProcessors[i] - size.processorsMilli());
-        mMemory[i] = Math.max(0, mMemory[i] - size.memoryMebibytes());
-        mAccelerators[i] = Math.max(0, mAccelerators[i] - size.accelerators());
+        mFreeProcessorsMilli[i] = Math.max(0, mFreeProcessorsMilli[i] - size.processorsMilli());
+        mFreeMemoryMebibytes[i] = Math.max(0, mFreeMemoryMebibytes[i] - size.memoryMebibytes());
+        mFreeAccelerators[i] = Math.max(0, mFreeAccelerators[i] - size.accelerators());
     }
 
-    /** Tells whether any worker could hold the size if it were empty. */
-    boolean everFits(Resources size) {
+    /** Returns whether the size fits into the capacity of any worker. */
+    boolean fitsAnyCapacity(Resources size) {
         for (WorkerView worker : mWorkers) {
             if (size.fitsInto(worker.capacity())) {
                 return true;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/WorkerView.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/WorkerView.java
@@ -6,14 +6,14 @@
 import org.hickorycleat.model.task.Resources;
 
 /**
- * A worker as the placement policy sees it.
+ * State of a worker as the placement policy sees it.
  *
  * @param worker the worker
  * @param rack its rack
  * @param zone its availability zone
- * @param capacity all its resources
+ * @param capacity its total resources
  * @param reserved resources held by reserved, starting, running, stopping and uncertain tasks
- * @param available whether it may be given new tasks: reachable and not draining
+ * @param available whether tasks may be started on it: it is reachable and not draining
  */
 public record WorkerView(
         WorkerId worker,
@@ -22,7 +22,7 @@
         Resources capacity,
         Resources reserved,
         boolean available) {
-    /** Returns what is not reserved. */
+    /** Returns the resources that are not reserved. */
     public Resources free() {
         return capacity.minus(reserved);
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/placement/CapacityTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/placement/CapacityTest.java
@@ -15,7 +15,7 @@
 class CapacityTest {
     private static final TeamName TEAM = new TeamName("team");
 
-    /** Guards invariant I1 and the quotas over several calls on random fleets and tasks. */
+    /** Checks invariant I1 (no worker overcommitted) and the quotas over calls on random fleets. */
     @Property(seed = "41", tries = 150)
     void neverOvercommitsWorkersOrQuotas(
             @ForAll @IntRange(min = 1, max = 12) int workers,
@@ -43,7 +43,7 @@
         }
     }
 
-    /** Guards against room given out on a worker that holds more than it has or is unavailable. */
+    /** Guards against starts on a worker that is overcommitted or unavailable. */
     @Property(seed = "42", tries = 50)
     void startsNothingOnUnusableWorkers(@ForAll boolean available) {
         FakeFleet fleet = new FakeFleet().withWorkers(1, new Resources(1_000, 1_000, 0));
@@ -57,7 +57,7 @@
                         worker.capacity(),
                         reserved,
                         available);
-        SnapshotView view = new SnapshotView(List.of(changed), fleet.view());
+        UnindexedView view = new UnindexedView(List.of(changed), fleet.view());
         fleet.submit(FakeFleet.batch("a", new Resources(100, 100, 0), 1_000, 9_000), 0);
         fleet.submit(FakeFleet.urgent("b", new Resources(100, 100, 0)), 0);
         fleet.submit(FakeFleet.instance("s", 0, new Resources(100, 100, 0)), 0);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/placement/FakeFleet.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/placement/FakeFleet.java
@@ -16,7 +16,7 @@
 import org.hickorycleat.model.task.Resources;
 import org.hickorycleat.model.task.TaskSpecification;
 
-/** Workers and tasks of a test; applies decisions as an owner would after committing them. */
+/** Workers and tasks of a test; applies decisions as an owner does after committing them. */
 final class FakeFleet {
     private final IncrementalPlacementView mView = new IncrementalPlacementView();
 
@@ -89,11 +89,11 @@
         mView.addPending(new PendingTask(task, nowMs, 0, 0, 0));
     }
 
-    void run(TaskSpecification task, int worker, long startedMs) {
-        run(task, worker, startedMs, 0);
+    void addRunning(TaskSpecification task, int worker, long startedMs) {
+        addRunning(task, worker, startedMs, 0);
     }
 
-    void run(TaskSpecification task, int worker, long startedMs, int evictions) {
+    void addRunning(TaskSpecification task, int worker, long startedMs, int evictions) {
         mView.putPlaced(
                 new PlacedTask(
                         task,
@@ -106,20 +106,22 @@
                         1_000));
     }
 
-    /** Applies the decisions: starts run, evicted tasks stop, rejected ones go. */
+    /**
+     * Applies decisions: started tasks run, evicted ones are stopping, rejected ones are removed.
+     */
     void apply(List<PlacementDecision> decisions, long nowMs) {
         for (PlacementDecision decision : decisions) {
             if (decision instanceof PlacementDecision.Start start) {
                 start(start, nowMs);
             } else if (decision instanceof PlacementDecision.Evict evict) {
-                stopping(evict.task());
+                markStopping(evict.task());
             } else if (decision instanceof PlacementDecision.Reject reject) {
                 mView.removePending(reject.task());
             }
         }
     }
 
-    /** Ends all stopping tasks; each waits again. */
+    /** Ends all stopping tasks and puts them back into the queue. */
     void finishStops(long nowMs) {
         for (PlacedTask task : List.copyOf(mView.placedTasks())) {
             if (task.phase() == Phase.STOPPING) {
@@ -144,7 +146,7 @@
                         1_000));
     }
 
-    private void stopping(TaskId id) {
+    private void markStopping(TaskId id) {
         for (PlacedTask task : List.copyOf(mView.placedTasks())) {
             if (task.specification().task().equals(id)) {
                 mView.putPlaced(
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/placement/ServiceSpreadTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/placement/ServiceSpreadTest.java
@@ -17,7 +17,7 @@
             new FakeFleet().withWorkers(9, new Resources(16_000, 60_000, 0));
     private final DefaultPlacementPolicy mPolicy = DefaultPlacementPolicy.builder().build();
 
-    /** Guards against a service that loses more than a third with one availability zone. */
+    /** Guards against an availability zone that holds more than a third of a service. */
     @Test
     void spreadsInstancesEvenlyOverZonesAndWorkers() {
         for (int i = 0; i < 9; i++) {
@@ -34,9 +34,9 @@
                 .doesNotHaveDuplicates();
     }
 
-    /** Guards against tasks that wait for ever because no worker is large enough. */
+    /** Guards against tasks that wait forever because no worker is large enough. */
     @Test
-    void rejectsTasksLargerThanEveryWorkerOnceTheFleetHasSettled() {
+    void rejectsTasksLargerThanEveryWorkerOnceAllWorkersHaveReported() {
         mFleet.submit(FakeFleet.batch("large", new Resources(17_000, 1, 0), 1, 9), 0);
         assertThat(mPolicy.decide(mFleet.view(), 0)).isEmpty();
         assertThat(mPolicy.decide(mFleet.view(), 20_000))
@@ -49,7 +49,7 @@
                         });
     }
 
-    /** Guards against tasks that wait for ever because the quota is smaller. */
+    /** Guards against tasks that wait forever because they exceed the quota of their team. */
     @Test
     void rejectsTasksLargerThanTheQuotaOfTheirTeam() {
         var task = FakeFleet.batch("large", SIZE, 1, 9);
@@ -62,9 +62,9 @@
                         reject -> assertThat(reject.code()).isEqualTo(ResultCode.QUOTA_EXCEEDED));
     }
 
-    /** Guards the order: instances of services before batch work of any criticality. */
+    /** Service instances must be placed before batch tasks of any criticality. */
     @Test
-    void givesScarceRoomToServicesFirst() {
+    void placesServicesFirstWhenResourcesAreScarce() {
         FakeFleet fleet = new FakeFleet().withWorkers(1, SIZE);
         fleet.submit(FakeFleet.batch("batch", SIZE, 1, 9), 0);
         fleet.submit(FakeFleet.instance("service", 0, SIZE), 5);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/placement/SnapshotView.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/placement/UnindexedView.java
@@ -8,8 +8,8 @@
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.task.Resources;
 
-/** A view without indexes, with the workers given and the tasks of another view. */
-record SnapshotView(List<WorkerView> workers, PlacementView tasks) implements PlacementView {
+/** A view without indexes that combines given workers with the tasks of another view. */
+record UnindexedView(List<WorkerView> workers, PlacementView tasks) implements PlacementView {
     @Override
     public Optional<WorkerView> worker(WorkerId worker) {
         return workers.stream().filter(view -> view.worker().equals(worker)).findFirst();
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/placement/UrgentWorkTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/placement/UrgentWorkTest.java
@@ -21,9 +21,9 @@
     private final FakeFleet mFleet = new FakeFleet();
     private final DefaultPlacementPolicy mPolicy = DefaultPlacementPolicy.builder().build();
 
-    /** Guards against urgent work that waits although evicting other work would make room. */
+    /** Guards against urgent tasks that wait although evictions would free enough resources. */
     @Property(seed = "51", tries = 100)
-    void urgentWorkStartsWithinTenSecondsWhileEnoughOtherWorkRuns(
+    void urgentTasksStartWithinTenSecondsWhileEnoughBatchTasksRun(
             @ForAll @IntRange(min = 1, max = 10) int workers,
             @ForAll @IntRange(min = 1, max = 40) int urgent,
             @ForAll @IntRange(min = 0, max = 100_000) int seed) {
@@ -33,11 +33,12 @@
         for (int worker = 0; worker < workers; worker++) {
             for (int i = 0; i < 4; i++) {
                 long declaredMs = 1L + random.nextInt(2_000_000);
-                fleet.run(batch(worker + "/" + i, declaredMs), worker, -random.nextInt(600_000));
+                fleet.addRunning(
+                        batch(worker + "/" + i, declaredMs), worker, -random.nextInt(600_000));
             }
         }
-        int fitting = Math.min(urgent, workers * 4);
-        for (int i = 0; i < fitting; i++) {
+        int runnable = Math.min(urgent, workers * 4);
+        for (int i = 0; i < runnable; i++) {
             fleet.submit(FakeFleet.urgent("urgent/" + i, SMALL), 0);
         }
         for (long nowMs = 0; nowMs < 10_000; nowMs += 1_000) {
@@ -45,51 +46,51 @@
             CapacityTest.assertWithinCapacity(fleet.view());
             fleet.finishStops(nowMs);
         }
-        assertThat(fleet.view().pendingFirst()).isEmpty();
+        assertThat(fleet.view().pendingHighPriority()).isEmpty();
     }
 
-    /** Guards against evicting costly work, or more of it than the urgent task needs. */
+    /** Guards against evicting a costly task, or more tasks than the urgent one needs. */
     @Test
     void evictsOnlyTheCheapestTask() {
         mFleet.withWorkers(2, CAPACITY);
         for (int i = 0; i < 8; i++) {
-            mFleet.run(batch("old/" + i, LONG_MS), i / 4, -1_800_000 + i);
+            mFleet.addRunning(batch("old/" + i, LONG_MS), i / 4, -1_800_000 + i);
         }
         mFleet.view().removePlaced(new TaskId("old/6"));
-        mFleet.run(batch("fresh", LONG_MS), 1, -1_000);
+        mFleet.addRunning(batch("fresh", LONG_MS), 1, -1_000);
         mFleet.submit(FakeFleet.urgent("urgent", SMALL), 0);
         assertThat(evicted(0)).containsExactly(new TaskId("fresh"));
     }
 
-    /** Guards against evicting the same task again and again. */
+    /** Guards against evicting the same task repeatedly. */
     @Test
-    void sparesWorkThatWasEvictedBefore() {
+    void prefersTasksThatWereNotEvictedBefore() {
         mFleet.withWorkers(1, CAPACITY);
         for (int i = 0; i < 4; i++) {
-            mFleet.run(batch("task/" + i, LONG_MS), 0, -60_000, i == 2 ? 0 : 3);
+            mFleet.addRunning(batch("task/" + i, LONG_MS), 0, -60_000, i == 2 ? 0 : 3);
         }
         mFleet.submit(FakeFleet.urgent("urgent", SMALL), 0);
         assertThat(evicted(0)).containsExactly(new TaskId("task/2"));
     }
 
-    /** Guards against an eviction when a task ends soon enough, and against waiting too long. */
+    /** Guards against an eviction when a task ends in time, and against waiting too long. */
     @Test
-    void waitsForRoomThatComesFreeSoonButNotLonger() {
+    void waitsOnlyForResourcesThatBecomeFreeInTime() {
         mFleet.withWorkers(1, CAPACITY);
         for (int i = 0; i < 4; i++) {
-            mFleet.run(batch("task/" + i, i == 0 ? 62_000 : LONG_MS), 0, -60_000);
+            mFleet.addRunning(batch("task/" + i, i == 0 ? 62_000 : LONG_MS), 0, -60_000);
         }
         mFleet.submit(FakeFleet.urgent("urgent", SMALL), 0);
         assertThat(evicted(0)).isEmpty();
         assertThat(evicted(4_500)).hasSize(1);
     }
 
-    /** Guards against a second eviction for the same urgent task while the first one stops. */
+    /** Guards against a second eviction for an urgent task while the first victim is stopping. */
     @Test
     void evictsOnceForEachUrgentTask() {
         mFleet.withWorkers(3, CAPACITY);
         for (int i = 0; i < 12; i++) {
-            mFleet.run(batch("task/" + i, LONG_MS), i / 4, -60_000 - i);
+            mFleet.addRunning(batch("task/" + i, LONG_MS), i / 4, -60_000 - i);
         }
         mFleet.submit(FakeFleet.urgent("urgent/0", SMALL), 0);
         mFleet.submit(FakeFleet.urgent("urgent/1", SMALL), 0);
@@ -99,12 +100,12 @@
         assertThat(mPolicy.decide(mFleet.view(), 500)).isEmpty();
     }
 
-    /** Guards against batch work that takes the room which an eviction made. */
+    /** Guards against batch tasks that take the resources freed by an eviction. */
     @Test
-    void keepsTheRoomOfAnEvictionForTheUrgentTask() {
+    void keepsResourcesFreedByAnEvictionForTheUrgentTask() {
         mFleet.withWorkers(1, CAPACITY);
         for (int i = 0; i < 3; i++) {
-            mFleet.run(batch("task/" + i, LONG_MS), 0, -60_000);
+            mFleet.addRunning(batch("task/" + i, LONG_MS), 0, -60_000);
         }
         Resources half = new Resources(8_000, 30_000, 0);
         mFleet.submit(FakeFleet.urgent("urgent", half), 0);
@@ -116,12 +117,12 @@
         assertThat(mFleet.view().pending(new TaskId("urgent"))).isEmpty();
     }
 
-    /** Guards against evicting instances of services or other urgent work. */
+    /** Guards against evicting service instances or other urgent tasks. */
     @Test
     void evictsNeitherServicesNorUrgentWork() {
         mFleet.withWorkers(1, CAPACITY);
-        mFleet.run(FakeFleet.instance("service", 0, new Resources(8_000, 30_000, 0)), 0, 0);
-        mFleet.run(FakeFleet.urgent("running", new Resources(8_000, 30_000, 0)), 0, 0);
+        mFleet.addRunning(FakeFleet.instance("service", 0, new Resources(8_000, 30_000, 0)), 0, 0);
+        mFleet.addRunning(FakeFleet.urgent("running", new Resources(8_000, 30_000, 0)), 0, 0);
         mFleet.submit(FakeFleet.urgent("urgent", SMALL), 600_000);
         assertThat(evicted(600_000)).isEmpty();
     }
