--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/GapRule.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/GapRule.java
@@ -1,6 +1,6 @@
 package org.hickorycleat.logic.batch;
 
-/** Choice among the gaps that can hold a job: the lowest cost wins. */
+/** Rates the gaps that can hold a job; the gap with the lowest cost is selected. */
 @FunctionalInterface
 public interface GapRule {
     /** Returns the cost of a gap. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/JobNaming.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/JobNaming.java
@@ -3,11 +3,12 @@
 import org.hickorycleat.model.identifier.JobName;
 import org.hickorycleat.model.task.TaskSpecification;
 
-/** Tells which job a task is a run of; what is learned about one run applies to the next. */
+/** Maps a task to the job that it is a run of; estimates from one run apply to the next. */
 @FunctionalInterface
 public interface JobNaming {
     /**
-     * Takes the text of the task id before its last slash, or all of it, as the name of the job.
+     * Uses the part of the task id before its last slash as the name of the job, or the whole id if
+     * it has no slash.
      */
     JobNaming BEFORE_LAST_SLASH =
             task -> {
@@ -16,6 +17,6 @@
                 return new JobName(slash > 0 ? text.substring(0, slash) : text);
             };
 
-    /** Returns the name of the job of a task. */
+    /** Returns the name of the job that a task belongs to. */
     JobName jobOf(TaskSpecification task);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/PriorityRule.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/PriorityRule.java
@@ -1,8 +1,8 @@
 package org.hickorycleat.logic.batch;
 
-/** Order of waiting batch jobs: the lowest key goes first. */
+/** Orders waiting batch jobs: the job with the lowest key goes first. */
 @FunctionalInterface
 public interface PriorityRule {
-    /** Returns the key of a job at a time. */
+    /** Returns the priority key of a job at a time. */
     double key(BatchJob job, long nowMs);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/PriorityRules.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/PriorityRules.java
@@ -1,9 +1,9 @@
 package org.hickorycleat.logic.batch;
 
-/** The priority rules that were measured against each other. */
+/** The available priority rules. */
 public final class PriorityRules {
-    /** Above every slack ratio of a job that can still be on time. */
-    private static final double LATE = 1e12;
+    /** Exceeds the slack ratio of every job that can still meet its deadline. */
+    private static final double LATE_JOB_KEY_OFFSET = 1e12;
 
     /** First come, first served. */
     public static final PriorityRule FIRST_COME_FIRST_SERVED = (job, nowMs) -> job.submittedMs();
@@ -22,33 +22,33 @@
             (job, nowMs) -> (double) job.slackMs(nowMs) / job.remainingMs();
 
     /**
-     * Deadline risk with late jobs behind all others, shortest first. A late job cannot become on
-     * time, so it must not make others late.
+     * Deadline risk with late jobs after all others, shortest first. A late job cannot meet its
+     * deadline any more, so it must not make others late.
      */
     public static final PriorityRule DEADLINE_RISK_LATE_LAST =
             (job, nowMs) ->
                     job.slackMs(nowMs) < 0
-                            ? LATE + job.remainingMs()
+                            ? LATE_JOB_KEY_OFFSET + job.remainingMs()
                             : DEADLINE_RISK.key(job, nowMs);
 
     /**
-     * Deadline risk weighed against size: the least processor time first, later by a factor for
-     * each unit of slack over run time, so that with little slack anywhere the small jobs go first
-     * and most are on time, and with much slack the order is that of deadline risk.
+     * Deadline risk weighed against size. The key is the logarithm of the processor time plus the
+     * ratio of slack to run time. If slack is short everywhere, small jobs go first and most jobs
+     * are on time; if slack is ample, the order is that of deadline risk.
      */
     public static final PriorityRule DEADLINE_RISK_AND_SIZE =
             (job, nowMs) ->
                     Math.log((double) job.remainingMs() * Math.max(1, job.processorsMilli()))
                             + Math.max(0, DEADLINE_RISK.key(job, nowMs));
 
-    /** Apparent tardiness cost with the run time that the measurement supports. */
+    /** Apparent tardiness cost with a slack unit of 30 min. */
     public static final PriorityRule APPARENT_TARDINESS_COST = apparentTardinessCost(1_800_000);
 
     private PriorityRules() {}
 
     /**
-     * Returns a rule like {@link #DEADLINE_RISK_AND_SIZE} with slack over one run time for all
-     * jobs.
+     * Returns a rule like {@link #DEADLINE_RISK_AND_SIZE} that divides the slack of every job by
+     * the same unit instead of by its run time.
      */
     public static PriorityRule apparentTardinessCost(long slackUnitMs) {
         return (job, nowMs) ->
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/RatioSamples.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/RatioSamples.java
@@ -6,7 +6,7 @@
 import java.util.Deque;
 import java.util.List;
 
-/** The last ratios seen; quantiles are robust against single runs that are far off. */
+/** The most recent ratios; their quantiles are robust against outliers. */
 final class RatioSamples {
     private static final int MAXIMUM_SAMPLES = 32;
 
@@ -26,13 +26,15 @@
         return new ArrayList<>(mSamples);
     }
 
-    /** Returns the quantile, drawn in log space towards a prior that weighs that many samples. */
-    double shrunk(double quantile, double priorWeight, double prior) {
+    /**
+     * Returns the quantile, shrunk in log space towards a prior that counts as that many samples.
+     */
+    double shrunkQuantile(double quantile, double priorSamples, double prior) {
         if (mSorted.length == 0) {
             return prior;
         }
         int index = (int) Math.min(mSorted.length - 1, Math.floor(quantile * mSorted.length));
-        double weight = mSorted.length / (mSorted.length + priorWeight);
+        double weight = mSorted.length / (mSorted.length + priorSamples);
         return Math.exp(weight * Math.log(mSorted[index]) + (1 - weight) * Math.log(prior));
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/RunTimeEstimator.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/RunTimeEstimator.java
@@ -3,9 +3,9 @@
 import org.hickorycleat.model.task.Resources;
 import org.hickorycleat.model.task.TaskSpecification;
 
-/** Estimates run times and sizes of tasks. */
+/** Estimates the run times and resources of tasks. */
 public interface RunTimeEstimator {
-    /** Takes the declared values as they are. */
+    /** Returns the declared values unchanged. */
     RunTimeEstimator DECLARED =
             new RunTimeEstimator() {
                 @Override
@@ -24,12 +24,12 @@
                 }
             };
 
-    /** Returns the run time to expect of a whole run, at least 1. */
+    /** Returns the expected time of a whole run in milliseconds, at least 1. */
     long expectedMs(TaskSpecification task);
 
-    /** Returns a run time that few runs exceed, at least the expected one. */
+    /** Returns a run time in milliseconds that few runs exceed, at least the expected one. */
     long upperMs(TaskSpecification task);
 
-    /** Returns the room to leave for a task, never less than it declares. */
+    /** Returns the resources to keep free for a task, never less than it declares. */
     Resources size(TaskSpecification task);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/package-info.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/batch/package-info.java
@@ -1,4 +1,4 @@
-/** Order of batch work, gap filling and corrected run times. */
+/** Priority rules for batch jobs, selection of gaps and estimates of run times. */
 @NullMarked
 package org.hickorycleat.logic.batch;
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/batch/RunTimeCorrectionTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/batch/RunTimeCorrectionTest.java
@@ -35,9 +35,9 @@
                 false);
     }
 
-    /** Guards against estimates that stay wrong when declared values are off by up to 10 times. */
+    /** Guards against estimates that stay wrong if declared values are off by up to 10 times. */
     @Property(seed = "81", tries = 50)
-    void learnsTheFactorOfEachJob(@ForAll @DoubleRange(min = 0.1, max = 10) double factor) {
+    void estimatesTheFactorOfEachJob(@ForAll @DoubleRange(min = 0.1, max = 10) double factor) {
         RunTimeCorrection correction = new RunTimeCorrection(JobNaming.BEFORE_LAST_SLASH);
         for (int i = 0; i < 20; i++) {
             correction.recordRun(run("job", i), Math.round(DECLARED_MS * factor));
@@ -47,7 +47,7 @@
                 .isCloseTo(expected, Percentage.withPercentage(15));
     }
 
-    /** Guards against trusting one run, and against one outlier among many. */
+    /** Guards against relying on a single run, and against one outlier among many runs. */
     @Test
     void isRobustAgainstSingleRuns() {
         mCorrection.recordRun(run("job", 0), 10 * DECLARED_MS);
@@ -70,7 +70,7 @@
                 .isGreaterThan(DECLARED_MS * 3 / 2);
     }
 
-    /** Guards against sizes below what the worker reserves, and growth without evidence. */
+    /** Guards against sizes below what the worker reserves, and against growth without samples. */
     @Test
     void sizesGrowWithUseAndNeverShrink() {
         assertThat(mCorrection.size(run("job", 0))).isEqualTo(SIZE);
@@ -82,7 +82,7 @@
         assertThat(size.memoryMebibytes()).isBetween(2_000L, 3_000L);
     }
 
-    /** Guards against a new owner that starts from declared values again. */
+    /** Guards against a new owner that falls back to the declared values. */
     @Test
     void survivesSnapshotAndRestore() {
         for (int i = 0; i < 20; i++) {
