Name interference mitigation by its actions

"Steps", "moves" and "harm" become throttle and evict actions and slowed services; the settings name their thresholds and intervals. Behaviour stays as it is.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/ColocationHistory.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/ColocationHistory.java
@@ -9,57 +9,58 @@
 import org.hickorycleat.model.identifier.WorkerId;
 
 /**
- * Which batch tasks were on which worker, and how far they were throttled, over the last minute or
- * so. Measurements arrive late and must be credited to the tasks of their time. Not safe for use by
- * several threads.
+ * Records which batch tasks ran on which worker, and how far they were throttled, over the last
+ * minute. Latency measurements arrive late and must be attributed to the tasks that were running at
+ * the time of the measurement. Not safe for use by several threads.
  */
 public final class ColocationHistory {
     /** Twice the longest delay of a measurement. */
-    private static final long KEPT_MS = 60_000;
+    private static final long RETENTION_MS = 60_000;
 
-    private final Map<WorkerId, List<Stay>> mStays = new HashMap<>();
+    private final Map<WorkerId, List<RunInterval>> mIntervals = new HashMap<>();
 
-    /** A time during which a task ran on a worker with one share. */
-    private record Stay(TaskId task, JobName job, double share, long fromMs, long toMs) {
+    /** An interval in which a task ran on a worker with a constant share. */
+    private record RunInterval(TaskId task, JobName job, double share, long fromMs, long toMs) {
         boolean covers(long timeMs) {
             return fromMs <= timeMs && timeMs < toMs;
         }
 
-        Stay endedAt(long endMs) {
-            return new Stay(task, job, share, fromMs, endMs);
+        RunInterval endedAt(long endMs) {
+            return new RunInterval(task, job, share, fromMs, endMs);
         }
     }
 
     /** Records that a task runs on a worker with a share of its processor time from now on. */
     public void recordRunning(WorkerId worker, TaskId task, JobName job, double share, long nowMs) {
         recordEnd(worker, task, nowMs);
-        mStays.computeIfAbsent(worker, key -> new ArrayList<>())
-                .add(new Stay(task, job, share, nowMs, Long.MAX_VALUE));
+        mIntervals
+                .computeIfAbsent(worker, key -> new ArrayList<>())
+                .add(new RunInterval(task, job, share, nowMs, Long.MAX_VALUE));
     }
 
     /** Records that a task no longer runs on a worker. */
     public void recordEnd(WorkerId worker, TaskId task, long nowMs) {
-        List<Stay> stays = mStays.get(worker);
-        if (stays == null) {
+        List<RunInterval> intervals = mIntervals.get(worker);
+        if (intervals == null) {
             return;
         }
-        stays.removeIf(stay -> stay.toMs < nowMs - KEPT_MS);
-        stays.replaceAll(
-                stay ->
-                        stay.task.equals(task) && stay.toMs == Long.MAX_VALUE
-                                ? stay.endedAt(nowMs)
-                                : stay);
-        if (stays.isEmpty()) {
-            mStays.remove(worker);
+        intervals.removeIf(interval -> interval.toMs < nowMs - RETENTION_MS);
+        intervals.replaceAll(
+                interval ->
+                        interval.task.equals(task) && interval.toMs == Long.MAX_VALUE
+                                ? interval.endedAt(nowMs)
+                                : interval);
+        if (intervals.isEmpty()) {
+            mIntervals.remove(worker);
         }
     }
 
-    /** Returns the batch work on a worker at a time. */
+    /** Returns the batch jobs that ran on a worker at a time. */
     public List<Neighbour> neighboursAt(WorkerId worker, long timeMs) {
         List<Neighbour> neighbours = new ArrayList<>();
-        for (Stay stay : mStays.getOrDefault(worker, List.of())) {
-            if (stay.covers(timeMs)) {
-                neighbours.add(new Neighbour(stay.job, stay.share));
+        for (RunInterval interval : mIntervals.getOrDefault(worker, List.of())) {
+            if (interval.covers(timeMs)) {
+                neighbours.add(new Neighbour(interval.job, interval.share));
             }
         }
         return neighbours;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/InterferenceConstraint.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/InterferenceConstraint.java
@@ -11,10 +11,10 @@
 import org.hickorycleat.model.identifier.ServiceName;
 import org.hickorycleat.model.task.TaskSpecification;
 
-/** Prefers workers where a task neither disturbs a service nor, being one, is disturbed. */
+/** Prefers workers on which batch tasks do not slow down services. */
 public final class InterferenceConstraint implements PlacementConstraint {
-    /** Makes a slowdown of a tenth outweigh any difference in free room. */
-    private static final double WEIGHT = 10;
+    /** Makes a slowdown of 10% outweigh any difference in free resources. */
+    private static final double SLOWDOWN_WEIGHT = 10;
 
     private final InterferenceModel mModel;
     private final JobNaming mNaming;
@@ -27,10 +27,11 @@
 
     @Override
     public boolean appliesTo(TaskSpecification task) {
-        if (!mModel.anyHarm()) {
+        if (!mModel.hasHarmfulPairs()) {
             return false;
         }
-        return task.service().isPresent() || !mModel.harmedBy(mNaming.jobOf(task)).isEmpty();
+        return task.service().isPresent()
+                || !mModel.servicesSlowedBy(mNaming.jobOf(task)).isEmpty();
     }
 
     @Override
@@ -40,35 +41,39 @@
         }
         Optional<ServiceName> service = task.service();
         return service.isPresent()
-                ? WEIGHT * slowdownOf(service.get(), worker, view)
-                : WEIGHT * slowdownBy(mNaming.jobOf(task), worker, view);
+                ? SLOWDOWN_WEIGHT * slowdownOfService(service.get(), worker, view)
+                : SLOWDOWN_WEIGHT * slowdownCausedBy(mNaming.jobOf(task), worker, view);
     }
 
-    private double slowdownOf(ServiceName service, WorkerView worker, IndexedPlacementView view) {
+    private double slowdownOfService(
+            ServiceName service, WorkerView worker, IndexedPlacementView view) {
         double slowdown = 0;
         for (PlacedTask placed : view.placedOn(worker.worker())) {
             if (placed.specification().service().isEmpty()) {
                 JobName job = mNaming.jobOf(placed.specification());
-                slowdown += mModel.harmedBy(job).contains(service) ? mean(service, job) : 0;
+                slowdown +=
+                        mModel.servicesSlowedBy(job).contains(service)
+                                ? meanSlowdown(service, job)
+                                : 0;
             }
         }
         return slowdown;
     }
 
-    /** Returns the summed slowdown of the services on a worker by a job. */
-    double slowdownBy(JobName job, WorkerView worker, IndexedPlacementView view) {
-        Set<ServiceName> harmed = mModel.harmedBy(job);
+    /** Returns the sum of the slowdowns that a job causes to the services on a worker. */
+    double slowdownCausedBy(JobName job, WorkerView worker, IndexedPlacementView view) {
+        Set<ServiceName> slowedServices = mModel.servicesSlowedBy(job);
         double slowdown = 0;
         for (PlacedTask placed : view.placedOn(worker.worker())) {
             Optional<ServiceName> service = placed.specification().service();
-            if (service.isPresent() && harmed.contains(service.get())) {
-                slowdown += mean(service.get(), job);
+            if (service.isPresent() && slowedServices.contains(service.get())) {
+                slowdown += meanSlowdown(service.get(), job);
             }
         }
         return slowdown;
     }
 
-    private double mean(ServiceName service, JobName job) {
+    private double meanSlowdown(ServiceName service, JobName job) {
         return mModel.estimate(service, job).mean();
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/InterferenceMitigation.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/InterferenceMitigation.java
@@ -18,8 +18,8 @@
 import org.hickorycleat.model.task.PlacementDecision;
 
 /**
- * Throttles batch tasks that disturb a service, and moves those that still disturb it at the lowest
- * share. Not safe for use by several threads.
+ * Throttles batch tasks that slow down a service, and evicts those that still do at the lowest
+ * share so that they are placed elsewhere. Not safe for use by several threads.
  */
 public final class InterferenceMitigation {
     private static final int FULL_PERMILLE = 1_000;
@@ -29,11 +29,11 @@
     private final JobNaming mNaming;
     private final InterferenceConstraint mConstraint;
     private final InterferenceSettings mSettings;
-    private final Map<TaskId, Long> mLastStepMs = new HashMap<>();
-    private final Deque<Long> mMoves = new ArrayDeque<>();
-    private long mEvaluatedMs = Long.MIN_VALUE / 2;
+    private final Map<TaskId, Long> mLastActionMs = new HashMap<>();
+    private final Deque<Long> mEvictionTimesMs = new ArrayDeque<>();
+    private long mLastEvaluationMs = Long.MIN_VALUE / 2;
 
-    /** Creates the response. */
+    /** Creates a mitigation; the first call of {@link #decide} evaluates at once. */
     public InterferenceMitigation(
             InterferenceModel model,
             JobNaming naming,
@@ -45,22 +45,24 @@
         mSettings = settings;
     }
 
-    /** Returns the steps to take now. */
+    /** Returns the throttle and evict decisions to apply now. */
     public List<PlacementDecision> decide(IndexedPlacementView view, long nowMs) {
-        if (nowMs < mEvaluatedMs + mSettings.evaluateMs()) {
+        if (nowMs < mLastEvaluationMs + mSettings.evaluationIntervalMs()) {
             return List.of();
         }
-        mEvaluatedMs = nowMs;
-        mLastStepMs.values().removeIf(stepMs -> stepMs < nowMs - mSettings.dwellMs());
+        mLastEvaluationMs = nowMs;
+        mLastActionMs
+                .values()
+                .removeIf(actionMs -> actionMs < nowMs - mSettings.minimumActionIntervalMs());
         List<PlacementDecision> decisions = new ArrayList<>();
         for (PlacedTask task : view.placedTasks()) {
             if (task.phase() == Phase.RUNNING
                     && task.specification().service().isEmpty()
-                    && !mLastStepMs.containsKey(task.specification().task())) {
-                step(task, view, nowMs)
+                    && !mLastActionMs.containsKey(task.specification().task())) {
+                mitigate(task, view, nowMs)
                         .ifPresent(
                                 decision -> {
-                                    mLastStepMs.put(decision.task(), nowMs);
+                                    mLastActionMs.put(decision.task(), nowMs);
                                     decisions.add(decision);
                                 });
             }
@@ -68,38 +70,38 @@
         return decisions;
     }
 
-    private Optional<PlacementDecision> step(
+    private Optional<PlacementDecision> mitigate(
             PlacedTask task, IndexedPlacementView view, long nowMs) {
         boolean throttled = task.throttlePermille() < FULL_PERMILLE;
         JobName job = mNaming.jobOf(task.specification());
-        if (!throttled && mModel.harmedBy(job).isEmpty()) {
+        if (!throttled && mModel.servicesSlowedBy(job).isEmpty()) {
             return Optional.empty();
         }
-        Slowdown slowdown = slowdown(job, task, view);
+        Slowdown slowdown = worstSlowdown(job, task, view);
         double share = task.throttlePermille() / (double) FULL_PERMILLE;
-        if (slowdown.certain * share > mSettings.enter()) {
-            return task.throttlePermille() > mSettings.lowestPermille()
+        if (slowdown.lowerBound * share > mSettings.throttleThreshold()) {
+            return task.throttlePermille() > mSettings.minimumThrottlePermille()
                     ? Optional.of(throttle(task, task.throttlePermille() / 2, slowdown))
-                    : move(task, job, view, nowMs);
+                    : evict(task, job, view, nowMs);
         }
-        if (throttled && slowdown.mean * Math.min(1, share * 2) < mSettings.leave()) {
+        if (throttled && slowdown.mean * Math.min(1, share * 2) < mSettings.recoveryThreshold()) {
             return Optional.of(throttle(task, task.throttlePermille() * 2, slowdown));
         }
         return Optional.empty();
     }
 
-    /** The worst slowdown of a service beside a task at its full share. */
-    private record Slowdown(Optional<ServiceName> service, double mean, double certain) {}
+    /** The worst slowdown that a task at its full share causes to a service on its worker. */
+    private record Slowdown(Optional<ServiceName> service, double mean, double lowerBound) {}
 
-    private Slowdown slowdown(JobName job, PlacedTask task, IndexedPlacementView view) {
+    private Slowdown worstSlowdown(JobName job, PlacedTask task, IndexedPlacementView view) {
         Slowdown worst = new Slowdown(Optional.empty(), 0, 0);
         for (PlacedTask placed : view.placedOn(task.worker())) {
             Optional<ServiceName> service = placed.specification().service();
             if (service.isPresent()) {
-                PairEstimate estimate = mModel.estimate(service.get(), job);
-                double certain = estimate.lower(mSettings.deviations());
+                SlowdownEstimate estimate = mModel.estimate(service.get(), job);
+                double lowerBound = estimate.lowerBound(mSettings.confidenceDeviations());
                 if (estimate.mean() > worst.mean) {
-                    worst = new Slowdown(service, estimate.mean(), certain);
+                    worst = new Slowdown(service, estimate.mean(), lowerBound);
                 }
             }
         }
@@ -107,44 +109,46 @@
     }
 
     private PlacementDecision throttle(PlacedTask task, int permille, Slowdown slowdown) {
-        int bounded = Math.max(mSettings.lowestPermille(), Math.min(FULL_PERMILLE, permille));
+        int bounded =
+                Math.max(mSettings.minimumThrottlePermille(), Math.min(FULL_PERMILLE, permille));
         String reason =
                 slowdown.service
-                        .map(service -> "effect on " + service + " " + slowdown.mean)
-                        .orElse("no service beside it");
+                        .map(service -> "slowdown of " + service + " " + slowdown.mean)
+                        .orElse("no colocated service");
         return new PlacementDecision.Throttle(task.specification().task(), bounded, reason);
     }
 
-    private Optional<PlacementDecision> move(
+    private Optional<PlacementDecision> evict(
             PlacedTask task, JobName job, IndexedPlacementView view, long nowMs) {
-        if (!moveAllowed(view.workers().size(), nowMs) || !betterPlace(task, job, view)) {
+        if (!isEvictionAllowed(view.workers().size(), nowMs) || !hasBetterWorker(task, job, view)) {
             return Optional.empty();
         }
-        mMoves.addLast(nowMs);
+        mEvictionTimesMs.addLast(nowMs);
         return Optional.of(
                 new PlacementDecision.Evict(
-                        task.specification().task(), "disturbs services on " + task.worker()));
+                        task.specification().task(), "slows down services on " + task.worker()));
     }
 
-    private boolean moveAllowed(int workers, long nowMs) {
-        while (!mMoves.isEmpty() && mMoves.peekFirst() <= nowMs - MINUTE_MS) {
-            mMoves.removeFirst();
+    private boolean isEvictionAllowed(int workers, long nowMs) {
+        while (!mEvictionTimesMs.isEmpty() && mEvictionTimesMs.peekFirst() <= nowMs - MINUTE_MS) {
+            mEvictionTimesMs.removeFirst();
         }
-        int allowed = (workers + mSettings.workersPerMove() - 1) / mSettings.workersPerMove();
-        return mMoves.size() < allowed;
+        int allowedEvictions =
+                (workers + mSettings.workersPerEviction() - 1) / mSettings.workersPerEviction();
+        return mEvictionTimesMs.size() < allowedEvictions;
     }
 
-    /** A move that ends beside the same service would only repeat. */
-    private boolean betterPlace(PlacedTask task, JobName job, IndexedPlacementView view) {
-        double here =
+    /** Returns whether some worker halves the slowdown; an eviction to an equal one would recur. */
+    private boolean hasBetterWorker(PlacedTask task, JobName job, IndexedPlacementView view) {
+        double currentSlowdown =
                 view.worker(task.worker())
-                        .map(worker -> mConstraint.slowdownBy(job, worker, view))
+                        .map(worker -> mConstraint.slowdownCausedBy(job, worker, view))
                         .orElse(0.0);
         for (WorkerView worker : view.workers()) {
             if (worker.available()
                     && worker.reserved().fitsInto(worker.capacity())
                     && task.specification().resources().fitsInto(worker.free())
-                    && mConstraint.slowdownBy(job, worker, view) < here / 2) {
+                    && mConstraint.slowdownCausedBy(job, worker, view) < currentSlowdown / 2) {
                 return true;
             }
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/LatencyMeasurement.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/LatencyMeasurement.java
@@ -4,7 +4,7 @@
 import org.hickorycleat.model.identifier.WorkerId;
 
 /**
- * Latency of an instance of a service on a worker; it arrives late.
+ * Latency of a service instance on a worker; arrives some time after the measurement.
  *
  * @param service the service
  * @param worker the worker
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/interference/InterferenceMitigationTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/interference/InterferenceMitigationTest.java
@@ -34,7 +34,7 @@
     private static final int WORKERS = 10;
 
     private final InterferenceModel mModel = new InterferenceModel();
-    private final InterferenceMitigation mResponse =
+    private final InterferenceMitigation mMitigation =
             new InterferenceMitigation(
                     mModel,
                     JobNaming.BEFORE_LAST_SLASH,
@@ -42,11 +42,11 @@
                     InterferenceSettings.DEFAULT);
     private final IncrementalPlacementView mView = new IncrementalPlacementView();
 
-    /** Guards against evictions or throttles in waves when only the load moves in waves. */
+    /** Guards against evictions or throttling caused by periodic load alone. */
     @Property(seed = "95", tries = 20)
-    void takesNoStepsForNoiseInWaves(@ForAll @IntRange(min = 0, max = 100_000) int seed) {
+    void takesNoActionForPeriodicLoad(@ForAll @IntRange(min = 0, max = 100_000) int seed) {
         InterferenceModel model = new InterferenceModel();
-        InterferenceMitigation response =
+        InterferenceMitigation mitigation =
                 new InterferenceMitigation(
                         model,
                         JobNaming.BEFORE_LAST_SLASH,
@@ -54,7 +54,7 @@
                         InterferenceSettings.DEFAULT);
         IncrementalPlacementView view = fleet(WORKERS);
         Random random = new Random(seed);
-        int steps = 0;
+        int actions = 0;
         for (long nowMs = 0; nowMs < 1_200_000; nowMs += 5_000) {
             double wave = 0.3 * Math.sin(nowMs / 60_000.0);
             for (int i = 0; i < WORKERS; i++) {
@@ -63,72 +63,72 @@
                 double noise = 0.2 * random.nextGaussian();
                 model.learn(SERVICE, 20 * Math.exp(wave + noise), neighbours);
             }
-            steps += response.decide(view, nowMs).size();
+            actions += mitigation.decide(view, nowMs).size();
         }
-        assertThat(steps).isZero();
+        assertThat(actions).isZero();
     }
 
-    /** Guards the order of the steps: throttle, throttle, then move, with time between them. */
+    /** A task is throttled twice, then evicted, with the minimum interval between the actions. */
     @Test
-    void throttlesBeforeItMoves() {
-        learnNoisy();
+    void throttlesBeforeItEvicts() {
+        trainNoisyEffect();
         addWorker(0, true);
         addWorker(1, false);
-        List<PlacementDecision> steps = new ArrayList<>();
+        List<PlacementDecision> actions = new ArrayList<>();
         for (long nowMs = 0; nowMs <= 100_000; nowMs += 5_000) {
-            for (PlacementDecision decision : mResponse.decide(mView, nowMs)) {
-                steps.add(decision);
+            for (PlacementDecision decision : mMitigation.decide(mView, nowMs)) {
+                actions.add(decision);
                 if (decision instanceof PlacementDecision.Throttle throttle) {
                     placeNoisy(0, throttle.permille());
                 }
             }
         }
-        assertThat(steps).hasSize(3);
-        assertThat(steps.get(0)).isInstanceOf(PlacementDecision.Throttle.class);
-        assertThat(steps.get(1)).isInstanceOf(PlacementDecision.Throttle.class);
-        assertThat(steps.get(2)).isInstanceOf(PlacementDecision.Evict.class);
+        assertThat(actions).hasSize(3);
+        assertThat(actions.get(0)).isInstanceOf(PlacementDecision.Throttle.class);
+        assertThat(actions.get(1)).isInstanceOf(PlacementDecision.Throttle.class);
+        assertThat(actions.get(2)).isInstanceOf(PlacementDecision.Evict.class);
     }
 
-    /** Guards against evictions that end beside the same service again. */
+    /** Guards against evicting a task that could only be placed next to the same service again. */
     @Test
-    void doesNotMoveWhenEveryWorkerHasTheService() {
-        learnNoisy();
+    void doesNotEvictWhenEveryWorkerHasTheService() {
+        trainNoisyEffect();
         addWorker(0, true);
         addWorker(1, true);
         placeNoisy(0, 250);
         placeNoisy(1, 250);
-        assertThat(mResponse.decide(mView, 0)).isEmpty();
+        assertThat(mMitigation.decide(mView, 0)).isEmpty();
     }
 
-    /** Guards against moving many tasks at once. */
+    /** Guards against evicting many tasks at once. */
     @Test
-    void movesAtMostOneTaskInEachMinuteOnSmallFleets() {
-        learnNoisy();
+    void evictsAtMostOneTaskPerMinuteOnSmallFleets() {
+        trainNoisyEffect();
         for (int i = 0; i < WORKERS; i++) {
             addWorker(i, true);
             placeNoisy(i, 250);
         }
         addWorker(WORKERS, false);
-        int moves = 0;
+        int evictions = 0;
         for (long nowMs = 0; nowMs < 60_000; nowMs += 5_000) {
-            moves += mResponse.decide(mView, nowMs).size();
+            evictions += mMitigation.decide(mView, nowMs).size();
         }
-        assertThat(moves).isEqualTo(1);
+        assertThat(evictions).isEqualTo(1);
     }
 
-    /** Guards against tasks that stay throttled after the service has left. */
+    /** Guards against tasks that stay throttled after the service has ended. */
     @Test
-    void givesBackTheShareWhenNoServiceIsDisturbed() {
+    void restoresTheShareWhenNoServiceIsSlowedDown() {
         mView.putWorker(worker(0));
         placeNoisy(0, 500);
-        assertThat(mResponse.decide(mView, 0))
+        assertThat(mMitigation.decide(mView, 0))
                 .singleElement()
                 .isInstanceOfSatisfying(
                         PlacementDecision.Throttle.class,
                         throttle -> assertThat(throttle.permille()).isEqualTo(1_000));
     }
 
-    private void learnNoisy() {
+    private void trainNoisyEffect() {
         for (int i = 0; i < 400; i++) {
             boolean noisy = i % 2 == 0;
             List<Neighbour> neighbours = noisy ? List.of(new Neighbour(NOISY, 1)) : List.of();
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/interference/InterferenceModelTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/interference/InterferenceModelTest.java
@@ -22,9 +22,12 @@
 
     private final InterferenceModel mModel = new InterferenceModel();
 
-    /** Guards against blaming the quiet job that often shares the worker with the noisy one. */
+    /**
+     * Guards against an effect attributed to a quiet job that is often colocated with a noisy one.
+     */
     @Property(seed = "91", tries = 30)
-    void findsWhichOfTwoNeighboursDisturbs(@ForAll @IntRange(min = 0, max = 100_000) int seed) {
+    void findsWhichOfTwoColocatedJobsSlowsTheService(
+            @ForAll @IntRange(min = 0, max = 100_000) int seed) {
         InterferenceModel model = new InterferenceModel();
         Random random = new Random(seed);
         for (int i = 0; i < 600; i++) {
@@ -41,12 +44,12 @@
         }
         assertThat(model.estimate(SERVICE, NOISY).mean()).isCloseTo(0.6, Offset.offset(0.15));
         assertThat(model.estimate(SERVICE, QUIET).mean()).isCloseTo(0, Offset.offset(0.15));
-        assertThat(model.harmedBy(NOISY)).containsExactly(SERVICE);
+        assertThat(model.servicesSlowedBy(NOISY)).containsExactly(SERVICE);
     }
 
-    /** Guards against credit to the tasks that are there when a late measurement arrives. */
+    /** Guards against late measurements attributed to the tasks that run when they arrive. */
     @Test
-    void creditsTheTasksOfTheTimeOfMeasurement() {
+    void attributesMeasurementsToTheTasksRunningAtTheirTime() {
         ColocationHistory history = new ColocationHistory();
         WorkerId worker = new WorkerId("worker");
         history.recordRunning(worker, new TaskId("a"), NOISY, 1, 0);
@@ -58,7 +61,7 @@
 
     /** Guards against a history that grows with every task that ever ran. */
     @Test
-    void forgetsStaysOlderThanTheLatestMeasurement() {
+    void removesIntervalsOlderThanTheRetention() {
         ColocationHistory history = new ColocationHistory();
         WorkerId worker = new WorkerId("worker");
         history.recordRunning(worker, new TaskId("a"), NOISY, 1, 0);
@@ -69,13 +72,13 @@
                 .containsExactly(new Neighbour(QUIET, 0.5));
     }
 
-    /** Guards against certainty from a few measurements. */
+    /** Guards against high confidence after a few measurements. */
     @Test
-    void isUncertainAtFirst() {
+    void hasLowConfidenceAtFirst() {
         mModel.learn(SERVICE, 20, List.of());
         mModel.learn(SERVICE, 40, List.of(new Neighbour(NOISY, 1)));
-        PairEstimate estimate = mModel.estimate(SERVICE, NOISY);
+        SlowdownEstimate estimate = mModel.estimate(SERVICE, NOISY);
         assertThat(estimate.deviation()).isGreaterThan(0.1);
-        assertThat(estimate.lower(2)).isLessThan(0.18);
+        assertThat(estimate.lowerBound(2)).isLessThan(0.18);
     }
 }
