Name quarantine limits and probe tasks

"At fault", "acquit" and "blame" become failing tasks and removed failures; predicates and recording methods are told apart by name. Behaviour stays as it is.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/quarantine/QuarantineConstraint.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/quarantine/QuarantineConstraint.java
@@ -6,16 +6,16 @@
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.task.TaskSpecification;
 
-/** Keeps work off quarantined workers, but for one cheap probe at a time. */
+/** Keeps tasks off quarantined workers, except for one short probe task at a time. */
 public final class QuarantineConstraint implements PlacementConstraint {
-    /** Longest declared run time of a probe, so that little work is lost if it fails. */
-    private static final long LONGEST_PROBE_MS = 600_000;
+    /** Longest declared run time of a probe task, so that little work is lost if it fails. */
+    private static final long MAXIMUM_PROBE_RUN_MS = 600_000;
 
-    private static final double ELSEWHERE = 4;
+    private static final double AVOIDANCE_PENALTY = 4;
 
     private final WorkerQuarantine mQuarantine;
     private boolean mAnyQuarantined;
-    private boolean mFewQuarantined;
+    private boolean mQuarantineEnforced;
     private long mNowMs;
 
     /** Creates the constraint. */
@@ -23,25 +23,25 @@
         mQuarantine = quarantine;
     }
 
-    /** Prepares a call: withdraws probes that are on no worker, and notes the time. */
+    /** Prepares a call: sets the time and clears probe tasks that are no longer on their worker. */
     public void prepare(IndexedPlacementView view, long nowMs) {
         mNowMs = nowMs;
         int quarantined = 0;
-        for (WorkerId worker : mQuarantine.quarantined()) {
+        for (WorkerId worker : mQuarantine.quarantinedWorkers()) {
             quarantined++;
-            if (!probeRuns(view, worker)) {
-                mQuarantine.probeWithdrawn(worker);
+            if (!isProbePlaced(view, worker)) {
+                mQuarantine.clearProbe(worker);
             }
         }
         mAnyQuarantined = quarantined > 0;
-        // When most of the fleet fails, the cause is shared and quarantine would only stop all
-        // work.
-        mFewQuarantined = quarantined * 2 <= view.workers().size();
+        // If most workers fail, the cause is shared and a quarantine would stop all tasks.
+        mQuarantineEnforced = quarantined * 2 <= view.workers().size();
     }
 
-    private boolean probeRuns(IndexedPlacementView view, WorkerId worker) {
+    /** Returns whether the probe task of a worker, if it has one, is placed on it. */
+    private boolean isProbePlaced(IndexedPlacementView view, WorkerId worker) {
         return mQuarantine
-                .probe(worker)
+                .probeTask(worker)
                 .map(
                         probe ->
                                 view.placedOn(worker).stream()
@@ -60,25 +60,28 @@
 
     @Override
     public double penalty(TaskSpecification task, WorkerView worker, IndexedPlacementView view) {
-        if (mQuarantine.failedOn(task.task(), worker.worker())) {
-            return ELSEWHERE;
+        if (mQuarantine.hasFailedOn(task.task(), worker.worker())) {
+            return AVOIDANCE_PENALTY;
         }
-        if (!mAnyQuarantined || !mQuarantine.quarantined(worker.worker())) {
+        if (!mAnyQuarantined || !mQuarantine.isQuarantined(worker.worker())) {
             return 0;
         }
-        if (!mFewQuarantined) {
-            return ELSEWHERE;
+        if (!mQuarantineEnforced) {
+            return AVOIDANCE_PENALTY;
         }
-        boolean probes = cheap(task) && mQuarantine.probeDue(worker.worker(), mNowMs);
-        return probes ? -ELSEWHERE : FORBIDDEN;
+        boolean startsProbe =
+                isProbeCandidate(task) && mQuarantine.isProbeDue(worker.worker(), mNowMs);
+        return startsProbe ? -AVOIDANCE_PENALTY : FORBIDDEN;
     }
 
     @Override
     public void onStart(TaskSpecification task, WorkerView worker) {
-        mQuarantine.started(task.task(), worker.worker());
+        mQuarantine.recordStart(task.task(), worker.worker());
     }
 
-    private static boolean cheap(TaskSpecification task) {
-        return task.service().isEmpty() && !task.urgent() && task.estimatedMs() <= LONGEST_PROBE_MS;
+    private static boolean isProbeCandidate(TaskSpecification task) {
+        return task.service().isEmpty()
+                && !task.urgent()
+                && task.estimatedMs() <= MAXIMUM_PROBE_RUN_MS;
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/quarantine/WorkerQuarantine.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/quarantine/WorkerQuarantine.java
@@ -13,199 +13,199 @@
 import org.hickorycleat.model.identifier.WorkerId;
 
 /**
- * Tells workers that fail everything from tasks that fail everywhere.
+ * Distinguishes workers on which all tasks fail from tasks that fail on all workers.
  *
- * <p>A worker is quarantined when, since its last success, it failed tasks of several jobs, or
- * several tasks of a job that succeeds elsewhere; its failures then no longer count against the
- * tasks. A task is at fault when it failed on several different workers that are not quarantined;
- * the failures of its job then no longer count against the workers. Not safe for use by several
- * threads.
+ * <p>A worker is quarantined when, since its last success, tasks of several jobs failed on it, or
+ * several tasks of a job that succeeds on another worker; these failures then no longer count
+ * against the tasks. A task is failing when it failed on several different workers that are not
+ * quarantined; the failures of its job then no longer count against the workers. Not safe for use
+ * by several threads.
  */
 public final class WorkerQuarantine {
-    /** Jobs whose last success is remembered; bounds the memory of an owner. */
+    /** Number of jobs whose last success is recorded; bounds the memory of an owner. */
     private static final int MAXIMUM_JOBS = 20_000;
 
     private final QuarantineSettings mSettings;
     private final Map<WorkerId, WorkerRecord> mWorkers = new HashMap<>();
-    private final Map<TaskId, Set<WorkerId>> mFailedOn = new HashMap<>();
-    private final Map<JobName, WorkerId> mLastSuccess = new LinkedHashMap<>();
+    private final Map<TaskId, Set<WorkerId>> mFailedWorkers = new HashMap<>();
+    private final Map<JobName, WorkerId> mLastSuccessfulWorker = new LinkedHashMap<>();
 
     /** Creates an empty quarantine. */
     public WorkerQuarantine(QuarantineSettings settings) {
         mSettings = settings;
     }
 
-    /** Failures of a worker since its last success, and its quarantine. */
+    /** Failures of a worker since its last success, and the state of its quarantine. */
     private static final class WorkerRecord {
         private final Map<TaskId, JobName> mFailedTasks = new HashMap<>();
         private boolean mQuarantined;
         private long mNextProbeMs;
         private long mProbeDelayMs;
-        private int mSuccesses;
-        private Optional<TaskId> mProbe = Optional.empty();
+        private int mProbeSuccesses;
+        private Optional<TaskId> mProbeTask = Optional.empty();
     }
 
-    /** Learns from the end of an attempt. */
+    /** Records the result of an attempt. */
     public void recordAttemptEnd(AttemptEnd end) {
         if (end.failed()) {
-            failed(end);
+            onFailure(end);
         } else {
-            succeeded(end);
+            onSuccess(end);
         }
     }
 
-    /** Records that a task was started on a worker; in quarantine it is the probe. */
-    public void started(TaskId task, WorkerId worker) {
+    /** Records that a task was started on a worker; on a quarantined one it is the probe task. */
+    public void recordStart(TaskId task, WorkerId worker) {
         WorkerRecord record = mWorkers.get(worker);
         if (record != null && record.mQuarantined) {
-            record.mProbe = Optional.of(task);
+            record.mProbeTask = Optional.of(task);
         }
     }
 
-    /** Forgets a task that ended for good or was cancelled. */
+    /** Removes the failures of a task that ended permanently or was cancelled. */
     public void clearHistory(TaskId task) {
-        mFailedOn.remove(task);
+        mFailedWorkers.remove(task);
     }
 
-    /** Forgets a worker that was replaced or came back with a new incarnation. */
+    /** Removes the record of a worker that was replaced or has a new incarnation. */
     public void clearHistory(WorkerId worker) {
         mWorkers.remove(worker);
     }
 
-    /** Tells whether a worker is quarantined. */
-    public boolean quarantined(WorkerId worker) {
+    /** Returns whether a worker is quarantined. */
+    public boolean isQuarantined(WorkerId worker) {
         WorkerRecord record = mWorkers.get(worker);
         return record != null && record.mQuarantined;
     }
 
-    /** Tells whether a quarantined worker may be given a probe now. */
-    public boolean probeDue(WorkerId worker, long nowMs) {
+    /** Returns whether a probe task may be started on a quarantined worker now. */
+    public boolean isProbeDue(WorkerId worker, long nowMs) {
         WorkerRecord record = mWorkers.get(worker);
         return record != null
                 && record.mQuarantined
-                && record.mProbe.isEmpty()
+                && record.mProbeTask.isEmpty()
                 && nowMs >= record.mNextProbeMs;
     }
 
-    /** Tells that a probe was withdrawn: evicted, cancelled or never started. */
-    public void probeWithdrawn(WorkerId worker) {
+    /** Clears a probe task that was evicted, cancelled or never started. */
+    public void clearProbe(WorkerId worker) {
         WorkerRecord record = mWorkers.get(worker);
         if (record != null) {
-            record.mProbe = Optional.empty();
+            record.mProbeTask = Optional.empty();
         }
     }
 
-    /** Returns the task that probes a quarantined worker. */
-    public Optional<TaskId> probe(WorkerId worker) {
+    /** Returns the probe task of a quarantined worker. */
+    public Optional<TaskId> probeTask(WorkerId worker) {
         WorkerRecord record = mWorkers.get(worker);
-        return record == null ? Optional.empty() : record.mProbe;
+        return record == null ? Optional.empty() : record.mProbeTask;
     }
 
     /** Returns the quarantined workers. */
-    public List<WorkerId> quarantined() {
+    public List<WorkerId> quarantinedWorkers() {
         return mWorkers.entrySet().stream()
                 .filter(entry -> entry.getValue().mQuarantined)
                 .map(Map.Entry::getKey)
                 .toList();
     }
 
-    /** Returns the tasks that failed on too many different healthy workers. */
+    /** Returns the tasks that failed on as many different healthy workers as the limit. */
     public List<TaskId> failingTasks() {
-        return mFailedOn.keySet().stream().filter(this::taskAtFault).toList();
+        return mFailedWorkers.keySet().stream().filter(this::isFailingTask).toList();
     }
 
-    /** Tells whether a task failed on the worker and should be tried elsewhere. */
-    public boolean failedOn(TaskId task, WorkerId worker) {
+    /** Returns whether a task failed on the worker and should be started on another one. */
+    public boolean hasFailedOn(TaskId task, WorkerId worker) {
         return failedWorkers(task).contains(worker);
     }
 
-    /** Returns the healthy workers on which a task failed. */
+    /** Returns the workers on which a task failed, without those quarantined since. */
     public Set<WorkerId> failedWorkers(TaskId task) {
-        return Set.copyOf(mFailedOn.getOrDefault(task, Set.of()));
+        return Set.copyOf(mFailedWorkers.getOrDefault(task, Set.of()));
     }
 
-    /** Tells whether a task failed on so many different healthy workers that it is at fault. */
-    public boolean taskAtFault(TaskId task) {
-        return mFailedOn.getOrDefault(task, Set.of()).size() >= mSettings.failuresOfTask();
+    /** Returns whether a task reached the limit of different healthy workers that it failed on. */
+    public boolean isFailingTask(TaskId task) {
+        return mFailedWorkers.getOrDefault(task, Set.of()).size() >= mSettings.taskFailureLimit();
     }
 
-    private void failed(AttemptEnd end) {
+    private void onFailure(AttemptEnd end) {
         WorkerRecord record = mWorkers.computeIfAbsent(end.worker(), key -> new WorkerRecord());
         if (record.mQuarantined) {
-            probeFailed(record, end);
+            onProbeFailed(record, end);
             return;
         }
-        mFailedOn.computeIfAbsent(end.task(), key -> new HashSet<>()).add(end.worker());
-        if (taskAtFault(end.task())) {
-            acquit(end);
+        mFailedWorkers.computeIfAbsent(end.task(), key -> new HashSet<>()).add(end.worker());
+        if (isFailingTask(end.task())) {
+            removeFailuresOfJob(end);
             return;
         }
         record.mFailedTasks.put(end.task(), end.job());
-        if (failsEverything(end.worker(), record)) {
-            quarantine(end.worker(), record, end.endedMs());
+        if (shouldQuarantine(end.worker(), record)) {
+            startQuarantine(end.worker(), record, end.endedMs());
         }
     }
 
-    private boolean failsEverything(WorkerId worker, WorkerRecord record) {
+    private boolean shouldQuarantine(WorkerId worker, WorkerRecord record) {
         Collection<JobName> failed = record.mFailedTasks.values();
-        if (failed.size() < mSettings.failuresOfWorker()) {
+        if (failed.size() < mSettings.workerFailureLimit()) {
             return false;
         }
-        if (new HashSet<>(failed).size() >= mSettings.failuresOfWorker()) {
+        if (new HashSet<>(failed).size() >= mSettings.workerFailureLimit()) {
             return true;
         }
-        return failed.stream().filter(job -> succeededElsewhere(job, worker)).count()
-                >= mSettings.failuresOfWorker();
+        return failed.stream().filter(job -> hasSucceededElsewhere(job, worker)).count()
+                >= mSettings.workerFailureLimit();
     }
 
-    private boolean succeededElsewhere(JobName job, WorkerId worker) {
-        WorkerId last = mLastSuccess.get(job);
+    private boolean hasSucceededElsewhere(JobName job, WorkerId worker) {
+        WorkerId last = mLastSuccessfulWorker.get(job);
         return last != null && !last.equals(worker);
     }
 
-    /** The task is at fault, so failures of its job say nothing about the workers. */
-    private void acquit(AttemptEnd end) {
-        mLastSuccess.remove(end.job());
+    /** Removes failures of a job with a failing task, since they are not caused by the workers. */
+    private void removeFailuresOfJob(AttemptEnd end) {
+        mLastSuccessfulWorker.remove(end.job());
         for (WorkerRecord record : mWorkers.values()) {
             record.mFailedTasks.values().removeIf(end.job()::equals);
         }
     }
 
-    private void quarantine(WorkerId worker, WorkerRecord record, long nowMs) {
+    private void startQuarantine(WorkerId worker, WorkerRecord record, long nowMs) {
         record.mQuarantined = true;
-        record.mSuccesses = 0;
-        record.mProbe = Optional.empty();
-        record.mProbeDelayMs = mSettings.firstProbeMs();
+        record.mProbeSuccesses = 0;
+        record.mProbeTask = Optional.empty();
+        record.mProbeDelayMs = mSettings.initialProbeDelayMs();
         record.mNextProbeMs = nowMs + record.mProbeDelayMs;
         for (TaskId task : record.mFailedTasks.keySet()) {
-            Set<WorkerId> workers = mFailedOn.get(task);
+            Set<WorkerId> workers = mFailedWorkers.get(task);
             if (workers != null && workers.remove(worker) && workers.isEmpty()) {
-                mFailedOn.remove(task);
+                mFailedWorkers.remove(task);
             }
         }
         record.mFailedTasks.clear();
     }
 
-    private void probeFailed(WorkerRecord record, AttemptEnd end) {
-        if (!record.mProbe.equals(Optional.of(end.task()))) {
+    private void onProbeFailed(WorkerRecord record, AttemptEnd end) {
+        if (!record.mProbeTask.equals(Optional.of(end.task()))) {
             return;
         }
-        record.mProbe = Optional.empty();
-        record.mSuccesses = 0;
-        record.mProbeDelayMs = Math.min(mSettings.longestProbeMs(), record.mProbeDelayMs * 2);
+        record.mProbeTask = Optional.empty();
+        record.mProbeSuccesses = 0;
+        record.mProbeDelayMs = Math.min(mSettings.maximumProbeDelayMs(), record.mProbeDelayMs * 2);
         record.mNextProbeMs = end.endedMs() + record.mProbeDelayMs;
     }
 
-    private void rememberSuccess(AttemptEnd end) {
-        mLastSuccess.put(end.job(), end.worker());
-        if (mLastSuccess.size() > MAXIMUM_JOBS) {
-            mLastSuccess.remove(mLastSuccess.keySet().iterator().next());
+    private void recordSuccess(AttemptEnd end) {
+        mLastSuccessfulWorker.put(end.job(), end.worker());
+        if (mLastSuccessfulWorker.size() > MAXIMUM_JOBS) {
+            mLastSuccessfulWorker.remove(mLastSuccessfulWorker.keySet().iterator().next());
         }
     }
 
-    private void succeeded(AttemptEnd end) {
-        mFailedOn.remove(end.task());
-        rememberSuccess(end);
+    private void onSuccess(AttemptEnd end) {
+        mFailedWorkers.remove(end.task());
+        recordSuccess(end);
         WorkerRecord record = mWorkers.get(end.worker());
         if (record == null) {
             return;
@@ -214,13 +214,13 @@
             mWorkers.remove(end.worker());
             return;
         }
-        if (!record.mProbe.equals(Optional.of(end.task()))) {
+        if (!record.mProbeTask.equals(Optional.of(end.task()))) {
             return;
         }
-        record.mProbe = Optional.empty();
+        record.mProbeTask = Optional.empty();
         record.mNextProbeMs = end.endedMs();
-        record.mSuccesses++;
-        if (record.mSuccesses >= mSettings.successesToLeave()) {
+        record.mProbeSuccesses++;
+        if (record.mProbeSuccesses >= mSettings.successesToRelease()) {
             mWorkers.remove(end.worker());
         }
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/quarantine/package-info.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/quarantine/package-info.java
@@ -1,4 +1,4 @@
-/** Quarantine of workers that fail everything, and rejection of jobs that fail everywhere. */
+/** Quarantine of workers on which all tasks fail, and detection of tasks that always fail. */
 @NullMarked
 package org.hickorycleat.logic.quarantine;
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/quarantine/WorkerQuarantineTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/quarantine/WorkerQuarantineTest.java
@@ -12,11 +12,11 @@
 import org.junit.jupiter.api.Test;
 
 class WorkerQuarantineTest {
-    private static final WorkerId BAD = new WorkerId("bad");
+    private static final WorkerId FAULTY_WORKER = new WorkerId("bad");
 
     private final WorkerQuarantine mQuarantine = new WorkerQuarantine(QuarantineSettings.DEFAULT);
 
-    private void end(String job, int run, WorkerId worker, boolean failed, long nowMs) {
+    private void recordEnd(String job, int run, WorkerId worker, boolean failed, long nowMs) {
         mQuarantine.recordAttemptEnd(
                 new AttemptEnd(
                         new TaskId(job + "/" + run), new JobName(job), worker, failed, nowMs));
@@ -26,84 +26,84 @@
         return new WorkerId("healthy-" + number);
     }
 
-    /** Guards against rejecting good jobs, or sparing a bad worker, when one worker fails all. */
+    /** Guards against counting the failures of a faulty worker against the jobs that ran on it. */
     @Test
-    void quarantinesTheWorkerThatFailsEverything() {
+    void quarantinesTheWorkerOnWhichAllTasksFail() {
         for (int i = 0; i < 3; i++) {
-            end("job-" + i, 0, BAD, true, i);
+            recordEnd("job-" + i, 0, FAULTY_WORKER, true, i);
         }
-        assertThat(mQuarantine.quarantined()).containsExactly(BAD);
+        assertThat(mQuarantine.quarantinedWorkers()).containsExactly(FAULTY_WORKER);
         for (int i = 0; i < 3; i++) {
             TaskId task = new TaskId("job-" + i + "/0");
             assertThat(mQuarantine.failedWorkers(task)).isEmpty();
         }
     }
 
-    /** Guards against quarantining the fleet because of one job that fails everywhere. */
+    /** Guards against quarantining all workers because of one job that always fails. */
     @Test
-    void blamesTheJobThatFailsOnSeveralWorkers() {
+    void findsTheFailingTaskAndQuarantinesNoWorker() {
         for (int run = 0; run < 20; run++) {
             for (int worker = 0; worker < 3; worker++) {
-                end("broken", run, healthy(worker), true, run);
+                recordEnd("broken", run, healthy(worker), true, run);
             }
             TaskId task = new TaskId("broken/" + run);
-            assertThat(mQuarantine.taskAtFault(task)).isTrue();
+            assertThat(mQuarantine.isFailingTask(task)).isTrue();
             mQuarantine.clearHistory(task);
         }
-        assertThat(mQuarantine.quarantined()).isEmpty();
+        assertThat(mQuarantine.quarantinedWorkers()).isEmpty();
     }
 
-    /** Guards against quarantining the fleet because a job that used to succeed is broken now. */
+    /** Guards against quarantining all workers because a job fails that succeeded before. */
     @Test
-    void blamesTheJobThatBreaksAfterItSucceeded() {
-        end("changed", 0, healthy(9), false, 0);
+    void quarantinesNoWorkerForJobThatStartsToFail() {
+        recordEnd("changed", 0, healthy(9), false, 0);
         for (int run = 1; run < 20; run++) {
             for (int worker = 0; worker < 3; worker++) {
-                end("changed", run, healthy(worker), true, run);
+                recordEnd("changed", run, healthy(worker), true, run);
             }
         }
-        assertThat(mQuarantine.quarantined()).isEmpty();
+        assertThat(mQuarantine.quarantinedWorkers()).isEmpty();
     }
 
-    /** Guards against a bad worker that hides behind a fleet that runs a single job. */
+    /** Guards against a faulty worker that goes undetected because there is only a single job. */
     @Test
-    void quarantinesTheWorkerThatFailsAloneOnTheOnlyJob() {
-        end("only", 0, healthy(0), false, 0);
+    void quarantinesTheOnlyWorkerOnWhichTheOnlyJobFails() {
+        recordEnd("only", 0, healthy(0), false, 0);
         for (int run = 1; run <= 3; run++) {
-            end("only", run, BAD, true, run);
+            recordEnd("only", run, FAULTY_WORKER, true, run);
         }
-        assertThat(mQuarantine.quarantined(BAD)).isTrue();
+        assertThat(mQuarantine.isQuarantined(FAULTY_WORKER)).isTrue();
     }
 
-    /** Guards against several probes at once and against probes without a pause. */
+    /** Guards against several probe tasks at once and against probe tasks without a delay. */
     @Test
-    void probesWithOneTaskAtOnceAndWaitsLongerAfterEachFailure() {
-        quarantinesTheWorkerThatFailsEverything();
-        assertThat(mQuarantine.probeDue(BAD, 1_000)).isFalse();
-        assertThat(mQuarantine.probeDue(BAD, 40_000)).isTrue();
-        mQuarantine.started(new TaskId("probe/0"), BAD);
-        assertThat(mQuarantine.probeDue(BAD, 40_000)).isFalse();
-        end("probe", 0, BAD, true, 50_000);
-        assertThat(mQuarantine.probeDue(BAD, 100_000)).isFalse();
-        assertThat(mQuarantine.probeDue(BAD, 110_000)).isTrue();
+    void startsSingleProbeTaskAndDoublesTheDelayAfterEachFailure() {
+        quarantinesTheWorkerOnWhichAllTasksFail();
+        assertThat(mQuarantine.isProbeDue(FAULTY_WORKER, 1_000)).isFalse();
+        assertThat(mQuarantine.isProbeDue(FAULTY_WORKER, 40_000)).isTrue();
+        mQuarantine.recordStart(new TaskId("probe/0"), FAULTY_WORKER);
+        assertThat(mQuarantine.isProbeDue(FAULTY_WORKER, 40_000)).isFalse();
+        recordEnd("probe", 0, FAULTY_WORKER, true, 50_000);
+        assertThat(mQuarantine.isProbeDue(FAULTY_WORKER, 100_000)).isFalse();
+        assertThat(mQuarantine.isProbeDue(FAULTY_WORKER, 110_000)).isTrue();
         assertThat(mQuarantine.failedWorkers(new TaskId("probe/0"))).isEmpty();
     }
 
     /** Guards against a worker that stays quarantined after it was repaired. */
     @Test
     void releasesTheWorkerAfterSuccessfulProbes() {
-        quarantinesTheWorkerThatFailsEverything();
+        quarantinesTheWorkerOnWhichAllTasksFail();
         for (int run = 0; run < 2; run++) {
-            assertThat(mQuarantine.quarantined(BAD)).isTrue();
-            mQuarantine.started(new TaskId("probe/" + run), BAD);
-            end("probe", run, BAD, false, 40_000);
+            assertThat(mQuarantine.isQuarantined(FAULTY_WORKER)).isTrue();
+            mQuarantine.recordStart(new TaskId("probe/" + run), FAULTY_WORKER);
+            recordEnd("probe", run, FAULTY_WORKER, false, 40_000);
         }
-        assertThat(mQuarantine.quarantined(BAD)).isFalse();
+        assertThat(mQuarantine.isQuarantined(FAULTY_WORKER)).isFalse();
     }
 
-    /** Guards the distinction in a random mix of a bad worker and a broken job. */
+    /** Distinguishes a faulty worker from a failing job in a random mix of both. */
     @Property(seed = "71", tries = 100)
-    void tellsTheBadWorkerFromTheBrokenJob(
+    void distinguishesTheFaultyWorkerFromTheFailingJob(
             @ForAll @IntRange(min = 0, max = 100_000) int seed,
             @ForAll @IntRange(min = 5, max = 11) int workers) {
         WorkerQuarantine quarantine = new WorkerQuarantine(QuarantineSettings.DEFAULT);
@@ -114,12 +114,12 @@
             TaskId task = new TaskId("job-" + job + "/" + i % 4);
             WorkerId id = healthy(worker);
             boolean failed = worker == 0 || job == 0;
-            if (!quarantine.quarantined(id) && !quarantine.taskAtFault(task)) {
+            if (!quarantine.isQuarantined(id) && !quarantine.isFailingTask(task)) {
                 JobName name = new JobName("job-" + job);
                 quarantine.recordAttemptEnd(new AttemptEnd(task, name, id, failed, i));
             }
         }
-        assertThat(quarantine.quarantined()).containsExactly(healthy(0));
+        assertThat(quarantine.quarantinedWorkers()).containsExactly(healthy(0));
         assertThat(quarantine.failingTasks())
                 .isNotEmpty()
                 .allSatisfy(task -> assertThat(task.value()).startsWith("job-0/"));
