Name lease handlers by the events they handle

Private methods such as "seen", "valid" and "limited" hid what they did; comments still called the manager a keeper. Behaviour stays as it is.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/OwnerLink.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/ConfirmedOwner.java
@@ -3,5 +3,5 @@
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
 
-/** Owner of a shard as the worker has confirmed it. */
-record OwnerLink(Epoch epoch, ProcessId owner, boolean connected) {}
+/** Owner of a shard whose fence the worker has confirmed. */
+record ConfirmedOwner(Epoch epoch, ProcessId owner, boolean connected) {}
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/LeaseManagerOutput.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/LeaseManagerOutput.java
@@ -4,15 +4,15 @@
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.WorkerSummary;
 
-/** What a lease keeper wants sent; both methods must keep the order of the calls. */
+/** Output of a lease manager; implementations must keep the order of calls over both methods. */
 public interface LeaseManagerOutput {
-    /** Sends a message to an owner; it may be lost with the connection. */
+    /** Sends a message to an owner; the message may be lost with the connection. */
     void send(ProcessId owner, Message message);
 
     /**
-     * Publishes the state of the worker. When its incarnation has changed, an AgentReport must be
-     * sent before anything that is sent later: the owner then starts nothing that was recorded for
-     * the previous incarnation.
+     * Publishes the state of the worker. If its incarnation has changed, an AgentReport must be
+     * sent before any later message, so that the owner does not repeat starts that were recorded
+     * for the previous incarnation.
      */
     void publishWorker(WorkerSummary worker);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/LeaseSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/LeaseSettings.java
@@ -1,20 +1,21 @@
 package org.hickorycleat.logic.lease;
 
 /**
- * Times of leases, in milliseconds.
+ * Durations of leases, in milliseconds.
  *
  * @param leaseMs length of a lease
- * @param requestIntervalMs interval of lease requests
- * @param driftMarginMs what the owner adds to a lease for clocks that run at different rates
- * @param renewWithoutLogLimitMs how long an owner that cannot read the log goes on granting
+ * @param requestIntervalMs interval between lease requests
+ * @param driftMarginMs margin that the owner adds to a lease for clocks that run at different rates
+ * @param renewWithoutLogLimitMs how long an owner that cannot read the log continues to grant
+ *     leases
  */
 public record LeaseSettings(
         long leaseMs, long requestIntervalMs, long driftMarginMs, long renewWithoutLogLimitMs) {
     /** Lease of 10 s requested every 3 s; 500 ms allows clock rates to differ by 5%. */
     public static final LeaseSettings DEFAULT = new LeaseSettings(10_000, 3_000, 500, 90 * 60_000L);
 
-    /** Returns the time after which a lease granted by anybody before a claim has expired. */
-    public long unreachableWaitMs() {
+    /** Returns how long after a claim the leases granted by previous owners may still be valid. */
+    public long previousLeaseValidityMs() {
         return renewWithoutLogLimitMs + renewWithoutLogLimitMs / 1_000 + leaseMs + driftMarginMs;
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/TaskLeaseManager.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/TaskLeaseManager.java
@@ -37,17 +37,20 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /**
- * Keeps the leases of the tasks on the worker beside an agent, and passes commands on to it.
+ * Renews the leases of the tasks on an agent's local worker and forwards commands to the worker.
  *
- * <p>It reports an end only as the worker has recorded it, because the owner takes a report as
- * proof that the attempt never runs again. A command that the worker did not answer is not
- * reported; the owner repeats it. Thread-safe; output is called with its lock held.
+ * <p>The end of an attempt is reported only as the worker has recorded it, because the owner takes
+ * the report as proof that the attempt never runs again. A command without a response from the
+ * worker is not reported; the owner retries it. Thread-safe; the output is called with the lock
+ * held.
  */
 public final class TaskLeaseManager {
-    /** Time for one answer of the worker; a lease survives two lost answers. */
+    /** Timeout of a call to the worker; a lease survives two lost responses. */
     private static final long WORKER_TIMEOUT_MS = 1_000;
 
-    /** A stop waits this long for the checkpoint before it; the lease is not renewed meanwhile. */
+    /**
+     * Timeout of a checkpoint, during which a stop of its task waits and the lease is not renewed.
+     */
     private static final long CHECKPOINT_TIMEOUT_MS = 5_000;
 
     private final Object mLock = new Object();
@@ -55,24 +58,24 @@
     private final LeaseManagerOutput mOutput;
     private final LeaseSettings mSettings;
     private final Scheduler mScheduler;
-    private final Map<ShardNumber, OwnerLink> mOwners = new HashMap<>();
-    private final Map<ShardNumber, Long> mRequestedMs = new HashMap<>();
-    private final Map<Long, SentRequest> mRequests = new LinkedHashMap<>();
+    private final Map<ShardNumber, ConfirmedOwner> mOwners = new HashMap<>();
+    private final Map<ShardNumber, Long> mLastRequestMs = new HashMap<>();
+    private final Map<Long, SentLeaseRequest> mSentRequests = new LinkedHashMap<>();
     private final Map<TaskId, AttemptNumber> mLastAttempts = new HashMap<>();
     private final Map<TaskId, TaskUsage> mUsage = new HashMap<>();
-    private final Map<TaskId, Single<WorkerAnswer>> mCheckpoints = new HashMap<>();
+    private final Map<TaskId, Single<WorkerAnswer>> mCheckpointResponses = new HashMap<>();
     private Optional<Incarnation> mWorkerIncarnation = Optional.empty();
-    private long mNextRequest;
-    private boolean mListing;
+    private long mNextRequestNumber;
+    private boolean mListingInProgress;
     private long mStaleEpochs;
     private long mLateGrants;
     private long mStaleAttempts;
     private long mWorkerErrors;
 
     /**
-     * Creates a keeper that knows nothing of the worker yet.
+     * Creates a manager; the state of the worker is unknown until the first listing.
      *
-     * @param agent incarnation of the agent; request numbers are never reused by a later one
+     * @param agent incarnation of the agent; a later one never reuses its request numbers
      */
     public TaskLeaseManager(
             WorkerControl worker,
@@ -84,44 +87,46 @@
         mOutput = output;
         mSettings = settings;
         mScheduler = scheduler;
-        mNextRequest = agent.value() << 20;
+        mNextRequestNumber = agent.value() << 20;
     }
 
-    /** Lists the worker, reports its tasks and requests leases; expected every second. */
+    /**
+     * Lists the tasks of the worker, reports them and requests leases; to be called every second.
+     */
     public void tick() {
         synchronized (mLock) {
             refreshUsage();
-            list();
+            listTasks();
         }
     }
 
-    /** Handles a message of an owner; others are ignored. */
+    /** Handles a message from an owner; messages of other types are ignored. */
     public void onMessage(ProcessId owner, Message message) {
         synchronized (mLock) {
             if (message instanceof Fence fence) {
-                fence(owner, fence);
+                onFence(owner, fence);
             } else if (message instanceof StartTask start) {
-                start(owner, start);
+                onStart(owner, start);
             } else if (message instanceof LeaseGrant grant) {
-                granted(grant);
+                onGrant(grant);
             } else {
-                command(owner, message);
+                onCommand(owner, message);
             }
         }
     }
 
-    /** Handles the loss of the connection to an owner; it is asked again after its next Fence. */
+    /** Handles the loss of the connection to an owner; requests resume after its next Fence. */
     public void disconnected(ProcessId owner) {
         synchronized (mLock) {
             mOwners.replaceAll(
-                    (shard, link) ->
-                            link.owner().equals(owner)
-                                    ? new OwnerLink(link.epoch(), owner, false)
-                                    : link);
+                    (shard, confirmedOwner) ->
+                            confirmedOwner.owner().equals(owner)
+                                    ? new ConfirmedOwner(confirmedOwner.epoch(), owner, false)
+                                    : confirmedOwner);
         }
     }
 
-    /** Returns the counters. */
+    /** Returns the current values of the counters. */
     public LeaseManagerCounters counts() {
         synchronized (mLock) {
             return new LeaseManagerCounters(
@@ -129,63 +134,66 @@
         }
     }
 
-    private void list() {
-        if (mListing) {
+    private void listTasks() {
+        if (mListingInProgress) {
             return;
         }
-        mListing = true;
-        call(mWorker.list().doFinally(this::listingEnded), this::listed);
+        mListingInProgress = true;
+        callWorker(mWorker.list().doFinally(this::onListingEnded), this::onListed);
     }
 
-    private void listingEnded() {
+    private void onListingEnded() {
         synchronized (mLock) {
-            mListing = false;
+            mListingInProgress = false;
         }
     }
 
-    private void listed(WorkerListing listing) {
+    private void onListed(WorkerListing listing) {
         if (!mWorkerIncarnation.equals(Optional.of(listing.incarnation()))) {
             mWorkerIncarnation = Optional.of(listing.incarnation());
-            mRequests.clear();
+            mSentRequests.clear();
         }
         mLastAttempts.clear();
-        mCheckpoints.keySet().retainAll(tasks(listing));
-        listing.tasks().forEach(task -> seen(task.task(), task.attempt()));
+        mCheckpointResponses.keySet().retainAll(taskIds(listing));
+        listing.tasks().forEach(task -> recordAttempt(task.task(), task.attempt()));
         mOutput.publishWorker(summary(listing));
-        for (Map.Entry<ShardNumber, OwnerLink> entry : mOwners.entrySet()) {
-            if (entry.getValue().connected() && requestDue(entry.getKey())) {
-                request(entry.getKey(), entry.getValue().owner(), listing);
+        for (Map.Entry<ShardNumber, ConfirmedOwner> entry : mOwners.entrySet()) {
+            if (entry.getValue().connected() && isRequestDue(entry.getKey())) {
+                requestLeases(entry.getKey(), entry.getValue().owner(), listing);
             }
         }
     }
 
-    private boolean requestDue(ShardNumber shard) {
-        Long requestedMs = mRequestedMs.get(shard);
+    private boolean isRequestDue(ShardNumber shard) {
+        Long requestedMs = mLastRequestMs.get(shard);
         return requestedMs == null || nowMs() - requestedMs >= mSettings.requestIntervalMs();
     }
 
-    /** Reports go first, so that the owner does not repeat the start of what has ended. */
-    private void request(ShardNumber shard, ProcessId owner, WorkerListing listing) {
+    /**
+     * Sends the reports before the request, so that the owner does not restart an ended attempt.
+     */
+    private void requestLeases(ShardNumber shard, ProcessId owner, WorkerListing listing) {
         listing.tasks().stream()
                 .filter(task -> task.shard().equals(shard))
-                .forEach(task -> report(owner, task));
+                .forEach(task -> reportTask(owner, task));
         long nowMs = nowMs();
-        mRequestedMs.put(shard, nowMs);
-        mRequests.values().removeIf(sent -> nowMs - sent.sentMs() >= mSettings.leaseMs());
-        long number = mNextRequest++;
-        mRequests.put(number, new SentRequest(nowMs, listing.incarnation(), listing.clockMs()));
-        mOutput.send(owner, new LeaseRequest(shard, number, held(listing, shard)));
+        mLastRequestMs.put(shard, nowMs);
+        mSentRequests.values().removeIf(sent -> nowMs - sent.sentMs() >= mSettings.leaseMs());
+        long number = mNextRequestNumber++;
+        mSentRequests.put(
+                number, new SentLeaseRequest(nowMs, listing.incarnation(), listing.clockMs()));
+        mOutput.send(owner, new LeaseRequest(shard, number, activeAttempts(listing, shard)));
     }
 
-    private static List<TaskAttempt> held(WorkerListing listing, ShardNumber shard) {
-        return held(listing).stream().filter(task -> task.shard().equals(shard)).toList();
+    private static List<TaskAttempt> activeAttempts(WorkerListing listing, ShardNumber shard) {
+        return activeAttempts(listing).stream().filter(task -> task.shard().equals(shard)).toList();
     }
 
-    private static List<TaskId> tasks(WorkerListing listing) {
+    private static List<TaskId> taskIds(WorkerListing listing) {
         return listing.tasks().stream().map(WorkerTask::task).toList();
     }
 
-    private static List<TaskAttempt> held(WorkerListing listing) {
+    private static List<TaskAttempt> activeAttempts(WorkerListing listing) {
         return listing.tasks().stream()
                 .filter(WorkerTask::isActive)
                 .map(task -> new TaskAttempt(task.shard(), task.task(), task.attempt()))
@@ -198,17 +206,18 @@
                 listing.incarnation(),
                 listing.rack(),
                 listing.capacity(),
-                held(listing));
+                activeAttempts(listing));
     }
 
-    private void fence(ProcessId owner, Fence fence) {
+    private void onFence(ProcessId owner, Fence fence) {
         if (isStale(fence.shard(), fence.epoch())) {
             return;
         }
-        call(mWorker.fence(fence.shard(), fence.epoch()), code -> fenced(owner, fence, code));
+        callWorker(
+                mWorker.fence(fence.shard(), fence.epoch()), code -> onFenced(owner, fence, code));
     }
 
-    private void fenced(ProcessId owner, Fence fence, ResultCode code) {
+    private void onFenced(ProcessId owner, Fence fence, ResultCode code) {
         if (code != ResultCode.OK) {
             mStaleEpochs++;
             return;
@@ -216,27 +225,28 @@
         if (isStale(fence.shard(), fence.epoch())) {
             return;
         }
-        mOwners.put(fence.shard(), new OwnerLink(fence.epoch(), owner, true));
-        mRequestedMs.remove(fence.shard());
+        mOwners.put(fence.shard(), new ConfirmedOwner(fence.epoch(), owner, true));
+        mLastRequestMs.remove(fence.shard());
         mOutput.send(owner, fence);
-        list();
+        listTasks();
     }
 
-    private void start(ProcessId owner, StartTask start) {
+    private void onStart(ProcessId owner, StartTask start) {
         if (isStale(start.shard(), start.epoch())) {
             return;
         }
-        Optional<SentRequest> request = valid(start.leaseRequest(), start.leaseMs());
+        Optional<SentLeaseRequest> request =
+                findValidRequest(start.leaseRequest(), start.leaseMs());
         if (request.isEmpty()) {
             return;
         }
-        AttemptNumber last = mLastAttempts.get(start.task());
-        if (last != null && last.compareTo(start.attempt()) > 0) {
+        AttemptNumber latest = mLastAttempts.get(start.task());
+        if (latest != null && latest.compareTo(start.attempt()) > 0) {
             mStaleAttempts++;
             return;
         }
-        seen(start.task(), start.attempt());
-        call(
+        recordAttempt(start.task(), start.attempt());
+        callWorker(
                 mWorker.start(
                         new WorkerStart(
                                 start.shard(),
@@ -248,18 +258,19 @@
                                 request.get().workerClockMs() + start.leaseMs(),
                                 start.runMs(),
                                 start.checkpoint())),
-                answer -> answered(owner, answer));
+                response -> onWorkerResponse(owner, response));
     }
 
-    private void granted(LeaseGrant grant) {
+    private void onGrant(LeaseGrant grant) {
         if (isStale(grant.shard(), grant.epoch())) {
             return;
         }
-        Optional<SentRequest> request = valid(grant.requestNumber(), grant.leaseMs());
+        Optional<SentLeaseRequest> request =
+                findValidRequest(grant.requestNumber(), grant.leaseMs());
         if (request.isEmpty() || grant.tasks().isEmpty()) {
             return;
         }
-        call(
+        callWorker(
                 mWorker.renew(
                         new WorkerRenewal(
                                 grant.shard(),
@@ -267,69 +278,76 @@
                                 request.get().incarnation(),
                                 grant.tasks(),
                                 request.get().workerClockMs() + grant.leaseMs())),
-                this::renewed);
+                this::onRenewed);
     }
 
-    private void renewed(ResultCode code) {
+    private void onRenewed(ResultCode code) {
         if (code == ResultCode.STALE_EPOCH) {
             mStaleEpochs++;
         }
     }
 
-    private void command(ProcessId owner, Message message) {
+    private void onCommand(ProcessId owner, Message message) {
         if (message instanceof StopTask stop && !isStale(stop.shard(), stop.epoch())) {
             subscribe(
                     afterCheckpoint(
                             stop.task(),
-                            limited(
+                            withTimeout(
                                     mWorker.stop(
                                             stop.shard(),
                                             stop.epoch(),
                                             stop.task(),
                                             stop.attempt()))),
-                    answer -> answered(owner, answer));
-        } else if (message instanceof CheckpointTask save && !isStale(save.shard(), save.epoch())) {
-            checkpoint(owner, save);
-        } else if (message instanceof ThrottleTask limit
-                && !isStale(limit.shard(), limit.epoch())) {
-            call(
+                    response -> onWorkerResponse(owner, response));
+        } else if (message instanceof CheckpointTask checkpoint
+                && !isStale(checkpoint.shard(), checkpoint.epoch())) {
+            onCheckpoint(owner, checkpoint);
+        } else if (message instanceof ThrottleTask throttle
+                && !isStale(throttle.shard(), throttle.epoch())) {
+            callWorker(
                     mWorker.throttle(
-                            limit.shard(),
-                            limit.epoch(),
-                            limit.task(),
-                            limit.attempt(),
-                            limit.permille()),
-                    answer -> answered(owner, answer));
+                            throttle.shard(),
+                            throttle.epoch(),
+                            throttle.task(),
+                            throttle.attempt(),
+                            throttle.permille()),
+                    response -> onWorkerResponse(owner, response));
         }
     }
 
-    private void checkpoint(ProcessId owner, CheckpointTask save) {
-        Single<WorkerAnswer> answer =
-                mWorker.checkpoint(save.shard(), save.epoch(), save.task(), save.attempt())
+    private void onCheckpoint(ProcessId owner, CheckpointTask checkpoint) {
+        Single<WorkerAnswer> response =
+                mWorker.checkpoint(
+                                checkpoint.shard(),
+                                checkpoint.epoch(),
+                                checkpoint.task(),
+                                checkpoint.attempt())
                         .timeout(CHECKPOINT_TIMEOUT_MS, TimeUnit.MILLISECONDS, mScheduler)
                         .cache();
-        mCheckpoints.put(save.task(), answer);
-        subscribe(answer, value -> answered(owner, value));
+        mCheckpointResponses.put(checkpoint.task(), response);
+        subscribe(response, value -> onWorkerResponse(owner, value));
     }
 
-    /** A stop that overtook the checkpoint before it would lose the work that it saves. */
+    /**
+     * Delays a stop until the pending checkpoint of its task has ended, so that no work is lost.
+     */
     private Single<WorkerAnswer> afterCheckpoint(TaskId task, Single<WorkerAnswer> stop) {
-        Single<WorkerAnswer> checkpoint = mCheckpoints.remove(task);
+        Single<WorkerAnswer> checkpoint = mCheckpointResponses.remove(task);
         if (checkpoint == null) {
             return stop;
         }
         return checkpoint.ignoreElement().onErrorComplete().andThen(stop);
     }
 
-    private void answered(ProcessId owner, WorkerAnswer answer) {
-        if (answer.code() == ResultCode.STALE_EPOCH) {
+    private void onWorkerResponse(ProcessId owner, WorkerAnswer response) {
+        if (response.code() == ResultCode.STALE_EPOCH) {
             mStaleEpochs++;
             return;
         }
-        answer.task().ifPresent(task -> report(owner, task));
+        response.task().ifPresent(task -> reportTask(owner, task));
     }
 
-    private void report(ProcessId owner, WorkerTask task) {
+    private void reportTask(ProcessId owner, WorkerTask task) {
         Optional<TaskUsage> usage = Optional.ofNullable(mUsage.get(task.task()));
         mOutput.send(
                 owner,
@@ -346,27 +364,33 @@
     }
 
     private void refreshUsage() {
-        call(
+        callWorker(
                 mWorker.usage(),
-                usages -> {
+                usageSamples -> {
                     mUsage.clear();
-                    usages.forEach(usage -> mUsage.put(usage.task(), usage));
+                    usageSamples.forEach(usage -> mUsage.put(usage.task(), usage));
                 });
     }
 
+    /**
+     * Returns whether the worker has confirmed an owner with a higher epoch; counts such a message.
+     */
     private boolean isStale(ShardNumber shard, Epoch epoch) {
-        OwnerLink link = mOwners.get(shard);
-        if (link == null || link.epoch().compareTo(epoch) <= 0) {
+        ConfirmedOwner confirmedOwner = mOwners.get(shard);
+        if (confirmedOwner == null || confirmedOwner.epoch().compareTo(epoch) <= 0) {
             return false;
         }
         mStaleEpochs++;
         return true;
     }
 
-    /** A lease is counted from its request, so a late grant has already expired. */
-    private Optional<SentRequest> valid(long number, long leaseMs) {
-        Optional<SentRequest> request =
-                Optional.ofNullable(mRequests.get(number))
+    /**
+     * Returns the request of a lease; empty, and counted as late, if the lease has expired. A lease
+     * starts at its request.
+     */
+    private Optional<SentLeaseRequest> findValidRequest(long number, long leaseMs) {
+        Optional<SentLeaseRequest> request =
+                Optional.ofNullable(mSentRequests.get(number))
                         .filter(sent -> nowMs() - sent.sentMs() < leaseMs);
         if (request.isEmpty()) {
             mLateGrants++;
@@ -374,22 +398,22 @@
         return request;
     }
 
-    private void seen(TaskId task, AttemptNumber attempt) {
+    private void recordAttempt(TaskId task, AttemptNumber attempt) {
         mLastAttempts.merge(
                 task, attempt, (first, second) -> first.compareTo(second) >= 0 ? first : second);
     }
 
-    private <T> void call(Single<T> answer, Consumer<T> handler) {
-        subscribe(limited(answer), handler);
+    private <T> void callWorker(Single<T> response, Consumer<T> handler) {
+        subscribe(withTimeout(response), handler);
     }
 
-    private <T> Single<T> limited(Single<T> answer) {
-        return answer.timeout(WORKER_TIMEOUT_MS, TimeUnit.MILLISECONDS, mScheduler);
+    private <T> Single<T> withTimeout(Single<T> response) {
+        return response.timeout(WORKER_TIMEOUT_MS, TimeUnit.MILLISECONDS, mScheduler);
     }
 
-    private <T> void subscribe(Single<T> answer, Consumer<T> handler) {
+    private <T> void subscribe(Single<T> response, Consumer<T> handler) {
         Disposable unused =
-                answer.subscribe(
+                response.subscribe(
                         value -> {
                             synchronized (mLock) {
                                 handler.accept(value);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/package-info.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/package-info.java
@@ -1,4 +1,4 @@
-/** Leases of tasks, on the side of the agent and of the owner. */
+/** Leases of tasks: the agent's lease manager and the owner's tracking of lease expiry. */
 @NullMarked
 package org.hickorycleat.logic.lease;
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/lease/TaskLeaseManagerTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/lease/TaskLeaseManagerTest.java
@@ -36,77 +36,77 @@
 class TaskLeaseManagerTest {
     private static final ShardNumber SHARD = new ShardNumber(0);
     private static final ProcessId OWNER = new ProcessId("a");
-    private static final ProcessId NEWER = new ProcessId("b");
+    private static final ProcessId NEXT_OWNER = new ProcessId("b");
     private static final TaskId TASK = new TaskId("job#r");
 
     private final TestScheduler mScheduler = new TestScheduler();
     private final StubWorker mWorker = new StubWorker();
-    private final Sent mSent = new Sent();
-    private final TaskLeaseManager mKeeper =
+    private final RecordingOutput mOutput = new RecordingOutput();
+    private final TaskLeaseManager mManager =
             new TaskLeaseManager(
-                    mWorker, mSent, new Incarnation(3), LeaseSettings.DEFAULT, mScheduler);
+                    mWorker, mOutput, new Incarnation(3), LeaseSettings.DEFAULT, mScheduler);
 
-    /** Guards against a lease that is counted from the arrival of its grant. */
+    /** Guards against a lease that starts when its grant arrives. */
     @Test
-    void leaseIsCountedFromTheClockReadBeforeItsRequest() {
-        mKeeper.onMessage(OWNER, new Fence(SHARD, new Epoch(5)));
+    void leaseStartsAtTheClockReadingBeforeItsRequest() {
+        mManager.onMessage(OWNER, new Fence(SHARD, new Epoch(5)));
         mScheduler.advanceTimeBy(9_999, TimeUnit.MILLISECONDS);
 
-        mKeeper.onMessage(OWNER, start(5, 1, mSent.lastRequest()));
-        mKeeper.onMessage(OWNER, grant(5, mSent.lastRequest()));
+        mManager.onMessage(OWNER, start(5, 1, mOutput.lastRequestNumber()));
+        mManager.onMessage(OWNER, grant(5, mOutput.lastRequestNumber()));
 
         assertThat(mWorker.mStarts.get(0).leaseUntilMs()).isEqualTo(10_000);
         assertThat(mWorker.mRenewals.get(0).leaseUntilMs()).isEqualTo(10_000);
     }
 
-    /** Guards against grants and starts that were delayed past their lease. */
+    /** Guards against grants and starts that arrive after the lease has expired. */
     @Test
-    void lateGrantHasExpired() {
-        mKeeper.onMessage(OWNER, new Fence(SHARD, new Epoch(5)));
+    void rejectsGrantsAndStartsWithExpiredLease() {
+        mManager.onMessage(OWNER, new Fence(SHARD, new Epoch(5)));
         mScheduler.advanceTimeBy(10_000, TimeUnit.MILLISECONDS);
 
-        mKeeper.onMessage(OWNER, start(5, 1, mSent.lastRequest()));
-        mKeeper.onMessage(OWNER, grant(5, mSent.lastRequest()));
+        mManager.onMessage(OWNER, start(5, 1, mOutput.lastRequestNumber()));
+        mManager.onMessage(OWNER, grant(5, mOutput.lastRequestNumber()));
 
         assertThat(mWorker.mStarts).isEmpty();
         assertThat(mWorker.mRenewals).isEmpty();
-        assertThat(mKeeper.counts().lateGrants()).isEqualTo(2);
+        assertThat(mManager.counts().lateGrants()).isEqualTo(2);
     }
 
-    /** Guards against starts of a replaced owner. */
+    /** Guards against starts by a previous owner. */
     @Test
-    void lowerEpochIsRefused() {
-        mKeeper.onMessage(NEWER, new Fence(SHARD, new Epoch(6)));
+    void rejectsStartsWithLowerEpoch() {
+        mManager.onMessage(NEXT_OWNER, new Fence(SHARD, new Epoch(6)));
 
-        mKeeper.onMessage(OWNER, start(5, 1, mSent.lastRequest()));
+        mManager.onMessage(OWNER, start(5, 1, mOutput.lastRequestNumber()));
 
         assertThat(mWorker.mStarts).isEmpty();
-        assertThat(mKeeper.counts().staleEpochs()).isEqualTo(1);
+        assertThat(mManager.counts().staleEpochs()).isEqualTo(1);
     }
 
-    /** Guards against lease requests that go to a replaced owner. */
+    /** Guards against lease requests sent to a previous owner. */
     @Test
-    void onlyTheOwnerOfTheHighestEpochIsAsked() {
-        mKeeper.onMessage(OWNER, new Fence(SHARD, new Epoch(5)));
-        mKeeper.onMessage(NEWER, new Fence(SHARD, new Epoch(6)));
-        mSent.mMessages.clear();
+    void requestsLeasesOnlyFromTheOwnerOfTheHighestEpoch() {
+        mManager.onMessage(OWNER, new Fence(SHARD, new Epoch(5)));
+        mManager.onMessage(NEXT_OWNER, new Fence(SHARD, new Epoch(6)));
+        mOutput.mSentMessages.clear();
         mScheduler.advanceTimeBy(3_000, TimeUnit.MILLISECONDS);
 
-        mKeeper.tick();
+        mManager.tick();
 
-        assertThat(mSent.mMessages).hasSize(1);
-        assertThat(mSent.mReceivers).last().isEqualTo(NEWER);
+        assertThat(mOutput.mSentMessages).hasSize(1);
+        assertThat(mOutput.mReceivers).last().isEqualTo(NEXT_OWNER);
     }
 
-    /** Guards against a start recorded for a worker that has since lost its memory. */
+    /** Guards against a start recorded for a worker that has restarted since and lost its state. */
     @Test
-    void startThatAnswersRequestOfEarlierIncarnationIsIgnored() {
-        mKeeper.onMessage(OWNER, new Fence(SHARD, new Epoch(5)));
-        long before = mSent.lastRequest();
+    void ignoresStartsForRequestOfPreviousIncarnation() {
+        mManager.onMessage(OWNER, new Fence(SHARD, new Epoch(5)));
+        long previousRequest = mOutput.lastRequestNumber();
         mWorker.mIncarnation = 2;
-        mKeeper.tick();
+        mManager.tick();
 
-        mKeeper.onMessage(OWNER, start(5, 1, before));
+        mManager.onMessage(OWNER, start(5, 1, previousRequest));
 
         assertThat(mWorker.mStarts).isEmpty();
     }
@@ -114,29 +114,29 @@
     /** Guards against request numbers that repeat after a restart of the agent. */
     @Test
     void restartedAgentUsesHigherRequestNumbers() {
-        mKeeper.onMessage(OWNER, new Fence(SHARD, new Epoch(5)));
-        long before = mSent.lastRequest();
+        mManager.onMessage(OWNER, new Fence(SHARD, new Epoch(5)));
+        long previousRequest = mOutput.lastRequestNumber();
         TaskLeaseManager restarted =
                 new TaskLeaseManager(
-                        mWorker, mSent, new Incarnation(4), LeaseSettings.DEFAULT, mScheduler);
+                        mWorker, mOutput, new Incarnation(4), LeaseSettings.DEFAULT, mScheduler);
         restarted.onMessage(OWNER, new Fence(SHARD, new Epoch(5)));
 
-        restarted.onMessage(OWNER, start(5, 1, before));
+        restarted.onMessage(OWNER, start(5, 1, previousRequest));
 
-        assertThat(mSent.lastRequest()).isGreaterThan(before);
+        assertThat(mOutput.lastRequestNumber()).isGreaterThan(previousRequest);
         assertThat(mWorker.mStarts).isEmpty();
     }
 
-    /** Guards against a delayed start of an attempt that a newer one has replaced. */
+    /** Guards against a delayed start of an attempt that was replaced by a newer one. */
     @Test
-    void olderAttemptIsRefused() {
-        mKeeper.onMessage(OWNER, new Fence(SHARD, new Epoch(5)));
-        mKeeper.onMessage(OWNER, start(5, 2, mSent.lastRequest()));
+    void rejectsStartsOfOlderAttempts() {
+        mManager.onMessage(OWNER, new Fence(SHARD, new Epoch(5)));
+        mManager.onMessage(OWNER, start(5, 2, mOutput.lastRequestNumber()));
 
-        mKeeper.onMessage(OWNER, start(5, 1, mSent.lastRequest()));
+        mManager.onMessage(OWNER, start(5, 1, mOutput.lastRequestNumber()));
 
         assertThat(mWorker.mStarts).hasSize(1);
-        assertThat(mKeeper.counts().staleAttempts()).isEqualTo(1);
+        assertThat(mManager.counts().staleAttempts()).isEqualTo(1);
     }
 
     private static StartTask start(long epoch, long attempt, long request) {
@@ -161,21 +161,21 @@
                 10_000);
     }
 
-    private static final class Sent implements LeaseManagerOutput {
-        private final List<Message> mMessages = new ArrayList<>();
+    private static final class RecordingOutput implements LeaseManagerOutput {
+        private final List<Message> mSentMessages = new ArrayList<>();
         private final List<ProcessId> mReceivers = new ArrayList<>();
 
         @Override
         public void send(ProcessId owner, Message message) {
-            mMessages.add(message);
+            mSentMessages.add(message);
             mReceivers.add(owner);
         }
 
         @Override
         public void publishWorker(WorkerSummary worker) {}
 
-        long lastRequest() {
-            return mMessages.stream()
+        long lastRequestNumber() {
+            return mSentMessages.stream()
                     .filter(LeaseRequest.class::isInstance)
                     .map(LeaseRequest.class::cast)
                     .reduce((first, second) -> second)
@@ -205,7 +205,7 @@
         @Override
         public Single<WorkerAnswer> start(WorkerStart start) {
             mStarts.add(start);
-            return answer();
+            return response();
         }
 
         @Override
@@ -217,19 +217,19 @@
         @Override
         public Single<WorkerAnswer> stop(
                 ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt) {
-            return answer();
+            return response();
         }
 
         @Override
         public Single<WorkerAnswer> checkpoint(
                 ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt) {
-            return answer();
+            return response();
         }
 
         @Override
         public Single<WorkerAnswer> throttle(
                 ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt, int limit) {
-            return answer();
+            return response();
         }
 
         @Override
@@ -242,7 +242,7 @@
             return Single.just(ResultCode.OK);
         }
 
-        private static Single<WorkerAnswer> answer() {
+        private static Single<WorkerAnswer> response() {
             return Single.just(new WorkerAnswer(ResultCode.OK, Optional.empty()));
         }
     }
