--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/AgentDirectory.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/AgentDirectory.java
@@ -8,39 +8,42 @@
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.identifier.WorkerId;
 
-/** Agents of a shard, found by process and by worker. */
+/** Indexes the agents of a shard by process and by worker. */
 final class AgentDirectory {
-    private final Map<ProcessId, AgentSession> mByAgent = new LinkedHashMap<>();
-    private final Map<WorkerId, AgentSession> mByWorker = new LinkedHashMap<>();
+    private final Map<ProcessId, AgentSession> mSessionsByAgent = new LinkedHashMap<>();
+    private final Map<WorkerId, AgentSession> mSessionsByWorker = new LinkedHashMap<>();
 
-    void connected(ShardEvent.AgentConnected event) {
-        AgentSession session = mByAgent.get(event.agent());
+    void onAgentConnected(ShardEvent.AgentConnected event) {
+        AgentSession session = mSessionsByAgent.get(event.agent());
         if (session == null || !session.worker().equals(event.worker().worker())) {
             session = new AgentSession(event.agent(), event.zone(), event.worker());
         } else {
-            session.connected(event.zone(), event.worker());
+            session.onConnected(event.zone(), event.worker());
         }
-        mByAgent.put(event.agent(), session);
-        mByWorker.put(session.worker(), session);
+        mSessionsByAgent.put(event.agent(), session);
+        mSessionsByWorker.put(session.worker(), session);
     }
 
-    Optional<AgentSession> agent(ProcessId agent) {
-        return Optional.ofNullable(mByAgent.get(agent));
+    Optional<AgentSession> findByAgent(ProcessId agent) {
+        return Optional.ofNullable(mSessionsByAgent.get(agent));
     }
 
-    Optional<AgentSession> worker(WorkerId worker) {
-        return Optional.ofNullable(mByWorker.get(worker));
+    Optional<AgentSession> findByWorker(WorkerId worker) {
+        return Optional.ofNullable(mSessionsByWorker.get(worker));
     }
 
-    /** A worker whose agent never connected counts from the time of the claim. */
-    boolean unreachable(WorkerId worker, long durationMs, long ownedSinceMs, long nowMs) {
-        return worker(worker)
-                .map(session -> session.unreachableFor(durationMs, nowMs))
+    /**
+     * Returns whether the agent of a worker has been disconnected for the given time. For a worker
+     * whose agent never connected, the time counts from the claim.
+     */
+    boolean isUnreachableFor(WorkerId worker, long durationMs, long ownedSinceMs, long nowMs) {
+        return findByWorker(worker)
+                .map(session -> session.isDisconnectedFor(durationMs, nowMs))
                 .orElse(nowMs - ownedSinceMs >= durationMs);
     }
 
     /** Returns one session for each worker. */
     Collection<AgentSession> sessions() {
-        return Collections.unmodifiableCollection(mByWorker.values());
+        return Collections.unmodifiableCollection(mSessionsByWorker.values());
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/AgentMessages.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/AgentMessageHandler.java
@@ -10,52 +10,55 @@
 import org.hickorycleat.model.message.TaskAttempt;
 import org.hickorycleat.model.message.TaskReport;
 
-/** Answers the messages of agents from the recorded state. */
-final class AgentMessages {
+/** Handles messages of agents according to the recorded state of the shard. */
+final class AgentMessageHandler {
     private final OwnerSettings mSettings;
     private final AttemptTracker mTracker;
     private final CommandSender mCommands;
 
-    AgentMessages(OwnerSettings settings, AttemptTracker tracker, CommandSender commands) {
+    AgentMessageHandler(OwnerSettings settings, AttemptTracker tracker, CommandSender commands) {
         mSettings = settings;
         mTracker = tracker;
         mCommands = commands;
     }
 
-    /** From now on the worker refuses older epochs, so their grants end within one lease. */
-    void fenced(AgentSession agent, ShardState state, long nowMs) {
-        agent.fenced();
+    /**
+     * Handles the acknowledgement of a fence. The worker now rejects older epochs, so leases
+     * granted under them expire within one lease duration.
+     */
+    void onFenceAcknowledged(AgentSession agent, ShardState state, long nowMs) {
+        agent.onFenceAcknowledged();
         for (TaskRecord task : state.tasks()) {
             task.attempt()
-                    .filter(agent::holds)
+                    .filter(agent::hosts)
                     .ifPresent(
                             attempt ->
-                                    mTracker.ledger()
+                                    mTracker.leaseExpiries()
                                             .recordFence(task.task(), attempt.number(), nowMs));
         }
     }
 
     /**
-     * Grants the leases of recorded attempts, stops what is not recorded and starts what is
-     * recorded and not held. A stopping attempt gets no lease: if its stop is never confirmed, it
-     * expires.
+     * Handles a lease request: grants leases for recorded attempts, stops attempts that are not
+     * recorded and starts recorded attempts that the worker does not hold. A stopping attempt gets
+     * no lease, so that it expires if its stop is never confirmed.
      */
-    void leaseRequested(
+    void onLeaseRequest(
             AgentSession agent,
             LeaseRequest request,
             ShardState state,
-            DecisionPlanner.Moment now) {
-        agent.requested(request.number());
+            DecisionPlanner.PlanningTime now) {
+        agent.onLeaseRequested(request.number());
         List<TaskAttempt> granted = new ArrayList<>();
         Set<TaskId> held = new HashSet<>();
         for (TaskAttempt task : request.tasks()) {
-            Optional<TaskRecord> recorded = recorded(agent, task, state);
+            Optional<TaskRecord> recorded = findRecorded(agent, task, state);
             if (recorded.isEmpty()) {
                 mCommands.stop(agent, task.task(), task.attempt());
                 continue;
             }
             held.add(task.task());
-            mTracker.confirmed(task.task(), task.attempt());
+            mTracker.recordConfirmation(task.task(), task.attempt());
             if (recorded.get().attempt().flatMap(AttemptRecord::stop).isEmpty()) {
                 granted.add(task);
                 checkpointIfDue(agent, recorded.get(), now.wallMs());
@@ -63,28 +66,30 @@
         }
         mCommands.grant(agent, request.number(), granted, now.monotonicMs());
         state.tasks().stream()
-                .filter(task -> task.attempt().filter(agent::holds).isPresent())
+                .filter(task -> task.attempt().filter(agent::hosts).isPresent())
                 .filter(task -> isStopping(task) || !held.contains(task.task()))
-                .forEach(task -> command(agent, task, now.monotonicMs()));
+                .forEach(task -> sendCommand(agent, task, now.monotonicMs()));
     }
 
-    /** Records what a worker reports about the current attempt of a task. */
-    void reported(AgentSession agent, TaskReport report, ShardState state, long wallMs) {
+    /** Handles a task report; reports on any but the current attempt are ignored. */
+    void onTaskReport(AgentSession agent, TaskReport report, ShardState state, long wallMs) {
         boolean current =
                 state.task(report.task())
                         .filter(task -> task.isAt(report.attempt()))
                         .flatMap(TaskRecord::attempt)
-                        .filter(agent::holds)
+                        .filter(agent::hosts)
                         .isPresent();
         if (current) {
-            mTracker.reported(report, wallMs);
+            mTracker.recordReport(report, wallMs);
         }
     }
 
-    /** Sends the start or the stop that the record of a task asks for. */
-    void command(AgentSession agent, TaskRecord task, long nowMs) {
+    /**
+     * Sends the start or stop of the current attempt of a task, unless the worker reported its end.
+     */
+    void sendCommand(AgentSession agent, TaskRecord task, long nowMs) {
         AttemptRecord attempt = task.attempt().orElseThrow();
-        if (mTracker.observation(task.task(), attempt.number()).end().isPresent()) {
+        if (mTracker.observation(task.task(), attempt.number()).endState().isPresent()) {
             return;
         }
         if (attempt.stop().isPresent()) {
@@ -109,10 +114,10 @@
         return task.attempt().flatMap(AttemptRecord::stop).isPresent();
     }
 
-    private static Optional<TaskRecord> recorded(
+    private static Optional<TaskRecord> findRecorded(
             AgentSession agent, TaskAttempt held, ShardState state) {
         return state.task(held.task())
                 .filter(task -> task.isAt(held.attempt()))
-                .filter(task -> task.attempt().filter(agent::holds).isPresent());
+                .filter(task -> task.attempt().filter(agent::hosts).isPresent());
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/AgentSession.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/AgentSession.java
@@ -7,58 +7,61 @@
 import org.hickorycleat.model.identifier.ZoneId;
 import org.hickorycleat.model.message.WorkerSummary;
 
-/** What the owner knows of an agent and the worker beside it. */
+/** State that the owner keeps about an agent and its local worker. */
 final class AgentSession {
     private final ProcessId mAgent;
     private ZoneId mZone;
-    private WorkerSummary mWorker;
+    private WorkerSummary mSummary;
     private boolean mConnected = true;
     private boolean mFenced;
     private long mDisconnectedMs;
-    private OptionalLong mRequestNumber = OptionalLong.empty();
+    private OptionalLong mLeaseRequestNumber = OptionalLong.empty();
 
     AgentSession(ProcessId agent, ZoneId zone, WorkerSummary worker) {
         mAgent = agent;
         mZone = zone;
-        mWorker = worker;
+        mSummary = worker;
     }
 
-    void connected(ZoneId zone, WorkerSummary worker) {
+    void onConnected(ZoneId zone, WorkerSummary worker) {
         mZone = zone;
         mConnected = true;
-        unfence();
-        mWorker = worker;
+        clearFence();
+        mSummary = worker;
     }
 
-    void disconnected(long nowMs) {
+    void onDisconnected(long nowMs) {
         mConnected = false;
         mDisconnectedMs = nowMs;
-        unfence();
+        clearFence();
     }
 
-    /** A lease request made to an earlier incarnation of the worker must not be answered. */
-    void reported(WorkerSummary worker) {
-        int order = worker.incarnation().compareTo(mWorker.incarnation());
+    /**
+     * Updates the worker's summary. A new incarnation clears the fence and the lease request,
+     * because a request for an earlier incarnation must not be granted.
+     */
+    void onWorkerReported(WorkerSummary worker) {
+        int order = worker.incarnation().compareTo(mSummary.incarnation());
         if (order < 0) {
             return;
         }
         if (order > 0) {
-            unfence();
+            clearFence();
         }
-        mWorker = worker;
+        mSummary = worker;
     }
 
-    void unfence() {
+    void clearFence() {
         mFenced = false;
-        mRequestNumber = OptionalLong.empty();
+        mLeaseRequestNumber = OptionalLong.empty();
     }
 
-    void fenced() {
+    void onFenceAcknowledged() {
         mFenced = true;
     }
 
-    void requested(long number) {
-        mRequestNumber = OptionalLong.of(number);
+    void onLeaseRequested(long number) {
+        mLeaseRequestNumber = OptionalLong.of(number);
     }
 
     ProcessId agent() {
@@ -70,19 +73,19 @@
     }
 
     WorkerSummary summary() {
-        return mWorker;
+        return mSummary;
     }
 
     WorkerId worker() {
-        return mWorker.worker();
+        return mSummary.worker();
     }
 
     Incarnation incarnation() {
-        return mWorker.incarnation();
+        return mSummary.incarnation();
     }
 
-    OptionalLong requestNumber() {
-        return mRequestNumber;
+    OptionalLong leaseRequestNumber() {
+        return mLeaseRequestNumber;
     }
 
     boolean isConnected() {
@@ -93,16 +96,16 @@
         return mConnected && mFenced;
     }
 
-    boolean unreachableFor(long durationMs, long nowMs) {
+    boolean isDisconnectedFor(long durationMs, long nowMs) {
         return !mConnected && nowMs - mDisconnectedMs >= durationMs;
     }
 
-    /** Tells whether an attempt can be started now. */
-    boolean available() {
-        return isFenced() && mRequestNumber.isPresent();
+    /** Returns whether an attempt can be started now. */
+    boolean isReadyForStart() {
+        return isFenced() && mLeaseRequestNumber.isPresent();
     }
 
-    boolean holds(AttemptRecord attempt) {
+    boolean hosts(AttemptRecord attempt) {
         return attempt.worker().equals(worker())
                 && attempt.workerIncarnation().equals(incarnation());
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/AttemptRecord.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/AttemptRecord.java
@@ -13,12 +13,12 @@
         long startedMs,
         int throttlePermille,
         Optional<StopCause> stop) {
-    AttemptRecord stopping(StopCause cause) {
+    AttemptRecord withStop(StopCause cause) {
         return new AttemptRecord(
                 number, worker, workerIncarnation, startedMs, throttlePermille, Optional.of(cause));
     }
 
-    AttemptRecord throttled(int permille) {
+    AttemptRecord withThrottle(int permille) {
         return new AttemptRecord(number, worker, workerIncarnation, startedMs, permille, stop);
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/AttemptTracker.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/AttemptTracker.java
@@ -10,49 +10,51 @@
 import org.hickorycleat.model.message.TaskReport;
 import org.hickorycleat.model.task.TaskState;
 
-/** What the owner has observed of recorded attempts in its epoch. */
+/** Tracks what the owner has observed of recorded attempts during its epoch. */
 final class AttemptTracker {
     private final Map<TaskId, Observation> mObservations = new HashMap<>();
-    private final LeaseExpiryTracker mLedger;
+    private final LeaseExpiryTracker mLeaseExpiries;
 
     AttemptTracker(LeaseSettings settings) {
-        mLedger = new LeaseExpiryTracker(settings);
+        mLeaseExpiries = new LeaseExpiryTracker(settings);
     }
 
-    LeaseExpiryTracker ledger() {
-        return mLedger;
+    LeaseExpiryTracker leaseExpiries() {
+        return mLeaseExpiries;
     }
 
     void clear() {
         mObservations.clear();
-        mLedger.clear();
+        mLeaseExpiries.clear();
     }
 
-    void forget(TaskId task) {
+    void remove(TaskId task) {
         mObservations.remove(task);
-        mLedger.remove(task);
+        mLeaseExpiries.remove(task);
     }
 
-    void confirmed(TaskId task, AttemptNumber attempt) {
+    void recordConfirmation(TaskId task, AttemptNumber attempt) {
         Observation before = observation(task, attempt);
-        mObservations.put(task, new Observation(attempt, true, before.end(), before.checkpoint()));
+        mObservations.put(
+                task, new Observation(attempt, true, before.endState(), before.checkpoint()));
     }
 
-    /** Records a report; the first reported end of an attempt stands. */
-    void reported(TaskReport report, long wallMs) {
+    /** Records a report; only the first reported end of an attempt counts. */
+    void recordReport(TaskReport report, long wallMs) {
         Observation before = observation(report.task(), report.attempt());
         Optional<Checkpoint> checkpoint =
                 report.checkpoint()
                         .map(name -> new Checkpoint(name, report.progressMs(), wallMs))
                         .or(before::checkpoint);
         Optional<TaskState> end =
-                before.end().or(() -> Optional.of(report.state()).filter(AttemptTracker::isEnd));
+                before.endState()
+                        .or(() -> Optional.of(report.state()).filter(AttemptTracker::isTerminal));
         boolean confirmed = before.confirmed() || report.state() == TaskState.RUNNING;
         mObservations.put(
                 report.task(), new Observation(report.attempt(), confirmed, end, checkpoint));
     }
 
-    /** Returns what is known of an attempt; nothing if it was never observed. */
+    /** Returns the observations of an attempt, which are empty if it was never observed. */
     Observation observation(TaskId task, AttemptNumber attempt) {
         Observation observation = mObservations.get(task);
         return observation != null && observation.attempt().equals(attempt)
@@ -60,7 +62,7 @@
                 : new Observation(attempt, false, Optional.empty(), Optional.empty());
     }
 
-    static boolean isEnd(TaskState state) {
+    static boolean isTerminal(TaskState state) {
         return switch (state) {
             case STARTING, RUNNING, STOPPING -> false;
             case STOPPED, SUCCEEDED, FAILED, EXPIRED, REFUSED -> true;
@@ -68,16 +70,16 @@
     }
 
     /**
-     * Observation of an attempt.
+     * Observations of an attempt.
      *
      * @param attempt the attempt
-     * @param confirmed whether the worker confirmed that it runs
-     * @param end how the worker says that it ended
+     * @param confirmed whether the worker confirmed that the attempt runs
+     * @param endState terminal state reported by the worker
      * @param checkpoint latest checkpoint reported
      */
     record Observation(
             AttemptNumber attempt,
             boolean confirmed,
-            Optional<TaskState> end,
+            Optional<TaskState> endState,
             Optional<Checkpoint> checkpoint) {}
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/BatchWriter.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/BatchWriter.java
@@ -4,7 +4,10 @@
 import java.util.Optional;
 import org.hickorycleat.model.identifier.Epoch;
 
-/** Writes one batch at a time and repeats it under the same sequence until it is read back. */
+/**
+ * Keeps at most one batch outstanding and repeats it under the same sequence number until it is
+ * read back.
+ */
 final class BatchWriter {
     private final OwnerSettings mSettings;
     private Optional<ShardRecord.DecisionBatch> mOutstanding = Optional.empty();
@@ -21,7 +24,7 @@
         mLastSequence = lastSequence;
     }
 
-    boolean ready(long nowMs) {
+    boolean isReady(long nowMs) {
         return mOutstanding.isEmpty() && nowMs - mSentMs >= mSettings.batchIntervalMs();
     }
 
@@ -35,32 +38,38 @@
         ShardRecord.DecisionBatch batch =
                 new ShardRecord.DecisionBatch(epoch, self, mLastSequence, decisions);
         mOutstanding = Optional.of(batch);
-        sent(nowMs);
+        recordSent(nowMs);
         return batch;
     }
 
-    void failed(long nowMs) {
+    void onAppendFailed(long nowMs) {
         mFailedMs = Math.min(mFailedMs, nowMs);
     }
 
-    /** Returns the batch to append again: the log was read to its end and does not hold it. */
-    Optional<ShardRecord.DecisionBatch> repeat(LogWatch log, long nowMs) {
-        long lostMs = Math.min(mFailedMs, mSentMs + mSettings.appendTimeoutMs());
-        boolean due = nowMs >= lostMs && log.atEnd(nowMs) && log.currentAsOfMs() >= lostMs;
+    /**
+     * Returns the outstanding batch if it must be appended again: its append failed or timed out,
+     * and the log has since been read to its end without it.
+     */
+    Optional<ShardRecord.DecisionBatch> batchToRepeat(LogFreshness log, long nowMs) {
+        long presumedLostMs = Math.min(mFailedMs, mSentMs + mSettings.appendTimeoutMs());
+        boolean due =
+                nowMs >= presumedLostMs
+                        && log.isAtEnd(nowMs)
+                        && log.currentAsOfMs() >= presumedLostMs;
         if (mOutstanding.isEmpty() || !due) {
             return Optional.empty();
         }
-        sent(nowMs);
+        recordSent(nowMs);
         return mOutstanding;
     }
 
-    void readBack(long sequence) {
+    void onReadBack(long sequence) {
         if (mOutstanding.map(batch -> batch.sequence() == sequence).orElse(false)) {
             mOutstanding = Optional.empty();
         }
     }
 
-    private void sent(long nowMs) {
+    private void recordSent(long nowMs) {
         mSentMs = nowMs;
         mFailedMs = Long.MAX_VALUE;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/CommandSender.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/CommandSender.java
@@ -17,26 +17,26 @@
 import org.hickorycleat.model.message.TaskAttempt;
 import org.hickorycleat.model.message.ThrottleTask;
 
-/** Turns recorded decisions into messages to agents. */
+/** Sends commands for recorded decisions to agents. */
 final class CommandSender {
     private final ShardNumber mShard;
     private final long mLeaseMs;
-    private final LeaseExpiryTracker mLedger;
-    private final Consumer<OwnerAction> mEffects;
+    private final LeaseExpiryTracker mLeaseExpiries;
+    private final Consumer<OwnerAction> mActions;
     private Epoch mEpoch = new Epoch(-1);
 
     CommandSender(
             ShardNumber shard,
             long leaseMs,
-            LeaseExpiryTracker ledger,
-            Consumer<OwnerAction> effects) {
+            LeaseExpiryTracker leaseExpiries,
+            Consumer<OwnerAction> actions) {
         mShard = shard;
         mLeaseMs = leaseMs;
-        mLedger = ledger;
-        mEffects = effects;
+        mLeaseExpiries = leaseExpiries;
+        mActions = actions;
     }
 
-    void epoch(Epoch epoch) {
+    void setEpoch(Epoch epoch) {
         mEpoch = epoch;
     }
 
@@ -44,14 +44,17 @@
         send(agent, new Fence(mShard, mEpoch));
     }
 
-    /** Sends the start of a recorded attempt; it names a lease request and counts as a grant. */
+    /**
+     * Sends the start of a recorded attempt. The start refers to a lease request and grants a
+     * lease.
+     */
     void start(AgentSession agent, TaskRecord task, long nowMs) {
         Optional<AttemptRecord> recorded = task.attempt();
-        if (recorded.isEmpty() || !agent.available() || !agent.holds(recorded.get())) {
+        if (recorded.isEmpty() || !agent.isReadyForStart() || !agent.hosts(recorded.get())) {
             return;
         }
         AttemptNumber attempt = recorded.get().number();
-        mLedger.recordGrant(task.task(), attempt, nowMs);
+        mLeaseExpiries.recordGrant(task.task(), attempt, nowMs);
         send(
                 agent,
                 new StartTask(
@@ -60,13 +63,13 @@
                         task.task(),
                         attempt,
                         task.specification().resources(),
-                        agent.requestNumber().getAsLong(),
+                        agent.leaseRequestNumber().getAsLong(),
                         mLeaseMs,
                         task.specification().estimatedMs(),
                         task.checkpoint().map(Checkpoint::name)));
     }
 
-    /** Checkpoints what will be resumed, then stops it. */
+    /** Stops an attempt; a task that will resume is checkpointed first. */
     void stop(AgentSession agent, TaskRecord task, AttemptRecord attempt) {
         boolean resumed = attempt.stop().equals(Optional.of(StopCause.EVICTED));
         if (resumed && task.specification().checkpointable()) {
@@ -94,11 +97,11 @@
     }
 
     void grant(AgentSession agent, long requestNumber, List<TaskAttempt> tasks, long nowMs) {
-        tasks.forEach(held -> mLedger.recordGrant(held.task(), held.attempt(), nowMs));
+        tasks.forEach(held -> mLeaseExpiries.recordGrant(held.task(), held.attempt(), nowMs));
         send(agent, new LeaseGrant(mShard, mEpoch, requestNumber, tasks, mLeaseMs));
     }
 
     private void send(AgentSession agent, Message message) {
-        mEffects.accept(new OwnerAction.SendMessage(agent.agent(), message));
+        mActions.accept(new OwnerAction.SendMessage(agent.agent(), message));
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/DecisionFields.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/DecisionCodec.java
@@ -8,8 +8,8 @@
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.task.TaskState;
 
-/** Fields of the decisions of a batch. */
-final class DecisionFields {
+/** Encodes and decodes the decisions of a batch. */
+final class DecisionCodec {
     private static final int ADOPT_MANIFEST = 1;
     private static final int SUBMIT = 2;
     private static final int START = 3;
@@ -18,9 +18,9 @@
     private static final int SAVE_CHECKPOINT = 6;
     private static final int END_ATTEMPT = 7;
     private static final int END_TASK = 8;
-    private static final int FORGET = 9;
+    private static final int REMOVE_TOMBSTONE = 9;
 
-    private final TaskFields mTasks = new TaskFields();
+    private final TaskCodec mTasks = new TaskCodec();
 
     void write(FieldWriter writer, ShardDecision decision) {
         if (decision instanceof ShardDecision.AdoptManifest adopt) {
@@ -51,9 +51,9 @@
                     .number(end.endedMs());
         } else if (decision instanceof ShardDecision.EndTask end) {
             writer.number(END_TASK).text(end.task().value());
-            mTasks.ending(writer, end.ending());
-        } else if (decision instanceof ShardDecision.RemoveTombstone forget) {
-            writer.number(FORGET).text(forget.task().value());
+            mTasks.result(writer, end.result());
+        } else if (decision instanceof ShardDecision.RemoveTombstone removal) {
+            writer.number(REMOVE_TOMBSTONE).text(removal.task().value());
         }
     }
 
@@ -88,9 +88,9 @@
                             TaskState.valueOf(reader.text()),
                             reader.optional(() -> mTasks.checkpoint(reader)),
                             reader.number());
-            case END_TASK -> new ShardDecision.EndTask(task(reader), mTasks.ending(reader));
-            case FORGET -> new ShardDecision.RemoveTombstone(task(reader));
-            default -> throw new IllegalArgumentException("type of decision is unknown: " + type);
+            case END_TASK -> new ShardDecision.EndTask(task(reader), mTasks.result(reader));
+            case REMOVE_TOMBSTONE -> new ShardDecision.RemoveTombstone(task(reader));
+            default -> throw new IllegalArgumentException("unknown decision type: " + type);
         };
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/DecisionPlanner.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/DecisionPlanner.java
@@ -10,13 +10,16 @@
 import org.hickorycleat.model.task.PlacementDecision;
 import org.hickorycleat.model.task.TaskState;
 
-/** Plans the next batch: proven facts first, then the manifest, then the placement policy. */
+/**
+ * Plans the next batch: observed facts first, then changes required by the manifest, then decisions
+ * of the placement policy.
+ */
 final class DecisionPlanner {
     private final PlacementPolicy mPolicy;
     private final AgentDirectory mAgents;
     private final AttemptTracker mTracker;
     private final OwnerSettings mSettings;
-    private long mDropped;
+    private long mDroppedDecisions;
 
     DecisionPlanner(
             PlacementPolicy policy,
@@ -29,28 +32,29 @@
         mSettings = settings;
     }
 
-    long dropped() {
-        return mDropped;
+    long droppedDecisions() {
+        return mDroppedDecisions;
     }
 
-    List<ShardDecision> plan(ShardState state, Optional<ShardManifest> manifest, Moment now) {
+    List<ShardDecision> plan(ShardState state, Optional<ShardManifest> manifest, PlanningTime now) {
         List<ShardDecision> decisions = new ArrayList<>();
-        state.tasks().forEach(task -> fact(task, now).ifPresent(decisions::add));
+        state.tasks().forEach(task -> observedDecision(task, now).ifPresent(decisions::add));
         if (manifest.isPresent()) {
             decisions.addAll(reconcile(state, manifest.get(), now));
             decisions.addAll(place(state, manifest.get(), decisions, now));
         }
-        int size = Math.min(decisions.size(), mSettings.maximumBatch());
+        int size = Math.min(decisions.size(), mSettings.maximumBatchDecisions());
         return decisions.subList(0, size);
     }
 
-    private List<ShardDecision> reconcile(ShardState state, ShardManifest manifest, Moment now) {
+    private List<ShardDecision> reconcile(
+            ShardState state, ShardManifest manifest, PlanningTime now) {
         return new ManifestReconciler(
                         state,
                         manifest,
                         mTracker,
                         worker ->
-                                mAgents.unreachable(
+                                mAgents.isUnreachableFor(
                                         worker,
                                         mSettings.serviceReplacementMs(),
                                         now.ownedSinceMs(),
@@ -59,25 +63,30 @@
                 .decisions(now.wallMs());
     }
 
-    /** Returns what has been learned about the current attempt of a task. */
-    private Optional<ShardDecision> fact(TaskRecord task, Moment now) {
+    /**
+     * Returns the decision that records the observed end or a new checkpoint of the current attempt
+     * of a task.
+     */
+    private Optional<ShardDecision> observedDecision(TaskRecord task, PlanningTime now) {
         if (task.attempt().isEmpty()) {
             return Optional.empty();
         }
         AttemptRecord attempt = task.attempt().get();
-        AttemptTracker.Observation seen = mTracker.observation(task.task(), attempt.number());
+        AttemptTracker.Observation observation =
+                mTracker.observation(task.task(), attempt.number());
         Optional<TaskState> end =
-                seen.end().or(() -> provenEnd(task.task(), attempt, now.monotonicMs()));
+                observation.endState().or(() -> provenEnd(task.task(), attempt, now.monotonicMs()));
         if (end.isPresent()) {
             return Optional.of(
                     new ShardDecision.EndAttempt(
                             task.task(),
                             attempt.number(),
                             end.get(),
-                            seen.checkpoint(),
+                            observation.checkpoint(),
                             now.wallMs()));
         }
-        return seen.checkpoint()
+        return observation
+                .checkpoint()
                 .filter(saved -> isNew(saved, task.checkpoint()))
                 .map(
                         saved ->
@@ -91,28 +100,32 @@
 
     private Optional<TaskState> provenEnd(TaskId task, AttemptRecord attempt, long nowMs) {
         boolean restarted =
-                mAgents.worker(attempt.worker())
+                mAgents.findByWorker(attempt.worker())
                         .map(
                                 agent ->
                                         agent.incarnation().compareTo(attempt.workerIncarnation())
                                                 > 0)
                         .orElse(false);
-        boolean expired = mTracker.ledger().isExpired(task, attempt.number(), nowMs);
+        boolean expired = mTracker.leaseExpiries().isExpired(task, attempt.number(), nowMs);
         return restarted || expired ? Optional.of(TaskState.EXPIRED) : Optional.empty();
     }
 
     private List<ShardDecision> place(
-            ShardState state, ShardManifest manifest, List<ShardDecision> facts, Moment now) {
+            ShardState state,
+            ShardManifest manifest,
+            List<ShardDecision> planned,
+            PlanningTime now) {
         if (manifest.version().compareTo(state.manifestVersion()) < 0) {
             return List.of();
         }
         Set<TaskId> decided = new HashSet<>();
-        facts.forEach(fact -> subject(fact).ifPresent(decided::add));
+        planned.forEach(decision -> decidedTask(decision).ifPresent(decided::add));
         ShardView view =
                 new ShardViewBuilder(state, mAgents, mTracker).build(decided, manifest.quotas());
         List<PlacementDecision> proposed = mPolicy.decide(view, now.wallMs());
-        List<PlacementDecision> admitted = new DecisionGuard(view, now.wallMs()).admit(proposed);
-        mDropped += proposed.size() - admitted.size();
+        List<PlacementDecision> admitted =
+                new DecisionValidator(view, now.wallMs()).admit(proposed);
+        mDroppedDecisions += proposed.size() - admitted.size();
         return admitted.stream()
                 .filter(decision -> !decided.contains(decision.task()))
                 .flatMap(decision -> record(state, decision, now).stream())
@@ -120,10 +133,10 @@
     }
 
     private Optional<ShardDecision> record(
-            ShardState state, PlacementDecision decision, Moment now) {
+            ShardState state, PlacementDecision decision, PlanningTime now) {
         TaskRecord task = state.task(decision.task()).orElseThrow();
         if (decision instanceof PlacementDecision.Start start) {
-            return mAgents.worker(start.worker())
+            return mAgents.findByWorker(start.worker())
                     .map(
                             agent ->
                                     new ShardDecision.Start(
@@ -142,10 +155,11 @@
                             reject.reason(),
                             now.wallMs()));
         }
-        return task.attempt().map(attempt -> change(decision, attempt));
+        return task.attempt().map(attempt -> toAttemptDecision(decision, attempt));
     }
 
-    private static ShardDecision change(PlacementDecision decision, AttemptRecord attempt) {
+    private static ShardDecision toAttemptDecision(
+            PlacementDecision decision, AttemptRecord attempt) {
         if (decision instanceof PlacementDecision.Throttle throttle) {
             return new ShardDecision.Throttle(
                     throttle.task(), attempt.number(), throttle.permille());
@@ -155,7 +169,7 @@
                 evict.task(), attempt.number(), StopCause.EVICTED, evict.reason());
     }
 
-    private static Optional<TaskId> subject(ShardDecision decision) {
+    private static Optional<TaskId> decidedTask(ShardDecision decision) {
         if (decision instanceof ShardDecision.EndAttempt end) {
             return Optional.of(end.task());
         }
@@ -169,11 +183,11 @@
     }
 
     /**
-     * Time of planning.
+     * Clock readings for one planning pass.
      *
-     * @param monotonicMs time by the scheduler, for leases
-     * @param wallMs time since 1970, for records
-     * @param ownedSinceMs when the claim was read back, by the scheduler
+     * @param monotonicMs scheduler time in milliseconds, used for leases
+     * @param wallMs wall-clock time in milliseconds since 1970, used in records
+     * @param ownedSinceMs scheduler time at which the claim was read back, in milliseconds
      */
-    record Moment(long monotonicMs, long wallMs, long ownedSinceMs) {}
+    record PlanningTime(long monotonicMs, long wallMs, long ownedSinceMs) {}
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/DecisionGuard.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/DecisionValidator.java
@@ -14,17 +14,18 @@
 import org.hickorycleat.model.task.Resources;
 
 /**
- * Passes the decisions of a policy that keep every worker within its capacity. An eviction in the
- * same list frees nothing: the resources are held until the attempt is known to have ended.
+ * Filters out decisions of a placement policy that are invalid or exceed the capacity of a worker.
+ * An eviction in the same list frees nothing: its resources stay reserved until the attempt is
+ * known to have ended.
  */
-final class DecisionGuard {
+final class DecisionValidator {
     private final Map<WorkerId, Resources> mFree = new HashMap<>();
     private final Map<TaskId, PlacementView.PendingTask> mPending = new HashMap<>();
     private final Set<TaskId> mPlaced = new HashSet<>();
     private final Set<TaskId> mDecided = new HashSet<>();
     private final long mWallMs;
 
-    DecisionGuard(PlacementView view, long wallMs) {
+    DecisionValidator(PlacementView view, long wallMs) {
         mWallMs = wallMs;
         for (WorkerView worker : view.workers()) {
             if (worker.available()) {
@@ -38,17 +39,17 @@
     }
 
     List<PlacementDecision> admit(List<PlacementDecision> decisions) {
-        return decisions.stream().filter(this::admits).toList();
+        return decisions.stream().filter(this::tryAdmit).toList();
     }
 
-    private boolean admits(PlacementDecision decision) {
-        if (!allowed(decision)) {
+    private boolean tryAdmit(PlacementDecision decision) {
+        if (!validateAndReserve(decision)) {
             return false;
         }
         return mDecided.add(decision.task());
     }
 
-    private boolean allowed(PlacementDecision decision) {
+    private boolean validateAndReserve(PlacementDecision decision) {
         if (mDecided.contains(decision.task())) {
             return false;
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/FieldReader.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/FieldReader.java
@@ -44,7 +44,7 @@
         return values;
     }
 
-    boolean atEnd() throws IOException {
+    boolean isAtEnd() throws IOException {
         return !mUnpacker.hasNext();
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/FirstFitPolicy.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/FirstFitPolicy.java
@@ -13,9 +13,11 @@
 import org.hickorycleat.model.task.PlacementDecision;
 import org.hickorycleat.model.task.Resources;
 
-/** First come, first served, on the first worker with enough room. */
+/**
+ * Places tasks in the order of their arrival, each on the first worker with enough free resources.
+ */
 public final class FirstFitPolicy implements PlacementPolicy {
-    /** A task that failed this often is rejected. */
+    /** Number of failures after which a task is rejected. */
     private static final int MAXIMUM_FAILURES = 3;
 
     @Override
@@ -48,9 +50,9 @@
         }
         Resources needed = task.specification().resources();
         for (WorkerView worker : view.workers()) {
-            Resources room = free.getOrDefault(worker.worker(), Resources.NONE);
-            if (worker.available() && needed.fitsInto(room)) {
-                free.put(worker.worker(), room.minus(needed));
+            Resources remaining = free.getOrDefault(worker.worker(), Resources.NONE);
+            if (worker.available() && needed.fitsInto(remaining)) {
+                free.put(worker.worker(), remaining.minus(needed));
                 return Optional.of(
                         new PlacementDecision.Start(task.specification().task(), worker.worker()));
             }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ManifestReconciler.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ManifestReconciler.java
@@ -15,14 +15,14 @@
 import org.hickorycleat.model.result.ResultCode;
 import org.hickorycleat.model.task.TaskSpecification;
 
-/** Accepts, cancels and replaces tasks until the shard holds what the manifest asks for. */
+/** Accepts, cancels and replaces tasks to reconcile the shard with its manifest. */
 final class ManifestReconciler {
     private final ShardState mState;
     private final ShardManifest mManifest;
     private final AttemptTracker mTracker;
     private final Predicate<WorkerId> mUnreachable;
     private final long mEndedRetentionMs;
-    private final Set<TaskId> mWanted = new HashSet<>();
+    private final Set<TaskId> mRequired = new HashSet<>();
     private final List<ShardDecision> mDecisions = new ArrayList<>();
 
     ManifestReconciler(
@@ -39,8 +39,8 @@
     }
 
     /**
-     * Returns the decisions due. A manifest older than the one that recorded decisions are based on
-     * gives none: it would cancel jobs that a newer manifest has added.
+     * Returns the decisions that are due. A manifest older than the one that recorded decisions are
+     * based on yields none, because it would cancel jobs that a newer manifest has added.
      */
     List<ShardDecision> decisions(long wallMs) {
         int order = mManifest.version().compareTo(mState.manifestVersion());
@@ -51,50 +51,50 @@
             mDecisions.add(new ShardDecision.AdoptManifest(mManifest.version()));
         }
         for (JobSpecification job : mManifest.jobs()) {
-            want(identity(job), () -> job(job), wallMs);
+            require(taskId(job), () -> jobTask(job), wallMs);
         }
         for (ServiceDemand demand : mManifest.services()) {
             for (int instance = 0; instance < demand.service().instances(); instance++) {
-                wantInstance(demand, new InstanceNumber(instance), wallMs);
+                requireInstance(demand, new InstanceNumber(instance), wallMs);
             }
         }
-        mState.tasks().forEach(task -> cancelUnwanted(task, wallMs));
+        mState.tasks().forEach(task -> endUnlessRequired(task, wallMs));
         mState.endedBefore(wallMs - mEndedRetentionMs)
-                .filter(task -> !mWanted.contains(task))
+                .filter(task -> !mRequired.contains(task))
                 .forEach(task -> mDecisions.add(new ShardDecision.RemoveTombstone(task)));
         return mDecisions;
     }
 
-    /** Returns the identity of a job. */
-    static TaskId identity(JobSpecification job) {
+    /** Returns the identity of the task of a job. */
+    static TaskId taskId(JobSpecification job) {
         return new TaskId(job.name() + "#" + job.run());
     }
 
-    private void want(TaskId task, Supplier<TaskSpecification> specification, long wallMs) {
-        mWanted.add(task);
+    private void require(TaskId task, Supplier<TaskSpecification> specification, long wallMs) {
+        mRequired.add(task);
         if (mState.task(task).isEmpty() && mState.taskResult(task).isEmpty()) {
             mDecisions.add(new ShardDecision.Submit(specification.get(), wallMs));
         }
     }
 
-    private void wantInstance(ServiceDemand demand, InstanceNumber number, long wallMs) {
+    private void requireInstance(ServiceDemand demand, InstanceNumber number, long wallMs) {
         ServiceTask.ServiceInstance instance =
                 new ServiceTask.ServiceInstance(demand.service().name(), number);
         long generation = mState.latestGeneration(instance);
         Optional<TaskRecord> current =
                 mState.task(new ServiceTask(instance, generation).task())
                         .filter(task -> !hasEnded(task));
-        if (current.isEmpty() || isLost(current.get())) {
+        if (current.isEmpty() || isOnUnreachableWorker(current.get())) {
             ServiceTask next = new ServiceTask(instance, generation + 1);
-            want(next.task(), () -> instance(demand, next), wallMs);
-            current.ifPresent(task -> mWanted.add(task.task()));
+            require(next.task(), () -> instanceTask(demand, next), wallMs);
+            current.ifPresent(task -> mRequired.add(task.task()));
             return;
         }
-        mWanted.add(current.get().task());
+        mRequired.add(current.get().task());
         if (!isConfirmed(current.get())) {
             mState.tasks().stream()
-                    .filter(task -> isOlderRun(task, instance))
-                    .forEach(task -> mWanted.add(task.task()));
+                    .filter(task -> isRunningGeneration(task, instance))
+                    .forEach(task -> mRequired.add(task.task()));
         }
     }
 
@@ -102,13 +102,14 @@
         return task.attempt().isEmpty() && task.lastAttempt() > 0;
     }
 
-    private static boolean isOlderRun(TaskRecord task, ServiceTask.ServiceInstance instance) {
+    private static boolean isRunningGeneration(
+            TaskRecord task, ServiceTask.ServiceInstance instance) {
         return task.attempt().isPresent()
                 && task.specification().service().equals(Optional.of(instance.service()))
-                && ServiceTask.of(task.task(), instance.service()).instance().equals(instance);
+                && ServiceTask.parse(task.task(), instance.service()).instance().equals(instance);
     }
 
-    private boolean isLost(TaskRecord task) {
+    private boolean isOnUnreachableWorker(TaskRecord task) {
         return task.attempt().map(attempt -> mUnreachable.test(attempt.worker())).orElse(false);
     }
 
@@ -118,7 +119,7 @@
                 .orElse(false);
     }
 
-    private void cancelUnwanted(TaskRecord task, long wallMs) {
+    private void endUnlessRequired(TaskRecord task, long wallMs) {
         boolean ended = task.specification().service().isPresent() && hasEnded(task);
         if (ended) {
             mDecisions.add(
@@ -130,7 +131,7 @@
                             wallMs));
             return;
         }
-        if (mWanted.contains(task.task())) {
+        if (mRequired.contains(task.task())) {
             return;
         }
         if (task.attempt().isEmpty()) {
@@ -154,9 +155,9 @@
         }
     }
 
-    private static TaskSpecification job(JobSpecification job) {
+    private static TaskSpecification jobTask(JobSpecification job) {
         return new TaskSpecification(
-                identity(job),
+                taskId(job),
                 job.team(),
                 Optional.empty(),
                 job.criticality(),
@@ -168,7 +169,7 @@
                 job.urgent());
     }
 
-    private static TaskSpecification instance(ServiceDemand demand, ServiceTask task) {
+    private static TaskSpecification instanceTask(ServiceDemand demand, ServiceTask task) {
         return new TaskSpecification(
                 task.task(),
                 demand.service().team(),
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/OwnerSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/OwnerSettings.java
@@ -3,36 +3,37 @@
 import org.hickorycleat.logic.lease.LeaseSettings;
 
 /**
- * Times and limits of an owner, in milliseconds.
+ * Limits and times of a shard owner; times are in milliseconds.
  *
- * @param lease times of leases
- * @param claimAfterMs silence of an owner after which its shard is claimed
- * @param renewalIntervalMs interval of renewals
- * @param batchIntervalMs least interval between batches
+ * @param lease lease settings
+ * @param claimTimeoutMs time without records of the owner after which its shard is claimed
+ * @param renewalIntervalMs interval between renewals of ownership
+ * @param batchIntervalMs minimum interval between batches
  * @param appendTimeoutMs time after which an append that was not read back is repeated
- * @param maximumBatch most decisions in one batch
- * @param snapshotDecisions decisions after which a snapshot is appended
+ * @param maximumBatchDecisions maximum number of decisions in one batch
+ * @param snapshotIntervalDecisions number of decisions after which a snapshot is appended
  * @param retentionMs retention of the log; a snapshot is appended at half of it
- * @param checkpointIntervalMs interval of checkpoints of running tasks
- * @param endedRetentionMs time after which a task that has ended and left the manifest is forgotten
+ * @param checkpointIntervalMs interval between checkpoints of a running task
+ * @param endedRetentionMs time after which the tombstone of an ended task that has left the
+ *     manifest is removed
  * @param serviceReplacementMs time that the worker of a service instance may be unreachable before
  *     the instance is replaced
  */
 public record OwnerSettings(
         LeaseSettings lease,
-        long claimAfterMs,
+        long claimTimeoutMs,
         long renewalIntervalMs,
         long batchIntervalMs,
         long appendTimeoutMs,
-        int maximumBatch,
-        long snapshotDecisions,
+        int maximumBatchDecisions,
+        long snapshotIntervalDecisions,
         long retentionMs,
         long checkpointIntervalMs,
         long endedRetentionMs,
         long serviceReplacementMs) {
     /**
-     * Settings of the design page; 500 decisions of about 200 bytes stay well below 1 MiB. Without
-     * an end of the retention of ended tasks, snapshots would grow without bound.
+     * Default settings; 500 decisions of about 200 bytes stay well below 1 MiB. Tombstones have a
+     * limited retention, because snapshots would otherwise grow without bound.
      */
     public static final OwnerSettings DEFAULT =
             new OwnerSettings(
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/RecordAppender.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/RecordAppender.java
@@ -5,12 +5,12 @@
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.StreamName;
 
-/** Appends the records of this process at their intervals. */
+/** Appends the claims, renewals, batches and snapshots of this process when they are due. */
 final class RecordAppender {
     private final StreamName mStream;
     private final OwnerIdentity mSelf;
     private final OwnerSettings mSettings;
-    private final Consumer<OwnerAction> mEffects;
+    private final Consumer<OwnerAction> mActions;
     private final ShardRecordCodec mCodec = new ShardRecordCodec();
     private final BatchWriter mBatches;
     private Epoch mEpoch = new Epoch(-1);
@@ -25,11 +25,11 @@
             StreamName stream,
             OwnerIdentity self,
             OwnerSettings settings,
-            Consumer<OwnerAction> effects) {
+            Consumer<OwnerAction> actions) {
         mStream = stream;
         mSelf = self;
         mSettings = settings;
-        mEffects = effects;
+        mActions = actions;
         mBatches = new BatchWriter(settings);
     }
 
@@ -37,23 +37,23 @@
         return mBatches;
     }
 
-    void epoch(Epoch epoch, long lastSequence) {
+    void startEpoch(Epoch epoch, long lastSequence) {
         mEpoch = epoch;
         mBatches.reset(lastSequence);
         mRenewalOutstanding = false;
     }
 
-    void failed(long token, long nowMs) {
+    void onAppendFailed(long token, long nowMs) {
         if (token == mBatchToken) {
-            mBatches.failed(nowMs);
+            mBatches.onAppendFailed(nowMs);
         }
     }
 
-    void renewalReadBack() {
+    void onRenewalReadBack() {
         mRenewalOutstanding = false;
     }
 
-    void claim(Epoch replaced, long nowMs) {
+    void appendClaim(Epoch replaced, long nowMs) {
         if (nowMs - mClaimSentMs < mSettings.appendTimeoutMs()) {
             return;
         }
@@ -61,8 +61,11 @@
         append(new ShardRecord.Claim(mSelf, replaced));
     }
 
-    /** Appends one renewal at a time, so that an outage of the log queues no more than one. */
-    void renew(long nowMs) {
+    /**
+     * Appends a renewal if it is due. Only one is outstanding at a time, so that an outage of the
+     * log queues no more than one.
+     */
+    void renewIfDue(long nowMs) {
         long intervalMs =
                 mRenewalOutstanding ? mSettings.appendTimeoutMs() : mSettings.renewalIntervalMs();
         if (nowMs - mRenewalSentMs < intervalMs) {
@@ -73,13 +76,13 @@
         append(new ShardRecord.Renewal(mEpoch, mSelf));
     }
 
-    void batch(List<ShardDecision> decisions, long nowMs) {
+    void appendBatch(List<ShardDecision> decisions, long nowMs) {
         append(mBatches.write(mEpoch, mSelf, decisions, nowMs));
         mBatchToken = mToken;
     }
 
-    void repeatBatch(LogWatch log, long nowMs) {
-        mBatches.repeat(log, nowMs)
+    void repeatBatchIfDue(LogFreshness log, long nowMs) {
+        mBatches.batchToRepeat(log, nowMs)
                 .ifPresent(
                         batch -> {
                             append(batch);
@@ -87,9 +90,9 @@
                         });
     }
 
-    void snapshot(ShardReplay replay, long nowMs) {
+    void appendSnapshotIfDue(ShardReplay replay, long nowMs) {
         boolean due =
-                replay.decisionsSinceSnapshot() >= mSettings.snapshotDecisions()
+                replay.decisionsSinceSnapshot() >= mSettings.snapshotIntervalDecisions()
                         || replay.snapshotAgeMs() >= mSettings.retentionMs() / 2;
         if (!due || nowMs - mSnapshotSentMs < mSettings.appendTimeoutMs()) {
             return;
@@ -100,6 +103,6 @@
 
     private void append(ShardRecord content) {
         mToken++;
-        mEffects.accept(new OwnerAction.AppendRecord(mStream, mToken, mCodec.encode(content)));
+        mActions.accept(new OwnerAction.AppendRecord(mStream, mToken, mCodec.encode(content)));
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ReplayStep.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ReplayStep.java
@@ -1,14 +1,17 @@
 package org.hickorycleat.logic.ownership;
 
-/** What replay made of one record. */
+/** Result of the replay of one record. */
 public record ReplayStep(long offset, Result result, ShardRecord content) {
-    /** Meaning of a record at its position in the log. */
+    /** Effect of a record at its position in the log. */
     public enum Result {
-        /** The record took effect. */
+        /** The record was applied. */
         APPLIED,
-        /** A newer claim stands before it, or a claim replaces the wrong one. */
+        /**
+         * The record follows a newer claim, or is a claim that does not replace the latest valid
+         * one.
+         */
         INVALID,
-        /** The batch was seen before. */
+        /** The batch has already been applied. */
         DUPLICATE
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardDecision.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardDecision.java
@@ -10,9 +10,9 @@
 import org.hickorycleat.model.task.TaskSpecification;
 import org.hickorycleat.model.task.TaskState;
 
-/** A decision or fact about a shard; times are wall-clock milliseconds since 1970. */
+/** A decision or an observed fact about a shard; times are wall-clock milliseconds since 1970. */
 public sealed interface ShardDecision {
-    /** Names the manifest that the following decisions are based on. */
+    /** Sets the manifest that the following decisions are based on. */
     record AdoptManifest(ConfigurationVersion version) implements ShardDecision {}
 
     /** Accepts a task. */
@@ -48,12 +48,12 @@
             implements ShardDecision {}
 
     /** Ends a task that has no attempt. */
-    record EndTask(TaskId task, TaskResult ending) implements ShardDecision {}
+    record EndTask(TaskId task, TaskResult result) implements ShardDecision {}
 
-    /** Forgets that a task has ended. */
+    /** Removes the tombstone of an ended task. */
     record RemoveTombstone(TaskId task) implements ShardDecision {}
 
-    /** Creates the ending of a task that did not succeed. */
+    /** Returns the decision that ends a task without success. */
     static EndTask end(
             TaskId task, TaskResult.Outcome outcome, ResultCode code, String reason, long nowMs) {
         return new EndTask(task, new TaskResult(outcome, code, reason, nowMs));
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardDump.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardDump.java
@@ -5,23 +5,23 @@
 import org.hickorycleat.model.identifier.ShardNumber;
 
 /**
- * State of a shard as one entry sees it.
+ * State of a shard as seen by one entry.
  *
  * @param shard the shard
  * @param based whether the state is known from the log
- * @param acting whether this process owns it
+ * @param acting whether this process owns the shard
  * @param epoch offset of the latest valid claim
  * @param owner writer of that claim
  * @param nextOffset offset to read from next
- * @param logReadable whether the log answered lately
- * @param outstandingDecisions decisions appended and not read back
- * @param pending tasks without attempt
+ * @param logReadable whether the log responded within the read timeout
+ * @param outstandingDecisions decisions that were appended and not read back yet
+ * @param pending tasks without an attempt
  * @param placed tasks with an attempt
  * @param ended batch tasks that have ended
  * @param fencedAgents agents that confirmed the epoch
- * @param droppedDecisions decisions of the policy that were not allowed
+ * @param droppedDecisions invalid decisions of the placement policy that were discarded
  * @param malformedRecords records that could not be decoded
- * @param ineffectiveDecisions recorded decisions that the state did not allow
+ * @param ineffectiveDecisions recorded decisions that did not apply to the state
  */
 public record ShardDump(
         ShardNumber shard,
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardManifest.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardManifest.java
@@ -8,10 +8,10 @@
 import org.hickorycleat.model.task.Resources;
 
 /**
- * What the manifest asks of one shard.
+ * Part of the manifest that applies to one shard.
  *
- * @param version accepted version
- * @param jobs jobs hashed to the shard
+ * @param version accepted version of the manifest
+ * @param jobs jobs that are assigned to the shard by hash
  * @param services services with instances in the shard
  * @param quotas quota of each team
  */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardOwner.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardOwner.java
@@ -19,16 +19,16 @@
 import org.hickorycleat.model.message.TaskReport;
 
 /**
- * Owns a placement shard, or waits to own it.
+ * Owns a placement shard, or stands by to claim it.
  *
- * <p>It performs nothing itself: it takes events and returns effects. It is not safe for use by
- * several threads; the caller delivers one event at a time and performs the effects in order.
+ * <p>It performs no I/O: it takes events and returns actions. Not thread-safe: the caller delivers
+ * one event at a time and performs the actions in order.
  */
 public final class ShardOwner {
-    /** A fence is repeated until the agent confirms it. */
+    /** Interval at which a fence is repeated until the agent confirms it. */
     private static final long FENCE_INTERVAL_MS = 1_000;
 
-    /** Interval of planning while nothing happens; release times and lease expiry need it. */
+    /** Planning interval in the absence of events; needed for release times and lease expiry. */
     private static final long PLAN_INTERVAL_MS = 250;
 
     private final ShardNumber mShard;
@@ -37,21 +37,21 @@
     private final Scheduler mScheduler;
     private final InstantSource mWallClock;
     private final ShardReplay mReplay = new ShardReplay();
-    private final LogWatch mLog = new LogWatch();
+    private final LogFreshness mLogFreshness = new LogFreshness();
     private final AgentDirectory mAgents = new AgentDirectory();
     private final AttemptTracker mTracker;
     private final CommandSender mCommands;
-    private final AgentMessages mMessages;
+    private final AgentMessageHandler mMessageHandler;
     private final DecisionPlanner mPlanner;
     private final RecordAppender mAppender;
     private Optional<ShardManifest> mManifest = Optional.empty();
-    private Optional<Epoch> mActingEpoch = Optional.empty();
-    private List<OwnerAction> mEffects = new ArrayList<>();
+    private Optional<Epoch> mOwnedEpoch = Optional.empty();
+    private List<OwnerAction> mActions = new ArrayList<>();
     private long mOwnedSinceMs;
     private long mFencesSentMs;
     private long mPlannedMs = Long.MIN_VALUE / 2;
-    private boolean mChanged;
-    private boolean mSkipped;
+    private boolean mPlanningRequested;
+    private boolean mTruncated;
     private boolean mDraining;
 
     ShardOwner(ShardOwnerBuilder builder) {
@@ -65,121 +65,131 @@
                 new CommandSender(
                         mShard,
                         mSettings.lease().leaseMs(),
-                        mTracker.ledger(),
-                        effect -> mEffects.add(effect));
-        mMessages = new AgentMessages(mSettings, mTracker, mCommands);
+                        mTracker.leaseExpiries(),
+                        action -> mActions.add(action));
+        mMessageHandler = new AgentMessageHandler(mSettings, mTracker, mCommands);
         mPlanner = new DecisionPlanner(builder.policy(), mAgents, mTracker, mSettings);
         mAppender =
                 new RecordAppender(
                         new StreamName("placement-" + mShard),
                         mSelf,
                         mSettings,
-                        effect -> mEffects.add(effect));
+                        action -> mActions.add(action));
     }
 
-    /** Returns the offset to read the stream from. */
+    /** Returns the offset of the stream to read from next. */
     public long nextOffset() {
         return mReplay.nextOffset();
     }
 
-    /** Handles an event and returns what to do about it, in order. */
+    /** Handles an event and returns the resulting actions in order. */
     public List<OwnerAction> onEvent(ShardEvent event) {
-        mEffects = new ArrayList<>();
+        mActions = new ArrayList<>();
         handle(event);
-        mChanged |= isNews(event);
-        advance();
-        return List.copyOf(mEffects);
+        mPlanningRequested |= requestsPlanning(event);
+        claimOrAct();
+        return List.copyOf(mActions);
     }
 
     /** Returns a summary of the shard. */
     public ShardDump dump() {
-        long placed = mReplay.state().tasks().stream().filter(t -> t.attempt().isPresent()).count();
+        long placed =
+                mReplay.state().tasks().stream().filter(task -> task.attempt().isPresent()).count();
         return new ShardDump(
                 mShard,
                 mReplay.isStateKnown(),
-                acting(),
+                isOwner(),
                 mReplay.epoch(),
                 mReplay.owner(),
                 mReplay.nextOffset(),
-                mLog.readable(nowMs()),
-                mAppender.batches().outstanding().map(b -> b.decisions().size()).orElse(0),
+                mLogFreshness.readable(nowMs()),
+                mAppender.batches().outstanding().map(batch -> batch.decisions().size()).orElse(0),
                 mReplay.state().tasks().size() - placed,
                 placed,
                 mReplay.state().endedCount(),
                 mAgents.sessions().stream().filter(AgentSession::isFenced).count(),
-                mPlanner.dropped(),
+                mPlanner.droppedDecisions(),
                 mReplay.malformedRecords(),
                 mReplay.ineffectiveDecisions());
     }
 
-    /** Returns what is known of a task. */
+    /** Returns the known state of a task. */
     public TaskExplanation explain(TaskId id) {
         Optional<TaskRecord> task = mReplay.state().task(id);
-        Optional<TaskResult> ending = mReplay.state().taskResult(id);
+        Optional<TaskResult> result = mReplay.state().taskResult(id);
         Optional<AttemptRecord> attempt = task.flatMap(TaskRecord::attempt);
         boolean confirmed =
-                attempt.map(a -> mTracker.observation(id, a.number()).confirmed()).orElse(false);
+                attempt.map(current -> mTracker.observation(id, current.number()).confirmed())
+                        .orElse(false);
         long expiryMs =
-                attempt.map(a -> mTracker.ledger().expiryMs(id, a.number())).orElse(Long.MAX_VALUE);
+                attempt.map(current -> mTracker.leaseExpiries().expiryMs(id, current.number()))
+                        .orElse(Long.MAX_VALUE);
         return new TaskExplanation(
                 id,
                 task,
-                ending,
+                result,
                 confirmed,
                 expiryMs == Long.MAX_VALUE
                         ? OptionalLong.empty()
                         : OptionalLong.of(expiryMs - nowMs()),
-                summary(task, ending, confirmed));
+                summary(task, result, confirmed));
     }
 
     private static String summary(
-            Optional<TaskRecord> task, Optional<TaskResult> ending, boolean confirmed) {
-        if (ending.isPresent()) {
-            return "ended " + ending.get().outcome() + " " + ending.get().reason();
+            Optional<TaskRecord> task, Optional<TaskResult> result, boolean confirmed) {
+        if (result.isPresent()) {
+            return "ended " + result.get().outcome() + " " + result.get().reason();
         }
         if (task.isEmpty()) {
             return "not accepted by this shard";
         }
         return task.get()
                 .attempt()
-                .map(a -> "attempt " + a.number() + " on worker " + a.worker())
+                .map(attempt -> "attempt " + attempt.number() + " on worker " + attempt.worker())
                 .map(text -> confirmed ? text + " runs" : text + " is not confirmed")
                 .orElse("pending after " + task.get().lastAttempt() + " attempts");
     }
 
-    /** Planning reads every task, so what arrives all the time waits for the next interval. */
-    private static boolean isNews(ShardEvent event) {
+    /**
+     * Returns whether an event requests planning. Planning reads every task, so frequent events
+     * wait for the next interval.
+     */
+    private static boolean requestsPlanning(ShardEvent event) {
         if (event instanceof ShardEvent.LogRead read) {
             return !read.page().records().isEmpty();
         }
         if (event instanceof ShardEvent.MessageReceived received) {
             return received.message() instanceof TaskReport report
-                    && AttemptTracker.isEnd(report.state());
+                    && AttemptTracker.isTerminal(report.state());
         }
         return !(event instanceof ShardEvent.Tick || event instanceof ShardEvent.WorkerReported);
     }
 
     private void handle(ShardEvent event) {
         if (event instanceof ShardEvent.LogRead read) {
-            logRead(read);
+            onLogRead(read);
         } else if (event instanceof ShardEvent.LogReadFailed) {
-            mLog.failed();
+            mLogFreshness.onReadFailed();
         } else if (event instanceof ShardEvent.LogTruncated truncated) {
             mReplay.restart(truncated.firstOffset());
-            mSkipped = true;
+            mTruncated = true;
         } else if (event instanceof ShardEvent.AppendFailed failed) {
-            mAppender.failed(failed.token(), nowMs());
+            mAppender.onAppendFailed(failed.token(), nowMs());
         } else if (event instanceof ShardEvent.AgentConnected connected) {
-            mAgents.connected(connected);
-            mAgents.agent(connected.agent()).filter(agent -> acting()).ifPresent(mCommands::fence);
-        } else if (event instanceof ShardEvent.AgentDisconnected lost) {
-            mAgents.agent(lost.agent()).ifPresent(agent -> agent.disconnected(nowMs()));
+            mAgents.onAgentConnected(connected);
+            mAgents.findByAgent(connected.agent())
+                    .filter(agent -> isOwner())
+                    .ifPresent(mCommands::fence);
+        } else if (event instanceof ShardEvent.AgentDisconnected disconnected) {
+            mAgents.findByAgent(disconnected.agent())
+                    .ifPresent(agent -> agent.onDisconnected(nowMs()));
         } else if (event instanceof ShardEvent.WorkerReported reported) {
-            mAgents.agent(reported.agent()).ifPresent(agent -> agent.reported(reported.worker()));
+            mAgents.findByAgent(reported.agent())
+                    .ifPresent(agent -> agent.onWorkerReported(reported.worker()));
         } else if (event instanceof ShardEvent.MessageReceived received) {
-            mAgents.agent(received.agent())
-                    .filter(agent -> acting() && agent.isConnected())
-                    .ifPresent(agent -> message(agent, received.message()));
+            mAgents.findByAgent(received.agent())
+                    .filter(agent -> isOwner() && agent.isConnected())
+                    .ifPresent(agent -> onMessage(agent, received.message()));
         } else if (event instanceof ShardEvent.ManifestChanged changed) {
             mManifest = Optional.of(changed.manifest());
         } else if (event instanceof ShardEvent.Draining) {
@@ -187,36 +197,37 @@
         }
     }
 
-    private boolean acting() {
-        return mReplay.isStateKnown() && mActingEpoch.equals(Optional.of(mReplay.epoch()));
+    private boolean isOwner() {
+        return mReplay.isStateKnown() && mOwnedEpoch.equals(Optional.of(mReplay.epoch()));
     }
 
-    private void logRead(ShardEvent.LogRead read) {
+    private void onLogRead(ShardEvent.LogRead read) {
         List<ReplayStep> steps = mReplay.accept(read.page().records());
-        mLog.read(read.page().records().size() < read.limit(), read.requestedMs(), nowMs());
-        boolean ownerSign =
+        mLogFreshness.onRead(
+                read.page().records().size() < read.limit(), read.requestedMs(), nowMs());
+        boolean ownerActive =
                 steps.stream()
                         .anyMatch(
                                 step ->
                                         step.result() == ReplayStep.Result.APPLIED
                                                 && !(step.content()
                                                         instanceof ShardRecord.Snapshot));
-        if (ownerSign) {
-            mLog.ownerSign(nowMs());
+        if (ownerActive) {
+            mLogFreshness.onOwnerActivity(nowMs());
         }
         updateOwnership();
-        steps.forEach(this::readBack);
+        steps.forEach(this::onReadBack);
     }
 
     private void updateOwnership() {
         if (!mReplay.isStateKnown()) {
             return;
         }
-        if (mActingEpoch.equals(Optional.of(mReplay.epoch()))) {
-            coverSkippedStarts();
+        if (mOwnedEpoch.equals(Optional.of(mReplay.epoch()))) {
+            recordTruncatedStarts();
             return;
         }
-        mActingEpoch = Optional.empty();
+        mOwnedEpoch = Optional.empty();
         mTracker.clear();
         if (mReplay.owner().equals(Optional.of(mSelf))) {
             becomeOwner();
@@ -225,33 +236,34 @@
 
     private void becomeOwner() {
         long nowMs = nowMs();
-        mActingEpoch = Optional.of(mReplay.epoch());
+        mOwnedEpoch = Optional.of(mReplay.epoch());
         mOwnedSinceMs = nowMs;
-        mCommands.epoch(mReplay.epoch());
-        mAppender.epoch(mReplay.epoch(), mReplay.snapshot().lastSequence());
+        mCommands.setEpoch(mReplay.epoch());
+        mAppender.startEpoch(mReplay.epoch(), mReplay.snapshot().lastSequence());
         for (TaskRecord task : mReplay.state().tasks()) {
             task.attempt()
                     .ifPresent(
                             attempt ->
-                                    mTracker.ledger()
+                                    mTracker.leaseExpiries()
                                             .recordPreviousOwnerGrants(
                                                     task.task(), attempt.number(), nowMs));
         }
-        mAgents.sessions().forEach(AgentSession::unfence);
+        mAgents.sessions().forEach(AgentSession::clearFence);
         sendFences(nowMs);
     }
 
     /**
-     * Starts of this epoch that a snapshot covered were not seen one by one; they count as sent.
+     * Records a lease for each attempt after a truncation of the log. Starts of this epoch that
+     * were replayed only as part of a snapshot count as sent.
      */
-    private void coverSkippedStarts() {
-        if (mSkipped) {
-            mSkipped = false;
+    private void recordTruncatedStarts() {
+        if (mTruncated) {
+            mTruncated = false;
             for (TaskRecord task : mReplay.state().tasks()) {
                 task.attempt()
                         .ifPresent(
                                 attempt ->
-                                        mTracker.ledger()
+                                        mTracker.leaseExpiries()
                                                 .recordGrantIfAbsent(
                                                         task.task(), attempt.number(), nowMs()));
             }
@@ -265,42 +277,43 @@
                 .forEach(mCommands::fence);
     }
 
-    private void readBack(ReplayStep step) {
-        if (!acting() || step.result() == ReplayStep.Result.INVALID) {
+    private void onReadBack(ReplayStep step) {
+        if (!isOwner() || step.result() == ReplayStep.Result.INVALID) {
             return;
         }
         if (step.content() instanceof ShardRecord.Renewal) {
-            mAppender.renewalReadBack();
+            mAppender.onRenewalReadBack();
         }
         if (step.content() instanceof ShardRecord.DecisionBatch batch
-                && mActingEpoch.equals(Optional.of(batch.epoch()))) {
-            mAppender.batches().readBack(batch.sequence());
+                && mOwnedEpoch.equals(Optional.of(batch.epoch()))) {
+            mAppender.batches().onReadBack(batch.sequence());
             if (step.result() == ReplayStep.Result.APPLIED) {
-                batch.decisions().forEach(this::committed);
+                batch.decisions().forEach(this::onCommitted);
             }
         }
     }
 
-    /** Acts on a decision that is recorded in this epoch; the state already reflects it. */
-    private void committed(ShardDecision decision) {
+    /** Executes a decision that was recorded in this epoch; the state already reflects it. */
+    private void onCommitted(ShardDecision decision) {
         if (decision instanceof ShardDecision.Start start) {
-            mTracker.ledger().recordGrant(start.task(), start.attempt(), nowMs());
-            command(start.task(), start.attempt());
+            mTracker.leaseExpiries().recordGrant(start.task(), start.attempt(), nowMs());
+            sendCommand(start.task(), start.attempt());
         } else if (decision instanceof ShardDecision.Stop stop) {
-            command(stop.task(), stop.attempt());
+            sendCommand(stop.task(), stop.attempt());
         } else if (decision instanceof ShardDecision.Throttle throttle) {
             throttle(throttle);
         } else if (decision instanceof ShardDecision.EndAttempt end) {
-            mTracker.forget(end.task());
+            mTracker.remove(end.task());
         }
     }
 
-    private void command(TaskId id, AttemptNumber number) {
-        Optional<TaskRecord> task = mReplay.state().task(id).filter(t -> t.isAt(number));
+    private void sendCommand(TaskId id, AttemptNumber number) {
+        Optional<TaskRecord> task = mReplay.state().task(id).filter(known -> known.isAt(number));
         Optional<AgentSession> agent =
-                task.flatMap(TaskRecord::attempt).flatMap(a -> mAgents.worker(a.worker()));
+                task.flatMap(TaskRecord::attempt)
+                        .flatMap(attempt -> mAgents.findByWorker(attempt.worker()));
         if (task.isPresent() && agent.isPresent()) {
-            mMessages.command(agent.get(), task.get(), nowMs());
+            mMessageHandler.sendCommand(agent.get(), task.get(), nowMs());
         }
     }
 
@@ -308,7 +321,7 @@
         mReplay.state()
                 .task(throttle.task())
                 .flatMap(TaskRecord::attempt)
-                .flatMap(attempt -> mAgents.worker(attempt.worker()))
+                .flatMap(attempt -> mAgents.findByWorker(attempt.worker()))
                 .ifPresent(
                         agent ->
                                 mCommands.throttle(
@@ -318,78 +331,88 @@
                                         throttle.permille()));
     }
 
-    private void message(AgentSession agent, Message message) {
+    private void onMessage(AgentSession agent, Message message) {
         if (message instanceof Fence fence
                 && fence.shard().equals(mShard)
-                && mActingEpoch.equals(Optional.of(fence.epoch()))) {
-            mMessages.fenced(agent, mReplay.state(), nowMs());
+                && mOwnedEpoch.equals(Optional.of(fence.epoch()))) {
+            mMessageHandler.onFenceAcknowledged(agent, mReplay.state(), nowMs());
         } else if (message instanceof TaskReport report && report.shard().equals(mShard)) {
-            mMessages.reported(agent, report, mReplay.state(), mWallClock.millis());
+            mMessageHandler.onTaskReport(agent, report, mReplay.state(), mWallClock.millis());
         } else if (message instanceof LeaseRequest request
                 && request.shard().equals(mShard)
                 && agent.isFenced()
-                && mayGrant()) {
-            mMessages.leaseRequested(agent, request, mReplay.state(), moment());
+                && canGrantLeases()) {
+            mMessageHandler.onLeaseRequest(agent, request, mReplay.state(), planningTime());
         }
     }
 
-    /** Without the log, a newer owner may exist; it waits for this limit plus one lease. */
-    private boolean mayGrant() {
-        return nowMs() - mLog.currentAsOfMs() <= mSettings.lease().renewWithoutLogLimitMs();
+    /**
+     * Returns whether leases may be granted. While the log cannot be read, the next owner may
+     * exist; it waits for this limit plus one lease before it treats earlier leases as expired.
+     */
+    private boolean canGrantLeases() {
+        return nowMs() - mLogFreshness.currentAsOfMs()
+                <= mSettings.lease().renewWithoutLogLimitMs();
     }
 
-    private void advance() {
+    private void claimOrAct() {
         if (!mReplay.isStateKnown() || mDraining) {
             return;
         }
         long nowMs = nowMs();
-        if (acting()) {
-            act(nowMs);
-        } else if (claimDue(nowMs)) {
-            mAppender.claim(mReplay.epoch(), nowMs);
+        if (isOwner()) {
+            actAsOwner(nowMs);
+        } else if (isClaimDue(nowMs)) {
+            mAppender.appendClaim(mReplay.epoch(), nowMs);
         }
     }
 
-    /** A shard that was never owned is claimed at once. */
-    private boolean claimDue(long nowMs) {
-        boolean unowned = mReplay.owner().isEmpty() && mLog.atEnd(nowMs);
-        return unowned || mLog.ownerSilentFor(mSettings.claimAfterMs(), nowMs);
+    /** Returns whether to claim the shard. A shard that was never owned is claimed immediately. */
+    private boolean isClaimDue(long nowMs) {
+        boolean unowned = mReplay.owner().isEmpty() && mLogFreshness.isAtEnd(nowMs);
+        return unowned || mLogFreshness.isOwnerInactiveFor(mSettings.claimTimeoutMs(), nowMs);
     }
 
-    private void act(long nowMs) {
-        mAppender.renew(nowMs);
+    private void actAsOwner(long nowMs) {
+        mAppender.renewIfDue(nowMs);
         if (nowMs - mFencesSentMs >= FENCE_INTERVAL_MS) {
             sendFences(nowMs);
         }
-        mAppender.repeatBatch(mLog, nowMs);
-        if (mLog.atEnd(nowMs) && mAppender.batches().ready(nowMs) && planDue(nowMs)) {
-            mChanged = false;
+        mAppender.repeatBatchIfDue(mLogFreshness, nowMs);
+        if (mLogFreshness.isAtEnd(nowMs)
+                && mAppender.batches().isReady(nowMs)
+                && isPlanningDue(nowMs)) {
+            mPlanningRequested = false;
             mPlannedMs = nowMs;
-            List<ShardDecision> decisions = mPlanner.plan(mReplay.state(), mManifest, moment());
+            List<ShardDecision> decisions =
+                    mPlanner.plan(mReplay.state(), mManifest, planningTime());
             if (!decisions.isEmpty()) {
-                mAppender.batch(decisions, nowMs);
+                mAppender.appendBatch(decisions, nowMs);
             }
         }
-        if (mLog.atEnd(nowMs)) {
-            mAppender.snapshot(mReplay, nowMs);
+        if (mLogFreshness.isAtEnd(nowMs)) {
+            mAppender.appendSnapshotIfDue(mReplay, nowMs);
         }
     }
 
-    /** Many events arrive between two batches; planning costs time for every task of the shard. */
-    private boolean planDue(long nowMs) {
-        long intervalMs = mChanged ? mSettings.batchIntervalMs() : PLAN_INTERVAL_MS;
+    /**
+     * Returns whether planning is due. Planning takes time for every task of the shard, so events
+     * that arrive between two batches are planned together.
+     */
+    private boolean isPlanningDue(long nowMs) {
+        long intervalMs = mPlanningRequested ? mSettings.batchIntervalMs() : PLAN_INTERVAL_MS;
         return nowMs - mPlannedMs >= intervalMs;
     }
 
-    private DecisionPlanner.Moment moment() {
-        return new DecisionPlanner.Moment(nowMs(), mWallClock.millis(), mOwnedSinceMs);
+    private DecisionPlanner.PlanningTime planningTime() {
+        return new DecisionPlanner.PlanningTime(nowMs(), mWallClock.millis(), mOwnedSinceMs);
     }
 
     private long nowMs() {
         return mScheduler.now(TimeUnit.MILLISECONDS);
     }
 
-    /** Starts to build an owner. */
+    /** Returns a builder for an owner. */
     public static ShardOwnerBuilder builder(
             ShardNumber shard, OwnerIdentity self, PlacementPolicy policy) {
         return new ShardOwnerBuilder(shard, self, policy);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardOwnerBuilder.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardOwnerBuilder.java
@@ -6,7 +6,7 @@
 import org.hickorycleat.logic.placement.PlacementPolicy;
 import org.hickorycleat.model.identifier.ShardNumber;
 
-/** Builder of an owner. */
+/** Builds a {@link ShardOwner}. */
 public final class ShardOwnerBuilder {
     private final ShardNumber mShard;
     private final OwnerIdentity mSelf;
@@ -27,13 +27,13 @@
         return this;
     }
 
-    /** Sets the clock of leases, which must be monotonic. */
+    /** Sets the scheduler whose clock measures leases; it must be monotonic. */
     public ShardOwnerBuilder scheduler(Scheduler scheduler) {
         mScheduler = scheduler;
         return this;
     }
 
-    /** Sets the clock of recorded times. */
+    /** Sets the wall clock for recorded times. */
     public ShardOwnerBuilder wallClock(InstantSource clock) {
         mWallClock = clock;
         return this;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardRecord.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardRecord.java
@@ -5,13 +5,19 @@
 
 /** A record of the stream {@code placement-<shard>}. */
 public sealed interface ShardRecord {
-    /** Claims the shard; valid only if {@code replaced} is the latest valid claim, -1 for none. */
+    /**
+     * Claims the shard; valid only if {@code replaced} is the epoch of the latest valid claim, -1
+     * for none.
+     */
     record Claim(OwnerIdentity owner, Epoch replaced) implements ShardRecord {}
 
-    /** Shows that the owner is alive. */
+    /** Heartbeat by which the owner keeps its shard. */
     record Renewal(Epoch epoch, OwnerIdentity owner) implements ShardRecord {}
 
-    /** Decisions that take effect together; void unless the epoch is that of the latest claim. */
+    /**
+     * Decisions that are applied together; invalid unless the epoch is that of the latest valid
+     * claim.
+     */
     record DecisionBatch(
             Epoch epoch, OwnerIdentity owner, long sequence, List<ShardDecision> decisions)
             implements ShardRecord {
@@ -22,8 +28,8 @@
     }
 
     /**
-     * Result of the replay of all records up to an offset. It depends on nothing but those records,
-     * so it holds whoever wrote it and whatever claims lie between that offset and its own.
+     * State after the replay of all records up to an offset. It depends only on those records, so
+     * it is valid regardless of its writer and of claims between that offset and its own.
      */
     record Snapshot(long throughOffset, ShardSnapshot content) implements ShardRecord {}
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardRecordCodec.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardRecordCodec.java
@@ -29,17 +29,17 @@
         } else if (content instanceof ShardRecord.DecisionBatch batch) {
             writer.number(BATCH).number(batch.epoch().value());
             owner(writer, batch.owner());
-            DecisionFields decisions = new DecisionFields();
+            DecisionCodec decisions = new DecisionCodec();
             writer.number(batch.sequence())
                     .list(batch.decisions(), decision -> decisions.write(writer, decision));
         } else if (content instanceof ShardRecord.Snapshot snapshot) {
             writer.number(SNAPSHOT).number(snapshot.throughOffset());
-            new ImageFields().write(writer, snapshot.content());
+            new ShardSnapshotCodec().write(writer, snapshot.content());
         }
         return writer.bytes();
     }
 
-    /** Decodes a record; empty if the payload is none that this version writes. */
+    /** Decodes a record; empty if the payload is not a complete record of this format version. */
     public Optional<ShardRecord> decode(byte[] payload) {
         try {
             FieldReader reader = new FieldReader(payload);
@@ -47,7 +47,7 @@
                 return Optional.empty();
             }
             ShardRecord content = content(reader);
-            return reader.atEnd() ? Optional.of(content) : Optional.empty();
+            return reader.isAtEnd() ? Optional.of(content) : Optional.empty();
         } catch (IOException | MessagePackException | IllegalArgumentException exception) {
             return Optional.empty();
         }
@@ -60,8 +60,9 @@
             case RENEWAL -> new ShardRecord.Renewal(new Epoch(reader.number()), owner(reader));
             case BATCH -> batch(reader);
             case SNAPSHOT ->
-                    new ShardRecord.Snapshot(reader.number(), new ImageFields().read(reader));
-            default -> throw new IllegalArgumentException("type of record is unknown: " + type);
+                    new ShardRecord.Snapshot(
+                            reader.number(), new ShardSnapshotCodec().read(reader));
+            default -> throw new IllegalArgumentException("unknown record type: " + type);
         };
     }
 
@@ -69,7 +70,7 @@
         Epoch epoch = new Epoch(reader.number());
         OwnerIdentity owner = owner(reader);
         long sequence = reader.number();
-        DecisionFields fields = new DecisionFields();
+        DecisionCodec fields = new DecisionCodec();
         List<ShardDecision> decisions = reader.list(() -> fields.read(reader));
         return new ShardRecord.DecisionBatch(epoch, owner, sequence, decisions);
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardReplay.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardReplay.java
@@ -8,27 +8,30 @@
 import org.hickorycleat.model.identifier.Epoch;
 
 /**
- * Replays the records of a shard; its state depends on nothing but the log, so every reader reaches
- * the same conclusion.
+ * Replays the records of a shard; its state depends only on the log, so every reader derives the
+ * same state.
  */
 public final class ShardReplay {
     private final ShardRecordCodec mCodec = new ShardRecordCodec();
-    private final List<LogRecord> mBeforeSnapshot = new ArrayList<>();
+    private final List<LogRecord> mBuffered = new ArrayList<>();
     private ShardState mState = new ShardState();
     private Epoch mEpoch = new Epoch(-1);
     private Optional<OwnerIdentity> mOwner = Optional.empty();
     private long mLastSequence;
     private long mNextOffset;
-    private boolean mBased = true;
-    private long mMalformed;
-    private long mIneffective;
+    private boolean mStateKnown = true;
+    private long mMalformedRecords;
+    private long mIneffectiveDecisions;
     private long mDecisionsSinceSnapshot;
     private long mSnapshotTimestampMs = -1;
     private long mLastTimestampMs;
 
-    /** Tells whether the state is known: replay began at the start of the stream or a snapshot. */
+    /**
+     * Returns whether the state is known, because replay began at the start of the stream or at a
+     * snapshot.
+     */
     public boolean isStateKnown() {
-        return mBased;
+        return mStateKnown;
     }
 
     /** Returns the offset to read from next. */
@@ -46,19 +49,19 @@
         return mOwner;
     }
 
-    /** Returns the tasks. */
+    /** Returns the state of the tasks. */
     public ShardState state() {
         return mState;
     }
 
     /** Returns the number of records that could not be decoded. */
     public long malformedRecords() {
-        return mMalformed;
+        return mMalformedRecords;
     }
 
-    /** Returns the number of decisions in valid batches that the state did not allow. */
+    /** Returns the number of decisions in valid batches that did not apply to the state. */
     public long ineffectiveDecisions() {
-        return mIneffective;
+        return mIneffectiveDecisions;
     }
 
     /** Returns the number of decisions since the last snapshot. */
@@ -66,16 +69,19 @@
         return mDecisionsSinceSnapshot;
     }
 
-    /** Returns the time by the clock of the log between the last snapshot and the last record. */
+    /**
+     * Returns the time in milliseconds, by the clock of the log, between the last snapshot and the
+     * last record.
+     */
     public long snapshotAgeMs() {
         return mSnapshotTimestampMs < 0 ? 0 : mLastTimestampMs - mSnapshotTimestampMs;
     }
 
-    /** Starts over at the first offset that the log still keeps. */
+    /** Restarts the replay at the first offset that the log still retains. */
     public void restart(long firstOffset) {
-        mBeforeSnapshot.clear();
+        mBuffered.clear();
         mNextOffset = firstOffset;
-        mBased = firstOffset == 0;
+        mStateKnown = firstOffset == 0;
         reset(
                 new ShardSnapshot(
                         new Epoch(-1),
@@ -87,7 +93,10 @@
                         List.of()));
     }
 
-    /** Applies records in order and returns what became of each once the state is known. */
+    /**
+     * Applies records in order and returns the result of each; records are buffered until the state
+     * is known.
+     */
     public List<ReplayStep> accept(List<LogRecord> records) {
         List<ReplayStep> steps = new ArrayList<>();
         for (LogRecord record : records) {
@@ -98,10 +107,10 @@
                 restart(record.offset());
             }
             mNextOffset = record.offset() + 1;
-            if (mBased) {
+            if (mStateKnown) {
                 apply(record).ifPresent(steps::add);
             } else {
-                seekSnapshot(record, steps);
+                bufferUntilSnapshot(record, steps);
             }
         }
         return steps;
@@ -121,32 +130,32 @@
 
     /**
      * Buffers records until a snapshot covers everything that precedes the buffer. A snapshot with
-     * an older position would hide claims that are no longer kept.
+     * an older offset would hide claims that the log no longer retains.
      */
-    private void seekSnapshot(LogRecord record, List<ReplayStep> steps) {
-        mBeforeSnapshot.add(record);
+    private void bufferUntilSnapshot(LogRecord record, List<ReplayStep> steps) {
+        mBuffered.add(record);
         Optional<ShardRecord> decoded = mCodec.decode(record.payload());
         if (decoded.isEmpty() || !(decoded.get() instanceof ShardRecord.Snapshot snapshot)) {
             return;
         }
-        if (snapshot.throughOffset() + 1 < mBeforeSnapshot.get(0).offset()) {
+        if (snapshot.throughOffset() + 1 < mBuffered.get(0).offset()) {
             return;
         }
         reset(snapshot.content());
-        mBased = true;
-        for (LogRecord buffered : mBeforeSnapshot) {
+        mStateKnown = true;
+        for (LogRecord buffered : mBuffered) {
             if (buffered.offset() > snapshot.throughOffset()) {
                 apply(buffered).ifPresent(steps::add);
             }
         }
-        mBeforeSnapshot.clear();
+        mBuffered.clear();
     }
 
-    private void reset(ShardSnapshot image) {
-        mState = new ShardState(image);
-        mEpoch = image.epoch();
-        mOwner = image.owner();
-        mLastSequence = image.lastSequence();
+    private void reset(ShardSnapshot snapshot) {
+        mState = new ShardState(snapshot);
+        mEpoch = snapshot.epoch();
+        mOwner = snapshot.owner();
+        mLastSequence = snapshot.lastSequence();
         mDecisionsSinceSnapshot = 0;
         mSnapshotTimestampMs = -1;
     }
@@ -158,7 +167,7 @@
         }
         Optional<ShardRecord> decoded = mCodec.decode(record.payload());
         if (decoded.isEmpty()) {
-            mMalformed++;
+            mMalformedRecords++;
             return Optional.empty();
         }
         ShardRecord content = decoded.get();
@@ -202,7 +211,7 @@
         mLastSequence = batch.sequence();
         for (ShardDecision decision : batch.decisions()) {
             if (!mState.apply(decision)) {
-                mIneffective++;
+                mIneffectiveDecisions++;
             }
         }
         mDecisionsSinceSnapshot += batch.decisions().size();
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardSnapshot.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardSnapshot.java
@@ -14,7 +14,7 @@
  * @param manifestVersion manifest that the decisions are based on
  * @param tasks tasks that have not ended
  * @param ended batch tasks that have ended
- * @param generations latest run of each service instance
+ * @param generations latest generation of each service instance
  */
 public record ShardSnapshot(
         Epoch epoch,
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ImageFields.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardSnapshotCodec.java
@@ -10,23 +10,23 @@
 import org.hickorycleat.model.identifier.TaskId;
 import org.hickorycleat.model.identifier.WorkerId;
 
-/** Fields of the state of a shard. */
-final class ImageFields {
-    private final TaskFields mTasks = new TaskFields();
+/** Encodes and decodes the state of a shard. */
+final class ShardSnapshotCodec {
+    private final TaskCodec mTasks = new TaskCodec();
 
-    void write(FieldWriter writer, ShardSnapshot image) {
-        writer.number(image.epoch().value())
-                .optional(image.owner(), owner -> ShardRecordCodec.owner(writer, owner))
-                .number(image.lastSequence())
-                .number(image.manifestVersion().value())
-                .list(image.tasks(), task -> task(writer, task))
+    void write(FieldWriter writer, ShardSnapshot snapshot) {
+        writer.number(snapshot.epoch().value())
+                .optional(snapshot.owner(), owner -> ShardRecordCodec.owner(writer, owner))
+                .number(snapshot.lastSequence())
+                .number(snapshot.manifestVersion().value())
+                .list(snapshot.tasks(), task -> task(writer, task))
                 .list(
-                        image.ended(),
+                        snapshot.ended(),
                         ended -> {
                             writer.text(ended.task().value());
-                            mTasks.ending(writer, ended.result());
+                            mTasks.result(writer, ended.result());
                         })
-                .list(image.generations(), run -> generation(writer, run));
+                .list(snapshot.generations(), latest -> serviceGeneration(writer, latest));
     }
 
     ShardSnapshot read(FieldReader reader) throws IOException {
@@ -37,17 +37,17 @@
                 new ConfigurationVersion(reader.number()),
                 reader.list(() -> task(reader)),
                 reader.list(
-                        () -> new TaskTombstone(new TaskId(reader.text()), mTasks.ending(reader))),
-                reader.list(() -> generation(reader)));
+                        () -> new TaskTombstone(new TaskId(reader.text()), mTasks.result(reader))),
+                reader.list(() -> serviceGeneration(reader)));
     }
 
-    private static void generation(FieldWriter writer, ServiceTask run) {
-        writer.text(run.instance().service().value())
-                .number(run.instance().instance().value())
-                .number(run.generation());
+    private static void serviceGeneration(FieldWriter writer, ServiceTask latest) {
+        writer.text(latest.instance().service().value())
+                .number(latest.instance().instance().value())
+                .number(latest.generation());
     }
 
-    private static ServiceTask generation(FieldReader reader) throws IOException {
+    private static ServiceTask serviceGeneration(FieldReader reader) throws IOException {
         return new ServiceTask(
                 new ServiceTask.ServiceInstance(
                         new ServiceName(reader.text()), new InstanceNumber(reader.number())),
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardState.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardState.java
@@ -15,7 +15,7 @@
 import org.hickorycleat.model.result.ResultCode;
 import org.hickorycleat.model.task.TaskState;
 
-/** Tasks of a shard; changes only by decisions, so equal logs give equal states. */
+/** Tasks of a shard. They change only through decisions, so equal logs give equal states. */
 public final class ShardState {
     private final Map<TaskId, TaskRecord> mTasks = new LinkedHashMap<>();
     private final Map<TaskId, TaskResult> mEnded = new LinkedHashMap<>();
@@ -24,12 +24,12 @@
 
     ShardState() {}
 
-    ShardState(ShardSnapshot image) {
-        image.tasks().forEach(task -> mTasks.put(task.task(), task));
-        image.ended().forEach(ended -> mEnded.put(ended.task(), ended.result()));
-        image.generations()
+    ShardState(ShardSnapshot snapshot) {
+        snapshot.tasks().forEach(task -> mTasks.put(task.task(), task));
+        snapshot.ended().forEach(ended -> mEnded.put(ended.task(), ended.result()));
+        snapshot.generations()
                 .forEach(latest -> mGenerations.put(latest.instance(), latest.generation()));
-        mManifestVersion = image.manifestVersion();
+        mManifestVersion = snapshot.manifestVersion();
     }
 
     /** Returns the tasks that have not ended, in order of acceptance. */
@@ -37,22 +37,22 @@
         return Collections.unmodifiableCollection(mTasks.values());
     }
 
-    /** Finds a task that has not ended. */
+    /** Returns a task that has not ended. */
     public Optional<TaskRecord> task(TaskId task) {
         return Optional.ofNullable(mTasks.get(task));
     }
 
-    /** Finds the ending of a task. */
+    /** Returns the result of an ended batch task. */
     public Optional<TaskResult> taskResult(TaskId task) {
         return Optional.ofNullable(mEnded.get(task));
     }
 
-    /** Returns the manifest that the decisions are based on. */
+    /** Returns the version of the manifest that the decisions are based on. */
     public ConfigurationVersion manifestVersion() {
         return mManifestVersion;
     }
 
-    /** Returns the generation of the latest run of a service instance, 0 for none. */
+    /** Returns the latest generation of a service instance, 0 for none. */
     long latestGeneration(ServiceTask.ServiceInstance instance) {
         return mGenerations.getOrDefault(instance, 0L);
     }
@@ -80,7 +80,10 @@
                 .toList();
     }
 
-    /** Applies a decision; returns false and changes nothing if the state does not allow it. */
+    /**
+     * Applies a decision; returns false and changes nothing if the decision does not apply to the
+     * state.
+     */
     boolean apply(ShardDecision decision) {
         if (decision instanceof ShardDecision.AdoptManifest adopt) {
             return adoptManifest(adopt.version());
@@ -92,19 +95,21 @@
             return start(start);
         }
         if (decision instanceof ShardDecision.Stop stop) {
-            return change(
+            return update(
                     stop.task(),
                     task -> task.isAt(stop.attempt()),
-                    task -> task.withAttempt(task.attempt().get().stopping(stop.cause())));
+                    task -> task.withAttempt(task.attempt().get().withStop(stop.cause())));
         }
         if (decision instanceof ShardDecision.Throttle throttle) {
-            return change(
+            return update(
                     throttle.task(),
                     task -> task.isAt(throttle.attempt()),
-                    task -> task.withAttempt(task.attempt().get().throttled(throttle.permille())));
+                    task ->
+                            task.withAttempt(
+                                    task.attempt().get().withThrottle(throttle.permille())));
         }
         if (decision instanceof ShardDecision.SaveCheckpoint save) {
-            return change(
+            return update(
                     save.task(),
                     task -> task.isAt(save.attempt()),
                     task -> task.withCheckpoint(save.checkpoint()));
@@ -112,8 +117,8 @@
         if (decision instanceof ShardDecision.EndAttempt end) {
             return endAttempt(end);
         }
-        if (decision instanceof ShardDecision.RemoveTombstone forget) {
-            return mEnded.remove(forget.task()) != null;
+        if (decision instanceof ShardDecision.RemoveTombstone removal) {
+            return mEnded.remove(removal.task()) != null;
         }
         return endTask((ShardDecision.EndTask) decision);
     }
@@ -128,7 +133,7 @@
 
     private boolean submit(ShardDecision.Submit submit) {
         TaskId task = submit.specification().task();
-        if (mTasks.containsKey(task) || mEnded.containsKey(task) || isOldRun(submit)) {
+        if (mTasks.containsKey(task) || mEnded.containsKey(task) || isStaleGeneration(submit)) {
             return false;
         }
         mTasks.put(
@@ -143,13 +148,16 @@
                         0));
         submit.specification()
                 .service()
-                .map(service -> ServiceTask.of(task, service))
-                .ifPresent(run -> mGenerations.merge(run.instance(), run.generation(), Math::max));
+                .map(service -> ServiceTask.parse(task, service))
+                .ifPresent(
+                        started ->
+                                mGenerations.merge(
+                                        started.instance(), started.generation(), Math::max));
         return true;
     }
 
     private boolean start(ShardDecision.Start start) {
-        return change(
+        return update(
                 start.task(),
                 task -> task.attempt().isEmpty() && task.nextAttempt().equals(start.attempt()),
                 task ->
@@ -169,7 +177,7 @@
             return false;
         }
         if (end.state() == TaskState.SUCCEEDED) {
-            finish(
+            endAndRemove(
                     end.task(),
                     new TaskResult(TaskResult.Outcome.SUCCEEDED, ResultCode.OK, "", end.endedMs()));
             return true;
@@ -189,28 +197,31 @@
         if (task == null || task.attempt().isPresent()) {
             return false;
         }
-        finish(end.task(), end.ending());
+        endAndRemove(end.task(), end.result());
         return true;
     }
 
-    private boolean isOldRun(ShardDecision.Submit submit) {
+    private boolean isStaleGeneration(ShardDecision.Submit submit) {
         TaskId task = submit.specification().task();
         return submit.specification()
                 .service()
-                .map(service -> ServiceTask.of(task, service))
-                .map(run -> run.generation() <= latestGeneration(run.instance()))
+                .map(service -> ServiceTask.parse(task, service))
+                .map(started -> started.generation() <= latestGeneration(started.instance()))
                 .orElse(false);
     }
 
-    /** Runs of service instances are not kept: their generations never repeat. */
-    private void finish(TaskId task, TaskResult ending) {
+    /**
+     * Removes an ended task. Service instances need no tombstone, because their generations are
+     * never reused.
+     */
+    private void endAndRemove(TaskId task, TaskResult result) {
         TaskRecord removed = mTasks.remove(task);
         if (removed != null && removed.specification().service().isEmpty()) {
-            mEnded.put(task, ending);
+            mEnded.put(task, result);
         }
     }
 
-    private boolean change(
+    private boolean update(
             TaskId id, Predicate<TaskRecord> allowed, UnaryOperator<TaskRecord> next) {
         TaskRecord task = mTasks.get(id);
         if (task == null || !allowed.test(task)) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardViewBuilder.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardViewBuilder.java
@@ -13,7 +13,7 @@
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.task.Resources;
 
-/** Builds the view of a shard from its recorded state and what is known of its workers. */
+/** Builds the view of a shard from its recorded state and the sessions of its agents. */
 final class ShardViewBuilder {
     private final ShardState mState;
     private final AgentDirectory mAgents;
@@ -28,21 +28,29 @@
         mTracker = tracker;
     }
 
-    /** Builds the view without the pending tasks that the same batch already decides about. */
+    /**
+     * Builds the view without the pending tasks for which the same batch already has a decision.
+     */
     ShardView build(Set<TaskId> decided, Map<TeamName, Resources> quotas) {
         for (TaskRecord task : mState.tasks()) {
             if (task.attempt().isPresent()) {
-                placed(task, task.attempt().get());
+                addPlaced(task, task.attempt().get());
             } else if (!decided.contains(task.task())) {
-                pending(task);
+                addPending(task);
             }
         }
         return new ShardView(
-                mAgents.sessions().stream().map(this::worker).toList(), mPending, mPlaced, quotas);
+                mAgents.sessions().stream().map(this::workerView).toList(),
+                mPending,
+                mPlaced,
+                quotas);
     }
 
-    /** A service instance has one attempt; its replacement has another identity. */
-    private void pending(TaskRecord task) {
+    /**
+     * Adds a pending task. A service instance has one attempt; its replacement has another
+     * identity.
+     */
+    private void addPending(TaskRecord task) {
         boolean ended = task.specification().service().isPresent() && task.lastAttempt() > 0;
         if (ended) {
             return;
@@ -56,7 +64,7 @@
                         task.failures()));
     }
 
-    private void placed(TaskRecord task, AttemptRecord attempt) {
+    private void addPlaced(TaskRecord task, AttemptRecord attempt) {
         mReserved.merge(attempt.worker(), task.specification().resources(), Resources::plus);
         mPlaced.add(
                 new PlacementView.PlacedTask(
@@ -76,7 +84,7 @@
         if (attempt.stop().isPresent()) {
             return PlacementView.Phase.STOPPING;
         }
-        Optional<AgentSession> agent = mAgents.worker(attempt.worker());
+        Optional<AgentSession> agent = mAgents.findByWorker(attempt.worker());
         if (!agent.map(AgentSession::isFenced).orElse(false)) {
             return PlacementView.Phase.UNCERTAIN;
         }
@@ -85,8 +93,11 @@
                 : PlacementView.Phase.STARTING;
     }
 
-    /** A worker that restarted smaller may hold more than its capacity; it then has none free. */
-    private WorkerView worker(AgentSession agent) {
+    /**
+     * Returns the view of a worker. A worker that restarted with less capacity may hold more than
+     * that; it then has no free resources.
+     */
+    private WorkerView workerView(AgentSession agent) {
         Resources capacity = agent.summary().capacity();
         Resources reserved = mReserved.getOrDefault(agent.worker(), Resources.NONE);
         return new WorkerView(
@@ -94,11 +105,11 @@
                 agent.summary().rack(),
                 agent.zone(),
                 capacity,
-                atMost(reserved, capacity),
-                agent.available());
+                minimum(reserved, capacity),
+                agent.isReadyForStart());
     }
 
-    private static Resources atMost(Resources amount, Resources limit) {
+    private static Resources minimum(Resources amount, Resources limit) {
         return new Resources(
                 Math.min(amount.processorsMilli(), limit.processorsMilli()),
                 Math.min(amount.memoryMebibytes(), limit.memoryMebibytes()),
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/TaskFields.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/TaskCodec.java
@@ -9,8 +9,8 @@
 import org.hickorycleat.model.task.Resources;
 import org.hickorycleat.model.task.TaskSpecification;
 
-/** Fields of the parts of a task. */
-final class TaskFields {
+/** Encodes and decodes the specification, checkpoint and result of a task. */
+final class TaskCodec {
     void specification(FieldWriter writer, TaskSpecification task) {
         writer.text(task.task().value())
                 .text(task.team().value())
@@ -48,18 +48,18 @@
         return new Checkpoint(reader.text(), reader.number(), reader.number());
     }
 
-    void ending(FieldWriter writer, TaskResult ending) {
-        writer.text(ending.outcome().name())
-                .number(ending.code().number())
-                .text(ending.reason())
-                .number(ending.endedMs());
+    void result(FieldWriter writer, TaskResult result) {
+        writer.text(result.outcome().name())
+                .number(result.code().number())
+                .text(result.reason())
+                .number(result.endedMs());
     }
 
-    TaskResult ending(FieldReader reader) throws IOException {
+    TaskResult result(FieldReader reader) throws IOException {
         return new TaskResult(
                 TaskResult.Outcome.valueOf(reader.text()),
                 ResultCode.ofNumber(reader.smallNumber())
-                        .orElseThrow(() -> new IllegalArgumentException("result code")),
+                        .orElseThrow(() -> new IllegalArgumentException("unknown result code")),
                 reader.text(),
                 reader.number());
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/TaskExplanation.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/TaskExplanation.java
@@ -5,14 +5,15 @@
 import org.hickorycleat.model.identifier.TaskId;
 
 /**
- * What an owner knows of a task.
+ * State of a task as known to the shard owner.
  *
  * @param task the task
- * @param record its record while it has not ended
- * @param result its ending
+ * @param record record of the task; empty once it has ended
+ * @param result result of the task; empty until it has ended
  * @param confirmed whether the worker confirmed the attempt in this epoch
- * @param leaseExpiresInMs time until the lease has certainly expired
- * @param summary one sentence for operators
+ * @param leaseExpiresInMs time in milliseconds until the lease has certainly expired; empty if
+ *     unknown
+ * @param summary one-line summary for operators
  */
 public record TaskExplanation(
         TaskId task,
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/TaskRecord.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/TaskRecord.java
@@ -9,12 +9,12 @@
  * An accepted task that has not ended.
  *
  * @param specification the task
- * @param submittedMs when it was accepted
+ * @param submittedMs time of acceptance, in milliseconds since 1970
  * @param lastAttempt number of the last attempt, 0 before the first
  * @param attempt the attempt that holds resources; empty while the task is pending
  * @param checkpoint latest checkpoint
- * @param evictions times it was evicted
- * @param failures times it failed
+ * @param evictions number of evictions
+ * @param failures number of failures
  */
 public record TaskRecord(
         TaskSpecification specification,
@@ -29,7 +29,7 @@
         return specification.task();
     }
 
-    /** Returns the run time saved in the checkpoint. */
+    /** Returns the run time covered by the checkpoint, in milliseconds. */
     public long progressMs() {
         return checkpoint.map(Checkpoint::progressMs).orElse(0L);
     }
@@ -39,7 +39,7 @@
         return new AttemptNumber(lastAttempt + 1);
     }
 
-    /** Tells whether the task is at that attempt. */
+    /** Returns whether the given attempt is the current one. */
     public boolean isAt(AttemptNumber number) {
         return attempt.map(current -> current.number().equals(number)).orElse(false);
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/TaskResult.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/TaskResult.java
@@ -6,13 +6,13 @@
 public record TaskResult(Outcome outcome, ResultCode code, String reason, long endedMs) {
     /** How the task ended. */
     public enum Outcome {
-        /** Ran to its end. */
+        /** Completed successfully. */
         SUCCEEDED,
         /** Failed or was rejected. */
         FAILED,
         /** Removed from the manifest. */
         CANCELLED,
-        /** An instance of a service whose run ended; a replacement has its own identity. */
+        /** Service instance whose attempt ended; its replacement has another identity. */
         REPLACED
     }
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FakeLog.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FakeLog.java
@@ -6,15 +6,17 @@
 import org.hickorycleat.logic.port.LogPage;
 import org.hickorycleat.logic.port.LogRecord;
 
-/** Log in memory that can lose answers, be down, and drop what a snapshot covers. */
+/**
+ * In-memory log that can lose responses, be down, and truncate the records that a snapshot covers.
+ */
 final class FakeLog {
-    static final int LIMIT = 50;
+    static final int PAGE_LIMIT_RECORDS = 50;
 
     private final List<LogRecord> mRecords = new ArrayList<>();
     private final ShardRecordCodec mCodec = new ShardRecordCodec();
     private long mFirstOffset;
     boolean mDown;
-    boolean mLosesAnswers;
+    boolean mLosesResponses;
     boolean mSlow;
 
     long append(byte[] payload, long nowMs) {
@@ -32,12 +34,12 @@
     }
 
     LogPage read(long from) {
-        int end = (int) Math.min(mRecords.size(), from + LIMIT);
+        int end = (int) Math.min(mRecords.size(), from + PAGE_LIMIT_RECORDS);
         return new LogPage(mFirstOffset, end, mRecords.subList((int) from, end));
     }
 
-    /** Drops every record that the latest snapshot makes unnecessary. */
-    void expire() {
+    /** Truncates every record that the latest snapshot covers. */
+    void truncateToSnapshot() {
         for (int index = mRecords.size() - 1; index >= 0; index--) {
             Optional<ShardRecord> record = mCodec.decode(mRecords.get(index).payload());
             if (record.isPresent() && record.get() instanceof ShardRecord.Snapshot snapshot) {
@@ -54,8 +56,8 @@
         return replay;
     }
 
-    /** Replays what is still kept. */
-    ShardReplay replayKept() {
+    /** Replays the records that are still retained. */
+    ShardReplay replayRetained() {
         ShardReplay replay = new ShardReplay();
         replay.restart(mFirstOffset);
         replay.accept(mRecords.subList((int) mFirstOffset, mRecords.size()));
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FakeWorker.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FakeWorker.java
@@ -31,7 +31,7 @@
 import org.hickorycleat.model.task.TaskState;
 
 /**
- * Worker in memory; it does not check its capacity but reports to the oracle when it is exceeded.
+ * In-memory worker that does not enforce its capacity, but reports to the oracle if it is exceeded.
  */
 final class FakeWorker implements WorkerControl {
     private final String mName;
@@ -43,8 +43,8 @@
     private long mIncarnation = 1;
     private long mEpoch = -1;
     boolean mUnreachable;
-    boolean mLosesAnswers;
-    boolean mFailsEverything;
+    boolean mLosesResponses;
+    boolean mFailsAllRuns;
 
     FakeWorker(
             String name,
@@ -59,14 +59,14 @@
         mRandom = random;
     }
 
-    /** Ends the runs whose lease or run time is over. */
-    void settle() {
+    /** Ends the runs whose lease or run time has expired. */
+    void endDueRuns() {
         for (Run run : List.copyOf(mRuns.values())) {
             if (run.mState != TaskState.RUNNING) {
                 continue;
             }
             if (run.finishMs() <= Math.min(run.mLeaseUntilMs, nowMs())) {
-                end(run, mFailsEverything ? TaskState.FAILED : TaskState.SUCCEEDED);
+                end(run, mFailsAllRuns ? TaskState.FAILED : TaskState.SUCCEEDED);
             } else if (run.mLeaseUntilMs <= nowMs()) {
                 end(run, TaskState.EXPIRED);
             }
@@ -74,7 +74,7 @@
     }
 
     void restart() {
-        settle();
+        endDueRuns();
         mRuns.values().stream()
                 .filter(run -> run.mState == TaskState.RUNNING)
                 .forEach(run -> end(run, TaskState.FAILED));
@@ -93,26 +93,26 @@
                                 nowMs(),
                                 new RackId("r"),
                                 mCapacity,
-                                mRuns.values().stream().map(Run::view).toList()));
+                                mRuns.values().stream().map(Run::toWorkerTask).toList()));
     }
 
     @Override
     public Single<WorkerAnswer> start(WorkerStart start) {
-        return call(() -> startNow(start));
+        return call(() -> startRun(start));
     }
 
-    private WorkerAnswer startNow(WorkerStart start) {
+    private WorkerAnswer startRun(WorkerStart start) {
         if (isStale(start.epoch())) {
-            return refusal(ResultCode.STALE_EPOCH);
+            return rejection(ResultCode.STALE_EPOCH);
         }
         if (start.incarnation().value() != mIncarnation || start.leaseUntilMs() <= nowMs()) {
-            return refusal(ResultCode.LEASE_EXPIRED);
+            return rejection(ResultCode.LEASE_EXPIRED);
         }
         Run last = mRuns.get(start.task());
         if (last != null && last.mAttempt >= start.attempt().value()) {
             return last.mAttempt == start.attempt().value()
-                    ? answer(last)
-                    : refusal(ResultCode.STALE_ATTEMPT);
+                    ? response(last)
+                    : rejection(ResultCode.STALE_ATTEMPT);
         }
         if (last != null && last.mState == TaskState.RUNNING) {
             end(last, TaskState.STOPPED);
@@ -120,9 +120,10 @@
         Run run = new Run(start);
         run.mState = TaskState.RUNNING;
         mRuns.put(start.task(), run);
-        mRecorder.started(start.task(), start.attempt().value(), mName, run.mProgressMs, nowMs());
+        mRecorder.recordStart(
+                start.task(), start.attempt().value(), mName, run.mProgressMs, nowMs());
         checkCapacity();
-        return answer(run);
+        return response(run);
     }
 
     private void checkCapacity() {
@@ -132,7 +133,7 @@
                         .map(run -> run.mStart.resources())
                         .reduce(Resources.NONE, Resources::plus);
         if (!used.fitsInto(mCapacity)) {
-            mRecorder.violation("overcommitted: " + mName + " " + used + " at " + nowMs());
+            mRecorder.recordViolation("overcommitted: " + mName + " " + used + " at " + nowMs());
         }
     }
 
@@ -162,28 +163,28 @@
         return call(
                 () -> {
                     if (isStale(epoch)) {
-                        return refusal(ResultCode.STALE_EPOCH);
+                        return rejection(ResultCode.STALE_EPOCH);
                     }
                     Run run = mRuns.get(task);
                     if (run == null || run.mAttempt < attempt.value()) {
                         if (run != null && run.mState == TaskState.RUNNING) {
                             end(run, TaskState.STOPPED);
                         }
-                        run = new Run(neverStarted(shard, epoch, task, attempt));
+                        run = new Run(unstartedAttempt(shard, epoch, task, attempt));
                         run.mState = TaskState.STOPPED;
                         mRuns.put(task, run);
                     }
                     if (run.mAttempt > attempt.value()) {
-                        return refusal(ResultCode.STALE_ATTEMPT);
+                        return rejection(ResultCode.STALE_ATTEMPT);
                     }
                     if (run.mState == TaskState.RUNNING) {
                         end(run, TaskState.STOPPED);
                     }
-                    return answer(run);
+                    return response(run);
                 });
     }
 
-    private WorkerStart neverStarted(
+    private WorkerStart unstartedAttempt(
             ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt) {
         return new WorkerStart(
                 shard,
@@ -204,21 +205,21 @@
                 () -> {
                     Run run = mRuns.get(task);
                     if (isStale(epoch) || run == null || run.mAttempt != attempt.value()) {
-                        return refusal(ResultCode.UNKNOWN_TASK);
+                        return rejection(ResultCode.UNKNOWN_TASK);
                     }
                     if (run.mState == TaskState.RUNNING) {
                         run.mSavedMs = run.mProgressMs + nowMs() - run.mStartedMs;
                         run.mCheckpoint = Optional.of(Long.toString(run.mSavedMs));
-                        mRecorder.saved(task, run.mSavedMs);
+                        mRecorder.recordCheckpoint(task, run.mSavedMs);
                     }
-                    return answer(run);
+                    return response(run);
                 });
     }
 
     @Override
     public Single<WorkerAnswer> throttle(
             ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt, int permille) {
-        return call(() -> refusal(ResultCode.UNKNOWN_TASK));
+        return call(() -> rejection(ResultCode.UNKNOWN_TASK));
     }
 
     @Override
@@ -239,7 +240,7 @@
         return false;
     }
 
-    /** The action takes effect after a delay and its answer arrives after another one. */
+    /** Applies an action after a random delay and delivers its response after another one. */
     private <T> Single<T> call(Supplier<T> action) {
         return Single.timer(1 + mRandom.nextInt(20), TimeUnit.MILLISECONDS, mScheduler)
                 .flatMap(
@@ -247,9 +248,9 @@
                             if (mUnreachable) {
                                 return Single.error(new WorkerUnavailableException("down"));
                             }
-                            settle();
+                            endDueRuns();
                             T result = action.get();
-                            return mLosesAnswers
+                            return mLosesResponses
                                     ? Single.error(new WorkerUnavailableException("lost"))
                                     : Single.just(result);
                         })
@@ -258,22 +259,22 @@
 
     private void end(Run run, TaskState state) {
         run.mState = state;
-        mRecorder.ended(run.mStart.task());
+        mRecorder.recordEnd(run.mStart.task());
     }
 
-    private static WorkerAnswer refusal(ResultCode code) {
+    private static WorkerAnswer rejection(ResultCode code) {
         return new WorkerAnswer(code, Optional.empty());
     }
 
-    private static WorkerAnswer answer(Run run) {
-        return new WorkerAnswer(ResultCode.OK, Optional.of(run.view()));
+    private static WorkerAnswer response(Run run) {
+        return new WorkerAnswer(ResultCode.OK, Optional.of(run.toWorkerTask()));
     }
 
     private long nowMs() {
         return mScheduler.now(TimeUnit.MILLISECONDS);
     }
 
-    /** An attempt of a task. */
+    /** An attempt of a task on this worker. */
     private final class Run {
         private final WorkerStart mStart;
         private final long mAttempt;
@@ -295,7 +296,7 @@
             return mStart.runMs() == 0 ? Long.MAX_VALUE : mStartedMs + mStart.runMs() - mProgressMs;
         }
 
-        WorkerTask view() {
+        WorkerTask toWorkerTask() {
             return new WorkerTask(
                     mStart.shard(), mStart.task(), mStart.attempt(), mState, mCheckpoint, mSavedMs);
         }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FaultInjector.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FaultInjector.java
@@ -19,13 +19,13 @@
         for (int number = 0; number < 4; number++) {
             addJob();
         }
-        mSimulation.instances(1);
+        mSimulation.setInstances(1);
         mSimulation.advance(3_000);
         for (FaultStep step : steps) {
             apply(step);
             mSimulation.advance(step.nextMs());
         }
-        mSimulation.advance(FaultStep.LONGEST_MS);
+        mSimulation.advance(FaultStep.MAXIMUM_DURATION_MS);
     }
 
     private void apply(FaultStep step) {
@@ -36,49 +36,55 @@
         switch (step.fault()) {
             case NONE -> {}
             case PAUSE_OWNER ->
-                    during(step, () -> owner.mPaused = true, () -> owner.mPaused = false);
+                    applyTemporarily(step, () -> owner.mPaused = true, () -> owner.mPaused = false);
             case RESTART_OWNER -> restart(owner);
-            case LOSE_APPEND_ANSWERS ->
-                    during(
+            case LOSE_APPEND_RESPONSES ->
+                    applyTemporarily(
                             step,
-                            () -> simulation.mLog.mLosesAnswers = true,
-                            () -> simulation.mLog.mLosesAnswers = false);
+                            () -> simulation.mLog.mLosesResponses = true,
+                            () -> simulation.mLog.mLosesResponses = false);
             case SLOW_LOG ->
-                    during(
+                    applyTemporarily(
                             step,
                             () -> simulation.mLog.mSlow = true,
                             () -> simulation.mLog.mSlow = false);
             case LOG_DOWN ->
-                    during(
+                    applyTemporarily(
                             step,
                             () -> simulation.mLog.mDown = true,
                             () -> simulation.mLog.mDown = false);
-            case CUT_LOG -> during(step, () -> owner.mLogCut = true, () -> owner.mLogCut = false);
-            case EXPIRE_LOG -> simulation.mLog.expire();
+            case DISCONNECT_OWNER_FROM_LOG ->
+                    applyTemporarily(
+                            step,
+                            () -> owner.mLogDisconnected = true,
+                            () -> owner.mLogDisconnected = false);
+            case TRUNCATE_LOG -> simulation.mLog.truncateToSnapshot();
             case RESTART_WORKER -> worker.restart();
             case WORKER_UNREACHABLE ->
-                    during(
+                    applyTemporarily(
                             step,
                             () -> worker.mUnreachable = true,
                             () -> worker.mUnreachable = false);
-            case LOSE_WORKER_ANSWERS ->
-                    during(
+            case LOSE_WORKER_RESPONSES ->
+                    applyTemporarily(
                             step,
-                            () -> worker.mLosesAnswers = true,
-                            () -> worker.mLosesAnswers = false);
+                            () -> worker.mLosesResponses = true,
+                            () -> worker.mLosesResponses = false);
             case RESTART_AGENT -> agent.restart();
-            case PAUSE_AGENT -> during(step, agent::pause, agent::resume);
+            case PAUSE_AGENT -> applyTemporarily(step, agent::pause, agent::resume);
             case SLOW_CONNECTIONS ->
-                    during(step, () -> agent.mSlow = true, () -> agent.mSlow = false);
-            case CUT_CONNECTION -> during(step, () -> agent.cut(owner), () -> agent.restore(owner));
-            case CUT_AGENT ->
-                    during(
+                    applyTemporarily(step, () -> agent.mSlow = true, () -> agent.mSlow = false);
+            case DISCONNECT_AGENT_FROM_OWNER ->
+                    applyTemporarily(
+                            step, () -> agent.disconnect(owner), () -> agent.reconnect(owner));
+            case DISCONNECT_AGENT ->
+                    applyTemporarily(
                             step,
-                            () -> simulation.mOwners.forEach(agent::cut),
-                            () -> simulation.mOwners.forEach(agent::restore));
+                            () -> simulation.mOwners.forEach(agent::disconnect),
+                            () -> simulation.mOwners.forEach(agent::reconnect));
             case ADD_JOB -> addJob();
             case CANCEL_JOB -> simulation.cancelJob(mJobs.get(step.index() % mJobs.size()));
-            case EVICT -> simulation.evictOne();
+            case EVICT -> simulation.requestEviction();
         }
     }
 
@@ -88,12 +94,12 @@
     }
 
     private void restart(SimulatedOwner owner) {
-        mSimulation.mAgents.forEach(agent -> agent.cut(owner));
+        mSimulation.mAgents.forEach(agent -> agent.disconnect(owner));
         owner.restart();
-        mSimulation.mAgents.forEach(agent -> agent.restore(owner));
+        mSimulation.mAgents.forEach(agent -> agent.reconnect(owner));
     }
 
-    private void during(FaultStep step, Runnable begin, Runnable end) {
+    private void applyTemporarily(FaultStep step, Runnable begin, Runnable end) {
         begin.run();
         Disposable unused =
                 mSimulation.mScheduler.scheduleDirect(
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FaultStep.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FaultStep.java
@@ -3,12 +3,12 @@
 /**
  * A step of a fuzz run.
  *
- * @param fault what happens
- * @param index owner, worker or job that it happens to
+ * @param fault fault or change to apply
+ * @param index index of the affected owner, worker or job
  * @param durationMs time until the fault ends
- * @param nextMs time until the next step, which may be before the end of this one
+ * @param nextMs time until the next step, which may start before this fault ends
  */
 record FaultStep(Fault fault, int index, long durationMs, long nextMs) {
-    /** Longer than the limit without the log and one lease together. */
-    static final long LONGEST_MS = 80_000;
+    /** Longer than the limit for renewals without the log plus one lease. */
+    static final long MAXIMUM_DURATION_MS = 80_000;
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/CarelessPolicy.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/OvercommittingPolicy.java
@@ -7,8 +7,8 @@
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.task.PlacementDecision;
 
-/** Policy that starts everything on the first worker, whatever room there is. */
-final class CarelessPolicy implements PlacementPolicy {
+/** Policy that starts every task on the first worker, regardless of its capacity. */
+final class OvercommittingPolicy implements PlacementPolicy {
     @Override
     public List<PlacementDecision> decide(PlacementView view, long nowMs) {
         return view.workers().stream()
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/RunRecorder.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/RunRecorder.java
@@ -6,40 +6,40 @@
 import java.util.Map;
 import org.hickorycleat.model.identifier.TaskId;
 
-/** Oracle that sees every run on every worker and lists what must never happen. */
+/** Oracle that observes every run on every worker and records violations of the invariants. */
 final class RunRecorder {
     private final Map<String, String> mRunning = new LinkedHashMap<>();
     private final Map<String, Integer> mRuns = new LinkedHashMap<>();
     private final Map<TaskId, Long> mSavedMs = new LinkedHashMap<>();
     private final List<String> mViolations = new ArrayList<>();
-    private int mResumed;
+    private int mResumedRuns;
 
-    void started(TaskId task, long attempt, String worker, long progressMs, long nowMs) {
+    void recordStart(TaskId task, long attempt, String worker, long progressMs, long nowMs) {
         String text = task + " attempt " + attempt + " on " + worker + " at " + nowMs;
         if (mRunning.containsKey(task.value())) {
-            mViolations.add("two places: " + text + " and " + mRunning.get(task.value()));
+            mViolations.add("two runs at once: " + text + " and " + mRunning.get(task.value()));
         }
         if (mRuns.merge(task + "/" + attempt, 1, Integer::sum) > 1) {
             mViolations.add("attempt ran twice: " + text);
         }
         if (progressMs > mSavedMs.getOrDefault(task, 0L)) {
-            mViolations.add("resumed from a checkpoint never saved: " + text);
+            mViolations.add("resumed from a checkpoint that was never saved: " + text);
         }
         if (progressMs > 0) {
-            mResumed++;
+            mResumedRuns++;
         }
         mRunning.put(task.value(), text);
     }
 
-    void ended(TaskId task) {
+    void recordEnd(TaskId task) {
         mRunning.remove(task.value());
     }
 
-    void saved(TaskId task, long progressMs) {
+    void recordCheckpoint(TaskId task, long progressMs) {
         mSavedMs.merge(task, progressMs, Math::max);
     }
 
-    void violation(String text) {
+    void recordViolation(String text) {
         mViolations.add(text);
     }
 
@@ -51,8 +51,8 @@
         return mRunning.keySet().stream().filter(task -> task.startsWith("service/")).count();
     }
 
-    int resumed() {
-        return mResumed;
+    int resumedRuns() {
+        return mResumedRuns;
     }
 
     List<String> violations() {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardFuzzTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardFuzzTest.java
@@ -16,14 +16,17 @@
 import org.hickorycleat.model.identifier.TaskId;
 
 /**
- * Runs two owners and three workers through random faults. The oracle sees every run on every
- * worker and knows nothing of epochs, leases or the log.
+ * Runs two owners and three workers with random faults. The oracle observes every run on every
+ * worker, independently of epochs, leases and the log.
  */
 class ShardFuzzTest {
-    /** Longest time in which a lease of a lost worker may still be valid, and all jobs run. */
-    private static final long QUIET_MS = 240_000;
+    /** Long enough for the lease of a lost worker to expire and for all jobs to complete. */
+    private static final long RECOVERY_MS = 240_000;
 
-    /** Guards against double runs, overcommitment, lost work and replays that differ. */
+    /**
+     * Guards against concurrent runs of a task, overcommitted workers, lost work and replays that
+     * diverge.
+     */
     @Property(seed = "20261204", tries = 30, edgeCases = EdgeCasesMode.NONE)
     void neitherRunsTwiceNorLosesWork(
             @ForAll @LongRange(min = 0, max = 1_000_000) long seed,
@@ -33,13 +36,13 @@
         new FaultInjector(simulation).run(steps);
         assertThat(simulation.mRecorder.violations()).isEmpty();
 
-        simulation.advance(QUIET_MS);
+        simulation.advance(RECOVERY_MS);
         assertThat(simulation.mRecorder.violations()).isEmpty();
         ShardReplay replay = simulation.mLog.replay();
         assertThat(unfinished(simulation, replay.state())).isEmpty();
         assertThat(stillRunning(simulation, replay.state())).isEmpty();
         assertThat(simulation.mRecorder.runningInstances()).isEqualTo(1);
-        assertThat(simulation.mLog.replayKept().snapshot()).isEqualTo(replay.snapshot());
+        assertThat(simulation.mLog.replayRetained().snapshot()).isEqualTo(replay.snapshot());
     }
 
     @Provide
@@ -48,7 +51,7 @@
                 Arbitraries.oneOf(
                         Arbitraries.longs().between(50, 3_000),
                         Arbitraries.longs().between(3_000, 25_000),
-                        Arbitraries.longs().between(25_000, FaultStep.LONGEST_MS));
+                        Arbitraries.longs().between(25_000, FaultStep.MAXIMUM_DURATION_MS));
         return Combinators.combine(
                         Arbitraries.of(Fault.values()),
                         Arbitraries.integers().between(0, 5),
@@ -61,7 +64,7 @@
     }
 
     private static List<String> unfinished(ShardSimulation simulation, ShardState state) {
-        return simulation.wantedJobs().stream()
+        return simulation.requiredJobs().stream()
                 .filter(
                         job ->
                                 !state.taskResult(job)
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardOwnerTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardOwnerTest.java
@@ -28,65 +28,77 @@
         TaskId job = simulation.addJob(0, 60);
         simulation.advance(10_000);
 
-        simulation.evictOne();
+        simulation.requestEviction();
         simulation.advance(4_000);
 
         TaskRecord record = simulation.mLog.replay().state().task(job).orElseThrow();
         assertThat(record.evictions()).isEqualTo(1);
         assertThat(record.lastAttempt()).isEqualTo(2);
         assertThat(record.progressMs()).isGreaterThan(5_000);
-        assertThat(simulation.mRecorder.resumed()).isEqualTo(1);
+        assertThat(simulation.mRecorder.resumedRuns()).isEqualTo(1);
         assertThat(simulation.mRecorder.violations()).isEmpty();
     }
 
-    /** Guards against a shard that nobody takes over, and a new owner that restarts what runs. */
+    /**
+     * Guards against a shard that no process takes over, and a new owner that restarts running
+     * tasks.
+     */
     @Test
-    void newOwnerAdoptsWhatRuns() {
+    void newOwnerAdoptsRunningTasks() {
         ShardSimulation simulation = new ShardSimulation(3);
         TaskId job = simulation.addJob(0, 600);
         simulation.advance(10_000);
-        SimulatedOwner old =
-                simulation.mOwners.stream().filter(o -> o.owner().dump().acting()).findAny().get();
+        SimulatedOwner previous =
+                simulation.mOwners.stream()
+                        .filter(owner -> owner.owner().dump().acting())
+                        .findAny()
+                        .get();
 
-        old.mPaused = true;
+        previous.mPaused = true;
         simulation.advance(5_000);
 
-        ShardOwner owner = simulation.actingOwner().orElseThrow();
-        assertThat(owner).isNotSameAs(old.owner());
+        ShardOwner owner = simulation.currentOwner().orElseThrow();
+        assertThat(owner).isNotSameAs(previous.owner());
         simulation.advance(10_000);
         TaskExplanation explanation = owner.explain(job);
         assertThat(explanation.record().get().lastAttempt()).isEqualTo(1);
         assertThat(explanation.confirmed()).isTrue();
-        old.mPaused = false;
+        previous.mPaused = false;
         simulation.advance(5_000);
-        assertThat(old.owner().dump().acting()).isFalse();
+        assertThat(previous.owner().dump().acting()).isFalse();
         assertThat(simulation.mRecorder.violations()).isEmpty();
     }
 
-    /** Guards against a new owner whose older manifest cancels jobs that it has not heard of. */
+    /** Guards against a new owner with an older manifest that cancels jobs of a newer manifest. */
     @Test
     void ownerWithOlderManifestCancelsNothing() {
         ShardSimulation simulation = new ShardSimulation(4);
         simulation.addJob(0, 600);
         simulation.advance(5_000);
-        SimulatedOwner old = simulation.actingProcess();
+        SimulatedOwner previous = simulation.currentOwnerProcess();
         SimulatedOwner other =
-                simulation.mOwners.stream().filter(o -> o != old).findAny().orElseThrow();
+                simulation.mOwners.stream()
+                        .filter(owner -> owner != previous)
+                        .findAny()
+                        .orElseThrow();
         ShardManifest stale = other.manifest();
         TaskId job = simulation.addJob(1, 600);
-        other.manifest(stale);
+        other.changeManifest(stale);
         simulation.advance(5_000);
 
-        old.mPaused = true;
+        previous.mPaused = true;
         simulation.advance(15_000);
 
         assertThat(other.owner().dump().acting()).isTrue();
         assertThat(other.owner().explain(job).record().get().attempt().get().stop()).isEmpty();
     }
 
-    /** Guards against work that starts while nothing can be recorded, and leases that lapse. */
+    /**
+     * Guards against tasks that start while the log is unavailable, and leases that expire before
+     * the limit for renewals without the log.
+     */
     @Test
-    void withoutLogLeasesAreRenewedUpToTheLimitAndNothingStarts() {
+    void leasesAreRenewedUpToTheLimitAndNothingStartsWithoutLog() {
         ShardSimulation simulation = new ShardSimulation(5);
         TaskId running = simulation.addJob(0, 6_000);
         simulation.advance(5_000);
@@ -108,23 +120,23 @@
     /** Guards against a policy whose decisions overcommit a worker. */
     @Test
     void decisionsThatOvercommitAreDroppedAndCounted() {
-        ShardSimulation simulation = new ShardSimulation(6, new CarelessPolicy());
+        ShardSimulation simulation = new ShardSimulation(6, new OvercommittingPolicy());
         IntStream.range(0, 8).forEach(number -> simulation.addJob(number, 600));
 
         simulation.advance(10_000);
 
-        assertThat(simulation.actingOwner().get().dump().placed()).isEqualTo(2);
-        assertThat(simulation.actingOwner().get().dump().droppedDecisions()).isPositive();
+        assertThat(simulation.currentOwner().get().dump().placed()).isEqualTo(2);
+        assertThat(simulation.currentOwner().get().dump().droppedDecisions()).isPositive();
         assertThat(simulation.mRecorder.violations()).isEmpty();
     }
 
-    /** Guards against a shard that stands still for more than 5 s after its owner was lost. */
+    /** Guards against a shard that starts nothing for more than 5 s after its owner was lost. */
     @Test
-    void workStartsWithinFiveSecondsOfTheLossOfTheOwner() {
+    void tasksStartWithinFiveSecondsOfTheLossOfTheOwner() {
         ShardSimulation simulation = new ShardSimulation(7);
         simulation.addJob(0, 600);
         simulation.advance(5_000);
-        simulation.actingProcess().mPaused = true;
+        simulation.currentOwnerProcess().mPaused = true;
         TaskId job = simulation.addJob(1, 600);
 
         simulation.advance(5_000);
@@ -134,7 +146,7 @@
 
     /** Guards against snapshots that grow with every job that was ever run. */
     @Test
-    void endedJobsAreForgottenOnlyAfterTheyLeftTheManifest() {
+    void tombstonesAreRemovedOnlyAfterJobsLeftTheManifest() {
         ShardSimulation simulation = new ShardSimulation(8);
         TaskId kept = simulation.addJob(0, 1);
         TaskId removed = simulation.addJob(1, 1);
@@ -149,27 +161,33 @@
         assertThat(simulation.mLog.replay().state().taskResult(kept)).isPresent();
     }
 
-    /** Guards against a replaced owner without log that renews what its successor waits out. */
+    /**
+     * Guards against a previous owner without access to the log that renews leases whose expiry the
+     * next owner assumes.
+     */
     @Test
-    void replacedOwnerWithoutLogCannotRenewAfterTheFence() {
+    void previousOwnerWithoutLogCannotRenewAfterTheFence() {
         ShardSimulation simulation = new ShardSimulation(9);
         TaskId job = simulation.addJob(0, 600);
         simulation.advance(5_000);
-        SimulatedOwner old = simulation.actingProcess();
-        SimulatedAgent agent = simulation.agentOf(old.owner().explain(job));
-        old.mLogCut = true;
+        SimulatedOwner previous = simulation.currentOwnerProcess();
+        SimulatedAgent agent = simulation.agentOf(previous.owner().explain(job));
+        previous.mLogDisconnected = true;
         simulation.advance(6_000);
-        SimulatedOwner successor =
-                simulation.mOwners.stream().filter(o -> o != old).findAny().orElseThrow();
-        assertThat(successor.owner().dump().fencedAgents()).isEqualTo(3);
-
-        agent.cut(successor);
-        agent.cut(old);
-        agent.restore(old);
+        SimulatedOwner next =
+                simulation.mOwners.stream()
+                        .filter(owner -> owner != previous)
+                        .findAny()
+                        .orElseThrow();
+        assertThat(next.owner().dump().fencedAgents()).isEqualTo(3);
+
+        agent.disconnect(next);
+        agent.disconnect(previous);
+        agent.reconnect(previous);
         simulation.advance(15_000);
 
-        assertThat(old.owner().dump().acting()).isTrue();
-        assertThat(successor.owner().explain(job).record().get().lastAttempt()).isEqualTo(2);
+        assertThat(previous.owner().dump().acting()).isTrue();
+        assertThat(next.owner().explain(job).record().get().lastAttempt()).isEqualTo(2);
         assertThat(simulation.mRecorder.violations()).isEmpty();
     }
 
@@ -179,7 +197,7 @@
                 .replay()
                 .state()
                 .taskResult(job)
-                .filter(ending -> ending.outcome() == TaskResult.Outcome.SUCCEEDED)
+                .filter(result -> result.outcome() == TaskResult.Outcome.SUCCEEDED)
                 .isPresent();
     }
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardReplayTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardReplayTest.java
@@ -31,9 +31,9 @@
     private final List<LogRecord> mLog = new ArrayList<>();
     private final ShardRecordCodec mCodec = new ShardRecordCodec();
 
-    /** Guards against a replaced owner whose decisions still count. */
+    /** Guards against decisions of a previous owner that are still applied. */
     @Example
-    void batchThatFollowsNewerClaimIsVoid() {
+    void batchThatFollowsNewerClaimIsInvalid() {
         append(new ShardRecord.Claim(FIRST, new Epoch(-1)));
         append(batch(0, FIRST, 1, submit()));
         append(new ShardRecord.Claim(SECOND, new Epoch(0)));
@@ -47,7 +47,7 @@
 
     /** Guards against two owners of one epoch after two claims of the same predecessor. */
     @Example
-    void claimThatReplacesAnOlderClaimIsVoid() {
+    void claimThatReplacesAnOlderClaimIsInvalid() {
         append(new ShardRecord.Claim(FIRST, new Epoch(-1)));
         append(new ShardRecord.Claim(SECOND, new Epoch(-1)));
 
@@ -55,9 +55,12 @@
         assertThat(replay().owner()).contains(FIRST);
     }
 
-    /** Guards against an append that was repeated after a lost answer and counts twice. */
+    /**
+     * Guards against a batch that is applied twice because its append was repeated after a lost
+     * response.
+     */
     @Example
-    void repeatedBatchCountsOnce() {
+    void repeatedBatchIsAppliedOnce() {
         append(new ShardRecord.Claim(FIRST, new Epoch(-1)));
         append(batch(0, FIRST, 1, submit()));
         append(batch(0, FIRST, 2, start(1)));
@@ -70,14 +73,17 @@
         assertThat(replay().ineffectiveDecisions()).isZero();
     }
 
-    /** Guards against a reader that acts although a claim before its first record may be lost. */
+    /**
+     * Guards against a reader that trusts a snapshot although a later claim may have been truncated
+     * before its first record.
+     */
     @Example
-    void snapshotThatLeavesGapIsNotUsed() {
+    void snapshotThatLeavesGapIsIgnored() {
         append(new ShardRecord.Claim(FIRST, new Epoch(-1)));
-        ShardSnapshot image = replay().snapshot();
+        ShardSnapshot snapshot = replay().snapshot();
         append(new ShardRecord.Claim(SECOND, new Epoch(0)));
         append(new ShardRecord.Renewal(new Epoch(1), SECOND));
-        append(new ShardRecord.Snapshot(0, image));
+        append(new ShardRecord.Snapshot(0, snapshot));
         ShardReplay late = new ShardReplay();
         late.restart(2);
 
@@ -88,12 +94,12 @@
 
     /** Guards against a snapshot written before a newer claim that hides that claim. */
     @Example
-    void recordsBetweenSnapshotAndItsPositionCount() {
+    void recordsBetweenSnapshotAndItsOffsetAreApplied() {
         append(new ShardRecord.Claim(FIRST, new Epoch(-1)));
         append(batch(0, FIRST, 1, submit()));
-        ShardSnapshot image = replay().snapshot();
+        ShardSnapshot snapshot = replay().snapshot();
         append(new ShardRecord.Claim(SECOND, new Epoch(0)));
-        append(new ShardRecord.Snapshot(1, image));
+        append(new ShardRecord.Snapshot(1, snapshot));
         ShardReplay late = new ShardReplay();
         late.restart(2);
 
@@ -120,7 +126,7 @@
         assertThat(replay().ineffectiveDecisions()).isEqualTo(2);
     }
 
-    /** Guards against damaged records that stop replay or are taken for something else. */
+    /** Guards against malformed records that stop the replay or are decoded as valid ones. */
     @Property(seed = "5", tries = 500)
     void malformedRecordsAreSkipped(@ForAll byte[] payload) {
         ShardReplay replay = new ShardReplay();
@@ -131,7 +137,7 @@
         assertThat(replay.owner()).isEmpty();
     }
 
-    /** Guards against fields that the codec loses or confuses. */
+    /** Guards against fields that the codec loses or swaps. */
     @Example
     void snapshotSurvivesEncoding() {
         append(new ShardRecord.Claim(FIRST, new Epoch(-1)));
@@ -148,8 +154,8 @@
         ShardRecord snapshot = new ShardRecord.Snapshot(4, replay().snapshot());
 
         assertThat(mCodec.decode(mCodec.encode(snapshot))).contains(snapshot);
-        byte[] cut = mCodec.encode(snapshot);
-        assertThat(mCodec.decode(Arrays.copyOf(cut, cut.length - 1))).isEmpty();
+        byte[] encoded = mCodec.encode(snapshot);
+        assertThat(mCodec.decode(Arrays.copyOf(encoded, encoded.length - 1))).isEmpty();
     }
 
     private ShardReplay replay() {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardSimulation.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardSimulation.java
@@ -23,7 +23,7 @@
 import org.hickorycleat.model.task.PlacementDecision;
 import org.hickorycleat.model.task.Resources;
 
-/** Two owners, three workers and a log on one test clock. */
+/** Simulation of two owners, three workers and a log on one test clock. */
 final class ShardSimulation {
     static final LeaseSettings LEASES = new LeaseSettings(10_000, 3_000, 500, 60_000);
     static final OwnerSettings SETTINGS =
@@ -73,13 +73,15 @@
         }
         mOwners.forEach(
                 owner ->
-                        owner.links(
+                        owner.setAgentSender(
                                 (agent, message) ->
                                         mAgents.stream()
-                                                .filter(one -> one.process().equals(agent))
+                                                .filter(
+                                                        candidate ->
+                                                                candidate.process().equals(agent))
                                                 .forEach(
-                                                        one ->
-                                                                one.receive(
+                                                        candidate ->
+                                                                candidate.receive(
                                                                         owner.process(),
                                                                         message))));
     }
@@ -87,7 +89,7 @@
     void advance(long durationMs) {
         for (long passed = 0; passed < durationMs; passed += SimulatedOwner.STEP_MS) {
             mScheduler.advanceTimeBy(SimulatedOwner.STEP_MS, TimeUnit.MILLISECONDS);
-            mWorkers.forEach(FakeWorker::settle);
+            mWorkers.forEach(FakeWorker::endDueRuns);
             mOwners.forEach(SimulatedOwner::step);
             mAgents.forEach(SimulatedAgent::step);
         }
@@ -110,7 +112,7 @@
                         Optional.empty(),
                         true,
                         false);
-        TaskId task = ManifestReconciler.identity(job);
+        TaskId task = ManifestReconciler.taskId(job);
         mJobs.put(task, job);
         publish();
         return task;
@@ -122,20 +124,20 @@
         }
     }
 
-    void instances(int instances) {
+    void setInstances(int instances) {
         mInstances = instances;
         publish();
     }
 
-    Set<TaskId> wantedJobs() {
+    Set<TaskId> requiredJobs() {
         return mJobs.keySet();
     }
 
-    void evictOne() {
+    void requestEviction() {
         mEvictions++;
     }
 
-    Optional<ShardOwner> actingOwner() {
+    Optional<ShardOwner> currentOwner() {
         return mOwners.stream()
                 .map(SimulatedOwner::owner)
                 .filter(owner -> owner.dump().acting())
@@ -146,7 +148,7 @@
                                         : second);
     }
 
-    SimulatedOwner actingProcess() {
+    SimulatedOwner currentOwnerProcess() {
         return mOwners.stream()
                 .filter(owner -> owner.owner().dump().acting())
                 .findAny()
@@ -166,7 +168,7 @@
                         List.copyOf(mJobs.values()),
                         mInstances == 0 ? List.of() : List.of(service()),
                         Map.of());
-        mOwners.forEach(owner -> owner.manifest(manifest));
+        mOwners.forEach(owner -> owner.changeManifest(manifest));
     }
 
     private ServiceDemand service() {
@@ -184,7 +186,10 @@
                 UNIT);
     }
 
-    /** A policy, and an eviction of the first running batch task whenever a test asks for one. */
+    /**
+     * Wraps a policy so that it also evicts the first running batch task whenever a test requests
+     * an eviction.
+     */
     private PlacementPolicy evicting(PlacementPolicy policy) {
         return (view, nowMs) -> {
             List<PlacementDecision> decisions = new ArrayList<>(policy.decide(view, nowMs));
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/SimulatedAgent.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/SimulatedAgent.java
@@ -20,7 +20,10 @@
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.WorkerSummary;
 
-/** An agent with a real lease keeper and ordered connections, which can be cut, to all owners. */
+/**
+ * Simulated agent with a real lease manager and ordered connections to all owners that can be
+ * disconnected.
+ */
 final class SimulatedAgent {
     private final ProcessId mProcess;
     private final FakeWorker mWorker;
@@ -29,10 +32,10 @@
     private final LeaseSettings mSettings;
     private final Map<ProcessId, Connection> mConnections = new HashMap<>();
     private Optional<WorkerSummary> mSummary = Optional.empty();
-    private TaskLeaseManager mKeeper;
+    private TaskLeaseManager mLeaseManager;
     private long mIncarnation;
     private long mTickMs;
-    private final Deque<Runnable> mHeld = new ArrayDeque<>();
+    private final Deque<Runnable> mDeferred = new ArrayDeque<>();
     private boolean mPaused;
     boolean mSlow;
 
@@ -48,11 +51,11 @@
         mScheduler = scheduler;
         mRandom = random;
         mSettings = settings;
-        mKeeper = build();
+        mLeaseManager = buildLeaseManager();
         owners.forEach(owner -> mConnections.put(owner.process(), new Connection(owner)));
     }
 
-    private TaskLeaseManager build() {
+    private TaskLeaseManager buildLeaseManager() {
         mIncarnation++;
         return new TaskLeaseManager(
                 mWorker,
@@ -66,58 +69,58 @@
         return mProcess;
     }
 
-    TaskLeaseManager keeper() {
-        return mKeeper;
+    TaskLeaseManager leaseManager() {
+        return mLeaseManager;
     }
 
     void restart() {
-        mConnections.values().forEach(Connection::cut);
-        mHeld.clear();
+        mConnections.values().forEach(Connection::disconnect);
+        mDeferred.clear();
         mSummary = Optional.empty();
-        mKeeper = build();
-        mConnections.values().forEach(Connection::restore);
+        mLeaseManager = buildLeaseManager();
+        mConnections.values().forEach(Connection::reconnect);
     }
 
     void pause() {
         mPaused = true;
     }
 
-    /** Messages that arrived during the pause are handled late, in their order. */
+    /** Handles the messages that arrived during the pause, in their order. */
     void resume() {
         mPaused = false;
-        while (!mHeld.isEmpty()) {
-            mHeld.remove().run();
+        while (!mDeferred.isEmpty()) {
+            mDeferred.remove().run();
         }
     }
 
     private void handle(Runnable action) {
         if (mPaused) {
-            mHeld.add(action);
+            mDeferred.add(action);
         } else {
             action.run();
         }
     }
 
-    void cut(SimulatedOwner owner) {
-        connection(owner.process()).cut();
+    void disconnect(SimulatedOwner owner) {
+        connection(owner.process()).disconnect();
     }
 
-    void restore(SimulatedOwner owner) {
-        connection(owner.process()).restore();
+    void reconnect(SimulatedOwner owner) {
+        connection(owner.process()).reconnect();
     }
 
     void step() {
         if (!mPaused && nowMs() - mTickMs >= 1_000) {
             mTickMs = nowMs();
-            mKeeper.tick();
+            mLeaseManager.tick();
         }
     }
 
-    /** Delivers a message of an owner, unless the connection is cut on the way. */
+    /** Delivers a message of an owner, unless the connection is lost before it arrives. */
     void receive(ProcessId owner, Message message) {
         Connection connection = connection(owner);
-        TaskLeaseManager keeper = mKeeper;
-        connection.toAgent(() -> handle(() -> keeper.onMessage(owner, message)));
+        TaskLeaseManager leaseManager = mLeaseManager;
+        connection.sendToAgent(() -> handle(() -> leaseManager.onMessage(owner, message)));
     }
 
     private Connection connection(ProcessId owner) {
@@ -127,43 +130,43 @@
     private void send(ProcessId owner, Message message) {
         Connection connection = connection(owner);
         if (connection.mIntroduced) {
-            connection.toOwner(new ShardEvent.MessageReceived(mProcess, message));
+            connection.sendToOwner(new ShardEvent.MessageReceived(mProcess, message));
         }
     }
 
-    private void listed(WorkerSummary worker) {
+    private void onWorkerListed(WorkerSummary worker) {
         mSummary = Optional.of(worker);
-        mConnections.values().forEach(Connection::reported);
+        mConnections.values().forEach(Connection::reportWorker);
     }
 
     private long nowMs() {
         return mScheduler.now(TimeUnit.MILLISECONDS);
     }
 
-    /** Output of one run of the agent; what an earlier run still sends is lost. */
+    /** Output of one incarnation of the agent; messages of an earlier incarnation are lost. */
     private final class Output implements LeaseManagerOutput {
-        private final long mRun;
+        private final long mOutputIncarnation;
 
-        Output(long run) {
-            mRun = run;
+        Output(long incarnation) {
+            mOutputIncarnation = incarnation;
         }
 
         @Override
         public void send(ProcessId owner, Message message) {
-            if (mRun == mIncarnation) {
+            if (mOutputIncarnation == mIncarnation) {
                 SimulatedAgent.this.send(owner, message);
             }
         }
 
         @Override
         public void publishWorker(WorkerSummary worker) {
-            if (mRun == mIncarnation) {
-                listed(worker);
+            if (mOutputIncarnation == mIncarnation) {
+                onWorkerListed(worker);
             }
         }
     }
 
-    /** An ordered connection; what is on its way when it is cut is lost. */
+    /** An ordered connection; messages in flight are lost when it is disconnected. */
     private final class Connection {
         private final SimulatedOwner mOwner;
         private long mGeneration;
@@ -176,7 +179,7 @@
             mOwner = owner;
         }
 
-        void cut() {
+        void disconnect() {
             if (!mUp) {
                 return;
             }
@@ -184,43 +187,43 @@
             mGeneration++;
             mIntroduced = false;
             mOwner.deliver(new ShardEvent.AgentDisconnected(mProcess));
-            mKeeper.disconnected(mOwner.process());
+            mLeaseManager.disconnected(mOwner.process());
         }
 
-        void restore() {
+        void reconnect() {
             mUp = true;
             mGeneration++;
             mIntroduced = false;
-            mSummary.ifPresent(summary -> reported());
+            mSummary.ifPresent(summary -> reportWorker());
         }
 
-        void reported() {
+        void reportWorker() {
             if (!mUp || mSummary.isEmpty()) {
                 return;
             }
             if (mIntroduced) {
-                toOwner(new ShardEvent.WorkerReported(mProcess, mSummary.get()));
+                sendToOwner(new ShardEvent.WorkerReported(mProcess, mSummary.get()));
                 return;
             }
             mIntroduced = true;
-            toOwner(new ShardEvent.AgentConnected(mProcess, new ZoneId("z"), mSummary.get()));
+            sendToOwner(new ShardEvent.AgentConnected(mProcess, new ZoneId("z"), mSummary.get()));
         }
 
-        void toOwner(ShardEvent event) {
+        void sendToOwner(ShardEvent event) {
             mLastToOwnerMs = Math.max(mLastToOwnerMs, nowMs() + delay());
-            later(mLastToOwnerMs, () -> mOwner.deliver(event));
+            schedule(mLastToOwnerMs, () -> mOwner.deliver(event));
         }
 
-        void toAgent(Runnable action) {
+        void sendToAgent(Runnable action) {
             mLastToAgentMs = Math.max(mLastToAgentMs, nowMs() + delay());
-            later(mLastToAgentMs, action);
+            schedule(mLastToAgentMs, action);
         }
 
         private long delay() {
             return 1L + mRandom.nextInt(mSlow ? 5_000 : 10);
         }
 
-        private void later(long atMs, Runnable action) {
+        private void schedule(long atMs, Runnable action) {
             long generation = mGeneration;
             if (!mUp) {
                 return;
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/SimulatedOwner.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/SimulatedOwner.java
@@ -15,7 +15,9 @@
 import org.hickorycleat.model.identifier.ShardNumber;
 import org.hickorycleat.model.message.Message;
 
-/** A process that runs a real owner against the fake log; it can be paused and killed. */
+/**
+ * Simulated process that runs a real owner against the fake log and can be paused and restarted.
+ */
 final class SimulatedOwner {
     static final long STEP_MS = 50;
 
@@ -25,14 +27,14 @@
     private final Random mRandom;
     private final OwnerSettings mSettings;
     private final PlacementPolicy mPolicy;
-    private final Deque<ShardEvent> mInbox = new ArrayDeque<>();
-    private Links mLinks = (agent, message) -> {};
+    private final Deque<ShardEvent> mPendingEvents = new ArrayDeque<>();
+    private AgentSender mAgentSender = (agent, message) -> {};
     private Optional<ShardManifest> mManifest = Optional.empty();
     private ShardOwner mOwner;
     private long mIncarnation;
     private boolean mReading;
     boolean mPaused;
-    boolean mLogCut;
+    boolean mLogDisconnected;
 
     SimulatedOwner(
             String name,
@@ -47,10 +49,10 @@
         mRandom = random;
         mSettings = settings;
         mPolicy = policy;
-        mOwner = build();
+        mOwner = buildOwner();
     }
 
-    private ShardOwner build() {
+    private ShardOwner buildOwner() {
         mIncarnation++;
         return ShardOwner.builder(
                         new ShardNumber(0),
@@ -62,8 +64,8 @@
                 .build();
     }
 
-    void links(Links links) {
-        mLinks = links;
+    void setAgentSender(AgentSender agentSender) {
+        mAgentSender = agentSender;
     }
 
     ProcessId process() {
@@ -75,13 +77,13 @@
     }
 
     void restart() {
-        mInbox.clear();
+        mPendingEvents.clear();
         mReading = false;
-        mOwner = build();
+        mOwner = buildOwner();
         mManifest.ifPresent(manifest -> deliver(new ShardEvent.ManifestChanged(manifest)));
     }
 
-    void manifest(ShardManifest manifest) {
+    void changeManifest(ShardManifest manifest) {
         mManifest = Optional.of(manifest);
         deliver(new ShardEvent.ManifestChanged(manifest));
     }
@@ -90,9 +92,9 @@
         return mManifest.orElseThrow();
     }
 
-    /** Events that arrive during a pause are handled after it. */
+    /** Delivers an event; events that arrive during a pause are handled after it. */
     void deliver(ShardEvent event) {
-        mInbox.add(event);
+        mPendingEvents.add(event);
         drain();
     }
 
@@ -106,8 +108,8 @@
     }
 
     private void drain() {
-        while (!mPaused && !mInbox.isEmpty()) {
-            handle(mInbox.remove());
+        while (!mPaused && !mPendingEvents.isEmpty()) {
+            handle(mPendingEvents.remove());
         }
     }
 
@@ -128,12 +130,12 @@
         long requestedMs = nowMs();
         long from = mOwner.nextOffset();
         long incarnation = mIncarnation;
-        later(delay(), () -> respond(from, requestedMs, incarnation));
+        schedule(delay(), () -> respond(from, requestedMs, incarnation));
     }
 
     private void respond(long from, long requestedMs, long incarnation) {
-        ShardEvent event = answer(from, requestedMs);
-        later(
+        ShardEvent event = responseTo(from, requestedMs);
+        schedule(
                 delay(),
                 () -> {
                     if (incarnation == mIncarnation) {
@@ -142,33 +144,33 @@
                 });
     }
 
-    private ShardEvent answer(long from, long requestedMs) {
-        if (mLog.mDown || mLogCut) {
+    private ShardEvent responseTo(long from, long requestedMs) {
+        if (mLog.mDown || mLogDisconnected) {
             return new ShardEvent.LogReadFailed();
         }
         if (mLog.isTruncatedAt(from)) {
             return new ShardEvent.LogTruncated(mLog.firstOffset());
         }
         LogPage page = mLog.read(from);
-        return new ShardEvent.LogRead(page, FakeLog.LIMIT, requestedMs);
+        return new ShardEvent.LogRead(page, FakeLog.PAGE_LIMIT_RECORDS, requestedMs);
     }
 
-    private void perform(OwnerAction effect) {
-        if (effect instanceof OwnerAction.SendMessage send) {
-            mLinks.send(send.agent(), send.message());
-        } else if (effect instanceof OwnerAction.AppendRecord append) {
+    private void perform(OwnerAction action) {
+        if (action instanceof OwnerAction.SendMessage send) {
+            mAgentSender.send(send.agent(), send.message());
+        } else if (action instanceof OwnerAction.AppendRecord append) {
             long delayMs = mLog.mSlow ? mRandom.nextInt(9_000) : delay();
-            later(delayMs, () -> append(append));
+            schedule(delayMs, () -> append(append));
         }
     }
 
     private void append(OwnerAction.AppendRecord append) {
-        if (mLog.mDown || mLogCut) {
-            later(1_000, () -> deliver(new ShardEvent.AppendFailed(append.token())));
+        if (mLog.mDown || mLogDisconnected) {
+            schedule(1_000, () -> deliver(new ShardEvent.AppendFailed(append.token())));
             return;
         }
         mLog.append(append.payload(), nowMs());
-        if (mLog.mLosesAnswers) {
+        if (mLog.mLosesResponses) {
             deliver(new ShardEvent.AppendFailed(append.token()));
         }
     }
@@ -177,7 +179,7 @@
         return 1L + mRandom.nextInt(15);
     }
 
-    private void later(long delayMs, Runnable action) {
+    private void schedule(long delayMs, Runnable action) {
         Disposable unused = mScheduler.scheduleDirect(action, delayMs, TimeUnit.MILLISECONDS);
     }
 
@@ -186,7 +188,7 @@
     }
 
     /** Connections to agents. */
-    interface Links {
+    interface AgentSender {
         void send(ProcessId agent, Message message);
     }
 }
