Use the usual terms in the log client

Comments spoke of tries, pauses and second copies instead of retries, delays and duplicates; three messages were vague. Behaviour is unchanged.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/DuplicateFilter.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/DuplicateFilter.java
@@ -7,33 +7,33 @@
 import org.hickorycleat.model.identifier.RecordId;
 
 /**
- * Recognises second copies of records.
+ * Detects duplicates of records.
  *
  * <p>A writer appends one record at a time, so each first copy has a higher incarnation or sequence
- * than all before it. A record of an older incarnation is a late copy or comes from a process that
- * has been replaced; either is dropped. Not safe for use by several threads.
+ * than all before it. A record of an older incarnation is a late duplicate or comes from a process
+ * that has been replaced; either is discarded. Not thread-safe.
  */
 public final class DuplicateFilter {
-    private final Map<ProcessId, RecordId> mNewest = new HashMap<>();
+    private final Map<ProcessId, RecordId> mLatestIds = new HashMap<>();
 
-    /** Tells whether a record is the first copy, and remembers it. */
+    /** Returns whether a record is the first copy, and records its identity. */
     public boolean acceptIfFirst(RecordId id) {
-        RecordId newest = mNewest.get(id.writer());
-        if (newest != null && !isAfter(id, newest)) {
+        RecordId latest = mLatestIds.get(id.writer());
+        if (latest != null && !isAfter(id, latest)) {
             return false;
         }
-        mNewest.put(id.writer(), id);
+        mLatestIds.put(id.writer(), id);
         return true;
     }
 
-    /** Forgets a writer that will not append any more. */
-    public void forget(ProcessId writer, Incarnation incarnation) {
-        mNewest.computeIfPresent(
-                writer, (id, newest) -> newest.incarnation().equals(incarnation) ? null : newest);
+    /** Removes the state of a writer that appends no more records. */
+    public void remove(ProcessId writer, Incarnation incarnation) {
+        mLatestIds.computeIfPresent(
+                writer, (id, latest) -> latest.incarnation().equals(incarnation) ? null : latest);
     }
 
-    private static boolean isAfter(RecordId id, RecordId newest) {
-        int comparison = id.incarnation().compareTo(newest.incarnation());
-        return comparison > 0 || (comparison == 0 && id.sequence() > newest.sequence());
+    private static boolean isAfter(RecordId id, RecordId latest) {
+        int comparison = id.incarnation().compareTo(latest.incarnation());
+        return comparison > 0 || (comparison == 0 && id.sequence() > latest.sequence());
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/ExponentialBackoff.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/ExponentialBackoff.java
@@ -3,28 +3,32 @@
 import java.util.Random;
 
 /**
- * Pauses between tries: doubled each time up to a maximum, each drawn from the upper half so that
- * processes that failed together do not come back together.
+ * Exponential backoff with jitter: the delay doubles with each failure up to a maximum and is drawn
+ * from its upper half, so that processes that failed together do not retry together.
  *
- * @param firstMs first pause in milliseconds
- * @param maximumMs longest pause in milliseconds
+ * @param initialMs initial delay in milliseconds
+ * @param maximumMs maximum delay in milliseconds
  */
-public record ExponentialBackoff(long firstMs, long maximumMs) {
-    /** The longest pause stays well below the 3 s in which a configuration must take effect. */
+public record ExponentialBackoff(long initialMs, long maximumMs) {
+    /** The maximum delay stays well below the 3 s in which a configuration must become active. */
     public static final ExponentialBackoff DEFAULT = new ExponentialBackoff(50, 1_000);
 
     private static final int MAXIMUM_DOUBLINGS = 30;
 
-    /** Checks the range. */
+    /** Checks the range of the delays. */
     public ExponentialBackoff {
-        if (firstMs < 1 || maximumMs < firstMs) {
-            throw new IllegalArgumentException("pauses of " + firstMs + " to " + maximumMs + " ms");
+        if (initialMs < 1 || maximumMs < initialMs) {
+            throw new IllegalArgumentException(
+                    "invalid backoff delays: " + initialMs + " to " + maximumMs + " ms");
         }
     }
 
-    /** Returns the pause after the given number of failures in a row, counted from 1. */
+    /**
+     * Returns the delay in milliseconds after the given number of consecutive failures, counted
+     * from 1.
+     */
     public long pauseMs(int failures, Random random) {
-        long doubled = firstMs << Math.min(failures - 1, MAXIMUM_DOUBLINGS);
+        long doubled = initialMs << Math.min(failures - 1, MAXIMUM_DOUBLINGS);
         long longest = doubled <= 0 ? maximumMs : Math.min(doubled, maximumMs);
         long shortest = longest / 2;
         return shortest + (long) (random.nextDouble() * (longest - shortest + 1));
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/IdempotentAppender.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/IdempotentAppender.java
@@ -22,17 +22,20 @@
 import org.hickorycleat.model.identifier.StreamName;
 
 /**
- * Appends records to one stream, one at a time, until the log service confirms each.
+ * Appends records to one stream, one at a time, and retries each until the log service confirms it.
  *
- * <p>After a lost answer the record is looked for in the stream and appended again under the same
- * identity only if it is not there. The first copy may still arrive after the search, so readers
- * drop second copies with a {@link DuplicateFilter} or by a rule of their own.
+ * <p>After a lost response the stream is searched for the record, which is appended again under the
+ * same identity only if it is not found. The first copy may still arrive after the search, so
+ * readers discard duplicates with a {@link DuplicateFilter} or by a rule of their own.
  */
 public final class IdempotentAppender {
-    /** Appends waiting beyond this number are refused: the log service is far behind. */
-    private static final int MAXIMUM_WAITING = 1_000;
+    /**
+     * Maximum number of queued appends; with more, the log service is too far behind to accept
+     * another.
+     */
+    private static final int MAXIMUM_QUEUED_APPENDS = 1_000;
 
-    private static final int SEARCH_PAGE = 500;
+    private static final int SEARCH_PAGE_RECORDS = 500;
 
     private final LogService mLog;
     private final StreamName mStream;
@@ -40,11 +43,11 @@
     private final ExponentialBackoff mBackoff;
     private final Random mRandom;
     private final Scheduler mScheduler;
-    private final AtomicInteger mWaiting = new AtomicInteger();
+    private final AtomicInteger mQueuedAppends = new AtomicInteger();
     private final FlowableProcessor<Completable> mQueue =
             UnicastProcessor.<Completable>create().toSerialized();
 
-    /** Creates an appender; time comes from the scheduler. */
+    /** Creates an appender; the scheduler provides the time for delays. */
     public IdempotentAppender(
             LogService log,
             StreamName stream,
@@ -62,19 +65,20 @@
     }
 
     /**
-     * Appends a record after those that were handed over before it, and returns its offset.
+     * Appends a record after all that were submitted before it, and returns its offset.
      *
-     * <p>Tries until it succeeds or the result is disposed of; the record may be in the stream
-     * after that. Fails with {@link LogUnavailableException} only if too many records wait.
+     * <p>Retries until it succeeds or the result is disposed of, after which the record may still
+     * be in the stream. Fails with {@link LogUnavailableException} only if too many appends are
+     * queued.
      */
     public Single<Long> append(AppendRequest request) {
         return Single.defer(() -> enqueue(request));
     }
 
     private Single<Long> enqueue(AppendRequest request) {
-        if (mWaiting.incrementAndGet() > MAXIMUM_WAITING) {
-            mWaiting.decrementAndGet();
-            return Single.error(new LogUnavailableException("too many appends are waiting"));
+        if (mQueuedAppends.incrementAndGet() > MAXIMUM_QUEUED_APPENDS) {
+            mQueuedAppends.decrementAndGet();
+            return Single.error(new LogUnavailableException("append queue is full"));
         }
         SingleSubject<Long> result = SingleSubject.create();
         SingleSubject<Boolean> disposed = SingleSubject.create();
@@ -85,7 +89,7 @@
                         .ignoreElement()
                         .onErrorComplete()
                         .takeUntil(disposed.ignoreElement())
-                        .doFinally(mWaiting::decrementAndGet));
+                        .doFinally(mQueuedAppends::decrementAndGet));
         return result.doOnDispose(() -> disposed.onSuccess(true));
     }
 
@@ -103,8 +107,8 @@
         if (!(error instanceof LogUnavailableException)) {
             return Single.error(error);
         }
-        return Single.defer(() -> pause(failures))
-                .flatMap(paused -> search(request.id(), request.searchFromOffset()))
+        return Single.defer(() -> delay(failures))
+                .flatMap(delayed -> search(request.id(), request.searchFromOffset()))
                 .flatMap(
                         found ->
                                 found.map(Single::just)
@@ -112,19 +116,19 @@
                 .retry(LogUnavailableException.class::isInstance);
     }
 
-    private Single<Long> pause(AtomicInteger failures) {
-        long pauseMs;
+    private Single<Long> delay(AtomicInteger failures) {
+        long delayMs;
         synchronized (mRandom) {
-            pauseMs = mBackoff.pauseMs(failures.incrementAndGet(), mRandom);
+            delayMs = mBackoff.pauseMs(failures.incrementAndGet(), mRandom);
         }
-        return Single.timer(pauseMs, TimeUnit.MILLISECONDS, mScheduler);
+        return Single.timer(delayMs, TimeUnit.MILLISECONDS, mScheduler);
     }
 
-    /** Reads from an offset to the end of the stream until it finds the first copy. */
-    private Single<Optional<Long>> search(RecordId id, long searchFrom) {
+    /** Searches the stream from an offset to its end for the first copy of a record. */
+    private Single<Optional<Long>> search(RecordId id, long searchFromOffset) {
         return Single.defer(
                 () -> {
-                    AtomicLong next = new AtomicLong(searchFrom);
+                    AtomicLong next = new AtomicLong(searchFromOffset);
                     return Maybe.defer(() -> searchPage(id, next))
                             .repeat()
                             .firstElement()
@@ -132,10 +136,10 @@
                 });
     }
 
-    /** Completes empty if the search must go on with the next page. */
+    /** Searches one page; completes empty if the search must continue with the next page. */
     private Maybe<Optional<Long>> searchPage(RecordId id, AtomicLong next) {
-        return mLog.read(mStream, next.get(), SEARCH_PAGE, Duration.ZERO)
-                .flatMapMaybe(page -> inspect(id, page, next))
+        return mLog.read(mStream, next.get(), SEARCH_PAGE_RECORDS, Duration.ZERO)
+                .flatMapMaybe(page -> findInPage(id, page, next))
                 .onErrorResumeNext(
                         error -> {
                             if (error instanceof LogTruncatedException truncated) {
@@ -146,7 +150,7 @@
                         });
     }
 
-    private Maybe<Optional<Long>> inspect(RecordId id, LogPage page, AtomicLong next) {
+    private Maybe<Optional<Long>> findInPage(RecordId id, LogPage page, AtomicLong next) {
         for (LogRecord record : page.records()) {
             if (mIdReader.read(record.payload()).filter(id::equals).isPresent()) {
                 return Maybe.just(Optional.of(record.offset()));
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/StreamEvent.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/StreamEvent.java
@@ -2,14 +2,14 @@
 
 import org.hickorycleat.logic.port.LogPage;
 
-/** What a follower of a stream reads. */
+/** Event emitted by a {@link StreamFollower}. */
 public sealed interface StreamEvent {
     /** Records in order, at least one. */
     record RecordsRead(LogPage page) implements StreamEvent {}
 
-    /** Records before the offset were dropped unread; reading goes on from there. */
+    /** Records before the offset were truncated unread; reading continues at the offset. */
     record Truncated(long firstOffset) implements StreamEvent {}
 
-    /** Everything that was in the stream has been read; sent once, after the first catching up. */
+    /** The end of the stream was reached for the first time; emitted once. */
     record CaughtUp(long nextOffset) implements StreamEvent {}
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/StreamFollower.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/StreamFollower.java
@@ -15,13 +15,16 @@
 
 /** Follows one stream by long polling and continues after outages. */
 public final class StreamFollower {
-    /** Long enough to make idle polling cheap, short enough to notice a dead connection. */
+    /**
+     * Long-poll wait; long enough to make idle polling cheap, short enough to detect a dead
+     * connection.
+     */
     public static final Duration DEFAULT_WAIT = Duration.ofSeconds(10);
 
-    private static final int PAGE = 500;
+    private static final int PAGE_RECORDS = 500;
 
-    /** Bounds the rate of reads from a service that answers at once with nothing. */
-    private static final long EMPTY_PAUSE_MS = 20;
+    /** Limits the rate of reads from a service that returns empty pages immediately. */
+    private static final long EMPTY_PAGE_DELAY_MS = 20;
 
     private final LogService mLog;
     private final StreamName mStream;
@@ -32,7 +35,7 @@
     private volatile StreamHealth mHealth;
     private boolean mCaughtUp;
 
-    /** Creates a follower that begins at an offset. */
+    /** Creates a follower that starts at an offset. */
     public StreamFollower(
             LogService log,
             StreamName stream,
@@ -50,30 +53,36 @@
         mHealth = new StreamHealth(fromOffset, OptionalLong.empty(), 0, Optional.empty());
     }
 
-    /** Reads until disposed of; for one subscriber. */
+    /**
+     * Returns the events of the stream, which is read until disposed of; supports one subscriber.
+     */
     public Flowable<StreamEvent> events() {
         return Maybe.defer(this::readNext).repeat();
     }
 
-    /** Returns the state of reading. */
+    /** Returns the health of the follower. */
     public StreamHealth health() {
         return mHealth;
     }
 
     private Maybe<StreamEvent> readNext() {
         Duration wait = mCaughtUp ? mWait : Duration.ZERO;
-        return mLog.read(mStream, mHealth.nextOffset(), PAGE, wait)
-                .flatMapMaybe(this::succeeded)
-                .onErrorResumeNext(this::failed);
+        return mLog.read(mStream, mHealth.nextOffset(), PAGE_RECORDS, wait)
+                .flatMapMaybe(this::onPage)
+                .onErrorResumeNext(this::onError);
     }
 
-    private Maybe<StreamEvent> succeeded(LogPage page) {
+    private Maybe<StreamEvent> onPage(LogPage page) {
         long expected = mHealth.nextOffset();
         if (page.records().isEmpty() && page.nextOffset() < expected) {
-            return retryLater("the stream ends at " + page.nextOffset() + ", before " + expected);
+            return retryLater(
+                    "stream ends at offset "
+                            + page.nextOffset()
+                            + ", before expected offset "
+                            + expected);
         }
         long next = page.records().isEmpty() ? expected : page.nextOffset();
-        healthy(next);
+        recordSuccess(next);
         if (!page.records().isEmpty()) {
             return Maybe.just(new StreamEvent.RecordsRead(page));
         }
@@ -81,18 +90,18 @@
             mCaughtUp = true;
             return Maybe.just(new StreamEvent.CaughtUp(next));
         }
-        return pause(EMPTY_PAUSE_MS);
+        return delay(EMPTY_PAGE_DELAY_MS);
     }
 
-    private Maybe<StreamEvent> failed(Throwable error) {
+    private Maybe<StreamEvent> onError(Throwable error) {
         if (error instanceof LogTruncatedException truncated) {
-            healthy(truncated.firstOffset());
+            recordSuccess(truncated.firstOffset());
             return Maybe.just(new StreamEvent.Truncated(truncated.firstOffset()));
         }
         return retryLater(String.valueOf(error.getMessage()));
     }
 
-    private void healthy(long nextOffset) {
+    private void recordSuccess(long nextOffset) {
         long now = mScheduler.now(TimeUnit.MILLISECONDS);
         mHealth = new StreamHealth(nextOffset, OptionalLong.of(now), 0, Optional.empty());
     }
@@ -103,10 +112,10 @@
         mHealth =
                 new StreamHealth(
                         health.nextOffset(), health.lastSuccessMs(), failures, Optional.of(error));
-        return pause(mBackoff.pauseMs(failures, mRandom));
+        return delay(mBackoff.pauseMs(failures, mRandom));
     }
 
-    private Maybe<StreamEvent> pause(long pauseMs) {
-        return Maybe.timer(pauseMs, TimeUnit.MILLISECONDS, mScheduler).ignoreElement().toMaybe();
+    private Maybe<StreamEvent> delay(long delayMs) {
+        return Maybe.timer(delayMs, TimeUnit.MILLISECONDS, mScheduler).ignoreElement().toMaybe();
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/StreamHealth.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/StreamHealth.java
@@ -4,16 +4,17 @@
 import java.util.OptionalLong;
 
 /**
- * State of the follower of a stream.
+ * Health of a stream follower.
  *
  * @param nextOffset offset to read next
- * @param lastSuccessMs time of the last successful read by the scheduler's clock; empty before it
- * @param failures failed reads since then
- * @param lastError message of the newest failure, until a read succeeds
+ * @param lastSuccessMs scheduler time of the last successful read, in milliseconds; empty before
+ *     the first
+ * @param failures number of failed reads since then
+ * @param lastError message of the latest failure; empty after a successful read
  */
 public record StreamHealth(
         long nextOffset, OptionalLong lastSuccessMs, int failures, Optional<String> lastError) {
-    /** Tells whether the newest read succeeded. */
+    /** Returns whether the latest read succeeded. */
     public boolean isAvailable() {
         return failures == 0 && lastSuccessMs.isPresent();
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/package-info.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/log/package-info.java
@@ -1,4 +1,4 @@
-/** Appending to and following streams of a log service that loses answers and has outages. */
+/** Appends to and follows streams of a log service that can lose responses and have outages. */
 @NullMarked
 package org.hickorycleat.logic.log;
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/log/IdempotentAppenderTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/log/IdempotentAppenderTest.java
@@ -32,10 +32,10 @@
                     new Random(1),
                     mScheduler);
 
-    /** Guards against a second copy for every lost answer. */
+    /** Guards against a duplicate record for every lost response. */
     @Test
-    void recordWhoseAnswerWasLostIsFoundAndNotAppendedAgain() {
-        mLog.setLosesAnswer(() -> true);
+    void recordWhoseResponseWasLostIsFoundAndNotAppendedAgain() {
+        mLog.setLosesResponse(() -> true);
 
         TestObserver<Long> result = append(1).test();
         mScheduler.advanceTimeBy(1, TimeUnit.SECONDS);
@@ -44,7 +44,7 @@
         assertThat(mLog.size()).isEqualTo(1);
     }
 
-    /** Guards against an append that is given up, or a flood of tries, during an outage. */
+    /** Guards against an append that is abandoned during an outage, or retried too often. */
     @Test
     void appendSurvivesAnOutageAtTheRateOfTheBackoff() {
         mLog.setDown(true);
@@ -60,7 +60,7 @@
         result.assertValue(0L);
     }
 
-    /** Guards against records out of order, by which readers would take one for a second copy. */
+    /** Guards against records out of order, which readers would discard as duplicates. */
     @Test
     void laterAppendsWaitForEarlierOnes() {
         mLog.setDown(true);
@@ -73,9 +73,9 @@
         second.assertValue(1L);
     }
 
-    /** Guards against an appender that a caller's time limit blocks for good. */
+    /** Guards against an appender that is blocked forever by an append whose caller timed out. */
     @Test
-    void disposedAppendMakesRoomForTheNext() {
+    void disposedAppendDoesNotBlockTheNext() {
         mLog.setDown(true);
         append(1).test().dispose();
         mLog.setDown(false);
@@ -83,9 +83,9 @@
         append(2).test().assertValue(0L);
     }
 
-    /** Guards against appends without bound during an outage. */
+    /** Guards against an unbounded queue of appends during an outage. */
     @Test
-    void appendsBeyondTheLimitAreRefused() {
+    void appendsBeyondTheLimitAreRejected() {
         mLog.setDown(true);
         for (int number = 0; number < 1_000; number++) {
             append(number).test().assertNotComplete();
@@ -94,13 +94,13 @@
         append(1_000).test().assertFailure(LogUnavailableException.class);
     }
 
-    /** Guards against readers that see a record twice, not at all, or in another order. */
+    /** Guards against records that readers see twice, not at all, or out of order. */
     @Property(seed = "5", tries = 300)
     void readersSeeEachRecordOnceInOrderWhateverIsLost(@ForAll long seed) {
         Random random = new Random(seed);
         TestScheduler scheduler = new TestScheduler();
         InMemoryLog log = new InMemoryLog(scheduler);
-        log.setLosesAnswer(() -> random.nextInt(3) == 0);
+        log.setLosesResponse(() -> random.nextInt(3) == 0);
         IdempotentAppender appender =
                 new IdempotentAppender(
                         log,
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/log/InMemoryLog.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/log/InMemoryLog.java
@@ -16,14 +16,14 @@
 import org.hickorycleat.logic.port.LogUnavailableException;
 import org.hickorycleat.model.identifier.StreamName;
 
-/** Log service in memory with one stream, retention by offset, outages and lost answers. */
+/** In-memory log service with one stream, retention by offset, outages and lost responses. */
 public final class InMemoryLog implements LogService {
     private final List<byte[]> mPayloads = new ArrayList<>();
     private final PublishSubject<Boolean> mAppended = PublishSubject.create();
     private final Scheduler mScheduler;
     private int mFirstOffset;
     private boolean mIsDown;
-    private BooleanSupplier mLosesAnswer = () -> false;
+    private BooleanSupplier mLosesResponse = () -> false;
     private int mReads;
 
     public InMemoryLog(Scheduler scheduler) {
@@ -34,11 +34,11 @@
         mIsDown = isDown;
     }
 
-    public void setLosesAnswer(BooleanSupplier losesAnswer) {
-        mLosesAnswer = losesAnswer;
+    public void setLosesResponse(BooleanSupplier losesResponse) {
+        mLosesResponse = losesResponse;
     }
 
-    public void dropBefore(int firstOffset) {
+    public void truncateBefore(int firstOffset) {
         mFirstOffset = Math.max(mFirstOffset, firstOffset);
     }
 
@@ -71,8 +71,8 @@
                         return Single.error(new LogUnavailableException("down"));
                     }
                     add(payload);
-                    return mLosesAnswer.getAsBoolean()
-                            ? Single.error(new LogUnavailableException("answer lost"))
+                    return mLosesResponse.getAsBoolean()
+                            ? Single.error(new LogUnavailableException("response lost"))
                             : Single.just(mPayloads.size() - 1L);
                 });
     }
@@ -83,17 +83,17 @@
                 () -> {
                     mReads++;
                     if (mIsDown || fromOffset < mPayloads.size() || wait.isZero()) {
-                        return answer(fromOffset, limit);
+                        return response(fromOffset, limit);
                     }
                     return Observable.timer(wait.toMillis(), TimeUnit.MILLISECONDS, mScheduler)
                             .map(timer -> true)
                             .mergeWith(mAppended)
                             .firstOrError()
-                            .flatMap(woken -> answer(fromOffset, limit));
+                            .flatMap(woken -> response(fromOffset, limit));
                 });
     }
 
-    private Single<LogPage> answer(long fromOffset, int limit) {
+    private Single<LogPage> response(long fromOffset, int limit) {
         if (mIsDown) {
             return Single.error(new LogUnavailableException("down"));
         }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/log/StreamFollowerTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/log/StreamFollowerTest.java
@@ -26,7 +26,10 @@
                     new Random(1),
                     mScheduler);
 
-    /** Guards against records lost or repeated around an outage, and health that hides it. */
+    /**
+     * Guards against records that are lost or repeated around an outage, and health output that
+     * does not report the outage.
+     */
     @Test
     void followerReadsEachRecordOnceAcrossAnOutageAndReportsIt() {
         mLog.add(new byte[] {0});
@@ -49,13 +52,15 @@
         assertThat(events.values()).filteredOn(StreamEvent.CaughtUp.class::isInstance).hasSize(1);
     }
 
-    /** Guards against a follower that stops, or reads on unnoticed, when records have expired. */
+    /**
+     * Guards against a follower that stops, or silently skips records, when records have expired.
+     */
     @Test
-    void expiredRecordsAreReportedBeforeThoseThatAreLeft() {
+    void truncationIsReportedBeforeTheRemainingRecords() {
         for (byte number = 0; number < 5; number++) {
             mLog.add(new byte[] {number});
         }
-        mLog.dropBefore(3);
+        mLog.truncateBefore(3);
 
         TestSubscriber<StreamEvent> events = mFollower.events().test();
 
@@ -63,7 +68,10 @@
         assertThat(offsets(events)).containsExactly(3L, 4L);
     }
 
-    /** Guards against a load on the log service that grows when nothing happens. */
+    /**
+     * Guards against an idle follower that loads the log service with more than one read per
+     * long-poll wait.
+     */
     @Test
     void idleFollowerReadsOncePerWait() {
         TestSubscriber<StreamEvent> unused = mFollower.events().test();
