--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ActiveConfiguration.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ActiveConfiguration.java
@@ -8,10 +8,10 @@
 import org.hickorycleat.model.manifest.ManifestWriter;
 
 /**
- * A configuration and where it came from.
+ * Active configuration and its source.
  *
- * @param configuration accepted configuration, or a slice of it
- * @param source where it came from
+ * @param configuration accepted configuration, or a configuration slice of it
+ * @param source where the process obtained it
  */
 public record ActiveConfiguration(AcceptedConfiguration configuration, ConfigurationSource source) {
     /** Returns the version. */
@@ -19,25 +19,27 @@
         return configuration.version();
     }
 
-    /** Returns what is in force after an offer; empty if the offer changes nothing. */
-    Optional<ActiveConfiguration> after(ActiveConfiguration offered) {
-        int comparison = offered.version().compareTo(version());
-        if (source.isComplete() && !offered.source.isComplete()) {
+    /**
+     * Returns the active configuration after an update by a candidate; empty if nothing changes.
+     */
+    Optional<ActiveConfiguration> updatedBy(ActiveConfiguration candidate) {
+        int comparison = candidate.version().compareTo(version());
+        if (source.isComplete() && !candidate.source.isComplete()) {
             return Optional.empty();
         }
         if (comparison != 0) {
-            return comparison > 0 ? Optional.of(offered) : Optional.empty();
+            return comparison > 0 ? Optional.of(candidate) : Optional.empty();
         }
-        if (offered.source.isComplete()) {
-            boolean isBetter = !source.isComplete() || offered.source.compareTo(source) < 0;
-            return isBetter ? Optional.of(offered) : Optional.empty();
+        if (candidate.source.isComplete()) {
+            boolean isBetter = !source.isComplete() || candidate.source.compareTo(source) < 0;
+            return isBetter ? Optional.of(candidate) : Optional.empty();
         }
-        return merge(offered);
+        return merge(candidate);
     }
 
-    private Optional<ActiveConfiguration> merge(ActiveConfiguration offered) {
+    private Optional<ActiveConfiguration> merge(ActiveConfiguration candidate) {
         Manifest own = configuration.manifest();
-        Manifest merged = ManifestSlices.merge(own, offered.configuration.manifest());
+        Manifest merged = ManifestSlices.merge(own, candidate.configuration.manifest());
         if (merged.equals(ManifestSlices.merge(own, own))) {
             return Optional.empty();
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ConfigurationHolder.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ConfigurationHolder.java
@@ -11,23 +11,24 @@
 import org.hickorycleat.model.message.ConfigurationUpdate;
 
 /**
- * The configuration that a process has in force; its version never decreases. Safe for use by
- * several threads.
+ * Holds the active configuration of a process; its version never decreases. Thread-safe.
  *
- * <p>A whole manifest is never replaced by a slice, even by one of a higher version: an entry that
- * knows every service would forget those that the slice does not hold. The whole manifest of that
- * version comes from a peer or the log.
+ * <p>A complete manifest is never replaced by a configuration slice, even by one of a higher
+ * version: an entry that knows every service would lose those that the slice does not contain. The
+ * complete manifest of that version comes from a peer or the log.
  */
 public final class ConfigurationHolder {
     private static final ConfigurationVersion NO_VERSION = new ConfigurationVersion(-1);
 
     private volatile Optional<ActiveConfiguration> mCurrent = Optional.empty();
 
-    /** Only signals that something changed; each observer then reads the current value itself. */
+    /** Signals only that the value changed; each observer then reads the current value. */
     private final FlowableProcessor<Boolean> mSignals =
             BehaviorProcessor.createDefault(true).toSerialized();
 
-    /** Puts a configuration in force if it is newer; tells whether anything changed. */
+    /**
+     * Activates a configuration if it is newer or more complete; returns whether anything changed.
+     */
     public boolean updateIfNewer(AcceptedConfiguration configuration, ConfigurationSource source) {
         boolean isChanged = replace(new ActiveConfiguration(configuration, source));
         if (isChanged) {
@@ -36,7 +37,9 @@
         return isChanged;
     }
 
-    /** Does the same with a message of another process; one that does not parse is ignored. */
+    /**
+     * Applies an update received from another process; an update that cannot be parsed is ignored.
+     */
     public boolean updateIfNewer(ConfigurationUpdate update, ConfigurationSource source) {
         if (update.version().value() < 0) {
             return false;
@@ -51,19 +54,19 @@
                 .getOrElse(false);
     }
 
-    /** Returns the configuration in force. */
+    /** Returns the active configuration. */
     public Optional<ActiveConfiguration> current() {
         return mCurrent;
     }
 
-    /** Returns the version in force, -1 for none. */
+    /** Returns the active version, -1 for none. */
     public ConfigurationVersion version() {
         return current().map(ActiveConfiguration::version).orElse(NO_VERSION);
     }
 
     /**
-     * Emits the configuration in force, then each later one; an observer that is slow misses
-     * intermediate ones but never the newest.
+     * Emits the active configuration, then each later one; a slow observer misses intermediate
+     * versions but never the latest.
      */
     public Flowable<ActiveConfiguration> changes() {
         return mSignals.startWithItem(true)
@@ -72,7 +75,7 @@
                 .distinctUntilChanged();
     }
 
-    /** Describes version and source, for the health output of the process. */
+    /** Formats the version and source for the health output of the process. */
     public String healthText() {
         return current()
                 .map(
@@ -88,9 +91,9 @@
                                 + " has provided one\"");
     }
 
-    private synchronized boolean replace(ActiveConfiguration offered) {
+    private synchronized boolean replace(ActiveConfiguration candidate) {
         Optional<ActiveConfiguration> next =
-                mCurrent.isEmpty() ? Optional.of(offered) : mCurrent.get().after(offered);
+                mCurrent.isEmpty() ? Optional.of(candidate) : mCurrent.get().updatedBy(candidate);
         if (next.isPresent()) {
             mCurrent = next;
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ConfigurationReader.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ConfigurationReader.java
@@ -8,7 +8,7 @@
 import org.hickorycleat.model.configuration.ConfigurationHistory;
 import org.hickorycleat.model.configuration.RecordOutcome;
 
-/** Follows the configuration stream and puts accepted manifests in force. */
+/** Follows the configuration stream and activates accepted manifests. */
 public final class ConfigurationReader {
     private final StreamFollower mFollower;
     private final ConfigurationHolder mHolder;
@@ -16,7 +16,7 @@
     private volatile ConfigurationHistory mHistory = ConfigurationHistory.startingAt(0);
     private volatile boolean mCaughtUp;
 
-    /** Creates a reader on a follower that begins at offset 0. */
+    /** Creates a reader; the follower must start at offset 0. */
     public ConfigurationReader(
             StreamFollower follower,
             ConfigurationHolder holder,
@@ -26,30 +26,30 @@
         mListener = listener;
     }
 
-    /** Reads until disposed of. */
+    /** Reads the stream until disposed of. */
     public Completable run() {
         return mFollower.events().doOnNext(this::handle).ignoreElements();
     }
 
-    /** Returns what has been read so far. */
+    /** Returns the history that results from the records read so far. */
     public ConfigurationHistory history() {
         return mHistory;
     }
 
-    /** Tells whether the stream was once read to its end. */
+    /** Returns whether the stream has been read to its end at least once. */
     public boolean isCaughtUp() {
         return mCaughtUp;
     }
 
-    /** Describes configuration and log, for the health output of the process. */
+    /** Formats the state of the configuration and the log for the health output of the process. */
     public String healthText() {
         Optional<String> error = mFollower.health().lastError();
         String log =
                 error.map(message -> "unavailable log_error=\"" + message + "\"")
                         .orElse(mFollower.health().isAvailable() ? "available" : "not-read");
-        String decided =
+        String truncation =
                 mCaughtUp && !mHistory.isVersionKnown() ? " stream=truncated-no-snapshot" : "";
-        return mHolder.healthText() + " log=" + log + decided;
+        return mHolder.healthText() + " log=" + log + truncation;
     }
 
     private void handle(StreamEvent event) {
@@ -60,7 +60,7 @@
         } else {
             mCaughtUp = true;
         }
-        // Versions passed through while catching up were in force long ago and are skipped.
+        // Versions read while catching up are outdated and are skipped.
         if (mCaughtUp) {
             mHistory.current()
                     .ifPresent(
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ConfigurationRecordListener.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ConfigurationRecordListener.java
@@ -2,9 +2,9 @@
 
 import org.hickorycleat.model.configuration.RecordOutcome;
 
-/** Learns what each record of the configuration stream did, for logs and counters. */
+/** Receives the outcome of each record of the configuration stream, for logs and counters. */
 @FunctionalInterface
 public interface ConfigurationRecordListener {
-    /** Takes note of a record. */
+    /** Handles the outcome of a record. */
     void onRecord(long offset, RecordOutcome outcome);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ConfigurationStream.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/ConfigurationStream.java
@@ -7,10 +7,10 @@
 
 /** The stream on which manifests are published. */
 public final class ConfigurationStream {
-    /** Its name. */
+    /** Name of the stream. */
     public static final StreamName NAME = new StreamName("configuration");
 
-    /** Reads the identity of its records. */
+    /** Reads the identities of the stream's records. */
     public static final RecordIdReader RECORD_IDS =
             payload -> ConfigurationRecordCodec.decode(payload).map(ConfigurationRecord::id);
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/SnapshotAppender.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/SnapshotAppender.java
@@ -19,11 +19,11 @@
 import org.hickorycleat.model.identifier.RecordId;
 
 /**
- * Appends the current manifest again before retention drops it. Every entry may run one: a second
- * snapshot changes nothing for any reader.
+ * Appends a snapshot of the current manifest before the retention of the log removes the previous
+ * one. Every entry may run one, because a duplicate snapshot changes nothing for readers.
  */
 public final class SnapshotAppender {
-    private static final int CHECKS_PER_AGE = 20;
+    private static final int CHECKS_PER_MAXIMUM_AGE = 20;
     private static final byte[] NO_MANIFEST = {};
 
     private final IdempotentAppender mAppender;
@@ -31,11 +31,11 @@
     private final Incarnation mIncarnation;
     private final LongSupplier mSequences;
     private final Supplier<ConfigurationHistory> mHistory;
-    private final SnapshotClock mClock;
+    private final SnapshotSchedule mSchedule;
     private final Duration mCheckInterval;
     private final Scheduler mScheduler;
 
-    /** Creates it; the sequences are those of the appender's writer on this stream. */
+    /** Creates an appender; the sequence numbers must be those of its writer on this stream. */
     public SnapshotAppender(
             IdempotentAppender appender,
             ProcessId writer,
@@ -50,12 +50,12 @@
         mIncarnation = incarnation;
         mSequences = sequences;
         mHistory = history;
-        mClock = new SnapshotClock(policy, random, scheduler);
-        mCheckInterval = policy.maximumAge().dividedBy(CHECKS_PER_AGE);
+        mSchedule = new SnapshotSchedule(policy, random, scheduler);
+        mCheckInterval = policy.maximumAge().dividedBy(CHECKS_PER_MAXIMUM_AGE);
         mScheduler = scheduler;
     }
 
-    /** Runs until disposed of. */
+    /** Appends snapshots when they are due, until disposed of. */
     public Completable run() {
         return Flowable.interval(
                         Math.max(1, mCheckInterval.toMillis()), TimeUnit.MILLISECONDS, mScheduler)
@@ -65,14 +65,14 @@
 
     private Completable appendIfDue() {
         ConfigurationHistory history = mHistory.get();
-        if (!mClock.isDue(history)) {
+        if (!mSchedule.isDue(history)) {
             return Completable.complete();
         }
         RecordId id = new RecordId(mWriter, mIncarnation, mSequences.getAsLong());
         byte[] payload = ConfigurationRecordCodec.encode(snapshot(id, history));
         return mAppender
                 .append(new AppendRequest(id, payload, history.nextOffset()))
-                .doOnSuccess(offset -> mClock.appended())
+                .doOnSuccess(offset -> mSchedule.onAppended())
                 .ignoreElement()
                 .onErrorComplete();
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/SnapshotPolicy.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/SnapshotPolicy.java
@@ -3,18 +3,19 @@
 import java.time.Duration;
 
 /**
- * When the current manifest is appended again.
+ * Conditions under which a snapshot of the current manifest is appended.
  *
- * @param maximumAge age of the newest copy in the log at which it is due
- * @param maximumRecords records after the newest copy at which it is due
- * @param startDelay longest delay after the start, when the age of the newest copy is unknown
+ * @param maximumAge age of the latest snapshot in the log at which another is due
+ * @param maximumRecords number of records after the latest snapshot at which another is due
+ * @param startDelay maximum delay after process start, when the age of the latest snapshot is
+ *     unknown
  */
 public record SnapshotPolicy(Duration maximumAge, long maximumRecords, Duration startDelay) {
-    private static final Duration LONGEST_START_DELAY = Duration.ofSeconds(10);
+    private static final Duration MAXIMUM_START_DELAY = Duration.ofSeconds(10);
 
     /**
-     * Returns the policy for a retention: copies at half of it leave the other half for outages of
-     * the log and for processes that take their time to start.
+     * Returns the policy for a retention. Snapshots at half of it leave the other half for outages
+     * of the log and for processes that start slowly.
      */
     public static SnapshotPolicy forRetention(Duration age, long records) {
         Duration half = age.dividedBy(2);
@@ -22,6 +23,6 @@
         return new SnapshotPolicy(
                 half,
                 Math.max(1, records / 2),
-                startDelay.compareTo(LONGEST_START_DELAY) < 0 ? startDelay : LONGEST_START_DELAY);
+                startDelay.compareTo(MAXIMUM_START_DELAY) < 0 ? startDelay : MAXIMUM_START_DELAY);
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/SnapshotSchedule.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/SnapshotSchedule.java
@@ -6,44 +6,46 @@
 import org.hickorycleat.model.configuration.ConfigurationHistory;
 
 /**
- * Decides when a snapshot is due. The age of a copy counts from when this process read it, so that
- * it depends on no clock but its own; each process adds a random part of up to a quarter, so that
- * the first to append saves the others from it.
+ * Decides when a snapshot is due. The age of a snapshot counts from when this process read it, so
+ * that it depends only on the local clock. Each process adds random jitter of up to a quarter, so
+ * that the others find the snapshot of the first and need not append their own.
  */
-final class SnapshotClock {
-    private static final double JITTER_SHARE = 0.25;
+final class SnapshotSchedule {
+    private static final double JITTER_FRACTION = 0.25;
 
     private final SnapshotPolicy mPolicy;
     private final Random mRandom;
     private final Scheduler mScheduler;
-    private long mCopyOffset = Long.MIN_VALUE;
+    private long mSnapshotOffset = Long.MIN_VALUE;
     private long mDueAtMs;
 
-    SnapshotClock(SnapshotPolicy policy, Random random, Scheduler scheduler) {
+    SnapshotSchedule(SnapshotPolicy policy, Random random, Scheduler scheduler) {
         mPolicy = policy;
         mRandom = random;
         mScheduler = scheduler;
     }
 
-    /** Tells whether a snapshot is due; to be called at least every tenth of the maximum age. */
+    /**
+     * Returns whether a snapshot is due; must be called at least every tenth of the maximum age.
+     */
     boolean isDue(ConfigurationHistory history) {
         if (!history.isVersionKnown() || history.nextOffset() == 0) {
             return false;
         }
         long now = mScheduler.now(TimeUnit.MILLISECONDS);
-        if (history.lastSnapshotOffset() != mCopyOffset) {
-            boolean isFirstLook = mCopyOffset == Long.MIN_VALUE;
-            mCopyOffset = history.lastSnapshotOffset();
-            mDueAtMs = now + (isFirstLook ? startDelayMs() : ageMs());
+        if (history.lastSnapshotOffset() != mSnapshotOffset) {
+            boolean isFirstCheck = mSnapshotOffset == Long.MIN_VALUE;
+            mSnapshotOffset = history.lastSnapshotOffset();
+            mDueAtMs = now + (isFirstCheck ? startDelayMs() : maximumAgeWithJitterMs());
         }
-        return now >= mDueAtMs || history.nextOffset() - mCopyOffset > mPolicy.maximumRecords();
+        return now >= mDueAtMs || history.nextOffset() - mSnapshotOffset > mPolicy.maximumRecords();
     }
 
-    /** Restarts the wait after an append, whose record has not been read back yet. */
-    void appended() {
+    /** Restarts the delay after an append, because its record has not been read back yet. */
+    void onAppended() {
         long now = mScheduler.now(TimeUnit.MILLISECONDS);
         if (now >= mDueAtMs) {
-            mDueAtMs = now + ageMs();
+            mDueAtMs = now + maximumAgeWithJitterMs();
         }
     }
 
@@ -51,8 +53,8 @@
         return (long) (mRandom.nextDouble() * mPolicy.startDelay().toMillis());
     }
 
-    private long ageMs() {
+    private long maximumAgeWithJitterMs() {
         long age = mPolicy.maximumAge().toMillis();
-        return age + (long) (mRandom.nextDouble() * age * JITTER_SHARE);
+        return age + (long) (mRandom.nextDouble() * age * JITTER_FRACTION);
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/package-info.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/configuration/package-info.java
@@ -1,4 +1,4 @@
-/** The configuration that a process has in force, and how it learns and preserves it. */
+/** Obtains, holds and preserves the active configuration of a process. */
 @NullMarked
 package org.hickorycleat.logic.configuration;
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/configuration/ConfigurationHolderTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/configuration/ConfigurationHolderTest.java
@@ -22,74 +22,75 @@
 import org.junit.jupiter.api.Test;
 
 class ConfigurationHolderTest {
-    private static final Manifest WHOLE = manifest("a", "b");
+    private static final Manifest COMPLETE = manifest("a", "b");
 
     private final ConfigurationHolder mHolder = new ConfigurationHolder();
 
     /** Guards against a configuration that reverts when an old message arrives late. */
     @Test
     void lowerVersionsChangeNothingWhateverTheirSource() {
-        mHolder.updateIfNewer(accepted(5, WHOLE), ConfigurationSource.PEER);
+        mHolder.updateIfNewer(accepted(5, COMPLETE), ConfigurationSource.PEER);
         for (ConfigurationSource source : ConfigurationSource.values()) {
-            assertThat(mHolder.updateIfNewer(accepted(4, WHOLE), source)).isFalse();
+            assertThat(mHolder.updateIfNewer(accepted(4, COMPLETE), source)).isFalse();
         }
 
         assertThat(mHolder.version()).isEqualTo(new ConfigurationVersion(5));
     }
 
-    /** Guards against an entry that forgets services because one agent holds only some. */
+    /** Guards against an entry that loses services because one agent holds only some of them. */
     @Test
-    void sliceNeverReplacesWholeManifest() {
-        mHolder.updateIfNewer(accepted(5, WHOLE), ConfigurationSource.LOG);
+    void sliceNeverReplacesCompleteManifest() {
+        mHolder.updateIfNewer(accepted(5, COMPLETE), ConfigurationSource.LOG);
 
         assertThat(mHolder.updateIfNewer(accepted(6, slice("a")), ConfigurationSource.AGENT))
                 .isFalse();
-        assertThat(mHolder.current().get().configuration().manifest()).isEqualTo(WHOLE);
+        assertThat(mHolder.current().get().configuration().manifest()).isEqualTo(COMPLETE);
     }
 
-    /** Guards against an entry without log and peers that serves only one agent's services. */
+    /** Guards against an entry without log or peers that serves only the services of one agent. */
     @Test
-    void slicesOfOneVersionAreJoinedUntilTheWholeManifestArrives() {
+    void slicesOfOneVersionAreMergedUntilTheCompleteManifestArrives() {
         mHolder.updateIfNewer(accepted(5, slice("a")), ConfigurationSource.AGENT);
         mHolder.updateIfNewer(accepted(5, slice("b")), ConfigurationSource.AGENT);
 
         assertThat(mHolder.current().get().configuration().manifest().services())
-                .containsExactlyInAnyOrderElementsOf(WHOLE.services());
+                .containsExactlyInAnyOrderElementsOf(COMPLETE.services());
         assertThat(mHolder.updateIfNewer(accepted(5, slice("b")), ConfigurationSource.AGENT))
                 .isFalse();
         assertThat(mHolder.healthText()).contains("source=agent complete=false");
 
-        mHolder.updateIfNewer(accepted(5, WHOLE), ConfigurationSource.LOG);
+        mHolder.updateIfNewer(accepted(5, COMPLETE), ConfigurationSource.LOG);
 
         assertThat(mHolder.healthText()).contains("version=5 source=log complete=true");
     }
 
-    /** Guards against messages that take effect although they hold no manifest. */
+    /** Guards against updates that are applied although they contain no valid manifest. */
     @Test
-    void updatesThatDoNotParseAreIgnored() {
-        ConfigurationUpdate broken =
+    void malformedUpdatesAreIgnored() {
+        ConfigurationUpdate malformed =
                 new ConfigurationUpdate(new ConfigurationVersion(9), new byte[] {1});
-        ConfigurationUpdate none =
-                new ConfigurationUpdate(new ConfigurationVersion(-1), ManifestWriter.write(WHOLE));
+        ConfigurationUpdate withoutVersion =
+                new ConfigurationUpdate(
+                        new ConfigurationVersion(-1), ManifestWriter.write(COMPLETE));
 
-        assertThat(mHolder.updateIfNewer(broken, ConfigurationSource.PEER)).isFalse();
-        assertThat(mHolder.updateIfNewer(none, ConfigurationSource.PEER)).isFalse();
+        assertThat(mHolder.updateIfNewer(malformed, ConfigurationSource.PEER)).isFalse();
+        assertThat(mHolder.updateIfNewer(withoutVersion, ConfigurationSource.PEER)).isFalse();
         assertThat(mHolder.healthText()).contains("configuration_version=none");
     }
 
-    /** Guards against observers that see a version go lower or never see the newest. */
+    /** Guards against observers that see a version decrease or never see the latest. */
     @Test
-    void observersOfRacingOffersNeverGoToLowerVersionsAndEndAtTheNewest() throws Exception {
+    void observersOfConcurrentUpdatesSeeIncreasingVersionsUpToTheLatest() throws Exception {
         TestSubscriber<ActiveConfiguration> early = mHolder.changes().test();
         ExecutorService executor = Executors.newFixedThreadPool(4);
         try {
-            List<Future<?>> offers =
+            List<Future<?>> updates =
                     IntStream.range(0, 4)
                             .<Future<?>>mapToObj(
-                                    part -> executor.submit(() -> offerEveryFourth(part)))
+                                    part -> executor.submit(() -> updateEveryFourth(part)))
                             .toList();
             TestSubscriber<ActiveConfiguration> late = mHolder.changes().test();
-            awaitAll(offers);
+            awaitAll(updates);
 
             assertThat(early.values()).isSortedAccordingTo(ConfigurationHolderTest::compare);
             assertThat(late.values()).isSortedAccordingTo(ConfigurationHolderTest::compare);
@@ -100,16 +101,16 @@
         }
     }
 
-    private void offerEveryFourth(int part) {
+    private void updateEveryFourth(int part) {
         for (int version = part; version < 2_000; version += 4) {
-            mHolder.updateIfNewer(accepted(version, WHOLE), ConfigurationSource.PEER);
+            mHolder.updateIfNewer(accepted(version, COMPLETE), ConfigurationSource.PEER);
         }
     }
 
-    private static void awaitAll(List<Future<?>> offers)
+    private static void awaitAll(List<Future<?>> updates)
             throws ExecutionException, InterruptedException {
-        for (Future<?> offer : offers) {
-            offer.get();
+        for (Future<?> update : updates) {
+            update.get();
         }
     }
 
@@ -127,7 +128,7 @@
     }
 
     private static Manifest slice(String service) {
-        return ManifestSlices.slice(WHOLE, Set.of(new ServiceName(service)));
+        return ManifestSlices.slice(COMPLETE, Set.of(new ServiceName(service)));
     }
 
     private static Manifest manifest(String... services) {
