Describe the ports in the usual terms

Doc comments spoke of answers, orders and lives instead of responses, commands and incarnations, and left out units.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/AgentLink.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/AgentLink.java
@@ -7,7 +7,7 @@
 @FunctionalInterface
 public interface AgentLink {
     /**
-     * Hands a message to the connection.
+     * Queues a message on the connection.
      *
      * @return false when there is no connection or its queue is full; the message was then not sent
      */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/DecisionLog.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/DecisionLog.java
@@ -1,16 +1,16 @@
 package org.hickorycleat.logic.port;
 
-/** Takes a line for each decision that touches a request or changes what the process believes. */
+/** Records each decision that affects a request or changes the state known to the process. */
 @FunctionalInterface
 public interface DecisionLog {
-    /** A log that keeps nothing. */
+    /** A log that discards every decision. */
     DecisionLog NONE = (event, pairs) -> {};
 
     /**
      * Records a decision.
      *
-     * @param event name in snake case
-     * @param pairs keys and values in turn
+     * @param event name of the event in snake case
+     * @param pairs alternating keys and values
      */
     void record(String event, Object... pairs);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/HttpCall.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/HttpCall.java
@@ -4,12 +4,12 @@
 import java.util.Map;
 
 /**
- * A call over HTTP/1.1.
+ * An outgoing HTTP/1.1 request.
  *
  * @param target path and query
  * @param timeoutMs time after which the call fails, in milliseconds
  */
-@SuppressWarnings("ArrayRecordComponent") // Copied neither in nor out: never changed.
+@SuppressWarnings("ArrayRecordComponent") // Not copied, because the array is never modified.
 public record HttpCall(
         InetSocketAddress address,
         String method,
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/HttpCallException.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/HttpCallException.java
@@ -1,18 +1,18 @@
 package org.hickorycleat.logic.port;
 
-/** No whole response came. */
+/** Thrown if an HTTP call received no complete response. */
 public final class HttpCallException extends Exception {
     private static final long serialVersionUID = 1L;
 
     private final boolean mSent;
 
-    /** Creates the failure. */
+    /** Creates the exception. */
     public HttpCallException(String reason, boolean sent) {
         super(reason);
         mSent = sent;
     }
 
-    /** Tells whether the call may have reached the other side. */
+    /** Returns whether the request may have reached the server. */
     public boolean mayHaveBeenSent() {
         return mSent;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/HttpClient.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/HttpClient.java
@@ -2,9 +2,9 @@
 
 import io.reactivex.rxjava3.core.Single;
 
-/** Makes calls over HTTP. */
+/** Sends HTTP requests. */
 @FunctionalInterface
 public interface HttpClient {
-    /** Makes one call; fails with {@link HttpCallException}. */
+    /** Sends one request; fails with {@link HttpCallException}. */
     Single<HttpResponse> call(HttpCall call);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/HttpHandler.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/HttpHandler.java
@@ -2,9 +2,9 @@
 
 import io.reactivex.rxjava3.core.Single;
 
-/** Answers requests over HTTP. */
+/** Handles HTTP requests. */
 @FunctionalInterface
 public interface HttpHandler {
-    /** Answers one request; a failure breaks the connection off without an answer. */
+    /** Handles one request; an error closes the connection without a response. */
     Single<HttpResponse> handle(HttpRequest request);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/HttpRequest.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/HttpRequest.java
@@ -3,12 +3,12 @@
 import java.util.Map;
 
 /**
- * A whole request that was received over HTTP/1.1.
+ * A complete HTTP/1.1 request that was received.
  *
- * @param query what follows the question mark; empty if nothing does
- * @param headers values by name in lower case
+ * @param query query string without the question mark; empty if there is none
+ * @param headers values by lower-case name
  */
-@SuppressWarnings("ArrayRecordComponent") // Copied neither in nor out: never changed.
+@SuppressWarnings("ArrayRecordComponent") // Not copied, because the array is never modified.
 public record HttpRequest(
         String method, String path, String query, Map<String, String> headers, byte[] body) {
     /** Copies the headers. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/JobChangeResult.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/JobChangeResult.java
@@ -1,12 +1,12 @@
 package org.hickorycleat.logic.port;
 
-/** Outcome of a change that a caller asked for. */
+/** Result of a change to a job that a caller requested. */
 public enum JobChangeResult {
     /** The change is durable. */
     DONE,
-    /** The change has not taken effect and never will. */
+    /** The change was not committed and never will be. */
     NOT_DONE,
-    /** The change may have taken effect. */
+    /** The change may have been committed. */
     UNKNOWN,
     /** No such job exists. */
     NO_SUCH_JOB
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/JobService.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/JobService.java
@@ -7,13 +7,13 @@
 import org.hickorycleat.model.job.JobSubmission;
 import org.hickorycleat.model.job.WorkloadConfiguration;
 
-/** What callers ask of an entry. */
+/** Job operations that an entry offers to callers. */
 public interface JobService {
-    /** Returns the configuration in force. */
+    /** Returns the active configuration. */
     Optional<WorkloadConfiguration> configuration();
 
     /**
-     * Makes a job durable.
+     * Accepts a job and stores it durably.
      *
      * @param timeLimitMs how long the caller waits, in milliseconds
      */
@@ -25,6 +25,6 @@
     /** Cancels a job. */
     Single<JobChangeResult> cancel(JobQueue queue, JobId job, int timeLimitMs);
 
-    /** Returns how many accepted jobs of the queue have not begun. */
+    /** Returns the number of accepted jobs in the queue that have not started. */
     int waitingJobCount(JobQueue queue);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/JobStateResult.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/JobStateResult.java
@@ -4,9 +4,9 @@
 import org.hickorycleat.model.job.JobState;
 
 /**
- * Outcome of a question for the state of a job.
+ * Result of a query for the state of a job.
  *
- * @param known whether the entry could tell
+ * @param known whether the entry could determine the state
  * @param state state of the job; empty when no such job exists
  */
 public record JobStateResult(boolean known, Optional<JobState> state) {}
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/LogPage.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/LogPage.java
@@ -5,7 +5,7 @@
 /**
  * Records read from a stream.
  *
- * @param firstOffset oldest offset that the service still keeps
+ * @param firstOffset oldest offset that the service still retains
  * @param nextOffset offset to read from next
  * @param records records in order
  */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/LogService.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/LogService.java
@@ -9,13 +9,13 @@
     /**
      * Appends a record and returns its offset.
      *
-     * <p>Fails with {@link LogUnavailableException} when no answer came; the append may then have
-     * taken effect.
+     * <p>Fails with {@link LogUnavailableException} when no response arrived; the append may then
+     * have been committed.
      */
     Single<Long> append(StreamName stream, byte[] payload);
 
     /**
-     * Reads records from an offset, waiting up to {@code wait} when there is none yet.
+     * Reads records from an offset, waiting up to {@code wait} if there are none yet.
      *
      * <p>Fails with {@link LogTruncatedException} when the offset is older than the retention.
      */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/LogUnavailableException.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/LogUnavailableException.java
@@ -1,6 +1,6 @@
 package org.hickorycleat.logic.port;
 
-/** The log service did not answer; an append may have taken effect. */
+/** Thrown if the log service did not respond; an append may have been committed. */
 public final class LogUnavailableException extends Exception {
     /** Creates the exception. */
     public LogUnavailableException(String message, Throwable cause) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/RecordStore.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/RecordStore.java
@@ -8,9 +8,9 @@
 import org.hickorycleat.model.store.StoreReadRequest;
 import org.hickorycleat.model.store.StoreRecord;
 
-/** Keyed topics that outlast every process. */
+/** Durable store of keyed records in topics. */
 public interface RecordStore {
-    /** Appends all records or none; never fails, see the outcome. */
+    /** Appends all records or none; never fails, errors are part of the outcome. */
     Single<AppendOutcome> append(StoreAppendRequest terms, List<StoreRecord> records);
 
     /** Reads a page; fails with {@link StoreUnavailableException}. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/ResponseTooLargeException.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/ResponseTooLargeException.java
@@ -1,9 +1,9 @@
 package org.hickorycleat.logic.port;
 
-/** The target ran the request, but its answer is larger than can be passed on. */
+/** Thrown if the target executed the request, but its response is too large to forward. */
 public final class ResponseTooLargeException extends Exception {
     /** Creates the exception. */
     public ResponseTooLargeException(int maximumBytes) {
-        super("answer is larger than " + maximumBytes + " bytes");
+        super("response is larger than " + maximumBytes + " bytes");
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/RunCommandResult.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/RunCommandResult.java
@@ -4,17 +4,17 @@
 import org.hickorycleat.model.job.RejectionReason;
 
 /**
- * Answer of a worker to an order.
+ * Response of a worker to a command about one run.
  *
- * @param applied whether the order is in force
+ * @param applied whether the command was applied
  * @param fenced whether the worker has seen a higher fencing token
- * @param reason why it was rejected
+ * @param reason reason of a rejection; empty otherwise
  */
 public record RunCommandResult(boolean applied, boolean fenced, Optional<RejectionReason> reason) {
-    /** The order is in force. */
+    /** The command was applied. */
     public static final RunCommandResult DONE = new RunCommandResult(true, false, Optional.empty());
 
-    /** A higher fencing token has been seen. */
+    /** The worker has seen a higher fencing token. */
     public static final RunCommandResult FENCED =
             new RunCommandResult(false, true, Optional.empty());
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/RunListing.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/RunListing.java
@@ -5,11 +5,11 @@
 import org.hickorycleat.model.job.RunSample;
 
 /**
- * Lists of a worker.
+ * Running and ended runs listed by a worker.
  *
  * @param fenced whether the worker has seen a higher fencing token; the lists are empty then
- * @param startedAtMs start of the life that answered, in Unix milliseconds
- * @param clockMs clock of the worker at the answer
+ * @param startedAtMs start of the responding incarnation of the worker, in Unix milliseconds
+ * @param clockMs clock of the worker at the time of the response, in milliseconds
  */
 public record RunListing(
         boolean fenced,
@@ -23,7 +23,7 @@
         ended = List.copyOf(ended);
     }
 
-    /** The answer to a token that is too low. */
+    /** Returns the response to a fencing token that is too low. */
     public static RunListing rejectedAsFenced() {
         return new RunListing(true, 0, 0, List.of(), List.of());
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/SingleCallbacks.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/SingleCallbacks.java
@@ -5,11 +5,11 @@
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.function.Consumer;
 
-/** Runs calls that end by themselves, as each has a time limit. */
+/** Subscribes callbacks to calls that always terminate, because each has a time limit. */
 public final class SingleCallbacks {
     private SingleCallbacks() {}
 
-    /** Starts a call and passes its outcome on. */
+    /** Starts a call and passes its result or error to a callback. */
     public static <T> void subscribe(
             Single<T> call, Consumer<? super T> onSuccess, Consumer<Throwable> onError) {
         call.subscribe(
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/StartRunCommand.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/StartRunCommand.java
@@ -5,10 +5,10 @@
 import org.hickorycleat.model.job.WorkerIncarnation;
 
 /**
- * Order to start a run.
+ * Command to start a run.
  *
- * @param incarnation the only life of the worker that may carry it out
- * @param leaseDeadlineMs end of the lease on the clock of the worker
+ * @param incarnation the only incarnation of the worker that may execute the command
+ * @param leaseDeadlineMs end of the lease by the worker's clock, in milliseconds
  */
 public record StartRunCommand(
         WorkerIncarnation incarnation,
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/StoreUnavailableException.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/StoreUnavailableException.java
@@ -1,10 +1,10 @@
 package org.hickorycleat.logic.port;
 
-/** The store gave no usable answer to a read. */
+/** Thrown if the store gave no usable response to a read. */
 public final class StoreUnavailableException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    /** Creates the failure. */
+    /** Creates the exception. */
     public StoreUnavailableException(String reason) {
         super(reason);
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/TargetClient.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/TargetClient.java
@@ -3,7 +3,7 @@
 import io.reactivex.rxjava3.core.Single;
 import org.hickorycleat.model.message.Invoke;
 
-/** Makes one HTTP exchange with the target beside the agent. */
+/** Exchanges HTTP requests and responses with the local target of the agent. */
 @FunctionalInterface
 public interface TargetClient {
     /**
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/TargetNotReachedException.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/TargetNotReachedException.java
@@ -1,6 +1,8 @@
 package org.hickorycleat.logic.port;
 
-/** The request did not reach the target, for example because the connection was refused. */
+/**
+ * Thrown if the request did not reach the target, for example because the connection was refused.
+ */
 public final class TargetNotReachedException extends Exception {
     /** Creates the exception. */
     public TargetNotReachedException(String message, Throwable cause) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/TaskUsage.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/TaskUsage.java
@@ -3,11 +3,11 @@
 import org.hickorycleat.model.identifier.TaskId;
 
 /**
- * Measured use of resources by a task.
+ * Measured resource usage of a task.
  *
  * @param task the task
- * @param processorsMilli thousandths of a core
- * @param memoryMebibytes MiB
+ * @param processorsMilli processor usage in thousandths of a core
+ * @param memoryMebibytes memory usage in MiB
  * @param measuredAgoMs age of the measurement in milliseconds
  */
 public record TaskUsage(
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerAnswer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerAnswer.java
@@ -4,7 +4,7 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /**
- * Answer of a worker to a command about one attempt.
+ * Response of a worker to a command about one attempt.
  *
  * @param code OK, or why the command had no effect
  * @param task state of the attempt as the worker has recorded it; empty if it has no such attempt
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerControl.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerControl.java
@@ -9,26 +9,29 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /**
- * The worker on the same VM.
+ * Controls the worker on the same VM.
  *
  * <p>A call is made when its Single is subscribed to. It fails with {@link
- * WorkerUnavailableException} when no answer came; the action may then have taken effect. All calls
- * but list and usage are refused with {@code STALE_EPOCH} when the worker has seen a higher epoch
- * of the shard, and raise its epoch otherwise.
+ * WorkerUnavailableException} when no response arrived; the action may then have been executed. All
+ * calls but list and usage are rejected with {@code STALE_EPOCH} when the worker has seen a higher
+ * epoch of the shard, and raise its epoch otherwise.
  */
 public interface WorkerControl {
     /** Returns the worker's incarnation, clock, capacity and the last attempt of each task. */
     Single<WorkerListing> list();
 
-    /** Starts an attempt; for an attempt known before, returns its state and starts nothing. */
+    /**
+     * Starts an attempt; for an attempt that the worker already knows, returns its state and starts
+     * nothing.
+     */
     Single<WorkerAnswer> start(WorkerStart start);
 
     /** Extends leases up to a time by the worker's clock; ignored for another incarnation. */
     Single<ResultCode> renew(WorkerRenewal renewal);
 
     /**
-     * Stops an attempt; for one that has ended, returns how. An attempt that the worker has not
-     * seen is recorded as stopped, so that a start which arrives later is refused.
+     * Stops an attempt; for one that has ended, returns its terminal state. An attempt that the
+     * worker has not seen is recorded as stopped, so that a start which arrives later is rejected.
      */
     Single<WorkerAnswer> stop(ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt);
 
@@ -40,7 +43,7 @@
     Single<WorkerAnswer> throttle(
             ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt, int permille);
 
-    /** Returns the latest measurements, which are late. */
+    /** Returns the latest usage measurements, whose age is given in each. */
     Single<List<TaskUsage>> usage();
 
     /** Raises the epoch of a shard. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerListing.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerListing.java
@@ -10,10 +10,11 @@
  * State of a worker.
  *
  * @param worker the worker
- * @param incarnation number that it drew at its start; its memory of attempts begins there
+ * @param incarnation number that the worker drew at its start; it knows no attempts of earlier
+ *     incarnations
  * @param clockMs its monotonic clock, in milliseconds, when it made the listing
- * @param rack its rack
- * @param capacity all its resources
+ * @param rack rack of the worker
+ * @param capacity total resources of the worker
  * @param tasks last attempt of each task
  */
 public record WorkerListing(
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerRenewal.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerRenewal.java
@@ -7,7 +7,7 @@
 import org.hickorycleat.model.message.TaskAttempt;
 
 /**
- * Extension of leases.
+ * Request to extend leases.
  *
  * @param shard shard of the tasks
  * @param epoch epoch of its owner
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerRuntime.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerRuntime.java
@@ -4,23 +4,26 @@
 import java.util.Optional;
 import org.hickorycleat.model.job.RunId;
 
-/** Orders to the worker beside an agent. Calls without an answer fail and may take effect later. */
+/**
+ * Sends commands to the agent's local worker. A call without a response fails but may still be
+ * executed later.
+ */
 public interface WorkerRuntime {
     /** Starts a run. */
-    Single<RunCommandResult> start(StartRunCommand order);
+    Single<RunCommandResult> start(StartRunCommand command);
 
     /** Stops a run. */
     Single<RunCommandResult> stop(RunId run, long fencingToken);
 
-    /** Sets the share at which a run works, in percent. */
+    /** Limits the speed of a run to a share of full speed, in percent. */
     Single<RunCommandResult> throttle(RunId run, int percent, long fencingToken);
 
     /**
-     * Lists what runs and what ended.
+     * Lists running and ended runs.
      *
-     * @param leaseDeadlineMs new end of the lease on the clock of the worker
-     * @param acknowledgedEnds number up to which ends are forgotten
-     * @param waitMs how long the worker may wait for an end, in milliseconds
+     * @param leaseDeadlineMs new end of the lease by the worker's clock, in milliseconds
+     * @param acknowledgedEnds sequence number up to which the worker may discard ended runs
+     * @param waitMs how long the worker may wait for a run to end, in milliseconds
      */
     Single<RunListing> list(
             long fencingToken, Optional<Long> leaseDeadlineMs, long acknowledgedEnds, int waitMs);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerStart.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerStart.java
@@ -9,14 +9,14 @@
 import org.hickorycleat.model.task.Resources;
 
 /**
- * Start of an attempt.
+ * Request to start an attempt.
  *
  * @param shard shard of the task
  * @param epoch epoch of its owner
  * @param incarnation incarnation of the worker that the start is meant for
  * @param task the task
  * @param attempt the attempt
- * @param resources resources to hold
+ * @param resources resources to reserve
  * @param leaseUntilMs end of the lease by the worker's clock
  * @param runMs declared run time; 0 to run until stopped
  * @param checkpoint checkpoint to resume from
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerStatusListener.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerStatusListener.java
@@ -3,11 +3,11 @@
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.job.WorkerDescription;
 
-/** What the worker beside an agent tells of itself. */
+/** Receives the announcements of the agent's local worker. */
 public interface WorkerStatusListener {
-    /** The worker described itself. */
+    /** Handles a description of the worker. */
     void onWorkerDescribed(WorkerDescription description);
 
-    /** The worker has ended as planned. */
+    /** Handles the planned shutdown of the worker. */
     void onWorkerLeft(WorkerId worker);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerTask.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerTask.java
@@ -14,7 +14,7 @@
  * @param attempt the attempt
  * @param state its state; an ended attempt is listed for 24 h
  * @param checkpoint latest checkpoint of this attempt
- * @param progressMs run time that the checkpoint saves
+ * @param progressMs run time covered by the checkpoint, in milliseconds
  */
 public record WorkerTask(
         ShardNumber shard,
@@ -23,7 +23,7 @@
         TaskState state,
         Optional<String> checkpoint,
         long progressMs) {
-    /** Tells whether the attempt still holds resources of the worker. */
+    /** Returns whether the attempt still holds resources of the worker. */
     public boolean isActive() {
         return state == TaskState.STARTING
                 || state == TaskState.RUNNING
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerUnavailableException.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerUnavailableException.java
@@ -1,6 +1,6 @@
 package org.hickorycleat.logic.port;
 
-/** The worker did not answer; the action may have taken effect. */
+/** Thrown if the worker did not respond; the action may have been executed. */
 public final class WorkerUnavailableException extends Exception {
     /** Creates the exception. */
     public WorkerUnavailableException(String message, Throwable cause) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/package-info.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/package-info.java
@@ -1,4 +1,4 @@
-/** Ports through which decisions reach the outside. */
+/** Ports through which the scheduling logic communicates with external systems. */
 @NullMarked
 package org.hickorycleat.logic.port;
 
