Use the usual terms in the routing code

Comments and names were figurative (tracks, warm and roomy targets, floors) or hid the event that a method records. Behaviour stays the same.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/CountingSelector.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/BaselineSelector.java
@@ -11,16 +11,19 @@
 import org.hickorycleat.model.message.LoadSignal;
 import org.hickorycleat.model.result.ResultCode;
 
-/** Base of the baselines: counts requests per target and observes only the connection limit. */
-abstract class CountingSelector implements TargetSelector {
+/**
+ * Base class of the baseline selectors: counts requests per target and respects only the connection
+ * limit.
+ */
+abstract class BaselineSelector implements TargetSelector {
     private final TargetDirectory mDirectory;
     private final Map<TargetAddress, Integer> mInFlight = new HashMap<>();
 
-    CountingSelector(TargetDirectory directory) {
+    BaselineSelector(TargetDirectory directory) {
         mDirectory = directory;
     }
 
-    /** Chooses among targets that have a connection left. */
+    /** Chooses among targets with a free connection; the list is not empty. */
     abstract TargetView choose(ServiceName service, List<TargetView> candidates);
 
     @Override
@@ -43,7 +46,7 @@
         return mInFlight.getOrDefault(target, 0);
     }
 
-    private synchronized void end(TargetAddress target) {
+    private synchronized void decrementInFlight(TargetAddress target) {
         mInFlight.computeIfPresent(target, (key, count) -> count == 1 ? null : count - 1);
     }
 
@@ -62,10 +65,10 @@
 
         @Override
         public void release(ResultCode code, Optional<LoadSignal> load, long latencyMicros) {
-            synchronized (CountingSelector.this) {
+            synchronized (BaselineSelector.this) {
                 if (!mReleased) {
                     mReleased = true;
-                    end(mTarget);
+                    decrementInFlight(mTarget);
                 }
             }
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/Ejection.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/Ejection.java
@@ -1,17 +1,17 @@
 package org.hickorycleat.logic.routing;
 
-/** Ejection of one target: none, for a time, or probing before full return. */
+/** Ejection state of one target: in use, ejected for a time, or probed before its return. */
 final class Ejection {
-    /** Ejections are forgotten after the target was in use for this long. */
-    private static final long FORGET_AFTER_MS = 60_000;
+    /** Time in use after which the count of ejections, and with it the doubling, starts again. */
+    private static final long COUNT_RESET_AFTER_MS = 60_000;
 
-    /** Longest exponent of the doubling, far beyond any maximum. */
+    /** Prevents overflow of the shift; the configured maximum is reached long before. */
     private static final int MAXIMUM_DOUBLINGS = 20;
 
     private EjectionReason mReason = EjectionReason.NONE;
-    private int mCount;
+    private int mEjectionCount;
     private long mUntilMs;
-    private long mReturnedMs;
+    private long mEndedMs;
     private int mSuccessfulProbes;
     private boolean mProbeOutstanding;
 
@@ -36,28 +36,28 @@
     }
 
     void eject(EjectionReason reason, RoutingSettings settings, long nowMs) {
-        if (!isEjected() && nowMs - mReturnedMs >= FORGET_AFTER_MS) {
-            mCount = 0;
+        if (!isEjected() && nowMs - mEndedMs >= COUNT_RESET_AFTER_MS) {
+            mEjectionCount = 0;
         }
         mReason = reason;
-        long doubled = settings.ejectionBaseMs() << Math.min(mCount, MAXIMUM_DOUBLINGS);
+        long doubled = settings.ejectionBaseMs() << Math.min(mEjectionCount, MAXIMUM_DOUBLINGS);
         mUntilMs = nowMs + Math.min(settings.ejectionMaximumMs(), doubled);
-        mCount++;
+        mEjectionCount++;
         mSuccessfulProbes = 0;
         mProbeOutstanding = false;
     }
 
-    void probeStarted() {
+    void recordProbeStart() {
         mProbeOutstanding = true;
     }
 
-    /** Ends a probe that says nothing about the target. */
-    void probeInconclusive() {
+    /** Ends a probe whose result shows nothing about the target; another one becomes due. */
+    void recordInconclusiveProbe() {
         mProbeOutstanding = false;
     }
 
-    /** Counts a successful probe and tells whether the target may return. */
-    boolean probeSucceeded(int required) {
+    /** Counts a successful probe and returns whether the target may return to use. */
+    boolean recordSuccessfulProbe(int required) {
         mProbeOutstanding = false;
         mSuccessfulProbes++;
         return mSuccessfulProbes >= required;
@@ -66,6 +66,6 @@
     void end(long nowMs) {
         mReason = EjectionReason.NONE;
         mProbeOutstanding = false;
-        mReturnedMs = nowMs;
+        mEndedMs = nowMs;
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/EjectionReason.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/EjectionReason.java
@@ -1,13 +1,13 @@
 package org.hickorycleat.logic.routing;
 
-/** Why a target is ejected. */
+/** Reason for the ejection of a target. */
 public enum EjectionReason {
-    /** It is not ejected. */
+    /** The target is not ejected. */
     NONE,
-    /** It fails more often than its peers. */
+    /** The target fails more often than its peers. */
     ERRORS,
-    /** It is slower than its peers. */
+    /** The target is slower than its peers. */
     LATENCY,
-    /** Requests are outstanding and none is answered. */
+    /** The target has outstanding requests and responds to none of them. */
     PAUSED
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/AnswerKind.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/HealthObservation.java
@@ -2,18 +2,18 @@
 
 import org.hickorycleat.model.result.ResultCode;
 
-/** What a result says about the health of the target. */
-enum AnswerKind {
-    /** The target answered. */
+/** What the result of an attempt shows about the health of the target. */
+enum HealthObservation {
+    /** The target responded. */
     SUCCESS,
-    /** The target failed at once. */
+    /** The target or its agent reported a failure. */
     FAILURE,
-    /** The target did not answer in time, or its agent was lost. */
+    /** The target did not respond in time, or its agent was lost. */
     NO_ANSWER,
-    /** The result says nothing about the target. */
+    /** The result shows nothing about the health of the target. */
     NEUTRAL;
 
-    static AnswerKind of(ResultCode code) {
+    static HealthObservation of(ResultCode code) {
         return switch (code) {
             case OK, ANSWER_TOO_LARGE -> SUCCESS;
             case TARGET_FAILED, INTERNAL -> FAILURE;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/LeastConnectionsSelector.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/LeastConnectionsSelector.java
@@ -6,11 +6,14 @@
 import org.hickorycleat.logic.membership.TargetView;
 import org.hickorycleat.model.identifier.ServiceName;
 
-/** Baseline: takes a target with the fewest own requests, at random among equals. */
-public final class LeastConnectionsSelector extends CountingSelector {
+/**
+ * Chooses a target with the fewest requests of this entry, at random among equals; a baseline for
+ * measurements.
+ */
+public final class LeastConnectionsSelector extends BaselineSelector {
     private final SplittableRandom mRandom;
 
-    /** Creates the selector; the seed fixes its choices. */
+    /** Creates the selector; the seed determines its choices. */
     public LeastConnectionsSelector(TargetDirectory directory, long seed) {
         super(directory);
         mRandom = new SplittableRandom(seed);
@@ -19,8 +22,8 @@
     @Override
     TargetView choose(ServiceName service, List<TargetView> candidates) {
         int fewest = candidates.stream().mapToInt(view -> inFlight(view.address())).min().orElse(0);
-        List<TargetView> equals =
+        List<TargetView> leastLoaded =
                 candidates.stream().filter(view -> inFlight(view.address()) == fewest).toList();
-        return equals.get(mRandom.nextInt(equals.size()));
+        return leastLoaded.get(mRandom.nextInt(leastLoaded.size()));
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/OutlierDetector.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/OutlierDetector.java
@@ -5,28 +5,34 @@
 import java.util.Optional;
 import java.util.function.ToDoubleFunction;
 
-/** Ejects targets that fail, lag or stall; guarded by the lock of its shard. */
+/**
+ * Ejects targets that fail, are slow or stop responding; guarded by the lock of {@link
+ * ServiceRoutes}.
+ */
 final class OutlierDetector {
-    /** Time between two reviews of all targets. */
-    private static final long REVIEW_INTERVAL_MS = 50;
+    /** Minimum time between two evaluations of all targets. */
+    private static final long EVALUATION_INTERVAL_MS = 50;
 
-    /** Answers required before error rate or latency is judged. */
+    /** Responses required before error rate or latency is compared. */
     private static final int MINIMUM_SAMPLES = 4;
 
-    /** Error rate above that of the peers that ejects a target. */
+    /** Difference to the error rate of the peers above which a target is ejected. */
     private static final double ERROR_RATE_MARGIN = 0.3;
 
-    /** Latency relative to that of the peers that ejects a target. */
+    /** Ratio to the latency of the peers above which a target is ejected. */
     private static final double LATENCY_FACTOR = 3;
 
-    /** Keeps differences between availability zones from ejecting fast targets. */
+    /** Prevents ejection of fast targets because of latency between availability zones. */
     private static final double LATENCY_MARGIN_MICROS = 10_000;
 
-    /** Waiting time relative to usual latency after which a target counts as paused. */
+    /**
+     * Ratio of the time without responses to the usual latency above which a target counts as
+     * paused.
+     */
     private static final double STALL_FACTOR = 10;
 
     private final RoutingSettings mSettings;
-    private long mReviewedMs = Long.MIN_VALUE / 2;
+    private long mEvaluatedMs = Long.MIN_VALUE / 2;
     private double mMedianMicros;
 
     OutlierDetector(RoutingSettings settings) {
@@ -39,52 +45,58 @@
     }
 
     /** Ejects outliers, at most every 50 ms. */
-    void review(List<Route> ready, long nowMs) {
-        if (nowMs - mReviewedMs < REVIEW_INTERVAL_MS) {
+    void ejectOutliers(List<Route> ready, long nowMs) {
+        if (nowMs - mEvaluatedMs < EVALUATION_INTERVAL_MS) {
             return;
         }
-        mReviewedMs = nowMs;
-        mMedianMicros = median(ready, TargetTrack::latencyMicros).orElse(0.0);
-        restoreFloor(ready, nowMs);
+        mEvaluatedMs = nowMs;
+        mMedianMicros = median(ready, TargetStatistics::latencyMicros).orElse(0.0);
+        endExcessEjections(ready, nowMs);
         for (Route route : ready) {
-            EjectionReason reason = judge(route, ready, nowMs);
-            if (reason != EjectionReason.NONE && makeRoom(route, reason, ready, nowMs)) {
-                route.track().ejection().eject(reason, mSettings, nowMs);
+            EjectionReason reason = findEjectionReason(route, ready, nowMs);
+            if (reason != EjectionReason.NONE && tryAllowEjection(route, reason, ready, nowMs)) {
+                route.statistics().ejection().eject(reason, mSettings, nowMs);
             }
         }
     }
 
-    /** Takes in the answer of a request to an ejected target. */
-    void answered(
-            TargetTrack track, AnswerKind kind, boolean probe, long latencyMicros, long nowMs) {
-        Ejection ejection = track.ejection();
-        boolean resumed = ejection.reason() == EjectionReason.PAUSED && kind == AnswerKind.SUCCESS;
+    /** Updates the ejection of a target after a response; ignored if the target is not ejected. */
+    void onResponse(
+            TargetStatistics statistics,
+            HealthObservation observation,
+            boolean probe,
+            long latencyMicros,
+            long nowMs) {
+        Ejection ejection = statistics.ejection();
+        boolean resumed =
+                ejection.reason() == EjectionReason.PAUSED
+                        && observation == HealthObservation.SUCCESS;
         if (!ejection.isEjected() || !(probe || resumed)) {
             return;
         }
-        if (kind == AnswerKind.NEUTRAL) {
-            ejection.probeInconclusive();
-        } else if (kind != AnswerKind.SUCCESS) {
+        if (observation == HealthObservation.NEUTRAL) {
+            ejection.recordInconclusiveProbe();
+        } else if (observation != HealthObservation.SUCCESS) {
             ejection.eject(EjectionReason.ERRORS, mSettings, nowMs);
-        } else if (probe && latencyMicros > latencyLimit(mMedianMicros)) {
+        } else if (probe && latencyMicros > latencyThresholdMicros(mMedianMicros)) {
             ejection.eject(EjectionReason.LATENCY, mSettings, nowMs);
-        } else if (ejection.probeSucceeded(mSettings.probes())) {
+        } else if (ejection.recordSuccessfulProbe(mSettings.probes())) {
             ejection.end(nowMs);
-            track.returned(mMedianMicros, nowMs);
+            statistics.resetAfterEjection(mMedianMicros, nowMs);
         }
     }
 
-    private EjectionReason judge(Route route, List<Route> ready, long nowMs) {
-        TargetTrack track = route.track();
-        boolean stalled = track.waitingMs(nowMs) > stallMs(track);
-        if (track.ejection().isEjected()) {
-            boolean probeStalled = stalled && track.ejection().isProbeOutstanding();
+    private EjectionReason findEjectionReason(Route route, List<Route> ready, long nowMs) {
+        TargetStatistics statistics = route.statistics();
+        boolean stalled = statistics.noResponseMs(nowMs) > stallThresholdMs(statistics);
+        if (statistics.ejection().isEjected()) {
+            boolean probeStalled = stalled && statistics.ejection().isProbeOutstanding();
             return probeStalled ? EjectionReason.PAUSED : EjectionReason.NONE;
         }
         if (stalled) {
             return EjectionReason.PAUSED;
         }
-        if (track.samples() < MINIMUM_SAMPLES) {
+        if (statistics.samples() < MINIMUM_SAMPLES) {
             return EjectionReason.NONE;
         }
         if (isErrorOutlier(route, ready, nowMs)) {
@@ -94,24 +106,25 @@
     }
 
     private boolean isErrorOutlier(Route route, List<Route> ready, long nowMs) {
-        Optional<Double> median = peerMedian(ready, route, track -> track.errorRate(nowMs));
+        Optional<Double> median =
+                peerMedian(ready, route, statistics -> statistics.errorRate(nowMs));
         return median.isPresent()
-                && route.track().errorRate(nowMs) > median.get() + ERROR_RATE_MARGIN;
+                && route.statistics().errorRate(nowMs) > median.get() + ERROR_RATE_MARGIN;
     }
 
     private boolean isLatencyOutlier(Route route, List<Route> ready, long nowMs) {
-        Optional<Double> median = peerMedian(ready, route, TargetTrack::latencyMicros);
+        Optional<Double> median = peerMedian(ready, route, TargetStatistics::latencyMicros);
         return median.isPresent()
-                && route.track().expectedLatencyMicros(median.get(), nowMs)
-                        > latencyLimit(median.get());
+                && route.statistics().expectedLatencyMicros(median.get(), nowMs)
+                        > latencyThresholdMicros(median.get());
     }
 
-    private static double latencyLimit(double medianMicros) {
+    private static double latencyThresholdMicros(double medianMicros) {
         return Math.max(LATENCY_FACTOR * medianMicros, medianMicros + LATENCY_MARGIN_MICROS);
     }
 
-    private double stallMs(TargetTrack track) {
-        double usualMs = Math.max(track.latencyMicros(), mMedianMicros) / 1_000;
+    private double stallThresholdMs(TargetStatistics statistics) {
+        double usualMs = Math.max(statistics.latencyMicros(), mMedianMicros) / 1_000;
         double shortestMs = mSettings.stallMinimumMs();
         double longestMs = mSettings.stallMaximumMs();
         return Math.min(
@@ -119,17 +132,18 @@
                 Math.max(shortestMs, STALL_FACTOR * usualMs));
     }
 
-    private int allowed(List<Route> ready) {
+    private int maximumEjected(List<Route> ready) {
         return ready.size() * mSettings.maximumEjectedPercent() / 100;
     }
 
-    private static long ejected(List<Route> ready) {
+    private static long countEjected(List<Route> ready) {
         return ready.stream().filter(Route::isEjected).count();
     }
 
-    /** Tells whether the target may be ejected; a merely slow one gives way to a useless one. */
-    private boolean makeRoom(Route route, EjectionReason reason, List<Route> ready, long nowMs) {
-        if (route.isEjected() || ejected(ready) < allowed(ready)) {
+    /** Returns whether the target may be ejected; may return a slow target to use for this. */
+    private boolean tryAllowEjection(
+            Route route, EjectionReason reason, List<Route> ready, long nowMs) {
+        if (route.isEjected() || countEjected(ready) < maximumEjected(ready)) {
             return true;
         }
         if (reason == EjectionReason.LATENCY) {
@@ -139,41 +153,44 @@
                 ready.stream()
                         .filter(
                                 other ->
-                                        other.track().ejection().reason() == EjectionReason.LATENCY)
+                                        other.statistics().ejection().reason()
+                                                == EjectionReason.LATENCY)
                         .findFirst();
-        slow.ifPresent(other -> other.track().ejection().end(nowMs));
+        slow.ifPresent(other -> other.statistics().ejection().end(nowMs));
         return slow.isPresent();
     }
 
-    /** Ends the oldest ejections when targets that left the view make them too many. */
-    private void restoreFloor(List<Route> ready, long nowMs) {
-        long excess = ejected(ready) - allowed(ready);
+    /**
+     * Ends the ejections that expire first if too many of the remaining ready targets are ejected.
+     */
+    private void endExcessEjections(List<Route> ready, long nowMs) {
+        long excess = countEjected(ready) - maximumEjected(ready);
         if (excess <= 0) {
             return;
         }
         ready.stream()
                 .filter(Route::isEjected)
-                .sorted(Comparator.comparingLong(route -> route.track().ejection().untilMs()))
+                .sorted(Comparator.comparingLong(route -> route.statistics().ejection().untilMs()))
                 .limit(excess)
-                .forEach(route -> route.track().ejection().end(nowMs));
+                .forEach(route -> route.statistics().ejection().end(nowMs));
     }
 
     private static Optional<Double> peerMedian(
-            List<Route> ready, Route except, ToDoubleFunction<TargetTrack> value) {
-        TargetAddress address = except.view().address();
+            List<Route> ready, Route excluded, ToDoubleFunction<TargetStatistics> value) {
+        TargetAddress address = excluded.view().address();
         return median(
                 ready.stream().filter(route -> !route.view().address().equals(address)).toList(),
                 value);
     }
 
-    /** Median over measured targets in use; empty without two of them. */
+    /** Returns the median over targets in use with enough samples; empty if fewer than two. */
     private static Optional<Double> median(
-            List<Route> routes, ToDoubleFunction<TargetTrack> value) {
+            List<Route> routes, ToDoubleFunction<TargetStatistics> value) {
         double[] values =
                 routes.stream()
                         .filter(route -> !route.isEjected())
-                        .map(Route::track)
-                        .filter(track -> track.samples() >= MINIMUM_SAMPLES)
+                        .map(Route::statistics)
+                        .filter(statistics -> statistics.samples() >= MINIMUM_SAMPLES)
                         .mapToDouble(value)
                         .sorted()
                         .toArray();
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/PowerOfTwoSelector.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/PowerOfTwoSelector.java
@@ -16,15 +16,16 @@
 import org.hickorycleat.model.message.LoadSignal;
 import org.hickorycleat.model.result.ResultCode;
 
-/** Chooses the better of two random targets by load and latency, without outliers. */
+/** Chooses the better of two random targets by load and latency, and ejects outliers. */
 public final class PowerOfTwoSelector implements TargetSelector {
     private final TargetDirectory mDirectory;
     private final ZoneId mOwnZone;
     private final RoutingSettings mSettings;
     private final long mSeed;
-    private final ConcurrentMap<ServiceName, RouteShard> mShards = new ConcurrentHashMap<>();
+    private final ConcurrentMap<ServiceName, ServiceRoutes> mRoutesByService =
+            new ConcurrentHashMap<>();
 
-    /** Creates a selector for an entry in an availability zone; the seed fixes its choices. */
+    /** Creates a selector for an entry in an availability zone; the seed determines its choices. */
     public PowerOfTwoSelector(
             TargetDirectory directory, ZoneId ownZone, RoutingSettings settings, long seed) {
         mDirectory = directory;
@@ -37,7 +38,7 @@
     public Optional<TargetReservation> reserve(
             ServiceName service, Predicate<TargetAddress> eligible) {
         List<TargetView> ready = mDirectory.readyTargets(service);
-        // Evaluated before the lock of the shard is taken: the predicate is foreign code.
+        // Evaluated before the lock is taken, because the predicate is code of the caller.
         Set<TargetAddress> eligibleTargets = new HashSet<>();
         for (TargetView view : ready) {
             if (eligible.test(view.address())) {
@@ -47,44 +48,47 @@
         if (eligibleTargets.isEmpty()) {
             return Optional.empty();
         }
-        RouteShard shard = mShards.computeIfAbsent(service, this::createShard);
-        return shard.reserve(ready, eligibleTargets, mDirectory.liveEntries(), mDirectory.nowMs())
-                .map(reserved -> new Reservation(shard, reserved));
+        ServiceRoutes routes = mRoutesByService.computeIfAbsent(service, this::createRoutes);
+        return routes.reserve(ready, eligibleTargets, mDirectory.liveEntries(), mDirectory.nowMs())
+                .map(reserved -> new Reservation(routes, reserved));
     }
 
-    /** Tells whether a target is ejected as an outlier. */
+    /** Returns whether a target is ejected as an outlier. */
     public boolean isEjected(TargetAddress target) {
-        RouteShard shard = mShards.get(target.service());
-        return shard != null && shard.isEjected(target);
+        ServiceRoutes routes = mRoutesByService.get(target.service());
+        return routes != null && routes.isEjected(target);
     }
 
-    /** Returns the measured state of the targets of a service, for the dump. */
+    /** Returns the measured state of the targets of a service for the state dump. */
     public List<RouteStatus> status(ServiceName service) {
-        RouteShard shard = mShards.get(service);
-        return shard == null ? List.of() : shard.status(mDirectory.nowMs());
+        ServiceRoutes routes = mRoutesByService.get(service);
+        return routes == null ? List.of() : routes.status(mDirectory.nowMs());
     }
 
-    /** Drops the state of targets that the directory has forgotten; called now and then. */
+    /**
+     * Removes the state of targets that the directory no longer contains; to be called
+     * periodically.
+     */
     public void removeGoneTargets() {
-        mShards.forEach(
-                (service, shard) -> {
+        mRoutesByService.forEach(
+                (service, routes) -> {
                     Set<TargetAddress> known = new HashSet<>();
                     mDirectory.targets(service).forEach(view -> known.add(view.address()));
-                    shard.retain(known);
+                    routes.retainTargets(known);
                 });
     }
 
-    private RouteShard createShard(ServiceName service) {
-        return new RouteShard(mSettings, mOwnZone, mSeed ^ service.value().hashCode());
+    private ServiceRoutes createRoutes(ServiceName service) {
+        return new ServiceRoutes(mSettings, mOwnZone, mSeed ^ service.value().hashCode());
     }
 
     private final class Reservation implements TargetReservation {
-        private final RouteShard mShard;
-        private final RouteShard.Reserved mReserved;
+        private final ServiceRoutes mServiceRoutes;
+        private final ServiceRoutes.ReservedRoute mReserved;
         private final AtomicBoolean mReleased = new AtomicBoolean();
 
-        Reservation(RouteShard shard, RouteShard.Reserved reserved) {
-            mShard = shard;
+        Reservation(ServiceRoutes routes, ServiceRoutes.ReservedRoute reserved) {
+            mServiceRoutes = routes;
             mReserved = reserved;
         }
 
@@ -98,7 +102,8 @@
             if (!mReleased.compareAndSet(false, true)) {
                 return;
             }
-            mShard.release(mReserved, AnswerKind.of(code), latencyMicros, mDirectory.nowMs());
+            mServiceRoutes.release(
+                    mReserved, HealthObservation.of(code), latencyMicros, mDirectory.nowMs());
             Incarnation incarnation = mReserved.view().incarnation();
             load.ifPresent(signal -> mDirectory.onLoadSignal(target(), incarnation, signal));
             if (code == ResultCode.TARGET_LEAVING) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/RecentPeak.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/RecentPeak.java
@@ -1,8 +1,8 @@
 package org.hickorycleat.logic.routing;
 
-/** Highest value of the last one to two periods. */
+/** Maximum of a value over the current and the previous period. */
 final class RecentPeak {
-    /** As long as reports are late. */
+    /** Agent reports may arrive this late. */
     private static final long PERIOD_MS = 1_000;
 
     private long mPeriodStartMs = Long.MIN_VALUE / 2;
@@ -10,16 +10,16 @@
     private int mPrevious;
 
     void record(int value, long nowMs) {
-        roll(nowMs);
+        advance(nowMs);
         mCurrent = Math.max(mCurrent, value);
     }
 
     int value(long nowMs) {
-        roll(nowMs);
+        advance(nowMs);
         return Math.max(mCurrent, mPrevious);
     }
 
-    private void roll(long nowMs) {
+    private void advance(long nowMs) {
         long elapsedMs = nowMs - mPeriodStartMs;
         if (elapsedMs < PERIOD_MS) {
             return;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/RoundRobinSelector.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/RoundRobinSelector.java
@@ -7,8 +7,8 @@
 import org.hickorycleat.logic.membership.TargetView;
 import org.hickorycleat.model.identifier.ServiceName;
 
-/** Baseline: takes the targets in turn. */
-public final class RoundRobinSelector extends CountingSelector {
+/** Chooses the targets in turn; a baseline for measurements. */
+public final class RoundRobinSelector extends BaselineSelector {
     private final Map<ServiceName, Integer> mNext = new HashMap<>();
 
     /** Creates the selector. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/RouteStatus.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/RouteStatus.java
@@ -1,6 +1,6 @@
 package org.hickorycleat.logic.routing;
 
-/** Measured state of a target, for the dump. */
+/** Measured state of a target for the state dump. */
 public record RouteStatus(
         TargetAddress target,
         int inFlight,
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/RoutingSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/RoutingSettings.java
@@ -3,14 +3,19 @@
 /**
  * Settings of {@link PowerOfTwoSelector}.
  *
- * @param zoneCostMicros latency added to the score of targets in other availability zones
- * @param slowStartMs time in which a target that came up receives less than its share
- * @param ejectionBaseMs length of the first ejection; each further one is twice as long
- * @param ejectionMaximumMs longest ejection
- * @param maximumEjectedPercent share of the ready targets that may be ejected
- * @param probes successful probe requests required to return from an ejection
- * @param stallMinimumMs shortest time without answers after which a target counts as paused
- * @param stallMaximumMs longest such time, unless answers usually take longer
+ * @param zoneCostMicros latency in microseconds added to the score of targets in other availability
+ *     zones
+ * @param slowStartMs time in milliseconds after its start or return in which a target receives less
+ *     than its share
+ * @param ejectionBaseMs duration of the first ejection in milliseconds; each further one lasts
+ *     twice as long
+ * @param ejectionMaximumMs longest ejection in milliseconds
+ * @param maximumEjectedPercent percentage of the ready targets that may be ejected
+ * @param probes successful probe requests required to end an ejection
+ * @param stallMinimumMs minimum time in milliseconds without responses after which a target counts
+ *     as paused
+ * @param stallMaximumMs upper bound of that time in milliseconds, unless responses usually take
+ *     longer
  */
 public record RoutingSettings(
         long zoneCostMicros,
@@ -21,7 +26,7 @@
         int probes,
         long stallMinimumMs,
         long stallMaximumMs) {
-    /** Settings used unless others are configured. */
+    /** Default settings. */
     public static final RoutingSettings DEFAULT =
             new RoutingSettings(5_000, 10_000, 1_000, 60_000, 30, 3, 250, 1_000);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/TargetAddress.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/TargetAddress.java
@@ -4,5 +4,5 @@
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.identifier.ServiceName;
 
-/** A target and the agent beside it. */
+/** Address of a target: its local agent, service and instance. */
 public record TargetAddress(ProcessId agent, ServiceName service, InstanceNumber instance) {}
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/TargetReservation.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/TargetReservation.java
@@ -4,15 +4,16 @@
 import org.hickorycleat.model.message.LoadSignal;
 import org.hickorycleat.model.result.ResultCode;
 
-/** Room for one request at a target. */
+/** Capacity reserved for one request at a target. */
 public interface TargetReservation {
     /** Returns the target. */
     TargetAddress target();
 
     /**
-     * Frees the room and records how the attempt went; only the first call counts.
+     * Releases the capacity and records the result of the attempt; further calls have no effect.
      *
-     * @param load load signal of the answer; empty when no answer came
+     * @param load load signal of the response; empty if there was no response
+     * @param latencyMicros time from start to end of the attempt in microseconds
      */
     void release(ResultCode code, Optional<LoadSignal> load, long latencyMicros);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/TargetSelector.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/TargetSelector.java
@@ -7,6 +7,6 @@
 /** Chooses a target for one attempt of a request and counts the attempt against the target. */
 @FunctionalInterface
 public interface TargetSelector {
-    /** Reserves room at an eligible target; empty when none can take the request now. */
+    /** Reserves capacity at an eligible target; empty if none can accept the request now. */
     Optional<TargetReservation> reserve(ServiceName service, Predicate<TargetAddress> eligible);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/package-info.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/routing/package-info.java
@@ -1,4 +1,4 @@
-/** Choice of the target that serves a request. */
+/** Selection of the target that serves a request. */
 @NullMarked
 package org.hickorycleat.logic.routing;
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/HerdingTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/HerdingTest.java
@@ -20,19 +20,21 @@
 import org.hickorycleat.model.result.ResultCode;
 import org.junit.jupiter.api.Test;
 
-/** Entries that learn of the load of targets only from reports that are a second late. */
+/**
+ * Simulates entries that receive the load of targets only from reports that arrive a second late.
+ */
 class HerdingTest {
     private static final int ENTRIES = 4;
     private static final int TARGETS = 11;
 
-    /** Uniform between 50 and 150 ms. */
-    private static final int HOLD_MS = 100;
+    /** Mean and spread of the service times, which are uniform between 50 and 150 ms. */
+    private static final int SERVICE_TIME_MS = 100;
 
     private static final int RUN_MS = 15_000;
     private static final int WARM_UP_MS = 3_000;
 
     /** Keeps 5.5 of 8 slots of each target in use on average. */
-    private static final double REQUESTS_PER_MS = 5.5 * TARGETS / HOLD_MS;
+    private static final double REQUESTS_PER_MS = 5.5 * TARGETS / SERVICE_TIME_MS;
 
     /** Reports of a burst that are a second late arrive 10 ms before a later burst. */
     private static final int BURST_PERIOD_MS = 580;
@@ -41,7 +43,7 @@
     private static final int BURSTS = 100;
 
     /** Keeps 4 of 8 slots of each target in use during a burst. */
-    private static final double BURST_REQUESTS_PER_MS = 4.0 * TARGETS / HOLD_MS;
+    private static final double BURST_REQUESTS_PER_MS = 4.0 * TARGETS / SERVICE_TIME_MS;
 
     private final TestScheduler mScheduler = new TestScheduler(100_000, MILLISECONDS);
     private final SplittableRandom mRandom = new SplittableRandom(5);
@@ -68,8 +70,8 @@
     }
 
     /**
-     * Guards against all entries turning to the targets that old reports call idle: the load of
-     * each target must stay near the mean over every second.
+     * Guards against all entries choosing the same targets because old reports show them as idle:
+     * the load of each target must stay near the mean over every second.
      */
     @Test
     void lateReportsCauseNeitherHerdingNorOscillation() {
@@ -94,9 +96,9 @@
     }
 
     /**
-     * Guards against an entry that takes its own ended requests for those of others. Targets with
-     * an even number report at the end of each burst, the others between bursts; both kinds of
-     * report arrive between bursts, when the entry has no requests in flight.
+     * Guards against an entry that counts its own ended requests as load from other entries.
+     * Targets with an even number report at the end of each burst, the others between bursts; both
+     * kinds of report arrive between bursts, when the entry has no requests in flight.
      */
     @Test
     void lateReportsOfOwnBurstsDoNotMoveTheNextBurst() {
@@ -168,13 +170,15 @@
         int target = (int) reservation.get().target().instance().value();
         mRequests[target]++;
         mInFlight[target]++;
-        long holdMs = 50L + mRandom.nextInt(HOLD_MS);
+        long serviceTimeMs = 50L + mRandom.nextInt(SERVICE_TIME_MS);
         mScheduler.scheduleDirect(
                 () -> {
                     mInFlight[target]--;
-                    reservation.get().release(ResultCode.OK, Optional.empty(), holdMs * 1_000);
+                    reservation
+                            .get()
+                            .release(ResultCode.OK, Optional.empty(), serviceTimeMs * 1_000);
                 },
-                holdMs,
+                serviceTimeMs,
                 MILLISECONDS);
     }
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/PowerOfTwoSelectorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/PowerOfTwoSelectorTest.java
@@ -14,7 +14,9 @@
 import org.junit.jupiter.api.Test;
 
 class PowerOfTwoSelectorTest {
-    /** Guards against more requests than slots and queue share allow, with several entries. */
+    /**
+     * Guards against more requests than the share of slots and queue allows with several entries.
+     */
     @Test
     void inFlightStaysWithinShareOfSlotsAndQueue() {
         RoutingFixture fixture = RoutingFixture.inOneZone(2);
@@ -26,7 +28,7 @@
         assertThat(fill(fixture)).hasSize(1);
     }
 
-    /** Guards against traffic between zones while the own zone has free slots. */
+    /** Guards against requests to other zones while the own zone has free slots. */
     @Test
     void ownZoneIsFilledFirst() {
         RoutingFixture fixture = new RoutingFixture("a", "a", "b", "b");
@@ -36,36 +38,36 @@
         assertThat(fixture.numberOf(fixture.reserve().orElseThrow())).isGreaterThan(1);
     }
 
-    /** Guards against waiting for deadlines before a paused target is avoided. */
+    /** Guards against a paused target that is avoided only once requests miss their deadlines. */
     @Test
-    void pausedTargetIsNoticedWithinOneSecond() {
+    void pausedTargetIsEjectedWithinOneSecond() {
         RoutingFixture fixture = RoutingFixture.inOneZone(11);
         fixture.run(300, target -> ResultCode.OK, USUAL_MICROS);
-        List<TargetReservation> stuck = new ArrayList<>();
+        List<TargetReservation> unanswered = new ArrayList<>();
         for (int i = 0; i < 200; i++) {
             TargetReservation reservation = fixture.reserve().orElseThrow();
             fixture.advance(5);
             if (fixture.numberOf(reservation) == 4) {
-                stuck.add(reservation);
+                unanswered.add(reservation);
             } else {
                 reservation.release(ResultCode.OK, Optional.empty(), USUAL_MICROS);
             }
         }
-        assertThat(stuck).hasSizeBetween(1, 8);
+        assertThat(unanswered).hasSizeBetween(1, 8);
         assertThat(fixture.isEjected(4)).isTrue();
-        stuck.forEach(one -> one.release(ResultCode.OK, Optional.empty(), 1_000_000));
+        unanswered.forEach(one -> one.release(ResultCode.OK, Optional.empty(), 1_000_000));
         fixture.run(1_000, target -> ResultCode.OK, USUAL_MICROS);
         assertThat(fixture.isEjected(4)).isFalse();
     }
 
-    /** Guards against a fast failing target attracting requests. */
+    /** Guards against a target that attracts requests by failing fast. */
     @Test
     void failingTargetIsEjectedAndReturnsOnlyAfterProbes() {
         RoutingFixture fixture = RoutingFixture.inOneZone(11);
         int[] taken = fixture.run(1_000, target -> failing(target, 3), 100);
         assertThat(fixture.isEjected(3)).isTrue();
         assertThat(taken[3]).isLessThan(12);
-        fixture.advanceReporting(60_000);
+        fixture.advanceWithReports(60_000);
         int[] recovered = fixture.run(3_000, target -> ResultCode.OK, USUAL_MICROS);
         assertThat(fixture.isEjected(3)).isFalse();
         assertThat(recovered[3]).isGreaterThan(10);
@@ -83,7 +85,7 @@
 
     /** Guards against ejecting targets when all of them are equally slow or failing. */
     @Test
-    void commonFailureEjectsNothing() {
+    void failureOfAllTargetsEjectsNone() {
         RoutingFixture fixture = RoutingFixture.inOneZone(11);
         fixture.run(1_000, target -> ResultCode.TARGET_FAILED, 10 * USUAL_MICROS);
         for (int target = 0; target < 11; target++) {
@@ -91,7 +93,9 @@
         }
     }
 
-    /** Guards against full load on a restarted target, and against starving it for good. */
+    /**
+     * Guards against full load on a restarted target, and against never sending it requests again.
+     */
     @Test
     void restartedTargetRampsUp() {
         RoutingFixture fixture = RoutingFixture.inOneZone(5);
@@ -99,15 +103,15 @@
         fixture.mAgents.get(2).restart();
         fixture.reportAll();
         int[] early = fixture.run(400, target -> ResultCode.OK, USUAL_MICROS);
-        fixture.advanceReporting(10_000);
+        fixture.advanceWithReports(10_000);
         int[] late = fixture.run(400, target -> ResultCode.OK, USUAL_MICROS);
         assertThat(early[2]).isBetween(1, 35);
         assertThat(late[2]).isBetween(50, 110);
     }
 
-    /** Guards against new work for a target that refused some because it is leaving. */
+    /** Guards against requests to a target that rejected one because it is leaving. */
     @Test
-    void targetThatRefusedAsLeavingGetsNoMoreWork() {
+    void targetThatRejectedAsLeavingReceivesNoMoreRequests() {
         RoutingFixture fixture = RoutingFixture.inOneZone(1);
         fixture.reserve()
                 .orElseThrow()
@@ -117,7 +121,10 @@
         assertThat(fixture.reserve()).isPresent();
     }
 
-    /** Guards against a keyed request finding no target because its instance is ejected. */
+    /**
+     * Guards against a request with an idempotency key finding no target because the only instance
+     * that may serve it is ejected.
+     */
     @Test
     void ejectedTargetServesRequestsThatOnlyItMayServe() {
         RoutingFixture fixture = RoutingFixture.inOneZone(11);
@@ -127,7 +134,7 @@
         assertThat(fixture.mSelector.reserve(SERVICE, only::equals)).isPresent();
     }
 
-    /** Guards against ignoring the load that other entries cause. */
+    /** Guards against ignoring the load from other entries. */
     @Test
     void loadOfOtherEntriesIsAvoided() {
         RoutingFixture fixture = RoutingFixture.inOneZone(2);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/RoutingFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/RoutingFixture.java
@@ -25,7 +25,7 @@
     final PowerOfTwoSelector mSelector =
             new PowerOfTwoSelector(mDirectory, new ZoneId("a"), RoutingSettings.DEFAULT, 7);
 
-    /** Adds warm targets, one in each zone of the list. */
+    /** Adds one target in each given zone and advances past their slow start. */
     RoutingFixture(String... zones) {
         for (String zone : zones) {
             AgentFixture agent = new AgentFixture(mDirectory, mAgents.size(), zone);
@@ -33,7 +33,7 @@
             agent.connect();
         }
         reportAll();
-        advanceReporting(20_000);
+        advanceWithReports(20_000);
     }
 
     static RoutingFixture inOneZone(int targets) {
@@ -70,8 +70,8 @@
         mScheduler.advanceTimeBy(milliseconds, MILLISECONDS);
     }
 
-    /** Advances the clock with a report of every agent each second. */
-    void advanceReporting(long milliseconds) {
+    /** Advances the clock while every agent sends a report each second. */
+    void advanceWithReports(long milliseconds) {
         for (long passed = 0; passed < milliseconds; passed += 1_000) {
             advance(Math.min(1_000, milliseconds - passed));
             reportAll();
@@ -79,8 +79,8 @@
     }
 
     /**
-     * Starts a request every 2 ms with five outstanding per target; the answer depends on the
-     * target.
+     * Starts a request every 2 ms with five outstanding per target; result code and latency depend
+     * on the target.
      */
     int[] run(int requests, IntFunction<ResultCode> code, long... latencies) {
         int[] taken = new int[mAgents.size()];
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/RoutingPropertiesTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/RoutingPropertiesTest.java
@@ -26,11 +26,11 @@
     private final List<TargetReservation> mHeld = new ArrayList<>();
 
     /**
-     * Guards against leaked or doubly freed reservations, against more in flight than the limit,
-     * and against ejecting more than 30% of the ready targets, under random events.
+     * Guards against reservations that are leaked or released twice, more requests in flight than
+     * the limit, and ejection of more than 30% of the ready targets under random events.
      */
     @Property(seed = "11", tries = 300, edgeCases = EdgeCasesMode.NONE)
-    void countsAndFloorHoldUnderRandomEvents(
+    void limitsHoldUnderRandomEvents(
             @ForAll @Size(min = 50, max = 400) List<@IntRange(min = 0, max = 9_999) Integer> steps,
             @ForAll @IntRange(min = 1, max = 13) int targets,
             @ForAll @IntRange(min = 1, max = 3) int entries) {
@@ -39,8 +39,8 @@
         fixture.mDirectory.setLiveEntries(entries);
         for (int step : steps) {
             apply(fixture, step % 10, step / 10);
-            assertFloor(fixture);
-            assertLimit(fixture, entries);
+            assertEjectionLimit(fixture);
+            assertInFlightLimit(fixture, entries);
         }
         mHeld.forEach(one -> one.release(ResultCode.OK, Optional.empty(), 10_000));
         assertThat(fixture.mSelector.status(SERVICE)).allMatch(status -> status.inFlight() == 0);
@@ -72,17 +72,17 @@
             return;
         }
         TargetReservation held = mHeld.get(value % mHeld.size());
-        // Targets with an odd number fail and lag, so that ejections happen.
-        boolean bad = held.target().instance().value() % 2 == 1;
-        ResultCode code = bad ? CODES[value % CODES.length] : ResultCode.OK;
-        held.release(code, Optional.empty(), bad ? 200_000 : 10_000);
+        // Targets with an odd number fail and are slow, so that ejections happen.
+        boolean faulty = held.target().instance().value() % 2 == 1;
+        ResultCode code = faulty ? CODES[value % CODES.length] : ResultCode.OK;
+        held.release(code, Optional.empty(), faulty ? 200_000 : 10_000);
         if (value % 3 > 0) {
             mHeld.remove(held);
         }
         held.release(ResultCode.OK, Optional.empty(), 10_000);
     }
 
-    private static void assertFloor(RoutingFixture fixture) {
+    private static void assertEjectionLimit(RoutingFixture fixture) {
         fixture.advance(50);
         fixture.mSelector.reserve(SERVICE, target -> true).ifPresent(RoutingPropertiesTest::cancel);
         List<TargetAddress> ready =
@@ -97,7 +97,7 @@
         reservation.release(ResultCode.CANCELLED, Optional.empty(), 0);
     }
 
-    private static void assertLimit(RoutingFixture fixture, int entries) {
+    private static void assertInFlightLimit(RoutingFixture fixture, int entries) {
         int slotShare = (8 + entries - 1) / entries;
         assertThat(fixture.mSelector.status(SERVICE))
                 .allMatch(status -> status.inFlight() >= 0)
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/RouteShardLincheckTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/routing/ServiceRoutesLincheckTest.java
@@ -25,8 +25,8 @@
 import org.jetbrains.lincheck.datastructures.ThreadIdGen;
 import org.junit.jupiter.api.Test;
 
-/** Concurrent reserve and release on one shard with a target of two requests. */
-public class RouteShardLincheckTest {
+/** Checks concurrent calls of reserve and release with one target that accepts two requests. */
+public class ServiceRoutesLincheckTest {
     private static final int THREADS = 2;
     private static final int CALLERS = 4;
     private static final int CALLS = 20_000;
@@ -50,10 +50,10 @@
                             0,
                             true));
 
-    private final RouteShard mShard = new RouteShard(RoutingSettings.DEFAULT, ZONE, 1);
-    private final List<Deque<RouteShard.Reserved>> mHeld = new ArrayList<>();
+    private final ServiceRoutes mRoutes = new ServiceRoutes(RoutingSettings.DEFAULT, ZONE, 1);
+    private final List<Deque<ServiceRoutes.ReservedRoute>> mHeld = new ArrayList<>();
 
-    public RouteShardLincheckTest() {
+    public ServiceRoutesLincheckTest() {
         for (int thread = 0; thread <= THREADS + 1; thread++) {
             mHeld.add(new ArrayDeque<>());
         }
@@ -61,19 +61,20 @@
 
     @Operation
     public boolean reserve(@Param(gen = ThreadIdGen.class) int thread) {
-        Optional<RouteShard.Reserved> reserved = mShard.reserve(READY, Set.of(TARGET), 1, 20_000);
+        Optional<ServiceRoutes.ReservedRoute> reserved =
+                mRoutes.reserve(READY, Set.of(TARGET), 1, 20_000);
         reserved.ifPresent(one -> mHeld.get(thread).push(one));
         return reserved.isPresent();
     }
 
-    /** Releases what the same thread reserved, so that only the shard is shared. */
+    /** Releases a reservation of the same thread, so that threads share only the routes. */
     @Operation
     public boolean release(@Param(gen = ThreadIdGen.class) int thread) {
-        RouteShard.Reserved reserved = mHeld.get(thread).poll();
+        ServiceRoutes.ReservedRoute reserved = mHeld.get(thread).poll();
         if (reserved == null) {
             return false;
         }
-        mShard.release(reserved, AnswerKind.SUCCESS, 1_000, 20_000);
+        mRoutes.release(reserved, HealthObservation.SUCCESS, 1_000, 20_000);
         return true;
     }
 
@@ -85,39 +86,41 @@
                 .invocationsPerIteration(150)
                 .threads(THREADS)
                 .actorsPerThread(4)
-                .check(RouteShardLincheckTest.class);
+                .check(ServiceRoutesLincheckTest.class);
     }
 
     /**
-     * Guards against a release that takes no lock. Lincheck's invocations are too few to stop a
-     * thread between the read and the write of the counter, so many more calls run here.
+     * Guards against a release without the lock. The invocations of Lincheck are too few to
+     * interrupt a thread between the read and the write of the counter, so this test runs many more
+     * calls.
      */
     @Test
     void noRequestStaysCountedAfterManyConcurrentCalls() {
         for (int round = 0; round < ROUNDS; round++) {
-            RouteShard shard = new RouteShard(RoutingSettings.DEFAULT, ZONE, round);
+            ServiceRoutes routes = new ServiceRoutes(RoutingSettings.DEFAULT, ZONE, round);
             CompletableFuture<?>[] callers = new CompletableFuture<?>[CALLERS];
             ExecutorService threads = Executors.newFixedThreadPool(CALLERS);
             try {
                 for (int caller = 0; caller < CALLERS; caller++) {
-                    callers[caller] = CompletableFuture.runAsync(() -> callOften(shard), threads);
+                    callers[caller] = CompletableFuture.runAsync(() -> callOften(routes), threads);
                 }
                 CompletableFuture.allOf(callers).join();
             } finally {
                 threads.shutdown();
             }
-            assertThat(inFlight(shard)).as("requests in flight, round %s", round).isZero();
+            assertThat(inFlight(routes)).as("requests in flight, round %s", round).isZero();
         }
     }
 
-    private static void callOften(RouteShard shard) {
+    private static void callOften(ServiceRoutes routes) {
         for (int call = 0; call < CALLS; call++) {
-            shard.reserve(READY, Set.of(TARGET), 1, 20_000)
-                    .ifPresent(one -> shard.release(one, AnswerKind.SUCCESS, 1_000, 20_000));
+            routes.reserve(READY, Set.of(TARGET), 1, 20_000)
+                    .ifPresent(
+                            one -> routes.release(one, HealthObservation.SUCCESS, 1_000, 20_000));
         }
     }
 
-    private static int inFlight(RouteShard shard) {
-        return shard.status(20_000).stream().mapToInt(RouteStatus::inFlight).sum();
+    private static int inFlight(ServiceRoutes routes) {
+        return routes.status(20_000).stream().mapToInt(RouteStatus::inFlight).sum();
     }
 }
