--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/InstanceRegistration.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/InstanceRegistration.java
@@ -5,6 +5,6 @@
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.identifier.ServiceName;
 
-/** One run of an agent that serves an instance of a service. */
+/** Registration of one incarnation of an agent that serves an instance of a service. */
 public record InstanceRegistration(
         ServiceName service, InstanceNumber instance, ProcessId agent, Incarnation incarnation) {}
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/InstanceRegistry.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/InstanceRegistry.java
@@ -8,15 +8,16 @@
 import org.hickorycleat.model.identifier.ServiceName;
 
 /**
- * Which runs of agents have served which instance, as recorded in the stream {@code instances}.
+ * Records which incarnations of agents have served which instance, from the stream {@code
+ * instances}.
  *
- * <p>An agent keeps records of idempotency keys in memory only. One whose instance was served
- * before may lack a record and refuses keys for a while. The first one to be recorded for its
- * instance lacks nothing, because an agent serves keys only after its registration was read back.
+ * <p>An agent keeps records of idempotency keys only in memory. If its instance was served before,
+ * it may lack records and rejects keys for some time. The first incarnation registered for an
+ * instance lacks no record, because an agent serves keys only after its registration was read back.
  * Thread-safe.
  */
 public final class InstanceRegistry {
-    private final Map<Instance, InstanceRegistration> mFirst = new HashMap<>();
+    private final Map<Instance, InstanceRegistration> mFirstRegistrations = new HashMap<>();
     private final Set<InstanceRegistration> mRegistered = new HashSet<>();
     private boolean mComplete = true;
 
@@ -25,22 +26,22 @@
 
     /** Registration status of a run of an agent. */
     public enum RegistrationStatus {
-        /** Its registration was not read yet. */
+        /** The registration has not been read yet. */
         UNREGISTERED,
-        /** Another run may have served the instance before. */
+        /** Another incarnation may have served the instance before. */
         SUCCESSOR,
-        /** No other run has served the instance before. */
+        /** No other incarnation has served the instance before. */
         ORIGINAL
     }
 
     /** Applies the next record of the stream. */
     public synchronized void apply(InstanceRegistration registration) {
         mRegistered.add(registration);
-        mFirst.putIfAbsent(
+        mFirstRegistrations.putIfAbsent(
                 new Instance(registration.service(), registration.instance()), registration);
     }
 
-    /** The start of the stream is gone, so earlier registrations may have been missed. */
+    /** Handles truncation of the stream, by which earlier registrations may have been missed. */
     public synchronized void onStreamTruncated() {
         mComplete = false;
     }
@@ -51,7 +52,8 @@
             return RegistrationStatus.UNREGISTERED;
         }
         InstanceRegistration first =
-                mFirst.get(new Instance(registration.service(), registration.instance()));
+                mFirstRegistrations.get(
+                        new Instance(registration.service(), registration.instance()));
         return mComplete && registration.equals(first)
                 ? RegistrationStatus.ORIGINAL
                 : RegistrationStatus.SUCCESSOR;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/TargetShard.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/ServiceTargets.java
@@ -8,15 +8,15 @@
 import org.hickorycleat.model.message.TargetReport;
 import org.hickorycleat.model.message.TargetState;
 
-/** Targets of one service, under one lock. */
-final class TargetShard {
+/** Targets of one service; one lock guards all of them. */
+final class ServiceTargets {
     private final Map<TargetAddress, TargetView> mTargets = new LinkedHashMap<>();
 
     synchronized List<TargetView> views() {
         return List.copyOf(mTargets.values());
     }
 
-    synchronized void report(
+    synchronized void applyReport(
             TargetAddress address,
             AgentSession session,
             TargetReport report,
@@ -27,7 +27,7 @@
                 (key, known) ->
                         known == null
                                 ? create(key, session, report, reportMs, nowMs)
-                                : known.reported(
+                                : known.withReport(
                                         session.zone(),
                                         session.incarnation(),
                                         report,
@@ -39,7 +39,7 @@
         mTargets.computeIfPresent(address, (key, view) -> change.apply(view));
     }
 
-    synchronized void forget(long nowMs, long forgetAfterMs) {
+    synchronized void removeGone(long nowMs, long forgetAfterMs) {
         mTargets.values()
                 .removeIf(
                         view ->
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/TargetCondition.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/TargetCondition.java
@@ -1,13 +1,13 @@
 package org.hickorycleat.logic.membership;
 
-/** Condition of a target in the view of an entry. */
+/** Condition of a target as seen by an entry. */
 public enum TargetCondition {
-    /** Takes new work. */
+    /** The target accepts new requests. */
     READY,
-    /** Announced that it takes nothing new. */
+    /** The target announced that it drains and accepts no new requests. */
     LEAVING,
-    /** Not reported for 2 s; gets no new work. */
+    /** The target was not reported for 2 s and receives no new requests. */
     SUSPECT,
-    /** Its agent is disconnected, no longer reports it or has been silent for 10 s. */
+    /** The agent disconnected, no longer reports the target or has not reported for 10 s. */
     GONE
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/TargetDirectory.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/TargetDirectory.java
@@ -21,29 +21,29 @@
 import org.hickorycleat.model.message.TargetState;
 
 /**
- * An entry's view of targets, fed by the connections of agents.
+ * Directory of the targets known to an entry, updated by events of the connections to agents.
  *
- * <p>Sharded by service. Events of one agent are serialized; its lock is taken before the lock of a
- * shard.
+ * <p>Sharded by service. Events of one agent are serialized; the lock of the agent is taken before
+ * the lock of a service.
  */
 public final class TargetDirectory {
-    /** Gone targets stay visible in the dump for this long after their last report. */
-    private static final long FORGET_AFTER_MS = 60_000;
+    /** Gone targets remain in the state dump for this time after their last report. */
+    private static final long GONE_RETENTION_MS = 60_000;
 
     private final Scheduler mScheduler;
     private final ConcurrentMap<ProcessId, AgentSession> mAgents = new ConcurrentHashMap<>();
-    private final ConcurrentMap<ServiceName, TargetShard> mShards = new ConcurrentHashMap<>();
+    private final ConcurrentMap<ServiceName, ServiceTargets> mTargets = new ConcurrentHashMap<>();
     private volatile int mLiveEntries = 1;
 
-    /** Creates a directory that takes its time from the scheduler. */
+    /** Creates a directory that uses the clock of the scheduler. */
     public TargetDirectory(Scheduler scheduler) {
         mScheduler = scheduler;
     }
 
     /**
-     * Records a connection; its targets come up with its first report.
+     * Records a connection; its targets become ready with the first report.
      *
-     * @return false when a newer session of the agent is known; the connection is then ignored
+     * @return false if a newer session of the agent is known; the connection is then ignored
      */
     public boolean onAgentConnected(
             ProcessId agent, ZoneId zone, Incarnation incarnation, SessionNumber session) {
@@ -55,7 +55,7 @@
                                 return known;
                             }
                             if (known != null) {
-                                known.targets().forEach(this::disconnect);
+                                known.targets().forEach(this::markDisconnected);
                             }
                             return AgentSession.opened(zone, incarnation, session, nowMs());
                         });
@@ -64,13 +64,13 @@
                 && latest.session().equals(session);
     }
 
-    /** Updates the targets of a connected agent; a report without connection is ignored. */
+    /** Updates the targets of a connected agent; ignores a report without a connection. */
     public void onAgentReport(ProcessId agent, AgentReport report) {
         long nowMs = nowMs();
         mAgents.computeIfPresent(
                 agent,
                 (key, session) ->
-                        session.connected() ? apply(agent, session, report, nowMs) : session);
+                        session.connected() ? applyReport(agent, session, report, nowMs) : session);
     }
 
     /** Marks the targets of the agent as gone unless a newer session is open. */
@@ -81,12 +81,12 @@
                     if (!known.session().equals(session)) {
                         return known;
                     }
-                    known.targets().forEach(this::disconnect);
-                    return known.closed(nowMs());
+                    known.targets().forEach(this::markDisconnected);
+                    return known.disconnected(nowMs());
                 });
     }
 
-    /** Records the load signal of an answer; ignored if the target has restarted since. */
+    /** Records the load signal of a response; ignored if the target has restarted since. */
     public void onLoadSignal(TargetAddress target, Incarnation incarnation, LoadSignal load) {
         long nowMs = nowMs();
         update(
@@ -94,7 +94,7 @@
                 view -> view.incarnation().equals(incarnation) ? view.withLoad(load, nowMs) : view);
     }
 
-    /** Records that the agent refused work because the target is leaving. */
+    /** Records that the agent rejected work because the target is leaving. */
     public void onTargetLeaving(TargetAddress target, Incarnation incarnation) {
         update(
                 target,
@@ -116,11 +116,11 @@
 
     /** Returns the targets of a service in every condition. */
     public List<TargetView> targets(ServiceName service) {
-        TargetShard shard = mShards.get(service);
+        ServiceTargets shard = mTargets.get(service);
         return shard == null ? List.of() : shard.views();
     }
 
-    /** Returns the targets of a service that may get new work. */
+    /** Returns the targets of a service that accept new requests. */
     public List<TargetView> readyTargets(ServiceName service) {
         long nowMs = nowMs();
         List<TargetView> ready = new ArrayList<>();
@@ -132,7 +132,7 @@
         return ready;
     }
 
-    /** Returns the free slots of the ready targets of a service as last heard. */
+    /** Returns the free slots of the ready targets of a service according to their latest load. */
     public int freeSlots(ServiceName service) {
         int free = 0;
         for (TargetView view : readyTargets(service)) {
@@ -141,21 +141,21 @@
         return free;
     }
 
-    /** Drops agents and targets that have been gone for a minute; called now and then. */
+    /** Removes agents and targets that have been gone for a minute; to be called periodically. */
     public void removeGoneTargets() {
         long nowMs = nowMs();
-        mShards.values().forEach(shard -> shard.forget(nowMs, FORGET_AFTER_MS));
+        mTargets.values().forEach(shard -> shard.removeGone(nowMs, GONE_RETENTION_MS));
         mAgents.values()
                 .removeIf(
                         session ->
                                 !session.connected()
-                                        && nowMs - session.heardMs() >= FORGET_AFTER_MS);
+                                        && nowMs - session.lastContactMs() >= GONE_RETENTION_MS);
     }
 
-    /** Returns every target by service, for the dump. */
+    /** Returns all targets by service for the state dump. */
     public Map<ServiceName, List<TargetView>> dump() {
         Map<ServiceName, List<TargetView>> dump = new TreeMap<>();
-        mShards.forEach((service, shard) -> dump.put(service, shard.views()));
+        mTargets.forEach((service, shard) -> dump.put(service, shard.views()));
         return dump;
     }
 
@@ -164,34 +164,34 @@
         return mScheduler.now(TimeUnit.MILLISECONDS);
     }
 
-    private AgentSession apply(
+    private AgentSession applyReport(
             ProcessId agent, AgentSession session, AgentReport report, long nowMs) {
         long offsetMs = nowMs - report.uptimeMs();
         List<TargetAddress> reported = new ArrayList<>();
         for (TargetReport target : report.targets()) {
             reported.add(new TargetAddress(agent, target.service(), target.instance()));
         }
-        AgentSession updated = session.reported(offsetMs, List.copyOf(reported), nowMs);
-        long reportMs = report.uptimeMs() + updated.smallestOffsetMs();
+        AgentSession updated = session.withReport(offsetMs, List.copyOf(reported), nowMs);
+        long reportMs = report.uptimeMs() + updated.minimumOffsetMs();
         for (int i = 0; i < reported.size(); i++) {
             TargetReport target = report.targets().get(i);
-            mShards.computeIfAbsent(target.service(), service -> new TargetShard())
-                    .report(reported.get(i), updated, target, reportMs, nowMs);
+            mTargets.computeIfAbsent(target.service(), service -> new ServiceTargets())
+                    .applyReport(reported.get(i), updated, target, reportMs, nowMs);
         }
-        for (TargetAddress earlier : session.targets()) {
-            if (!reported.contains(earlier)) {
-                disconnect(earlier);
+        for (TargetAddress previous : session.targets()) {
+            if (!reported.contains(previous)) {
+                markDisconnected(previous);
             }
         }
         return updated;
     }
 
-    private void disconnect(TargetAddress target) {
+    private void markDisconnected(TargetAddress target) {
         update(target, TargetView::disconnected);
     }
 
     private void update(TargetAddress target, UnaryOperator<TargetView> change) {
-        TargetShard shard = mShards.get(target.service());
+        ServiceTargets shard = mTargets.get(target.service());
         if (shard != null) {
             shard.update(target, change);
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/TargetView.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/TargetView.java
@@ -14,12 +14,12 @@
  * @param zone availability zone of the agent
  * @param incarnation incarnation of the agent
  * @param announced state that the target announced
- * @param slots requests that it runs at once
- * @param connections connections that it accepts
- * @param load latest load signal, from a report or an answer
- * @param loadMs time of the load signal, corrected for the delay of late reports
- * @param reportedMs arrival of the latest report
- * @param upSinceMs time at which it came up or came back
+ * @param slots maximum number of running requests
+ * @param connections maximum number of connections
+ * @param load latest load signal, from a report or a response
+ * @param loadMs time of the load signal in milliseconds, corrected for the delay of late reports
+ * @param reportedMs time of arrival of the latest report in milliseconds
+ * @param upSinceMs time in milliseconds at which it became available or returned
  * @param connected whether its agent is connected and reports it
  */
 public record TargetView(
@@ -34,13 +34,13 @@
         long reportedMs,
         long upSinceMs,
         boolean connected) {
-    /** Time without a report after which a target gets no new work. */
+    /** Time without a report after which a target receives no new requests. */
     public static final long SUSPECT_AFTER_MS = 2_000;
 
-    /** Time without a report after which a target is gone. */
+    /** Time without a report after which a target counts as gone. */
     public static final long GONE_AFTER_MS = 10_000;
 
-    /** Returns the condition at a time. */
+    /** Returns the condition at the given time. */
     public TargetCondition condition(long nowMs) {
         long silentMs = nowMs - reportedMs;
         if (!connected || silentMs >= GONE_AFTER_MS) {
@@ -52,19 +52,19 @@
         return silentMs >= SUSPECT_AFTER_MS ? TargetCondition.SUSPECT : TargetCondition.READY;
     }
 
-    /** Returns the view after a report; a target that was gone or leaving counts as come back. */
-    TargetView reported(
+    /** Returns the view after a report; a target that was gone or leaving counts as returned. */
+    TargetView withReport(
             ZoneId newZone,
             Incarnation newIncarnation,
             TargetReport report,
             long reportMs,
             long nowMs) {
         TargetCondition before = condition(nowMs);
-        boolean back =
+        boolean returned =
                 !incarnation.equals(newIncarnation)
                         || before == TargetCondition.GONE
                         || before == TargetCondition.LEAVING;
-        boolean newer = back || reportMs >= loadMs;
+        boolean newer = returned || reportMs >= loadMs;
         return new TargetView(
                 address,
                 newZone,
@@ -75,7 +75,7 @@
                 newer ? report.load() : load,
                 newer ? reportMs : loadMs,
                 nowMs,
-                back ? nowMs : upSinceMs,
+                returned ? nowMs : upSinceMs,
                 true);
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/package-info.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/package-info.java
@@ -1,4 +1,4 @@
-/** What an entry knows of agents and their targets. */
+/** View that an entry has of agents and their targets. */
 @NullMarked
 package org.hickorycleat.logic.membership;
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/AgentFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/AgentFixture.java
@@ -15,7 +15,7 @@
 import org.hickorycleat.model.message.TargetReport;
 import org.hickorycleat.model.message.TargetState;
 
-/** An agent with one target of 8 slots and 64 connections that feeds a directory. */
+/** Simulates an agent with one target of 8 slots and 64 connections that reports to a directory. */
 public final class AgentFixture {
     public static final ServiceName SERVICE = new ServiceName("booking");
     public static final LoadSignal IDLE = new LoadSignal(0, 0, 10_000);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/InstanceRegistryTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/InstanceRegistryTest.java
@@ -15,13 +15,13 @@
 
     private final InstanceRegistry mRegistry = new InstanceRegistry();
 
-    /** Guards against an agent that serves keys before a successor could know of it. */
+    /** Guards against an agent that serves keys before successors can detect it. */
     @Test
     void isUnregisteredUntilTheRecordWasRead() {
         assertThat(mRegistry.registrationStatus(FIRST)).isEqualTo(RegistrationStatus.UNREGISTERED);
     }
 
-    /** Guards against keys being refused for over a minute at the first start of a fleet. */
+    /** Guards against rejecting keys for over a minute when a fleet first starts. */
     @Test
     void firstRunOfAnInstanceIsOriginal() {
         mRegistry.apply(FIRST);
@@ -30,7 +30,7 @@
         assertThat(mRegistry.registrationStatus(FIRST)).isEqualTo(RegistrationStatus.ORIGINAL);
     }
 
-    /** Guards against a restarted agent that forgot its keys and runs a repeat again. */
+    /** Guards against a restarted agent that has lost its key records and runs a copy again. */
     @Test
     void restartedAgentIsSuccessor() {
         mRegistry.apply(FIRST);
@@ -39,7 +39,7 @@
         assertThat(mRegistry.registrationStatus(RESTARTED)).isEqualTo(RegistrationStatus.SUCCESSOR);
     }
 
-    /** Guards against a replacement at another VM that never saw the keys of the instance. */
+    /** Guards against a replacement on another VM that lacks the key records of the instance. */
     @Test
     void replacementOnAnotherVmIsSuccessor() {
         mRegistry.apply(FIRST);
@@ -50,7 +50,7 @@
                 .isEqualTo(RegistrationStatus.SUCCESSOR);
     }
 
-    /** Guards against trusting a stream whose first records have expired. */
+    /** Guards against treating a stream as complete after its first records have expired. */
     @Test
     void truncatedStreamHasNoOriginal() {
         mRegistry.onStreamTruncated();
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/TargetDirectoryTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/TargetDirectoryTest.java
@@ -23,7 +23,9 @@
         mAgent.report();
     }
 
-    /** Guards against new work for a silent target and against removing it too early. */
+    /**
+     * Guards against new requests to a target without reports, and against removing it too early.
+     */
     @Test
     void silentTargetBecomesSuspectThenGone() {
         advance(1_999);
@@ -37,7 +39,10 @@
         assertThat(mAgent.condition()).isEqualTo(TargetCondition.GONE);
     }
 
-    /** Guards against a slow start after a short silence, which would shift load needlessly. */
+    /**
+     * Guards against a slow start after a short interruption of reports, which would shift load
+     * without need.
+     */
     @Test
     void suspectTargetIsReadyAgainWithItsNextReportWithoutSlowStart() {
         long upSinceMs = mAgent.view().upSinceMs();
@@ -55,7 +60,9 @@
         assertThat(mDirectory.freeSlots(SERVICE)).isZero();
     }
 
-    /** Guards against the late close of a replaced connection hiding a connected target. */
+    /**
+     * Guards against the late close of a replaced connection marking a connected target as gone.
+     */
     @Test
     void closeOfOlderSessionIsIgnored() {
         var olderSession = mAgent.session();
@@ -65,7 +72,7 @@
         assertThat(mAgent.condition()).isEqualTo(TargetCondition.READY);
     }
 
-    /** Guards against an older connection replacing a newer one when they are seen out of order. */
+    /** Guards against an older connection replacing a newer one when events arrive out of order. */
     @Test
     void olderSessionDoesNotReplaceNewerOne() {
         var olderSession = mAgent.session();
@@ -78,7 +85,7 @@
         assertThat(mAgent.condition()).isEqualTo(TargetCondition.READY);
     }
 
-    /** Guards against full load on a target that has just restarted. */
+    /** Guards against sending full load to a target that has just restarted. */
     @Test
     void restartedTargetComesBackWithNewStartTime() {
         advance(500);
@@ -91,7 +98,7 @@
         assertThat(mAgent.view().incarnation()).isEqualTo(mAgent.incarnation());
     }
 
-    /** Guards against new work for a target that announced its shutdown. */
+    /** Guards against new requests to a target that announced its shutdown. */
     @Test
     void leavingTargetIsNotReady() {
         mAgent.report(TargetState.LEAVING, IDLE, mDirectory.nowMs());
@@ -99,7 +106,9 @@
         assertThat(mDirectory.readyTargets(SERVICE)).isEmpty();
     }
 
-    /** Guards against a stale answer of an earlier incarnation marking the new one. */
+    /**
+     * Guards against a stale response of an earlier incarnation changing the state of the new one.
+     */
     @Test
     void signalsOfEarlierIncarnationAreIgnored() {
         var earlier = mAgent.incarnation();
@@ -111,29 +120,29 @@
         assertThat(mAgent.view().load()).isEqualTo(IDLE);
     }
 
-    /** Guards against a target that stopped announcing itself but whose agent lives. */
+    /** Guards against requests to a target that its connected agent no longer reports. */
     @Test
     void targetMissingFromReportIsGone() {
         mAgent.report(mDirectory.nowMs(), List.of());
         assertThat(mAgent.condition()).isEqualTo(TargetCondition.GONE);
     }
 
-    /** Guards against a delayed report overwriting the newer signal of an answer. */
+    /** Guards against a delayed report overwriting the newer load signal of a response. */
     @Test
     void delayedReportDoesNotOverwriteNewerLoad() {
         long sentMs = mDirectory.nowMs();
         advance(300);
-        LoadSignal answer = new LoadSignal(7, 0, 12_000);
-        mDirectory.onLoadSignal(mAgent.address(), mAgent.incarnation(), answer);
+        LoadSignal response = new LoadSignal(7, 0, 12_000);
+        mDirectory.onLoadSignal(mAgent.address(), mAgent.incarnation(), response);
         advance(200);
         mAgent.report(TargetState.READY, IDLE, sentMs);
-        assertThat(mAgent.view().load()).isEqualTo(answer);
+        assertThat(mAgent.view().load()).isEqualTo(response);
         assertThat(mDirectory.freeSlots(SERVICE)).isEqualTo(1);
     }
 
-    /** Guards against memory held for targets of replaced VMs. */
+    /** Guards against memory use that grows with targets of replaced VMs. */
     @Test
-    void goneTargetsAreForgottenAfterOneMinute() {
+    void goneTargetsAreRemovedAfterOneMinute() {
         mAgent.disconnect();
         advance(59_000);
         mDirectory.removeGoneTargets();
