--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/Admission.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/Admission.java
@@ -4,15 +4,15 @@
 
 /** Result of admission control. */
 public sealed interface Admission {
-    /** The request may run; {@code permit} is closed when it has ended. */
-    record Admitted(AutoCloseablePermit permit) implements Admission {}
+    /** The request may run; {@code permit} must be closed when it has ended. */
+    record Admitted(AdmissionPermit permit) implements Admission {}
 
-    /** The request was refused and did not run. */
-    record Refused(ResultCode code, long retryAfterMs) implements Admission {}
+    /** The request was rejected and did not run. */
+    record Rejected(ResultCode code, long retryAfterMs) implements Admission {}
 
-    /** Room for one admitted request. */
-    interface AutoCloseablePermit extends AutoCloseable {
-        /** Frees the room; only the first call counts. */
+    /** Capacity held by one admitted request. */
+    interface AdmissionPermit extends AutoCloseable {
+        /** Releases the capacity; further calls have no effect. */
         @Override
         void close();
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/AdmissionSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/AdmissionSettings.java
@@ -6,13 +6,13 @@
 /**
  * Settings of {@link FairAdmissionControl}.
  *
- * @param shares guaranteed share of the limit per class; the sum is at most 1
- * @param reserveShare share of the limit that is never borrowed
- * @param queuedPerSlot waiting requests per slot beyond which the limit is lowered
- * @param limitWithoutTargets requests admitted at once when no target is known; they may be
- *     forwarded
- * @param retryBaseMs mean advised wait at the verge of overload
- * @param retryMaximumMs longest advised wait
+ * @param shares guaranteed share of the concurrency limit per class; the sum is at most 1
+ * @param reserveShare share of the limit that no class may borrow
+ * @param queuedPerSlot requests queued at the agents per slot above which the limit is lowered
+ * @param limitWithoutTargets concurrency limit when no target is known; the requests may be
+ *     forwarded to another entry
+ * @param retryBaseMs mean advised retry delay in milliseconds when overload begins
+ * @param retryMaximumMs longest advised retry delay in milliseconds
  */
 public record AdmissionSettings(
         Map<Criticality, Double> shares,
@@ -21,7 +21,7 @@
         int limitWithoutTargets,
         long retryBaseMs,
         long retryMaximumMs) {
-    /** Settings used unless others are configured. */
+    /** Default settings. */
     public static final AdmissionSettings DEFAULT =
             new AdmissionSettings(
                     Map.of(
@@ -35,12 +35,12 @@
                     100,
                     30_000);
 
-    /** Copies the collections. */
+    /** Copies the shares. */
     public AdmissionSettings {
         shares = Map.copyOf(shares);
     }
 
-    /** Returns the guaranteed share of a class. */
+    /** Returns the guaranteed share of a class; 0 if none is set. */
     public double share(Criticality criticality) {
         return shares.getOrDefault(criticality, 0.0);
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/AdmissionStatus.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/AdmissionStatus.java
@@ -4,16 +4,16 @@
 import org.hickorycleat.model.manifest.Criticality;
 
 /**
- * Admission state of a service, for the dump.
+ * Admission state of a service for the state dump.
  *
- * @param limit requests that may be in flight
+ * @param limit concurrency limit
  * @param inFlight requests in flight
- * @param inFlightByClass the same by class
- * @param teams teams that are kept track of, counted per class
+ * @param inFlightByClass requests in flight per class
+ * @param teams number of teams with state, counted once per class
  */
 public record AdmissionStatus(
         double limit, int inFlight, Map<Criticality, Integer> inFlightByClass, int teams) {
-    /** Copies the collections. */
+    /** Copies the map. */
     public AdmissionStatus {
         inFlightByClass = Map.copyOf(inFlightByClass);
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/CapacitySource.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/CapacitySource.java
@@ -2,9 +2,9 @@
 
 import org.hickorycleat.model.identifier.ServiceName;
 
-/** Tells what the targets of a service can take. */
+/** Provides the capacity of the targets of a service. */
 @FunctionalInterface
 public interface CapacitySource {
-    /** Returns the capacity that this entry sees. */
-    ServiceSlots slots(ServiceName service);
+    /** Returns the capacity of a service as this entry sees it. */
+    ServiceCapacity capacity(ServiceName service);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/ClassUsage.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/ClassUsage.java
@@ -7,7 +7,7 @@
 import java.util.function.ToIntFunction;
 import org.hickorycleat.model.identifier.TeamName;
 
-/** A criticality class of one service with its teams; guarded by the limiter's lock. */
+/** Usage of a service by one criticality class and its teams; guarded by the limiter's lock. */
 final class ClassUsage {
     private final Usage mUsage;
     private final Map<TeamName, TeamUsage> mTeams = new HashMap<>();
@@ -28,40 +28,41 @@
         return mTeams.size();
     }
 
-    /** Requests that would be in flight if all were admitted, by Little's law. */
+    /** Returns the requests that would be in flight if all were admitted, by Little's law. */
     double demand(long nowMs) {
         return demand(mUsage, nowMs);
     }
 
     private double demand(Usage usage, long nowMs) {
         double admitted = mUsage.admitted(nowMs);
-        double offered = admitted < 1 ? 0 : usage.arrivals(nowMs) / admitted * mUsage.mean(nowMs);
+        double offered =
+                admitted < 1 ? 0 : usage.arrivals(nowMs) / admitted * mUsage.meanInFlight(nowMs);
         return Math.max(usage.inFlight(), offered);
     }
 
-    /** Divides the class among its teams: max-min fair by weight over their demands. */
-    void divide(double available, ToIntFunction<TeamName> weights, long nowMs) {
+    /** Sets the limit of each team to its weighted max-min fair share of the class. */
+    void assignFairLimits(double available, ToIntFunction<TeamName> weights, long nowMs) {
         mTeams.values().removeIf(team -> team.usage().isIdle(nowMs));
         mTeams.forEach(
                 (name, team) -> team.update(weights.applyAsInt(name), demand(team.usage(), nowMs)));
-        double level = waterLevel(available);
-        mTeams.values().forEach(team -> team.setFairLimit(level * team.weight()));
+        double share = fairSharePerWeight(available);
+        mTeams.values().forEach(team -> team.setFairLimit(share * team.weight()));
     }
 
-    /** Returns the share per unit of weight; infinite if all demands can be met. */
-    private double waterLevel(double available) {
+    /** Returns the fair share per unit of weight; infinite if all demands can be met. */
+    private double fairSharePerWeight(double available) {
         List<TeamUsage> ascending =
                 mTeams.values().stream()
                         .sorted(Comparator.comparingDouble(team -> team.demand() / team.weight()))
                         .toList();
-        double left = available;
+        double remaining = available;
         double weight = ascending.stream().mapToInt(TeamUsage::weight).sum();
         for (TeamUsage team : ascending) {
-            double level = left / weight;
-            if (team.demand() > level * team.weight()) {
-                return level;
+            double share = remaining / weight;
+            if (team.demand() > share * team.weight()) {
+                return share;
             }
-            left -= team.demand();
+            remaining -= team.demand();
             weight -= team.weight();
         }
         return Double.POSITIVE_INFINITY;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/DirectoryCapacitySource.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/DirectoryCapacitySource.java
@@ -6,22 +6,24 @@
 import org.hickorycleat.logic.routing.TargetAddress;
 import org.hickorycleat.model.identifier.ServiceName;
 
-/** Capacity of the ready targets of a {@link TargetDirectory} that routing would use. */
+/** Sums up the capacity of the ready targets of a {@link TargetDirectory} that routing may use. */
 public final class DirectoryCapacitySource implements CapacitySource {
-    /** Half-life of free slots, which other entries may have taken since the signal. */
-    private static final double FREE_HALF_LIFE_MS = 500;
+    /**
+     * Half-life of reported free slots, which other entries may have used since the load signal.
+     */
+    private static final double FREE_SLOTS_HALF_LIFE_MS = 500;
 
     private final TargetDirectory mDirectory;
     private final Predicate<TargetAddress> mUsable;
 
-    /** Creates the source; {@code usable} leaves out targets that get no requests. */
+    /** Creates the source; {@code usable} excludes targets that receive no requests. */
     public DirectoryCapacitySource(TargetDirectory directory, Predicate<TargetAddress> usable) {
         mDirectory = directory;
         mUsable = usable;
     }
 
     @Override
-    public ServiceSlots slots(ServiceName service) {
+    public ServiceCapacity capacity(ServiceName service) {
         long nowMs = mDirectory.nowMs();
         int slots = 0;
         double free = 0;
@@ -30,12 +32,12 @@
             if (!mUsable.test(view.address())) {
                 continue;
             }
-            double age = Math.max(0, nowMs - view.loadMs());
-            int unused = Math.max(0, view.slots() - view.load().inFlight());
+            double ageMs = Math.max(0, nowMs - view.loadMs());
+            int freeSlots = Math.max(0, view.slots() - view.load().inFlight());
             slots += view.slots();
-            free += unused * Math.pow(0.5, age / FREE_HALF_LIFE_MS);
+            free += freeSlots * Math.pow(0.5, ageMs / FREE_SLOTS_HALF_LIFE_MS);
             queued += view.load().queued();
         }
-        return new ServiceSlots(slots, (int) free, queued, mDirectory.liveEntries());
+        return new ServiceCapacity(slots, (int) free, queued, mDirectory.liveEntries());
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/FairAdmissionControl.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/FairAdmissionControl.java
@@ -17,10 +17,11 @@
  * Admits requests up to a concurrency limit per service, with guaranteed shares for classes and
  * fair shares for teams.
  *
- * <p>The caller has checked that the service is configured: state is kept per service asked for.
+ * <p>Callers must check that the service is configured, because state is kept for every service
+ * passed to {@link #admit}.
  */
 public final class FairAdmissionControl implements AdmissionControl {
-    /** All teams without a configured weight share one, so that they take no memory each. */
+    /** Teams without a configured weight share one record, so that invented names use no memory. */
     private static final TeamName UNKNOWN_TEAM = new TeamName("(unknown)");
 
     private static final int UNKNOWN_WEIGHT = 1;
@@ -32,7 +33,7 @@
     private final ConcurrentMap<ServiceName, ServiceLimiter> mLimiters = new ConcurrentHashMap<>();
     private volatile Map<TeamName, Integer> mWeights = Map.of();
 
-    /** Creates the control; the seed fixes the jitter of retries. */
+    /** Creates admission control; the seed determines the jitter of advised retry delays. */
     public FairAdmissionControl(
             CapacitySource capacity, Scheduler scheduler, AdmissionSettings settings, long seed) {
         mCapacity = capacity;
@@ -51,29 +52,31 @@
             ServiceName service, Criticality criticality, TeamName team, long remainingMs) {
         long nowMs = mScheduler.now(TimeUnit.MILLISECONDS);
         if (remainingMs <= 0) {
-            return new Admission.Refused(ResultCode.DEADLINE_EXCEEDED, 0);
+            return new Admission.Rejected(ResultCode.DEADLINE_EXCEEDED, 0);
         }
         ServiceLimiter limiter =
                 mLimiters.computeIfAbsent(service, key -> new ServiceLimiter(mSettings, nowMs));
         if (limiter.isRefreshDue(nowMs)) {
-            limiter.refresh(mCapacity.slots(service), this::weight, nowMs);
+            limiter.refresh(mCapacity.capacity(service), this::weight, nowMs);
         }
-        TeamName counted = mWeights.containsKey(team) ? team : UNKNOWN_TEAM;
-        Optional<ServiceLimiter.Admitted> admitted =
-                limiter.admit(criticality, counted, weight(counted), nowMs);
+        TeamName accountedTeam = mWeights.containsKey(team) ? team : UNKNOWN_TEAM;
+        Optional<ServiceLimiter.AdmittedRequest> admitted =
+                limiter.admit(criticality, accountedTeam, weight(accountedTeam), nowMs);
         if (admitted.isEmpty()) {
             double overload = limiter.overload(criticality, nowMs);
-            return new Admission.Refused(ResultCode.OVERLOADED, mRetryDelay.afterMs(overload));
+            return new Admission.Rejected(ResultCode.OVERLOADED, mRetryDelay.nextDelayMs(overload));
         }
         return new Admission.Admitted(new Permit(limiter, admitted.get()));
     }
 
-    /** Returns the state of a service, for the dump; empty if it has had no request. */
+    /** Returns the state of a service for the state dump; empty if it has received no request. */
     public Optional<AdmissionStatus> status(ServiceName service) {
         return Optional.ofNullable(mLimiters.get(service)).map(ServiceLimiter::status);
     }
 
-    /** Drops the state of services that are no longer configured and have nothing in flight. */
+    /**
+     * Removes the state of services that are no longer configured and have no request in flight.
+     */
     public void retainServices(Set<ServiceName> configured) {
         mLimiters
                 .entrySet()
@@ -87,20 +90,20 @@
         return Math.max(1, mWeights.getOrDefault(team, UNKNOWN_WEIGHT));
     }
 
-    private final class Permit implements Admission.AutoCloseablePermit {
+    private final class Permit implements Admission.AdmissionPermit {
         private final ServiceLimiter mLimiter;
-        private final ServiceLimiter.Admitted mAdmitted;
+        private final ServiceLimiter.AdmittedRequest mAdmittedRequest;
         private final AtomicBoolean mClosed = new AtomicBoolean();
 
-        Permit(ServiceLimiter limiter, ServiceLimiter.Admitted admitted) {
+        Permit(ServiceLimiter limiter, ServiceLimiter.AdmittedRequest admitted) {
             mLimiter = limiter;
-            mAdmitted = admitted;
+            mAdmittedRequest = admitted;
         }
 
         @Override
         public void close() {
             if (mClosed.compareAndSet(false, true)) {
-                mLimiter.release(mAdmitted, mScheduler.now(TimeUnit.MILLISECONDS));
+                mLimiter.release(mAdmittedRequest, mScheduler.now(TimeUnit.MILLISECONDS));
             }
         }
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/RetryDelay.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/RetryDelay.java
@@ -2,9 +2,12 @@
 
 import java.util.SplittableRandom;
 
-/** Advises refused callers when to retry, spread over a time that grows with the overload. */
+/**
+ * Computes the retry delay advised to rejected callers, with jitter and proportional to the
+ * overload.
+ */
 final class RetryDelay {
-    private static final double LEAST_JITTER = 0.5;
+    private static final double MINIMUM_JITTER = 0.5;
 
     private final AdmissionSettings mSettings;
     private final SplittableRandom mRandom;
@@ -14,8 +17,8 @@
         mRandom = new SplittableRandom(seed);
     }
 
-    synchronized long afterMs(double overload) {
-        double jitter = LEAST_JITTER + mRandom.nextDouble();
+    synchronized long nextDelayMs(double overload) {
+        double jitter = MINIMUM_JITTER + mRandom.nextDouble();
         long delayMs = Math.round(mSettings.retryBaseMs() * overload * jitter);
         return Math.max(1, Math.min(mSettings.retryMaximumMs(), delayMs));
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/ServiceLimiter.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/ServiceLimiter.java
@@ -8,12 +8,14 @@
 import org.hickorycleat.model.identifier.TeamName;
 import org.hickorycleat.model.manifest.Criticality;
 
-/** Admission state of one service, under one lock. */
+/** Admission state of one service; one lock guards all of it. */
 final class ServiceLimiter {
     private static final long REFRESH_INTERVAL_MS = 20;
 
-    /** Requests within a share may exceed the limit this far while borrowers drain. */
-    private static final double OVERCOMMIT = 1.25;
+    /**
+     * Requests within a share may exceed the limit by this factor while borrowed capacity drains.
+     */
+    private static final double OVERCOMMIT_FACTOR = 1.25;
 
     private final AdmissionSettings mSettings;
     private final ConcurrencyLimit mLimit;
@@ -33,39 +35,40 @@
         return nowMs - mRefreshedMs >= REFRESH_INTERVAL_MS;
     }
 
-    /** Takes in the capacity and divides it anew. */
-    synchronized void refresh(ServiceSlots slots, ToIntFunction<TeamName> weights, long nowMs) {
+    /** Updates the limit from the capacity and recomputes the fair limits of all teams. */
+    synchronized void refresh(
+            ServiceCapacity capacity, ToIntFunction<TeamName> weights, long nowMs) {
         mRefreshedMs = nowMs;
-        mLimit.update(slots, mInFlight, nowMs);
+        mLimit.update(capacity, mInFlight, nowMs);
         mClasses.forEach(
                 (criticality, usage) ->
-                        usage.divide(available(criticality, nowMs), weights, nowMs));
+                        usage.assignFairLimits(available(criticality, nowMs), weights, nowMs));
     }
 
-    /** Counts and admits a request; empty if it is refused. */
-    synchronized Optional<Admitted> admit(
+    /** Counts a request and admits it if the limits allow; empty if it is rejected. */
+    synchronized Optional<AdmittedRequest> admit(
             Criticality criticality, TeamName team, int weight, long nowMs) {
         ClassUsage classUsage = usage(criticality);
         TeamUsage teamUsage = classUsage.team(team, weight, nowMs);
-        classUsage.usage().arrived(nowMs);
-        teamUsage.usage().arrived(nowMs);
+        classUsage.usage().recordArrival(nowMs);
+        teamUsage.usage().recordArrival(nowMs);
         if (!isAdmissible(criticality, teamUsage, nowMs)) {
-            mLimit.limited();
+            mLimit.recordRejection();
             return Optional.empty();
         }
-        classUsage.usage().started(nowMs);
-        teamUsage.usage().started(nowMs);
+        classUsage.usage().recordStart(nowMs);
+        teamUsage.usage().recordStart(nowMs);
         mInFlight++;
-        return Optional.of(new Admitted(classUsage.usage(), teamUsage.usage()));
+        return Optional.of(new AdmittedRequest(classUsage.usage(), teamUsage.usage()));
     }
 
-    synchronized void release(Admitted admitted, long nowMs) {
-        admitted.classUsage().ended(nowMs);
-        admitted.teamUsage().ended(nowMs);
+    synchronized void release(AdmittedRequest admitted, long nowMs) {
+        admitted.classUsage().recordEnd(nowMs);
+        admitted.teamUsage().recordEnd(nowMs);
         mInFlight--;
     }
 
-    /** Returns how many times more requests arrive in a class than are admitted. */
+    /** Returns the ratio of arriving to admitted requests of a class, at least 1. */
     synchronized double overload(Criticality criticality, long nowMs) {
         Usage usage = usage(criticality).usage();
         return Math.max(1, usage.arrivals(nowMs) / Math.max(1, usage.admitted(nowMs)));
@@ -93,9 +96,10 @@
         if (usage.inFlight() + 1 <= guarantee(criticality) || mayBorrow(criticality, nowMs)) {
             return true;
         }
-        boolean roomForBursts = mInFlight < mLimit.value() * OVERCOMMIT;
-        return roomForBursts
-                && (team.isEntitled() || Burst.fits(usage, guarantee(criticality), nowMs));
+        boolean burstAllowed = mInFlight < mLimit.value() * OVERCOMMIT_FACTOR;
+        return burstAllowed
+                && (team.isWithinFairShare()
+                        || BurstTolerance.allowsRequest(usage, guarantee(criticality), nowMs));
     }
 
     private boolean mayBorrow(Criticality criticality, long nowMs) {
@@ -106,37 +110,39 @@
         return mSettings.share(criticality) * mLimit.value();
     }
 
-    /** Requests that the class can have in flight given what the others have. */
+    /** Returns the requests that the class may have in flight given those of the other classes. */
     private double available(Criticality criticality, long nowMs) {
-        double room = mLimit.value() - mInFlight - reserve(criticality, nowMs);
-        return Math.max(guarantee(criticality), usage(criticality).usage().inFlight() + room);
+        double unclaimed = mLimit.value() - mInFlight - reserve(criticality, nowMs);
+        return Math.max(guarantee(criticality), usage(criticality).usage().inFlight() + unclaimed);
     }
 
-    /** Room that a borrowing class leaves to what the other classes are about to ask for. */
+    /**
+     * Returns the capacity that a borrowing class leaves for expected requests of other classes.
+     */
     private double reserve(Criticality borrower, long nowMs) {
         double reserve = mSettings.reserveShare() * mLimit.value();
         for (Map.Entry<Criticality, ClassUsage> entry : mClasses.entrySet()) {
             if (entry.getKey() != borrower) {
-                double wanted = wanted(entry.getKey(), borrower, nowMs);
-                reserve += Math.max(0, wanted - entry.getValue().usage().inFlight());
+                double entitled = entitlement(entry.getKey(), borrower, nowMs);
+                reserve += Math.max(0, entitled - entry.getValue().usage().inFlight());
             }
         }
         return reserve;
     }
 
-    /** A more critical class borrows first; others are entitled to their guarantee only. */
-    private double wanted(Criticality other, Criticality borrower, long nowMs) {
+    /** Returns the demand of a more critical class, or at most the guarantee of any other. */
+    private double entitlement(Criticality other, Criticality borrower, long nowMs) {
         ClassUsage usage = usage(other);
         if (other.compareTo(borrower) < 0) {
             return usage.demand(nowMs);
         }
-        return Math.min(guarantee(other), usage.usage().mean(nowMs));
+        return Math.min(guarantee(other), usage.usage().meanInFlight(nowMs));
     }
 
     private ClassUsage usage(Criticality criticality) {
         return Objects.requireNonNull(mClasses.get(criticality));
     }
 
-    /** What an admitted request is counted in. */
-    record Admitted(Usage classUsage, Usage teamUsage) {}
+    /** Counters that include an admitted request. */
+    record AdmittedRequest(Usage classUsage, Usage teamUsage) {}
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/TeamUsage.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/TeamUsage.java
@@ -1,6 +1,6 @@
 package org.hickorycleat.logic.admission;
 
-/** A team within a class; guarded by the limiter's lock. */
+/** Usage by one team within a class; guarded by the limiter's lock. */
 final class TeamUsage {
     private final Usage mUsage;
     private int mWeight;
@@ -24,7 +24,7 @@
         return mDemand;
     }
 
-    /** Sets the weight and the estimated number of requests it would have in flight. */
+    /** Updates the weight and the estimated demand in concurrent requests. */
     void update(int weight, double demand) {
         mWeight = weight;
         mDemand = demand;
@@ -35,11 +35,11 @@
     }
 
     boolean isWithinFairLimit(long nowMs) {
-        return Burst.fits(mUsage, mFairLimit, nowMs);
+        return BurstTolerance.allowsRequest(mUsage, mFairLimit, nowMs);
     }
 
-    /** Tells whether the team asks for less than its fair share while others ask for more. */
-    boolean isEntitled() {
+    /** Returns whether the team demands at most its fair share while others demand more. */
+    boolean isWithinFairShare() {
         return mFairLimit != Double.POSITIVE_INFINITY && mDemand <= mFairLimit;
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/UnlimitedAdmission.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/UnlimitedAdmission.java
@@ -4,7 +4,7 @@
 import org.hickorycleat.model.identifier.TeamName;
 import org.hickorycleat.model.manifest.Criticality;
 
-/** Baseline: admits every request. */
+/** Admits every request; a baseline for measurements. */
 public final class UnlimitedAdmission implements AdmissionControl {
     @Override
     public Admission admit(
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/Usage.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/admission/Usage.java
@@ -1,9 +1,9 @@
 package org.hickorycleat.logic.admission;
 
-/** Requests in flight of a class or team, with decayed averages; guarded by the limiter's lock. */
+/** Requests in flight of a class or team and decayed averages; guarded by the limiter's lock. */
 final class Usage {
     private int mInFlight;
-    private double mMean;
+    private double mMeanInFlight;
     private double mArrivals;
     private double mAdmitted;
     private long mUpdatedMs;
@@ -17,9 +17,9 @@
     }
 
     /** Returns the decayed average of the requests in flight. */
-    double mean(long nowMs) {
+    double meanInFlight(long nowMs) {
         advance(nowMs);
-        return mMean;
+        return mMeanInFlight;
     }
 
     double arrivals(long nowMs) {
@@ -33,31 +33,31 @@
         return mAdmitted;
     }
 
-    void arrived(long nowMs) {
+    void recordArrival(long nowMs) {
         advance(nowMs);
         mArrivals++;
     }
 
-    void started(long nowMs) {
+    void recordStart(long nowMs) {
         advance(nowMs);
         mInFlight++;
         mAdmitted++;
     }
 
-    void ended(long nowMs) {
+    void recordEnd(long nowMs) {
         advance(nowMs);
         mInFlight--;
     }
 
-    /** Tells whether nothing worth keeping is left. */
+    /** Returns whether no request is in flight and the arrivals have decayed to almost none. */
     boolean isIdle(long nowMs) {
         advance(nowMs);
         return mInFlight == 0 && mArrivals < 0.1;
     }
 
     private void advance(long nowMs) {
-        double factor = Decay.factor(nowMs - mUpdatedMs);
-        mMean = mInFlight + (mMean - mInFlight) * factor;
+        double factor = ExponentialDecay.factor(nowMs - mUpdatedMs);
+        mMeanInFlight = mInFlight + (mMeanInFlight - mInFlight) * factor;
         mArrivals *= factor;
         mAdmitted *= factor;
         mUpdatedMs = Math.max(mUpdatedMs, nowMs);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/EntryRecords.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/EntryRecords.java
@@ -8,13 +8,13 @@
 import org.hickorycleat.model.identifier.Incarnation;
 import org.hickorycleat.model.identifier.SessionNumber;
 
-/** Requests of one incarnation of an entry in one shard; guarded by the lock of the shard. */
+/** Records of the requests of one incarnation of an entry in one shard; guarded by its lock. */
 final class EntryRecords {
     private final Incarnation mIncarnation;
     private final TreeMap<Long, RequestRecord> mByCounter = new TreeMap<>();
     private Optional<SessionNumber> mSession = Optional.empty();
     private long mAcknowledgedBelow;
-    private long mSweptMs = Long.MIN_VALUE;
+    private long mExpiryCheckedMs = Long.MIN_VALUE;
 
     EntryRecords(Incarnation incarnation) {
         mIncarnation = incarnation;
@@ -36,7 +36,7 @@
         mSession = Optional.of(session);
     }
 
-    boolean acknowledged(long counter) {
+    boolean isAcknowledged(long counter) {
         return counter < mAcknowledgedBelow;
     }
 
@@ -62,33 +62,33 @@
         return waiters;
     }
 
-    /** Drops ended records below a counter and returns the bytes of their answers. */
+    /** Removes ended records below a counter and returns the bytes of their responses. */
     long acknowledge(long below) {
         if (below <= mAcknowledgedBelow) {
             return 0;
         }
         mAcknowledgedBelow = below;
-        return dropEnded(mByCounter.headMap(below).values().iterator(), Long.MAX_VALUE - 1);
+        return removeEnded(mByCounter.headMap(below).values().iterator(), Long.MAX_VALUE - 1);
     }
 
-    /** Drops records past their time, at most once in an interval; returns the bytes freed. */
-    long sweep(long nowMs, long intervalMs) {
-        if (mSweptMs != Long.MIN_VALUE && nowMs - mSweptMs < intervalMs) {
+    /** Removes expired records, at most once per interval; returns the bytes of their responses. */
+    long removeExpired(long nowMs, long intervalMs) {
+        if (mExpiryCheckedMs != Long.MIN_VALUE && nowMs - mExpiryCheckedMs < intervalMs) {
             return 0;
         }
-        mSweptMs = nowMs;
-        return dropEnded(mByCounter.values().iterator(), nowMs);
+        mExpiryCheckedMs = nowMs;
+        return removeEnded(mByCounter.values().iterator(), nowMs);
     }
 
     long bytes() {
         return mByCounter.values().stream().mapToLong(EntryRecords::bytesOf).sum();
     }
 
-    private static long dropEnded(Iterator<RequestRecord> records, long nowMs) {
+    private static long removeEnded(Iterator<RequestRecord> records, long nowMs) {
         long bytes = 0;
         while (records.hasNext()) {
             RequestRecord record = records.next();
-            if (record.droppedFromMs() <= nowMs) {
+            if (record.expiryMs() <= nowMs) {
                 bytes += bytesOf(record);
                 records.remove();
             }
@@ -97,6 +97,6 @@
     }
 
     private static long bytesOf(RequestRecord record) {
-        return record instanceof RequestRecord.Ended ended ? ended.answer().bytes() : 0;
+        return record instanceof RequestRecord.Ended ended ? ended.response().bytes() : 0;
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/Execution.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/Execution.java
@@ -11,21 +11,22 @@
 import org.hickorycleat.model.message.Invoke;
 
 /**
- * One run of a request at the target, shared by all copies of a keyed request.
+ * One execution of a request at the target, shared by all copies of a request with an idempotency
+ * key.
  *
- * <p>Its lock is always the innermost one. An execution starts only while a request waits for it.
+ * <p>No other lock is taken while its lock is held. It starts only while a request waits for it.
  */
 final class Execution {
-    /** What a request that stops waiting learns about the execution. */
-    sealed interface Departure {
-        /** The request had not started; {@code abandoned} when no other one waits. */
-        record NotStarted(boolean abandoned) implements Departure {}
+    /** State of the execution when a request tries to withdraw from it. */
+    sealed interface Withdrawal {
+        /** The execution had not started; {@code abandoned} if no other request waits for it. */
+        record NotStarted(boolean abandoned) implements Withdrawal {}
 
-        /** The target is working on it. */
-        record Running() implements Departure {}
+        /** The target is processing it. */
+        record Running() implements Withdrawal {}
 
         /** It has ended. */
-        record Ended(Answer answer) implements Departure {}
+        record Ended(ExecutionResponse response) implements Withdrawal {}
     }
 
     private enum State {
@@ -36,28 +37,28 @@
     }
 
     private final ServiceName mService;
-    private final Optional<KeyId> mKey;
+    private final Optional<ScopedKey> mKey;
     private final Criticality mCriticality;
     private final long mFirstDeadlineMs;
-    private final long mNumber;
+    private final long mSequenceNumber;
     private final Map<RequestId, Waiter> mWaiters = new LinkedHashMap<>();
     private State mState = State.WAITING;
-    private Optional<Answer> mAnswer = Optional.empty();
+    private Optional<ExecutionResponse> mResponse = Optional.empty();
     private boolean mDiscarded;
 
     Execution(Invoke invoke, long deadlineMs, long number) {
         mService = invoke.service();
-        mKey = KeyId.of(invoke);
+        mKey = ScopedKey.of(invoke);
         mCriticality = invoke.criticality();
         mFirstDeadlineMs = deadlineMs;
-        mNumber = number;
+        mSequenceNumber = number;
     }
 
     ServiceName service() {
         return mService;
     }
 
-    Optional<KeyId> key() {
+    Optional<ScopedKey> key() {
         return mKey;
     }
 
@@ -65,16 +66,16 @@
         return mCriticality;
     }
 
-    /** Returns the deadline of the first request, by which the queue is ordered. */
+    /** Returns the deadline of the first request, which determines the order of the queue. */
     long firstDeadlineMs() {
         return mFirstDeadlineMs;
     }
 
-    long number() {
-        return mNumber;
+    long sequenceNumber() {
+        return mSequenceNumber;
     }
 
-    /** Adds a request; false when the execution takes no more. */
+    /** Adds a request; returns false if the execution has ended or was abandoned. */
     synchronized boolean join(Waiter waiter) {
         if (mState != State.WAITING && mState != State.RUNNING) {
             return false;
@@ -84,53 +85,53 @@
     }
 
     /** Removes a request unless the execution has started. */
-    synchronized Departure depart(RequestId request) {
+    synchronized Withdrawal withdraw(RequestId request) {
         if (mState == State.RUNNING) {
-            return new Departure.Running();
+            return new Withdrawal.Running();
         }
-        if (mAnswer.isPresent()) {
-            return new Departure.Ended(mAnswer.get());
+        if (mResponse.isPresent()) {
+            return new Withdrawal.Ended(mResponse.get());
         }
         mWaiters.remove(request);
-        return new Departure.NotStarted(abandonIfUnwanted());
+        return new Withdrawal.NotStarted(abandonIfNoWaiters());
     }
 
-    /** Gives up an execution that nobody waits for; true when it will never start. */
-    synchronized boolean abandonIfUnwanted() {
+    /** Abandons the execution if no request waits for it; returns whether it will never start. */
+    synchronized boolean abandonIfNoWaiters() {
         if (mState == State.WAITING && mWaiters.isEmpty()) {
             mState = State.ABANDONED;
         }
         return mState == State.ABANDONED;
     }
 
-    synchronized boolean abandoned() {
+    synchronized boolean isAbandoned() {
         return mState == State.ABANDONED;
     }
 
-    /** Tells whether nobody waits for it any more or the deadlines of all its requests passed. */
-    synchronized boolean expired(long nowMs) {
+    /** Returns whether it was abandoned or the deadlines of all its requests have passed. */
+    synchronized boolean isExpired(long nowMs) {
         return mState == State.ABANDONED || deadlineMs() <= nowMs;
     }
 
-    /** Starts it and returns what to send to the target; empty when nobody waits any more. */
+    /** Starts it and returns the message to the target; empty if no request waits any more. */
     synchronized Optional<Invoke> start(long nowMs) {
         if (mState != State.WAITING || mWaiters.isEmpty()) {
             return Optional.empty();
         }
         mState = State.RUNNING;
         Waiter first = mWaiters.values().iterator().next();
-        return Optional.of(first.invokeWithRemaining(deadlineMs() - nowMs));
+        return Optional.of(first.invokeWithRemainingTime(deadlineMs() - nowMs));
     }
 
-    /** Ends it and returns the requests that wait for the answer. */
-    synchronized List<Waiter> end(Answer answer) {
+    /** Ends it and returns the requests that wait for the response. */
+    synchronized List<Waiter> end(ExecutionResponse response) {
         mState = State.ENDED;
-        mAnswer = Optional.of(answer);
+        mResponse = Optional.of(response);
         return new ArrayList<>(mWaiters.values());
     }
 
-    /** Marks it as no longer in progress; true for the first call only. */
-    synchronized boolean discard() {
+    /** Marks it as no longer in progress; returns true for the first call only. */
+    synchronized boolean markDiscarded() {
         boolean first = !mDiscarded;
         mDiscarded = true;
         return first;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/Answer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/ExecutionResponse.java
@@ -9,28 +9,29 @@
 import org.hickorycleat.model.result.Outcome;
 import org.hickorycleat.model.result.ResultCode;
 
-/** How an execution ended, for every request that waits for it. */
-@SuppressWarnings("ArrayRecordComponent") // Copied neither in nor out: never changed.
-record Answer(ResultCode code, int status, List<HttpHeader> headers, byte[] body) {
-    /** Bodies above this size do not fit into a frame together with their headers. */
+/** Result of an execution, shared by all requests that wait for it. */
+@SuppressWarnings("ArrayRecordComponent") // The body is never modified, so it is not copied.
+record ExecutionResponse(ResultCode code, int status, List<HttpHeader> headers, byte[] body) {
+    /** Larger bodies do not fit into a frame together with the headers. */
     static final int MAXIMUM_BODY_BYTES = 512 * 1024;
 
-    /** Estimate of the memory of a record without its body. */
+    /** Estimated memory of a record without the body. */
     private static final long RECORD_BYTES = 256;
 
-    Answer {
+    ExecutionResponse {
         headers = List.copyOf(headers);
     }
 
-    static Answer of(ResultCode code) {
-        return new Answer(code, 0, List.of(), new byte[0]);
+    static ExecutionResponse of(ResultCode code) {
+        return new ExecutionResponse(code, 0, List.of(), new byte[0]);
     }
 
-    static Answer of(TargetResponse answer) {
-        if (answer.body().length > MAXIMUM_BODY_BYTES) {
+    static ExecutionResponse of(TargetResponse response) {
+        if (response.body().length > MAXIMUM_BODY_BYTES) {
             return of(ResultCode.ANSWER_TOO_LARGE);
         }
-        return new Answer(ResultCode.OK, answer.status(), answer.headers(), answer.body());
+        return new ExecutionResponse(
+                ResultCode.OK, response.status(), response.headers(), response.body());
     }
 
     Outcome outcome() {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/HostedTarget.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/HostedTarget.java
@@ -6,18 +6,18 @@
 import org.hickorycleat.model.message.Invoke;
 import org.hickorycleat.model.result.ResultCode;
 
-/** The target of one service beside this agent: its queue and its mapping of keys. */
+/** The local target of one service: its queue and its mapping of idempotency keys. */
 final class HostedTarget {
     private final SlotQueue mQueue;
     private final KeyValidity mKeyValidity;
-    private volatile Placement mPlacement;
+    private volatile InstanceAssignment mAssignment;
     private volatile boolean mLeaving;
 
     HostedTarget(TargetConfiguration configuration, KeyValidity keyValidity, long nowMs) {
         mQueue = new SlotQueue(configuration.slots(), configuration.connections());
         mKeyValidity = keyValidity;
-        mPlacement =
-                new Placement(
+        mAssignment =
+                new InstanceAssignment(
                         configuration.instance(),
                         nowMs,
                         KeyMapping.initial(
@@ -31,13 +31,13 @@
         return mQueue;
     }
 
-    synchronized SlotQueue.Change configure(TargetConfiguration configuration, long nowMs) {
-        Placement old = mPlacement;
-        boolean same = old.instance().equals(configuration.instance());
-        mPlacement =
-                new Placement(
+    synchronized SlotQueue.QueueUpdate configure(TargetConfiguration configuration, long nowMs) {
+        InstanceAssignment old = mAssignment;
+        boolean sameInstance = old.instance().equals(configuration.instance());
+        mAssignment =
+                new InstanceAssignment(
                         configuration.instance(),
-                        same ? old.sinceMs() : nowMs,
+                        sameInstance ? old.assignedMs() : nowMs,
                         old.mapping()
                                 .replacedBy(
                                         configuration.mappingVersion(),
@@ -46,11 +46,11 @@
         return mQueue.configure(configuration.slots(), configuration.connections(), nowMs);
     }
 
-    /** No earlier agent served this instance, so no record of a key can be missing. */
-    synchronized void trustKeyMemory(InstanceNumber instance) {
-        Placement old = mPlacement;
+    /** Accepts keys at once; no earlier agent has served the instance, so no record is missing. */
+    synchronized void markKeyRecordsComplete(InstanceNumber instance) {
+        InstanceAssignment old = mAssignment;
         if (old.instance().equals(instance)) {
-            mPlacement = new Placement(instance, Long.MIN_VALUE / 2, old.mapping());
+            mAssignment = new InstanceAssignment(instance, Long.MIN_VALUE / 2, old.mapping());
         }
     }
 
@@ -58,43 +58,45 @@
         mLeaving = leaving;
     }
 
-    /** Finds why the target may not start the request; does not apply to repeats of a key. */
-    Optional<ResultCode> refusal(Invoke invoke, long nowMs) {
+    /** Returns why the target must not start the request; does not apply to copies of a key. */
+    Optional<ResultCode> rejection(Invoke invoke, long nowMs) {
         if (mLeaving) {
             return Optional.of(ResultCode.TARGET_LEAVING);
         }
-        Placement placement = mPlacement;
-        if (!placement.instance().equals(invoke.instance())) {
+        InstanceAssignment assignment = mAssignment;
+        if (!assignment.instance().equals(invoke.instance())) {
             return Optional.of(ResultCode.NO_TARGET);
         }
-        return invoke.idempotencyKey().flatMap(key -> keyRefusal(placement, key, nowMs));
+        return invoke.idempotencyKey().flatMap(key -> keyRejection(assignment, key, nowMs));
     }
 
-    /** Tells whether entry and agent map keys to instances by the same version. */
-    boolean sameMapping(Invoke invoke) {
-        return mPlacement.mapping().version().equals(invoke.mappingVersion());
+    /** Returns whether entry and agent map keys to instances with the same version. */
+    boolean hasSameMapping(Invoke invoke) {
+        return mAssignment.mapping().version().equals(invoke.mappingVersion());
     }
 
-    private Optional<ResultCode> keyRefusal(Placement placement, IdempotencyKey key, long nowMs) {
-        if (nowMs - placement.sinceMs() < mKeyValidity.uncertainty().toMillis()) {
+    private Optional<ResultCode> keyRejection(
+            InstanceAssignment assignment, IdempotencyKey key, long nowMs) {
+        if (nowMs - assignment.assignedMs() < mKeyValidity.missingRecordWindow().toMillis()) {
             return Optional.of(ResultCode.KEY_MEMORY_UNCERTAIN);
         }
-        return placement
+        return assignment
                 .mapping()
                 .route(key, nowMs)
                 .fold(
                         Optional::of,
                         instance ->
-                                instance.equals(placement.instance())
+                                instance.equals(assignment.instance())
                                         ? Optional.empty()
                                         : Optional.of(ResultCode.MAPPING_CHANGED));
     }
 
     /**
-     * Place of the target in its service.
+     * Assignment of the target to an instance of its service.
      *
-     * @param sinceMs time since which this agent has served the instance number; an earlier record
-     *     of a key may be at another agent
+     * @param assignedMs time from which this agent has served the instance; records of earlier keys
+     *     may be at another agent
      */
-    private record Placement(InstanceNumber instance, long sinceMs, KeyMapping mapping) {}
+    private record InstanceAssignment(
+            InstanceNumber instance, long assignedMs, KeyMapping mapping) {}
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/InvocationService.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/InvocationService.java
@@ -29,14 +29,15 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /**
- * Runs requests of entries at the targets beside an agent, each request and each key at most once.
+ * Runs requests of entries at the local targets of an agent, each request and each idempotency key
+ * at most once.
  *
- * <p>All methods may be called by several threads. Replies are given without any lock held.
+ * <p>Thread-safe. Replies are given without holding a lock.
  */
 public final class InvocationService {
     /**
-     * Time for which the record of a settled request outlives its deadline. A connection that is
-     * silent for 5 s is closed, so nothing that was sent before arrives this late.
+     * Time for which the record of an ended request is kept after its deadline. A connection that
+     * is silent for 5 s is closed, so no message sent before arrives this late.
      */
     static final long RETENTION_MS = 60_000;
 
@@ -50,7 +51,7 @@
     private final Map<ServiceName, HostedTarget> mTargets = new ConcurrentHashMap<>();
     private final AtomicLong mExecutionCounter = new AtomicLong();
     private final AtomicLong mFencedInvokes = new AtomicLong();
-    // Counts calls of invoke as well, so that a drain does not miss one that passed its checks.
+    // Includes calls of invoke, so that a drain also waits for a call that has passed its checks.
     private final AtomicInteger mInProgress = new AtomicInteger();
     private volatile boolean mLeaving;
 
@@ -59,7 +60,8 @@
         mScheduler = builder.mScheduler;
         mKeyValidity = builder.mKeyValidity;
         mRequests =
-                new RequestRecords(builder.mShards, new RetainedBytes(builder.mMaximumAnswerBytes));
+                new RequestRecords(
+                        builder.mShards, new RetainedBytes(builder.mMaximumResponseBytes));
         mKeys =
                 new KeyRecords(
                         builder.mShards,
@@ -68,34 +70,35 @@
                         new RetainedBytes(builder.mMaximumKeyBytes));
     }
 
-    /** Starts building a service. */
+    /** Returns a builder of a service. */
     public static InvocationServiceBuilder builder(TargetClient targetClient, Scheduler scheduler) {
         return new InvocationServiceBuilder(targetClient, scheduler);
     }
 
-    /** Sets or changes what is known of the target of a service. */
+    /** Adds the target of a service or updates its configuration. */
     public void configure(TargetConfiguration configuration) {
         long nowMs = nowMs();
         HostedTarget created = new HostedTarget(configuration, mKeyValidity, nowMs);
         HostedTarget target = mTargets.putIfAbsent(configuration.service(), created);
         if (target != null) {
-            apply(target.configure(configuration, nowMs));
+            handle(target.configure(configuration, nowMs));
         }
     }
 
     /**
-     * Makes a session the current one of an entry; nothing read from an older one starts any more.
+     * Makes a session the current one of an entry; requests of older sessions do not start any
+     * more.
      *
-     * <p>The session is open once this returns. An older session or incarnation changes nothing.
+     * <p>The session is open when this method returns. An older session or incarnation is ignored.
      */
     public void openSession(ProcessId entry, Incarnation entryIncarnation, SessionNumber session) {
         mRequests.openSession(entry, entryIncarnation, session).forEach(this::discard);
     }
 
     /**
-     * Runs a request or refuses it; {@code reply} gets the result once and must not throw.
+     * Runs a request or rejects it; {@code reply} receives the result once and must not throw.
      *
-     * <p>There is no reply when the session is not the current one of the entry.
+     * <p>There is no reply if the session is not the current one of the entry.
      */
     public void invoke(
             ProcessId entry, SessionNumber session, Invoke invoke, Consumer<InvokeResult> reply) {
@@ -105,7 +108,7 @@
         }
         mInProgress.incrementAndGet();
         try {
-            new Invocation(session, invoke, reply).proceed();
+            new Invocation(session, invoke, reply).start();
         } finally {
             mInProgress.decrementAndGet();
         }
@@ -116,22 +119,24 @@
         return cancel(request, Optional.empty());
     }
 
-    /** Cancels a request unless it has started; a running one replies to {@code reply} instead. */
+    /**
+     * Cancels a request unless it has started; the result of a running one goes to {@code reply}.
+     */
     public CancelResult cancel(RequestId request, Consumer<InvokeResult> reply) {
         return cancel(request, Optional.of(reply));
     }
 
-    /** Drops the records of settled requests of an entry whose counter is below the given one. */
+    /** Removes the records of ended requests of an entry with counters below the given one. */
     public void acknowledge(ProcessId entry, Incarnation entryIncarnation, long below) {
         mRequests.acknowledge(entry, entryIncarnation, below);
     }
 
-    /** Refuses everything new from now on; what runs or waits finishes. */
+    /** Rejects new requests from now on; running and waiting requests finish. */
     public void startDrain() {
         mLeaving = true;
     }
 
-    /** Refuses new requests of one service, or takes them again. */
+    /** Rejects new requests of one service or accepts them again. */
     public void setLeaving(ServiceName service, boolean leaving) {
         Optional.ofNullable(mTargets.get(service)).ifPresent(target -> target.setLeaving(leaving));
     }
@@ -139,7 +144,7 @@
     /** Accepts keys of an instance at once, because no earlier agent has served it. */
     public void markKeyRecordsComplete(ServiceName service, InstanceNumber instance) {
         Optional.ofNullable(mTargets.get(service))
-                .ifPresent(target -> target.trustKeyMemory(instance));
+                .ifPresent(target -> target.markKeyRecordsComplete(instance));
     }
 
     /** Returns the load of the target of a service. */
@@ -148,12 +153,12 @@
         return target == null ? NO_LOAD : target.queue().load();
     }
 
-    /** Returns the number of requests that are being checked, wait or run. */
+    /** Returns the number of requests that are checked, waiting or running. */
     public int inProgress() {
         return mInProgress.get();
     }
 
-    /** Returns the number of requests dropped because their session was not the current one. */
+    /** Returns the number of requests discarded because their session was not the current one. */
     public long fencedInvokes() {
         return mFencedInvokes.get();
     }
@@ -166,16 +171,16 @@
             return new CancelResult(request, CancelState.NOT_RUN, Optional.empty());
         }
         if (cancellation instanceof RequestRecords.Cancellation.Ended ended) {
-            InvokeResult result = ended.answer().toResult(request, NO_LOAD);
+            InvokeResult result = ended.response().toResult(request, NO_LOAD);
             return new CancelResult(request, CancelState.FINISHED, Optional.of(result));
         }
         return new CancelResult(request, CancelState.RUNNING, Optional.empty());
     }
 
     private void discard(Execution execution) {
-        execution.key().ifPresent(key -> mKeys.forget(key, execution));
+        execution.key().ifPresent(key -> mKeys.remove(key, execution));
         queueOf(execution).remove(execution);
-        if (execution.discard()) {
+        if (execution.markDiscarded()) {
             mInProgress.decrementAndGet();
         }
     }
@@ -197,10 +202,12 @@
         return new Execution(invoke, deadlineMs, mExecutionCounter.incrementAndGet());
     }
 
-    private void apply(SlotQueue.Change change) {
-        change.full().forEach(each -> end(each, Answer.of(ResultCode.AGENT_QUEUE_FULL)));
-        change.expired().forEach(each -> end(each, Answer.of(ResultCode.DEADLINE_EXCEEDED)));
-        change.started().forEach(this::exchange);
+    private void handle(SlotQueue.QueueUpdate update) {
+        update.rejected()
+                .forEach(each -> end(each, ExecutionResponse.of(ResultCode.AGENT_QUEUE_FULL)));
+        update.expired()
+                .forEach(each -> end(each, ExecutionResponse.of(ResultCode.DEADLINE_EXCEEDED)));
+        update.started().forEach(this::exchange);
     }
 
     private void exchange(SlotQueue.Started started) {
@@ -209,9 +216,9 @@
         Disposable unused =
                 Single.defer(() -> mTargetClient.exchange(started.invoke()))
                         .timeout(started.invoke().remainingMs(), TimeUnit.MILLISECONDS, mScheduler)
-                        .map(Answer::of)
-                        .onErrorReturn(error -> Answer.of(codeOf(error)))
-                        .subscribe(answer -> finish(execution, answer, startedMicros));
+                        .map(ExecutionResponse::of)
+                        .onErrorReturn(error -> ExecutionResponse.of(codeOf(error)))
+                        .subscribe(response -> finish(execution, response, startedMicros));
     }
 
     private static ResultCode codeOf(Throwable error) {
@@ -226,26 +233,26 @@
                 : ResultCode.TARGET_FAILED;
     }
 
-    private void finish(Execution execution, Answer answer, long startedMicros) {
+    private void finish(Execution execution, ExecutionResponse response, long startedMicros) {
         long latencyMicros = mScheduler.now(TimeUnit.MICROSECONDS) - startedMicros;
-        SlotQueue.Change change = queueOf(execution).release(latencyMicros, nowMs());
-        end(execution, answer);
-        apply(change);
+        SlotQueue.QueueUpdate update = queueOf(execution).release(latencyMicros, nowMs());
+        end(execution, response);
+        handle(update);
     }
 
-    // The key is settled before anyone hears of the end, so that a repeat finds the answer.
-    private void end(Execution execution, Answer answer) {
+    // The key is updated before any reply, so that a later copy finds the response.
+    private void end(Execution execution, ExecutionResponse response) {
         long nowMs = nowMs();
-        execution.key().ifPresent(key -> mKeys.end(key, execution, answer, nowMs));
-        List<Waiter> waiters = execution.end(answer);
+        execution.key().ifPresent(key -> mKeys.end(key, execution, response, nowMs));
+        List<Waiter> waiters = execution.end(response);
         LoadSignal load = load(execution.service());
         for (Waiter waiter : waiters) {
-            long droppedFromMs = Math.max(nowMs, waiter.deadlineMs()) + RETENTION_MS;
+            long expiryMs = Math.max(nowMs, waiter.deadlineMs()) + RETENTION_MS;
             mRequests
-                    .end(waiter, answer, droppedFromMs)
-                    .ifPresent(reply -> reply.accept(answer.toResult(waiter.request(), load)));
+                    .end(waiter, response, expiryMs)
+                    .ifPresent(reply -> reply.accept(response.toResult(waiter.request(), load)));
         }
-        if (execution.discard()) {
+        if (execution.markDiscarded()) {
             mInProgress.decrementAndGet();
         }
     }
@@ -254,7 +261,7 @@
         return mScheduler.now(TimeUnit.MILLISECONDS);
     }
 
-    /** One call of {@link #invoke}. */
+    /** Handles one call of {@link #invoke}. */
     private final class Invocation {
         private final SessionNumber mSession;
         private final Invoke mInvoke;
@@ -269,54 +276,54 @@
             mDeadlineMs = mNowMs + Math.max(0, invoke.remainingMs());
         }
 
-        void proceed() {
+        void start() {
             HostedTarget target = mTargets.get(mInvoke.service());
             if (target == null) {
-                refuse(ResultCode.NO_TARGET);
+                reject(ResultCode.NO_TARGET);
             } else if (mInvoke.remainingMs() <= 0) {
-                refuse(ResultCode.DEADLINE_EXCEEDED);
-            } else if (mInvoke.idempotencyKey().isPresent() && !target.sameMapping(mInvoke)) {
-                refuse(ResultCode.MAPPING_CHANGED);
+                reject(ResultCode.DEADLINE_EXCEEDED);
+            } else if (mInvoke.idempotencyKey().isPresent() && !target.hasSameMapping(mInvoke)) {
+                reject(ResultCode.MAPPING_CHANGED);
             } else {
-                decide(target);
+                runOrRefuse(target);
             }
         }
 
-        private void decide(HostedTarget target) {
-            Optional<ResultCode> refusal =
+        private void runOrRefuse(HostedTarget target) {
+            Optional<ResultCode> rejection =
                     mLeaving
                             ? Optional.of(ResultCode.TARGET_LEAVING)
-                            : target.refusal(mInvoke, mNowMs);
-            Optional<KeyId> key = KeyId.of(mInvoke);
+                            : target.rejection(mInvoke, mNowMs);
+            Optional<ScopedKey> key = ScopedKey.of(mInvoke);
             if (key.isPresent()) {
                 RequestFingerprint fingerprint = RequestFingerprint.of(mInvoke);
-                while (!tryClaim(key.get(), fingerprint, refusal)) {
-                    // The execution ended meanwhile; the next claim finds its answer.
+                while (!tryClaim(key.get(), fingerprint, rejection)) {
+                    // The execution has ended in the meantime; the next claim finds its response.
                     Thread.onSpinWait();
                 }
-            } else if (refusal.isPresent()) {
-                refuse(refusal.get());
+            } else if (rejection.isPresent()) {
+                reject(rejection.get());
             } else {
                 boolean unused = join(newExecution(mInvoke, mDeadlineMs), true);
             }
         }
 
         private boolean tryClaim(
-                KeyId key, RequestFingerprint fingerprint, Optional<ResultCode> refusal) {
+                ScopedKey key, RequestFingerprint fingerprint, Optional<ResultCode> rejection) {
             KeyRecords.Claim claim =
                     mKeys.claim(
                             key,
                             fingerprint,
-                            refusal,
+                            rejection,
                             () -> newExecution(mInvoke, mDeadlineMs),
                             mNowMs);
             if (claim instanceof KeyRecords.Claim.Run run) {
                 return join(run.execution(), run.created());
             }
             if (claim instanceof KeyRecords.Claim.Replay replay) {
-                replay(replay.answer());
-            } else if (claim instanceof KeyRecords.Claim.Refused refused) {
-                refuse(refused.code());
+                replay(replay.response());
+            } else if (claim instanceof KeyRecords.Claim.Rejected rejected) {
+                reject(rejected.code());
             }
             return true;
         }
@@ -327,34 +334,34 @@
             if (created) {
                 submit(execution);
             }
-            return settled(registration);
+            return handleRegistration(registration);
         }
 
-        // Another copy of a key may have joined, so the execution is submitted even if this one
+        // Another copy of a key may have joined, so the execution is submitted even if this request
         // was fenced.
         private void submit(Execution execution) {
-            if (execution.abandonIfUnwanted()) {
+            if (execution.abandonIfNoWaiters()) {
                 discard(execution);
             } else {
-                apply(queueOf(execution).submit(execution, mNowMs));
+                handle(queueOf(execution).submit(execution, mNowMs));
             }
         }
 
-        private void replay(Answer answer) {
+        private void replay(ExecutionResponse response) {
             RequestRecords.Registration registration =
                     mRequests.registerEnded(
-                            mInvoke.request(), mSession, answer, mDeadlineMs + RETENTION_MS);
+                            mInvoke.request(), mSession, response, mDeadlineMs + RETENTION_MS);
             if (registration == RequestRecords.Registration.REGISTERED) {
-                mReply.accept(answer.toResult(mInvoke.request(), load(mInvoke.service())));
+                mReply.accept(response.toResult(mInvoke.request(), load(mInvoke.service())));
             } else {
-                boolean unused = settled(registration);
+                boolean unused = handleRegistration(registration);
             }
         }
 
-        private boolean settled(RequestRecords.Registration registration) {
+        private boolean handleRegistration(RequestRecords.Registration registration) {
             switch (registration) {
                 case FENCED -> mFencedInvokes.incrementAndGet();
-                case CANCELLED -> refuse(ResultCode.CANCELLED);
+                case CANCELLED -> reject(ResultCode.CANCELLED);
                 case EXECUTION_CLOSED -> {
                     return false;
                 }
@@ -363,8 +370,10 @@
             return true;
         }
 
-        private void refuse(ResultCode code) {
-            mReply.accept(Answer.of(code).toResult(mInvoke.request(), load(mInvoke.service())));
+        private void reject(ResultCode code) {
+            mReply.accept(
+                    ExecutionResponse.of(code)
+                            .toResult(mInvoke.request(), load(mInvoke.service())));
         }
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/InvocationServiceBuilder.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/InvocationServiceBuilder.java
@@ -11,34 +11,34 @@
     int mShards = 16;
     int mMaximumKeyRecords = 16_384;
     long mMaximumKeyBytes = 8L << 20;
-    long mMaximumAnswerBytes = 4L << 20;
+    long mMaximumResponseBytes = 4L << 20;
 
     InvocationServiceBuilder(TargetClient targetClient, Scheduler scheduler) {
         mTargetClient = targetClient;
         mScheduler = scheduler;
     }
 
-    /** Sets the times within which a key is safe. */
+    /** Sets the validity of idempotency keys. */
     public InvocationServiceBuilder keyValidity(KeyValidity keyValidity) {
         mKeyValidity = keyValidity;
         return this;
     }
 
-    /** Sets the number of shards. */
+    /** Sets the number of shards of the records. */
     public InvocationServiceBuilder shards(int shards) {
         mShards = shards;
         return this;
     }
 
-    /** Sets the number of keys that are remembered at most; more are refused. */
+    /** Sets the maximum number of key records; further new keys are rejected. */
     public InvocationServiceBuilder maximumKeyRecords(int maximumKeyRecords) {
         mMaximumKeyRecords = maximumKeyRecords;
         return this;
     }
 
     /**
-     * Sets the memory of answers of keys; new keys are refused when less than the largest answer is
-     * left. Answers that are under way at that moment may exceed it.
+     * Sets the memory for responses of keys; new keys are rejected if less than the largest
+     * response is left. Responses of running requests may exceed the maximum.
      */
     public InvocationServiceBuilder maximumKeyBytes(long maximumKeyBytes) {
         mMaximumKeyBytes = maximumKeyBytes;
@@ -46,11 +46,11 @@
     }
 
     /**
-     * Sets the memory of answers kept until acknowledged; of an answer beyond it, only the fact
-     * that the request ended is kept.
+     * Sets the memory for responses that are not acknowledged yet. For a response that exceeds it,
+     * only the fact that the request ended is kept.
      */
-    public InvocationServiceBuilder maximumAnswerBytes(long maximumAnswerBytes) {
-        mMaximumAnswerBytes = maximumAnswerBytes;
+    public InvocationServiceBuilder maximumResponseBytes(long maximumAnswerBytes) {
+        mMaximumResponseBytes = maximumAnswerBytes;
         return this;
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/KeyMapping.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/KeyMapping.java
@@ -11,57 +11,57 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /**
- * Mapping of the keys of one service to instances, with the mappings that it replaced recently.
+ * Mapping of the idempotency keys of one service to instances, with recently replaced mappings.
  *
- * <p>A key whose instance changed is refused for a window after the change: its record is at the
- * instance that served it before.
+ * <p>A key whose instance changed is rejected for some time after the change, because its record is
+ * at its previous instance.
  */
 public final class KeyMapping {
     private final ServiceName mService;
     private final ConfigurationVersion mVersion;
     private final List<InstanceNumber> mInstances;
-    private final List<Replaced> mReplaced;
-    private final long mWindowMs;
+    private final List<ReplacedMapping> mReplaced;
+    private final long mRejectionWindowMs;
 
     private KeyMapping(
             ServiceName service,
             ConfigurationVersion version,
             List<InstanceNumber> instances,
-            List<Replaced> replaced,
+            List<ReplacedMapping> replaced,
             long windowMs) {
         mService = service;
         mVersion = version;
         mInstances = List.copyOf(instances);
         mReplaced = List.copyOf(replaced);
-        mWindowMs = windowMs;
+        mRejectionWindowMs = windowMs;
     }
 
-    /** Creates the mapping that a process knows first. */
+    /** Creates the first mapping that a process receives. */
     public static KeyMapping initial(
             ServiceName service,
             ConfigurationVersion version,
             List<InstanceNumber> instances,
             KeyValidity keyValidity) {
-        long windowMs = keyValidity.mappingWindow().toMillis();
+        long windowMs = keyValidity.mappingChangeWindow().toMillis();
         return new KeyMapping(service, version, instances, List.of(), windowMs);
     }
 
-    /** Returns the mapping after a change; the same instances change nothing. */
+    /** Returns the mapping after a change; returns this mapping if the instances are the same. */
     public KeyMapping replacedBy(
             ConfigurationVersion version, List<InstanceNumber> instances, long nowMs) {
         if (instances.equals(mInstances)) {
             return this;
         }
         if (mInstances.isEmpty()) {
-            // No key was mapped, so no record of one can be elsewhere.
-            return new KeyMapping(mService, version, instances, mReplaced, mWindowMs);
+            // No key was mapped before, so no other instance can have a record.
+            return new KeyMapping(mService, version, instances, mReplaced, mRejectionWindowMs);
         }
-        List<Replaced> replaced =
+        List<ReplacedMapping> replaced =
                 Stream.concat(
-                                mReplaced.stream().filter(old -> inWindow(old, nowMs)),
-                                Stream.of(new Replaced(mInstances, nowMs)))
+                                mReplaced.stream().filter(old -> isInRejectionWindow(old, nowMs)),
+                                Stream.of(new ReplacedMapping(mInstances, nowMs)))
                         .toList();
-        return new KeyMapping(mService, version, instances, replaced, mWindowMs);
+        return new KeyMapping(mService, version, instances, replaced, mRejectionWindowMs);
     }
 
     /** Returns the version of the mapping. */
@@ -69,7 +69,7 @@
         return mVersion;
     }
 
-    /** Finds the instance of a key, or the reason why the key cannot be used now. */
+    /** Returns the instance of a key, or the reason why the key cannot be used now. */
     public Either<ResultCode, InstanceNumber> route(IdempotencyKey key, long nowMs) {
         Optional<InstanceNumber> current = RendezvousHash.choose(mService, key, mInstances);
         if (current.isEmpty()) {
@@ -77,15 +77,15 @@
         }
         boolean moved =
                 mReplaced.stream()
-                        .filter(old -> inWindow(old, nowMs))
+                        .filter(old -> isInRejectionWindow(old, nowMs))
                         .map(old -> RendezvousHash.choose(mService, key, old.instances()))
                         .anyMatch(instance -> !instance.equals(current));
         return moved ? Either.left(ResultCode.MAPPING_CHANGED) : Either.right(current.get());
     }
 
-    private boolean inWindow(Replaced old, long nowMs) {
-        return nowMs - old.replacedMs() < mWindowMs;
+    private boolean isInRejectionWindow(ReplacedMapping old, long nowMs) {
+        return nowMs - old.replacedMs() < mRejectionWindowMs;
     }
 
-    private record Replaced(List<InstanceNumber> instances, long replacedMs) {}
+    private record ReplacedMapping(List<InstanceNumber> instances, long replacedMs) {}
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/KeyRecords.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/KeyRecords.java
@@ -11,33 +11,34 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /**
- * Records of idempotency keys, in shards under one lock each.
+ * Records of idempotency keys, in shards with one lock each.
  *
- * <p>A record is kept until its retention after its end. When there is no room for another one, new
- * keys are refused: forgetting a record early could run its request twice.
+ * <p>A record is kept for the retention time after its execution has ended. If there is no capacity
+ * for another record, new keys are rejected, because removing a record early could run its request
+ * twice.
  */
 final class KeyRecords {
-    /** What a request with a key is to do. */
+    /** Result of claiming a key for a request. */
     sealed interface Claim {
-        /** Waits for the execution; {@code created} when the execution is a new one. */
+        /** The request waits for the execution; {@code created} if the execution is new. */
         record Run(Execution execution, boolean created) implements Claim {}
 
-        /** Takes the answer of an earlier copy. */
-        record Replay(Answer answer) implements Claim {}
+        /** The request receives the response of an earlier copy. */
+        record Replay(ExecutionResponse response) implements Claim {}
 
-        /** Is refused and does not run. */
-        record Refused(ResultCode code) implements Claim {}
+        /** The request is rejected and does not run. */
+        record Rejected(ResultCode code) implements Claim {}
     }
 
     private sealed interface State {
         record Running(Execution execution) implements State {}
 
-        record Ended(Answer answer, long endedMs) implements State {}
+        record Ended(ExecutionResponse response, long endedMs) implements State {}
     }
 
     private record KeyRecord(RequestFingerprint fingerprint, State state) {}
 
-    private static final long SWEEP_INTERVAL_MS = 1_000;
+    private static final long EXPIRY_INTERVAL_MS = 1_000;
 
     private final List<Shard> mShards;
     private final int mMaximumRecords;
@@ -53,84 +54,84 @@
     }
 
     /**
-     * Finds the record of a key or creates one.
+     * Returns the claim of an existing record of the key, or creates a record.
      *
-     * @param refusal reason not to create a record; empty when one may be created
+     * @param rejection reason not to create a record; empty if one may be created
      */
     Claim claim(
-            KeyId key,
+            ScopedKey key,
             RequestFingerprint fingerprint,
-            Optional<ResultCode> refusal,
+            Optional<ResultCode> rejection,
             Supplier<Execution> execution,
             long nowMs) {
-        return shardOf(key).claim(key, fingerprint, refusal, execution, nowMs);
+        return shardOf(key).claim(key, fingerprint, rejection, execution, nowMs);
     }
 
-    /** Records how the execution of a key ended; one that did not run leaves no record. */
-    void end(KeyId key, Execution execution, Answer answer, long nowMs) {
-        shardOf(key).end(key, execution, answer, nowMs);
+    /** Records the response of an execution; removes the record if the request did not run. */
+    void end(ScopedKey key, Execution execution, ExecutionResponse response, long nowMs) {
+        shardOf(key).end(key, execution, response, nowMs);
     }
 
     /** Removes the record of an execution that will never start. */
-    void forget(KeyId key, Execution execution) {
-        shardOf(key).forget(key, execution);
+    void remove(ScopedKey key, Execution execution) {
+        shardOf(key).remove(key, execution);
     }
 
     int count() {
         return mCount.get();
     }
 
-    private Shard shardOf(KeyId key) {
+    private Shard shardOf(ScopedKey key) {
         return mShards.get(Math.floorMod(key.hashCode(), mShards.size()));
     }
 
     private final class Shard {
-        private final Map<KeyId, KeyRecord> mRecords = new HashMap<>();
-        private long mSweptMs = Long.MIN_VALUE;
+        private final Map<ScopedKey, KeyRecord> mRecords = new HashMap<>();
+        private long mExpiryCheckedMs = Long.MIN_VALUE;
 
         synchronized Claim claim(
-                KeyId key,
+                ScopedKey key,
                 RequestFingerprint fingerprint,
-                Optional<ResultCode> refusal,
+                Optional<ResultCode> rejection,
                 Supplier<Execution> execution,
                 long nowMs) {
-            sweep(nowMs);
+            removeExpired(nowMs);
             KeyRecord record = mRecords.get(key);
-            if (record == null || gone(record, nowMs)) {
-                return create(key, fingerprint, refusal, execution);
+            if (record == null || isRemovable(record, nowMs)) {
+                return create(key, fingerprint, rejection, execution);
             }
             if (!record.fingerprint().equals(fingerprint)) {
-                return new Claim.Refused(ResultCode.IDEMPOTENCY_KEY_REUSED);
+                return new Claim.Rejected(ResultCode.IDEMPOTENCY_KEY_REUSED);
             }
             if (record.state() instanceof State.Running running) {
                 return new Claim.Run(running.execution(), false);
             }
-            return new Claim.Replay(((State.Ended) record.state()).answer());
+            return new Claim.Replay(((State.Ended) record.state()).response());
         }
 
         private Claim create(
-                KeyId key,
+                ScopedKey key,
                 RequestFingerprint fingerprint,
-                Optional<ResultCode> refusal,
+                Optional<ResultCode> rejection,
                 Supplier<Execution> supplier) {
-            if (refusal.isPresent()) {
-                return new Claim.Refused(refusal.get());
+            if (rejection.isPresent()) {
+                return new Claim.Rejected(rejection.get());
             }
             boolean replaces = mRecords.containsKey(key);
             if (!replaces && !reserve()) {
-                return new Claim.Refused(ResultCode.OVERLOADED);
+                return new Claim.Rejected(ResultCode.OVERLOADED);
             }
             Execution execution = supplier.get();
-            KeyRecord old =
+            KeyRecord previous =
                     mRecords.put(key, new KeyRecord(fingerprint, new State.Running(execution)));
-            if (old != null) {
-                mRetained.subtract(bytesOf(old));
+            if (previous != null) {
+                mRetained.subtract(bytesOf(previous));
             }
             return new Claim.Run(execution, true);
         }
 
         private boolean reserve() {
-            if (!mRetained.hasRoomFor(Answer.MAXIMUM_BODY_BYTES)) {
+            if (!mRetained.hasCapacityFor(ExecutionResponse.MAXIMUM_BODY_BYTES)) {
                 return false;
             }
             if (mCount.incrementAndGet() > mMaximumRecords) {
@@ -140,64 +141,67 @@
             return true;
         }
 
-        private boolean gone(KeyRecord record, long nowMs) {
+        private boolean isRemovable(KeyRecord record, long nowMs) {
             if (record.state() instanceof State.Running running) {
-                return running.execution().abandoned();
+                return running.execution().isAbandoned();
             }
             return nowMs - ((State.Ended) record.state()).endedMs() >= mRetentionMs;
         }
 
-        synchronized void end(KeyId key, Execution execution, Answer answer, long nowMs) {
+        synchronized void end(
+                ScopedKey key, Execution execution, ExecutionResponse response, long nowMs) {
             KeyRecord record = mRecords.get(key);
-            if (record == null || !isOf(record, execution)) {
+            if (record == null || !belongsTo(record, execution)) {
                 return;
             }
-            if (answer.outcome() == Outcome.NOT_RUN) {
-                drop(key, record);
+            if (response.outcome() == Outcome.NOT_RUN) {
+                removeRecord(key, record);
                 return;
             }
-            Answer kept =
-                    answer.outcome() == Outcome.UNKNOWN
-                            ? Answer.of(ResultCode.OUTCOME_UNKNOWN)
-                            : answer;
-            mRetained.add(kept.bytes());
-            mRecords.put(key, new KeyRecord(record.fingerprint(), new State.Ended(kept, nowMs)));
+            ExecutionResponse retained =
+                    response.outcome() == Outcome.UNKNOWN
+                            ? ExecutionResponse.of(ResultCode.OUTCOME_UNKNOWN)
+                            : response;
+            mRetained.add(retained.bytes());
+            mRecords.put(
+                    key, new KeyRecord(record.fingerprint(), new State.Ended(retained, nowMs)));
         }
 
-        synchronized void forget(KeyId key, Execution execution) {
+        synchronized void remove(ScopedKey key, Execution execution) {
             KeyRecord record = mRecords.get(key);
-            if (record != null && isOf(record, execution)) {
-                drop(key, record);
+            if (record != null && belongsTo(record, execution)) {
+                removeRecord(key, record);
             }
         }
 
-        private void sweep(long nowMs) {
-            if (mSweptMs != Long.MIN_VALUE && nowMs - mSweptMs < SWEEP_INTERVAL_MS) {
+        private void removeExpired(long nowMs) {
+            if (mExpiryCheckedMs != Long.MIN_VALUE
+                    && nowMs - mExpiryCheckedMs < EXPIRY_INTERVAL_MS) {
                 return;
             }
-            mSweptMs = nowMs;
-            List<Map.Entry<KeyId, KeyRecord>> old =
+            mExpiryCheckedMs = nowMs;
+            List<Map.Entry<ScopedKey, KeyRecord>> expired =
                     mRecords.entrySet().stream()
-                            .filter(entry -> gone(entry.getValue(), nowMs))
+                            .filter(entry -> isRemovable(entry.getValue(), nowMs))
                             .toList();
-            for (Map.Entry<KeyId, KeyRecord> entry : old) {
-                drop(entry.getKey(), entry.getValue());
+            for (Map.Entry<ScopedKey, KeyRecord> entry : expired) {
+                removeRecord(entry.getKey(), entry.getValue());
             }
         }
 
-        private void drop(KeyId key, KeyRecord record) {
+        private void removeRecord(ScopedKey key, KeyRecord record) {
             mRecords.remove(key);
             mCount.decrementAndGet();
             mRetained.subtract(bytesOf(record));
         }
 
-        private static boolean isOf(KeyRecord record, Execution execution) {
+        private static boolean belongsTo(KeyRecord record, Execution execution) {
             return record.state() instanceof State.Running running
                     && running.execution() == execution;
         }
 
         private static long bytesOf(KeyRecord record) {
-            return record.state() instanceof State.Ended ended ? ended.answer().bytes() : 0;
+            return record.state() instanceof State.Ended ended ? ended.response().bytes() : 0;
         }
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/KeyValidity.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/KeyValidity.java
@@ -3,20 +3,24 @@
 import java.time.Duration;
 
 /**
- * Times within which an idempotency key is safe.
+ * Times within which a request with an idempotency key runs at most once.
  *
- * <p>A caller may submit a key again until {@code validity} after it first did. Such a copy reaches
- * the agent up to {@code launch} plus {@code transit} later, so an agent that may lack the record
- * of the key has to refuse it for longer than the validity.
+ * <p>A caller may submit a key again until {@code validity} after its first submission. Such a copy
+ * reaches the agent up to {@code attemptWindow} plus {@code maximumTransit} later, so an agent that
+ * may lack the record of the key must reject it for longer than the validity.
  *
  * @param validity time for which a caller may reuse a key
- * @param launch time after the submission within which an entry makes attempts
- * @param transit time that an attempt takes to the agent at most; the connections of a forwarded
- *     request are closed after 5 s of silence each
- * @param spread time that a configuration takes to reach all processes
+ * @param attemptWindow time after the submission within which an entry makes attempts
+ * @param maximumTransit maximum time from entry to agent; each of the connections of a forwarded
+ *     request is closed after 5 s of silence
+ * @param configurationDelay maximum time until a configuration reaches all processes
  */
-public record KeyValidity(Duration validity, Duration launch, Duration transit, Duration spread) {
-    /** Validity of 60 s. */
+public record KeyValidity(
+        Duration validity,
+        Duration attemptWindow,
+        Duration maximumTransit,
+        Duration configurationDelay) {
+    /** Default times with a validity of 60 s. */
     public static final KeyValidity STANDARD =
             new KeyValidity(
                     Duration.ofSeconds(60),
@@ -24,24 +28,30 @@
                     Duration.ofSeconds(10),
                     Duration.ofSeconds(3));
 
-    /** Returns the standard times with another validity. */
+    /** Returns the default times with another validity. */
     public static KeyValidity of(Duration validity) {
-        return new KeyValidity(validity, STANDARD.launch, STANDARD.transit, STANDARD.spread);
+        return new KeyValidity(
+                validity,
+                STANDARD.attemptWindow,
+                STANDARD.maximumTransit,
+                STANDARD.configurationDelay);
     }
 
-    /** Returns the time after the start of an agent in which it may lack the record of a key. */
-    public Duration uncertainty() {
-        return validity.plus(launch).plus(transit);
+    /**
+     * Returns the time after the start of an agent during which it may lack the record of a key.
+     */
+    public Duration missingRecordWindow() {
+        return validity.plus(attemptWindow).plus(maximumTransit);
     }
 
-    /** Returns the time after a change of the mapping in which keys that moved are refused. */
-    public Duration mappingWindow() {
-        return uncertainty().plus(spread);
+    /** Returns the time after a change of the mapping during which moved keys are rejected. */
+    public Duration mappingChangeWindow() {
+        return missingRecordWindow().plus(configurationDelay);
     }
 
-    /** Returns the time for which the record of a key is kept after its request has ended. */
+    /** Returns the time for which the record of a key is kept after its execution has ended. */
     public Duration retention() {
-        Duration twice = validity.multipliedBy(2);
-        return twice.compareTo(uncertainty()) > 0 ? twice : uncertainty();
+        Duration doubled = validity.multipliedBy(2);
+        return doubled.compareTo(missingRecordWindow()) > 0 ? doubled : missingRecordWindow();
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/RendezvousHash.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/RendezvousHash.java
@@ -8,12 +8,12 @@
 import org.hickorycleat.model.identifier.ServiceName;
 
 /**
- * Maps an idempotency key to one of the instances of its service.
+ * Maps an idempotency key to an instance of its service by rendezvous hashing.
  *
  * <p>The instance with the highest score serves the key. The score is the SplitMix64 finalizer of
- * the 64-bit FNV-1a hash of the UTF-8 bytes of service, a zero byte and key, exclusive or the
- * SplitMix64 finalizer of the instance number. Every entry and agent must compute the same value,
- * so a change of this function is a change of the protocol.
+ * the 64-bit FNV-1a hash of the UTF-8 bytes of service, a zero byte and key, XOR the SplitMix64
+ * finalizer of the instance number. Every entry and agent must compute the same value, so a change
+ * of this function is a change of the protocol.
  */
 public final class RendezvousHash {
     private static final long FNV_OFFSET_BASIS = 0xcbf29ce484222325L;
@@ -21,7 +21,7 @@
 
     private RendezvousHash() {}
 
-    /** Chooses the instance; empty when there is none. */
+    /** Returns the instance of a key; empty if the service has no instances. */
     public static Optional<InstanceNumber> choose(
             ServiceName service, IdempotencyKey key, Collection<InstanceNumber> instances) {
         long keyHash = fnv1a(service.value() + '\0' + key.value());
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/RequestFingerprint.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/RequestFingerprint.java
@@ -8,9 +8,9 @@
 import org.hickorycleat.model.message.Invoke;
 
 /**
- * Digest of what makes two requests with one idempotency key the same: method, path and body.
+ * Digest of method, path and body, in which all requests with one idempotency key must agree.
  *
- * <p>Headers are left out, since clients add dates and trace identifiers that differ in every copy.
+ * <p>Headers are excluded, because clients add dates and trace identifiers that differ per copy.
  */
 record RequestFingerprint(String sha256) {
     static RequestFingerprint of(Invoke invoke) {
@@ -21,7 +21,7 @@
         return new RequestFingerprint(HexFormat.of().formatHex(digest.digest()));
     }
 
-    // The length before each field keeps the bytes of one field from counting for the next.
+    // The length prefix prevents bytes of one field from being read as part of the next one.
     private static void update(MessageDigest digest, byte[] field) {
         digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(field.length).array());
         digest.update(field);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/RequestRecord.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/RequestRecord.java
@@ -1,21 +1,26 @@
 package org.hickorycleat.logic.invocation;
 
-/** What an agent knows of a request that an entry sent it. */
+/** Record of a request from an entry at an agent. */
 sealed interface RequestRecord {
-    /** Time from which the record may be dropped; the entry has then long answered its caller. */
-    long droppedFromMs();
+    /**
+     * Returns the time from which the record may be removed; by then the entry has responded to its
+     * caller.
+     */
+    long expiryMs();
 
-    /** Waits for its execution. */
+    /** The request waits for its execution. */
     record Waiting(Waiter waiter) implements RequestRecord {
         @Override
-        public long droppedFromMs() {
+        public long expiryMs() {
             return Long.MAX_VALUE;
         }
     }
 
-    /** Was cancelled before it started; a copy of it that arrives later must not start. */
-    record Cancelled(long droppedFromMs) implements RequestRecord {}
+    /**
+     * Tombstone of a request cancelled before its start; a copy that arrives later must not start.
+     */
+    record Cancelled(long expiryMs) implements RequestRecord {}
 
-    /** Ended with an answer. */
-    record Ended(Answer answer, long droppedFromMs) implements RequestRecord {}
+    /** The request has ended with a response. */
+    record Ended(ExecutionResponse response, long expiryMs) implements RequestRecord {}
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/RequestRecords.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/RequestRecords.java
@@ -15,37 +15,41 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /**
- * Sessions of entries and the requests that they sent, in shards under one lock each.
+ * Sessions of entries and records of their requests, in shards with one lock each.
  *
- * <p>Every shard keeps its own copy of the session numbers, so that the check of the session and
- * the start of a request are one step.
+ * <p>Every shard keeps its own copy of the session numbers, so that checking the session and
+ * registering a request are atomic.
  */
 final class RequestRecords {
-    /** Whether a request may proceed. */
+    /** Result of the registration of a request. */
     enum Registration {
-        /** It waits for its execution now. */
+        /** The request now waits for its execution. */
         REGISTERED,
-        /** Its session is not the current one, or it was settled before. */
+        /**
+         * The session is not the current one, or the request was registered or acknowledged before.
+         */
         FENCED,
-        /** It was cancelled before it arrived. */
+        /** The request was cancelled before it arrived. */
         CANCELLED,
-        /** The execution took no more requests. */
+        /** The execution accepted no further requests. */
         EXECUTION_CLOSED
     }
 
-    /** What a cancellation found. */
+    /** Result of a cancellation. */
     sealed interface Cancellation {
-        /** It will never run; the execution is to be removed when nobody waits for it. */
+        /**
+         * The request will never run; contains the execution to discard if no request waits for it.
+         */
         record NotRun(Optional<Execution> abandoned) implements Cancellation {}
 
-        /** The target is working on it. */
+        /** The target is processing the request. */
         record Running() implements Cancellation {}
 
-        /** It ended. */
-        record Ended(Answer answer) implements Cancellation {}
+        /** The request has ended. */
+        record Ended(ExecutionResponse response) implements Cancellation {}
     }
 
-    private static final long SWEEP_INTERVAL_MS = 1_000;
+    private static final long EXPIRY_INTERVAL_MS = 1_000;
 
     private final List<Shard> mShards;
     private final RetainedBytes mRetained;
@@ -55,7 +59,7 @@
         mShards = IntStream.range(0, shards).mapToObj(index -> new Shard()).toList();
     }
 
-    /** Fences older sessions; returns executions that lost their last request by that. */
+    /** Fences older sessions; returns the executions that lost their last request. */
     List<Execution> openSession(ProcessId entry, Incarnation incarnation, SessionNumber session) {
         List<Execution> abandoned = new ArrayList<>();
         for (Shard shard : mShards) {
@@ -68,21 +72,23 @@
         return shardOf(waiter.request()).register(waiter, nowMs);
     }
 
-    /** Records a request whose answer is known already; false when it is fenced. */
+    /** Records a request whose response is already known, unless it is fenced or cancelled. */
     Registration registerEnded(
-            RequestId request, SessionNumber session, Answer answer, long droppedFromMs) {
-        return shardOf(request).registerEnded(request, session, answer, droppedFromMs);
+            RequestId request, SessionNumber session, ExecutionResponse response, long expiryMs) {
+        return shardOf(request).registerEnded(request, session, response, expiryMs);
     }
 
-    /** Cancels a request; a running one answers to {@code reply} from now on, if there is one. */
-    Cancellation cancel(
-            RequestId request, Optional<Consumer<InvokeResult>> reply, long droppedFromMs) {
-        return shardOf(request).cancel(request, reply, droppedFromMs);
+    /** Cancels a request; the response of a running one goes to {@code reply}, if present. */
+    Cancellation cancel(RequestId request, Optional<Consumer<InvokeResult>> reply, long expiryMs) {
+        return shardOf(request).cancel(request, reply, expiryMs);
     }
 
-    /** Records the answer and returns whom to tell; empty when nobody waits any more. */
-    Optional<Consumer<InvokeResult>> end(Waiter waiter, Answer answer, long droppedFromMs) {
-        return shardOf(waiter.request()).end(waiter.request(), answer, droppedFromMs);
+    /**
+     * Records the response and returns the receiver of the reply; empty if no request waits any
+     * more.
+     */
+    Optional<Consumer<InvokeResult>> end(Waiter waiter, ExecutionResponse response, long expiryMs) {
+        return shardOf(waiter.request()).end(waiter.request(), response, expiryMs);
     }
 
     void acknowledge(ProcessId entry, Incarnation incarnation, long below) {
@@ -106,7 +112,7 @@
                 return List.of();
             }
             if (records == null || !records.incarnation().equals(incarnation)) {
-                List<Execution> abandoned = records == null ? List.of() : forget(records);
+                List<Execution> abandoned = records == null ? List.of() : withdrawAll(records);
                 EntryRecords opened = new EntryRecords(incarnation);
                 opened.open(session);
                 mEntries.put(entry, opened);
@@ -119,18 +125,17 @@
             return fence(records, session);
         }
 
-        // What an older session brought and has not started is not started any more.
+        // Cancels requests of older sessions that have not started.
         private List<Execution> fence(EntryRecords records, SessionNumber session) {
             List<Execution> abandoned = new ArrayList<>();
             for (Waiter waiter : records.waiters()) {
                 if (waiter.session().compareTo(session) >= 0) {
                     continue;
                 }
-                Execution.Departure departure = waiter.execution().depart(waiter.request());
-                if (departure instanceof Execution.Departure.NotStarted notStarted) {
-                    long droppedFromMs = waiter.deadlineMs() + InvocationService.RETENTION_MS;
-                    records.put(
-                            waiter.request().counter(), new RequestRecord.Cancelled(droppedFromMs));
+                Execution.Withdrawal withdrawal = waiter.execution().withdraw(waiter.request());
+                if (withdrawal instanceof Execution.Withdrawal.NotStarted notStarted) {
+                    long expiryMs = waiter.deadlineMs() + InvocationService.RETENTION_MS;
+                    records.put(waiter.request().counter(), new RequestRecord.Cancelled(expiryMs));
                     if (notStarted.abandoned()) {
                         abandoned.add(waiter.execution());
                     }
@@ -139,13 +144,13 @@
             return abandoned;
         }
 
-        // No one asks for requests of an older incarnation any more.
-        private List<Execution> forget(EntryRecords records) {
+        // Withdraws all requests of an older incarnation, because nobody waits for their responses.
+        private List<Execution> withdrawAll(EntryRecords records) {
             mRetained.subtract(records.bytes());
             List<Execution> abandoned = new ArrayList<>();
             for (Waiter waiter : records.waiters()) {
-                Execution.Departure departure = waiter.execution().depart(waiter.request());
-                if (departure instanceof Execution.Departure.NotStarted notStarted
+                Execution.Withdrawal withdrawal = waiter.execution().withdraw(waiter.request());
+                if (withdrawal instanceof Execution.Withdrawal.NotStarted notStarted
                         && notStarted.abandoned()) {
                     abandoned.add(waiter.execution());
                 }
@@ -155,14 +160,14 @@
 
         synchronized Registration register(Waiter waiter, long nowMs) {
             RequestId request = waiter.request();
-            Optional<EntryRecords> current = current(request, waiter.session());
+            Optional<EntryRecords> current = currentRecords(request, waiter.session());
             if (current.isEmpty()) {
                 return Registration.FENCED;
             }
             EntryRecords records = current.get();
             mRetained.subtract(records.acknowledge(waiter.invoke().acknowledgedBelow()));
-            mRetained.subtract(records.sweep(nowMs, SWEEP_INTERVAL_MS));
-            Optional<Registration> known = known(records, request);
+            mRetained.subtract(records.removeExpired(nowMs, EXPIRY_INTERVAL_MS));
+            Optional<Registration> known = knownRegistration(records, request);
             if (known.isPresent()) {
                 return known.get();
             }
@@ -174,54 +179,57 @@
         }
 
         synchronized Registration registerEnded(
-                RequestId request, SessionNumber session, Answer answer, long droppedFromMs) {
-            Optional<EntryRecords> current = current(request, session);
+                RequestId request,
+                SessionNumber session,
+                ExecutionResponse response,
+                long expiryMs) {
+            Optional<EntryRecords> current = currentRecords(request, session);
             if (current.isEmpty()) {
                 return Registration.FENCED;
             }
-            Optional<Registration> known = known(current.get(), request);
+            Optional<Registration> known = knownRegistration(current.get(), request);
             if (known.isPresent()) {
                 return known.get();
             }
-            putEnded(current.get(), request, answer, droppedFromMs);
+            putEnded(current.get(), request, response, expiryMs);
             return Registration.REGISTERED;
         }
 
-        private Optional<EntryRecords> current(RequestId request, SessionNumber session) {
+        private Optional<EntryRecords> currentRecords(RequestId request, SessionNumber session) {
             return Optional.ofNullable(mEntries.get(request.entry()))
                     .filter(records -> records.incarnation().equals(request.incarnation()))
                     .filter(records -> records.isCurrent(session));
         }
 
-        private Optional<Registration> known(EntryRecords records, RequestId request) {
+        private Optional<Registration> knownRegistration(EntryRecords records, RequestId request) {
             Optional<RequestRecord> record = records.find(request.counter());
             if (record.isPresent() && record.get() instanceof RequestRecord.Cancelled) {
                 return Optional.of(Registration.CANCELLED);
             }
-            boolean settled = record.isPresent() || records.acknowledged(request.counter());
+            boolean settled = record.isPresent() || records.isAcknowledged(request.counter());
             return settled ? Optional.of(Registration.FENCED) : Optional.empty();
         }
 
         synchronized Cancellation cancel(
-                RequestId request, Optional<Consumer<InvokeResult>> reply, long droppedFromMs) {
+                RequestId request, Optional<Consumer<InvokeResult>> reply, long expiryMs) {
             EntryRecords records =
                     mEntries.computeIfAbsent(
                             request.entry(), entry -> new EntryRecords(request.incarnation()));
             if (!records.incarnation().equals(request.incarnation())
-                    || records.acknowledged(request.counter())) {
-                // The entry has settled the request itself, and its record may be gone.
-                return new Cancellation.Ended(Answer.of(ResultCode.OUTCOME_UNKNOWN));
+                    || records.isAcknowledged(request.counter())) {
+                // The entry no longer waits for the request, and its record may have been removed.
+                return new Cancellation.Ended(ExecutionResponse.of(ResultCode.OUTCOME_UNKNOWN));
             }
             Optional<RequestRecord> record = records.find(request.counter());
             if (record.isEmpty()) {
-                records.put(request.counter(), new RequestRecord.Cancelled(droppedFromMs));
+                records.put(request.counter(), new RequestRecord.Cancelled(expiryMs));
                 return new Cancellation.NotRun(Optional.empty());
             }
             if (record.get() instanceof RequestRecord.Ended ended) {
-                return new Cancellation.Ended(ended.answer());
+                return new Cancellation.Ended(ended.response());
             }
             if (record.get() instanceof RequestRecord.Waiting waiting) {
-                return cancelWaiting(records, waiting.waiter(), reply, droppedFromMs);
+                return cancelWaiting(records, waiting.waiter(), reply, expiryMs);
             }
             return new Cancellation.NotRun(Optional.empty());
         }
@@ -230,38 +238,39 @@
                 EntryRecords records,
                 Waiter waiter,
                 Optional<Consumer<InvokeResult>> reply,
-                long droppedFromMs) {
+                long expiryMs) {
             long counter = waiter.request().counter();
-            Execution.Departure departure = waiter.execution().depart(waiter.request());
-            if (departure instanceof Execution.Departure.NotStarted notStarted) {
-                records.put(counter, new RequestRecord.Cancelled(droppedFromMs));
+            Execution.Withdrawal withdrawal = waiter.execution().withdraw(waiter.request());
+            if (withdrawal instanceof Execution.Withdrawal.NotStarted notStarted) {
+                records.put(counter, new RequestRecord.Cancelled(expiryMs));
                 return new Cancellation.NotRun(
                         notStarted.abandoned()
                                 ? Optional.of(waiter.execution())
                                 : Optional.empty());
             }
-            if (departure instanceof Execution.Departure.Ended ended) {
-                return new Cancellation.Ended(ended.answer());
+            if (withdrawal instanceof Execution.Withdrawal.Ended ended) {
+                return new Cancellation.Ended(ended.response());
             }
             reply.ifPresent(
-                    other ->
+                    newReply ->
                             records.put(
-                                    counter, new RequestRecord.Waiting(waiter.withReply(other))));
+                                    counter,
+                                    new RequestRecord.Waiting(waiter.withReply(newReply))));
             return new Cancellation.Running();
         }
 
         synchronized Optional<Consumer<InvokeResult>> end(
-                RequestId request, Answer answer, long droppedFromMs) {
+                RequestId request, ExecutionResponse response, long expiryMs) {
             EntryRecords records = mEntries.get(request.entry());
             if (records == null || !records.incarnation().equals(request.incarnation())) {
                 return Optional.empty();
             }
             Optional<RequestRecord> record = records.find(request.counter());
             if (record.isPresent() && record.get() instanceof RequestRecord.Waiting waiting) {
-                if (records.acknowledged(request.counter())) {
+                if (records.isAcknowledged(request.counter())) {
                     records.remove(request.counter());
                 } else {
-                    putEnded(records, request, answer, droppedFromMs);
+                    putEnded(records, request, response, expiryMs);
                 }
                 return Optional.of(waiting.waiter().reply());
             }
@@ -269,16 +278,19 @@
         }
 
         private void putEnded(
-                EntryRecords records, RequestId request, Answer answer, long droppedFromMs) {
-            Answer kept =
-                    mRetained.hasRoomFor(answer.bytes())
-                            ? answer
-                            : Answer.of(withoutBody(answer.code()));
-            mRetained.add(kept.bytes());
-            records.put(request.counter(), new RequestRecord.Ended(kept, droppedFromMs));
+                EntryRecords records,
+                RequestId request,
+                ExecutionResponse response,
+                long expiryMs) {
+            ExecutionResponse retained =
+                    mRetained.hasCapacityFor(response.bytes())
+                            ? response
+                            : ExecutionResponse.of(withoutBody(response.code()));
+            mRetained.add(retained.bytes());
+            records.put(request.counter(), new RequestRecord.Ended(retained, expiryMs));
         }
 
-        // An answer without its body must not pass for the whole answer.
+        // A response without its body must not be taken for the complete response.
         private static ResultCode withoutBody(ResultCode code) {
             return code == ResultCode.OK ? ResultCode.OUTCOME_UNKNOWN : code;
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/RetainedBytes.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/RetainedBytes.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.atomic.AtomicLong;
 
-/** Memory that retained answers may use. */
+/** Memory budget of retained responses. */
 final class RetainedBytes {
     private final long mMaximum;
     private final AtomicLong mUsed = new AtomicLong();
@@ -11,7 +11,7 @@
         mMaximum = maximum;
     }
 
-    boolean hasRoomFor(long bytes) {
+    boolean hasCapacityFor(long bytes) {
         return mUsed.get() + bytes <= mMaximum;
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/SlotQueue.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/SlotQueue.java
@@ -8,20 +8,20 @@
 import org.hickorycleat.model.message.Invoke;
 import org.hickorycleat.model.message.LoadSignal;
 
-/** Slots of one target and the bounded queue before them, under one lock. */
+/** Slots of one target and the bounded queue of executions that wait for them. */
 final class SlotQueue {
-    /** An execution that now holds a slot. */
+    /** An execution that holds a slot now. */
     record Started(Execution execution, Invoke invoke) {}
 
-    /** What a change of the queue led to; none of {@code full} and {@code expired} ran. */
-    record Change(List<Started> started, List<Execution> full, List<Execution> expired) {}
+    /** Effects of an update; executions in {@code rejected} and {@code expired} did not run. */
+    record QueueUpdate(List<Started> started, List<Execution> rejected, List<Execution> expired) {}
 
     private static final Comparator<Execution> ORDER =
             Comparator.comparing(Execution::criticality)
                     .thenComparingLong(Execution::firstDeadlineMs)
-                    .thenComparingLong(Execution::number);
+                    .thenComparingLong(Execution::sequenceNumber);
 
-    /** Weight of the newest latency in the moving average. */
+    /** Weight of the newest latency in the exponential moving average. */
     private static final double LATENCY_WEIGHT = 0.1;
 
     private final TreeSet<Execution> mQueue = new TreeSet<>(ORDER);
@@ -35,22 +35,22 @@
         mConnections = connections;
     }
 
-    synchronized Change configure(int slots, int connections, long nowMs) {
+    synchronized QueueUpdate configure(int slots, int connections, long nowMs) {
         mSlots = slots;
         mConnections = connections;
-        return settle(nowMs);
+        return update(nowMs);
     }
 
-    synchronized Change submit(Execution execution, long nowMs) {
+    synchronized QueueUpdate submit(Execution execution, long nowMs) {
         mQueue.add(execution);
-        return settle(nowMs);
+        return update(nowMs);
     }
 
-    /** Frees the slot of an execution that has ended. */
-    synchronized Change release(long latencyMicros, long nowMs) {
+    /** Releases the slot of an execution that has ended. */
+    synchronized QueueUpdate release(long latencyMicros, long nowMs) {
         mRunning--;
         mLatencyMicros += (latencyMicros - mLatencyMicros) * LATENCY_WEIGHT;
-        return settle(nowMs);
+        return update(nowMs);
     }
 
     synchronized void remove(Execution execution) {
@@ -61,25 +61,25 @@
         return new LoadSignal(mRunning, mQueue.size(), Math.round(mLatencyMicros));
     }
 
-    private Change settle(long nowMs) {
+    private QueueUpdate update(long nowMs) {
         List<Started> started = new ArrayList<>();
         List<Execution> expired = new ArrayList<>();
         while (mRunning < mSlots && !mQueue.isEmpty()) {
             startOrExpire(mQueue.pollFirst(), nowMs, started, expired);
         }
-        if (overfull()) {
+        if (exceedsConnections()) {
             removeExpired(nowMs, expired);
         }
-        List<Execution> full = new ArrayList<>();
-        while (overfull()) {
-            full.add(mQueue.pollLast());
+        List<Execution> rejected = new ArrayList<>();
+        while (exceedsConnections()) {
+            rejected.add(mQueue.pollLast());
         }
-        return new Change(started, full, expired);
+        return new QueueUpdate(started, rejected, expired);
     }
 
     private void startOrExpire(
             Execution execution, long nowMs, List<Started> started, List<Execution> expired) {
-        if (execution.expired(nowMs)) {
+        if (execution.isExpired(nowMs)) {
             expired.add(execution);
             return;
         }
@@ -90,12 +90,12 @@
         }
     }
 
-    private boolean overfull() {
+    private boolean exceedsConnections() {
         return !mQueue.isEmpty() && mRunning + mQueue.size() > mConnections;
     }
 
     private void removeExpired(long nowMs, List<Execution> expired) {
-        List<Execution> found = mQueue.stream().filter(each -> each.expired(nowMs)).toList();
+        List<Execution> found = mQueue.stream().filter(each -> each.isExpired(nowMs)).toList();
         found.forEach(mQueue::remove);
         expired.addAll(found);
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/TargetConfiguration.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/TargetConfiguration.java
@@ -6,14 +6,14 @@
 import org.hickorycleat.model.identifier.ServiceName;
 
 /**
- * What an agent needs to know of the target beside it.
+ * Configuration of the local target of an agent.
  *
  * @param service service of the target
  * @param instance instance number that the target announced
  * @param mappedInstances instance numbers of the service in the manifest
  * @param mappingVersion version of the manifest that last changed {@code mappedInstances}
- * @param slots requests that run at once
- * @param connections requests that run or wait
+ * @param slots maximum number of running requests
+ * @param connections maximum number of running and waiting requests
  */
 public record TargetConfiguration(
         ServiceName service,
@@ -22,7 +22,7 @@
         ConfigurationVersion mappingVersion,
         int slots,
         int connections) {
-    /** Creates the configuration. */
+    /** Checks the limits and copies the instances. */
     public TargetConfiguration {
         if (slots < 1 || connections < slots) {
             throw new IllegalArgumentException(
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/Waiter.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/Waiter.java
@@ -21,7 +21,7 @@
         return new Waiter(session, invoke, deadlineMs, execution, other);
     }
 
-    Invoke invokeWithRemaining(long remainingMs) {
+    Invoke invokeWithRemainingTime(long remainingMs) {
         return new Invoke(
                 invoke.request(),
                 invoke.service(),
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/package-info.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/package-info.java
@@ -1,4 +1,4 @@
-/** Execution of requests beside a target: slots, queue, sessions and records of what ran. */
+/** Execution of requests at the local targets of an agent: slots, queues, sessions and records. */
 @NullMarked
 package org.hickorycleat.logic.invocation;
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/Attempt.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/Attempt.java
@@ -8,15 +8,15 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /**
- * One attempt of a call at one target. Whoever removes it from {@link OutstandingRequests} settles
- * it; nobody else does.
+ * One attempt of a call at one target. Only the thread that removes it from {@link
+ * OutstandingRequests} may complete it.
  */
 final class Attempt {
     private final RequestId mRequest;
     private final AttemptOwner mOwner;
     private final TargetReservation mReservation;
     private final long mStartedMicros;
-    // Written under the lock of the shard only.
+    // Written only under the lock of the shard.
     private volatile LinkSession mSession;
     private volatile boolean mUnresolved;
     private volatile boolean mSent;
@@ -50,19 +50,19 @@
         return mReservation.target().agent();
     }
 
-    /** Returns the connection on which its answer is expected. */
+    /** Returns the connection on which its response is expected. */
     LinkSession session() {
         return mSession;
     }
 
-    /** Tells whether the connection on which it was sent was lost. */
+    /** Returns whether the connection on which it was sent was lost. */
     boolean unresolved() {
         return mUnresolved;
     }
 
     /**
-     * Tells whether it was handed to the link. A cancellation that went out before could be
-     * answered by an older incarnation of the agent than the one that then receives the attempt.
+     * Returns whether it was passed to the link. A cancellation sent earlier could be answered by
+     * an older incarnation of the agent than the one that then receives the attempt.
      */
     boolean sent() {
         return mSent;
@@ -76,7 +76,7 @@
         mUnresolved = true;
     }
 
-    void expectOn(LinkSession session) {
+    void moveTo(LinkSession session) {
         mSession = session;
         mUnresolved = true;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/AttemptOwner.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/AttemptOwner.java
@@ -2,24 +2,24 @@
 
 import org.hickorycleat.model.message.InvokeResult;
 
-/** What an attempt reports to once it was registered. */
+/** Receives the events of a registered attempt. */
 interface AttemptOwner {
     /**
-     * Makes the attempt the current one; false when it must not be made any more.
+     * Makes the attempt the current one; returns false if it must not be made any more.
      *
-     * <p>Called under the lock of the shard, so that no event about the attempt comes first.
+     * <p>Called under the lock of the shard, so that no event of the attempt precedes this call.
      */
-    boolean install(Attempt attempt);
+    boolean makeCurrent(Attempt attempt);
 
-    /** The agent answered an attempt; the attempt was removed. */
-    void onAnswer(Attempt attempt, InvokeResult result);
+    /** Handles the response of the agent; the attempt was removed. */
+    void onResponse(Attempt attempt, InvokeResult result);
 
-    /** The agent confirmed that an attempt was not run and will not be; it was removed. */
+    /** Handles the confirmation that an attempt did not run and never will; it was removed. */
     void onNotRun(Attempt attempt);
 
-    /** The agent restarted while it had an attempt; the attempt was removed. */
+    /** Handles a restart of the agent during an attempt; the attempt was removed. */
     void onAgentLost(Attempt attempt);
 
-    /** The connection of an attempt was lost; the attempt is still outstanding. */
+    /** Handles the loss of the connection; the attempt is still outstanding. */
     void onLinkLost(Attempt attempt);
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/Call.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/Call.java
@@ -25,18 +25,18 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /**
- * A caller's request from submission to its one result.
+ * Handles a caller's request from its submission to its only result.
  *
- * <p>It has at most one attempt at a time. The thread that settles an attempt, by removing it from
- * the outstanding requests, continues the call; the deadline and the caller's departure interrupt
- * it by doing the same, or by a flag that is checked before the next attempt is sent.
+ * <p>There is at most one attempt at a time. The thread that removes the attempt from the
+ * outstanding requests continues the call. The deadline and a cancellation by the caller either
+ * remove the attempt themselves or set a flag that is checked before the next attempt is sent.
  */
 final class Call implements AttemptOwner {
-    /** HTTP statuses with which a target says that it, not the request, is at fault. */
+    /** HTTP statuses that report a fault of the target rather than of the request. */
     private static final Set<Integer> SERVER_ERRORS = Set.of(500, 502, 503, 504);
 
-    /** Refusals after which another target may take the request. */
-    private static final Set<ResultCode> RETRIED_ELSEWHERE =
+    /** Rejections after which another target may accept the request. */
+    private static final Set<ResultCode> RETRYABLE_REJECTIONS =
             EnumSet.of(
                     ResultCode.OVERLOADED,
                     ResultCode.NO_TARGET,
@@ -47,10 +47,11 @@
                     ResultCode.SHUTTING_DOWN);
 
     /**
-     * Time before the deadline at which a request that still waits at the agent is given up, so
-     * that the proof that it was not run arrives in time. Availability zones are about 4 ms apart.
+     * Time before the deadline at which a request that still waits at the agent is cancelled, so
+     * that the confirmation that it did not run arrives in time. The latency between availability
+     * zones is about 4 ms.
      */
-    private static final long CLOSING_MS = 10;
+    private static final long CANCEL_BEFORE_DEADLINE_MS = 10;
 
     private static final LoadSignal NO_LOAD = new LoadSignal(0, 0, 0);
     private static final double MS_PER_SECOND = 1_000;
@@ -62,16 +63,16 @@
     private final long mDeadlineMs;
     private final CompositeDisposable mTimers = new CompositeDisposable();
 
-    // Used by the thread that continues the call only.
-    private final Set<ProcessId> mTried = new HashSet<>();
-    private final Set<ProcessId> mRefused = new HashSet<>();
-    private Optional<InvokeResult> mRefusal = Optional.empty();
-    private Optional<InvokeResult> mPossiblyRun = Optional.empty();
+    // Accessed only by the thread that continues the call.
+    private final Set<ProcessId> mTriedAgents = new HashSet<>();
+    private final Set<ProcessId> mRejectingAgents = new HashSet<>();
+    private Optional<InvokeResult> mLastRejection = Optional.empty();
+    private Optional<InvokeResult> mPossiblyRunResult = Optional.empty();
 
     // Guarded by this.
     private Optional<Attempt> mCurrent = Optional.empty();
-    private Optional<Admission.AutoCloseablePermit> mPermit = Optional.empty();
-    private boolean mClosing;
+    private Optional<Admission.AdmissionPermit> mPermit = Optional.empty();
+    private boolean mDeadlineNear;
     private boolean mExpired;
     private boolean mDisposed;
     private boolean mDone;
@@ -87,7 +88,7 @@
         mDeadlineMs = mSubmittedMs + request.remainingMs();
     }
 
-    void begin() {
+    void start() {
         if (remainingMs() <= 0) {
             finish(result(ResultCode.DEADLINE_EXCEEDED));
             return;
@@ -100,22 +101,24 @@
                                 mRequest.criticality(),
                                 mRequest.team(),
                                 remainingMs());
-        if (admission instanceof Admission.Refused refused) {
-            finish(refusal(refused));
+        if (admission instanceof Admission.Rejected rejected) {
+            finish(rejection(rejected));
         } else if (admission instanceof Admission.Admitted admitted) {
-            proceed(admitted.permit());
+            startAdmitted(admitted.permit());
         }
     }
 
-    private void proceed(Admission.AutoCloseablePermit permit) {
+    private void startAdmitted(Admission.AdmissionPermit permit) {
         synchronized (this) {
             mPermit = Optional.of(permit);
         }
         long remainingMs = remainingMs();
-        schedule(this::close, remainingMs - Math.min(CLOSING_MS, remainingMs / 2));
-        schedule(this::expire, remainingMs);
-        mEmitter.setCancellable(this::abandon);
-        launch();
+        schedule(
+                this::onDeadlineNear,
+                remainingMs - Math.min(CANCEL_BEFORE_DEADLINE_MS, remainingMs / 2));
+        schedule(this::onDeadline, remainingMs);
+        mEmitter.setCancellable(this::onCallerDisconnected);
+        attemptNext();
     }
 
     private void schedule(Runnable action, long delayMs) {
@@ -126,18 +129,19 @@
                                 .scheduleDirect(action, delayMs, TimeUnit.MILLISECONDS));
     }
 
-    /** Makes the next attempt, at whatever target takes it. */
-    private void launch() {
-        Optional<InvokeResult> end = Optional.empty();
-        while (end.isEmpty()) {
+    /** Makes the next attempt at any target that accepts it, or finishes the call. */
+    private void attemptNext() {
+        Optional<InvokeResult> finalResult = Optional.empty();
+        while (finalResult.isEmpty()) {
             Either<ResultCode, TargetReservation> reservation = reserve();
             if (reservation.isLeft()) {
-                end = Optional.of(mRefusal.orElseGet(() -> result(reservation.getLeft())));
-            } else if (launchAt(reservation.get())) {
+                finalResult =
+                        Optional.of(mLastRejection.orElseGet(() -> result(reservation.getLeft())));
+            } else if (attemptAt(reservation.get())) {
                 return;
             }
         }
-        finish(end.get());
+        finish(finalResult.get());
     }
 
     private Either<ResultCode, TargetReservation> reserve() {
@@ -156,24 +160,24 @@
     private Optional<TargetReservation> reserveAt(Optional<InstanceNumber> instance) {
         Predicate<TargetAddress> usable =
                 target ->
-                        !mRefused.contains(target.agent())
+                        !mRejectingAgents.contains(target.agent())
                                 && instance.map(target.instance()::equals).orElse(true);
-        return reserve(usable.and(target -> !mTried.contains(target.agent())))
-                .or(() -> mTried.isEmpty() ? Optional.empty() : reserve(usable));
+        return reserve(usable.and(target -> !mTriedAgents.contains(target.agent())))
+                .or(() -> mTriedAgents.isEmpty() ? Optional.empty() : reserve(usable));
     }
 
     private Optional<TargetReservation> reserve(Predicate<TargetAddress> eligible) {
         return mCoordinator.selector().reserve(mRequest.service(), eligible);
     }
 
-    /** Makes an attempt at a target; false when it provably was not sent and others may do. */
-    private boolean launchAt(TargetReservation reservation) {
+    /** Makes an attempt; returns false if it was certainly not sent and others may be tried. */
+    private boolean attemptAt(TargetReservation reservation) {
         ProcessId agent = reservation.target().agent();
         Optional<Attempt> registered =
                 mCoordinator.outstanding().register(this, reservation, mCoordinator.nowMicros());
         if (registered.isEmpty()) {
             reservation.release(ResultCode.UNREACHABLE, Optional.empty(), 0);
-            mRefused.add(agent);
+            mRejectingAgents.add(agent);
             return finishIfInterrupted();
         }
         Attempt attempt = registered.get();
@@ -185,24 +189,24 @@
             return true;
         }
         release(attempt, ResultCode.UNREACHABLE);
-        mRefused.add(agent);
+        mRejectingAgents.add(agent);
         return false;
     }
 
     private boolean finishIfInterrupted() {
-        boolean interrupted = interrupted();
+        boolean interrupted = isInterrupted();
         if (interrupted) {
             finish(result(ResultCode.DEADLINE_EXCEEDED));
         }
         return interrupted;
     }
 
-    private synchronized boolean interrupted() {
+    private synchronized boolean isInterrupted() {
         return mExpired || mDisposed;
     }
 
     @Override
-    public synchronized boolean install(Attempt attempt) {
+    public synchronized boolean makeCurrent(Attempt attempt) {
         if (mExpired || mDisposed) {
             return false;
         }
@@ -211,94 +215,97 @@
     }
 
     @Override
-    public void onAnswer(Attempt attempt, InvokeResult result) {
+    public void onResponse(Attempt attempt, InvokeResult result) {
         boolean serverError = SERVER_ERRORS.contains(result.status());
-        // A target that fails at once would otherwise look like the fastest one.
+        // Otherwise a target that fails immediately would appear to be the fastest one.
         attempt.release(
                 serverError ? ResultCode.TARGET_FAILED : result.code(),
                 Optional.of(result.load()),
                 mCoordinator.nowMicros());
-        mTried.add(attempt.agent());
+        mTriedAgents.add(attempt.agent());
         if (result.code().outcome() == Outcome.NOT_RUN) {
-            onRefusal(attempt, result);
+            onRejection(attempt, result);
         } else if (result.code().outcome() == Outcome.UNKNOWN) {
             onUnknown(result);
-        } else if (serverError && mRequest.repeatable()) {
-            // If no other target answers, the caller gets this answer.
-            mPossiblyRun = Optional.of(result);
+        } else if (serverError && mRequest.isRepeatable()) {
+            // The caller receives this response if no other target responds.
+            mPossiblyRunResult = Optional.of(result);
             retryOrFinish(true, result);
         } else {
             finish(result);
         }
     }
 
-    private void onRefusal(Attempt attempt, InvokeResult result) {
-        mRefusal = Optional.of(result);
-        mRefused.add(attempt.agent());
-        boolean retried =
-                RETRIED_ELSEWHERE.contains(result.code()) && mRequest.idempotencyKey().isEmpty();
-        retryOrFinish(retried, result);
+    private void onRejection(Attempt attempt, InvokeResult result) {
+        mLastRejection = Optional.of(result);
+        mRejectingAgents.add(attempt.agent());
+        boolean mayRetry =
+                RETRYABLE_REJECTIONS.contains(result.code()) && mRequest.idempotencyKey().isEmpty();
+        retryOrFinish(mayRetry, result);
     }
 
     private void onUnknown(InvokeResult result) {
-        mPossiblyRun = Optional.of(result);
-        boolean retried = mRequest.repeatable() && result.code() != ResultCode.TARGET_TIMEOUT;
-        retryOrFinish(retried, result);
+        mPossiblyRunResult = Optional.of(result);
+        boolean mayRetry = mRequest.isRepeatable() && result.code() != ResultCode.TARGET_TIMEOUT;
+        retryOrFinish(mayRetry, result);
     }
 
     @Override
     public void onNotRun(Attempt attempt) {
         release(attempt, ResultCode.CANCELLED);
-        mTried.add(attempt.agent());
+        mTriedAgents.add(attempt.agent());
         if (remainingMs() <= 0) {
-            // The agent may have dropped its record of the request after the deadline.
+            // The agent may have removed its record of the request after the deadline.
             finish(result(ResultCode.OUTCOME_UNKNOWN));
             return;
         }
-        boolean late = closing();
-        retryOrFinish(!late, result(late ? ResultCode.DEADLINE_EXCEEDED : ResultCode.NO_TARGET));
+        boolean deadlineNear = isDeadlineNear();
+        retryOrFinish(
+                !deadlineNear,
+                result(deadlineNear ? ResultCode.DEADLINE_EXCEEDED : ResultCode.NO_TARGET));
     }
 
     @Override
     public void onAgentLost(Attempt attempt) {
         release(attempt, ResultCode.AGENT_LOST);
-        mTried.add(attempt.agent());
+        mTriedAgents.add(attempt.agent());
         onUnknown(result(ResultCode.AGENT_LOST));
     }
 
     @Override
     public void onLinkLost(Attempt attempt) {
-        // What cannot move to another target waits for the next connection, which resolves it.
-        if (!mRequest.repeatable() || !mCoordinator.budget().tryRetry()) {
+        // Other attempts wait for the next connection, on which their outcome is resolved.
+        if (!mRequest.isRepeatable() || !mCoordinator.budget().tryAcquire()) {
             return;
         }
-        Optional<TargetReservation> other =
+        Optional<TargetReservation> otherReservation =
                 reserve(target -> !target.agent().equals(attempt.agent()));
-        if (other.isEmpty() || !mCoordinator.outstanding().remove(attempt)) {
+        if (otherReservation.isEmpty() || !mCoordinator.outstanding().remove(attempt)) {
             mCoordinator.budget().refund();
-            other.ifPresent(unused -> unused.release(ResultCode.CANCELLED, Optional.empty(), 0));
+            otherReservation.ifPresent(
+                    unused -> unused.release(ResultCode.CANCELLED, Optional.empty(), 0));
             return;
         }
         release(attempt, ResultCode.AGENT_LOST);
-        mTried.add(attempt.agent());
-        mPossiblyRun = Optional.of(result(ResultCode.AGENT_LOST));
-        if (!launchAt(other.get())) {
-            launch();
+        mTriedAgents.add(attempt.agent());
+        mPossiblyRunResult = Optional.of(result(ResultCode.AGENT_LOST));
+        if (!attemptAt(otherReservation.get())) {
+            attemptNext();
         }
     }
 
-    private void retryOrFinish(boolean retried, InvokeResult result) {
-        if (retried && mCoordinator.budget().tryRetry()) {
-            launch();
+    private void retryOrFinish(boolean mayRetry, InvokeResult result) {
+        if (mayRetry && mCoordinator.budget().tryAcquire()) {
+            attemptNext();
         } else {
             finish(result);
         }
     }
 
-    private void close() {
+    private void onDeadlineNear() {
         Optional<Attempt> current;
         synchronized (this) {
-            mClosing = true;
+            mDeadlineNear = true;
             current = mCurrent;
         }
         current.filter(Attempt::sent)
@@ -306,11 +313,11 @@
                 .ifPresent(this::cancelAtAgent);
     }
 
-    private synchronized boolean closing() {
-        return mClosing;
+    private synchronized boolean isDeadlineNear() {
+        return mDeadlineNear;
     }
 
-    private void expire() {
+    private void onDeadline() {
         Optional<Attempt> current;
         synchronized (this) {
             mExpired = true;
@@ -329,7 +336,7 @@
                         });
     }
 
-    private void abandon() {
+    private void onCallerDisconnected() {
         Optional<Attempt> current;
         synchronized (this) {
             if (mDone) {
@@ -347,13 +354,13 @@
                         });
     }
 
-    // Frees the place in the queue of the agent.
+    // Removes the request from the queue of the agent.
     private void cancelAtAgent(Attempt attempt) {
         boolean unused = mCoordinator.link().send(attempt.agent(), new Cancel(attempt.request()));
     }
 
     private void finish(InvokeResult result) {
-        Optional<Admission.AutoCloseablePermit> permit;
+        Optional<Admission.AdmissionPermit> permit;
         synchronized (this) {
             if (mDone) {
                 return;
@@ -362,10 +369,10 @@
             permit = mPermit;
             mTimers.dispose();
         }
-        permit.ifPresent(Admission.AutoCloseablePermit::close);
-        // A later refusal does not undo an earlier attempt that may have run.
-        boolean refused = result.code().outcome() == Outcome.NOT_RUN;
-        mEmitter.onSuccess(refused ? mPossiblyRun.orElse(result) : result);
+        permit.ifPresent(Admission.AdmissionPermit::close);
+        // A later rejection must not hide that an earlier attempt may have run.
+        boolean rejected = result.code().outcome() == Outcome.NOT_RUN;
+        mEmitter.onSuccess(rejected ? mPossiblyRunResult.orElse(result) : result);
     }
 
     private void release(Attempt attempt, ResultCode code) {
@@ -381,14 +388,14 @@
     }
 
     private synchronized RequestId lastRequest() {
-        return mCurrent.map(Attempt::request).orElse(mCoordinator.neverSent());
+        return mCurrent.map(Attempt::request).orElse(mCoordinator.unsentRequest());
     }
 
-    private InvokeResult refusal(Admission.Refused refused) {
-        long seconds = (long) Math.ceil(refused.retryAfterMs() / MS_PER_SECOND);
+    private InvokeResult rejection(Admission.Rejected rejected) {
+        long seconds = (long) Math.ceil(rejected.retryAfterMs() / MS_PER_SECOND);
         List<HttpHeader> headers = List.of(new HttpHeader("Retry-After", Long.toString(seconds)));
         return new InvokeResult(
-                mCoordinator.neverSent(), refused.code(), 0, headers, new byte[0], NO_LOAD);
+                mCoordinator.unsentRequest(), rejected.code(), 0, headers, new byte[0], NO_LOAD);
     }
 
     private Invoke invoke(Attempt attempt) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/CallerRequest.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/CallerRequest.java
@@ -10,21 +10,21 @@
 import org.hickorycleat.model.message.HttpHeader;
 
 /**
- * A request as a caller made it.
+ * A request as submitted by a caller.
  *
- * @param service service that is to serve it
+ * @param service service that must serve it
  * @param method HTTP method
  * @param path path below the service
  * @param headers headers for the target
  * @param body body for the target
- * @param criticality criticality
+ * @param criticality class for admission control and queueing
  * @param team team of the caller
- * @param remainingMs time until its deadline, counted from the submission
- * @param idempotent whether running it more than once does no harm
+ * @param remainingMs time from the submission to the deadline in milliseconds
+ * @param idempotent whether it may run more than once
  * @param idempotencyKey key under which it must run at most once
- * @param mappingVersion version of the mapping of keys to instances that the entry has in force
+ * @param mappingVersion version of the mapping of keys to instances that is active at the entry
  */
-@SuppressWarnings("ArrayRecordComponent") // Copied neither in nor out: never changed.
+@SuppressWarnings("ArrayRecordComponent") // The body is never modified, so it is not copied.
 public record CallerRequest(
         ServiceName service,
         String method,
@@ -42,13 +42,13 @@
         headers = List.copyOf(headers);
     }
 
-    /** Starts building a request. */
+    /** Returns a builder of a request. */
     public static Builder builder(ServiceName service, TeamName team) {
         return new Builder(service, team);
     }
 
-    /** Tells whether it may run again although an earlier attempt may have run. */
-    boolean repeatable() {
+    /** Returns whether it may run again after an attempt that may have run. */
+    boolean isRepeatable() {
         return idempotent && idempotencyKey.isEmpty();
     }
 
@@ -101,7 +101,7 @@
             return this;
         }
 
-        /** Sets the time until the deadline. */
+        /** Sets the time until the deadline in milliseconds. */
         public Builder remainingMs(long remainingMs) {
             mRemainingMs = remainingMs;
             return this;
@@ -119,7 +119,7 @@
             return this;
         }
 
-        /** Sets the version of the mapping in force. */
+        /** Sets the version of the active mapping. */
         public Builder mappingVersion(ConfigurationVersion mappingVersion) {
             mMappingVersion = mappingVersion;
             return this;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/LinkSession.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/LinkSession.java
@@ -6,7 +6,7 @@
 
 /** One connection to one incarnation of an agent. */
 public record LinkSession(ProcessId agent, Incarnation incarnation, SessionNumber session) {
-    /** Tells whether this connection was opened after the other one to the same agent. */
+    /** Returns whether this connection was opened after another one to the same agent. */
     public boolean isNewerThan(LinkSession other) {
         int byIncarnation = incarnation.compareTo(other.incarnation);
         return byIncarnation != 0 ? byIncarnation > 0 : session.compareTo(other.session) > 0;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/OutstandingRequests.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/OutstandingRequests.java
@@ -14,19 +14,19 @@
 import org.hickorycleat.model.identifier.RequestId;
 
 /**
- * Attempts without an answer, in shards under one lock each.
+ * Attempts without a response, in shards with one lock each.
  *
- * <p>Every shard has its own copy of the open connections, so that an attempt is either registered
- * before a change of a connection and found by it, or registered on the new connection.
+ * <p>Every shard has its own copy of the open connections. Thus an attempt is either registered
+ * before a connection changes, and the change finds it, or it is registered on the new connection.
  */
 final class OutstandingRequests {
-    /** Attempts that a new connection to an agent concerns. */
-    record Reopened(List<Attempt> unresolved, List<Attempt> lost) {}
+    /** Attempts at an agent that are affected by a new connection to it. */
+    record AffectedAttempts(List<Attempt> unresolved, List<Attempt> lost) {}
 
     private final ProcessId mEntry;
     private final Incarnation mIncarnation;
     private final List<Shard> mShards;
-    private final AtomicInteger mTurn = new AtomicInteger();
+    private final AtomicInteger mNextShard = new AtomicInteger();
 
     OutstandingRequests(ProcessId entry, Incarnation incarnation, int shards) {
         mEntry = entry;
@@ -35,17 +35,17 @@
     }
 
     /**
-     * Allocates an id and registers an attempt; empty when there is no connection to the agent or
-     * the owner does not want it any more.
+     * Allocates a request id and registers an attempt; empty if there is no connection to the agent
+     * or the owner rejects the attempt.
      */
     Optional<Attempt> register(AttemptOwner owner, TargetReservation reservation, long nowMicros) {
-        // Taking turns keeps the counters of all shards close together, and with them the counter
-        // below which everything is acknowledged.
-        int turn = Math.floorMod(mTurn.getAndIncrement(), mShards.size());
-        return mShards.get(turn).register(owner, reservation, nowMicros);
+        // Round-robin keeps the counters of all shards close together, so that the acknowledged
+        // counter, which is their minimum, advances.
+        int shard = Math.floorMod(mNextShard.getAndIncrement(), mShards.size());
+        return mShards.get(shard).register(owner, reservation, nowMicros);
     }
 
-    /** Removes an attempt; false when someone else has settled it. */
+    /** Removes an attempt; returns false if another thread has removed it. */
     boolean remove(Attempt attempt) {
         return shardOf(attempt.request()).remove(attempt.request());
     }
@@ -54,42 +54,42 @@
         return shardOf(attempt.request()).contains(attempt.request());
     }
 
-    /** Removes the attempt that an answer on a connection settles. */
-    Optional<Attempt> removeAnswered(RequestId request, LinkSession session) {
-        return isOurs(request)
-                ? shardOf(request).removeAnswered(request, session)
+    /** Removes the attempt to which a response on a connection belongs. */
+    Optional<Attempt> removeForResponse(RequestId request, LinkSession session) {
+        return isFromThisEntry(request)
+                ? shardOf(request).removeForResponse(request, session)
                 : Optional.empty();
     }
 
-    /** Tells whether an attempt waits for its answer on a connection. */
+    /** Returns whether an attempt waits for its response on a connection. */
     boolean isExpected(RequestId request, LinkSession session) {
-        return isOurs(request) && shardOf(request).isExpected(request, session);
+        return isFromThisEntry(request) && shardOf(request).isExpected(request, session);
     }
 
-    /** Makes a connection the current one of its agent. */
-    Reopened open(LinkSession session) {
-        Reopened reopened = new Reopened(new ArrayList<>(), new ArrayList<>());
+    /** Makes a connection the current one of its agent and returns the affected attempts. */
+    AffectedAttempts open(LinkSession session) {
+        AffectedAttempts affected = new AffectedAttempts(new ArrayList<>(), new ArrayList<>());
         for (Shard shard : mShards) {
-            shard.open(session, reopened);
+            shard.open(session, affected);
         }
-        return reopened;
+        return affected;
     }
 
-    /** Closes a connection and returns the attempts that were made on it. */
+    /** Closes a connection and returns the outstanding attempts on it. */
     List<Attempt> close(LinkSession session) {
         return mShards.stream().flatMap(shard -> shard.close(session).stream()).toList();
     }
 
-    /** Returns the counter below which every request of this entry is settled. */
+    /** Returns the counter below which no request of this entry is outstanding. */
     long acknowledgedBelow() {
-        return mShards.stream().mapToLong(shard -> shard.mLowest).min().orElse(0);
+        return mShards.stream().mapToLong(shard -> shard.mLowestOutstanding).min().orElse(0);
     }
 
     int size() {
         return mShards.stream().mapToInt(Shard::size).sum();
     }
 
-    private boolean isOurs(RequestId request) {
+    private boolean isFromThisEntry(RequestId request) {
         return request.entry().equals(mEntry)
                 && request.incarnation().equals(mIncarnation)
                 && request.counter() >= 0;
@@ -100,34 +100,34 @@
     }
 
     private final class Shard {
-        private final Map<ProcessId, LinkSession> mOpen = new HashMap<>();
-        private final Map<ProcessId, LinkSession> mNewest = new HashMap<>();
+        private final Map<ProcessId, LinkSession> mOpenSessions = new HashMap<>();
+        private final Map<ProcessId, LinkSession> mNewestSessions = new HashMap<>();
         private final TreeMap<Long, Attempt> mAttempts = new TreeMap<>();
-        private final int mStep;
-        private long mNext;
-        private volatile long mLowest;
-
-        // Counter 0 is never allocated: it stands for requests that were never sent.
-        Shard(int index, int step) {
-            mStep = step;
-            mNext = (long) step + index;
-            mLowest = mNext;
+        private final int mCounterStep;
+        private long mNextCounter;
+        private volatile long mLowestOutstanding;
+
+        // Counter 0 is never allocated: it marks requests that were not sent.
+        Shard(int index, int counterStep) {
+            mCounterStep = counterStep;
+            mNextCounter = (long) counterStep + index;
+            mLowestOutstanding = mNextCounter;
         }
 
         synchronized Optional<Attempt> register(
                 AttemptOwner owner, TargetReservation reservation, long nowMicros) {
-            LinkSession session = mOpen.get(reservation.target().agent());
+            LinkSession session = mOpenSessions.get(reservation.target().agent());
             if (session == null) {
                 return Optional.empty();
             }
-            RequestId request = new RequestId(mEntry, mIncarnation, mNext);
+            RequestId request = new RequestId(mEntry, mIncarnation, mNextCounter);
             Attempt attempt = new Attempt(request, owner, reservation, session, nowMicros);
-            if (!owner.install(attempt)) {
+            if (!owner.makeCurrent(attempt)) {
                 return Optional.empty();
             }
-            mAttempts.put(mNext, attempt);
-            mNext += mStep;
-            updateLowest();
+            mAttempts.put(mNextCounter, attempt);
+            mNextCounter += mCounterStep;
+            updateLowestOutstanding();
             return Optional.of(attempt);
         }
 
@@ -137,16 +137,16 @@
 
         synchronized boolean remove(RequestId request) {
             boolean removed = mAttempts.remove(request.counter()) != null;
-            updateLowest();
+            updateLowestOutstanding();
             return removed;
         }
 
-        synchronized Optional<Attempt> removeAnswered(RequestId request, LinkSession session) {
+        synchronized Optional<Attempt> removeForResponse(RequestId request, LinkSession session) {
             if (!isExpected(request, session)) {
                 return Optional.empty();
             }
             Optional<Attempt> attempt = Optional.ofNullable(mAttempts.remove(request.counter()));
-            updateLowest();
+            updateLowestOutstanding();
             return attempt;
         }
 
@@ -155,27 +155,27 @@
             return attempt != null && attempt.session().equals(session);
         }
 
-        synchronized void open(LinkSession session, Reopened reopened) {
-            LinkSession newest = mNewest.get(session.agent());
+        synchronized void open(LinkSession session, AffectedAttempts affected) {
+            LinkSession newest = mNewestSessions.get(session.agent());
             if (newest != null && !session.isNewerThan(newest)) {
                 return;
             }
-            mNewest.put(session.agent(), session);
-            mOpen.put(session.agent(), session);
+            mNewestSessions.put(session.agent(), session);
+            mOpenSessions.put(session.agent(), session);
             for (Attempt attempt : attemptsAt(session.agent())) {
                 if (attempt.session().incarnation().equals(session.incarnation())) {
-                    attempt.expectOn(session);
-                    reopened.unresolved().add(attempt);
+                    attempt.moveTo(session);
+                    affected.unresolved().add(attempt);
                 } else {
                     mAttempts.remove(attempt.request().counter());
-                    reopened.lost().add(attempt);
+                    affected.lost().add(attempt);
                 }
             }
-            updateLowest();
+            updateLowestOutstanding();
         }
 
         synchronized List<Attempt> close(LinkSession session) {
-            mOpen.remove(session.agent(), session);
+            mOpenSessions.remove(session.agent(), session);
             List<Attempt> attempts =
                     attemptsAt(session.agent()).stream()
                             .filter(attempt -> attempt.session().equals(session))
@@ -194,8 +194,8 @@
                     .toList();
         }
 
-        private void updateLowest() {
-            mLowest = mAttempts.isEmpty() ? mNext : mAttempts.firstKey();
+        private void updateLowestOutstanding() {
+            mLowestOutstanding = mAttempts.isEmpty() ? mNextCounter : mAttempts.firstKey();
         }
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/RequestCoordinator.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/retry/RequestCoordinator.java
@@ -29,14 +29,14 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /**
- * Brings each caller's request to one result that is true: an answer, a proof that it was not run,
- * or the statement that this is not known.
+ * Returns exactly one result for each caller's request: a response, a confirmation that it did not
+ * run, or the statement that the outcome is unknown.
  *
- * <p>All methods may be called by several threads. Results are emitted without any lock held.
+ * <p>Thread-safe. Results are emitted without holding a lock.
  */
 public final class RequestCoordinator {
-    /** Time after which a cancellation that the link refused is sent again. */
-    private static final long RESOLVE_RETRY_MS = 50;
+    /** Interval at which a cancellation that the link did not accept is sent again. */
+    private static final long CANCEL_RETRY_INTERVAL_MS = 50;
 
     private final TargetSelector mSelector;
     private final AdmissionControl mAdmission;
@@ -44,7 +44,7 @@
     private final Scheduler mScheduler;
     private final RetryBudget mBudget;
     private final KeyValidity mKeyValidity;
-    private final RequestId mNeverSent;
+    private final RequestId mUnsentRequest;
     private final OutstandingRequests mOutstanding;
     private final Map<ServiceName, KeyMapping> mMappings = new ConcurrentHashMap<>();
     private final AtomicLong mUnmatchedAnswers = new AtomicLong();
@@ -56,17 +56,17 @@
         mScheduler = builder.mScheduler;
         mBudget = builder.mBudget;
         mKeyValidity = builder.mKeyValidity;
-        mNeverSent = new RequestId(builder.mEntry, builder.mIncarnation, 0);
+        mUnsentRequest = new RequestId(builder.mEntry, builder.mIncarnation, 0);
         mOutstanding =
                 new OutstandingRequests(builder.mEntry, builder.mIncarnation, builder.mShards);
     }
 
-    /** Starts building the coordinator of an entry. */
+    /** Returns a builder of the coordinator of an entry. */
     public static Builder builder(ProcessId entry, Incarnation incarnation) {
         return new Builder(entry, incarnation);
     }
 
-    /** Sets the instance numbers to which the keys of a service are mapped. */
+    /** Sets the instances to which the idempotency keys of a service are mapped. */
     public void configureMapping(
             ServiceName service, ConfigurationVersion version, List<InstanceNumber> instances) {
         mMappings.compute(
@@ -77,71 +77,71 @@
                                 : old.replacedBy(version, instances, nowMs()));
     }
 
-    /** Serves a request once for each subscriber; disposing cancels it. */
+    /** Serves a request once per subscription; disposing the subscription cancels it. */
     public Single<InvokeResult> submit(CallerRequest request) {
         return Single.create(
                 emitter -> {
-                    mBudget.countRequest();
-                    new Call(this, request, emitter).begin();
+                    mBudget.recordRequest();
+                    new Call(this, request, emitter).start();
                 });
     }
 
-    /** Resolves what was sent on older connections to the agent, which has fenced them. */
+    /** Resolves attempts on older connections to the agent, which the agent has fenced. */
     public void onLinkOpened(LinkSession session) {
-        OutstandingRequests.Reopened reopened = mOutstanding.open(session);
-        reopened.lost().forEach(attempt -> attempt.owner().onAgentLost(attempt));
-        reopened.unresolved().forEach(attempt -> resolve(attempt, session));
+        OutstandingRequests.AffectedAttempts affected = mOutstanding.open(session);
+        affected.lost().forEach(attempt -> attempt.owner().onAgentLost(attempt));
+        affected.unresolved().forEach(attempt -> resolve(attempt, session));
     }
 
-    /** Retries elsewhere what may be repeated; the rest waits for the next connection. */
+    /** Retries repeatable attempts at other targets; the others wait for the next connection. */
     public void onLinkClosed(LinkSession session) {
         mOutstanding.close(session).forEach(attempt -> attempt.owner().onLinkLost(attempt));
     }
 
-    /** Takes an answer that arrived on a connection. */
+    /** Handles a response received on a connection. */
     public void onInvokeResult(LinkSession session, InvokeResult result) {
         mOutstanding
-                .removeAnswered(result.request(), session)
+                .removeForResponse(result.request(), session)
                 .ifPresentOrElse(
-                        attempt -> attempt.owner().onAnswer(attempt, result),
+                        attempt -> attempt.owner().onResponse(attempt, result),
                         mUnmatchedAnswers::incrementAndGet);
     }
 
-    /** Takes the answer to a cancellation that arrived on a connection. */
+    /** Handles the response to a cancellation received on a connection. */
     public void onCancelResult(LinkSession session, CancelResult result) {
         switch (result.state()) {
             case NOT_RUN ->
                     mOutstanding
-                            .removeAnswered(result.request(), session)
+                            .removeForResponse(result.request(), session)
                             .ifPresentOrElse(
                                     attempt -> attempt.owner().onNotRun(attempt),
                                     mUnmatchedAnswers::incrementAndGet);
             case RUNNING -> {
-                // The answer follows on this connection.
+                // The response follows on this connection.
                 if (!mOutstanding.isExpected(result.request(), session)) {
                     mUnmatchedAnswers.incrementAndGet();
                 }
             }
             case FINISHED ->
                     result.result()
-                            .filter(answer -> answer.request().equals(result.request()))
+                            .filter(response -> response.request().equals(result.request()))
                             .ifPresentOrElse(
-                                    answer -> onInvokeResult(session, answer),
+                                    response -> onInvokeResult(session, response),
                                     mUnmatchedAnswers::incrementAndGet);
         }
     }
 
-    /** Returns the number of answers that matched no outstanding request and were dropped. */
+    /** Returns the number of responses discarded because they matched no outstanding request. */
     public long unmatchedAnswers() {
         return mUnmatchedAnswers.get();
     }
 
-    /** Returns the number of attempts without an answer. */
+    /** Returns the number of attempts without a response. */
     public int outstandingAttempts() {
         return mOutstanding.size();
     }
 
-    /** Resolves an attempt whose connection was replaced while it was being sent. */
+    /** Marks an attempt as sent; resolves it if its connection was replaced in the meantime. */
     void onSent(Attempt attempt) {
         attempt.markSent();
         if (attempt.unresolved()) {
@@ -157,10 +157,12 @@
         }
         Disposable unused =
                 mScheduler.scheduleDirect(
-                        () -> resolve(attempt, session), RESOLVE_RETRY_MS, TimeUnit.MILLISECONDS);
+                        () -> resolve(attempt, session),
+                        CANCEL_RETRY_INTERVAL_MS,
+                        TimeUnit.MILLISECONDS);
     }
 
-    /** Finds the instance that must serve a request; empty when any may. */
+    /** Returns the instance that must serve a request; empty if any instance may. */
     Either<ResultCode, Optional<InstanceNumber>> route(CallerRequest request, long submittedMs) {
         if (request.idempotencyKey().isEmpty()) {
             return Either.right(Optional.empty());
@@ -173,8 +175,9 @@
         if (!mapping.version().equals(request.mappingVersion())) {
             return Either.left(ResultCode.MAPPING_CHANGED);
         }
-        if (nowMs() - submittedMs > mKeyValidity.launch().toMillis()) {
-            // A later attempt could reach an agent that has just begun to trust its records again.
+        if (nowMs() - submittedMs > mKeyValidity.attemptWindow().toMillis()) {
+            // A later attempt could reach a restarted agent that accepts keys again without the
+            // record of this one.
             return Either.left(ResultCode.NO_TARGET);
         }
         return mapping.route(key, nowMs()).map(Optional::of);
@@ -204,8 +207,8 @@
         return mOutstanding;
     }
 
-    RequestId neverSent() {
-        return mNeverSent;
+    RequestId unsentRequest() {
+        return mUnsentRequest;
     }
 
     long nowMs() {
@@ -238,43 +241,43 @@
             mIncarnation = incarnation;
         }
 
-        /** Sets what chooses targets. */
+        /** Sets the selector of targets. */
         public Builder selector(TargetSelector selector) {
             mSelector = selector;
             return this;
         }
 
-        /** Sets what admits requests. */
+        /** Sets admission control. */
         public Builder admission(AdmissionControl admission) {
             mAdmission = admission;
             return this;
         }
 
-        /** Sets what sends messages to agents. */
+        /** Sets the link to the agents. */
         public Builder link(AgentLink link) {
             mLink = link;
             return this;
         }
 
-        /** Sets the clock and timer. */
+        /** Sets the scheduler that provides clock and timers. */
         public Builder scheduler(Scheduler scheduler) {
             mScheduler = scheduler;
             return this;
         }
 
-        /** Sets the budget of retries. */
+        /** Sets the retry budget. */
         public Builder retryBudget(RetryBudget budget) {
             mBudget = budget;
             return this;
         }
 
-        /** Sets the times within which a key is safe. */
+        /** Sets the validity of idempotency keys. */
         public Builder keyValidity(KeyValidity keyValidity) {
             mKeyValidity = keyValidity;
             return this;
         }
 
-        /** Sets the number of shards. */
+        /** Sets the number of shards of outstanding requests. */
         public Builder shards(int shards) {
             mShards = shards;
             return this;
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/admission/AdmissionFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/admission/AdmissionFixture.java
@@ -13,20 +13,20 @@
 import org.hickorycleat.model.identifier.TeamName;
 import org.hickorycleat.model.manifest.Criticality;
 
-/** Offers random load of 100 ms per request to admission control of 88 slots. */
+/** Sends random load with a mean service time of 100 ms to admission control for 88 slots. */
 final class AdmissionFixture {
     static final int SLOTS = 88;
     static final ServiceName SERVICE = new ServiceName("booking");
-    private static final double HOLD_MS = 100;
+    private static final double MEAN_SERVICE_TIME_MS = 100;
 
-    /** Requests spend no time on a network here, so that only a short queue is needed. */
+    /** Lowers the tolerated queue to 0.1 per slot, because no network delay is simulated. */
     private static final AdmissionSettings SETTINGS =
             new AdmissionSettings(AdmissionSettings.DEFAULT.shares(), 0.02, 0.1, 16, 100, 30_000);
 
     final TestScheduler mScheduler = new TestScheduler(1_000, MILLISECONDS);
     final FairAdmissionControl mControl;
-    final Map<Source, Tally> mTallies = new HashMap<>();
-    private final List<Source> mSources = new ArrayList<>();
+    final Map<LoadSource, RequestCounts> mCounts = new HashMap<>();
+    private final List<LoadSource> mSources = new ArrayList<>();
     private final SplittableRandom mRandom;
     private int mInFlight;
 
@@ -35,65 +35,68 @@
     }
 
     AdmissionFixture(long seed, AdmissionSettings settings) {
-        mControl = new FairAdmissionControl(this::slots, mScheduler, settings, 3);
+        mControl = new FairAdmissionControl(this::capacity, mScheduler, settings, 3);
         mRandom = new SplittableRandom(seed);
     }
 
-    /** A class and team that offers a number of concurrent requests on average. */
-    record Source(Criticality criticality, TeamName team, double concurrency) {}
+    /** A class and team with its mean number of concurrent requests. */
+    record LoadSource(Criticality criticality, TeamName team, double concurrency) {}
 
-    /** Counts of a source since the last reset, and the sum of its requests in flight per ms. */
-    static final class Tally {
+    /**
+     * Request counts of a source since the last reset; the sum adds the requests in flight each ms.
+     */
+    static final class RequestCounts {
         int mOffered;
-        int mRefused;
+        int mRejected;
         int mInFlight;
         long mInFlightSum;
 
-        double refusedShare() {
-            return (double) mRefused / mOffered;
+        double rejectedShare() {
+            return (double) mRejected / mOffered;
         }
     }
 
-    Source offer(Criticality criticality, String team, double concurrency) {
-        Source source = new Source(criticality, new TeamName(team), concurrency);
+    LoadSource offer(Criticality criticality, String team, double concurrency) {
+        LoadSource source = new LoadSource(criticality, new TeamName(team), concurrency);
         mSources.add(source);
-        mTallies.put(source, new Tally());
+        mCounts.put(source, new RequestCounts());
         return source;
     }
 
-    Tally tally(Source source) {
-        return Objects.requireNonNull(mTallies.get(source));
+    RequestCounts counts(LoadSource source) {
+        return Objects.requireNonNull(mCounts.get(source));
     }
 
-    /** Runs, and counts only what happens after a quarter of the time. */
+    /** Runs the load and discards the counts of the first quarter as warm-up. */
     void run(int milliseconds) {
         for (int i = 0; i < milliseconds; i++) {
             if (i == milliseconds / 4) {
-                mTallies.values().forEach(AdmissionFixture::reset);
+                mCounts.values().forEach(AdmissionFixture::reset);
             }
             mSources.forEach(this::arrive);
             mScheduler.advanceTimeBy(1, MILLISECONDS);
-            mTallies.values().forEach(tally -> tally.mInFlightSum += tally.mInFlight);
+            mCounts.values()
+                    .forEach(sourceCounts -> sourceCounts.mInFlightSum += sourceCounts.mInFlight);
         }
     }
 
-    double meanInFlight(Source source, int milliseconds) {
-        return (double) tally(source).mInFlightSum / (milliseconds - milliseconds / 4);
+    double meanInFlight(LoadSource source, int milliseconds) {
+        return (double) counts(source).mInFlightSum / (milliseconds - milliseconds / 4);
     }
 
-    private static void reset(Tally tally) {
-        tally.mOffered = 0;
-        tally.mRefused = 0;
-        tally.mInFlightSum = 0;
+    private static void reset(RequestCounts sourceCounts) {
+        sourceCounts.mOffered = 0;
+        sourceCounts.mRejected = 0;
+        sourceCounts.mInFlightSum = 0;
     }
 
-    private ServiceSlots slots(ServiceName service) {
-        return new ServiceSlots(
+    private ServiceCapacity capacity(ServiceName service) {
+        return new ServiceCapacity(
                 SLOTS, Math.max(0, SLOTS - mInFlight), Math.max(0, mInFlight - SLOTS), 1);
     }
 
-    private void arrive(Source source) {
-        double probability = source.concurrency() / HOLD_MS;
+    private void arrive(LoadSource source) {
+        double probability = source.concurrency() / MEAN_SERVICE_TIME_MS;
         for (int i = 0; i < Math.ceil(probability); i++) {
             if (mRandom.nextDouble() < probability / Math.ceil(probability)) {
                 request(source);
@@ -101,22 +104,23 @@
         }
     }
 
-    private void request(Source source) {
-        Tally tally = tally(source);
-        tally.mOffered++;
+    private void request(LoadSource source) {
+        RequestCounts sourceCounts = counts(source);
+        sourceCounts.mOffered++;
         Admission admission = mControl.admit(SERVICE, source.criticality(), source.team(), 10_000);
         if (!(admission instanceof Admission.Admitted admitted)) {
-            tally.mRefused++;
+            sourceCounts.mRejected++;
             return;
         }
-        tally.mInFlight++;
+        sourceCounts.mInFlight++;
         mInFlight++;
-        long holdMs = Math.max(1, Math.round(-HOLD_MS * Math.log(1 - mRandom.nextDouble())));
-        mScheduler.scheduleDirect(() -> end(tally, admitted), holdMs, MILLISECONDS);
+        long serviceTimeMs =
+                Math.max(1, Math.round(-MEAN_SERVICE_TIME_MS * Math.log(1 - mRandom.nextDouble())));
+        mScheduler.scheduleDirect(() -> end(sourceCounts, admitted), serviceTimeMs, MILLISECONDS);
     }
 
-    private void end(Tally tally, Admission.Admitted admitted) {
-        tally.mInFlight--;
+    private void end(RequestCounts sourceCounts, Admission.Admitted admitted) {
+        sourceCounts.mInFlight--;
         mInFlight--;
         admitted.permit().close();
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/admission/AdmissionPropertiesTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/admission/AdmissionPropertiesTest.java
@@ -14,7 +14,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
-import org.hickorycleat.logic.admission.AdmissionFixture.Source;
+import org.hickorycleat.logic.admission.AdmissionFixture.LoadSource;
 import org.hickorycleat.model.identifier.TeamName;
 import org.hickorycleat.model.manifest.Criticality;
 
@@ -23,29 +23,29 @@
     private static final List<Criticality> CLASSES = List.of(Criticality.values());
 
     /**
-     * Guards against a class that floods at 10 times capacity taking the share of another class or
-     * leaving capacity unused.
+     * Guards against a class with a load of 10 times the capacity displacing requests within the
+     * shares of other classes, or leaving capacity unused.
      */
     @Property(seed = "21", tries = 12, edgeCases = EdgeCasesMode.NONE)
     void sharesHoldUnderFloodOfEachClass(
             @ForAll Criticality flooding, @ForAll @IntRange(max = 1_000) int seed) {
-        double total = totalUnderFlood(new AdmissionFixture(seed), flooding);
+        double total = meanInFlightUnderFlood(new AdmissionFixture(seed), flooding);
         assertThat(total).isBetween(0.95 * SLOTS, 1.1 * SLOTS);
     }
 
-    /** Guards against the shipped settings losing shares that hold with a shorter queue. */
+    /** Guards against default settings that violate shares which hold with a shorter queue. */
     @Property(seed = "21", tries = 12, edgeCases = EdgeCasesMode.NONE)
     void sharesHoldUnderFloodOfEachClassWithDefaultSettings(
             @ForAll Criticality flooding, @ForAll @IntRange(max = 1_000) int seed) {
         AdmissionSettings settings = AdmissionSettings.DEFAULT;
-        double total = totalUnderFlood(new AdmissionFixture(seed, settings), flooding);
+        double total = meanInFlightUnderFlood(new AdmissionFixture(seed, settings), flooding);
         double maximum = (1 + settings.queuedPerSlot() + 0.1) * SLOTS;
         assertThat(total).isBetween(0.95 * SLOTS, maximum);
     }
 
-    /** Checks that other classes are not refused, and returns the mean requests in flight. */
-    private static double totalUnderFlood(AdmissionFixture fixture, Criticality flooding) {
-        Map<Criticality, Source> sources = new EnumMap<>(Criticality.class);
+    /** Checks that other classes are not rejected and returns the mean requests in flight. */
+    private static double meanInFlightUnderFlood(AdmissionFixture fixture, Criticality flooding) {
+        Map<Criticality, LoadSource> sources = new EnumMap<>(Criticality.class);
         for (Criticality criticality : Criticality.values()) {
             double share = AdmissionSettings.DEFAULT.share(criticality) * SLOTS;
             double load = criticality == flooding ? 10 * SLOTS : 0.8 * share;
@@ -53,24 +53,24 @@
         }
         fixture.run(RUN_MS);
         double total = 0;
-        for (Map.Entry<Criticality, Source> entry : sources.entrySet()) {
+        for (Map.Entry<Criticality, LoadSource> entry : sources.entrySet()) {
             total += fixture.meanInFlight(entry.getValue(), RUN_MS);
             if (entry.getKey() != flooding) {
-                assertThat(fixture.tally(entry.getValue()).refusedShare())
-                        .as("refused share of %s while %s floods", entry.getKey(), flooding)
+                assertThat(fixture.counts(entry.getValue()).rejectedShare())
+                        .as("rejected share of %s while %s floods", entry.getKey(), flooding)
                         .isLessThan(0.01);
             }
         }
         return total;
     }
 
-    /** Guards against a class losing its guarantee when all classes flood. */
+    /** Guards against a class losing its guaranteed share when all classes are overloaded. */
     @Property(seed = "22", tries = 3, edgeCases = EdgeCasesMode.NONE)
     void everyClassKeepsItsGuaranteeWhenAllFlood(@ForAll @IntRange(max = 1_000) int seed) {
         floodAllClasses(new AdmissionFixture(seed));
     }
 
-    /** Guards against a class losing its guarantee with the shipped settings. */
+    /** Guards against a class losing its guaranteed share with the default settings. */
     @Property(seed = "22", tries = 3, edgeCases = EdgeCasesMode.NONE)
     void everyClassKeepsItsGuaranteeWithDefaultSettings(@ForAll @IntRange(max = 1_000) int seed) {
         AdmissionSettings settings = AdmissionSettings.DEFAULT;
@@ -79,9 +79,9 @@
         assertThat(total).isBetween(0.95 * SLOTS, maximum);
     }
 
-    /** Checks the guarantee of each class, and returns the mean requests in flight. */
+    /** Checks the guaranteed share of each class and returns the mean requests in flight. */
     private static double floodAllClasses(AdmissionFixture fixture) {
-        Map<Criticality, Source> sources = new EnumMap<>(Criticality.class);
+        Map<Criticality, LoadSource> sources = new EnumMap<>(Criticality.class);
         for (Criticality criticality : Criticality.values()) {
             sources.put(criticality, fixture.offer(criticality, "any", 3 * SLOTS));
         }
@@ -99,7 +99,7 @@
                 .sum();
     }
 
-    /** Guards against leaked or doubly freed permits under random sequences. */
+    /** Guards against permits that are leaked or released twice under random sequences of calls. */
     @Property(seed = "23", tries = 200, edgeCases = EdgeCasesMode.NONE)
     void countsMatchOpenPermits(
             @ForAll @Size(min = 50, max = 600) List<@IntRange(max = 9_999) Integer> steps) {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/admission/FairAdmissionControlTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/admission/FairAdmissionControlTest.java
@@ -9,7 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.hickorycleat.logic.admission.AdmissionFixture.Source;
+import org.hickorycleat.logic.admission.AdmissionFixture.LoadSource;
 import org.hickorycleat.model.identifier.TeamName;
 import org.hickorycleat.model.manifest.Criticality;
 import org.hickorycleat.model.result.ResultCode;
@@ -22,43 +22,45 @@
     @Test
     void singleFloodingClassUsesAllCapacity() {
         AdmissionFixture fixture = new AdmissionFixture(1);
-        Source flood = fixture.offer(Criticality.SHEDDABLE, "any", 10 * SLOTS);
+        LoadSource flood = fixture.offer(Criticality.SHEDDABLE, "any", 10 * SLOTS);
         fixture.run(RUN_MS);
         assertThat(fixture.meanInFlight(flood, RUN_MS)).isGreaterThan(0.95 * SLOTS);
     }
 
-    /** Guards against refusals below capacity. */
+    /** Guards against rejections while the load is below capacity. */
     @Test
     void loadBelowCapacityIsAdmitted() {
         AdmissionFixture fixture = new AdmissionFixture(2);
-        Source source = fixture.offer(Criticality.NORMAL, "any", 0.6 * SLOTS);
+        LoadSource source = fixture.offer(Criticality.NORMAL, "any", 0.6 * SLOTS);
         fixture.run(RUN_MS);
-        assertThat(fixture.tally(source).refusedShare()).isLessThan(0.005);
+        assertThat(fixture.counts(source).rejectedShare()).isLessThan(0.005);
     }
 
-    /** Guards against a flooding team starving another one in the most critical class. */
+    /** Guards against an overloading team starving another team of the most critical class. */
     @Test
-    void floodingTeamLeavesRoomForTeamWithinItsShare() {
+    void floodingTeamDoesNotStarveTeamWithinItsShare() {
         AdmissionFixture fixture = withTeams(3);
-        Source flood = fixture.offer(Criticality.CRITICAL, "one", 10 * SLOTS);
-        Source modest = fixture.offer(Criticality.CRITICAL, "two", 0.2 * SLOTS);
+        LoadSource flood = fixture.offer(Criticality.CRITICAL, "one", 10 * SLOTS);
+        LoadSource modest = fixture.offer(Criticality.CRITICAL, "two", 0.2 * SLOTS);
         fixture.run(RUN_MS);
-        assertThat(fixture.tally(modest).refusedShare()).isLessThan(0.01);
+        assertThat(fixture.counts(modest).rejectedShare()).isLessThan(0.01);
         assertThat(fixture.meanInFlight(flood, RUN_MS)).isGreaterThan(0.7 * SLOTS);
     }
 
-    /** Guards against dividing by arrivals rather than by weight when all teams flood. */
+    /**
+     * Guards against sharing in proportion to arrivals rather than weights when all teams overload.
+     */
     @Test
     void floodingTeamsShareByWeight() {
         AdmissionFixture fixture = withTeams(4);
-        Source light = fixture.offer(Criticality.CRITICAL, "one", 10 * SLOTS);
-        Source heavy = fixture.offer(Criticality.CRITICAL, "three", 3 * SLOTS);
+        LoadSource light = fixture.offer(Criticality.CRITICAL, "one", 10 * SLOTS);
+        LoadSource heavy = fixture.offer(Criticality.CRITICAL, "three", 3 * SLOTS);
         fixture.run(RUN_MS);
         double ratio = fixture.meanInFlight(heavy, RUN_MS) / fixture.meanInFlight(light, RUN_MS);
         assertThat(ratio).isBetween(2.5, 3.5);
     }
 
-    /** Guards against memory that grows with names invented by callers. */
+    /** Guards against memory use that grows with team names invented by callers. */
     @Test
     void unknownTeamsShareOneRecord() {
         AdmissionFixture fixture = withTeams(5);
@@ -69,9 +71,9 @@
         assertThat(fixture.mControl.status(SERVICE).orElseThrow().teams()).isEqualTo(1);
     }
 
-    /** Guards against callers that all come back at the same time. */
+    /** Guards against rejected callers that all retry at the same time. */
     @Test
-    void retriesAreSpreadAndLaterWhenOverloadGrows() {
+    void retryDelaysAreSpreadAndGrowWithOverload() {
         List<Long> mild = retryDelays(2 * SLOTS);
         List<Long> severe = retryDelays(20 * SLOTS);
         assertThat(new HashSet<>(severe)).hasSizeGreaterThan(100);
@@ -80,14 +82,14 @@
 
     /** Guards against work on requests whose deadline has passed. */
     @Test
-    void expiredRequestIsRefused() {
+    void expiredRequestIsRejected() {
         AdmissionFixture fixture = new AdmissionFixture(6);
         Admission admission =
                 fixture.mControl.admit(SERVICE, Criticality.CRITICAL, new TeamName("one"), 0);
-        assertThat(admission).isEqualTo(new Admission.Refused(ResultCode.DEADLINE_EXCEEDED, 0));
+        assertThat(admission).isEqualTo(new Admission.Rejected(ResultCode.DEADLINE_EXCEEDED, 0));
     }
 
-    /** Guards against a permit that frees room twice. */
+    /** Guards against a permit that releases its capacity twice. */
     @Test
     void secondCloseOfPermitChangesNothing() {
         AdmissionFixture fixture = new AdmissionFixture(7);
@@ -98,7 +100,7 @@
         assertThat(fixture.mControl.status(SERVICE).orElseThrow().inFlight()).isEqualTo(1);
     }
 
-    /** Guards against state kept for services that left the configuration. */
+    /** Guards against state kept for services that were removed from the configuration. */
     @Test
     void unconfiguredServiceIsDroppedOnceNothingIsInFlight() {
         AdmissionFixture fixture = new AdmissionFixture(8);
@@ -116,8 +118,8 @@
         fixture.run(3_000);
         List<Long> delays = new ArrayList<>();
         for (int i = 0; i < 1_000; i++) {
-            if (admit(fixture) instanceof Admission.Refused refused) {
-                delays.add(refused.retryAfterMs());
+            if (admit(fixture) instanceof Admission.Rejected rejected) {
+                delays.add(rejected.retryAfterMs());
             }
         }
         return delays;
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/InvocationServiceTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/InvocationServiceTest.java
@@ -25,13 +25,13 @@
 class InvocationServiceTest {
     private static final SessionNumber SESSION = new SessionNumber(1);
 
-    // Validity of 60 s plus 5 s to launch and 10 s on the way.
-    private static final long KEYS_TRUSTED_MS = 75_000;
-    private static final long KEYS_KEPT_MS = 120_000;
+    // Validity of 60 s plus an attempt window of 5 s and a maximum transit of 10 s.
+    private static final long KEYS_ACCEPTED_AFTER_MS = 75_000;
+    private static final long KEY_RETENTION_MS = 120_000;
 
     private final TestScheduler mScheduler = new TestScheduler();
     private final List<Invoke> mExchanges = new ArrayList<>();
-    private final List<SingleSubject<TargetResponse>> mAnswers = new ArrayList<>();
+    private final List<SingleSubject<TargetResponse>> mResponses = new ArrayList<>();
     private final List<InvokeResult> mResults = new ArrayList<>();
     private InvocationService mService = newService(100);
 
@@ -48,8 +48,8 @@
 
     private Single<TargetResponse> exchange(Invoke invoke) {
         mExchanges.add(invoke);
-        mAnswers.add(SingleSubject.create());
-        return mAnswers.get(mAnswers.size() - 1);
+        mResponses.add(SingleSubject.create());
+        return mResponses.get(mResponses.size() - 1);
     }
 
     private void start(int slots, int connections) {
@@ -76,12 +76,12 @@
         mService.invoke(TestInvokes.ENTRY, SESSION, invoke, mResults::add);
     }
 
-    private void answer(int exchange) {
-        mAnswers.get(exchange).onSuccess(new TargetResponse(200, List.of(), new byte[] {1}));
+    private void respond(int exchange) {
+        mResponses.get(exchange).onSuccess(new TargetResponse(200, List.of(), new byte[] {1}));
     }
 
-    private void trustKeys() {
-        advance(KEYS_TRUSTED_MS);
+    private void advanceUntilKeysAccepted() {
+        advance(KEYS_ACCEPTED_AFTER_MS);
     }
 
     private void advance(long ms) {
@@ -96,21 +96,21 @@
         return mExchanges.stream().map(invoke -> invoke.request().counter()).toList();
     }
 
-    /** Guards against work beyond the slots and against a queue without bound. */
+    /** Guards against running more requests than slots and against an unbounded queue. */
     @Test
-    void refusesWhatExceedsSlotsAndQueue() {
+    void rejectsRequestsBeyondSlotsAndQueue() {
         invoke(TestInvokes.invoke(1));
         invoke(TestInvokes.invoke(2));
         invoke(TestInvokes.invoke(3));
         assertThat(codes()).containsExactly(ResultCode.AGENT_QUEUE_FULL);
         assertThat(executed()).containsExactly(1L);
-        answer(0);
+        respond(0);
         assertThat(executed()).containsExactly(1L, 2L);
     }
 
-    /** Guards against critical work that waits behind sheddable work or is refused for it. */
+    /** Guards against critical requests waiting behind sheddable ones or being rejected instead. */
     @Test
-    void runsByCriticalityThenDeadlineAndDisplacesTheLast() {
+    void runsByCriticalityThenDeadlineAndRejectsTheLast() {
         start(1, 3);
         mService.configure(configuration(1, 3, 7, 1));
         invoke(TestInvokes.invoke(1));
@@ -118,23 +118,23 @@
         invoke(TestInvokes.invoke(3, Criticality.NORMAL, 900));
         invoke(TestInvokes.invoke(4, Criticality.NORMAL, 800));
         assertThat(mResults.get(0).request()).isEqualTo(TestInvokes.request(2));
-        answer(0);
-        answer(1);
+        respond(0);
+        respond(1);
         assertThat(executed()).containsExactly(1L, 4L, 3L);
     }
 
-    /** Guards against running a request whose caller no longer waits. */
+    /** Guards against running a request whose deadline has passed. */
     @Test
     void dropsExpiredRequestsBeforeTheyRun() {
         invoke(TestInvokes.invoke(1));
         invoke(TestInvokes.invoke(2, Criticality.NORMAL, 50));
         advance(50);
-        answer(0);
+        respond(0);
         assertThat(codes()).containsExactly(ResultCode.OK, ResultCode.DEADLINE_EXCEEDED);
         assertThat(executed()).containsExactly(1L);
     }
 
-    /** Guards against a slot that a silent target holds for ever. */
+    /** Guards against an unresponsive target that holds a slot forever. */
     @Test
     void endsAnExchangeAtTheDeadline() {
         invoke(TestInvokes.invoke(1));
@@ -143,36 +143,36 @@
         assertThat(mService.inProgress()).isZero();
     }
 
-    /** Guards against a failed connection that is taken for an unknown outcome, and the reverse. */
+    /** Guards against reporting a failed connection as an unknown outcome, and vice versa. */
     @Test
-    void tellsUnreachedTargetsFromFailedOnes() {
+    void distinguishesUnreachedTargetsFromFailedOnes() {
         invoke(TestInvokes.invoke(1));
-        mAnswers.get(0).onError(new TargetNotReachedException("refused", new Exception()));
+        mResponses.get(0).onError(new TargetNotReachedException("refused", new Exception()));
         invoke(TestInvokes.invoke(2));
-        mAnswers.get(1).onError(new IllegalStateException("reset"));
+        mResponses.get(1).onError(new IllegalStateException("reset"));
         assertThat(codes()).containsExactly(ResultCode.NO_TARGET, ResultCode.TARGET_FAILED);
     }
 
-    /** Guards against a cancelled request that runs after it was reported as not run. */
+    /** Guards against a request that runs after its cancellation reported it as not run. */
     @Test
-    void cancelsWhatWaitsAndRefusesItLater() {
+    void cancelsWaitingRequestsAndRejectsLaterCopies() {
         invoke(TestInvokes.invoke(1));
         invoke(TestInvokes.invoke(2));
         assertThat(mService.cancel(TestInvokes.request(2)).state()).isEqualTo(CancelState.NOT_RUN);
         assertThat(mService.cancel(TestInvokes.request(3)).state()).isEqualTo(CancelState.NOT_RUN);
-        answer(0);
+        respond(0);
         invoke(TestInvokes.invoke(3));
         assertThat(executed()).containsExactly(1L);
         assertThat(codes()).containsExactly(ResultCode.OK, ResultCode.CANCELLED);
     }
 
-    /** Guards against the loss of an answer whose connection broke. */
+    /** Guards against losing a response because its connection was lost. */
     @Test
     void reportsRunningAndFinishedRequests() {
         invoke(TestInvokes.invoke(1));
         List<InvokeResult> later = new ArrayList<>();
         CancelResult running = mService.cancel(TestInvokes.request(1), later::add);
-        answer(0);
+        respond(0);
         CancelResult finished = mService.cancel(TestInvokes.request(1));
         assertThat(running.state()).isEqualTo(CancelState.RUNNING);
         assertThat(later).hasSize(1);
@@ -180,74 +180,79 @@
         assertThat(finished.result().orElseThrow().code()).isEqualTo(ResultCode.OK);
     }
 
-    /** Guards against a request that an older connection brings after it was resolved. */
+    /** Guards against a request that arrives on an older connection after it was resolved. */
     @Test
-    void startsNothingOfAnOlderSession() {
+    void startsNoRequestOfAnOlderSession() {
         invoke(TestInvokes.invoke(1));
         invoke(TestInvokes.invoke(2));
         mService.openSession(TestInvokes.ENTRY, TestInvokes.INCARNATION, new SessionNumber(2));
         invoke(TestInvokes.invoke(3));
-        answer(0);
+        respond(0);
         assertThat(executed()).containsExactly(1L);
         assertThat(mService.fencedInvokes()).isEqualTo(1);
         assertThat(mService.inProgress()).isZero();
     }
 
-    /** Guards against a late copy of a request whose tombstone the entry's progress removed. */
+    /**
+     * Guards against running a late copy of a request whose tombstone was removed by an
+     * acknowledgement.
+     */
     @Test
-    void startsNothingBelowTheAcknowledgedCounter() {
+    void startsNoRequestBelowTheAcknowledgedCounter() {
         invoke(TestInvokes.acknowledging(20, 20));
         mService.acknowledge(TestInvokes.ENTRY, TestInvokes.INCARNATION, 20);
-        answer(0);
+        respond(0);
         invoke(TestInvokes.invoke(5));
         CancelResult settled = mService.cancel(TestInvokes.request(6));
         assertThat(executed()).containsExactly(20L);
         assertThat(settled.state()).isEqualTo(CancelState.FINISHED);
     }
 
-    /** Guards against new work at a leaving target and against a drain that interrupts work. */
+    /**
+     * Guards against new requests during a drain and against a drain that interrupts running ones.
+     */
     @Test
-    void leavingRefusesNewWorkAndFinishesTheRest() {
+    void drainRejectsNewRequestsAndFinishesTheRest() {
         invoke(TestInvokes.invoke(1));
         invoke(TestInvokes.invoke(2));
         mService.startDrain();
         invoke(TestInvokes.invoke(3));
-        answer(0);
-        answer(1);
+        respond(0);
+        respond(1);
         assertThat(codes())
                 .containsExactly(ResultCode.TARGET_LEAVING, ResultCode.OK, ResultCode.OK);
         assertThat(mService.inProgress()).isZero();
     }
 
-    /** Guards against a second run of a key while the first one runs or after it ended. */
+    /** Guards against running a key again while its first copy runs or after it has ended. */
     @Test
-    void copiesOfOneKeyShareOneAnswer() {
-        trustKeys();
+    void copiesOfOneKeyShareOneResponse() {
+        advanceUntilKeysAccepted();
         invoke(TestInvokes.keyed(1, "key", "body"));
         invoke(TestInvokes.keyed(2, "key", "body"));
-        answer(0);
+        respond(0);
         invoke(TestInvokes.keyed(3, "key", "body"));
         assertThat(codes()).containsExactly(ResultCode.OK, ResultCode.OK, ResultCode.OK);
         assertThat(mResults.get(2).request()).isEqualTo(TestInvokes.request(3));
         assertThat(executed()).containsExactly(1L);
     }
 
-    /** Guards against the answer to one request being given for another with the same key. */
+    /** Guards against returning the response of one request for another one with the same key. */
     @Test
-    void refusesKeysWithOtherContent() {
-        trustKeys();
+    void rejectsKeysWithOtherContent() {
+        advanceUntilKeysAccepted();
         invoke(TestInvokes.keyed(1, "key", "body"));
         invoke(TestInvokes.keyed(2, "key", "other"));
         assertThat(codes()).containsExactly(ResultCode.IDEMPOTENCY_KEY_REUSED);
     }
 
-    /** Guards against running a key again whose first run may have taken effect. */
+    /** Guards against running a key again although its first execution may have taken effect. */
     @Test
     void neverRunsKeysWithUnknownOutcomeAgain() {
-        trustKeys();
+        advanceUntilKeysAccepted();
         invoke(TestInvokes.keyed(1, "key", "body"));
-        mAnswers.get(0).onError(new IllegalStateException("reset"));
-        advance(KEYS_KEPT_MS - 1);
+        mResponses.get(0).onError(new IllegalStateException("reset"));
+        advance(KEY_RETENTION_MS - 1);
         invoke(TestInvokes.keyed(2, "key", "body"));
         assertThat(codes()).containsExactly(ResultCode.TARGET_FAILED, ResultCode.OUTCOME_UNKNOWN);
         advance(1);
@@ -255,20 +260,20 @@
         assertThat(executed()).containsExactly(1L, 3L);
     }
 
-    /** Guards against a key that stays blocked although its request provably did not run. */
+    /** Guards against rejecting a key although its request certainly did not run. */
     @Test
     void runsKeysWhoseFirstCopyDidNotReachTheTarget() {
-        trustKeys();
+        advanceUntilKeysAccepted();
         invoke(TestInvokes.keyed(1, "key", "body"));
-        mAnswers.get(0).onError(new TargetNotReachedException("refused", new Exception()));
+        mResponses.get(0).onError(new TargetNotReachedException("refused", new Exception()));
         invoke(TestInvokes.keyed(2, "key", "body"));
         assertThat(executed()).containsExactly(1L, 2L);
     }
 
-    /** Guards against a copy that arrives as late as possible at a restarted agent. */
+    /** Guards against a copy that arrives at a restarted agent with the maximum delay. */
     @Test
-    void refusesKeysUntilNoRecordCanBeMissing() {
-        advance(KEYS_TRUSTED_MS - 1);
+    void rejectsKeysUntilNoRecordCanBeMissing() {
+        advance(KEYS_ACCEPTED_AFTER_MS - 1);
         invoke(TestInvokes.keyed(1, "key", "body"));
         advance(1);
         invoke(TestInvokes.keyed(2, "key", "body"));
@@ -276,41 +281,41 @@
         assertThat(executed()).containsExactly(2L);
     }
 
-    /** Guards against running a key that belongs to another instance by the mapping in force. */
+    /** Guards against running a key that the current mapping assigns to another instance. */
     @Test
-    void refusesKeysByAnotherMapping() {
-        trustKeys();
+    void rejectsKeysByAnotherMapping() {
+        advanceUntilKeysAccepted();
         mService.configure(configuration(1, 2, 8, 2));
         invoke(TestInvokes.keyed(1, "key", "body"));
         assertThat(codes()).containsExactly(ResultCode.MAPPING_CHANGED);
         assertThat(executed()).isEmpty();
     }
 
-    /** Guards against a manifest that leaves the service alone and yet refuses its keys. */
+    /** Guards against rejecting keys after a manifest that does not change the service. */
     @Test
     void servesKeysAfterChangesThatKeepTheInstances() {
-        trustKeys();
+        advanceUntilKeysAccepted();
         mService.configure(configuration(1, 2, 8, 1));
         invoke(TestInvokes.keyed(1, "key", "body"));
         assertThat(executed()).containsExactly(1L);
     }
 
-    /** Guards against keys being refused by an agent whose instance nobody served before. */
+    /** Guards against rejecting keys of an instance that no agent has served before. */
     @Test
-    void servesKeysAtOnceWhenTheirMemoryIsTrusted() {
+    void acceptsKeysAtOnceWhenRecordsAreComplete() {
         mService.markKeyRecordsComplete(TestInvokes.SERVICE, new InstanceNumber(0));
         invoke(TestInvokes.keyed(1, "key", "body"));
         assertThat(executed()).containsExactly(1L);
     }
 
-    /** Guards against old records being dropped for new ones when the memory is full. */
+    /** Guards against removing old records to make space for new ones. */
     @Test
-    void refusesNewKeysWhenTheRecordsAreFull() {
+    void rejectsNewKeysWhenTheRecordsAreFull() {
         mService = newService(1);
         start(2, 4);
-        trustKeys();
+        advanceUntilKeysAccepted();
         invoke(TestInvokes.keyed(1, "key", "body"));
-        answer(0);
+        respond(0);
         invoke(TestInvokes.keyed(2, "other", "body"));
         invoke(TestInvokes.keyed(3, "key", "body"));
         assertThat(codes()).containsExactly(ResultCode.OK, ResultCode.OVERLOADED, ResultCode.OK);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/KeyRecordsLincheckTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/KeyRecordsLincheckTest.java
@@ -9,16 +9,17 @@
 import org.jetbrains.lincheck.datastructures.Operation;
 import org.junit.jupiter.api.Test;
 
-/** Guards against two copies of a key that both create an execution when they race. */
+/** Guards against concurrent copies of a key that both create an execution. */
 public class KeyRecordsLincheckTest {
     private final KeyRecords mRecords =
             new KeyRecords(2, 100, 1_000, new RetainedBytes(Long.MAX_VALUE));
-    private final KeyId mKey =
-            new KeyId(new ServiceName("booking"), new TeamName("team"), new IdempotencyKey("key"));
+    private final ScopedKey mKey =
+            new ScopedKey(
+                    new ServiceName("booking"), new TeamName("team"), new IdempotencyKey("key"));
     private final RequestFingerprint mFingerprint = new RequestFingerprint("fingerprint");
     private final Execution mExecution = new Execution(TestInvokes.invoke(1), 1_000, 1);
 
-    /** Claims the key; the execution is the same one, so that another operation can end it. */
+    /** Claims the key; always with the same execution, so that other operations can end it. */
     @Operation
     public String claim() {
         KeyRecords.Claim claim =
@@ -29,16 +30,16 @@
         return claim instanceof KeyRecords.Claim.Replay ? "replayed" : "refused";
     }
 
-    /** Ends the execution with an outcome that must be remembered. */
+    /** Ends the execution with an outcome that must be recorded. */
     @Operation
     public void end() {
-        mRecords.end(mKey, mExecution, Answer.of(ResultCode.TARGET_FAILED), 0);
+        mRecords.end(mKey, mExecution, ExecutionResponse.of(ResultCode.TARGET_FAILED), 0);
     }
 
-    /** Gives the execution up. */
+    /** Removes the record of the execution. */
     @Operation
     public void forget() {
-        mRecords.forget(mKey, mExecution);
+        mRecords.remove(mKey, mExecution);
     }
 
     @Test
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/RendezvousHashTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/RendezvousHashTest.java
@@ -24,14 +24,16 @@
                 .toList();
     }
 
-    /** Guards against a change of the function, by which old and new processes would disagree. */
+    /**
+     * Guards against a change of the function, after which old and new processes would disagree.
+     */
     @Test
     void keepsItsValues() {
-        // Values of a second implementation, written from the description of the function.
+        // Values of an independent implementation of the documented function.
         assertThat(choices(11).subList(0, 8)).containsExactly(4L, 0L, 6L, 4L, 10L, 7L, 7L, 9L);
     }
 
-    /** Guards against instances that get far more keys, and keys that move without need. */
+    /** Guards against uneven distribution of keys and against unnecessary moves of keys. */
     @Test
     void spreadsKeysAndMovesFew() {
         List<Long> before = new ArrayList<>(choices(11));
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/RequestRecordsLincheckTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/RequestRecordsLincheckTest.java
@@ -7,7 +7,7 @@
 import org.jetbrains.lincheck.datastructures.Operation;
 import org.junit.jupiter.api.Test;
 
-/** Guards against a request that starts although its cancellation said that it did not. */
+/** Guards against a request that starts although its cancellation reported that it did not run. */
 public class RequestRecordsLincheckTest {
     private final RequestRecords mRecords =
             new RequestRecords(2, new RetainedBytes(Long.MAX_VALUE));
@@ -20,13 +20,13 @@
         register(mRegistered);
     }
 
-    /** Registers the request that arrives meanwhile. */
+    /** Registers the arriving request. */
     @Operation
     public String register() {
         return register(mArriving);
     }
 
-    /** Starts the registered request, as a free slot does. */
+    /** Starts the registered request, as happens when a slot becomes free. */
     @Operation
     public boolean startRegistered() {
         return mRegistered.execution().start(0).isPresent();
@@ -72,7 +72,7 @@
     }
 
     @Test
-    void theStepsOfOneRequestAreLinearizable() {
+    void operationsOfOneRequestAreLinearizable() {
         new ModelCheckingOptions()
                 .iterations(10)
                 .invocationsPerIteration(60)
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/TestInvokes.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/TestInvokes.java
@@ -14,7 +14,7 @@
 import org.hickorycleat.model.manifest.Criticality;
 import org.hickorycleat.model.message.Invoke;
 
-/** Requests for tests. */
+/** Creates request messages for tests. */
 final class TestInvokes {
     static final ProcessId ENTRY = new ProcessId("entry");
     static final Incarnation INCARNATION = new Incarnation(1);
