--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestCoordinatorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestCoordinatorTest.java
@@ -148,7 +148,7 @@
                 new LoadSignal(1, 0, 5));
     }
 
-    private void answer(int index, ResultCode code) {
+    private void respond(int index, ResultCode code) {
         mCoordinator.onInvokeResult(
                 session(mReceivers.get(index), 1, 1), result(invoke(index).request(), code));
     }
@@ -169,9 +169,9 @@
         assertThat(mCoordinator.outstandingAttempts()).isZero();
     }
 
-    /** Guards against answers given to a request for which they were not meant. */
+    /** Guards against responses that are returned for another request. */
     @Test
-    void dropsAnswersThatMatchNothing() {
+    void discardsResponsesWithoutOutstandingRequest() {
         TestObserver<InvokeResult> caller = submit(unsafe().build());
         RequestId request = invoke(0).request();
         mCoordinator.onInvokeResult(session(AGENTS.get(1), 1, 1), result(request, ResultCode.OK));
@@ -180,14 +180,14 @@
         mCoordinator.onInvokeResult(session(AGENTS.get(0), 1, 1), result(other, ResultCode.OK));
         caller.assertNotComplete();
         assertThat(mCoordinator.unmatchedAnswers()).isEqualTo(3);
-        answer(0, ResultCode.OK);
+        respond(0, ResultCode.OK);
         assertEnded(caller, ResultCode.OK);
     }
 
-    /** Guards against a refused caller that is not told when to come again. */
+    /** Guards against a rejection without an advised retry delay. */
     @Test
-    void passesTheRefusalOfAdmissionControl() {
-        mAdmission = Optional.of(new Admission.Refused(ResultCode.OVERLOADED, 1_001));
+    void returnsTheRejectionOfAdmissionControl() {
+        mAdmission = Optional.of(new Admission.Rejected(ResultCode.OVERLOADED, 1_001));
         TestObserver<InvokeResult> caller = submit(unsafe().build());
         assertEnded(caller, ResultCode.OVERLOADED);
         assertThat(caller.values().get(0).headers())
@@ -195,30 +195,30 @@
         assertThat(mSent).isEmpty();
     }
 
-    /** Guards against a message that the link refused being taken for one that was sent. */
+    /** Guards against counting a message as sent although the link did not accept it. */
     @Test
-    void triesAnotherTargetWhenTheLinkRefuses() {
+    void triesAnotherTargetWhenTheLinkRejects() {
         mClosed.add(AGENTS.get(0));
         TestObserver<InvokeResult> caller = submit(unsafe().build());
         assertThat(mReceivers).containsExactly(AGENTS.get(1));
-        answer(0, ResultCode.OK);
+        respond(0, ResultCode.OK);
         assertEnded(caller, ResultCode.OK);
         mClosed.add(AGENTS.get(1));
         assertEnded(submit(unsafe().build()), ResultCode.NO_TARGET);
     }
 
-    /** Guards against a target that fails at once and so attracts more requests. */
+    /** Guards against a target that attracts requests by failing immediately. */
     @Test
     void retriesServerErrorsOfIdempotentRequestsElsewhere() {
         TestObserver<InvokeResult> caller = submit(unsafe().idempotent(true).build());
         mCoordinator.onInvokeResult(session(mReceivers.get(0), 1, 1), serverError(0));
         assertThat(mReceivers.get(1)).isNotEqualTo(mReceivers.get(0));
-        answer(1, ResultCode.OK);
+        respond(1, ResultCode.OK);
         assertEnded(caller, ResultCode.OK);
         assertThat(caller.values().get(0).status()).isEqualTo(200);
     }
 
-    /** Guards against a request that is not safe to repeat running again after it failed. */
+    /** Guards against running a request that is not idempotent again after it failed. */
     @Test
     void deliversServerErrorsOfUnsafeRequests() {
         TestObserver<InvokeResult> caller = submit(unsafe().build());
@@ -229,19 +229,19 @@
 
     /** Guards against retries beyond the budget. */
     @Test
-    void retriesRefusedRequestsWithinTheBudget() {
+    void retriesRejectedRequestsWithinTheBudget() {
         mCoordinator = newCoordinator(new RetryBudget(0, 1));
         openLinks();
         TestObserver<InvokeResult> first = submit(unsafe().build());
-        answer(0, ResultCode.AGENT_QUEUE_FULL);
-        answer(1, ResultCode.OK);
+        respond(0, ResultCode.AGENT_QUEUE_FULL);
+        respond(1, ResultCode.OK);
         assertEnded(first, ResultCode.OK);
         TestObserver<InvokeResult> second = submit(unsafe().build());
-        answer(2, ResultCode.TARGET_LEAVING);
+        respond(2, ResultCode.TARGET_LEAVING);
         assertEnded(second, ResultCode.TARGET_LEAVING);
     }
 
-    /** Guards against an unsafe request that runs twice after its connection broke. */
+    /** Guards against a non-idempotent request that runs twice after its connection was lost. */
     @Test
     void resolvesAnUnsafeRequestOnTheNextSession() {
         TestObserver<InvokeResult> caller = submit(unsafe().build());
@@ -254,13 +254,15 @@
         caller.assertNotComplete();
         cancelled(next, CancelState.NOT_RUN);
         assertThat(mReceivers.get(2)).isEqualTo(AGENTS.get(1));
-        answer(2, ResultCode.OK);
+        respond(2, ResultCode.OK);
         assertEnded(caller, ResultCode.OK);
     }
 
-    /** Guards against a not-run that is reported without proof when the agent restarted. */
+    /**
+     * Guards against reporting a request as not run without confirmation after the agent restarted.
+     */
     @Test
-    void aNewIncarnationOfTheAgentLeavesTheOutcomeUnknown() {
+    void newIncarnationOfTheAgentLeavesTheOutcomeUnknown() {
         TestObserver<InvokeResult> caller = submit(unsafe().build());
         mCoordinator.onLinkOpened(session(AGENTS.get(0), 2, 1));
         assertEnded(caller, ResultCode.AGENT_LOST);
@@ -268,20 +270,20 @@
     }
 
     /**
-     * Guards against a refusal of the second attempt that hides that the first one may have run.
+     * Guards against a rejection of the second attempt that hides that the first one may have run.
      */
     @Test
-    void aLaterRefusalDoesNotHideAnUnknownOutcome() {
+    void laterRejectionDoesNotReplaceAnUnknownOutcome() {
         TestObserver<InvokeResult> caller = submit(unsafe().idempotent(true).build());
         mCoordinator.onLinkClosed(session(AGENTS.get(0), 1, 1));
         assertThat(mReceivers).containsExactly(AGENTS.get(0), AGENTS.get(1));
-        answer(1, ResultCode.OVERLOADED);
+        respond(1, ResultCode.OVERLOADED);
         assertEnded(caller, ResultCode.AGENT_LOST);
     }
 
-    /** Guards against a not-run at the deadline that nobody has proven. */
+    /** Guards against reporting a request as not run at the deadline without confirmation. */
     @Test
-    void theDeadlineAsksTheAgentBeforeItIsReported() {
+    void cancelsAtTheAgentBeforeTheDeadline() {
         TestObserver<InvokeResult> silent = submit(unsafe().remainingMs(100).build());
         advance(90);
         assertThat(mSent.get(1)).isEqualTo(new Cancel(invoke(0).request()));
@@ -295,9 +297,9 @@
         assertEnded(waiting, ResultCode.DEADLINE_EXCEEDED);
     }
 
-    /** Guards against a lost connection that is reported as a slow target. */
+    /** Guards against reporting a lost connection as a timeout of the target. */
     @Test
-    void anUnresolvedRequestIsUnknownAtTheDeadline() {
+    void unresolvedRequestHasUnknownOutcomeAtTheDeadline() {
         TestObserver<InvokeResult> caller = submit(unsafe().build());
         mClosed.add(AGENTS.get(0));
         mCoordinator.onLinkClosed(session(AGENTS.get(0), 1, 1));
@@ -305,9 +307,9 @@
         assertEnded(caller, ResultCode.OUTCOME_UNKNOWN);
     }
 
-    /** Guards against a caller that left and still holds a place. */
+    /** Guards against a cancelled request that still holds a reservation or a permit. */
     @Test
-    void aCallerThatLeavesCancelsItsRequest() {
+    void disposingTheSubscriptionCancelsTheRequest() {
         TestObserver<InvokeResult> caller = submit(unsafe().build());
         caller.dispose();
         assertThat(mSent.get(1)).isEqualTo(new Cancel(invoke(0).request()));
@@ -315,20 +317,20 @@
         assertThat(mOpenPermits).isZero();
     }
 
-    /** Guards against a key that reaches an instance without its record. */
+    /** Guards against sending an idempotency key to an instance that lacks its record. */
     @Test
     void sendsEachKeyToItsInstanceOnly() {
         assertEnded(submit(keyed("key")), ResultCode.NO_CONFIGURATION);
         mCoordinator.configureMapping(SERVICE, VERSION, List.of(new InstanceNumber(1)));
         TestObserver<InvokeResult> caller = submit(keyed("key"));
         assertThat(mReceivers).containsExactly(AGENTS.get(1));
-        answer(0, ResultCode.AGENT_QUEUE_FULL);
+        respond(0, ResultCode.AGENT_QUEUE_FULL);
         assertEnded(caller, ResultCode.AGENT_QUEUE_FULL);
     }
 
-    /** Guards against a key that runs at its new instance while the old one may have run it. */
+    /** Guards against running a key at its new instance after the old one may have run it. */
     @Test
-    void refusesKeysThatMoved() {
+    void rejectsKeysThatMoved() {
         mCoordinator.configureMapping(SERVICE, VERSION, List.of(new InstanceNumber(0)));
         ConfigurationVersion next = new ConfigurationVersion(8);
         mCoordinator.configureMapping(SERVICE, next, List.of(new InstanceNumber(1)));
@@ -339,11 +341,11 @@
         assertEnded(submit(current), ResultCode.MAPPING_CHANGED);
         advance(1);
         TestObserver<InvokeResult> caller = submit(current);
-        answer(0, ResultCode.OK);
+        respond(0, ResultCode.OK);
         assertEnded(caller, ResultCode.OK);
     }
 
-    /** Guards against a copy that is sent so late that its record may be gone. */
+    /** Guards against a copy of a key that is sent after its record may have been removed. */
     @Test
     void makesNoLateAttemptsWithKeys() {
         mCoordinator.configureMapping(SERVICE, VERSION, List.of(new InstanceNumber(0)));
@@ -359,17 +361,17 @@
         assertEnded(caller, ResultCode.NO_TARGET);
     }
 
-    /** Guards against an agent that drops the record of a request that is still outstanding. */
+    /** Guards against an agent that removes the record of an outstanding request. */
     @Test
     void acknowledgesOnlyBelowTheOldestOutstandingRequest() {
         TestObserver<InvokeResult> oldest = submit(unsafe().build());
         for (int index = 1; index <= 50; index++) {
             submit(unsafe().build());
-            answer(index, ResultCode.OK);
+            respond(index, ResultCode.OK);
         }
         assertThat(invoke(50).acknowledgedBelow())
                 .isLessThanOrEqualTo(invoke(0).request().counter());
-        answer(0, ResultCode.OK);
+        respond(0, ResultCode.OK);
         assertEnded(oldest, ResultCode.OK);
         submit(unsafe().build());
         assertThat(invoke(51).acknowledgedBelow()).isGreaterThan(invoke(0).request().counter());
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestOracle.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestOracle.java
@@ -15,20 +15,20 @@
 import org.hickorycleat.model.result.Outcome;
 import org.hickorycleat.model.result.ResultCode;
 
-/** Counts what the targets executed and compares it with what the callers were told. */
+/** Counts the executions at the targets and checks them against the results of the callers. */
 final class RequestOracle {
     static final String CALL_HEADER = "Call";
 
-    /** What a caller asked for and was told. */
+    /** Request of a caller and its results. */
     static final class CallRecord {
         final int mNumber;
         final CallerRequest mRequest;
         final long mDeadlineMs;
         final List<InvokeResult> mResults = new ArrayList<>();
         Disposable mSubscription = Disposable.disposed();
-        long mAnsweredMs;
-        // The caller left or its entry was killed.
-        boolean mGone;
+        long mRespondedMs;
+        // The caller disconnected or its entry was killed.
+        boolean mCallerGone;
 
         CallRecord(int number, CallerRequest request, long deadlineMs) {
             mNumber = number;
@@ -42,7 +42,7 @@
     private final Map<Integer, Integer> mExecutionsOfCall = new HashMap<>();
     private final Map<String, Integer> mExecutionsOfKey = new HashMap<>();
 
-    CallRecord add(CallRecord call) {
+    CallRecord addCall(CallRecord call) {
         mCalls.add(call);
         return call;
     }
@@ -51,12 +51,12 @@
         return mCalls;
     }
 
-    /** Reports a violation seen where an exception would be taken for a failure of the target. */
-    void violation(String description) {
+    /** Records a violation where an exception would be treated as a failure of the target. */
+    void recordViolation(String description) {
         mViolations.add(description);
     }
 
-    /** Counts an execution and returns the answer of the target. */
+    /** Counts an execution and returns the response of the target. */
     byte[] execute(Invoke invoke) {
         int number = callNumber(invoke.headers());
         mExecutionsOfCall.merge(number, 1, Integer::sum);
@@ -66,7 +66,7 @@
         return ("answer to " + content).getBytes(StandardCharsets.UTF_8);
     }
 
-    /** Checks every call after all that could still happen has happened. */
+    /** Checks every call; to be called when no events are pending. */
     void check() {
         assertThat(mViolations).isEmpty();
         mCalls.forEach(this::check);
@@ -80,11 +80,11 @@
         if (unsafe) {
             assertThat(executions).as("executions of unsafe call %d", call.mNumber).isLessThan(2);
         }
-        if (call.mGone) {
+        if (call.mCallerGone) {
             return;
         }
         assertThat(call.mResults).as("results of call %d", call.mNumber).hasSize(1);
-        assertThat(call.mAnsweredMs).as("answered").isLessThanOrEqualTo(call.mDeadlineMs);
+        assertThat(call.mRespondedMs).as("answered").isLessThanOrEqualTo(call.mDeadlineMs);
         checkResult(call, call.mResults.get(0), executions);
     }
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestPipelinePropertyTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestPipelinePropertyTest.java
@@ -13,7 +13,7 @@
 import net.jqwik.api.statistics.Statistics;
 import org.hickorycleat.model.result.ResultCode;
 
-/** Runs coordinators and invocation services together against the oracle. */
+/** Runs coordinators and invocation services together and checks them with the oracle. */
 class RequestPipelinePropertyTest {
     /** One step of a scenario. */
     private record Step(String description, Consumer<RequestPipelineSimulation> action) {
@@ -29,17 +29,19 @@
     }
 
     /**
-     * Guards against a request or key that runs twice, a caller that is told not-run of a request
-     * that ran, an answer that reaches another caller, and room that is never freed.
+     * Guards against a request or key that runs twice, a request that ran and is reported as not
+     * run, a response that is returned to another caller, and reservations or permits that are
+     * never released.
      */
     @Property(tries = 2_000, seed = "20261204")
-    void everyCallerIsToldTheTruth(@ForAll("scenarios") List<Step> steps, @ForAll long randomness) {
+    void everyResultMatchesWhatWasExecuted(
+            @ForAll("scenarios") List<Step> steps, @ForAll long randomness) {
         RequestPipelineSimulation simulation = new RequestPipelineSimulation(randomness);
         steps.forEach(step -> step.action().accept(simulation));
         for (RequestOracle.CallRecord call : simulation.finish().calls()) {
             call.mResults.forEach(result -> Statistics.collect(result.code()));
         }
-        // A simulation in which some result never occurs would not test the path to it.
+        // A result code that never occurs would leave its code path untested.
         Statistics.coverage(
                 coverage -> {
                     for (ResultCode code : EXPECTED) {
@@ -81,59 +83,125 @@
                 Tuple.of(
                         6,
                         Arbitraries.of(1, 20, 100, 400, 1_500)
-                                .map(ms -> Step.of(s -> s.advance(ms), "advance", ms))),
+                                .map(
+                                        ms ->
+                                                Step.of(
+                                                        simulation -> simulation.advance(ms),
+                                                        "advance",
+                                                        ms))),
                 Tuple.of(
                         6,
                         Combinators.combine(entry, Arbitraries.of(true, false), deadline)
                                 .as(
-                                        (e, idempotent, d) ->
+                                        (entryIndex, idempotent, deadlineMs) ->
                                                 Step.of(
-                                                        s -> s.submit(e, idempotent, d),
+                                                        simulation ->
+                                                                simulation.submit(
+                                                                        entryIndex,
+                                                                        idempotent,
+                                                                        deadlineMs),
                                                         "submit",
-                                                        e,
+                                                        entryIndex,
                                                         idempotent,
-                                                        d))),
+                                                        deadlineMs))),
                 Tuple.of(
                         6,
                         Combinators.combine(entry, small, rarely, deadline)
                                 .as(
-                                        (e, slot, other, d) ->
+                                        (entryIndex, keyIndex, differentContent, deadlineMs) ->
                                                 Step.of(
-                                                        s -> s.submitKeyed(e, slot, other, d),
+                                                        simulation ->
+                                                                simulation.submitKeyed(
+                                                                        entryIndex,
+                                                                        keyIndex,
+                                                                        differentContent,
+                                                                        deadlineMs),
                                                         "keyed",
-                                                        e,
-                                                        slot,
-                                                        other,
-                                                        d))),
+                                                        entryIndex,
+                                                        keyIndex,
+                                                        differentContent,
+                                                        deadlineMs))),
                 Tuple.of(
                         1,
                         Combinators.combine(entry, Arbitraries.integers().between(6, 24))
-                                .as((e, n) -> Step.of(s -> s.burst(e, n), "burst", e, n))),
+                                .as(
+                                        (entryIndex, size) ->
+                                                Step.of(
+                                                        simulation ->
+                                                                simulation.burst(entryIndex, size),
+                                                        "burst",
+                                                        entryIndex,
+                                                        size))),
                 Tuple.of(
                         2,
                         Combinators.combine(entry, small)
-                                .as((e, b) -> Step.of(s -> s.dispose(e, b), "dispose", e, b))),
+                                .as(
+                                        (entryIndex, callsBack) ->
+                                                Step.of(
+                                                        simulation ->
+                                                                simulation.dispose(
+                                                                        entryIndex, callsBack),
+                                                        "dispose",
+                                                        entryIndex,
+                                                        callsBack))),
                 Tuple.of(
                         3,
                         Combinators.combine(entry, agent)
                                 .as(
-                                        (e, a) ->
+                                        (entryIndex, agentIndex) ->
                                                 Step.of(
-                                                        s -> s.disconnect(e, a),
+                                                        simulation ->
+                                                                simulation.disconnect(
+                                                                        entryIndex, agentIndex),
                                                         "disconnect",
-                                                        e,
-                                                        a))),
+                                                        entryIndex,
+                                                        agentIndex))),
                 Tuple.of(
                         4,
                         Combinators.combine(entry, agent)
-                                .as((e, a) -> Step.of(s -> s.connect(e, a), "connect", e, a))),
-                Tuple.of(1, agent.map(a -> Step.of(s -> s.restartAgent(a), "restart agent", a))),
-                Tuple.of(1, entry.map(e -> Step.of(s -> s.restartEntry(e), "restart entry", e))),
-                Tuple.of(1, agent.map(a -> Step.of(s -> s.leave(a), "leave", a))),
+                                .as(
+                                        (entryIndex, agentIndex) ->
+                                                Step.of(
+                                                        simulation ->
+                                                                simulation.connect(
+                                                                        entryIndex, agentIndex),
+                                                        "connect",
+                                                        entryIndex,
+                                                        agentIndex))),
+                Tuple.of(
+                        1,
+                        agent.map(
+                                agentIndex ->
+                                        Step.of(
+                                                simulation -> simulation.restartAgent(agentIndex),
+                                                "restart agent",
+                                                agentIndex))),
+                Tuple.of(
+                        1,
+                        entry.map(
+                                entryIndex ->
+                                        Step.of(
+                                                simulation -> simulation.restartEntry(entryIndex),
+                                                "restart entry",
+                                                entryIndex))),
+                Tuple.of(
+                        1,
+                        agent.map(
+                                agentIndex ->
+                                        Step.of(
+                                                simulation -> simulation.startDrain(agentIndex),
+                                                "leave",
+                                                agentIndex))),
                 Tuple.of(
                         1,
                         Arbitraries.integers()
                                 .between(2, 3)
-                                .map(n -> Step.of(s -> s.changeMapping(n), "mapping", n))));
+                                .map(
+                                        instances ->
+                                                Step.of(
+                                                        simulation ->
+                                                                simulation.changeMapping(instances),
+                                                        "mapping",
+                                                        instances))));
     }
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestPipelineSimulation.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestPipelineSimulation.java
@@ -31,11 +31,11 @@
 import org.hickorycleat.model.message.Message;
 
 /**
- * Entries and agents over links with random delays, on a virtual clock.
+ * Simulates entries and agents connected by links with random delays, on a virtual clock.
  *
- * <p>Messages may overtake each other, also within a session, as they do when several threads
- * handle them. What is under way when a connection breaks is lost or arrives later all the same,
- * even after the next session was opened.
+ * <p>Messages may be reordered, also within a session, as happens when several threads handle them.
+ * A message in transit when a connection breaks is either lost or still arrives, possibly after the
+ * next session was opened.
  */
 final class RequestPipelineSimulation {
     static final ServiceName SERVICE = new ServiceName("booking");
@@ -65,15 +65,15 @@
 
     RequestPipelineSimulation(long seed) {
         mRandom = new Random(seed);
-        RxJavaPlugins.setErrorHandler(error -> mOracle.violation("uncaught: " + error));
+        RxJavaPlugins.setErrorHandler(error -> mOracle.recordViolation("uncaught: " + error));
         for (int index = 0; index < ENTRIES; index++) {
             mEntries.add(newEntry(new ProcessId("entry" + index)));
         }
         for (int index = 0; index < AGENTS; index++) {
             mAgents.add(newAgent(index));
         }
-        // Lets the agents grow old enough to accept keys.
-        advance((int) KEY_VALIDITY.uncertainty().toMillis());
+        // Agents accept keys only after the window in which records may be missing.
+        advance((int) KEY_VALIDITY.missingRecordWindow().toMillis());
         for (int entry = 0; entry < ENTRIES; entry++) {
             for (int agent = 0; agent < AGENTS; agent++) {
                 connect(entry, agent);
@@ -96,14 +96,14 @@
         }
     }
 
-    /** Submits a copy of a key; a slot gets a new key once the old one must not be reused. */
-    void submitKeyed(int entry, int slot, boolean other, int deadlineMs) {
-        Key key = mKeys.get(slot);
+    /** Submits a copy of a key; the key at an index is replaced once it must not be reused. */
+    void submitKeyed(int entry, int keyIndex, boolean differentContent, int deadlineMs) {
+        Key key = mKeys.get(keyIndex);
         if (key == null || nowMs() - key.createdMs() > KEY_VALIDITY.validity().toMillis()) {
-            key = new Key(new IdempotencyKey("key" + slot + "-" + nowMs()), nowMs());
-            mKeys.put(slot, key);
+            key = new Key(new IdempotencyKey("key" + keyIndex + "-" + nowMs()), nowMs());
+            mKeys.put(keyIndex, key);
         }
-        String content = key.key().value() + (other ? " with other content" : "");
+        String content = key.key().value() + (differentContent ? " with other content" : "");
         submit(mEntries.get(entry), false, deadlineMs, Optional.of(key.key()), content);
     }
 
@@ -131,7 +131,8 @@
         key.ifPresent(builder::idempotencyKey);
         CallerRequest request = builder.build();
         RequestOracle.CallRecord call =
-                mOracle.add(new RequestOracle.CallRecord(number, request, nowMs() + deadlineMs));
+                mOracle.addCall(
+                        new RequestOracle.CallRecord(number, request, nowMs() + deadlineMs));
         entry.mCalls.add(call);
         call.mSubscription =
                 entry.mCoordinator
@@ -139,29 +140,29 @@
                         .subscribe(
                                 result -> {
                                     call.mResults.add(result);
-                                    call.mAnsweredMs = nowMs();
+                                    call.mRespondedMs = nowMs();
                                 });
     }
 
-    /** Makes the caller of a recent call go away. */
-    void dispose(int entry, int back) {
+    /** Cancels a recent call by disposing its subscription. */
+    void dispose(int entry, int callsBack) {
         List<RequestOracle.CallRecord> calls = mEntries.get(entry).mCalls;
-        if (back >= calls.size()) {
+        if (callsBack >= calls.size()) {
             return;
         }
-        RequestOracle.CallRecord call = calls.get(calls.size() - 1 - back);
+        RequestOracle.CallRecord call = calls.get(calls.size() - 1 - callsBack);
         if (call.mResults.isEmpty()) {
-            call.mGone = true;
+            call.mCallerGone = true;
             call.mSubscription.dispose();
         }
     }
 
-    /** Breaks a connection; the entry notices later, or only by the next one. */
+    /** Breaks a connection; the entry detects this later or when the next one opens. */
     void disconnect(int entry, int agent) {
         breakConnection(mEntries.get(entry), mAgents.get(agent).mId);
     }
 
-    /** Makes an agent dial an entry, whether or not its old connection is broken. */
+    /** Connects an agent to an entry, whether or not its old connection is broken. */
     void connect(int entryIndex, int agentIndex) {
         SimulatedEntry entry = mEntries.get(entryIndex);
         SimulatedAgent agent = mAgents.get(agentIndex);
@@ -171,7 +172,7 @@
         LinkSession link = new LinkSession(agent.mId, agent.mIncarnation, session);
         SimulatedEntry.Connection connection = new SimulatedEntry.Connection(link, agent);
         entry.mConnections.put(agent.mId, connection);
-        later(
+        runAfterRandomDelay(
                 () -> {
                     if (entry.mAlive && entry.mConnections.get(agent.mId) == connection) {
                         connection.mOpenAtEntry = true;
@@ -196,7 +197,7 @@
         old.mAlive = false;
         old.mCalls.stream()
                 .filter(call -> call.mResults.isEmpty())
-                .forEach(call -> call.mGone = true);
+                .forEach(call -> call.mCallerGone = true);
         old.mCalls.forEach(call -> call.mSubscription.dispose());
         mEntries.set(index, newEntry(old.mId));
         for (int agent = 0; agent < AGENTS; agent++) {
@@ -204,23 +205,23 @@
         }
     }
 
-    void leave(int agent) {
-        mAgents.get(agent).leave();
+    void startDrain(int agent) {
+        mAgents.get(agent).startDrain();
     }
 
-    /** Publishes a mapping, which every process sees at another time. */
+    /** Publishes a mapping, which each process receives after its own delay. */
     void changeMapping(int instances) {
         mMapping = mapping(mMapping.version().value() + 1, instances);
         Mapping mapping = mMapping;
         for (SimulatedEntry entry : mEntries) {
-            later(() -> entry.configure(mapping));
+            runAfterRandomDelay(() -> entry.configure(mapping));
         }
         for (SimulatedAgent agent : mAgents) {
-            later(() -> agent.configure(mapping));
+            runAfterRandomDelay(() -> agent.configure(mapping));
         }
     }
 
-    /** Lets everything end and checks what happened. */
+    /** Reconnects all processes, runs until all calls have ended and checks the results. */
     RequestOracle finish() {
         for (int entry = 0; entry < ENTRIES; entry++) {
             for (int agent = 0; agent < AGENTS; agent++) {
@@ -275,11 +276,11 @@
         }
         connection.mBroken = true;
         if (mRandom.nextBoolean()) {
-            later(() -> noticeClosed(entry, connection));
+            runAfterRandomDelay(() -> closeAtEntry(entry, connection));
         }
     }
 
-    private static void noticeClosed(SimulatedEntry entry, SimulatedEntry.Connection connection) {
+    private static void closeAtEntry(SimulatedEntry entry, SimulatedEntry.Connection connection) {
         if (entry.mAlive && connection.mOpenAtEntry) {
             connection.mOpenAtEntry = false;
             entry.mCoordinator.onLinkClosed(connection.mSession);
@@ -303,11 +304,14 @@
         SessionNumber session = connection.mSession.session();
         if (message instanceof Invoke invoke) {
             connection.mAgent.mService.invoke(
-                    entry.mId, session, invoke, result -> answer(entry, connection, result));
+                    entry.mId,
+                    session,
+                    invoke,
+                    result -> deliverResponse(entry, connection, result));
         } else if (message instanceof Cancel cancel) {
             CancelResult result =
                     connection.mAgent.mService.cancel(
-                            cancel.request(), late -> answer(entry, connection, late));
+                            cancel.request(), late -> deliverResponse(entry, connection, late));
             deliver(
                     connection,
                     () -> {
@@ -318,7 +322,7 @@
         }
     }
 
-    private void answer(
+    private void deliverResponse(
             SimulatedEntry entry, SimulatedEntry.Connection connection, InvokeResult result) {
         if (connection.mAgent.alive()) {
             deliver(
@@ -336,7 +340,7 @@
             return;
         }
         boolean survivesBreak = mRandom.nextBoolean();
-        later(
+        runAfterRandomDelay(
                 () -> {
                     if (!connection.mBroken || survivesBreak) {
                         delivery.run();
@@ -344,7 +348,7 @@
                 });
     }
 
-    private void later(Runnable action) {
+    private void runAfterRandomDelay(Runnable action) {
         Disposable unused =
                 mScheduler.scheduleDirect(
                         action, 1 + mRandom.nextInt(MAXIMUM_DELAY_MS), TimeUnit.MILLISECONDS);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/SimulatedAgent.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/SimulatedAgent.java
@@ -16,7 +16,7 @@
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.message.Invoke;
 
-/** One incarnation of an agent with its target. */
+/** Simulates one incarnation of an agent with its target. */
 final class SimulatedAgent {
     static final int SLOTS = 2;
     static final int CONNECTIONS = 4;
@@ -30,7 +30,7 @@
     private final Random mRandom;
     private boolean mAlive = true;
     private int mRunning;
-    // A new incarnation counts its sessions from the start again.
+    // Session numbers start again with every incarnation.
     long mSessions;
 
     SimulatedAgent(
@@ -72,12 +72,12 @@
         return mAlive;
     }
 
-    /** Kills the process: nothing that its timers still do has an effect. */
+    /** Kills the process: its timers have no effect from now on. */
     void kill() {
         mAlive = false;
     }
 
-    void leave() {
+    void startDrain() {
         mService.startDrain();
     }
 
@@ -90,23 +90,23 @@
         }
         mRunning++;
         if (mRunning > SLOTS) {
-            mOracle.violation(mRunning + " requests at " + mId);
+            mOracle.recordViolation(mRunning + " requests at " + mId);
         }
-        byte[] answer = mOracle.execute(invoke);
-        // doFinally would come after the next request was started.
-        return respond(answer).doOnTerminate(() -> mRunning--).doOnDispose(() -> mRunning--);
+        byte[] response = mOracle.execute(invoke);
+        // doFinally would run after the next request was started.
+        return respond(response).doOnTerminate(() -> mRunning--).doOnDispose(() -> mRunning--);
     }
 
-    private Single<TargetResponse> respond(byte[] answer) {
-        int fate = mRandom.nextInt(10);
-        if (fate == 0) {
+    private Single<TargetResponse> respond(byte[] response) {
+        int outcome = mRandom.nextInt(10);
+        if (outcome == 0) {
             return Single.never();
         }
         Single<Long> delay =
                 Single.timer(1 + mRandom.nextInt(150), TimeUnit.MILLISECONDS, mScheduler);
-        if (fate == 1) {
+        if (outcome == 1) {
             return delay.flatMap(tick -> Single.error(new IllegalStateException("reset")));
         }
-        return delay.map(tick -> new TargetResponse(200, List.of(), answer));
+        return delay.map(tick -> new TargetResponse(200, List.of(), response));
     }
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/SimulatedEntry.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/SimulatedEntry.java
@@ -15,9 +15,12 @@
 import org.hickorycleat.model.message.LoadSignal;
 import org.hickorycleat.model.result.ResultCode;
 
-/** One incarnation of an entry, with a random choice of targets and occasional refusals. */
+/**
+ * Simulates one incarnation of an entry that chooses targets at random and sometimes rejects
+ * requests.
+ */
 final class SimulatedEntry {
-    /** A connection as its two ends see it; each notices its end at another time. */
+    /** State of a connection at both ends, which detect its loss at different times. */
     static final class Connection {
         final LinkSession mSession;
         final SimulatedAgent mAgent;
@@ -68,7 +71,7 @@
 
     private Admission admit() {
         if (mSimulation.mRandom.nextInt(20) == 0) {
-            return new Admission.Refused(ResultCode.OVERLOADED, 1);
+            return new Admission.Rejected(ResultCode.OVERLOADED, 1);
         }
         mPermits++;
         return new Admission.Admitted(() -> mPermits--);
