--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/RequestRecords.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/RequestRecords.java
@@ -206,8 +206,8 @@
             if (record.isPresent() && record.get() instanceof RequestRecord.Cancelled) {
                 return Optional.of(Registration.CANCELLED);
             }
-            boolean settled = record.isPresent() || records.isAcknowledged(request.counter());
-            return settled ? Optional.of(Registration.FENCED) : Optional.empty();
+            boolean handled = record.isPresent() || records.isAcknowledged(request.counter());
+            return handled ? Optional.of(Registration.FENCED) : Optional.empty();
         }
 
         synchronized Cancellation cancel(
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/ServiceTargets.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/ServiceTargets.java
@@ -39,12 +39,12 @@
         mTargets.computeIfPresent(address, (key, view) -> change.apply(view));
     }
 
-    synchronized void removeGone(long nowMs, long forgetAfterMs) {
+    synchronized void removeGone(long nowMs, long retentionMs) {
         mTargets.values()
                 .removeIf(
                         view ->
                                 view.condition(nowMs) == TargetCondition.GONE
-                                        && nowMs - view.reportedMs() >= forgetAfterMs);
+                                        && nowMs - view.reportedMs() >= retentionMs);
     }
 
     private static TargetView create(
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/InvocationServiceTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/InvocationServiceTest.java
@@ -203,9 +203,9 @@
         mService.acknowledge(TestInvokes.ENTRY, TestInvokes.INCARNATION, 20);
         respond(0);
         invoke(TestInvokes.invoke(5));
-        CancelResult settled = mService.cancel(TestInvokes.request(6));
+        CancelResult cancellation = mService.cancel(TestInvokes.request(6));
         assertThat(executed()).containsExactly(20L);
-        assertThat(settled.state()).isEqualTo(CancelState.FINISHED);
+        assertThat(cancellation.state()).isEqualTo(CancelState.FINISHED);
     }
 
     /**
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/KeyRecordsLincheckTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/invocation/KeyRecordsLincheckTest.java
@@ -38,7 +38,7 @@
 
     /** Removes the record of the execution. */
     @Operation
-    public void forget() {
+    public void remove() {
         mRecords.remove(mKey, mExecution);
     }
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestOracle.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/retry/RequestOracle.java
@@ -91,13 +91,13 @@
     private static void checkResult(CallRecord call, InvokeResult result, int executions) {
         if (result.code().outcome() == Outcome.NOT_RUN) {
             assertThat(executions)
-                    .as("executions of call %d, which was told %s", call.mNumber, result.code())
+                    .as("executions of call %d, which ended with %s", call.mNumber, result.code())
                     .isZero();
         }
         if (result.code() == ResultCode.OK) {
             String content = new String(call.mRequest.body(), StandardCharsets.UTF_8);
             assertThat(new String(result.body(), StandardCharsets.UTF_8))
-                    .as("answer of call %d", call.mNumber)
+                    .as("response to call %d", call.mNumber)
                     .isEqualTo("answer to " + content);
         }
     }
