--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/TargetDirectory.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/TargetDirectory.java
@@ -116,8 +116,8 @@
 
     /** Returns the targets of a service in every condition. */
     public List<TargetView> targets(ServiceName service) {
-        ServiceTargets shard = mTargets.get(service);
-        return shard == null ? List.of() : shard.views();
+        ServiceTargets serviceTargets = mTargets.get(service);
+        return serviceTargets == null ? List.of() : serviceTargets.views();
     }
 
     /** Returns the targets of a service that accept new requests. */
@@ -144,7 +144,8 @@
     /** Removes agents and targets that have been gone for a minute; to be called periodically. */
     public void removeGoneTargets() {
         long nowMs = nowMs();
-        mTargets.values().forEach(shard -> shard.removeGone(nowMs, GONE_RETENTION_MS));
+        mTargets.values()
+                .forEach(serviceTargets -> serviceTargets.removeGone(nowMs, GONE_RETENTION_MS));
         mAgents.values()
                 .removeIf(
                         session ->
@@ -155,7 +156,7 @@
     /** Returns all targets by service for the state dump. */
     public Map<ServiceName, List<TargetView>> dump() {
         Map<ServiceName, List<TargetView>> dump = new TreeMap<>();
-        mTargets.forEach((service, shard) -> dump.put(service, shard.views()));
+        mTargets.forEach((service, serviceTargets) -> dump.put(service, serviceTargets.views()));
         return dump;
     }
 
@@ -191,9 +192,9 @@
     }
 
     private void update(TargetAddress target, UnaryOperator<TargetView> change) {
-        ServiceTargets shard = mTargets.get(target.service());
-        if (shard != null) {
-            shard.update(target, change);
+        ServiceTargets serviceTargets = mTargets.get(target.service());
+        if (serviceTargets != null) {
+            serviceTargets.update(target, change);
         }
     }
 }
