--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/TargetConfiguration.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/TargetConfiguration.java
@@ -11,7 +11,7 @@
  * @param service service of the target
  * @param instance instance number that the target announced
  * @param mappedInstances instance numbers of the service in the manifest
- * @param mappingVersion version of the manifest that last changed {@code mappedInstances}
+ * @param mappingVersion version of the mapping of keys to {@code mappedInstances}
  * @param slots maximum number of running requests
  * @param connections maximum number of running and waiting requests
  */
