--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/InstanceRegistry.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/membership/InstanceRegistry.java
@@ -24,7 +24,7 @@
     /** An instance of a service. */
     private record Instance(ServiceName service, InstanceNumber number) {}
 
-    /** Registration status of a run of an agent. */
+    /** Registration status of an incarnation of an agent. */
     public enum RegistrationStatus {
         /** The registration has not been read yet. */
         UNREGISTERED,
@@ -46,7 +46,7 @@
         mComplete = false;
     }
 
-    /** Returns the standing of a run. */
+    /** Returns the registration status of an incarnation of an agent. */
     public synchronized RegistrationStatus registrationStatus(InstanceRegistration registration) {
         if (!mRegistered.contains(registration)) {
             return RegistrationStatus.UNREGISTERED;
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/admission/FairAdmissionControlTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/admission/FairAdmissionControlTest.java
@@ -18,7 +18,7 @@
 class FairAdmissionControlTest {
     private static final int RUN_MS = 8_000;
 
-    /** Guards against an idle reserve: a single class must be able to use the whole capacity. */
+    /** Guards against unused reserves: a single class must be able to use the whole capacity. */
     @Test
     void singleFloodingClassUsesAllCapacity() {
         AdmissionFixture fixture = new AdmissionFixture(1);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/InstanceRegistryTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/membership/InstanceRegistryTest.java
@@ -23,7 +23,7 @@
 
     /** Guards against rejecting keys for over a minute when a fleet first starts. */
     @Test
-    void firstRunOfAnInstanceIsOriginal() {
+    void firstIncarnationOfAnInstanceIsOriginal() {
         mRegistry.apply(FIRST);
         mRegistry.apply(FIRST);
 
