--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/SlotQueue.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/invocation/SlotQueue.java
@@ -8,7 +8,7 @@
 import org.hickorycleat.model.message.Invoke;
 import org.hickorycleat.model.message.LoadSignal;
 
-/** Slots of one target and the bounded queue of executions that wait for them. */
+/** Slots of one target and the bounded queue of waiting executions; one lock guards both. */
 final class SlotQueue {
     /** An execution that holds a slot now. */
     record Started(Execution execution, Invoke invoke) {}
