--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
@@ -28,21 +28,25 @@
 import org.hickorycleat.platform.HttpWorkerRuntime;
 import org.hickorycleat.platform.WorkerHeartbeatHandler;
 
-/** Role of an agent: carries out the orders of the owner on the worker of its machine. */
+/** Runs an agent: executes the commands of the owner on the worker of its VM. */
 final class AgentRole implements Lifecycle, FleetLinkListener {
     private static final EventLog LOG = EventLog.of(AgentRole.class);
 
-    /** Time after which an order to the worker counts as unanswered, in milliseconds. */
-    private static final int ORDER_TIMEOUT_MS = 250;
+    /** Timeout of a command to the worker, in milliseconds. */
+    private static final int COMMAND_TIMEOUT_MS = 250;
 
-    /** An owner that does not answer reports for this long is dialled anew, in milliseconds. */
-    private static final long OWNER_SILENCE_MS = 1_500;
+    /** Time without a message from the owner after which the agent reconnects, in milliseconds. */
+    private static final long OWNER_TIMEOUT_MS = 1_500;
 
-    /** Time between two checks of the owner, in milliseconds. */
-    private static final long CHECK_MS = 250;
+    /**
+     * Interval between two checks of the connections to the owner and to entries, in milliseconds.
+     */
+    private static final long CHECK_INTERVAL_MS = 250;
 
-    /** Without a link for this long the store is asked for entries, in milliseconds. */
-    private static final long LOST_MS = 1_000;
+    /**
+     * Time without a connected entry after which the store is read for entries, in milliseconds.
+     */
+    private static final long DISCONNECTED_TIMEOUT_MS = 1_000;
 
     private static final int STORE_TIMEOUT_MS = 1_000;
 
@@ -57,8 +61,8 @@
     private final RunSupervisor mSupervisor;
     private Optional<ProcessId> mOwner = Optional.empty();
     private Epoch mEpoch = new Epoch(-1);
-    private long mOwnerHeardAtMs;
-    private long mLinkedAtMs;
+    private long mLastOwnerContactMs;
+    private long mLastConnectedMs;
     private boolean mDraining;
 
     AgentRole(
@@ -74,23 +78,24 @@
         mScheduler = scheduler;
         mTransport = transport;
         mLinks = new FleetLinks(transport, self, this, scheduler);
-        NettyHttpClient caller = new NettyHttpClient(eventLoops);
+        NettyHttpClient httpClient = new NettyHttpClient(eventLoops);
         mEntryListReader =
                 new EntryListReader(
-                        new HttpRecordStore(caller, settings.storeAddress(), STORE_TIMEOUT_MS),
+                        new HttpRecordStore(httpClient, settings.storeAddress(), STORE_TIMEOUT_MS),
                         mLinks,
                         new JobLogCodec());
         mWorkerServer = new NettyHttpServer(eventLoops);
         mSupervisor =
                 new RunSupervisor(
                         new HttpWorkerRuntime(
-                                caller,
+                                httpClient,
                                 settings.workerControlAddress().orElseThrow(),
-                                ORDER_TIMEOUT_MS),
-                        this::toOwner,
+                                COMMAND_TIMEOUT_MS),
+                        this::sendToOwner,
                         scheduler,
                         SupervisorSettings.of(settings.maximumLeaseMs()),
-                        // Grows with every agent of the machine, which keeps nothing itself.
+                        // Increases with every agent process on this VM; an agent stores no counter
+                        // of its own.
                         self.startedAtMs(),
                         metrics.decisionLog(RunSupervisor.class));
     }
@@ -103,44 +108,44 @@
         mAdminServer.listen(mSettings.adminAddress(), mMetrics::serve);
         mLinks.start(mSettings.seeds());
         mSupervisor.start();
-        mLinkedAtMs = nowMs();
-        check();
+        mLastConnectedMs = nowMs();
+        checkConnections();
     }
 
-    private void toOwner(Message message) {
+    private void sendToOwner(Message message) {
         Optional<ProcessId> owner;
         synchronized (this) {
             owner = mOwner;
         }
-        owner.ifPresent(process -> mLinks.send(process, message));
+        owner.ifPresent(ownerProcess -> mLinks.send(ownerProcess, message));
     }
 
-    private void check() {
-        Optional<ProcessId> silent = Optional.empty();
-        boolean lost;
+    private void checkConnections() {
+        Optional<ProcessId> unresponsiveOwner = Optional.empty();
+        boolean disconnected;
         synchronized (this) {
-            boolean isSilent = nowMs() - mOwnerHeardAtMs > OWNER_SILENCE_MS;
-            if (mOwner.isPresent() && isSilent) {
-                silent = mOwner;
-                mOwnerHeardAtMs = nowMs();
+            boolean isUnresponsive = nowMs() - mLastOwnerContactMs > OWNER_TIMEOUT_MS;
+            if (mOwner.isPresent() && isUnresponsive) {
+                unresponsiveOwner = mOwner;
+                mLastOwnerContactMs = nowMs();
             }
-            boolean linked = !mLinks.connectedPeers(ProcessRole.ENTRY).isEmpty();
-            if (linked) {
-                mLinkedAtMs = nowMs();
+            boolean connected = !mLinks.connectedPeers(ProcessRole.ENTRY).isEmpty();
+            if (connected) {
+                mLastConnectedMs = nowMs();
             }
-            lost = nowMs() - mLinkedAtMs > LOST_MS;
-            if (lost) {
-                mLinkedAtMs = nowMs();
+            disconnected = nowMs() - mLastConnectedMs > DISCONNECTED_TIMEOUT_MS;
+            if (disconnected) {
+                mLastConnectedMs = nowMs();
             }
         }
-        silent.ifPresent(this::redial);
-        if (lost) {
+        unresponsiveOwner.ifPresent(this::reconnect);
+        if (disconnected) {
             mEntryListReader.read();
         }
-        mScheduler.scheduleDirect(this::check, CHECK_MS, TimeUnit.MILLISECONDS);
+        mScheduler.scheduleDirect(this::checkConnections, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void redial(ProcessId owner) {
+    private void reconnect(ProcessId owner) {
         LOG.event("owner_silent").with("owner", owner).info();
         mLinks.closeLinksTo(owner);
     }
@@ -158,7 +163,7 @@
     @Override
     public void onMessage(FleetNode peer, Message message) {
         if (message instanceof OwnerAnnouncement announcement) {
-            onAnnouncement(announcement);
+            onOwnerAnnouncement(announcement);
             return;
         }
         if (!isFromOwner(peer)) {
@@ -177,14 +182,14 @@
         }
     }
 
-    private void onAnnouncement(OwnerAnnouncement announcement) {
+    private void onOwnerAnnouncement(OwnerAnnouncement announcement) {
         synchronized (this) {
             if (announcement.epoch().compareTo(mEpoch) < 0) {
                 return;
             }
             mEpoch = announcement.epoch();
             mOwner = Optional.of(announcement.owner());
-            mOwnerHeardAtMs = nowMs();
+            mLastOwnerContactMs = nowMs();
         }
         mSupervisor.onOwnerSession(announcement.epoch(), announcement.session());
     }
@@ -192,7 +197,7 @@
     private synchronized boolean isFromOwner(FleetNode peer) {
         boolean fromOwner = mOwner.equals(Optional.of(peer.process()));
         if (fromOwner) {
-            mOwnerHeardAtMs = nowMs();
+            mLastOwnerContactMs = nowMs();
         }
         return fromOwner;
     }
@@ -225,7 +230,7 @@
     @Override
     public void close() {
         mSupervisor.stop();
-        // Ends the event loops, which all servers and clients of the role share.
+        // Stops the event loops, which all servers and clients of this role share.
         mTransport.close();
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/DurableJobService.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/DurableJobService.java
@@ -26,68 +26,67 @@
 import org.hickorycleat.model.store.StoreRecord;
 
 /**
- * Makes jobs and cancellations durable and answers questions about jobs.
+ * Makes submissions and cancellations of jobs durable, and returns the state of jobs.
  *
- * <p>A record that is appended twice has the effect of one, so an append without an answer is
- * simply repeated. A caller is told that its job was not taken only when no append of it can take
- * effect any more.
+ * <p>A duplicate of a record has no further effect, so an append without a response is retried. A
+ * caller gets the result NOT_DONE only if no append of its change can be committed any more.
  */
 final class DurableJobService implements JobService {
     private static final EventLog LOG = EventLog.of(DurableJobService.class);
 
-    /** Most records of one append. */
-    private static final int MAXIMUM_BATCH = 64;
+    /** Maximum number of records of one append. */
+    private static final int MAXIMUM_BATCH_RECORDS = 64;
 
-    /** Pause before an append is repeated, in milliseconds. */
-    private static final long RETRY_MS = 100;
+    /** Delay before an append is retried, in milliseconds. */
+    private static final long RETRY_DELAY_MS = 100;
 
-    /** Time after which a request that cannot be made durable is given up, in milliseconds. */
-    private static final long GIVE_UP_MS = 500;
+    /** Maximum time for retrying an append, in milliseconds; at most half the request timeout. */
+    private static final long APPEND_TIMEOUT_MS = 500;
 
     private final RelayingRecordStore mStore;
-    private final TopicConsumer mFollower;
+    private final TopicConsumer mConsumer;
     private final JobDirectory mDirectory;
     private final JobLogCodec mCodec;
     private final Supplier<Optional<WorkloadConfiguration>> mConfiguration;
     private final Listener mListener;
     private final Scheduler mScheduler;
-    private final List<Pending> mQueue = new ArrayList<>();
+    private final List<PendingChange> mQueue = new ArrayList<>();
     private boolean mAppending;
 
-    /** Learns of what has become durable. */
+    /** Is notified of changes that have become durable. */
     interface Listener {
-        /** A job is durable. */
+        /** Handles a submission that has become durable. */
         void onJobSubmitted(JobSubmission submission);
 
-        /** A cancellation is durable. */
+        /** Handles a cancellation that has become durable. */
         void onJobCancelled(JobId job);
     }
 
     /** A record that waits to become durable. */
-    private static final class Pending {
+    private static final class PendingChange {
         private final JobRecord mRecord;
-        private final StoreRecord mStored;
-        private final long mGiveUpAtMs;
+        private final StoreRecord mStoreRecord;
+        private final long mDeadlineMs;
         private final SingleSubject<JobChangeResult> mResult = SingleSubject.create();
-        private boolean mMayHaveTakenEffect;
+        private boolean mMayBeCommitted;
 
-        Pending(JobRecord record, StoreRecord stored, long giveUpAtMs) {
+        PendingChange(JobRecord record, StoreRecord storeRecord, long deadlineMs) {
             mRecord = record;
-            mStored = stored;
-            mGiveUpAtMs = giveUpAtMs;
+            mStoreRecord = storeRecord;
+            mDeadlineMs = deadlineMs;
         }
     }
 
     DurableJobService(
             RelayingRecordStore store,
-            TopicConsumer follower,
+            TopicConsumer consumer,
             JobDirectory directory,
             JobLogCodec codec,
             Supplier<Optional<WorkloadConfiguration>> configuration,
             Listener listener,
             Scheduler scheduler) {
         mStore = store;
-        mFollower = follower;
+        mConsumer = consumer;
         mDirectory = directory;
         mCodec = codec;
         mConfiguration = configuration;
@@ -101,13 +100,12 @@
     }
 
     @Override
-    public Single<JobChangeResult> submit(
-            JobQueue queue, JobSubmission submission, int timeLimitMs) {
+    public Single<JobChangeResult> submit(JobQueue queue, JobSubmission submission, int timeoutMs) {
         if (mDirectory.state(submission.id()).isPresent()) {
             LOG.event("job_repeated").with("job", submission.id()).info();
             return Single.just(JobChangeResult.DONE);
         }
-        return append(new JobRecord.Submitted(submission), timeLimitMs)
+        return append(new JobRecord.Submitted(submission), timeoutMs)
                 .doOnSuccess(
                         result ->
                                 LOG.event("job_submitted")
@@ -119,13 +117,13 @@
 
     @Override
     public Single<JobStateResult> jobState(JobQueue queue, JobId job) {
-        Optional<JobState> known = mDirectory.state(job);
-        if (known.isPresent()) {
-            return Single.just(new JobStateResult(true, known));
+        Optional<JobState> state = mDirectory.state(job);
+        if (state.isPresent()) {
+            return Single.just(new JobStateResult(true, state));
         }
-        return mFollower
+        return mConsumer
                 .catchUp()
-                .map(end -> new JobStateResult(true, mDirectory.state(job)))
+                .map(endOffset -> new JobStateResult(true, mDirectory.state(job)))
                 .onErrorReturnItem(new JobStateResult(false, Optional.empty()))
                 .doOnSuccess(
                         result ->
@@ -137,7 +135,7 @@
     }
 
     @Override
-    public Single<JobChangeResult> cancel(JobQueue queue, JobId job, int timeLimitMs) {
+    public Single<JobChangeResult> cancel(JobQueue queue, JobId job, int timeoutMs) {
         return jobState(queue, job)
                 .flatMap(
                         result -> {
@@ -150,7 +148,7 @@
                             if (result.state().get().isFinal()) {
                                 return Single.just(JobChangeResult.DONE);
                             }
-                            return append(new JobRecord.Cancelled(job), timeLimitMs);
+                            return append(new JobRecord.Cancelled(job), timeoutMs);
                         })
                 .doOnSuccess(
                         result ->
@@ -165,20 +163,20 @@
         return mDirectory.waiting(queue.name());
     }
 
-    /** Tells whether nothing waits to become durable. */
+    /** Returns whether no change waits to become durable. */
     synchronized boolean isIdle() {
         return mQueue.isEmpty() && !mAppending;
     }
 
-    private Single<JobChangeResult> append(JobRecord record, int timeLimitMs) {
+    private Single<JobChangeResult> append(JobRecord record, int timeoutMs) {
         if (mStore.isUnavailable()) {
             return Single.just(JobChangeResult.NOT_DONE);
         }
-        Pending pending =
-                new Pending(
+        PendingChange pending =
+                new PendingChange(
                         record,
                         mCodec.encode(record),
-                        nowMs() + Math.min(timeLimitMs / 2, GIVE_UP_MS));
+                        nowMs() + Math.min(timeoutMs / 2, APPEND_TIMEOUT_MS));
         synchronized (this) {
             mQueue.add(pending);
         }
@@ -187,24 +185,26 @@
     }
 
     private void appendNext() {
-        List<Pending> batch;
+        List<PendingChange> batch;
         synchronized (this) {
             if (mAppending || mQueue.isEmpty()) {
                 return;
             }
-            batch = new ArrayList<>(mQueue.subList(0, Math.min(MAXIMUM_BATCH, mQueue.size())));
+            batch =
+                    new ArrayList<>(
+                            mQueue.subList(0, Math.min(MAXIMUM_BATCH_RECORDS, mQueue.size())));
             mQueue.subList(0, batch.size()).clear();
             mAppending = true;
         }
         SingleCallbacks.subscribe(
                 mStore.append(
                         StoreAppendRequest.unconditional(JobLogCodec.JOBS_TOPIC, 0),
-                        batch.stream().map(pending -> pending.mStored).toList()),
+                        batch.stream().map(pending -> pending.mStoreRecord).toList()),
                 outcome -> onOutcome(batch, outcome),
                 error -> onOutcome(batch, new AppendOutcome(AppendResult.UNKNOWN, 0)));
     }
 
-    private void onOutcome(List<Pending> batch, AppendOutcome outcome) {
+    private void onOutcome(List<PendingChange> batch, AppendOutcome outcome) {
         synchronized (this) {
             mAppending = false;
         }
@@ -213,25 +213,25 @@
             appendNext();
             return;
         }
-        List<Pending> again = new ArrayList<>();
-        for (Pending pending : batch) {
-            pending.mMayHaveTakenEffect |= outcome.result() == AppendResult.UNKNOWN;
-            if (nowMs() >= pending.mGiveUpAtMs) {
+        List<PendingChange> retried = new ArrayList<>();
+        for (PendingChange pending : batch) {
+            pending.mMayBeCommitted |= outcome.result() == AppendResult.UNKNOWN;
+            if (nowMs() >= pending.mDeadlineMs) {
                 pending.mResult.onSuccess(
-                        pending.mMayHaveTakenEffect
+                        pending.mMayBeCommitted
                                 ? JobChangeResult.UNKNOWN
                                 : JobChangeResult.NOT_DONE);
             } else {
-                again.add(pending);
+                retried.add(pending);
             }
         }
         synchronized (this) {
-            mQueue.addAll(0, again);
+            mQueue.addAll(0, retried);
         }
-        mScheduler.scheduleDirect(this::appendNext, RETRY_MS, TimeUnit.MILLISECONDS);
+        mScheduler.scheduleDirect(this::appendNext, RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void onDurable(Pending pending) {
+    private void onDurable(PendingChange pending) {
         mDirectory.apply(pending.mRecord);
         if (pending.mRecord instanceof JobRecord.Submitted submitted) {
             mListener.onJobSubmitted(submitted.submission());
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryListReader.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryListReader.java
@@ -6,7 +6,7 @@
 import org.hickorycleat.logic.port.SingleCallbacks;
 import org.hickorycleat.model.store.StoreReadRequest;
 
-/** Reads the list of entries from the store and lets the links learn them. */
+/** Reads the list of entries from the store and adds them to the links. */
 final class EntryListReader {
     private static final EventLog LOG = EventLog.of(EntryListReader.class);
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -52,33 +52,33 @@
 import org.hickorycleat.platform.JobRequestHandler;
 import org.hickorycleat.platform.WorkloadConfigurationReader;
 
-/** Role of an entry: takes jobs of callers, and owns all jobs when it is its turn. */
+/** Runs an entry: accepts jobs from callers, and schedules all jobs while it is the owner. */
 final class EntryRole implements Lifecycle, FleetLinkListener, DurableJobService.Listener {
     private static final EventLog LOG = EventLog.of(EntryRole.class);
 
-    /** Time limit of a call to the store, in milliseconds: above its answers on slow days. */
+    /** Timeout of a store request, in milliseconds; above the response time of a slow store. */
     private static final int STORE_TIMEOUT_MS = 600;
 
-    /** How long the store may hold a read of the configuration, in milliseconds. */
-    private static final int CONFIGURATION_WAIT_MS = 1_000;
+    /** Maximum wait of a long poll for the configuration, in milliseconds. */
+    private static final int CONFIGURATION_LONG_POLL_MS = 1_000;
 
-    /** How long the store may hold a read of the jobs, in milliseconds. */
-    private static final int JOBS_WAIT_MS = 1_000;
+    /** Maximum wait of a long poll for job records, in milliseconds. */
+    private static final int JOBS_LONG_POLL_MS = 1_000;
 
-    /** Pause between two reads of the jobs; peers tell the news earlier, in milliseconds. */
-    private static final long JOBS_PAUSE_MS = 500;
+    /** Delay between two reads of job records, in milliseconds; peers broadcast changes sooner. */
+    private static final long JOBS_POLL_DELAY_MS = 500;
 
-    /** Time between two heartbeats to peers, in milliseconds. */
-    private static final long HEARTBEAT_MS = 200;
+    /** Interval between two heartbeats to peers, in milliseconds. */
+    private static final long HEARTBEAT_INTERVAL_MS = 200;
 
-    /** Time between two readings of the list of entries, in milliseconds. */
+    /** Interval between two reads of the entry list, in milliseconds. */
     private static final long ENTRIES_INTERVAL_MS = 5_000;
 
-    /** Time between two checks whether all decisions are durable, in milliseconds. */
-    private static final long SETTLE_CHECK_MS = 20;
+    /** Interval between two checks whether all decisions are durable, in milliseconds. */
+    private static final long DURABILITY_CHECK_INTERVAL_MS = 20;
 
-    /** Longest time that a drain waits for work in progress, in milliseconds. */
-    private static final long DRAIN_LIMIT_MS = 5_000;
+    /** Maximum time that a drain waits for work in progress, in milliseconds. */
+    private static final long DRAIN_TIMEOUT_MS = 5_000;
 
     private final NodeSettings mSettings;
     private final FleetNode mSelf;
@@ -90,15 +90,15 @@
     private final JobLogCodec mCodec = new JobLogCodec();
     private final JobDirectory mDirectory = new JobDirectory();
     private final WorkloadConfigurationCache mConfiguration;
-    private final TopicConsumer mConfigurationFollower;
-    private final TopicConsumer mJobsFollower;
-    private final DurableJobService mIntake;
+    private final TopicConsumer mConfigurationConsumer;
+    private final TopicConsumer mJobsConsumer;
+    private final DurableJobService mJobService;
     private final OwnerElection mElection;
     private final NettyHttpServer mCallerServer;
     private final NettyHttpServer mReadinessServer;
     private final NettyHttpServer mAdminServer;
     private final ProcessMetrics mMetrics;
-    private final Map<ProcessId, EntryHeartbeat> mPeers = new HashMap<>();
+    private final Map<ProcessId, EntryHeartbeat> mPeerHeartbeats = new HashMap<>();
     private Optional<OwnerRole> mOwner = Optional.empty();
     private boolean mClaiming;
     private boolean mDraining;
@@ -118,32 +118,32 @@
         mScheduler = scheduler;
         mTransport = transport;
         mLinks = new FleetLinks(transport, self, this, scheduler);
-        HttpRecordStore direct =
+        HttpRecordStore directStore =
                 new HttpRecordStore(
                         new NettyHttpClient(eventLoops), settings.storeAddress(), STORE_TIMEOUT_MS);
-        mStore = new RelayingRecordStore(direct, mLinks::send, this::relay, scheduler);
+        mStore = new RelayingRecordStore(directStore, mLinks::send, this::findRelay, scheduler);
         mEntryListReader = new EntryListReader(mStore, mLinks, mCodec);
         mConfiguration = new WorkloadConfigurationCache(this::onConfiguration);
-        mConfigurationFollower =
+        mConfigurationConsumer =
                 new TopicConsumer(
                         mStore,
                         WorkloadConfigurationReader.TOPIC,
-                        this::onOperatorRecord,
+                        this::onConfigurationRecord,
                         scheduler,
-                        CONFIGURATION_WAIT_MS,
+                        CONFIGURATION_LONG_POLL_MS,
                         0);
-        mJobsFollower =
+        mJobsConsumer =
                 new TopicConsumer(
                         mStore,
                         JobLogCodec.JOBS_TOPIC,
                         this::onJobRecord,
                         scheduler,
-                        JOBS_WAIT_MS,
-                        JOBS_PAUSE_MS);
-        mIntake =
+                        JOBS_LONG_POLL_MS,
+                        JOBS_POLL_DELAY_MS);
+        mJobService =
                 new DurableJobService(
                         mStore,
-                        mJobsFollower,
+                        mJobsConsumer,
                         mDirectory,
                         mCodec,
                         mConfiguration::configuration,
@@ -158,29 +158,31 @@
     public void start() throws InterruptedException {
         mAdminServer.listen(mSettings.adminAddress(), mMetrics::serve);
         mLinks.start(mSettings.seeds());
-        mConfigurationFollower.start();
-        mJobsFollower.start();
+        mConfigurationConsumer.start();
+        mJobsConsumer.start();
         announce();
-        JobRequestHandler calls = new JobRequestHandler(mIntake, System::currentTimeMillis);
+        JobRequestHandler handler = new JobRequestHandler(mJobService, System::currentTimeMillis);
         mCallerServer.listen(
-                mSettings.callerAddress().orElseThrow(), request -> timed(calls, request));
-        mReadinessServer.listen(mSettings.readinessAddress().orElseThrow(), request -> readiness());
+                mSettings.callerAddress().orElseThrow(),
+                request -> handleAndTime(handler, request));
+        mReadinessServer.listen(
+                mSettings.readinessAddress().orElseThrow(), request -> readinessResponse());
         tick();
     }
 
-    private Single<HttpResponse> timed(JobRequestHandler calls, HttpRequest request) {
+    private Single<HttpResponse> handleAndTime(JobRequestHandler handler, HttpRequest request) {
         long startNanos = System.nanoTime();
-        return calls.handle(request)
+        return handler.handle(request)
                 .doOnSuccess(
                         response -> mMetrics.recordResponseTime(System.nanoTime() - startNanos));
     }
 
-    private Single<HttpResponse> readiness() {
+    private Single<HttpResponse> readinessResponse() {
         return Single.just(HttpResponse.of(isReady() ? 200 : 503, new byte[] {'{', '}'}));
     }
 
     private synchronized boolean isReady() {
-        return !mDraining && mConfiguration.configuration().isPresent() && mJobsFollower.isLoaded();
+        return !mDraining && mConfiguration.configuration().isPresent() && mJobsConsumer.isLoaded();
     }
 
     private void announce() {
@@ -198,16 +200,16 @@
     }
 
     private void tick() {
-        heartbeat();
+        sendHeartbeat();
         if (nowMs() - mEntriesReadAtMs > ENTRIES_INTERVAL_MS) {
             mEntriesReadAtMs = nowMs();
             mEntryListReader.read();
         }
-        claimIfNeeded();
-        mScheduler.scheduleDirect(this::tick, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
+        claimOwnershipIfNeeded();
+        mScheduler.scheduleDirect(this::tick, HEARTBEAT_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void heartbeat() {
+    private void sendHeartbeat() {
         mLinks.broadcast(
                 new EntryHeartbeat(
                         mElection.owner(),
@@ -218,9 +220,9 @@
                 ProcessRole.ENTRY);
     }
 
-    private Optional<ProcessId> relay() {
-        synchronized (mPeers) {
-            return mPeers.entrySet().stream()
+    private Optional<ProcessId> findRelay() {
+        synchronized (mPeerHeartbeats) {
+            return mPeerHeartbeats.entrySet().stream()
                     .filter(peer -> peer.getValue().storeReachable())
                     .map(Map.Entry::getKey)
                     .findFirst();
@@ -229,8 +231,8 @@
 
     // ---- ownership
 
-    private synchronized void claimIfNeeded() {
-        if (mClaiming || mDraining || mOwner.isPresent() || !mJobsFollower.isLoaded()) {
+    private synchronized void claimOwnershipIfNeeded() {
+        if (mClaiming || mDraining || mOwner.isPresent() || !mJobsConsumer.isLoaded()) {
             return;
         }
         if (!mElection.shouldClaimOwnership(nowMs())) {
@@ -242,17 +244,17 @@
                 .with("epoch", mElection.epoch())
                 .with("heard_ms", mElection.ownerHeartbeatAgeMs(nowMs()))
                 .info();
-        claim(EpochGenerator.next(newest(mElection.epoch(), mDirectory.epoch()), mSelf));
+        claimOwnership(EpochGenerator.next(later(mElection.epoch(), mDirectory.epoch()), mSelf));
     }
 
-    private static Epoch newest(Epoch left, Epoch right) {
+    private static Epoch later(Epoch left, Epoch right) {
         return left.compareTo(right) > 0 ? left : right;
     }
 
-    // The producer epoch makes this entry the only writer of progress; every earlier record lies
-    // before the claim in the log.
-    private void claim(Epoch epoch) {
-        StoreAppendRequest terms =
+    // The producer epoch makes this entry the only writer of progress; all earlier progress records
+    // precede the claim in the log.
+    private void claimOwnership(Epoch epoch) {
+        StoreAppendRequest request =
                 new StoreAppendRequest(
                         JobLogCodec.JOBS_TOPIC,
                         0,
@@ -260,29 +262,29 @@
                         Optional.of(new Producer(OwnerRole.PRODUCER, epoch.value(), 0)));
         StoreRecord record = mCodec.encode(new JobRecord.Claimed(mSelf, epoch));
         SingleCallbacks.subscribe(
-                mStore.append(terms, List.of(record)),
+                mStore.append(request, List.of(record)),
                 outcome -> onClaimOutcome(epoch, outcome),
-                error -> claimEnded("failed", error));
+                error -> onClaimFailed("failed", error));
     }
 
-    // The log tells who owns the jobs, also when the answer to the claim was lost.
+    // The log determines the owner, even if the response to the claim was lost.
     private void onClaimOutcome(Epoch epoch, AppendOutcome outcome) {
         SingleCallbacks.subscribe(
-                mJobsFollower.catchUp(),
+                mJobsConsumer.catchUp(),
                 endOffset -> {
-                    boolean own =
+                    boolean isOwner =
                             mDirectory.epoch().equals(epoch)
                                     && mDirectory.owner().equals(Optional.of(mSelf));
-                    if (own) {
+                    if (isOwner) {
                         becomeOwner(epoch);
                     } else {
-                        claimEnded("lost", outcome);
+                        onClaimFailed("lost", outcome);
                     }
                 },
-                error -> claimEnded("unsettled", error));
+                error -> onClaimFailed("unsettled", error));
     }
 
-    private synchronized void claimEnded(String result, Object detail) {
+    private synchronized void onClaimFailed(String result, Object detail) {
         mClaiming = false;
         LOG.event("owner_claim_ended").with("result", result).with("detail", detail).info();
     }
@@ -310,7 +312,7 @@
                         mMetrics.decisionLog(Dispatcher.class),
                         this::onFenced);
         mOwner = Optional.of(owner);
-        heartbeat();
+        sendHeartbeat();
         owner.start(mConfiguration.configuration());
     }
 
@@ -319,7 +321,7 @@
         mOwner = Optional.empty();
     }
 
-    private synchronized void endIfSucceeded() {
+    private synchronized void stopIfReplaced() {
         if (mOwner.isPresent() && !mElection.isOwner()) {
             LOG.event("owner_succeeded").with("epoch", mElection.epoch()).info();
             onFenced();
@@ -332,7 +334,7 @@
 
     // ---- records
 
-    private void onOperatorRecord(StoreRecord record) {
+    private void onConfigurationRecord(StoreRecord record) {
         if (record.key().equals(WorkloadConfigurationReader.KEY)) {
             mConfiguration.updateIfNewer(record.value(), "store");
         }
@@ -350,7 +352,7 @@
         mDirectory.apply(record.get());
         if (record.get() instanceof JobRecord.Claimed claimed) {
             mElection.onOwnershipClaimed(claimed.owner().process(), claimed.epoch(), nowMs());
-            endIfSucceeded();
+            stopIfReplaced();
         } else if (record.get() instanceof JobRecord.Submitted submitted) {
             ownerRole()
                     .ifPresent(owner -> owner.dispatcher().onJobSubmitted(submitted.submission()));
@@ -378,7 +380,7 @@
         if (peer.role() == ProcessRole.AGENT) {
             ownerRole().ifPresent(owner -> owner.onAgentConnected(peer.process()));
         } else {
-            heartbeat();
+            sendHeartbeat();
         }
     }
 
@@ -389,8 +391,8 @@
             return;
         }
         mElection.onPeerDisconnected(peer.process());
-        synchronized (mPeers) {
-            mPeers.remove(peer.process());
+        synchronized (mPeerHeartbeats) {
+            mPeerHeartbeats.remove(peer.process());
         }
     }
 
@@ -403,7 +405,7 @@
             ownerRole()
                     .ifPresent(owner -> owner.dispatcher().onRunRejected(peer.process(), rejected));
         } else if (message instanceof EntryHeartbeat heartbeat) {
-            onHeartbeat(peer.process(), heartbeat);
+            onPeerHeartbeat(peer.process(), heartbeat);
         } else if (message instanceof JobAccepted accepted) {
             mDirectory.onJobSubmitted(accepted.submission());
             ownerRole()
@@ -413,28 +415,28 @@
             ownerRole().ifPresent(owner -> owner.dispatcher().onJobCancelled(cancelled.job()));
         } else if (message instanceof JobStates states) {
             states.jobs().forEach(mDirectory::onStatus);
-        } else if (message instanceof RelayedStoreRequest call) {
-            mStore.onRelayedRequest(peer.process(), call);
-        } else if (message instanceof RelayedStoreResponse answer) {
-            mStore.onAnswer(answer);
+        } else if (message instanceof RelayedStoreRequest request) {
+            mStore.onRelayedRequest(peer.process(), request);
+        } else if (message instanceof RelayedStoreResponse response) {
+            mStore.onRelayedResponse(response);
         } else if (message instanceof ConfigurationCopy copy) {
             mConfiguration.updateIfNewer(copy.content(), "peer");
         } else if (message instanceof OwnershipOffer offer) {
             mElection.onOwnershipOffered(offer.epoch(), nowMs());
-            claimIfNeeded();
+            claimOwnershipIfNeeded();
         }
     }
 
-    private void onHeartbeat(ProcessId peer, EntryHeartbeat heartbeat) {
-        Optional<EntryHeartbeat> before;
-        synchronized (mPeers) {
-            before = Optional.ofNullable(mPeers.put(peer, heartbeat));
+    private void onPeerHeartbeat(ProcessId peer, EntryHeartbeat heartbeat) {
+        Optional<EntryHeartbeat> previous;
+        synchronized (mPeerHeartbeats) {
+            previous = Optional.ofNullable(mPeerHeartbeats.put(peer, heartbeat));
         }
         mElection.onPeerHeartbeat(peer, heartbeat, nowMs());
-        endIfSucceeded();
+        stopIfReplaced();
         boolean stillBehind =
-                before.isPresent()
-                        && before.get().configurationVersion() == heartbeat.configurationVersion()
+                previous.isPresent()
+                        && previous.get().configurationVersion() == heartbeat.configurationVersion()
                         && heartbeat.configurationVersion() < mConfiguration.version();
         if (stillBehind) {
             mLinks.send(peer, new ConfigurationCopy(mConfiguration.content()));
@@ -453,33 +455,36 @@
         ownerRole().ifPresent(this::handOver);
     }
 
-    // Dispatching goes on until a successor is at hand.
+    // Dispatching continues until an entry that can become the next owner is connected.
     private void handOver(OwnerRole owner) {
-        Optional<FleetNode> successor =
+        Optional<FleetNode> nextOwner =
                 mLinks.connectedPeers(ProcessRole.ENTRY).stream()
-                        .filter(peer -> isReachableByStore(peer.process()))
+                        .filter(peer -> canReachStore(peer.process()))
                         .max(Comparator.comparingLong(FleetNode::capacityMilli));
-        if (successor.isEmpty()) {
-            mScheduler.scheduleDirect(() -> handOver(owner), HEARTBEAT_MS, TimeUnit.MILLISECONDS);
+        if (nextOwner.isEmpty()) {
+            mScheduler.scheduleDirect(
+                    () -> handOver(owner), HEARTBEAT_INTERVAL_MS, TimeUnit.MILLISECONDS);
             return;
         }
         owner.dispatcher().stopPlacement();
-        offer(owner, successor.get());
+        offerOwnership(owner, nextOwner.get());
     }
 
-    private void offer(OwnerRole owner, FleetNode successor) {
+    private void offerOwnership(OwnerRole owner, FleetNode nextOwner) {
         if (!owner.dispatcher().isDurable()) {
             mScheduler.scheduleDirect(
-                    () -> offer(owner, successor), SETTLE_CHECK_MS, TimeUnit.MILLISECONDS);
+                    () -> offerOwnership(owner, nextOwner),
+                    DURABILITY_CHECK_INTERVAL_MS,
+                    TimeUnit.MILLISECONDS);
             return;
         }
-        LOG.event("owner_handing_over").with("successor", successor.process()).info();
-        mLinks.send(successor.process(), new OwnershipOffer(owner.epoch()));
+        LOG.event("owner_handing_over").with("successor", nextOwner.process()).info();
+        mLinks.send(nextOwner.process(), new OwnershipOffer(owner.epoch()));
     }
 
-    private boolean isReachableByStore(ProcessId peer) {
-        synchronized (mPeers) {
-            return mPeers.containsKey(peer) && mPeers.get(peer).storeReachable();
+    private boolean canReachStore(ProcessId peer) {
+        synchronized (mPeerHeartbeats) {
+            return mPeerHeartbeats.containsKey(peer) && mPeerHeartbeats.get(peer).storeReachable();
         }
     }
 
@@ -490,18 +495,20 @@
 
     @Override
     public boolean isIdle() {
-        return mCallerServer.requestsInProgress() == 0 && mIntake.isIdle() && ownerRole().isEmpty();
+        return mCallerServer.requestsInProgress() == 0
+                && mJobService.isIdle()
+                && ownerRole().isEmpty();
     }
 
     @Override
     public Duration drainTimeout() {
-        return Duration.ofMillis(DRAIN_LIMIT_MS);
+        return Duration.ofMillis(DRAIN_TIMEOUT_MS);
     }
 
     @Override
     public void close() {
         ownerRole().ifPresent(OwnerRole::stop);
-        // Ends the event loops, which all servers and clients of the role share.
+        // Stops the event loops, which all servers and clients of this role share.
         mTransport.close();
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinkListener.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinkListener.java
@@ -3,14 +3,14 @@
 import org.hickorycleat.model.message.FleetNode;
 import org.hickorycleat.model.message.Message;
 
-/** Receives the events of the links of a process. */
+/** Handles the events of the links of a process. */
 public interface FleetLinkListener {
-    /** The first link to a peer is open. */
+    /** Handles the opening of the first link to a peer. */
     void onConnected(FleetNode peer);
 
-    /** The last link to a peer is closed. */
+    /** Handles the closing of the last link to a peer. */
     void onDisconnected(FleetNode peer);
 
-    /** A message of a peer arrived. */
+    /** Handles a message of a peer. */
     void onMessage(FleetNode peer, Message message);
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
@@ -22,43 +22,45 @@
 import org.hickorycleat.model.message.ProcessRole;
 
 /**
- * Keeps a link from this process to every entry that it knows.
+ * Keeps a link from this process to every known entry.
  *
- * <p>Entries are learnt from seeds, from the store and from other entries. Two entries may have two
- * links; an agent has one link to each entry, and its newest link replaces older ones.
+ * <p>Entries are discovered from seeds, from the store and from other entries. Two entries may have
+ * two links between them. An agent has one link to each entry; its newest link replaces older ones.
  */
 final class FleetLinks {
     private static final EventLog LOG = EventLog.of(FleetLinks.class);
 
-    /** Time between rounds of dialling, in milliseconds. */
-    private static final long DIAL_INTERVAL_MS = 150;
+    /** Interval between two rounds of connection attempts, in milliseconds. */
+    private static final long CONNECT_INTERVAL_MS = 150;
 
-    /** First and longest pause between two attempts at one address, in milliseconds. */
-    private static final long FIRST_PAUSE_MS = 150;
+    /**
+     * Initial and maximum delay between two attempts to connect to one address, in milliseconds.
+     */
+    private static final long INITIAL_RETRY_DELAY_MS = 150;
 
-    private static final long LONGEST_PAUSE_MS = 2_000;
+    private static final long MAXIMUM_RETRY_DELAY_MS = 2_000;
 
-    /** An address that could not be reached for this long is forgotten, in milliseconds. */
-    private static final long FORGET_MS = 60_000;
+    /** Time after which an address that cannot be reached is removed, in milliseconds. */
+    private static final long ADDRESS_EXPIRY_MS = 60_000;
 
-    /** Time between two keep-alives; well below the silence limit of links, in milliseconds. */
-    private static final long KEEP_ALIVE_MS = 2_000;
+    /** Interval between two keep-alives, in milliseconds; well below the read timeout of links. */
+    private static final long KEEP_ALIVE_INTERVAL_MS = 2_000;
 
     private final MessageTransport mTransport;
     private final FleetNode mSelf;
     private final FleetLinkListener mListener;
     private final Scheduler mScheduler;
     private final Map<ProcessId, FleetNode> mEntries = new LinkedHashMap<>();
-    private final Map<InetSocketAddress, Dial> mDials = new HashMap<>();
+    private final Map<InetSocketAddress, AddressState> mAddresses = new HashMap<>();
     private final Map<ProcessId, List<Link>> mLinks = new HashMap<>();
-    private long mKeptAliveAtMs;
-
-    /** Attempts at one address. */
-    private static final class Dial {
-        private long mNotBeforeMs;
-        private long mPauseMs = FIRST_PAUSE_MS;
-        private long mReachedAtMs;
-        private boolean mOpen;
+    private long mLastKeepAliveMs;
+
+    /** State of the connection attempts to one address. */
+    private static final class AddressState {
+        private long mNextAttemptMs;
+        private long mRetryDelayMs = INITIAL_RETRY_DELAY_MS;
+        private long mLastConnectedMs;
+        private boolean mInUse;
     }
 
     FleetLinks(
@@ -72,44 +74,44 @@
         mScheduler = scheduler;
     }
 
-    /** Listens and starts to dial. */
+    /** Listens for links and starts to connect to the seeds. */
     void start(List<InetSocketAddress> seeds) throws InterruptedException {
         mTransport.listen(
                 new InetSocketAddress(mSelf.host(), mSelf.port()),
                 () -> new Link(Optional.empty()));
         addAddresses(seeds);
-        dialRound();
+        connectToDueAddresses();
     }
 
-    /** Learns addresses at which entries may be. */
+    /** Adds addresses at which entries may listen. */
     synchronized void addAddresses(Collection<InetSocketAddress> addresses) {
         for (InetSocketAddress address : addresses) {
             if (!address.equals(new InetSocketAddress(mSelf.host(), mSelf.port()))) {
-                mDials.computeIfAbsent(address, key -> newDial());
+                mAddresses.computeIfAbsent(address, key -> newAddressState());
             }
         }
     }
 
-    private Dial newDial() {
-        Dial dial = new Dial();
-        dial.mReachedAtMs = nowMs();
-        return dial;
+    private AddressState newAddressState() {
+        AddressState state = new AddressState();
+        state.mLastConnectedMs = nowMs();
+        return state;
     }
 
-    /** Learns entries; the newest address of each counts. */
+    /** Adds entries, and replaces the address of an entry that has restarted since. */
     void addEntries(Collection<FleetNode> entries) {
-        boolean news = false;
+        boolean changed = false;
         synchronized (this) {
             for (FleetNode entry : entries) {
-                news |= addEntries(entry);
+                changed |= addEntry(entry);
             }
         }
-        if (news) {
+        if (changed) {
             broadcast(new FleetEntries(entries()), ProcessRole.AGENT);
         }
     }
 
-    private boolean addEntries(FleetNode entry) {
+    private boolean addEntry(FleetNode entry) {
         if (entry.role() != ProcessRole.ENTRY || entry.process().equals(mSelf.process())) {
             return false;
         }
@@ -127,7 +129,7 @@
         return true;
     }
 
-    /** Returns the known entries, this process among them if it is one. */
+    /** Returns the known entries, including this process if it is an entry. */
     synchronized List<FleetNode> entries() {
         List<FleetNode> entries = new ArrayList<>(mEntries.values());
         if (mSelf.role() == ProcessRole.ENTRY) {
@@ -136,7 +138,7 @@
         return entries;
     }
 
-    /** Returns the connected peers of a role. */
+    /** Returns the connected peers that have the given role. */
     synchronized List<FleetNode> connectedPeers(ProcessRole role) {
         List<FleetNode> peers = new ArrayList<>();
         for (List<Link> links : mLinks.values()) {
@@ -148,7 +150,7 @@
         return peers;
     }
 
-    /** Sends a message; returns false when it is certain that it is never sent. */
+    /** Sends a message; returns false only if the message is certain never to be sent. */
     boolean send(ProcessId peer, Message message) {
         List<Link> links;
         synchronized (this) {
@@ -162,14 +164,14 @@
         return false;
     }
 
-    /** Sends a message to all connected peers of a role. */
+    /** Sends a message to all connected peers that have the given role. */
     void broadcast(Message message, ProcessRole role) {
         for (FleetNode peer : connectedPeers(role)) {
             send(peer.process(), message);
         }
     }
 
-    /** Closes the links to a peer, so that they are opened anew. */
+    /** Closes the links to a peer, so that they are reopened. */
     void closeLinksTo(ProcessId peer) {
         List<Link> links;
         synchronized (this) {
@@ -178,28 +180,29 @@
         links.forEach(Link::close);
     }
 
-    private void dialRound() {
+    private void connectToDueAddresses() {
         List<InetSocketAddress> due = new ArrayList<>();
         synchronized (this) {
-            mDials.values().removeIf(dial -> !dial.mOpen && isForgotten(dial));
-            for (Map.Entry<InetSocketAddress, Dial> dial : mDials.entrySet()) {
-                boolean mayDial = !dial.getValue().mOpen && !isLinked(dial.getKey());
-                if (mayDial && nowMs() >= dial.getValue().mNotBeforeMs) {
-                    dial.getValue().mOpen = true;
-                    due.add(dial.getKey());
+            mAddresses.values().removeIf(state -> !state.mInUse && isExpired(state));
+            for (Map.Entry<InetSocketAddress, AddressState> address : mAddresses.entrySet()) {
+                boolean mayConnect = !address.getValue().mInUse && !isConnected(address.getKey());
+                if (mayConnect && nowMs() >= address.getValue().mNextAttemptMs) {
+                    address.getValue().mInUse = true;
+                    due.add(address.getKey());
                 }
             }
         }
-        due.forEach(this::dial);
-        keepAlive();
-        mScheduler.scheduleDirect(this::dialRound, DIAL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        due.forEach(this::connect);
+        sendKeepAlives();
+        mScheduler.scheduleDirect(
+                this::connectToDueAddresses, CONNECT_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
-    private boolean isForgotten(Dial dial) {
-        return nowMs() - dial.mReachedAtMs > FORGET_MS;
+    private boolean isExpired(AddressState state) {
+        return nowMs() - state.mLastConnectedMs > ADDRESS_EXPIRY_MS;
     }
 
-    private boolean isLinked(InetSocketAddress address) {
+    private boolean isConnected(InetSocketAddress address) {
         for (List<Link> links : mLinks.values()) {
             FleetNode peer = links.get(0).mPeer.orElseThrow();
             if (new InetSocketAddress(peer.host(), peer.port()).equals(address)) {
@@ -209,27 +212,27 @@
         return false;
     }
 
-    private void dial(InetSocketAddress address) {
+    private void connect(InetSocketAddress address) {
         mTransport.connect(
-                address, new Link(Optional.of(address)), error -> onDialFailed(address, error));
+                address, new Link(Optional.of(address)), error -> onConnectFailed(address, error));
     }
 
-    private synchronized void onDialFailed(InetSocketAddress address, Throwable error) {
-        Dial dial = mDials.get(address);
-        if (dial == null) {
+    private synchronized void onConnectFailed(InetSocketAddress address, Throwable error) {
+        AddressState state = mAddresses.get(address);
+        if (state == null) {
             return;
         }
         LOG.event("dial_failed").with("address", address).with("cause", error).debug();
-        dial.mOpen = false;
-        dial.mNotBeforeMs = nowMs() + dial.mPauseMs;
-        dial.mPauseMs = Math.min(LONGEST_PAUSE_MS, 2 * dial.mPauseMs);
+        state.mInUse = false;
+        state.mNextAttemptMs = nowMs() + state.mRetryDelayMs;
+        state.mRetryDelayMs = Math.min(MAXIMUM_RETRY_DELAY_MS, 2 * state.mRetryDelayMs);
     }
 
-    private void keepAlive() {
-        if (nowMs() - mKeptAliveAtMs < KEEP_ALIVE_MS) {
+    private void sendKeepAlives() {
+        if (nowMs() - mLastKeepAliveMs < KEEP_ALIVE_INTERVAL_MS) {
             return;
         }
-        mKeptAliveAtMs = nowMs();
+        mLastKeepAliveMs = nowMs();
         List<Link> links = new ArrayList<>();
         synchronized (this) {
             mLinks.values().forEach(links::addAll);
@@ -244,12 +247,12 @@
 
     /** One connection to a peer. */
     private final class Link implements MessageListener {
-        private final Optional<InetSocketAddress> mDialled;
+        private final Optional<InetSocketAddress> mConnectAddress;
         private Optional<FleetNode> mPeer = Optional.empty();
         private Optional<MessageConnection> mConnection = Optional.empty();
 
-        Link(Optional<InetSocketAddress> dialled) {
-            mDialled = dialled;
+        Link(Optional<InetSocketAddress> connectAddress) {
+            mConnectAddress = connectAddress;
         }
 
         boolean send(Message message) {
@@ -268,11 +271,12 @@
                 connection.send(new FleetEntries(entries()));
             }
             synchronized (FleetLinks.this) {
-                mDialled.map(mDials::get)
+                mConnectAddress
+                        .map(mAddresses::get)
                         .ifPresent(
-                                dial -> {
-                                    dial.mPauseMs = FIRST_PAUSE_MS;
-                                    dial.mReachedAtMs = nowMs();
+                                state -> {
+                                    state.mRetryDelayMs = INITIAL_RETRY_DELAY_MS;
+                                    state.mLastConnectedMs = nowMs();
                                 });
             }
         }
@@ -300,10 +304,10 @@
             synchronized (FleetLinks.this) {
                 List<Link> links = mLinks.computeIfAbsent(peer.process(), key -> new ArrayList<>());
                 for (Link link : links) {
-                    boolean older =
+                    boolean outdated =
                             peer.role() == ProcessRole.AGENT
                                     || link.mPeer.orElseThrow().startedAtMs() < peer.startedAtMs();
-                    if (older) {
+                    if (outdated) {
                         replaced.add(link);
                     }
                 }
@@ -323,11 +327,12 @@
         public void onClose(MessageConnection connection) {
             boolean last = false;
             synchronized (FleetLinks.this) {
-                mDialled.map(mDials::get)
+                mConnectAddress
+                        .map(mAddresses::get)
                         .ifPresent(
-                                dial -> {
-                                    dial.mOpen = false;
-                                    dial.mNotBeforeMs = nowMs() + FIRST_PAUSE_MS;
+                                state -> {
+                                    state.mInUse = false;
+                                    state.mNextAttemptMs = nowMs() + INITIAL_RETRY_DELAY_MS;
                                 });
                 if (mPeer.isPresent()) {
                     List<Link> links =
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetProcessFactory.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetProcessFactory.java
@@ -12,13 +12,14 @@
 import org.hickorycleat.model.message.ProcessRole;
 import org.hickorycleat.model.node.NodeSettings;
 
-/** Builds the roles of processes on the users' platform. */
+/** Creates the entry or agent role of a process on the users' platform. */
 public final class FleetProcessFactory {
     private FleetProcessFactory() {}
 
-    /** Creates a process in the role that its settings ask for. */
+    /** Creates an agent if the settings name a worker, otherwise an entry. */
     public static Lifecycle create(NodeSettings settings) {
-        // Machines have one core; the state is locked, so more threads would work as well.
+        // VMs have one core. The state is protected by locks, so more threads would also be
+        // correct.
         EventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Scheduler scheduler = Schedulers.from(eventLoops);
         ProcessMetrics metrics = new ProcessMetrics();
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobLogCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobLogCodec.java
@@ -12,68 +12,70 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
 
-/** Translates records of the log of jobs, and of the list of entries, to keys and values. */
+/** Encodes records of the job log and of the entry list as keys and values, and decodes them. */
 final class JobLogCodec {
-    /** Topic of jobs, their progress and the claims of owners. */
+    /** Topic of jobs, their progress, ownership claims and interference estimates. */
     static final String JOBS_TOPIC = "keyed.jobs";
 
-    /** Topic of the addresses of entries. */
+    /** Topic of the entry list, with the address of each entry. */
     static final String ENTRIES_TOPIC = "keyed.entries";
 
     private static final EventLog LOG = EventLog.of(JobLogCodec.class);
-    private static final String SUBMITTED = "j:";
-    private static final String CANCELLED = "c:";
-    private static final String PROGRESSED = "p:";
-    private static final String CLAIMED = "owner";
-    private static final String LEARNT = "interference";
+    private static final String SUBMITTED_KEY_PREFIX = "j:";
+    private static final String CANCELLED_KEY_PREFIX = "c:";
+    private static final String PROGRESS_KEY_PREFIX = "p:";
+    private static final String OWNER_KEY = "owner";
+    private static final String INTERFERENCE_KEY = "interference";
 
     private final RecordCodec mRecords = new RecordCodec();
 
     StoreRecord encode(JobRecord record) {
         if (record instanceof JobRecord.Submitted submitted) {
-            return stored(SUBMITTED + submitted.submission().id(), submitted);
+            return toStoreRecord(SUBMITTED_KEY_PREFIX + submitted.submission().id(), submitted);
         }
         if (record instanceof JobRecord.Cancelled cancelled) {
-            return stored(CANCELLED + cancelled.job(), cancelled);
+            return toStoreRecord(CANCELLED_KEY_PREFIX + cancelled.job(), cancelled);
         }
         if (record instanceof JobRecord.Progressed progressed) {
-            return stored(PROGRESSED + progressed.progress().id(), progressed);
+            return toStoreRecord(PROGRESS_KEY_PREFIX + progressed.progress().id(), progressed);
         }
-        return stored(record instanceof JobRecord.InterferenceUpdate ? LEARNT : CLAIMED, record);
+        return toStoreRecord(
+                record instanceof JobRecord.InterferenceUpdate ? INTERFERENCE_KEY : OWNER_KEY,
+                record);
     }
 
-    /** Decodes a record; empty when it is none of ours. */
+    /** Decodes a record; returns empty if its key is unknown or its value is unreadable. */
     Optional<JobRecord> decode(StoreRecord record) {
         if (record.value().length == 0) {
             return Optional.empty();
         }
-        if (record.key().startsWith(SUBMITTED)) {
-            return read(record, JobRecord.Submitted.class);
+        if (record.key().startsWith(SUBMITTED_KEY_PREFIX)) {
+            return decodeValue(record, JobRecord.Submitted.class);
         }
-        if (record.key().startsWith(CANCELLED)) {
-            return read(record, JobRecord.Cancelled.class);
+        if (record.key().startsWith(CANCELLED_KEY_PREFIX)) {
+            return decodeValue(record, JobRecord.Cancelled.class);
         }
-        if (record.key().startsWith(PROGRESSED)) {
-            return read(record, JobRecord.Progressed.class);
+        if (record.key().startsWith(PROGRESS_KEY_PREFIX)) {
+            return decodeValue(record, JobRecord.Progressed.class);
         }
-        if (record.key().equals(CLAIMED)) {
-            return read(record, JobRecord.Claimed.class);
+        if (record.key().equals(OWNER_KEY)) {
+            return decodeValue(record, JobRecord.Claimed.class);
         }
-        if (record.key().equals(LEARNT)) {
-            return read(record, JobRecord.InterferenceUpdate.class);
+        if (record.key().equals(INTERFERENCE_KEY)) {
+            return decodeValue(record, JobRecord.InterferenceUpdate.class);
         }
         return Optional.empty();
     }
 
     StoreRecord encodeEntry(FleetNode entry) {
-        return stored(entry.process().value(), entry);
+        return toStoreRecord(entry.process().value(), entry);
     }
 
     Optional<FleetNode> decodeEntry(StoreRecord record) {
-        return record.value().length == 0 ? Optional.empty() : read(record, FleetNode.class);
+        return record.value().length == 0 ? Optional.empty() : decodeValue(record, FleetNode.class);
     }
 
-    private StoreRecord stored(String key, Object value) {
+    private StoreRecord toStoreRecord(String key, Object value) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             mRecords.write(packer, value.getClass(), value);
             return new StoreRecord(0, key, packer.toByteArray());
@@ -82,7 +84,7 @@
         }
     }
 
-    private <T> Optional<T> read(StoreRecord record, Class<? extends T> type) {
+    private <T> Optional<T> decodeValue(StoreRecord record, Class<? extends T> type) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(record.value())) {
             return Optional.<T>of(type.cast(mRecords.read(unpacker, type)));
         } catch (IOException | RuntimeException e) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -29,21 +29,21 @@
 import org.hickorycleat.model.store.Producer;
 import org.hickorycleat.model.store.StoreAppendRequest;
 
-/** One term of this process as the owner of the jobs. */
+/** Schedules all jobs for one term (epoch) of this process as the owner. */
 final class OwnerRole implements DispatchOutput {
-    /** Name of the producer that only owners use; its epoch fences earlier owners. */
+    /** Name of the producer that only owners use; its epoch fences previous owners. */
     static final String PRODUCER = "owner";
 
     private static final EventLog LOG = EventLog.of(OwnerRole.class);
 
-    /** Time between two checks of leases and progress, in milliseconds. */
-    private static final long TICK_MS = 100;
+    /** Interval between two checks of leases and progress, in milliseconds. */
+    private static final long TICK_INTERVAL_MS = 100;
 
-    /** Pause before an append is repeated, in milliseconds. */
-    private static final long RETRY_MS = 50;
+    /** Delay before an append is retried, in milliseconds. */
+    private static final long RETRY_DELAY_MS = 50;
 
-    /** Jobs of one append; keeps its size below the limits of the store. */
-    private static final int MAXIMUM_BATCH = 200;
+    /** Maximum number of jobs in one append; keeps it below the size limits of the store. */
+    private static final int MAXIMUM_BATCH_JOBS = 200;
 
     private final FleetNode mSelf;
     private final Epoch mEpoch;
@@ -55,7 +55,7 @@
     private final Runnable mOnFenced;
     private final Dispatcher mDispatcher;
     private long mSequence;
-    private volatile boolean mEnded;
+    private volatile boolean mStopped;
 
     OwnerRole(
             FleetNode self,
@@ -88,7 +88,7 @@
         return mDispatcher;
     }
 
-    /** Takes over all jobs and tells every agent. */
+    /** Restores all jobs and announces the owner to every agent. */
     void start(Optional<WorkloadConfiguration> configuration) {
         configuration.ifPresent(mDispatcher::onConfigurationChanged);
         mDispatcher.restoreInterferenceWeights(mDirectory.interferenceWeights());
@@ -105,45 +105,48 @@
         tick();
     }
 
-    /** Opens a session with an agent. */
+    /** Opens a session with an agent and announces the owner to it. */
     void onAgentConnected(ProcessId agent) {
         long session = mDispatcher.onAgentConnected(agent);
         mLinks.send(agent, new OwnerAnnouncement(mSelf.process(), mEpoch, session));
     }
 
-    /** Ends the term; nothing is sent or stored any more. */
+    /** Ends the term; no message is sent and no record is stored afterwards. */
     void stop() {
-        mEnded = true;
+        mStopped = true;
         mDispatcher.stopPlacement();
     }
 
     private void tick() {
-        if (mEnded) {
+        if (mStopped) {
             return;
         }
         mDispatcher.tick();
-        mScheduler.scheduleDirect(this::tick, TICK_MS, TimeUnit.MILLISECONDS);
+        mScheduler.scheduleDirect(this::tick, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
     public boolean send(ProcessId agent, Message message) {
-        return !mEnded && mLinks.send(agent, message);
+        return !mStopped && mLinks.send(agent, message);
     }
 
     @Override
-    public void persistProgress(List<JobProgress> progress, Runnable durable) {
-        int size = Math.min(MAXIMUM_BATCH, progress.size());
+    public void persistProgress(List<JobProgress> progress, Runnable onDurable) {
+        int size = Math.min(MAXIMUM_BATCH_JOBS, progress.size());
         List<JobProgress> batch = progress.subList(0, size);
         List<JobProgress> rest = progress.subList(size, progress.size());
         mSequence++;
-        append(batch, mSequence, rest.isEmpty() ? durable : () -> persistProgress(rest, durable));
+        append(
+                batch,
+                mSequence,
+                rest.isEmpty() ? onDurable : () -> persistProgress(rest, onDurable));
     }
 
-    private void append(List<JobProgress> batch, long sequence, Runnable durable) {
-        if (mEnded) {
+    private void append(List<JobProgress> batch, long sequence, Runnable onDurable) {
+        if (mStopped) {
             return;
         }
-        StoreAppendRequest terms =
+        StoreAppendRequest request =
                 new StoreAppendRequest(
                         JobLogCodec.JOBS_TOPIC,
                         0,
@@ -151,42 +154,42 @@
                         Optional.of(new Producer(PRODUCER, mEpoch.value(), sequence)));
         SingleCallbacks.subscribe(
                 mStore.append(
-                        terms,
+                        request,
                         batch.stream().map(JobRecord.Progressed::new).map(mCodec::encode).toList()),
-                outcome -> onOutcome(batch, sequence, outcome, durable),
+                outcome -> onOutcome(batch, sequence, outcome, onDurable),
                 error ->
                         onOutcome(
                                 batch,
                                 sequence,
                                 new AppendOutcome(AppendResult.UNKNOWN, 0),
-                                durable));
+                                onDurable));
     }
 
     private void onOutcome(
-            List<JobProgress> batch, long sequence, AppendOutcome outcome, Runnable durable) {
-        boolean repeated =
+            List<JobProgress> batch, long sequence, AppendOutcome outcome, Runnable onDurable) {
+        boolean alreadyAppended =
                 outcome.result() == AppendResult.SEQUENCE_GAP && outcome.offset() > sequence;
-        if (outcome.result() == AppendResult.APPENDED || repeated) {
-            if (!mEnded) {
-                durable.run();
+        if (outcome.result() == AppendResult.APPENDED || alreadyAppended) {
+            if (!mStopped) {
+                onDurable.run();
             }
             return;
         }
-        boolean lost =
+        boolean fenced =
                 outcome.result() == AppendResult.FENCED
                         || outcome.result() == AppendResult.SEQUENCE_GAP;
-        if (lost) {
+        if (fenced) {
             LOG.event("owner_fenced").with("epoch", mEpoch).with("result", outcome).warn();
             mOnFenced.run();
             return;
         }
         mScheduler.scheduleDirect(
-                () -> append(batch, sequence, durable), RETRY_MS, TimeUnit.MILLISECONDS);
+                () -> append(batch, sequence, onDurable), RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
     public void publishJobStates(List<JobStatus> states) {
-        if (mEnded) {
+        if (mStopped) {
             return;
         }
         states.forEach(mDirectory::onStatus);
@@ -195,7 +198,7 @@
 
     @Override
     public void saveInterferenceWeights(List<InterferenceEstimate> weights) {
-        if (mEnded) {
+        if (mStopped) {
             return;
         }
         SingleCallbacks.subscribe(
@@ -212,6 +215,6 @@
 
     @Override
     public boolean mayExtendLeases() {
-        return !mEnded && mStore.lastResponseAgeMs() < DispatchSettings.STORE_TIMEOUT_MS;
+        return !mStopped && mStore.lastResponseAgeMs() < DispatchSettings.STORE_TIMEOUT_MS;
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/ProcessMetrics.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/ProcessMetrics.java
@@ -12,13 +12,13 @@
 import org.hickorycleat.logic.port.HttpRequest;
 import org.hickorycleat.logic.port.HttpResponse;
 
-/** Counts every kind of decision and times answers; serves both as text. */
+/** Counts decisions by event and times responses to callers; serves both in Prometheus format. */
 final class ProcessMetrics {
     private static final String PATH = "/metrics";
 
     private final PrometheusMeterRegistry mRegistry =
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-    private final Timer mAnswers =
+    private final Timer mResponseTimes =
             Timer.builder("hickorycleat.caller.answers")
                     .description("time from a whole request of a caller to its answer")
                     .serviceLevelObjectives(
@@ -34,7 +34,7 @@
         return mRegistry;
     }
 
-    /** Returns a log that writes a line and counts it by its event. */
+    /** Returns a decision log that writes a line for each decision and counts it by event. */
     DecisionLog decisionLog(Class<?> type) {
         EventLog log = EventLog.of(type);
         return (event, pairs) -> {
@@ -43,12 +43,12 @@
         };
     }
 
-    /** Times an answer to a caller. */
+    /** Records the time of a response to a caller, in nanoseconds. */
     void recordResponseTime(long nanoseconds) {
-        mAnswers.record(Duration.ofNanos(nanoseconds));
+        mResponseTimes.record(Duration.ofNanos(nanoseconds));
     }
 
-    /** Serves the metrics. */
+    /** Returns the metrics, or status 404 for any other path. */
     Single<HttpResponse> serve(HttpRequest request) {
         if (!request.path().equals(PATH)) {
             return Single.just(HttpResponse.of(404, new byte[0]));
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingRecordStore.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingRecordStore.java
@@ -25,265 +25,282 @@
 import org.hickorycleat.model.store.StoreRecord;
 
 /**
- * Reaches the store directly, or through a peer while the store turns this machine away.
+ * Accesses the store directly, or through a peer while the store does not serve this VM.
  *
- * <p>An append that may have taken effect is sent again through a peer; callers therefore only
- * append what may be appended twice or names a producer.
+ * <p>An append that may have been committed is retried through a peer. Callers therefore append
+ * only records that may be duplicated, or name a producer.
  */
 final class RelayingRecordStore implements RecordStore {
     private static final EventLog LOG = EventLog.of(RelayingRecordStore.class);
 
-    /** How long peers are asked first after the direct way failed, in milliseconds. */
-    private static final long AVOID_MS = 1_500;
+    /** Time after a direct failure during which peers are tried first, in milliseconds. */
+    private static final long RELAY_FIRST_MS = 1_500;
 
-    /** Time limit of a call through a peer, in milliseconds. */
+    /** Timeout of a request through a peer, in milliseconds. */
     private static final long RELAY_TIMEOUT_MS = 700;
 
-    /** Without an answer for this long the store counts as lost, in milliseconds. */
-    private static final long LOST_MS = 600;
+    /** Time without a response after which the store counts as unavailable, in milliseconds. */
+    private static final long UNAVAILABLE_TIMEOUT_MS = 600;
 
     private final RecordStore mDirect;
-    private final PeerSender mLinks;
-    private final Supplier<Optional<ProcessId>> mRelays;
+    private final PeerSender mPeerSender;
+    private final Supplier<Optional<ProcessId>> mRelaySelector;
     private final Scheduler mScheduler;
-    private final Map<Long, SingleSubject<RelayedStoreResponse>> mCalls = new HashMap<>();
-    private long mLastCall;
-    private long mAvoidUntilMs = Long.MIN_VALUE;
-    private long mAnsweredAtMs;
-    private long mDirectlyAnsweredAtMs;
+    private final Map<Long, SingleSubject<RelayedStoreResponse>> mPendingRequests = new HashMap<>();
+    private long mLastRequestNumber;
+    private long mRelayFirstUntilMs = Long.MIN_VALUE;
+    private long mLastResponseMs;
+    private long mLastDirectResponseMs;
 
     /** Sends messages to peers. */
     @FunctionalInterface
     interface PeerSender {
-        /** Sends a message; returns false when it is certain that it is never sent. */
+        /** Sends a message; returns false only if the message is certain never to be sent. */
         boolean send(ProcessId peer, Message message);
     }
 
     /**
      * Creates the store.
      *
-     * @param relays names a peer that reaches the store
+     * @param relaySelector returns a peer that can reach the store
      */
     RelayingRecordStore(
             RecordStore direct,
-            PeerSender links,
-            Supplier<Optional<ProcessId>> relays,
+            PeerSender peerSender,
+            Supplier<Optional<ProcessId>> relaySelector,
             Scheduler scheduler) {
         mDirect = direct;
-        mLinks = links;
-        mRelays = relays;
+        mPeerSender = peerSender;
+        mRelaySelector = relaySelector;
         mScheduler = scheduler;
     }
 
-    /** Returns how long ago the store answered, by any way, in milliseconds. */
+    /**
+     * Returns the time since the last response of the store, direct or relayed, in milliseconds.
+     */
     synchronized long lastResponseAgeMs() {
-        return nowMs() - mAnsweredAtMs;
+        return nowMs() - mLastResponseMs;
     }
 
-    /** Tells whether the store has stopped to answer, by any way. */
+    /** Returns whether the store responds neither directly nor through a peer. */
     synchronized boolean isUnavailable() {
-        return isAvoided() && lastResponseAgeMs() > LOST_MS;
+        return isRelayFirst() && lastResponseAgeMs() > UNAVAILABLE_TIMEOUT_MS;
     }
 
-    /** Tells whether the store answers this process itself. */
+    /** Returns whether the store responds to this process directly. */
     synchronized boolean isDirectlyReachable() {
-        return nowMs() >= mAvoidUntilMs && mDirectlyAnsweredAtMs > 0;
+        return nowMs() >= mRelayFirstUntilMs && mLastDirectResponseMs > 0;
     }
 
     @Override
-    public Single<AppendOutcome> append(StoreAppendRequest terms, List<StoreRecord> records) {
-        return Single.defer(() -> appendSomehow(terms, records));
+    public Single<AppendOutcome> append(StoreAppendRequest request, List<StoreRecord> records) {
+        return Single.defer(() -> appendWithFallback(request, records));
     }
 
-    private Single<AppendOutcome> appendSomehow(
-            StoreAppendRequest terms, List<StoreRecord> records) {
-        Optional<ProcessId> relay = mRelays.get();
-        if (relay.isPresent() && isAvoided()) {
-            return relayAppend(relay.get(), terms, records)
+    private Single<AppendOutcome> appendWithFallback(
+            StoreAppendRequest request, List<StoreRecord> records) {
+        Optional<ProcessId> relay = mRelaySelector.get();
+        if (relay.isPresent() && isRelayFirst()) {
+            return appendThroughRelay(relay.get(), request, records)
                     .flatMap(
                             outcome ->
-                                    isAnswered(outcome)
+                                    isConclusive(outcome)
                                             ? Single.just(outcome)
-                                            : directAppend(terms, records)
-                                                    .map(last -> joined(outcome, last)));
+                                            : appendDirectly(request, records)
+                                                    .map(last -> combine(outcome, last)));
         }
-        return directAppend(terms, records)
+        return appendDirectly(request, records)
                 .flatMap(
                         outcome ->
-                                isAnswered(outcome) || mRelays.get().isEmpty()
+                                isConclusive(outcome) || mRelaySelector.get().isEmpty()
                                         ? Single.just(outcome)
-                                        : relayAppend(mRelays.get().get(), terms, records)
-                                                .map(last -> joined(outcome, last)));
+                                        : appendThroughRelay(
+                                                        mRelaySelector.get().get(),
+                                                        request,
+                                                        records)
+                                                .map(last -> combine(outcome, last)));
     }
 
-    // A refusal only counts as such when no earlier try may have taken effect.
-    private static AppendOutcome joined(AppendOutcome first, AppendOutcome last) {
+    // A rejection is conclusive only if no earlier attempt may have been committed.
+    private static AppendOutcome combine(AppendOutcome first, AppendOutcome last) {
         boolean unknown =
                 last.result() == AppendResult.REFUSED && first.result() == AppendResult.UNKNOWN;
         return unknown ? first : last;
     }
 
-    private static boolean isAnswered(AppendOutcome outcome) {
+    private static boolean isConclusive(AppendOutcome outcome) {
         return outcome.result() != AppendResult.REFUSED && outcome.result() != AppendResult.UNKNOWN;
     }
 
-    private Single<AppendOutcome> directAppend(
-            StoreAppendRequest terms, List<StoreRecord> records) {
-        return mDirect.append(terms, records)
+    private Single<AppendOutcome> appendDirectly(
+            StoreAppendRequest request, List<StoreRecord> records) {
+        return mDirect.append(request, records)
                 .doOnSuccess(
                         outcome -> {
-                            if (isAnswered(outcome)) {
-                                onDirectAnswer();
+                            if (isConclusive(outcome)) {
+                                recordDirectResponse();
                             } else {
-                                onDirectFailure(outcome.result().name());
+                                recordDirectFailure(outcome.result().name());
                             }
                         });
     }
 
-    private Single<AppendOutcome> relayAppend(
-            ProcessId relay, StoreAppendRequest terms, List<StoreRecord> records) {
-        return relayed(
+    private Single<AppendOutcome> appendThroughRelay(
+            ProcessId relay, StoreAppendRequest request, List<StoreRecord> records) {
+        return sendToRelay(
                         relay,
                         number ->
                                 new RelayedStoreRequest(
-                                        number, Optional.of(terms), records, Optional.empty()))
-                .map(answer -> answer.append().orElse(new AppendOutcome(AppendResult.UNKNOWN, 0)))
+                                        number, Optional.of(request), records, Optional.empty()))
+                .map(
+                        response ->
+                                response.append()
+                                        .orElse(new AppendOutcome(AppendResult.UNKNOWN, 0)))
                 .doOnSuccess(
                         outcome -> {
-                            if (isAnswered(outcome)) {
-                                onAnswer();
+                            if (isConclusive(outcome)) {
+                                recordResponse();
                             }
                         })
                 .onErrorReturnItem(new AppendOutcome(AppendResult.UNKNOWN, 0));
     }
 
     @Override
-    public Single<StorePage> read(StoreReadRequest terms) {
-        return Single.defer(() -> readSomehow(terms));
+    public Single<StorePage> read(StoreReadRequest request) {
+        return Single.defer(() -> readWithFallback(request));
     }
 
-    private Single<StorePage> readSomehow(StoreReadRequest terms) {
-        Optional<ProcessId> relay = mRelays.get();
-        if (relay.isPresent() && isAvoided()) {
-            return relayRead(relay.get(), terms).onErrorResumeNext(error -> directRead(terms));
+    private Single<StorePage> readWithFallback(StoreReadRequest request) {
+        Optional<ProcessId> relay = mRelaySelector.get();
+        if (relay.isPresent() && isRelayFirst()) {
+            return readThroughRelay(relay.get(), request)
+                    .onErrorResumeNext(error -> readDirectly(request));
         }
-        return directRead(terms)
+        return readDirectly(request)
                 .onErrorResumeNext(
                         error ->
-                                mRelays.get()
-                                        .map(peer -> relayRead(peer, terms))
+                                mRelaySelector
+                                        .get()
+                                        .map(peer -> readThroughRelay(peer, request))
                                         .orElseGet(() -> Single.error(error)));
     }
 
-    private Single<StorePage> directRead(StoreReadRequest terms) {
-        return mDirect.read(terms)
-                .doOnSuccess(page -> onDirectAnswer())
-                .doOnError(error -> onDirectFailure(String.valueOf(error.getMessage())));
+    private Single<StorePage> readDirectly(StoreReadRequest request) {
+        return mDirect.read(request)
+                .doOnSuccess(page -> recordDirectResponse())
+                .doOnError(error -> recordDirectFailure(String.valueOf(error.getMessage())));
     }
 
-    private Single<StorePage> relayRead(ProcessId relay, StoreReadRequest terms) {
-        // A peer must not be made to hold a read for this process.
-        StoreReadRequest atOnce =
-                terms.newest()
-                        ? terms
+    private Single<StorePage> readThroughRelay(ProcessId relay, StoreReadRequest request) {
+        // A long poll would occupy the peer on behalf of this process.
+        StoreReadRequest withoutWait =
+                request.newest()
+                        ? request
                         : StoreReadRequest.log(
-                                terms.topic(), terms.partition(), terms.fromOffset(), 0);
-        return relayed(
+                                request.topic(), request.partition(), request.fromOffset(), 0);
+        return sendToRelay(
                         relay,
                         number ->
                                 new RelayedStoreRequest(
-                                        number, Optional.empty(), List.of(), Optional.of(atOnce)))
+                                        number,
+                                        Optional.empty(),
+                                        List.of(),
+                                        Optional.of(withoutWait)))
                 .flatMap(
-                        answer ->
-                                answer.page().isPresent()
-                                        ? Single.just(answer.page().get())
+                        response ->
+                                response.page().isPresent()
+                                        ? Single.just(response.page().get())
                                         : Single.error(
-                                                new StoreUnavailableException("not relayed")))
-                .doOnSuccess(page -> onAnswer());
+                                                new StoreUnavailableException(
+                                                        "relay could not read from the store")))
+                .doOnSuccess(page -> recordResponse());
     }
 
-    private Single<RelayedStoreResponse> relayed(
-            ProcessId relay, java.util.function.LongFunction<RelayedStoreRequest> call) {
-        SingleSubject<RelayedStoreResponse> answer = SingleSubject.create();
+    private Single<RelayedStoreResponse> sendToRelay(
+            ProcessId relay, java.util.function.LongFunction<RelayedStoreRequest> requestFactory) {
+        SingleSubject<RelayedStoreResponse> response = SingleSubject.create();
         long number;
         synchronized (this) {
-            number = ++mLastCall;
-            mCalls.put(number, answer);
+            number = ++mLastRequestNumber;
+            mPendingRequests.put(number, response);
         }
-        if (!mLinks.send(relay, call.apply(number))) {
-            forget(number);
-            return Single.error(new StoreUnavailableException("no link to relay"));
+        if (!mPeerSender.send(relay, requestFactory.apply(number))) {
+            removePending(number);
+            return Single.error(new StoreUnavailableException("no connection to the relay"));
         }
-        return answer.timeout(RELAY_TIMEOUT_MS, TimeUnit.MILLISECONDS, mScheduler)
-                .doFinally(() -> forget(number));
+        return response.timeout(RELAY_TIMEOUT_MS, TimeUnit.MILLISECONDS, mScheduler)
+                .doFinally(() -> removePending(number));
     }
 
-    private synchronized void forget(long number) {
-        mCalls.remove(number);
+    private synchronized void removePending(long number) {
+        mPendingRequests.remove(number);
     }
 
-    /** Takes the answer of a relay. */
-    void onAnswer(RelayedStoreResponse answer) {
-        SingleSubject<RelayedStoreResponse> waiting;
+    /** Handles a response of a relay. */
+    void onRelayedResponse(RelayedStoreResponse response) {
+        SingleSubject<RelayedStoreResponse> pending;
         synchronized (this) {
-            waiting = mCalls.get(answer.number());
+            pending = mPendingRequests.get(response.number());
         }
-        if (waiting != null) {
-            waiting.onSuccess(answer);
+        if (pending != null) {
+            pending.onSuccess(response);
         }
     }
 
-    /** Makes a call for a peer. */
-    void onRelayedRequest(ProcessId peer, RelayedStoreRequest call) {
-        if (call.append().isPresent()) {
+    /** Executes a store request for a peer. */
+    void onRelayedRequest(ProcessId peer, RelayedStoreRequest request) {
+        if (request.append().isPresent()) {
             SingleCallbacks.subscribe(
-                    directAppend(call.append().get(), call.records()),
+                    appendDirectly(request.append().get(), request.records()),
                     outcome ->
-                            mLinks.send(
+                            mPeerSender.send(
                                     peer,
                                     new RelayedStoreResponse(
-                                            call.number(), Optional.of(outcome), Optional.empty())),
-                    error -> relayFailed(peer, call, error));
-        } else if (call.read().isPresent()) {
+                                            request.number(),
+                                            Optional.of(outcome),
+                                            Optional.empty())),
+                    error -> onRelayFailed(peer, request, error));
+        } else if (request.read().isPresent()) {
             SingleCallbacks.subscribe(
-                    directRead(call.read().get()),
+                    readDirectly(request.read().get()),
                     page ->
-                            mLinks.send(
+                            mPeerSender.send(
                                     peer,
                                     new RelayedStoreResponse(
-                                            call.number(), Optional.empty(), Optional.of(page))),
-                    error -> relayFailed(peer, call, error));
+                                            request.number(), Optional.empty(), Optional.of(page))),
+                    error -> onRelayFailed(peer, request, error));
         }
     }
 
-    private void relayFailed(ProcessId peer, RelayedStoreRequest call, Throwable error) {
+    private void onRelayFailed(ProcessId peer, RelayedStoreRequest request, Throwable error) {
         LOG.event("relay_failed").with("peer", peer).with("cause", error).info();
-        mLinks.send(
-                peer, new RelayedStoreResponse(call.number(), Optional.empty(), Optional.empty()));
+        mPeerSender.send(
+                peer,
+                new RelayedStoreResponse(request.number(), Optional.empty(), Optional.empty()));
     }
 
-    private synchronized boolean isAvoided() {
-        return nowMs() < mAvoidUntilMs;
+    private synchronized boolean isRelayFirst() {
+        return nowMs() < mRelayFirstUntilMs;
     }
 
-    private synchronized void onAnswer() {
-        mAnsweredAtMs = nowMs();
+    private synchronized void recordResponse() {
+        mLastResponseMs = nowMs();
     }
 
-    private synchronized void onDirectAnswer() {
-        mAnsweredAtMs = nowMs();
-        mDirectlyAnsweredAtMs = nowMs();
-        if (mAvoidUntilMs != Long.MIN_VALUE) {
-            mAvoidUntilMs = Long.MIN_VALUE;
+    private synchronized void recordDirectResponse() {
+        mLastResponseMs = nowMs();
+        mLastDirectResponseMs = nowMs();
+        if (mRelayFirstUntilMs != Long.MIN_VALUE) {
+            mRelayFirstUntilMs = Long.MIN_VALUE;
             LOG.event("store_regained").info();
         }
     }
 
-    private synchronized void onDirectFailure(String cause) {
-        if (mAvoidUntilMs == Long.MIN_VALUE) {
+    private synchronized void recordDirectFailure(String cause) {
+        if (mRelayFirstUntilMs == Long.MIN_VALUE) {
             LOG.event("store_lost").with("cause", cause).warn();
         }
-        mAvoidUntilMs = nowMs() + AVOID_MS;
+        mRelayFirstUntilMs = nowMs() + RELAY_FIRST_MS;
     }
 
     private long nowMs() {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/TopicConsumer.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/TopicConsumer.java
@@ -15,15 +15,15 @@
 final class TopicConsumer {
     private static final EventLog LOG = EventLog.of(TopicConsumer.class);
 
-    /** Pause after a read that failed, in milliseconds. */
-    private static final long RETRY_MS = 200;
+    /** Delay before a failed read is retried, in milliseconds. */
+    private static final long RETRY_DELAY_MS = 200;
 
     private final RecordStore mStore;
     private final String mTopic;
     private final Consumer<StoreRecord> mSink;
     private final Scheduler mScheduler;
-    private final int mWaitMs;
-    private final long mPauseMs;
+    private final int mLongPollMs;
+    private final long mPollDelayMs;
     private boolean mLoaded;
     private boolean mFailing;
     private long mNextOffset;
@@ -31,50 +31,52 @@
     private long mReadAtMs = Long.MIN_VALUE / 2;
 
     /**
-     * Creates a follower.
+     * Creates a consumer.
      *
-     * @param waitMs how long the store may hold a read, in milliseconds
-     * @param pauseMs pause between two reads, in milliseconds
+     * @param longPollMs maximum wait of a long poll, in milliseconds
+     * @param pollDelayMs delay between two reads, in milliseconds
      */
     TopicConsumer(
             RecordStore store,
             String topic,
             Consumer<StoreRecord> sink,
             Scheduler scheduler,
-            int waitMs,
-            long pauseMs) {
+            int longPollMs,
+            long pollDelayMs) {
         mStore = store;
         mTopic = topic;
         mSink = sink;
         mScheduler = scheduler;
-        mWaitMs = waitMs;
-        mPauseMs = pauseMs;
+        mLongPollMs = longPollMs;
+        mPollDelayMs = pollDelayMs;
     }
 
-    /** Starts to read. */
+    /** Starts reading, from the newest record of each key. */
     void start() {
         load("", -1);
     }
 
-    /** Tells whether everything that was stored at the start has been read. */
+    /** Returns whether all records that were stored at the start have been read. */
     synchronized boolean isLoaded() {
         return mLoaded;
     }
 
-    /** Returns the end of the topic at the last read. */
+    /** Returns the end offset of the topic at the last read. */
     synchronized long endOffset() {
         return mEndOffset;
     }
 
-    /** Returns when the end was last reached, on the clock of the scheduler. */
+    /** Returns the time of the last read by the clock of the scheduler, in milliseconds. */
     synchronized long readAtMs() {
         return mReadAtMs;
     }
 
-    /** Reads on to the end of the topic; fails when the store gives no answer. */
+    /**
+     * Reads up to the end of the topic and returns its offset; fails if the store does not respond.
+     */
     Single<Long> catchUp() {
         if (!isLoaded()) {
-            return Single.error(new IllegalStateException("not loaded yet"));
+            return Single.error(new IllegalStateException("topic is not loaded yet"));
         }
         return mStore.read(StoreReadRequest.log(mTopic, 0, nextOffset(), 0))
                 .flatMap(
@@ -101,7 +103,7 @@
     }
 
     private void onNewest(StorePage page, long firstEndOffset) {
-        onRead();
+        onReadSucceeded();
         page.records().forEach(mSink);
         long start = firstEndOffset < 0 ? page.endOffset() : firstEndOffset;
         if (page.hasMore() && !page.records().isEmpty()) {
@@ -120,20 +122,21 @@
 
     private void read() {
         SingleCallbacks.subscribe(
-                mStore.read(StoreReadRequest.log(mTopic, 0, nextOffset(), mFailing ? 0 : mWaitMs)),
+                mStore.read(
+                        StoreReadRequest.log(mTopic, 0, nextOffset(), mFailing ? 0 : mLongPollMs)),
                 this::onPage,
                 error -> retry(error, this::read));
     }
 
     private void onPage(StorePage page) {
-        onRead();
+        onReadSucceeded();
         if (page.truncated()) {
             LOG.event("topic_truncated").with("topic", mTopic).with("offset", nextOffset()).info();
             load("", -1);
             return;
         }
         accept(page);
-        mScheduler.scheduleDirect(this::read, mPauseMs, TimeUnit.MILLISECONDS);
+        mScheduler.scheduleDirect(this::read, mPollDelayMs, TimeUnit.MILLISECONDS);
     }
 
     private void accept(StorePage page) {
@@ -152,7 +155,7 @@
         }
     }
 
-    private void onRead() {
+    private void onReadSucceeded() {
         if (mFailing) {
             mFailing = false;
             LOG.event("topic_regained").with("topic", mTopic).info();
@@ -164,6 +167,6 @@
             mFailing = true;
             LOG.event("topic_lost").with("topic", mTopic).with("cause", error).warn();
         }
-        mScheduler.scheduleDirect(action, RETRY_MS, TimeUnit.MILLISECONDS);
+        mScheduler.scheduleDirect(action, RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/WorkloadConfigurationCache.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/WorkloadConfigurationCache.java
@@ -7,7 +7,7 @@
 import org.hickorycleat.platform.MalformedContentException;
 import org.hickorycleat.platform.WorkloadConfigurationReader;
 
-/** Holds the newest configuration that this process knows; its version never decreases. */
+/** Holds the newest known configuration; its version never decreases. */
 final class WorkloadConfigurationCache {
     private static final EventLog LOG = EventLog.of(WorkloadConfigurationCache.class);
 
@@ -27,12 +27,12 @@
         return mConfiguration.map(WorkloadConfiguration::version).orElse(-1L);
     }
 
-    /** Returns the configuration as the operator wrote it. */
+    /** Returns the configuration as published by the operator. */
     synchronized byte[] content() {
         return mContent;
     }
 
-    /** Takes a configuration if it is newer. */
+    /** Activates a configuration if it is newer; ignores malformed content. */
     void updateIfNewer(byte[] content, String source) {
         WorkloadConfiguration configuration;
         try {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/package-info.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/package-info.java
@@ -1,4 +1,4 @@
-/** Roles entry and agent on the users' platform, and the links between them. */
+/** Entry and agent roles on the users' platform, and the links between them. */
 @NullMarked
 package org.hickorycleat.daemon.fleet;
 
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FaultyProxy.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FaultyProxy.java
@@ -11,48 +11,51 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
-/** A loopback proxy that forwards bytes, holds them back, loses answers or resets connections. */
+/** Forwards bytes on loopback, or stalls them, drops responses or closes connections. */
 final class FaultyProxy implements AutoCloseable {
     private static final int BUFFER_BYTES = 16_384;
-    private static final long HELD_POLL_MS = 20;
+    private static final long STALL_POLL_MS = 20;
 
-    /** What happens to bytes. */
+    /** Handling of the bytes that arrive. */
     enum Mode {
-        /** Everything is forwarded. */
+        /** Forwards all bytes. */
         PASS,
-        /** Nothing is forwarded, and nobody is told. */
-        SILENT,
-        /** Requests are forwarded, answers are dropped. */
-        LOSE_ANSWERS,
-        /** Connections are closed. */
+        /** Holds all bytes back and leaves the connections open. */
+        STALL,
+        /** Forwards requests and drops responses. */
+        DROP_RESPONSES,
+        /** Closes all connections. */
         RESET
     }
 
     private final ServerSocket mServer;
-    private final InetSocketAddress mTarget;
+    private final InetSocketAddress mUpstream;
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
     private volatile Mode mMode = Mode.PASS;
 
-    FaultyProxy(InetSocketAddress target) throws IOException {
-        mTarget = target;
+    FaultyProxy(InetSocketAddress upstream) throws IOException {
+        mUpstream = upstream;
         mServer = new ServerSocket(FreePorts.next(), 50, InetAddress.getLoopbackAddress());
-        daemon(this::accept);
+        startDaemon(this::accept);
     }
 
     InetSocketAddress address() {
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), mServer.getLocalPort());
     }
 
-    /** Changes what happens; connections on which answers were lost are closed with it. */
+    /**
+     * Changes the mode; leaving DROP_RESPONSES closes the connections, whose responses are
+     * incomplete.
+     */
     void setMode(Mode mode) {
-        Mode before = mMode;
+        Mode previous = mMode;
         mMode = mode;
-        if (mode == Mode.RESET || before == Mode.LOSE_ANSWERS) {
+        if (mode == Mode.RESET || previous == Mode.DROP_RESPONSES) {
             mSockets.forEach(FaultyProxy::close);
         }
     }
 
-    private static void daemon(Runnable body) {
+    private static void startDaemon(Runnable body) {
         Thread thread = new Thread(body, "proxy");
         thread.setDaemon(true);
         thread.start();
@@ -62,27 +65,28 @@
         while (!mServer.isClosed()) {
             try {
                 Socket client = mServer.accept();
-                Socket target = new Socket(mTarget.getAddress(), mTarget.getPort());
+                Socket upstream = new Socket(mUpstream.getAddress(), mUpstream.getPort());
                 mSockets.add(client);
-                mSockets.add(target);
-                daemon(() -> forward(client, target, false));
-                daemon(() -> forward(target, client, true));
+                mSockets.add(upstream);
+                startDaemon(() -> forward(client, upstream, false));
+                startDaemon(() -> forward(upstream, client, true));
             } catch (IOException e) {
-                // The proxy was closed, or its target is gone; clients see a closed connection.
+                // The proxy was closed, or its upstream does not listen; clients see a closed
+                // connection.
             }
         }
     }
 
-    private void forward(Socket from, Socket to, boolean answers) {
+    private void forward(Socket from, Socket to, boolean responses) {
         byte[] buffer = new byte[BUFFER_BYTES];
         try {
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
             for (int read = in.read(buffer); read >= 0; read = in.read(buffer)) {
-                while (mMode == Mode.SILENT) {
-                    TimeUnit.MILLISECONDS.sleep(HELD_POLL_MS);
+                while (mMode == Mode.STALL) {
+                    TimeUnit.MILLISECONDS.sleep(STALL_POLL_MS);
                 }
-                if (mMode == Mode.LOSE_ANSWERS && answers) {
+                if (mMode == Mode.DROP_RESPONSES && responses) {
                     continue;
                 }
                 out.write(buffer, 0, read);
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetExamples.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetExamples.java
@@ -1,6 +1,6 @@
 package org.hickorycleat.daemon.fleet;
 
-/** A configuration with one queue, and a job of two steps for it. */
+/** Example configuration with one queue, and an example job with two steps. */
 final class FleetExamples {
     static final String CONFIGURATION =
             "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\","
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPathTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPathTest.java
@@ -29,13 +29,13 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** The whole path on loopback: two entries and an agent against stand-ins of store and worker. */
+/** Runs two entries and an agent on loopback against stand-ins of the store and the worker. */
 class FleetPathTest {
-    private static final Duration LIMIT = Duration.ofSeconds(20);
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
     private final EventLoopGroup mEventLoops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final NettyHttpClient mCaller = new NettyHttpClient(mEventLoops);
+    private final NettyHttpClient mHttpClient = new NettyHttpClient(mEventLoops);
     private final StoreStandIn mStore = new StoreStandIn();
     private final WorkerStandIn mWorker = new WorkerStandIn();
     private final List<NodeSettings> mEntries = new ArrayList<>();
@@ -59,13 +59,13 @@
             process.start();
             mProcesses.add(process);
         }
-        Awaitility.await().atMost(LIMIT).until(() -> isReady(0) && isReady(1));
+        Awaitility.await().atMost(TIMEOUT).until(() -> isReady(0) && isReady(1));
     }
 
     @AfterEach
     void stopFleet() throws InterruptedException {
         mProcesses.forEach(Lifecycle::close);
-        // The stand-ins answer what is under way.
+        // Lets the stand-ins respond to requests in flight.
         TimeUnit.MILLISECONDS.sleep(300);
         mEventLoops.shutdownGracefully(1, 10, TimeUnit.SECONDS).syncUninterruptibly();
     }
@@ -101,7 +101,8 @@
     }
 
     private HttpResponse call(InetSocketAddress address, String method, String path, String body) {
-        return mCaller.call(
+        return mHttpClient
+                .call(
                         new HttpCall(
                                 address,
                                 method,
@@ -128,25 +129,25 @@
                 mWorker.heartbeat(mSequence));
     }
 
-    private HttpResponse caller(int entry, String method, String job, String body) {
+    private HttpResponse callJobs(int entry, String method, String job, String body) {
         InetSocketAddress address = mEntries.get(entry).callerAddress().orElseThrow();
         return call(address, method, "/jobs/" + job, body);
     }
 
     private String state(int entry, String job) {
         announceWorker();
-        return new String(caller(entry, "GET", job, "").body(), StandardCharsets.UTF_8);
+        return new String(callJobs(entry, "GET", job, "").body(), StandardCharsets.UTF_8);
     }
 
     private void awaitCompleted(int entry, String job) {
-        Awaitility.await().atMost(LIMIT).until(() -> state(entry, job).contains("\"completed\""));
+        Awaitility.await().atMost(TIMEOUT).until(() -> state(entry, job).contains("\"completed\""));
     }
 
     @Test
-    void completesJobThatWasHandedInAtAnyEntry() {
-        assertThat(caller(0, "POST", "00000000000000a1", FleetExamples.JOB).status())
+    void completesJobSubmittedToAnyEntry() {
+        assertThat(callJobs(0, "POST", "00000000000000a1", FleetExamples.JOB).status())
                 .isEqualTo(200);
-        assertThat(caller(1, "POST", "00000000000000a2", FleetExamples.JOB).status())
+        assertThat(callJobs(1, "POST", "00000000000000a2", FleetExamples.JOB).status())
                 .isEqualTo(200);
 
         awaitCompleted(1, "00000000000000a1");
@@ -156,53 +157,53 @@
     }
 
     @Test
-    void runsJobOnceThatIsHandedInAtBothEntries() {
-        caller(0, "POST", "00000000000000b1", FleetExamples.JOB);
-        caller(1, "POST", "00000000000000b1", FleetExamples.JOB);
+    void runsJobOnceWhenSubmittedToBothEntries() {
+        callJobs(0, "POST", "00000000000000b1", FleetExamples.JOB);
+        callJobs(1, "POST", "00000000000000b1", FleetExamples.JOB);
 
         awaitCompleted(0, "00000000000000b1");
         assertThat(mWorker.starts()).hasSize(5);
     }
 
     @Test
-    void knowsNoJobThatNobodyHandedIn() {
-        assertThat(caller(0, "GET", "00000000000000c1", "").status()).isEqualTo(410);
+    void reportsUnknownJobAsGone() {
+        assertThat(callJobs(0, "GET", "00000000000000c1", "").status()).isEqualTo(410);
     }
 
     @Test
-    void refusesAtOnceWhileTheStoreIsDownAndGoesOnAfterwards() {
+    void rejectsJobsImmediatelyWhileStoreIsDownAndRecovers() {
         mStore.setDown(true);
         Awaitility.await()
-                .atMost(LIMIT)
+                .atMost(TIMEOUT)
                 .until(
                         () ->
-                                caller(0, "POST", "00000000000000d1", FleetExamples.JOB).status()
+                                callJobs(0, "POST", "00000000000000d1", FleetExamples.JOB).status()
                                         == 503);
         long startNanos = System.nanoTime();
-        HttpResponse refusal = caller(0, "POST", "00000000000000d2", FleetExamples.JOB);
-        long passedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
-        assertThat(refusal.status()).isEqualTo(503);
-        assertThat(passedMs).isLessThan(1_500);
+        HttpResponse rejection = callJobs(0, "POST", "00000000000000d2", FleetExamples.JOB);
+        long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        assertThat(rejection.status()).isEqualTo(503);
+        assertThat(elapsedMs).isLessThan(1_500);
 
         mStore.setDown(false);
 
         Awaitility.await()
-                .atMost(LIMIT)
+                .atMost(TIMEOUT)
                 .until(
                         () ->
-                                caller(0, "POST", "00000000000000d3", FleetExamples.JOB).status()
+                                callJobs(0, "POST", "00000000000000d3", FleetExamples.JOB).status()
                                         == 200);
         awaitCompleted(1, "00000000000000d3");
         assertThat(mWorker.starts()).hasSize(5);
     }
 
     @Test
-    void handsOwnershipOverWhenAnEntryDrains() {
-        caller(0, "POST", "00000000000000e1", FleetExamples.JOB);
+    void handsOverOwnershipWhenEntryDrains() {
+        callJobs(0, "POST", "00000000000000e1", FleetExamples.JOB);
         awaitCompleted(1, "00000000000000e1");
         mProcesses.get(0).drain();
 
-        caller(1, "POST", "00000000000000e2", FleetExamples.JOB);
+        callJobs(1, "POST", "00000000000000e2", FleetExamples.JOB);
 
         awaitCompleted(1, "00000000000000e2");
         assertThat(new HashSet<>(mWorker.starts())).hasSize(mWorker.starts().size());
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetSoakTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetSoakTest.java
@@ -30,47 +30,48 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Random faults on real processes: kills, stops, freezes, and cuts of the paths to the store.
+ * Injects random faults into real processes: kills, stops, suspensions, worker restarts, and
+ * failures of the connections to the store.
  *
- * <p>Whatever happens, no task runs twice, every job that was taken is completed, and a job that
- * was refused at every try never runs.
+ * <p>Under every fault, no task runs twice, every accepted job is completed, and a job that was
+ * rejected at every attempt never runs.
  */
 class FleetSoakTest {
     private static final int ENTRIES = 3;
     private static final int AGENTS = 3;
     private static final int FAULTS = 6;
     private static final int JOBS_BEFORE_FAULT = 4;
-    private static final Duration START_LIMIT = Duration.ofSeconds(30);
-    private static final Duration COMPLETION_LIMIT = Duration.ofSeconds(45);
-    private static final long HEARTBEAT_MS = 300;
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(30);
+    private static final Duration COMPLETION_TIMEOUT = Duration.ofSeconds(45);
+    private static final long HEARTBEAT_INTERVAL_MS = 300;
     private static final long RUN_MS = 1_500;
     private static final long WORK_INTERVAL_MS = 10;
-    private static final int CALL_LIMIT_MS = 2_500;
+    private static final int CALL_TIMEOUT_MS = 2_500;
 
     private final EventLoopGroup mEventLoops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final NettyHttpClient mCaller = new NettyHttpClient(mEventLoops);
+    private final NettyHttpClient mHttpClient = new NettyHttpClient(mEventLoops);
     private final StoreStandIn mStore = new StoreStandIn();
     private final RunHistory mHistory = new RunHistory();
     private final List<WorkerStandIn> mWorkers = new ArrayList<>();
     private final List<InetSocketAddress> mHeartbeatAddresses = new ArrayList<>();
     private final List<InetSocketAddress> mCallerAddresses = new ArrayList<>();
-    private final List<FaultyProxy> mPaths = new ArrayList<>();
+    private final List<FaultyProxy> mStoreProxies = new ArrayList<>();
     private final List<Thread> mThreads = new ArrayList<>();
     private final List<NodeProcess> mProcesses = new ArrayList<>();
-    private final Set<String> mTaken = new LinkedHashSet<>();
-    private final Set<String> mRefused = new LinkedHashSet<>();
-    private volatile boolean mEnded;
+    private final Set<String> mAcceptedJobs = new LinkedHashSet<>();
+    private final Set<String> mRejectedJobs = new LinkedHashSet<>();
+    private volatile boolean mStopped;
 
     @AfterEach
     void stopFleet() throws Exception {
-        mEnded = true;
+        mStopped = true;
         for (Thread thread : mThreads) {
             thread.join();
         }
         mProcesses.forEach(NodeProcess::close);
-        for (FaultyProxy path : mPaths) {
-            path.close();
+        for (FaultyProxy proxy : mStoreProxies) {
+            proxy.close();
         }
         mEventLoops.shutdownGracefully(1, 10, TimeUnit.SECONDS).syncUninterruptibly();
     }
@@ -85,8 +86,8 @@
         int links = FreePorts.next();
         int workers = FreePorts.next();
         for (int i = 0; i < ENTRIES + AGENTS; i++) {
-            FaultyProxy path = new FaultyProxy(store);
-            mPaths.add(path);
+            FaultyProxy proxy = new FaultyProxy(store);
+            mStoreProxies.add(proxy);
             String host = "127.0.0." + (10 + i);
             boolean isEntry = i < ENTRIES;
             String worker = "";
@@ -120,43 +121,43 @@
                             + readiness
                             + "\"],\"limits\":{\"cpu_share\":0.5},\"platform\":{\"address\":\""
                             + "127.0.0.1:"
-                            + path.address().getPort()
+                            + proxy.address().getPort()
                             + "\"},\"bounds\":{\"max_hold_ms\":6000,\"stop_grace_ms\":400,"
                             + "\"checkpoint_interval_s\":1,\"status_s\":120,\"impact_ms\":4000}}";
             mProcesses.add(new NodeProcess(directory, "node-" + i, settings));
         }
-        background(this::announceWorkers);
-        background(this::runWorkers);
+        startThread(this::announceWorkers);
+        startThread(this::runWorkers);
         for (int i = 0; i < ENTRIES; i++) {
             InetSocketAddress ready = new InetSocketAddress("127.0.0." + (10 + i), readiness);
             Awaitility.await()
-                    .atMost(START_LIMIT)
+                    .atMost(START_TIMEOUT)
                     .until(() -> call(ready, "GET", "/ready", "").status() == 200);
         }
     }
 
-    private void background(Runnable body) {
+    private void startThread(Runnable body) {
         Thread thread = new Thread(body, "workers");
         thread.setDaemon(true);
         thread.start();
         mThreads.add(thread);
     }
 
-    // Tasks end and leases expire also while nobody calls the worker.
+    // Tasks end and leases expire even if the worker receives no request.
     private void runWorkers() {
-        while (!mEnded) {
-            mWorkers.forEach(WorkerStandIn::finish);
+        while (!mStopped) {
+            mWorkers.forEach(WorkerStandIn::endDueRuns);
             sleep(WORK_INTERVAL_MS);
         }
     }
 
     private void announceWorkers() {
-        for (long sequence = 1; !mEnded; sequence++) {
+        for (long sequence = 1; !mStopped; sequence++) {
             for (int i = 0; i < AGENTS; i++) {
                 String path = "/instances/i-" + i + "/heartbeat";
                 call(mHeartbeatAddresses.get(i), "POST", path, mWorkers.get(i).heartbeat(sequence));
             }
-            sleep(HEARTBEAT_MS);
+            sleep(HEARTBEAT_INTERVAL_MS);
         }
     }
 
@@ -169,38 +170,39 @@
     }
 
     private HttpResponse call(InetSocketAddress address, String method, String path, String body) {
-        return mCaller.call(
+        return mHttpClient
+                .call(
                         new HttpCall(
                                 address,
                                 method,
                                 path,
                                 Map.of("Host", "h.example"),
                                 body.getBytes(StandardCharsets.UTF_8),
-                                CALL_LIMIT_MS))
+                                CALL_TIMEOUT_MS))
                 .onErrorReturnItem(HttpResponse.of(0, new byte[0]))
                 .blockingGet();
     }
 
-    /** Hands a job in at two entries in turn, as a caller does that gets no answer. */
+    /** Submits a job, and retries it once at a random entry unless it is accepted. */
     private void submit(String job, Random random) {
         boolean unknown = false;
         for (int attempt = 0; attempt < 2; attempt++) {
             InetSocketAddress entry = mCallerAddresses.get(random.nextInt(ENTRIES));
             int status = call(entry, "POST", "/jobs/" + job, FleetExamples.JOB).status();
             if (status == 200) {
-                mTaken.add(job);
+                mAcceptedJobs.add(job);
                 return;
             }
             unknown |= status != 503;
         }
         if (!unknown) {
-            mRefused.add(job);
+            mRejectedJobs.add(job);
         }
     }
 
-    private void fault(Random random) throws Exception {
+    private void injectFault(Random random) throws Exception {
         int node = random.nextInt(ENTRIES + AGENTS);
-        int lengthMs = 500 + random.nextInt(2_500);
+        int durationMs = 500 + random.nextInt(2_500);
         NodeProcess process = mProcesses.get(node);
         switch (random.nextInt(7)) {
             case 0 -> {
@@ -213,34 +215,34 @@
             }
             case 2 -> {
                 process.signal("STOP");
-                sleep(lengthMs);
+                sleep(durationMs);
                 process.signal("CONT");
             }
-            case 3 -> cut(List.of(mPaths.get(node)), FaultyProxy.Mode.SILENT, lengthMs);
-            case 4 -> cut(List.of(mPaths.get(node)), FaultyProxy.Mode.RESET, lengthMs);
-            case 5 -> cut(mPaths, FaultyProxy.Mode.LOSE_ANSWERS, lengthMs);
+            case 3 -> disturb(List.of(mStoreProxies.get(node)), FaultyProxy.Mode.STALL, durationMs);
+            case 4 -> disturb(List.of(mStoreProxies.get(node)), FaultyProxy.Mode.RESET, durationMs);
+            case 5 -> disturb(mStoreProxies, FaultyProxy.Mode.DROP_RESPONSES, durationMs);
             default -> mWorkers.get(random.nextInt(AGENTS)).restart();
         }
     }
 
-    private static void cut(List<FaultyProxy> paths, FaultyProxy.Mode mode, long lengthMs) {
-        paths.forEach(path -> path.setMode(mode));
-        sleep(lengthMs);
-        paths.forEach(path -> path.setMode(FaultyProxy.Mode.PASS));
+    private static void disturb(List<FaultyProxy> proxies, FaultyProxy.Mode mode, long durationMs) {
+        proxies.forEach(proxy -> proxy.setMode(mode));
+        sleep(durationMs);
+        proxies.forEach(proxy -> proxy.setMode(FaultyProxy.Mode.PASS));
     }
 
     private boolean isCompleted(String job) {
         return mCallerAddresses.stream()
                 .map(entry -> call(entry, "GET", "/jobs/" + job, ""))
                 .anyMatch(
-                        answer ->
-                                new String(answer.body(), StandardCharsets.UTF_8)
+                        response ->
+                                new String(response.body(), StandardCharsets.UTF_8)
                                         .contains("\"completed\""));
     }
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
-    void keepsItsPromisesUnderRandomFaults(
+    void runsNoTaskTwiceAndCompletesAcceptedJobsUnderRandomFaults(
             long seed, @TempDir(cleanup = CleanupMode.ON_SUCCESS) Path directory) throws Exception {
         startFleet(directory);
         Random random = new Random(seed);
@@ -249,14 +251,14 @@
             for (int j = 0; j < JOBS_BEFORE_FAULT; j++) {
                 submit(String.format("%016x", ++jobs), random);
             }
-            fault(random);
+            injectFault(random);
         }
-        for (String job : mTaken) {
-            Awaitility.await(job).atMost(COMPLETION_LIMIT).until(() -> isCompleted(job));
+        for (String job : mAcceptedJobs) {
+            Awaitility.await(job).atMost(COMPLETION_TIMEOUT).until(() -> isCompleted(job));
         }
 
         assertThat(mHistory.violations()).as("logs are in %s", directory).isEmpty();
-        assertThat(mRefused).noneMatch(mHistory::hasStarted);
-        assertThat(mTaken).isNotEmpty();
+        assertThat(mRejectedJobs).noneMatch(mHistory::hasStarted);
+        assertThat(mAcceptedJobs).isNotEmpty();
     }
 }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FreePorts.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FreePorts.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Hands out ports below those that the system gives to outgoing connections, so that none of these
- * takes a port between its choice and its use. The port after each is left to the same test.
+ * Allocates ports below the ephemeral range, so that no outgoing connection takes a port between
+ * its choice and its use. The port after each is reserved for the same test.
  */
 final class FreePorts {
     private static final int FIRST = 21_000;
@@ -17,7 +17,7 @@
 
     private FreePorts() {}
 
-    /** Returns a port on which nobody listens on the loopback address. */
+    /** Returns a port that is free on the loopback address, as is the port after it. */
     static int next() {
         for (int i = 0; i < PAIRS; i++) {
             int port = FIRST + 2 * (NEXT.getAndIncrement() % PAIRS);
@@ -25,14 +25,14 @@
                 return port;
             }
         }
-        throw new IllegalStateException("no free port");
+        throw new IllegalStateException("no free pair of ports in the range");
     }
 
     private static boolean isFree(int port) {
         try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
             return socket.isBound();
         } catch (IOException e) {
-            // Somebody listens there; the next port is tried.
+            // The port is in use; the next one is tried.
             return false;
         }
     }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/JobLogCodecTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/JobLogCodecTest.java
@@ -84,25 +84,25 @@
 
     @ParameterizedTest
     @MethodSource("records")
-    void keepsRecordsWhole(JobRecord record) {
+    void roundTripsRecords(JobRecord record) {
         assertThat(mCodec.decode(mCodec.encode(record))).contains(record);
     }
 
     @Test
-    void keepsKindsOfRecordsUnderDifferentKeys() {
+    void usesDistinctKeysForRecordKinds() {
         assertThat(records().stream().map(mCodec::encode).map(StoreRecord::key).distinct())
                 .hasSize(5);
     }
 
     @Test
-    void leavesOutWhatItCannotRead() {
+    void skipsUnreadableRecords() {
         assertThat(mCodec.decode(new StoreRecord(0, "j:x", new byte[] {1, 2}))).isEmpty();
         assertThat(mCodec.decode(new StoreRecord(0, "other", new byte[] {1, 2}))).isEmpty();
         assertThat(mCodec.decode(new StoreRecord(0, "j:x", new byte[0]))).isEmpty();
     }
 
     @Test
-    void keepsEntries() {
+    void roundTripsEntries() {
         assertThat(mCodec.decodeEntry(mCodec.encodeEntry(NODE))).contains(NODE);
     }
 }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/NodeProcess.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/NodeProcess.java
@@ -8,9 +8,9 @@
 import org.hickorycleat.daemon.Main;
 import org.hickorycleat.platform.NodeSettingsReader;
 
-/** A process of the system as the platform starts it, which a test stops, freezes and kills. */
+/** Starts a process as the platform does, and sends it signals to stop, suspend or kill it. */
 final class NodeProcess implements AutoCloseable {
-    private static final long SIGNAL_LIMIT_S = 5;
+    private static final long SIGNAL_TIMEOUT_S = 5;
 
     private final Path mSettings;
     private final File mLog;
@@ -44,13 +44,13 @@
     void signal(String name) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + name, Long.toString(mProcess.pid()))
                 .start()
-                .waitFor(SIGNAL_LIMIT_S, TimeUnit.SECONDS);
+                .waitFor(SIGNAL_TIMEOUT_S, TimeUnit.SECONDS);
     }
 
-    /** Waits for the end of the process, which a signal asked for, and starts it again. */
+    /** Waits until a signalled process has ended, and starts it again. */
     void awaitEndAndRestart() throws IOException, InterruptedException {
-        if (!mProcess.waitFor(2 * SIGNAL_LIMIT_S, TimeUnit.SECONDS)) {
-            throw new IllegalStateException("process did not end: " + mSettings);
+        if (!mProcess.waitFor(2 * SIGNAL_TIMEOUT_S, TimeUnit.SECONDS)) {
+            throw new IllegalStateException("process did not end in time: " + mSettings);
         }
         mProcess = launch();
     }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RelayingRecordStoreTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RelayingRecordStoreTest.java
@@ -24,7 +24,7 @@
 
 class RelayingRecordStoreTest implements RecordStore {
     private static final ProcessId PEER = new ProcessId("entry-2");
-    private static final StoreAppendRequest TERMS =
+    private static final StoreAppendRequest REQUEST =
             StoreAppendRequest.unconditional("keyed.jobs", 0);
 
     private final TestScheduler mScheduler = new TestScheduler();
@@ -43,87 +43,87 @@
                     mScheduler);
 
     @Override
-    public Single<AppendOutcome> append(StoreAppendRequest terms, List<StoreRecord> records) {
+    public Single<AppendOutcome> append(StoreAppendRequest request, List<StoreRecord> records) {
         mDirectCalls++;
         return Single.just(new AppendOutcome(mDirect, 4));
     }
 
     @Override
-    public Single<StorePage> read(StoreReadRequest terms) {
+    public Single<StorePage> read(StoreReadRequest request) {
         mDirectCalls++;
         return Single.error(new StoreUnavailableException("down"));
     }
 
-    private void answer(AppendResult result) {
-        RelayedStoreRequest call = (RelayedStoreRequest) mSent.get(mSent.size() - 1);
-        mStore.onAnswer(
+    private void respond(AppendResult result) {
+        RelayedStoreRequest request = (RelayedStoreRequest) mSent.get(mSent.size() - 1);
+        mStore.onRelayedResponse(
                 new RelayedStoreResponse(
-                        call.number(),
+                        request.number(),
                         Optional.of(new AppendOutcome(result, 9)),
                         Optional.empty()));
     }
 
     @Test
-    void appendsDirectlyWhileItCan() {
-        mStore.append(TERMS, List.of()).test().assertValue(new AppendOutcome(mDirect, 4));
+    void appendsDirectlyWhileStoreResponds() {
+        mStore.append(REQUEST, List.of()).test().assertValue(new AppendOutcome(mDirect, 4));
         assertThat(mSent).isEmpty();
     }
 
     @Test
-    void appendsThroughPeerWhenTurnedAway() {
+    void appendsThroughPeerWhenStoreRejects() {
         mDirect = AppendResult.REFUSED;
-        var outcome = mStore.append(TERMS, List.of()).test();
-        answer(AppendResult.APPENDED);
+        var outcome = mStore.append(REQUEST, List.of()).test();
+        respond(AppendResult.APPENDED);
 
         outcome.assertValue(new AppendOutcome(AppendResult.APPENDED, 9));
         assertThat(mStore.isUnavailable()).isFalse();
     }
 
     @Test
-    void asksPeerFirstAfterFailure() {
+    void triesPeerFirstAfterDirectFailure() {
         mDirect = AppendResult.UNKNOWN;
-        var first = mStore.append(TERMS, List.of()).test();
-        answer(AppendResult.APPENDED);
-        var outcome = mStore.append(TERMS, List.of()).test();
-        answer(AppendResult.APPENDED);
+        var first = mStore.append(REQUEST, List.of()).test();
+        respond(AppendResult.APPENDED);
+        var outcome = mStore.append(REQUEST, List.of()).test();
+        respond(AppendResult.APPENDED);
 
         first.assertComplete();
         outcome.assertComplete();
         assertThat(mDirectCalls).isEqualTo(1);
     }
 
-    /** A refusal after a try without answer must not be told as "not taken". */
+    /** Guards against a rejection that is reported although an earlier attempt may be committed. */
     @Test
-    void staysUnknownWhenAnEarlierTryMayHaveTakenEffect() {
+    void staysUnknownWhenEarlierAttemptMayBeCommitted() {
         mDirect = AppendResult.UNKNOWN;
-        var outcome = mStore.append(TERMS, List.of()).test();
-        answer(AppendResult.REFUSED);
+        var outcome = mStore.append(REQUEST, List.of()).test();
+        respond(AppendResult.REFUSED);
 
         outcome.assertValue(value -> value.result() == AppendResult.UNKNOWN);
     }
 
     @Test
-    void endsWhenPeerDoesNotAnswer() {
+    void timesOutWhenPeerDoesNotRespond() {
         mDirect = AppendResult.REFUSED;
-        var outcome = mStore.append(TERMS, List.of()).test();
+        var outcome = mStore.append(REQUEST, List.of()).test();
         mScheduler.advanceTimeBy(1, TimeUnit.SECONDS);
 
         outcome.assertValue(value -> value.result() == AppendResult.UNKNOWN);
     }
 
     @Test
-    void knowsThatTheStoreIsLost() {
+    void reportsStoreAsUnavailable() {
         mScheduler.advanceTimeBy(10, TimeUnit.SECONDS);
         mRelay = Optional.empty();
         mDirect = AppendResult.REFUSED;
-        mStore.append(TERMS, List.of()).test().assertComplete();
+        mStore.append(REQUEST, List.of()).test().assertComplete();
 
         assertThat(mStore.isUnavailable()).isTrue();
         assertThat(mStore.isDirectlyReachable()).isFalse();
     }
 
     @Test
-    void failsReadThatNobodyCanMake() {
+    void failsReadWhenNoPathIsAvailable() {
         mRelay = Optional.empty();
         mStore.read(StoreReadRequest.newest("keyed.jobs", 0, ""))
                 .test()
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RunHistory.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RunHistory.java
@@ -7,34 +7,34 @@
 import java.util.Map;
 import java.util.Set;
 
-/** What all workers of a test saw, checked against the promise that no task runs twice. */
+/** Records the runs of all workers of a test, and reports tasks that run twice. */
 final class RunHistory {
-    private final Map<String, Integer> mActive = new HashMap<>();
-    private final Set<String> mDone = new HashSet<>();
-    private final Set<String> mStarted = new HashSet<>();
+    private final Map<String, Integer> mActiveRuns = new HashMap<>();
+    private final Set<String> mAcknowledgedTasks = new HashSet<>();
+    private final Set<String> mStartedTasks = new HashSet<>();
     private final List<String> mViolations = new ArrayList<>();
 
-    /** A worker started a run, given as task and number. */
+    /** Records the start of a run, given as task and run number. */
     synchronized void onStart(String run) {
         String task = task(run);
-        mStarted.add(task);
-        if (mActive.merge(task, 1, Integer::sum) > 1) {
-            mViolations.add("two runs at once: " + run);
+        mStartedTasks.add(task);
+        if (mActiveRuns.merge(task, 1, Integer::sum) > 1) {
+            mViolations.add("concurrent runs of one task: " + run);
         }
-        if (mDone.contains(task)) {
-            mViolations.add("started after its end was acknowledged: " + run);
+        if (mAcknowledgedTasks.contains(task)) {
+            mViolations.add("run started after the acknowledged end of its task: " + run);
         }
     }
 
-    /** A run is no longer on its worker. */
-    synchronized void onGone(String run) {
-        mActive.merge(task(run), -1, Integer::sum);
+    /** Records that a run is no longer on its worker. */
+    synchronized void onEnd(String run) {
+        mActiveRuns.merge(task(run), -1, Integer::sum);
     }
 
-    /** An end was acknowledged, given as the worker lists it. */
+    /** Records the acknowledgement of an end, given in the format of the worker listing. */
     synchronized void onAcknowledged(String end) {
         if (end.contains("\"done\"")) {
-            mDone.add(task(end.substring(end.indexOf('"'))));
+            mAcknowledgedTasks.add(task(end.substring(end.indexOf('"'))));
         }
     }
 
@@ -42,9 +42,9 @@
         return run.substring(1, run.indexOf('"', 1));
     }
 
-    /** Tells whether a task of a job was ever started. */
+    /** Returns whether a task of the given job was ever started. */
     synchronized boolean hasStarted(String job) {
-        return mStarted.stream().anyMatch(task -> task.startsWith(job + "."));
+        return mStartedTasks.stream().anyMatch(task -> task.startsWith(job + "."));
     }
 
     synchronized List<String> violations() {
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RunHistoryTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RunHistoryTest.java
@@ -8,9 +8,9 @@
     private final RunHistory mHistory = new RunHistory();
 
     @Test
-    void acceptsRunsOneAfterTheOther() {
+    void acceptsSequentialRuns() {
         mHistory.onStart("\"a.0.0.0\",1");
-        mHistory.onGone("\"a.0.0.0\",1");
+        mHistory.onEnd("\"a.0.0.0\",1");
         mHistory.onStart("\"a.0.0.0\",2");
 
         assertThat(mHistory.violations()).isEmpty();
@@ -19,7 +19,7 @@
     }
 
     @Test
-    void noticesTwoRunsAtOnce() {
+    void reportsConcurrentRuns() {
         mHistory.onStart("\"a.0.0.0\",1");
         mHistory.onStart("\"a.0.0.0\",2");
 
@@ -27,9 +27,9 @@
     }
 
     @Test
-    void noticesStartAfterAcknowledgedEnd() {
+    void reportsStartAfterAcknowledgedEnd() {
         mHistory.onStart("\"a.0.0.0\",1");
-        mHistory.onGone("\"a.0.0.0\",1");
+        mHistory.onEnd("\"a.0.0.0\",1");
         mHistory.onAcknowledged("[1,\"a.0.0.0\",1,\"done\",\"\"]");
         mHistory.onStart("\"a.0.0.0\",2");
 
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/StoreStandIn.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/StoreStandIn.java
@@ -15,20 +15,24 @@
 import org.hickorycleat.logic.port.HttpRequest;
 import org.hickorycleat.logic.port.HttpResponse;
 
-/** A small store of keyed topics with fenced producers that speaks the platform's wire. */
+/**
+ * Simulates a store of keyed topics with fenced producers that speaks the platform's wire protocol.
+ */
 final class StoreStandIn implements HttpHandler {
-    private static final long IDLE_ANSWER_MS = 50;
+    private static final long LONG_POLL_MS = 50;
 
     private final Map<String, List<byte[]>> mTopics = new HashMap<>();
     private final Map<String, long[]> mProducers = new HashMap<>();
     private volatile boolean mDown;
 
-    /** Turns every call away while down. */
+    /**
+     * Sets whether the store is down; a store that is down rejects every request with status 503.
+     */
     void setDown(boolean down) {
         mDown = down;
     }
 
-    /** Writes a record as the operator does. */
+    /** Appends a record as the operator does. */
     synchronized void put(String topic, String key, String value) {
         byte[] name = key.getBytes(StandardCharsets.UTF_8);
         ByteArrayOutputStream record = new ByteArrayOutputStream();
@@ -103,7 +107,7 @@
         HttpResponse page = page(query);
         boolean empty = page.body().length == 2 * Long.BYTES;
         return empty && query.containsKey("wait_ms")
-                ? Single.timer(IDLE_ANSWER_MS, TimeUnit.MILLISECONDS).map(tick -> page(query))
+                ? Single.timer(LONG_POLL_MS, TimeUnit.MILLISECONDS).map(tick -> page(query))
                 : Single.just(page);
     }
 
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/WorkerStandIn.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/WorkerStandIn.java
@@ -15,12 +15,12 @@
 import org.hickorycleat.logic.port.HttpResponse;
 
 /**
- * A small worker that speaks the platform's wire, runs every task for a fixed time and ends
- * everything when its lease expires.
+ * Simulates a worker that speaks the platform's wire protocol, runs every task for a fixed time and
+ * ends all runs when its lease expires.
  */
 final class WorkerStandIn implements HttpHandler {
-    private static final long SHORT_RUN_MS = 200;
-    private static final long LONGEST_WAIT_MS = 50;
+    private static final long DEFAULT_RUN_MS = 200;
+    private static final long MAXIMUM_LONG_POLL_MS = 50;
 
     private final ObjectMapper mMapper = new ObjectMapper();
     private final RunHistory mHistory;
@@ -30,11 +30,11 @@
     private final Map<String, Long> mRunning = new LinkedHashMap<>();
     private final List<String> mEnded = new ArrayList<>();
     private final List<String> mStarts = new ArrayList<>();
-    private long mToken;
-    private int mAcknowledged;
+    private long mFencingToken;
+    private int mAcknowledgedEnds;
 
     WorkerStandIn() {
-        this(new RunHistory(), SHORT_RUN_MS);
+        this(new RunHistory(), DEFAULT_RUN_MS);
     }
 
     WorkerStandIn(RunHistory history, long runMs) {
@@ -42,18 +42,18 @@
         mRunMs = runMs;
     }
 
-    /** Crashes and begins a new life, which knows nothing of before. */
+    /** Crashes and starts a new incarnation without any state of the previous one. */
     synchronized void restart() {
-        mRunning.keySet().forEach(mHistory::onGone);
+        mRunning.keySet().forEach(mHistory::onEnd);
         mRunning.clear();
         mEnded.clear();
-        mToken = 0;
-        mAcknowledged = 0;
+        mFencingToken = 0;
+        mAcknowledgedEnds = 0;
         mLeaseDeadlineMs = 0;
         mStartedAtMs = System.currentTimeMillis();
     }
 
-    /** Returns every start in order, as task and run. */
+    /** Returns all starts in order, each as task and run number. */
     synchronized List<String> starts() {
         return new ArrayList<>(mStarts);
     }
@@ -75,20 +75,20 @@
         } catch (IOException e) {
             return Single.just(text(400, "{}"));
         }
-        long waitMs = Math.min(LONGEST_WAIT_MS, body.path("wait_ms").asLong(0));
+        long waitMs = Math.min(MAXIMUM_LONG_POLL_MS, body.path("wait_ms").asLong(0));
         return Single.timer(waitMs, TimeUnit.MILLISECONDS)
-                .map(tick -> answer(request.path(), body));
+                .map(tick -> execute(request.path(), body));
     }
 
-    private synchronized HttpResponse answer(String path, JsonNode body) {
-        finish();
+    private synchronized HttpResponse execute(String path, JsonNode body) {
+        endDueRuns();
         if (body.has("deadline_ms")) {
             mLeaseDeadlineMs = Math.max(mLeaseDeadlineMs, body.path("deadline_ms").asLong());
         }
-        if (body.path("fencing_token").asLong() < mToken) {
+        if (body.path("fencing_token").asLong() < mFencingToken) {
             return text(409, "{\"reason\":\"fence\"," + clock() + "}");
         }
-        mToken = body.path("fencing_token").asLong();
+        mFencingToken = body.path("fencing_token").asLong();
         String run = "\"" + body.path("task").asText() + "\"," + body.path("run").asInt();
         return switch (path) {
             case "/run-start" -> {
@@ -105,38 +105,38 @@
             }
             case "/hold" -> {
                 acknowledge(body.path("ack_cursor").asInt());
-                yield text(200, lists());
+                yield text(200, listing());
             }
             default -> text(404, "{}");
         };
     }
 
-    /** Ends what has run its time, or has lost its lease. */
-    synchronized void finish() {
+    /** Ends the runs that have reached their run time, and all runs if the lease has expired. */
+    synchronized void endDueRuns() {
         long nowMs = System.currentTimeMillis();
-        List<String> done = new ArrayList<>();
+        List<String> due = new ArrayList<>();
         mRunning.forEach(
                 (run, endsAtMs) -> {
                     if (endsAtMs <= nowMs) {
-                        done.add(run);
+                        due.add(run);
                     }
                 });
-        done.forEach(run -> end(run, "done"));
+        due.forEach(run -> end(run, "done"));
         if (nowMs - mStartedAtMs > mLeaseDeadlineMs) {
             new ArrayList<>(mRunning.keySet()).forEach(run -> end(run, "lapsed"));
         }
     }
 
     private void acknowledge(int cursor) {
-        for (int i = mAcknowledged; i < Math.min(cursor, mEnded.size()); i++) {
+        for (int i = mAcknowledgedEnds; i < Math.min(cursor, mEnded.size()); i++) {
             mHistory.onAcknowledged(mEnded.get(i));
         }
-        mAcknowledged = Math.max(mAcknowledged, cursor);
+        mAcknowledgedEnds = Math.max(mAcknowledgedEnds, cursor);
     }
 
     private void end(String run, String cause) {
         if (mRunning.remove(run) != null) {
-            mHistory.onGone(run);
+            mHistory.onEnd(run);
             mEnded.add("[" + (mEnded.size() + 1) + "," + run + ",\"" + cause + "\",\"\"]");
         }
     }
@@ -145,10 +145,10 @@
         return "\"clock_ms\":" + (System.currentTimeMillis() - mStartedAtMs);
     }
 
-    private String lists() {
+    private String listing() {
         List<String> running = new ArrayList<>();
         mRunning.keySet().forEach(run -> running.add("[" + run + ",\"\",50,900]"));
-        List<String> ended = mEnded.subList(mAcknowledged, mEnded.size());
+        List<String> ended = mEnded.subList(mAcknowledgedEnds, mEnded.size());
         return "{\"born\":"
                 + mStartedAtMs
                 + ","
