Use standard terms in the HTTP exchange package

Comments and names spoke of callers for the client, of waiting and breaking off. They now say client, queued request, timeout and idle connection. Behaviour is unchanged.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/HttpClientHandler.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/HttpClientHandler.java
@@ -9,14 +9,14 @@
 import org.hickorycleat.logic.port.HttpResponse;
 import org.jspecify.annotations.Nullable;
 
-/** Passes the response of a connection to the call that waits for it. */
-// Closing a channel has no outcome that matters.
+/** Passes the response that arrives on a connection to the pending call. */
+// The result of closing a channel is not needed.
 @SuppressWarnings("FutureReturnValueIgnored")
 final class HttpClientHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
     private @Nullable PendingCall mPending;
 
-    /** The next response belongs to this call. */
-    void begin(PendingCall pending) {
+    /** Sets the call to which the next response on this connection belongs. */
+    void setPending(PendingCall pending) {
         mPending = pending;
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/HttpServerHandler.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/HttpServerHandler.java
@@ -26,24 +26,27 @@
 import org.hickorycleat.logic.port.HttpResponse;
 import org.hickorycleat.logic.port.SingleCallbacks;
 
-/** Answers the requests of one connection one after the other. */
-// A write that fails closes the channel; nobody needs its future.
+/** Handles the requests of one connection one at a time, in the order of arrival. */
+// A write that fails closes the channel, so its future is not needed.
 @SuppressWarnings("FutureReturnValueIgnored")
 final class HttpServerHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
     private static final EventLog LOG = EventLog.of(HttpServerHandler.class);
 
     private final HttpHandler mHandler;
-    private final AtomicInteger mInProgress;
-    private final AtomicBoolean mClosing;
-    private final Queue<Waiting> mWaiting = new ArrayDeque<>();
+    private final AtomicInteger mRequestsInProgress;
+    private final AtomicBoolean mKeepAliveDisabled;
+    private final Queue<QueuedRequest> mQueue = new ArrayDeque<>();
     private boolean mBusy;
 
-    private record Waiting(HttpRequest request, boolean keepAlive) {}
+    private record QueuedRequest(HttpRequest request, boolean keepAlive) {}
 
-    HttpServerHandler(HttpHandler handler, AtomicInteger inProgress, AtomicBoolean closing) {
+    HttpServerHandler(
+            HttpHandler handler,
+            AtomicInteger requestsInProgress,
+            AtomicBoolean keepAliveDisabled) {
         mHandler = handler;
-        mInProgress = inProgress;
-        mClosing = closing;
+        mRequestsInProgress = requestsInProgress;
+        mKeepAliveDisabled = keepAliveDisabled;
     }
 
     @Override
@@ -52,39 +55,39 @@
             write(context, HttpResponse.of(400, new byte[0]), false);
             return;
         }
-        mWaiting.add(new Waiting(convert(request), HttpUtil.isKeepAlive(request)));
-        next(context);
+        mQueue.add(new QueuedRequest(toHttpRequest(request), HttpUtil.isKeepAlive(request)));
+        handleNext(context);
     }
 
-    private void next(ChannelHandlerContext context) {
-        if (mBusy || mWaiting.isEmpty()) {
+    private void handleNext(ChannelHandlerContext context) {
+        if (mBusy || mQueue.isEmpty()) {
             return;
         }
         mBusy = true;
         context.channel().config().setAutoRead(false);
-        Waiting waiting = mWaiting.remove();
-        mInProgress.incrementAndGet();
+        QueuedRequest queued = mQueue.remove();
+        mRequestsInProgress.incrementAndGet();
         SingleCallbacks.subscribe(
-                mHandler.handle(waiting.request()),
-                response -> answer(context, response, waiting.keepAlive()),
-                error -> breakOff(context, error));
+                mHandler.handle(queued.request()),
+                response -> respond(context, response, queued.keepAlive()),
+                error -> abort(context, error));
     }
 
-    private void answer(ChannelHandlerContext context, HttpResponse response, boolean keepAlive) {
+    private void respond(ChannelHandlerContext context, HttpResponse response, boolean keepAlive) {
         context.executor()
                 .execute(
                         () -> {
-                            mInProgress.decrementAndGet();
+                            mRequestsInProgress.decrementAndGet();
                             mBusy = false;
-                            write(context, response, keepAlive && !mClosing.get());
+                            write(context, response, keepAlive && !mKeepAliveDisabled.get());
                             context.channel().config().setAutoRead(true);
-                            next(context);
+                            handleNext(context);
                         });
     }
 
-    private void breakOff(ChannelHandlerContext context, Throwable error) {
+    private void abort(ChannelHandlerContext context, Throwable error) {
         LOG.event("request_failed").with("cause", error).warn();
-        mInProgress.decrementAndGet();
+        mRequestsInProgress.decrementAndGet();
         context.close();
     }
 
@@ -101,27 +104,28 @@
         }
         HttpUtil.setContentLength(message, response.body().length);
         HttpUtil.setKeepAlive(message, keepAlive);
-        var written = context.writeAndFlush(message);
+        var writeFuture = context.writeAndFlush(message);
         if (!keepAlive) {
-            written.addListener(ChannelFutureListener.CLOSE);
+            writeFuture.addListener(ChannelFutureListener.CLOSE);
         }
     }
 
-    private static HttpRequest convert(FullHttpRequest request) {
+    private static HttpRequest toHttpRequest(FullHttpRequest request) {
         Map<String, String> headers = new HashMap<>();
         request.headers()
                 .forEach(
-                        entry ->
+                        header ->
                                 headers.put(
-                                        entry.getKey().toLowerCase(Locale.ROOT), entry.getValue()));
+                                        header.getKey().toLowerCase(Locale.ROOT),
+                                        header.getValue()));
         byte[] body = new byte[request.content().readableBytes()];
         request.content().readBytes(body);
-        String path = request.uri();
-        int query = path.indexOf('?');
+        String uri = request.uri();
+        int queryStart = uri.indexOf('?');
         return new HttpRequest(
                 request.method().name(),
-                query < 0 ? path : path.substring(0, query),
-                query < 0 ? "" : path.substring(query + 1),
+                queryStart < 0 ? uri : uri.substring(0, queryStart),
+                queryStart < 0 ? "" : uri.substring(queryStart + 1),
                 headers,
                 body);
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/NettyHttpClient.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/NettyHttpClient.java
@@ -31,23 +31,25 @@
 import org.hickorycleat.logic.port.HttpResponse;
 
 /**
- * Makes calls over HTTP/1.1 on kept connections, one call at a time on each.
+ * Makes calls over HTTP/1.1 on keep-alive connections, with one call at a time on each.
  *
- * <p>A connection whose call got no whole response is closed and never used again.
+ * <p>A connection whose call did not get a complete response is closed and not reused.
  */
-// The outcome of every call is reported through its Single.
+// The result of every call is reported through its Single.
 @SuppressWarnings("FutureReturnValueIgnored")
 public final class NettyHttpClient implements HttpClient {
-    /** Largest response body, in bytes: above the largest page of the store. */
+    /**
+     * Maximum size of a response body, in bytes; above the size of the largest page of the store.
+     */
     private static final int MAXIMUM_BODY_BYTES = 4 << 20;
 
-    /** Connections kept open to one address. */
-    private static final int MAXIMUM_IDLE = 8;
+    /** Maximum number of idle connections to one address. */
+    private static final int MAXIMUM_IDLE_CONNECTIONS = 8;
 
     private final EventLoop mEventLoop;
-    private final Map<InetSocketAddress, Deque<Channel>> mIdle = new HashMap<>();
+    private final Map<InetSocketAddress, Deque<Channel>> mIdleConnections = new HashMap<>();
 
-    /** Creates a caller on one of the event loops. */
+    /** Creates a client on one of the event loops. */
     public NettyHttpClient(EventLoopGroup eventLoops) {
         mEventLoop = eventLoops.next();
     }
@@ -83,19 +85,19 @@
                         })
                 .connect(pending.call().address())
                 .addListener(
-                        (io.netty.channel.ChannelFuture connected) -> {
-                            if (connected.isSuccess()) {
-                                send(connected.channel(), pending);
+                        (io.netty.channel.ChannelFuture connectFuture) -> {
+                            if (connectFuture.isSuccess()) {
+                                send(connectFuture.channel(), pending);
                             } else {
                                 pending.fail(
                                         new HttpCallException(
-                                                String.valueOf(connected.cause()), false));
+                                                String.valueOf(connectFuture.cause()), false));
                             }
                         });
     }
 
     private Optional<Channel> takeIdle(InetSocketAddress address) {
-        Deque<Channel> idle = mIdle.getOrDefault(address, new ArrayDeque<>());
+        Deque<Channel> idle = mIdleConnections.getOrDefault(address, new ArrayDeque<>());
         while (!idle.isEmpty()) {
             Channel channel = idle.removeLast();
             if (channel.isActive()) {
@@ -105,10 +107,10 @@
         return Optional.empty();
     }
 
-    /** Keeps a connection for a later call. */
+    /** Keeps a connection idle for a later call, or closes it if enough are idle. */
     void release(InetSocketAddress address, Channel channel) {
-        Deque<Channel> idle = mIdle.computeIfAbsent(address, key -> new ArrayDeque<>());
-        if (!channel.isActive() || idle.size() >= MAXIMUM_IDLE) {
+        Deque<Channel> idle = mIdleConnections.computeIfAbsent(address, key -> new ArrayDeque<>());
+        if (!channel.isActive() || idle.size() >= MAXIMUM_IDLE_CONNECTIONS) {
             channel.close();
             return;
         }
@@ -120,12 +122,12 @@
             channel.close();
             return;
         }
-        channel.pipeline().get(HttpClientHandler.class).begin(pending);
+        channel.pipeline().get(HttpClientHandler.class).setPending(pending);
         pending.onSent(channel);
-        channel.writeAndFlush(request(pending.call()));
+        channel.writeAndFlush(toNettyRequest(pending.call()));
     }
 
-    private static FullHttpRequest request(HttpCall call) {
+    private static FullHttpRequest toNettyRequest(HttpCall call) {
         FullHttpRequest request =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/NettyHttpServer.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/NettyHttpServer.java
@@ -15,33 +15,33 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.hickorycleat.logic.port.HttpHandler;
 
-/** Serves one address over HTTP/1.1. */
+/** Serves HTTP/1.1 on one address. */
 public final class NettyHttpServer {
-    /** Largest request body that is read, in bytes; the handlers know the configured limit. */
+    /** Maximum size of a request body, in bytes; handlers enforce the configured limit. */
     private static final int MAXIMUM_BODY_BYTES = 1 << 20;
 
-    /** A connection without traffic for this long is closed, in seconds. */
-    private static final int IDLE_LIMIT_S = 60;
+    /** Time without traffic after which a connection is closed, in seconds. */
+    private static final int IDLE_TIMEOUT_S = 60;
 
-    /** Connections that may wait to be accepted. */
-    private static final int BACKLOG = 512;
+    /** Maximum number of connections that wait to be accepted. */
+    private static final int BACKLOG_CONNECTIONS = 512;
 
     private final EventLoopGroup mEventLoops;
-    private final AtomicInteger mInProgress = new AtomicInteger();
-    private final AtomicBoolean mClosing = new AtomicBoolean();
+    private final AtomicInteger mRequestsInProgress = new AtomicInteger();
+    private final AtomicBoolean mKeepAliveDisabled = new AtomicBoolean();
 
     /** Creates a server on the given event loops. */
     public NettyHttpServer(EventLoopGroup eventLoops) {
         mEventLoops = eventLoops;
     }
 
-    /** Listens on an address. */
+    /** Listens on an address and passes every request to the handler. */
     public void listen(InetSocketAddress address, HttpHandler handler) throws InterruptedException {
         new ServerBootstrap()
                 .group(mEventLoops)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG_CONNECTIONS)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(
                         new ChannelInitializer<SocketChannel>() {
@@ -56,19 +56,22 @@
 
     private void addHandlers(Channel channel, HttpHandler handler) {
         channel.pipeline()
-                .addLast(new IdleStateHandler(0, 0, IDLE_LIMIT_S))
+                .addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_S))
                 .addLast(new HttpServerCodec())
                 .addLast(new HttpObjectAggregator(MAXIMUM_BODY_BYTES))
-                .addLast(new HttpServerHandler(handler, mInProgress, mClosing));
+                .addLast(new HttpServerHandler(handler, mRequestsInProgress, mKeepAliveDisabled));
     }
 
-    /** Returns how many requests are being answered. */
+    /** Returns the number of requests in progress. */
     public int requestsInProgress() {
-        return mInProgress.get();
+        return mRequestsInProgress.get();
     }
 
-    /** Asks callers to open no further requests on their connections. */
+    /**
+     * Closes every connection after its next response, so that callers send no further requests on
+     * it.
+     */
     public void disableKeepAlive() {
-        mClosing.set(true);
+        mKeepAliveDisabled.set(true);
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/PendingCall.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/PendingCall.java
@@ -10,13 +10,13 @@
 import org.hickorycleat.logic.port.HttpResponse;
 import org.jspecify.annotations.Nullable;
 
-/** A call that waits for its response or its time limit; used on the event loop only. */
-// Closing a channel and stopping a timer have no outcome that matters.
+/** A call that waits for its response or its timeout; used on the event loop only. */
+// The results of closing a channel and of cancelling a timer are not needed.
 @SuppressWarnings("FutureReturnValueIgnored")
 final class PendingCall {
     private final HttpCall mCall;
     private final SingleEmitter<HttpResponse> mEmitter;
-    private final NettyHttpClient mCaller;
+    private final NettyHttpClient mHttpClient;
     private final Future<?> mTimer;
     private @Nullable Channel mChannel;
     private boolean mFinished;
@@ -25,10 +25,10 @@
             HttpCall call,
             SingleEmitter<HttpResponse> emitter,
             EventLoop eventLoop,
-            NettyHttpClient caller) {
+            NettyHttpClient httpClient) {
         mCall = call;
         mEmitter = emitter;
-        mCaller = caller;
+        mHttpClient = httpClient;
         mTimer = eventLoop.schedule(this::onTimeout, call.timeoutMs(), TimeUnit.MILLISECONDS);
     }
 
@@ -48,7 +48,7 @@
         fail(new HttpCallException("no response in time", mChannel != null));
     }
 
-    /** Ends the call without a response; its connection is not used again. */
+    /** Ends the call without a response, and closes its connection. */
     void fail(HttpCallException failure) {
         if (mFinished) {
             return;
@@ -62,7 +62,7 @@
         mEmitter.tryOnError(failure);
     }
 
-    /** Ends the call with its response. */
+    /** Ends the call with its response, and releases the connection if it is kept alive. */
     void complete(HttpResponse response, boolean keepAlive) {
         if (mFinished) {
             return;
@@ -71,7 +71,7 @@
         mTimer.cancel(false);
         Channel channel = mChannel;
         if (channel != null && keepAlive) {
-            mCaller.release(mCall.address(), channel);
+            mHttpClient.release(mCall.address(), channel);
         } else if (channel != null) {
             channel.close();
         }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/package-info.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/package-info.java
@@ -1,4 +1,4 @@
-/** HTTP/1.1 server and client on the event loops of the process. */
+/** HTTP/1.1 server and client that run on the event loops of the process. */
 @NullMarked
 package org.hickorycleat.daemon.exchange;
 
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/exchange/HttpExchangeTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/exchange/HttpExchangeTest.java
@@ -26,7 +26,7 @@
 
     private final EventLoopGroup mEventLoops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final NettyHttpClient mCaller = new NettyHttpClient(mEventLoops);
+    private final NettyHttpClient mHttpClient = new NettyHttpClient(mEventLoops);
     private final NettyHttpServer mServer = new NettyHttpServer(mEventLoops);
 
     @AfterEach
@@ -48,13 +48,14 @@
 
     private TestObserver<HttpResponse> call(InetSocketAddress address, String target) {
         byte[] body = "body".getBytes(StandardCharsets.UTF_8);
-        return mCaller.call(new HttpCall(address, "POST", target, Map.of(), body, TIMEOUT_MS))
+        return mHttpClient
+                .call(new HttpCall(address, "POST", target, Map.of(), body, TIMEOUT_MS))
                 .test()
                 .awaitDone(5, TimeUnit.SECONDS);
     }
 
     @Test
-    void carriesRequestAndResponseWhole() throws Exception {
+    void transmitsCompleteRequestAndResponse() throws Exception {
         InetSocketAddress address =
                 serve(request -> Single.just(HttpResponse.of(201, request.body())));
 
@@ -65,7 +66,7 @@
     }
 
     @Test
-    void servesManyCallsOnKeptConnections() throws Exception {
+    void servesManyCallsOnReusedConnections() throws Exception {
         InetSocketAddress address =
                 serve(
                         request ->
@@ -80,7 +81,7 @@
     }
 
     @Test
-    void endsCallWithoutAnswerAndCannotTellWhetherItRan() throws Exception {
+    void timesOutWithoutResponseAndReportsThatRequestMayHaveBeenSent() throws Exception {
         InetSocketAddress address = serve(request -> Single.never());
 
         call(address, "/silent")
@@ -91,7 +92,7 @@
     }
 
     @Test
-    void knowsThatRefusedConnectionCarriedNothing() throws Exception {
+    void reportsThatNothingWasSentOverRefusedConnection() throws Exception {
         call(freeAddress(), "/")
                 .assertError(
                         error ->
@@ -100,7 +101,7 @@
     }
 
     @Test
-    void neverGivesLateResponseToLaterCall() throws Exception {
+    void doesNotMatchLateResponseWithLaterCall() throws Exception {
         InetSocketAddress address =
                 serve(
                         request ->
@@ -115,7 +116,7 @@
     }
 
     @Test
-    void breaksConnectionOffWhenHandlerFails() throws Exception {
+    void closesConnectionWhenHandlerFails() throws Exception {
         InetSocketAddress address = serve(request -> Single.error(new IOException("broken")));
 
         call(address, "/").assertError(HttpCallException.class);
