Use standard terms in the package of links to entries

Comments and names spoke of owners for the link handler, and of links that are down or make room. They now say handler, disconnected and replaced. Behaviour is unchanged.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/link/EntryLink.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/link/EntryLink.java
@@ -14,80 +14,81 @@
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.Welcome;
 
-/** Keeps one connection to one entry open, with a session of its own after each reconnect. */
+/** Keeps one connection to one entry open, and opens a new session after each reconnect. */
 final class EntryLink {
     private static final EventLog LOG = EventLog.of(EntryLink.class);
 
-    /** Delays between attempts to connect: 100 ms, doubled up to 1 s, each with jitter. */
-    private static final long FIRST_DELAY_MS = 100;
+    /** Delay between attempts to connect: 100 ms, doubled up to 1 s, each with jitter. */
+    private static final long INITIAL_RECONNECT_DELAY_MS = 100;
 
-    private static final long HIGHEST_DELAY_MS = 1_000;
+    private static final long MAXIMUM_RECONNECT_DELAY_MS = 1_000;
 
     private final InetSocketAddress mAddress;
     private final MessageTransport mTransport;
     private final Scheduler mScheduler;
-    private final EntryLinkHandler mOwner;
-    // Written by the event loop of the current connection only.
+    private final EntryLinkHandler mHandler;
+    // Written only by the event loop of the current connection.
     private volatile Optional<EntrySession> mSession = Optional.empty();
-    private volatile long mDownSinceMs;
-    private volatile long mDelayMs = FIRST_DELAY_MS;
+    private volatile long mDisconnectedSinceMs;
+    private volatile long mReconnectDelayMs = INITIAL_RECONNECT_DELAY_MS;
     private volatile boolean mClosed;
 
     EntryLink(
             InetSocketAddress address,
             MessageTransport transport,
             Scheduler scheduler,
-            EntryLinkHandler owner) {
+            EntryLinkHandler handler) {
         mAddress = address;
         mTransport = transport;
         mScheduler = scheduler;
-        mOwner = owner;
-        mDownSinceMs = scheduler.now(TimeUnit.MILLISECONDS);
+        mHandler = handler;
+        mDisconnectedSinceMs = scheduler.now(TimeUnit.MILLISECONDS);
     }
 
-    /** Starts to connect, and connects again whenever the connection is lost. */
+    /** Connects to the entry, and reconnects whenever the connection is lost. */
     void connect() {
         if (!mClosed) {
-            mTransport.connect(mAddress, new Listener(), cause -> connectLater());
+            mTransport.connect(mAddress, new ConnectionListener(), cause -> scheduleReconnect());
         }
     }
 
-    /** Closes for good. */
+    /** Closes the link permanently. */
     void close() {
         mClosed = true;
         session().ifPresent(session -> session.connection().close());
     }
 
-    /** Returns the session, once the entry has sent its welcome. */
+    /** Returns the session; empty until the entry has sent its welcome. */
     Optional<EntrySession> session() {
         return mSession;
     }
 
-    /** Tells whether there has been no session for the given time. */
-    boolean isDownFor(long durationMs) {
+    /** Returns whether there has been no session for the given time, in milliseconds. */
+    boolean isDisconnectedFor(long durationMs) {
         return session().isEmpty()
-                && mScheduler.now(TimeUnit.MILLISECONDS) - mDownSinceMs >= durationMs;
+                && mScheduler.now(TimeUnit.MILLISECONDS) - mDisconnectedSinceMs >= durationMs;
     }
 
-    private void connectLater() {
-        long delay = mDelayMs / 2 + ThreadLocalRandom.current().nextLong(mDelayMs);
-        mDelayMs = Math.min(HIGHEST_DELAY_MS, mDelayMs * 2);
-        var unused = mScheduler.scheduleDirect(this::connect, delay, TimeUnit.MILLISECONDS);
+    private void scheduleReconnect() {
+        long delayMs =
+                mReconnectDelayMs / 2 + ThreadLocalRandom.current().nextLong(mReconnectDelayMs);
+        mReconnectDelayMs = Math.min(MAXIMUM_RECONNECT_DELAY_MS, mReconnectDelayMs * 2);
+        var unused = mScheduler.scheduleDirect(this::connect, delayMs, TimeUnit.MILLISECONDS);
     }
 
-    /** Handles one connection. */
-    private final class Listener implements MessageListener {
-        private final SessionNumber mNumber = mOwner.nextSessionNumber();
+    /** Handles the events of one connection. */
+    private final class ConnectionListener implements MessageListener {
+        private final SessionNumber mSessionNumber = mHandler.nextSessionNumber();
 
         @Override
         public void onOpen(MessageConnection connection) {
-            connection.send(mOwner.hello(mNumber));
+            connection.send(mHandler.hello(mSessionNumber));
         }
 
         @Override
         public void onMessage(MessageConnection connection, Message message) {
             if (message instanceof Welcome welcome) {
-                welcome(connection, welcome);
+                onWelcome(connection, welcome);
                 return;
             }
             if (message instanceof Failure failure) {
@@ -98,34 +99,35 @@
                         .warn();
                 return;
             }
-            session().ifPresent(session -> mOwner.onMessage(session, message));
+            session().ifPresent(session -> mHandler.onMessage(session, message));
         }
 
         @Override
         public void onClose(MessageConnection connection) {
-            Optional<EntrySession> lost = mSession;
+            Optional<EntrySession> closedSession = mSession;
             mSession = Optional.empty();
-            mDownSinceMs = mScheduler.now(TimeUnit.MILLISECONDS);
-            lost.ifPresent(mOwner::onSessionClosed);
-            connectLater();
+            mDisconnectedSinceMs = mScheduler.now(TimeUnit.MILLISECONDS);
+            closedSession.ifPresent(mHandler::onSessionClosed);
+            scheduleReconnect();
         }
 
-        private void welcome(MessageConnection connection, Welcome welcome) {
+        private void onWelcome(MessageConnection connection, Welcome welcome) {
             if (session().isPresent()) {
-                // The list of entries changed.
-                mOwner.onEntriesDiscovered(welcome.entries());
+                // The entry reports that its list of entries has changed.
+                mHandler.onEntriesDiscovered(welcome.entries());
                 return;
             }
             EntrySession session =
-                    new EntrySession(welcome.process(), welcome.incarnation(), mNumber, connection);
-            if (!mOwner.acceptWelcome(session, welcome)) {
+                    new EntrySession(
+                            welcome.process(), welcome.incarnation(), mSessionNumber, connection);
+            if (!mHandler.acceptWelcome(session, welcome)) {
                 mClosed = true;
                 connection.close();
                 return;
             }
-            mDelayMs = FIRST_DELAY_MS;
+            mReconnectDelayMs = INITIAL_RECONNECT_DELAY_MS;
             mSession = Optional.of(session);
-            mOwner.onSessionOpened(session);
+            mHandler.onSessionOpened(session);
         }
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/link/EntryLinkHandler.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/link/EntryLinkHandler.java
@@ -7,26 +7,26 @@
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.Welcome;
 
-/** What a link needs from the process. */
+/** Handles the sessions and messages of the links of a process. */
 public interface EntryLinkHandler {
-    /** Returns a number above all that were returned before. */
+    /** Returns a session number greater than all previous ones. */
     SessionNumber nextSessionNumber();
 
     /** Returns the first message of a session. */
     Hello hello(SessionNumber session);
 
-    /** Fences older sessions with the entry; false when the process has another link to it. */
+    /** Fences older sessions with the entry; returns false if another link to it is connected. */
     boolean acceptWelcome(EntrySession session, Welcome welcome);
 
-    /** The session is open. */
+    /** Handles the opening of a session. */
     void onSessionOpened(EntrySession session);
 
-    /** A message arrived. */
+    /** Handles a message that arrived in a session. */
     void onMessage(EntrySession session, Message message);
 
-    /** The session is lost. */
+    /** Handles the loss of a session. */
     void onSessionClosed(EntrySession session);
 
-    /** Entries that another entry knows. */
+    /** Handles the list of entries that an entry reported. */
     void onEntriesDiscovered(List<EntryAddress> entries);
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/link/EntryLinks.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/link/EntryLinks.java
@@ -10,14 +10,14 @@
 import org.hickorycleat.model.message.EntryAddress;
 import org.hickorycleat.model.message.Message;
 
-/** The links of a process to entries, at most a fixed number. */
+/** Manages the links of a process to entries, up to a maximum number. */
 public final class EntryLinks {
-    /** A link without session for this long gives way to an entry that is known to run. */
+    /** Time without a session after which a link is replaced by one to a discovered entry. */
     private static final long REPLACEMENT_DELAY_MS = 10_000;
 
     private final MessageTransport mTransport;
     private final Scheduler mScheduler;
-    private final EntryLinkHandler mOwner;
+    private final EntryLinkHandler mHandler;
     private final int mMaximumLinks;
     private final Map<InetSocketAddress, EntryLink> mLinks = new ConcurrentHashMap<>();
 
@@ -25,35 +25,37 @@
     public EntryLinks(
             MessageTransport transport,
             Scheduler scheduler,
-            EntryLinkHandler owner,
+            EntryLinkHandler handler,
             int maximumLinks) {
         mTransport = transport;
         mScheduler = scheduler;
-        mOwner = owner;
+        mHandler = handler;
         mMaximumLinks = maximumLinks;
     }
 
-    /** Adds a link to each address while there is room. */
+    /** Adds a link to each address until the maximum number is reached. */
     public void add(List<InetSocketAddress> addresses) {
         addresses.forEach(this::add);
     }
 
-    /** Adds links to entries that another entry knows. */
+    /** Adds links to entries that another entry reported. */
     public void addDiscovered(List<EntryAddress> entries) {
         entries.forEach(entry -> add(new InetSocketAddress(entry.host(), entry.port())));
     }
 
-    /** Tells whether another link than the given address leads to this entry already. */
-    public boolean hasSessionWith(ProcessId entry, EntrySession except) {
+    /**
+     * Returns whether a link already has a session with this entry in the candidate's incarnation.
+     */
+    public boolean hasSessionWith(ProcessId entry, EntrySession candidate) {
         return mLinks.values().stream()
                 .flatMap(link -> link.session().stream())
                 .anyMatch(
                         session ->
                                 session.entry().equals(entry)
-                                        && session.incarnation().equals(except.incarnation()));
+                                        && session.incarnation().equals(candidate.incarnation()));
     }
 
-    /** Sends a message over every open session. */
+    /** Sends a message in every open session. */
     public void broadcast(Message message) {
         sessions().forEach(session -> session.connection().send(message));
     }
@@ -68,16 +70,19 @@
         mLinks.values().forEach(EntryLink::close);
     }
 
-    /** Makes room for entries that replaced others at new addresses. */
-    private void removeLinksThatAreDown() {
+    /**
+     * Closes and removes links that have been disconnected for the replacement delay, so that
+     * entries at new addresses can be added.
+     */
+    private void removeDisconnectedLinks() {
         mLinks.values()
                 .removeIf(
                         link -> {
-                            boolean down = link.isDownFor(REPLACEMENT_DELAY_MS);
-                            if (down) {
+                            boolean disconnected = link.isDisconnectedFor(REPLACEMENT_DELAY_MS);
+                            if (disconnected) {
                                 link.close();
                             }
-                            return down;
+                            return disconnected;
                         });
     }
 
@@ -86,12 +91,12 @@
             return;
         }
         if (mLinks.size() >= mMaximumLinks) {
-            removeLinksThatAreDown();
+            removeDisconnectedLinks();
         }
         if (mLinks.size() >= mMaximumLinks) {
             return;
         }
-        EntryLink link = new EntryLink(address, mTransport, mScheduler, mOwner);
+        EntryLink link = new EntryLink(address, mTransport, mScheduler, mHandler);
         mLinks.put(address, link);
         link.connect();
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/link/EntrySession.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/link/EntrySession.java
@@ -5,7 +5,7 @@
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.identifier.SessionNumber;
 
-/** An open connection of a process to an entry. */
+/** An open session of a process with an entry. */
 public record EntrySession(
         ProcessId entry,
         Incarnation incarnation,
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/link/package-info.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/link/package-info.java
@@ -1,4 +1,4 @@
-/** Connections that a process keeps open to entries. */
+/** Links that a process keeps open to entries. */
 @NullMarked
 package org.hickorycleat.daemon.link;
 
