Use standard terms in the message transport

Comments and names spoke of silence, refusal and damaged messages. They now say read timeout, rejection and corruption. Behaviour is unchanged.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
@@ -50,15 +50,15 @@
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 
-/** Translates messages to the content of frames: version, type number, fields. */
+/** Encodes messages as the content of frames, and decodes it: version, type number, fields. */
 public final class MessageCodec {
     /** Version of the protocol between processes. */
     public static final int PROTOCOL_VERSION = 1;
 
-    /** Largest frame, in bytes. */
+    /** Maximum size of the content of a frame, in bytes. */
     public static final int MAXIMUM_FRAME_BYTES = 1 << 20;
 
-    // The position in this list is the type number on the wire: append only.
+    // The position in this list is the type number on the wire; new types are only appended.
     private static final List<Class<? extends Message>> TYPES =
             List.of(
                     Hello.class,
@@ -102,7 +102,7 @@
 
     private final RecordCodec mRecords = new RecordCodec();
 
-    /** Encodes a message. */
+    /** Encodes a message as the content of a frame. */
     public byte[] encode(Message message) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             packer.packArrayHeader(3);
@@ -115,14 +115,14 @@
         }
     }
 
-    /** Decodes a message, or tells why the content is not one. */
+    /** Decodes a message, or returns the failure that says why it cannot be decoded. */
     public Either<Failure, Message> decode(byte[] content) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(content)) {
             return read(unpacker);
         } catch (IOException | MessagePackException e) {
             return Either.left(failure(ResultCode.MALFORMED_FRAME, e));
         } catch (RuntimeException e) {
-            // Value types refuse values out of range with exceptions of their own.
+            // Value types reject values out of range with various runtime exceptions.
             return Either.left(failure(ResultCode.MALFORMED_FRAME, e));
         }
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageConnection.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageConnection.java
@@ -6,7 +6,7 @@
 import org.hickorycleat.model.message.Message;
 
 /** A TCP connection that carries messages in both directions. */
-// A write that fails closes the channel, which the listener is told of, so its future is not
+// A write that fails closes the channel, which is reported to the listener, so its future is not
 // needed.
 @SuppressWarnings("FutureReturnValueIgnored")
 public final class MessageConnection {
@@ -21,19 +21,19 @@
     }
 
     /**
-     * Queues a message.
+     * Queues a message for sending.
      *
-     * @return false when the connection is closed or its queue is full; the message is then never
-     *     sent
+     * @return false if the connection is closed, its queue is full or the message exceeds the
+     *     maximum frame size; the message is then never sent
      */
     public boolean send(Message message) {
         if (!mChannel.isActive() || !mChannel.isWritable()) {
-            mMetrics.countRefusedSend();
+            mMetrics.countRejectedSend();
             return false;
         }
         byte[] content = mCodec.encode(message);
         if (content.length > MessageCodec.MAXIMUM_FRAME_BYTES) {
-            mMetrics.countRefusedSend();
+            mMetrics.countRejectedSend();
             return false;
         }
         mMetrics.countSent(content.length);
@@ -41,7 +41,7 @@
         return true;
     }
 
-    /** Sends a last message, then closes. */
+    /** Sends a last message, then closes the connection. */
     public void sendAndClose(Message message) {
         mChannel.writeAndFlush(Unpooled.wrappedBuffer(mCodec.encode(message)))
                 .addListener(ChannelFutureListener.CLOSE);
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageHandler.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageHandler.java
@@ -13,8 +13,8 @@
 import org.hickorycleat.model.result.ResultCode;
 import org.jspecify.annotations.Nullable;
 
-/** Decodes the frames of one connection and passes the messages on. */
-// The closing of the channel is reported through channelInactive.
+/** Decodes the frames of one connection and passes the messages to the listener. */
+// The closing of a channel is reported through channelInactive, so its future is not needed.
 @SuppressWarnings("FutureReturnValueIgnored")
 final class MessageHandler extends SimpleChannelInboundHandler<ByteBuf> {
     private static final EventLog LOG = EventLog.of(MessageHandler.class);
@@ -47,7 +47,7 @@
         mMetrics.countReceived(content.length);
         Either<Failure, Message> decoded = mCodec.decode(content);
         if (decoded.isLeft()) {
-            refuse(context, decoded.getLeft());
+            rejectAndClose(context, decoded.getLeft());
             return;
         }
         mListener.onMessage(connection(context), decoded.get());
@@ -56,15 +56,15 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (cause instanceof ReadTimeoutException) {
-            refuse(context, new Failure(ResultCode.DEADLINE_EXCEEDED, "peer sent nothing"));
+            rejectAndClose(context, new Failure(ResultCode.DEADLINE_EXCEEDED, "peer sent nothing"));
             return;
         }
         if (cause instanceof TooLongFrameException) {
-            refuse(context, new Failure(ResultCode.FRAME_TOO_LARGE, "frame too large"));
+            rejectAndClose(context, new Failure(ResultCode.FRAME_TOO_LARGE, "frame too large"));
             return;
         }
         if (cause instanceof CorruptedFrameException) {
-            refuse(context, new Failure(ResultCode.MALFORMED_FRAME, "bad frame length"));
+            rejectAndClose(context, new Failure(ResultCode.MALFORMED_FRAME, "bad frame length"));
             return;
         }
         LOG.event("connection_failed")
@@ -74,7 +74,7 @@
         context.close();
     }
 
-    private void refuse(ChannelHandlerContext context, Failure failure) {
+    private void rejectAndClose(ChannelHandlerContext context, Failure failure) {
         mMetrics.countError(failure.code());
         LOG.event("protocol_error")
                 .with("peer", connection(context).remoteAddress())
@@ -85,11 +85,11 @@
     }
 
     private MessageConnection connection(ChannelHandlerContext context) {
-        MessageConnection known = mConnection;
-        if (known == null) {
-            known = new MessageConnection(context.channel(), mCodec, mMetrics);
-            mConnection = known;
+        MessageConnection connection = mConnection;
+        if (connection == null) {
+            connection = new MessageConnection(context.channel(), mCodec, mMetrics);
+            mConnection = connection;
         }
-        return known;
+        return connection;
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageListener.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageListener.java
@@ -2,14 +2,14 @@
 
 import org.hickorycleat.model.message.Message;
 
-/** Receives the events of one connection, in order and one at a time. */
+/** Handles the events of one connection, in order and one at a time. */
 public interface MessageListener {
-    /** The connection is open. */
+    /** Handles the opening of the connection. */
     void onOpen(MessageConnection connection);
 
-    /** A message arrived. */
+    /** Handles a message that arrived. */
     void onMessage(MessageConnection connection, Message message);
 
-    /** The connection closed; nothing follows. */
+    /** Handles the closing of the connection; no event follows. */
     void onClose(MessageConnection connection);
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageTransport.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageTransport.java
@@ -21,19 +21,19 @@
 import java.util.function.Supplier;
 
 /** Listens for and opens connections that carry messages. */
-// Failures to connect are reported through the listener; a failed shutdown has nobody to tell.
+// Failures to connect are reported through the callback; the result of the shutdown is not needed.
 @SuppressWarnings("FutureReturnValueIgnored")
 public final class MessageTransport implements AutoCloseable {
-    /** A peer that sends nothing for this long is closed, in milliseconds. */
-    private static final int SILENCE_LIMIT_MS = 5_000;
+    /** Time without a byte from the peer after which a connection is closed, in milliseconds. */
+    private static final int READ_TIMEOUT_MS = 5_000;
 
     private static final int CONNECT_TIMEOUT_MS = 1_000;
-    private static final int PREFIX_BYTES = 4;
+    private static final int LENGTH_PREFIX_BYTES = 4;
 
-    /** Bytes queued on a connection above which messages are refused. */
-    private static final int QUEUE_HIGH_BYTES = 8 << 20;
+    /** Size of the write queue of a connection above which messages are rejected, in bytes. */
+    private static final int WRITE_QUEUE_HIGH_BYTES = 8 << 20;
 
-    private static final int QUEUE_LOW_BYTES = 4 << 20;
+    private static final int WRITE_QUEUE_LOW_BYTES = 4 << 20;
 
     private final EventLoopGroup mEventLoops;
     private final MessageCodec mCodec = new MessageCodec();
@@ -44,14 +44,14 @@
         this(new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory()), metrics);
     }
 
-    /** Creates a transport on event loops that it shares with others. */
+    /** Creates a transport on shared event loops, which {@link #close} stops. */
     public MessageTransport(EventLoopGroup eventLoops, TransportMetrics metrics) {
         mEventLoops = eventLoops;
         mMetrics = metrics;
     }
 
-    /** Listens on an address; each connection gets a listener of its own. */
-    public void listen(InetSocketAddress address, Supplier<MessageListener> listeners)
+    /** Listens on an address; each connection gets a separate listener. */
+    public void listen(InetSocketAddress address, Supplier<MessageListener> listenerFactory)
             throws InterruptedException {
         new ServerBootstrap()
                 .group(mEventLoops)
@@ -59,12 +59,12 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
-                .childHandler(initializer(listeners))
+                .childHandler(initializer(listenerFactory))
                 .bind(address)
                 .sync();
     }
 
-    /** Opens a connection; {@code onFailure} is called when it cannot be opened. */
+    /** Opens a connection; calls {@code onFailure} if it cannot be opened. */
     public void connect(
             InetSocketAddress address, MessageListener listener, Consumer<Throwable> onFailure) {
         new Bootstrap()
@@ -89,29 +89,29 @@
     }
 
     private static WriteBufferWaterMark waterMark() {
-        return new WriteBufferWaterMark(QUEUE_LOW_BYTES, QUEUE_HIGH_BYTES);
+        return new WriteBufferWaterMark(WRITE_QUEUE_LOW_BYTES, WRITE_QUEUE_HIGH_BYTES);
     }
 
-    private ChannelInitializer<Channel> initializer(Supplier<MessageListener> listeners) {
+    private ChannelInitializer<Channel> initializer(Supplier<MessageListener> listenerFactory) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                addHandlers((SocketChannel) channel, listeners.get());
+                addHandlers((SocketChannel) channel, listenerFactory.get());
             }
         };
     }
 
     private void addHandlers(SocketChannel channel, MessageListener listener) {
         channel.pipeline()
-                .addLast(new ReadTimeoutHandler(SILENCE_LIMIT_MS, TimeUnit.MILLISECONDS))
+                .addLast(new ReadTimeoutHandler(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS))
                 .addLast(
                         new LengthFieldBasedFrameDecoder(
-                                MessageCodec.MAXIMUM_FRAME_BYTES + PREFIX_BYTES,
+                                MessageCodec.MAXIMUM_FRAME_BYTES + LENGTH_PREFIX_BYTES,
                                 0,
-                                PREFIX_BYTES,
+                                LENGTH_PREFIX_BYTES,
                                 0,
-                                PREFIX_BYTES))
-                .addLast(new LengthFieldPrepender(PREFIX_BYTES))
+                                LENGTH_PREFIX_BYTES))
+                .addLast(new LengthFieldPrepender(LENGTH_PREFIX_BYTES))
                 .addLast(new MessageHandler(mCodec, mMetrics, listener));
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/RecordCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/RecordCodec.java
@@ -18,9 +18,9 @@
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * Writes records as MessagePack arrays of their components in order.
+ * Encodes records as MessagePack arrays of their components in order, and decodes them.
  *
- * <p>A record with one component, such as an identifier, is written as the bare component; an enum
+ * <p>A record with one component, such as an identifier, is encoded as the bare component; an enum
  * as its ordinal; an {@link Optional} as its value or nil.
  */
 public final class RecordCodec {
@@ -40,9 +40,9 @@
     }
 
     private ValueCodec codec(Type type) {
-        ValueCodec known = mCodecs.get(type);
-        if (known != null) {
-            return known;
+        ValueCodec cached = mCodecs.get(type);
+        if (cached != null) {
+            return cached;
         }
         ValueCodec created = create(type);
         mCodecs.put(type, created);
@@ -98,7 +98,7 @@
     }
 
     private static Object readBytes(MessageUnpacker unpacker) throws IOException {
-        return unpacker.readPayload(boundedLength(unpacker.unpackBinaryHeader()));
+        return unpacker.readPayload(checkedLength(unpacker.unpackBinaryHeader()));
     }
 
     private static ValueCodec optionalCodec(ValueCodec element) {
@@ -127,8 +127,9 @@
                     }
                 },
                 unpacker -> {
-                    int size = boundedLength(unpacker.unpackArrayHeader());
-                    // Grows with what really arrives: a forged header must not allocate memory.
+                    int size = checkedLength(unpacker.unpackArrayHeader());
+                    // The list grows with the elements that arrive: a forged header must not
+                    // allocate memory.
                     List<Object> list = new ArrayList<>();
                     for (int i = 0; i < size; i++) {
                         list.add(element.read(unpacker));
@@ -137,7 +138,7 @@
                 });
     }
 
-    // The constants are append only, so their ordinals are stable on the wire and short.
+    // New constants are only appended, so ordinals are stable on the wire, and they are short.
     @SuppressWarnings("EnumOrdinal")
     private static ValueCodec enumCodec(Class<?> type) {
         Object[] constants = type.getEnumConstants();
@@ -146,7 +147,7 @@
                 unpacker -> {
                     int ordinal = unpacker.unpackInt();
                     if (ordinal < 0 || ordinal >= constants.length) {
-                        throw new MessageTypeException("no such constant: " + ordinal);
+                        throw new MessageTypeException("enum ordinal out of range: " + ordinal);
                     }
                     return constants[ordinal];
                 });
@@ -168,18 +169,18 @@
                         packer.packArrayHeader(codecs.length);
                     }
                     for (int i = 0; i < codecs.length; i++) {
-                        codecs[i].write(packer, get(accessors[i], value));
+                        codecs[i].write(packer, invokeAccessor(accessors[i], value));
                     }
                 },
                 unpacker -> {
                     if (!bare && unpacker.unpackArrayHeader() != codecs.length) {
-                        throw new MessageTypeException("wrong number of fields");
+                        throw new MessageTypeException("wrong number of record components");
                     }
                     Object[] values = new Object[codecs.length];
                     for (int i = 0; i < codecs.length; i++) {
                         values[i] = codecs[i].read(unpacker);
                     }
-                    return construct(constructor, values);
+                    return invokeConstructor(constructor, values);
                 });
     }
 
@@ -206,25 +207,25 @@
         }
     }
 
-    private static Object get(MethodHandle accessor, Object value) {
+    private static Object invokeAccessor(MethodHandle accessor, Object value) {
         try {
             return accessor.invokeExact(value);
         } catch (Throwable e) {
-            throw new IllegalStateException("accessor failed", e);
+            throw new IllegalStateException("record accessor failed", e);
         }
     }
 
-    private static Object construct(MethodHandle constructor, Object[] values) {
+    private static Object invokeConstructor(MethodHandle constructor, Object[] values) {
         try {
             return constructor.invokeExact(values);
         } catch (RuntimeException e) {
             throw e;
         } catch (Throwable e) {
-            throw new IllegalStateException("constructor failed", e);
+            throw new IllegalStateException("record constructor failed", e);
         }
     }
 
-    private static int boundedLength(int length) {
+    private static int checkedLength(int length) {
         if (length > MessageCodec.MAXIMUM_FRAME_BYTES) {
             throw new MessageTypeException("length out of range: " + length);
         }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/ValueCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/ValueCodec.java
@@ -4,7 +4,7 @@
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
-/** Writes and reads values of one type. */
+/** Encodes and decodes values of one type. */
 interface ValueCodec {
     /** Writes a value. */
     void write(MessagePacker packer, Object value) throws IOException;
@@ -12,21 +12,21 @@
     /** Reads a value. */
     Object read(MessageUnpacker unpacker) throws IOException;
 
-    /** Writes a value. */
+    /** Writes values of one type. */
     @FunctionalInterface
     interface Writer {
         /** Writes a value. */
         void write(MessagePacker packer, Object value) throws IOException;
     }
 
-    /** Reads a value. */
+    /** Reads values of one type. */
     @FunctionalInterface
     interface Reader {
         /** Reads a value. */
         Object read(MessageUnpacker unpacker) throws IOException;
     }
 
-    /** Joins a writer and a reader. */
+    /** Creates a codec of a writer and a reader. */
     static ValueCodec of(Writer writer, Reader reader) {
         return new ValueCodec() {
             @Override
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/transport/MessageCodecTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/transport/MessageCodecTest.java
@@ -21,10 +21,12 @@
         return Message.class.getPermittedSubclasses();
     }
 
-    /** Guards against a message type without number and a field that is lost or reordered. */
+    /**
+     * Guards against a message type without a type number, and a field that is lost or reordered.
+     */
     @ParameterizedTest
     @MethodSource("messageTypes")
-    void everyMessageSurvivesTheWire(Class<?> type) {
+    void roundTripsEveryMessageType(Class<?> type) {
         RandomRecords records = new RandomRecords(new Random(type.getName().hashCode()));
         for (int i = 0; i < 50; i++) {
             Message message = (Message) records.next(type);
@@ -38,29 +40,31 @@
         }
     }
 
-    /** Guards against an exception or a hang on bytes that are no message. */
+    /** Guards against an exception or a hang on bytes that are not a message. */
     @Property(seed = "7", tries = 2_000)
-    void randomBytesAreRefusedOrDecoded(@ForAll byte[] content) {
+    void randomBytesAreRejectedOrDecoded(@ForAll byte[] content) {
         assertThat(mCodec.decode(content)).isNotNull();
     }
 
-    /** Guards against an exception on a message that was damaged on its way. */
+    /** Guards against an exception on a message that was corrupted in transit. */
     @Property(seed = "8", tries = 2_000)
-    void damagedMessagesAreRefusedOrDecoded(@ForAll long seed) {
+    void corruptedMessagesAreRejectedOrDecoded(@ForAll long seed) {
         Random random = new Random(seed);
         Class<?>[] types = messageTypes();
         Class<?> type = types[random.nextInt(types.length)];
         byte[] content = mCodec.encode((Message) new RandomRecords(random).next(type));
         int length = 1 + random.nextInt(content.length);
-        byte[] damaged = Arrays.copyOf(content, length);
-        damaged[random.nextInt(length)] = (byte) random.nextInt();
+        byte[] corrupted = Arrays.copyOf(content, length);
+        corrupted[random.nextInt(length)] = (byte) random.nextInt();
 
-        assertThat(mCodec.decode(damaged)).isNotNull();
+        assertThat(mCodec.decode(corrupted)).isNotNull();
     }
 
-    /** Guards against a peer of another version being taken for one of ours. */
+    /**
+     * Guards against a message of another protocol version being decoded as one of this version.
+     */
     @Test
-    void otherVersionsAreRefused() {
+    void otherVersionsAreRejected() {
         byte[] content = mCodec.encode(new Failure(ResultCode.INTERNAL, "detail"));
         content[1] = MessageCodec.PROTOCOL_VERSION + 1;
 
@@ -69,7 +73,7 @@
 
     /** Guards against an unknown type being read as another message. */
     @Test
-    void unknownTypesAreRefused() {
+    void unknownTypesAreRejected() {
         byte[] content = mCodec.encode(new Failure(ResultCode.INTERNAL, "detail"));
         content[2] = 100;
 
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/transport/RandomRecords.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/transport/RandomRecords.java
@@ -9,10 +9,10 @@
 import java.util.Optional;
 import java.util.Random;
 
-/** Makes records with random components, for round trips. */
+/** Creates records with random components for round-trip tests. */
 final class RandomRecords {
-    private static final int LIST_LIMIT = 4;
-    private static final int NUMBER_LIMIT = 100_000;
+    private static final int LENGTH_BOUND = 4;
+    private static final int NUMBER_BOUND = 100_000;
 
     private final Random mRandom;
 
@@ -41,7 +41,7 @@
             return mRandom.nextBoolean() ? Optional.of(next(element)) : Optional.empty();
         }
         List<Object> list = new ArrayList<>();
-        for (int i = mRandom.nextInt(LIST_LIMIT); i > 0; i--) {
+        for (int i = mRandom.nextInt(LENGTH_BOUND); i > 0; i--) {
             list.add(next(element));
         }
         return list;
@@ -64,18 +64,18 @@
 
     private Object nextSimple(Class<?> type) {
         if (type == int.class || type == Integer.class) {
-            return 1 + mRandom.nextInt(NUMBER_LIMIT);
+            return 1 + mRandom.nextInt(NUMBER_BOUND);
         }
         if (type == long.class || type == Long.class) {
-            return 1L + mRandom.nextInt(NUMBER_LIMIT);
+            return 1L + mRandom.nextInt(NUMBER_BOUND);
         }
         if (type == boolean.class) {
             return mRandom.nextBoolean();
         }
         if (type == String.class) {
-            return "text-" + mRandom.nextInt(NUMBER_LIMIT);
+            return "text-" + mRandom.nextInt(NUMBER_BOUND);
         }
-        byte[] bytes = new byte[mRandom.nextInt(LIST_LIMIT)];
+        byte[] bytes = new byte[mRandom.nextInt(LENGTH_BOUND)];
         mRandom.nextBytes(bytes);
         return bytes;
     }
