--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/EventLog.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/EventLog.java
@@ -15,12 +15,12 @@
         return new EventLog(Logger.getLogger(type));
     }
 
-    /** Starts a line for an event named in snake case. */
+    /** Starts a line for an event whose name is in snake case. */
     public Line event(String name) {
         return new Line(mLogger, name);
     }
 
-    /** Writes a line at level info with keys and values in turn. */
+    /** Writes a line at level info; {@code pairs} alternates keys and values. */
     public void record(String name, Object... pairs) {
         Line line = event(name);
         for (int i = 0; i + 1 < pairs.length; i += 2) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/KeyValueLogFormatter.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/KeyValueLogFormatter.java
@@ -10,11 +10,16 @@
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 
-/** Formats log records as one line of key=value pairs on standard output. */
+/**
+ * Formats log records as one line of key=value pairs, and configures logging to standard output.
+ */
 public final class KeyValueLogFormatter extends Formatter {
-    private static final String OWN_PACKAGE = "org.hickorycleat";
+    private static final String ROOT_PACKAGE = "org.hickorycleat";
 
-    /** Makes every log of the process go through this formatter at the given level. */
+    /**
+     * Configures all logs of the process to use this formatter, and sets the level of the logs of
+     * this project.
+     */
     public static void configureLogging(Level level) {
         System.setProperty("org.jboss.logging.provider", "jdk");
         Logger root = Logger.getLogger("");
@@ -29,13 +34,14 @@
                                 StandardCharsets.UTF_8));
         handler.setLevel(Level.ALL);
         root.addHandler(handler);
-        // Libraries speak only when something is wrong.
+        // Libraries log only warnings and errors.
         root.setLevel(Level.WARNING);
-        sOwnLogger.setLevel(level);
+        sRootPackageLogger.setLevel(level);
     }
 
-    // A strong reference: the log manager holds loggers weakly and would forget the level.
-    private static Logger sOwnLogger = Logger.getLogger(OWN_PACKAGE);
+    // A strong reference: the log manager holds loggers weakly, and the level is lost with the
+    // logger.
+    private static Logger sRootPackageLogger = Logger.getLogger(ROOT_PACKAGE);
 
     @Override
     public String format(LogRecord record) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/RateLimitedLogHandler.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/RateLimitedLogHandler.java
@@ -10,24 +10,26 @@
 import java.util.logging.LogRecord;
 
 /**
- * Writes log lines from a thread of its own, with a budget a second for each kind of event.
+ * Writes log lines in a separate thread, with a rate limit for each event name.
  *
- * <p>A line that is over the budget or finds the queue full is counted and left out; a line tells
- * the count once a second.
+ * <p>A line that exceeds the rate limit or finds the queue full is dropped and counted; the counts
+ * are logged about once a second.
  */
 public final class RateLimitedLogHandler extends Handler {
-    /** Lines of one kind of event in a second; further ones are counted. */
-    private static final int BUDGET_PER_SECOND = 60;
+    /**
+     * Maximum number of lines of one event name in a second; further ones are dropped and counted.
+     */
+    private static final int LINES_PER_SECOND = 60;
 
-    /** Lines that may wait to be written. */
+    /** Maximum number of lines that wait to be written. */
     private static final int QUEUE_LINES = 2_000;
 
-    private static final long WINDOW_MS = 1_000;
+    private static final long RATE_WINDOW_MS = 1_000;
 
     private final PrintStream mOut;
     private final BlockingQueue<LogRecord> mQueue = new ArrayBlockingQueue<>(QUEUE_LINES);
-    private final Map<String, Integer> mWritten = new HashMap<>();
-    private final Map<String, Integer> mLeftOut = new HashMap<>();
+    private final Map<String, Integer> mLinesInWindow = new HashMap<>();
+    private final Map<String, Integer> mDroppedLines = new HashMap<>();
     private final Thread mWriter = new Thread(this::writeAll, "log-writer");
     private long mWindowStartMs;
 
@@ -44,50 +46,50 @@
         if (!isLoggable(record)) {
             return;
         }
-        boolean taken = isWithinBudget(record) && mQueue.offer(record);
-        if (!taken) {
-            countLeftOut(kind(record));
+        boolean queued = isWithinRateLimit(record) && mQueue.offer(record);
+        if (!queued) {
+            countDropped(eventKey(record));
         }
     }
 
-    private static String kind(LogRecord record) {
+    private static String eventKey(LogRecord record) {
         String message = String.valueOf(record.getMessage());
         int end = message.indexOf(' ');
         return end < 0 ? message : message.substring(0, end);
     }
 
-    private synchronized boolean isWithinBudget(LogRecord record) {
-        if (record.getMillis() - mWindowStartMs >= WINDOW_MS) {
+    private synchronized boolean isWithinRateLimit(LogRecord record) {
+        if (record.getMillis() - mWindowStartMs >= RATE_WINDOW_MS) {
             mWindowStartMs = record.getMillis();
-            mWritten.clear();
+            mLinesInWindow.clear();
         }
-        return mWritten.merge(kind(record), 1, Integer::sum) <= BUDGET_PER_SECOND;
+        return mLinesInWindow.merge(eventKey(record), 1, Integer::sum) <= LINES_PER_SECOND;
     }
 
-    private synchronized void countLeftOut(String kind) {
-        mLeftOut.merge(kind, 1, Integer::sum);
+    private synchronized void countDropped(String eventKey) {
+        mDroppedLines.merge(eventKey, 1, Integer::sum);
     }
 
-    private synchronized String takeLeftOut() {
-        if (mLeftOut.isEmpty()) {
+    private synchronized String drainDroppedCounts() {
+        if (mDroppedLines.isEmpty()) {
             return "";
         }
-        String counts = mLeftOut.toString().replace("event=", "");
-        mLeftOut.clear();
+        String counts = mDroppedLines.toString().replace("event=", "");
+        mDroppedLines.clear();
         return "level=warning event=lines_left_out counts=\"" + counts + '"';
     }
 
     private void writeAll() {
         try {
             while (true) {
-                LogRecord record = mQueue.poll(WINDOW_MS, TimeUnit.MILLISECONDS);
+                LogRecord record = mQueue.poll(RATE_WINDOW_MS, TimeUnit.MILLISECONDS);
                 if (record != null) {
                     write(record);
                 }
                 if (mQueue.isEmpty()) {
-                    String leftOut = takeLeftOut();
-                    if (!leftOut.isEmpty()) {
-                        mOut.println(leftOut);
+                    String droppedCounts = drainDroppedCounts();
+                    if (!droppedCounts.isEmpty()) {
+                        mOut.println(droppedCounts);
                     }
                     mOut.flush();
                 }
@@ -97,7 +99,7 @@
         }
     }
 
-    // Under a lock of its own: callers never wait for the output.
+    // Uses a separate lock, so that callers never wait for the output.
     private void write(LogRecord record) {
         synchronized (mOut) {
             mOut.print(getFormatter().format(record));
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/package-info.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logging/package-info.java
@@ -1,4 +1,4 @@
-/** Logs of one key=value line an event. */
+/** Logging of events as lines of key=value pairs. */
 @NullMarked
 package org.hickorycleat.daemon.logging;
 
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/logging/RateLimitedLogHandlerTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/logging/RateLimitedLogHandlerTest.java
@@ -34,7 +34,7 @@
     }
 
     @Test
-    void countsWhatIsOverTheBudgetOfItsKind() {
+    void countsLinesOverTheRateLimitOfAnEvent() {
         for (int i = 0; i < 1_000; i++) {
             log("event=run_started run=" + i);
         }
@@ -49,8 +49,8 @@
     }
 
     @Test
-    void neverBlocksItsCaller() throws Exception {
-        PrintStream stuck =
+    void doesNotBlockCallerWhenOutputIsBlocked() throws Exception {
+        PrintStream blocked =
                 new PrintStream(mOut, true, StandardCharsets.UTF_8) {
                     @Override
                     public void print(String text) {
@@ -61,7 +61,7 @@
                         }
                     }
                 };
-        RateLimitedLogHandler handler = new RateLimitedLogHandler(stuck);
+        RateLimitedLogHandler handler = new RateLimitedLogHandler(blocked);
         Thread caller =
                 new Thread(
                         () -> {
