Use standard terms in the HTTP worker control

Comments, names and messages spoke of answers, repeats and refusals. They now say responses, retries and rejections. Behaviour is unchanged.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/worker/HttpWorkerControl.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/worker/HttpWorkerControl.java
@@ -26,23 +26,23 @@
 import org.hickorycleat.model.identifier.TaskId;
 import org.hickorycleat.model.result.ResultCode;
 
-/** Worker reached over HTTP as docs/interfaces-worker.md describes it. */
+/** Controls the worker over the HTTP interface that docs/interfaces-worker.md specifies. */
 public final class HttpWorkerControl implements WorkerControl {
     private static final MediaType JSON = MediaType.get("application/json");
 
     private final OkHttpClient mClient;
-    private final HttpUrl mBase;
-    private final WorkerJsonCodec mBodies = new WorkerJsonCodec();
+    private final HttpUrl mBaseUrl;
+    private final WorkerJsonCodec mCodec = new WorkerJsonCodec();
 
     /**
      * Creates the adapter.
      *
-     * @param client client; a command is repeated by the caller, never by the client
-     * @param base address of the worker
+     * @param client HTTP client, used without its own retries: only the caller retries a command
+     * @param baseUrl base URL of the worker
      */
-    public HttpWorkerControl(OkHttpClient client, HttpUrl base) {
+    public HttpWorkerControl(OkHttpClient client, HttpUrl baseUrl) {
         mClient = client.newBuilder().retryOnConnectionFailure(false).build();
-        mBase = base;
+        mBaseUrl = baseUrl;
     }
 
     @Override
@@ -52,28 +52,28 @@
 
     @Override
     public Single<WorkerAnswer> start(WorkerStart start) {
-        return exchange(post("start", mBodies.start(start)), WorkerJsonCodec::answer);
+        return exchange(post("start", mCodec.start(start)), WorkerJsonCodec::response);
     }
 
     @Override
     public Single<ResultCode> renew(WorkerRenewal renewal) {
-        return exchange(post("renew", mBodies.renewal(renewal)), WorkerJsonCodec::code);
+        return exchange(post("renew", mCodec.renewal(renewal)), WorkerJsonCodec::resultCode);
     }
 
     @Override
     public Single<WorkerAnswer> stop(
             ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt) {
         return exchange(
-                post("stop", mBodies.attempt(shard, epoch, task, attempt)),
-                WorkerJsonCodec::answer);
+                post("stop", mCodec.attempt(shard, epoch, task, attempt)),
+                WorkerJsonCodec::response);
     }
 
     @Override
     public Single<WorkerAnswer> checkpoint(
             ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt) {
         return exchange(
-                post("checkpoint", mBodies.attempt(shard, epoch, task, attempt)),
-                WorkerJsonCodec::answer);
+                post("checkpoint", mCodec.attempt(shard, epoch, task, attempt)),
+                WorkerJsonCodec::response);
     }
 
     @Override
@@ -82,8 +82,8 @@
         return exchange(
                 post(
                         "throttle",
-                        mBodies.attempt(shard, epoch, task, attempt).put("permille", permille)),
-                WorkerJsonCodec::answer);
+                        mCodec.attempt(shard, epoch, task, attempt).put("permille", permille)),
+                WorkerJsonCodec::response);
     }
 
     @Override
@@ -93,7 +93,7 @@
 
     @Override
     public Single<ResultCode> fence(ShardNumber shard, Epoch epoch) {
-        return exchange(post("fence", mBodies.fence(shard, epoch)), WorkerJsonCodec::code);
+        return exchange(post("fence", mCodec.fence(shard, epoch)), WorkerJsonCodec::resultCode);
     }
 
     private Request get(String path) {
@@ -108,52 +108,57 @@
     }
 
     private HttpUrl url(String path) {
-        return mBase.newBuilder().addPathSegment(path).build();
+        return mBaseUrl.newBuilder().addPathSegment(path).build();
     }
 
-    private <T> Single<T> exchange(Request request, AnswerReader<T> reader) {
+    private <T> Single<T> exchange(Request request, ResponseReader<T> reader) {
         return Single.create(
                 emitter -> {
                     Call call = mClient.newCall(request);
                     emitter.setCancellable(call::cancel);
-                    call.enqueue(new Receiver<>(emitter, reader));
+                    call.enqueue(new ResponseCallback<>(emitter, reader));
                 });
     }
 
-    private interface AnswerReader<T> {
-        T read(JsonNode answer) throws IOException;
+    private interface ResponseReader<T> {
+        T read(JsonNode body) throws IOException;
     }
 
-    /** Hands the answer on; anything but a readable 200, 404 or 409 leaves the outcome unknown. */
-    private final class Receiver<T> implements Callback {
+    /**
+     * Emits the decoded response; anything but a readable 200, 404 or 409 leaves the outcome
+     * unknown.
+     */
+    private final class ResponseCallback<T> implements Callback {
         private final SingleEmitter<T> mEmitter;
-        private final AnswerReader<T> mReader;
+        private final ResponseReader<T> mReader;
 
-        Receiver(SingleEmitter<T> emitter, AnswerReader<T> reader) {
+        ResponseCallback(SingleEmitter<T> emitter, ResponseReader<T> reader) {
             mEmitter = emitter;
             mReader = reader;
         }
 
         @Override
         public void onFailure(Call call, IOException exception) {
-            mEmitter.tryOnError(new WorkerUnavailableException("no answer", exception));
+            mEmitter.tryOnError(
+                    new WorkerUnavailableException("no valid response from the worker", exception));
         }
 
         @Override
         public void onResponse(Call call, Response response) {
             try (response) {
-                if (!isAnswer(response.code())) {
+                if (!isExpectedStatus(response.code())) {
                     mEmitter.tryOnError(
-                            new WorkerUnavailableException("status " + response.code()));
+                            new WorkerUnavailableException(
+                                    "unexpected response status " + response.code()));
                     return;
                 }
-                mEmitter.onSuccess(mReader.read(mBodies.parse(response.body().bytes())));
+                mEmitter.onSuccess(mReader.read(mCodec.parse(response.body().bytes())));
             } catch (IOException exception) {
                 onFailure(call, exception);
             }
         }
 
-        private boolean isAnswer(int status) {
+        private boolean isExpectedStatus(int status) {
             return status == 200 || status == 404 || status == 409;
         }
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/worker/WorkerJsonCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/worker/WorkerJsonCodec.java
@@ -25,7 +25,9 @@
 import org.hickorycleat.model.task.Resources;
 import org.hickorycleat.model.task.TaskState;
 
-/** JSON bodies of the worker's interface; malformed answers fail with IOException. */
+/**
+ * Encodes and decodes JSON bodies of the worker interface; malformed responses throw IOException.
+ */
 final class WorkerJsonCodec {
     private final ObjectMapper mMapper = new ObjectMapper();
 
@@ -58,10 +60,10 @@
         ArrayNode tasks = body.putArray("tasks");
         renewal.tasks()
                 .forEach(
-                        held ->
+                        attempt ->
                                 tasks.addObject()
-                                        .put("task", held.task().value())
-                                        .put("attempt", held.attempt().value()));
+                                        .put("task", attempt.task().value())
+                                        .put("attempt", attempt.attempt().value()));
         return body;
     }
 
@@ -69,40 +71,38 @@
         return mMapper.readTree(body);
     }
 
-    static ResultCode code(JsonNode answer) throws IOException {
-        int number = (int) number(answer, "code");
+    static ResultCode resultCode(JsonNode body) throws IOException {
+        int number = (int) number(body, "code");
         return ResultCode.ofNumber(number)
-                .orElseThrow(() -> new IOException("result code is unknown: " + number));
+                .orElseThrow(() -> new IOException("unknown result code: " + number));
     }
 
-    static WorkerAnswer answer(JsonNode answer) throws IOException {
+    static WorkerAnswer response(JsonNode body) throws IOException {
         return new WorkerAnswer(
-                code(answer),
-                answer.hasNonNull("task")
-                        ? Optional.of(task(answer.get("task")))
-                        : Optional.empty());
+                resultCode(body),
+                body.hasNonNull("task") ? Optional.of(task(body.get("task"))) : Optional.empty());
     }
 
-    static WorkerListing listing(JsonNode answer) throws IOException {
+    static WorkerListing listing(JsonNode body) throws IOException {
         List<WorkerTask> tasks = new ArrayList<>();
-        for (JsonNode task : answer.path("tasks")) {
+        for (JsonNode task : body.path("tasks")) {
             tasks.add(task(task));
         }
         return new WorkerListing(
-                new WorkerId(text(answer, "worker")),
-                new Incarnation(number(answer, "incarnation")),
-                number(answer, "clock_ms"),
-                new RackId(text(answer, "rack")),
+                new WorkerId(text(body, "worker")),
+                new Incarnation(number(body, "incarnation")),
+                number(body, "clock_ms"),
+                new RackId(text(body, "rack")),
                 new Resources(
-                        number(answer, "processors_milli"),
-                        number(answer, "memory_mebibytes"),
-                        number(answer, "accelerators")),
+                        number(body, "processors_milli"),
+                        number(body, "memory_mebibytes"),
+                        number(body, "accelerators")),
                 tasks);
     }
 
-    static List<TaskUsage> usage(JsonNode answer) throws IOException {
+    static List<TaskUsage> usage(JsonNode body) throws IOException {
         List<TaskUsage> usages = new ArrayList<>();
-        for (JsonNode usage : answer.path("usage")) {
+        for (JsonNode usage : body.path("usage")) {
             usages.add(
                     new TaskUsage(
                             new TaskId(text(usage, "task")),
@@ -129,7 +129,7 @@
         try {
             return TaskState.valueOf(name);
         } catch (IllegalArgumentException exception) {
-            throw new IOException("state is unknown: " + name, exception);
+            throw new IOException("unknown task state: " + name, exception);
         }
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/worker/package-info.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/worker/package-info.java
@@ -1,4 +1,4 @@
-/** Access to the worker on the same VM. */
+/** Control of the worker on the same VM. */
 @NullMarked
 package org.hickorycleat.daemon.worker;
 
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/worker/HttpWorkerControlTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/worker/HttpWorkerControlTest.java
@@ -62,9 +62,9 @@
         mClient.dispatcher().executorService().shutdown();
     }
 
-    /** Guards against fields that are lost or confused between adapter and worker. */
+    /** Guards against fields that are lost or swapped between the adapter and the worker. */
     @Test
-    void startsCheckpointsAndStops() {
+    void startsCheckpointsAndStopsTask() {
         assertThat(get(mControl.start(start(7, 1, 20_000))).code()).isEqualTo(ResultCode.OK);
         mClockMs.addAndGet(2_000);
 
@@ -80,9 +80,9 @@
         assertThat(listing.clockMs()).isEqualTo(3_000);
     }
 
-    /** Guards against a replaced owner whose commands still take effect. */
+    /** Guards against a previous owner whose commands are still executed. */
     @Test
-    void refusesLowerEpochs() {
+    void rejectsLowerEpochs() {
         assertThat(get(mControl.fence(SHARD, new Epoch(9)))).isEqualTo(ResultCode.OK);
 
         assertThat(get(mControl.start(start(8, 1, 20_000))).code())
@@ -91,39 +91,41 @@
         assertThat(get(mControl.list()).tasks()).isEmpty();
     }
 
-    /** Guards against attempts that run again after a delayed or repeated start. */
+    /** Guards against attempts that run again after a delayed or duplicate start. */
     @Test
     void startsNoAttemptTwice() {
         assertThat(get(mControl.stop(SHARD, new Epoch(1), TASK, attempt(2))).code())
                 .isEqualTo(ResultCode.OK);
 
-        WorkerAnswer repeated = get(mControl.start(start(1, 2, 20_000)));
+        WorkerAnswer duplicate = get(mControl.start(start(1, 2, 20_000)));
         WorkerAnswer older = get(mControl.start(start(1, 1, 20_000)));
 
-        assertThat(repeated.task().orElseThrow().state()).isEqualTo(TaskState.STOPPED);
+        assertThat(duplicate.task().orElseThrow().state()).isEqualTo(TaskState.STOPPED);
         assertThat(older.code()).isEqualTo(ResultCode.STALE_ATTEMPT);
         assertThat(mWorker.events()).isEmpty();
     }
 
-    /** Guards against a task that outlives its lease, and a late renewal that revives it. */
+    /** Guards against a task that runs on after its lease, and a late renewal that restarts it. */
     @Test
-    void endsTasksWhoseLeaseExpires() {
+    void endsTasksAfterLeaseExpiry() {
         get(mControl.start(start(1, 1, 5_000)));
-        renew(9_000);
+        renewLeaseUntil(9_000);
         mClockMs.set(8_000);
         assertThat(state()).isEqualTo(TaskState.RUNNING);
 
         mClockMs.set(9_000);
-        renew(20_000);
+        renewLeaseUntil(20_000);
 
         assertThat(state()).isEqualTo(TaskState.EXPIRED);
         assertThat(mWorker.events().stream().map(AttemptEvent::event))
                 .containsExactly("start", "expire");
     }
 
-    /** Guards against a start that reaches a worker which has forgotten earlier attempts. */
+    /**
+     * Guards against a start that reaches a worker which has lost its record of earlier attempts.
+     */
     @Test
-    void refusesStartsForAnEarlierIncarnation() {
+    void rejectsStartsForPreviousIncarnation() {
         WorkerStart start = start(1, 1, 20_000);
         mWorker.restart();
 
@@ -131,10 +133,10 @@
         assertThat(mWorker.events()).isEmpty();
     }
 
-    /** Guards against an unknown outcome that is taken for a refusal. */
+    /** Guards against an unknown outcome that is treated as a rejection. */
     @Test
-    void reportsLostAnswerAsUnknownAfterTheAction() throws IOException {
-        control("{\"lost_answers\": 1}");
+    void reportsUnknownOutcomeWhenResponseIsLost() throws IOException {
+        postControl("{\"lost_answers\": 1}");
 
         Single<WorkerAnswer> lost = mControl.start(start(1, 1, 20_000));
 
@@ -142,14 +144,14 @@
         assertThat(state()).isEqualTo(TaskState.RUNNING);
     }
 
-    /** Guards against usage that is shown earlier than a real worker would report it. */
+    /** Guards against usage that is reported earlier than a real worker would report it. */
     @Test
-    void reportsUsageLate() {
+    void reportsUsageWithDelay() {
         get(mControl.start(start(1, 1, 20_000)));
         assertThat(get(mControl.usage())).isEmpty();
     }
 
-    private void renew(long untilMs) {
+    private void renewLeaseUntil(long untilMs) {
         get(
                 mControl.renew(
                         new WorkerRenewal(
@@ -164,7 +166,7 @@
         return get(mControl.list()).tasks().get(0).state();
     }
 
-    private void control(String body) throws IOException {
+    private void postControl(String body) throws IOException {
         Request request =
                 new Request.Builder()
                         .url(mBase.newBuilder().addPathSegment("control").build())
@@ -192,11 +194,11 @@
         return new AttemptNumber(number);
     }
 
-    private static WorkerTask task(Single<WorkerAnswer> answer) {
-        return get(answer).task().orElseThrow();
+    private static WorkerTask task(Single<WorkerAnswer> response) {
+        return get(response).task().orElseThrow();
     }
 
-    private static <T> T get(Single<T> answer) {
-        return answer.timeout(10, TimeUnit.SECONDS).blockingGet();
+    private static <T> T get(Single<T> response) {
+        return response.timeout(10, TimeUnit.SECONDS).blockingGet();
     }
 }
