--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -99,7 +99,7 @@
     private final NettyHttpServer mAdminServer;
     private final ProcessMetrics mMetrics;
     private final Map<ProcessId, EntryHeartbeat> mPeerHeartbeats = new HashMap<>();
-    private Optional<OwnerRole> mOwner = Optional.empty();
+    private Optional<OwnerRole> mOwnerRole = Optional.empty();
     private boolean mClaiming;
     private boolean mDraining;
     private long mEntriesReadAtMs = Long.MIN_VALUE / 2;
@@ -232,7 +232,7 @@
     // ---- ownership
 
     private synchronized void claimOwnershipIfNeeded() {
-        if (mClaiming || mDraining || mOwner.isPresent() || !mJobsConsumer.isLoaded()) {
+        if (mClaiming || mDraining || mOwnerRole.isPresent() || !mJobsConsumer.isLoaded()) {
             return;
         }
         if (!mElection.shouldClaimOwnership(nowMs())) {
@@ -311,25 +311,25 @@
                         DispatchSettings.of(mSettings.maximumLeaseMs()),
                         mMetrics.decisionLog(Dispatcher.class),
                         this::onFenced);
-        mOwner = Optional.of(owner);
+        mOwnerRole = Optional.of(owner);
         sendHeartbeat();
         owner.start(mConfiguration.configuration());
     }
 
     private synchronized void onFenced() {
-        mOwner.ifPresent(OwnerRole::stop);
-        mOwner = Optional.empty();
+        mOwnerRole.ifPresent(OwnerRole::stop);
+        mOwnerRole = Optional.empty();
     }
 
     private synchronized void stopIfReplaced() {
-        if (mOwner.isPresent() && !mElection.isOwner()) {
+        if (mOwnerRole.isPresent() && !mElection.isOwner()) {
             LOG.event("owner_succeeded").with("epoch", mElection.epoch()).info();
             onFenced();
         }
     }
 
     private synchronized Optional<OwnerRole> ownerRole() {
-        return mOwner;
+        return mOwnerRole;
     }
 
     // ---- records
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
@@ -98,7 +98,7 @@
         return state;
     }
 
-    /** Adds entries, and replaces the address of an entry that has restarted since. */
+    /** Adds entries, and updates those that have restarted since. */
     void addEntries(Collection<FleetNode> entries) {
         boolean changed = false;
         synchronized (this) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingRecordStore.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingRecordStore.java
@@ -42,7 +42,7 @@
     /** Time without a response after which the store counts as unavailable, in milliseconds. */
     private static final long UNAVAILABLE_TIMEOUT_MS = 600;
 
-    private final RecordStore mDirect;
+    private final RecordStore mDirectStore;
     private final PeerSender mPeerSender;
     private final Supplier<Optional<ProcessId>> mRelaySelector;
     private final Scheduler mScheduler;
@@ -65,11 +65,11 @@
      * @param relaySelector returns a peer that can reach the store
      */
     RelayingRecordStore(
-            RecordStore direct,
+            RecordStore directStore,
             PeerSender peerSender,
             Supplier<Optional<ProcessId>> relaySelector,
             Scheduler scheduler) {
-        mDirect = direct;
+        mDirectStore = directStore;
         mPeerSender = peerSender;
         mRelaySelector = relaySelector;
         mScheduler = scheduler;
@@ -134,7 +134,8 @@
 
     private Single<AppendOutcome> appendDirectly(
             StoreAppendRequest request, List<StoreRecord> records) {
-        return mDirect.append(request, records)
+        return mDirectStore
+                .append(request, records)
                 .doOnSuccess(
                         outcome -> {
                             if (isConclusive(outcome)) {
@@ -186,7 +187,8 @@
     }
 
     private Single<StorePage> readDirectly(StoreReadRequest request) {
-        return mDirect.read(request)
+        return mDirectStore
+                .read(request)
                 .doOnSuccess(page -> recordDirectResponse())
                 .doOnError(error -> recordDirectFailure(String.valueOf(error.getMessage())));
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/ValueCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/ValueCodec.java
@@ -26,7 +26,7 @@
         Object read(MessageUnpacker unpacker) throws IOException;
     }
 
-    /** Creates a codec of a writer and a reader. */
+    /** Creates a codec from a writer and a reader. */
     static ValueCodec of(Writer writer, Reader reader) {
         return new ValueCodec() {
             @Override
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FaultyProxy.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FaultyProxy.java
@@ -24,7 +24,7 @@
         STALL,
         /** Forwards requests and drops responses. */
         DROP_RESPONSES,
-        /** Closes all connections. */
+        /** Closes the connections that are open when the mode is set. */
         RESET
     }
 
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RelayingRecordStoreTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RelayingRecordStoreTest.java
@@ -30,7 +30,7 @@
     private final TestScheduler mScheduler = new TestScheduler();
     private final List<Message> mSent = new ArrayList<>();
     private Optional<ProcessId> mRelay = Optional.of(PEER);
-    private AppendResult mDirect = AppendResult.APPENDED;
+    private AppendResult mDirectResult = AppendResult.APPENDED;
     private int mDirectCalls;
     private final RelayingRecordStore mStore =
             new RelayingRecordStore(
@@ -45,7 +45,7 @@
     @Override
     public Single<AppendOutcome> append(StoreAppendRequest request, List<StoreRecord> records) {
         mDirectCalls++;
-        return Single.just(new AppendOutcome(mDirect, 4));
+        return Single.just(new AppendOutcome(mDirectResult, 4));
     }
 
     @Override
@@ -65,13 +65,13 @@
 
     @Test
     void appendsDirectlyWhileStoreResponds() {
-        mStore.append(REQUEST, List.of()).test().assertValue(new AppendOutcome(mDirect, 4));
+        mStore.append(REQUEST, List.of()).test().assertValue(new AppendOutcome(mDirectResult, 4));
         assertThat(mSent).isEmpty();
     }
 
     @Test
     void appendsThroughPeerWhenStoreRejects() {
-        mDirect = AppendResult.REFUSED;
+        mDirectResult = AppendResult.REFUSED;
         var outcome = mStore.append(REQUEST, List.of()).test();
         respond(AppendResult.APPENDED);
 
@@ -81,7 +81,7 @@
 
     @Test
     void triesPeerFirstAfterDirectFailure() {
-        mDirect = AppendResult.UNKNOWN;
+        mDirectResult = AppendResult.UNKNOWN;
         var first = mStore.append(REQUEST, List.of()).test();
         respond(AppendResult.APPENDED);
         var outcome = mStore.append(REQUEST, List.of()).test();
@@ -92,10 +92,10 @@
         assertThat(mDirectCalls).isEqualTo(1);
     }
 
-    /** Guards against a rejection that is reported although an earlier attempt may be committed. */
+    /** Guards against reporting a rejection although an earlier attempt may have been committed. */
     @Test
     void staysUnknownWhenEarlierAttemptMayBeCommitted() {
-        mDirect = AppendResult.UNKNOWN;
+        mDirectResult = AppendResult.UNKNOWN;
         var outcome = mStore.append(REQUEST, List.of()).test();
         respond(AppendResult.REFUSED);
 
@@ -104,7 +104,7 @@
 
     @Test
     void timesOutWhenPeerDoesNotRespond() {
-        mDirect = AppendResult.REFUSED;
+        mDirectResult = AppendResult.REFUSED;
         var outcome = mStore.append(REQUEST, List.of()).test();
         mScheduler.advanceTimeBy(1, TimeUnit.SECONDS);
 
@@ -115,7 +115,7 @@
     void reportsStoreAsUnavailable() {
         mScheduler.advanceTimeBy(10, TimeUnit.SECONDS);
         mRelay = Optional.empty();
-        mDirect = AppendResult.REFUSED;
+        mDirectResult = AppendResult.REFUSED;
         mStore.append(REQUEST, List.of()).test().assertComplete();
 
         assertThat(mStore.isUnavailable()).isTrue();
