--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/AdminTaskStatusFactory.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/AdminTaskStatusFactory.java
@@ -12,7 +12,7 @@
 import org.hickorycleat.logic.ownership.TaskResult;
 import org.hickorycleat.model.task.TaskSpecification;
 
-/** Turns what a shard knows of a task into what operators see. */
+/** Converts a shard's explanation of a task to the form of the admin interface. */
 final class AdminTaskStatusFactory {
     private AdminTaskStatusFactory() {}
 
@@ -26,21 +26,21 @@
                 task,
                 separator < 0 ? task : task.substring(0, separator),
                 separator < 0 ? "" : task.substring(separator + 1),
-                specification.map(known -> known.team().value()).orElse(""),
-                specification.map(known -> known.criticality().wireName()).orElse(""),
+                specification.map(found -> found.team().value()).orElse(""),
+                specification.map(found -> found.criticality().wireName()).orElse(""),
                 state(explanation),
                 record.map(TaskRecord::lastAttempt).orElse(0L),
                 attempt.map(running -> running.worker().value()),
                 specification
                         .map(TaskSpecification::deadlineMs)
-                        .flatMap(AdminTaskStatusFactory::time),
+                        .flatMap(AdminTaskStatusFactory::formatTime),
                 explanation.summary(),
                 events(explanation));
     }
 
     private static String state(TaskExplanation explanation) {
         if (explanation.result().isPresent()) {
-            return word(explanation.result().get().outcome());
+            return outcomeName(explanation.result().get().outcome());
         }
         Optional<AttemptRecord> attempt = explanation.record().flatMap(TaskRecord::attempt);
         if (attempt.isEmpty()) {
@@ -70,12 +70,12 @@
         explanation
                 .result()
                 .ifPresent(
-                        ending ->
+                        result ->
                                 events.add(
                                         event(
-                                                ending.endedMs(),
-                                                word(ending.outcome()),
-                                                ending.reason())));
+                                                result.endedMs(),
+                                                outcomeName(result.outcome()),
+                                                result.reason())));
         return events;
     }
 
@@ -83,13 +83,13 @@
         return new AdminTaskStatus.Event(Instant.ofEpochMilli(timeMs).toString(), event, reason);
     }
 
-    private static Optional<String> time(long timeMs) {
+    private static Optional<String> formatTime(long timeMs) {
         return timeMs == Long.MAX_VALUE
                 ? Optional.empty()
                 : Optional.of(Instant.ofEpochMilli(timeMs).toString());
     }
 
-    private static String word(TaskResult.Outcome outcome) {
+    private static String outcomeName(TaskResult.Outcome outcome) {
         return outcome.name().toLowerCase(Locale.ROOT);
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerDisconnectDetector.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerDisconnectDetector.java
@@ -10,64 +10,66 @@
 import org.eclipse.jetty.util.BufferUtil;
 
 /**
- * Notices callers that went away while their request waits.
+ * Detects callers that disconnect while their request is in progress.
  *
- * <p>The HTTP server does not read from a connection while it handles a request, so it would learn
- * of a closed connection only when it writes the answer.
+ * <p>The HTTP server does not read from a connection while it handles a request, so it would detect
+ * a closed connection only when it writes the response.
  */
 final class CallerDisconnectDetector {
     private final Set<Caller> mCallers = ConcurrentHashMap.newKeySet();
 
-    /** Watches the caller of a request; {@code onGone} is called once if it goes away. */
-    Caller watch(Context context, Runnable onGone) {
+    /** Watches the caller of a request; {@code onDisconnect} is called once if it disconnects. */
+    Caller watch(Context context, Runnable onDisconnect) {
         EndPoint connection =
                 ServletContextRequest.getServletContextRequest(context.req())
                         .getConnectionMetaData()
                         .getConnection()
                         .getEndPoint();
-        Caller caller = new Caller(connection, onGone);
+        Caller caller = new Caller(connection, onDisconnect);
         mCallers.add(caller);
         return caller;
     }
 
-    /** Looks at every connection once. */
-    void check() {
-        List<Caller> gone = mCallers.stream().filter(Caller::isGone).toList();
-        gone.forEach(mCallers::remove);
-        gone.forEach(caller -> caller.mOnGone.run());
+    /** Checks every watched connection once. */
+    void checkConnections() {
+        List<Caller> disconnected = mCallers.stream().filter(Caller::isDisconnected).toList();
+        disconnected.forEach(mCallers::remove);
+        disconnected.forEach(caller -> caller.mOnDisconnect.run());
     }
 
-    /** A caller that waits for its answer. */
+    /** A caller that waits for a response. */
     final class Caller {
         private final EndPoint mConnection;
-        private final Runnable mOnGone;
-        private boolean mAnswered;
-        private boolean mReadTooFar;
+        private final Runnable mOnDisconnect;
+        private boolean mResponseStarted;
+        private boolean mConsumedNextRequest;
 
-        private Caller(EndPoint connection, Runnable onGone) {
+        private Caller(EndPoint connection, Runnable onDisconnect) {
             mConnection = connection;
-            mOnGone = onGone;
+            mOnDisconnect = onDisconnect;
         }
 
         /**
-         * The answer is about to be written; the server reads from the connection again.
+         * Stops watching the connection before the response is written and the server reads from it
+         * again.
          *
-         * @return whether the connection must be closed after the answer
+         * @return whether the connection must be closed after the response
          */
-        synchronized boolean answered() {
-            mAnswered = true;
+        synchronized boolean startResponse() {
+            mResponseStarted = true;
             mCallers.remove(this);
-            return mReadTooFar;
+            return mConsumedNextRequest;
         }
 
-        private synchronized boolean isGone() {
-            if (mAnswered || mReadTooFar) {
+        private synchronized boolean isDisconnected() {
+            if (mResponseStarted || mConsumedNextRequest) {
                 return false;
             }
             try {
                 int read = mConnection.fill(BufferUtil.allocate(1));
-                // A caller that sends its next request before this answer loses its first byte.
-                mReadTooFar = read > 0;
+                // If the caller has already sent its next request, the first byte of that request
+                // is lost.
+                mConsumedNextRequest = read > 0;
                 return read < 0;
             } catch (IOException e) {
                 return true;
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerHttpServer.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerHttpServer.java
@@ -31,24 +31,24 @@
 import org.hickorycleat.model.result.Outcome;
 import org.hickorycleat.model.result.ResultCode;
 
-/** HTTP towards callers: checks requests, hands them on and writes the answers. */
+/** HTTP server for callers: validates requests, dispatches them and writes the responses. */
 final class CallerHttpServer implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(CallerHttpServer.class);
 
-    /** Largest body of a request, in bytes. */
+    /** Maximum size of a request body, in bytes. */
     private static final long MAXIMUM_BODY_BYTES = 512 << 10;
 
     private static final int MAXIMUM_THREADS = 64;
     private static final int MINIMUM_THREADS = 8;
     private static final long IDLE_TIMEOUT_MS = 30_000;
 
-    /** Result codes below this number say that the request itself is wrong. */
-    private static final int FIRST_REFUSAL_NUMBER = 200;
+    /** Result codes below this number mean that the request itself is invalid. */
+    private static final int FIRST_REJECTION_NUMBER = 200;
 
     private static final String RETRY_AFTER = "Retry-After";
     private static final String DEFAULT_RETRY_AFTER_SECONDS = "1";
-    private static final String METER = "hickorycleat.requests";
-    private static final List<HandlerType> METHODS =
+    private static final String REQUESTS_METER = "hickorycleat.requests";
+    private static final List<HandlerType> SUPPORTED_METHODS =
             List.of(
                     HandlerType.GET,
                     HandlerType.HEAD,
@@ -58,41 +58,44 @@
                     HandlerType.DELETE);
 
     private final Supplier<Optional<Manifest>> mManifest;
-    private final Function<CallerRequest, CompletableFuture<InvokeResult>> mService;
+    private final Function<CallerRequest, CompletableFuture<InvokeResult>> mRequestHandler;
     private final MeterRegistry mMeters;
     private final Map<ResultCode, Counter> mCounters = new ConcurrentHashMap<>();
-    private final CallerDisconnectDetector mPresence = new CallerDisconnectDetector();
+    private final CallerDisconnectDetector mDisconnectDetector = new CallerDisconnectDetector();
     private final AtomicInteger mInProgress = new AtomicInteger();
     private final Javalin mServer;
     private volatile boolean mDraining;
 
     CallerHttpServer(
             Supplier<Optional<Manifest>> manifest,
-            Function<CallerRequest, CompletableFuture<InvokeResult>> service,
+            Function<CallerRequest, CompletableFuture<InvokeResult>> requestHandler,
             MeterRegistry meters) {
         mManifest = manifest;
-        mService = service;
+        mRequestHandler = requestHandler;
         mMeters = meters;
         mServer = Javalin.create(this::configure);
     }
 
-    /** Starts to listen. */
+    /** Starts listening. */
     void start(InetSocketAddress address) {
         mServer.start(address.getHostString(), address.getPort());
     }
 
-    /** Refuses new requests from now on; those in progress finish. */
+    /** Rejects new requests; those in progress finish. */
     void drain() {
         mDraining = true;
     }
 
-    /** Frees the slots of callers that went away; called several times a second. */
-    void checkCallers() {
-        mPresence.check();
+    /**
+     * Cancels the requests of callers that disconnected, which frees their slots. Called several
+     * times a second.
+     */
+    void cancelDisconnectedRequests() {
+        mDisconnectDetector.checkConnections();
     }
 
     /** Returns the number of requests in progress. */
-    int inProgress() {
+    int requestsInProgress() {
         return mInProgress.get();
     }
 
@@ -110,81 +113,83 @@
                     http.setIdleTimeout(IDLE_TIMEOUT_MS);
                     http.setSendServerVersion(false);
                 });
-        for (HandlerType method : METHODS) {
+        for (HandlerType method : SUPPORTED_METHODS) {
             configuration.routes.addHttpHandler(
-                    method, CallerRequestParser.PREFIX + "<path>", this::handle);
+                    method, CallerRequestParser.PATH_PREFIX + "<path>", this::handle);
         }
         configuration.routes.exception(
-                HttpResponseException.class, (error, context) -> refuse(context, code(error)));
-        configuration.routes.exception(Exception.class, this::fail);
+                HttpResponseException.class,
+                (error, context) -> reject(context, resultCode(error)));
+        configuration.routes.exception(Exception.class, this::handleError);
         configuration.routes.error(
                 404,
                 context -> {
                     if (context.res().getHeader("Hickorycleat-Result-Code") == null) {
-                        refuse(context, ResultCode.UNKNOWN_SERVICE);
+                        reject(context, ResultCode.UNKNOWN_SERVICE);
                     }
                 });
     }
 
     private void handle(Context context) {
         if (mDraining) {
-            // The balancer and the caller are to use another entry from now on.
+            // Makes the load balancer and the caller reconnect to another entry.
             context.header("Connection", "close");
-            refuse(context, ResultCode.SHUTTING_DOWN);
+            reject(context, ResultCode.SHUTTING_DOWN);
             return;
         }
         Optional<Manifest> manifest = mManifest.get();
         if (manifest.isEmpty()) {
-            refuse(context, ResultCode.NO_CONFIGURATION);
+            reject(context, ResultCode.NO_CONFIGURATION);
             return;
         }
         Either<ResultCode, CallerRequest> request =
                 CallerRequestParser.parse(context, manifest.get());
         if (request.isLeft()) {
-            refuse(context, request.getLeft());
+            reject(context, request.getLeft());
             return;
         }
         mInProgress.incrementAndGet();
-        CompletableFuture<InvokeResult> result = mService.apply(request.get());
-        CallerDisconnectDetector.Caller caller = mPresence.watch(context, () -> abandon(result));
+        CompletableFuture<InvokeResult> result = mRequestHandler.apply(request.get());
+        CallerDisconnectDetector.Caller caller =
+                mDisconnectDetector.watch(context, () -> cancelRequest(result));
         CompletableFuture<?> written =
-                result.thenAccept(answer -> write(context, caller, answer))
+                result.thenAccept(response -> write(context, caller, response))
                         .whenComplete(
                                 (ignored, error) -> {
-                                    caller.answered();
+                                    caller.startResponse();
                                     mInProgress.decrementAndGet();
                                 });
         context.future(() -> written);
     }
 
-    /** Frees the slot of a request whose caller went away. */
-    private void abandon(CompletableFuture<InvokeResult> result) {
+    /** Cancels a request whose caller disconnected, which frees its slot. */
+    private void cancelRequest(CompletableFuture<InvokeResult> result) {
         mMeters.counter("hickorycleat.requests.abandoned").increment();
         result.cancel(true);
     }
 
     private void write(
             Context context, CallerDisconnectDetector.Caller caller, InvokeResult result) {
-        if (caller.answered()) {
+        if (caller.startResponse()) {
             context.header("Connection", "close");
         }
         if (result.code() != ResultCode.OK) {
-            // Admission control has set when to try again.
+            // Admission control may have set Retry-After.
             addHeaders(context, result);
-            refuse(context, result.code());
+            reject(context, result.code());
             return;
         }
-        count(result.code());
+        countResult(result.code());
         context.status(result.status());
         addHeaders(context, result);
-        outcome(context, result.code());
+        setOutcomeHeaders(context, result.code());
         context.result(result.body());
     }
 
-    private void refuse(Context context, ResultCode code) {
-        count(code);
+    private void reject(Context context, ResultCode code) {
+        countResult(code);
         context.status(code.httpStatus());
-        outcome(context, code);
+        setOutcomeHeaders(context, code);
         if (code.outcome() == Outcome.NOT_RUN && code.httpStatus() != 400) {
             setDefaultRetryAfter(context);
         }
@@ -198,7 +203,7 @@
     private static void addHeaders(Context context, InvokeResult result) {
         Set<String> written = new HashSet<>();
         for (HttpHeader header : result.headers()) {
-            // The first value replaces the default of the server; others are added to it.
+            // The first value replaces the server's default header; further values are added.
             if (written.add(header.name().toLowerCase(Locale.ROOT))) {
                 context.res().setHeader(header.name(), header.value());
             } else {
@@ -213,32 +218,32 @@
         }
     }
 
-    private static void outcome(Context context, ResultCode code) {
+    private static void setOutcomeHeaders(Context context, ResultCode code) {
         context.header("Hickorycleat-Result-Code", Integer.toString(code.number()));
         context.header("Hickorycleat-Outcome", outcomeFor(context, code).headerValue());
     }
 
     /**
-     * Returns what the caller may conclude.
+     * Returns the outcome that the caller may rely on.
      *
-     * <p>The copy of a request with a key that was refused here did not run, but an earlier copy
-     * may have run through an entry that died before it answered, so the request is not known not
-     * to have run. A request that is wrong in itself never ran.
+     * <p>A rejected request with an idempotency key did not run here, but a previous attempt may
+     * have run through an entry that failed before it responded, so its outcome is unknown. An
+     * invalid request never ran.
      */
     private static Outcome outcomeFor(Context context, ResultCode code) {
-        boolean refusedCopy =
+        boolean rejectedRetry =
                 code.outcome() == Outcome.NOT_RUN
-                        && code.number() >= FIRST_REFUSAL_NUMBER
+                        && code.number() >= FIRST_REJECTION_NUMBER
                         && context.header("Idempotency-Key") != null;
-        return refusedCopy ? Outcome.UNKNOWN : code.outcome();
+        return rejectedRetry ? Outcome.UNKNOWN : code.outcome();
     }
 
-    private void fail(Exception error, Context context) {
+    private void handleError(Exception error, Context context) {
         LOG.event("request_failed").with("path", context.path()).with("cause", error).error();
-        refuse(context, ResultCode.INTERNAL);
+        reject(context, ResultCode.INTERNAL);
     }
 
-    private static ResultCode code(HttpResponseException error) {
+    private static ResultCode resultCode(HttpResponseException error) {
         return switch (error.getStatus()) {
             case 413 -> ResultCode.BODY_TOO_LARGE;
             case 404 -> ResultCode.UNKNOWN_SERVICE;
@@ -246,9 +251,9 @@
         };
     }
 
-    private void count(ResultCode code) {
+    private void countResult(ResultCode code) {
         mCounters
-                .computeIfAbsent(code, key -> mMeters.counter(METER, "result", key.name()))
+                .computeIfAbsent(code, key -> mMeters.counter(REQUESTS_METER, "result", key.name()))
                 .increment();
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerRequestParser.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/CallerRequestParser.java
@@ -20,14 +20,14 @@
 import org.hickorycleat.model.message.HttpHeader;
 import org.hickorycleat.model.result.ResultCode;
 
-/** Checks the headers of a caller's request and turns it into a request of the coordinator. */
+/** Validates a caller's HTTP request and converts it to a {@link CallerRequest}. */
 final class CallerRequestParser {
-    static final String PREFIX = "/services/";
+    static final String PATH_PREFIX = "/services/";
 
     private static final long DEFAULT_DEADLINE_MS = 10_000;
-    private static final long HIGHEST_DEADLINE_MS = 600_000;
-    private static final Pattern DEADLINE = Pattern.compile("[0-9]{1,9}");
-    private static final Pattern KEY = Pattern.compile("[\\x21-\\x7e]{1,128}");
+    private static final long MAXIMUM_DEADLINE_MS = 600_000;
+    private static final Pattern DEADLINE_PATTERN = Pattern.compile("[0-9]{1,9}");
+    private static final Pattern KEY_PATTERN = Pattern.compile("[\\x21-\\x7e]{1,128}");
     private static final Set<String> METHODS_WITHOUT_BODY = Set.of("GET", "HEAD");
 
     private final Context mContext;
@@ -38,15 +38,15 @@
         mManifest = manifest;
     }
 
-    /** Checks a request; the left side says why it is refused. */
+    /** Parses a request; the left side is the reason for a rejection. */
     static Either<ResultCode, CallerRequest> parse(Context context, Manifest manifest) {
         return new CallerRequestParser(context, manifest).parse();
     }
 
     private Either<ResultCode, CallerRequest> parse() {
-        String rest = mContext.req().getRequestURI().substring(PREFIX.length());
-        int slash = rest.indexOf('/');
-        String name = slash < 0 ? rest : rest.substring(0, slash);
+        String servicePath = mContext.req().getRequestURI().substring(PATH_PREFIX.length());
+        int slash = servicePath.indexOf('/');
+        String name = slash < 0 ? servicePath : servicePath.substring(0, slash);
         if (name.isBlank()) {
             return Either.left(ResultCode.UNKNOWN_SERVICE);
         }
@@ -55,7 +55,7 @@
             return Either.left(ResultCode.UNKNOWN_SERVICE);
         }
         String query = mContext.queryString();
-        String path = slash < 0 ? "/" : rest.substring(slash);
+        String path = slash < 0 ? "/" : servicePath.substring(slash);
         return parse(service.get(), query == null ? path : path + "?" + query);
     }
 
@@ -65,9 +65,9 @@
         Either<ResultCode, Long> deadline = deadline();
         Either<ResultCode, Optional<IdempotencyKey>> key = key();
         Either<ResultCode, Boolean> idempotent = idempotent(service);
-        for (Either<ResultCode, ?> part : List.of(team, criticality, deadline, key, idempotent)) {
-            if (part.isLeft()) {
-                return Either.left(part.getLeft());
+        for (Either<ResultCode, ?> parsed : List.of(team, criticality, deadline, key, idempotent)) {
+            if (parsed.isLeft()) {
+                return Either.left(parsed.getLeft());
             }
         }
         byte[] body = mContext.bodyAsBytes();
@@ -115,11 +115,11 @@
         if (text.isEmpty()) {
             return Either.right(DEFAULT_DEADLINE_MS);
         }
-        if (!DEADLINE.matcher(text.get()).matches()) {
+        if (!DEADLINE_PATTERN.matcher(text.get()).matches()) {
             return Either.left(ResultCode.INVALID_DEADLINE);
         }
         long deadlineMs = Long.parseLong(text.get());
-        return deadlineMs >= 1 && deadlineMs <= HIGHEST_DEADLINE_MS
+        return deadlineMs >= 1 && deadlineMs <= MAXIMUM_DEADLINE_MS
                 ? Either.right(deadlineMs)
                 : Either.left(ResultCode.INVALID_DEADLINE);
     }
@@ -129,7 +129,7 @@
         if (text.isEmpty()) {
             return Either.right(Optional.empty());
         }
-        return KEY.matcher(text.get()).matches()
+        return KEY_PATTERN.matcher(text.get()).matches()
                 ? Either.right(Optional.of(new IdempotencyKey(text.get())))
                 : Either.left(ResultCode.INVALID_IDEMPOTENCY_KEY);
     }
@@ -149,7 +149,8 @@
     private List<HttpHeader> headers() {
         List<HttpHeader> headers = new ArrayList<>();
         for (String name : Collections.list(mContext.req().getHeaderNames())) {
-            // The agent sets the deadline anew; the other headers of ours mean nothing to targets.
+            // The agent sets a new deadline header; this project's other headers have no meaning to
+            // targets.
             if (name.toLowerCase(Locale.ROOT).startsWith("hickorycleat-")) {
                 continue;
             }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/ConfigurationSliceTracker.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/ConfigurationSliceTracker.java
@@ -11,16 +11,16 @@
 import org.hickorycleat.model.message.Hello;
 import org.hickorycleat.model.message.TargetReport;
 
-/** Which services each agent hosts and which slice of the configuration it was sent last. */
+/** Tracks the services that each agent hosts and the configuration slice last sent to it. */
 final class ConfigurationSliceTracker {
     private final Map<Hello, Set<ServiceName>> mServices = new ConcurrentHashMap<>();
-    private final Map<Hello, Sent> mSent = new ConcurrentHashMap<>();
+    private final Map<Hello, SentSlice> mLastSent = new ConcurrentHashMap<>();
 
-    /** What was sent on a session. */
-    private record Sent(ConfigurationVersion version, Set<ServiceName> services) {}
+    /** The slice last sent on a session. */
+    private record SentSlice(ConfigurationVersion version, Set<ServiceName> services) {}
 
-    /** Returns the services of a report. */
-    static Set<ServiceName> services(AgentReport report) {
+    /** Returns the services whose targets the report lists. */
+    static Set<ServiceName> hostedServices(AgentReport report) {
         return report.targets().stream().map(TargetReport::service).collect(Collectors.toSet());
     }
 
@@ -28,21 +28,24 @@
         mServices.put(agent, services);
     }
 
-    /** Returns the services that a session is to be sent at a version; empty when it has them. */
+    /**
+     * Returns the services of the slice to send on a session at a version; empty if that slice was
+     * already sent.
+     */
     Optional<Set<ServiceName>> servicesToSend(Hello agent, ConfigurationVersion version) {
         Set<ServiceName> services = mServices.getOrDefault(agent, Set.of());
-        Sent sent = mSent.get(agent);
-        boolean has =
+        SentSlice sent = mLastSent.get(agent);
+        boolean isUpToDate =
                 sent != null && sent.version().equals(version) && sent.services().equals(services);
-        return has ? Optional.empty() : Optional.of(services);
+        return isUpToDate ? Optional.empty() : Optional.of(services);
     }
 
     void recordSent(Hello agent, ConfigurationVersion version, Set<ServiceName> services) {
-        mSent.put(agent, new Sent(version, services));
+        mLastSent.put(agent, new SentSlice(version, services));
     }
 
     void remove(Hello agent) {
         mServices.remove(agent);
-        mSent.remove(agent);
+        mLastSent.remove(agent);
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryConfiguration.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryConfiguration.java
@@ -27,11 +27,14 @@
 import org.hickorycleat.model.manifest.Manifest;
 import org.hickorycleat.model.message.ConfigurationUpdate;
 
-/** The configuration of an entry: follows the log, takes updates of peers, preserves snapshots. */
+/**
+ * Maintains the configuration of an entry: reads the log, applies updates from peers and agents,
+ * and appends snapshots.
+ */
 final class EntryConfiguration implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(EntryConfiguration.class);
 
-    /** The log service keeps records at least this long and this many; see docs/interfaces.md. */
+    /** Minimum age and number of records that the log service retains; see docs/interfaces.md. */
     private static final Duration RETENTION = Duration.ofHours(24);
 
     private static final long RETENTION_RECORDS = 10_000;
@@ -40,7 +43,7 @@
     private final StreamFollower mFollower;
     private final ConfigurationReader mReader;
     private final SnapshotAppender mSnapshots;
-    private final CompositeDisposable mRunning = new CompositeDisposable();
+    private final CompositeDisposable mSubscriptions = new CompositeDisposable();
 
     EntryConfiguration(
             ProcessId process, Incarnation incarnation, LogService log, Scheduler scheduler) {
@@ -81,42 +84,48 @@
                         scheduler);
     }
 
-    /** Starts to follow the log; {@code onChange} is called for each configuration in force. */
+    /**
+     * Starts reading the log; {@code onChange} is called for each configuration that becomes
+     * active.
+     */
     void start(Consumer<ActiveConfiguration> onChange) {
-        mRunning.add(
+        mSubscriptions.add(
                 mHolder.changes()
                         .observeOn(Schedulers.single())
-                        .subscribe(onChange::accept, EntryConfiguration::failed));
-        mRunning.add(mReader.run().subscribe(() -> {}, EntryConfiguration::failed));
-        mRunning.add(mSnapshots.run().subscribe(() -> {}, EntryConfiguration::failed));
+                        .subscribe(onChange::accept, EntryConfiguration::logFailure));
+        mSubscriptions.add(mReader.run().subscribe(() -> {}, EntryConfiguration::logFailure));
+        mSubscriptions.add(mSnapshots.run().subscribe(() -> {}, EntryConfiguration::logFailure));
     }
 
-    /** Returns the manifest in force. */
+    /** Returns the active manifest. */
     Optional<Manifest> manifest() {
         return mHolder.current().map(current -> current.configuration().manifest());
     }
 
-    /** Returns the configuration in force. */
+    /** Returns the active configuration. */
     Optional<ActiveConfiguration> current() {
         return mHolder.current();
     }
 
-    /** Returns the version in force as a number, -1 for none. */
+    /** Returns the active version as a number, or -1 if there is none. */
     long version() {
         return mHolder.version().value();
     }
 
-    /** Takes the configuration of another entry. */
-    void offerFromPeer(ConfigurationUpdate update) {
+    /** Updates the configuration from another entry if it is newer. */
+    void updateFromPeer(ConfigurationUpdate update) {
         mHolder.updateIfNewer(update, ConfigurationSource.PEER);
     }
 
-    /** Takes the slice that an agent holds; it only counts when nothing better is known. */
-    void offerFromAgent(ConfigurationUpdate update) {
+    /**
+     * Updates the configuration from an agent's slice, which is used only if no better source is
+     * known.
+     */
+    void updateFromAgent(ConfigurationUpdate update) {
         mHolder.updateIfNewer(update, ConfigurationSource.AGENT);
     }
 
-    /** Returns the configuration for the status of the process. */
+    /** Returns the configuration for the process status. */
     ProcessStatus.Configuration status() {
         return new ProcessStatus.Configuration(
                 version(),
@@ -124,23 +133,23 @@
                 current().map(current -> current.source().isComplete()).orElse(false));
     }
 
-    /** Returns the state of reading for the status of the process. */
+    /** Returns the health of the log reader for the process status. */
     ProcessStatus.Log logStatus() {
         StreamHealth health = mFollower.health();
         return new ProcessStatus.Log(health.isAvailable(), health.lastError().orElse(""));
     }
 
-    /** Describes configuration and log for health output. */
+    /** Returns a description of the configuration and log for health output. */
     String healthText() {
         return mReader.healthText();
     }
 
     @Override
     public void close() {
-        mRunning.dispose();
+        mSubscriptions.dispose();
     }
 
-    private static void failed(Throwable cause) {
+    private static void logFailure(Throwable cause) {
         LOG.event("configuration_failed").with("cause", cause).error();
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryDump.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryDump.java
@@ -5,7 +5,7 @@
 import org.hickorycleat.model.message.EntryAddress;
 import org.hickorycleat.model.message.Hello;
 
-/** State of an entry for operators. */
+/** Internal state of an entry for {@code GET /admin/dump}. */
 record EntryDump(
         Object status,
         List<EntryAddress> liveEntries,
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryProcess.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/EntryProcess.java
@@ -40,12 +40,12 @@
 import org.hickorycleat.model.message.PeerSummary;
 import org.hickorycleat.model.message.Welcome;
 
-/** A daemon in the entry role. */
+/** A daemon process in the entry role. */
 public final class EntryProcess implements InboundConnectionListener, AdminOperations, Lifecycle {
     private static final EventLog LOG = EventLog.of(EntryProcess.class);
     private static final int EVENT_LOOPS = 4;
-    private static final long TICK_MS = 1_000;
-    private static final long CALLER_CHECK_MS = 200;
+    private static final long TICK_INTERVAL_MS = 1_000;
+    private static final long CALLER_CHECK_INTERVAL_MS = 200;
 
     private final DaemonSettings mSettings;
     private final EntrySettings mEntrySettings;
@@ -60,9 +60,9 @@
     private final RequestPipeline mRequests;
     private final PlacementShards mShards;
     private final InstanceRegistrar mRegistrar;
-    private final ConfigurationSliceTracker mSlices = new ConfigurationSliceTracker();
-    private final CallerHttpServer mCallers;
-    private final AdminHttpServer mAdmin;
+    private final ConfigurationSliceTracker mSliceTracker = new ConfigurationSliceTracker();
+    private final CallerHttpServer mCallerServer;
+    private final AdminHttpServer mAdminServer;
     private final CompositeDisposable mTimers = new CompositeDisposable();
     private final long mStartedMs;
     private volatile boolean mDraining;
@@ -79,8 +79,8 @@
         mScheduler = scheduler;
         mStartedMs = scheduler.now(TimeUnit.MILLISECONDS);
         mTransport = new MessageTransport(EVENT_LOOPS, new TransportMetrics(mMeters));
-        mConnections = new InboundConnections(this::welcome, this);
-        mPeers = new PeerEntries(address(), incarnation, mTransport, scheduler);
+        mConnections = new InboundConnections(this::newWelcome, this);
+        mPeers = new PeerEntries(selfAddress(), incarnation, mTransport, scheduler);
         HttpLogService log =
                 new HttpLogService(entrySettings.logService(), LogServiceTimeouts.DEFAULT);
         mConfiguration = new EntryConfiguration(settings.process(), incarnation, log, scheduler);
@@ -96,30 +96,31 @@
         mRequests =
                 new RequestPipeline(
                         settings.process(), incarnation, settings.zone(), mConnections, scheduler);
-        mCallers = new CallerHttpServer(mConfiguration::manifest, mRequests::serve, mMeters);
-        mAdmin = new AdminHttpServer(this, mMeters, configuration -> {});
+        mCallerServer = new CallerHttpServer(mConfiguration::manifest, mRequests::serve, mMeters);
+        mAdminServer = new AdminHttpServer(this, mMeters, configuration -> {});
         Gauge.builder("hickorycleat.configuration.version", mConfiguration::version)
                 .register(mMeters);
-        Gauge.builder("hickorycleat.requests.in.progress", mCallers::inProgress).register(mMeters);
+        Gauge.builder("hickorycleat.requests.in.progress", mCallerServer::requestsInProgress)
+                .register(mMeters);
     }
 
     @Override
     public void start() throws InterruptedException {
-        mConfiguration.start(this::configurationChanged);
+        mConfiguration.start(this::onConfigurationChanged);
         mRegistrar.start();
         mTransport.listen(mEntrySettings.peerListen(), mConnections::newListener);
         mPeers.add(mEntrySettings.peers());
         mTimers.add(
                 mScheduler.schedulePeriodicallyDirect(
-                        this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS));
+                        this::tick, TICK_INTERVAL_MS, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS));
         mTimers.add(
                 mScheduler.schedulePeriodicallyDirect(
-                        mCallers::checkCallers,
-                        CALLER_CHECK_MS,
-                        CALLER_CHECK_MS,
+                        mCallerServer::cancelDisconnectedRequests,
+                        CALLER_CHECK_INTERVAL_MS,
+                        CALLER_CHECK_INTERVAL_MS,
                         TimeUnit.MILLISECONDS));
-        mCallers.start(mEntrySettings.callerListen());
-        mAdmin.start(mSettings.adminListen());
+        mCallerServer.start(mEntrySettings.callerListen());
+        mAdminServer.start(mSettings.adminListen());
         LOG.event("started")
                 .with("process", mSettings.process())
                 .with("role", "entry")
@@ -134,9 +135,9 @@
             return;
         }
         mDraining = true;
-        mCallers.drain();
+        mCallerServer.drain();
         mShards.drain();
-        LOG.event("draining").with("in_progress", mCallers.inProgress()).info();
+        LOG.event("draining").with("in_progress", mCallerServer.requestsInProgress()).info();
     }
 
     @Override
@@ -146,7 +147,7 @@
 
     @Override
     public boolean isIdle() {
-        return mCallers.inProgress() == 0;
+        return mCallerServer.requestsInProgress() == 0;
     }
 
     @Override
@@ -157,13 +158,13 @@
     @Override
     public void close() {
         mTimers.dispose();
-        mCallers.close();
+        mCallerServer.close();
         mConfiguration.close();
         mShards.close();
         mRegistrar.close();
         mPeers.close();
         mTransport.close();
-        mAdmin.close();
+        mAdminServer.close();
         LOG.event("stopped").with("process", mSettings.process()).info();
     }
 
@@ -182,7 +183,7 @@
             mRegistrar.onAgentReport(agent, report);
             mShards.onAgentReport(agent, report);
         } else if (message instanceof ConfigurationUpdate update) {
-            mConfiguration.offerFromAgent(update);
+            mConfiguration.updateFromAgent(update);
         } else {
             mShards.onAgentMessage(agent, message);
         }
@@ -192,20 +193,20 @@
     public void onAgentClosed(Hello agent) {
         mRequests.onAgentClosed(agent);
         mShards.onAgentClosed(agent);
-        mSlices.remove(agent);
+        mSliceTracker.remove(agent);
     }
 
     @Override
     public void onPeerOpened(Hello peer) {
         mPeers.recordHeartbeat(peer);
-        mConfiguration.current().ifPresent(current -> mPeers.send(update(current)));
+        mConfiguration.current().ifPresent(current -> mPeers.send(toUpdate(current)));
     }
 
     @Override
     public void onPeerMessage(Hello peer, Message message) {
         mPeers.recordHeartbeat(peer);
         if (message instanceof ConfigurationUpdate update) {
-            mConfiguration.offerFromPeer(update);
+            mConfiguration.updateFromPeer(update);
         }
     }
 
@@ -221,7 +222,7 @@
                 String.join("; ", notReadyReasons()),
                 mConfiguration.status(),
                 mConfiguration.logStatus(),
-                mCallers.inProgress(),
+                mCallerServer.requestsInProgress(),
                 mRequests.statuses(),
                 mShards.statuses(),
                 mConnections.links());
@@ -264,32 +265,35 @@
         return notReadyReasons().isEmpty() ? "serving" : "waiting";
     }
 
-    private void configurationChanged(ActiveConfiguration current) {
+    private void onConfigurationChanged(ActiveConfiguration current) {
         mRequests.configure(current.configuration().manifest());
         LOG.event("configuration_in_force")
                 .with("version", current.version())
                 .with("source", current.source().label())
                 .info();
         mShards.configure(current.configuration());
-        mPeers.send(update(current));
+        mPeers.send(toUpdate(current));
         mConnections.agents().forEach(agent -> sendSlice(agent, current));
     }
 
     private void sendSlice(Hello agent, AgentReport report) {
-        Set<ServiceName> services = ConfigurationSliceTracker.services(report);
-        mSlices.setServices(agent, services);
+        Set<ServiceName> services = ConfigurationSliceTracker.hostedServices(report);
+        mSliceTracker.setServices(agent, services);
         mConfiguration.current().ifPresent(current -> sendSlice(agent, current));
     }
 
     private void sendSlice(Hello agent, ActiveConfiguration current) {
-        Optional<Set<ServiceName>> needed = mSlices.servicesToSend(agent, current.version());
-        if (needed.isEmpty()) {
+        Optional<Set<ServiceName>> services =
+                mSliceTracker.servicesToSend(agent, current.version());
+        if (services.isEmpty()) {
             return;
         }
-        AcceptedConfiguration whole = current.configuration();
-        byte[] slice = ManifestWriter.write(ManifestSlices.slice(whole.manifest(), needed.get()));
+        AcceptedConfiguration configuration = current.configuration();
+        byte[] slice =
+                ManifestWriter.write(
+                        ManifestSlices.slice(configuration.manifest(), services.get()));
         if (mConnections.send(agent.process(), new ConfigurationUpdate(current.version(), slice))) {
-            mSlices.recordSent(agent, current.version(), needed.get());
+            mSliceTracker.recordSent(agent, current.version(), services.get());
         }
     }
 
@@ -305,12 +309,12 @@
                         mRequests.capacities()));
     }
 
-    private Welcome welcome() {
+    private Welcome newWelcome() {
         return new Welcome(
                 mSettings.process(), mIncarnation, mSettings.zone(), mPeers.liveEntries());
     }
 
-    private EntryAddress address() {
+    private EntryAddress selfAddress() {
         return new EntryAddress(
                 mSettings.process(),
                 mSettings.zone(),
@@ -318,7 +322,7 @@
                 mEntrySettings.peerListen().getPort());
     }
 
-    private static ConfigurationUpdate update(ActiveConfiguration current) {
+    private static ConfigurationUpdate toUpdate(ActiveConfiguration current) {
         return new ConfigurationUpdate(current.version(), current.configuration().bytes());
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/InboundConnectionListener.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/InboundConnectionListener.java
@@ -3,20 +3,20 @@
 import org.hickorycleat.model.message.Hello;
 import org.hickorycleat.model.message.Message;
 
-/** What an entry learns from the connections of agents and other entries. */
+/** Receives the events of connections that agents and other entries opened. */
 interface InboundConnectionListener {
-    /** An agent opened a session. */
+    /** Called when an agent opened a session. */
     void onAgentOpened(Hello agent);
 
-    /** A message of an agent arrived. */
+    /** Called when a message from an agent arrived. */
     void onAgentMessage(Hello agent, Message message);
 
-    /** The session of an agent is lost. */
+    /** Called when an agent's session closed. */
     void onAgentClosed(Hello agent);
 
-    /** Another entry opened a connection. */
+    /** Called when another entry opened a connection. */
     void onPeerOpened(Hello peer);
 
-    /** A message of another entry arrived. */
+    /** Called when a message from another entry arrived. */
     void onPeerMessage(Hello peer, Message message);
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/InboundConnections.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/InboundConnections.java
@@ -21,22 +21,22 @@
 import org.hickorycleat.model.message.Welcome;
 import org.hickorycleat.model.result.ResultCode;
 
-/** The connections that agents and other entries opened to this entry. */
+/** Connections that agents and other entries opened to this entry. */
 final class InboundConnections implements AgentLink {
     private static final EventLog LOG = EventLog.of(InboundConnections.class);
 
-    private final Supplier<Welcome> mWelcome;
-    private final InboundConnectionListener mEvents;
+    private final Supplier<Welcome> mWelcomeSupplier;
+    private final InboundConnectionListener mListener;
     private final Map<ProcessId, Peer> mAgents = new ConcurrentHashMap<>();
     private final Map<ProcessId, Peer> mEntries = new ConcurrentHashMap<>();
     private volatile Optional<Welcome> mLastWelcome = Optional.empty();
 
-    InboundConnections(Supplier<Welcome> welcome, InboundConnectionListener events) {
-        mWelcome = welcome;
-        mEvents = events;
+    InboundConnections(Supplier<Welcome> welcome, InboundConnectionListener listener) {
+        mWelcomeSupplier = welcome;
+        mListener = listener;
     }
 
-    /** A process that said hello, and its connection. */
+    /** A connected process and its connection. */
     private record Peer(Hello hello, MessageConnection connection) {}
 
     /** Creates the listener of a new connection. */
@@ -51,13 +51,13 @@
     }
 
     /**
-     * Sends the list of entries to everybody if it has changed, and an empty one otherwise.
+     * Sends every peer the list of entries if it changed, or an empty list otherwise.
      *
-     * <p>A connection that is silent is closed; the whole list each second would use up most of
-     * what control may cost a node.
+     * <p>The message doubles as a heartbeat, because idle connections are closed. Sending the whole
+     * list each second would use most of the overhead budget of the control plane on a node.
      */
     void sendWelcomes() {
-        Welcome welcome = mWelcome.get();
+        Welcome welcome = mWelcomeSupplier.get();
         boolean changed = !Optional.of(welcome).equals(mLastWelcome);
         mLastWelcome = Optional.of(welcome);
         Message message = changed ? welcome : withoutEntries(welcome);
@@ -69,7 +69,7 @@
         return new Welcome(welcome.process(), welcome.incarnation(), welcome.zone(), List.of());
     }
 
-    /** Returns the connections for the status of the process. */
+    /** Returns the connections for the process status. */
     List<ProcessStatus.Link> links() {
         return Stream.concat(mAgents.values().stream(), mEntries.values().stream())
                 .map(Peer::hello)
@@ -77,7 +77,7 @@
                 .toList();
     }
 
-    /** Returns the agents that are connected. */
+    /** Returns the connected agents. */
     List<Hello> agents() {
         return mAgents.values().stream().map(Peer::hello).toList();
     }
@@ -89,13 +89,13 @@
                 hello.zone().value());
     }
 
-    /** Handles one connection. */
+    /** Handles the messages of one connection. */
     private final class Listener implements MessageListener {
         private Optional<Hello> mHello = Optional.empty();
 
         @Override
         public void onOpen(MessageConnection connection) {
-            // The peer speaks first.
+            // The peer sends the first message, Hello.
         }
 
         @Override
@@ -106,9 +106,9 @@
             }
             Hello hello = mHello.get();
             if (hello.role() == ProcessRole.AGENT) {
-                mEvents.onAgentMessage(hello, message);
+                mListener.onAgentMessage(hello, message);
             } else {
-                mEvents.onPeerMessage(hello, message);
+                mListener.onPeerMessage(hello, message);
             }
         }
 
@@ -125,7 +125,7 @@
                     .info();
             if (hello.role() == ProcessRole.AGENT) {
                 mAgents.remove(hello.process(), peer);
-                mEvents.onAgentClosed(hello);
+                mListener.onAgentClosed(hello);
             } else {
                 mEntries.remove(hello.process(), peer);
             }
@@ -133,14 +133,17 @@
 
         private void accept(MessageConnection connection, Message message) {
             if (!(message instanceof Hello hello)) {
-                refuse(connection, ResultCode.UNKNOWN_MESSAGE, "expected Hello first");
+                reject(
+                        connection,
+                        ResultCode.UNKNOWN_MESSAGE,
+                        "expected Hello as the first message");
                 return;
             }
             if (hello.protocolVersion() != MessageCodec.PROTOCOL_VERSION) {
-                refuse(
+                reject(
                         connection,
                         ResultCode.PROTOCOL_VERSION,
-                        "expected " + MessageCodec.PROTOCOL_VERSION);
+                        "expected protocol version " + MessageCodec.PROTOCOL_VERSION);
                 return;
             }
             mHello = Optional.of(hello);
@@ -150,18 +153,19 @@
                     .with("incarnation", hello.incarnation())
                     .with("session", hello.session())
                     .info();
-            // The welcome goes first: the agent fences its older sessions when it reads it.
-            connection.send(mWelcome.get());
+            // Welcome must precede other messages: the agent fences its previous sessions on
+            // receipt.
+            connection.send(mWelcomeSupplier.get());
             Peer peer = new Peer(hello, connection);
             if (hello.role() == ProcessRole.AGENT) {
                 replaceAgent(hello, peer);
             } else {
                 mEntries.put(hello.process(), peer);
-                mEvents.onPeerOpened(hello);
+                mListener.onPeerOpened(hello);
             }
         }
 
-        private void refuse(MessageConnection connection, ResultCode code, String detail) {
+        private void reject(MessageConnection connection, ResultCode code, String detail) {
             LOG.event("hello_refused")
                     .with("peer", connection.remoteAddress())
                     .with("result", code)
@@ -171,26 +175,31 @@
         }
 
         private void replaceAgent(Hello hello, Peer peer) {
-            // A delayed hello of an older session must not replace the newer one.
+            // A delayed Hello of an older session must not replace a newer session.
             Peer latest =
                     mAgents.merge(
                             hello.process(),
                             peer,
-                            (known, opened) -> {
+                            (existing, candidate) -> {
                                 Peer later =
-                                        isLater(opened.hello(), known.hello()) ? opened : known;
-                                (later.equals(opened) ? known : opened).connection().close();
+                                        isLater(candidate.hello(), existing.hello())
+                                                ? candidate
+                                                : existing;
+                                (later.equals(candidate) ? existing : candidate)
+                                        .connection()
+                                        .close();
                                 return later;
                             });
             if (latest.equals(peer)) {
-                mEvents.onAgentOpened(hello);
+                mListener.onAgentOpened(hello);
             }
         }
 
-        private static boolean isLater(Hello candidate, Hello known) {
-            int incarnations = candidate.incarnation().compareTo(known.incarnation());
-            return incarnations > 0
-                    || (incarnations == 0 && candidate.session().compareTo(known.session()) > 0);
+        private static boolean isLater(Hello candidate, Hello existing) {
+            int incarnationOrder = candidate.incarnation().compareTo(existing.incarnation());
+            return incarnationOrder > 0
+                    || (incarnationOrder == 0
+                            && candidate.session().compareTo(existing.session()) > 0);
         }
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/InstanceRegistrar.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/InstanceRegistrar.java
@@ -32,22 +32,28 @@
 import org.hickorycleat.model.message.RegistrationConfirmation;
 import org.hickorycleat.model.message.TargetReport;
 
-/** Registers the runs of agents in the stream {@code instances} and tells agents their standing. */
+/**
+ * Registers target instances with their agent and its incarnation in the stream {@code instances},
+ * and confirms registrations to agents.
+ */
 final class InstanceRegistrar implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(InstanceRegistrar.class);
     private static final StreamName STREAM = new StreamName("instances");
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    /** Every entry registers what it sees, so the others usually are faster than a repeat. */
-    private static final long REPEAT_MS = 2_000;
+    /**
+     * Minimum time between attempts; every entry registers each instance, so another entry usually
+     * succeeds before a retry.
+     */
+    private static final long RETRY_INTERVAL_MS = 2_000;
 
     private final LogService mLog;
     private final AgentLink mAgents;
     private final Scheduler mScheduler;
     private final StreamFollower mFollower;
     private final InstanceRegistry mRegistry = new InstanceRegistry();
-    private final Map<InstanceRegistration, Long> mAppendedMs = new ConcurrentHashMap<>();
-    private final CompositeDisposable mRunning = new CompositeDisposable();
+    private final Map<InstanceRegistration, Long> mAppendTimesMs = new ConcurrentHashMap<>();
+    private final CompositeDisposable mSubscriptions = new CompositeDisposable();
 
     InstanceRegistrar(LogService log, AgentLink agents, Random random, Scheduler scheduler) {
         mLog = log;
@@ -64,20 +70,20 @@
                         scheduler);
     }
 
-    /** Starts to read the stream. */
+    /** Starts reading the stream. */
     void start() {
-        mRunning.add(
+        mSubscriptions.add(
                 mFollower
                         .events()
                         .subscribe(
-                                this::handle,
+                                this::onStreamEvent,
                                 cause ->
                                         LOG.event("registrar_failed")
                                                 .with("cause", cause)
                                                 .error()));
     }
 
-    /** Registers the targets of a report that are not registered, and answers for the others. */
+    /** Registers the unregistered targets of a report and confirms the registered ones. */
     void onAgentReport(Hello agent, AgentReport report) {
         for (TargetReport target : report.targets()) {
             InstanceRegistration registration =
@@ -86,42 +92,42 @@
                             target.instance(),
                             agent.process(),
                             agent.incarnation());
-            RegistrationStatus standing = mRegistry.registrationStatus(registration);
-            if (standing == RegistrationStatus.UNREGISTERED) {
+            RegistrationStatus status = mRegistry.registrationStatus(registration);
+            if (status == RegistrationStatus.UNREGISTERED) {
                 register(registration);
             } else {
-                tell(agent, target, standing);
+                sendConfirmation(agent, target, status);
             }
         }
     }
 
     @Override
     public void close() {
-        mRunning.dispose();
+        mSubscriptions.dispose();
     }
 
-    private void tell(Hello agent, TargetReport target, RegistrationStatus standing) {
+    private void sendConfirmation(Hello agent, TargetReport target, RegistrationStatus status) {
         mAgents.send(
                 agent.process(),
                 new RegistrationConfirmation(
                         target.service(),
                         target.instance(),
-                        standing == RegistrationStatus.ORIGINAL));
+                        status == RegistrationStatus.ORIGINAL));
     }
 
     private void register(InstanceRegistration registration) {
         long nowMs = mScheduler.now(TimeUnit.MILLISECONDS);
-        Long appendedMs = mAppendedMs.get(registration);
-        if (appendedMs != null && nowMs - appendedMs < REPEAT_MS) {
+        Long appendedMs = mAppendTimesMs.get(registration);
+        if (appendedMs != null && nowMs - appendedMs < RETRY_INTERVAL_MS) {
             return;
         }
-        mAppendedMs.put(registration, nowMs);
-        // A second copy changes nothing; a lost one is repeated at a later report.
-        mRunning.add(
+        mAppendTimesMs.put(registration, nowMs);
+        // A duplicate record has no effect; a lost append is retried at a later report.
+        mSubscriptions.add(
                 mLog.append(STREAM, encode(registration)).subscribe(offset -> {}, error -> {}));
     }
 
-    private void handle(StreamEvent event) {
+    private void onStreamEvent(StreamEvent event) {
         if (event instanceof StreamEvent.Truncated) {
             mRegistry.onStreamTruncated();
         } else if (event instanceof StreamEvent.RecordsRead read) {
@@ -136,7 +142,7 @@
             return;
         }
         mRegistry.apply(registration.get());
-        mAppendedMs.remove(registration.get());
+        mAppendTimesMs.remove(registration.get());
     }
 
     private static byte[] encode(InstanceRegistration registration) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/PeerEntries.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/PeerEntries.java
@@ -24,20 +24,20 @@
 import org.hickorycleat.model.message.ProcessRole;
 import org.hickorycleat.model.message.Welcome;
 
-/** The other entries: which are alive, where they listen, and a link to each. */
+/** Tracks which other entries are alive and maintains a link to each. */
 final class PeerEntries implements EntryLinkHandler {
-    /** Entries that an entry keeps links to; 8 availability zones with up to 8 entries each. */
+    /** Maximum number of linked entries: 8 availability zones with up to 8 entries each. */
     private static final int MAXIMUM_LINKS = 64;
 
-    /** An entry that was not heard of for this long no longer shares the targets. */
-    private static final long LIVE_LIMIT_MS = 3_000;
+    /** An entry without contact for this long no longer counts as sharing the targets. */
+    private static final long LIVENESS_TIMEOUT_MS = 3_000;
 
     private final EntryAddress mSelf;
     private final Incarnation mIncarnation;
     private final Scheduler mScheduler;
     private final EntryLinks mLinks;
     private final AtomicLong mSessions = new AtomicLong();
-    private final Map<ProcessId, Heard> mHeard = new ConcurrentHashMap<>();
+    private final Map<ProcessId, LastContact> mLastContacts = new ConcurrentHashMap<>();
 
     PeerEntries(
             EntryAddress self,
@@ -50,32 +50,32 @@
         mLinks = new EntryLinks(transport, scheduler, this, MAXIMUM_LINKS);
     }
 
-    /** An entry and when it was last heard of. */
-    private record Heard(Optional<EntryAddress> address, long atMs) {}
+    /** Address of an entry and the time of its last contact. */
+    private record LastContact(Optional<EntryAddress> address, long atMs) {}
 
-    /** Starts links to the addresses of the settings. */
+    /** Opens links to the configured addresses. */
     void add(List<InetSocketAddress> addresses) {
         mLinks.add(addresses.stream().filter(address -> !isSelf(address)).toList());
     }
 
-    /** Sends a message to every other entry. */
+    /** Broadcasts a message to all other entries. */
     void send(Message message) {
         mLinks.broadcast(message);
     }
 
-    /** Another entry opened a connection or sent something over it. */
+    /** Records contact from an entry that opened a connection or sent a message. */
     void recordHeartbeat(Hello peer) {
-        mHeard.put(peer.process(), new Heard(peer.address(), nowMs()));
+        mLastContacts.put(peer.process(), new LastContact(peer.address(), nowMs()));
         peer.address().ifPresent(address -> onEntriesDiscovered(List.of(address)));
     }
 
-    /** Returns this entry and the others that are alive, with their addresses. */
+    /** Returns the addresses of this entry and of the other live entries. */
     List<EntryAddress> liveEntries() {
         long nowMs = nowMs();
         List<EntryAddress> live = new ArrayList<>(List.of(mSelf));
-        mHeard.values().stream()
-                .filter(heard -> nowMs - heard.atMs() < LIVE_LIMIT_MS)
-                .flatMap(heard -> heard.address().stream())
+        mLastContacts.values().stream()
+                .filter(contact -> nowMs - contact.atMs() < LIVENESS_TIMEOUT_MS)
+                .flatMap(contact -> contact.address().stream())
                 .forEach(live::add);
         live.sort(Comparator.comparing(EntryAddress::process));
         return live;
@@ -111,17 +111,17 @@
 
     @Override
     public void onSessionOpened(EntrySession session) {
-        // The next summary goes out within a second.
+        // The periodic summary is sent within a second.
     }
 
     @Override
     public void onMessage(EntrySession session, Message message) {
-        // Other entries answer over the links that they opened.
+        // Other entries send their messages over the links that they opened.
     }
 
     @Override
     public void onSessionClosed(EntrySession session) {
-        // The entry counts as alive until its summaries stop.
+        // The entry counts as alive until its heartbeats time out.
     }
 
     @Override
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/PlacementShards.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/PlacementShards.java
@@ -37,7 +37,7 @@
 import org.hickorycleat.model.task.Resources;
 import org.hickorycleat.model.task.TaskSpecification;
 
-/** The placement shards that this entry owns or stands ready to own. */
+/** Runs the placement shards for which this entry is the owner or a standby. */
 final class PlacementShards implements AutoCloseable {
     private static final char RUN_SEPARATOR = '#';
 
@@ -46,7 +46,7 @@
     private final AgentLink mAgents;
     private final Scheduler mScheduler;
     private final Map<ShardNumber, ShardRunner> mRunners = new ConcurrentHashMap<>();
-    private final Set<Hello> mConnected = new HashSet<>();
+    private final Set<Hello> mConnectedAgents = new HashSet<>();
     private List<TaskId> mJobs = List.of();
 
     PlacementShards(OwnerIdentity self, LogService log, AgentLink agents, Scheduler scheduler) {
@@ -56,7 +56,7 @@
         mScheduler = scheduler;
     }
 
-    /** Puts a manifest in force. */
+    /** Applies a configuration to all shards. */
     synchronized void configure(AcceptedConfiguration configuration) {
         Manifest manifest = configuration.manifest();
         int shards = manifest.placementShards();
@@ -67,32 +67,37 @@
                             new ShardEvent.ManifestChanged(
                                     shardManifest(configuration, shard, shards)));
         }
-        mJobs = manifest.jobs().stream().map(PlacementShards::task).toList();
+        mJobs = manifest.jobs().stream().map(PlacementShards::taskId).toList();
     }
 
-    /** Takes the worker of a report; the first of a session announces the connection. */
+    /**
+     * Passes a worker report to its shard; the first report of a session also signals the agent's
+     * connection.
+     */
     synchronized void onAgentReport(Hello agent, AgentReport report) {
         if (report.worker().isEmpty()) {
             return;
         }
         WorkerSummary worker = report.worker().get();
         runnerOf(worker).ifPresent(runner -> runner.onAgentReport(report));
-        boolean first = mConnected.add(agent);
+        boolean isFirstReport = mConnectedAgents.add(agent);
         runnerOf(worker)
                 .ifPresent(
                         runner ->
                                 runner.handle(
-                                        first
+                                        isFirstReport
                                                 ? new ShardEvent.AgentConnected(
                                                         agent.process(), agent.zone(), worker)
                                                 : new ShardEvent.WorkerReported(
                                                         agent.process(), worker)));
         if (runnerOf(worker).isEmpty()) {
-            mConnected.remove(agent);
+            mConnectedAgents.remove(agent);
         }
     }
 
-    /** Takes a message about tasks; shards ignore those of other shards. */
+    /**
+     * Passes a task message to all shards; a shard ignores messages about tasks of other shards.
+     */
     void onAgentMessage(Hello agent, Message message) {
         mRunners.values()
                 .forEach(
@@ -101,9 +106,9 @@
                                         new ShardEvent.MessageReceived(agent.process(), message)));
     }
 
-    /** The session of an agent is lost. */
+    /** Notifies the shards that an agent's session closed. */
     synchronized void onAgentClosed(Hello agent) {
-        if (mConnected.remove(agent)) {
+        if (mConnectedAgents.remove(agent)) {
             mRunners.values()
                     .forEach(
                             runner ->
@@ -112,7 +117,10 @@
         }
     }
 
-    /** Makes no claim, renewal or decision any more, so that other entries take over. */
+    /**
+     * Stops ownership claims, renewals and placement decisions so that other entries take over the
+     * shards.
+     */
     void drain() {
         mRunners.values().forEach(runner -> runner.handle(new ShardEvent.Draining()));
     }
@@ -122,12 +130,12 @@
         return mRunners.values().stream().map(ShardRunner::dump).toList();
     }
 
-    /** Returns the shards for the status of the process. */
+    /** Returns the shards for the process status. */
     List<ProcessStatus.Shard> statuses() {
         return dump().stream().map(PlacementShards::status).toList();
     }
 
-    /** Returns the jobs of the manifest that are in shards which this entry owns. */
+    /** Returns the jobs of the manifest in the shards that this entry owns. */
     List<AdminTaskStatus> jobs() {
         List<TaskId> jobs;
         synchronized (this) {
@@ -146,7 +154,7 @@
         return statuses;
     }
 
-    /** Returns what is known of a task. */
+    /** Returns the explanation of a task; empty if no shard has a record of it. */
     Optional<TaskExplanation> explain(TaskId task) {
         return mRunners.values().stream()
                 .map(runner -> runner.explain(task))
@@ -199,7 +207,7 @@
         Manifest manifest = configuration.manifest();
         List<JobSpecification> jobs =
                 manifest.jobs().stream()
-                        .filter(job -> shardOf(task(job).value(), shards).equals(shard))
+                        .filter(job -> shardOf(taskId(job).value(), shards).equals(shard))
                         .toList();
         Map<TeamName, Resources> quotas = new HashMap<>();
         for (TeamSpecification team : manifest.teams()) {
@@ -208,14 +216,14 @@
         return new ShardManifest(configuration.version(), jobs, List.of(), quotas);
     }
 
-    /** What is learned about one run of a job applies to its other runs. */
+    /** Returns the job name without the run, because estimates are shared by all runs of a job. */
     private static JobName jobOf(TaskSpecification task) {
         String text = task.task().value();
         int separator = text.lastIndexOf(RUN_SEPARATOR);
         return new JobName(separator > 0 ? text.substring(0, separator) : text);
     }
 
-    private static TaskId task(JobSpecification job) {
+    private static TaskId taskId(JobSpecification job) {
         return new TaskId(job.name().value() + RUN_SEPARATOR + job.run());
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/RequestPipeline.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/RequestPipeline.java
@@ -37,7 +37,7 @@
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.ServiceCapacity;
 
-/** The path of a request through the entry: admission, routing, retries and outcomes. */
+/** Processes requests in the entry: admission, routing, retries and outcomes. */
 final class RequestPipeline {
     private final TargetDirectory mDirectory;
     private final PowerOfTwoSelector mSelector;
@@ -69,12 +69,12 @@
                         .build();
     }
 
-    /** Serves a request. */
+    /** Submits a request; the future completes with its result. */
     CompletableFuture<InvokeResult> serve(CallerRequest request) {
         return mCoordinator.submit(request).toCompletionStage().toCompletableFuture();
     }
 
-    /** Puts a manifest in force. */
+    /** Applies the key mappings, team weights and services of a manifest. */
     void configure(Manifest manifest) {
         for (ServiceSpecification service : manifest.services()) {
             mCoordinator.configureMapping(
@@ -87,23 +87,26 @@
             weights.put(team.name(), team.weight());
         }
         mAdmission.setTeamWeights(weights);
-        mAdmission.retainServices(services(manifest));
+        mAdmission.retainServices(serviceNames(manifest));
     }
 
-    /** An agent opened a session. */
+    /** Handles a new session of an agent. */
     void onAgentOpened(Hello agent) {
         mDirectory.onAgentConnected(
                 agent.process(), agent.zone(), agent.incarnation(), agent.session());
         mCoordinator.onLinkOpened(session(agent));
     }
 
-    /** The session of an agent is lost. */
+    /** Handles the end of an agent's session. */
     void onAgentClosed(Hello agent) {
         mDirectory.onAgentDisconnected(agent.process(), agent.session());
         mCoordinator.onLinkClosed(session(agent));
     }
 
-    /** Handles a message of an agent; false when it is not about requests. */
+    /**
+     * Handles a message from an agent; returns false if it needs further handling outside the
+     * pipeline.
+     */
     boolean onAgentMessage(Hello agent, Message message) {
         if (message instanceof InvokeResult result) {
             mCoordinator.onInvokeResult(session(agent), result);
@@ -119,25 +122,25 @@
         return false;
     }
 
-    /** Sets the number of entries that share the targets. */
+    /** Sets the number of live entries that share the targets. */
     void setLiveEntries(int entries) {
         mDirectory.setLiveEntries(entries);
     }
 
-    /** Drops what has been gone for long; called now and then. */
+    /** Removes the state of expired targets; called periodically. */
     void removeExpired() {
         mDirectory.removeGoneTargets();
         mSelector.removeGoneTargets();
     }
 
-    /** Returns the services with free slots. */
+    /** Returns the free slots of each service. */
     List<ServiceCapacity> capacities() {
         return mDirectory.dump().keySet().stream()
                 .map(name -> new ServiceCapacity(name, mDirectory.freeSlots(name)))
                 .toList();
     }
 
-    /** Returns the targets of each service for the status of the process. */
+    /** Returns the target counts of each service for the process status. */
     List<ProcessStatus.Service> statuses() {
         long nowMs = mDirectory.nowMs();
         return mDirectory.dump().entrySet().stream()
@@ -158,13 +161,13 @@
     }
 
     /**
-     * State of the request path.
+     * State of the request pipeline.
      *
      * @param targets targets by service
      * @param services admission and routing by service
      * @param liveEntries entries that share the targets
-     * @param outstandingAttempts attempts without an answer
-     * @param unmatchedAnswers answers that matched no request and were dropped
+     * @param outstandingAttempts attempts without a response
+     * @param unmatchedAnswers responses that matched no request and were discarded
      */
     record State(
             Map<ServiceName, List<TargetView>> targets,
@@ -173,7 +176,7 @@
             int outstandingAttempts,
             long unmatchedAnswers) {}
 
-    /** Admission and routing of a service. */
+    /** Admission and routing state of a service. */
     record ServiceState(Object admission, Object routes, List<TargetAddress> ejected) {}
 
     private static ProcessStatus.Service status(
@@ -200,7 +203,7 @@
         return new ServiceState(mAdmission.status(service), mSelector.status(service), ejected);
     }
 
-    private static Set<ServiceName> services(Manifest manifest) {
+    private static Set<ServiceName> serviceNames(Manifest manifest) {
         return manifest.services().stream()
                 .map(ServiceSpecification::name)
                 .collect(Collectors.toSet());
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/ShardRunner.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/ShardRunner.java
@@ -22,67 +22,70 @@
 import org.hickorycleat.model.message.AgentReport;
 import org.hickorycleat.model.message.TaskReport;
 
-/** Runs one shard: feeds it the log, messages and time, and carries out what it decides. */
+/**
+ * Runs one shard: passes log records, messages and clock ticks to its owner logic and executes the
+ * resulting actions.
+ */
 final class ShardRunner implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(ShardRunner.class);
     private static final int READ_LIMIT = 500;
     private static final Duration READ_WAIT = Duration.ofSeconds(1);
-    private static final long READ_RETRY_MS = 200;
-    private static final long TICK_MS = 50;
+    private static final long READ_RETRY_DELAY_MS = 200;
+    private static final long TICK_INTERVAL_MS = 50;
 
     private final StreamName mStream;
     private final ShardOwner mOwner;
     private final LogService mLog;
     private final AgentLink mAgents;
-    private final TaskReportObserver mObservation;
+    private final TaskReportObserver mReportObserver;
     private final Scheduler mScheduler;
-    private final CompositeDisposable mRunning = new CompositeDisposable();
-    private boolean mActing;
+    private final CompositeDisposable mSubscriptions = new CompositeDisposable();
+    private boolean mIsOwner;
 
     ShardRunner(
             StreamName stream,
             ShardOwner owner,
             LogService log,
             AgentLink agents,
-            TaskReportObserver observation,
+            TaskReportObserver reportObserver,
             Scheduler scheduler) {
         mStream = stream;
         mOwner = owner;
         mLog = log;
         mAgents = agents;
-        mObservation = observation;
+        mReportObserver = reportObserver;
         mScheduler = scheduler;
     }
 
-    /** Starts to read the log and to tick. */
+    /** Starts reading the log and the periodic ticks. */
     void start() {
-        mRunning.add(
+        mSubscriptions.add(
                 Completable.defer(this::readOnce)
                         .repeat()
                         .subscribeOn(mScheduler)
-                        .subscribe(() -> {}, ShardRunner::failed));
-        mRunning.add(
+                        .subscribe(() -> {}, ShardRunner::logFailure));
+        mSubscriptions.add(
                 mScheduler.schedulePeriodicallyDirect(
                         () -> handle(new ShardEvent.Tick()),
-                        TICK_MS,
-                        TICK_MS,
+                        TICK_INTERVAL_MS,
+                        TICK_INTERVAL_MS,
                         TimeUnit.MILLISECONDS));
     }
 
-    /** Handles an event and carries out its effects in order. */
+    /** Handles an event and executes the resulting actions in order. */
     synchronized void handle(ShardEvent event) {
         if (event instanceof ShardEvent.MessageReceived received
                 && received.message() instanceof TaskReport report) {
-            mObservation.onTaskReport(report, mOwner.explain(report.task()));
+            mReportObserver.onTaskReport(report, mOwner.explain(report.task()));
         }
-        List<OwnerAction> effects = mOwner.onEvent(event);
-        effects.forEach(this::carryOut);
-        noteOwnership();
+        List<OwnerAction> actions = mOwner.onEvent(event);
+        actions.forEach(this::execute);
+        logOwnershipChange();
     }
 
-    /** Takes the latencies that an agent reported beside its worker. */
+    /** Passes an agent's report of its worker and of target latencies to the scheduling policy. */
     synchronized void onAgentReport(AgentReport report) {
-        mObservation.onAgentReport(report);
+        mReportObserver.onAgentReport(report);
     }
 
     /** Returns the state of the shard. */
@@ -90,24 +93,24 @@
         return mOwner.dump();
     }
 
-    /** Returns what is known of a task. */
+    /** Returns the explanation of a task. */
     synchronized TaskExplanation explain(TaskId task) {
         return mOwner.explain(task);
     }
 
     @Override
     public void close() {
-        mRunning.dispose();
+        mSubscriptions.dispose();
     }
 
-    private void carryOut(OwnerAction effect) {
-        if (effect instanceof OwnerAction.SendMessage send) {
-            // A message that is not sent is lost with its connection; the owner repeats it.
+    private void execute(OwnerAction action) {
+        if (action instanceof OwnerAction.SendMessage send) {
+            // A message that cannot be sent is lost with its connection; the owner sends it again.
             mAgents.send(send.agent(), send.message());
             return;
         }
-        if (effect instanceof OwnerAction.AppendRecord append) {
-            mRunning.add(
+        if (action instanceof OwnerAction.AppendRecord append) {
+            mSubscriptions.add(
                     mLog.append(append.stream(), append.payload())
                             .subscribe(
                                     offset -> {},
@@ -117,38 +120,38 @@
 
     private Completable readOnce() {
         long requestedMs = mScheduler.now(TimeUnit.MILLISECONDS);
-        return nextRead()
+        return readNextPage()
                 .doOnSuccess(page -> handle(new ShardEvent.LogRead(page, READ_LIMIT, requestedMs)))
                 .ignoreElement()
-                .onErrorResumeNext(this::readFailed);
+                .onErrorResumeNext(this::onReadFailed);
     }
 
-    private synchronized Single<LogPage> nextRead() {
+    private synchronized Single<LogPage> readNextPage() {
         return mLog.read(mStream, mOwner.nextOffset(), READ_LIMIT, READ_WAIT);
     }
 
-    private Completable readFailed(Throwable error) {
+    private Completable onReadFailed(Throwable error) {
         if (error instanceof LogTruncatedException truncated) {
             handle(new ShardEvent.LogTruncated(truncated.firstOffset()));
         } else {
             handle(new ShardEvent.LogReadFailed());
         }
-        return Completable.timer(READ_RETRY_MS, TimeUnit.MILLISECONDS, mScheduler);
+        return Completable.timer(READ_RETRY_DELAY_MS, TimeUnit.MILLISECONDS, mScheduler);
     }
 
-    private void noteOwnership() {
+    private void logOwnershipChange() {
         ShardDump dump = mOwner.dump();
-        if (dump.acting() == mActing) {
+        if (dump.acting() == mIsOwner) {
             return;
         }
-        mActing = dump.acting();
-        LOG.event(mActing ? "shard_owned" : "shard_lost")
+        mIsOwner = dump.acting();
+        LOG.event(mIsOwner ? "shard_owned" : "shard_lost")
                 .with("shard", dump.shard())
                 .with("epoch", dump.epoch())
                 .info();
     }
 
-    private static void failed(Throwable cause) {
+    private static void logFailure(Throwable cause) {
         LOG.event("shard_failed").with("cause", cause).error();
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/TaskReportObserver.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/TaskReportObserver.java
@@ -22,32 +22,33 @@
 import org.hickorycleat.model.task.Resources;
 import org.hickorycleat.model.task.TaskState;
 
-/** Tells the policy of a shard what agents report; used by one thread at a time. */
+/** Notifies the scheduling policy of a shard of what agents report. Not thread-safe. */
 final class TaskReportObserver {
     private final PlacementObserver mObserver;
     private final InstantSource mClock;
-    // Agents repeat the report of an end until it is recorded; the policy must count it once.
-    private final Map<TaskId, AttemptNumber> mEnded = new HashMap<>();
-    private final Map<WorkerId, Incarnation> mWorkers = new HashMap<>();
+    // Agents resend the end of an attempt until it is recorded; the policy must count it once.
+    private final Map<TaskId, AttemptNumber> mReportedEnds = new HashMap<>();
+    private final Map<WorkerId, Incarnation> mWorkerIncarnations = new HashMap<>();
 
     TaskReportObserver(PlacementObserver observer, InstantSource clock) {
         mObserver = observer;
         mClock = clock;
     }
 
-    /** Takes a report on a task, with what was known of the task before. */
-    void onTaskReport(TaskReport report, TaskExplanation before) {
-        if (before.result().isPresent()) {
-            mEnded.remove(report.task());
+    /** Handles a report on a task, given the explanation of the task before the report. */
+    void onTaskReport(TaskReport report, TaskExplanation explanation) {
+        if (explanation.result().isPresent()) {
+            mReportedEnds.remove(report.task());
             mObserver.onTaskRemoved(report.task());
             return;
         }
-        Optional<TaskRecord> record = before.record().filter(known -> known.isAt(report.attempt()));
+        Optional<TaskRecord> record =
+                explanation.record().filter(found -> found.isAt(report.attempt()));
         if (record.isEmpty()) {
             return;
         }
         AttemptRecord attempt = record.get().attempt().orElseThrow();
-        PlacedTask placed = placed(record.get(), attempt);
+        PlacedTask placed = placedTask(record.get(), attempt);
         if (report.state() == TaskState.RUNNING) {
             mObserver.onAttemptRunning(placed, mClock.millis());
             mObserver.onUsageMeasured(
@@ -56,19 +57,22 @@
                             report.usedProcessorsMilli(),
                             report.usedMemoryMebibytes(),
                             placed.specification().resources().accelerators()));
-        } else if (isEnd(report.state()) && isNew(report)) {
+        } else if (isEnd(report.state()) && recordIfFirstEnd(report)) {
             mObserver.onAttemptEnded(placed, report.state(), mClock.millis());
         }
     }
 
-    /** Takes the latencies of the targets beside a worker, and notes a restart of the worker. */
+    /**
+     * Handles the latencies of the local targets of an agent with a worker, and detects a restart
+     * of that worker.
+     */
     void onAgentReport(AgentReport report) {
         if (report.worker().isEmpty()) {
             return;
         }
         WorkerSummary worker = report.worker().get();
-        Incarnation known = mWorkers.put(worker.worker(), worker.incarnation());
-        if (known != null && !known.equals(worker.incarnation())) {
+        Incarnation previous = mWorkerIncarnations.put(worker.worker(), worker.incarnation());
+        if (previous != null && !previous.equals(worker.incarnation())) {
             mObserver.onWorkerRestarted(worker.worker());
         }
         for (TargetReport target : report.targets()) {
@@ -83,8 +87,8 @@
         }
     }
 
-    private boolean isNew(TaskReport report) {
-        return !report.attempt().equals(mEnded.put(report.task(), report.attempt()));
+    private boolean recordIfFirstEnd(TaskReport report) {
+        return !report.attempt().equals(mReportedEnds.put(report.task(), report.attempt()));
     }
 
     private static boolean isEnd(TaskState state) {
@@ -94,7 +98,7 @@
         };
     }
 
-    private static PlacedTask placed(TaskRecord record, AttemptRecord attempt) {
+    private static PlacedTask placedTask(TaskRecord record, AttemptRecord attempt) {
         return new PlacedTask(
                 record.specification(),
                 attempt.worker(),
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/entry/CallerHttpServerTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/entry/CallerHttpServerTest.java
@@ -47,22 +47,22 @@
     private final Queue<CompletableFuture<InvokeResult>> mResults = new ConcurrentLinkedQueue<>();
     private final HttpClient mClient = HttpClient.newHttpClient();
     private final InetSocketAddress mAddress = freeAddress();
-    private final CallerHttpServer mCallers =
+    private final CallerHttpServer mServer =
             new CallerHttpServer(
                     () -> Optional.of(manifest()), this::serve, new SimpleMeterRegistry());
-    private boolean mAnswersAtOnce = true;
+    private boolean mRespondsImmediately = true;
 
     @BeforeEach
     void start() {
-        mCallers.start(mAddress);
+        mServer.start(mAddress);
     }
 
     @AfterEach
     void stop() {
-        mCallers.close();
+        mServer.close();
     }
 
-    /** Guards against a header that makes no sense being ignored or passed on. */
+    /** Guards against invalid headers being ignored or forwarded. */
     @ParameterizedTest
     @CsvSource({
         "Hickorycleat-Criticality, vital, INVALID_CRITICALITY",
@@ -74,7 +74,7 @@
         "Hickorycleat-Idempotent, perhaps, MALFORMED_REQUEST",
         "Idempotency-Key, two words, INVALID_IDEMPOTENCY_KEY",
     })
-    void refusesBadHeadersWithoutRunning(String header, String value, ResultCode code)
+    void rejectsInvalidHeadersWithoutRunning(String header, String value, ResultCode code)
             throws Exception {
         HttpResponse<String> response =
                 send(request("/services/booking/x").header(header, value).build());
@@ -87,12 +87,12 @@
     }
 
     /**
-     * Guards against a repeat that is refused and told to be not run, although an earlier copy ran
-     * through an entry that died.
+     * Guards against a rejected retry being reported as not run although a previous attempt ran
+     * through an entry that failed.
      */
     @Test
-    void refusedCopyOfKeyedRequestIsNotToldToBeNotRun() throws Exception {
-        mCallers.drain();
+    void rejectedRequestWithIdempotencyKeyHasUnknownOutcome() throws Exception {
+        mServer.drain();
 
         HttpResponse<String> keyed =
                 send(request("/services/booking/x").header("Idempotency-Key", "k-1").build());
@@ -103,9 +103,9 @@
         assertThat(plain.headers().firstValue("Hickorycleat-Outcome")).contains("not-run");
     }
 
-    /** Guards against a body that exhausts the memory of the entry. */
+    /** Guards against a request body exhausting the memory of the entry. */
     @Test
-    void refusesBodiesThatAreTooLarge() throws Exception {
+    void rejectsOversizedBodies() throws Exception {
         HttpResponse<String> response =
                 send(
                         request("/services/booking/x")
@@ -116,18 +116,18 @@
         assertThat(mRequests).isEmpty();
     }
 
-    /** Guards against a request for a service that the manifest does not name. */
+    /** Guards against accepting a request for a service that is not in the manifest. */
     @Test
-    void refusesUnknownServices() throws Exception {
+    void rejectsUnknownServices() throws Exception {
         HttpResponse<String> response = send(request("/services/other/x").build());
 
         assertThat(response.statusCode()).isEqualTo(404);
         assertThat(response.body()).contains("UNKNOWN_SERVICE");
     }
 
-    /** Guards against parts of a request or of its answer that are lost on the way. */
+    /** Guards against losing parts of a request or its response while forwarding. */
     @Test
-    void passesRequestAndAnswerWhole() throws Exception {
+    void forwardsRequestAndResponseUnchanged() throws Exception {
         HttpResponse<String> response =
                 send(
                         request("/services/booking/a/b%20c?d=e&f=g")
@@ -151,39 +151,39 @@
         assertThat(response.headers().allValues("Content-Type")).containsExactly("text/special");
     }
 
-    /** Guards against a slot that stays taken by a caller that has gone away. */
+    /** Guards against a slot remaining occupied after its caller disconnected. */
     @Test
-    void cancelsTheRequestOfCallersThatWentAway() throws Exception {
-        mAnswersAtOnce = false;
+    void cancelsRequestsOfDisconnectedCallers() throws Exception {
+        mRespondsImmediately = false;
         try (Socket socket = new Socket(mAddress.getAddress(), mAddress.getPort())) {
             socket.getOutputStream()
                     .write(
                             "GET /services/booking/x HTTP/1.1\r\nHost: a\r\n\r\n"
                                     .getBytes(StandardCharsets.US_ASCII));
             await().until(() -> mResults.size() == 1);
-            mCallers.checkCallers();
+            mServer.cancelDisconnectedRequests();
             assertThat(mResults.element().isCancelled()).isFalse();
         }
 
         await().until(
                         () -> {
-                            mCallers.checkCallers();
+                            mServer.cancelDisconnectedRequests();
                             return mResults.element().isCancelled();
                         });
-        await().until(() -> mCallers.inProgress() == 0);
+        await().until(() -> mServer.requestsInProgress() == 0);
     }
 
     private CompletableFuture<InvokeResult> serve(CallerRequest request) {
         mRequests.add(request);
         CompletableFuture<InvokeResult> result =
-                mAnswersAtOnce
-                        ? CompletableFuture.completedFuture(answer())
+                mRespondsImmediately
+                        ? CompletableFuture.completedFuture(newResult())
                         : new CompletableFuture<>();
         mResults.add(result);
         return result;
     }
 
-    private static InvokeResult answer() {
+    private static InvokeResult newResult() {
         return new InvokeResult(
                 new RequestId(new ProcessId("entry-1"), new Incarnation(1), 1),
                 ResultCode.OK,
