Use standard terms in the agent role

Comments and names spoke of targets heard, leaving and standing instead of announcements, draining and registration. Behaviour is unchanged; two errors of the target client are worded in full.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentDump.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentDump.java
@@ -5,7 +5,7 @@
 import org.hickorycleat.model.message.TargetReport;
 import org.hickorycleat.model.message.WorkerSummary;
 
-/** State of an agent for operators. */
+/** Internal state of an agent for {@code GET /admin/dump}. */
 record AgentDump(
         Object status,
         List<EntrySessions.SessionState> entries,
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentProcess.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentProcess.java
@@ -28,12 +28,12 @@
 import org.hickorycleat.logic.invocation.KeyValidity;
 import org.hickorycleat.model.identifier.Incarnation;
 
-/** A daemon in the agent role. */
+/** A daemon process in the agent role. */
 public final class AgentProcess implements AdminOperations, Lifecycle {
     private static final EventLog LOG = EventLog.of(AgentProcess.class);
     private static final int EVENT_LOOPS = 1;
     private static final long REPORT_INTERVAL_MS = 1_000;
-    private static final int BAD_REQUEST = 400;
+    private static final int BAD_REQUEST_STATUS = 400;
 
     private final DaemonSettings mSettings;
     private final AgentSettings mAgentSettings;
@@ -46,10 +46,10 @@
     private final HttpTargetClient mTargetClient;
     private final InvocationService mInvocations;
     private final AnnouncedTargets mTargets;
-    private final EntrySessions mEntries;
-    private final AdminHttpServer mAdmin;
-    private final CompositeDisposable mRunning = new CompositeDisposable();
-    private final Optional<WorkerLeases> mWorker;
+    private final EntrySessions mEntrySessions;
+    private final AdminHttpServer mAdminServer;
+    private final CompositeDisposable mSubscriptions = new CompositeDisposable();
+    private final Optional<WorkerLeases> mWorkerLeases;
     private final long mStartedMs;
     private volatile boolean mDraining;
 
@@ -71,8 +71,9 @@
                         .keyValidity(KeyValidity.of(agentSettings.keyValidity()))
                         .build();
         mTargets = new AnnouncedTargets(mInvocations, scheduler);
-        mWorker = agentSettings.worker().map(address -> newWorker(address, incarnation, scheduler));
-        mEntries =
+        mWorkerLeases =
+                agentSettings.worker().map(address -> newWorker(address, incarnation, scheduler));
+        mEntrySessions =
                 new EntrySessions(
                         settings,
                         agentSettings,
@@ -82,8 +83,8 @@
                         mInvocations,
                         mConfiguration,
                         mTargets,
-                        mWorker);
-        mAdmin = new AdminHttpServer(this, mMeters, this::addRoutes);
+                        mWorkerLeases);
+        mAdminServer = new AdminHttpServer(this, mMeters, this::addRoutes);
         Gauge.builder("hickorycleat.invocations.in.progress", mInvocations::inProgress)
                 .register(mMeters);
         Gauge.builder("hickorycleat.invocations.fenced", mInvocations::fencedInvokes)
@@ -92,7 +93,7 @@
 
     @Override
     public void start() {
-        mRunning.add(
+        mSubscriptions.add(
                 mConfiguration
                         .changes()
                         .subscribe(
@@ -101,12 +102,12 @@
                                         LOG.event("configuration_failed")
                                                 .with("cause", cause)
                                                 .error()));
-        mAdmin.start(mSettings.adminListen());
-        mEntries.add(mAgentSettings.entries());
-        mWorker.ifPresent(WorkerLeases::start);
-        mRunning.add(
+        mAdminServer.start(mSettings.adminListen());
+        mEntrySessions.add(mAgentSettings.entries());
+        mWorkerLeases.ifPresent(WorkerLeases::start);
+        mSubscriptions.add(
                 mScheduler.schedulePeriodicallyDirect(
-                        mEntries::report,
+                        mEntrySessions::report,
                         REPORT_INTERVAL_MS,
                         REPORT_INTERVAL_MS,
                         TimeUnit.MILLISECONDS));
@@ -124,8 +125,8 @@
             return;
         }
         mDraining = true;
-        mTargets.startLeaving();
-        mEntries.report();
+        mTargets.startDrain();
+        mEntrySessions.report();
         LOG.event("draining").with("in_progress", mInvocations.inProgress()).info();
     }
 
@@ -146,12 +147,12 @@
 
     @Override
     public void close() {
-        mRunning.dispose();
-        mEntries.close();
+        mSubscriptions.dispose();
+        mEntrySessions.close();
         mTransport.close();
         mTargetClient.close();
-        mWorker.ifPresent(WorkerLeases::close);
-        mAdmin.close();
+        mWorkerLeases.ifPresent(WorkerLeases::close);
+        mAdminServer.close();
         LOG.event("stopped").with("process", mSettings.process()).info();
     }
 
@@ -170,18 +171,18 @@
                 mInvocations.inProgress(),
                 mTargets.statuses(),
                 List.of(),
-                mEntries.links());
+                mEntrySessions.links());
     }
 
     @Override
     public Object dump() {
         return new AgentDump(
                 status(),
-                mEntries.sessions(),
+                mEntrySessions.sessions(),
                 mTargets.reports(),
                 mInvocations.fencedInvokes(),
-                mWorker.flatMap(WorkerLeases::summary),
-                mWorker.map(WorkerLeases::counts));
+                mWorkerLeases.flatMap(WorkerLeases::summary),
+                mWorkerLeases.map(WorkerLeases::counts));
     }
 
     @Override
@@ -199,7 +200,7 @@
         if (mDraining) {
             return List.of("draining");
         }
-        return mEntries.sessions().isEmpty() ? List.of("no entry is connected") : List.of();
+        return mEntrySessions.sessions().isEmpty() ? List.of("no entry is connected") : List.of();
     }
 
     private String state() {
@@ -212,7 +213,7 @@
     private ProcessStatus.Configuration configurationStatus() {
         return new ProcessStatus.Configuration(
                 mConfiguration.version().value(),
-                mConfiguration.current().map(known -> known.source().label()).orElse("none"),
+                mConfiguration.current().map(current -> current.source().label()).orElse("none"),
                 false);
     }
 
@@ -222,25 +223,29 @@
 
     private WorkerLeases newWorker(String address, Incarnation incarnation, Scheduler scheduler) {
         return new WorkerLeases(
-                HttpUrl.get(address), incarnation, scheduler, () -> mEntries, this::reportWorker);
+                HttpUrl.get(address),
+                incarnation,
+                scheduler,
+                () -> mEntrySessions,
+                this::sendReport);
     }
 
-    private void reportWorker() {
-        mEntries.report();
+    private void sendReport() {
+        mEntrySessions.report();
     }
 
     private void addRoutes(JavalinConfig configuration) {
-        configuration.routes.put("/v1/announcement", this::announce);
+        configuration.routes.put("/v1/announcement", this::handleAnnouncement);
     }
 
-    private void announce(Context context) {
+    private void handleAnnouncement(Context context) {
         Either<List<String>, Announcement> parsed = AnnouncementParser.parse(context.bodyAsBytes());
         if (parsed.isLeft()) {
-            context.status(BAD_REQUEST).result(String.join("; ", parsed.getLeft()));
+            context.status(BAD_REQUEST_STATUS).result(String.join("; ", parsed.getLeft()));
             return;
         }
-        if (mTargets.announce(parsed.get())) {
-            mEntries.report();
+        if (mTargets.updateTarget(parsed.get())) {
+            mEntrySessions.report();
         }
         context.result("{}");
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AnnouncedTargets.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AnnouncedTargets.java
@@ -21,34 +21,38 @@
 import org.hickorycleat.model.message.TargetReport;
 import org.hickorycleat.model.message.TargetState;
 
-/** The targets that announce themselves to this agent, at most one of each service. */
+/** Local targets that announce themselves to this agent, at most one per service. */
 final class AnnouncedTargets {
     private static final EventLog LOG = EventLog.of(AnnouncedTargets.class);
 
-    /** A target that has not announced itself for this long is no longer reported. */
-    private static final long ANNOUNCEMENT_LIFETIME_MS = 3_000;
+    /** A target without an announcement for this long is removed. */
+    private static final long ANNOUNCEMENT_TIMEOUT_MS = 3_000;
 
     private static final ConfigurationVersion NO_MAPPING = new ConfigurationVersion(-1);
 
     private final InvocationService mInvocations;
     private final Scheduler mScheduler;
-    private final Map<ServiceName, Hosted> mTargets = new ConcurrentHashMap<>();
-    private final Set<RegistrationConfirmation> mRegistered = ConcurrentHashMap.newKeySet();
+    private final Map<ServiceName, LastAnnouncement> mTargets = new ConcurrentHashMap<>();
+    private final Set<RegistrationConfirmation> mConfirmations = ConcurrentHashMap.newKeySet();
     private volatile Optional<Manifest> mManifest = Optional.empty();
-    private volatile boolean mLeaving;
+    private volatile boolean mDraining;
 
     AnnouncedTargets(InvocationService invocations, Scheduler scheduler) {
         mInvocations = invocations;
         mScheduler = scheduler;
     }
 
-    /** An announcement and when it arrived. */
-    private record Hosted(Announcement announcement, long heardMs) {}
-
-    /** Takes an announcement; tells whether it changes what entries must know. */
-    boolean announce(Announcement announcement) {
-        Hosted former = mTargets.put(announcement.service(), new Hosted(announcement, nowMs()));
-        if (former != null && former.announcement().equals(announcement)) {
+    /** The last announcement of a target and the time of its receipt. */
+    private record LastAnnouncement(Announcement announcement, long receivedMs) {}
+
+    /**
+     * Updates a target from its announcement; returns whether it changed and entries must be
+     * notified.
+     */
+    boolean updateTarget(Announcement announcement) {
+        LastAnnouncement previous =
+                mTargets.put(announcement.service(), new LastAnnouncement(announcement, nowMs()));
+        if (previous != null && previous.announcement().equals(announcement)) {
             return false;
         }
         LOG.event("target_announced")
@@ -63,56 +67,59 @@
         return true;
     }
 
-    /** Puts a configuration, or the slice of it that concerns these targets, in force. */
+    /** Applies a manifest, or the configuration slice for these targets. */
     void configure(Manifest manifest) {
         mManifest = Optional.of(manifest);
-        mTargets.values().forEach(hosted -> configure(hosted.announcement()));
+        mTargets.values().forEach(latest -> configure(latest.announcement()));
     }
 
-    /** Serves keys of an instance from now on; entries have recorded that this agent does. */
-    void onInstanceRegistered(RegistrationConfirmation standing) {
-        Hosted hosted = mTargets.get(standing.service());
-        if (hosted == null
-                || !hosted.announcement().instance().equals(standing.instance())
-                || !mRegistered.add(standing)) {
+    /**
+     * Starts accepting idempotency keys for an instance whose registration with this agent is
+     * confirmed.
+     */
+    void onInstanceRegistered(RegistrationConfirmation confirmation) {
+        LastAnnouncement latest = mTargets.get(confirmation.service());
+        if (latest == null
+                || !latest.announcement().instance().equals(confirmation.instance())
+                || !mConfirmations.add(confirmation)) {
             return;
         }
-        configure(hosted.announcement());
-        if (standing.firstRegistration()) {
-            mInvocations.markKeyRecordsComplete(standing.service(), standing.instance());
+        configure(latest.announcement());
+        if (confirmation.firstRegistration()) {
+            mInvocations.markKeyRecordsComplete(confirmation.service(), confirmation.instance());
         }
         LOG.event("instance_registered")
-                .with("service", standing.service())
-                .with("instance", standing.instance())
-                .with("original", standing.firstRegistration())
+                .with("service", confirmation.service())
+                .with("instance", confirmation.instance())
+                .with("original", confirmation.firstRegistration())
                 .info();
     }
 
-    /** Reports every target as leaving from now on and refuses new requests. */
-    void startLeaving() {
-        mLeaving = true;
+    /** Reports all targets as leaving and rejects new requests. */
+    void startDrain() {
+        mDraining = true;
         mInvocations.startDrain();
     }
 
-    /** Finds the address of the target of a service. */
+    /** Returns the address of the target of a service; empty if none is announced. */
     Optional<InetSocketAddress> address(ServiceName service) {
         return Optional.ofNullable(mTargets.get(service))
-                .map(hosted -> hosted.announcement().address());
+                .map(latest -> latest.announcement().address());
     }
 
-    /** Returns the services whose targets announced themselves. */
+    /** Returns the services with an announced target. */
     List<ServiceName> services() {
         return List.copyOf(mTargets.keySet());
     }
 
-    /** Returns the targets for a report; forgets those that fell silent. */
+    /** Returns the targets for a report; removes those whose announcements timed out. */
     List<TargetReport> reports() {
         long nowMs = nowMs();
-        mTargets.values().removeIf(hosted -> nowMs - hosted.heardMs() > ANNOUNCEMENT_LIFETIME_MS);
-        return mTargets.values().stream().map(hosted -> report(hosted.announcement())).toList();
+        mTargets.values().removeIf(latest -> nowMs - latest.receivedMs() > ANNOUNCEMENT_TIMEOUT_MS);
+        return mTargets.values().stream().map(latest -> report(latest.announcement())).toList();
     }
 
-    /** Returns the targets for the status of the process. */
+    /** Returns the targets for the process status. */
     List<ProcessStatus.Service> statuses() {
         return reports().stream().map(AnnouncedTargets::status).toList();
     }
@@ -132,8 +139,8 @@
         return new TargetReport(
                 target.service(),
                 target.instance(),
-                mLeaving ? TargetState.LEAVING : target.state(),
-                slots(target),
+                mDraining ? TargetState.LEAVING : target.state(),
+                effectiveSlots(target),
                 target.connections(),
                 mInvocations.load(target.service()));
     }
@@ -149,21 +156,26 @@
                                 ? service.map(ManifestKeyMapping::instances).orElse(List.of())
                                 : List.of(),
                         service.map(ManifestKeyMapping::version).orElse(NO_MAPPING),
-                        slots(target),
+                        effectiveSlots(target),
                         target.connections()));
     }
 
-    /** Until then a successor could not know that this agent may hold records of keys. */
+    /**
+     * Returns whether the instance is registered. Without a registration, the next agent that hosts
+     * it could not know that this agent may hold idempotency key records.
+     */
     private boolean isRegistered(Announcement target) {
-        return mRegistered.stream()
+        return mConfirmations.stream()
                 .anyMatch(
-                        standing ->
-                                standing.service().equals(target.service())
-                                        && standing.instance().equals(target.instance()));
+                        confirmation ->
+                                confirmation.service().equals(target.service())
+                                        && confirmation.instance().equals(target.instance()));
     }
 
-    /** The manifest may lower what the target offers, never raise it. */
-    private int slots(Announcement target) {
+    /**
+     * Returns the number of slots; the manifest may lower the target's own number but not raise it.
+     */
+    private int effectiveSlots(Announcement target) {
         return mManifest
                 .flatMap(manifest -> manifest.service(target.service()))
                 .map(service -> Math.min(service.slots(), target.slots()))
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/Announcement.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/Announcement.java
@@ -6,13 +6,13 @@
 import org.hickorycleat.model.message.TargetState;
 
 /**
- * What a target says of itself.
+ * Announcement of a target to its local agent.
  *
- * @param service its service
- * @param instance its instance number
- * @param address address on this VM
- * @param slots requests that it runs at once
- * @param connections connections that it accepts
+ * @param service service of the target
+ * @param instance instance number of the target
+ * @param address address of the target on this VM
+ * @param slots maximum number of concurrent requests
+ * @param connections maximum number of connections
  * @param state ready or leaving
  */
 record Announcement(
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AnnouncementParser.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AnnouncementParser.java
@@ -12,19 +12,19 @@
 import org.hickorycleat.model.identifier.ServiceName;
 import org.hickorycleat.model.message.TargetState;
 
-/** Parses and checks the JSON of an announcement. */
+/** Parses and validates the JSON of an announcement. */
 final class AnnouncementParser {
-    private static final int HIGHEST_PORT = 65_535;
-    private static final int HIGHEST_SLOTS = 4_096;
-    private static final int HIGHEST_CONNECTIONS = 65_536;
-    private static final int HIGHEST_INSTANCE = 1_000_000;
+    private static final int MAXIMUM_PORT = 65_535;
+    private static final int MAXIMUM_SLOTS = 4_096;
+    private static final int MAXIMUM_CONNECTIONS = 65_536;
+    private static final int MAXIMUM_INSTANCE = 1_000_000;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final List<String> mErrors = new ArrayList<>();
 
     private AnnouncementParser() {}
 
-    /** Parses an announcement; the left side holds every error. */
+    /** Parses an announcement; the left side lists all errors. */
     static Either<List<String>, Announcement> parse(byte[] body) {
         JsonNode root;
         try {
@@ -40,10 +40,10 @@
         if (service.isBlank()) {
             mErrors.add("service: expected a name");
         }
-        int instance = number(root, "instance", 0, HIGHEST_INSTANCE);
-        int port = number(root, "port", 1, HIGHEST_PORT);
-        int slots = number(root, "slots", 1, HIGHEST_SLOTS);
-        int connections = number(root, "connections", 1, HIGHEST_CONNECTIONS);
+        int instance = number(root, "instance", 0, MAXIMUM_INSTANCE);
+        int port = number(root, "port", 1, MAXIMUM_PORT);
+        int slots = number(root, "slots", 1, MAXIMUM_SLOTS);
+        int connections = number(root, "connections", 1, MAXIMUM_CONNECTIONS);
         String state = root.path("state").asText("");
         if (!state.equals("ready") && !state.equals("leaving")) {
             mErrors.add("state: expected ready or leaving, found '" + state + "'");
@@ -64,18 +64,18 @@
                         state.equals("ready") ? TargetState.READY : TargetState.LEAVING));
     }
 
-    private int number(JsonNode root, String key, int lowest, int highest) {
+    private int number(JsonNode root, String key, int minimum, int maximum) {
         JsonNode node = root.path(key);
-        if (!node.isInt() || node.asInt() < lowest || node.asInt() > highest) {
+        if (!node.isInt() || node.asInt() < minimum || node.asInt() > maximum) {
             mErrors.add(
                     key
                             + ": expected a whole number from "
-                            + lowest
+                            + minimum
                             + " to "
-                            + highest
+                            + maximum
                             + ", found "
                             + (node.isMissingNode() ? "nothing" : node));
-            return lowest;
+            return minimum;
         }
         return node.asInt();
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/EntrySessions.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/EntrySessions.java
@@ -32,7 +32,7 @@
 import org.hickorycleat.model.message.RegistrationConfirmation;
 import org.hickorycleat.model.message.Welcome;
 
-/** The entries of an agent: sessions, reports, and the requests that arrive over them. */
+/** Sessions of an agent with entries: sends reports and handles the messages of entries. */
 final class EntrySessions implements EntryLinkHandler {
     private final DaemonSettings mSettings;
     private final Incarnation mIncarnation;
@@ -40,7 +40,7 @@
     private final InvocationService mInvocations;
     private final ConfigurationHolder mConfiguration;
     private final AnnouncedTargets mTargets;
-    private final Optional<WorkerLeases> mWorker;
+    private final Optional<WorkerLeases> mWorkerLeases;
     private final EntryLinks mLinks;
     private final AtomicLong mSessions = new AtomicLong();
     private final long mStartedMs;
@@ -61,15 +61,15 @@
         mInvocations = invocations;
         mConfiguration = configuration;
         mTargets = targets;
-        mWorker = worker;
+        mWorkerLeases = worker;
         mLinks = new EntryLinks(transport, scheduler, this, agentSettings.maximumLinks());
         mStartedMs = scheduler.now(TimeUnit.MILLISECONDS);
     }
 
-    /** A session for the dump. */
+    /** State of a session for the dump. */
     record SessionState(ProcessId entry, Incarnation incarnation, SessionNumber session) {}
 
-    /** Starts links to the addresses of the settings. */
+    /** Opens links to the configured addresses. */
     void add(List<InetSocketAddress> addresses) {
         mLinks.add(addresses);
     }
@@ -79,14 +79,14 @@
         mLinks.broadcast(newReport());
     }
 
-    /** Sends a message to one entry; it is lost when there is no session. */
+    /** Sends a message to one entry; discards it if there is no session. */
     void send(ProcessId entry, Message message) {
         mLinks.sessions().stream()
                 .filter(session -> session.entry().equals(entry))
                 .forEach(session -> session.connection().send(message));
     }
 
-    /** Returns the sessions for the status of the process. */
+    /** Returns the sessions for the process status. */
     List<ProcessStatus.Link> links() {
         return mLinks.sessions().stream()
                 .map(session -> new ProcessStatus.Link(session.entry().value(), "entry", ""))
@@ -152,24 +152,29 @@
     public void onMessage(EntrySession session, Message message) {
         if (message instanceof Invoke invoke) {
             mInvocations.invoke(
-                    session.entry(), session.number(), invoke, result -> reply(session, result));
+                    session.entry(),
+                    session.number(),
+                    invoke,
+                    result -> sendOrClose(session, result));
             mInvocations.acknowledge(
                     session.entry(), session.incarnation(), invoke.acknowledgedBelow());
         } else if (message instanceof Cancel cancel) {
-            reply(session, mInvocations.cancel(cancel.request(), result -> reply(session, result)));
+            sendOrClose(
+                    session,
+                    mInvocations.cancel(cancel.request(), result -> sendOrClose(session, result)));
         } else if (message instanceof ConfigurationUpdate update) {
             mConfiguration.updateIfNewer(update, ConfigurationSource.ENTRY);
-        } else if (message instanceof RegistrationConfirmation standing) {
-            mTargets.onInstanceRegistered(standing);
+        } else if (message instanceof RegistrationConfirmation confirmation) {
+            mTargets.onInstanceRegistered(confirmation);
         } else {
-            mWorker.ifPresent(worker -> worker.onMessage(session.entry(), message));
+            mWorkerLeases.ifPresent(leases -> leases.onMessage(session.entry(), message));
         }
     }
 
     @Override
     public void onSessionClosed(EntrySession session) {
-        // Requests in progress run on; the entry asks for their outcome on its next session.
-        mWorker.ifPresent(worker -> worker.onEntryDisconnected(session.entry()));
+        // Requests in progress continue; the entry asks for their outcome on its next session.
+        mWorkerLeases.ifPresent(leases -> leases.onEntryDisconnected(session.entry()));
     }
 
     @Override
@@ -177,7 +182,7 @@
         mLinks.addDiscovered(entries);
     }
 
-    private static void reply(EntrySession session, Message message) {
+    private static void sendOrClose(EntrySession session, Message message) {
         boolean sent = session.connection().send(message);
         if (!sent && message instanceof InvokeResult) {
             // The entry asks for the outcome on the next session.
@@ -190,6 +195,6 @@
                 mScheduler.now(TimeUnit.MILLISECONDS) - mStartedMs,
                 mConfiguration.version(),
                 mTargets.reports(),
-                mWorker.flatMap(WorkerLeases::summary));
+                mWorkerLeases.flatMap(WorkerLeases::summary));
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HttpTargetClient.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HttpTargetClient.java
@@ -32,19 +32,22 @@
 import org.hickorycleat.model.message.HttpHeader;
 import org.hickorycleat.model.message.Invoke;
 
-/** Makes HTTP exchanges with the target beside the agent. */
+/** HTTP client for the local targets of an agent. */
 public final class HttpTargetClient implements TargetClient, AutoCloseable {
-    /** Largest answer of a target, in bytes. */
-    private static final int MAXIMUM_BODY_BYTES = 512 << 10;
+    /** Maximum size of a response body of a target, in bytes. */
+    private static final int MAXIMUM_RESPONSE_BYTES = 512 << 10;
 
-    /** Far above what slots allow: the limits of each target are enforced before. */
+    /**
+     * Far above the slots of a target, whose limits are enforced before a request reaches this
+     * client.
+     */
     private static final int MAXIMUM_CONNECTIONS = 1_024;
 
     private static final int KEEP_ALIVE_SECONDS = 60;
     private static final long CONNECT_TIMEOUT_MS = 1_000;
 
-    /** Headers of one connection, which are not passed on. */
-    private static final Set<String> HOP_HEADERS =
+    /** Headers that apply to a single connection and are not forwarded. */
+    private static final Set<String> HOP_BY_HOP_HEADERS =
             Set.of(
                     "connection",
                     "keep-alive",
@@ -62,7 +65,7 @@
     private final Function<ServiceName, Optional<InetSocketAddress>> mAddresses;
     private final OkHttpClient mClient;
 
-    /** Creates a client that asks for the address of the target at each exchange. */
+    /** Creates a client that looks up the address of the target for each request. */
     public HttpTargetClient(Function<ServiceName, Optional<InetSocketAddress>> addresses) {
         mAddresses = addresses;
         Dispatcher dispatcher = new Dispatcher();
@@ -75,10 +78,10 @@
                                 new ConnectionPool(
                                         MAXIMUM_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
                         .connectTimeout(CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-                        // The deadline of each request is set on its call.
+                        // The call timeout enforces the deadline of each request.
                         .readTimeout(0, TimeUnit.MILLISECONDS)
                         .writeTimeout(0, TimeUnit.MILLISECONDS)
-                        // A repeat inside the client would run an unsafe request twice.
+                        // An automatic retry could run a non-idempotent request twice.
                         .retryOnConnectionFailure(false)
                         .followRedirects(false)
                         .build();
@@ -108,34 +111,35 @@
         call.enqueue(
                 new Callback() {
                     @Override
-                    public void onFailure(Call failed, IOException cause) {
-                        emitter.tryOnError(translate(cause));
+                    public void onFailure(Call failedCall, IOException cause) {
+                        emitter.tryOnError(toException(cause));
                     }
 
                     @Override
-                    public void onResponse(Call answered, Response response) {
-                        deliver(response, emitter);
+                    public void onResponse(Call completedCall, Response response) {
+                        emitResponse(response, emitter);
                     }
                 });
     }
 
-    private static Exception translate(IOException cause) {
+    private static Exception toException(IOException cause) {
         if (cause instanceof ConnectException) {
-            return new TargetNotReachedException("target refused the connection", cause);
+            return new TargetNotReachedException("connection to target refused", cause);
         }
         if (cause instanceof InterruptedIOException) {
-            // The call ran into the deadline of the request.
-            TimeoutException timeout = new TimeoutException("target did not answer in time");
+            // The call exceeded the deadline of the request.
+            TimeoutException timeout =
+                    new TimeoutException("target did not respond before the deadline");
             timeout.initCause(cause);
             return timeout;
         }
         return cause;
     }
 
-    private static void deliver(Response response, SingleEmitter<TargetResponse> emitter) {
+    private static void emitResponse(Response response, SingleEmitter<TargetResponse> emitter) {
         try (ResponseBody body = response.body()) {
-            if (body.source().request(MAXIMUM_BODY_BYTES + 1L)) {
-                emitter.tryOnError(new ResponseTooLargeException(MAXIMUM_BODY_BYTES));
+            if (body.source().request(MAXIMUM_RESPONSE_BYTES + 1L)) {
+                emitter.tryOnError(new ResponseTooLargeException(MAXIMUM_RESPONSE_BYTES));
                 return;
             }
             emitter.onSuccess(new TargetResponse(response.code(), headers(response), body.bytes()));
@@ -148,9 +152,9 @@
         List<HttpHeader> headers = new ArrayList<>();
         response.headers()
                 .forEach(
-                        pair -> {
-                            if (passesOn(pair.getFirst())) {
-                                headers.add(new HttpHeader(pair.getFirst(), pair.getSecond()));
+                        header -> {
+                            if (isForwarded(header.getFirst())) {
+                                headers.add(new HttpHeader(header.getFirst(), header.getSecond()));
                             }
                         });
         return headers;
@@ -164,7 +168,7 @@
             if (header.name().equalsIgnoreCase("content-type")) {
                 contentType = header.value();
             }
-            if (passesOn(header.name())) {
+            if (isForwarded(header.name())) {
                 builder.addHeader(header.name(), header.value());
             }
         }
@@ -177,7 +181,7 @@
         return builder.build();
     }
 
-    private static boolean passesOn(String header) {
-        return !HOP_HEADERS.contains(header.toLowerCase(Locale.ROOT));
+    private static boolean isForwarded(String header) {
+        return !HOP_BY_HOP_HEADERS.contains(header.toLowerCase(Locale.ROOT));
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/WorkerLeases.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/WorkerLeases.java
@@ -16,20 +16,20 @@
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.WorkerSummary;
 
-/** The worker beside the agent: runs the lease keeper and carries its messages. */
+/** Runs the lease manager for the local worker and relays its messages. */
 final class WorkerLeases implements LeaseManagerOutput, AutoCloseable {
-    private static final long TICK_MS = 1_000;
+    private static final long TICK_INTERVAL_MS = 1_000;
     private static final long CONNECT_TIMEOUT_MS = 500;
 
-    private final TaskLeaseManager mKeeper;
+    private final TaskLeaseManager mLeaseManager;
     private final Scheduler mScheduler;
-    private final Supplier<EntrySessions> mEntries;
-    private final Runnable mReport;
+    private final Supplier<EntrySessions> mEntrySessions;
+    private final Runnable mSendReport;
     private final OkHttpClient mClient =
             new OkHttpClient.Builder()
                     .connectTimeout(CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS)
                     .build();
-    private final CompositeDisposable mRunning = new CompositeDisposable();
+    private final CompositeDisposable mSubscriptions = new CompositeDisposable();
     private volatile Optional<WorkerSummary> mSummary = Optional.empty();
 
     WorkerLeases(
@@ -37,11 +37,11 @@
             Incarnation agent,
             Scheduler scheduler,
             Supplier<EntrySessions> entries,
-            Runnable report) {
+            Runnable sendReport) {
         mScheduler = scheduler;
-        mEntries = entries;
-        mReport = report;
-        mKeeper =
+        mEntrySessions = entries;
+        mSendReport = sendReport;
+        mLeaseManager =
                 new TaskLeaseManager(
                         new HttpWorkerControl(mClient, worker),
                         this,
@@ -50,36 +50,36 @@
                         scheduler);
     }
 
-    /** Starts to list the worker and to request leases. */
+    /** Starts listing the tasks of the worker and requesting leases. */
     void start() {
-        mRunning.add(
+        mSubscriptions.add(
                 mScheduler.schedulePeriodicallyDirect(
-                        mKeeper::tick, 0, TICK_MS, TimeUnit.MILLISECONDS));
+                        mLeaseManager::tick, 0, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS));
     }
 
-    /** Returns the state of the worker as last listed. */
+    /** Returns the state of the worker at its last listing. */
     Optional<WorkerSummary> summary() {
         return mSummary;
     }
 
-    /** Handles a message of an owner. */
+    /** Handles a message from an owner. */
     void onMessage(ProcessId owner, Message message) {
-        mKeeper.onMessage(owner, message);
+        mLeaseManager.onMessage(owner, message);
     }
 
-    /** The connection to an entry is lost. */
+    /** Handles the loss of the connection to an entry. */
     void onEntryDisconnected(ProcessId entry) {
-        mKeeper.disconnected(entry);
+        mLeaseManager.disconnected(entry);
     }
 
     /** Returns the counters for the dump. */
     Object counts() {
-        return mKeeper.counts();
+        return mLeaseManager.counts();
     }
 
     @Override
     public void send(ProcessId owner, Message message) {
-        mEntries.get().send(owner, message);
+        mEntrySessions.get().send(owner, message);
     }
 
     @Override
@@ -88,14 +88,14 @@
                 !mSummary.map(WorkerSummary::incarnation).equals(Optional.of(worker.incarnation()));
         mSummary = Optional.of(worker);
         if (restarted) {
-            // Owners must learn of the restart before anything that is sent later.
-            mReport.run();
+            // Owners must be notified of the restart before any later message.
+            mSendReport.run();
         }
     }
 
     @Override
     public void close() {
-        mRunning.dispose();
+        mSubscriptions.dispose();
         mClient.dispatcher().executorService().shutdown();
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/package-info.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/package-info.java
@@ -1,4 +1,4 @@
-/** The agent role: runs beside a target or worker. */
+/** The agent role: serves the local targets and the local worker of a VM. */
 @NullMarked
 package org.hickorycleat.daemon.agent;
 
