--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/DaemonSettings.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/DaemonSettings.java
@@ -8,13 +8,13 @@
 import org.hickorycleat.model.identifier.ZoneId;
 
 /**
- * Checked settings of a daemon; exactly one of entry and agent is present.
+ * Validated settings of a daemon; exactly one of {@code entry} and {@code agent} is present.
  *
  * @param process name of the process
- * @param zone its availability zone
- * @param adminListen address of its admin HTTP, and at an agent of the announcements of targets
- * @param drainLimit how long a drain waits for requests in progress
- * @param logLevel level of its logs
+ * @param zone availability zone of the process
+ * @param adminListen address to listen on for admin HTTP and, for an agent, target announcements
+ * @param drainLimit maximum time that a drain waits for requests in progress
+ * @param logLevel minimum level of log messages
  * @param entry settings of the entry role
  * @param agent settings of the agent role
  */
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/EntrySettings.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/EntrySettings.java
@@ -6,9 +6,9 @@
 /**
  * Settings of the entry role.
  *
- * @param callerListen address for callers
- * @param peerListen address for agents and other entries
- * @param peers addresses of other entries to start from
+ * @param callerListen address to listen on for callers
+ * @param peerListen address to listen on for agents and other entries
+ * @param peers addresses of the first other entries to connect to; further ones are discovered
  * @param logService address of the log service
  */
 public record EntrySettings(
@@ -16,7 +16,7 @@
         InetSocketAddress peerListen,
         List<InetSocketAddress> peers,
         String logService) {
-    /** Copies the collections. */
+    /** Makes a defensive copy of the list. */
     public EntrySettings {
         peers = List.copyOf(peers);
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingError.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingError.java
@@ -1,12 +1,12 @@
 package org.hickorycleat.daemon.settings;
 
 /**
- * A mistake in a settings file.
+ * An error in a settings file.
  *
- * @param file the file
- * @param line line from 1, or 0 when the setting is missing
- * @param setting section and key
- * @param message what is wrong and what was expected
+ * @param file path of the file
+ * @param line line number from 1, or 0 if the setting is missing
+ * @param setting section and key, separated by a dot
+ * @param message description of the error and of the expected value
  */
 public record SettingError(String file, int line, String setting, String message) {
     @Override
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingLineIndex.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingLineIndex.java
@@ -6,10 +6,13 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Line numbers and repetitions of the settings of a file, which the INI library does not keep. */
+/**
+ * Index of the line numbers and duplicates of the settings in a file, which the INI library does
+ * not record.
+ */
 final class SettingLineIndex {
     private final Map<String, Integer> mLines = new HashMap<>();
-    private final Map<String, Integer> mRepeated = new LinkedHashMap<>();
+    private final Map<String, Integer> mDuplicates = new LinkedHashMap<>();
     private final Set<String> mSections = new HashSet<>();
 
     SettingLineIndex(String text) {
@@ -17,17 +20,17 @@
         int number = 0;
         for (String line : text.lines().toList()) {
             number++;
-            String clean = line.strip();
-            if (clean.startsWith("[") && clean.endsWith("]")) {
-                section = clean.substring(1, clean.length() - 1).strip();
+            String stripped = line.strip();
+            if (stripped.startsWith("[") && stripped.endsWith("]")) {
+                section = stripped.substring(1, stripped.length() - 1).strip();
                 if (!mSections.add(section)) {
-                    mRepeated.put(section, number);
+                    mDuplicates.put(section, number);
                 }
                 continue;
             }
-            int equals = clean.indexOf('=');
-            if (equals > 0 && !isComment(clean)) {
-                add(section + "." + clean.substring(0, equals).strip(), number);
+            int separator = stripped.indexOf('=');
+            if (separator > 0 && !isComment(stripped)) {
+                add(section + "." + stripped.substring(0, separator).strip(), number);
             }
         }
     }
@@ -38,16 +41,16 @@
 
     private void add(String setting, int line) {
         if (mLines.putIfAbsent(setting, line) != null) {
-            mRepeated.put(setting, line);
+            mDuplicates.put(setting, line);
         }
     }
 
-    /** Returns the sections and settings that are given again, with the line of the last time. */
+    /** Returns the duplicate sections and settings with the line of their last occurrence. */
     Map<String, Integer> duplicates() {
-        return Map.copyOf(mRepeated);
+        return Map.copyOf(mDuplicates);
     }
 
-    /** Returns the line of a setting, or 0 when it is not in the file. */
+    /** Returns the line number of a setting, or 0 if it is not in the file. */
     int lineOf(String section, String key) {
         return mLines.getOrDefault(section + "." + key, 0);
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingsParser.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingsParser.java
@@ -16,18 +16,18 @@
 import org.ini4j.Config;
 import org.ini4j.Ini;
 
-/** Parses and checks a settings file; docs/settings.md describes it. */
+/** Parses and validates a settings file; docs/settings.md describes the format. */
 public final class SettingsParser {
     private static final Duration DEFAULT_DRAIN_LIMIT = Duration.ofSeconds(30);
     private static final Duration DEFAULT_KEY_VALIDITY = Duration.ofSeconds(60);
     private static final int DEFAULT_MAXIMUM_LINKS = 8;
-    private static final int LINKS_LIMIT = 64;
+    private static final int MAXIMUM_LINKS_LIMIT = 64;
     private static final String BYTE_ORDER_MARK = "\uFEFF";
     private static final InetSocketAddress NO_ADDRESS = InetSocketAddress.createUnresolved("-", 0);
 
     private SettingsParser() {}
 
-    /** Parses a file; the left side holds every error. */
+    /** Parses a file; the left side lists all errors. */
     public static Either<List<SettingError>, DaemonSettings> parse(Path file) {
         try {
             return parse(file.toString(), Files.readString(file, StandardCharsets.UTF_8));
@@ -37,7 +37,7 @@
         }
     }
 
-    /** Parses the text of a file; the left side holds every error. */
+    /** Parses the content of a file; the left side lists all errors. */
     public static Either<List<SettingError>, DaemonSettings> parse(String file, String content) {
         String text = content.startsWith(BYTE_ORDER_MARK) ? content.substring(1) : content;
         Ini ini = new Ini();
@@ -97,7 +97,10 @@
     private static AgentSettings agent(SettingsReader reader) {
         return new AgentSettings(
                 reader.required("agent", "entries", ValueParser::addresses, List.of()),
-                reader.optional("agent", "maximum_links", ValueParser.positive(LINKS_LIMIT)::apply)
+                reader.optional(
+                                "agent",
+                                "maximum_links",
+                                ValueParser.positive(MAXIMUM_LINKS_LIMIT)::apply)
                         .orElse(DEFAULT_MAXIMUM_LINKS),
                 reader.optional("agent", "key_validity", ValueParser::duration)
                         .orElse(DEFAULT_KEY_VALIDITY),
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingsReader.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingsReader.java
@@ -9,21 +9,24 @@
 import java.util.Set;
 import org.ini4j.Ini;
 
-/** Reads settings of an INI file one by one and collects every error. */
+/** Reads the settings of an INI file and collects all errors. */
 final class SettingsReader {
     private final String mFile;
     private final Ini mIni;
-    private final SettingLineIndex mLines;
+    private final SettingLineIndex mLineIndex;
     private final List<SettingError> mErrors = new ArrayList<>();
-    private final Set<String> mKnown = new HashSet<>();
+    private final Set<String> mRequestedSettings = new HashSet<>();
 
     SettingsReader(String file, Ini ini, SettingLineIndex lines) {
         mFile = file;
         mIni = ini;
-        mLines = lines;
+        mLineIndex = lines;
     }
 
-    /** Reads a setting that must be there; the fallback only stands in after an error. */
+    /**
+     * Reads a mandatory setting; returns the fallback if the setting is missing or invalid, after
+     * recording the error.
+     */
     <T> T required(String section, String key, ValueParser<T> parser, T fallback) {
         Optional<T> value = optional(section, key, parser);
         if (value.isEmpty() && text(section, key).isEmpty()) {
@@ -32,9 +35,9 @@
         return value.orElse(fallback);
     }
 
-    /** Reads a setting that may be absent. */
+    /** Reads an optional setting; empty if it is absent or invalid. */
     <T> Optional<T> optional(String section, String key, ValueParser<T> parser) {
-        mKnown.add(name(section, key));
+        mRequestedSettings.add(name(section, key));
         Optional<String> text = text(section, key);
         if (text.isEmpty()) {
             return Optional.empty();
@@ -47,22 +50,23 @@
         return Optional.of(parsed.get());
     }
 
-    /** Adds an error about a setting that was read. */
+    /** Records an error with the line number of a setting. */
     void addError(String section, String key, String message) {
-        int line = mLines.lineOf(section, key);
+        int line = mLineIndex.lineOf(section, key);
         mErrors.add(new SettingError(mFile, line, name(section, key), message));
     }
 
-    /** Returns all errors, those for settings that nobody asked for included. */
+    /** Returns all errors, including those for unknown and duplicate settings. */
     List<SettingError> errors() {
         for (Map.Entry<String, org.ini4j.Profile.Section> section : mIni.entrySet()) {
             for (String key : section.getValue().keySet()) {
-                if (!mKnown.contains(name(section.getKey(), key))) {
+                if (!mRequestedSettings.contains(name(section.getKey(), key))) {
                     addError(section.getKey(), key, "unknown setting for this role");
                 }
             }
         }
-        mLines.duplicates()
+        mLineIndex
+                .duplicates()
                 .forEach(
                         (setting, line) ->
                                 mErrors.add(new SettingError(mFile, line, setting, "given twice")));
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/package-info.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/package-info.java
@@ -1,4 +1,4 @@
-/** Settings of the daemon, read from an INI file and checked as a whole. */
+/** Daemon settings, read from an INI file and validated completely before use. */
 @NullMarked
 package org.hickorycleat.daemon.settings;
 
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/settings/SettingsParserTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/settings/SettingsParserTest.java
@@ -26,7 +26,7 @@
             peers = 127.0.0.1:7302, 127.0.0.1:7303
             """;
 
-    /** Guards against a setting that is accepted and then ignored. */
+    /** Guards against a setting being accepted but ignored. */
     @Test
     void readsEverySettingOfAnEntry() {
         DaemonSettings settings = SettingsParser.parse("entry.ini", ENTRY).get();
@@ -41,7 +41,7 @@
         assertThat(settings.agent()).isEmpty();
     }
 
-    /** Guards against an operator who has to correct one error at a time. */
+    /** Guards against reporting only the first of several errors. */
     @Test
     void reportsEveryErrorWithItsLine() {
         String text =
@@ -60,9 +60,9 @@
                         tuple(11, "entry.log_servise"));
     }
 
-    /** Guards against the settings of one role being silently accepted in another. */
+    /** Guards against silently accepting the settings of one role for another. */
     @Test
-    void refusesSettingsOfTheOtherRole() {
+    void rejectsSettingsOfTheOtherRole() {
         List<SettingError> errors =
                 SettingsParser.parse("entry.ini", ENTRY + "\n[agent]\nentries = 127.0.0.1:1\n")
                         .getLeft();
@@ -70,9 +70,9 @@
         assertThat(errors).extracting(SettingError::setting).containsExactly("agent.entries");
     }
 
-    /** Guards against the last of two values silently taking effect. */
+    /** Guards against a duplicate silently overriding the first value. */
     @Test
-    void refusesWhatIsGivenTwice() {
+    void rejectsDuplicateSectionsAndSettings() {
         String text =
                 ENTRY.replace("id = entry-1\n", "id = entry-1\nid = entry-2\n")
                         + "[process]\nlog_level = info\n";
@@ -84,15 +84,15 @@
                 .containsExactlyInAnyOrder(tuple(4, "process.id"), tuple(14, "process"));
     }
 
-    /** Guards against editors that write a byte-order mark. */
+    /** Guards against rejecting files that start with a byte order mark. */
     @Test
-    void readsOverByteOrderMark() {
+    void ignoresByteOrderMark() {
         assertThat(SettingsParser.parse("entry.ini", "\uFEFF" + ENTRY).isRight()).isTrue();
     }
 
-    /** Guards against an exception on a file that is not INI at all. */
+    /** Guards against an exception on a file that is not in INI format. */
     @Property(seed = "3", tries = 500)
-    void anyTextIsParsedOrRefused(@ForAll String text) {
+    void parsesOrRejectsArbitraryText(@ForAll String text) {
         assertThat(SettingsParser.parse("any.ini", text)).isNotNull();
     }
 }
