Use standard terms in the admin HTTP server

The interface of a process behind the admin server was called a view and its comments were colloquial. Behaviour is unchanged; the detail of the error for an unknown task is reworded.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminHttpServer.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminHttpServer.java
@@ -13,28 +13,36 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.hickorycleat.model.result.ResultCode;
 
-/** Admin HTTP of a process: health, readiness, status, dump, jobs, drain and metrics. */
+/**
+ * Admin HTTP server of a process: health, readiness, metrics, status, dump, jobs, task explanations
+ * and drain.
+ */
 public final class AdminHttpServer implements AutoCloseable {
-    /** Jetty needs a few threads for itself: acceptor, selector and a reserve. */
-    private static final int THREADS = 8;
+    /**
+     * Jetty uses some of these threads itself, for its acceptor, its selector and its reserved
+     * threads.
+     */
+    private static final int MAXIMUM_THREADS = 8;
 
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int ACCEPTED = 202;
 
-    private final AdminOperations mView;
+    private final AdminOperations mOperations;
     private final PrometheusMeterRegistry mMeters;
     private final ObjectMapper mMapper = AdminJsonMapper.create();
     private final Javalin mServer;
 
-    /** Creates the server; {@code routes} adds routes of the role. */
+    /** Creates the server; {@code routes} adds the routes of the process role. */
     public AdminHttpServer(
-            AdminOperations view, PrometheusMeterRegistry meters, Consumer<JavalinConfig> routes) {
-        mView = view;
+            AdminOperations operations,
+            PrometheusMeterRegistry meters,
+            Consumer<JavalinConfig> routes) {
+        mOperations = operations;
         mMeters = meters;
         mServer = Javalin.create(configuration -> configure(configuration, routes));
     }
 
-    /** Starts to listen. */
+    /** Starts listening. */
     public void start(InetSocketAddress address) {
         mServer.start(address.getHostString(), address.getPort());
     }
@@ -46,42 +54,43 @@
 
     private void configure(JavalinConfig configuration, Consumer<JavalinConfig> routes) {
         configuration.startup.showJavalinBanner = false;
-        configuration.jetty.threadPool = new QueuedThreadPool(THREADS, 2);
+        configuration.jetty.threadPool = new QueuedThreadPool(MAXIMUM_THREADS, 2);
         configuration.routes.get("/health", context -> context.result("ok"));
         configuration.routes.get("/ready", this::ready);
         configuration.routes.get("/metrics", context -> context.result(mMeters.scrape()));
-        configuration.routes.get("/admin/status", context -> json(context, mView.status()));
-        configuration.routes.get("/admin/dump", context -> json(context, mView.dump()));
         configuration.routes.get(
-                "/admin/jobs", context -> json(context, Map.of("jobs", mView.jobs())));
+                "/admin/status", context -> writeJson(context, mOperations.status()));
+        configuration.routes.get("/admin/dump", context -> writeJson(context, mOperations.dump()));
+        configuration.routes.get(
+                "/admin/jobs", context -> writeJson(context, Map.of("jobs", mOperations.jobs())));
         configuration.routes.get("/admin/explain/{task}", this::explain);
         configuration.routes.post("/admin/drain", this::drain);
         routes.accept(configuration);
     }
 
     private void ready(Context context) throws JsonProcessingException {
-        List<String> reasons = mView.notReadyReasons();
+        List<String> reasons = mOperations.notReadyReasons();
         if (!reasons.isEmpty()) {
             context.status(SERVICE_UNAVAILABLE);
         }
-        json(context, Map.of("ready", reasons.isEmpty(), "reasons", reasons));
+        writeJson(context, Map.of("ready", reasons.isEmpty(), "reasons", reasons));
     }
 
     private void explain(Context context) throws JsonProcessingException {
-        var explanation = mView.explain(context.pathParam("task"));
+        var explanation = mOperations.explain(context.pathParam("task"));
         if (explanation.isEmpty()) {
             context.status(ResultCode.NOT_FOUND.httpStatus());
-            json(context, error(ResultCode.NOT_FOUND, "no task of that name here"));
+            writeJson(context, error(ResultCode.NOT_FOUND, "no such task in this process"));
             return;
         }
-        json(context, explanation.get());
+        writeJson(context, explanation.get());
     }
 
     private void drain(Context context) throws JsonProcessingException {
-        mView.drain();
+        mOperations.drain();
         context.status(ACCEPTED);
-        ProcessStatus status = mView.status();
-        json(
+        ProcessStatus status = mOperations.status();
+        writeJson(
                 context,
                 Map.of(
                         "process", status.process(),
@@ -94,7 +103,7 @@
                 "error", Map.of("number", code.number(), "name", code.name(), "detail", detail));
     }
 
-    private void json(Context context, Object value) throws JsonProcessingException {
+    private void writeJson(Context context, Object value) throws JsonProcessingException {
         context.contentType("application/json").result(mMapper.writeValueAsString(value));
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminJsonMapper.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminJsonMapper.java
@@ -20,7 +20,7 @@
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.identifier.ZoneId;
 
-/** Creates the JSON mapper for the state that operators see. */
+/** Creates the JSON mapper for the responses of the admin interface. */
 final class AdminJsonMapper {
     private AdminJsonMapper() {}
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminOperations.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminOperations.java
@@ -3,21 +3,26 @@
 import java.util.List;
 import java.util.Optional;
 
-/** What a process shows to operators; every value is turned into JSON. */
+/**
+ * Operations of a process behind the admin HTTP interface; return values are serialized as JSON.
+ */
 public interface AdminOperations {
-    /** Returns a short summary of the process. */
+    /** Returns the status summary of the process. */
     ProcessStatus status();
 
-    /** Returns the whole state of the process. */
+    /** Returns the internal state of the process for a dump. */
     Object dump();
 
-    /** Returns the jobs that the process knows. */
+    /** Returns the jobs of the shards that this process owns. */
     List<AdminTaskStatus> jobs();
 
-    /** Tells why a task waits or stands where it stands. */
+    /**
+     * Returns the status of a task with the reason for its placement or wait; empty if the task is
+     * unknown here.
+     */
     Optional<AdminTaskStatus> explain(String task);
 
-    /** Returns why the process cannot serve; empty when it can. */
+    /** Returns the reasons why the process is not ready; empty if it is ready. */
     List<String> notReadyReasons();
 
     /** Starts a graceful shutdown. */
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminTaskStatus.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminTaskStatus.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
-/** A task as operators see it; docs/interfaces.md describes the fields. */
+/** Status of a task in the admin interface; docs/interfaces.md describes the fields. */
 public record AdminTaskStatus(
         String task,
         String name,
@@ -16,6 +16,6 @@
         Optional<String> deadline,
         String reason,
         List<Event> events) {
-    /** Something that happened to the task. */
+    /** An event in the history of the task. */
     public record Event(String time, String event, String reason) {}
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/ProcessStatus.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/ProcessStatus.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** Answer of {@code GET /admin/status}; docs/interfaces.md describes the fields. */
+/** Response to {@code GET /admin/status}; docs/interfaces.md describes the fields. */
 public record ProcessStatus(
         String process,
         String role,
@@ -17,17 +17,17 @@
         List<Service> services,
         List<Shard> shards,
         List<Link> links) {
-    /** Configuration in force. */
+    /** The active configuration. */
     public record Configuration(long version, String source, boolean complete) {}
 
-    /** Reading of the log service. */
+    /** Availability of the log service to this process. */
     public record Log(boolean available, String error) {}
 
-    /** Targets of a service. */
+    /** Target and request counts of a service. */
     public record Service(
             String service, long ready, long leaving, long suspect, int inFlight, int queued) {}
 
-    /** A placement shard. */
+    /** Owner and task counts of a placement shard. */
     public record Shard(
             long shard, String owner, long epoch, long tasksRunning, long tasksWaiting) {}
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/package-info.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/package-info.java
@@ -1,4 +1,4 @@
-/** HTTP towards operators. */
+/** Admin HTTP server and its response types. */
 @NullMarked
 package org.hickorycleat.daemon.http;
 
