--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logservice/HttpLogService.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logservice/HttpLogService.java
@@ -26,14 +26,14 @@
 import org.hickorycleat.logic.port.LogUnavailableException;
 import org.hickorycleat.model.identifier.StreamName;
 
-/** Log service over HTTP; disposing of a result cancels its exchange. */
+/** HTTP client of the log service; disposing of a subscription cancels its request. */
 public final class HttpLogService implements LogService, AutoCloseable {
     /**
-     * A process follows the stream of the configuration, that of the entries and those of its
-     * shards, each with one read and one append at a time; 32 covers the largest number of shards
-     * that one entry takes over when an availability zone fails.
+     * A process follows the configuration stream, the stream of the entries and the streams of its
+     * shards, each with one read and one append at a time. 32 covers the most shards that one entry
+     * takes over when an availability zone fails.
      */
-    private static final int MAXIMUM_EXCHANGES = 32;
+    private static final int MAXIMUM_CONCURRENT_REQUESTS = 32;
 
     private static final int GONE = 410;
     private static final MediaType BYTES = MediaType.get("application/octet-stream");
@@ -43,21 +43,23 @@
     private final LogServiceTimeouts mTimeouts;
     private final OkHttpClient mClient;
 
-    /** Creates a client of the service at an address such as {@code http://127.0.0.1:7000}. */
+    /** Creates a client for an address such as {@code http://127.0.0.1:7000}. */
     public HttpLogService(String address, LogServiceTimeouts timeouts) {
         mBase = HttpUrl.get(address);
         mTimeouts = timeouts;
         Dispatcher dispatcher = new Dispatcher();
-        dispatcher.setMaxRequests(MAXIMUM_EXCHANGES);
-        dispatcher.setMaxRequestsPerHost(MAXIMUM_EXCHANGES);
+        dispatcher.setMaxRequests(MAXIMUM_CONCURRENT_REQUESTS);
+        dispatcher.setMaxRequestsPerHost(MAXIMUM_CONCURRENT_REQUESTS);
         mClient =
                 new OkHttpClient.Builder()
                         .dispatcher(dispatcher)
-                        .connectionPool(new ConnectionPool(MAXIMUM_EXCHANGES, 30, TimeUnit.SECONDS))
+                        .connectionPool(
+                                new ConnectionPool(
+                                        MAXIMUM_CONCURRENT_REQUESTS, 30, TimeUnit.SECONDS))
                         .connectTimeout(timeouts.connect())
                         .readTimeout(Duration.ZERO)
                         .writeTimeout(timeouts.response())
-                        // A silent retry of an append would add a second copy of its record.
+                        // An automatic retry of an append could write a duplicate record.
                         .retryOnConnectionFailure(false)
                         .build();
     }
@@ -98,7 +100,7 @@
                 .addPathSegment("records");
     }
 
-    /** Reads the body of an answer with status 200. */
+    /** Parses the body of a successful response. */
     private interface BodyReader<T> {
         T read(JsonNode body) throws IOException;
     }
@@ -133,14 +135,16 @@
         public void onResponse(Call call, Response response) {
             try (response) {
                 if (response.code() == GONE) {
-                    long first = whole(MAPPER.readTree(response.body().bytes()), "first_offset");
+                    long first =
+                            nonNegativeLong(
+                                    MAPPER.readTree(response.body().bytes()), "first_offset");
                     mEmitter.tryOnError(new LogTruncatedException(first));
                 } else if (response.isSuccessful()) {
                     mEmitter.onSuccess(mReader.read(MAPPER.readTree(response.body().bytes())));
                 } else {
                     mEmitter.tryOnError(
                             new LogUnavailableException(
-                                    "log service answered status " + response.code()));
+                                    "log service responded with status " + response.code()));
                 }
             } catch (IOException exception) {
                 onFailure(call, exception);
@@ -149,28 +153,31 @@
     }
 
     private static long offset(JsonNode body) throws IOException {
-        return whole(body, "offset");
+        return nonNegativeLong(body, "offset");
     }
 
     private static LogPage page(JsonNode body) throws IOException {
         List<LogRecord> records = new ArrayList<>();
         for (JsonNode record : body.path("records")) {
             if (!record.path("payload").isTextual()) {
-                throw new IOException("a record without payload");
+                throw new IOException("log record without payload");
             }
             records.add(
                     new LogRecord(
-                            whole(record, "offset"),
-                            whole(record, "timestamp_ms"),
+                            nonNegativeLong(record, "offset"),
+                            nonNegativeLong(record, "timestamp_ms"),
                             record.path("payload").binaryValue()));
         }
-        return new LogPage(whole(body, "first_offset"), whole(body, "next_offset"), records);
+        return new LogPage(
+                nonNegativeLong(body, "first_offset"),
+                nonNegativeLong(body, "next_offset"),
+                records);
     }
 
-    private static long whole(JsonNode body, String field) throws IOException {
+    private static long nonNegativeLong(JsonNode body, String field) throws IOException {
         JsonNode value = body.path(field);
         if (!value.isIntegralNumber() || !value.canConvertToLong() || value.longValue() < 0) {
-            throw new IOException("answer without " + field);
+            throw new IOException("response without valid " + field);
         }
         return value.longValue();
     }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/logservice/HttpLogServiceTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/logservice/HttpLogServiceTest.java
@@ -33,9 +33,9 @@
         mServer.close();
     }
 
-    /** Guards against content that changes on the way through the log. */
+    /** Guards against changed payloads between append and read. */
     @Test
-    void recordsAreReadAsTheyWereAppended() {
+    void recordsAreReadUnchanged() {
         byte[] payload = new byte[256];
         for (int index = 0; index < payload.length; index++) {
             payload[index] = (byte) index;
@@ -50,9 +50,11 @@
         assertThat(page.records().get(1).payload()).isEmpty();
     }
 
-    /** Guards against changes that wait for the next poll instead of ending the current one. */
+    /**
+     * Guards against a new record being delivered only by the next poll instead of the current one.
+     */
     @Test
-    void waitingReadEndsAtTheNextAppend() throws InterruptedException {
+    void longPollEndsAtTheNextAppend() throws InterruptedException {
         TestObserver<LogPage> read = mLog.read(STREAM, 0, 10, Duration.ofSeconds(20)).test();
         appendAndWait(new byte[] {7});
 
@@ -60,17 +62,17 @@
         assertThat(read.values().get(0).records()).hasSize(1);
     }
 
-    /** Guards against a wait that the client's own time limit takes for an outage. */
+    /** Guards against the client's response timeout treating a long poll as an outage. */
     @Test
-    void waitLongerThanTheAnswerTimeoutEndsWithAnEmptyPage() {
+    void longPollBeyondResponseTimeoutEndsWithEmptyPage() {
         LogPage page = mLog.read(STREAM, 0, 10, Duration.ofMillis(1_500)).blockingGet();
 
         assertThat(page.records()).isEmpty();
     }
 
-    /** Guards against reading on as if nothing was missing. */
+    /** Guards against continuing to read without noticing truncated records. */
     @Test
-    void readBeforeTheRetentionNamesTheFirstKeptOffset() {
+    void readOfTruncatedOffsetReportsFirstRetainedOffset() {
         for (byte number = 0; number < 5; number++) {
             appendAndWait(new byte[] {number});
         }
@@ -84,7 +86,7 @@
                                         && truncated.firstOffset() == 2);
     }
 
-    /** Guards against exchanges that hang, or errors that callers do not expect, in an outage. */
+    /** Guards against requests that hang or fail with an undeclared exception during an outage. */
     @Test
     void outagesAreReportedWithinTheTimeout() {
         for (LogOutage outage : List.of(LogOutage.REFUSE, LogOutage.HOLD)) {
@@ -103,9 +105,9 @@
         assertThat(append(new byte[] {1}).blockingGet()).isEqualTo(0);
     }
 
-    /** Guards against a client that silently appends again when the connection breaks. */
+    /** Guards against an automatic retry of an append after its connection broke. */
     @Test
-    void appendWhoseAnswerIsLostIsReportedAndNotRepeated() {
+    void appendWithLostResponseFailsWithoutRetry() {
         appendAndWait(new byte[] {0});
         mServer.setFaults(new LogFaults(LogOutage.NONE, 0, 1, 0));
         append(new byte[] {1})
@@ -116,9 +118,9 @@
         assertThat(mLog.read(STREAM, 0, 10, Duration.ZERO).blockingGet().records()).hasSize(2);
     }
 
-    /** Guards against appends beyond the capacity of the log service that seem to succeed. */
+    /** Guards against reporting success for appends beyond the capacity of the log service. */
     @Test
-    void appendBeyondTheLimitIsReported() {
+    void appendBeyondRateLimitFails() {
         mServer.setFaults(new LogFaults(LogOutage.NONE, 0, 0, 1));
         appendAndWait(new byte[] {1});
 
