--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/HangupSignal.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/HangupSignal.java
@@ -4,17 +4,17 @@
 import org.hickorycleat.daemon.logging.EventLog;
 
 /**
- * Keeps SIGHUP from ending the process.
+ * Handles SIGHUP, which would otherwise end the process.
  *
- * <p>The class of the runtime that handles signals is reached by reflection, as the compiler warns
- * of every other use.
+ * <p>The JDK's signal API is internal and is called by reflection because the compiler warns of any
+ * direct use.
  */
 public final class HangupSignal {
     private static final EventLog LOG = EventLog.of(HangupSignal.class);
 
     private HangupSignal() {}
 
-    /** Runs an action at every SIGHUP. */
+    /** Registers an action to run at every SIGHUP. */
     public static void handle(Runnable action) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Lifecycle.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Lifecycle.java
@@ -2,24 +2,24 @@
 
 import java.time.Duration;
 
-/** Start and graceful shutdown of a process. */
+/** Lifecycle of a process: start and graceful shutdown. */
 public interface Lifecycle extends AutoCloseable {
-    /** Starts to serve. */
+    /** Starts serving. */
     void start() throws InterruptedException;
 
-    /** Refuses new work from now on. */
+    /** Rejects new work while work in progress finishes. */
     void drain();
 
-    /** Tells whether a drain was asked for. */
+    /** Returns whether a drain was requested. */
     boolean isDraining();
 
-    /** Tells whether nothing is in progress. */
+    /** Returns whether no work is in progress. */
     boolean isIdle();
 
-    /** Returns how long a drain may wait for work in progress. */
+    /** Returns the maximum time that a drain waits for work in progress. */
     Duration drainTimeout();
 
-    /** Returns how long a drain lasts at least, so that peers learn of it. */
+    /** Returns the minimum duration of a drain, which gives peers time to be notified of it. */
     default Duration minimumDrainDuration() {
         return Duration.ofSeconds(2);
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Main.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Main.java
@@ -27,9 +27,9 @@
 public final class Main {
     private Main() {}
 
-    /** Checks the settings and runs the role that they name. */
+    /** Validates the settings and runs the configured role. */
     public static void main(String[] arguments) throws Exception {
-        // Leases and deadlines must not move with the wall clock.
+        // Leases and deadlines must not depend on the wall clock.
         System.setProperty("rx3.scheduler.use-nanotime", "true");
         if (arguments.length == 1 && arguments[0].equals("platform")) {
             runOnPlatform();
@@ -82,7 +82,7 @@
     }
 
     private static void run(DaemonSettings settings) throws InterruptedException {
-        // The wall clock is the only thing that grows across restarts on a VM without disk.
+        // On a VM without disk, only the wall clock increases across restarts.
         Incarnation incarnation = new Incarnation(System.currentTimeMillis());
         Scheduler scheduler = Schedulers.computation();
         run(create(settings, incarnation, scheduler));
@@ -94,7 +94,7 @@
         try {
             process.start();
         } catch (Exception e) {
-            // The transport throws checked exceptions that it does not declare.
+            // Catches Exception because the transport throws undeclared checked exceptions.
             System.err.println("event=start_failed cause=\"" + e.getMessage() + '"');
             Runtime.getRuntime().halt(ResultCode.INTERNAL.exitCode());
         }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/ShutdownRunner.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/ShutdownRunner.java
@@ -3,10 +3,10 @@
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.daemon.logging.EventLog;
 
-/** Turns SIGTERM and drain requests of operators into a graceful shutdown. */
+/** Performs a graceful shutdown on SIGTERM or at the drain request of an operator. */
 public final class ShutdownRunner {
     private static final EventLog LOG = EventLog.of(ShutdownRunner.class);
-    private static final long POLL_MS = 50;
+    private static final long POLL_INTERVAL_MS = 50;
 
     private final Lifecycle mProcess;
     private boolean mClosed;
@@ -15,31 +15,31 @@
         mProcess = process;
     }
 
-    /** Runs in the shutdown hook: drains, waits for work in progress, closes. */
+    /** Drains the process, waits for work in progress and closes it. Runs in the shutdown hook. */
     void onSignal() {
         mProcess.drain();
-        finish();
+        drainAndClose();
     }
 
-    /** Waits until an operator asks for a drain, then ends the process. */
+    /** Waits until an operator requests a drain, then shuts down and exits. */
     void awaitDrain() throws InterruptedException {
         while (!mProcess.isDraining()) {
-            TimeUnit.MILLISECONDS.sleep(POLL_MS);
+            TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MS);
         }
-        finish();
+        drainAndClose();
         System.exit(0);
     }
 
-    private synchronized void finish() {
+    private synchronized void drainAndClose() {
         if (mClosed) {
             return;
         }
         mClosed = true;
         long startNanos = System.nanoTime();
-        long limitNanos = mProcess.drainTimeout().toNanos();
+        long timeoutNanos = mProcess.drainTimeout().toNanos();
         try {
-            while (System.nanoTime() - startNanos < limitNanos && !mayExit(startNanos)) {
-                TimeUnit.MILLISECONDS.sleep(POLL_MS);
+            while (System.nanoTime() - startNanos < timeoutNanos && !isDrainComplete(startNanos)) {
+                TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MS);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -50,8 +50,8 @@
         mProcess.close();
     }
 
-    private boolean mayExit(long startNanos) {
-        long passedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
-        return passedMs >= mProcess.minimumDrainDuration().toMillis() && mProcess.isIdle();
+    private boolean isDrainComplete(long startNanos) {
+        long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        return elapsedMs >= mProcess.minimumDrainDuration().toMillis() && mProcess.isIdle();
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/package-info.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/package-info.java
@@ -1,4 +1,4 @@
-/** The daemon binary. */
+/** Entry point, lifecycle and signal handling of the daemon. */
 @NullMarked
 package org.hickorycleat.daemon;
 
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/LayersTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/LayersTest.java
@@ -11,7 +11,7 @@
 
 @AnalyzeClasses(packages = "org.hickorycleat", importOptions = ImportOption.DoNotIncludeTests.class)
 class LayersTest {
-    /** Guards against decisions that depend on adapters, and a model that depends on decisions. */
+    /** Guards against dependencies of the logic on adapters and of the model on the logic. */
     @ArchTest
     static final ArchRule DEPENDENCIES_POINT_INWARD =
             layeredArchitecture()
@@ -28,9 +28,9 @@
                     .whereLayer("logic")
                     .mayOnlyBeAccessedByLayers("daemon");
 
-    /** Guards against decisions in the adapter to the users' platform. */
+    /** Guards against scheduling logic in the platform adapter. */
     @ArchTest
-    static final ArchRule PLATFORM_TRANSLATES_ONLY =
+    static final ArchRule PLATFORM_ADAPTER_CONTAINS_NO_LOGIC =
             classes()
                     .that()
                     .resideInAPackage("org.hickorycleat.platform..")
@@ -45,9 +45,12 @@
                             "org.jspecify..",
                             "java..");
 
-    /** Guards against names of the platform's wire outside of its adapter. */
+    /**
+     * Guards against dependencies on the platform's wire protocol outside the adapter and the
+     * process roles.
+     */
     @ArchTest
-    static final ArchRule ONLY_ROLES_KNOW_THE_PLATFORM =
+    static final ArchRule ONLY_ROLES_DEPEND_ON_PLATFORM_ADAPTER =
             noClasses()
                     .that()
                     .resideOutsideOfPackages(
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/RandomBytesTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/RandomBytesTest.java
@@ -31,12 +31,12 @@
 
 class RandomBytesTest {
     private static final int CONNECTIONS = 150;
-    private static final int LARGEST_BYTES = 2_000;
+    private static final int MAXIMUM_BYTES = 2_000;
 
     private final HttpClient mClient = HttpClient.newHttpClient();
     private final InetSocketAddress mEntryAdmin = freeAddress();
-    private final InetSocketAddress mCallers = freeAddress();
-    private final InetSocketAddress mPeers = freeAddress();
+    private final InetSocketAddress mCallerListen = freeAddress();
+    private final InetSocketAddress mPeerListen = freeAddress();
     private final InetSocketAddress mAgentAdmin = freeAddress();
     private final EntryProcess mEntry =
             new EntryProcess(
@@ -63,11 +63,12 @@
         mEntry.close();
     }
 
-    /** Guards against a port that stops serving others after bytes that make no sense. */
+    /** Guards against a port that stops serving after it received malformed input. */
     @Test
     void everyPortKeepsServingAfterRandomBytes() throws Exception {
         Random random = new Random(42);
-        for (InetSocketAddress port : List.of(mEntryAdmin, mCallers, mPeers, mAgentAdmin)) {
+        for (InetSocketAddress port :
+                List.of(mEntryAdmin, mCallerListen, mPeerListen, mAgentAdmin)) {
             for (int i = 0; i < CONNECTIONS; i++) {
                 sendRandomBytes(port, random);
             }
@@ -75,20 +76,20 @@
 
         assertThat(status(mEntryAdmin, "/health")).isEqualTo(200);
         assertThat(status(mAgentAdmin, "/health")).isEqualTo(200);
-        // Without a configuration the request is refused, but it is answered.
-        assertThat(status(mCallers, "/services/any/path")).isEqualTo(503);
+        // Without a configuration the request is rejected, but with a response.
+        assertThat(status(mCallerListen, "/services/any/path")).isEqualTo(503);
         assertThat(body(mEntryAdmin, "/metrics")).contains("hickorycleat_transport_errors_total");
         assertThat(body(mAgentAdmin, "/admin/status")).contains("\"process\":\"entry-1\"");
     }
 
     private static void sendRandomBytes(InetSocketAddress port, Random random) throws IOException {
-        byte[] bytes = new byte[1 + random.nextInt(LARGEST_BYTES)];
+        byte[] bytes = new byte[1 + random.nextInt(MAXIMUM_BYTES)];
         random.nextBytes(bytes);
         try (Socket socket = new Socket(port.getAddress(), port.getPort())) {
             socket.getOutputStream().write(bytes);
             socket.getOutputStream().flush();
         } catch (java.net.SocketException e) {
-            // The process has closed the connection already, which is one of the right answers.
+            // The process may close the connection before all bytes are written; this is allowed.
         }
     }
 
@@ -108,13 +109,13 @@
     }
 
     private EntrySettings entrySettings() {
-        // Nobody listens there: the log service is down.
+        // No process listens on this port, as if the log service were down.
         String logService = "http://127.0.0.1:" + freeAddress().getPort();
-        return new EntrySettings(mCallers, mPeers, List.of(), logService);
+        return new EntrySettings(mCallerListen, mPeerListen, List.of(), logService);
     }
 
     private AgentSettings agentSettings() {
-        return new AgentSettings(List.of(mPeers), 8, Duration.ofSeconds(60), Optional.empty());
+        return new AgentSettings(List.of(mPeerListen), 8, Duration.ofSeconds(60), Optional.empty());
     }
 
     private static DaemonSettings settings(String process, InetSocketAddress admin) {
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/docs/OperationsPageTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/docs/OperationsPageTest.java
@@ -12,7 +12,9 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
-/** Guards against an operations page that names lines or metrics which no process writes. */
+/**
+ * Guards against an operations page that documents events, causes or metrics that no process emits.
+ */
 class OperationsPageTest {
     private static final Path ROOT = Path.of("..");
     private static final Pattern EVENT = Pattern.compile("event=([a-z_]+)");
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/docs/package-info.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/docs/package-info.java
@@ -1,4 +1,4 @@
-/** Checks of the documentation against the code. */
+/** Tests that compare the documentation with the code. */
 @NullMarked
 package org.hickorycleat.docs;
 
