--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/Command.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/Command.java
@@ -4,20 +4,20 @@
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 
-/** One command of the command line. */
+/** A command of the command line. */
 public interface Command {
-    /** Returns the word that selects it. */
+    /** Returns the name that selects the command. */
     String name();
 
-    /** Returns its arguments, as shown in the help. */
+    /** Returns the argument syntax shown in the help. */
     String arguments();
 
-    /** Returns one line that says what it does. */
+    /** Returns a one-line summary for the help. */
     String summary();
 
-    /** Returns the parser of its options. */
+    /** Returns the parser of the options. */
     OptionParser parser();
 
-    /** Runs it. */
+    /** Runs the command; the left side is a failure without any output. */
     Either<CommandFailure, CommandOutput> run(OptionSet options);
 }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/CommandFailure.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/CommandFailure.java
@@ -4,19 +4,19 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /**
- * Why a command failed.
+ * Failure of a command.
  *
  * @param code result code, which determines the exit code
- * @param detail one line for the operator
- * @param items single faults, for example each error of a manifest
+ * @param detail one-line description for the operator
+ * @param items individual errors, for example those of a manifest
  */
 public record CommandFailure(ResultCode code, String detail, List<String> items) {
-    /** Copies the collections. */
+    /** Makes a defensive copy of the list. */
     public CommandFailure {
         items = List.copyOf(items);
     }
 
-    /** Creates a failure without single faults. */
+    /** Creates a failure without individual errors. */
     public CommandFailure(ResultCode code, String detail) {
         this(code, detail, List.of());
     }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/CommandLine.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/CommandLine.java
@@ -16,9 +16,9 @@
 import joptsimple.OptionSet;
 import org.hickorycleat.model.result.ResultCode;
 
-/** Finds the command, runs it and prints its result. */
+/** Dispatches the arguments to a command and prints its result. */
 public final class CommandLine {
-    private static final String PROGRAM = "hickorycleat";
+    private static final String PROGRAM_NAME = "hickorycleat";
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final List<Command> mCommands;
@@ -35,16 +35,17 @@
     /** Runs the command that the arguments name and returns the exit code. */
     public int run(String... arguments) {
         if (arguments.length == 0) {
-            return fail(usage("no command given, see " + PROGRAM + " help"), false);
+            return reportFailure(
+                    usageFailure("no command specified, see " + PROGRAM_NAME + " help"), false);
         }
         String name = arguments[0];
-        List<String> rest = Arrays.asList(arguments).subList(1, arguments.length);
+        List<String> remaining = Arrays.asList(arguments).subList(1, arguments.length);
         if (name.equals("help") || name.equals("--help")) {
-            return help(rest.stream().findFirst());
+            return help(remaining.stream().findFirst());
         }
-        return find(name)
-                .map(command -> run(command, rest.toArray(new String[0])))
-                .orElseGet(() -> fail(usage("no command " + name), false));
+        return findCommand(name)
+                .map(command -> run(command, remaining.toArray(new String[0])))
+                .orElseGet(() -> reportFailure(usageFailure("unknown command " + name), false));
     }
 
     private int run(Command command, String[] arguments) {
@@ -57,26 +58,28 @@
         OptionSet options;
         try {
             options = parser.parse(arguments);
-            // Values are converted on access; this finds those that are wrong.
+            // Values are converted on access; accessing all of them here detects invalid ones.
             options.specs().forEach(options::valuesOf);
         } catch (OptionException exception) {
-            return fail(usage(String.valueOf(exception.getMessage())), false);
+            return reportFailure(usageFailure(String.valueOf(exception.getMessage())), false);
         }
         if (options.has("help")) {
             return help(Optional.of(command.name()));
         }
         boolean isJson = options.valueOf("output") == OutputFormat.JSON;
         Either<CommandFailure, CommandOutput> result = command.run(options);
-        return result.isLeft() ? fail(result.getLeft(), isJson) : print(result.get(), isJson);
+        return result.isLeft()
+                ? reportFailure(result.getLeft(), isJson)
+                : print(result.get(), isJson);
     }
 
     private int print(CommandOutput output, boolean isJson) {
         mOutput.print(isJson ? output.json() + "\n" : output.text());
         mOutput.flush();
-        return output.failure().map(failure -> fail(failure, isJson)).orElse(0);
+        return output.failure().map(failure -> reportFailure(failure, isJson)).orElse(0);
     }
 
-    private int fail(CommandFailure failure, boolean isJson) {
+    private int reportFailure(CommandFailure failure, boolean isJson) {
         ResultCode code = failure.code();
         if (isJson) {
             ObjectNode json = MAPPER.createObjectNode();
@@ -100,9 +103,9 @@
             mOutput.print(overview());
             return 0;
         }
-        Optional<Command> command = find(name.get());
+        Optional<Command> command = findCommand(name.get());
         if (command.isEmpty()) {
-            return fail(usage("no command " + name.get()), false);
+            return reportFailure(usageFailure("unknown command " + name.get()), false);
         }
         mOutput.print(help(command.get()));
         return 0;
@@ -114,13 +117,13 @@
             table.row(command.name(), command.summary());
         }
         return "usage: "
-                + PROGRAM
+                + PROGRAM_NAME
                 + " COMMAND [ARGUMENT...] [--output json|text]\n\n"
                 + table.render()
                 + "\n"
                 + TextWrap.wrap(
                         "'"
-                                + PROGRAM
+                                + PROGRAM_NAME
                                 + " help COMMAND' explains a command. The exit code is 0, or the"
                                 + " hundreds of the result code plus one; see"
                                 + " docs/result-codes.md.",
@@ -138,21 +141,22 @@
         try {
             parser.printHelpOn(options);
         } catch (IOException exception) {
-            throw new IllegalStateException("a string cannot be written", exception);
+            throw new IllegalStateException("cannot write help to a string", exception);
         }
-        String first = "usage: " + PROGRAM + " " + command.name() + " " + command.arguments();
-        return TextWrap.wrap(first, "  ")
+        String usageLine =
+                "usage: " + PROGRAM_NAME + " " + command.name() + " " + command.arguments();
+        return TextWrap.wrap(usageLine, "  ")
                 + "\n"
                 + TextWrap.wrap(command.summary() + ".", "")
                 + "\n"
                 + options;
     }
 
-    private Optional<Command> find(String name) {
+    private Optional<Command> findCommand(String name) {
         return mCommands.stream().filter(command -> command.name().equals(name)).findFirst();
     }
 
-    private static CommandFailure usage(String detail) {
+    private static CommandFailure usageFailure(String detail) {
         return new CommandFailure(ResultCode.USAGE, detail);
     }
 }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/CommandOutput.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/CommandOutput.java
@@ -4,11 +4,11 @@
 import java.util.Optional;
 
 /**
- * What a command prints on standard output.
+ * Output of a command on standard output.
  *
- * @param json output for programs
- * @param text output for people, lines of at most 80 columns
- * @param failure failure to report besides, when only a part succeeded
+ * @param json machine-readable output
+ * @param text human-readable output, in lines of at most 80 columns
+ * @param failure failure to report in addition if the command succeeded only in part
  */
 public record CommandOutput(JsonNode json, String text, Optional<CommandFailure> failure) {
     /** Creates the output of a command that succeeded. */
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/Main.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/Main.java
@@ -9,12 +9,12 @@
 public final class Main {
     private Main() {}
 
-    /** Runs a command and exits with its code. */
+    /** Runs a command and exits with its exit code. */
     public static void main(String[] arguments) {
         System.exit(new CommandLine(commands(), System.out, System.err).run(arguments));
     }
 
-    /** Returns all commands in the order of the help. */
+    /** Returns all commands in the order shown in the help. */
     public static List<Command> commands() {
         return List.of(
                 new PublishCommand(),
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/OutputFormat.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/OutputFormat.java
@@ -1,9 +1,9 @@
 package org.hickorycleat.cli;
 
-/** Form of the output. */
+/** Output format of a command. */
 public enum OutputFormat {
-    /** For people. */
+    /** Human-readable text. */
     TEXT,
-    /** For programs. */
+    /** Machine-readable JSON. */
     JSON
 }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/OutputFormatConverter.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/OutputFormatConverter.java
@@ -4,7 +4,7 @@
 import joptsimple.ValueConversionException;
 import joptsimple.ValueConverter;
 
-/** Reads the argument of {@code --output}. */
+/** Converts the argument of {@code --output}. */
 final class OutputFormatConverter implements ValueConverter<OutputFormat> {
     @Override
     public OutputFormat convert(String value) {
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/TextTable.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/TextTable.java
@@ -3,21 +3,21 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Table in plain text that is never wider than a terminal: long cells continue below. */
+/** Plain-text table that is never wider than the terminal; long cells wrap to further lines. */
 public final class TextTable {
-    /** Width of the terminal for which text is laid out. */
+    /** Assumed width of the terminal in characters. */
     public static final int COLUMNS = 80;
 
-    private static final int GAP = 2;
+    private static final int COLUMN_GAP = 2;
 
     private final List<List<String>> mRows = new ArrayList<>();
 
-    /** Creates a table with a heading. */
+    /** Creates a table with a heading row. */
     public TextTable(String... heading) {
         mRows.add(List.of(heading));
     }
 
-    /** Adds a row with a cell for each heading. */
+    /** Adds a row with one cell per column. */
     public TextTable row(String... cells) {
         if (cells.length != mRows.get(0).size()) {
             throw new IllegalArgumentException("a row of " + cells.length + " cells");
@@ -26,7 +26,7 @@
         return this;
     }
 
-    /** Lays the table out; each line ends with a newline. */
+    /** Formats the table; each line ends with a newline. */
     public String render() {
         int[] widths = widths();
         StringBuilder text = new StringBuilder();
@@ -38,7 +38,7 @@
 
     private int[] widths() {
         int[] widths = new int[mRows.get(0).size()];
-        int total = GAP * (widths.length - 1);
+        int total = COLUMN_GAP * (widths.length - 1);
         for (List<String> row : mRows) {
             for (int column = 0; column < widths.length; column++) {
                 widths[column] = Math.max(widths[column], row.get(column).length());
@@ -72,7 +72,7 @@
         for (int line = 0; line < lines; line++) {
             StringBuilder output = new StringBuilder();
             for (int column = 0; column < widths.length; column++) {
-                output.append(" ".repeat(column == 0 ? 0 : GAP));
+                output.append(" ".repeat(column == 0 ? 0 : COLUMN_GAP));
                 String part = part(row.get(column), line, widths[column]);
                 output.append(part).append(" ".repeat(widths[column] - part.length()));
             }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/TextWrap.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/TextWrap.java
@@ -1,21 +1,21 @@
 package org.hickorycleat.cli;
 
-/** Breaks lines of text at blanks. */
+/** Wraps lines of text at spaces. */
 public final class TextWrap {
     private TextWrap() {}
 
-    /** Breaks a line so that it fits the terminal, with an indent from the second line on. */
+    /** Wraps a line to the terminal width, with an indent from the second line on. */
     public static String wrap(String line, String indent) {
         StringBuilder text = new StringBuilder();
-        String rest = line;
+        String remaining = line;
         int width = TextTable.COLUMNS;
-        while (rest.length() > width) {
-            int blank = rest.lastIndexOf(' ', width);
-            int end = blank > 0 ? blank : width;
-            text.append(rest, 0, end).append('\n').append(indent);
-            rest = rest.substring(end).stripLeading();
+        while (remaining.length() > width) {
+            int space = remaining.lastIndexOf(' ', width);
+            int end = space > 0 ? space : width;
+            text.append(remaining, 0, end).append('\n').append(indent);
+            remaining = remaining.substring(end).stripLeading();
             width = TextTable.COLUMNS - indent.length();
         }
-        return text.append(rest).append('\n').toString();
+        return text.append(remaining).append('\n').toString();
     }
 }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminAddress.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminAddress.java
@@ -10,11 +10,14 @@
 /**
  * Admin address of a process.
  *
- * @param text address as given
- * @param url base of its URLs
+ * @param text address as given on the command line
+ * @param url base URL of the process
  */
 public record AdminAddress(String text, HttpUrl url) {
-    /** Parses addresses of the form IP:PORT. */
+    /**
+     * Parses addresses of the form IP:PORT; the left side is a usage error for the first invalid
+     * one.
+     */
     public static Either<CommandFailure, List<AdminAddress>> parseAll(List<String> texts) {
         List<AdminAddress> addresses = new ArrayList<>();
         for (String text : texts) {
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminClient.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminClient.java
@@ -13,7 +13,7 @@
 import org.hickorycleat.cli.CommandFailure;
 import org.hickorycleat.model.result.ResultCode;
 
-/** Client of the admin HTTP of processes; docs/interfaces.md describes it. */
+/** Client of the admin HTTP interface of processes, which docs/interfaces.md describes. */
 final class AdminClient implements AutoCloseable {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int NOT_FOUND = 404;
@@ -67,13 +67,13 @@
 
     private static CommandFailure failure(AdminAddress address, int status, byte[] body) {
         ResultCode code = status == NOT_FOUND ? ResultCode.NOT_FOUND : ResultCode.INTERNAL;
-        String detail = "answered status " + status;
+        String detail = "responded with status " + status;
         try {
             JsonNode error = MAPPER.readTree(body).path("error");
             code = ResultCode.ofNumber(error.path("number").asInt(-1)).orElse(code);
             detail = error.path("detail").asText(detail);
         } catch (IOException exception) {
-            detail = detail + " without an error in JSON";
+            detail = detail + " without a JSON error body";
         }
         return new CommandFailure(code, address.text() + ": " + detail);
     }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminCommand.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminCommand.java
@@ -18,7 +18,7 @@
 import org.hickorycleat.cli.CommandOutput;
 import org.hickorycleat.model.result.ResultCode;
 
-/** A command that asks each of the processes named on the command line. */
+/** A command that sends a request to each process given on the command line. */
 final class AdminCommand implements Command {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -59,8 +59,9 @@
 
     @Override
     public String arguments() {
-        String names = String.join(" ", mArgumentNames);
-        return (names.isEmpty() ? "" : names + " ") + "--admin IP:PORT [--admin IP:PORT]...";
+        String argumentNames = String.join(" ", mArgumentNames);
+        return (argumentNames.isEmpty() ? "" : argumentNames + " ")
+                + "--admin IP:PORT [--admin IP:PORT]...";
     }
 
     @Override
@@ -82,47 +83,49 @@
         }
         Duration timeout = Duration.ofMillis(options.valueOf(mTimeoutMs));
         return AdminAddress.parseAll(options.valuesOf(mAdmin))
-                .flatMap(addresses -> ask(addresses, arguments, timeout));
+                .flatMap(addresses -> sendToAll(addresses, arguments, timeout));
     }
 
-    private Either<CommandFailure, CommandOutput> ask(
+    private Either<CommandFailure, CommandOutput> sendToAll(
             List<AdminAddress> addresses, List<String> arguments, Duration timeout) {
-        List<AdminResponse> answers = new ArrayList<>();
+        List<AdminResponse> responses = new ArrayList<>();
         List<CommandFailure> failures = new ArrayList<>();
         try (AdminClient client = new AdminClient(timeout)) {
             for (AdminAddress address : addresses) {
                 mRequest.send(client, address, arguments)
-                        .peek(json -> answers.add(new AdminResponse(address, json)))
+                        .peek(json -> responses.add(new AdminResponse(address, json)))
                         .peekLeft(failures::add);
             }
         }
-        if (!answers.isEmpty()) {
-            // A task is held by one shard, so all but one of the entries do not know it.
+        if (!responses.isEmpty()) {
+            // A task belongs to one shard, so all entries except its owner respond that it is
+            // unknown.
             failures.removeIf(failure -> failure.code() == ResultCode.NOT_FOUND);
         }
-        Optional<CommandFailure> failure = join(failures);
-        if (answers.isEmpty() && failure.isPresent()) {
+        Optional<CommandFailure> failure = combine(failures);
+        if (responses.isEmpty() && failure.isPresent()) {
             return Either.left(failure.get());
         }
-        return Either.right(new CommandOutput(json(answers), mRenderer.render(answers), failure));
+        return Either.right(
+                new CommandOutput(json(responses), mRenderer.render(responses), failure));
     }
 
-    /** Joins failures under the first code. */
-    private static Optional<CommandFailure> join(List<CommandFailure> failures) {
+    /** Combines failures into one with the code of the first. */
+    private static Optional<CommandFailure> combine(List<CommandFailure> failures) {
         if (failures.isEmpty()) {
             return Optional.empty();
         }
-        List<String> rest = failures.stream().skip(1).map(CommandFailure::detail).toList();
+        List<String> otherDetails = failures.stream().skip(1).map(CommandFailure::detail).toList();
         CommandFailure first = failures.get(0);
-        return Optional.of(new CommandFailure(first.code(), first.detail(), rest));
+        return Optional.of(new CommandFailure(first.code(), first.detail(), otherDetails));
     }
 
-    private static JsonNode json(List<AdminResponse> answers) {
-        ArrayNode list = MAPPER.createArrayNode();
-        for (AdminResponse answer : answers) {
-            ObjectNode item = list.addObject().put("admin", answer.address().text());
-            item.set("answer", answer.json());
+    private static JsonNode json(List<AdminResponse> responses) {
+        ArrayNode array = MAPPER.createArrayNode();
+        for (AdminResponse response : responses) {
+            ObjectNode item = array.addObject().put("admin", response.address().text());
+            item.set("answer", response.json());
         }
-        return list;
+        return array;
     }
 }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminCommands.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminCommands.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import org.hickorycleat.cli.Command;
 
-/** The commands that talk to running processes. */
+/** Factory of the commands that send requests to running processes. */
 public final class AdminCommands {
     private AdminCommands() {}
 
@@ -27,7 +27,7 @@
                 JobsText::render);
     }
 
-    /** Creates the command that explains where a task is and why. */
+    /** Creates the command that explains the placement and state of a task. */
     public static Command explain() {
         return new AdminCommand(
                 "explain",
@@ -41,7 +41,7 @@
     public static Command drain() {
         return new AdminCommand(
                 "drain",
-                "Requests a graceful shutdown: nothing new, in-flight work is finished",
+                "Requests a graceful shutdown: rejects new work, finishes in-flight work",
                 List.of(),
                 (client, address, arguments) -> client.post(address, "drain"),
                 DrainText::render);
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminRenderer.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminRenderer.java
@@ -2,9 +2,9 @@
 
 import java.util.List;
 
-/** Lays out the answers of processes for people. */
+/** Formats the responses of processes as human-readable text. */
 @FunctionalInterface
 interface AdminRenderer {
-    /** Returns lines of at most 80 columns. */
-    String render(List<AdminResponse> answers);
+    /** Returns text in lines of at most 80 columns. */
+    String render(List<AdminResponse> responses);
 }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminRequest.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminRequest.java
@@ -5,10 +5,10 @@
 import java.util.List;
 import org.hickorycleat.cli.CommandFailure;
 
-/** The exchange of an admin command with one process. */
+/** The request of an admin command to one process. */
 @FunctionalInterface
 interface AdminRequest {
-    /** Sends the request; the arguments are those of the command line. */
+    /** Sends the request with the arguments of the command line. */
     Either<CommandFailure, JsonNode> send(
             AdminClient client, AdminAddress address, List<String> arguments);
 }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminResponse.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminResponse.java
@@ -2,5 +2,5 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 
-/** Answer of one process. */
+/** Response of one process. */
 record AdminResponse(AdminAddress address, JsonNode json) {}
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/DrainText.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/DrainText.java
@@ -3,17 +3,17 @@
 import java.util.List;
 import org.hickorycleat.cli.TextTable;
 
-/** Lays out the answers to POST /admin/drain. */
+/** Formats the responses to POST /admin/drain. */
 final class DrainText {
     private DrainText() {}
 
-    static String render(List<AdminResponse> answers) {
+    static String render(List<AdminResponse> responses) {
         TextTable table = new TextTable("process", "state", "in flight");
-        for (AdminResponse answer : answers) {
+        for (AdminResponse response : responses) {
             table.row(
-                    answer.json().path("process").asText(answer.address().text()),
-                    answer.json().path("state").asText("?"),
-                    answer.json().path("in_flight").asText("?"));
+                    response.json().path("process").asText(response.address().text()),
+                    response.json().path("state").asText("?"),
+                    response.json().path("in_flight").asText("?"));
         }
         return table.render();
     }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/DumpText.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/DumpText.java
@@ -5,15 +5,15 @@
 import java.util.Map;
 import org.hickorycleat.cli.TextWrap;
 
-/** Lays out the answers to GET /admin/dump: one line per value, with its path. */
+/** Formats the responses to GET /admin/dump with one line per value and its path. */
 final class DumpText {
     private DumpText() {}
 
-    static String render(List<AdminResponse> answers) {
+    static String render(List<AdminResponse> responses) {
         StringBuilder text = new StringBuilder();
-        for (AdminResponse answer : answers) {
-            text.append("process ").append(answer.address().text()).append('\n');
-            append("", answer.json(), text);
+        for (AdminResponse response : responses) {
+            text.append("process ").append(response.address().text()).append('\n');
+            append("", response.json(), text);
         }
         return text.toString();
     }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/ExplainText.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/ExplainText.java
@@ -5,18 +5,18 @@
 import org.hickorycleat.cli.TextTable;
 import org.hickorycleat.cli.TextWrap;
 
-/** Lays out the answers to GET /admin/explain/{task}. */
+/** Formats the responses to GET /admin/explain/{task}. */
 final class ExplainText {
     private ExplainText() {}
 
-    static String render(List<AdminResponse> answers) {
+    static String render(List<AdminResponse> responses) {
         StringBuilder text = new StringBuilder();
-        answers.forEach(answer -> text.append(task(answer.json())));
+        responses.forEach(response -> text.append(task(response.json())));
         return text.toString();
     }
 
     private static String task(JsonNode task) {
-        String first =
+        String summary =
                 "task %s state %s attempt %s worker %s shard %s epoch %s"
                         .formatted(
                                 task.path("task").asText("?"),
@@ -33,6 +33,6 @@
                     event.path("reason").asText(""));
         }
         boolean hasEvents = !task.path("events").isEmpty();
-        return TextWrap.wrap(first, "  ") + (hasEvents ? table.render() : "");
+        return TextWrap.wrap(summary, "  ") + (hasEvents ? table.render() : "");
     }
 }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/JobsText.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/JobsText.java
@@ -4,15 +4,15 @@
 import java.util.List;
 import org.hickorycleat.cli.TextTable;
 
-/** Lays out the answers to GET /admin/jobs. */
+/** Formats the responses to GET /admin/jobs. */
 final class JobsText {
     private JobsText() {}
 
-    static String render(List<AdminResponse> answers) {
+    static String render(List<AdminResponse> responses) {
         TextTable table = new TextTable("job", "run", "state", "try", "worker", "deadline", "why");
         int rows = 0;
-        for (AdminResponse answer : answers) {
-            for (JsonNode job : answer.json().path("jobs")) {
+        for (AdminResponse response : responses) {
+            for (JsonNode job : response.json().path("jobs")) {
                 rows++;
                 table.row(
                         job.path("name").asText("?"),
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/StatusText.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/StatusText.java
@@ -5,14 +5,14 @@
 import org.hickorycleat.cli.TextTable;
 import org.hickorycleat.cli.TextWrap;
 
-/** Lays out the answers to GET /admin/status. */
+/** Formats the responses to GET /admin/status. */
 final class StatusText {
     private StatusText() {}
 
-    static String render(List<AdminResponse> answers) {
+    static String render(List<AdminResponse> responses) {
         StringBuilder text = new StringBuilder();
-        for (AdminResponse answer : answers) {
-            text.append(text.isEmpty() ? "" : "\n").append(process(answer.json()));
+        for (AdminResponse response : responses) {
+            text.append(text.isEmpty() ? "" : "\n").append(process(response.json()));
         }
         return text.toString();
     }
@@ -20,14 +20,14 @@
     private static String process(JsonNode status) {
         JsonNode configuration = status.path("configuration");
         JsonNode log = status.path("log");
-        String first =
+        String processLine =
                 "process %s role %s zone %s state %s"
                         .formatted(
                                 status.path("process").asText("?"),
                                 status.path("role").asText("?"),
                                 status.path("zone").asText("?"),
                                 status.path("state").asText("?"));
-        String second =
+        String configurationLine =
                 "  configuration version %s source %s, log %s, in flight %d"
                         .formatted(
                                 configuration.path("version").asText("none"),
@@ -35,8 +35,8 @@
                                 log.path("available").asBoolean() ? "available" : "unavailable",
                                 status.path("in_flight").asLong());
         String reason = status.path("reason").asText("");
-        return TextWrap.wrap(first, "  ")
-                + TextWrap.wrap(second, "  ")
+        return TextWrap.wrap(processLine, "  ")
+                + TextWrap.wrap(configurationLine, "  ")
                 + (reason.isEmpty() ? "" : TextWrap.wrap("  reason: " + reason, "    "))
                 + services(status.path("services"))
                 + shards(status.path("shards"));
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/package-info.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/package-info.java
@@ -1,4 +1,4 @@
-/** Commands that talk to the admin HTTP of entries and agents. */
+/** Commands that use the admin HTTP interface of entries and agents. */
 @NullMarked
 package org.hickorycleat.cli.admin;
 
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/LogClient.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/LogClient.java
@@ -13,22 +13,22 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 
-/** Blocking client of the stream {@code configuration}. */
+/** Blocking client of the log service for the stream {@code configuration}. */
 final class LogClient implements AutoCloseable {
     private static final int GONE = 410;
-    private static final int PAGE = 100;
+    private static final int PAGE_SIZE_RECORDS = 100;
     private static final MediaType BYTES = MediaType.get("application/octet-stream");
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final HttpUrl mRecords;
+    private final HttpUrl mRecordsUrl;
     private final OkHttpClient mClient;
 
     LogClient(HttpUrl address, Duration timeout) {
-        mRecords = address.newBuilder().addPathSegments("streams/configuration/records").build();
+        mRecordsUrl = address.newBuilder().addPathSegments("streams/configuration/records").build();
         mClient =
                 new OkHttpClient.Builder()
                         .callTimeout(timeout)
-                        // A silent retry of an append would add a second copy of its record.
+                        // An automatic retry of an append could write a duplicate record.
                         .retryOnConnectionFailure(false)
                         .build();
     }
@@ -36,33 +36,37 @@
     void append(byte[] payload) throws IOException {
         Request request =
                 new Request.Builder()
-                        .url(mRecords)
+                        .url(mRecordsUrl)
                         .post(RequestBody.create(payload, BYTES))
                         .build();
         try (Response response = mClient.newCall(request).execute()) {
             if (!response.isSuccessful()) {
-                throw new LogClientException("the append was answered " + response.code());
+                throw new LogClientException(
+                        "log service responded to the append with status " + response.code());
             }
         }
     }
 
     LogReadResult read(long from) throws IOException {
         HttpUrl url =
-                mRecords.newBuilder()
+                mRecordsUrl
+                        .newBuilder()
                         .addQueryParameter("from", Long.toString(from))
-                        .addQueryParameter("limit", Integer.toString(PAGE))
+                        .addQueryParameter("limit", Integer.toString(PAGE_SIZE_RECORDS))
                         .build();
         Request request = new Request.Builder().url(url).build();
         try (Response response = mClient.newCall(request).execute()) {
             if (response.code() != GONE && !response.isSuccessful()) {
-                throw new LogClientException("the read was answered " + response.code());
+                throw new LogClientException(
+                        "log service responded to the read with status " + response.code());
             }
             JsonNode body = MAPPER.readTree(response.body().bytes());
-            JsonNode first = body.path("first_offset");
-            if (!first.canConvertToLong()) {
-                throw new LogClientException("the read was answered without first_offset");
+            JsonNode firstOffset = body.path("first_offset");
+            if (!firstOffset.canConvertToLong()) {
+                throw new LogClientException("response to the read has no first_offset");
             }
-            return new LogReadResult(response.code() == GONE, first.longValue(), records(body));
+            return new LogReadResult(
+                    response.code() == GONE, firstOffset.longValue(), records(body));
         }
     }
 
@@ -77,7 +81,7 @@
         for (JsonNode record : body.path("records")) {
             byte[] payload = record.path("payload").binaryValue();
             if (payload == null || !record.path("offset").canConvertToLong()) {
-                throw new LogClientException("the read was answered with a broken record");
+                throw new LogClientException("response to the read contains a malformed record");
             }
             records.add(new LogReadResult.StreamRecord(record.path("offset").longValue(), payload));
         }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/LogClientException.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/LogClientException.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 
-/** The log service did not answer as it should; an append may have taken effect. */
+/**
+ * Thrown if the response of the log service is an error or malformed; an append may have been
+ * committed.
+ */
 final class LogClientException extends IOException {
     LogClientException(String message) {
         super(message);
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/ManifestFile.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/ManifestFile.java
@@ -17,21 +17,21 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /**
- * A manifest that was read from a file and is valid.
+ * A valid manifest that was read from a file.
  *
  * @param bytes bytes to publish
  * @param manifest parsed manifest
  */
-@SuppressWarnings("ArrayRecordComponent") // Copied neither in nor out: never changed.
+@SuppressWarnings("ArrayRecordComponent") // Not copied: the array is never modified.
 record ManifestFile(byte[] bytes, Manifest manifest) {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    /** Reads the file that the only argument names. */
+    /** Reads the file named by the single argument. */
     static Either<CommandFailure, byte[]> read(
-            OptionSet options, NonOptionArgumentSpec<String> argument) {
-        List<String> names = options.valuesOf(argument);
+            OptionSet options, NonOptionArgumentSpec<String> fileArgument) {
+        List<String> names = options.valuesOf(fileArgument);
         if (names.size() != 1) {
-            return Either.left(new CommandFailure(ResultCode.USAGE, "give one FILE"));
+            return Either.left(new CommandFailure(ResultCode.USAGE, "expected exactly one FILE"));
         }
         try {
             return Either.right(Files.readAllBytes(Path.of(names.get(0))));
@@ -42,7 +42,10 @@
         }
     }
 
-    /** Replaces the base; bytes that are not a JSON object are left for the parser to report. */
+    /**
+     * Replaces the base version; returns an invalid manifest unchanged so that the parser reports
+     * its errors.
+     */
     static byte[] withBase(byte[] bytes, long base) {
         try {
             JsonNode node = MAPPER.readTree(bytes);
@@ -56,7 +59,7 @@
         return bytes;
     }
 
-    /** Parses the bytes. */
+    /** Parses a manifest; the left side lists all errors. */
     static Either<CommandFailure, ManifestFile> parse(byte[] bytes) {
         return ManifestParser.parse(bytes)
                 .toEither()
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/PublicationResult.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/PublicationResult.java
@@ -4,9 +4,9 @@
 import org.hickorycleat.model.identifier.ConfigurationVersion;
 
 /**
- * What became of a manifest in the log.
+ * Result of the publication of a manifest.
  *
- * @param outcome what its record did
- * @param version current version directly after the record
+ * @param outcome outcome of the record of the manifest
+ * @param version configuration version directly after the record
  */
 record PublicationResult(RecordOutcome outcome, ConfigurationVersion version) {}
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/PublishCommand.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/PublishCommand.java
@@ -23,10 +23,12 @@
 import org.hickorycleat.model.identifier.RecordId;
 import org.hickorycleat.model.result.ResultCode;
 
-/** Publishes a manifest and reports what became of it. */
+/** Publishes a manifest and reports the result. */
 public final class PublishCommand implements Command {
-    /** An exchange that takes longer is taken for lost and its effect looked up. */
-    private static final Duration EXCHANGE_TIMEOUT = Duration.ofSeconds(2);
+    /**
+     * A request that exceeds this timeout counts as lost; its effect is then read from the stream.
+     */
+    private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(2);
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -37,7 +39,7 @@
                     .withRequiredArg()
                     .required();
     private final OptionSpec<Long> mBase =
-            mParser.accepts("base", "version to put in place of the file's base")
+            mParser.accepts("base", "base version that replaces the one in the file")
                     .withRequiredArg()
                     .ofType(Long.class);
     private final OptionSpec<String> mEntries =
@@ -50,7 +52,7 @@
                     .ofType(Long.class)
                     .defaultsTo(3_000L);
     private final OptionSpec<Long> mTimeoutMs =
-            mParser.accepts("timeout-ms", "milliseconds to go on trying to publish")
+            mParser.accepts("timeout-ms", "milliseconds after which to stop retrying")
                     .withRequiredArg()
                     .ofType(Long.class)
                     .defaultsTo(10_000L);
@@ -80,17 +82,19 @@
         HttpUrl address = HttpUrl.parse(options.valueOf(mLogService));
         if (address == null) {
             return Either.left(
-                    new CommandFailure(ResultCode.USAGE, "--log-service is not an address"));
+                    new CommandFailure(ResultCode.USAGE, "--log-service is not a valid URL"));
         }
         return AdminAddress.parseAll(options.valuesOf(mEntries))
                 .flatMap(
                         entries ->
-                                file(options)
+                                readFile(options)
                                         .flatMap(file -> publish(file, address, options))
-                                        .map(published -> await(published, entries, options)));
+                                        .map(
+                                                published ->
+                                                        awaitEntries(published, entries, options)));
     }
 
-    private Either<CommandFailure, ManifestFile> file(OptionSet options) {
+    private Either<CommandFailure, ManifestFile> readFile(OptionSet options) {
         return ManifestFile.read(options, mFile)
                 .map(
                         bytes ->
@@ -103,17 +107,17 @@
     private Either<CommandFailure, PublicationResult> publish(
             ManifestFile file, HttpUrl address, OptionSet options) {
         Duration timeout = Duration.ofMillis(options.valueOf(mTimeoutMs));
-        try (LogClient log = new LogClient(address, EXCHANGE_TIMEOUT)) {
+        try (LogClient log = new LogClient(address, REQUEST_TIMEOUT)) {
             return new Publisher(log, newRecordId(), timeout)
                     .publish(file.bytes(), file.manifest().base())
-                    .flatMap(published -> check(published, file));
+                    .flatMap(published -> checkOutcome(published, file));
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
             return Either.left(new CommandFailure(ResultCode.INTERNAL, "interrupted"));
         }
     }
 
-    private static Either<CommandFailure, PublicationResult> check(
+    private static Either<CommandFailure, PublicationResult> checkOutcome(
             PublicationResult published, ManifestFile file) {
         return switch (published.outcome()) {
             case ACCEPTED, REPEATED -> Either.right(published);
@@ -133,27 +137,27 @@
         };
     }
 
-    private CommandOutput await(
+    private CommandOutput awaitEntries(
             PublicationResult published, List<AdminAddress> entries, OptionSet options) {
         boolean isRepeated = published.outcome() == RecordOutcome.REPEATED;
-        String word = isRepeated ? "repeated" : "accepted";
+        String outcomeName = isRepeated ? "repeated" : "accepted";
         ObjectNode json = MAPPER.createObjectNode();
-        json.put("version", published.version().value()).put("publication", word);
-        String text = word + " version " + published.version() + "\n";
+        json.put("version", published.version().value()).put("publication", outcomeName);
+        String text = outcomeName + " version " + published.version() + "\n";
         if (entries.isEmpty()) {
             return new CommandOutput(json, text);
         }
-        Duration limit = Duration.ofMillis(options.valueOf(mWaitMs));
-        VersionWaiter.Result result = VersionWaiter.await(published.version(), entries, limit);
-        json.put("in_force_after_ms", result.elapsedMs()).put("in_force", result.isInForce());
-        if (result.isInForce()) {
-            String seen = "in force in " + entries.size() + " entries after ";
-            return new CommandOutput(json, text + seen + result.elapsedMs() + " ms\n");
+        Duration timeout = Duration.ofMillis(options.valueOf(mWaitMs));
+        VersionWaiter.Result result = VersionWaiter.await(published.version(), entries, timeout);
+        json.put("in_force_after_ms", result.elapsedMs()).put("in_force", result.isActive());
+        if (result.isActive()) {
+            String activeSummary = "in force in " + entries.size() + " entries after ";
+            return new CommandOutput(json, text + activeSummary + result.elapsedMs() + " ms\n");
         }
         CommandFailure failure =
                 new CommandFailure(
                         ResultCode.NOT_IN_FORCE,
-                        "not seen in force within " + limit.toMillis() + " ms",
+                        "not seen in force within " + timeout.toMillis() + " ms",
                         result.missing());
         return new CommandOutput(json, text, Optional.of(failure));
     }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/Publisher.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/Publisher.java
@@ -16,19 +16,19 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /**
- * Publishes one manifest. The answer of the append is never trusted nor needed: the record is
- * looked for in the stream, and the first copy found decides.
+ * Publishes one manifest. The result does not depend on the response to the append, which may be
+ * lost: the record is looked up in the stream, and its first occurrence determines the result.
  */
 final class Publisher {
-    private static final long FIRST_PAUSE_MS = 50;
-    private static final long MAXIMUM_PAUSE_MS = 1_000;
+    private static final long INITIAL_RETRY_DELAY_MS = 50;
+    private static final long MAXIMUM_RETRY_DELAY_MS = 1_000;
 
     private final LogClient mLog;
     private final RecordId mId;
     private final long mDeadlineNanos;
     private ConfigurationHistory mHistory = ConfigurationHistory.startingAt(0);
-    private Optional<PublicationResult> mFound = Optional.empty();
-    private boolean mWasAppended;
+    private Optional<PublicationResult> mResult = Optional.empty();
+    private boolean mAppendAttempted;
 
     Publisher(LogClient log, RecordId id, Duration timeout) {
         mLog = log;
@@ -36,10 +36,10 @@
         mDeadlineNanos = System.nanoTime() + timeout.toNanos();
     }
 
-    /** Publishes until the outcome is known or time is up. */
+    /** Retries the publication until its outcome is known or the timeout expires. */
     Either<CommandFailure, PublicationResult> publish(byte[] manifest, ConfigurationVersion base)
             throws InterruptedException {
-        long pauseMs = FIRST_PAUSE_MS;
+        long retryDelayMs = INITIAL_RETRY_DELAY_MS;
         while (true) {
             try {
                 Optional<Either<CommandFailure, PublicationResult>> result =
@@ -48,16 +48,16 @@
                     return result.get();
                 }
             } catch (IOException exception) {
-                if (System.nanoTime() - mDeadlineNanos + pauseMs * 1_000_000 > 0) {
+                if (System.nanoTime() - mDeadlineNanos + retryDelayMs * 1_000_000 > 0) {
                     return Either.left(unavailable(exception));
                 }
             }
-            Thread.sleep(pauseMs);
-            pauseMs = Math.min(MAXIMUM_PAUSE_MS, 2 * pauseMs);
+            Thread.sleep(retryDelayMs);
+            retryDelayMs = Math.min(MAXIMUM_RETRY_DELAY_MS, 2 * retryDelayMs);
         }
     }
 
-    /** Returns the current version of what was read. */
+    /** Returns the configuration version at the last offset read. */
     ConfigurationVersion currentVersion() {
         return mHistory.version();
     }
@@ -65,28 +65,32 @@
     private Optional<Either<CommandFailure, PublicationResult>> attempt(
             byte[] manifest, ConfigurationVersion base) throws IOException {
         readToEnd();
-        if (mFound.isPresent()) {
-            return mFound.map(Either::right);
+        if (mResult.isPresent()) {
+            return mResult.map(Either::right);
         }
         if (!mHistory.isVersionKnown()) {
-            return Optional.of(Either.left(undecided()));
+            return Optional.of(Either.left(versionUnknown()));
         }
-        if (!mWasAppended) {
-            Optional<PublicationResult> known = withoutAppend(manifest, base);
+        if (!mAppendAttempted) {
+            Optional<PublicationResult> known = resultWithoutAppend(manifest, base);
             if (known.isPresent()) {
                 return known.map(Either::right);
             }
         }
-        mWasAppended = true;
+        mAppendAttempted = true;
         mLog.append(
                 ConfigurationRecordCodec.encode(
                         new ConfigurationRecord.Publication(mId, manifest)));
         readToEnd();
-        return mFound.map(Either::right);
+        return mResult.map(Either::right);
     }
 
-    /** Decides what needs no record: a version that was left behind never becomes current again. */
-    private Optional<PublicationResult> withoutAppend(byte[] manifest, ConfigurationVersion base) {
+    /**
+     * Returns the result if no record is needed. A stale base remains stale because a superseded
+     * version never becomes current again.
+     */
+    private Optional<PublicationResult> resultWithoutAppend(
+            byte[] manifest, ConfigurationVersion base) {
         Optional<AcceptedConfiguration> current = mHistory.current();
         if (current.isPresent() && Arrays.equals(current.get().bytes(), manifest)) {
             return Optional.of(new PublicationResult(RecordOutcome.REPEATED, mHistory.version()));
@@ -110,20 +114,21 @@
     }
 
     private void apply(LogReadResult.StreamRecord record) {
-        ConfigurationHistory.ApplyResult step = mHistory.apply(record.offset(), record.payload());
-        mHistory = step.history();
+        ConfigurationHistory.ApplyResult applyResult =
+                mHistory.apply(record.offset(), record.payload());
+        mHistory = applyResult.history();
         boolean isOwn =
                 ConfigurationRecordCodec.decode(record.payload())
                         .filter(decoded -> decoded.id().equals(mId))
                         .isPresent();
-        if (isOwn && mFound.isEmpty()) {
-            mFound = Optional.of(new PublicationResult(step.outcome(), mHistory.version()));
+        if (isOwn && mResult.isEmpty()) {
+            mResult = Optional.of(new PublicationResult(applyResult.outcome(), mHistory.version()));
         }
     }
 
     private CommandFailure unavailable(IOException exception) {
         String effect =
-                mWasAppended
+                mAppendAttempted
                         ? "the manifest may have been published; publishing the same file again"
                                 + " is safe"
                         : "nothing was published";
@@ -131,8 +136,8 @@
                 ResultCode.LOG_UNAVAILABLE, exception.getMessage() + "; " + effect);
     }
 
-    private CommandFailure undecided() {
-        String effect = mWasAppended ? "the manifest may have been published; " : "";
+    private CommandFailure versionUnknown() {
+        String effect = mAppendAttempted ? "the manifest may have been published; " : "";
         return new CommandFailure(
                 ResultCode.NO_CONFIGURATION,
                 effect
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/ValidateCommand.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/ValidateCommand.java
@@ -11,7 +11,7 @@
 import org.hickorycleat.cli.CommandOutput;
 import org.hickorycleat.model.manifest.Manifest;
 
-/** Checks a manifest without publishing it. */
+/** Validates a manifest without publishing it. */
 public final class ValidateCommand implements Command {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -30,7 +30,7 @@
 
     @Override
     public String summary() {
-        return "Checks a manifest and reports all of its errors";
+        return "Validates a manifest and reports all of its errors";
     }
 
     @Override
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/package-info.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/package-info.java
@@ -1,4 +1,4 @@
-/** Publication of manifests on the log service. */
+/** Commands that validate manifests and publish them to the log service. */
 @NullMarked
 package org.hickorycleat.cli.log;
 
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/package-info.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/package-info.java
@@ -1,4 +1,4 @@
-/** The operators' command line: dispatch, output and exit codes. */
+/** Command line for operators: dispatch, output and exit codes. */
 @NullMarked
 package org.hickorycleat.cli;
 
--- a/hickorycleat-cli/src/test/java/org/hickorycleat/cli/AdminStub.java
+++ b/hickorycleat-cli/src/test/java/org/hickorycleat/cli/AdminStub.java
@@ -10,9 +10,9 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** Admin HTTP that answers each method and path with a fixed text. */
+/** Stub of the admin HTTP server that returns a fixed response for each method and path. */
 final class AdminStub implements AutoCloseable {
-    private final Map<String, String> mAnswers = new ConcurrentHashMap<>();
+    private final Map<String, String> mResponses = new ConcurrentHashMap<>();
     private final HttpServer mServer;
 
     AdminStub() {
@@ -31,8 +31,8 @@
         return "127.0.0.1:" + mServer.getAddress().getPort();
     }
 
-    AdminStub answer(String methodAndPath, String json) {
-        mAnswers.put(methodAndPath, json);
+    AdminStub respondTo(String methodAndPath, String json) {
+        mResponses.put(methodAndPath, json);
         return this;
     }
 
@@ -43,10 +43,11 @@
 
     private void handle(HttpExchange exchange) throws IOException {
         String key = exchange.getRequestMethod() + " " + exchange.getRequestURI().getPath();
-        String answer = mAnswers.get(key);
-        String none = "{\"error\":{\"number\":607,\"name\":\"NOT_FOUND\",\"detail\":\"no item\"}}";
-        byte[] body = (answer == null ? none : answer).getBytes(StandardCharsets.UTF_8);
-        exchange.sendResponseHeaders(answer == null ? 404 : 200, body.length);
+        String response = mResponses.get(key);
+        String notFound =
+                "{\"error\":{\"number\":607,\"name\":\"NOT_FOUND\",\"detail\":\"no item\"}}";
+        byte[] body = (response == null ? notFound : response).getBytes(StandardCharsets.UTF_8);
+        exchange.sendResponseHeaders(response == null ? 404 : 200, body.length);
         exchange.getResponseBody().write(body);
         exchange.close();
     }
--- a/hickorycleat-cli/src/test/java/org/hickorycleat/cli/CommandLineTest.java
+++ b/hickorycleat-cli/src/test/java/org/hickorycleat/cli/CommandLineTest.java
@@ -8,7 +8,7 @@
 class CommandLineTest {
     private static final String LONG = "x".repeat(60);
 
-    /** Guards against commands that cannot be found or used without the source. */
+    /** Guards against commands without complete help. */
     @Test
     void everyCommandHasHelpThatFitsTheTerminal() {
         CommandRun overview = CommandRun.of("help");
@@ -26,10 +26,10 @@
         }
     }
 
-    /** Guards against wrong usage that exits 0 or prints errors among results. */
+    /** Guards against usage errors that exit with 0 or are printed on standard output. */
     @Test
-    void wrongUsageIsReportedOnStandardError() {
-        String[][] wrong = {
+    void usageErrorsAreReportedOnStandardError() {
+        String[][] invalid = {
             {},
             {"fly"},
             {"publish", "file"},
@@ -42,7 +42,7 @@
             {"publish", "f", "--log-service", "http://127.0.0.1:1", "--base", "x"},
             {"publish", "f", "--log-service", "http://127.0.0.1:1", "--rebase"}
         };
-        for (String[] arguments : wrong) {
+        for (String[] arguments : invalid) {
             CommandRun run = CommandRun.of(arguments);
 
             assertThat(run.exitCode()).isEqualTo(7);
@@ -51,7 +51,7 @@
         }
     }
 
-    /** Guards against a stack trace for a file name with a typing error. */
+    /** Guards against a stack trace for a file that does not exist. */
     @Test
     void missingFileIsReported() {
         CommandRun run = CommandRun.of("validate", Path.of("no", "such").toString());
@@ -59,11 +59,11 @@
         assertThat(run.errors()).startsWith("error 607 NOT_FOUND: ");
     }
 
-    /** Guards against tables that wrap in the terminal and cannot be read. */
+    /** Guards against tables that exceed the terminal width or truncate values. */
     @Test
-    void textFitsTheTerminalAndLosesNothing() {
+    void textFitsTheTerminalWithoutLoss() {
         try (AdminStub stub = new AdminStub()) {
-            stub.answer(
+            stub.respondTo(
                     "GET /admin/status",
                     """
                     {"process":"%s","role":"entry","zone":"z","state":"serving",
@@ -72,20 +72,21 @@
                      "shards":[{"shard":0,"owner":"%s","epoch":17}]}
                     """
                             .formatted(LONG, LONG, LONG, LONG, LONG));
-            stub.answer(
+            stub.respondTo(
                     "GET /admin/jobs",
                     """
                     {"jobs":[{"name":"%s","run":"%s","state":"running","reason":"%s"}]}
                     """
                             .formatted(LONG, LONG, LONG));
-            stub.answer(
+            stub.respondTo(
                     "GET /admin/explain/" + LONG,
                     """
                     {"task":"%s","events":[{"time":"2026-01-31T04:00:00Z","reason":"%s"}]}
                     """
                             .formatted(LONG, LONG));
-            stub.answer("GET /admin/dump", "{\"a\":{\"b\":[1,{\"c\":\"" + LONG + LONG + "\"}]}}");
-            stub.answer("POST /admin/drain", "{\"process\":\"e\",\"state\":\"draining\"}");
+            stub.respondTo(
+                    "GET /admin/dump", "{\"a\":{\"b\":[1,{\"c\":\"" + LONG + LONG + "\"}]}}");
+            stub.respondTo("POST /admin/drain", "{\"process\":\"e\",\"state\":\"draining\"}");
 
             String status = run(stub, "status");
             String jobs = run(stub, "jobs");
@@ -98,10 +99,13 @@
         }
     }
 
-    /** Guards against answers hidden by another process that is down, and failures hidden too. */
+    /**
+     * Guards against an unreachable process hiding the responses of others, and against hiding its
+     * failure.
+     */
     @Test
     void unreachableProcessDoesNotHideTheOthers() {
-        try (AdminStub stub = new AdminStub().answer("GET /admin/jobs", "{\"jobs\":[]}")) {
+        try (AdminStub stub = new AdminStub().respondTo("GET /admin/jobs", "{\"jobs\":[]}")) {
             CommandRun run =
                     CommandRun.of("jobs", "--admin", "127.0.0.1:1", "--admin", stub.address());
 
@@ -111,12 +115,12 @@
         }
     }
 
-    /** Guards against a task reported as unknown because only one of the entries holds it. */
+    /** Guards against reporting a task as unknown although one of several entries knows it. */
     @Test
-    void taskIsUnknownOnlyIfNoProcessHoldsIt() {
+    void taskIsUnknownOnlyIfNoProcessKnowsIt() {
         try (AdminStub first = new AdminStub();
                 AdminStub second =
-                        new AdminStub().answer("GET /admin/explain/t", "{\"task\":\"t\"}")) {
+                        new AdminStub().respondTo("GET /admin/explain/t", "{\"task\":\"t\"}")) {
             CommandRun unknown = CommandRun.of("explain", "t", "--admin", first.address());
             CommandRun known =
                     CommandRun.of(
--- a/hickorycleat-cli/src/test/java/org/hickorycleat/cli/CommandRun.java
+++ b/hickorycleat-cli/src/test/java/org/hickorycleat/cli/CommandRun.java
@@ -4,7 +4,7 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 
-/** One run of the command line and what it printed. */
+/** Exit code and output of one run of the command line. */
 record CommandRun(int exitCode, String output, String errors) {
     static CommandRun of(String... arguments) {
         ByteArrayOutputStream output = new ByteArrayOutputStream();
--- a/hickorycleat-cli/src/test/java/org/hickorycleat/cli/PublishTest.java
+++ b/hickorycleat-cli/src/test/java/org/hickorycleat/cli/PublishTest.java
@@ -19,7 +19,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 class PublishTest {
-    private static final LogFaults LOSE_EVERY_ANSWER = new LogFaults(LogOutage.NONE, 0, 1, 0);
+    private static final LogFaults LOSE_ALL_RESPONSES = new LogFaults(LogOutage.NONE, 0, 1, 0);
 
     private LogServer mLog = LogServer.start(0, new LogRetention(4, Long.MAX_VALUE), 1);
 
@@ -34,9 +34,9 @@
         mLog.close();
     }
 
-    /** Guards against operators who are not told which version their change became. */
+    /** Guards against not reporting the version of a published manifest. */
     @Test
-    void acceptedRepeatedAndStaleManifestsAreToldApart() {
+    void acceptedRepeatedAndStaleManifestsAreDistinguished() {
         assertThat(publish(manifest(-1, 1)).output()).isEqualTo("accepted version 0\n");
         assertThat(publish(manifest(-1, 1)).output()).isEqualTo("repeated version 0\n");
 
@@ -51,18 +51,20 @@
                 .isEqualTo("accepted version 1\n");
     }
 
-    /** Guards against a publication that took effect but is reported as failed. */
+    /** Guards against reporting a committed publication as failed because its response was lost. */
     @Test
-    void publicationWhoseAnswerIsLostIsLookedUp() {
-        mLog.setFaults(LOSE_EVERY_ANSWER);
+    void publicationWithLostResponseIsLookedUp() {
+        mLog.setFaults(LOSE_ALL_RESPONSES);
 
         assertThat(publish(manifest(-1, 1)).output()).isEqualTo("accepted version 0\n");
         assertThat(publish(manifest(0, 2)).output()).isEqualTo("accepted version 1\n");
     }
 
-    /** Guards against an outage that looks like success or lasts as long as the outage. */
+    /**
+     * Guards against reporting success during an outage, and against waiting until the outage ends.
+     */
     @Test
-    void outageIsReportedWithWhatMayHaveHappened() {
+    void outageIsReportedWithPublicationState() {
         mLog.setFaults(new LogFaults(LogOutage.REFUSE, 0, 0, 0));
 
         CommandRun run = publish(manifest(-1, 1), "--timeout-ms", "200", "--output", "json");
@@ -72,9 +74,9 @@
                 .contains("\"number\":603", "LOG_UNAVAILABLE", "nothing was published");
     }
 
-    /** Guards against two operators who are both told that their change is in force. */
+    /** Guards against accepting two concurrent publications with the same base. */
     @Test
-    void exactlyOneOfRacingOperatorsIsAccepted() {
+    void exactlyOneConcurrentPublicationIsAccepted() {
         mLog.close();
         mLog = LogServer.start(0, new LogRetention(1_000, Long.MAX_VALUE), 1);
         mLog.setFaults(new LogFaults(LogOutage.NONE, 20, 0.3, 0));
@@ -91,9 +93,9 @@
                 .allSatisfy(run -> assertThat(run.errors()).contains("602 STALE_BASE"));
     }
 
-    /** Guards against a publication judged from a stream whose current version is unknown. */
+    /** Guards against deciding on a publication although the current version is unknown. */
     @Test
-    void truncatedStreamWithoutSnapshotTakesNoPublication() {
+    void truncatedStreamWithoutSnapshotRejectsPublication() {
         for (int number = 0; number < 5; number++) {
             assertThat(publish(manifest(number - 1, number + 1)).exitCode()).isEqualTo(0);
         }
@@ -101,9 +103,11 @@
         assertThat(publish(manifest(4, 9)).errors()).contains("205 NO_CONFIGURATION");
     }
 
-    /** Guards against errors that are found one publication at a time, or published anyway. */
+    /**
+     * Guards against reporting only the first error, and against publishing an invalid manifest.
+     */
     @Test
-    void invalidManifestIsNotPublishedAndAllErrorsAreShown() throws IOException {
+    void invalidManifestIsRejectedWithAllErrors() throws IOException {
         Path file = Files.writeString(mDirectory.resolve("bad"), "{\"schema\":3,\"base\":\"x\"}");
 
         CommandRun run = publish(file);
@@ -113,14 +117,14 @@
         assertThat(publish(manifest(-1, 1)).output()).isEqualTo("accepted version 0\n");
     }
 
-    /** Guards against success reported before every named entry has the version in force. */
+    /** Guards against reporting success before the version is active on every given entry. */
     @Test
     void waitEndsWhenEveryEntryReportsTheVersion() {
-        try (AdminStub first = new AdminStub().answer("GET /admin/status", status(7));
-                AdminStub second = new AdminStub().answer("GET /admin/status", status(-1))) {
+        try (AdminStub first = new AdminStub().respondTo("GET /admin/status", status(7));
+                AdminStub second = new AdminStub().respondTo("GET /admin/status", status(-1))) {
             CompletableFuture<AdminStub> later =
                     CompletableFuture.supplyAsync(
-                            () -> second.answer("GET /admin/status", status(0)),
+                            () -> second.respondTo("GET /admin/status", status(0)),
                             CompletableFuture.delayedExecutor(500, TimeUnit.MILLISECONDS));
             CommandRun run =
                     publish(
@@ -134,10 +138,10 @@
         }
     }
 
-    /** Guards against a wait without end, and a failure that does not name the entry. */
+    /** Guards against an unbounded wait, and against a failure that does not name the entry. */
     @Test
-    void entryThatLagsIsNamed() {
-        try (AdminStub entry = new AdminStub().answer("GET /admin/status", status(-1))) {
+    void laggingEntryIsReported() {
+        try (AdminStub entry = new AdminStub().respondTo("GET /admin/status", status(-1))) {
             CommandRun run =
                     publish(
                             manifest(-1, 1),
@@ -157,14 +161,14 @@
         return "{\"configuration\":{\"version\":" + version + "}}";
     }
 
-    private CommandRun publish(Path file, String... more) {
+    private CommandRun publish(Path file, String... options) {
         String address = "http://127.0.0.1:" + mLog.port();
-        String[] arguments = new String[4 + more.length];
+        String[] arguments = new String[4 + options.length];
         arguments[0] = "publish";
         arguments[1] = file.toString();
         arguments[2] = "--log-service";
         arguments[3] = address;
-        System.arraycopy(more, 0, arguments, 4, more.length);
+        System.arraycopy(options, 0, arguments, 4, options.length);
         return CommandRun.of(arguments);
     }
 
