--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/CommandLine.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/CommandLine.java
@@ -50,7 +50,7 @@
 
     private int run(Command command, String[] arguments) {
         OptionParser parser = command.parser();
-        parser.accepts("output", "text for people or json for programs")
+        parser.accepts("output", "human-readable text or machine-readable json")
                 .withRequiredArg()
                 .withValuesConvertedBy(new OutputFormatConverter())
                 .defaultsTo(OutputFormat.TEXT);
@@ -132,7 +132,7 @@
 
     private static String help(Command command) {
         OptionParser parser = command.parser();
-        parser.accepts("output", "text for people or json for programs")
+        parser.accepts("output", "human-readable text or machine-readable json")
                 .withRequiredArg()
                 .defaultsTo("text");
         parser.accepts("help", "print this help").forHelp();
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/TextTable.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/TextTable.java
@@ -20,7 +20,8 @@
     /** Adds a row with one cell per column. */
     public TextTable row(String... cells) {
         if (cells.length != mRows.get(0).size()) {
-            throw new IllegalArgumentException("a row of " + cells.length + " cells");
+            throw new IllegalArgumentException(
+                    "row does not match the heading: " + cells.length + " cells");
         }
         mRows.add(List.of(cells));
         return this;
@@ -28,7 +29,7 @@
 
     /** Formats the table; each line ends with a newline. */
     public String render() {
-        int[] widths = widths();
+        int[] widths = columnWidths();
         StringBuilder text = new StringBuilder();
         for (List<String> row : mRows) {
             render(row, widths, text);
@@ -36,7 +37,7 @@
         return text.toString();
     }
 
-    private int[] widths() {
+    private int[] columnWidths() {
         int[] widths = new int[mRows.get(0).size()];
         int total = COLUMN_GAP * (widths.length - 1);
         for (List<String> row : mRows) {
@@ -48,12 +49,12 @@
             total += width;
         }
         for (; total > COLUMNS; total--) {
-            widths[widest(widths)]--;
+            widths[widestColumn(widths)]--;
         }
         return widths;
     }
 
-    private static int widest(int[] widths) {
+    private static int widestColumn(int[] widths) {
         int widest = 0;
         for (int column = 1; column < widths.length; column++) {
             if (widths[column] > widths[widest]) {
@@ -73,14 +74,14 @@
             StringBuilder output = new StringBuilder();
             for (int column = 0; column < widths.length; column++) {
                 output.append(" ".repeat(column == 0 ? 0 : COLUMN_GAP));
-                String part = part(row.get(column), line, widths[column]);
+                String part = cellPart(row.get(column), line, widths[column]);
                 output.append(part).append(" ".repeat(widths[column] - part.length()));
             }
             text.append(output.toString().stripTrailing()).append('\n');
         }
     }
 
-    private static String part(String cell, int line, int width) {
+    private static String cellPart(String cell, int line, int width) {
         int start = Math.min(cell.length(), line * width);
         return cell.substring(start, Math.min(cell.length(), start + width));
     }
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminClient.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminClient.java
@@ -29,12 +29,13 @@
     }
 
     Either<CommandFailure, JsonNode> get(AdminAddress address, String... path) {
-        return exchange(address, new Request.Builder().url(url(address, path)).build());
+        return execute(address, new Request.Builder().url(adminUrl(address, path)).build());
     }
 
     Either<CommandFailure, JsonNode> post(AdminAddress address, String... path) {
         RequestBody empty = RequestBody.create(new byte[0], null);
-        return exchange(address, new Request.Builder().url(url(address, path)).post(empty).build());
+        return execute(
+                address, new Request.Builder().url(adminUrl(address, path)).post(empty).build());
     }
 
     @Override
@@ -43,7 +44,7 @@
         mClient.connectionPool().evictAll();
     }
 
-    private static HttpUrl url(AdminAddress address, String... path) {
+    private static HttpUrl adminUrl(AdminAddress address, String... path) {
         HttpUrl.Builder url = address.url().newBuilder().addPathSegment("admin");
         for (String segment : path) {
             url.addPathSegment(segment);
@@ -51,12 +52,12 @@
         return url.build();
     }
 
-    private Either<CommandFailure, JsonNode> exchange(AdminAddress address, Request request) {
+    private Either<CommandFailure, JsonNode> execute(AdminAddress address, Request request) {
         try (Response response = mClient.newCall(request).execute()) {
             byte[] body = response.body().bytes();
             return response.isSuccessful()
                     ? Either.right(MAPPER.readTree(body))
-                    : Either.left(failure(address, response.code(), body));
+                    : Either.left(toFailure(address, response.code(), body));
         } catch (IOException exception) {
             return Either.left(
                     new CommandFailure(
@@ -65,7 +66,7 @@
         }
     }
 
-    private static CommandFailure failure(AdminAddress address, int status, byte[] body) {
+    private static CommandFailure toFailure(AdminAddress address, int status, byte[] body) {
         ResultCode code = status == NOT_FOUND ? ResultCode.NOT_FOUND : ResultCode.INTERNAL;
         String detail = "responded with status " + status;
         try {
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminCommand.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminCommand.java
@@ -107,7 +107,7 @@
             return Either.left(failure.get());
         }
         return Either.right(
-                new CommandOutput(json(responses), mRenderer.render(responses), failure));
+                new CommandOutput(toJson(responses), mRenderer.render(responses), failure));
     }
 
     /** Combines failures into one with the code of the first. */
@@ -120,7 +120,7 @@
         return Optional.of(new CommandFailure(first.code(), first.detail(), otherDetails));
     }
 
-    private static JsonNode json(List<AdminResponse> responses) {
+    private static JsonNode toJson(List<AdminResponse> responses) {
         ArrayNode array = MAPPER.createArrayNode();
         for (AdminResponse response : responses) {
             ObjectNode item = array.addObject().put("admin", response.address().text());
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/ExplainText.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/ExplainText.java
@@ -11,11 +11,11 @@
 
     static String render(List<AdminResponse> responses) {
         StringBuilder text = new StringBuilder();
-        responses.forEach(response -> text.append(task(response.json())));
+        responses.forEach(response -> text.append(formatTask(response.json())));
         return text.toString();
     }
 
-    private static String task(JsonNode task) {
+    private static String formatTask(JsonNode task) {
         String summary =
                 "task %s state %s attempt %s worker %s shard %s epoch %s"
                         .formatted(
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/StatusText.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/StatusText.java
@@ -12,12 +12,12 @@
     static String render(List<AdminResponse> responses) {
         StringBuilder text = new StringBuilder();
         for (AdminResponse response : responses) {
-            text.append(text.isEmpty() ? "" : "\n").append(process(response.json()));
+            text.append(text.isEmpty() ? "" : "\n").append(formatProcess(response.json()));
         }
         return text.toString();
     }
 
-    private static String process(JsonNode status) {
+    private static String formatProcess(JsonNode status) {
         JsonNode configuration = status.path("configuration");
         JsonNode log = status.path("log");
         String processLine =
@@ -38,11 +38,11 @@
         return TextWrap.wrap(processLine, "  ")
                 + TextWrap.wrap(configurationLine, "  ")
                 + (reason.isEmpty() ? "" : TextWrap.wrap("  reason: " + reason, "    "))
-                + services(status.path("services"))
-                + shards(status.path("shards"));
+                + formatServices(status.path("services"))
+                + formatShards(status.path("shards"));
     }
 
-    private static String services(JsonNode services) {
+    private static String formatServices(JsonNode services) {
         TextTable table =
                 new TextTable("service", "ready", "leaving", "suspect", "in flight", "queued");
         for (JsonNode service : services) {
@@ -57,7 +57,7 @@
         return services.isEmpty() ? "" : table.render();
     }
 
-    private static String shards(JsonNode shards) {
+    private static String formatShards(JsonNode shards) {
         TextTable table = new TextTable("shard", "owner", "epoch", "running", "waiting");
         for (JsonNode shard : shards) {
             table.row(
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/LogClient.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/LogClient.java
@@ -66,7 +66,7 @@
                 throw new LogClientException("response to the read has no first_offset");
             }
             return new LogReadResult(
-                    response.code() == GONE, firstOffset.longValue(), records(body));
+                    response.code() == GONE, firstOffset.longValue(), parseRecords(body));
         }
     }
 
@@ -76,7 +76,7 @@
         mClient.connectionPool().evictAll();
     }
 
-    private static List<LogReadResult.StreamRecord> records(JsonNode body) throws IOException {
+    private static List<LogReadResult.StreamRecord> parseRecords(JsonNode body) throws IOException {
         List<LogReadResult.StreamRecord> records = new ArrayList<>();
         for (JsonNode record : body.path("records")) {
             byte[] payload = record.path("payload").binaryValue();
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/Publisher.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/Publisher.java
@@ -141,7 +141,7 @@
         return new CommandFailure(
                 ResultCode.NO_CONFIGURATION,
                 effect
-                        + "the stream no longer holds its start and holds no usable snapshot, so"
+                        + "the stream no longer contains its start or a usable snapshot, so"
                         + " the current version is unknown; start an entry that has peers, or try"
                         + " again after the next snapshot");
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Main.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Main.java
@@ -39,12 +39,12 @@
         parser.accepts("settings", "settings file").withRequiredArg();
         parser.accepts("check", "check the settings and exit");
         parser.accepts("help", "show this help").forHelp();
-        OptionSet options = parse(parser, arguments);
+        OptionSet options = parseOptions(parser, arguments);
         if (options.has("help") || !options.has("settings")) {
             parser.printHelpOn(System.out);
             System.exit(options.has("help") ? 0 : ResultCode.USAGE.exitCode());
         }
-        DaemonSettings settings = settings(Path.of((String) options.valueOf("settings")));
+        DaemonSettings settings = readSettings(Path.of((String) options.valueOf("settings")));
         if (options.has("check")) {
             System.out.println("settings=ok process=" + settings.process());
             System.exit(0);
@@ -61,7 +61,8 @@
         run(FleetProcessFactory.create(NodeSettingsReader.read(Files.readAllBytes(file))));
     }
 
-    private static OptionSet parse(OptionParser parser, String[] arguments) throws IOException {
+    private static OptionSet parseOptions(OptionParser parser, String[] arguments)
+            throws IOException {
         try {
             return parser.parse(arguments);
         } catch (OptionException e) {
@@ -72,7 +73,7 @@
         }
     }
 
-    private static DaemonSettings settings(Path file) {
+    private static DaemonSettings readSettings(Path file) {
         Either<List<SettingError>, DaemonSettings> settings = SettingsParser.parse(file);
         if (settings.isLeft()) {
             settings.getLeft().forEach(System.err::println);
@@ -85,7 +86,7 @@
         // On a VM without disk, only the wall clock increases across restarts.
         Incarnation incarnation = new Incarnation(System.currentTimeMillis());
         Scheduler scheduler = Schedulers.computation();
-        run(create(settings, incarnation, scheduler));
+        run(createProcess(settings, incarnation, scheduler));
     }
 
     private static void run(Lifecycle process) throws InterruptedException {
@@ -101,7 +102,7 @@
         shutdown.awaitDrain();
     }
 
-    private static Lifecycle create(
+    private static Lifecycle createProcess(
             DaemonSettings settings, Incarnation incarnation, Scheduler scheduler) {
         if (settings.entry().isPresent()) {
             return new EntryProcess(settings, settings.entry().get(), incarnation, scheduler);
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AnnouncementParser.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AnnouncementParser.java
@@ -30,20 +30,20 @@
         try {
             root = MAPPER.readTree(body);
         } catch (IOException e) {
-            return Either.left(List.of("not JSON"));
+            return Either.left(List.of("body is not valid JSON"));
         }
-        return new AnnouncementParser().read(root);
+        return new AnnouncementParser().readAnnouncement(root);
     }
 
-    private Either<List<String>, Announcement> read(JsonNode root) {
+    private Either<List<String>, Announcement> readAnnouncement(JsonNode root) {
         String service = root.path("service").asText("");
         if (service.isBlank()) {
             mErrors.add("service: expected a name");
         }
-        int instance = number(root, "instance", 0, MAXIMUM_INSTANCE);
-        int port = number(root, "port", 1, MAXIMUM_PORT);
-        int slots = number(root, "slots", 1, MAXIMUM_SLOTS);
-        int connections = number(root, "connections", 1, MAXIMUM_CONNECTIONS);
+        int instance = readInteger(root, "instance", 0, MAXIMUM_INSTANCE);
+        int port = readInteger(root, "port", 1, MAXIMUM_PORT);
+        int slots = readInteger(root, "slots", 1, MAXIMUM_SLOTS);
+        int connections = readInteger(root, "connections", 1, MAXIMUM_CONNECTIONS);
         String state = root.path("state").asText("");
         if (!state.equals("ready") && !state.equals("leaving")) {
             mErrors.add("state: expected ready or leaving, found '" + state + "'");
@@ -64,7 +64,7 @@
                         state.equals("ready") ? TargetState.READY : TargetState.LEAVING));
     }
 
-    private int number(JsonNode root, String key, int minimum, int maximum) {
+    private int readInteger(JsonNode root, String key, int minimum, int maximum) {
         JsonNode node = root.path(key);
         if (!node.isInt() || node.asInt() < minimum || node.asInt() > maximum) {
             mErrors.add(
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HttpTargetClient.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HttpTargetClient.java
@@ -89,7 +89,7 @@
 
     @Override
     public Single<TargetResponse> exchange(Invoke invoke) {
-        return Single.create(emitter -> start(invoke, emitter));
+        return Single.create(emitter -> startCall(invoke, emitter));
     }
 
     @Override
@@ -98,14 +98,14 @@
         mClient.connectionPool().evictAll();
     }
 
-    private void start(Invoke invoke, SingleEmitter<TargetResponse> emitter) {
+    private void startCall(Invoke invoke, SingleEmitter<TargetResponse> emitter) {
         Optional<InetSocketAddress> address = mAddresses.apply(invoke.service());
         if (address.isEmpty()) {
             emitter.onError(
                     new TargetNotReachedException("no target announced", new IOException()));
             return;
         }
-        Call call = mClient.newCall(request(address.get(), invoke));
+        Call call = mClient.newCall(newRequest(address.get(), invoke));
         call.timeout().timeout(Math.max(1, invoke.remainingMs()), TimeUnit.MILLISECONDS);
         emitter.setCancellable(call::cancel);
         call.enqueue(
@@ -142,13 +142,14 @@
                 emitter.tryOnError(new ResponseTooLargeException(MAXIMUM_RESPONSE_BYTES));
                 return;
             }
-            emitter.onSuccess(new TargetResponse(response.code(), headers(response), body.bytes()));
+            emitter.onSuccess(
+                    new TargetResponse(response.code(), forwardedHeaders(response), body.bytes()));
         } catch (IOException e) {
             emitter.tryOnError(e);
         }
     }
 
-    private static List<HttpHeader> headers(Response response) {
+    private static List<HttpHeader> forwardedHeaders(Response response) {
         List<HttpHeader> headers = new ArrayList<>();
         response.headers()
                 .forEach(
@@ -160,7 +161,7 @@
         return headers;
     }
 
-    private static Request request(InetSocketAddress address, Invoke invoke) {
+    private static Request newRequest(InetSocketAddress address, Invoke invoke) {
         String host = address.getHostString() + ":" + address.getPort();
         Request.Builder builder = new Request.Builder().url("http://" + host + invoke.path());
         String contentType = "application/octet-stream";
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/ShardRunner.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/ShardRunner.java
@@ -28,7 +28,7 @@
  */
 final class ShardRunner implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(ShardRunner.class);
-    private static final int READ_LIMIT = 500;
+    private static final int READ_LIMIT_RECORDS = 500;
     private static final Duration READ_WAIT = Duration.ofSeconds(1);
     private static final long READ_RETRY_DELAY_MS = 200;
     private static final long TICK_INTERVAL_MS = 50;
@@ -121,13 +121,17 @@
     private Completable readOnce() {
         long requestedMs = mScheduler.now(TimeUnit.MILLISECONDS);
         return readNextPage()
-                .doOnSuccess(page -> handle(new ShardEvent.LogRead(page, READ_LIMIT, requestedMs)))
+                .doOnSuccess(
+                        page ->
+                                handle(
+                                        new ShardEvent.LogRead(
+                                                page, READ_LIMIT_RECORDS, requestedMs)))
                 .ignoreElement()
                 .onErrorResumeNext(this::onReadFailed);
     }
 
     private synchronized Single<LogPage> readNextPage() {
-        return mLog.read(mStream, mOwner.nextOffset(), READ_LIMIT, READ_WAIT);
+        return mLog.read(mStream, mOwner.nextOffset(), READ_LIMIT_RECORDS, READ_WAIT);
     }
 
     private Completable onReadFailed(Throwable error) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logservice/HttpLogService.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/logservice/HttpLogService.java
@@ -68,22 +68,22 @@
     public Single<Long> append(StreamName stream, byte[] payload) {
         Request request =
                 new Request.Builder()
-                        .url(records(stream).build())
+                        .url(recordsUrl(stream).build())
                         .post(RequestBody.create(payload, BYTES))
                         .build();
-        return exchange(request, mTimeouts.response(), HttpLogService::offset);
+        return execute(request, mTimeouts.response(), HttpLogService::parseOffset);
     }
 
     @Override
     public Single<LogPage> read(StreamName stream, long fromOffset, int limit, Duration wait) {
         HttpUrl url =
-                records(stream)
+                recordsUrl(stream)
                         .addQueryParameter("from", Long.toString(fromOffset))
                         .addQueryParameter("limit", Integer.toString(limit))
                         .addQueryParameter("wait_ms", Long.toString(wait.toMillis()))
                         .build();
         Request request = new Request.Builder().url(url).build();
-        return exchange(request, mTimeouts.response().plus(wait), HttpLogService::page);
+        return execute(request, mTimeouts.response().plus(wait), HttpLogService::parsePage);
     }
 
     @Override
@@ -93,7 +93,7 @@
         mClient.connectionPool().evictAll();
     }
 
-    private HttpUrl.Builder records(StreamName stream) {
+    private HttpUrl.Builder recordsUrl(StreamName stream) {
         return mBase.newBuilder()
                 .addPathSegment("streams")
                 .addPathSegment(stream.value())
@@ -105,21 +105,21 @@
         T read(JsonNode body) throws IOException;
     }
 
-    private <T> Single<T> exchange(Request request, Duration timeout, BodyReader<T> reader) {
+    private <T> Single<T> execute(Request request, Duration timeout, BodyReader<T> reader) {
         return Single.create(
                 emitter -> {
                     Call call = mClient.newCall(request);
                     call.timeout().timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
                     emitter.setCancellable(call::cancel);
-                    call.enqueue(new ExchangeCallback<>(emitter, reader));
+                    call.enqueue(new ResponseCallback<>(emitter, reader));
                 });
     }
 
-    private static final class ExchangeCallback<T> implements Callback {
+    private static final class ResponseCallback<T> implements Callback {
         private final SingleEmitter<T> mEmitter;
         private final BodyReader<T> mReader;
 
-        private ExchangeCallback(SingleEmitter<T> emitter, BodyReader<T> reader) {
+        private ResponseCallback(SingleEmitter<T> emitter, BodyReader<T> reader) {
             mEmitter = emitter;
             mReader = reader;
         }
@@ -152,11 +152,11 @@
         }
     }
 
-    private static long offset(JsonNode body) throws IOException {
+    private static long parseOffset(JsonNode body) throws IOException {
         return nonNegativeLong(body, "offset");
     }
 
-    private static LogPage page(JsonNode body) throws IOException {
+    private static LogPage parsePage(JsonNode body) throws IOException {
         List<LogRecord> records = new ArrayList<>();
         for (JsonNode record : body.path("records")) {
             if (!record.path("payload").isTextual()) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingsParser.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingsParser.java
@@ -50,13 +50,13 @@
             ini.load(new StringReader(text));
         } catch (IOException e) {
             return Either.left(
-                    List.of(new SettingError(file, 0, "file", "not INI: " + e.getMessage())));
+                    List.of(new SettingError(file, 0, "file", "not valid INI: " + e.getMessage())));
         }
-        return read(new SettingsReader(file, ini, new SettingLineIndex(text)));
+        return readSettings(new SettingsReader(file, ini, new SettingLineIndex(text)));
     }
 
-    private static Either<List<SettingError>, DaemonSettings> read(SettingsReader reader) {
-        String role = reader.required("process", "role", SettingsParser::role, "");
+    private static Either<List<SettingError>, DaemonSettings> readSettings(SettingsReader reader) {
+        String role = reader.required("process", "role", SettingsParser::parseRole, "");
         String process = reader.required("process", "id", ValueParser::name, "invalid");
         String zone = reader.required("process", "availability_zone", ValueParser::name, "invalid");
         InetSocketAddress adminListen =
@@ -65,12 +65,12 @@
                 reader.optional("process", "drain_limit", ValueParser::duration)
                         .orElse(DEFAULT_DRAIN_LIMIT);
         Level logLevel =
-                reader.optional("process", "log_level", SettingsParser::logLevel)
+                reader.optional("process", "log_level", SettingsParser::parseLogLevel)
                         .orElse(Level.INFO);
         Optional<EntrySettings> entry =
-                role.equals("entry") ? Optional.of(entry(reader)) : Optional.empty();
+                role.equals("entry") ? Optional.of(readEntry(reader)) : Optional.empty();
         Optional<AgentSettings> agent =
-                role.equals("agent") ? Optional.of(agent(reader)) : Optional.empty();
+                role.equals("agent") ? Optional.of(readAgent(reader)) : Optional.empty();
         List<SettingError> errors = reader.errors();
         if (!errors.isEmpty()) {
             return Either.left(errors);
@@ -86,7 +86,7 @@
                         agent));
     }
 
-    private static EntrySettings entry(SettingsReader reader) {
+    private static EntrySettings readEntry(SettingsReader reader) {
         return new EntrySettings(
                 reader.required("entry", "caller_listen", ValueParser::address, NO_ADDRESS),
                 reader.required("entry", "peer_listen", ValueParser::address, NO_ADDRESS),
@@ -94,7 +94,7 @@
                 reader.required("entry", "log_service", ValueParser::url, ""));
     }
 
-    private static AgentSettings agent(SettingsReader reader) {
+    private static AgentSettings readAgent(SettingsReader reader) {
         return new AgentSettings(
                 reader.required("agent", "entries", ValueParser::addresses, List.of()),
                 reader.optional(
@@ -107,13 +107,13 @@
                 reader.optional("agent", "worker", ValueParser::url));
     }
 
-    private static Either<String, String> role(String text) {
+    private static Either<String, String> parseRole(String text) {
         return text.equals("entry") || text.equals("agent")
                 ? Either.right(text)
                 : Either.left("expected entry or agent");
     }
 
-    private static Either<String, Level> logLevel(String text) {
+    private static Either<String, Level> parseLogLevel(String text) {
         return switch (text) {
             case "debug" -> Either.right(Level.FINE);
             case "info" -> Either.right(Level.INFO);
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingsReader.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/settings/SettingsReader.java
@@ -29,16 +29,16 @@
      */
     <T> T required(String section, String key, ValueParser<T> parser, T fallback) {
         Optional<T> value = optional(section, key, parser);
-        if (value.isEmpty() && text(section, key).isEmpty()) {
-            mErrors.add(new SettingError(mFile, 0, name(section, key), "missing"));
+        if (value.isEmpty() && readText(section, key).isEmpty()) {
+            mErrors.add(new SettingError(mFile, 0, settingName(section, key), "missing"));
         }
         return value.orElse(fallback);
     }
 
     /** Reads an optional setting; empty if it is absent or invalid. */
     <T> Optional<T> optional(String section, String key, ValueParser<T> parser) {
-        mRequestedSettings.add(name(section, key));
-        Optional<String> text = text(section, key);
+        mRequestedSettings.add(settingName(section, key));
+        Optional<String> text = readText(section, key);
         if (text.isEmpty()) {
             return Optional.empty();
         }
@@ -53,14 +53,14 @@
     /** Records an error with the line number of a setting. */
     void addError(String section, String key, String message) {
         int line = mLineIndex.lineOf(section, key);
-        mErrors.add(new SettingError(mFile, line, name(section, key), message));
+        mErrors.add(new SettingError(mFile, line, settingName(section, key), message));
     }
 
     /** Returns all errors, including those for unknown and duplicate settings. */
     List<SettingError> errors() {
         for (Map.Entry<String, org.ini4j.Profile.Section> section : mIni.entrySet()) {
             for (String key : section.getValue().keySet()) {
-                if (!mRequestedSettings.contains(name(section.getKey(), key))) {
+                if (!mRequestedSettings.contains(settingName(section.getKey(), key))) {
                     addError(section.getKey(), key, "unknown setting for this role");
                 }
             }
@@ -69,15 +69,17 @@
                 .duplicates()
                 .forEach(
                         (setting, line) ->
-                                mErrors.add(new SettingError(mFile, line, setting, "given twice")));
+                                mErrors.add(
+                                        new SettingError(
+                                                mFile, line, setting, "specified more than once")));
         return List.copyOf(mErrors);
     }
 
-    private Optional<String> text(String section, String key) {
+    private Optional<String> readText(String section, String key) {
         return Optional.ofNullable(mIni.get(section, key)).map(String::strip);
     }
 
-    private static String name(String section, String key) {
+    private static String settingName(String section, String key) {
         return section + "." + key;
     }
 }
