Describe the models in the usual terms

The models spoke of lives, beliefs, batches that land, what a caller was told and what an agent takes. Comments and variables now name incarnations, epochs, commits, reported outcomes and deliveries. The statements and the mutations are the same; every model check passes.

--- a/models/configuration.pml
+++ b/models/configuration.pml
@@ -1,14 +1,15 @@
 /*
- * Acceptance of manifests on the configuration stream: two operators race, one snapshot is written,
- * retention drops the first record, and two readers decide which version is current.
+ * Acceptance of manifests on the configuration stream: two operators publish concurrently, one
+ * snapshot is written, retention removes the first record, and two readers determine the current
+ * version.
  *
- * A version is the offset of its publication plus one; 0 stands for none. Operator 0 may append its
- * manifest twice, as after a lost answer. Each variant removes one guard and must violate an
- * assertion:
+ * A version is the offset of its publication plus one; 0 represents none. Operator 0 may append its
+ * manifest twice, as a retry after a lost response does. Each variant removes one guard and must
+ * violate an assertion:
  */
 // MUTATION: NO_BASE_CHECK    a manifest is accepted whatever its base
-// MUTATION: NO_AS_OF_CHECK   a snapshot is used although records after its as_of were dropped
-// MUTATION: ACCEPT_LOWER     a reader puts a lower version of its peer in force
+// MUTATION: NO_AS_OF_CHECK   a snapshot is used although records after its as_of were removed
+// MUTATION: ACCEPT_LOWER     a reader activates a lower version of its peer
 
 #define LENGTH 4
 
@@ -16,132 +17,135 @@
 
 Record log[LENGTH];
 byte length = 0;
-byte first = 0;
-/* The version that a reader of every record knows after each offset; never read by the rule. */
-byte truth = 0;
-byte truthAfter[LENGTH];
+byte firstOffset = 0;
+/*
+ * The version that a reader of every record knows after each offset; the checked rule never reads
+ * it.
+ */
+byte expectedVersion = 0;
+byte expectedVersionAfter[LENGTH];
 
-byte next[2];
-byte current[2];
-byte inForce[2];
-bool isDecided[2] = true;
+byte nextOffset[2];
+byte currentVersion[2];
+byte activeVersion[2];
+bool isVersionKnown[2] = true;
 
-inline append(snapshot, itsAuthor, itsVersion, itsAsOf) {
+inline append(snapshot, recordAuthor, recordVersion, recordAsOf) {
   log[length].isSnapshot = snapshot;
-  log[length].author = itsAuthor;
-  log[length].version = itsVersion;
-  log[length].asOf = itsAsOf;
+  log[length].author = recordAuthor;
+  log[length].version = recordVersion;
+  log[length].asOf = recordAsOf;
   if
-  :: snapshot || (truth > 0 && log[truth - 1].author == itsAuthor) || itsVersion != truth -> skip
-  :: else -> truth = length + 1
+  :: snapshot || (expectedVersion > 0 && log[expectedVersion - 1].author == recordAuthor) || recordVersion != expectedVersion -> skip
+  :: else -> expectedVersion = length + 1
   fi;
-  truthAfter[length] = truth;
+  expectedVersionAfter[length] = expectedVersion;
   length++
 }
 
-inline judge(me, offset) {
+inline applyPublication(reader, offset) {
   if
   :: log[offset].isSnapshot -> skip
-  :: !log[offset].isSnapshot && current[me] > 0 && log[current[me] - 1].author == log[offset].author
+  :: !log[offset].isSnapshot && currentVersion[reader] > 0 && log[currentVersion[reader] - 1].author == log[offset].author
   :: else ->
 #ifndef NO_BASE_CHECK
     if
-    :: log[offset].version == current[me] -> current[me] = offset + 1
+    :: log[offset].version == currentVersion[reader] -> currentVersion[reader] = offset + 1
     :: else
     fi
 #else
-    current[me] = offset + 1
+    currentVersion[reader] = offset + 1
 #endif
   fi
 }
 
-inline offer(me, offered) {
+inline activateIfNewer(reader, candidate) {
   if
 #ifdef ACCEPT_LOWER
-  :: offered != inForce[me] && offered > 0 ->
+  :: candidate != activeVersion[reader] && candidate > 0 ->
 #else
-  :: offered > inForce[me] ->
+  :: candidate > activeVersion[reader] ->
 #endif
-    assert(offered > inForce[me]);
-    inForce[me] = offered
+    assert(candidate > activeVersion[reader]);
+    activeVersion[reader] = candidate
   :: else
   fi
 }
 
-proctype Operator(byte number) {
+proctype Operator(byte operator) {
   byte base;
-  /* A statement, because an initialiser is evaluated when the process is created. */
-  base = truth;
-  d_step { append(false, number, base, 0) };
+  /* Not an initialiser, because that would be evaluated when the process is created. */
+  base = expectedVersion;
+  d_step { append(false, operator, base, 0) };
   if
-  :: number == 0 -> d_step { append(false, number, base, 0) }
+  :: operator == 0 -> d_step { append(false, operator, base, 0) }
   :: true
   fi
 }
 
 proctype Writer() {
-  byte read = 0;
-  byte known = 0;
-  /* Stops at any place of the stream; the snapshot is appended later. */
+  byte readOffset = 0;
+  byte knownVersion = 0;
+  /* Stops reading at any offset; the snapshot is appended later. */
   do
-  :: d_step { read < length -> known = truthAfter[read]; read++ }
+  :: d_step { readOffset < length -> knownVersion = expectedVersionAfter[readOffset]; readOffset++ }
   :: break
   od;
-  atomic { append(true, 0, known, read) }
+  atomic { append(true, 0, knownVersion, readOffset) }
 }
 
-proctype Reader(byte me) {
-  byte start = 0;
+proctype Reader(byte reader) {
+  byte startOffset = 0;
   byte offset = 0;
-  bool mayRestart = (me == 1);
+  bool mayRestart = (reader == 1);
 end:
   do
   :: d_step {
-      next[me] >= first && next[me] < length ->
+      nextOffset[reader] >= firstOffset && nextOffset[reader] < length ->
       if
-      :: isDecided[me] -> judge(me, next[me])
+      :: isVersionKnown[reader] -> applyPublication(reader, nextOffset[reader])
 #ifdef NO_AS_OF_CHECK
-      :: !isDecided[me] && log[next[me]].isSnapshot ->
+      :: !isVersionKnown[reader] && log[nextOffset[reader]].isSnapshot ->
 #else
-      :: !isDecided[me] && log[next[me]].isSnapshot && log[next[me]].asOf >= start ->
+      :: !isVersionKnown[reader] && log[nextOffset[reader]].isSnapshot && log[nextOffset[reader]].asOf >= startOffset ->
 #endif
-        isDecided[me] = true;
-        current[me] = log[next[me]].version;
-        /* Judges the kept publications that the writer of the snapshot had not read. */
-        offset = (log[next[me]].asOf > start -> log[next[me]].asOf : start);
+        isVersionKnown[reader] = true;
+        currentVersion[reader] = log[nextOffset[reader]].version;
+        /* Applies the retained publications that the writer of the snapshot had not read. */
+        offset = (log[nextOffset[reader]].asOf > startOffset -> log[nextOffset[reader]].asOf : startOffset);
         do
-        :: offset < next[me] -> judge(me, offset); offset++
+        :: offset < nextOffset[reader] -> applyPublication(reader, offset); offset++
         :: else -> break
         od;
         offset = 0
       :: else
       fi;
-      next[me]++;
+      nextOffset[reader]++;
       if
-      :: isDecided[me] -> assert(current[me] == truthAfter[next[me] - 1]); offer(me, current[me])
+      :: isVersionKnown[reader] -> assert(currentVersion[reader] == expectedVersionAfter[nextOffset[reader] - 1]); activateIfNewer(reader, currentVersion[reader])
       :: else
       fi;
-      assert(!isDecided[0] || !isDecided[1] || next[0] != next[1] || current[0] == current[1])
+      assert(!isVersionKnown[0] || !isVersionKnown[1] || nextOffset[0] != nextOffset[1] || currentVersion[0] == currentVersion[1])
     }
   :: d_step {
-      next[me] < first || mayRestart ->
+      nextOffset[reader] < firstOffset || mayRestart ->
       if
-      :: next[me] >= first -> mayRestart = false; inForce[me] = 0
+      :: nextOffset[reader] >= firstOffset -> mayRestart = false; activeVersion[reader] = 0
       :: else
       fi;
-      start = first;
-      next[me] = first;
-      current[me] = 0;
-      isDecided[me] = (first == 0)
+      startOffset = firstOffset;
+      nextOffset[reader] = firstOffset;
+      currentVersion[reader] = 0;
+      isVersionKnown[reader] = (firstOffset == 0)
     }
-  :: d_step { inForce[1 - me] != inForce[me] -> offer(me, inForce[1 - me]) }
+  :: d_step { activeVersion[1 - reader] != activeVersion[reader] -> activateIfNewer(reader, activeVersion[1 - reader]) }
   od
 }
 
-/* Drops the first record once, or never. */
+/* Removes the first record at most once. */
 proctype Retention() {
 end:
-  d_step { length > 0 -> first = 1 }
+  d_step { length > 0 -> firstOffset = 1 }
 }
 
 init {
--- a/models/placement.pml
+++ b/models/placement.pml
@@ -1,16 +1,16 @@
 /*
- * Ownership of a placement shard: claims, fences, batches that follow a newer claim, starts that
- * arrive late, leases that expire, workers that restart. One task, two owners, two workers.
+ * Ownership of a placement shard: claims, fencing, batches that follow a newer claim, delayed start
+ * commands, lease expiry and worker restarts. One task, two owners, two workers.
  *
- * The log is represented by the result of its replay. A start stays on its way until its lease has
- * passed and may be delivered any number of times. The end of a lease is a choice of the worker; an
- * owner may conclude that an attempt has ended only if the worker confirmed the owner's epoch and
- * the lease has passed, or the worker has a new incarnation.
+ * The log is represented by the result of its replay. A start command stays in flight until its
+ * lease has expired and may be delivered any number of times. The worker chooses when a lease
+ * expires. An owner may conclude that an attempt has ended only if the worker has confirmed the
+ * owner's epoch and the lease has expired, or if the worker has a new incarnation.
  *
  * By symmetry, owner 0 claims first and records its first attempt on worker 0.
  *
- * Assertions: the task never runs in two places, no attempt runs twice, the record of an attempt
- * that may run is never overwritten, and nothing starts once the end of the task is recorded.
+ * Assertions: the task never runs on two workers, no attempt runs twice, the record of an attempt
+ * that may run is never overwritten, and no attempt starts once the end of the task is recorded.
  */
 // MUTATION: NO_EPOCH_CHECK
 // MUTATION: NO_VOID_BATCH
@@ -23,159 +23,159 @@
 #define RESTARTS 1
 #define NONE 15
 
-/* Replay of the log: latest valid claim and its owner, recorded attempt and end of the task. */
+/* Replayed state: epoch and owner of the latest valid claim, recorded attempt, end of the task. */
 byte epoch = 0;
 byte epochOwner = NONE;
-byte recorded = 0;
-byte recordedAt = NONE;
-byte recordedLife = 0;
-bool ended = false;
+byte recordedAttempt = 0;
+byte recordedWorker = NONE;
+byte recordedIncarnation = 0;
+bool endRecorded = false;
 
-/* Owners: latest epoch of their own, and a batch that is appended but not yet in the log. */
-byte belief[2];
-byte view[2];               /* attempt that the owner takes for the current one, 0 for none */
+/* Owners: latest epoch that each claimed, and a batch that is in flight to the log. */
+byte ownEpoch[2];
+byte believedAttempt[2];     /* attempt that the owner assumes to be current, 0 for none */
 byte batchEpoch[2];
 byte batchAttempt[2];
 byte batchWorker[2];
-byte batchLife[2];
+byte batchIncarnation[2];
 
-/* Workers: highest epoch and last attempt seen, and what became of that attempt. */
-byte fenced[2];
-byte seen[2];
-bool runs[2];
-bool done[2];
-byte life[2];
+/* Workers: highest epoch and last attempt seen, and the state of that attempt. */
+byte highestEpoch[2];
+byte lastAttempt[2];
+bool running[2];
+bool completed[2];
+byte incarnation[2];
 byte restarts = 0;
 
-/* Start of each attempt: whether it may still arrive, and what it names. */
-bool onWay[ATTEMPTS + 1];
+/* Start command of each attempt: whether it may still arrive, and its contents. */
+bool inFlight[ATTEMPTS + 1];
 byte startEpoch[ATTEMPTS + 1];
 byte startWorker[ATTEMPTS + 1];
-byte startLife[ATTEMPTS + 1];
+byte startIncarnation[ATTEMPTS + 1];
 byte runCount[ATTEMPTS + 1];
 
-inline claim(o) {
+inline claim(owner) {
     epoch++;
-    epochOwner = o;
-    belief[o] = epoch;
-    view[o] = 0
+    epochOwner = owner;
+    ownEpoch[owner] = epoch;
+    believedAttempt[owner] = 0
 }
 
-inline fence(o, w) {
+inline fence(owner, worker) {
     if
-    :: belief[o] >= fenced[w] -> fenced[w] = belief[o]
+    :: ownEpoch[owner] >= highestEpoch[worker] -> highestEpoch[worker] = ownEpoch[owner]
     :: else -> skip
     fi
 }
 
-inline write(o, w) {
-    batchEpoch[o] = belief[o];
-    batchAttempt[o] = recorded + 1;
-    batchWorker[o] = w;
-    batchLife[o] = life[w]
+inline appendBatch(owner, worker) {
+    batchEpoch[owner] = ownEpoch[owner];
+    batchAttempt[owner] = recordedAttempt + 1;
+    batchWorker[owner] = worker;
+    batchIncarnation[owner] = incarnation[worker]
 }
 
-inline forgetBatch(o) {
-    batchEpoch[o] = 0;
-    batchAttempt[o] = 0;
-    batchWorker[o] = 0;
-    batchLife[o] = 0
+inline clearBatch(owner) {
+    batchEpoch[owner] = 0;
+    batchAttempt[owner] = 0;
+    batchWorker[owner] = 0;
+    batchIncarnation[owner] = 0
 }
 
-/* A batch counts at its position in the log; it is void if a newer claim stands before it. */
-inline land(o) {
+/* Commits a batch at its position in the log; it is invalid if a newer claim precedes it. */
+inline commitBatch(owner) {
     if
 #ifdef NO_VOID_BATCH
     :: true ->
 #else
-    :: batchEpoch[o] == epoch ->
+    :: batchEpoch[owner] == epoch ->
 #endif
-        assert(recordedAt == NONE && !ended);
-        recorded = batchAttempt[o];
-        view[o] = recorded;
-        recordedAt = batchWorker[o];
-        recordedLife = batchLife[o];
-        onWay[recorded] = true;
-        startEpoch[recorded] = batchEpoch[o];
-        startWorker[recorded] = batchWorker[o];
-        startLife[recorded] = batchLife[o]
+        assert(recordedWorker == NONE && !endRecorded);
+        recordedAttempt = batchAttempt[owner];
+        believedAttempt[owner] = recordedAttempt;
+        recordedWorker = batchWorker[owner];
+        recordedIncarnation = batchIncarnation[owner];
+        inFlight[recordedAttempt] = true;
+        startEpoch[recordedAttempt] = batchEpoch[owner];
+        startWorker[recordedAttempt] = batchWorker[owner];
+        startIncarnation[recordedAttempt] = batchIncarnation[owner]
 #ifndef NO_VOID_BATCH
     :: else -> skip
 #endif
     fi;
-    forgetBatch(o)
+    clearBatch(owner)
 }
 
-#define ACTING (belief[o] == epoch && epochOwner == o)
-#define STALE (belief[o] > 0 && belief[o] < epoch)
-#define FENCED (fenced[recordedAt] == epoch)
-#define LEASE_PASSED (!onWay[recorded] && !runs[recordedAt])
-#define RESTARTED (life[recordedAt] != recordedLife)
-#define FINISHED (done[recordedAt] && seen[recordedAt] == recorded && !RESTARTED)
+#define IS_OWNER (ownEpoch[owner] == epoch && epochOwner == owner)
+#define STALE (ownEpoch[owner] > 0 && ownEpoch[owner] < epoch)
+#define EPOCH_CONFIRMED (highestEpoch[recordedWorker] == epoch)
+#define LEASE_EXPIRED (!inFlight[recordedAttempt] && !running[recordedWorker])
+#define RESTARTED (incarnation[recordedWorker] != recordedIncarnation)
+#define FINISHED (completed[recordedWorker] && lastAttempt[recordedWorker] == recordedAttempt && !RESTARTED)
 
-proctype Owner(byte o) {
+proctype Owner(byte owner) {
 end:
     do
-    :: atomic { epoch < CLAIMS && epochOwner != o && !ended && (epoch > 0 || o == 0) -> claim(o) }
-    :: atomic { belief[o] > 0 && fenced[0] < belief[o] -> fence(o, 0) }
-    :: atomic { belief[o] > 0 && fenced[1] < belief[o] -> fence(o, 1) }
-    :: atomic { belief[o] > 0 && batchEpoch[o] == 0 && !ended && recordedAt == NONE && recorded < ATTEMPTS -> write(o, 0) }
-    :: atomic { belief[o] > 0 && batchEpoch[o] == 0 && !ended && recordedAt == NONE && recorded < ATTEMPTS && (belief[o] > 1 || recorded > 0) -> write(o, 1) }
-    :: atomic { batchEpoch[o] > 0 -> land(o) }
-    /* The owner that recorded an attempt repeats its start until it is seen. */
-    :: atomic { ACTING && recordedAt != NONE && startEpoch[recorded] == epoch && !onWay[recorded] && seen[recordedAt] < recorded -> onWay[recorded] = true }
-    /* A replaced owner that does not know it yet repeats its starts as well. */
-    :: atomic { STALE && view[o] == 1 && startEpoch[1] == belief[o] && !onWay[1] -> onWay[1] = true }
-    :: atomic { STALE && view[o] == 2 && startEpoch[2] == belief[o] && !onWay[2] -> onWay[2] = true }
-    /* A new owner repeats it under its own epoch. */
-    :: atomic { ACTING && recordedAt != NONE && FENCED && startEpoch[recorded] < epoch -> startEpoch[recorded] = epoch; onWay[recorded] = true }
+    :: atomic { epoch < CLAIMS && epochOwner != owner && !endRecorded && (epoch > 0 || owner == 0) -> claim(owner) }
+    :: atomic { ownEpoch[owner] > 0 && highestEpoch[0] < ownEpoch[owner] -> fence(owner, 0) }
+    :: atomic { ownEpoch[owner] > 0 && highestEpoch[1] < ownEpoch[owner] -> fence(owner, 1) }
+    :: atomic { ownEpoch[owner] > 0 && batchEpoch[owner] == 0 && !endRecorded && recordedWorker == NONE && recordedAttempt < ATTEMPTS -> appendBatch(owner, 0) }
+    :: atomic { ownEpoch[owner] > 0 && batchEpoch[owner] == 0 && !endRecorded && recordedWorker == NONE && recordedAttempt < ATTEMPTS && (ownEpoch[owner] > 1 || recordedAttempt > 0) -> appendBatch(owner, 1) }
+    :: atomic { batchEpoch[owner] > 0 -> commitBatch(owner) }
+    /* The owner that recorded an attempt retries its start command until the worker has seen it. */
+    :: atomic { IS_OWNER && recordedWorker != NONE && startEpoch[recordedAttempt] == epoch && !inFlight[recordedAttempt] && lastAttempt[recordedWorker] < recordedAttempt -> inFlight[recordedAttempt] = true }
+    /* A previous owner that has not noticed its replacement also retries its start commands. */
+    :: atomic { STALE && believedAttempt[owner] == 1 && startEpoch[1] == ownEpoch[owner] && !inFlight[1] -> inFlight[1] = true }
+    :: atomic { STALE && believedAttempt[owner] == 2 && startEpoch[2] == ownEpoch[owner] && !inFlight[2] -> inFlight[2] = true }
+    /* The next owner retries the start command under its own epoch. */
+    :: atomic { IS_OWNER && recordedWorker != NONE && EPOCH_CONFIRMED && startEpoch[recordedAttempt] < epoch -> startEpoch[recordedAttempt] = epoch; inFlight[recordedAttempt] = true }
 #ifdef NO_PROOF_OF_END
-    :: atomic { ACTING && recordedAt != NONE && !FINISHED -> recordedAt = NONE; view[o] = 0 }
+    :: atomic { IS_OWNER && recordedWorker != NONE && !FINISHED -> recordedWorker = NONE; believedAttempt[owner] = 0 }
 #else
-    :: atomic { ACTING && recordedAt != NONE && RESTARTED -> recordedAt = NONE; view[o] = 0 }
-    :: atomic { ACTING && recordedAt != NONE && FENCED && LEASE_PASSED && !FINISHED -> recordedAt = NONE; view[o] = 0 }
+    :: atomic { IS_OWNER && recordedWorker != NONE && RESTARTED -> recordedWorker = NONE; believedAttempt[owner] = 0 }
+    :: atomic { IS_OWNER && recordedWorker != NONE && EPOCH_CONFIRMED && LEASE_EXPIRED && !FINISHED -> recordedWorker = NONE; believedAttempt[owner] = 0 }
 #endif
-    :: atomic { ACTING && recordedAt != NONE && FINISHED -> ended = true; recordedAt = NONE; view[o] = 0 }
-    :: ended || epoch == CLAIMS -> break
+    :: atomic { IS_OWNER && recordedWorker != NONE && FINISHED -> endRecorded = true; recordedWorker = NONE; believedAttempt[owner] = 0 }
+    :: endRecorded || epoch == CLAIMS -> break
     od
 }
 
-inline deliver(w, a) {
+inline deliver(worker, attempt) {
     if
 #ifndef NO_EPOCH_CHECK
-    :: startEpoch[a] < fenced[w] -> skip
+    :: startEpoch[attempt] < highestEpoch[worker] -> skip
 #endif
 #ifndef NO_INCARNATION_CHECK
-    :: startLife[a] != life[w] -> skip
+    :: startIncarnation[attempt] != incarnation[worker] -> skip
 #endif
 #ifndef NO_ATTEMPT_CHECK
-    :: a <= seen[w] -> skip
+    :: attempt <= lastAttempt[worker] -> skip
 #endif
     :: else ->
-        assert(!runs[1 - w]);
-        assert(!ended);
-        assert(runCount[a] == 0);
-        runCount[a]++;
-        fenced[w] = startEpoch[a];
-        seen[w] = a;
-        runs[w] = true;
-        done[w] = false
+        assert(!running[1 - worker]);
+        assert(!endRecorded);
+        assert(runCount[attempt] == 0);
+        runCount[attempt]++;
+        highestEpoch[worker] = startEpoch[attempt];
+        lastAttempt[worker] = attempt;
+        running[worker] = true;
+        completed[worker] = false
     fi
 }
 
-proctype Worker(byte w) {
+proctype Worker(byte worker) {
 end:
     do
-    :: atomic { onWay[1] && startWorker[1] == w -> deliver(w, 1) }
-    :: atomic { onWay[2] && startWorker[2] == w -> deliver(w, 2) }
-    /* The lease of what runs or is on its way passes. */
-    :: atomic { runs[w] -> runs[w] = false }
-    :: atomic { onWay[1] && startWorker[1] == w && !runs[w] -> onWay[1] = false }
-    :: atomic { onWay[2] && startWorker[2] == w && !runs[w] -> onWay[2] = false }
-    :: atomic { runs[w] -> runs[w] = false; done[w] = true }
-    /* A restarted worker remembers nothing. */
-    :: atomic { restarts < RESTARTS -> restarts++; runs[w] = false; done[w] = false; seen[w] = 0; fenced[w] = 0; life[w]++ }
-    :: ended && !runs[w] && !onWay[1] && !onWay[2] -> break
+    :: atomic { inFlight[1] && startWorker[1] == worker -> deliver(worker, 1) }
+    :: atomic { inFlight[2] && startWorker[2] == worker -> deliver(worker, 2) }
+    /* The lease of a running attempt or of a start command in flight expires. */
+    :: atomic { running[worker] -> running[worker] = false }
+    :: atomic { inFlight[1] && startWorker[1] == worker && !running[worker] -> inFlight[1] = false }
+    :: atomic { inFlight[2] && startWorker[2] == worker && !running[worker] -> inFlight[2] = false }
+    :: atomic { running[worker] -> running[worker] = false; completed[worker] = true }
+    /* A restart loses all state of the worker. */
+    :: atomic { restarts < RESTARTS -> restarts++; running[worker] = false; completed[worker] = false; lastAttempt[worker] = 0; highestEpoch[worker] = 0; incarnation[worker]++ }
+    :: endRecorded && !running[worker] && !inFlight[1] && !inFlight[2] -> break
     od
 }
 
--- a/models/request.pml
+++ b/models/request.pml
@@ -1,13 +1,13 @@
 /*
  * Exchange of unsafe requests between one entry and two agents.
  *
- * Agent 0 may dial again, which opens a session, and may restart. Messages are sets tagged with the
- * session of their connection: they may be late, overtake each other, and arrive after a newer
- * session was opened. Loss needs no step, since a message need never be taken.
+ * Agent 0 may reconnect, which opens a new session, and may restart. Messages are sets tagged with
+ * the session of their connection: they may be delayed, reordered, and delivered after a newer
+ * session was opened. Loss needs no step of its own, since a message need never be delivered.
  *
  * Request 0 has the attempts 0 (agent 0) and 1 (agent 1); request 1 has the attempt 2 (agent 0).
- * Request 1 only shows whose answer is whose. Only attempt 0 is cancelled or given up, which keeps
- * the search small.
+ * Request 1 only serves to detect a response that is matched to the wrong request. Only attempt 0
+ * is cancelled or abandoned, which limits the state space.
  */
 
 // MUTATION: NO_SESSION_FENCE
@@ -27,56 +27,59 @@
 
 /* State of an attempt at the entry. */
 #define UNUSED 0
-#define OPEN 1
-#define SETTLED 2
+#define PENDING 1
+#define CLOSED 2
 
-/* What an agent knows of an attempt. */
-#define NOTHING 0
+/* State of an attempt at its agent. */
+#define ABSENT 0
 #define QUEUED 1
 #define RUNNING 2
 #define ENDED 3
 #define CANCELLED 4
 
-/* What the caller of a request was told. */
+/* Outcome that was reported to the caller of a request. */
 #define WAITING 0
 #define DONE 1
 #define NOT_RUN 2
 #define UNKNOWN 3
 
-/* Agent side; agent 1 stays in its session 1. */
+/* State of the agents; agent 1 stays in its session 1. */
 byte session[2];
 byte incarnation[2];
-byte record[ATTEMPTS];
-byte replySession[ATTEMPTS];
-byte runs[2];
+byte agentState[ATTEMPTS];
+byte responseSession[ATTEMPTS];
+byte runCount[2];
 bool restarted;
 
 /* Incarnation of the agent that opened each session. */
-byte openedBy[4];
+byte sessionIncarnation[4];
 
-/* Messages under way: the session of the connection that carries them, or 0. */
-byte invokeOn[ATTEMPTS];
-byte cancelOn[ATTEMPTS];
-byte resultOn[ATTEMPTS];
-byte notRunOn[ATTEMPTS];
-bool hello;
+/* Messages in flight: the session of the connection that carries them, or 0. */
+byte invokeSession[ATTEMPTS];
+byte cancelSession[ATTEMPTS];
+byte resultSession[ATTEMPTS];
+byte notRunSession[ATTEMPTS];
+bool helloInFlight;
 
-/* Entry side. */
-byte seen[2];
+/* State of the entry. */
+byte knownSession[2];
 byte attemptState[ATTEMPTS];
 byte attemptSession[ATTEMPTS];
 bool sent[ATTEMPTS];
-byte told[2];
+byte reportedOutcome[2];
 
-#define OUTSTANDING(attempt) (attemptState[attempt] == OPEN)
+#define OUTSTANDING(attempt) (attemptState[attempt] == PENDING)
 
 #ifdef NO_SESSION_FENCE
 #define NOT_FENCED(attempt) true
 #else
-#define NOT_FENCED(attempt) (invokeOn[attempt] == session[AGENT(attempt)])
+#define NOT_FENCED(attempt) (invokeSession[attempt] == session[AGENT(attempt)])
 #endif
 
-/* Otherwise an old incarnation proves what a new one, to which the attempt is sent, disproves. */
+/*
+ * An attempt is cancelled only after it was sent. Otherwise the proof of an old incarnation that the
+ * attempt was not run no longer holds once the attempt is sent to a new incarnation.
+ */
 #ifdef CANCEL_BEFORE_SEND
 #define MAY_CANCEL(attempt) (attempt == 0)
 #else
@@ -84,65 +87,65 @@
 #endif
 
 #ifdef NO_SESSION_MATCH
-#define EXPECTED_ON(attempt, on) true
+#define IS_EXPECTED_SESSION(attempt, carrier) true
 #else
-#define EXPECTED_ON(attempt, on) (attemptSession[attempt] == on)
+#define IS_EXPECTED_SESSION(attempt, carrier) (attemptSession[attempt] == carrier)
 #endif
 
 #ifdef NO_INCARNATION_CHECK
 #define SAME_INCARNATION(attempt) true
 #else
-#define SAME_INCARNATION(attempt) (openedBy[attemptSession[attempt]] == incarnation[0])
+#define SAME_INCARNATION(attempt) (sessionIncarnation[attemptSession[attempt]] == incarnation[0])
 #endif
 
-inline tell(request, outcome) {
+inline reportOutcome(request, outcome) {
   if
-  :: told[request] == WAITING ->
-    assert(outcome != NOT_RUN || runs[request] == 0);
-    assert(outcome != DONE || runs[request] == 1);
-    told[request] = outcome
+  :: reportedOutcome[request] == WAITING ->
+    assert(outcome != NOT_RUN || runCount[request] == 0);
+    assert(outcome != DONE || runCount[request] == 1);
+    reportedOutcome[request] = outcome
   :: else
   fi
 }
 
 inline register(attempt) {
-  attemptState[attempt] = OPEN;
-  attemptSession[attempt] = seen[AGENT(attempt)]
+  attemptState[attempt] = PENDING;
+  attemptSession[attempt] = knownSession[AGENT(attempt)]
 }
 
-inline settle(attempt) {
-  attemptState[attempt] = SETTLED;
+inline closeAttempt(attempt) {
+  attemptState[attempt] = CLOSED;
   attemptSession[attempt] = 0
 }
 
-/* The entry holds a proof that the attempt was not run, or wrongly believes so. */
-inline provenNotRun(attempt) {
-  settle(attempt);
+/* Handles a proof that the attempt was not run; without the guards, the proof may be wrong. */
+inline handleNotRunProof(attempt) {
+  closeAttempt(attempt);
   if
-  :: attempt == 0 && told[0] == WAITING -> register(1)
-  :: tell(REQUEST(attempt), NOT_RUN)
+  :: attempt == 0 && reportedOutcome[0] == WAITING -> register(1)
+  :: reportOutcome(REQUEST(attempt), NOT_RUN)
   fi
 }
 
-/* The entry learns of the newest session of agent 0. */
-inline linkOpened() {
-  hello = false;
-  seen[0] = session[0];
+/* Notifies the entry of the latest session of agent 0. */
+inline onSessionOpened() {
+  helloInFlight = false;
+  knownSession[0] = session[0];
   for (i : 0 .. 2) {
     if
     :: AGENT(i) == 0 && OUTSTANDING(i) ->
       if
       :: !SAME_INCARNATION(i) ->
-        settle(i);
-        tell(REQUEST(i), UNKNOWN)
+        closeAttempt(i);
+        reportOutcome(REQUEST(i), UNKNOWN)
 #ifdef RETRY_WITHOUT_PROOF
-      :: true -> provenNotRun(i)
+      :: true -> handleNotRunProof(i)
 #endif
       :: SAME_INCARNATION(i) ->
-        attemptSession[i] = seen[0];
-        /* An attempt that is not yet sent is asked about after that. */
+        attemptSession[i] = knownSession[0];
+        /* An attempt that is not sent yet is cancelled only after it has been sent. */
         if
-        :: MAY_CANCEL(i) -> cancelOn[i] = seen[0]
+        :: MAY_CANCEL(i) -> cancelSession[i] = knownSession[0]
         :: else
         fi
       fi
@@ -151,14 +154,14 @@
   }
 }
 
-/* A session opens at the agent: it fences the older one before the entry hears of it. */
-inline dial() {
+/* Opens a session at the agent, which fences the previous one before the entry is notified. */
+inline reconnect() {
   session[0]++;
-  openedBy[session[0]] = incarnation[0];
-  hello = true;
+  sessionIncarnation[session[0]] = incarnation[0];
+  helloInFlight = true;
   for (i : 0 .. 2) {
     if
-    :: AGENT(i) == 0 && record[i] == QUEUED -> record[i] = CANCELLED
+    :: AGENT(i) == 0 && agentState[i] == QUEUED -> agentState[i] = CANCELLED
     :: else
     fi
   }
@@ -170,78 +173,78 @@
   for (i : 0 .. 2) {
     if
     :: AGENT(i) == 0 ->
-      record[i] = NOTHING;
-      /* The connections of the killed process are gone with all that they carried to it. */
-      invokeOn[i] = 0;
-      cancelOn[i] = 0
+      agentState[i] = ABSENT;
+      /* Messages in flight to the killed process are lost with its connections. */
+      invokeSession[i] = 0;
+      cancelSession[i] = 0
     :: else
     fi
   };
-  dial()
+  reconnect()
 }
 
-inline takeInvoke(attempt) {
+inline receiveInvoke(attempt) {
   if
-  :: record[attempt] == NOTHING && NOT_FENCED(attempt) ->
-    record[attempt] = QUEUED;
-    replySession[attempt] = invokeOn[attempt]
+  :: agentState[attempt] == ABSENT && NOT_FENCED(attempt) ->
+    agentState[attempt] = QUEUED;
+    responseSession[attempt] = invokeSession[attempt]
   :: else
   fi;
-  invokeOn[attempt] = 0
+  invokeSession[attempt] = 0
 }
 
-inline takeCancel(attempt) {
+inline receiveCancel(attempt) {
   if
-  :: record[attempt] == NOTHING || record[attempt] == QUEUED || record[attempt] == CANCELLED ->
+  :: agentState[attempt] == ABSENT || agentState[attempt] == QUEUED || agentState[attempt] == CANCELLED ->
 #ifdef NO_TOMBSTONE
-    record[attempt] = NOTHING;
+    agentState[attempt] = ABSENT;
 #else
 #ifdef QUEUE_IGNORES_CANCEL
     if
-    :: record[attempt] == NOTHING -> record[attempt] = CANCELLED
+    :: agentState[attempt] == ABSENT -> agentState[attempt] = CANCELLED
     :: else
     fi;
 #else
-    record[attempt] = CANCELLED;
+    agentState[attempt] = CANCELLED;
 #endif
 #endif
-    notRunOn[attempt] = cancelOn[attempt]
-  :: record[attempt] == RUNNING -> replySession[attempt] = cancelOn[attempt]
-  :: record[attempt] == ENDED -> resultOn[attempt] = cancelOn[attempt]
+    notRunSession[attempt] = cancelSession[attempt]
+  :: agentState[attempt] == RUNNING -> responseSession[attempt] = cancelSession[attempt]
+  :: agentState[attempt] == ENDED -> resultSession[attempt] = cancelSession[attempt]
   fi;
-  cancelOn[attempt] = 0
+  cancelSession[attempt] = 0
 }
 
 inline start(attempt) {
-  record[attempt] = RUNNING;
-  assert(runs[REQUEST(attempt)] == 0);
-  assert(told[REQUEST(attempt)] != NOT_RUN);
-  runs[REQUEST(attempt)]++
+  agentState[attempt] = RUNNING;
+  assert(runCount[REQUEST(attempt)] == 0);
+  assert(reportedOutcome[REQUEST(attempt)] != NOT_RUN);
+  runCount[REQUEST(attempt)]++
 }
 
-/* The answer of one attempt reaches the entry, which gives it to the attempt "matched". */
-inline takeResult(attempt, matched) {
+/* Delivers the result of an attempt to the entry, which assigns it to the attempt "matched". */
+inline receiveResult(attempt, matched) {
   if
-  :: OUTSTANDING(matched) && EXPECTED_ON(matched, resultOn[attempt]) ->
+  :: OUTSTANDING(matched) && IS_EXPECTED_SESSION(matched, resultSession[attempt]) ->
     assert(REQUEST(matched) == REQUEST(attempt));
-    settle(matched);
-    tell(REQUEST(matched), DONE)
+    closeAttempt(matched);
+    reportOutcome(REQUEST(matched), DONE)
   :: else
   fi;
-  resultOn[attempt] = 0
+  resultSession[attempt] = 0
 }
 
-inline takeNotRun(attempt) {
+inline receiveNotRun(attempt) {
   if
-  :: OUTSTANDING(attempt) && EXPECTED_ON(attempt, notRunOn[attempt]) -> provenNotRun(attempt)
+  :: OUTSTANDING(attempt) && IS_EXPECTED_SESSION(attempt, notRunSession[attempt]) -> handleNotRunProof(attempt)
   :: else
   fi;
-  notRunOn[attempt] = 0
+  notRunSession[attempt] = 0
 }
 
-/* A tombstone may be dropped once nothing of its own session can still arrive. */
-#define FORGETTABLE(attempt) (record[attempt] == CANCELLED && sent[attempt] && \
-  invokeOn[attempt] != session[AGENT(attempt)])
+/* A tombstone may be removed once no message of its own session can still arrive. */
+#define MAY_REMOVE_TOMBSTONE(attempt) (agentState[attempt] == CANCELLED && sent[attempt] && \
+  invokeSession[attempt] != session[AGENT(attempt)])
 
 active proctype exchange() {
   byte i;
@@ -249,8 +252,8 @@
   atomic {
     session[0] = 1;
     session[1] = 1;
-    seen[0] = 1;
-    seen[1] = 1;
+    knownSession[0] = 1;
+    knownSession[1] = 1;
     register(0);
     register(2)
   };
@@ -259,35 +262,35 @@
       select(a : 0 .. 2);
       if
       /*
-       * The attempt is sent some time after it was registered, and may be settled before. The
-       * transport uses its newest connection, which the coordinator may not know yet.
+       * The attempt is sent some time after it was registered and may be closed before that. The
+       * transport uses its latest connection, which the coordinator may not know yet.
        */
       :: attemptState[a] != UNUSED && !sent[a] ->
         sent[a] = true;
-        invokeOn[a] = session[AGENT(a)]
-      /* Shortly before the deadline, the entry asks whether the request still waits. */
-      :: OUTSTANDING(a) && MAY_CANCEL(a) && cancelOn[a] == 0 -> cancelOn[a] = session[AGENT(a)]
+        invokeSession[a] = session[AGENT(a)]
+      /* Shortly before the deadline, the entry cancels the attempt in case it is still queued. */
+      :: OUTSTANDING(a) && MAY_CANCEL(a) && cancelSession[a] == 0 -> cancelSession[a] = session[AGENT(a)]
       :: OUTSTANDING(a) && a == 0 ->
-        settle(a);
-        tell(REQUEST(a), UNKNOWN)
-      :: invokeOn[a] != 0 -> takeInvoke(a)
-      :: cancelOn[a] != 0 -> takeCancel(a)
-      :: record[a] == QUEUED -> start(a)
-      :: record[a] == RUNNING ->
-        record[a] = ENDED;
-        resultOn[a] = replySession[a];
-        replySession[a] = 0
-      :: resultOn[a] != 0 -> takeResult(a, a)
+        closeAttempt(a);
+        reportOutcome(REQUEST(a), UNKNOWN)
+      :: invokeSession[a] != 0 -> receiveInvoke(a)
+      :: cancelSession[a] != 0 -> receiveCancel(a)
+      :: agentState[a] == QUEUED -> start(a)
+      :: agentState[a] == RUNNING ->
+        agentState[a] = ENDED;
+        resultSession[a] = responseSession[a];
+        responseSession[a] = 0
+      :: resultSession[a] != 0 -> receiveResult(a, a)
 #ifdef NO_ID_MATCH
-      :: resultOn[a] != 0 && a == 0 -> takeResult(a, 2)
+      :: resultSession[a] != 0 && a == 0 -> receiveResult(a, 2)
 #endif
-      :: notRunOn[a] != 0 -> takeNotRun(a)
-      :: FORGETTABLE(a) -> record[a] = NOTHING
+      :: notRunSession[a] != 0 -> receiveNotRun(a)
+      :: MAY_REMOVE_TOMBSTONE(a) -> agentState[a] = ABSENT
       :: else
       fi
     }
-  :: atomic { session[0] < LAST_SESSION -> dial() }
+  :: atomic { session[0] < LAST_SESSION -> reconnect() }
   :: atomic { session[0] < LAST_SESSION && !restarted -> restart() }
-  :: atomic { hello -> linkOpened() }
+  :: atomic { helloInFlight -> onSessionOpened() }
   od
 }
