--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/Figures.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/Figures.java
@@ -2,11 +2,11 @@
 
 import java.util.Locale;
 
-/** One line of output: key=value pairs separated by blanks. */
+/** One line of output: key=value pairs separated by spaces. */
 public final class Figures {
     private final StringBuilder mLine = new StringBuilder();
 
-    /** Adds a word. */
+    /** Adds a text. */
     public Figures with(String key, String value) {
         if (mLine.length() > 0) {
             mLine.append(' ');
@@ -15,7 +15,7 @@
         return this;
     }
 
-    /** Adds a number with three decimals. */
+    /** Adds a number with three decimal places. */
     public Figures with(String key, double value) {
         return with(key, String.format(Locale.ROOT, "%.3f", value));
     }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/Measurements.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/Measurements.java
@@ -13,7 +13,11 @@
 
     private Measurements() {}
 
-    /** Arguments: the name of a measurement, then seeds; without any, the names are listed. */
+    /**
+     * Runs a measurement, or lists the names if there are no arguments.
+     *
+     * @param arguments name of the measurement, then seeds
+     */
     public static void main(String[] arguments) {
         Map<String, Measurement> measurements = all();
         if (arguments.length == 0) {
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/capacity/AgentSwarm.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/capacity/AgentSwarm.java
@@ -32,7 +32,7 @@
 import org.hickorycleat.model.message.WorkerSummary;
 import org.hickorycleat.model.task.Resources;
 
-/** Connects many agents of one target and one worker each to an entry, from one process. */
+/** Simulates many agents, each with one target and one worker, that connect to an entry. */
 public final class AgentSwarm {
     private static final long REPORT_INTERVAL_MS = 1_000;
     private static final int THREADS = 2;
@@ -44,7 +44,11 @@
 
     private AgentSwarm() {}
 
-    /** Takes the port of the entry, the number of agents and the time to run in seconds. */
+    /**
+     * Runs the agents for a given time and prints how many were connected at its end.
+     *
+     * @param arguments port of the entry, number of agents and time to run in seconds
+     */
     public static void main(String[] arguments) throws InterruptedException {
         int port = Integer.parseInt(arguments[0]);
         int agents = Integer.parseInt(arguments[1]);
@@ -83,7 +87,7 @@
         mConnections.remove(connection);
     }
 
-    /** One agent. */
+    /** Simulates one agent. */
     private final class Agent implements MessageListener {
         private final int mNumber;
         private volatile Optional<MessageConnection> mConnection = Optional.empty();
@@ -109,7 +113,7 @@
 
         @Override
         public void onMessage(MessageConnection connection, Message message) {
-            // Only the cost at the entry is measured.
+            // Ignored, because only the cost at the entry is measured.
         }
 
         @Override
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/capacity/package-info.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/capacity/package-info.java
@@ -1,4 +1,4 @@
-/** Load for the slopes of docs/CAPACITY.md. */
+/** Load generator for the per-agent costs in docs/CAPACITY.md. */
 @NullMarked
 package org.hickorycleat.measurements.capacity;
 
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/package-info.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/package-info.java
@@ -1,4 +1,4 @@
-/** Measurements of the decisions and of whole processes, each next to its baseline. */
+/** Measurements of the decision logic and of whole processes, compared with baselines. */
 @NullMarked
 package org.hickorycleat.measurements;
 
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/BatchWorkload.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/BatchWorkload.java
@@ -12,8 +12,8 @@
 import org.hickorycleat.model.task.TaskSpecification;
 
 /**
- * Batch jobs that recur over several nights. Each job has a factor by which its declared run time
- * is off, from a tenth to ten times, and its runs vary around it.
+ * Batch jobs that recur over several nights. The declared run time of each job is wrong by a factor
+ * from a tenth to ten, and the run times of its runs vary around the typical one.
  */
 final class BatchWorkload {
     static final long NIGHT_MS = 8 * 3_600_000L;
@@ -21,35 +21,35 @@
     private static final int TEAMS = 6;
 
     private final Random mRandom;
-    private final FleetProfile mFirm;
+    private final FleetProfile mProfile;
     private final double mLoad;
 
-    BatchWorkload(FleetProfile firm, double load, long seed) {
-        mFirm = firm;
+    BatchWorkload(FleetProfile profile, double load, long seed) {
+        mProfile = profile;
         mLoad = load;
         mRandom = new Random(seed);
     }
 
     private record Job(int number, Resources size, double typicalMs, double declaredFactor) {}
 
-    /** Returns the instances of services and the runs of all nights. */
-    List<WorkloadTask> work() {
-        List<WorkloadTask> work = new ArrayList<>(services());
+    /** Returns the service instances and the job runs of all nights. */
+    List<WorkloadTask> tasks() {
+        List<WorkloadTask> tasks = new ArrayList<>(services());
         List<Job> jobs = jobs();
         for (int night = 0; night < NIGHTS; night++) {
             for (Job job : jobs) {
-                work.add(run(job, night));
+                tasks.add(run(job, night));
             }
         }
-        return work;
+        return tasks;
     }
 
     private List<WorkloadTask> services() {
         List<WorkloadTask> services = new ArrayList<>();
         Resources size =
                 new Resources(
-                        mFirm.capacity().processorsMilli() / 8,
-                        mFirm.capacity().memoryMebibytes() / 8,
+                        mProfile.capacity().processorsMilli() / 8,
+                        mProfile.capacity().memoryMebibytes() / 8,
                         0);
         for (int i = 0; i < FleetProfile.WORKERS; i++) {
             TaskSpecification task =
@@ -69,39 +69,41 @@
         return services;
     }
 
-    /** Draws jobs until they need the wanted share of what the services leave of a night. */
+    /**
+     * Draws jobs until their demand is the given share of the capacity left by services in a night.
+     */
     private List<Job> jobs() {
-        double room =
-                7.0 / 8 * FleetProfile.WORKERS * mFirm.capacity().processorsMilli() * NIGHT_MS;
+        double freeCapacity =
+                7.0 / 8 * FleetProfile.WORKERS * mProfile.capacity().processorsMilli() * NIGHT_MS;
         List<Job> jobs = new ArrayList<>();
-        double needed = 0;
-        while (needed < mLoad * room) {
+        double demand = 0;
+        while (demand < mLoad * freeCapacity) {
             Job job = job(jobs.size());
             jobs.add(job);
-            needed += job.typicalMs * job.size.processorsMilli();
+            demand += job.typicalMs * job.size.processorsMilli();
         }
         return jobs;
     }
 
     private Job job(int number) {
-        double cores = Math.pow(2, mRandom.nextInt(mFirm.batchSizes()));
+        double cores = Math.pow(2, mRandom.nextInt(mProfile.batchSizes()));
         double memory = cores * 3_800 * (0.5 + mRandom.nextDouble());
         Resources resources =
                 new Resources(
                         (long) (cores * 1_000),
-                        (long) Math.min(memory, 0.8 * mFirm.capacity().memoryMebibytes()),
+                        (long) Math.min(memory, 0.8 * mProfile.capacity().memoryMebibytes()),
                         0);
         double typicalMs = Math.exp(Math.log(15 * 60_000.0) + 0.9 * mRandom.nextGaussian());
-        double declared = Math.pow(10, 2 * mRandom.nextDouble() - 1);
-        return new Job(number, resources, Math.min(typicalMs, NIGHT_MS / 4.0), declared);
+        double declaredFactor = Math.pow(10, 2 * mRandom.nextDouble() - 1);
+        return new Job(number, resources, Math.min(typicalMs, NIGHT_MS / 4.0), declaredFactor);
     }
 
     private WorkloadTask run(Job job, int night) {
         long runMs = (long) (job.typicalMs * Math.exp(0.15 * mRandom.nextGaussian()));
         long arrivalMs = night * NIGHT_MS + (long) (mRandom.nextDouble() * NIGHT_MS * 0.8);
-        boolean morning = mRandom.nextInt(10) < 4;
+        boolean dueAtNightEnd = mRandom.nextInt(10) < 4;
         long deadlineMs =
-                morning
+                dueAtNightEnd
                         ? (night + 1) * NIGHT_MS
                         : arrivalMs + (long) (runMs * (1.5 + 4 * mRandom.nextDouble()));
         deadlineMs = Math.max(deadlineMs, arrivalMs + (long) (1.2 * runMs));
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/FleetProfile.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/FleetProfile.java
@@ -8,7 +8,7 @@
 import org.hickorycleat.model.identifier.ZoneId;
 import org.hickorycleat.model.task.Resources;
 
-/** Fleet sizes of the firms of section 1.1 of the design page. */
+/** Profiles of the reference fleets in section 1.1 of the design page. */
 enum FleetProfile {
     GRAANVRACHT(4, 16_000, 60_000, 4),
     TOKACHI(3, 32_000, 125_000, 5);
@@ -28,7 +28,7 @@
         mMemoryMebibytes = memoryMebibytes;
     }
 
-    /** Returns the number of sizes of batch tasks: 1, 2, 4 cores and so on. */
+    /** Returns the number of batch task sizes, which are 1, 2, 4 cores and so on. */
     int batchSizes() {
         return mBatchSizes;
     }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/FleetResult.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/FleetResult.java
@@ -3,17 +3,17 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** What a run of the event loop counted. */
+/** Counters of one simulation run. */
 final class FleetResult {
-    int mDone;
+    int mCompleted;
     int mOnTime;
     int mWithDeadline;
     int mRejected;
     int mEvictions;
     int mThrottles;
     long mTardinessMs;
-    double mLostMs;
-    double mWorkDoneCoreMs;
+    double mLostProgressMs;
+    double mCompletedCoreMs;
     long mLastEndMs;
     int mUnfinished;
     final List<Long> mUrgentWaitsMs = new ArrayList<>();
@@ -23,6 +23,6 @@
     }
 
     double coreHours() {
-        return mWorkDoneCoreMs / 3_600_000;
+        return mCompletedCoreMs / 3_600_000;
     }
 }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/FleetSimulation.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/FleetSimulation.java
@@ -19,17 +19,17 @@
 import org.hickorycleat.model.task.TaskSpecification;
 import org.hickorycleat.model.task.TaskState;
 
-/** An event loop that calls a policy, applies its decisions and completes tasks in virtual time. */
+/** Simulates a fleet in virtual time: calls a policy, applies its decisions and completes tasks. */
 final class FleetSimulation {
-    /** Time from the decision to evict until the task has stopped. */
-    private static final long STOP_MS = 2_000;
+    /** Time from the decision to evict a task until it has stopped. */
+    private static final long EVICTION_DELAY_MS = 2_000;
 
     private final IncrementalPlacementView mView = new IncrementalPlacementView();
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::atMs).thenComparingLong(Event::sequence));
     private final Map<TaskId, RunningAttempt> mAttempts = new HashMap<>();
-    private final Map<TaskId, WorkloadTask> mWork = new HashMap<>();
+    private final Map<TaskId, WorkloadTask> mWorkload = new HashMap<>();
     private final PlacementPolicy mPolicy;
     private final PlacementObserver mObserver;
     private final long mTickMs;
@@ -58,7 +58,7 @@
         return mResult;
     }
 
-    void at(long timeMs, Runnable action) {
+    void schedule(long timeMs, Runnable action) {
         mEvents.add(new Event(timeMs, mSequence++, action));
     }
 
@@ -66,11 +66,11 @@
         workers.forEach(mView::putWorker);
     }
 
-    void addWork(List<WorkloadTask> work) {
-        work.forEach(item -> at(item.arrivalMs(), () -> arrive(item)));
+    void addWorkload(List<WorkloadTask> tasks) {
+        tasks.forEach(task -> schedule(task.arrivalMs(), () -> arrive(task)));
     }
 
-    /** Runs until a time and then counts what has not finished. */
+    /** Runs until a time and then counts the unfinished batch tasks. */
     FleetResult run(long untilMs) {
         while (!mEvents.isEmpty() && mEvents.peek().atMs <= untilMs) {
             Event event = mEvents.remove();
@@ -78,15 +78,15 @@
             event.action.run();
         }
         mNowMs = untilMs;
-        mWork.values().stream()
-                .filter(work -> work.specification().service().isEmpty())
+        mWorkload.values().stream()
+                .filter(task -> task.specification().service().isEmpty())
                 .forEach(this::countUnfinished);
         return mResult;
     }
 
-    private void countUnfinished(WorkloadTask work) {
+    private void countUnfinished(WorkloadTask task) {
         mResult.mUnfinished++;
-        countDeadline(work.specification());
+        countDeadline(task.specification());
     }
 
     private void countDeadline(TaskSpecification task) {
@@ -98,20 +98,20 @@
         mResult.mTardinessMs += Math.max(0, mNowMs - task.deadlineMs());
     }
 
-    private void arrive(WorkloadTask work) {
-        mWork.put(work.specification().task(), work);
-        mView.addPending(new PendingTask(work.specification(), mNowMs, 0, 0, 0));
-        tickSoon();
+    private void arrive(WorkloadTask task) {
+        mWorkload.put(task.specification().task(), task);
+        mView.addPending(new PendingTask(task.specification(), mNowMs, 0, 0, 0));
+        scheduleNextTick();
     }
 
-    private void tickSoon() {
-        tickBy((mNowMs / mTickMs + 1) * mTickMs);
+    private void scheduleNextTick() {
+        scheduleTick((mNowMs / mTickMs + 1) * mTickMs);
     }
 
-    private void tickBy(long timeMs) {
+    private void scheduleTick(long timeMs) {
         if (timeMs < mNextTickMs) {
             mNextTickMs = timeMs;
-            at(timeMs, () -> tick(timeMs));
+            schedule(timeMs, () -> tick(timeMs));
         }
     }
 
@@ -122,7 +122,7 @@
         mNextTickMs = Long.MAX_VALUE;
         mPolicy.decide(mView, mNowMs).forEach(this::apply);
         checkCapacity();
-        tickBy(mNowMs + 12 * mTickMs);
+        scheduleTick(mNowMs + 12 * mTickMs);
     }
 
     private void apply(PlacementDecision decision) {
@@ -134,7 +134,7 @@
             throttle(Objects.requireNonNull(mAttempts.get(throttle.task())), throttle.permille());
         } else if (decision instanceof PlacementDecision.Reject reject) {
             mView.removePending(reject.task());
-            mWork.remove(reject.task());
+            mWorkload.remove(reject.task());
             mObserver.onTaskRemoved(reject.task());
             mResult.mRejected++;
         }
@@ -155,7 +155,8 @@
                         1_000);
         mView.putPlaced(placed);
         RunningAttempt attempt =
-                new RunningAttempt(Objects.requireNonNull(mWork.get(task.task())), placed, mNowMs);
+                new RunningAttempt(
+                        Objects.requireNonNull(mWorkload.get(task.task())), placed, mNowMs);
         mAttempts.put(task.task(), attempt);
         mObserver.onAttemptRunning(placed, mNowMs);
         if (task.urgent()) {
@@ -167,44 +168,45 @@
     private void scheduleEnd(RunningAttempt attempt) {
         long endMs = attempt.endMs();
         if (endMs < Long.MAX_VALUE) {
-            at(endMs, () -> end(attempt, endMs));
+            schedule(endMs, () -> end(attempt, endMs));
         }
     }
 
     private void end(RunningAttempt attempt, long endMs) {
-        TaskId id = attempt.work().specification().task();
+        TaskId id = attempt.workloadTask().specification().task();
         boolean current = mAttempts.get(id) == attempt && attempt.endMs() == endMs;
-        if (!current || attempt.task().phase() != Phase.RUNNING) {
+        if (!current || attempt.placedTask().phase() != Phase.RUNNING) {
             return;
         }
         mAttempts.remove(id);
-        mWork.remove(id);
+        mWorkload.remove(id);
         mView.removePlaced(id);
-        mObserver.onAttemptEnded(attempt.task(), TaskState.SUCCEEDED, mNowMs);
+        mObserver.onAttemptEnded(attempt.placedTask(), TaskState.SUCCEEDED, mNowMs);
         mObserver.onTaskRemoved(id);
-        Resources size = attempt.work().specification().resources();
-        mResult.mDone++;
-        mResult.mWorkDoneCoreMs += attempt.work().runMs() * (size.processorsMilli() / 1_000.0);
+        Resources size = attempt.workloadTask().specification().resources();
+        mResult.mCompleted++;
+        mResult.mCompletedCoreMs +=
+                attempt.workloadTask().runMs() * (size.processorsMilli() / 1_000.0);
         mResult.mLastEndMs = mNowMs;
-        countDeadline(attempt.work().specification());
-        tickSoon();
+        countDeadline(attempt.workloadTask().specification());
+        scheduleNextTick();
     }
 
     private void evict(RunningAttempt attempt) {
         mResult.mEvictions++;
-        change(attempt, Phase.STOPPING, attempt.task().throttlePermille());
-        at(mNowMs + STOP_MS, () -> stopped(attempt));
+        changePlacement(attempt, Phase.STOPPING, attempt.placedTask().throttlePermille());
+        schedule(mNowMs + EVICTION_DELAY_MS, () -> completeEviction(attempt));
     }
 
     private void throttle(RunningAttempt attempt, int permille) {
         mResult.mThrottles++;
-        change(attempt, Phase.RUNNING, permille);
-        mObserver.onAttemptRunning(attempt.task(), mNowMs);
+        changePlacement(attempt, Phase.RUNNING, permille);
+        mObserver.onAttemptRunning(attempt.placedTask(), mNowMs);
         scheduleEnd(attempt);
     }
 
-    private void change(RunningAttempt attempt, Phase phase, int permille) {
-        PlacedTask task = attempt.task();
+    private void changePlacement(RunningAttempt attempt, Phase phase, int permille) {
+        PlacedTask task = attempt.placedTask();
         PlacedTask changed =
                 new PlacedTask(
                         task.specification(),
@@ -215,22 +217,25 @@
                         task.evictions(),
                         phase,
                         permille);
-        attempt.change(changed, mNowMs);
+        attempt.update(changed, mNowMs);
         mView.putPlaced(changed);
     }
 
-    private void stopped(RunningAttempt attempt) {
-        TaskSpecification task = attempt.work().specification();
+    private void completeEviction(RunningAttempt attempt) {
+        TaskSpecification task = attempt.workloadTask().specification();
         mAttempts.remove(task.task());
         mView.removePlaced(task.task());
-        mObserver.onAttemptEnded(attempt.task(), TaskState.STOPPED, mNowMs);
-        double done = attempt.doneMs(mNowMs);
-        long saved = task.checkpointable() ? (long) done - STOP_MS : attempt.savedMs();
-        saved = Math.max(attempt.savedMs(), saved);
-        mResult.mLostMs += done - saved;
-        int evictions = attempt.task().evictions() + 1;
-        mView.addPending(new PendingTask(task, mNowMs, saved, evictions, 0));
-        tickSoon();
+        mObserver.onAttemptEnded(attempt.placedTask(), TaskState.STOPPED, mNowMs);
+        double progressMs = attempt.progressMs(mNowMs);
+        long savedProgressMs =
+                task.checkpointable()
+                        ? (long) progressMs - EVICTION_DELAY_MS
+                        : attempt.initialProgressMs();
+        savedProgressMs = Math.max(attempt.initialProgressMs(), savedProgressMs);
+        mResult.mLostProgressMs += progressMs - savedProgressMs;
+        int evictions = attempt.placedTask().evictions() + 1;
+        mView.addPending(new PendingTask(task, mNowMs, savedProgressMs, evictions, 0));
+        scheduleNextTick();
     }
 
     private void checkCapacity() {
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/InterferenceMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/InterferenceMeasurement.java
@@ -21,40 +21,40 @@
 import org.hickorycleat.model.task.TaskSpecification;
 import org.hickorycleat.model.task.TaskState;
 
-/** Measures the tail latency of services beside batch work, with and without the model. */
+/** Measures the tail latency of services colocated with batch work, with and without the model. */
 public final class InterferenceMeasurement {
     private static final long TICK_MS = 2_000;
     private static final long DURATION_MS = 6 * 3_600_000L;
-    private static final long LEARNING_MS = 1_800_000;
+    private static final long LEARNING_PERIOD_MS = 1_800_000;
     private static final int JOBS = 16;
     private static final double LOAD = 0.6;
     private static final ServiceName EVERYWHERE = new ServiceName("everywhere");
     private static final ServiceName SPARSE = new ServiceName("sparse");
     private static final int SPARSE_INSTANCES = 4;
 
-    private record Contender(PlacementPolicy policy, PlacementObserver observer) {}
+    private record PolicyUnderTest(PlacementPolicy policy, PlacementObserver observer) {}
 
     private record Run(FleetResult result, List<Double> latencies) {}
 
-    /** Returns one line for each firm and policy. */
+    /** Returns one line for each fleet profile and policy. */
     public List<String> run(long[] seeds) {
         List<String> lines = new ArrayList<>();
-        for (FleetProfile firm : FleetProfile.values()) {
-            lines.add(line(firm, "no_model", seeds, InterferenceMeasurement::withoutModel));
-            lines.add(line(firm, "default", seeds, InterferenceMeasurement::whole));
+        for (FleetProfile profile : FleetProfile.values()) {
+            lines.add(line(profile, "no_model", seeds, InterferenceMeasurement::withoutModel));
+            lines.add(line(profile, "default", seeds, InterferenceMeasurement::defaultPolicy));
         }
         return lines;
     }
 
-    private static Contender whole() {
+    private static PolicyUnderTest defaultPolicy() {
         SchedulingPolicy policy = new SchedulingPolicy(JobNaming.BEFORE_LAST_SLASH);
-        return new Contender(policy, policy);
+        return new PolicyUnderTest(policy, policy);
     }
 
-    /** The same policy, to which no latency is told. */
-    private static Contender withoutModel() {
+    /** Creates the default policy without its latency measurements. */
+    private static PolicyUnderTest withoutModel() {
         SchedulingPolicy policy = new SchedulingPolicy(JobNaming.BEFORE_LAST_SLASH);
-        PlacementObserver deaf =
+        PlacementObserver observerWithoutLatencies =
                 new NoOpPlacementObserver() {
                     @Override
                     public void onAttemptRunning(PlacedTask task, long nowMs) {
@@ -69,22 +69,25 @@
                     @Override
                     public void onLatencyMeasured(LatencyMeasurement measurement) {}
                 };
-        return new Contender(policy, deaf);
+        return new PolicyUnderTest(policy, observerWithoutLatencies);
     }
 
     private static String line(
-            FleetProfile firm, String name, long[] seeds, Supplier<Contender> contender) {
+            FleetProfile profile,
+            String name,
+            long[] seeds,
+            Supplier<PolicyUnderTest> policyUnderTest) {
         List<Run> runs =
                 LongStream.of(seeds)
                         .parallel()
-                        .mapToObj(seed -> runOnce(firm, contender.get(), seed))
+                        .mapToObj(seed -> runOnce(profile, policyUnderTest.get(), seed))
                         .toList();
         return String.format(
                 Locale.ROOT,
                 "measurement=interference firm=%s policy=%s seeds=%d latency_p50=%.3f"
                         + " latency_p99=%.3f evictions=%.0f throttles=%.0f core_hours=%.0f"
                         + " on_time=%.4f lost_hours=%.2f",
-                firm.name().toLowerCase(Locale.ROOT),
+                profile.name().toLowerCase(Locale.ROOT),
                 name,
                 seeds.length,
                 Medians.over(runs, run -> Medians.quantile(0.5, run.latencies)),
@@ -93,40 +96,43 @@
                 Medians.over(runs, run -> run.result.mThrottles),
                 Medians.over(runs, run -> run.result.coreHours()),
                 Medians.over(runs, run -> run.result.onTimeShare()),
-                Medians.over(runs, run -> run.result.mLostMs / 3_600_000.0));
+                Medians.over(runs, run -> run.result.mLostProgressMs / 3_600_000.0));
     }
 
-    private static Run runOnce(FleetProfile firm, Contender contender, long seed) {
-        FleetSimulation loop = new FleetSimulation(contender.policy, contender.observer, TICK_MS);
-        loop.addWorkers(firm.workers());
-        loop.addWork(work(firm, seed));
-        InterferenceFake fake = new InterferenceFake(loop, contender.observer, LEARNING_MS, seed);
+    private static Run runOnce(FleetProfile profile, PolicyUnderTest policyUnderTest, long seed) {
+        FleetSimulation simulation =
+                new FleetSimulation(policyUnderTest.policy, policyUnderTest.observer, TICK_MS);
+        simulation.addWorkers(profile.workers());
+        simulation.addWorkload(tasks(profile, seed));
+        InterferenceFake fake =
+                new InterferenceFake(
+                        simulation, policyUnderTest.observer, LEARNING_PERIOD_MS, seed);
         fake.drawEffects(List.of(EVERYWHERE, SPARSE), JOBS);
         fake.start();
-        return new Run(loop.run(DURATION_MS), fake.latencies());
+        return new Run(simulation.run(DURATION_MS), fake.relativeLatencies());
     }
 
-    private static List<WorkloadTask> work(FleetProfile firm, long seed) {
+    private static List<WorkloadTask> tasks(FleetProfile profile, long seed) {
         Random random = new Random(seed);
-        List<WorkloadTask> work = new ArrayList<>();
+        List<WorkloadTask> tasks = new ArrayList<>();
         for (int i = 0; i < FleetProfile.WORKERS; i++) {
-            work.add(service(EVERYWHERE, i));
+            tasks.add(service(EVERYWHERE, i));
         }
         for (int i = 0; i < SPARSE_INSTANCES; i++) {
-            work.add(service(SPARSE, i));
+            tasks.add(service(SPARSE, i));
         }
-        double wanted =
+        double targetDemand =
                 LOAD
                         * FleetProfile.WORKERS
-                        * (firm.capacity().processorsMilli() - 3_000)
+                        * (profile.capacity().processorsMilli() - 3_000)
                         * DURATION_MS;
-        double given = 0;
-        for (int i = 0; given < wanted; i++) {
-            WorkloadTask item = batch(random, i);
-            work.add(item);
-            given += item.specification().resources().processorsMilli() * (double) item.runMs();
+        double demand = 0;
+        for (int i = 0; demand < targetDemand; i++) {
+            WorkloadTask task = batch(random, i);
+            tasks.add(task);
+            demand += task.specification().resources().processorsMilli() * (double) task.runMs();
         }
-        return work;
+        return tasks;
     }
 
     private static WorkloadTask service(ServiceName service, int number) {
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/NoOpPlacementObserver.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/NoOpPlacementObserver.java
@@ -9,7 +9,7 @@
 import org.hickorycleat.model.task.TaskSpecification;
 import org.hickorycleat.model.task.TaskState;
 
-/** Observer of policies that learn nothing. */
+/** Observer that ignores every notification. */
 class NoOpPlacementObserver implements PlacementObserver {
     @Override
     public void onAttemptRunning(PlacedTask task, long nowMs) {}
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/OrderedFirstFit.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/OrderedFirstFit.java
@@ -17,40 +17,41 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Baseline: one order, first worker with room, no eviction. Tasks that no worker could hold are
- * passed over, so that they do not block the queue for good.
+ * Baseline that starts tasks in one order on the first worker with enough free resources and never
+ * evicts. It skips tasks that exceed the capacity of every worker, so that they do not block the
+ * queue permanently.
  */
 final class OrderedFirstFit implements PlacementPolicy {
     private final PriorityRule mRule;
-    private final WhenBlocked mWhenBlocked;
+    private final BlockedQueueRule mBlockedQueueRule;
 
-    OrderedFirstFit(PriorityRule rule, WhenBlocked whenBlocked) {
+    OrderedFirstFit(PriorityRule rule, BlockedQueueRule blockedQueueRule) {
         mRule = rule;
-        mWhenBlocked = whenBlocked;
+        mBlockedQueueRule = blockedQueueRule;
     }
 
-    /** What happens to the tasks behind one without room. */
-    enum WhenBlocked {
+    /** Whether tasks behind one that fits on no worker wait or may start before it. */
+    enum BlockedQueueRule {
         WAIT,
         PASS
     }
 
-    private record Keyed(PendingTask task, double key) {}
+    private record PrioritizedTask(PendingTask task, double key) {}
 
     @Override
     public List<PlacementDecision> decide(PlacementView view, long nowMs) {
-        Map<WorkerId, Resources> taken = new HashMap<>();
+        Map<WorkerId, Resources> allocated = new HashMap<>();
         List<PlacementDecision> decisions = new ArrayList<>();
         for (PendingTask task : ordered(view, nowMs)) {
             Resources size = task.specification().resources();
             if (view.workers().stream().noneMatch(worker -> size.fitsInto(worker.capacity()))) {
                 continue;
             }
-            WorkerId worker = firstFit(view, taken, size);
+            WorkerId worker = firstFit(view, allocated, size);
             if (worker != null) {
-                taken.merge(worker, size, Resources::plus);
+                allocated.merge(worker, size, Resources::plus);
                 decisions.add(new PlacementDecision.Start(task.specification().task(), worker));
-            } else if (mWhenBlocked == WhenBlocked.WAIT) {
+            } else if (mBlockedQueueRule == BlockedQueueRule.WAIT) {
                 return decisions;
             }
         }
@@ -58,9 +59,9 @@
     }
 
     private List<PendingTask> ordered(PlacementView view, long nowMs) {
-        List<Keyed> keyed = new ArrayList<>();
+        List<PrioritizedTask> prioritized = new ArrayList<>();
         for (PendingTask task : view.pendingTasks()) {
-            boolean first =
+            boolean hasPrecedence =
                     task.specification().service().isPresent() || task.specification().urgent();
             BatchJob job =
                     new BatchJob(
@@ -69,18 +70,19 @@
                             task.specification().deadlineMs(),
                             task.specification().estimatedMs() - task.progressMs(),
                             task.specification().resources().processorsMilli());
-            keyed.add(new Keyed(task, first ? -1e300 : mRule.key(job, nowMs)));
+            prioritized.add(
+                    new PrioritizedTask(task, hasPrecedence ? -1e300 : mRule.key(job, nowMs)));
         }
-        keyed.sort(Comparator.comparingDouble(Keyed::key));
-        return keyed.stream().map(Keyed::task).toList();
+        prioritized.sort(Comparator.comparingDouble(PrioritizedTask::key));
+        return prioritized.stream().map(PrioritizedTask::task).toList();
     }
 
     private static @Nullable WorkerId firstFit(
-            PlacementView view, Map<WorkerId, Resources> taken, Resources size) {
+            PlacementView view, Map<WorkerId, Resources> allocated, Resources size) {
         for (WorkerView worker : view.workers()) {
             Resources used =
                     worker.reserved()
-                            .plus(taken.getOrDefault(worker.worker(), Resources.NONE))
+                            .plus(allocated.getOrDefault(worker.worker(), Resources.NONE))
                             .plus(size);
             if (worker.available() && used.fitsInto(worker.capacity())) {
                 return worker.worker();
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/PlacementMeasurements.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/PlacementMeasurements.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** Runs one placement measurement by name: batch, interference, placement or urgent. */
+/** Runs a placement measurement by name: batch, interference, placement or urgent. */
 public final class PlacementMeasurements {
     private static final long[] SEEDS = {11, 23, 37, 41, 59};
 
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/PlacementScaleMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/PlacementScaleMeasurement.java
@@ -9,32 +9,32 @@
 import org.hickorycleat.logic.scheduling.SchedulingPolicy;
 import org.hickorycleat.model.task.PlacementDecision;
 
-/** Measures decision time and starts a second against the number of workers and tasks. */
+/** Measures decision time and starts per second by the number of workers and queued tasks. */
 public final class PlacementScaleMeasurement {
     private static final int[] WORKERS = {11, 110, 500, 1_000, 2_100};
     private static final int[] BACKLOGS = {500, 18_000};
 
-    /** As many calls a second as an owner may append batches. */
+    /** Equals the rate at which an owner may append batches. */
     private static final int CALLS_PER_SECOND = 20;
 
     private static final int STARTS_PER_SECOND = 190;
     private static final int WARM_UP_CALLS = 300;
-    private static final int CALLS = 600;
-    private static final int CANCELLED = 5_000;
+    private static final int MEASURED_CALLS = 600;
+    private static final int CANCELLED_TASKS = 5_000;
 
     private final ThreadMXBean mThreads = ManagementFactory.getThreadMXBean();
 
-    /** Times of one run in nanoseconds. */
+    /** Times in nanoseconds and counters of one run. */
     private static final class Times {
-        private final List<Long> mCalls = new ArrayList<>();
-        private final List<Long> mProcessorCalls = new ArrayList<>();
-        private long mProcessorNs;
+        private final List<Long> mCallNs = new ArrayList<>();
+        private final List<Long> mCallProcessorNs = new ArrayList<>();
+        private long mTotalProcessorNs;
         private long mStarts;
         private long mTasks;
         private long mAfterCancelNs;
     }
 
-    /** Returns one line for each number of workers and length of the queue. */
+    /** Returns one line for each number of workers and queue length. */
     public List<String> run(long[] seeds) {
         List<String> lines = new ArrayList<>();
         for (int workers : WORKERS) {
@@ -56,19 +56,19 @@
         Times times = new Times();
         long nowMs = 0;
         int ended = 0;
-        for (int call = 0; call < WARM_UP_CALLS + CALLS; call++) {
+        for (int call = 0; call < WARM_UP_CALLS + MEASURED_CALLS; call++) {
             nowMs += 1_000 / CALLS_PER_SECOND;
-            int due = (call + 1) * STARTS_PER_SECOND / CALLS_PER_SECOND;
-            fleet.end(due - ended);
+            int endsDue = (call + 1) * STARTS_PER_SECOND / CALLS_PER_SECOND;
+            fleet.endOldest(endsDue - ended);
             fleet.submit(Math.max(0, backlog - fleet.view().pendingBatch().size()), nowMs);
-            ended = due;
+            ended = endsDue;
             call(fleet, policy, nowMs, call < WARM_UP_CALLS ? new Times() : times);
         }
         times.mTasks = fleet.view().placedTasks().size();
-        fleet.cancelPending(CANCELLED);
-        Times after = new Times();
-        call(fleet, policy, nowMs + 50, after);
-        times.mAfterCancelNs = after.mCalls.get(0);
+        fleet.cancelPending(CANCELLED_TASKS);
+        Times afterCancel = new Times();
+        call(fleet, policy, nowMs + 50, afterCancel);
+        times.mAfterCancelNs = afterCancel.mCallNs.get(0);
         return times;
     }
 
@@ -76,17 +76,17 @@
         long processorNs = mThreads.getCurrentThreadCpuTime();
         long startNs = System.nanoTime();
         List<PlacementDecision> decisions = policy.decide(fleet.view(), nowMs);
-        times.mCalls.add(System.nanoTime() - startNs);
+        times.mCallNs.add(System.nanoTime() - startNs);
         processorNs = mThreads.getCurrentThreadCpuTime() - processorNs;
-        times.mProcessorCalls.add(processorNs);
-        times.mProcessorNs += processorNs;
+        times.mCallProcessorNs.add(processorNs);
+        times.mTotalProcessorNs += processorNs;
         for (PlacementDecision decision : decisions) {
             times.mStarts += fleet.apply(decision, nowMs) ? 1 : 0;
         }
     }
 
     private static String line(int workers, int backlog, List<Times> times) {
-        double seconds = CALLS / (double) CALLS_PER_SECOND;
+        double seconds = MEASURED_CALLS / (double) CALLS_PER_SECOND;
         return String.format(
                 Locale.ROOT,
                 "measurement=placement workers=%d tasks=%.0f queue=%d seeds=%d call_p50_ms=%.3f"
@@ -97,13 +97,13 @@
                 Medians.over(times, run -> run.mTasks),
                 backlog,
                 times.size(),
-                Medians.over(times, run -> Medians.quantile(0.5, run.mCalls) / 1e6),
-                Medians.over(times, run -> Medians.quantile(0.99, run.mCalls) / 1e6),
-                Medians.over(times, run -> Medians.quantile(0.99, run.mProcessorCalls) / 1e6),
+                Medians.over(times, run -> Medians.quantile(0.5, run.mCallNs) / 1e6),
+                Medians.over(times, run -> Medians.quantile(0.99, run.mCallNs) / 1e6),
+                Medians.over(times, run -> Medians.quantile(0.99, run.mCallProcessorNs) / 1e6),
                 Medians.over(times, run -> run.mStarts / seconds),
-                Medians.over(times, run -> run.mProcessorNs / 1e9 / seconds),
-                Medians.over(times, run -> run.mStarts / (run.mProcessorNs / 1e9)),
-                CANCELLED,
+                Medians.over(times, run -> run.mTotalProcessorNs / 1e9 / seconds),
+                Medians.over(times, run -> run.mStarts / (run.mTotalProcessorNs / 1e9)),
+                CANCELLED_TASKS,
                 Medians.over(times, run -> run.mAfterCancelNs / 1e6));
     }
 }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/RunTimeCorrectionObserver.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/RunTimeCorrectionObserver.java
@@ -4,7 +4,7 @@
 import org.hickorycleat.logic.placement.PlacementView.PlacedTask;
 import org.hickorycleat.model.task.TaskState;
 
-/** Observer that corrects run times and learns nothing else. */
+/** Observer that updates a run-time correction and ignores every other notification. */
 final class RunTimeCorrectionObserver extends NoOpPlacementObserver {
     private final RunTimeCorrection mCorrection;
 
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/RunningAttempt.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/RunningAttempt.java
@@ -2,51 +2,54 @@
 
 import org.hickorycleat.logic.placement.PlacementView.PlacedTask;
 
-/** A running attempt and the run time done so far; the speed follows the throttle. */
+/** A running attempt and its progress, which grows at the throttled speed. */
 final class RunningAttempt {
-    private final WorkloadTask mWork;
-    private final long mSavedMs;
-    private double mDoneMs;
-    private long mSinceMs;
-    private PlacedTask mTask;
+    private final WorkloadTask mWorkloadTask;
+    private final long mInitialProgressMs;
+    private double mProgressMs;
+    private long mProgressUpdatedMs;
+    private PlacedTask mPlacedTask;
 
-    RunningAttempt(WorkloadTask work, PlacedTask task, long nowMs) {
-        mWork = work;
-        mTask = task;
-        mSavedMs = task.progressMs();
-        mDoneMs = mSavedMs;
-        mSinceMs = nowMs;
+    RunningAttempt(WorkloadTask workloadTask, PlacedTask placedTask, long nowMs) {
+        mWorkloadTask = workloadTask;
+        mPlacedTask = placedTask;
+        mInitialProgressMs = placedTask.progressMs();
+        mProgressMs = mInitialProgressMs;
+        mProgressUpdatedMs = nowMs;
     }
 
-    WorkloadTask work() {
-        return mWork;
+    WorkloadTask workloadTask() {
+        return mWorkloadTask;
     }
 
-    PlacedTask task() {
-        return mTask;
+    PlacedTask placedTask() {
+        return mPlacedTask;
     }
 
-    void change(PlacedTask task, long nowMs) {
-        mDoneMs = doneMs(nowMs);
-        mSinceMs = nowMs;
-        mTask = task;
+    void update(PlacedTask placedTask, long nowMs) {
+        mProgressMs = progressMs(nowMs);
+        mProgressUpdatedMs = nowMs;
+        mPlacedTask = placedTask;
     }
 
-    double doneMs(long nowMs) {
-        return mDoneMs + (nowMs - mSinceMs) * speed();
+    double progressMs(long nowMs) {
+        return mProgressMs + (nowMs - mProgressUpdatedMs) * speed();
     }
 
-    long savedMs() {
-        return mSavedMs;
+    long initialProgressMs() {
+        return mInitialProgressMs;
     }
 
     long endMs() {
-        return mWork.runMs() == Long.MAX_VALUE
+        return mWorkloadTask.runMs() == Long.MAX_VALUE
                 ? Long.MAX_VALUE
-                : mSinceMs + (long) Math.ceil(Math.max(0, mWork.runMs() - mDoneMs) / speed());
+                : mProgressUpdatedMs
+                        + (long)
+                                Math.ceil(
+                                        Math.max(0, mWorkloadTask.runMs() - mProgressMs) / speed());
     }
 
     private double speed() {
-        return mTask.throttlePermille() / 1_000.0;
+        return mPlacedTask.throttlePermille() / 1_000.0;
     }
 }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/ScaleFleet.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/ScaleFleet.java
@@ -18,7 +18,7 @@
 import org.hickorycleat.model.task.Resources;
 import org.hickorycleat.model.task.TaskSpecification;
 
-/** A fleet in steady state: for each task that ends, others wait to take its room. */
+/** A fleet in steady state, in which queued tasks replace each task that ends. */
 final class ScaleFleet {
     private static final int TEAMS = 740;
     private static final int TASKS_AT_FULL_SIZE = 23_400;
@@ -28,9 +28,9 @@
     private final IncrementalPlacementView mView = new IncrementalPlacementView();
     private final Random mRandom;
     private final Deque<PlacedTask> mRunning = new ArrayDeque<>();
-    private long mNumber;
+    private long mNextNumber;
 
-    /** Fills a fleet with the tasks that its share of the full size has. */
+    /** Creates a fleet whose number of tasks is proportional to its number of workers. */
     ScaleFleet(int workers, long seed) {
         mRandom = new Random(seed);
         FleetProfile.TOKACHI.workers(workers).forEach(mView::putWorker);
@@ -39,14 +39,14 @@
         }
         int services = SERVICE_TASKS_AT_FULL_SIZE * workers / WORKERS_AT_FULL_SIZE;
         int tasks = TASKS_AT_FULL_SIZE * workers / WORKERS_AT_FULL_SIZE;
-        int next = 0;
+        int workerIndex = 0;
         for (WorkerView worker : mView.workers()) {
-            int end = tasks * (next + 1) / workers;
-            for (int i = tasks * next / workers; i < end; i++) {
+            int endIndex = tasks * (workerIndex + 1) / workers;
+            for (int i = tasks * workerIndex / workers; i < endIndex; i++) {
                 boolean service = mRandom.nextInt(tasks) < services;
-                fill(worker.worker(), service);
+                placeIfFits(worker.worker(), service);
             }
-            next++;
+            workerIndex++;
         }
     }
 
@@ -54,7 +54,7 @@
         return mView;
     }
 
-    private void fill(WorkerId worker, boolean service) {
+    private void placeIfFits(WorkerId worker, boolean service) {
         TaskSpecification task = task(service);
         if (!task.resources().fitsInto(mView.worker(worker).orElseThrow().free())) {
             return;
@@ -72,7 +72,7 @@
     }
 
     private TaskSpecification task(boolean service) {
-        long number = mNumber++;
+        long number = mNextNumber++;
         long cores = 1L + mRandom.nextInt(5);
         Optional<ServiceName> name =
                 service
@@ -97,7 +97,7 @@
         }
     }
 
-    void end(int count) {
+    void endOldest(int count) {
         for (int i = 0; i < count && !mRunning.isEmpty(); i++) {
             mView.removePlaced(mRunning.removeFirst().specification().task());
         }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/UrgentMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/UrgentMeasurement.java
@@ -11,47 +11,51 @@
 import org.hickorycleat.logic.scheduling.PlacementObserver;
 import org.hickorycleat.logic.scheduling.SchedulingPolicy;
 
-/** Measures the time until urgent work starts on a full fleet, and what its evictions cost. */
+/** Measures the waiting time of urgent tasks on a full fleet and the cost of their evictions. */
 public final class UrgentMeasurement {
     private static final long TICK_MS = 200;
 
-    /** Returns one line for each firm and policy. */
+    /** Returns one line for each fleet profile and policy. */
     public List<String> run(long[] seeds) {
         List<String> lines = new ArrayList<>();
-        for (FleetProfile firm : FleetProfile.values()) {
-            lines.add(line(firm, "fcfs_first_fit", seeds, UrgentMeasurement::baseline));
-            lines.add(line(firm, "default", seeds, UrgentMeasurement::whole));
+        for (FleetProfile profile : FleetProfile.values()) {
+            lines.add(line(profile, "fcfs_first_fit", seeds, UrgentMeasurement::baseline));
+            lines.add(line(profile, "default", seeds, UrgentMeasurement::defaultPolicy));
         }
         return lines;
     }
 
-    private record Contender(PlacementPolicy policy, PlacementObserver observer) {}
+    private record PolicyUnderTest(PlacementPolicy policy, PlacementObserver observer) {}
 
-    private static Contender baseline() {
+    private static PolicyUnderTest baseline() {
         PlacementPolicy policy =
                 new OrderedFirstFit(
-                        PriorityRules.FIRST_COME_FIRST_SERVED, OrderedFirstFit.WhenBlocked.PASS);
-        return new Contender(policy, new NoOpPlacementObserver());
+                        PriorityRules.FIRST_COME_FIRST_SERVED,
+                        OrderedFirstFit.BlockedQueueRule.PASS);
+        return new PolicyUnderTest(policy, new NoOpPlacementObserver());
     }
 
-    private static Contender whole() {
+    private static PolicyUnderTest defaultPolicy() {
         SchedulingPolicy policy = new SchedulingPolicy(JobNaming.BEFORE_LAST_SLASH);
-        return new Contender(policy, policy);
+        return new PolicyUnderTest(policy, policy);
     }
 
     private static String line(
-            FleetProfile firm, String name, long[] seeds, Supplier<Contender> contender) {
+            FleetProfile profile,
+            String name,
+            long[] seeds,
+            Supplier<PolicyUnderTest> policyUnderTest) {
         List<FleetResult> results =
                 LongStream.of(seeds)
                         .parallel()
-                        .mapToObj(seed -> runOnce(firm, contender.get(), seed))
+                        .mapToObj(seed -> runOnce(profile, policyUnderTest.get(), seed))
                         .toList();
         return String.format(
                 Locale.ROOT,
                 "measurement=urgent firm=%s policy=%s seeds=%d urgent=%.0f wait_p50_ms=%.0f"
                         + " wait_p99_ms=%.0f wait_max_ms=%.0f evictions=%.0f lost_hours=%.3f"
                         + " core_hours=%.0f",
-                firm.name().toLowerCase(Locale.ROOT),
+                profile.name().toLowerCase(Locale.ROOT),
                 name,
                 seeds.length,
                 Medians.over(results, result -> result.mUrgentWaitsMs.size()),
@@ -59,14 +63,16 @@
                 Medians.over(results, result -> Medians.quantile(0.99, result.mUrgentWaitsMs)),
                 Medians.over(results, result -> Medians.quantile(1, result.mUrgentWaitsMs)),
                 Medians.over(results, result -> result.mEvictions),
-                Medians.over(results, result -> result.mLostMs / 3_600_000.0),
+                Medians.over(results, result -> result.mLostProgressMs / 3_600_000.0),
                 Medians.over(results, FleetResult::coreHours));
     }
 
-    private static FleetResult runOnce(FleetProfile firm, Contender contender, long seed) {
-        FleetSimulation loop = new FleetSimulation(contender.policy, contender.observer, TICK_MS);
-        loop.addWorkers(firm.workers());
-        loop.addWork(new UrgentWorkload(firm, seed).work());
-        return loop.run(UrgentWorkload.DURATION_MS);
+    private static FleetResult runOnce(
+            FleetProfile profile, PolicyUnderTest policyUnderTest, long seed) {
+        FleetSimulation simulation =
+                new FleetSimulation(policyUnderTest.policy, policyUnderTest.observer, TICK_MS);
+        simulation.addWorkers(profile.workers());
+        simulation.addWorkload(new UrgentWorkload(profile, seed).tasks());
+        return simulation.run(UrgentWorkload.DURATION_MS);
     }
 }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/UrgentWorkload.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/UrgentWorkload.java
@@ -10,49 +10,54 @@
 import org.hickorycleat.model.task.Resources;
 import org.hickorycleat.model.task.TaskSpecification;
 
-/** A fleet kept full by batch work, with urgent tasks one by one and in bursts. */
+/** Batch work that keeps a fleet full, with urgent tasks that arrive one by one and in bursts. */
 final class UrgentWorkload {
     static final long DURATION_MS = 3_600_000;
-    private static final long FILL_MS = 300_000;
-    private static final long BETWEEN_MS = 20_000;
-    private static final long BURST_EVERY_MS = 900_000;
-    private static final int BURST = 11;
+    private static final long FILL_PERIOD_MS = 300_000;
+    private static final long URGENT_INTERVAL_MS = 20_000;
+    private static final long BURST_INTERVAL_MS = 900_000;
+    private static final int BURST_TASKS = 11;
 
     private final Random mRandom;
-    private final FleetProfile mFirm;
+    private final FleetProfile mProfile;
 
-    UrgentWorkload(FleetProfile firm, long seed) {
-        mFirm = firm;
+    UrgentWorkload(FleetProfile profile, long seed) {
+        mProfile = profile;
         mRandom = new Random(seed);
     }
 
-    List<WorkloadTask> work() {
-        List<WorkloadTask> work = new ArrayList<>();
-        addBatch(work);
-        for (long ms = FILL_MS; ms < DURATION_MS - 60_000; ms += BETWEEN_MS) {
-            work.add(urgent("urgent-" + ms, ms + mRandom.nextInt((int) BETWEEN_MS)));
+    List<WorkloadTask> tasks() {
+        List<WorkloadTask> tasks = new ArrayList<>();
+        addBatch(tasks);
+        for (long timeMs = FILL_PERIOD_MS;
+                timeMs < DURATION_MS - 60_000;
+                timeMs += URGENT_INTERVAL_MS) {
+            tasks.add(
+                    urgent("urgent-" + timeMs, timeMs + mRandom.nextInt((int) URGENT_INTERVAL_MS)));
         }
-        for (long ms = FILL_MS * 2; ms < DURATION_MS - 60_000; ms += BURST_EVERY_MS) {
-            for (int i = 0; i < BURST; i++) {
-                work.add(urgent("burst-" + ms + "-" + i, ms));
+        for (long timeMs = FILL_PERIOD_MS * 2;
+                timeMs < DURATION_MS - 60_000;
+                timeMs += BURST_INTERVAL_MS) {
+            for (int i = 0; i < BURST_TASKS; i++) {
+                tasks.add(urgent("burst-" + timeMs + "-" + i, timeMs));
             }
         }
-        return work;
+        return tasks;
     }
 
-    private void addBatch(List<WorkloadTask> work) {
-        double wanted =
-                2.0 * FleetProfile.WORKERS * mFirm.capacity().processorsMilli() * DURATION_MS;
-        double given = 0;
-        for (int i = 0; given < wanted; i++) {
-            WorkloadTask item = batch(i);
-            work.add(item);
-            given += item.specification().resources().processorsMilli() * (double) item.runMs();
+    private void addBatch(List<WorkloadTask> tasks) {
+        double targetDemand =
+                2.0 * FleetProfile.WORKERS * mProfile.capacity().processorsMilli() * DURATION_MS;
+        double demand = 0;
+        for (int i = 0; demand < targetDemand; i++) {
+            WorkloadTask task = batch(i);
+            tasks.add(task);
+            demand += task.specification().resources().processorsMilli() * (double) task.runMs();
         }
     }
 
     private WorkloadTask batch(int number) {
-        long cores = 1L << mRandom.nextInt(mFirm.batchSizes());
+        long cores = 1L << mRandom.nextInt(mProfile.batchSizes());
         long runMs = (long) (600_000 * Math.exp(0.9 * mRandom.nextGaussian()));
         long declaredMs = (long) (runMs * Math.pow(10, 2 * mRandom.nextDouble() - 1));
         Resources size = new Resources(cores * 1_000, cores * 3_700, 0);
@@ -68,7 +73,7 @@
                         runMs * 4 + DURATION_MS / 2,
                         mRandom.nextInt(10) < 7,
                         false);
-        return new WorkloadTask(task, mRandom.nextInt((int) FILL_MS / 2), runMs);
+        return new WorkloadTask(task, mRandom.nextInt((int) FILL_PERIOD_MS / 2), runMs);
     }
 
     private WorkloadTask urgent(String name, long arrivalMs) {
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/WorkloadTask.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/WorkloadTask.java
@@ -3,10 +3,10 @@
 import org.hickorycleat.model.task.TaskSpecification;
 
 /**
- * A task that arrives.
+ * A task of a workload.
  *
- * @param specification what is declared
- * @param arrivalMs time of arrival
- * @param runMs run time that it really has; {@code Long.MAX_VALUE} for services
+ * @param specification declared properties of the task
+ * @param arrivalMs time of submission
+ * @param runMs actual run time; {@code Long.MAX_VALUE} for services
  */
 record WorkloadTask(TaskSpecification specification, long arrivalMs, long runMs) {}
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/AdmissionMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/AdmissionMeasurement.java
@@ -28,16 +28,17 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /**
- * A flood of one class at 10 times capacity while every other class offers 80% of its share.
+ * Measures a flood of one class at 10 times capacity while every other class offers 80% of its
+ * share.
  *
- * <p>{@code kept} is the share of the others' requests that were answered, {@code p99_unloaded} the
- * ratio of their p99 to that at a tenth of their load, {@code p99_without_flood} the ratio to that
- * of the same load without the flood, {@code refusal_us} the wall-clock time of a refusal.
+ * <p>{@code kept} is the share of the other classes' requests that succeed, {@code p99_unloaded}
+ * the ratio of their p99 to that at a tenth of their load, {@code p99_without_flood} the ratio to
+ * that of the same load without the flood, {@code refusal_us} the wall-clock time of a rejection.
  */
 public final class AdmissionMeasurement implements Measurement {
     private static final long WARM_UP_MS = 3_000;
     private static final long RUN_MS = 8_000;
-    private static final double FLOOD = 10;
+    private static final double FLOOD_FACTOR = 10;
     private static final double OTHERS_SHARE = 0.8;
 
     private record Run(double p99Ms, double kept, double goodput, double refusalMicros) {}
@@ -46,9 +47,9 @@
 
     @Override
     public void run(List<Long> seeds, Consumer<Figures> output) {
-        for (Criticality flooding : Criticality.values()) {
-            print("fair-shares", flooding, seeds, this::fair, output);
-            print("none", flooding, seeds, (fleet, selector, seed) -> none(), output);
+        for (Criticality floodingClass : Criticality.values()) {
+            print("fair-shares", floodingClass, seeds, this::fair, output);
+            print("none", floodingClass, seeds, (fleet, selector, seed) -> none(), output);
         }
     }
 
@@ -72,7 +73,7 @@
 
     private static void print(
             String policy,
-            Criticality flooding,
+            Criticality floodingClass,
             List<Long> seeds,
             ControlFactory factory,
             Consumer<Figures> output) {
@@ -80,14 +81,15 @@
         for (long seed : seeds) {
             runs.add(
                     new Comparison(
-                            new Simulation(factory, seed, flooding).run(0, 0.1 * OTHERS_SHARE),
-                            new Simulation(factory, seed, flooding).run(0, OTHERS_SHARE),
-                            new Simulation(factory, seed, flooding).run(FLOOD, OTHERS_SHARE)));
+                            new Simulation(factory, seed, floodingClass).run(0, 0.1 * OTHERS_SHARE),
+                            new Simulation(factory, seed, floodingClass).run(0, OTHERS_SHARE),
+                            new Simulation(factory, seed, floodingClass)
+                                    .run(FLOOD_FACTOR, OTHERS_SHARE)));
         }
         output.accept(
                 new Figures()
                         .with("measurement", "admission-decision")
-                        .with("flooding", flooding.wireName())
+                        .with("flooding", floodingClass.wireName())
                         .with("policy", policy)
                         .with("seeds", seeds.size())
                         .with("p99_ms", Median.of(runs, run -> run.flood().p99Ms()))
@@ -102,50 +104,51 @@
         return Median.of(runs, run -> run.flood().p99Ms() / reference.apply(run).p99Ms());
     }
 
-    /** One run of one policy. */
+    /** Simulates one run of one policy. */
     private static final class Simulation {
         private static final TeamName TEAM = new TeamName("any");
 
         private final FleetFake mFleet;
         private final PowerOfTwoSelector mSelector;
         private final AdmissionControl mControl;
-        private final Criticality mFlooding;
-        private final Histogram mOthers = new Histogram(10_000_000, 3);
+        private final Criticality mFloodingClass;
+        private final Histogram mOthersLatency = new Histogram(10_000_000, 3);
         private final Histogram mRefusalNanos = new Histogram(10_000_000_000L, 2);
         private final Map<Criticality, Long> mOffered = new EnumMap<>(Criticality.class);
-        private final Map<Criticality, Long> mAnswered = new EnumMap<>(Criticality.class);
+        private final Map<Criticality, Long> mCompleted = new EnumMap<>(Criticality.class);
         private boolean mMeasuring;
 
-        Simulation(ControlFactory factory, long seed, Criticality flooding) {
+        Simulation(ControlFactory factory, long seed, Criticality floodingClass) {
             mFleet = new FleetFake(seed);
             mSelector =
                     new PowerOfTwoSelector(
                             mFleet.mDirectory, FleetFake.ENTRY_ZONE, RoutingSettings.DEFAULT, seed);
             mControl = factory.create(mFleet, mSelector, seed);
-            mFlooding = flooding;
+            mFloodingClass = floodingClass;
             for (Criticality criticality : Criticality.values()) {
                 mOffered.put(criticality, 0L);
-                mAnswered.put(criticality, 0L);
+                mCompleted.put(criticality, 0L);
             }
         }
 
         Run run(double flood, double othersShare) {
             for (Criticality criticality : Criticality.values()) {
                 double share = othersShare * AdmissionSettings.DEFAULT.share(criticality);
-                double load = criticality == mFlooding ? flood : share;
+                double load = criticality == mFloodingClass ? flood : share;
                 if (load > 0) {
-                    mFleet.arrive(load * FleetFake.capacityPerSecond(), () -> request(criticality));
+                    mFleet.startArrivals(
+                            load * FleetFake.capacityPerSecond(), () -> request(criticality));
                 }
             }
             mFleet.run(WARM_UP_MS);
             mMeasuring = true;
             mFleet.run(RUN_MS);
             mMeasuring = false;
-            long answered = sum(mAnswered, mFlooding) + count(mAnswered, mFlooding);
+            long completed = sum(mCompleted, mFloodingClass) + count(mCompleted, mFloodingClass);
             return new Run(
-                    mOthers.getValueAtPercentile(99) / 1_000.0,
-                    (double) sum(mAnswered, mFlooding) / sum(mOffered, mFlooding),
-                    answered / (FleetFake.capacityPerSecond() * RUN_MS / 1_000),
+                    mOthersLatency.getValueAtPercentile(99) / 1_000.0,
+                    (double) sum(mCompleted, mFloodingClass) / sum(mOffered, mFloodingClass),
+                    completed / (FleetFake.capacityPerSecond() * RUN_MS / 1_000),
                     mRefusalNanos.getValueAtPercentile(50) / 1_000.0);
         }
 
@@ -179,14 +182,14 @@
                     });
         }
 
-        /** Counts by the time of the answer, so that the rate is that of a steady state. */
+        /** Counts at the time of the response, so that the rate is that of a steady state. */
         private void record(Criticality criticality, ResultCode code, long startMicros) {
             if (!mMeasuring || code != ResultCode.OK) {
                 return;
             }
-            mAnswered.merge(criticality, 1L, Long::sum);
-            if (criticality != mFlooding) {
-                mOthers.recordValue(mFleet.mScheduler.now(MICROSECONDS) - startMicros);
+            mCompleted.merge(criticality, 1L, Long::sum);
+            if (criticality != mFloodingClass) {
+                mOthersLatency.recordValue(mFleet.mScheduler.now(MICROSECONDS) - startMicros);
             }
         }
 
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/FleetFake.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/FleetFake.java
@@ -24,7 +24,7 @@
 import org.hickorycleat.model.message.TargetState;
 import org.hickorycleat.model.result.ResultCode;
 
-/** One entry's view of 11 targets in 4 availability zones, whose reports are one second late. */
+/** Simulates 11 targets in 4 availability zones, whose reports reach one entry a second late. */
 final class FleetFake {
     static final ServiceName SERVICE = new ServiceName("booking");
     static final int TARGETS = 11;
@@ -35,10 +35,10 @@
 
     private static final int ZONES = 4;
     private static final long REPORT_DELAY_MS = 1_000;
-    private static final long NEAR_MICROS = 250;
-    private static final long FAR_MICROS = 4_000;
+    private static final long SAME_ZONE_DELAY_MICROS = 250;
+    private static final long OTHER_ZONE_DELAY_MICROS = 4_000;
 
-    /** Time at which targets have long been up, so that no slow start is left. */
+    /** Start time of the load; the slow start of all targets has ended by then. */
     private static final long START_MS = 100_000;
 
     final TestScheduler mScheduler = new TestScheduler(0, MILLISECONDS);
@@ -58,7 +58,7 @@
         mScheduler.advanceTimeTo(START_MS, MILLISECONDS);
     }
 
-    /** Requests per second that keep all slots of healthy targets in use. */
+    /** Returns the requests per second that keep all slots of healthy targets in use. */
     static double capacityPerSecond() {
         return SLOTS * 1_000_000 / SERVICE_MEAN_MICROS;
     }
@@ -67,13 +67,14 @@
         return mTargets.get(index);
     }
 
-    /** Makes requests at random times until the run ends. */
-    void arrive(double perSecond, Runnable request) {
-        long gapMicros = Math.round(-Math.log(1 - mRandom.nextDouble()) * 1_000_000 / perSecond);
+    /** Schedules requests with exponentially distributed gaps until the run ends. */
+    void startArrivals(double ratePerSecond, Runnable request) {
+        long gapMicros =
+                Math.round(-Math.log(1 - mRandom.nextDouble()) * 1_000_000 / ratePerSecond);
         mScheduler.scheduleDirect(
                 () -> {
                     request.run();
-                    arrive(perSecond, request);
+                    startArrivals(ratePerSecond, request);
                 },
                 gapMicros,
                 MICROSECONDS);
@@ -83,12 +84,13 @@
         mScheduler.advanceTimeBy(milliseconds, MILLISECONDS);
     }
 
-    /** Sends a request and hands over its result, at the latest at its deadline. */
+    /** Sends a request and passes its result to the listener, at the latest at its deadline. */
     void invoke(TargetReservation reservation, Consumer<ResultCode> listener) {
         int index = (int) reservation.target().instance().value();
-        long delayMicros = zone(index).equals(ENTRY_ZONE) ? NEAR_MICROS : FAR_MICROS;
-        Exchange exchange = new Exchange(reservation, listener);
-        long deadlineMicros = exchange.mStartMicros + DEADLINE_MICROS;
+        long delayMicros =
+                zone(index).equals(ENTRY_ZONE) ? SAME_ZONE_DELAY_MICROS : OTHER_ZONE_DELAY_MICROS;
+        RequestInFlight inFlight = new RequestInFlight(reservation, listener);
+        long deadlineMicros = inFlight.mStartMicros + DEADLINE_MICROS;
         mScheduler.scheduleDirect(
                 () ->
                         mTargets.get(index)
@@ -96,13 +98,15 @@
                                         deadlineMicros,
                                         (code, load) ->
                                                 mScheduler.scheduleDirect(
-                                                        () -> exchange.end(code, Optional.of(load)),
+                                                        () ->
+                                                                inFlight.complete(
+                                                                        code, Optional.of(load)),
                                                         delayMicros,
                                                         MICROSECONDS)),
                 delayMicros,
                 MICROSECONDS);
         mScheduler.scheduleDirect(
-                () -> exchange.end(ResultCode.TARGET_TIMEOUT, Optional.empty()),
+                () -> inFlight.complete(ResultCode.TARGET_TIMEOUT, Optional.empty()),
                 DEADLINE_MICROS,
                 MICROSECONDS);
     }
@@ -137,21 +141,21 @@
         return new ZoneId("zone-" + index % ZONES);
     }
 
-    /** A request on its way; only its first end counts. */
-    private final class Exchange {
+    /** A request in flight; only its first result counts. */
+    private final class RequestInFlight {
         private final TargetReservation mReservation;
         private final Consumer<ResultCode> mListener;
         private final long mStartMicros = mScheduler.now(MICROSECONDS);
-        private boolean mEnded;
+        private boolean mCompleted;
 
-        Exchange(TargetReservation reservation, Consumer<ResultCode> listener) {
+        RequestInFlight(TargetReservation reservation, Consumer<ResultCode> listener) {
             mReservation = reservation;
             mListener = listener;
         }
 
-        void end(ResultCode code, Optional<LoadSignal> load) {
-            if (!mEnded) {
-                mEnded = true;
+        void complete(ResultCode code, Optional<LoadSignal> load) {
+            if (!mCompleted) {
+                mCompleted = true;
                 mReservation.release(code, load, mScheduler.now(MICROSECONDS) - mStartMicros);
                 mListener.accept(code);
             }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/RoutingMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/RoutingMeasurement.java
@@ -20,14 +20,15 @@
 import org.hickorycleat.model.result.ResultCode;
 
 /**
- * Latency and errors with one target ten times slower, one that fails everything and one paused.
+ * Measures latency and error rate with one target that is ten times slower, one that fails every
+ * request and one that is paused.
  *
- * <p>Requests are not retried. A request without an answer counts as an error; {@code p99_all_ms}
- * is over all requests, a failed one counting as long as the caller waited.
+ * <p>Requests are not retried. A request without a response counts as an error. {@code p99_all_ms}
+ * covers all requests, failed ones with the time that the caller waited.
  */
 public final class RoutingMeasurement implements Measurement {
-    private static final long HEALTHY_MS = 5_000;
-    private static final long FAULTY_MS = 30_000;
+    private static final long WARM_UP_MS = 5_000;
+    private static final long RUN_MS = 30_000;
     private static final double[] LOADS = {0.3, 0.5, 0.6};
 
     @FunctionalInterface
@@ -88,12 +89,12 @@
                 fleet.mDirectory, FleetFake.ENTRY_ZONE, RoutingSettings.DEFAULT, seed);
     }
 
-    /** One run of one policy. */
+    /** Simulates one run of one policy. */
     private static final class Simulation {
         private final FleetFake mFleet;
         private final TargetSelector mSelector;
-        private final Histogram mAnswered = new Histogram(10_000_000, 3);
-        private final Histogram mAll = new Histogram(10_000_000, 3);
+        private final Histogram mSucceededLatency = new Histogram(10_000_000, 3);
+        private final Histogram mAllLatency = new Histogram(10_000_000, 3);
         private long mErrors;
         private boolean mMeasuring;
 
@@ -103,20 +104,20 @@
         }
 
         Run run(double load, boolean faulty) {
-            mFleet.arrive(load * FleetFake.capacityPerSecond(), this::request);
-            mFleet.run(HEALTHY_MS);
+            mFleet.startArrivals(load * FleetFake.capacityPerSecond(), this::request);
+            mFleet.run(WARM_UP_MS);
             if (faulty) {
                 mFleet.target(1).setBehaviour(Behaviour.SLOW);
                 mFleet.target(2).setBehaviour(Behaviour.FAILING);
                 mFleet.target(4).setBehaviour(Behaviour.PAUSED);
             }
             mMeasuring = true;
-            mFleet.run(FAULTY_MS);
+            mFleet.run(RUN_MS);
             return new Run(
-                    mAnswered.getValueAtPercentile(50) / 1_000.0,
-                    mAnswered.getValueAtPercentile(99) / 1_000.0,
-                    mAll.getValueAtPercentile(99) / 1_000.0,
-                    (double) mErrors / mAll.getTotalCount());
+                    mSucceededLatency.getValueAtPercentile(50) / 1_000.0,
+                    mSucceededLatency.getValueAtPercentile(99) / 1_000.0,
+                    mAllLatency.getValueAtPercentile(99) / 1_000.0,
+                    (double) mErrors / mAllLatency.getTotalCount());
         }
 
         private void request() {
@@ -136,9 +137,9 @@
                 return;
             }
             long latencyMicros = nowMicros() - startMicros;
-            mAll.recordValue(latencyMicros);
+            mAllLatency.recordValue(latencyMicros);
             if (code == ResultCode.OK) {
-                mAnswered.recordValue(latencyMicros);
+                mSucceededLatency.recordValue(latencyMicros);
             } else {
                 mErrors++;
             }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/TargetFake.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/TargetFake.java
@@ -9,32 +9,32 @@
 import org.hickorycleat.model.message.LoadSignal;
 import org.hickorycleat.model.result.ResultCode;
 
-/** A target with its agent at the interface of the entry: slots, a queue and service times. */
+/** Simulates a target and its agent as an entry sees them: slots, a queue and service times. */
 final class TargetFake {
     static final int SLOTS = 8;
     static final int CONNECTIONS = 64;
-    private static final long FAILURE_MICROS = 1_000;
+    private static final long FAILURE_LATENCY_MICROS = 1_000;
     private static final double SLOW_FACTOR = 10;
 
     /** Spread of the log-normal service time; its p99 is 2.8 times its mean. */
-    private static final double SIGMA = 0.5;
+    private static final double SERVICE_TIME_SIGMA = 0.5;
 
     private final TestScheduler mScheduler;
     private final SplittableRandom mRandom;
-    private final double mMeanMicros;
-    private final Deque<Waiting> mQueue = new ArrayDeque<>();
+    private final double mMeanServiceMicros;
+    private final Deque<QueuedRequest> mQueue = new ArrayDeque<>();
     private Behaviour mBehaviour = Behaviour.HEALTHY;
     private int mRunning;
-    private double mLatencyMicros;
+    private double mAverageLatencyMicros;
 
-    TargetFake(TestScheduler scheduler, SplittableRandom random, double meanMicros) {
+    TargetFake(TestScheduler scheduler, SplittableRandom random, double meanServiceMicros) {
         mScheduler = scheduler;
         mRandom = random;
-        mMeanMicros = meanMicros;
-        mLatencyMicros = meanMicros;
+        mMeanServiceMicros = meanServiceMicros;
+        mAverageLatencyMicros = meanServiceMicros;
     }
 
-    /** What the target does with requests. */
+    /** How the target handles requests. */
     enum Behaviour {
         HEALTHY,
         SLOW,
@@ -42,68 +42,76 @@
         PAUSED
     }
 
-    /** Receives the answer when it leaves the agent. */
+    /** Receives the response when it leaves the agent. */
     @FunctionalInterface
-    interface AnswerListener {
-        void onAnswer(ResultCode code, LoadSignal load);
+    interface ResponseListener {
+        void onResponse(ResultCode code, LoadSignal load);
     }
 
-    private record Waiting(long deadlineMicros, AnswerListener listener) {}
+    private record QueuedRequest(long deadlineMicros, ResponseListener listener) {}
 
     void setBehaviour(Behaviour behaviour) {
         mBehaviour = behaviour;
     }
 
     LoadSignal load() {
-        return new LoadSignal(mRunning, mQueue.size(), Math.round(mLatencyMicros));
+        return new LoadSignal(mRunning, mQueue.size(), Math.round(mAverageLatencyMicros));
     }
 
-    void accept(long deadlineMicros, AnswerListener listener) {
+    void accept(long deadlineMicros, ResponseListener listener) {
         if (mRunning + mQueue.size() >= CONNECTIONS) {
-            listener.onAnswer(ResultCode.AGENT_QUEUE_FULL, load());
+            listener.onResponse(ResultCode.AGENT_QUEUE_FULL, load());
             return;
         }
-        mQueue.add(new Waiting(deadlineMicros, listener));
-        startWaiting();
+        mQueue.add(new QueuedRequest(deadlineMicros, listener));
+        startQueued();
     }
 
-    private void startWaiting() {
+    private void startQueued() {
         while (mRunning < SLOTS && !mQueue.isEmpty()) {
-            Waiting next = mQueue.remove();
+            QueuedRequest next = mQueue.remove();
             if (nowMicros() >= next.deadlineMicros()) {
-                next.listener().onAnswer(ResultCode.DEADLINE_EXCEEDED, load());
+                next.listener().onResponse(ResultCode.DEADLINE_EXCEEDED, load());
             } else {
                 start(next);
             }
         }
     }
 
-    private void start(Waiting request) {
+    private void start(QueuedRequest request) {
         mRunning++;
         long remainingMicros = request.deadlineMicros() - nowMicros();
-        long serviceMicros = serviceMicros();
-        boolean late = serviceMicros > remainingMicros;
-        ResultCode done =
+        long serviceMicros = drawServiceMicros();
+        boolean timesOut = serviceMicros > remainingMicros;
+        ResultCode result =
                 mBehaviour == Behaviour.FAILING ? ResultCode.TARGET_FAILED : ResultCode.OK;
         mScheduler.scheduleDirect(
-                () -> end(request, late ? ResultCode.TARGET_TIMEOUT : done, serviceMicros),
+                () ->
+                        complete(
+                                request,
+                                timesOut ? ResultCode.TARGET_TIMEOUT : result,
+                                serviceMicros),
                 Math.min(serviceMicros, remainingMicros),
                 MICROSECONDS);
     }
 
-    private void end(Waiting request, ResultCode code, long serviceMicros) {
+    private void complete(QueuedRequest request, ResultCode code, long serviceMicros) {
         mRunning--;
-        mLatencyMicros += 0.1 * (Math.min(serviceMicros, 10_000_000) - mLatencyMicros);
-        startWaiting();
-        request.listener().onAnswer(code, load());
+        mAverageLatencyMicros +=
+                0.1 * (Math.min(serviceMicros, 10_000_000) - mAverageLatencyMicros);
+        startQueued();
+        request.listener().onResponse(code, load());
     }
 
-    private long serviceMicros() {
-        double logNormal = Math.exp(SIGMA * mRandom.nextGaussian() - SIGMA * SIGMA / 2);
+    private long drawServiceMicros() {
+        double logNormal =
+                Math.exp(
+                        SERVICE_TIME_SIGMA * mRandom.nextGaussian()
+                                - SERVICE_TIME_SIGMA * SERVICE_TIME_SIGMA / 2);
         return switch (mBehaviour) {
-            case HEALTHY -> Math.round(mMeanMicros * logNormal);
-            case SLOW -> Math.round(SLOW_FACTOR * mMeanMicros * logNormal);
-            case FAILING -> FAILURE_MICROS;
+            case HEALTHY -> Math.round(mMeanServiceMicros * logNormal);
+            case SLOW -> Math.round(SLOW_FACTOR * mMeanServiceMicros * logNormal);
+            case FAILING -> FAILURE_LATENCY_MICROS;
             case PAUSED -> Long.MAX_VALUE / 2;
         };
     }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/package-info.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/package-info.java
@@ -1,4 +1,4 @@
-/** Measurements of the decisions on the request path: admission and routing. */
+/** Measurements of admission control and routing on the request path. */
 @NullMarked
 package org.hickorycleat.measurements.requests;
 
