--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/load/LoadRun.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/load/LoadRun.java
@@ -172,7 +172,7 @@
         String loadId = mPlan.name() + "-" + mRunId + "-" + number;
         mOutcomes.put(loadId, outcome);
         long micros = Math.min(MAXIMUM_LATENCY_MICROS, (nowNanos - startedNanos) / 1_000);
-        // Excludes the warm-up, during which a JVM that has just started adds latency of its own.
+        // Excludes the warm-up, because a JVM that has just started adds latency.
         if (number >= mPlan.ratePerSecond() * mPlan.warmUpSeconds()) {
             (outcome.equals("done") ? mDoneLatencies : mNotDoneLatencies).recordValue(micros);
         }
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/SimulatedWorker.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/SimulatedWorker.java
@@ -100,7 +100,7 @@
     /**
      * Raises the highest epoch seen of a shard.
      *
-     * @return {@code STALE_EPOCH} if a higher epoch has been seen
+     * @return {@code STALE_EPOCH} if a higher epoch has been seen, otherwise {@code OK}
      */
     public synchronized ResultCode fence(ShardNumber shard, Epoch epoch) {
         endDueAttempts();
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/UsageSampler.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/UsageSampler.java
@@ -16,7 +16,7 @@
         mWorker = worker;
     }
 
-    /** Takes a sample if the last one is at least a second old; called more often than that. */
+    /** Takes a sample if the last one is at least a second old; expects more frequent calls. */
     synchronized void sample() {
         long nowMs = mWorker.clockMs();
         if (!mSamples.isEmpty() && nowMs - mSamples.getLast().atMs() < SAMPLE_INTERVAL_MS) {
