Restore texts that are sent to other processes

The texts are sent to other processes, as HTTP bodies, close reasons and invocation failures, so they stay as they were. Nothing else changes.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AnnouncementParser.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AnnouncementParser.java
@@ -30,7 +30,7 @@
         try {
             root = MAPPER.readTree(body);
         } catch (IOException e) {
-            return Either.left(List.of("body is not valid JSON"));
+            return Either.left(List.of("not JSON"));
         }
         return new AnnouncementParser().readAnnouncement(root);
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HttpTargetClient.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/HttpTargetClient.java
@@ -124,12 +124,11 @@
 
     private static Exception toException(IOException cause) {
         if (cause instanceof ConnectException) {
-            return new TargetNotReachedException("connection to target refused", cause);
+            return new TargetNotReachedException("target refused the connection", cause);
         }
         if (cause instanceof InterruptedIOException) {
             // The call exceeded the deadline of the request.
-            TimeoutException timeout =
-                    new TimeoutException("target did not respond before the deadline");
+            TimeoutException timeout = new TimeoutException("target did not answer in time");
             timeout.initCause(cause);
             return timeout;
         }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/InboundConnections.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/InboundConnections.java
@@ -133,17 +133,14 @@
 
         private void accept(MessageConnection connection, Message message) {
             if (!(message instanceof Hello hello)) {
-                reject(
-                        connection,
-                        ResultCode.UNKNOWN_MESSAGE,
-                        "expected Hello as the first message");
+                reject(connection, ResultCode.UNKNOWN_MESSAGE, "expected Hello first");
                 return;
             }
             if (hello.protocolVersion() != MessageCodec.PROTOCOL_VERSION) {
                 reject(
                         connection,
                         ResultCode.PROTOCOL_VERSION,
-                        "expected protocol version " + MessageCodec.PROTOCOL_VERSION);
+                        "expected " + MessageCodec.PROTOCOL_VERSION);
                 return;
             }
             mHello = Optional.of(hello);
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminHttpServer.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/http/AdminHttpServer.java
@@ -80,7 +80,7 @@
         var explanation = mOperations.explain(context.pathParam("task"));
         if (explanation.isEmpty()) {
             context.status(ResultCode.NOT_FOUND.httpStatus());
-            writeJson(context, error(ResultCode.NOT_FOUND, "no such task in this process"));
+            writeJson(context, error(ResultCode.NOT_FOUND, "no task of that name here"));
             return;
         }
         writeJson(context, explanation.get());
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/LogFaults.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/LogFaults.java
@@ -33,10 +33,7 @@
         String outageName = json.path("outage").asText(outage.wireName());
         LogOutage changed =
                 LogOutage.ofWireName(outageName)
-                        .orElseThrow(
-                                () ->
-                                        new IllegalArgumentException(
-                                                "unknown outage: " + outageName));
+                        .orElseThrow(() -> new IllegalArgumentException("outage: " + outageName));
         return new LogFaults(
                 changed,
                 json.path("delay_ms").asLong(delayMs),
