Clarify names in the entry and agent roles

"Peer" meant any connected process in one class and another entry elsewhere, a method named after the worker created its lease manager, and a test named addresses "port". Behaviour is unchanged.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentProcess.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/AgentProcess.java
@@ -33,7 +33,7 @@
     private static final EventLog LOG = EventLog.of(AgentProcess.class);
     private static final int EVENT_LOOPS = 1;
     private static final long REPORT_INTERVAL_MS = 1_000;
-    private static final int BAD_REQUEST_STATUS = 400;
+    private static final int BAD_REQUEST = 400;
 
     private final DaemonSettings mSettings;
     private final AgentSettings mAgentSettings;
@@ -72,7 +72,9 @@
                         .build();
         mTargets = new AnnouncedTargets(mInvocations, scheduler);
         mWorkerLeases =
-                agentSettings.worker().map(address -> newWorker(address, incarnation, scheduler));
+                agentSettings
+                        .worker()
+                        .map(address -> newWorkerLeases(address, incarnation, scheduler));
         mEntrySessions =
                 new EntrySessions(
                         settings,
@@ -221,7 +223,8 @@
         return mTargets;
     }
 
-    private WorkerLeases newWorker(String address, Incarnation incarnation, Scheduler scheduler) {
+    private WorkerLeases newWorkerLeases(
+            String address, Incarnation incarnation, Scheduler scheduler) {
         return new WorkerLeases(
                 HttpUrl.get(address),
                 incarnation,
@@ -241,7 +244,7 @@
     private void handleAnnouncement(Context context) {
         Either<List<String>, Announcement> parsed = AnnouncementParser.parse(context.bodyAsBytes());
         if (parsed.isLeft()) {
-            context.status(BAD_REQUEST_STATUS).result(String.join("; ", parsed.getLeft()));
+            context.status(BAD_REQUEST).result(String.join("; ", parsed.getLeft()));
             return;
         }
         if (mTargets.updateTarget(parsed.get())) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/EntrySessions.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/EntrySessions.java
@@ -54,14 +54,14 @@
             InvocationService invocations,
             ConfigurationHolder configuration,
             AnnouncedTargets targets,
-            Optional<WorkerLeases> worker) {
+            Optional<WorkerLeases> workerLeases) {
         mSettings = settings;
         mIncarnation = incarnation;
         mScheduler = scheduler;
         mInvocations = invocations;
         mConfiguration = configuration;
         mTargets = targets;
-        mWorkerLeases = worker;
+        mWorkerLeases = workerLeases;
         mLinks = new EntryLinks(transport, scheduler, this, agentSettings.maximumLinks());
         mStartedMs = scheduler.now(TimeUnit.MILLISECONDS);
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/WorkerLeases.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/agent/WorkerLeases.java
@@ -33,17 +33,17 @@
     private volatile Optional<WorkerSummary> mSummary = Optional.empty();
 
     WorkerLeases(
-            HttpUrl worker,
+            HttpUrl workerUrl,
             Incarnation agent,
             Scheduler scheduler,
-            Supplier<EntrySessions> entries,
+            Supplier<EntrySessions> entrySessions,
             Runnable sendReport) {
         mScheduler = scheduler;
-        mEntrySessions = entries;
+        mEntrySessions = entrySessions;
         mSendReport = sendReport;
         mLeaseManager =
                 new TaskLeaseManager(
-                        new HttpWorkerControl(mClient, worker),
+                        new HttpWorkerControl(mClient, workerUrl),
                         this,
                         agent,
                         LeaseSettings.DEFAULT,
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/InboundConnections.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/entry/InboundConnections.java
@@ -27,8 +27,8 @@
 
     private final Supplier<Welcome> mWelcomeSupplier;
     private final InboundConnectionListener mListener;
-    private final Map<ProcessId, Peer> mAgents = new ConcurrentHashMap<>();
-    private final Map<ProcessId, Peer> mEntries = new ConcurrentHashMap<>();
+    private final Map<ProcessId, ConnectedProcess> mAgents = new ConcurrentHashMap<>();
+    private final Map<ProcessId, ConnectedProcess> mEntries = new ConcurrentHashMap<>();
     private volatile Optional<Welcome> mLastWelcome = Optional.empty();
 
     InboundConnections(Supplier<Welcome> welcome, InboundConnectionListener listener) {
@@ -37,7 +37,7 @@
     }
 
     /** A connected process and its connection. */
-    private record Peer(Hello hello, MessageConnection connection) {}
+    private record ConnectedProcess(Hello hello, MessageConnection connection) {}
 
     /** Creates the listener of a new connection. */
     MessageListener newListener() {
@@ -46,12 +46,12 @@
 
     @Override
     public boolean send(ProcessId agent, Message message) {
-        Peer peer = mAgents.get(agent);
-        return peer != null && peer.connection().send(message);
+        ConnectedProcess connected = mAgents.get(agent);
+        return connected != null && connected.connection().send(message);
     }
 
     /**
-     * Sends every peer the list of entries if it changed, or an empty list otherwise.
+     * Sends every connected process the list of entries if it changed, or an empty list otherwise.
      *
      * <p>The message doubles as a heartbeat, because idle connections are closed. Sending the whole
      * list each second would use most of the overhead budget of the control plane on a node.
@@ -61,8 +61,8 @@
         boolean changed = !Optional.of(welcome).equals(mLastWelcome);
         mLastWelcome = Optional.of(welcome);
         Message message = changed ? welcome : withoutEntries(welcome);
-        mAgents.values().forEach(peer -> peer.connection().send(message));
-        mEntries.values().forEach(peer -> peer.connection().send(message));
+        mAgents.values().forEach(connected -> connected.connection().send(message));
+        mEntries.values().forEach(connected -> connected.connection().send(message));
     }
 
     private static Welcome withoutEntries(Welcome welcome) {
@@ -72,14 +72,14 @@
     /** Returns the connections for the process status. */
     List<ProcessStatus.Link> links() {
         return Stream.concat(mAgents.values().stream(), mEntries.values().stream())
-                .map(Peer::hello)
+                .map(ConnectedProcess::hello)
                 .map(InboundConnections::link)
                 .toList();
     }
 
     /** Returns the connected agents. */
     List<Hello> agents() {
-        return mAgents.values().stream().map(Peer::hello).toList();
+        return mAgents.values().stream().map(ConnectedProcess::hello).toList();
     }
 
     private static ProcessStatus.Link link(Hello hello) {
@@ -95,7 +95,7 @@
 
         @Override
         public void onOpen(MessageConnection connection) {
-            // The peer sends the first message, Hello.
+            // The remote process sends the first message, Hello.
         }
 
         @Override
@@ -118,16 +118,16 @@
                 return;
             }
             Hello hello = mHello.get();
-            Peer peer = new Peer(hello, connection);
+            ConnectedProcess connected = new ConnectedProcess(hello, connection);
             LOG.event("connection_closed")
                     .with("process", hello.process())
                     .with("session", hello.session())
                     .info();
             if (hello.role() == ProcessRole.AGENT) {
-                mAgents.remove(hello.process(), peer);
+                mAgents.remove(hello.process(), connected);
                 mListener.onAgentClosed(hello);
             } else {
-                mEntries.remove(hello.process(), peer);
+                mEntries.remove(hello.process(), connected);
             }
         }
 
@@ -153,11 +153,11 @@
             // Welcome must precede other messages: the agent fences its previous sessions on
             // receipt.
             connection.send(mWelcomeSupplier.get());
-            Peer peer = new Peer(hello, connection);
+            ConnectedProcess connected = new ConnectedProcess(hello, connection);
             if (hello.role() == ProcessRole.AGENT) {
-                replaceAgent(hello, peer);
+                replaceAgent(hello, connected);
             } else {
-                mEntries.put(hello.process(), peer);
+                mEntries.put(hello.process(), connected);
                 mListener.onPeerOpened(hello);
             }
         }
@@ -171,14 +171,14 @@
             connection.sendAndClose(new Failure(code, detail));
         }
 
-        private void replaceAgent(Hello hello, Peer peer) {
+        private void replaceAgent(Hello hello, ConnectedProcess connected) {
             // A delayed Hello of an older session must not replace a newer session.
-            Peer latest =
+            ConnectedProcess latest =
                     mAgents.merge(
                             hello.process(),
-                            peer,
+                            connected,
                             (existing, candidate) -> {
-                                Peer later =
+                                ConnectedProcess later =
                                         isLater(candidate.hello(), existing.hello())
                                                 ? candidate
                                                 : existing;
@@ -187,7 +187,7 @@
                                         .close();
                                 return later;
                             });
-            if (latest.equals(peer)) {
+            if (latest.equals(connected)) {
                 mListener.onAgentOpened(hello);
             }
         }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/RandomBytesTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/RandomBytesTest.java
@@ -67,10 +67,10 @@
     @Test
     void everyPortKeepsServingAfterRandomBytes() throws Exception {
         Random random = new Random(42);
-        for (InetSocketAddress port :
+        for (InetSocketAddress socketAddress :
                 List.of(mEntryAdmin, mCallerListen, mPeerListen, mAgentAdmin)) {
             for (int i = 0; i < CONNECTIONS; i++) {
-                sendRandomBytes(port, random);
+                sendRandomBytes(socketAddress, random);
             }
         }
 
@@ -82,10 +82,11 @@
         assertThat(body(mAgentAdmin, "/admin/status")).contains("\"process\":\"entry-1\"");
     }
 
-    private static void sendRandomBytes(InetSocketAddress port, Random random) throws IOException {
+    private static void sendRandomBytes(InetSocketAddress socketAddress, Random random)
+            throws IOException {
         byte[] bytes = new byte[1 + random.nextInt(MAXIMUM_BYTES)];
         random.nextBytes(bytes);
-        try (Socket socket = new Socket(port.getAddress(), port.getPort())) {
+        try (Socket socket = new Socket(socketAddress.getAddress(), socketAddress.getPort())) {
             socket.getOutputStream().write(bytes);
             socket.getOutputStream().flush();
         } catch (java.net.SocketException e) {
@@ -93,16 +94,17 @@
         }
     }
 
-    private int status(InetSocketAddress port, String path) throws Exception {
-        return get(port, path).statusCode();
+    private int status(InetSocketAddress socketAddress, String path) throws Exception {
+        return get(socketAddress, path).statusCode();
     }
 
-    private String body(InetSocketAddress port, String path) throws Exception {
-        return get(port, path).body();
+    private String body(InetSocketAddress socketAddress, String path) throws Exception {
+        return get(socketAddress, path).body();
     }
 
-    private HttpResponse<String> get(InetSocketAddress port, String path) throws Exception {
-        URI address = URI.create("http://127.0.0.1:" + port.getPort() + path);
+    private HttpResponse<String> get(InetSocketAddress socketAddress, String path)
+            throws Exception {
+        URI address = URI.create("http://127.0.0.1:" + socketAddress.getPort() + path);
         return mClient.send(
                 HttpRequest.newBuilder(address).timeout(Duration.ofSeconds(20)).build(),
                 HttpResponse.BodyHandlers.ofString());
