Use one name per idea in the stand-ins

The HTTP context had two names, and lost responses meant both those still to lose and those lost so far. Behaviour and the control fields are unchanged.

--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/load/LoadRun.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/load/LoadRun.java
@@ -120,7 +120,7 @@
                     }
 
                     @Override
-                    public void onResponse(Call answeredCall, Response response) {
+                    public void onResponse(Call completedCall, Response response) {
                         handleResponse(number, attempt, startedNanos, response, loadId, body);
                     }
                 });
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/target/TargetServer.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/target/TargetServer.java
@@ -15,7 +15,7 @@
 /** HTTP server of the target stand-in, which counts the runs of each request. */
 final class TargetServer {
     private static final int MAXIMUM_THREADS = 16;
-    private static final int STATUS_SERVER_ERROR = 500;
+    private static final int INTERNAL_SERVER_ERROR = 500;
 
     private final TargetBehaviour mBehaviour;
     private final ObjectMapper mMapper = new ObjectMapper();
@@ -52,7 +52,7 @@
                     mRunCounts.merge(loadId, 1, Integer::sum);
                     context.header("Load-Id", loadId);
                     if (mBehaviour.isFailing()) {
-                        context.status(STATUS_SERVER_ERROR);
+                        context.status(INTERNAL_SERVER_ERROR);
                     }
                     context.result(body);
                     finished.complete(null);
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/SimulatedWorker.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/SimulatedWorker.java
@@ -54,12 +54,12 @@
         return mIncarnation;
     }
 
-    /** Returns the monotonic clock. */
+    /** Returns the time of the monotonic clock in milliseconds. */
     public long clockMs() {
         return mClock.getAsLong();
     }
 
-    /** Sets whether every task that starts fails. */
+    /** Sets whether every task that starts fails, and after how many milliseconds it does. */
     public synchronized void setFailing(boolean failing, long afterMs) {
         mFailing = failing;
         mFailAfterMs = afterMs;
@@ -173,7 +173,7 @@
             ShardNumber shard,
             Epoch epoch,
             Incarnation incarnation,
-            List<AttemptKey> tasks,
+            List<AttemptKey> attempts,
             long leaseUntilMs) {
         ResultCode fenceResult = fence(shard, epoch);
         if (fenceResult != ResultCode.OK) {
@@ -182,7 +182,8 @@
         if (!incarnation.equals(mIncarnation) || leaseUntilMs <= clockMs()) {
             return ResultCode.LEASE_EXPIRED;
         }
-        tasks.forEach(key -> runningAttempt(key).ifPresent(attempt -> attempt.renew(leaseUntilMs)));
+        attempts.forEach(
+                key -> runningAttempt(key).ifPresent(attempt -> attempt.renew(leaseUntilMs)));
         return ResultCode.OK;
     }
 
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/WorkerFaults.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/WorkerFaults.java
@@ -12,7 +12,7 @@
     private boolean mFailing;
     private long mFailAfterMs = 100;
     private long mResponseDelayMs;
-    private int mLostResponses;
+    private int mResponsesToLose;
 
     synchronized void setPaused(boolean paused) {
         if (paused == mPaused) {
@@ -54,20 +54,22 @@
         return mResponseDelayMs;
     }
 
-    synchronized void setLostResponses(int count) {
-        mLostResponses = count;
+    synchronized void setResponsesToLose(int count) {
+        mResponsesToLose = count;
     }
 
-    synchronized int lostResponses() {
-        return mLostResponses;
+    synchronized int responsesToLose() {
+        return mResponsesToLose;
     }
 
-    /** Returns whether the next response is to be lost, and counts it if so. */
+    /**
+     * Returns whether to lose the next response; if so, decrements the number of responses to lose.
+     */
     synchronized boolean loseNextResponse() {
-        if (mLostResponses == 0) {
+        if (mResponsesToLose == 0) {
             return false;
         }
-        mLostResponses--;
+        mResponsesToLose--;
         return true;
     }
 
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/WorkerJson.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/WorkerJson.java
@@ -143,7 +143,7 @@
                 .put("failing", faults.isFailing())
                 .put("fail_after_ms", faults.failAfterMs())
                 .put("slow_ms", faults.responseDelayMs())
-                .put("lost_answers", faults.lostResponses())
+                .put("lost_answers", faults.responsesToLose())
                 .toString();
     }
 
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/WorkerServer.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/WorkerServer.java
@@ -27,11 +27,11 @@
     private final ScheduledExecutorService mTimer = Executors.newSingleThreadScheduledExecutor();
     private final Javalin mServer;
 
-    /** Starts to listen on a loopback port; port 0 selects a free one. */
+    /** Starts listening on a loopback port; port 0 selects a free one. */
     public WorkerServer(SimulatedWorker worker, int port) {
         mWorker = worker;
         mSampler = new UsageSampler(worker);
-        mServer = Javalin.create(this::routes);
+        mServer = Javalin.create(this::configure);
         mServer.start("127.0.0.1", port);
         var unused =
                 mTimer.scheduleWithFixedDelay(
@@ -59,20 +59,19 @@
         }
     }
 
-    private void routes(JavalinConfig configuration) {
+    private void configure(JavalinConfig configuration) {
         configuration.startup.showJavalinBanner = false;
-        configuration.routes.get("/tasks", exchange -> respond(exchange, this::listing));
-        configuration.routes.get("/usage", exchange -> respond(exchange, this::usage));
-        configuration.routes.post("/fence", exchange -> executeCommand(exchange, this::fence));
-        configuration.routes.post("/renew", exchange -> executeCommand(exchange, this::renew));
-        configuration.routes.post("/start", exchange -> executeCommand(exchange, this::start));
-        configuration.routes.post("/stop", exchange -> executeCommand(exchange, this::stop));
+        configuration.routes.get("/tasks", context -> respond(context, this::listing));
+        configuration.routes.get("/usage", context -> respond(context, this::usage));
+        configuration.routes.post("/fence", context -> executeCommand(context, this::fence));
+        configuration.routes.post("/renew", context -> executeCommand(context, this::renew));
+        configuration.routes.post("/start", context -> executeCommand(context, this::start));
+        configuration.routes.post("/stop", context -> executeCommand(context, this::stop));
         configuration.routes.post(
-                "/checkpoint", exchange -> executeCommand(exchange, this::checkpoint));
-        configuration.routes.post(
-                "/throttle", exchange -> executeCommand(exchange, this::throttle));
+                "/checkpoint", context -> executeCommand(context, this::checkpoint));
+        configuration.routes.post("/throttle", context -> executeCommand(context, this::throttle));
         configuration.routes.get("/records", this::records);
-        configuration.routes.post("/control", this::control);
+        configuration.routes.post("/control", this::updateFaults);
     }
 
     private CommandResponse fence(JsonNode body) {
@@ -117,17 +116,17 @@
         return mJson.usage(mSampler.usage());
     }
 
-    private void records(Context exchange) {
-        exchange.contentType("application/json")
+    private void records(Context context) {
+        context.contentType("application/json")
                 .result(mJson.records(mWorker.clockMs(), mWorker.events()));
     }
 
-    private void control(Context exchange) {
+    private void updateFaults(Context context) {
         try {
-            applyFaults(mJson.parse(exchange.body()));
-            exchange.contentType("application/json").result(mJson.faults(mFaults));
+            applyFaults(mJson.parse(context.body()));
+            context.contentType("application/json").result(mJson.faults(mFaults));
         } catch (IllegalArgumentException exception) {
-            sendMalformed(exchange);
+            sendMalformed(context);
         }
     }
 
@@ -142,7 +141,7 @@
             mFaults.setResponseDelayMs(WorkerJson.number(body, "slow_ms"));
         }
         if (body.has("lost_answers")) {
-            mFaults.setLostResponses((int) WorkerJson.number(body, "lost_answers"));
+            mFaults.setResponsesToLose((int) WorkerJson.number(body, "lost_answers"));
         }
         mWorker.setFailing(mFaults.isFailing(), mFaults.failAfterMs());
         if (body.path("restart").asBoolean()) {
@@ -153,35 +152,35 @@
         }
     }
 
-    private void executeCommand(Context exchange, Function<JsonNode, CommandResponse> action) {
+    private void executeCommand(Context context, Function<JsonNode, CommandResponse> action) {
         JsonNode body;
         try {
-            body = mJson.parse(exchange.body());
+            body = mJson.parse(context.body());
             mFaults.awaitResumed();
             CommandResponse response = action.apply(body);
-            exchange.status(response.code().httpStatus());
-            sendResponse(exchange, mJson.response(response));
+            context.status(response.code().httpStatus());
+            sendResponse(context, mJson.response(response));
         } catch (IllegalArgumentException exception) {
-            sendMalformed(exchange);
+            sendMalformed(context);
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private void respond(Context exchange, Supplier<String> content) {
+    private void respond(Context context, Supplier<String> content) {
         try {
             mFaults.awaitResumed();
-            sendResponse(exchange, content.get());
+            sendResponse(context, content.get());
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
         }
     }
 
     /** Sends the response to an action that is already applied; faults may delay or lose it. */
-    private void sendResponse(Context exchange, String body) throws InterruptedException {
+    private void sendResponse(Context context, String body) throws InterruptedException {
         Thread.sleep(mFaults.responseDelayMs());
         if (mFaults.loseNextResponse()) {
-            ServletContextResponse.getServletContextResponse(exchange.res())
+            ServletContextResponse.getServletContextResponse(context.res())
                     .getRequest()
                     .getConnectionMetaData()
                     .getConnection()
@@ -189,11 +188,11 @@
                     .close();
             return;
         }
-        exchange.contentType("application/json").result(body);
+        context.contentType("application/json").result(body);
     }
 
-    private void sendMalformed(Context exchange) {
+    private void sendMalformed(Context context) {
         ResultCode code = ResultCode.MALFORMED_REQUEST;
-        exchange.status(code.httpStatus()).contentType("application/json").result(mJson.code(code));
+        context.status(code.httpStatus()).contentType("application/json").result(mJson.code(code));
     }
 }
