Use one name per idea in the measurements

Queue length, rejection time and interference each had two names, and a fill period was the start time of urgent tasks. Output is unchanged.

--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/InterferenceFake.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/InterferenceFake.java
@@ -21,7 +21,7 @@
     private static final long MEASUREMENT_INTERVAL_MS = 2_000;
     private static final double BASE_LATENCY_MS = 20;
     private static final double NOISE_SIGMA = 0.15;
-    private static final double DISTURBING_SHARE = 0.25;
+    private static final double INTERFERING_SHARE = 0.25;
 
     private final FleetSimulation mSimulation;
     private final PlacementObserver mObserver;
@@ -51,9 +51,9 @@
     void drawEffects(List<ServiceName> services, int jobs) {
         for (ServiceName service : services) {
             for (int i = 0; i < jobs; i++) {
-                boolean disturbs = mEffectRandom.nextDouble() < DISTURBING_SHARE;
+                boolean interferes = mEffectRandom.nextDouble() < INTERFERING_SHARE;
                 double effect = 0.4 + 0.8 * mEffectRandom.nextDouble();
-                mEffects.put(new Colocation(service, "job-" + i), disturbs ? effect : 0);
+                mEffects.put(new Colocation(service, "job-" + i), interferes ? effect : 0);
             }
         }
     }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/PlacementScaleMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/PlacementScaleMeasurement.java
@@ -12,7 +12,7 @@
 /** Measures decision time and starts per second by the number of workers and queued tasks. */
 public final class PlacementScaleMeasurement {
     private static final int[] WORKERS = {11, 110, 500, 1_000, 2_100};
-    private static final int[] BACKLOGS = {500, 18_000};
+    private static final int[] QUEUE_LENGTHS = {500, 18_000};
 
     /** Equals the rate at which an owner may append batches. */
     private static final int CALLS_PER_SECOND = 20;
@@ -38,21 +38,21 @@
     public List<String> run(long[] seeds) {
         List<String> lines = new ArrayList<>();
         for (int workers : WORKERS) {
-            for (int backlog : BACKLOGS) {
+            for (int queueLength : QUEUE_LENGTHS) {
                 List<Times> times = new ArrayList<>();
                 for (long seed : seeds) {
-                    times.add(runOnce(workers, backlog, seed));
+                    times.add(runOnce(workers, queueLength, seed));
                 }
-                lines.add(line(workers, backlog, times));
+                lines.add(line(workers, queueLength, times));
             }
         }
         return lines;
     }
 
-    private Times runOnce(int workers, int backlog, long seed) {
+    private Times runOnce(int workers, int queueLength, long seed) {
         ScaleFleet fleet = new ScaleFleet(workers, seed);
         SchedulingPolicy policy = new SchedulingPolicy(JobNaming.BEFORE_LAST_SLASH);
-        fleet.submit(backlog, 0);
+        fleet.submit(queueLength, 0);
         Times times = new Times();
         long nowMs = 0;
         int ended = 0;
@@ -60,7 +60,7 @@
             nowMs += 1_000 / CALLS_PER_SECOND;
             int endsDue = (call + 1) * STARTS_PER_SECOND / CALLS_PER_SECOND;
             fleet.endOldest(endsDue - ended);
-            fleet.submit(Math.max(0, backlog - fleet.view().pendingBatch().size()), nowMs);
+            fleet.submit(Math.max(0, queueLength - fleet.view().pendingBatch().size()), nowMs);
             ended = endsDue;
             call(fleet, policy, nowMs, call < WARM_UP_CALLS ? new Times() : times);
         }
@@ -85,7 +85,7 @@
         }
     }
 
-    private static String line(int workers, int backlog, List<Times> times) {
+    private static String line(int workers, int queueLength, List<Times> times) {
         double seconds = MEASURED_CALLS / (double) CALLS_PER_SECOND;
         return String.format(
                 Locale.ROOT,
@@ -95,7 +95,7 @@
                         + " starts_per_core_second=%.0f call_after_cancelling_%d_ms=%.3f",
                 workers,
                 Medians.over(times, run -> run.mTasks),
-                backlog,
+                queueLength,
                 times.size(),
                 Medians.over(times, run -> Medians.quantile(0.5, run.mCallNs) / 1e6),
                 Medians.over(times, run -> Medians.quantile(0.99, run.mCallNs) / 1e6),
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/ScaleFleet.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/ScaleFleet.java
@@ -27,7 +27,7 @@
 
     private final IncrementalPlacementView mView = new IncrementalPlacementView();
     private final Random mRandom;
-    private final Deque<PlacedTask> mRunning = new ArrayDeque<>();
+    private final Deque<PlacedTask> mRunningBatch = new ArrayDeque<>();
     private long mNextNumber;
 
     /** Creates a fleet whose number of tasks is proportional to its number of workers. */
@@ -67,7 +67,7 @@
                 new PlacedTask(task, worker, startedMs, startedMs, 0, 0, Phase.RUNNING, 1_000);
         mView.putPlaced(placed);
         if (task.service().isEmpty()) {
-            mRunning.addLast(placed);
+            mRunningBatch.addLast(placed);
         }
     }
 
@@ -98,8 +98,8 @@
     }
 
     void endOldest(int count) {
-        for (int i = 0; i < count && !mRunning.isEmpty(); i++) {
-            mView.removePlaced(mRunning.removeFirst().specification().task());
+        for (int i = 0; i < count && !mRunningBatch.isEmpty(); i++) {
+            mView.removePlaced(mRunningBatch.removeFirst().specification().task());
         }
     }
 
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/UrgentWorkload.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/UrgentWorkload.java
@@ -13,7 +13,7 @@
 /** Batch work that keeps a fleet full, with urgent tasks that arrive one by one and in bursts. */
 final class UrgentWorkload {
     static final long DURATION_MS = 3_600_000;
-    private static final long FILL_PERIOD_MS = 300_000;
+    private static final long URGENT_START_MS = 300_000;
     private static final long URGENT_INTERVAL_MS = 20_000;
     private static final long BURST_INTERVAL_MS = 900_000;
     private static final int BURST_TASKS = 11;
@@ -29,13 +29,13 @@
     List<WorkloadTask> tasks() {
         List<WorkloadTask> tasks = new ArrayList<>();
         addBatch(tasks);
-        for (long timeMs = FILL_PERIOD_MS;
+        for (long timeMs = URGENT_START_MS;
                 timeMs < DURATION_MS - 60_000;
                 timeMs += URGENT_INTERVAL_MS) {
             tasks.add(
                     urgent("urgent-" + timeMs, timeMs + mRandom.nextInt((int) URGENT_INTERVAL_MS)));
         }
-        for (long timeMs = FILL_PERIOD_MS * 2;
+        for (long timeMs = URGENT_START_MS * 2;
                 timeMs < DURATION_MS - 60_000;
                 timeMs += BURST_INTERVAL_MS) {
             for (int i = 0; i < BURST_TASKS; i++) {
@@ -73,7 +73,7 @@
                         runMs * 4 + DURATION_MS / 2,
                         mRandom.nextInt(10) < 7,
                         false);
-        return new WorkloadTask(task, mRandom.nextInt((int) FILL_PERIOD_MS / 2), runMs);
+        return new WorkloadTask(task, mRandom.nextInt((int) URGENT_START_MS / 2), runMs);
     }
 
     private WorkloadTask urgent(String name, long arrivalMs) {
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/AdmissionMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/AdmissionMeasurement.java
@@ -41,7 +41,7 @@
     private static final double FLOOD_FACTOR = 10;
     private static final double OTHERS_SHARE = 0.8;
 
-    private record Run(double p99Ms, double kept, double goodput, double refusalMicros) {}
+    private record Run(double p99Ms, double kept, double goodput, double rejectionMicros) {}
 
     private record Comparison(Run unloaded, Run withoutFlood, Run flood) {}
 
@@ -97,7 +97,7 @@
                         .with("p99_without_flood", ratio(runs, Comparison::withoutFlood))
                         .with("kept", Median.of(runs, run -> run.flood().kept()))
                         .with("goodput", Median.of(runs, run -> run.flood().goodput()))
-                        .with("refusal_us", Median.of(runs, run -> run.flood().refusalMicros())));
+                        .with("refusal_us", Median.of(runs, run -> run.flood().rejectionMicros())));
     }
 
     private static double ratio(List<Comparison> runs, Function<Comparison, Run> reference) {
@@ -113,7 +113,7 @@
         private final AdmissionControl mControl;
         private final Criticality mFloodingClass;
         private final Histogram mOthersLatency = new Histogram(10_000_000, 3);
-        private final Histogram mRefusalNanos = new Histogram(10_000_000_000L, 2);
+        private final Histogram mRejectionNanos = new Histogram(10_000_000_000L, 2);
         private final Map<Criticality, Long> mOffered = new EnumMap<>(Criticality.class);
         private final Map<Criticality, Long> mCompleted = new EnumMap<>(Criticality.class);
         private boolean mMeasuring;
@@ -149,7 +149,7 @@
                     mOthersLatency.getValueAtPercentile(99) / 1_000.0,
                     (double) sum(mCompleted, mFloodingClass) / sum(mOffered, mFloodingClass),
                     completed / (FleetFake.capacityPerSecond() * RUN_MS / 1_000),
-                    mRefusalNanos.getValueAtPercentile(50) / 1_000.0);
+                    mRejectionNanos.getValueAtPercentile(50) / 1_000.0);
         }
 
         private void request(Criticality criticality) {
@@ -164,7 +164,7 @@
                             TEAM,
                             FleetFake.DEADLINE_MICROS / 1_000);
             if (!(admission instanceof Admission.Admitted admitted)) {
-                mRefusalNanos.recordValue(System.nanoTime() - startNanos);
+                mRejectionNanos.recordValue(System.nanoTime() - startNanos);
                 return;
             }
             Optional<TargetReservation> reservation =
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/FleetFake.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/requests/FleetFake.java
@@ -29,7 +29,7 @@
     static final ServiceName SERVICE = new ServiceName("booking");
     static final int TARGETS = 11;
     static final int SLOTS = TARGETS * TargetFake.SLOTS;
-    static final double SERVICE_MEAN_MICROS = 20_000;
+    static final double MEAN_SERVICE_MICROS = 20_000;
     static final long DEADLINE_MICROS = 2_000_000;
     static final ZoneId ENTRY_ZONE = new ZoneId("zone-0");
 
@@ -49,7 +49,7 @@
     FleetFake(long seed) {
         mRandom = new SplittableRandom(seed);
         for (int i = 0; i < TARGETS; i++) {
-            mTargets.add(new TargetFake(mScheduler, mRandom.split(), SERVICE_MEAN_MICROS));
+            mTargets.add(new TargetFake(mScheduler, mRandom.split(), MEAN_SERVICE_MICROS));
             mDirectory.onAgentConnected(
                     agent(i), zone(i), new Incarnation(1), new SessionNumber(1));
             int target = i;
@@ -60,7 +60,7 @@
 
     /** Returns the requests per second that keep all slots of healthy targets in use. */
     static double capacityPerSecond() {
-        return SLOTS * 1_000_000 / SERVICE_MEAN_MICROS;
+        return SLOTS * 1_000_000 / MEAN_SERVICE_MICROS;
     }
 
     TargetFake target(int index) {
