--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminCommand.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/admin/AdminCommand.java
@@ -98,8 +98,8 @@
             }
         }
         if (!responses.isEmpty()) {
-            // A task belongs to one shard, so all entries except its owner respond that it is
-            // unknown.
+            // A task belongs to one shard, so every entry except the owner of that shard responds
+            // that the task is unknown.
             failures.removeIf(failure -> failure.code() == ResultCode.NOT_FOUND);
         }
         Optional<CommandFailure> failure = combine(failures);
