Correct names and comments of times in the stand-ins

A request's due time was named its start, and the completion time of an attempt was said to ignore the throttle, which it includes. Behaviour is unchanged.

--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/load/LoadRun.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/load/LoadRun.java
@@ -107,7 +107,7 @@
                 .toList();
     }
 
-    private void send(int number, int attempt, long startedNanos) {
+    private void send(int number, int attempt, long dueNanos) {
         String loadId = mPlan.name() + "-" + mRunId + "-" + number;
         byte[] body = body(loadId);
         String entry = mPlan.entries().get((number + attempt) % mPlan.entries().size());
@@ -116,23 +116,18 @@
                 new Callback() {
                     @Override
                     public void onFailure(Call failedCall, IOException cause) {
-                        recordEnd(number, attempt, startedNanos, "no-answer", "none");
+                        recordEnd(number, attempt, dueNanos, "no-answer", "none");
                     }
 
                     @Override
                     public void onResponse(Call completedCall, Response response) {
-                        handleResponse(number, attempt, startedNanos, response, loadId, body);
+                        handleResponse(number, attempt, dueNanos, response, loadId, body);
                     }
                 });
     }
 
     private void handleResponse(
-            int number,
-            int attempt,
-            long startedNanos,
-            Response response,
-            String loadId,
-            byte[] sent) {
+            int number, int attempt, long dueNanos, Response response, String loadId, byte[] sent) {
         String outcome = header(response, "Hickorycleat-Outcome").orElse("no-answer");
         String code = header(response, "Hickorycleat-Result-Code").orElse("none");
         try (response) {
@@ -147,7 +142,7 @@
         } catch (IOException e) {
             outcome = "no-answer";
         }
-        recordEnd(number, attempt, startedNanos, outcome, code);
+        recordEnd(number, attempt, dueNanos, outcome, code);
     }
 
     private boolean isMatchingResponse(
@@ -156,8 +151,7 @@
         return sameBody && loadId.equals(response.header("Load-Id"));
     }
 
-    private void recordEnd(
-            int number, int attempt, long startedNanos, String outcome, String code) {
+    private void recordEnd(int number, int attempt, long dueNanos, String outcome, String code) {
         long nowNanos = System.nanoTime();
         mResultCodes.computeIfAbsent(code, key -> new AtomicInteger()).incrementAndGet();
         if (!outcome.equals("done")) {
@@ -166,12 +160,12 @@
         boolean retry = mPlan.keyed() && !outcome.equals("done") && attempt + 1 < MAXIMUM_ATTEMPTS;
         if (retry) {
             CompletableFuture.delayedExecutor(RETRY_DELAY_MS, TimeUnit.MILLISECONDS)
-                    .execute(() -> send(number, attempt + 1, startedNanos));
+                    .execute(() -> send(number, attempt + 1, dueNanos));
             return;
         }
         String loadId = mPlan.name() + "-" + mRunId + "-" + number;
         mOutcomes.put(loadId, outcome);
-        long micros = Math.min(MAXIMUM_LATENCY_MICROS, (nowNanos - startedNanos) / 1_000);
+        long micros = Math.min(MAXIMUM_LATENCY_MICROS, (nowNanos - dueNanos) / 1_000);
         // Excludes the warm-up, because a JVM that has just started adds latency.
         if (number >= mPlan.ratePerSecond() * mPlan.warmUpSeconds()) {
             (outcome.equals("done") ? mDoneLatencies : mNotDoneLatencies).recordValue(micros);
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/SimulatedAttempt.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/SimulatedAttempt.java
@@ -71,8 +71,8 @@
     }
 
     /**
-     * Returns the time at which the attempt completes if it is neither throttled nor stopped
-     * before.
+     * Returns the time at which the attempt completes if its throttle does not change and it is not
+     * stopped before.
      */
     long completionMs() {
         if (mRunTimeMs == Long.MAX_VALUE) {
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/UsageSampler.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/UsageSampler.java
@@ -16,7 +16,9 @@
         mWorker = worker;
     }
 
-    /** Takes a sample if the last one is at least a second old; expects more frequent calls. */
+    /**
+     * Takes a sample if the last one is at least a second old; must be called more often than that.
+     */
     synchronized void sample() {
         long nowMs = mWorker.clockMs();
         if (!mSamples.isEmpty() && nowMs - mSamples.getLast().atMs() < SAMPLE_INTERVAL_MS) {
