Tell apart the two medians in the measurements

Two classes were named after the median but treat an even number of values differently; the discarded first period had two names. Output is unchanged.

--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/BatchMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/BatchMeasurement.java
@@ -166,12 +166,12 @@
                 load,
                 name,
                 seeds.length,
-                Medians.over(results, FleetResult::onTimeShare),
-                Medians.over(results, result -> result.mTardinessMs / 3_600_000.0),
-                Medians.over(results, FleetResult::coreHours),
-                Medians.over(results, result -> result.mEvictions),
-                Medians.over(results, result -> result.mLostProgressMs / 3_600_000.0),
-                Medians.over(results, result -> result.mUnfinished));
+                Quantiles.medianOf(results, FleetResult::onTimeShare),
+                Quantiles.medianOf(results, result -> result.mTardinessMs / 3_600_000.0),
+                Quantiles.medianOf(results, FleetResult::coreHours),
+                Quantiles.medianOf(results, result -> result.mEvictions),
+                Quantiles.medianOf(results, result -> result.mLostProgressMs / 3_600_000.0),
+                Quantiles.medianOf(results, result -> result.mUnfinished));
     }
 
     private static FleetResult runOnce(
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/InterferenceFake.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/InterferenceFake.java
@@ -27,22 +27,22 @@
     private final PlacementObserver mObserver;
     private final Random mEffectRandom;
     private final Random mNoiseRandom;
-    private final long mLearningEndMs;
+    private final long mWarmUpEndMs;
     private final Map<Colocation, Double> mEffects = new HashMap<>();
     private final List<Double> mRelativeLatencies = new ArrayList<>();
 
     InterferenceFake(
-            FleetSimulation simulation, PlacementObserver observer, long learningEndMs, long seed) {
+            FleetSimulation simulation, PlacementObserver observer, long warmUpEndMs, long seed) {
         mSimulation = simulation;
         mObserver = observer;
-        mLearningEndMs = learningEndMs;
+        mWarmUpEndMs = warmUpEndMs;
         mEffectRandom = new Random(seed);
         mNoiseRandom = new Random(seed + 1);
     }
 
     private record Colocation(ServiceName service, String job) {}
 
-    /** Returns the latencies after the learning period as multiples of the base latency. */
+    /** Returns the latencies after the warm-up as multiples of the base latency. */
     List<Double> relativeLatencies() {
         return mRelativeLatencies;
     }
@@ -85,7 +85,7 @@
         }
         double factor =
                 Math.exp(effect + loadVariation + NOISE_SIGMA * mNoiseRandom.nextGaussian());
-        if (mSimulation.nowMs() >= mLearningEndMs) {
+        if (mSimulation.nowMs() >= mWarmUpEndMs) {
             mRelativeLatencies.add(factor);
         }
         LatencyMeasurement measurement =
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/InterferenceMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/InterferenceMeasurement.java
@@ -25,7 +25,7 @@
 public final class InterferenceMeasurement {
     private static final long TICK_MS = 2_000;
     private static final long DURATION_MS = 6 * 3_600_000L;
-    private static final long LEARNING_PERIOD_MS = 1_800_000;
+    private static final long WARM_UP_MS = 1_800_000;
     private static final int JOBS = 16;
     private static final double LOAD = 0.6;
     private static final ServiceName EVERYWHERE = new ServiceName("everywhere");
@@ -90,13 +90,13 @@
                 profile.name().toLowerCase(Locale.ROOT),
                 name,
                 seeds.length,
-                Medians.over(runs, run -> Medians.quantile(0.5, run.latencies)),
-                Medians.over(runs, run -> Medians.quantile(0.99, run.latencies)),
-                Medians.over(runs, run -> run.result.mEvictions),
-                Medians.over(runs, run -> run.result.mThrottles),
-                Medians.over(runs, run -> run.result.coreHours()),
-                Medians.over(runs, run -> run.result.onTimeShare()),
-                Medians.over(runs, run -> run.result.mLostProgressMs / 3_600_000.0));
+                Quantiles.medianOf(runs, run -> Quantiles.quantile(0.5, run.latencies)),
+                Quantiles.medianOf(runs, run -> Quantiles.quantile(0.99, run.latencies)),
+                Quantiles.medianOf(runs, run -> run.result.mEvictions),
+                Quantiles.medianOf(runs, run -> run.result.mThrottles),
+                Quantiles.medianOf(runs, run -> run.result.coreHours()),
+                Quantiles.medianOf(runs, run -> run.result.onTimeShare()),
+                Quantiles.medianOf(runs, run -> run.result.mLostProgressMs / 3_600_000.0));
     }
 
     private static Run runOnce(FleetProfile profile, PolicyUnderTest policyUnderTest, long seed) {
@@ -105,8 +105,7 @@
         simulation.addWorkers(profile.workers());
         simulation.addWorkload(tasks(profile, seed));
         InterferenceFake fake =
-                new InterferenceFake(
-                        simulation, policyUnderTest.observer, LEARNING_PERIOD_MS, seed);
+                new InterferenceFake(simulation, policyUnderTest.observer, WARM_UP_MS, seed);
         fake.drawEffects(List.of(EVERYWHERE, SPARSE), JOBS);
         fake.start();
         return new Run(simulation.run(DURATION_MS), fake.relativeLatencies());
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/PlacementScaleMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/PlacementScaleMeasurement.java
@@ -94,16 +94,17 @@
                         + " starts_per_second=%.0f core_share=%.4f"
                         + " starts_per_core_second=%.0f call_after_cancelling_%d_ms=%.3f",
                 workers,
-                Medians.over(times, run -> run.mTasks),
+                Quantiles.medianOf(times, run -> run.mTasks),
                 queueLength,
                 times.size(),
-                Medians.over(times, run -> Medians.quantile(0.5, run.mCallNs) / 1e6),
-                Medians.over(times, run -> Medians.quantile(0.99, run.mCallNs) / 1e6),
-                Medians.over(times, run -> Medians.quantile(0.99, run.mCallProcessorNs) / 1e6),
-                Medians.over(times, run -> run.mStarts / seconds),
-                Medians.over(times, run -> run.mTotalProcessorNs / 1e9 / seconds),
-                Medians.over(times, run -> run.mStarts / (run.mTotalProcessorNs / 1e9)),
+                Quantiles.medianOf(times, run -> Quantiles.quantile(0.5, run.mCallNs) / 1e6),
+                Quantiles.medianOf(times, run -> Quantiles.quantile(0.99, run.mCallNs) / 1e6),
+                Quantiles.medianOf(
+                        times, run -> Quantiles.quantile(0.99, run.mCallProcessorNs) / 1e6),
+                Quantiles.medianOf(times, run -> run.mStarts / seconds),
+                Quantiles.medianOf(times, run -> run.mTotalProcessorNs / 1e9 / seconds),
+                Quantiles.medianOf(times, run -> run.mStarts / (run.mTotalProcessorNs / 1e9)),
                 CANCELLED_TASKS,
-                Medians.over(times, run -> run.mAfterCancelNs / 1e6));
+                Quantiles.medianOf(times, run -> run.mAfterCancelNs / 1e6));
     }
 }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/Quantiles.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/Quantiles.java
@@ -5,16 +5,19 @@
 import java.util.List;
 import java.util.function.ToDoubleFunction;
 
-/** Medians and quantiles of measured values. */
-final class Medians {
-    private Medians() {}
+/**
+ * Nearest-rank quantiles of measured values; the median of an even number of values is the lower of
+ * the two middle ones.
+ */
+final class Quantiles {
+    private Quantiles() {}
 
     static double median(double... values) {
         return quantile(0.5, values);
     }
 
     /** Returns the median of a value over several runs. */
-    static <T> double over(List<T> runs, ToDoubleFunction<T> value) {
+    static <T> double medianOf(List<T> runs, ToDoubleFunction<T> value) {
         return median(runs.stream().mapToDouble(value).toArray());
     }
 
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/UrgentMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/UrgentMeasurement.java
@@ -58,13 +58,15 @@
                 profile.name().toLowerCase(Locale.ROOT),
                 name,
                 seeds.length,
-                Medians.over(results, result -> result.mUrgentWaitsMs.size()),
-                Medians.over(results, result -> Medians.quantile(0.5, result.mUrgentWaitsMs)),
-                Medians.over(results, result -> Medians.quantile(0.99, result.mUrgentWaitsMs)),
-                Medians.over(results, result -> Medians.quantile(1, result.mUrgentWaitsMs)),
-                Medians.over(results, result -> result.mEvictions),
-                Medians.over(results, result -> result.mLostProgressMs / 3_600_000.0),
-                Medians.over(results, FleetResult::coreHours));
+                Quantiles.medianOf(results, result -> result.mUrgentWaitsMs.size()),
+                Quantiles.medianOf(
+                        results, result -> Quantiles.quantile(0.5, result.mUrgentWaitsMs)),
+                Quantiles.medianOf(
+                        results, result -> Quantiles.quantile(0.99, result.mUrgentWaitsMs)),
+                Quantiles.medianOf(results, result -> Quantiles.quantile(1, result.mUrgentWaitsMs)),
+                Quantiles.medianOf(results, result -> result.mEvictions),
+                Quantiles.medianOf(results, result -> result.mLostProgressMs / 3_600_000.0),
+                Quantiles.medianOf(results, FleetResult::coreHours));
     }
 
     private static FleetResult runOnce(
