--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/InterferenceMitigation.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/InterferenceMitigation.java
@@ -113,8 +113,8 @@
                 Math.max(mSettings.minimumThrottlePermille(), Math.min(FULL_PERMILLE, permille));
         String reason =
                 slowdown.service
-                        .map(service -> "slowdown of " + service + " " + slowdown.mean)
-                        .orElse("no colocated service");
+                        .map(service -> "effect on " + service + " " + slowdown.mean)
+                        .orElse("no service beside it");
         return new PlacementDecision.Throttle(task.specification().task(), bounded, reason);
     }
 
@@ -126,7 +126,7 @@
         mEvictionTimesMs.addLast(nowMs);
         return Optional.of(
                 new PlacementDecision.Evict(
-                        task.specification().task(), "slows down services on " + task.worker()));
+                        task.specification().task(), "disturbs services on " + task.worker()));
     }
 
     private boolean isEvictionAllowed(int workers, long nowMs) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/DefaultPlacementPolicy.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/DefaultPlacementPolicy.java
@@ -127,7 +127,7 @@
             round.reject(
                     task.task(),
                     ResultCode.NEVER_RUNNABLE,
-                    "needs " + task.resources() + ", more than the capacity of any worker");
+                    "needs " + task.resources() + ", more than any worker has");
             return true;
         }
         return false;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/EvictionPlanner.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/EvictionPlanner.java
@@ -56,7 +56,7 @@
             mSizesWithoutPlan.add(size);
             return;
         }
-        String reason = "evicted to free resources for " + task.specification().task();
+        String reason = "room for " + task.specification().task();
         plan.victims.forEach(
                 victim ->
                         mRound.add(
