Clarify names and comments of the job directory

JobEntry was easily taken for an entry process, and comments said what an entry 'took' or 'was told'. Names now say that the state is durable. Behaviour stays as it was.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/DurableJobService.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/DurableJobService.java
@@ -101,7 +101,7 @@
 
     @Override
     public Single<JobChangeResult> submit(JobQueue queue, JobSubmission submission, int timeoutMs) {
-        if (mDirectory.state(submission.id()).isPresent()) {
+        if (mDirectory.jobState(submission.id()).isPresent()) {
             LOG.event("job_repeated").with("job", submission.id()).info();
             return Single.just(JobChangeResult.DONE);
         }
@@ -117,13 +117,13 @@
 
     @Override
     public Single<JobStateResult> jobState(JobQueue queue, JobId job) {
-        Optional<JobState> state = mDirectory.state(job);
+        Optional<JobState> state = mDirectory.jobState(job);
         if (state.isPresent()) {
             return Single.just(new JobStateResult(true, state));
         }
         return mConsumer
                 .catchUp()
-                .map(endOffset -> new JobStateResult(true, mDirectory.state(job)))
+                .map(endOffset -> new JobStateResult(true, mDirectory.jobState(job)))
                 .onErrorReturnItem(new JobStateResult(false, Optional.empty()))
                 .doOnSuccess(
                         result ->
@@ -160,7 +160,7 @@
 
     @Override
     public int waitingJobCount(JobQueue queue) {
-        return mDirectory.waiting(queue.name());
+        return mDirectory.waitingJobCount(queue.name());
     }
 
     /** Returns whether no change waits to become durable. */
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -414,7 +414,7 @@
             mDirectory.onJobCancelled(cancelled.job());
             ownerRole().ifPresent(owner -> owner.dispatcher().onJobCancelled(cancelled.job()));
         } else if (message instanceof JobStates states) {
-            states.jobs().forEach(mDirectory::onStatus);
+            states.jobs().forEach(mDirectory::onJobStateChanged);
         } else if (message instanceof RelayedStoreRequest request) {
             mStore.onRelayedRequest(peer.process(), request);
         } else if (message instanceof RelayedStoreResponse response) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.daemon.logging.EventLog;
+import org.hickorycleat.logic.directory.DurableJob;
 import org.hickorycleat.logic.directory.JobDirectory;
-import org.hickorycleat.logic.directory.JobEntry;
 import org.hickorycleat.logic.directory.JobRecord;
 import org.hickorycleat.logic.dispatch.DispatchOutput;
 import org.hickorycleat.logic.dispatch.DispatchSettings;
@@ -92,7 +92,7 @@
     void start(Optional<WorkloadConfiguration> configuration) {
         configuration.ifPresent(mDispatcher::onConfigurationChanged);
         mDispatcher.restoreInterferenceWeights(mDirectory.interferenceWeights());
-        for (JobEntry job : mDirectory.jobs()) {
+        for (DurableJob job : mDirectory.jobs()) {
             job.submission()
                     .ifPresent(
                             submission ->
@@ -192,7 +192,7 @@
         if (mStopped) {
             return;
         }
-        states.forEach(mDirectory::onStatus);
+        states.forEach(mDirectory::onJobStateChanged);
         mLinks.broadcast(new JobStates(states), ProcessRole.ENTRY);
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobEntry.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/DurableJob.java
@@ -6,44 +6,46 @@
 import org.hickorycleat.model.job.JobState;
 import org.hickorycleat.model.job.JobSubmission;
 
-/** What an entry knows of one job. */
-public final class JobEntry {
+/** Durable state of one job as known to an entry. */
+public final class DurableJob {
     private final JobId mId;
     private Optional<JobSubmission> mSubmission = Optional.empty();
     private Optional<JobProgress> mProgress = Optional.empty();
     private boolean mCancelled;
     private JobState mState = JobState.QUEUED;
 
-    JobEntry(JobId id) {
+    DurableJob(JobId id) {
         mId = id;
     }
 
-    /** Returns the id. */
     public JobId id() {
         return mId;
     }
 
-    /** Returns the job; empty when only later records of it are known. */
+    /** Returns the submission; empty if only later records of the job are known. */
     public Optional<JobSubmission> submission() {
         return mSubmission;
     }
 
-    /** Returns the durable progress that the log told. */
+    /** Returns the newest progress from the log; empty if there is none. */
     public Optional<JobProgress> progress() {
         return mProgress;
     }
 
-    /** Tells whether a cancellation is durable. */
+    /** Returns whether a cancellation of the job is durable. */
     public boolean isCancelled() {
         return mCancelled;
     }
 
-    /** Returns the newest state that is known to be durable. */
+    /**
+     * Returns the newest state that is known to be durable. A job with a durable cancellation is
+     * cancelled unless another final state is known.
+     */
     public JobState state() {
         return mCancelled && !mState.isFinal() ? JobState.CANCELLED : mState;
     }
 
-    void onSubmission(JobSubmission submission) {
+    void onSubmitted(JobSubmission submission) {
         if (mSubmission.isEmpty()) {
             mSubmission = Optional.of(submission);
         }
@@ -51,15 +53,15 @@
 
     void onProgress(JobProgress progress) {
         mProgress = Optional.of(progress);
-        onState(progress.state());
+        onStateChanged(progress.state());
     }
 
     void onCancelled() {
         mCancelled = true;
     }
 
-    // News may come out of order; a job goes from queued to running to one final state.
-    void onState(JobState state) {
+    // Updates may arrive out of order; a job goes from queued to running to one final state.
+    void onStateChanged(JobState state) {
         if (!mState.isFinal() && state != JobState.QUEUED) {
             mState = state;
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobDirectory.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobDirectory.java
@@ -14,89 +14,92 @@
 import org.hickorycleat.model.job.QueueName;
 import org.hickorycleat.model.message.FleetNode;
 
-/** Jobs that an entry knows, and the newest claim of an owner. */
+/**
+ * Keeps the durable state of all jobs known to an entry, the latest ownership claim and the
+ * interference weights. Built from the records of the job log and from messages of peers.
+ */
 public final class JobDirectory {
-    private final Map<JobId, JobEntry> mJobs = new LinkedHashMap<>();
+    private final Map<JobId, DurableJob> mJobs = new LinkedHashMap<>();
     private Optional<FleetNode> mOwner = Optional.empty();
     private Epoch mEpoch = new Epoch(-1);
-    private List<InterferenceEstimate> mInterference = List.of();
+    private List<InterferenceEstimate> mInterferenceWeights = List.of();
 
-    /** Takes a record of the log. */
+    /** Applies a record of the job log. */
     public synchronized void apply(JobRecord record) {
         if (record instanceof JobRecord.Submitted submitted) {
             onJobSubmitted(submitted.submission());
         } else if (record instanceof JobRecord.Cancelled cancelled) {
             onJobCancelled(cancelled.job());
         } else if (record instanceof JobRecord.Progressed progressed) {
-            entry(progressed.progress().id()).onProgress(progressed.progress());
+            getOrCreate(progressed.progress().id()).onProgress(progressed.progress());
         } else if (record instanceof JobRecord.Claimed claimed) {
-            onClaim(claimed);
-        } else if (record instanceof JobRecord.InterferenceUpdate learnt) {
-            mInterference = learnt.weights();
+            onOwnershipClaimed(claimed);
+        } else if (record instanceof JobRecord.InterferenceUpdate update) {
+            mInterferenceWeights = update.weights();
         }
     }
 
-    private void onClaim(JobRecord.Claimed claimed) {
+    private void onOwnershipClaimed(JobRecord.Claimed claimed) {
         if (claimed.epoch().compareTo(mEpoch) > 0) {
             mOwner = Optional.of(claimed.owner());
             mEpoch = claimed.epoch();
         }
     }
 
-    /** Takes a job that is durable. */
+    /** Handles the submission of a job that is durable. */
     public synchronized void onJobSubmitted(JobSubmission submission) {
-        entry(submission.id()).onSubmission(submission);
+        getOrCreate(submission.id()).onSubmitted(submission);
     }
 
-    /** Takes a cancellation that is durable. */
+    /** Handles the cancellation of a job that is durable. */
     public synchronized void onJobCancelled(JobId job) {
-        entry(job).onCancelled();
+        getOrCreate(job).onCancelled();
     }
 
-    /** Takes a state that is durable. */
-    public synchronized void onStatus(JobStatus status) {
-        entry(status.id()).onState(status.state());
+    /** Handles a durable state of a job that an entry published. */
+    public synchronized void onJobStateChanged(JobStatus status) {
+        getOrCreate(status.id()).onStateChanged(status.state());
     }
 
-    private JobEntry entry(JobId id) {
-        return mJobs.computeIfAbsent(id, JobEntry::new);
+    private DurableJob getOrCreate(JobId id) {
+        return mJobs.computeIfAbsent(id, DurableJob::new);
     }
 
-    /** Returns the entry that claimed the jobs last. */
+    /** Returns the entry with the highest ownership claim; empty before the first claim. */
     public synchronized Optional<FleetNode> owner() {
         return mOwner;
     }
 
-    /** Returns the epoch of the last claim. */
+    /** Returns the epoch of the highest ownership claim; -1 before the first claim. */
     public synchronized Epoch epoch() {
         return mEpoch;
     }
 
-    /** Returns what the last owner that told so had learnt of images. */
+    /** Returns the interference weights that an owner saved last; empty if none did. */
     public synchronized List<InterferenceEstimate> interferenceWeights() {
-        return mInterference;
+        return mInterferenceWeights;
     }
 
-    /** Returns the state of a job. */
-    public synchronized Optional<JobState> state(JobId id) {
-        return Optional.ofNullable(mJobs.get(id)).map(JobEntry::state);
+    /** Returns the newest known state of a job; empty if the job is unknown. */
+    public synchronized Optional<JobState> jobState(JobId id) {
+        return Optional.ofNullable(mJobs.get(id)).map(DurableJob::state);
     }
 
-    /** Counts the jobs of a queue that have not begun. */
-    public synchronized int waiting(QueueName queue) {
+    /** Returns the number of jobs of a queue that have not started. */
+    public synchronized int waitingJobCount(QueueName queue) {
         int waiting = 0;
-        for (JobEntry job : mJobs.values()) {
-            boolean ofQueue =
+        for (DurableJob job : mJobs.values()) {
+            boolean inQueue =
                     job.submission().isPresent() && job.submission().get().queue().equals(queue);
-            if (ofQueue && job.state() == JobState.QUEUED) {
+            if (inQueue && job.state() == JobState.QUEUED) {
                 waiting++;
             }
         }
         return waiting;
     }
 
-    /** Returns all jobs in the order in which they became known. */
-    public synchronized List<JobEntry> jobs() {
+    /** Returns all jobs in the order in which they became known to this entry. */
+    public synchronized List<DurableJob> jobs() {
         return new ArrayList<>(mJobs.values());
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobRecord.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobRecord.java
@@ -8,21 +8,21 @@
 import org.hickorycleat.model.job.JobSubmission;
 import org.hickorycleat.model.message.FleetNode;
 
-/** A record of the log of jobs. */
+/** A record of the job log. */
 public sealed interface JobRecord {
-    /** A job that an entry took. */
+    /** Submission of a job that an entry accepted. */
     record Submitted(JobSubmission submission) implements JobRecord {}
 
-    /** A cancellation that an entry took. */
+    /** Cancellation of a job that an entry accepted. */
     record Cancelled(JobId job) implements JobRecord {}
 
-    /** Progress that the owner made durable. */
+    /** Progress of a job, written by the owner. */
     record Progressed(JobProgress progress) implements JobRecord {}
 
-    /** An entry became the owner; the highest epoch counts. */
+    /** Ownership claim of an entry; the claim with the highest epoch is valid. */
     record Claimed(FleetNode owner, Epoch epoch) implements JobRecord {}
 
-    /** What an owner has learnt of images; the newest counts. */
+    /** Interference weights estimated by an owner; the newest record replaces earlier ones. */
     record InterferenceUpdate(List<InterferenceEstimate> weights) implements JobRecord {
         /** Copies the list. */
         public InterferenceUpdate {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/package-info.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/package-info.java
@@ -1,4 +1,4 @@
-/** Jobs as an entry knows them from the log and from its peers. */
+/** Durable state of jobs that an entry builds from the job log and from messages of peers. */
 @NullMarked
 package org.hickorycleat.logic.directory;
 
