Give one idea one name across dispatch, shards and links

Serving and latency-critical, perpetual and long-running, repeat and retry, answer and response each named one idea. Times and processors get one unit name each. Behaviour stays as it was.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/DurableJobService.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/DurableJobService.java
@@ -53,7 +53,7 @@
     private final List<PendingChange> mQueue = new ArrayList<>();
     private boolean mAppending;
 
-    /** Is notified of changes that have become durable. */
+    /** Handles changes that have become durable. */
     interface Listener {
         /** Handles a submission that has become durable. */
         void onJobSubmitted(JobSubmission submission);
@@ -62,7 +62,7 @@
         void onJobCancelled(JobId job);
     }
 
-    /** A record that waits to become durable. */
+    /** A change whose record is not durable yet. */
     private static final class PendingChange {
         private final JobRecord mRecord;
         private final StoreRecord mStoreRecord;
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetProcessFactory.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetProcessFactory.java
@@ -18,7 +18,7 @@
 
     /** Creates an agent if the settings name a worker, otherwise an entry. */
     public static Lifecycle create(NodeSettings settings) {
-        // VMs have one core. The state is protected by locks, so more threads would also be
+        // VMs have one processor. The state is protected by locks, so more threads would also be
         // correct.
         EventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Scheduler scheduler = Schedulers.from(eventLoops);
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobLogCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobLogCodec.java
@@ -14,7 +14,7 @@
 
 /** Encodes records of the job log and of the entry list as keys and values, and decodes them. */
 final class JobLogCodec {
-    /** Topic of jobs, their progress, ownership claims and interference estimates. */
+    /** Topic of jobs, their progress, ownership claims and interference weights. */
     static final String JOBS_TOPIC = "keyed.jobs";
 
     /** Topic of the entry list, with the address of each entry. */
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -29,7 +29,7 @@
 import org.hickorycleat.model.store.Producer;
 import org.hickorycleat.model.store.StoreAppendRequest;
 
-/** Schedules all jobs for one term (epoch) of this process as the owner. */
+/** Schedules all jobs during one epoch in which this process is the owner. */
 final class OwnerRole implements DispatchOutput {
     /** Name of the producer that only owners use; its epoch fences previous owners. */
     static final String PRODUCER = "owner";
@@ -111,7 +111,7 @@
         mLinks.send(agent, new OwnerAnnouncement(mSelf.process(), mEpoch, session));
     }
 
-    /** Ends the term; no message is sent and no record is stored afterwards. */
+    /** Stops scheduling; no message is sent and no record is stored afterwards. */
     void stop() {
         mStopped = true;
         mDispatcher.stopPlacement();
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/worker/HttpWorkerControl.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/worker/HttpWorkerControl.java
@@ -14,10 +14,10 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import org.hickorycleat.logic.port.TaskUsage;
-import org.hickorycleat.logic.port.WorkerAnswer;
 import org.hickorycleat.logic.port.WorkerControl;
 import org.hickorycleat.logic.port.WorkerListing;
 import org.hickorycleat.logic.port.WorkerRenewal;
+import org.hickorycleat.logic.port.WorkerResponse;
 import org.hickorycleat.logic.port.WorkerStart;
 import org.hickorycleat.logic.port.WorkerUnavailableException;
 import org.hickorycleat.model.identifier.AttemptNumber;
@@ -51,7 +51,7 @@
     }
 
     @Override
-    public Single<WorkerAnswer> start(WorkerStart start) {
+    public Single<WorkerResponse> start(WorkerStart start) {
         return exchange(post("start", mCodec.start(start)), WorkerJsonCodec::response);
     }
 
@@ -61,7 +61,7 @@
     }
 
     @Override
-    public Single<WorkerAnswer> stop(
+    public Single<WorkerResponse> stop(
             ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt) {
         return exchange(
                 post("stop", mCodec.attempt(shard, epoch, task, attempt)),
@@ -69,7 +69,7 @@
     }
 
     @Override
-    public Single<WorkerAnswer> checkpoint(
+    public Single<WorkerResponse> checkpoint(
             ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt) {
         return exchange(
                 post("checkpoint", mCodec.attempt(shard, epoch, task, attempt)),
@@ -77,7 +77,7 @@
     }
 
     @Override
-    public Single<WorkerAnswer> throttle(
+    public Single<WorkerResponse> throttle(
             ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt, int permille) {
         return exchange(
                 post(
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/worker/WorkerJsonCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/worker/WorkerJsonCodec.java
@@ -9,9 +9,9 @@
 import java.util.List;
 import java.util.Optional;
 import org.hickorycleat.logic.port.TaskUsage;
-import org.hickorycleat.logic.port.WorkerAnswer;
 import org.hickorycleat.logic.port.WorkerListing;
 import org.hickorycleat.logic.port.WorkerRenewal;
+import org.hickorycleat.logic.port.WorkerResponse;
 import org.hickorycleat.logic.port.WorkerStart;
 import org.hickorycleat.logic.port.WorkerTask;
 import org.hickorycleat.model.identifier.AttemptNumber;
@@ -77,8 +77,8 @@
                 .orElseThrow(() -> new IOException("unknown result code: " + number));
     }
 
-    static WorkerAnswer response(JsonNode body) throws IOException {
-        return new WorkerAnswer(
+    static WorkerResponse response(JsonNode body) throws IOException {
+        return new WorkerResponse(
                 resultCode(body),
                 body.hasNonNull("task") ? Optional.of(task(body.get("task"))) : Optional.empty());
     }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/worker/HttpWorkerControlTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/worker/HttpWorkerControlTest.java
@@ -15,9 +15,9 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
-import org.hickorycleat.logic.port.WorkerAnswer;
 import org.hickorycleat.logic.port.WorkerListing;
 import org.hickorycleat.logic.port.WorkerRenewal;
+import org.hickorycleat.logic.port.WorkerResponse;
 import org.hickorycleat.logic.port.WorkerStart;
 import org.hickorycleat.logic.port.WorkerTask;
 import org.hickorycleat.logic.port.WorkerUnavailableException;
@@ -97,8 +97,8 @@
         assertThat(get(mControl.stop(SHARD, new Epoch(1), TASK, attempt(2))).code())
                 .isEqualTo(ResultCode.OK);
 
-        WorkerAnswer duplicate = get(mControl.start(start(1, 2, 20_000)));
-        WorkerAnswer older = get(mControl.start(start(1, 1, 20_000)));
+        WorkerResponse duplicate = get(mControl.start(start(1, 2, 20_000)));
+        WorkerResponse older = get(mControl.start(start(1, 1, 20_000)));
 
         assertThat(duplicate.task().orElseThrow().state()).isEqualTo(TaskState.STOPPED);
         assertThat(older.code()).isEqualTo(ResultCode.STALE_ATTEMPT);
@@ -138,7 +138,7 @@
     void reportsUnknownOutcomeWhenResponseIsLost() throws IOException {
         postControl("{\"lost_answers\": 1}");
 
-        Single<WorkerAnswer> lost = mControl.start(start(1, 1, 20_000));
+        Single<WorkerResponse> lost = mControl.start(start(1, 1, 20_000));
 
         assertThatThrownBy(() -> get(lost)).hasCauseInstanceOf(WorkerUnavailableException.class);
         assertThat(state()).isEqualTo(TaskState.RUNNING);
@@ -194,7 +194,7 @@
         return new AttemptNumber(number);
     }
 
-    private static WorkerTask task(Single<WorkerAnswer> response) {
+    private static WorkerTask task(Single<WorkerResponse> response) {
         return get(response).task().orElseThrow();
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOrder.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOrder.java
@@ -50,7 +50,7 @@
 
     private static int rank(TrackedTask task) {
         StepSpecification step = task.specification();
-        if (step.perpetual()) {
+        if (step.longRunning()) {
             return -1;
         }
         return task.step().job().queue().priority() + (step.bestEffort() ? BEST_EFFORT_RANK : 0);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -427,7 +427,7 @@
 
     private void onEnd(TrackedWorker worker, TrackedJob job, TrackedTask task, EndedRun end) {
         boolean current = task.run().isPresent() && task.run().get().id().equals(end.run());
-        boolean longRunning = task.specification().perpetual();
+        boolean longRunning = task.specification().longRunning();
         if (task.status() == TaskStatus.DONE) {
             return;
         }
@@ -453,7 +453,7 @@
         if (worker.health().onFailure(nowMs())) {
             mLog.record("worker_set_aside", "agent", worker.agent(), "cause", "failures");
         }
-        if (!job.state().isFinal() && task.attemptsFailed() >= job.queue().maximumAttempts()) {
+        if (!job.state().isFinal() && task.failedRunCount() >= job.queue().maximumAttempts()) {
             mLog.record("job_failed", "job", job.id(), "task", task.key());
             finish(job, JobState.FAILED);
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/InterferenceEstimator.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/InterferenceEstimator.java
@@ -4,7 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.hickorycleat.logic.interference.ServingLoad;
+import org.hickorycleat.logic.interference.LatencyCriticalLoad;
 import org.hickorycleat.model.job.InterferenceEstimate;
 import org.hickorycleat.model.job.StepSpecification;
 import org.hickorycleat.model.message.InterferenceWeights;
@@ -44,7 +44,7 @@
 
     private final Map<ImagePair, Estimate> mWeights = new HashMap<>();
 
-    private record ImagePair(String servingImage, String bestEffortImage) {}
+    private record ImagePair(String latencyCriticalImage, String bestEffortImage) {}
 
     /** An estimated mean and its variance. */
     static final class Estimate {
@@ -91,42 +91,43 @@
     }
 
     private void update(
-            String servingImage, Estimate own, double load, Map<String, Double> shares) {
+            String latencyCriticalImage, Estimate own, double load, Map<String, Double> shares) {
         double expected = own.mMean;
         double noise = Math.max(MINIMUM_LOAD_ERROR, RELATIVE_TAIL_ERROR * (1 - load));
         own.mVariance += LOAD_DRIFT;
         double variance = own.mVariance + noise * noise;
         for (Map.Entry<String, Double> share : shares.entrySet()) {
-            Estimate weight = estimate(servingImage, share.getKey());
+            Estimate weight = estimate(latencyCriticalImage, share.getKey());
             weight.mVariance = Math.min(INITIAL_WEIGHT_VARIANCE, weight.mVariance + WEIGHT_DRIFT);
             expected += weight.mMean * share.getValue();
             variance += share.getValue() * share.getValue() * weight.mVariance;
         }
         double error = load - expected;
-        if (load > ServingLoad.SATURATION_LOAD && error < 0) {
+        if (load > LatencyCriticalLoad.SATURATION_LOAD && error < 0) {
             return;
         }
         own.correct(own.mVariance / variance, error, 1);
         for (Map.Entry<String, Double> share : shares.entrySet()) {
-            Estimate weight = estimate(servingImage, share.getKey());
+            Estimate weight = estimate(latencyCriticalImage, share.getKey());
             double gain = share.getValue() * weight.mVariance / variance;
             weight.correct(gain, error, share.getValue());
         }
     }
 
-    private Estimate estimate(String servingImage, String bestEffortImage) {
+    private Estimate estimate(String latencyCriticalImage, String bestEffortImage) {
         return mWeights.computeIfAbsent(
-                new ImagePair(servingImage, bestEffortImage),
+                new ImagePair(latencyCriticalImage, bestEffortImage),
                 pair -> new Estimate(INITIAL_WEIGHT, INITIAL_WEIGHT_VARIANCE));
     }
 
-    private double weight(String servingImage, String bestEffortImage) {
-        Estimate estimate = mWeights.get(new ImagePair(servingImage, bestEffortImage));
+    private double weight(String latencyCriticalImage, String bestEffortImage) {
+        Estimate estimate = mWeights.get(new ImagePair(latencyCriticalImage, bestEffortImage));
         return estimate == null ? INITIAL_WEIGHT : estimate.mMean;
     }
 
     private static double measuredLoad(TrackedRun run) {
-        return ServingLoad.of(run.measurement(), run.task().specification().targetLatencyMs());
+        return LatencyCriticalLoad.of(
+                run.measurement(), run.task().specification().targetLatencyMs());
     }
 
     /**
@@ -149,8 +150,8 @@
      */
     double addedLoad(TrackedWorker worker, StepSpecification added) {
         double highest = 0;
-        for (String servingImage : latencyCriticalLoads(worker).keySet()) {
-            highest = Math.max(highest, weight(servingImage, added.image()));
+        for (String latencyCriticalImage : latencyCriticalLoads(worker).keySet()) {
+            highest = Math.max(highest, weight(latencyCriticalImage, added.image()));
         }
         return highest * processorShare(worker, added);
     }
@@ -183,7 +184,8 @@
             if (step.bestEffort() && run.measurement() == 0) {
                 double share = processorShare(worker, step);
                 loads.replaceAll(
-                        (servingImage, load) -> load + weight(servingImage, step.image()) * share);
+                        (latencyCriticalImage, load) ->
+                                load + weight(latencyCriticalImage, step.image()) * share);
             }
         }
         return loads;
@@ -196,7 +198,7 @@
                 (pair, weight) ->
                         weights.add(
                                 new InterferenceEstimate(
-                                        pair.servingImage(),
+                                        pair.latencyCriticalImage(),
                                         pair.bestEffortImage(),
                                         Math.round(weight.mMean * MILLI),
                                         Math.round(weight.mVariance * MILLI))));
@@ -207,7 +209,7 @@
     void restore(List<InterferenceEstimate> weights) {
         for (InterferenceEstimate weight : weights) {
             mWeights.put(
-                    new ImagePair(weight.servingImage(), weight.bestEffortImage()),
+                    new ImagePair(weight.latencyCriticalImage(), weight.bestEffortImage()),
                     new Estimate(weight.meanMilli() / MILLI, weight.varianceMilli() / MILLI));
         }
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunMonitor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunMonitor.java
@@ -61,7 +61,7 @@
                 continue;
             }
             long neededMs = run.remainingMs(nowMs);
-            boolean longRunning = run.task().specification().perpetual();
+            boolean longRunning = run.task().specification().longRunning();
             if (longRunning || neededMs > remainingMs - DRAIN_MARGIN_MS) {
                 mStopper.stop(run, "worker_draining");
             }
@@ -95,7 +95,7 @@
         for (TrackedRun run : worker.runs()) {
             boolean gang = run.task().specification().gang();
             if (run.phase() == RunPhase.RUNNING
-                    && !run.task().specification().perpetual()
+                    && !run.task().specification().longRunning()
                     && !gang) {
                 finite.add(run);
             }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedTask.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedTask.java
@@ -48,7 +48,7 @@
     }
 
     /** Returns the number of failed runs of the task, or of its whole gang. */
-    int attemptsFailed() {
+    int failedRunCount() {
         return specification().gang() ? mStep.failedRuns().size() : mFailedRuns.size();
     }
 
@@ -117,7 +117,7 @@
     /** Records a failed run; an end that is listed again to the next owner counts only once. */
     void onFailure(int run, ProcessId agent) {
         mFailedOn.add(agent);
-        if (!specification().perpetual()) {
+        if (!specification().longRunning()) {
             mFailedRuns.add(run);
         }
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerSelector.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerSelector.java
@@ -128,7 +128,7 @@
     private static int finiteRuns(TrackedWorker worker) {
         int count = 0;
         for (TrackedRun run : worker.runs()) {
-            if (!run.task().specification().perpetual()) {
+            if (!run.task().specification().longRunning()) {
                 count++;
             }
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/ServingLoad.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/interference/LatencyCriticalLoad.java
@@ -6,7 +6,7 @@
  * <p>The tail latency of a queue grows as 1 / (1 - load) and diverges near saturation. The load, in
  * contrast, is close to the sum of what the colocated jobs add.
  */
-public final class ServingLoad {
+public final class LatencyCriticalLoad {
     /** Ratio of idle tail latency to target: targets are about five times the idle tail latency. */
     private static final double IDLE_RATIO = 0.2;
 
@@ -16,7 +16,7 @@
     /** Load above which a tail latency only shows that the load is at least this high. */
     public static final double SATURATION_LOAD = 0.93;
 
-    private ServingLoad() {}
+    private LatencyCriticalLoad() {}
 
     /**
      * Returns the load of a task, from 0 for idle to 1 for saturated; 0 without a latency or
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/LeaseManagerOutput.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/LeaseManagerOutput.java
@@ -11,7 +11,7 @@
 
     /**
      * Publishes the state of the worker. If its incarnation has changed, an AgentReport must be
-     * sent before any later message, so that the owner does not repeat starts that were recorded
+     * sent before any later message, so that the owner does not resend starts that were recorded
      * for the previous incarnation.
      */
     void publishWorker(WorkerSummary worker);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/TaskLeaseManager.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/lease/TaskLeaseManager.java
@@ -11,10 +11,10 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.logic.port.TaskUsage;
-import org.hickorycleat.logic.port.WorkerAnswer;
 import org.hickorycleat.logic.port.WorkerControl;
 import org.hickorycleat.logic.port.WorkerListing;
 import org.hickorycleat.logic.port.WorkerRenewal;
+import org.hickorycleat.logic.port.WorkerResponse;
 import org.hickorycleat.logic.port.WorkerStart;
 import org.hickorycleat.logic.port.WorkerTask;
 import org.hickorycleat.model.identifier.AttemptNumber;
@@ -63,7 +63,7 @@
     private final Map<Long, SentLeaseRequest> mSentRequests = new LinkedHashMap<>();
     private final Map<TaskId, AttemptNumber> mLastAttempts = new HashMap<>();
     private final Map<TaskId, TaskUsage> mUsage = new HashMap<>();
-    private final Map<TaskId, Single<WorkerAnswer>> mCheckpointResponses = new HashMap<>();
+    private final Map<TaskId, Single<WorkerResponse>> mCheckpointResponses = new HashMap<>();
     private Optional<Incarnation> mWorkerIncarnation = Optional.empty();
     private long mNextRequestNumber;
     private boolean mListingInProgress;
@@ -316,7 +316,7 @@
     }
 
     private void onCheckpoint(ProcessId owner, CheckpointTask checkpoint) {
-        Single<WorkerAnswer> response =
+        Single<WorkerResponse> response =
                 mWorker.checkpoint(
                                 checkpoint.shard(),
                                 checkpoint.epoch(),
@@ -331,15 +331,15 @@
     /**
      * Delays a stop until the pending checkpoint of its task has ended, so that no work is lost.
      */
-    private Single<WorkerAnswer> afterCheckpoint(TaskId task, Single<WorkerAnswer> stop) {
-        Single<WorkerAnswer> checkpoint = mCheckpointResponses.remove(task);
+    private Single<WorkerResponse> afterCheckpoint(TaskId task, Single<WorkerResponse> stop) {
+        Single<WorkerResponse> checkpoint = mCheckpointResponses.remove(task);
         if (checkpoint == null) {
             return stop;
         }
         return checkpoint.ignoreElement().onErrorComplete().andThen(stop);
     }
 
-    private void onWorkerResponse(ProcessId owner, WorkerAnswer response) {
+    private void onWorkerResponse(ProcessId owner, WorkerResponse response) {
         if (response.code() == ResultCode.STALE_EPOCH) {
             mStaleEpochs++;
             return;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/BatchWriter.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/BatchWriter.java
@@ -5,7 +5,7 @@
 import org.hickorycleat.model.identifier.Epoch;
 
 /**
- * Keeps at most one batch outstanding and repeats it under the same sequence number until it is
+ * Keeps at most one batch outstanding and retries it under the same sequence number until it is
  * read back.
  */
 final class BatchWriter {
@@ -47,10 +47,10 @@
     }
 
     /**
-     * Returns the outstanding batch if it must be appended again: its append failed or timed out,
+     * Returns the outstanding batch if its append must be retried: the append failed or timed out,
      * and the log has since been read to its end without it.
      */
-    Optional<ShardRecord.DecisionBatch> batchToRepeat(LogFreshness log, long nowMs) {
+    Optional<ShardRecord.DecisionBatch> batchToRetry(LogFreshness log, long nowMs) {
         long presumedLostMs = Math.min(mFailedMs, mSentMs + mSettings.appendTimeoutMs());
         boolean due =
                 nowMs >= presumedLostMs
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/Checkpoint.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/Checkpoint.java
@@ -5,6 +5,6 @@
  *
  * @param name name under which the worker stored it
  * @param progressMs run time covered by the checkpoint, in milliseconds
- * @param savedMs wall-clock time at which it was reported, in milliseconds since 1970
+ * @param savedMs time at which it was reported, in Unix milliseconds
  */
 public record Checkpoint(String name, long progressMs, long savedMs) {}
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/DecisionPlanner.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/DecisionPlanner.java
@@ -186,7 +186,7 @@
      * Clock readings for one planning pass.
      *
      * @param monotonicMs scheduler time in milliseconds, used for leases
-     * @param wallMs wall-clock time in milliseconds since 1970, used in records
+     * @param wallMs wall-clock time in Unix milliseconds, used in records
      * @param ownedSinceMs scheduler time at which the claim was read back, in milliseconds
      */
     record PlanningTime(long monotonicMs, long wallMs, long ownedSinceMs) {}
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/OwnerSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/OwnerSettings.java
@@ -9,7 +9,7 @@
  * @param claimTimeoutMs time without records of the owner after which its shard is claimed
  * @param renewalIntervalMs interval between renewals of ownership
  * @param batchIntervalMs minimum interval between batches
- * @param appendTimeoutMs time after which an append that was not read back is repeated
+ * @param appendTimeoutMs time after which an append that was not read back is retried
  * @param maximumBatchDecisions maximum number of decisions in one batch
  * @param snapshotIntervalDecisions number of decisions after which a snapshot is appended
  * @param retentionMs retention of the log; a snapshot is appended at half of it
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/RecordAppender.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/RecordAppender.java
@@ -81,8 +81,8 @@
         mBatchToken = mToken;
     }
 
-    void repeatBatchIfDue(LogFreshness log, long nowMs) {
-        mBatches.batchToRepeat(log, nowMs)
+    void retryBatchIfDue(LogFreshness log, long nowMs) {
+        mBatches.batchToRetry(log, nowMs)
                 .ifPresent(
                         batch -> {
                             append(batch);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardDecision.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardDecision.java
@@ -10,7 +10,7 @@
 import org.hickorycleat.model.task.TaskSpecification;
 import org.hickorycleat.model.task.TaskState;
 
-/** A decision or an observed fact about a shard; times are wall-clock milliseconds since 1970. */
+/** A decision or an observed fact about a shard; times are in Unix milliseconds. */
 public sealed interface ShardDecision {
     /** Sets the manifest that the following decisions are based on. */
     record AdoptManifest(ConfigurationVersion version) implements ShardDecision {}
@@ -27,7 +27,7 @@
             long startedMs)
             implements ShardDecision {}
 
-    /** Asks the worker to stop the attempt. */
+    /** Stops the attempt on its worker. */
     record Stop(TaskId task, AttemptNumber attempt, StopCause cause, String reason)
             implements ShardDecision {}
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardOwner.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardOwner.java
@@ -19,13 +19,13 @@
 import org.hickorycleat.model.message.TaskReport;
 
 /**
- * Owns a placement shard, or stands by to claim it.
+ * Owns a placement shard, or is a standby that claims it when its owner fails.
  *
- * <p>It performs no I/O: it takes events and returns actions. Not thread-safe: the caller delivers
- * one event at a time and performs the actions in order.
+ * <p>It performs no I/O: it handles events and returns actions. Not thread-safe: the caller
+ * delivers one event at a time and performs the actions in order.
  */
 public final class ShardOwner {
-    /** Interval at which a fence is repeated until the agent confirms it. */
+    /** Interval at which a fence is resent until the agent confirms it. */
     private static final long FENCE_INTERVAL_MS = 1_000;
 
     /** Planning interval in the absence of events; needed for release times and lease expiry. */
@@ -352,7 +352,7 @@
      */
     private boolean canGrantLeases() {
         return nowMs() - mLogFreshness.currentAsOfMs()
-                <= mSettings.lease().renewWithoutLogLimitMs();
+                <= mSettings.lease().grantWithoutLogLimitMs();
     }
 
     private void claimOrAct() {
@@ -378,7 +378,7 @@
         if (nowMs - mFencesSentMs >= FENCE_INTERVAL_MS) {
             sendFences(nowMs);
         }
-        mAppender.repeatBatchIfDue(mLogFreshness, nowMs);
+        mAppender.retryBatchIfDue(mLogFreshness, nowMs);
         if (mLogFreshness.isAtEnd(nowMs)
                 && mAppender.batches().isReady(nowMs)
                 && isPlanningDue(nowMs)) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardRecord.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/ShardRecord.java
@@ -11,7 +11,7 @@
      */
     record Claim(OwnerIdentity owner, Epoch replaced) implements ShardRecord {}
 
-    /** Heartbeat by which the owner keeps its shard. */
+    /** Renews the ownership; a shard without recent records of its owner is claimed. */
     record Renewal(Epoch epoch, OwnerIdentity owner) implements ShardRecord {}
 
     /**
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/TaskRecord.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/TaskRecord.java
@@ -9,7 +9,7 @@
  * An accepted task that has not ended.
  *
  * @param specification the task
- * @param submittedMs time of acceptance, in milliseconds since 1970
+ * @param submittedMs time of acceptance, in Unix milliseconds
  * @param lastAttempt number of the last attempt, 0 before the first
  * @param attempt the attempt that holds resources; empty while the task is pending
  * @param checkpoint latest checkpoint
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/EvictionPlanner.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/EvictionPlanner.java
@@ -127,7 +127,7 @@
                         < PlacementConstraint.FORBIDDEN;
     }
 
-    /** Selects victims by increasing cost until the task fits, then drops those not needed. */
+    /** Selects victims by increasing cost until the task fits, then removes those not needed. */
     private @Nullable Plan planOn(TaskSpecification task, int worker) {
         Resources free = expectedFree(worker, mRound.nowMs() - 1);
         List<PlacedTask> candidates = evictionCandidates(worker);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/HeadReservation.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/HeadReservation.java
@@ -96,7 +96,7 @@
 
     /**
      * Records a task started on the reserved worker; one that outlasts the start of the head uses
-     * the resources left beside it.
+     * resources that the head leaves free.
      */
     void recordStart(Resources size, long endMs) {
         if (endMs > mStartMs) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerControl.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerControl.java
@@ -24,7 +24,7 @@
      * Starts an attempt; for an attempt that the worker already knows, returns its state and starts
      * nothing.
      */
-    Single<WorkerAnswer> start(WorkerStart start);
+    Single<WorkerResponse> start(WorkerStart start);
 
     /** Extends leases up to a time by the worker's clock; ignored for another incarnation. */
     Single<ResultCode> renew(WorkerRenewal renewal);
@@ -33,14 +33,14 @@
      * Stops an attempt; for one that has ended, returns its terminal state. An attempt that the
      * worker has not seen is recorded as stopped, so that a start which arrives later is rejected.
      */
-    Single<WorkerAnswer> stop(ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt);
+    Single<WorkerResponse> stop(ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt);
 
     /** Saves a checkpoint of a running attempt. */
-    Single<WorkerAnswer> checkpoint(
+    Single<WorkerResponse> checkpoint(
             ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt);
 
     /** Limits the processor time of an attempt; 1000 removes the limit. */
-    Single<WorkerAnswer> throttle(
+    Single<WorkerResponse> throttle(
             ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt, int permille);
 
     /** Returns the latest usage measurements, whose age is given in each. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerAnswer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerResponse.java
@@ -9,4 +9,4 @@
  * @param code OK, or why the command had no effect
  * @param task state of the attempt as the worker has recorded it; empty if it has no such attempt
  */
-public record WorkerAnswer(ResultCode code, Optional<WorkerTask> task) {}
+public record WorkerResponse(ResultCode code, Optional<WorkerTask> task) {}
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/BestEffortThrottle.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/BestEffortThrottle.java
@@ -4,7 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.hickorycleat.logic.interference.ServingLoad;
+import org.hickorycleat.logic.interference.LatencyCriticalLoad;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.RunSample;
 import org.hickorycleat.model.job.TaskTraits;
@@ -115,7 +115,7 @@
     }
 
     private double cutFactor(double contribution) {
-        if (mLoad >= ServingLoad.SATURATION_LOAD) {
+        if (mLoad >= LatencyCriticalLoad.SATURATION_LOAD) {
             return MINIMUM_CUT_FACTOR;
         }
         return Math.max(
@@ -166,7 +166,8 @@
                 highest =
                         Math.max(
                                 highest,
-                                ServingLoad.of(sample.measurement(), taskTraits.targetLatencyMs()));
+                                LatencyCriticalLoad.of(
+                                        sample.measurement(), taskTraits.targetLatencyMs()));
             }
         }
         return highest;
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
@@ -126,7 +126,7 @@
     }
 
     /** Unblocks the store and completes all waiting writes. */
-    void persistWaiting() {
+    void completeBlockedWrites() {
         mStoreBlocked = false;
         List<Runnable> waiting = new ArrayList<>(mWaitingCallbacks);
         mWaitingCallbacks.clear();
@@ -183,7 +183,7 @@
                         100));
     }
 
-    static StepSpecification step(int count, boolean perpetual) {
+    static StepSpecification step(int count, boolean longRunning) {
         return new StepSpecification(
                 count,
                 new Resources(1_000, 1_000, 0),
@@ -196,7 +196,7 @@
                 Optional.empty(),
                 0,
                 false,
-                perpetual,
+                longRunning,
                 "image",
                 0,
                 false,
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
@@ -38,7 +38,7 @@
         mFixture.submit(JOB, DispatchFixture.step(1, false));
         assertThat(mFixture.mStarts).isEmpty();
 
-        mFixture.persistWaiting();
+        mFixture.completeBlockedWrites();
 
         assertThat(mFixture.mStarts).hasSize(1);
     }
@@ -52,7 +52,7 @@
         assertThat(mFixture.lastPublishedState(JOB)).contains(JobState.RUNNING);
         assertThat(mFixture.mLeases).allMatch(lease -> lease.acknowledgedEndNumber() == 0);
 
-        mFixture.persistWaiting();
+        mFixture.completeBlockedWrites();
 
         assertThat(mFixture.lastPublishedState(JOB)).contains(JobState.COMPLETED);
         assertThat(mFixture.mLeases.get(mFixture.mLeases.size() - 1).acknowledgedEndNumber())
@@ -181,7 +181,7 @@
         mFixture.mStoreBlocked = true;
         mFixture.submit(JOB, DispatchFixture.step(1, false));
         mFixture.mDispatcher.onJobCancelled(new JobId(JOB));
-        mFixture.persistWaiting();
+        mFixture.completeBlockedWrites();
 
         assertThat(mFixture.mStarts).isEmpty();
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatorTest.java
@@ -5,7 +5,7 @@
 
 import java.util.List;
 import java.util.Optional;
-import org.hickorycleat.logic.interference.ServingLoad;
+import org.hickorycleat.logic.interference.LatencyCriticalLoad;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.identifier.ServiceName;
 import org.hickorycleat.model.identifier.WorkerId;
@@ -128,8 +128,8 @@
         double harmful = mEstimator.expectedLoad(worker, step("harmful", 0, true));
         double harmless = mEstimator.expectedLoad(worker, step("harmless", 0, true));
 
-        assertThat(harmful).isGreaterThan(ServingLoad.LOAD_AT_TARGET);
-        assertThat(harmless).isLessThan(ServingLoad.of(30, TARGET_MS));
+        assertThat(harmful).isGreaterThan(LatencyCriticalLoad.LOAD_AT_TARGET);
+        assertThat(harmless).isLessThan(LatencyCriticalLoad.of(30, TARGET_MS));
     }
 
     @Test
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/OwnerElectionTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/OwnerElectionTest.java
@@ -17,8 +17,9 @@
 
     private final OwnerElection mElection = new OwnerElection(SELF, CAPACITY_MILLI, 0);
 
-    private static EntryHeartbeat heartbeat(ProcessId owner, Epoch epoch, long heardMs) {
-        return new EntryHeartbeat(Optional.of(owner), epoch, heardMs, 1, true);
+    private static EntryHeartbeat heartbeat(
+            ProcessId owner, Epoch epoch, long ownerHeartbeatAgeMs) {
+        return new EntryHeartbeat(Optional.of(owner), epoch, ownerHeartbeatAgeMs, 1, true);
     }
 
     @Test
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/lease/TaskLeaseManagerTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/lease/TaskLeaseManagerTest.java
@@ -9,10 +9,10 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.logic.port.TaskUsage;
-import org.hickorycleat.logic.port.WorkerAnswer;
 import org.hickorycleat.logic.port.WorkerControl;
 import org.hickorycleat.logic.port.WorkerListing;
 import org.hickorycleat.logic.port.WorkerRenewal;
+import org.hickorycleat.logic.port.WorkerResponse;
 import org.hickorycleat.logic.port.WorkerStart;
 import org.hickorycleat.model.identifier.AttemptNumber;
 import org.hickorycleat.model.identifier.Epoch;
@@ -203,7 +203,7 @@
         }
 
         @Override
-        public Single<WorkerAnswer> start(WorkerStart start) {
+        public Single<WorkerResponse> start(WorkerStart start) {
             mStarts.add(start);
             return response();
         }
@@ -215,19 +215,19 @@
         }
 
         @Override
-        public Single<WorkerAnswer> stop(
+        public Single<WorkerResponse> stop(
                 ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt) {
             return response();
         }
 
         @Override
-        public Single<WorkerAnswer> checkpoint(
+        public Single<WorkerResponse> checkpoint(
                 ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt) {
             return response();
         }
 
         @Override
-        public Single<WorkerAnswer> throttle(
+        public Single<WorkerResponse> throttle(
                 ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt, int limit) {
             return response();
         }
@@ -242,8 +242,8 @@
             return Single.just(ResultCode.OK);
         }
 
-        private static Single<WorkerAnswer> response() {
-            return Single.just(new WorkerAnswer(ResultCode.OK, Optional.empty()));
+        private static Single<WorkerResponse> response() {
+            return Single.just(new WorkerResponse(ResultCode.OK, Optional.empty()));
         }
     }
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FakeWorker.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FakeWorker.java
@@ -11,10 +11,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.hickorycleat.logic.port.TaskUsage;
-import org.hickorycleat.logic.port.WorkerAnswer;
 import org.hickorycleat.logic.port.WorkerControl;
 import org.hickorycleat.logic.port.WorkerListing;
 import org.hickorycleat.logic.port.WorkerRenewal;
+import org.hickorycleat.logic.port.WorkerResponse;
 import org.hickorycleat.logic.port.WorkerStart;
 import org.hickorycleat.logic.port.WorkerTask;
 import org.hickorycleat.logic.port.WorkerUnavailableException;
@@ -97,11 +97,11 @@
     }
 
     @Override
-    public Single<WorkerAnswer> start(WorkerStart start) {
+    public Single<WorkerResponse> start(WorkerStart start) {
         return call(() -> startRun(start));
     }
 
-    private WorkerAnswer startRun(WorkerStart start) {
+    private WorkerResponse startRun(WorkerStart start) {
         if (isStale(start.epoch())) {
             return rejection(ResultCode.STALE_EPOCH);
         }
@@ -158,7 +158,7 @@
     }
 
     @Override
-    public Single<WorkerAnswer> stop(
+    public Single<WorkerResponse> stop(
             ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt) {
         return call(
                 () -> {
@@ -199,7 +199,7 @@
     }
 
     @Override
-    public Single<WorkerAnswer> checkpoint(
+    public Single<WorkerResponse> checkpoint(
             ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt) {
         return call(
                 () -> {
@@ -217,7 +217,7 @@
     }
 
     @Override
-    public Single<WorkerAnswer> throttle(
+    public Single<WorkerResponse> throttle(
             ShardNumber shard, Epoch epoch, TaskId task, AttemptNumber attempt, int permille) {
         return call(() -> rejection(ResultCode.UNKNOWN_TASK));
     }
@@ -262,12 +262,12 @@
         mRecorder.recordEnd(run.mStart.task());
     }
 
-    private static WorkerAnswer rejection(ResultCode code) {
-        return new WorkerAnswer(code, Optional.empty());
+    private static WorkerResponse rejection(ResultCode code) {
+        return new WorkerResponse(code, Optional.empty());
     }
 
-    private static WorkerAnswer response(Run run) {
-        return new WorkerAnswer(ResultCode.OK, Optional.of(run.toWorkerTask()));
+    private static WorkerResponse response(Run run) {
+        return new WorkerResponse(ResultCode.OK, Optional.of(run.toWorkerTask()));
     }
 
     private long nowMs() {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FaultStep.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/FaultStep.java
@@ -9,6 +9,6 @@
  * @param nextMs time until the next step, which may start before this fault ends
  */
 record FaultStep(Fault fault, int index, long durationMs, long nextMs) {
-    /** Longer than the limit for renewals without the log plus one lease. */
+    /** Longer than the limit for granting leases without the log, plus one lease. */
     static final long MAXIMUM_DURATION_MS = 80_000;
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardOwnerTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardOwnerTest.java
@@ -40,11 +40,11 @@
     }
 
     /**
-     * Guards against a shard that no process takes over, and a new owner that restarts running
+     * Guards against a shard that no process takes over, and a next owner that restarts running
      * tasks.
      */
     @Test
-    void newOwnerAdoptsRunningTasks() {
+    void nextOwnerAdoptsRunningTasks() {
         ShardSimulation simulation = new ShardSimulation(3);
         TaskId job = simulation.addJob(0, 600);
         simulation.advance(10_000);
@@ -69,7 +69,7 @@
         assertThat(simulation.mRecorder.violations()).isEmpty();
     }
 
-    /** Guards against a new owner with an older manifest that cancels jobs of a newer manifest. */
+    /** Guards against a next owner with an older manifest that cancels jobs of a newer manifest. */
     @Test
     void ownerWithOlderManifestCancelsNothing() {
         ShardSimulation simulation = new ShardSimulation(4);
@@ -95,10 +95,10 @@
 
     /**
      * Guards against tasks that start while the log is unavailable, and leases that expire before
-     * the limit for renewals without the log.
+     * the limit for granting leases without the log.
      */
     @Test
-    void leasesAreRenewedUpToTheLimitAndNothingStartsWithoutLog() {
+    void leasesAreGrantedUpToTheLimitAndNothingStartsWithoutLog() {
         ShardSimulation simulation = new ShardSimulation(5);
         TaskId running = simulation.addJob(0, 6_000);
         simulation.advance(5_000);
@@ -119,7 +119,7 @@
 
     /** Guards against a policy whose decisions overcommit a worker. */
     @Test
-    void decisionsThatOvercommitAreDroppedAndCounted() {
+    void decisionsThatOvercommitAreDiscardedAndCounted() {
         ShardSimulation simulation = new ShardSimulation(6, new OvercommittingPolicy());
         IntStream.range(0, 8).forEach(number -> simulation.addJob(number, 600));
 
@@ -166,7 +166,7 @@
      * next owner assumes.
      */
     @Test
-    void previousOwnerWithoutLogCannotRenewAfterTheFence() {
+    void previousOwnerWithoutLogCannotGrantLeasesAfterTheFence() {
         ShardSimulation simulation = new ShardSimulation(9);
         TaskId job = simulation.addJob(0, 600);
         simulation.advance(5_000);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardReplayTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardReplayTest.java
@@ -45,7 +45,7 @@
         assertThat(replay().state().task(TASK).get().attempt()).isEmpty();
     }
 
-    /** Guards against two owners of one epoch after two claims of the same predecessor. */
+    /** Guards against two owners of one epoch after two claims that replace the same claim. */
     @Example
     void claimThatReplacesAnOlderClaimIsInvalid() {
         append(new ShardRecord.Claim(FIRST, new Epoch(-1)));
@@ -56,11 +56,11 @@
     }
 
     /**
-     * Guards against a batch that is applied twice because its append was repeated after a lost
+     * Guards against a batch that is applied twice because its append was retried after a lost
      * response.
      */
     @Example
-    void repeatedBatchIsAppliedOnce() {
+    void retriedBatchIsAppliedOnce() {
         append(new ShardRecord.Claim(FIRST, new Epoch(-1)));
         append(batch(0, FIRST, 1, submit()));
         append(batch(0, FIRST, 2, start(1)));
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/SimulatedAgent.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/SimulatedAgent.java
@@ -134,7 +134,7 @@
         }
     }
 
-    private void onWorkerListed(WorkerSummary worker) {
+    private void onWorkerPublished(WorkerSummary worker) {
         mSummary = Optional.of(worker);
         mConnections.values().forEach(Connection::reportWorker);
     }
@@ -161,7 +161,7 @@
         @Override
         public void publishWorker(WorkerSummary worker) {
             if (mOutputIncarnation == mIncarnation) {
-                onWorkerListed(worker);
+                onWorkerPublished(worker);
             }
         }
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
@@ -132,7 +132,7 @@
     }
 
     @Test
-    void rejectsUnansweredStartOnlyAfterListingUnderHigherToken() {
+    void rejectsStartWithoutResponseOnlyAfterListingUnderHigherToken() {
         mSupervisor.onStartRun(start(EPOCH));
         mWorker.mUnresponsive = true;
         mWorker.mStartResponses.get(0).onError(new IllegalStateException("no response"));
@@ -149,7 +149,7 @@
     }
 
     @Test
-    void keepsUnansweredStartThatWorkerLists() {
+    void keepsStartWithoutResponseThatWorkerLists() {
         mSupervisor.onStartRun(start(EPOCH));
         mWorker.mRunning.add(new RunSample(RUN, "", 0, 0));
         mWorker.mStartResponses.get(0).onError(new IllegalStateException("no response"));
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobId.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobId.java
@@ -1,6 +1,9 @@
 package org.hickorycleat.model.job;
 
-/** Identifier of a job, chosen by its caller; repeated submissions with the same id are one job. */
+/**
+ * Identifier of a job, chosen by its caller; submissions with the same id are duplicates of one
+ * job.
+ */
 public record JobId(String value) implements Comparable<JobId> {
     /** Creates the identifier; it must not be blank. */
     public JobId {
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/StepSpecification.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/StepSpecification.java
@@ -18,7 +18,7 @@
  * @param preferredRack rack that holds the data of the tasks
  * @param maximumPerWorker maximum number of tasks of the step on one worker; 0 for no limit
  * @param speculative whether a task may have speculative copies that run in parallel
- * @param perpetual whether tasks are long-running, that is, run until the job is cancelled
+ * @param longRunning whether tasks run until the job is cancelled
  * @param image program that the tasks run; tasks of one image behave alike
  * @param targetLatencyMs upper bound on the tail latency of a latency-critical task, in
  *     milliseconds; 0 for other tasks
@@ -38,7 +38,7 @@
         Optional<String> preferredRack,
         int maximumPerWorker,
         boolean speculative,
-        boolean perpetual,
+        boolean longRunning,
         String image,
         int targetLatencyMs,
         boolean bestEffort,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerDescription.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerDescription.java
@@ -8,7 +8,8 @@
  * State that a worker announces in its heartbeats.
  *
  * @param draining whether the worker is draining
- * @param remainingMs minimum time until it leaves, in milliseconds; only meaningful while draining
+ * @param remainingMs minimum time until it shuts down, in milliseconds; only meaningful while
+ *     draining
  * @param sequence increases with each description from the same incarnation
  */
 public record WorkerDescription(
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Cancel.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Cancel.java
@@ -2,5 +2,5 @@
 
 import org.hickorycleat.model.identifier.RequestId;
 
-/** Asks an agent to cancel a request, or to return its result if it has run. */
+/** Requests the cancellation of a request, or its result if it has run. */
 public record Cancel(RequestId request) implements Message {}
