--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/CompletionEstimate.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/CompletionEstimate.java
@@ -21,9 +21,7 @@
     /** Maximum value of a job; 1 is the value of a job with the mean work of its queue. */
     private static final double MAXIMUM_VALUE = 4;
 
-    /**
-     * Whether a job can still meet its objective; tasks with an earlier constant are placed first.
-     */
+    /** Status of the objective of a job; tasks with an earlier constant are placed first. */
     enum ObjectiveStatus {
         /** The objective can still be met. */
         ON_TIME,
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/StopCause.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/ownership/StopCause.java
@@ -1,6 +1,6 @@
 package org.hickorycleat.logic.ownership;
 
-/** Why an attempt is stopped. */
+/** Reason why an attempt is stopped. */
 public enum StopCause {
     /** Frees resources for other work; the task resumes from its latest checkpoint. */
     EVICTED,
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/BatchQueue.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/BatchQueue.java
@@ -12,7 +12,7 @@
 import org.hickorycleat.logic.placement.PlacementView.PendingTask;
 import org.hickorycleat.model.manifest.Criticality;
 
-/** Priority order of the waiting batch tasks; a long queue reuses the order over several calls. */
+/** Priority order of the pending batch tasks; a long queue reuses the order over several calls. */
 final class BatchQueue {
     private static final Comparator<Entry> ORDER =
             Comparator.comparing(Entry::criticality)
@@ -32,7 +32,7 @@
         mSettings = settings;
     }
 
-    /** A waiting task with its priority key. */
+    /** A pending task with its priority key. */
     record Entry(PendingTask task, BatchJob job, double key) {
         Criticality criticality() {
             return task.specification().criticality();
@@ -40,7 +40,7 @@
     }
 
     /**
-     * Returns the first tasks in priority order. Tasks that are no longer waiting may be among them
+     * Returns the first tasks in priority order. Tasks that are no longer pending may be among them
      * and must be skipped. A long queue is read in chunks, one per call, to bound the time of a
      * call.
      */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/IncrementalPlacementView.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/IncrementalPlacementView.java
@@ -53,21 +53,21 @@
         mWorkers.remove(worker);
     }
 
-    /** Adds a waiting task or replaces its record. */
+    /** Adds a pending task or replaces its record. */
     public void addPending(PendingTask task) {
         TaskSpecification specification = task.specification();
         boolean highPriority = specification.urgent() || specification.service().isPresent();
         (highPriority ? mPendingHighPriority : mPendingBatch).put(specification.task(), task);
     }
 
-    /** Removes a waiting task. */
+    /** Removes a pending task. */
     public void removePending(TaskId task) {
         if (mPendingBatch.remove(task) == null) {
             mPendingHighPriority.remove(task);
         }
     }
 
-    /** Adds a placed task or replaces its record, and removes it from the waiting tasks. */
+    /** Adds a placed task or replaces its record, and removes it from the pending tasks. */
     public void putPlaced(PlacedTask task) {
         TaskId id = task.specification().task();
         removePending(id);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/IndexedPlacementView.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/IndexedPlacementView.java
@@ -18,13 +18,13 @@
         return IncrementalPlacementView.copyOf(view);
     }
 
-    /** Returns the waiting service instances and urgent tasks. */
+    /** Returns the pending service instances and urgent tasks. */
     Collection<PendingTask> pendingHighPriority();
 
-    /** Returns the waiting batch tasks that are not urgent. */
+    /** Returns the pending batch tasks that are not urgent. */
     Collection<PendingTask> pendingBatch();
 
-    /** Returns a waiting task, if there is one with this id. */
+    /** Returns a pending task, if there is one with this id. */
     Optional<PendingTask> pending(TaskId task);
 
     /** Returns the tasks that hold resources of a worker. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementSettings.java
@@ -6,7 +6,7 @@
  * @param maximumStarts largest number of starts in one call; bounds the time of a call in a burst
  * @param maximumEvictionPlans largest number of tasks for which one call plans evictions
  * @param backfillDepth number of batch tasks that one call considers, in priority order
- * @param orderingChunkSize number of waiting batch tasks that one call reads to order them; reading
+ * @param orderingChunkSize number of pending batch tasks that one call reads to order them; reading
  *     a queue of 18,000 tasks in one call takes 15 to 30 ms
  * @param neverRunnableDelayMs time after the first call before a task is rejected as never
  *     runnable; an agent is considered disconnected after 10 s, so every live worker has reported
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementView.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/placement/PlacementView.java
@@ -16,7 +16,7 @@
     /** Returns a worker, if the shard has it. */
     Optional<WorkerView> worker(WorkerId worker);
 
-    /** Returns the tasks that wait for placement. */
+    /** Returns the pending tasks. */
     Collection<PendingTask> pendingTasks();
 
     /** Returns the tasks that hold resources, including starting, stopping and uncertain ones. */
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
@@ -125,7 +125,7 @@
         return mMayExtendLeases;
     }
 
-    /** Unblocks the store and completes all waiting writes. */
+    /** Unblocks the store and completes all blocked writes. */
     void completeBlockedWrites() {
         mStoreBlocked = false;
         List<Runnable> waiting = new ArrayList<>(mWaitingCallbacks);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardOwnerTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/ownership/ShardOwnerTest.java
@@ -40,8 +40,8 @@
     }
 
     /**
-     * Guards against a shard that no process takes over, and a next owner that restarts running
-     * tasks.
+     * Guards against a shard that no process takes over, and against a next owner that restarts
+     * running tasks.
      */
     @Test
     void nextOwnerAdoptsRunningTasks() {
@@ -69,7 +69,7 @@
         assertThat(simulation.mRecorder.violations()).isEmpty();
     }
 
-    /** Guards against a next owner with an older manifest that cancels jobs of a newer manifest. */
+    /** Guards against the next owner cancelling jobs that its older manifest does not have. */
     @Test
     void ownerWithOlderManifestCancelsNothing() {
         ShardSimulation simulation = new ShardSimulation(4);
@@ -162,8 +162,8 @@
     }
 
     /**
-     * Guards against a previous owner without access to the log that renews leases whose expiry the
-     * next owner assumes.
+     * Guards against a previous owner without access to the log that extends leases beyond the
+     * expiry that the next owner assumes.
      */
     @Test
     void previousOwnerWithoutLogCannotGrantLeasesAfterTheFence() {
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/InterferenceWeights.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/InterferenceWeights.java
@@ -16,8 +16,8 @@
     /**
      * Interference weight of one best-effort image.
      *
-     * @param weightMilli growth of the tail latency, in thousandths of the latency target, when the
-     *     image uses all processors of the worker
+     * @param weightMilli load that the image adds to a latency-critical task when it uses all
+     *     processors of the worker, in thousandths
      */
     public record ImageWeight(String image, long weightMilli) {}
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/OwnershipOffer.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/OwnershipOffer.java
@@ -2,5 +2,5 @@
 
 import org.hickorycleat.model.identifier.Epoch;
 
-/** Offers a peer to become the next owner; the epoch is that of the current owner. */
+/** Offers the ownership of the jobs to a peer; the epoch is that of the current owner. */
 public record OwnershipOffer(Epoch epoch) implements Message {}
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/WorkerReport.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/WorkerReport.java
@@ -22,7 +22,7 @@
  * @param pending runs whose start command is in flight and that are in no list yet
  * @param leaseExpired whether all runs on the worker have certainly ended because the lease expired
  * @param reachable whether the worker responds
- * @param bestEffortPercent throttle of best-effort tasks, in percent of full speed
+ * @param bestEffortPercent lowest share at which a best-effort image may run, in percent
  */
 public record WorkerReport(
         long number,
