--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/load/LoadPlan.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/load/LoadPlan.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** What a load sends, to whom and how fast. */
+/** Parameters of a load: entries, rate, duration and the contents of the requests. */
 record LoadPlan(
         String name,
         List<String> entries,
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/LogFaults.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/LogFaults.java
@@ -5,12 +5,13 @@
 /**
  * Faults that the stand-in injects.
  *
- * @param outage what happens to every request
- * @param delayMs added to each request, half of it before and half after it takes effect
- * @param lostResponseRate share of appends from 0 to 1 that take effect and whose connection is
- *     then closed without an answer
- * @param appendLimitPerSecond appends per second beyond which appends are answered 429 without
- *     effect; 0 for no limit
+ * @param outage how every request is handled during an outage
+ * @param delayMs milliseconds added to each request, half of them before and half after it is
+ *     applied
+ * @param lostResponseRate share of appends from 0 to 1 that are applied and whose connection is
+ *     then closed without a response
+ * @param appendLimitPerSecond appends per second beyond which appends are rejected with status 429;
+ *     0 for no limit
  */
 public record LogFaults(
         LogOutage outage, long delayMs, double lostResponseRate, int appendLimitPerSecond) {
@@ -27,12 +28,15 @@
         }
     }
 
-    /** Returns these faults with the fields that the JSON names replaced. */
+    /** Returns these faults with the fields that the JSON object contains replaced. */
     LogFaults with(JsonNode json) {
-        String word = json.path("outage").asText(outage.wireName());
+        String outageName = json.path("outage").asText(outage.wireName());
         LogOutage changed =
-                LogOutage.ofWireName(word)
-                        .orElseThrow(() -> new IllegalArgumentException("outage: " + word));
+                LogOutage.ofWireName(outageName)
+                        .orElseThrow(
+                                () ->
+                                        new IllegalArgumentException(
+                                                "unknown outage: " + outageName));
         return new LogFaults(
                 changed,
                 json.path("delay_ms").asLong(delayMs),
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/LogOutage.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/LogOutage.java
@@ -3,22 +3,22 @@
 import java.util.Locale;
 import java.util.Optional;
 
-/** What happens to every request. */
+/** How the stand-in handles every request. */
 public enum LogOutage {
     /** Requests are served. */
     NONE,
-    /** Requests are answered 503. */
+    /** Requests are rejected with status 503. */
     REFUSE,
-    /** Connections are held without an answer until the outage ends. */
+    /** Requests receive no response until the outage ends. */
     HOLD;
 
     String wireName() {
         return name().toLowerCase(Locale.ROOT);
     }
 
-    static Optional<LogOutage> ofWireName(String word) {
+    static Optional<LogOutage> ofWireName(String wireName) {
         for (LogOutage outage : values()) {
-            if (outage.wireName().equals(word)) {
+            if (outage.wireName().equals(wireName)) {
                 return Optional.of(outage);
             }
         }
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/LogRetention.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/LogRetention.java
@@ -1,10 +1,10 @@
 package org.hickorycleat.standins.logservice;
 
 /**
- * How long records are kept; a record that exceeds either bound is dropped.
+ * Retention bounds of a stream; a record that exceeds either bound is removed.
  *
- * @param maximumRecords records kept per stream
- * @param maximumAgeMs age in milliseconds up to which records are kept
+ * @param maximumRecords maximum number of records per stream
+ * @param maximumAgeMs maximum age of records in milliseconds
  */
 public record LogRetention(int maximumRecords, long maximumAgeMs) {
     /** Keeps every record. */
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/StoredPage.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/logservice/StoredPage.java
@@ -3,12 +3,12 @@
 import java.util.List;
 
 /**
- * Answer to a read; truncated if the offset asked for is no longer kept.
+ * Page of records that a read returns.
  *
- * @param firstOffset oldest offset kept
- * @param nextOffset offset to read from next
- * @param truncated whether the offset asked for is older than the retention
- * @param records records in order
+ * @param firstOffset offset of the oldest record in the stream
+ * @param nextOffset offset at which the next read continues
+ * @param truncated whether the requested offset has been removed by the retention
+ * @param records records in the order of their offsets
  */
 record StoredPage(
         long firstOffset, long nextOffset, boolean truncated, List<StoredRecord> records) {}
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/target/TargetAnnouncer.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/target/TargetAnnouncer.java
@@ -12,26 +12,26 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 
-/** Announces the target to the agent on its VM, again and again. */
+/** Announces the target periodically to the agent on its VM. */
 final class TargetAnnouncer {
-    private static final long PERIOD_MS = 500;
+    private static final long ANNOUNCEMENT_INTERVAL_MS = 500;
     private static final MediaType JSON = MediaType.get("application/json");
 
     private final OkHttpClient mClient =
             new OkHttpClient.Builder().callTimeout(1, TimeUnit.SECONDS).build();
-    private final String mAgent;
+    private final String mAgentAddress;
     private final ObjectNode mBody;
     private final BooleanSupplier mLeaving;
 
     TargetAnnouncer(
-            String agent,
+            String agentAddress,
             String service,
             int instance,
             int port,
             int slots,
             int connections,
             BooleanSupplier leaving) {
-        mAgent = agent;
+        mAgentAddress = agentAddress;
         mLeaving = leaving;
         mBody = new ObjectMapper().createObjectNode();
         mBody.put("service", service);
@@ -43,7 +43,8 @@
 
     void start(ScheduledExecutorService timer) {
         var unused =
-                timer.scheduleWithFixedDelay(this::announce, 0, PERIOD_MS, TimeUnit.MILLISECONDS);
+                timer.scheduleWithFixedDelay(
+                        this::announce, 0, ANNOUNCEMENT_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     private void announce() {
@@ -51,7 +52,7 @@
         body.put("state", mLeaving.getAsBoolean() ? "leaving" : "ready");
         Request request =
                 new Request.Builder()
-                        .url("http://" + mAgent + "/v1/announcement")
+                        .url("http://" + mAgentAddress + "/v1/announcement")
                         .put(RequestBody.create(body.toString(), JSON))
                         .build();
         try (Response response = mClient.newCall(request).execute()) {
@@ -59,7 +60,7 @@
                 System.err.println("event=announcement_refused status=" + response.code());
             }
         } catch (IOException e) {
-            // The agent may be down; the next announcement tries again.
+            // The agent may be unavailable; the next announcement is the retry.
             System.err.println("event=announcement_failed cause=\"" + e + '"');
         }
     }
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/target/TargetMain.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/target/TargetMain.java
@@ -5,11 +5,11 @@
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 
-/** Starts one stand-in target. */
+/** Runs the stand-in of a target as a process. */
 public final class TargetMain {
     private TargetMain() {}
 
-    /** Starts the target and its announcements. */
+    /** Starts the server of the target and its periodic announcements. */
     public static void main(String[] arguments) throws Exception {
         OptionParser parser = new OptionParser();
         parser.accepts("port").withRequiredArg().ofType(Integer.class).required();
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/target/package-info.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/target/package-info.java
@@ -1,4 +1,4 @@
-/** Stand-in of a target: slots, latency that grows with load, and faults on command. */
+/** Stand-in of a target with limited slots, latency that grows with load, and injected faults. */
 @NullMarked
 package org.hickorycleat.standins.target;
 
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/AttemptKey.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/AttemptKey.java
@@ -4,5 +4,5 @@
 import org.hickorycleat.model.identifier.ShardNumber;
 import org.hickorycleat.model.identifier.TaskId;
 
-/** An attempt of a task of a shard. */
+/** Identifies an attempt of a task that belongs to a shard. */
 public record AttemptKey(ShardNumber shard, TaskId task, AttemptNumber attempt) {}
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/StartCommand.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/StartCommand.java
@@ -5,7 +5,7 @@
 import org.hickorycleat.model.identifier.Incarnation;
 import org.hickorycleat.model.task.Resources;
 
-/** Body of a start. */
+/** Command to start an attempt; {@code runMs} of 0 marks a task that runs until it is stopped. */
 public record StartCommand(
         AttemptKey key,
         Epoch epoch,
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/WorkerJson.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/WorkerJson.java
@@ -16,7 +16,7 @@
 import org.hickorycleat.model.result.ResultCode;
 import org.hickorycleat.model.task.Resources;
 
-/** JSON of the worker's interface. */
+/** Parses and formats the JSON bodies of the worker's HTTP interface. */
 final class WorkerJson {
     private final ObjectMapper mMapper = new ObjectMapper();
 
@@ -91,28 +91,28 @@
         return object().put("code", code.number()).toString();
     }
 
-    String reply(CommandResponse reply) {
-        ObjectNode answer = object().put("code", reply.code().number());
-        reply.task().ifPresent(task -> answer.set("task", task(task)));
-        return answer.toString();
+    String response(CommandResponse response) {
+        ObjectNode node = object().put("code", response.code().number());
+        response.task().ifPresent(task -> node.set("task", task(task)));
+        return node.toString();
     }
 
     String listing(SimulatedWorker worker) {
         List<AttemptStatus> tasks = worker.tasks();
-        ObjectNode answer =
+        ObjectNode node =
                 object().put("worker", worker.options().worker().value())
                         .put("incarnation", worker.incarnation().value())
                         .put("clock_ms", worker.clockMs())
                         .put("rack", worker.options().rack().value());
-        resources(answer, worker.options().capacity());
-        ArrayNode array = answer.putArray("tasks");
+        resources(node, worker.options().capacity());
+        ArrayNode array = node.putArray("tasks");
         tasks.forEach(task -> array.add(task(task)));
-        return answer.toString();
+        return node.toString();
     }
 
     String usage(List<TaskUsageSample> usages) {
-        ObjectNode answer = object();
-        ArrayNode array = answer.putArray("usage");
+        ObjectNode node = object();
+        ArrayNode array = node.putArray("usage");
         for (TaskUsageSample usage : usages) {
             array.addObject()
                     .put("task", usage.task().value())
@@ -120,12 +120,12 @@
                     .put("memory_mebibytes", usage.memoryMebibytes())
                     .put("measured_ago_ms", usage.measuredAgoMs());
         }
-        return answer.toString();
+        return node.toString();
     }
 
     String records(long clockMs, List<AttemptEvent> events) {
-        ObjectNode answer = object().put("clock_ms", clockMs);
-        ArrayNode array = answer.putArray("records");
+        ObjectNode node = object().put("clock_ms", clockMs);
+        ArrayNode array = node.putArray("records");
         for (AttemptEvent event : events) {
             array.addObject()
                     .put("at_ms", event.atMs())
@@ -135,15 +135,15 @@
                     .put("progress_ms", event.progressMs())
                     .put("state", event.state().name());
         }
-        return answer.toString();
+        return node.toString();
     }
 
     String faults(WorkerFaults faults) {
         return object().put("paused", faults.isPaused())
                 .put("failing", faults.isFailing())
                 .put("fail_after_ms", faults.failAfterMs())
-                .put("slow_ms", faults.slowMs())
-                .put("lost_answers", faults.lostAnswers())
+                .put("slow_ms", faults.responseDelayMs())
+                .put("lost_answers", faults.lostResponses())
                 .toString();
     }
 
--- a/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/WorkerOptions.java
+++ b/hickorycleat-standins/src/main/java/org/hickorycleat/standins/worker/WorkerOptions.java
@@ -5,13 +5,13 @@
 import org.hickorycleat.model.task.Resources;
 
 /**
- * Options of the stand-in.
+ * Options of the worker stand-in.
  *
- * @param worker name
- * @param rack rack
- * @param capacity all its resources
- * @param runTimePermille real run time of tasks as a share of the declared one
- * @param usageLagMs age of usage measurements
+ * @param worker identifier of the worker
+ * @param rack rack of the worker
+ * @param capacity resources of the worker
+ * @param runTimePermille actual run time of tasks in thousandths of the declared one
+ * @param usageLagMs minimum age of reported usage samples, in milliseconds
  */
 public record WorkerOptions(
         WorkerId worker, RackId rack, Resources capacity, long runTimePermille, long usageLagMs) {}
