Offer the ownership within 300 ms of a drain

Change: the decision is a class of its own. It offers at the latest after 300 ms, tries another peer when the first does not take over, and prefers of equal peers the one that started last, which a rolling restart reaches last. A peer that has not loaded the jobs is not offered them any more.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -232,10 +232,14 @@
                         mOwnership.epoch(),
                         mOwnership.ownerHeartbeatAgeMs(),
                         mConfiguration.version(),
-                        mStore.isDirectlyReachable() && !isDraining()),
+                        canBecomeOwner()),
                 ProcessRole.ENTRY);
     }
 
+    private boolean canBecomeOwner() {
+        return mStore.isDirectlyReachable() && mJobsConsumer.isLoaded() && !isDraining();
+    }
+
     private List<FleetNode> peersReachingStore() {
         List<FleetNode> peers = mLinks.connectedPeers(ProcessRole.ENTRY);
         synchronized (mPeerHeartbeats) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobOwnership.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobOwnership.java
@@ -1,16 +1,15 @@
 package org.hickorycleat.daemon.fleet;
 
 import io.reactivex.rxjava3.core.Scheduler;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.logic.directory.JobDirectory;
 import org.hickorycleat.logic.directory.JobRecord;
+import org.hickorycleat.logic.election.DrainHandover;
 import org.hickorycleat.logic.election.EpochGenerator;
 import org.hickorycleat.logic.election.OwnerElection;
 import org.hickorycleat.logic.election.OwnershipTransfer;
@@ -33,9 +32,6 @@
     /** Interval between two log lines on the ownership of the jobs, in milliseconds. */
     private static final long LOG_INTERVAL_MS = 5_000;
 
-    /** Interval between two searches for a successor during a drain, in milliseconds. */
-    private static final long SUCCESSOR_INTERVAL_MS = 200;
-
     /** Interval between two checks whether all decisions are durable, in milliseconds. */
     private static final long DURABILITY_CHECK_INTERVAL_MS = 20;
 
@@ -63,6 +59,7 @@
     private final Listener mListener;
     private final OwnerElection mElection;
     private final OwnershipTransfer mTransfer;
+    private final DrainHandover mDrainHandover = new DrainHandover();
     private final PeerStorePaths mPeerStorePaths = new PeerStorePaths();
     private Optional<OwnerRole> mOwnerRole = Optional.empty();
     private boolean mClaiming;
@@ -324,11 +321,7 @@
 
     private void transfer(OwnerRole owner, ProcessId successor) {
         owner.dispatcher().stopPlacement();
-        offer(
-                owner,
-                successor,
-                mTransfer::isInProgress,
-                () -> mTransfer.isOfferDue(owner.dispatcher().isDurable(), nowMs()));
+        offerWhenDue(owner, successor);
     }
 
     /** Hands the ownership over, if this entry has it, and makes no further claims. */
@@ -345,33 +338,34 @@
         if (!isCurrent(owner)) {
             return;
         }
-        Optional<FleetNode> successor =
-                mPeersReachingStore.get().stream()
-                        .max(Comparator.comparingLong(FleetNode::capacityMilli));
-        if (successor.isEmpty()) {
-            mScheduler.scheduleDirect(
-                    () -> handOver(owner), SUCCESSOR_INTERVAL_MS, TimeUnit.MILLISECONDS);
-            return;
+        if (mDrainHandover.chooseSuccessor(mPeersReachingStore.get(), nowMs())) {
+            owner.dispatcher().stopPlacement();
         }
-        owner.dispatcher().stopPlacement();
-        offer(owner, successor.get().process(), () -> true, () -> owner.dispatcher().isDurable());
+        mDrainHandover
+                .takeDueOffer(owner.dispatcher().isDurable(), nowMs())
+                .ifPresent(successor -> sendOffer(owner, successor));
+        mScheduler.scheduleDirect(
+                () -> handOver(owner), DURABILITY_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void offer(
-            OwnerRole owner, ProcessId successor, BooleanSupplier intended, BooleanSupplier due) {
-        if (!isCurrent(owner) || !intended.getAsBoolean()) {
+    private void offerWhenDue(OwnerRole owner, ProcessId successor) {
+        if (!isCurrent(owner) || !mTransfer.isInProgress()) {
             return;
         }
-        if (!due.getAsBoolean()) {
+        if (!mTransfer.isOfferDue(owner.dispatcher().isDurable(), nowMs())) {
             mScheduler.scheduleDirect(
-                    () -> offer(owner, successor, intended, due),
+                    () -> offerWhenDue(owner, successor),
                     DURABILITY_CHECK_INTERVAL_MS,
                     TimeUnit.MILLISECONDS);
             return;
         }
+        sendOffer(owner, successor);
+        mTransfer.onOffered(nowMs());
+    }
+
+    private void sendOffer(OwnerRole owner, ProcessId successor) {
         LOG.event("owner_handing_over").with("successor", successor).info();
         mLinks.send(successor, new OwnershipOffer(owner.epoch()));
-        mTransfer.onOffered(nowMs());
         // Another entry claims if the successor does not.
         mElection.onSchedulingStopped(nowMs());
     }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/EntryHeartbeat.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/EntryHeartbeat.java
@@ -10,7 +10,8 @@
  * @param owner owner that the entry follows, if any; its own process when it owns the jobs
  * @param ownerHeartbeatAgeMs time since the last heartbeat of the owner, in milliseconds
  * @param configurationVersion version of its active configuration
- * @param storeReachable whether the entry reaches the store directly and is not draining
+ * @param storeReachable whether the entry reaches the store directly, has loaded the jobs and is
+ *     not draining
  */
 public record EntryHeartbeat(
         Optional<ProcessId> owner,
