Place by steps, and start one task for a starved job

A best-effort job without a run for 1.5 s had all its tasks started without regard to idle processors, so in a burst all jobs shared the processors, were late, and were moved about. Placement took its limit of a quarter of the processor: each round walked all jobs and all tasks, and summed over tasks and runs for each pair of task and worker.

Change: one run ends the starvation of a job, and while no worker has idle processors only one such task is started for each four workers. Steps, not tasks, are sorted; counts of tasks and room of workers are updated by events; a step that fits on no worker costs one comparison. The order and the choice of a worker are as before.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/CompletionEstimate.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/CompletionEstimate.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import org.hickorycleat.model.job.JobQueue;
 import org.hickorycleat.model.job.StepSpecification;
-import org.hickorycleat.model.job.TaskStatus;
 
 /**
  * Estimates when an occurrence of a job can complete and the value of continuing it.
@@ -12,9 +11,6 @@
  * @param valuePerWork value of its completion per unit of remaining processor time
  */
 record CompletionEstimate(ObjectiveStatus objectiveStatus, double valuePerWork) {
-    /** Multiple of the objective up to which a late job keeps part of its value. */
-    private static final int LATE_LIMIT_FACTOR = 3;
-
     /** Part of the value that does not depend on the size of a job. */
     private static final double FIXED_VALUE = 0.3;
 
@@ -48,7 +44,6 @@
             long unixMs) {
         double criticalPathMs = criticalPathMs(steps, false) * ratio;
         double remainingMs = criticalPathMs(steps, true) * ratio;
-        double objectiveMs = criticalPathMs * queue.stretch() + queue.targetDurationMs();
         double completionAfterMs = unixMs - sinceMs + remainingMs;
         double value =
                 Math.min(
@@ -56,11 +51,11 @@
                         FIXED_VALUE
                                 + (1 - FIXED_VALUE) * work(steps, false) / Math.max(1, meanWork));
         double valuePerWork = value / Math.max(1, work(steps, true));
-        if (completionAfterMs <= objectiveMs) {
+        if (completionAfterMs <= queue.objectiveMs(criticalPathMs)) {
             return new CompletionEstimate(ObjectiveStatus.ON_TIME, valuePerWork);
         }
         ObjectiveStatus status =
-                completionAfterMs <= LATE_LIMIT_FACTOR * objectiveMs
+                completionAfterMs <= queue.lateLimitMs(criticalPathMs)
                         ? ObjectiveStatus.LATE
                         : ObjectiveStatus.OVERDUE;
         return new CompletionEstimate(status, valuePerWork);
@@ -71,7 +66,7 @@
         double work = 0;
         for (TrackedStep step : steps) {
             StepSpecification specification = step.specification();
-            long tasks = onlyUnfinished ? unfinishedTasks(step) : step.tasks().size();
+            int tasks = onlyUnfinished ? step.unfinishedTasks() : step.tasks().size();
             work +=
                     (double) tasks
                             * specification.estimateMs()
@@ -80,10 +75,6 @@
         return work;
     }
 
-    private static long unfinishedTasks(TrackedStep step) {
-        return step.tasks().stream().filter(task -> task.status() != TaskStatus.DONE).count();
-    }
-
     private static double criticalPathMs(List<TrackedStep> steps, boolean onlyUnfinished) {
         double[] endMs = new double[steps.size()];
         double longest = 0;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOrder.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOrder.java
@@ -10,7 +10,7 @@
 import org.hickorycleat.model.job.StepSpecification;
 
 /**
- * Orders tasks for placement: long-running tasks first, then by queue priority, then by whether the
+ * Orders steps for placement: long-running tasks first, then by queue priority, then by whether the
  * job can still meet its objective, then by value per remaining processor time, then by age.
  */
 final class DispatchOrder {
@@ -36,44 +36,46 @@
                 (mean, newest) -> mean + NEWEST_JOB_WEIGHT * (newest - mean));
     }
 
-    /** Sorts ready tasks into the order of placement. */
-    void sort(List<TrackedTask> ready, long unixMs) {
+    /** Sorts ready steps into the order of placement. */
+    void sort(List<ReadyStep> ready, long unixMs) {
         IdentityHashMap<List<TrackedStep>, CompletionEstimate> estimates = new IdentityHashMap<>();
-        Comparator<TrackedTask> order =
-                Comparator.<TrackedTask>comparingInt(DispatchOrder::rank)
-                        .thenComparing(task -> estimate(task, estimates, unixMs).objectiveStatus())
+        Comparator<ReadyStep> order =
+                Comparator.<ReadyStep>comparingInt(entry -> rank(entry.step()))
+                        .thenComparing(
+                                entry ->
+                                        estimate(entry.step(), estimates, unixMs).objectiveStatus())
                         .thenComparingDouble(
-                                task -> -estimate(task, estimates, unixMs).valuePerWork())
-                        .thenComparingLong(DispatchOrder::waitingSinceMs);
+                                entry -> -estimate(entry.step(), estimates, unixMs).valuePerWork())
+                        .thenComparingLong(entry -> waitingSinceMs(entry.step()));
         ready.sort(order);
     }
 
-    private static int rank(TrackedTask task) {
-        StepSpecification step = task.specification();
-        if (step.longRunning()) {
+    private static int rank(TrackedStep step) {
+        StepSpecification specification = step.specification();
+        if (specification.longRunning()) {
             return -1;
         }
-        return task.step().job().queue().priority() + (step.bestEffort() ? BEST_EFFORT_RANK : 0);
+        return step.job().queue().priority() + (specification.bestEffort() ? BEST_EFFORT_RANK : 0);
     }
 
-    private static long waitingSinceMs(TrackedTask task) {
-        JobSubmission submission = task.step().job().submission();
-        return submission.dueAtMs(task.key().occurrence()).orElse(submission.acceptedAtMs());
+    private static long waitingSinceMs(TrackedStep step) {
+        JobSubmission submission = step.job().submission();
+        return submission.dueAtMs(step.occurrence()).orElse(submission.acceptedAtMs());
     }
 
     private CompletionEstimate estimate(
-            TrackedTask task,
+            TrackedStep step,
             IdentityHashMap<List<TrackedStep>, CompletionEstimate> estimates,
             long unixMs) {
-        TrackedJob job = task.step().job();
-        List<TrackedStep> steps = job.occurrences().get(task.key().occurrence());
+        TrackedJob job = step.job();
+        List<TrackedStep> steps = job.occurrences().get(step.occurrence());
         return estimates.computeIfAbsent(
                 steps,
                 key ->
                         CompletionEstimate.of(
                                 key,
                                 job.queue(),
-                                waitingSinceMs(task),
+                                waitingSinceMs(step),
                                 mRunTimeRatios.ratio(job.queue().name()),
                                 mMeanWorkByQueue.getOrDefault(job.queue().name(), 0.0),
                                 unixMs));
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -72,6 +72,7 @@
     private final DispatchOrder mDispatchOrder = new DispatchOrder(mRunTimeRatios);
 
     private final Map<JobId, TrackedJob> mJobs = new LinkedHashMap<>();
+    private final Set<TrackedJob> mUnfinishedJobs = new LinkedHashSet<>();
     private final Map<ProcessId, TrackedWorker> mWorkers = new LinkedHashMap<>();
     private final Set<TrackedJob> mUnsavedJobs = new LinkedHashSet<>();
     private final List<Runnable> mActionsAfterDurable = new ArrayList<>();
@@ -105,7 +106,7 @@
                 new TaskPlacer(
                         new WorkerSelector(mInterferenceEstimator),
                         mDispatchOrder,
-                        mJobs.values(),
+                        mUnfinishedJobs,
                         mWorkers.values(),
                         this::startWhenDurable,
                         log);
@@ -136,7 +137,7 @@
      */
     public synchronized boolean isWaitingForLease() {
         return mWorkers.values().stream()
-                .anyMatch(worker -> !worker.runs().isEmpty() && worker.isUnheard());
+                .anyMatch(worker -> worker.hasRuns() && worker.isUnheard());
     }
 
     /** Handles a new active configuration. */
@@ -169,7 +170,7 @@
     }
 
     private void restoreJob(TrackedJob job, JobProgress progress) {
-        job.onStateChanged(progress.state());
+        onStateChanged(job, progress.state());
         for (TaskProgress saved : progress.tasks()) {
             TaskKey key = new TaskKey(job.id(), saved.occurrence(), saved.step(), saved.index());
             Optional<TrackedTask> task = job.task(key);
@@ -200,6 +201,7 @@
     private void addJob(TrackedJob job) {
         job.markActive(nowMs());
         mJobs.put(job.id(), job);
+        mUnfinishedJobs.add(job);
         mDispatchOrder.recordJob(job);
     }
 
@@ -255,8 +257,15 @@
         finish(job, JobState.CANCELLED);
     }
 
-    private void finish(TrackedJob job, JobState state) {
+    private void onStateChanged(TrackedJob job, JobState state) {
         job.onStateChanged(state);
+        if (state.isFinal()) {
+            mUnfinishedJobs.remove(job);
+        }
+    }
+
+    private void finish(TrackedJob job, JobState state) {
+        onStateChanged(job, state);
         for (TrackedTask task : job.tasks()) {
             task.run().ifPresent(run -> requestStop(run, state.name()));
         }
@@ -506,7 +515,7 @@
     private void completeIfDone(TrackedJob job) {
         if (!job.state().isFinal() && job.isDone()) {
             mLog.record("job_completed", "job", job.id());
-            job.onStateChanged(JobState.COMPLETED);
+            onStateChanged(job, JobState.COMPLETED);
         }
     }
 
@@ -549,7 +558,7 @@
     /** Checks leases and progress and places ready tasks; called several times a second. */
     public synchronized void tick() {
         for (TrackedWorker worker : mWorkers.values()) {
-            if (!worker.runs().isEmpty() && worker.isLeaseCertainlyExpired(nowMs())) {
+            if (worker.hasRuns() && worker.isLeaseCertainlyExpired(nowMs())) {
                 declareAllLost(worker, "lease_expired");
             }
             mRunMonitor.check(worker, nowMs());
@@ -566,7 +575,7 @@
         mLog.record(
                 "dispatch_status",
                 "unfinished_jobs",
-                mJobs.values().stream().filter(job -> !job.state().isFinal()).count(),
+                mUnfinishedJobs.size(),
                 "runs",
                 mWorkers.values().stream().mapToInt(worker -> worker.runs().size()).sum(),
                 "available_workers",
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TaskPlacer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TaskPlacer.java
@@ -17,6 +17,13 @@
     /** Maximum number of starts in one round; the remaining tasks follow in the next. */
     private static final int MAXIMUM_STARTS_PER_ROUND = 200;
 
+    /**
+     * Number of workers for each task that is started for a starved job while no worker has idle
+     * processors; in a flood, such tasks must not use the processors of the jobs that can still be
+     * on time.
+     */
+    private static final int WORKERS_PER_STARVED_TASK = 4;
+
     private final WorkerSelector mSelector;
     private final DispatchOrder mDispatchOrder;
     private final Collection<TrackedJob> mJobs;
@@ -24,12 +31,13 @@
     private final Consumer<TrackedRun> mStarter;
     private final DecisionLog mLog;
     private Optional<WorkloadConfiguration> mConfiguration = Optional.empty();
+    private final Set<TrackedTask> mStarvedTasks = new HashSet<>();
     private long mNowMs;
 
     /**
      * Creates a placer.
      *
-     * @param jobs view of all jobs
+     * @param jobs view of the jobs that are not in a final state
      * @param workers view of all workers
      * @param starter persists placed runs and then sends their starts
      */
@@ -60,32 +68,44 @@
     /** Places the ready tasks for which a worker is available. */
     void place(long nowMs, long unixMs) {
         mNowMs = nowMs;
-        List<TrackedTask> ready = ready(unixMs);
+        List<ReadyStep> ready = ready(unixMs);
+        if (ready.isEmpty()) {
+            return;
+        }
         mDispatchOrder.sort(ready, unixMs);
+        mStarvedTasks.removeIf(task -> task.run().isEmpty());
+        RoomLimits limits = RoomLimits.of(mWorkers);
         int starts = 0;
-        // All tasks of a step are equal: if there is no worker for one, there is none for the
-        // others.
-        Set<TrackedStep> unplaceable = new HashSet<>();
-        for (TrackedTask task : ready) {
+        for (ReadyStep step : ready) {
             if (starts >= MAXIMUM_STARTS_PER_ROUND) {
                 return;
             }
-            if (unplaceable.contains(task.step())) {
-                continue;
-            }
-            if (task.specification().gang()) {
-                starts += startGang(task.step());
-                continue;
+            starts +=
+                    step.step().specification().gang()
+                            ? startGang(step.step())
+                            : startTasks(step, limits, MAXIMUM_STARTS_PER_ROUND - starts);
+        }
+    }
+
+    private int startTasks(ReadyStep step, RoomLimits limits, int maximumStarts) {
+        int starts = 0;
+        for (TrackedTask task : step.tasks()) {
+            if (starts >= maximumStarts) {
+                return starts;
             }
             Optional<TrackedWorker> worker =
-                    selectWorker(task, nowMs).or(() -> selectForStarvedJob(task));
-            if (worker.isPresent()) {
-                mStarter.accept(reserve(task, worker.get(), task.nextRunNumber()));
-                starts++;
-            } else {
-                unplaceable.add(task.step());
+                    selectWithin(limits, task).or(() -> selectForStarvedJob(limits, task));
+            if (worker.isEmpty()) {
+                return starts;
             }
+            mStarter.accept(reserve(task, worker.get(), task.nextRunNumber()));
+            starts++;
         }
+        return starts;
+    }
+
+    private Optional<TrackedWorker> selectWithin(RoomLimits limits, TrackedTask task) {
+        return limits.mayFit(task.specification()) ? selectWorker(task, mNowMs) : Optional.empty();
     }
 
     // Either all members of a gang start under one run number, or none does.
@@ -109,20 +129,29 @@
     }
 
     // Best-effort tasks wait for a worker with little interference, but not until the job starves.
-    private Optional<TrackedWorker> selectForStarvedJob(TrackedTask task) {
+    // One run ends the starvation: if all tasks of all starved jobs shared the processors of an
+    // overloaded fleet, every job would be late.
+    private Optional<TrackedWorker> selectForStarvedJob(RoomLimits limits, TrackedTask task) {
         TrackedJob job = task.step().job();
-        if (!task.specification().bestEffort() || !job.isStarved(mNowMs)) {
+        boolean overloaded = !limits.mayFit(task.specification());
+        boolean mayStart = !overloaded || mStarvedTasks.size() < maximumStarvedTasks();
+        if (!task.specification().bestEffort() || !job.isStarved(mNowMs) || !mayStart) {
             return Optional.empty();
         }
         Optional<TrackedWorker> worker =
                 mSelector.selectLeastInterference(task, mWorkers, pool(task), mNowMs);
-        worker.ifPresent(
-                chosen ->
-                        mLog.record(
-                                "starved_job_placed", "job", job.id(), "agent", chosen.agent()));
+        if (worker.isPresent()) {
+            mLog.record("starved_job_placed", "job", job.id(), "agent", worker.get().agent());
+            job.markActive(mNowMs);
+            mStarvedTasks.add(task);
+        }
         return worker;
     }
 
+    private int maximumStarvedTasks() {
+        return Math.max(1, mWorkers.size() / WORKERS_PER_STARVED_TASK);
+    }
+
     private Optional<WorkerPool> pool(TrackedTask task) {
         return mConfiguration.flatMap(
                 configuration -> configuration.pool(task.step().job().queue().service()));
@@ -133,35 +162,33 @@
         run.task().onReservationCancelled();
     }
 
-    private List<TrackedTask> ready(long unixMs) {
-        List<TrackedTask> ready = new ArrayList<>();
+    private List<ReadyStep> ready(long unixMs) {
+        List<ReadyStep> ready = new ArrayList<>();
         for (TrackedJob job : mJobs) {
-            if (job.state().isFinal()) {
-                continue;
-            }
             if (job.hasRuns()) {
                 job.markActive(mNowMs);
             }
             for (List<TrackedStep> steps : job.occurrences()) {
                 for (TrackedStep step : steps) {
-                    addReady(step, unixMs, ready);
+                    addIfReady(step, unixMs, ready);
                 }
             }
         }
         return ready;
     }
 
-    private void addReady(TrackedStep step, long unixMs, List<TrackedTask> ready) {
-        boolean checked = false;
+    private void addIfReady(TrackedStep step, long unixMs, List<ReadyStep> ready) {
+        if (step.isDone() || !step.job().isDue(step, unixMs)) {
+            return;
+        }
+        List<TrackedTask> tasks = new ArrayList<>();
         for (TrackedTask task : step.tasks()) {
-            if (!task.isReady(mNowMs)) {
-                continue;
+            if (task.isReady(mNowMs)) {
+                tasks.add(task);
             }
-            if (!checked && !step.job().isDue(step, unixMs)) {
-                return;
-            }
-            checked = true;
-            ready.add(task);
+        }
+        if (!tasks.isEmpty()) {
+            ready.add(new ReadyStep(step, tasks));
         }
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedStep.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedStep.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -17,6 +19,9 @@
     private final int mNumber;
     private final StepSpecification mSpecification;
     private final List<TrackedTask> mTasks = new ArrayList<>();
+    private final Map<TrackedWorker, Integer> mActiveTasks = new HashMap<>();
+    private int mDoneTasks;
+    private int mActiveTaskCount;
 
     TrackedStep(TrackedJob job, int occurrence, int number, StepSpecification specification) {
         mJob = job;
@@ -49,12 +54,28 @@
     }
 
     boolean isDone() {
-        for (TrackedTask task : mTasks) {
-            if (task.status() != TaskStatus.DONE) {
-                return false;
-            }
-        }
-        return true;
+        return mDoneTasks == mTasks.size();
+    }
+
+    int unfinishedTasks() {
+        return mTasks.size() - mDoneTasks;
+    }
+
+    /** Handles that a task of the step changes its status. */
+    void onStatusChanged(TaskStatus before, TaskStatus after) {
+        mDoneTasks += (after == TaskStatus.DONE ? 1 : 0) - (before == TaskStatus.DONE ? 1 : 0);
+    }
+
+    /** Handles that a task of the step may be on a worker from now on. */
+    void onRunAdded(TrackedWorker worker) {
+        mActiveTasks.merge(worker, 1, Integer::sum);
+        mActiveTaskCount++;
+    }
+
+    /** Handles that a task of the step is no longer on a worker. */
+    void onRunRemoved(TrackedWorker worker) {
+        mActiveTasks.computeIfPresent(worker, (key, count) -> count > 1 ? count - 1 : null);
+        mActiveTaskCount--;
     }
 
     /** Returns the numbers of the runs in which any task of the step failed. */
@@ -75,23 +96,17 @@
                 .ifPresent(newest -> mTasks.forEach(task -> task.onCheckpoint(newest)));
     }
 
+    /** Returns the number of tasks of the step that may be on any worker. */
+    int activeTasks() {
+        return mActiveTaskCount;
+    }
+
     boolean hasRuns() {
-        for (TrackedTask task : mTasks) {
-            if (task.run().isPresent()) {
-                return true;
-            }
-        }
-        return false;
+        return !mActiveTasks.isEmpty();
     }
 
     /** Returns the number of tasks of the step that may be on a worker. */
     int activeTasksOn(TrackedWorker worker) {
-        int active = 0;
-        for (TrackedTask task : mTasks) {
-            if (task.run().isPresent() && task.run().get().worker() == worker) {
-                active++;
-            }
-        }
-        return active;
+        return mActiveTasks.getOrDefault(worker, 0);
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedTask.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedTask.java
@@ -72,9 +72,24 @@
         return mStatus == TaskStatus.PENDING && nowMs >= mNotBeforeMs;
     }
 
+    private void setStatus(TaskStatus status) {
+        mStep.onStatusChanged(mStatus, status);
+        mStatus = status;
+    }
+
+    private void setRun(@Nullable TrackedRun run) {
+        if (mRun != null) {
+            mStep.onRunRemoved(mRun.worker());
+        }
+        if (run != null) {
+            mStep.onRunAdded(run.worker());
+        }
+        mRun = run;
+    }
+
     /** Restores the durable progress. */
     void restore(TaskProgress progress) {
-        mStatus = progress.status();
+        setStatus(progress.status());
         mRunNumber = progress.run();
         mFailedRuns.addAll(progress.failedRuns());
         mCheckpoint = progress.checkpoint();
@@ -87,16 +102,16 @@
 
     /** Records the current run, which may be on a worker from now on. */
     void onRunAssigned(TrackedRun run) {
-        mStatus = TaskStatus.ACTIVE;
+        setStatus(TaskStatus.ACTIVE);
         mPreviousRunNumber = mRunNumber;
         mRunNumber = run.id().number();
-        mRun = run;
+        setRun(run);
     }
 
     /** Cancels a reserved run whose start was not persisted; its number is free again. */
     void onReservationCancelled() {
-        mStatus = TaskStatus.PENDING;
-        mRun = null;
+        setStatus(TaskStatus.PENDING);
+        setRun(null);
         mRunNumber = mPreviousRunNumber;
     }
 
@@ -109,8 +124,8 @@
 
     /** Marks the task for another run, not before the given time. */
     void onPending(long notBeforeMs) {
-        mStatus = TaskStatus.PENDING;
-        mRun = null;
+        setStatus(TaskStatus.PENDING);
+        setRun(null);
         mNotBeforeMs = notBeforeMs;
     }
 
@@ -124,8 +139,8 @@
 
     /** Marks the task as done. */
     void onDone() {
-        mStatus = TaskStatus.DONE;
-        mRun = null;
+        setStatus(TaskStatus.DONE);
+        setRun(null);
         mCheckpoint = Optional.empty();
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedWorker.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedWorker.java
@@ -1,6 +1,7 @@
 package org.hickorycleat.logic.dispatch;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +9,7 @@
 import java.util.function.Supplier;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.job.RunId;
+import org.hickorycleat.model.job.StepSpecification;
 import org.hickorycleat.model.job.WorkerDescription;
 import org.hickorycleat.model.job.WorkerIncarnation;
 import org.hickorycleat.model.message.WorkerReport;
@@ -15,12 +17,23 @@
 
 /** Tracks a worker as its agent reports it, and the runs that may be on it. */
 final class TrackedWorker {
-    /** Share of its requested processors that a latency-critical task uses; the rest is idle. */
-    private static final double LATENCY_CRITICAL_USE = 0.55;
+    /**
+     * Share of its requested processors that a latency-critical task uses, in percent; the rest is
+     * idle.
+     */
+    private static final long LATENCY_CRITICAL_USE_PERCENT = 55;
+
+    private static final long FULL_PERCENT = 100;
 
     /** Time between two messages with interference weights to the agent, in milliseconds. */
     private static final long WEIGHTS_INTERVAL_MS = 1_000;
 
+    /**
+     * Minimum time between two lease extensions, in milliseconds; below the interval of the reports
+     * of a worker without ends.
+     */
+    private static final long LEASE_EXTENSION_INTERVAL_MS = 300;
+
     private final ProcessId mAgent;
     private final WorkerHealth mHealth = new WorkerHealth();
     private final Map<RunId, TrackedRun> mRuns = new LinkedHashMap<>();
@@ -37,8 +50,17 @@
     private long mWeightsSentAtMs = Long.MIN_VALUE / 2;
     private int mBestEffortPercent = 100;
     private long mReportedAtMs = Long.MIN_VALUE / 2;
+    private long mLeaseExtensionSentAtMs = Long.MIN_VALUE / 2;
     private Optional<Map<String, Double>> mLatencyCriticalLoads = Optional.empty();
-    private Resources mReserved = Resources.NONE;
+    private long mReservedProcessorsMilli;
+    private long mReservedMemoryMebibytes;
+    private long mReservedAccelerators;
+    // In thousandths of a processor times percent, so that sums are exact.
+    private long mProcessorUse;
+    private long mLatencyCriticalUse;
+    private int mFiniteRuns;
+    private int mLatencyCriticalRuns;
+    private final Map<String, Integer> mLatencyCriticalRunsByImage = new HashMap<>();
 
     TrackedWorker(ProcessId agent, long leaseExpiredByMs) {
         mAgent = agent;
@@ -86,6 +108,7 @@
         mConnected = true;
         mSession = session;
         mLastCommandNumber = 0;
+        mLeaseExtensionSentAtMs = Long.MIN_VALUE / 2;
     }
 
     /** Handles the loss of the link to the agent. */
@@ -103,6 +126,7 @@
         mBestEffortPercent = report.bestEffortPercent();
         if (report.incarnation().isPresent() && !report.incarnation().equals(mIncarnation)) {
             mIncarnation = report.incarnation();
+            mLeaseExtensionSentAtMs = Long.MIN_VALUE / 2;
             mLastEndNumber = 0;
             mAcknowledgedEndNumber = 0;
             mHealth.reset();
@@ -128,29 +152,55 @@
     }
 
     void add(TrackedRun run) {
-        mRuns.put(run.id(), run);
-        onRunsChanged();
+        TrackedRun replaced = mRuns.put(run.id(), run);
+        if (replaced != null) {
+            account(replaced.task().specification(), -1);
+        }
+        account(run.task().specification(), 1);
     }
 
     void remove(TrackedRun run) {
-        mRuns.remove(run.id());
-        onRunsChanged();
-    }
-
-    private void onRunsChanged() {
-        long processors = 0;
-        long memory = 0;
-        long accelerators = 0;
-        for (TrackedRun run : mRuns.values()) {
-            Resources reservation = run.task().specification().reservation();
-            processors += reservation.processorsMilli();
-            memory += reservation.memoryMebibytes();
-            accelerators += reservation.accelerators();
+        TrackedRun removed = mRuns.remove(run.id());
+        if (removed != null) {
+            account(removed.task().specification(), -1);
+        }
+    }
+
+    private void account(StepSpecification step, int runs) {
+        Resources reservation = step.reservation();
+        mReservedProcessorsMilli += runs * reservation.processorsMilli();
+        mReservedMemoryMebibytes += runs * reservation.memoryMebibytes();
+        mReservedAccelerators += runs * reservation.accelerators();
+        mFiniteRuns += step.longRunning() ? 0 : runs;
+        long requestedMilli = step.resources().processorsMilli();
+        if (step.targetLatencyMs() > 0) {
+            mProcessorUse += runs * requestedMilli * LATENCY_CRITICAL_USE_PERCENT;
+            mLatencyCriticalUse += runs * requestedMilli * LATENCY_CRITICAL_USE_PERCENT;
+            mLatencyCriticalRuns += runs;
+            mLatencyCriticalRunsByImage.merge(step.image(), runs, Integer::sum);
+        } else {
+            mProcessorUse += runs * requestedMilli * FULL_PERCENT;
         }
-        mReserved = new Resources(processors, memory, accelerators);
         mLatencyCriticalLoads = Optional.empty();
     }
 
+    boolean hasRuns() {
+        return !mRuns.isEmpty();
+    }
+
+    /** Returns the number of runs that are not long-running. */
+    int finiteRuns() {
+        return mFiniteRuns;
+    }
+
+    /**
+     * Returns the number of latency-critical runs of an image, less the number of those of other
+     * images.
+     */
+    int imageBalance(String image) {
+        return 2 * mLatencyCriticalRunsByImage.getOrDefault(image, 0) - mLatencyCriticalRuns;
+    }
+
     /**
      * Returns the loads of the latency-critical images; cached until the next report or change of
      * the runs.
@@ -223,6 +273,15 @@
         return mDescription.isPresent() && mDescription.get().labels().contains(label);
     }
 
+    /** Returns whether a lease extension is due, and starts the next interval if so. */
+    boolean isLeaseExtensionDue(long nowMs) {
+        if (nowMs - mLeaseExtensionSentAtMs < LEASE_EXTENSION_INTERVAL_MS) {
+            return false;
+        }
+        mLeaseExtensionSentAtMs = nowMs;
+        return true;
+    }
+
     /**
      * Returns whether interference weights are due for the agent, and starts the next interval if
      * so.
@@ -238,26 +297,25 @@
     /** Returns whether the reservation fits into the unreserved resources of the worker. */
     boolean hasFreeResources(Resources reservation) {
         Resources capacity = capacity();
-        return mReserved.processorsMilli() + reservation.processorsMilli()
+        return mReservedProcessorsMilli + reservation.processorsMilli()
                         <= capacity.processorsMilli()
-                && mReserved.memoryMebibytes() + reservation.memoryMebibytes()
+                && mReservedMemoryMebibytes + reservation.memoryMebibytes()
                         <= capacity.memoryMebibytes()
-                && mReserved.accelerators() + reservation.accelerators() <= capacity.accelerators();
+                && mReservedAccelerators + reservation.accelerators() <= capacity.accelerators();
     }
 
     /** Returns the unreserved processors, in thousandths. */
     long freeProcessorsMilli() {
-        return capacity().processorsMilli() - mReserved.processorsMilli();
+        return capacity().processorsMilli() - mReservedProcessorsMilli;
+    }
+
+    /** Returns the processors that latency-critical tasks leave to others, in thousandths. */
+    long finiteCapacityMilli() {
+        return (capacity().processorsMilli() * FULL_PERCENT - mLatencyCriticalUse) / FULL_PERCENT;
     }
 
     /** Returns the processors that further best-effort tasks can use, in thousandths. */
     long idleProcessorsMilli() {
-        double idle = capacity().processorsMilli();
-        for (TrackedRun run : mRuns.values()) {
-            long requested = run.task().specification().resources().processorsMilli();
-            boolean latencyCritical = run.task().specification().targetLatencyMs() > 0;
-            idle -= latencyCritical ? requested * LATENCY_CRITICAL_USE : requested;
-        }
-        return (long) idle;
+        return (capacity().processorsMilli() * FULL_PERCENT - mProcessorUse) / FULL_PERCENT;
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerSelector.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerSelector.java
@@ -118,42 +118,23 @@
                 && task.step().activeTasksOn(worker) >= step.maximumPerWorker()) {
             return false;
         }
-        return worker.health().mayStart(nowMs, finiteRuns(worker));
+        return worker.health().mayStart(nowMs, worker.finiteRuns());
     }
 
     private static boolean isReportOverdue(TrackedWorker worker, long nowMs) {
         return nowMs - worker.reportedAtMs() > REPORT_TIMEOUT_MS;
     }
 
-    private static int finiteRuns(TrackedWorker worker) {
-        int count = 0;
-        for (TrackedRun run : worker.runs()) {
-            if (!run.task().specification().longRunning()) {
-                count++;
-            }
-        }
-        return count;
+    /** Returns whether a worker with the given idle processors may get a best-effort task. */
+    static boolean hasIdleProcessors(StepSpecification step, long idleProcessorsMilli) {
+        return idleProcessorsMilli >= step.resources().processorsMilli() * BEST_EFFORT_IDLE_SHARE;
     }
 
     private boolean canAddBestEffort(StepSpecification step, TrackedWorker worker) {
-        return worker.idleProcessorsMilli()
-                        >= step.resources().processorsMilli() * BEST_EFFORT_IDLE_SHARE
+        return hasIdleProcessors(step, worker.idleProcessorsMilli())
                 && mInterferenceEstimator.expectedLoad(worker, step) <= MAXIMUM_EXPECTED_LOAD;
     }
 
-    // Each latency-critical image is affected by different best-effort images. Workers whose
-    // latency-critical tasks share one image leave a suitable worker for every best-effort image.
-    private static int imageBalance(TrackedWorker worker, String image) {
-        int balance = 0;
-        for (TrackedRun run : worker.runs()) {
-            StepSpecification other = run.task().specification();
-            if (other.targetLatencyMs() > 0) {
-                balance += other.image().equals(image) ? 1 : -1;
-            }
-        }
-        return balance;
-    }
-
     // A best-effort task consumes both idle processors and load headroom of latency-critical tasks.
     private long bestEffortScore(TrackedWorker worker, StepSpecification step) {
         double addedLoad = mInterferenceEstimator.addedLoad(worker, step);
@@ -171,8 +152,11 @@
         if (worker.health().isSuspect(nowMs) || task.hasFailedOn(worker.agent())) {
             score -= SUSPECT_WEIGHT;
         }
+        // Each latency-critical image is affected by different best-effort images. Workers whose
+        // latency-critical tasks share one image leave a suitable worker for every best-effort
+        // image.
         if (step.targetLatencyMs() > 0) {
-            score += IMAGE_WEIGHT * imageBalance(worker, step.image());
+            score += IMAGE_WEIGHT * worker.imageBalance(step.image());
         }
         return score - SPREAD_WEIGHT * task.step().activeTasksOn(worker);
     }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobQueue.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobQueue.java
@@ -27,8 +27,29 @@
         int targetDurationMs,
         int timeoutMs,
         Optional<AdviceServiceSettings> advice) {
+    /** Multiple of the objective up to which a late job keeps part of its value. */
+    private static final int LATE_LIMIT_FACTOR = 3;
+
     private static final ServiceName NO_SERVICE = new ServiceName("none");
 
+    /**
+     * Returns the completion-time objective of a job, in milliseconds.
+     *
+     * @param criticalPathMs expected duration of its critical path, in milliseconds
+     */
+    public double objectiveMs(double criticalPathMs) {
+        return criticalPathMs * stretch + targetDurationMs;
+    }
+
+    /**
+     * Returns the time after which the completion of a job has no value any more, in milliseconds.
+     *
+     * @param criticalPathMs expected duration of its critical path, in milliseconds
+     */
+    public double lateLimitMs(double criticalPathMs) {
+        return LATE_LIMIT_FACTOR * objectiveMs(criticalPathMs);
+    }
+
     /**
      * Returns a placeholder for a queue that is no longer configured; its jobs wait because no
      * service can run them.
