Send fewer messages for each run

Cause: an owner of 80 workers gets a report for every change of a worker, answers each with a lease extension and a round of placement, and broadcasts the state of every job whose progress changed to all entries, though a job has two or three states. Agents list their worker again every 40 ms while an end is unacknowledged.

Change: agents report ends at once and first listings with the next report; an acknowledgement ends the pause between two listings, which is 100 ms; a lease is extended at most every 300 ms; a report without new room starts no round of placement; each state of a job is published once.

extendsNoLeaseWhenOwnershipMayBeLost sent two reports at one instant of the test clock, which get one extension now; it lets the report interval pass between them, and the assertion is unchanged.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -322,6 +322,7 @@
             return;
         }
         Optional<WorkerIncarnation> before = worker.incarnation();
+        boolean wasAvailable = worker.isAvailable();
         worker.onOwnerAdopted(nowMs() + mSettings.certainExpiryMs());
         worker.onReport(report, nowMs());
         if (!before.equals(worker.incarnation())) {
@@ -337,8 +338,19 @@
         mInterferenceEstimator.update(worker);
         sendWeights(worker);
         acknowledgeEnds(worker);
-        extendLease(worker, report.number());
-        placeAndFlush();
+        extendLeaseIfDue(worker, report.number());
+        boolean hasNewRoom = !report.ended().isEmpty() || worker.isAvailable() != wasAvailable;
+        if (hasNewRoom) {
+            placeAndFlush();
+        } else {
+            flush();
+        }
+    }
+
+    private void extendLeaseIfDue(TrackedWorker worker, long reportNumber) {
+        if (worker.isLeaseExtensionDue(nowMs())) {
+            extendLease(worker, reportNumber);
+        }
     }
 
     private void extendLease(TrackedWorker worker, long reportNumber) {
@@ -693,7 +705,9 @@
         List<JobStatus> states = takeDurableStates();
         for (TrackedJob job : mUnsavedJobs) {
             progress.add(job.progress());
-            states.add(job.status());
+            if (job.takeUnpublishedState()) {
+                states.add(job.status());
+            }
         }
         mUnsavedJobs.clear();
         List<Runnable> actions = new ArrayList<>(mActionsAfterDurable);
@@ -717,7 +731,7 @@
     private List<JobStatus> takeDurableStates() {
         List<JobStatus> states = new ArrayList<>();
         for (TrackedJob job : mUnpublishedJobs) {
-            if (!mUnsavedJobs.contains(job)) {
+            if (!mUnsavedJobs.contains(job) && job.takeUnpublishedState()) {
                 states.add(job.status());
             }
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedJob.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedJob.java
@@ -22,6 +22,7 @@
     private final List<List<TrackedStep>> mOccurrences = new ArrayList<>();
     private JobQueue mQueue;
     private JobState mState = JobState.QUEUED;
+    private Optional<JobState> mPublishedState = Optional.empty();
     private long mActiveAtMs;
 
     TrackedJob(JobSubmission submission, JobQueue queue) {
@@ -60,6 +61,13 @@
         mState = state;
     }
 
+    /** Returns whether the state differs from the published one, which it replaces. */
+    boolean takeUnpublishedState() {
+        boolean unpublished = !mPublishedState.equals(Optional.of(mState));
+        mPublishedState = Optional.of(mState);
+        return unpublished;
+    }
+
     List<List<TrackedStep>> occurrences() {
         return mOccurrences;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -1,6 +1,7 @@
 package org.hickorycleat.logic.supervision;
 
 import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -48,8 +49,11 @@
     /** Pause between listings in case the worker responds without waiting, in milliseconds. */
     private static final long LIST_PAUSE_MS = 10;
 
-    /** Pause between listings while starts or ends are unconfirmed, in milliseconds. */
-    private static final long UNACKNOWLEDGED_PAUSE_MS = 40;
+    /**
+     * Pause between listings while starts or ends are unconfirmed, in milliseconds; an
+     * acknowledgement ends it.
+     */
+    private static final long UNACKNOWLEDGED_PAUSE_MS = 100;
 
     /** Time without a response after which the worker counts as unreachable, in milliseconds. */
     private static final long UNREACHABLE_TIMEOUT_MS = 900;
@@ -94,6 +98,7 @@
     private long mLeaseExpiredByMs;
     private long mRespondedAtMs;
     private boolean mStopped;
+    private Disposable mPausedListing = Disposable.disposed();
 
     /**
      * Creates a supervisor.
@@ -333,6 +338,7 @@
         if (sameIncarnation && extension.acknowledgedEndNumber() > mAcknowledgedEndNumber) {
             mAcknowledgedEndNumber = extension.acknowledgedEndNumber();
             mEnded = mEnded.stream().filter(end -> end.number() > mAcknowledgedEndNumber).toList();
+            listAfterPause();
         }
     }
 
@@ -354,6 +360,7 @@
         if (mStopped) {
             return;
         }
+        mPausedListing = Disposable.disposed();
         int longPollMs = mEnded.isEmpty() && mPending.isEmpty() ? mSettings.longPollMs() : 0;
         list(longPollMs, true);
     }
@@ -406,7 +413,8 @@
         }
         if (periodic) {
             boolean nothingPending = mEnded.isEmpty() && mPending.isEmpty();
-            schedule(nothingPending ? LIST_PAUSE_MS : UNACKNOWLEDGED_PAUSE_MS, this::list);
+            mPausedListing =
+                    schedule(nothingPending ? LIST_PAUSE_MS : UNACKNOWLEDGED_PAUSE_MS, this::list);
         }
     }
 
@@ -426,7 +434,9 @@
                 response.ended().stream()
                         .filter(end -> end.number() > mAcknowledgedEndNumber)
                         .toList();
-        boolean changed = !hasSameEnds(ended, mEnded) || !hasSameRuns(response.running(), mRunning);
+        // The owner needs to know of ends at once. A run that is listed for the first time was
+        // reported as pending before.
+        boolean changed = newIncarnation || !hasSameEnds(ended, mEnded);
         mRunning = response.running();
         mEnded = ended;
         resolvePending(token);
@@ -488,10 +498,6 @@
                                 == right.get(right.size() - 1).number());
     }
 
-    private static boolean hasSameRuns(List<RunSample> left, List<RunSample> right) {
-        return left.size() == right.size() && runIds(left).equals(runIds(right));
-    }
-
     private static Set<RunId> runIds(List<RunSample> samples) {
         Set<RunId> runs = new HashSet<>();
         for (RunSample sample : samples) {
@@ -619,8 +625,16 @@
         action.run();
     }
 
-    private void schedule(long delayMs, Runnable action) {
-        mScheduler.scheduleDirect(() -> runLocked(action), delayMs, TimeUnit.MILLISECONDS);
+    // The acknowledgement lets the worker remove the ends, after which its long polls wait again.
+    private void listAfterPause() {
+        if (!mPausedListing.isDisposed()) {
+            mPausedListing.dispose();
+            list();
+        }
+    }
+
+    private Disposable schedule(long delayMs, Runnable action) {
+        return mScheduler.scheduleDirect(() -> runLocked(action), delayMs, TimeUnit.MILLISECONDS);
     }
 
     private long nowMs() {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
@@ -9,6 +9,7 @@
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobState;
+import org.hickorycleat.model.job.JobStatus;
 import org.hickorycleat.model.job.JobSubmission;
 import org.hickorycleat.model.job.RejectionReason;
 import org.hickorycleat.model.job.RunSample;
@@ -271,11 +272,56 @@
     void extendsNoLeaseWhenOwnershipMayBeLost() {
         long session = mFixture.connect(1);
         mFixture.mMayExtendLeases = false;
+        mFixture.advanceTime(500);
         mFixture.report(1, session, 1, 0, List.of(), List.of());
 
         assertThat(mFixture.mLeases.get(mFixture.mLeases.size() - 1).leaseMs()).isZero();
     }
 
+    @Test
+    void extendsLeaseWithEveryReportAtItsInterval() {
+        long session = mFixture.connect(1);
+        int before = mFixture.mLeases.size();
+
+        for (int i = 0; i < 4; i++) {
+            mFixture.advanceTime(500);
+            mFixture.report(1, session, 1, 0, List.of(), List.of());
+        }
+
+        assertThat(mFixture.mLeases).hasSize(before + 4);
+    }
+
+    @Test
+    void sendsNoFurtherExtensionForReportsInQuickSuccession() {
+        long session = mFixture.connect(1);
+        int before = mFixture.mLeases.size();
+
+        for (int i = 0; i < 4; i++) {
+            mFixture.advanceTime(100);
+            mFixture.report(1, session, 1, 0, List.of(), List.of());
+        }
+
+        assertThat(mFixture.mLeases).hasSizeLessThanOrEqualTo(before + 2);
+    }
+
+    @Test
+    void publishesEachStateOfAJobOnce() {
+        long session = mFixture.connect(1);
+        mFixture.submit("7", DispatchFixture.step(3, false));
+        for (int end = 1; end <= 3; end++) {
+            mFixture.report(
+                    1,
+                    session,
+                    1,
+                    3,
+                    List.of(),
+                    List.of(new EndedRun(end, mFixture.run(end - 1), EndCause.DONE, "")));
+        }
+
+        assertThat(mFixture.mPublished.stream().map(JobStatus::state))
+                .containsExactly(JobState.RUNNING, JobState.COMPLETED);
+    }
+
     @Test
     void stopsUnknownRuns() {
         long session = mFixture.connect(1);
