Offer no worker that has left

Cause: an agent logged that its worker had left and went on to describe it to the owner; a heartbeat that had been delayed described it again.

Change: a worker that has left is described again only after a newer heartbeat of its own. Pauses are numbered; each ends once.

Measured: offersNoWorkerThatHasLeft and ignoresDelayedHeartbeatOfWorkerThatHasLeft fail on the former code by reading it; they were not run against it.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -1,7 +1,6 @@
 package org.hickorycleat.logic.supervision;
 
 import io.reactivex.rxjava3.core.Scheduler;
-import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -82,6 +81,7 @@
     private final Map<Long, Optional<Long>> mWorkerClockByReport = new HashMap<>();
 
     private Optional<WorkerDescription> mDescription = Optional.empty();
+    private boolean mWorkerLeft;
     private long mIncarnationStartedAtMs = -1;
     private long mCandidateStartedAtMs = -1;
     private long mCandidateToken;
@@ -98,7 +98,8 @@
     private long mLeaseExpiredByMs;
     private long mRespondedAtMs;
     private boolean mStopped;
-    private Disposable mPausedListing = Disposable.disposed();
+    private boolean mListingPaused;
+    private long mPauseNumber;
 
     /**
      * Creates a supervisor.
@@ -139,9 +140,15 @@
         if (known.isPresent() && isOlder(description, known.get())) {
             return;
         }
+        boolean returned = mWorkerLeft && isOlder(known.orElseThrow(), description);
+        if (mWorkerLeft && !returned) {
+            return;
+        }
+        mWorkerLeft = false;
         mDescription = Optional.of(description);
         boolean changed =
                 known.isEmpty()
+                        || returned
                         || !known.get().incarnation().equals(description.incarnation())
                         || known.get().draining() != description.draining();
         if (changed) {
@@ -169,6 +176,14 @@
     @Override
     public synchronized void onWorkerLeft(WorkerId worker) {
         mLog.record("worker_left", "worker", worker);
+        boolean current =
+                mDescription.isPresent()
+                        && mDescription.get().incarnation().worker().equals(worker);
+        // Heartbeats that were delayed do not bring the worker back; newer ones do.
+        if (current && !mWorkerLeft) {
+            mWorkerLeft = true;
+            report();
+        }
     }
 
     /** Handles a new session of an owner; command numbers start again. */
@@ -205,7 +220,7 @@
         if (isIncarnationChanging() || !incarnation().equals(Optional.of(command.incarnation()))) {
             return Optional.of(RejectionReason.UNAVAILABLE);
         }
-        if (mDescription.isPresent() && mDescription.get().draining()) {
+        if (mWorkerLeft || (mDescription.isPresent() && mDescription.get().draining())) {
             return Optional.of(RejectionReason.DRAINING);
         }
         if (mLeaseDeadlineMs <= mClock.lowerBoundMs(nowMs()).orElse(Long.MAX_VALUE)) {
@@ -338,7 +353,7 @@
         if (sameIncarnation && extension.acknowledgedEndNumber() > mAcknowledgedEndNumber) {
             mAcknowledgedEndNumber = extension.acknowledgedEndNumber();
             mEnded = mEnded.stream().filter(end -> end.number() > mAcknowledgedEndNumber).toList();
-            listAfterPause();
+            endPause(mPauseNumber);
         }
     }
 
@@ -360,7 +375,6 @@
         if (mStopped) {
             return;
         }
-        mPausedListing = Disposable.disposed();
         int longPollMs = mEnded.isEmpty() && mPending.isEmpty() ? mSettings.longPollMs() : 0;
         list(longPollMs, true);
     }
@@ -395,7 +409,7 @@
         }
         reportIfDue();
         if (periodic) {
-            schedule(RETRY_DELAY_MS, this::list);
+            pauseListing(RETRY_DELAY_MS);
         }
     }
 
@@ -413,8 +427,7 @@
         }
         if (periodic) {
             boolean nothingPending = mEnded.isEmpty() && mPending.isEmpty();
-            mPausedListing =
-                    schedule(nothingPending ? LIST_PAUSE_MS : UNACKNOWLEDGED_PAUSE_MS, this::list);
+            pauseListing(nothingPending ? LIST_PAUSE_MS : UNACKNOWLEDGED_PAUSE_MS);
         }
     }
 
@@ -610,7 +623,7 @@
                         mReportNumber,
                         mEpoch,
                         mSession,
-                        mDescription,
+                        mWorkerLeft ? Optional.empty() : mDescription,
                         incarnation(),
                         mLastCommandNumber,
                         new ArrayList<>(mPending.keySet()),
@@ -621,22 +634,22 @@
                         mThrottle.lowestPercent()));
     }
 
-    private synchronized void runLocked(Runnable action) {
-        action.run();
+    private void pauseListing(long delayMs) {
+        mListingPaused = true;
+        mPauseNumber++;
+        long number = mPauseNumber;
+        mScheduler.scheduleDirect(() -> endPause(number), delayMs, TimeUnit.MILLISECONDS);
     }
 
-    // The acknowledgement lets the worker remove the ends, after which its long polls wait again.
-    private void listAfterPause() {
-        if (!mPausedListing.isDisposed()) {
-            mPausedListing.dispose();
+    // An acknowledgement ends the pause early: it lets the worker remove the ends, after which its
+    // long polls wait again.
+    private synchronized void endPause(long number) {
+        if (mListingPaused && number == mPauseNumber) {
+            mListingPaused = false;
             list();
         }
     }
 
-    private Disposable schedule(long delayMs, Runnable action) {
-        return mScheduler.scheduleDirect(() -> runLocked(action), delayMs, TimeUnit.MILLISECONDS);
-    }
-
     private long nowMs() {
         return mScheduler.now(TimeUnit.MILLISECONDS);
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
@@ -187,6 +187,84 @@
                 .containsExactly(new RunRejected(EPOCH, RUN, RejectionReason.DRAINING));
     }
 
+    private void acknowledge(long endNumber) {
+        mSupervisor.onLeaseExtension(
+                new LeaseExtension(EPOCH, 0, 0, Optional.of(mIncarnation), endNumber));
+    }
+
+    @Test
+    void listsAgainAsSoonAsEndsAreAcknowledged() {
+        mWorker.mEnded.add(new EndedRun(1, RUN, EndCause.DONE, ""));
+        advanceTime(400);
+        int before = mWorker.mListTokens.size();
+        acknowledge(1);
+
+        assertThat(mWorker.mListTokens).hasSize(before + 1);
+        assertThat(mWorker.mAcknowledgedEndNumber).isEqualTo(1);
+    }
+
+    @Test
+    void listsInOneSequenceHoweverManyAcknowledgementsArrive() {
+        mWorker.mEnded.add(new EndedRun(9, RUN, EndCause.DONE, ""));
+        for (int end = 1; end <= 5; end++) {
+            advanceTime(30);
+            acknowledge(end);
+        }
+        int before = mWorker.mListTokens.size();
+        advanceTime(1_000);
+
+        // One listing every 100 ms while the end is unacknowledged.
+        assertThat(mWorker.mListTokens.size() - before).isBetween(9, 11);
+    }
+
+    private WorkerDescription description(long sequence) {
+        return new WorkerDescription(
+                mIncarnation,
+                new ServiceName("booking"),
+                new Resources(16_000, 64_000, 0),
+                List.of("a", "r1-1"),
+                false,
+                0,
+                sequence);
+    }
+
+    @Test
+    void offersNoWorkerThatHasLeft() {
+        mSupervisor.onWorkerLeft(mIncarnation.worker());
+        mSupervisor.onStartRun(start(EPOCH));
+
+        assertThat(lastReport().description()).isEmpty();
+        assertThat(mWorker.mStarts).isEmpty();
+        assertThat(rejections()).hasSize(1);
+    }
+
+    @Test
+    void ignoresDelayedHeartbeatOfWorkerThatHasLeft() {
+        mSupervisor.onWorkerDescribed(description(7L));
+        mSupervisor.onWorkerLeft(mIncarnation.worker());
+        mSupervisor.onWorkerDescribed(description(6L));
+        mSupervisor.onWorkerDescribed(description(7L));
+        advanceTime(1_000);
+
+        assertThat(lastReport().description()).isEmpty();
+    }
+
+    @Test
+    void offersWorkerAgainThatIsStillAlive() {
+        mSupervisor.onWorkerDescribed(description(7L));
+        mSupervisor.onWorkerLeft(mIncarnation.worker());
+        mSupervisor.onWorkerDescribed(description(8L));
+
+        assertThat(lastReport().description()).contains(description(8L));
+    }
+
+    @Test
+    void ignoresLeaveOfAnotherWorker() {
+        mSupervisor.onWorkerLeft(new WorkerId("i-0"));
+
+        assertThat(lastReport().description()).isPresent();
+    }
+
     @Test
     void rejectsStartForEarlierIncarnation() {
         mWorker.mStartedAtMs = 2_000;
