Extend no lease after a pause without a new response of the store

Cause: an owner extends leases while the store has responded within 6 s, by the steady clock and by the time at which the response was read. The steady clock of a suspended VM stands still, and a response may have waited in a buffer for the whole pause: an owner that was suspended for ten seconds could extend leases that its successor counts as expired, and the task would run twice.

Change: the age of the last contact counts from the request, and by the longer of the steady clock and the time of day.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -274,6 +274,6 @@
 
     @Override
     public boolean mayExtendLeases() {
-        return !mStopped && mStore.lastResponseAgeMs() < DispatchSettings.STORE_TIMEOUT_MS;
+        return !mStopped && mStore.lastContactAgeMs() < DispatchSettings.STORE_TIMEOUT_MS;
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingRecordStore.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingRecordStore.java
@@ -8,7 +8,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.hickorycleat.daemon.logging.EventLog;
+import org.hickorycleat.logic.election.ContactAge;
 import org.hickorycleat.logic.port.RecordStore;
 import org.hickorycleat.logic.port.SingleCallbacks;
 import org.hickorycleat.logic.port.StoreUnavailableException;
@@ -57,6 +59,7 @@
     private final Map<Long, SingleSubject<RelayedStoreResponse>> mPendingRequests = new HashMap<>();
     private long mLastRequestNumber;
     private long mRelayFirstUntilMs = Long.MIN_VALUE;
+    private final ContactAge mContactAge;
     private long mLastResponseMs;
     private long mLastDirectResponseMs;
 
@@ -84,6 +87,17 @@
      */
     RelayingRecordStore(
             RecordStore directStore, PeerSender peerSender, Relays relays, Scheduler scheduler) {
+        this(directStore, peerSender, relays, scheduler, System::currentTimeMillis);
+    }
+
+    /** Creates the store with the given wall clock, in milliseconds. */
+    RelayingRecordStore(
+            RecordStore directStore,
+            PeerSender peerSender,
+            Relays relays,
+            Scheduler scheduler,
+            LongSupplier wallClockMs) {
+        mContactAge = new ContactAge(() -> scheduler.now(TimeUnit.MILLISECONDS), wallClockMs);
         mDirectStore = directStore;
         mPeerSender = peerSender;
         mRelays = relays;
@@ -97,6 +111,14 @@
         return nowMs() - mLastResponseMs;
     }
 
+    /**
+     * Returns how long ago the store is known to have processed a request of this process, direct
+     * or relayed, in milliseconds; counts pauses of this process.
+     */
+    long lastContactAgeMs() {
+        return mContactAge.ageMs();
+    }
+
     /** Returns whether the store responds neither directly nor through a peer. */
     synchronized boolean isUnavailable() {
         return isRelayFirst() && lastResponseAgeMs() > UNAVAILABLE_TIMEOUT_MS;
@@ -109,7 +131,17 @@
 
     @Override
     public Single<AppendOutcome> append(StoreAppendRequest request, List<StoreRecord> records) {
-        return Single.defer(() -> appendWithFallback(request, records));
+        return Single.defer(
+                () -> {
+                    ContactAge.Instant sentAt = mContactAge.now();
+                    return appendWithFallback(request, records)
+                            .doOnSuccess(
+                                    outcome -> {
+                                        if (isConclusive(outcome)) {
+                                            mContactAge.onResponse(sentAt);
+                                        }
+                                    });
+                });
     }
 
     private Single<AppendOutcome> appendWithFallback(
@@ -193,7 +225,12 @@
 
     @Override
     public Single<StorePage> read(StoreReadRequest request) {
-        return Single.defer(() -> readWithFallback(request));
+        return Single.defer(
+                () -> {
+                    ContactAge.Instant sentAt = mContactAge.now();
+                    return readWithFallback(request)
+                            .doOnSuccess(page -> mContactAge.onResponse(sentAt));
+                });
     }
 
     private Single<StorePage> readWithFallback(StoreReadRequest request) {
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RelayingRecordStoreTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RelayingRecordStoreTest.java
@@ -4,6 +4,7 @@
 
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
+import io.reactivex.rxjava3.subjects.SingleSubject;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -35,6 +36,7 @@
     private Optional<ProcessId> mRelay = Optional.of(PEER);
     private AppendResult mDirectResult = AppendResult.APPENDED;
     private int mDirectCalls;
+    private long mWallClockMs = 1_700_000_000_000L;
     private int mMaximumMessageBytes = Integer.MAX_VALUE;
     private Single<StorePage> mDirectPage = Single.error(new StoreUnavailableException("down"));
     private final RelayingRecordStore mStore =
@@ -58,7 +60,8 @@
                             mFailedRelays.add(relay);
                         }
                     },
-                    mScheduler);
+                    mScheduler,
+                    () -> mWallClockMs);
 
     @Override
     public Single<AppendOutcome> append(StoreAppendRequest request, List<StoreRecord> records) {
@@ -101,6 +104,29 @@
                         Optional.empty()));
     }
 
+    /** Guards against leases extended by an owner that was suspended for longer than its proof. */
+    @Test
+    void lastContactAgesWhileThisProcessIsPaused() {
+        mStore.append(REQUEST, List.of()).test().assertComplete();
+        assertThat(mStore.lastContactAgeMs()).isZero();
+
+        mWallClockMs += 10_000;
+
+        assertThat(mStore.lastContactAgeMs()).isEqualTo(10_000);
+    }
+
+    @Test
+    void responseThatWaitedDuringAPauseRenewsNoContact() {
+        SingleSubject<StorePage> response = SingleSubject.create();
+        mDirectPage = response;
+        var read = mStore.read(StoreReadRequest.log("keyed.jobs", 0, 0, 0)).test();
+        mWallClockMs += 10_000;
+        response.onSuccess(page(0, 0, false));
+        read.assertComplete();
+
+        assertThat(mStore.lastContactAgeMs()).isEqualTo(10_000);
+    }
+
     @Test
     void appendsDirectlyWhileStoreResponds() {
         mStore.append(REQUEST, List.of()).test().assertValue(new AppendOutcome(mDirectResult, 4));
