Reject jobs at once that would wait too long for their objective

Cause: nothing was rejected for load. In a flood of ten times the fleet's processors every job was accepted, waited, and most completed without value; their callers were told nothing.

Change: the owner publishes for each queue the work that waits and the rate at which it drains. An entry rejects a job whose objective the wait makes unreachable, with a time to return; those rejected first return first. Before it says so, an entry reads the log to its end: a job that another entry accepted is confirmed, and without that proof the job is accepted. A job whose earlier append has no outcome is never rejected again at that entry: it gets the result unknown.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/DurableJobService.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/DurableJobService.java
@@ -4,8 +4,12 @@
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.subjects.SingleSubject;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.hickorycleat.daemon.logging.EventLog;
@@ -15,6 +19,7 @@
 import org.hickorycleat.logic.port.JobService;
 import org.hickorycleat.logic.port.JobStateResult;
 import org.hickorycleat.logic.port.SingleCallbacks;
+import org.hickorycleat.logic.port.SubmissionResult;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobQueue;
 import org.hickorycleat.model.job.JobState;
@@ -43,6 +48,12 @@
     /** Maximum time for retrying an append, in milliseconds; at most half the request timeout. */
     private static final long APPEND_TIMEOUT_MS = 500;
 
+    /** Maximum time for reading whether a job to be rejected was accepted, in milliseconds. */
+    private static final long REJECTION_READ_TIMEOUT_MS = 300;
+
+    /** Maximum number of changes whose outcome is remembered as unknown. */
+    private static final int MAXIMUM_UNCERTAIN_KEYS = 2_000;
+
     /** Maximum time for reading the state of an unknown job, in milliseconds. */
     private static final long STATE_TIMEOUT_MS = 1_000;
 
@@ -51,9 +62,18 @@
     private final JobDirectory mDirectory;
     private final JobLogCodec mCodec;
     private final Supplier<Optional<WorkloadConfiguration>> mConfiguration;
+    private final AdmissionPolicy mAdmission;
     private final Listener mListener;
     private final Scheduler mScheduler;
     private final List<PendingChange> mQueue = new ArrayList<>();
+    private final Set<String> mUncertainKeys =
+            Collections.newSetFromMap(
+                    new LinkedHashMap<>() {
+                        @Override
+                        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+                            return size() > MAXIMUM_UNCERTAIN_KEYS;
+                        }
+                    });
     private boolean mAppending;
 
     /** Handles changes that have become durable. */
@@ -65,6 +85,19 @@
         void onJobCancelled(JobId job);
     }
 
+    /** Decides which jobs are rejected for load. */
+    @FunctionalInterface
+    interface AdmissionPolicy {
+        /** Accepts every job. */
+        AdmissionPolicy ACCEPT_ALL = (queue, submission) -> Optional.empty();
+
+        /**
+         * Returns the time after which the caller of a rejected job should return, in milliseconds;
+         * empty if the job is accepted.
+         */
+        Optional<Long> rejectUntilMs(JobQueue queue, JobSubmission submission);
+    }
+
     /** A change whose record is not durable yet. */
     private static final class PendingChange {
         private final JobRecord mRecord;
@@ -73,10 +106,19 @@
         private final SingleSubject<JobChangeResult> mResult = SingleSubject.create();
         private boolean mMayBeCommitted;
 
-        PendingChange(JobRecord record, StoreRecord storeRecord, long deadlineMs) {
+        PendingChange(
+                JobRecord record,
+                StoreRecord storeRecord,
+                long deadlineMs,
+                boolean mayBeCommitted) {
             mRecord = record;
             mStoreRecord = storeRecord;
             mDeadlineMs = deadlineMs;
+            mMayBeCommitted = mayBeCommitted;
+        }
+
+        JobChangeResult failure() {
+            return mMayBeCommitted ? JobChangeResult.UNKNOWN : JobChangeResult.NOT_DONE;
         }
     }
 
@@ -86,6 +128,7 @@
             JobDirectory directory,
             JobLogCodec codec,
             Supplier<Optional<WorkloadConfiguration>> configuration,
+            AdmissionPolicy admission,
             Listener listener,
             Scheduler scheduler) {
         mStore = store;
@@ -93,6 +136,7 @@
         mDirectory = directory;
         mCodec = codec;
         mConfiguration = configuration;
+        mAdmission = admission;
         mListener = listener;
         mScheduler = scheduler;
     }
@@ -103,19 +147,51 @@
     }
 
     @Override
-    public Single<JobChangeResult> submit(JobQueue queue, JobSubmission submission, int timeoutMs) {
+    public Single<SubmissionResult> submit(
+            JobQueue queue, JobSubmission submission, int timeoutMs) {
         if (mDirectory.jobState(submission.id()).isPresent()) {
             LOG.event("job_repeated").with("job", submission.id()).info();
-            return Single.just(JobChangeResult.DONE);
+            return Single.just(SubmissionResult.of(JobChangeResult.DONE));
         }
-        return append(new JobRecord.Submitted(submission), timeoutMs)
-                .doOnSuccess(
-                        result ->
-                                LOG.event("job_submitted")
-                                        .with("job", submission.id())
-                                        .with("queue", queue.name())
-                                        .with("result", result)
-                                        .info());
+        Optional<Long> returnAfterMs = mAdmission.rejectUntilMs(queue, submission);
+        Single<SubmissionResult> result =
+                returnAfterMs.isPresent()
+                        ? rejectUnlessAccepted(submission, returnAfterMs.get(), timeoutMs)
+                        : append(submission, timeoutMs);
+        return result.doOnSuccess(
+                response ->
+                        LOG.event("job_submitted")
+                                .with("job", submission.id())
+                                .with("queue", queue.name())
+                                .with("result", response.result())
+                                .with("return_after_ms", response.returnAfterMs())
+                                .info());
+    }
+
+    // Another entry may have accepted the job although its response was lost. Without proof that it
+    // did not, the job is accepted here as well.
+    private Single<SubmissionResult> rejectUnlessAccepted(
+            JobSubmission submission, long returnAfterMs, int timeoutMs) {
+        return mConsumer
+                .catchUp(REJECTION_READ_TIMEOUT_MS)
+                .flatMap(
+                        endOffset -> {
+                            if (mDirectory.jobState(submission.id()).isPresent()) {
+                                return Single.just(SubmissionResult.of(JobChangeResult.DONE));
+                            }
+                            return isUncertain(submission)
+                                    ? append(submission, timeoutMs)
+                                    : Single.just(SubmissionResult.rejected(returnAfterMs));
+                        })
+                .onErrorResumeNext(error -> append(submission, timeoutMs));
+    }
+
+    private synchronized boolean isUncertain(JobSubmission submission) {
+        return mUncertainKeys.contains(mCodec.encode(new JobRecord.Submitted(submission)).key());
+    }
+
+    private Single<SubmissionResult> append(JobSubmission submission, int timeoutMs) {
+        return append(new JobRecord.Submitted(submission), timeoutMs).map(SubmissionResult::of);
     }
 
     @Override
@@ -172,15 +248,16 @@
     }
 
     private Single<JobChangeResult> append(JobRecord record, int timeoutMs) {
-        if (mStore.isUnavailable()) {
-            return Single.just(JobChangeResult.NOT_DONE);
-        }
-        PendingChange pending =
-                new PendingChange(
-                        record,
-                        mCodec.encode(record),
-                        nowMs() + Math.min(timeoutMs / 2, APPEND_TIMEOUT_MS));
+        StoreRecord storeRecord = mCodec.encode(record);
+        long deadlineMs = nowMs() + Math.min(timeoutMs / 2, APPEND_TIMEOUT_MS);
+        PendingChange pending;
         synchronized (this) {
+            // An append of an earlier attempt may still take effect.
+            boolean mayBeCommitted = mUncertainKeys.contains(storeRecord.key());
+            pending = new PendingChange(record, storeRecord, deadlineMs, mayBeCommitted);
+            if (mStore.isUnavailable()) {
+                return Single.just(pending.failure());
+            }
             mQueue.add(pending);
         }
         appendNext();
@@ -227,10 +304,7 @@
         for (PendingChange pending : batch) {
             pending.mMayBeCommitted |= outcome.result() == AppendResult.UNKNOWN;
             if (nowMs() >= pending.mDeadlineMs) {
-                pending.mResult.onSuccess(
-                        pending.mMayBeCommitted
-                                ? JobChangeResult.UNKNOWN
-                                : JobChangeResult.NOT_DONE);
+                onFailed(pending);
             } else {
                 retried.add(pending);
             }
@@ -241,6 +315,15 @@
         mScheduler.scheduleDirect(this::appendNext, RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
     }
 
+    private void onFailed(PendingChange pending) {
+        if (pending.mMayBeCommitted) {
+            synchronized (this) {
+                mUncertainKeys.add(pending.mStoreRecord.key());
+            }
+        }
+        pending.mResult.onSuccess(pending.failure());
+    }
+
     private void onDurable(PendingChange pending) {
         mDirectory.apply(pending.mRecord);
         if (pending.mRecord instanceof JobRecord.Submitted submitted) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -15,6 +15,7 @@
 import org.hickorycleat.daemon.exchange.NettyHttpServer;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.daemon.transport.MessageTransport;
+import org.hickorycleat.logic.admission.JobAdmission;
 import org.hickorycleat.logic.configuration.ConfigurationFetcher;
 import org.hickorycleat.logic.directory.JobDirectory;
 import org.hickorycleat.logic.directory.JobRecord;
@@ -26,6 +27,7 @@
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.job.JobId;
+import org.hickorycleat.model.job.JobQueue;
 import org.hickorycleat.model.job.JobSubmission;
 import org.hickorycleat.model.job.WorkloadConfiguration;
 import org.hickorycleat.model.message.ConfigurationCopy;
@@ -38,6 +40,7 @@
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.OwnershipOffer;
 import org.hickorycleat.model.message.ProcessRole;
+import org.hickorycleat.model.message.QueueBacklogs;
 import org.hickorycleat.model.message.RelayedStoreRequest;
 import org.hickorycleat.model.message.RelayedStoreResponse;
 import org.hickorycleat.model.message.RunRejected;
@@ -84,6 +87,7 @@
     private final EntryListReader mEntryListReader;
     private final JobLogCodec mCodec = new JobLogCodec();
     private final JobDirectory mDirectory = new JobDirectory();
+    private final JobAdmission mJobAdmission = new JobAdmission();
     private final WorkloadConfigurationCache mConfiguration;
     private final ConfigurationFetcher mConfigurationFetcher;
     private final ConfigurationCopySender mConfigurationCopySender;
@@ -147,6 +151,7 @@
                         mDirectory,
                         mCodec,
                         mConfiguration::configuration,
+                        this::rejectUntilMs,
                         this,
                         scheduler);
         mOwnership =
@@ -252,6 +257,10 @@
         return heartbeat != null && heartbeat.storeReachable();
     }
 
+    private Optional<Long> rejectUntilMs(JobQueue queue, JobSubmission submission) {
+        return mJobAdmission.rejectUntilMs(queue, submission, mLinks.entries().size(), nowMs());
+    }
+
     // ---- ownership
 
     private OwnerRole createOwnerRole(Epoch epoch) {
@@ -265,6 +274,7 @@
                 mScheduler,
                 DispatchSettings.of(mSettings.maximumLeaseMs()),
                 mMetrics.decisionLog(Dispatcher.class),
+                backlogs -> mJobAdmission.onBacklogs(backlogs, nowMs()),
                 mOwnership::stopOwner);
     }
 
@@ -360,6 +370,8 @@
             ownerRole().ifPresent(owner -> owner.dispatcher().onJobCancelled(cancelled.job()));
         } else if (message instanceof JobStates states) {
             states.jobs().forEach(mDirectory::onJobStateChanged);
+        } else if (message instanceof QueueBacklogs backlogs) {
+            mJobAdmission.onBacklogs(backlogs, nowMs());
         } else if (message instanceof RelayedStoreRequest request) {
             mStore.onRelayedRequest(peer.process(), request);
         } else if (message instanceof RelayedStoreResponse response) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.logic.directory.DurableJob;
 import org.hickorycleat.logic.directory.JobDirectory;
@@ -18,12 +19,14 @@
 import org.hickorycleat.model.job.InterferenceEstimate;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobStatus;
+import org.hickorycleat.model.job.QueueBacklog;
 import org.hickorycleat.model.job.WorkloadConfiguration;
 import org.hickorycleat.model.message.FleetNode;
 import org.hickorycleat.model.message.JobStates;
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.OwnerAnnouncement;
 import org.hickorycleat.model.message.ProcessRole;
+import org.hickorycleat.model.message.QueueBacklogs;
 import org.hickorycleat.model.message.RunRejected;
 import org.hickorycleat.model.message.WorkerReport;
 import org.hickorycleat.model.store.AppendOutcome;
@@ -58,6 +61,7 @@
     private final JobDirectory mDirectory;
     private final JobLogCodec mCodec;
     private final Scheduler mScheduler;
+    private final Consumer<QueueBacklogs> mOnBacklogs;
     private final Runnable mOnEnded;
     private final Dispatcher mDispatcher;
     private long mSequence;
@@ -74,6 +78,7 @@
             Scheduler scheduler,
             DispatchSettings settings,
             DecisionLog log,
+            Consumer<QueueBacklogs> onBacklogs,
             Runnable onEnded) {
         mSelf = self;
         mEpoch = epoch;
@@ -82,6 +87,7 @@
         mDirectory = directory;
         mCodec = codec;
         mScheduler = scheduler;
+        mOnBacklogs = onBacklogs;
         mOnEnded = onEnded;
         mDispatcher =
                 new Dispatcher(epoch, this, scheduler, System::currentTimeMillis, settings, log);
@@ -255,6 +261,16 @@
         mLinks.broadcast(new JobStates(states), ProcessRole.ENTRY);
     }
 
+    @Override
+    public void publishBacklogs(List<QueueBacklog> backlogs) {
+        if (mStopped) {
+            return;
+        }
+        QueueBacklogs message = new QueueBacklogs(mEpoch, backlogs);
+        mOnBacklogs.accept(message);
+        mLinks.broadcast(message, ProcessRole.ENTRY);
+    }
+
     @Override
     public void saveInterferenceWeights(List<InterferenceEstimate> weights) {
         if (mStopped) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
@@ -32,6 +32,7 @@
 import org.hickorycleat.model.message.OwnerAnnouncement;
 import org.hickorycleat.model.message.OwnershipOffer;
 import org.hickorycleat.model.message.PeerSummary;
+import org.hickorycleat.model.message.QueueBacklogs;
 import org.hickorycleat.model.message.RegistrationConfirmation;
 import org.hickorycleat.model.message.RelayedStoreRequest;
 import org.hickorycleat.model.message.RelayedStoreResponse;
@@ -100,7 +101,8 @@
                     RelayedStoreResponse.class,
                     ConfigurationCopy.class,
                     InterferenceWeights.class,
-                    ConfigurationRequest.class);
+                    ConfigurationRequest.class,
+                    QueueBacklogs.class);
 
     private final RecordCodec mRecords = new RecordCodec();
 
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/DurableJobServiceTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/DurableJobServiceTest.java
@@ -12,6 +12,7 @@
 import org.hickorycleat.logic.directory.JobDirectory;
 import org.hickorycleat.logic.port.JobChangeResult;
 import org.hickorycleat.logic.port.RecordStore;
+import org.hickorycleat.logic.port.SubmissionResult;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobQueue;
 import org.hickorycleat.model.job.JobSubmission;
@@ -38,6 +39,7 @@
     private final JobDirectory mDirectory = new JobDirectory();
     private final RelayingRecordStore mRelayingStore =
             new RelayingRecordStore(mStore, (peer, message) -> false, Optional::empty, mScheduler);
+    private Optional<Long> mReturnAfterMs = Optional.empty();
     private final List<JobId> mDurable = new ArrayList<>();
     private final DurableJobService mService =
             new DurableJobService(
@@ -52,6 +54,7 @@
                     mDirectory,
                     new JobLogCodec(),
                     Optional::empty,
+                    (queue, submission) -> mReturnAfterMs,
                     new DurableJobService.Listener() {
                         @Override
                         public void onJobSubmitted(JobSubmission submission) {
@@ -84,7 +87,7 @@
         for (int i = 0; i < JOBS; i++) {
             var unused =
                     mService.submit(QUEUE, submission(i), TIMEOUT_MS)
-                            .subscribe(result -> results.add(result));
+                            .subscribe(result -> results.add(result.result()));
         }
         mStore.setOutcome(Single.just(new AppendOutcome(AppendResult.APPENDED, 0)));
         first.onSuccess(new AppendOutcome(AppendResult.APPENDED, 0));
@@ -96,6 +99,69 @@
         assertThat(results).hasSize(JOBS).containsOnly(JobChangeResult.DONE);
     }
 
+    /** Guards against a rejection of a job whose earlier submission may still be committed. */
+    @Test
+    void neverRejectsJobWhoseEarlierAppendHasNoOutcome() {
+        mStore.setOutcome(Single.just(new AppendOutcome(AppendResult.UNKNOWN, 0)));
+        var first = mService.submit(QUEUE, submission(1), TIMEOUT_MS).test();
+        mScheduler.advanceTimeBy(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        mStore.setOutcome(Single.just(new AppendOutcome(AppendResult.REFUSED, 0)));
+        var again = mService.submit(QUEUE, submission(1), TIMEOUT_MS).test();
+        var other = mService.submit(QUEUE, submission(2), TIMEOUT_MS).test();
+        mScheduler.advanceTimeBy(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+
+        first.assertValue(SubmissionResult.of(JobChangeResult.UNKNOWN));
+        again.assertValue(SubmissionResult.of(JobChangeResult.UNKNOWN));
+        other.assertValue(SubmissionResult.of(JobChangeResult.NOT_DONE));
+    }
+
+    /** Guards against the rejection of a job that another entry accepted. */
+    @Test
+    void acceptsJobForWhichItCannotProveThatNoEntryAcceptedIt() {
+        mReturnAfterMs = Optional.of(5_000L);
+        mStore.setOutcome(Single.just(new AppendOutcome(AppendResult.APPENDED, 0)));
+        // The topic is not loaded.
+        var result = mService.submit(QUEUE, submission(1), TIMEOUT_MS).test();
+
+        result.assertValue(SubmissionResult.of(JobChangeResult.DONE));
+        assertThat(mDurable).hasSize(1);
+    }
+
+    @Test
+    void confirmsJobThatAnotherEntryAcceptedInPlaceOfRejectingIt() {
+        mReturnAfterMs = Optional.of(5_000L);
+        mDirectory.onJobSubmitted(submission(1));
+
+        mService.submit(QUEUE, submission(1), TIMEOUT_MS)
+                .test()
+                .assertValue(SubmissionResult.of(JobChangeResult.DONE));
+    }
+
+    @Test
+    void rejectsNewJobWithTheTimeToReturn() {
+        RelayingRecordStore store =
+                new RelayingRecordStore(
+                        new EmptyStore(), (peer, message) -> false, Optional::empty, mScheduler);
+        DurableJobService service = service(store, (queue, submission) -> Optional.of(5_000L));
+
+        service.submit(QUEUE, submission(1), TIMEOUT_MS)
+                .test()
+                .assertValue(SubmissionResult.rejected(5_000L));
+    }
+
+    /** Returns empty pages. */
+    private static final class EmptyStore implements RecordStore {
+        @Override
+        public Single<AppendOutcome> append(StoreAppendRequest request, List<StoreRecord> records) {
+            return Single.error(new AssertionError("a rejected job must not be stored"));
+        }
+
+        @Override
+        public Single<StorePage> read(StoreReadRequest request) {
+            return Single.just(new StorePage(List.of(), 0, false, false));
+        }
+    }
+
     /** Returns an empty topic, and then no further response. */
     private static final class StalledStore implements RecordStore {
         @Override
@@ -112,9 +178,14 @@
     }
 
     private DurableJobService serviceOfStalledStore() {
-        RelayingRecordStore store =
+        return service(
                 new RelayingRecordStore(
-                        new StalledStore(), (peer, message) -> false, Optional::empty, mScheduler);
+                        new StalledStore(), (peer, message) -> false, Optional::empty, mScheduler),
+                DurableJobService.AdmissionPolicy.ACCEPT_ALL);
+    }
+
+    private DurableJobService service(
+            RelayingRecordStore store, DurableJobService.AdmissionPolicy admission) {
         TopicConsumer consumer =
                 new TopicConsumer(
                         store, JobLogCodec.JOBS_TOPIC, record -> {}, mScheduler, 1_000, 500);
@@ -126,6 +197,7 @@
                 mDirectory,
                 new JobLogCodec(),
                 Optional::empty,
+                admission,
                 new DurableJobService.Listener() {
                     @Override
                     public void onJobSubmitted(JobSubmission submission) {}
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleFailureTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleFailureTest.java
@@ -98,6 +98,7 @@
                 mScheduler,
                 DispatchSettings.of(MAXIMUM_LEASE_MS),
                 log,
+                backlogs -> {},
                 () -> mFencedCount++);
     }
 
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleTest.java
@@ -61,6 +61,7 @@
                     mScheduler,
                     DispatchSettings.of(10_000),
                     DecisionLog.NONE,
+                    backlogs -> {},
                     () -> {});
 
     /** Ignores all events. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOutput.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOutput.java
@@ -5,6 +5,7 @@
 import org.hickorycleat.model.job.InterferenceEstimate;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobStatus;
+import org.hickorycleat.model.job.QueueBacklog;
 import org.hickorycleat.model.message.Message;
 
 /** Connects a dispatcher to the links and the store of its process. */
@@ -25,6 +26,9 @@
     /** Publishes the durable states of jobs to all entries. */
     void publishJobStates(List<JobStatus> states);
 
+    /** Publishes the backlogs of the queues to all entries. Losing a copy is harmless. */
+    void publishBacklogs(List<QueueBacklog> backlogs);
+
     /**
      * Returns whether this process may extend leases: no other process can have become the owner.
      */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -24,6 +24,7 @@
 import org.hickorycleat.model.job.JobState;
 import org.hickorycleat.model.job.JobStatus;
 import org.hickorycleat.model.job.JobSubmission;
+import org.hickorycleat.model.job.QueueBacklog;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.RunSample;
 import org.hickorycleat.model.job.TaskKey;
@@ -56,6 +57,9 @@
     /** Time between two saves of the interference weights, in milliseconds. */
     private static final long INTERFERENCE_SAVE_INTERVAL_MS = 5_000;
 
+    /** Interval between two estimates of the backlogs, in milliseconds. */
+    private static final long BACKLOG_INTERVAL_MS = 500;
+
     /** Interval between two log lines on the work of the owner, in milliseconds. */
     private static final long STATUS_LOG_INTERVAL_MS = 5_000;
 
@@ -70,6 +74,7 @@
     private final TaskPlacer mPlacer;
     private final RunTimeRatios mRunTimeRatios = new RunTimeRatios();
     private final DispatchOrder mDispatchOrder = new DispatchOrder(mRunTimeRatios);
+    private final BacklogEstimator mBacklogEstimator = new BacklogEstimator(mRunTimeRatios);
 
     private final Map<JobId, TrackedJob> mJobs = new LinkedHashMap<>();
     private final Set<TrackedJob> mUnfinishedJobs = new LinkedHashSet<>();
@@ -84,6 +89,8 @@
     private long mNextPlacementAtNanos = Long.MIN_VALUE;
     private boolean mPlacementScheduled;
     private long mInterferenceSavedAtMs;
+    private long mBacklogEstimatedAtMs;
+    private boolean mHasBacklog;
     private long mStatusLoggedAtMs;
     private long mPlacementNanos;
 
@@ -576,6 +583,7 @@
             mRunMonitor.check(worker, nowMs());
         }
         saveInterferenceIfDue();
+        publishBacklogsIfDue();
         logStatusIfDue();
         placeAndFlush();
     }
@@ -600,6 +608,20 @@
         mPlacementNanos = 0;
     }
 
+    private void publishBacklogsIfDue() {
+        if (nowMs() - mBacklogEstimatedAtMs < BACKLOG_INTERVAL_MS) {
+            return;
+        }
+        mBacklogEstimatedAtMs = nowMs();
+        List<QueueBacklog> backlogs =
+                mBacklogEstimator.estimate(
+                        mUnfinishedJobs, mWorkers.values(), nowMs(), mUnixClockMs.getAsLong());
+        if (mHasBacklog || !backlogs.isEmpty()) {
+            mOutput.publishBacklogs(backlogs);
+        }
+        mHasBacklog = !backlogs.isEmpty();
+    }
+
     private void saveInterferenceIfDue() {
         if (nowMs() - mInterferenceSavedAtMs < INTERFERENCE_SAVE_INTERVAL_MS) {
             return;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/JobService.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/JobService.java
@@ -13,11 +13,11 @@
     Optional<WorkloadConfiguration> configuration();
 
     /**
-     * Accepts a job and stores it durably.
+     * Stores a job durably, unless it could not complete while that still has value.
      *
      * @param timeLimitMs how long the caller waits, in milliseconds
      */
-    Single<JobChangeResult> submit(JobQueue queue, JobSubmission submission, int timeLimitMs);
+    Single<SubmissionResult> submit(JobQueue queue, JobSubmission submission, int timeLimitMs);
 
     /** Returns the state of a job. */
     Single<JobStateResult> jobState(JobQueue queue, JobId job);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
@@ -18,6 +18,7 @@
 import org.hickorycleat.model.job.JobState;
 import org.hickorycleat.model.job.JobStatus;
 import org.hickorycleat.model.job.JobSubmission;
+import org.hickorycleat.model.job.QueueBacklog;
 import org.hickorycleat.model.job.QueueName;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.RunSample;
@@ -28,6 +29,7 @@
 import org.hickorycleat.model.job.WorkloadConfiguration;
 import org.hickorycleat.model.message.LeaseExtension;
 import org.hickorycleat.model.message.Message;
+import org.hickorycleat.model.message.QueueBacklogs;
 import org.hickorycleat.model.message.StartRun;
 import org.hickorycleat.model.message.StopRun;
 import org.hickorycleat.model.message.WorkerReport;
@@ -47,6 +49,7 @@
     final List<StopRun> mStops = new ArrayList<>();
     final List<LeaseExtension> mLeases = new ArrayList<>();
     final List<JobStatus> mPublished = new ArrayList<>();
+    final List<QueueBacklogs> mBacklogs = new ArrayList<>();
     final List<JobProgress> mPersisted = new ArrayList<>();
     final List<InterferenceEstimate> mSavedWeights = new ArrayList<>();
     final List<Runnable> mWaitingCallbacks = new ArrayList<>();
@@ -69,24 +72,29 @@
                         () -> mScheduler.now(TimeUnit.MILLISECONDS),
                         new DispatchSettings(LEASE_MS, 6_000, 10_000),
                         DecisionLog.NONE);
-        JobQueue queue =
-                new JobQueue(
-                        QUEUE,
-                        "host",
-                        "/allocations/",
-                        SERVICE,
-                        0,
-                        MAXIMUM_ATTEMPTS,
-                        2,
-                        1_000,
-                        3_000,
-                        Optional.empty());
         dispatcher.onConfigurationChanged(
                 new WorkloadConfiguration(
-                        1, List.of(queue), List.of(new WorkerPool(SERVICE, true, false)), 100_000));
+                        1,
+                        List.of(queue()),
+                        List.of(new WorkerPool(SERVICE, true, false)),
+                        100_000));
         return dispatcher;
     }
 
+    static JobQueue queue() {
+        return new JobQueue(
+                QUEUE,
+                "host",
+                "/allocations/",
+                SERVICE,
+                0,
+                MAXIMUM_ATTEMPTS,
+                2,
+                1_000,
+                3_000,
+                Optional.empty());
+    }
+
     @Override
     public boolean send(ProcessId agent, Message message) {
         if (message instanceof StartRun start) {
@@ -120,6 +128,11 @@
         mPublished.addAll(states);
     }
 
+    @Override
+    public void publishBacklogs(List<QueueBacklog> backlogs) {
+        mBacklogs.add(new QueueBacklogs(EPOCH, backlogs));
+    }
+
     @Override
     public boolean mayExtendLeases() {
         return mMayExtendLeases;
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobSubmission.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobSubmission.java
@@ -54,6 +54,33 @@
                 && hasValidTimes;
     }
 
+    /** Returns the estimated duration of the critical path, in milliseconds. */
+    public long criticalPathMs() {
+        long[] endMs = new long[steps.size()];
+        long longest = 0;
+        for (int i = 0; i < endMs.length; i++) {
+            long startMs = 0;
+            for (int predecessor : steps.get(i).predecessors()) {
+                startMs = Math.max(startMs, endMs[predecessor]);
+            }
+            endMs[i] = startMs + steps.get(i).estimateMs();
+            longest = Math.max(longest, endMs[i]);
+        }
+        return longest;
+    }
+
+    /**
+     * Returns the estimated work of one occurrence, in thousandths of a processor times
+     * milliseconds.
+     */
+    public double work() {
+        double work = 0;
+        for (StepSpecification step : steps) {
+            work += (double) step.count() * step.estimateMs() * step.resources().processorsMilli();
+        }
+        return work;
+    }
+
     /** Returns the number of times that the steps run. */
     public int occurrences() {
         return Math.max(1, repeatCount);
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Message.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/Message.java
@@ -27,6 +27,7 @@
                 CheckpointTask,
                 ConfigurationUpdate,
                 Failure,
+                QueueBacklogs,
                 RegistrationConfirmation,
                 Fence,
                 Forward,
