--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RelayingRecordStoreTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RelayingRecordStoreTest.java
@@ -116,7 +116,7 @@
     }
 
     @Test
-    void responseThatWaitedDuringAPauseRenewsNoContact() {
+    void responseThatWaitedDuringPauseRenewsNoContact() {
         SingleSubject<StorePage> response = SingleSubject.create();
         mDirectPage = response;
         var read = mStore.read(StoreReadRequest.log("keyed.jobs", 0, 0, 0)).test();
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/admission/JobAdmissionTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/admission/JobAdmissionTest.java
@@ -119,7 +119,7 @@
     }
 
     @Test
-    void neverAsksForAReturnAfterMoreThanAMinute() {
+    void neverAsksForReturnAfterMoreThanOneMinute() {
         receiveWait(new Epoch(1), 10_000_000, 0);
 
         assertThat(reject(job(10, false, 0), 0)).contains(60_000L);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
@@ -305,7 +305,7 @@
     }
 
     @Test
-    void publishesEachStateOfAJobOnce() {
+    void publishesEachStateOfJobOnce() {
         long session = mFixture.connect(1);
         mFixture.submit("7", DispatchFixture.step(3, false));
         for (int end = 1; end <= 3; end++) {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/FloodReplayTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/FloodReplayTest.java
@@ -125,7 +125,7 @@
     }
 
     @Test
-    void rejectsNothingOnACalmDay() {
+    void rejectsNothingOnCalmDay() {
         play(0.5, FLOOD_MS, true);
 
         assertThat(mArrived).isPositive();
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/ContactAgeTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/ContactAgeTest.java
@@ -24,7 +24,7 @@
     }
 
     @Test
-    void countsAPauseInWhichTheSteadyClockStandsStill() {
+    void countsPauseInWhichTheSteadyClockStandsStill() {
         mAge.onResponse(mAge.now());
         mWallMs += 10_000;
 
@@ -32,7 +32,7 @@
     }
 
     @Test
-    void isNotRenewedByAResponseThatArrivedDuringAPause() {
+    void isNotRenewedByResponseThatArrivedDuringPause() {
         ContactAge.Instant sentAt = mAge.now();
         mWallMs += 10_000;
         mAge.onResponse(sentAt);
