Wake idle processes less often

Cause: a quiet process costs what its wake-ups cost. An agent woke for connection rounds every 150 ms although all addresses were connected, for checks every 250 ms, three times for each listing, and for a keep-alive on each of 15 links every 2 s; entries sent keep-alives to 80 agents and to peers that get a heartbeat every 200 ms.

Change: connection rounds every 500 ms while all addresses are connected; a keep-alive only on a link without a message for 2 s; a worker that has waited for an end is listed again without a timer; its long poll is 450 ms.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
@@ -41,7 +41,7 @@
     /**
      * Interval between two checks of the connections to the owner and to entries, in milliseconds.
      */
-    private static final long CHECK_INTERVAL_MS = 250;
+    private static final long CHECK_INTERVAL_MS = 500;
 
     /**
      * Time without a connected entry after which the store is read for entries, in milliseconds.
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
@@ -30,9 +30,15 @@
 final class FleetLinks {
     private static final EventLog LOG = EventLog.of(FleetLinks.class);
 
-    /** Interval between two rounds of connection attempts, in milliseconds. */
+    /**
+     * Interval between two rounds of connection attempts while an address is not connected, in
+     * milliseconds.
+     */
     private static final long CONNECT_INTERVAL_MS = 150;
 
+    /** Interval between two rounds while all addresses are connected, in milliseconds. */
+    private static final long CONNECTED_INTERVAL_MS = 500;
+
     /**
      * Initial and maximum delay between two attempts to connect to one address, in milliseconds.
      */
@@ -43,7 +49,10 @@
     /** Time after which an address that cannot be reached is removed, in milliseconds. */
     private static final long ADDRESS_EXPIRY_MS = 60_000;
 
-    /** Interval between two keep-alives, in milliseconds; well below the read timeout of links. */
+    /**
+     * Time without a message after which a keep-alive is sent, in milliseconds; well below the read
+     * timeout of links.
+     */
     private static final long KEEP_ALIVE_INTERVAL_MS = 2_000;
 
     private final MessageTransport mTransport;
@@ -53,7 +62,6 @@
     private final Map<ProcessId, FleetNode> mEntries = new LinkedHashMap<>();
     private final Map<InetSocketAddress, AddressState> mAddresses = new HashMap<>();
     private final Map<ProcessId, List<Link>> mLinks = new HashMap<>();
-    private long mLastKeepAliveMs;
     private boolean mEntriesChanged;
 
     /** State of the connection attempts to one address. */
@@ -202,7 +210,16 @@
     private void connectToDueAddresses() {
         GuardedTask.run("connect", this::connectAndSendKeepAlives);
         mScheduler.scheduleDirect(
-                this::connectToDueAddresses, CONNECT_INTERVAL_MS, TimeUnit.MILLISECONDS);
+                this::connectToDueAddresses, nextRoundDelayMs(), TimeUnit.MILLISECONDS);
+    }
+
+    private synchronized long nextRoundDelayMs() {
+        boolean connected =
+                mAddresses.entrySet().stream()
+                        .allMatch(
+                                address ->
+                                        address.getValue().mInUse || isConnected(address.getKey()));
+        return connected ? CONNECTED_INTERVAL_MS : CONNECT_INTERVAL_MS;
     }
 
     private void connectAndSendKeepAlives() {
@@ -253,16 +270,16 @@
     }
 
     private void sendKeepAlives() {
-        if (nowMs() - mLastKeepAliveMs < KEEP_ALIVE_INTERVAL_MS) {
-            return;
-        }
-        mLastKeepAliveMs = nowMs();
         List<Link> links = new ArrayList<>();
         synchronized (this) {
             mLinks.values().forEach(links::addAll);
         }
         FleetHello hello = new FleetHello(mSelf);
-        links.forEach(link -> link.send(hello));
+        for (Link link : links) {
+            if (nowMs() - link.mSentAtMs >= KEEP_ALIVE_INTERVAL_MS) {
+                link.send(hello);
+            }
+        }
     }
 
     private long nowMs() {
@@ -274,16 +291,19 @@
         private final Optional<InetSocketAddress> mConnectAddress;
         private Optional<FleetNode> mPeer = Optional.empty();
         private Optional<MessageConnection> mConnection = Optional.empty();
+        private volatile long mSentAtMs;
 
         Link(Optional<InetSocketAddress> connectAddress) {
             mConnectAddress = connectAddress;
         }
 
         boolean send(Message message) {
+            mSentAtMs = nowMs();
             return mConnection.isPresent() && mConnection.get().send(message);
         }
 
         boolean send(Message message, Runnable onDequeued) {
+            mSentAtMs = nowMs();
             return mConnection.isPresent() && mConnection.get().send(message, onDequeued);
         }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -397,9 +397,10 @@
                             mLeaseExpiredByMs,
                             mClock.certainlyPassedAtMs(mLeaseDeadlineMs, nowMs()));
         }
+        long sentAtMs = nowMs();
         SingleCallbacks.subscribe(
                 mRuntime.list(token, deadline, mAcknowledgedEndNumber, longPollMs),
-                response -> onListing(response, token, periodic),
+                response -> onListing(response, token, periodic, sentAtMs),
                 error -> onListingFailed(error, periodic));
     }
 
@@ -413,7 +414,8 @@
         }
     }
 
-    private synchronized void onListing(RunListing response, long token, boolean periodic) {
+    private synchronized void onListing(
+            RunListing response, long token, boolean periodic, long sentAtMs) {
         mRespondedAtMs = nowMs();
         if (response.fenced()) {
             if (token >= mToken) {
@@ -426,8 +428,19 @@
             apply(response, token);
         }
         if (periodic) {
-            boolean nothingPending = mEnded.isEmpty() && mPending.isEmpty();
-            pauseListing(nothingPending ? LIST_PAUSE_MS : UNACKNOWLEDGED_PAUSE_MS);
+            listAgain(nowMs() - sentAtMs);
+        }
+    }
+
+    // A worker that has waited for an end needs no pause.
+    private void listAgain(long waitedMs) {
+        boolean nothingPending = mEnded.isEmpty() && mPending.isEmpty();
+        if (!nothingPending) {
+            pauseListing(UNACKNOWLEDGED_PAUSE_MS);
+        } else if (waitedMs < LIST_PAUSE_MS) {
+            pauseListing(LIST_PAUSE_MS);
+        } else {
+            list();
         }
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/SupervisorSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/SupervisorSettings.java
@@ -10,7 +10,7 @@
  *     defines it
  */
 public record SupervisorSettings(int longPollMs, int reportIntervalMs, int maximumLeaseMs) {
-    private static final int LONG_POLL_MS = 300;
+    private static final int LONG_POLL_MS = 450;
     private static final int REPORT_INTERVAL_MS = 500;
 
     /** Returns the settings for workers that grant leases up to the given length. */
