Connect to new and lost entries as soon as before

Cause: rounds of connection attempts every 500 ms while all addresses are connected delayed the attempt to reach an entry that was discovered or whose link was lost, and the list of entries for agents.

Change: a discovery, a lost link and a failed attempt hasten the next round to 150 ms.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
@@ -63,6 +63,8 @@
     private final Map<InetSocketAddress, AddressState> mAddresses = new HashMap<>();
     private final Map<ProcessId, List<Link>> mLinks = new HashMap<>();
     private boolean mEntriesChanged;
+    private long mRoundNumber;
+    private long mNextRoundAtMs;
 
     /** State of the connection attempts to one address. */
     private static final class AddressState {
@@ -94,11 +96,15 @@
 
     /** Adds addresses at which entries may listen. */
     synchronized void addAddresses(Collection<InetSocketAddress> addresses) {
+        int before = mAddresses.size();
         for (InetSocketAddress address : addresses) {
             if (!address.equals(new InetSocketAddress(mSelf.host(), mSelf.port()))) {
                 mAddresses.computeIfAbsent(address, key -> newAddressState());
             }
         }
+        if (mAddresses.size() > before) {
+            hastenRound();
+        }
     }
 
     private AddressState newAddressState() {
@@ -115,6 +121,9 @@
         for (FleetNode entry : entries) {
             mEntriesChanged |= addEntry(entry);
         }
+        if (mEntriesChanged) {
+            hastenRound();
+        }
     }
 
     private void sendChangedEntries() {
@@ -209,8 +218,30 @@
 
     private void connectToDueAddresses() {
         GuardedTask.run("connect", this::connectAndSendKeepAlives);
-        mScheduler.scheduleDirect(
-                this::connectToDueAddresses, nextRoundDelayMs(), TimeUnit.MILLISECONDS);
+        scheduleRound(nextRoundDelayMs());
+    }
+
+    private synchronized void scheduleRound(long delayMs) {
+        mRoundNumber++;
+        mNextRoundAtMs = nowMs() + delayMs;
+        long number = mRoundNumber;
+        mScheduler.scheduleDirect(() -> runRound(number), delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void runRound(long number) {
+        synchronized (this) {
+            if (number != mRoundNumber) {
+                return;
+            }
+        }
+        connectToDueAddresses();
+    }
+
+    // What was discovered is connected and announced as soon as while an address is missing.
+    private void hastenRound() {
+        if (mRoundNumber > 0 && mNextRoundAtMs - nowMs() > CONNECT_INTERVAL_MS) {
+            scheduleRound(CONNECT_INTERVAL_MS);
+        }
     }
 
     private synchronized long nextRoundDelayMs() {
@@ -267,6 +298,7 @@
         state.mInUse = false;
         state.mNextAttemptMs = nowMs() + state.mRetryDelayMs;
         state.mRetryDelayMs = Math.min(MAXIMUM_RETRY_DELAY_MS, 2 * state.mRetryDelayMs);
+        hastenRound();
     }
 
     private void sendKeepAlives() {
@@ -386,6 +418,7 @@
                                 state -> {
                                     state.mInUse = false;
                                     state.mNextAttemptMs = nowMs() + INITIAL_RETRY_DELAY_MS;
+                                    hastenRound();
                                 });
                 if (mPeer.isPresent()) {
                     List<Link> links =
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetLinksTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetLinksTest.java
@@ -8,6 +8,7 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.time.Duration;
@@ -111,6 +112,27 @@
         assertThat(mLinks.entries()).containsExactly(good);
     }
 
+    /** Guards against a lost link that waits for a round of a connected process. */
+    @Test
+    void reconnectsWithin300MsOfTheLossOfLink() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            server.setSoTimeout((int) TIMEOUT.toMillis());
+            mLinks.start(
+                    List.of(
+                            new InetSocketAddress(
+                                    InetAddress.getLoopbackAddress(), server.getLocalPort())));
+            Socket first = server.accept();
+            advance();
+            TimeUnit.MILLISECONDS.sleep(200);
+            first.close();
+            TimeUnit.MILLISECONDS.sleep(300);
+            mScheduler.advanceTimeBy(150, TimeUnit.MILLISECONDS);
+            mScheduler.advanceTimeBy(150, TimeUnit.MILLISECONDS);
+
+            server.accept().close();
+        }
+    }
+
     /** Guards against a process that connects to no entry any more. */
     @Test
     void connectsAfterHelloWithPortOutOfRange() throws Exception {
