Measure the processor time of the dispatcher for each start

scripts/measure dispatch: twice as many tasks ready as there is room, a round of placement for each report, no pause between rounds.

--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/Measurements.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/Measurements.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.hickorycleat.measurements.placement.DispatchMeasurement;
 import org.hickorycleat.measurements.requests.AdmissionMeasurement;
 import org.hickorycleat.measurements.requests.RoutingMeasurement;
 
@@ -36,6 +37,7 @@
     private static Map<String, Measurement> all() {
         Map<String, Measurement> all = new TreeMap<>();
         all.put("admission-decision", new AdmissionMeasurement());
+        all.put("dispatch", new DispatchMeasurement());
         all.put("routing-decision", new RoutingMeasurement());
         return all;
     }
