--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/FloodReplayTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/FloodReplayTest.java
@@ -132,6 +132,16 @@
         assertThat(mRejected).isZero();
     }
 
+    /** Guards against rejections while workers have room and only the store delays the starts. */
+    @Test
+    void rejectsNothingWhileStartsWaitForTheStore() {
+        play(0.5, FLOOD_MS / 3, true);
+        mFleet.mOwner.mStoreBlocked = true;
+        play(0.5, 6_000, true);
+
+        assertThat(mRejected).isZero();
+    }
+
     @Test
     void rejectsNothingOnceTheFloodHasDrained() {
         play(FLOOD_LOAD, FLOOD_MS, true);
