Log what tells causes of lost and repeated runs apart

Added: the limit and the configuration behind a failed job, runs that a new owner inherits for a final job, listings that are older than the newest one, and the first retry of an append with its largest record.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -1,6 +1,8 @@
 package org.hickorycleat.daemon.fleet;
 
 import io.reactivex.rxjava3.core.Scheduler;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -65,6 +67,7 @@
     private final Runnable mOnEnded;
     private final Dispatcher mDispatcher;
     private long mSequence;
+    private volatile long mRetriedSequence;
     private volatile boolean mStopped;
     private volatile long mAppendPendingSinceMs = NOT_PENDING;
 
@@ -248,10 +251,26 @@
             mOnEnded.run();
             return;
         }
+        if (sequence != mRetriedSequence) {
+            mRetriedSequence = sequence;
+            logRetry(batch, sequence, outcome);
+        }
         mScheduler.scheduleDirect(
                 () -> append(batch, sequence, onDurable), RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
     }
 
+    private static void logRetry(List<StoreRecord> batch, long sequence, AppendOutcome outcome) {
+        StoreRecord largest =
+                Collections.max(batch, Comparator.comparingInt(record -> record.value().length));
+        LOG.event("append_retried")
+                .with("sequence", sequence)
+                .with("result", outcome.result())
+                .with("records", batch.size())
+                .with("largest_key", largest.key())
+                .with("largest_bytes", largest.value().length)
+                .warn();
+    }
+
     @Override
     public void publishJobStates(List<JobStatus> states) {
         if (mStopped) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -203,6 +203,10 @@
                 new TrackedRun(id, task, worker, saved.incarnation().get(), RunPhase.INHERITED);
         worker.add(run);
         task.onRunAssigned(run);
+        JobState state = task.step().job().state();
+        if (state.isFinal()) {
+            mLog.record("run_of_final_job", "run", id, "agent", worker.agent(), "state", state);
+        }
     }
 
     private void addJob(TrackedJob job) {
@@ -504,7 +508,18 @@
             mLog.record("worker_set_aside", "agent", worker.agent(), "cause", "failures");
         }
         if (!job.state().isFinal() && task.failedRunCount() >= job.queue().maximumAttempts()) {
-            mLog.record("job_failed", "job", job.id(), "task", task.key());
+            mLog.record(
+                    "job_failed",
+                    "job",
+                    job.id(),
+                    "task",
+                    task.key(),
+                    "failed_runs",
+                    task.failedRunCount(),
+                    "maximum_attempts",
+                    job.queue().maximumAttempts(),
+                    "configuration",
+                    mConfiguration.map(WorkloadConfiguration::version));
             finish(job, JobState.FAILED);
         }
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -97,6 +97,7 @@
     private long mLeaseDeadlineMs;
     private long mLeaseExpiredByMs;
     private long mRespondedAtMs;
+    private long mListedAtClockMs = Long.MIN_VALUE;
     private boolean mStopped;
     private boolean mListingPaused;
     private long mPauseNumber;
@@ -455,6 +456,17 @@
         if (newIncarnation) {
             onNewIncarnation(response.startedAtMs());
         }
+        if (response.clockMs() < mListedAtClockMs) {
+            mLog.record(
+                    "listing_overtaken",
+                    "clock_ms",
+                    response.clockMs(),
+                    "newest_clock_ms",
+                    mListedAtClockMs,
+                    "token",
+                    token);
+        }
+        mListedAtClockMs = Math.max(mListedAtClockMs, response.clockMs());
         mClock.onReading(response.clockMs(), nowMs());
         List<EndedRun> ended =
                 response.ended().stream()
@@ -503,6 +515,7 @@
 
     private void onNewIncarnation(long startedAtMs) {
         mIncarnationStartedAtMs = startedAtMs;
+        mListedAtClockMs = Long.MIN_VALUE;
         mClock.reset();
         mWorkerClockByReport.clear();
         mLeaseDeadlineMs = 0;
