Decide the failure of a job only when the settings of its queue are known

Cause: the dispatcher gave each job whose queue it could not find a placeholder with a limit of one run, both without a configuration and for a removed queue. Evidence: job_failed failed_runs=1 maximum_attempts=1 configuration=Optional.empty in a play of the former code; the failed run was counted once.

Change: the queue of a job is Optional; while it is empty, failed runs are recorded, but the job neither fails nor starts further runs. Entries store the settings of a queue before the first job accepted under them, so that jobs of a removed queue go on under a new owner; they waited for ever before, for the same reason. The placeholder is removed.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/DurableJobService.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/DurableJobService.java
@@ -156,8 +156,8 @@
         Optional<Long> returnAfterMs = mAdmission.rejectUntilMs(queue, submission);
         Single<SubmissionResult> result =
                 returnAfterMs.isPresent()
-                        ? rejectUnlessAccepted(submission, returnAfterMs.get(), timeoutMs)
-                        : append(submission, timeoutMs);
+                        ? rejectUnlessAccepted(queue, submission, returnAfterMs.get(), timeoutMs)
+                        : append(queue, submission, timeoutMs);
         return result.doOnSuccess(
                 response ->
                         LOG.event("job_submitted")
@@ -171,7 +171,7 @@
     // Another entry may have accepted the job although its response was lost. Without proof that it
     // did not, the job is accepted here as well.
     private Single<SubmissionResult> rejectUnlessAccepted(
-            JobSubmission submission, long returnAfterMs, int timeoutMs) {
+            JobQueue queue, JobSubmission submission, long returnAfterMs, int timeoutMs) {
         return mConsumer
                 .catchUp(REJECTION_READ_TIMEOUT_MS)
                 .flatMap(
@@ -180,18 +180,26 @@
                                 return Single.just(SubmissionResult.of(JobChangeResult.DONE));
                             }
                             return isUncertain(submission)
-                                    ? append(submission, timeoutMs)
+                                    ? append(queue, submission, timeoutMs)
                                     : Single.just(SubmissionResult.rejected(returnAfterMs));
                         })
-                .onErrorResumeNext(error -> append(submission, timeoutMs));
+                .onErrorResumeNext(error -> append(queue, submission, timeoutMs));
     }
 
     private synchronized boolean isUncertain(JobSubmission submission) {
         return mUncertainKeys.contains(mCodec.encode(new JobRecord.Submitted(submission)).key());
     }
 
-    private Single<SubmissionResult> append(JobSubmission submission, int timeoutMs) {
-        return append(new JobRecord.Submitted(submission), timeoutMs).map(SubmissionResult::of);
+    // The settings of the queue precede its first job in the log, so that they outlast its
+    // configuration.
+    private Single<SubmissionResult> append(
+            JobQueue queue, JobSubmission submission, int timeoutMs) {
+        List<JobRecord> records = new ArrayList<>();
+        if (!mDirectory.queue(queue.name()).equals(Optional.of(queue))) {
+            records.add(new JobRecord.QueueAccepting(queue));
+        }
+        records.add(new JobRecord.Submitted(submission));
+        return append(records, timeoutMs).map(SubmissionResult::of);
     }
 
     @Override
@@ -227,7 +235,7 @@
                             if (result.state().get().isFinal()) {
                                 return Single.just(JobChangeResult.DONE);
                             }
-                            return append(new JobRecord.Cancelled(job), timeoutMs);
+                            return append(List.of(new JobRecord.Cancelled(job)), timeoutMs);
                         })
                 .doOnSuccess(
                         result ->
@@ -247,21 +255,27 @@
         return mQueue.isEmpty() && !mAppending;
     }
 
-    private Single<JobChangeResult> append(JobRecord record, int timeoutMs) {
-        StoreRecord storeRecord = mCodec.encode(record);
+    /** Appends records in their order and returns the result of the last one. */
+    private Single<JobChangeResult> append(List<JobRecord> records, int timeoutMs) {
         long deadlineMs = nowMs() + Math.min(timeoutMs / 2, APPEND_TIMEOUT_MS);
-        PendingChange pending;
+        List<PendingChange> changes =
+                records.stream().map(record -> pendingChange(record, deadlineMs)).toList();
+        PendingChange last = changes.get(changes.size() - 1);
+        if (mStore.isUnavailable()) {
+            return Single.just(last.failure());
+        }
         synchronized (this) {
-            // An append of an earlier attempt may still take effect.
-            boolean mayBeCommitted = mUncertainKeys.contains(storeRecord.key());
-            pending = new PendingChange(record, storeRecord, deadlineMs, mayBeCommitted);
-            if (mStore.isUnavailable()) {
-                return Single.just(pending.failure());
-            }
-            mQueue.add(pending);
+            mQueue.addAll(changes);
         }
         appendNext();
-        return pending.mResult;
+        return last.mResult;
+    }
+
+    private synchronized PendingChange pendingChange(JobRecord record, long deadlineMs) {
+        StoreRecord storeRecord = mCodec.encode(record);
+        // An append of an earlier attempt may still take effect.
+        boolean mayBeCommitted = mUncertainKeys.contains(storeRecord.key());
+        return new PendingChange(record, storeRecord, deadlineMs, mayBeCommitted);
     }
 
     private void appendNext() {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -309,6 +309,8 @@
             mOwnership.onClaimRead(claimed);
         } else if (record.get() instanceof JobRecord.Progressed) {
             mOwnership.onProgressRead();
+        } else if (record.get() instanceof JobRecord.QueueAccepting accepting) {
+            ownerRole().ifPresent(owner -> owner.dispatcher().onQueueAccepting(accepting.queue()));
         } else if (record.get() instanceof JobRecord.Submitted submitted) {
             ownerRole()
                     .ifPresent(owner -> owner.dispatcher().onJobSubmitted(submitted.submission()));
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobLogCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobLogCodec.java
@@ -16,7 +16,7 @@
 
 /** Encodes records of the job log and of the entry list as keys and values, and decodes them. */
 final class JobLogCodec {
-    /** Topic of jobs, their progress, ownership claims and interference weights. */
+    /** Topic of jobs, their queues and progress, ownership claims and interference weights. */
     static final String JOBS_TOPIC = "keyed.jobs";
 
     /** Topic of the entry list, with the address of each entry. */
@@ -24,6 +24,7 @@
 
     private static final EventLog LOG = EventLog.of(JobLogCodec.class);
     private static final String SUBMITTED_KEY_PREFIX = "j:";
+    private static final String QUEUE_KEY_PREFIX = "q:";
     private static final String CANCELLED_KEY_PREFIX = "c:";
     private static final String PROGRESS_KEY_PREFIX = "p:";
     private static final String OWNER_KEY = "owner";
@@ -39,6 +40,9 @@
         if (record instanceof JobRecord.Submitted submitted) {
             return SUBMITTED_KEY_PREFIX + submitted.submission().id();
         }
+        if (record instanceof JobRecord.QueueAccepting accepting) {
+            return QUEUE_KEY_PREFIX + accepting.queue().name();
+        }
         if (record instanceof JobRecord.Cancelled cancelled) {
             return CANCELLED_KEY_PREFIX + cancelled.job();
         }
@@ -63,6 +67,9 @@
         if (record.key().startsWith(SUBMITTED_KEY_PREFIX)) {
             return decodeValue(record, JobRecord.Submitted.class);
         }
+        if (record.key().startsWith(QUEUE_KEY_PREFIX)) {
+            return decodeValue(record, JobRecord.QueueAccepting.class);
+        }
         if (record.key().startsWith(CANCELLED_KEY_PREFIX)) {
             return decodeValue(record, JobRecord.Cancelled.class);
         }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -107,6 +107,7 @@
     /** Restores all jobs and announces the owner to every agent. */
     void start(Optional<WorkloadConfiguration> configuration) {
         configuration.ifPresent(mDispatcher::onConfigurationChanged);
+        mDirectory.queues().forEach(mDispatcher::onQueueAccepting);
         mDispatcher.restoreInterferenceWeights(mDirectory.interferenceWeights());
         for (DurableJob job : mDirectory.jobs()) {
             job.submission()
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/RecordCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/RecordCodec.java
@@ -75,6 +75,11 @@
             return ValueCodec.of(
                     (packer, value) -> packer.packLong((long) value), MessageUnpacker::unpackLong);
         }
+        if (type == double.class || type == Double.class) {
+            return ValueCodec.of(
+                    (packer, value) -> packer.packDouble((double) value),
+                    MessageUnpacker::unpackDouble);
+        }
         if (type == boolean.class || type == Boolean.class) {
             return ValueCodec.of(
                     (packer, value) -> packer.packBoolean((boolean) value),
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/DurableJobServiceTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/DurableJobServiceTest.java
@@ -13,6 +13,7 @@
 import org.hickorycleat.logic.port.JobChangeResult;
 import org.hickorycleat.logic.port.RecordStore;
 import org.hickorycleat.logic.port.SubmissionResult;
+import org.hickorycleat.model.identifier.ServiceName;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobQueue;
 import org.hickorycleat.model.job.JobSubmission;
@@ -29,7 +30,18 @@
     private static final int JOBS = 60;
     private static final int PAYLOAD_BYTES = 40_000;
     private static final int TIMEOUT_MS = 3_000;
-    private static final JobQueue QUEUE = JobQueue.removed(new QueueName("q"));
+    private static final JobQueue QUEUE =
+            new JobQueue(
+                    new QueueName("q"),
+                    "host",
+                    "/q/",
+                    new ServiceName("s"),
+                    0,
+                    4,
+                    2,
+                    1_000,
+                    3_000,
+                    Optional.empty());
 
     /** Longest append that a slow link carries within the timeout of the store, in bytes. */
     private static final long MAXIMUM_APPEND_BYTES = 320 << 10;
@@ -99,6 +111,19 @@
         assertThat(results).hasSize(JOBS).containsOnly(JobChangeResult.DONE);
     }
 
+    /** Guards against jobs that cannot run after their queue was removed and the owner changed. */
+    @Test
+    void storesSettingsOfQueueOnceBeforeItsFirstJob() {
+        var first = mService.submit(QUEUE, submission(1), TIMEOUT_MS).test();
+        var second = mService.submit(QUEUE, submission(2), TIMEOUT_MS).test();
+
+        first.assertValue(SubmissionResult.of(JobChangeResult.DONE));
+        second.assertValue(SubmissionResult.of(JobChangeResult.DONE));
+        assertThat(mStore.appends().stream().flatMap(List::stream).map(StoreRecord::key))
+                .containsExactly("q:q", "j:job-1001", "j:job-1002");
+        assertThat(mDirectory.queues()).containsExactly(QUEUE);
+    }
+
     /** Guards against a rejection of a job whose earlier submission may still be committed. */
     @Test
     void neverRejectsJobWhoseEarlierAppendHasNoOutcome() {
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/JobLogCodecTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/JobLogCodecTest.java
@@ -9,11 +9,14 @@
 import org.hickorycleat.logic.directory.JobRecord;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.identifier.ServiceName;
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.identifier.ZoneId;
+import org.hickorycleat.model.job.AdviceServiceSettings;
 import org.hickorycleat.model.job.InterferenceEstimate;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobProgress;
+import org.hickorycleat.model.job.JobQueue;
 import org.hickorycleat.model.job.JobState;
 import org.hickorycleat.model.job.JobSubmission;
 import org.hickorycleat.model.job.QueueName;
@@ -85,6 +88,18 @@
                                 0,
                                 0,
                                 7)),
+                new JobRecord.QueueAccepting(
+                        new JobQueue(
+                                new QueueName("q"),
+                                "host",
+                                "/q/",
+                                new ServiceName("s"),
+                                1,
+                                4,
+                                1.5,
+                                1_000,
+                                3_000,
+                                Optional.of(new AdviceServiceSettings(1, 2, 3)))),
                 new JobRecord.Cancelled(JOB),
                 new JobRecord.Progressed(new JobProgress(JOB, JobState.RUNNING, List.of(task))),
                 new JobRecord.Claimed(NODE, new Epoch(12)),
@@ -101,7 +116,7 @@
     @Test
     void usesDistinctKeysForRecordKinds() {
         assertThat(records().stream().map(mCodec::encode).map(StoreRecord::key).distinct())
-                .hasSize(5);
+                .hasSize(6);
     }
 
     @Test
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobDirectory.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobDirectory.java
@@ -8,6 +8,7 @@
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.job.InterferenceEstimate;
 import org.hickorycleat.model.job.JobId;
+import org.hickorycleat.model.job.JobQueue;
 import org.hickorycleat.model.job.JobState;
 import org.hickorycleat.model.job.JobStatus;
 import org.hickorycleat.model.job.JobSubmission;
@@ -15,11 +16,13 @@
 import org.hickorycleat.model.message.FleetNode;
 
 /**
- * Keeps the durable state of all jobs known to an entry, the latest ownership claim and the
- * interference weights. Built from the records of the job log and from messages of peers.
+ * Keeps the durable state of all jobs known to an entry and of their queues, the latest ownership
+ * claim and the interference weights. Built from the records of the job log and from messages of
+ * peers.
  */
 public final class JobDirectory {
     private final Map<JobId, DurableJob> mJobs = new LinkedHashMap<>();
+    private final Map<QueueName, JobQueue> mQueues = new LinkedHashMap<>();
     private Optional<FleetNode> mOwner = Optional.empty();
     private Epoch mEpoch = new Epoch(-1);
     private List<InterferenceEstimate> mInterferenceWeights = List.of();
@@ -28,6 +31,8 @@
     public synchronized void apply(JobRecord record) {
         if (record instanceof JobRecord.Submitted submitted) {
             onJobSubmitted(submitted.submission());
+        } else if (record instanceof JobRecord.QueueAccepting accepting) {
+            mQueues.put(accepting.queue().name(), accepting.queue());
         } else if (record instanceof JobRecord.Cancelled cancelled) {
             onJobCancelled(cancelled.job());
         } else if (record instanceof JobRecord.Progressed progressed) {
@@ -80,6 +85,16 @@
         return mInterferenceWeights;
     }
 
+    /** Returns the durable settings of a queue; empty if no job was accepted under them. */
+    public synchronized Optional<JobQueue> queue(QueueName name) {
+        return Optional.ofNullable(mQueues.get(name));
+    }
+
+    /** Returns the durable settings of all queues under which jobs were accepted. */
+    public synchronized List<JobQueue> queues() {
+        return new ArrayList<>(mQueues.values());
+    }
+
     /** Returns the newest known state of a job; empty if the job is unknown. */
     public synchronized Optional<JobState> jobState(JobId id) {
         return Optional.ofNullable(mJobs.get(id)).map(DurableJob::state);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobRecord.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobRecord.java
@@ -5,6 +5,7 @@
 import org.hickorycleat.model.job.InterferenceEstimate;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobProgress;
+import org.hickorycleat.model.job.JobQueue;
 import org.hickorycleat.model.job.JobSubmission;
 import org.hickorycleat.model.message.FleetNode;
 
@@ -13,6 +14,9 @@
     /** Submission of a job that an entry accepted. */
     record Submitted(JobSubmission submission) implements JobRecord {}
 
+    /** Settings of a queue under which an entry accepted jobs; the newest record is valid. */
+    record QueueAccepting(JobQueue queue) implements JobRecord {}
+
     /** Cancellation of a job that an entry accepted. */
     record Cancelled(JobId job) implements JobRecord {}
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/BacklogEstimator.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/BacklogEstimator.java
@@ -54,7 +54,7 @@
             long unixMs) {
         Map<QueueName, QueueWork> workByQueue = new LinkedHashMap<>();
         for (TrackedJob job : unfinishedJobs) {
-            add(job, workByQueue, nowMs, unixMs);
+            job.queue().ifPresent(queue -> add(job, queue, workByQueue, nowMs, unixMs));
         }
         double capacityMilli = capacityMilli(workers);
         List<QueueBacklog> backlogs = new ArrayList<>();
@@ -91,7 +91,11 @@
     }
 
     private void add(
-            TrackedJob job, Map<QueueName, QueueWork> workByQueue, long nowMs, long unixMs) {
+            TrackedJob job,
+            JobQueue jobQueue,
+            Map<QueueName, QueueWork> workByQueue,
+            long nowMs,
+            long unixMs) {
         boolean waits = hasWaitingTask(job, nowMs, unixMs);
         for (List<TrackedStep> steps : job.occurrences()) {
             for (TrackedStep step : steps) {
@@ -101,10 +105,10 @@
                 }
                 QueueWork queue =
                         workByQueue.computeIfAbsent(
-                                job.queue().name(),
-                                name -> new QueueWork(job.queue(), specification.bestEffort()));
+                                jobQueue.name(),
+                                name -> new QueueWork(jobQueue, specification.bestEffort()));
                 long processorsMilli = specification.resources().processorsMilli();
-                queue.mDrain += step.activeTasks() * processorsMilli / ratio(job.queue());
+                queue.mDrain += step.activeTasks() * processorsMilli / ratio(jobQueue);
                 if (waits) {
                     queue.mWaiting +=
                             (double) (step.unfinishedTasks() - step.activeTasks())
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOrder.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOrder.java
@@ -5,6 +5,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import org.hickorycleat.model.job.JobQueue;
 import org.hickorycleat.model.job.JobSubmission;
 import org.hickorycleat.model.job.QueueName;
 import org.hickorycleat.model.job.StepSpecification;
@@ -31,7 +32,7 @@
     void recordJob(TrackedJob job) {
         double work = CompletionEstimate.work(job.occurrences().get(0), false);
         mMeanWorkByQueue.merge(
-                job.queue().name(),
+                job.submission().queue(),
                 work,
                 (mean, newest) -> mean + NEWEST_JOB_WEIGHT * (newest - mean));
     }
@@ -40,22 +41,21 @@
     void sort(List<ReadyStep> ready, long unixMs) {
         IdentityHashMap<List<TrackedStep>, CompletionEstimate> estimates = new IdentityHashMap<>();
         Comparator<ReadyStep> order =
-                Comparator.<ReadyStep>comparingInt(entry -> rank(entry.step()))
+                Comparator.<ReadyStep>comparingInt(DispatchOrder::rank)
                         .thenComparing(
-                                entry ->
-                                        estimate(entry.step(), estimates, unixMs).objectiveStatus())
+                                entry -> estimate(entry, estimates, unixMs).objectiveStatus())
                         .thenComparingDouble(
-                                entry -> -estimate(entry.step(), estimates, unixMs).valuePerWork())
+                                entry -> -estimate(entry, estimates, unixMs).valuePerWork())
                         .thenComparingLong(entry -> waitingSinceMs(entry.step()));
         ready.sort(order);
     }
 
-    private static int rank(TrackedStep step) {
-        StepSpecification specification = step.specification();
+    private static int rank(ReadyStep entry) {
+        StepSpecification specification = entry.step().specification();
         if (specification.longRunning()) {
             return -1;
         }
-        return step.job().queue().priority() + (specification.bestEffort() ? BEST_EFFORT_RANK : 0);
+        return entry.queue().priority() + (specification.bestEffort() ? BEST_EFFORT_RANK : 0);
     }
 
     private static long waitingSinceMs(TrackedStep step) {
@@ -64,20 +64,21 @@
     }
 
     private CompletionEstimate estimate(
-            TrackedStep step,
+            ReadyStep entry,
             IdentityHashMap<List<TrackedStep>, CompletionEstimate> estimates,
             long unixMs) {
-        TrackedJob job = step.job();
-        List<TrackedStep> steps = job.occurrences().get(step.occurrence());
+        TrackedStep step = entry.step();
+        JobQueue queue = entry.queue();
+        List<TrackedStep> steps = step.job().occurrences().get(step.occurrence());
         return estimates.computeIfAbsent(
                 steps,
                 key ->
                         CompletionEstimate.of(
                                 key,
-                                job.queue(),
+                                queue,
                                 waitingSinceMs(step),
-                                mRunTimeRatios.ratio(job.queue().name()),
-                                mMeanWorkByQueue.getOrDefault(job.queue().name(), 0.0),
+                                mRunTimeRatios.ratio(queue.name()),
+                                mMeanWorkByQueue.getOrDefault(queue.name(), 0.0),
                                 unixMs));
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -82,7 +82,7 @@
     private final Set<TrackedJob> mUnsavedJobs = new LinkedHashSet<>();
     private final List<Runnable> mActionsAfterDurable = new ArrayList<>();
     private final Set<TrackedJob> mUnpublishedJobs = new LinkedHashSet<>();
-    private Optional<WorkloadConfiguration> mConfiguration = Optional.empty();
+    private final QueueCatalog mQueues = new QueueCatalog();
     private boolean mPersisting;
     private boolean mPlacementStopped;
     private long mLastSession;
@@ -149,10 +149,21 @@
 
     /** Handles a new active configuration. */
     public synchronized void onConfigurationChanged(WorkloadConfiguration configuration) {
-        mConfiguration = Optional.of(configuration);
+        mQueues.onConfigurationChanged(configuration);
         mPlacer.onConfigurationChanged(configuration);
-        for (TrackedJob job : mJobs.values()) {
-            configuration.queue(job.submission().queue()).ifPresent(job::onQueueChanged);
+        updateQueues();
+    }
+
+    /** Handles the durable settings of a queue under which jobs were accepted. */
+    public synchronized void onQueueAccepting(JobQueue queue) {
+        mQueues.onQueueAccepting(queue);
+        updateQueues();
+    }
+
+    private void updateQueues() {
+        for (TrackedJob job : List.copyOf(mUnfinishedJobs)) {
+            mQueues.find(job.submission().queue()).ifPresent(job::onQueueChanged);
+            failIfAttemptsExhausted(job);
         }
     }
 
@@ -167,12 +178,13 @@
         if (mJobs.containsKey(submission.id())) {
             return;
         }
-        TrackedJob job = new TrackedJob(submission, queue(submission));
+        TrackedJob job = new TrackedJob(submission, mQueues.find(submission.queue()));
         addJob(job);
         progress.ifPresent(saved -> restoreJob(job, saved));
         if (cancelled && !job.state().isFinal()) {
             cancel(job);
         }
+        failIfAttemptsExhausted(job);
         mUnpublishedJobs.add(job);
     }
 
@@ -216,12 +228,6 @@
         mDispatchOrder.recordJob(job);
     }
 
-    private JobQueue queue(JobSubmission submission) {
-        return mConfiguration
-                .flatMap(configuration -> configuration.queue(submission.queue()))
-                .orElseGet(() -> JobQueue.removed(submission.queue()));
-    }
-
     private TrackedWorker worker(ProcessId agent) {
         return mWorkers.computeIfAbsent(
                 agent,
@@ -238,7 +244,7 @@
         if (mJobs.containsKey(submission.id())) {
             return;
         }
-        TrackedJob job = new TrackedJob(submission, queue(submission));
+        TrackedJob job = new TrackedJob(submission, mQueues.find(submission.queue()));
         addJob(job);
         mLog.record(
                 "job_taken",
@@ -507,27 +513,40 @@
         if (worker.health().onFailure(nowMs())) {
             mLog.record("worker_set_aside", "agent", worker.agent(), "cause", "failures");
         }
-        if (!job.state().isFinal() && task.failedRunCount() >= job.queue().maximumAttempts()) {
-            mLog.record(
-                    "job_failed",
-                    "job",
-                    job.id(),
-                    "task",
-                    task.key(),
-                    "failed_runs",
-                    task.failedRunCount(),
-                    "maximum_attempts",
-                    job.queue().maximumAttempts(),
-                    "configuration",
-                    mConfiguration.map(WorkloadConfiguration::version));
-            finish(job, JobState.FAILED);
+        failIfAttemptsExhausted(job, task);
+    }
+
+    private void failIfAttemptsExhausted(TrackedJob job) {
+        job.tasks().forEach(task -> failIfAttemptsExhausted(job, task));
+    }
+
+    // Without the settings of its queue, the job neither fails nor starts further runs.
+    private void failIfAttemptsExhausted(TrackedJob job, TrackedTask task) {
+        int failedRuns = task.failedRunCount();
+        boolean exhausted =
+                job.queue().filter(queue -> failedRuns >= queue.maximumAttempts()).isPresent();
+        if (!exhausted || job.state().isFinal()) {
+            return;
         }
+        mLog.record(
+                "job_failed",
+                "job",
+                job.id(),
+                "task",
+                task.key(),
+                "failed_runs",
+                failedRuns,
+                "queue",
+                job.queue(),
+                "configuration",
+                mQueues.configurationVersion());
+        finish(job, JobState.FAILED);
     }
 
     private void recordRunTime(TrackedRun run) {
         if (run.phase() == RunPhase.RUNNING && run.task().checkpoint().isEmpty()) {
             mRunTimeRatios.recordRun(
-                    run.task().step().job().queue().name(),
+                    run.task().step().job().submission().queue(),
                     run.task().specification().estimateMs(),
                     nowMs() - run.startSentAtMs());
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TaskPlacer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TaskPlacer.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.hickorycleat.logic.port.DecisionLog;
+import org.hickorycleat.model.job.JobQueue;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.WorkerPool;
 import org.hickorycleat.model.job.WorkloadConfiguration;
@@ -154,7 +155,11 @@
 
     private Optional<WorkerPool> pool(TrackedTask task) {
         return mConfiguration.flatMap(
-                configuration -> configuration.pool(task.step().job().queue().service()));
+                configuration ->
+                        task.step()
+                                .job()
+                                .queue()
+                                .flatMap(queue -> configuration.pool(queue.service())));
     }
 
     private static void cancelReservation(TrackedRun run) {
@@ -168,16 +173,21 @@
             if (job.hasRuns()) {
                 job.markActive(mNowMs);
             }
-            for (List<TrackedStep> steps : job.occurrences()) {
-                for (TrackedStep step : steps) {
-                    addIfReady(step, unixMs, ready);
-                }
-            }
+            // A job whose queue is not known waits.
+            job.queue().ifPresent(queue -> addReadySteps(job, queue, unixMs, ready));
         }
         return ready;
     }
 
-    private void addIfReady(TrackedStep step, long unixMs, List<ReadyStep> ready) {
+    private void addReadySteps(TrackedJob job, JobQueue queue, long unixMs, List<ReadyStep> ready) {
+        for (List<TrackedStep> steps : job.occurrences()) {
+            for (TrackedStep step : steps) {
+                addIfReady(step, queue, unixMs, ready);
+            }
+        }
+    }
+
+    private void addIfReady(TrackedStep step, JobQueue queue, long unixMs, List<ReadyStep> ready) {
         if (step.isDone() || !step.job().isDue(step, unixMs)) {
             return;
         }
@@ -188,7 +198,7 @@
             }
         }
         if (!tasks.isEmpty()) {
-            ready.add(new ReadyStep(step, tasks));
+            ready.add(new ReadyStep(step, queue, tasks));
         }
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedJob.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedJob.java
@@ -20,12 +20,12 @@
 
     private final JobSubmission mSubmission;
     private final List<List<TrackedStep>> mOccurrences = new ArrayList<>();
-    private JobQueue mQueue;
+    private Optional<JobQueue> mQueue;
     private JobState mState = JobState.QUEUED;
     private Optional<JobState> mPublishedState = Optional.empty();
     private long mActiveAtMs;
 
-    TrackedJob(JobSubmission submission, JobQueue queue) {
+    TrackedJob(JobSubmission submission, Optional<JobQueue> queue) {
         mSubmission = submission;
         mQueue = queue;
         for (int i = 0; i < submission.occurrences(); i++) {
@@ -45,12 +45,13 @@
         return mSubmission;
     }
 
-    JobQueue queue() {
+    /** Returns the settings of the queue; empty while they are not known. */
+    Optional<JobQueue> queue() {
         return mQueue;
     }
 
     void onQueueChanged(JobQueue queue) {
-        mQueue = queue;
+        mQueue = Optional.of(queue);
     }
 
     JobState state() {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
@@ -59,11 +59,19 @@
     private long mReportNumber;
 
     DispatchFixture() {
+        this(Optional.of(configuration(queue())));
+    }
+
+    DispatchFixture(Optional<WorkloadConfiguration> configuration) {
         mScheduler.advanceTimeBy(1, TimeUnit.MINUTES);
-        mDispatcher = newDispatcher();
+        mDispatcher = newDispatcher(configuration);
     }
 
     Dispatcher newDispatcher() {
+        return newDispatcher(Optional.of(configuration(queue())));
+    }
+
+    private Dispatcher newDispatcher(Optional<WorkloadConfiguration> configuration) {
         Dispatcher dispatcher =
                 new Dispatcher(
                         EPOCH,
@@ -72,15 +80,15 @@
                         () -> mScheduler.now(TimeUnit.MILLISECONDS),
                         new DispatchSettings(LEASE_MS, 6_000, 10_000),
                         DecisionLog.NONE);
-        dispatcher.onConfigurationChanged(
-                new WorkloadConfiguration(
-                        1,
-                        List.of(queue()),
-                        List.of(new WorkerPool(SERVICE, true, false)),
-                        100_000));
+        configuration.ifPresent(dispatcher::onConfigurationChanged);
         return dispatcher;
     }
 
+    static WorkloadConfiguration configuration(JobQueue... queues) {
+        return new WorkloadConfiguration(
+                1, List.of(queues), List.of(new WorkerPool(SERVICE, true, false)), 100_000);
+    }
+
     static JobQueue queue() {
         return new JobQueue(
                 QUEUE,
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatorTest.java
@@ -99,7 +99,7 @@
                         0,
                         0,
                         Optional.empty());
-        TrackedJob job = new TrackedJob(submission, queue);
+        TrackedJob job = new TrackedJob(submission, Optional.of(queue));
         TrackedTask task = job.tasks().get(0);
         TrackedRun run =
                 new TrackedRun(
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/TrackedCountersPropertyTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/TrackedCountersPropertyTest.java
@@ -11,7 +11,6 @@
 import net.jqwik.api.constraints.Size;
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.job.JobId;
-import org.hickorycleat.model.job.JobQueue;
 import org.hickorycleat.model.job.JobSubmission;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.StepSpecification;
@@ -38,7 +37,7 @@
                             0,
                             0,
                             0),
-                    JobQueue.removed(DispatchFixture.QUEUE));
+                    Optional.of(DispatchFixture.queue()));
     private final TrackedWorker mFirst = new TrackedWorker(DispatchFixture.agent(1), 0);
     private final TrackedWorker mSecond = new TrackedWorker(DispatchFixture.agent(2), 0);
     private final WorkerIncarnation mIncarnation = new WorkerIncarnation(new WorkerId("w"), 1);
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobQueue.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobQueue.java
@@ -30,8 +30,6 @@
     /** Multiple of the objective up to which a late job keeps part of its value. */
     private static final int LATE_LIMIT_FACTOR = 3;
 
-    private static final ServiceName NO_SERVICE = new ServiceName("none");
-
     /**
      * Returns the completion-time objective of a job, in milliseconds.
      *
@@ -49,13 +47,4 @@
     public double lateLimitMs(double criticalPathMs) {
         return LATE_LIMIT_FACTOR * objectiveMs(criticalPathMs);
     }
-
-    /**
-     * Returns a placeholder for a queue that is no longer configured; its jobs wait because no
-     * service can run them.
-     */
-    public static JobQueue removed(QueueName name) {
-        return new JobQueue(
-                name, "", "", NO_SERVICE, Integer.MAX_VALUE / 2, 1, 1, 0, 0, Optional.empty());
-    }
 }
