Apply only the newest listing of a worker

Cause: after a start without a response the agent requests a second listing, and responses may overtake each other. The agent applied each listing as the newest, so an older one made runs disappear that a later one had shown, and the owner took their absence for their end.

Change: a listing is applied only if its clock is higher than that of the newest one, or if it was requested after the newest one had arrived. The owner ignores reports whose number is not higher than the last of the session.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -335,7 +335,7 @@
     /** Handles the report of an agent on its worker. */
     public synchronized void onWorkerReport(ProcessId agent, WorkerReport report) {
         TrackedWorker worker = worker(agent);
-        if (!report.epoch().equals(mEpoch) || report.session() != worker.session()) {
+        if (!report.epoch().equals(mEpoch) || !worker.isNewest(report)) {
             return;
         }
         Optional<WorkerIncarnation> before = worker.incarnation();
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedWorker.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedWorker.java
@@ -44,6 +44,7 @@
     private boolean mOwnerAdopted;
     private long mSession;
     private long mLastCommandNumber;
+    private long mReportNumber;
     private long mLastEndNumber;
     private long mAcknowledgedEndNumber;
     private long mLeaseExpiredByMs;
@@ -108,6 +109,7 @@
         mConnected = true;
         mSession = session;
         mLastCommandNumber = 0;
+        mReportNumber = 0;
         mLeaseExtensionSentAtMs = Long.MIN_VALUE / 2;
     }
 
@@ -117,9 +119,15 @@
         mReachable = false;
     }
 
+    /** Returns whether a report is of the current session and later than all others of it. */
+    boolean isNewest(WorkerReport report) {
+        return report.session() == mSession && report.number() > mReportNumber;
+    }
+
     /** Updates the worker from a report; the dispatcher handles the lists of runs in it. */
     void onReport(WorkerReport report, long nowMs) {
         mReportedAtMs = nowMs;
+        mReportNumber = report.number();
         mLatencyCriticalLoads = Optional.empty();
         mDescription = report.description();
         mReachable = report.reachable();
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -73,6 +73,7 @@
     private final DecisionLog mLog;
 
     private final WorkerClock mClock = new WorkerClock();
+    private final ListingOrder mListingOrder = new ListingOrder();
     private final BestEffortThrottle mThrottle = new BestEffortThrottle();
     private final Map<RunId, PendingRun> mPending = new LinkedHashMap<>();
     private final Map<RunId, TaskTraits> mTraits = new HashMap<>();
@@ -97,7 +98,6 @@
     private long mLeaseDeadlineMs;
     private long mLeaseExpiredByMs;
     private long mRespondedAtMs;
-    private long mListedAtClockMs = Long.MIN_VALUE;
     private boolean mStopped;
     private boolean mListingPaused;
     private long mPauseNumber;
@@ -399,9 +399,10 @@
                             mClock.certainlyPassedAtMs(mLeaseDeadlineMs, nowMs()));
         }
         long sentAtMs = nowMs();
+        long position = mListingOrder.position();
         SingleCallbacks.subscribe(
                 mRuntime.list(token, deadline, mAcknowledgedEndNumber, longPollMs),
-                response -> onListing(response, token, periodic, sentAtMs),
+                response -> onListing(response, token, position, periodic, sentAtMs),
                 error -> onListingFailed(error, periodic));
     }
 
@@ -416,7 +417,7 @@
     }
 
     private synchronized void onListing(
-            RunListing response, long token, boolean periodic, long sentAtMs) {
+            RunListing response, long token, long position, boolean periodic, long sentAtMs) {
         mRespondedAtMs = nowMs();
         if (response.fenced()) {
             if (token >= mToken) {
@@ -426,7 +427,7 @@
                 mLog.record("token_raised", "token", mToken, "cause", "listing_fenced");
             }
         } else {
-            apply(response, token);
+            apply(response, token, position);
         }
         if (periodic) {
             listAgain(nowMs() - sentAtMs);
@@ -445,7 +446,8 @@
         }
     }
 
-    private void apply(RunListing response, long token) {
+    // Only the newest listing says what is not on the worker any more.
+    private void apply(RunListing response, long token, long position) {
         if (response.startedAtMs() < mIncarnationStartedAtMs) {
             return;
         }
@@ -455,18 +457,18 @@
         }
         if (newIncarnation) {
             onNewIncarnation(response.startedAtMs());
-        }
-        if (response.clockMs() < mListedAtClockMs) {
+        } else if (!mListingOrder.isNewest(position, response.clockMs())) {
             mLog.record(
                     "listing_overtaken",
                     "clock_ms",
                     response.clockMs(),
                     "newest_clock_ms",
-                    mListedAtClockMs,
+                    mListingOrder.newestClockMs(),
                     "token",
                     token);
+            return;
         }
-        mListedAtClockMs = Math.max(mListedAtClockMs, response.clockMs());
+        mListingOrder.onApplied(response.clockMs());
         mClock.onReading(response.clockMs(), nowMs());
         List<EndedRun> ended =
                 response.ended().stream()
@@ -515,7 +517,7 @@
 
     private void onNewIncarnation(long startedAtMs) {
         mIncarnationStartedAtMs = startedAtMs;
-        mListedAtClockMs = Long.MIN_VALUE;
+        mListingOrder.onNewIncarnation();
         mClock.reset();
         mWorkerClockByReport.clear();
         mLeaseDeadlineMs = 0;
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
@@ -177,6 +177,18 @@
             List<RunSample> running,
             List<EndedRun> ended) {
         mReportNumber++;
+        reportWithNumber(
+                mReportNumber, number, session, startedAtMs, lastCommandNumber, running, ended);
+    }
+
+    void reportWithNumber(
+            long reportNumber,
+            int number,
+            long session,
+            long startedAtMs,
+            long lastCommandNumber,
+            List<RunSample> running,
+            List<EndedRun> ended) {
         WorkerIncarnation incarnation = incarnation(number, startedAtMs);
         WorkerDescription description =
                 new WorkerDescription(
@@ -190,7 +202,7 @@
         mDispatcher.onWorkerReport(
                 agent(number),
                 new WorkerReport(
-                        mReportNumber,
+                        reportNumber,
                         EPOCH,
                         session,
                         Optional.of(description),
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
@@ -345,6 +345,18 @@
         assertThat(mFixture.mStarts).hasSize(1);
     }
 
+    /** Guards against an overtaken report that omits a run which a later one contains. */
+    @Test
+    void ignoresReportThatAnotherOneOvertook() {
+        long session = mFixture.connect(1);
+        mFixture.submit(JOB, DispatchFixture.step(1, false));
+        mFixture.report(1, session, 1, 1, List.of(mFixture.sample(0)), List.of());
+
+        mFixture.reportWithNumber(1, 1, session, 1, 1, List.of(), List.of());
+
+        assertThat(mFixture.mStarts).hasSize(1);
+    }
+
     private static StepSpecification gang(int count) {
         return new StepSpecification(
                 count,
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/FakeWorker.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/FakeWorker.java
@@ -27,6 +27,15 @@
     long mStartedAtMs = 1_000;
     long mClockMs = 50_000;
     boolean mUnresponsive;
+    boolean mHoldsListings;
+    final List<HeldListing> mHeldListings = new ArrayList<>();
+
+    /** A listing whose response a test delivers. */
+    record HeldListing(RunListing listing, SingleSubject<RunListing> response) {
+        void deliver() {
+            response.onSuccess(listing);
+        }
+    }
 
     @Override
     public Single<RunCommandResult> start(StartRunCommand command) {
@@ -62,7 +71,13 @@
         mAcknowledgedEndNumber = acknowledgedEndNumber;
         List<EndedRun> ended =
                 mEnded.stream().filter(end -> end.number() > acknowledgedEndNumber).toList();
-        return Single.just(
-                new RunListing(false, mStartedAtMs, mClockMs, List.copyOf(mRunning), ended));
+        RunListing listing =
+                new RunListing(false, mStartedAtMs, mClockMs, List.copyOf(mRunning), ended);
+        if (!mHoldsListings) {
+            return Single.just(listing);
+        }
+        HeldListing held = new HeldListing(listing, SingleSubject.create());
+        mHeldListings.add(held);
+        return held.response();
     }
 }
