Acknowledge ends only to the incarnation that listed them

A task could run again after it was done: a worker that restarts under the same ID takes the acknowledgement of its earlier incarnation for one of its own first ends and removes an end that no agent has read.

Change: an acknowledgement is sent only after a response of the current incarnation since the last failed listing, and only until the worker has received it.

RunSupervisorTest.acknowledgesNoEndToWorkerThatMayHaveRestarted failed before (the end was missing from the report) and passes now. The fake worker keeps what was acknowledged, as workers do; before, it forgot ends for one listing only, which is weaker.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -74,6 +74,7 @@
 
     private final WorkerClock mClock = new WorkerClock();
     private final ListingOrder mListingOrder = new ListingOrder();
+    private final EndAcknowledgement mAcknowledgement = new EndAcknowledgement();
     private final BestEffortThrottle mThrottle = new BestEffortThrottle();
     private final Map<RunId, PendingRun> mPending = new LinkedHashMap<>();
     private final Map<RunId, TaskTraits> mTraits = new HashMap<>();
@@ -94,7 +95,6 @@
     private long mLastCommandNumber;
     private long mReportNumber;
     private long mReportedAtMs;
-    private long mAcknowledgedEndNumber;
     private long mLeaseDeadlineMs;
     private long mLeaseExpiredByMs;
     private long mRespondedAtMs;
@@ -351,13 +351,18 @@
         boolean sameIncarnation =
                 extension.incarnation().isPresent()
                         && extension.incarnation().equals(incarnation());
-        if (sameIncarnation && extension.acknowledgedEndNumber() > mAcknowledgedEndNumber) {
-            mAcknowledgedEndNumber = extension.acknowledgedEndNumber();
-            mEnded = mEnded.stream().filter(end -> end.number() > mAcknowledgedEndNumber).toList();
+        if (sameIncarnation && mAcknowledgement.onDurable(extension.acknowledgedEndNumber())) {
+            mEnded = withoutDurable(mEnded);
             endPause(mPauseNumber);
         }
     }
 
+    private List<EndedRun> withoutDurable(List<EndedRun> ended) {
+        return ended.stream()
+                .filter(end -> end.number() > mAcknowledgement.durableEndNumber())
+                .toList();
+    }
+
     private boolean acceptsEpoch(Epoch epoch, String command, RunId run) {
         if (epoch.compareTo(mEpoch) >= 0) {
             return true;
@@ -399,14 +404,20 @@
                             mClock.certainlyPassedAtMs(mLeaseDeadlineMs, nowMs()));
         }
         long sentAtMs = nowMs();
-        long position = mListingOrder.position();
+        SentListing sent =
+                new SentListing(
+                        token, mListingOrder.position(), mAcknowledgement.endNumberToSend());
         SingleCallbacks.subscribe(
-                mRuntime.list(token, deadline, mAcknowledgedEndNumber, longPollMs),
-                response -> onListing(response, token, position, periodic, sentAtMs),
+                mRuntime.list(token, deadline, sent.acknowledgedEndNumber(), longPollMs),
+                response -> onListing(response, sent, periodic, sentAtMs),
                 error -> onListingFailed(error, periodic));
     }
 
+    /** What is needed of a listing request when its response arrives. */
+    private record SentListing(long token, long position, long acknowledgedEndNumber) {}
+
     private synchronized void onListingFailed(Throwable error, boolean periodic) {
+        mAcknowledgement.onListingFailed();
         if (isReachable() && nowMs() - mRespondedAtMs > UNREACHABLE_TIMEOUT_MS / 2) {
             mLog.record("worker_unanswered", "cause", error);
         }
@@ -417,17 +428,17 @@
     }
 
     private synchronized void onListing(
-            RunListing response, long token, long position, boolean periodic, long sentAtMs) {
+            RunListing response, SentListing sent, boolean periodic, long sentAtMs) {
         mRespondedAtMs = nowMs();
         if (response.fenced()) {
-            if (token >= mToken) {
+            if (sent.token() >= mToken) {
                 // Another agent of this worker started with a higher token because its clock was
                 // ahead.
                 mToken += TimeUnit.MINUTES.toMillis(1);
                 mLog.record("token_raised", "token", mToken, "cause", "listing_fenced");
             }
         } else {
-            apply(response, token, position);
+            apply(response, sent);
         }
         if (periodic) {
             listAgain(nowMs() - sentAtMs);
@@ -447,17 +458,17 @@
     }
 
     // Only the newest listing says what is not on the worker any more.
-    private void apply(RunListing response, long token, long position) {
+    private void apply(RunListing response, SentListing sent) {
         if (response.startedAtMs() < mIncarnationStartedAtMs) {
             return;
         }
         boolean newIncarnation = response.startedAtMs() > mIncarnationStartedAtMs;
-        if (newIncarnation && !isConfirmed(response.startedAtMs(), token)) {
+        if (newIncarnation && !isConfirmed(response.startedAtMs(), sent.token())) {
             return;
         }
         if (newIncarnation) {
             onNewIncarnation(response.startedAtMs());
-        } else if (!mListingOrder.isNewest(position, response.clockMs())) {
+        } else if (!mListingOrder.isNewest(sent.position(), response.clockMs())) {
             mLog.record(
                     "listing_overtaken",
                     "clock_ms",
@@ -465,21 +476,19 @@
                     "newest_clock_ms",
                     mListingOrder.newestClockMs(),
                     "token",
-                    token);
+                    sent.token());
             return;
         }
         mListingOrder.onApplied(response.clockMs());
+        mAcknowledgement.onListed(newIncarnation ? 0 : sent.acknowledgedEndNumber());
         mClock.onReading(response.clockMs(), nowMs());
-        List<EndedRun> ended =
-                response.ended().stream()
-                        .filter(end -> end.number() > mAcknowledgedEndNumber)
-                        .toList();
+        List<EndedRun> ended = withoutDurable(response.ended());
         // The owner needs to know of ends at once. A run that is listed for the first time was
         // reported as pending before.
         boolean changed = newIncarnation || !hasSameEnds(ended, mEnded);
         mRunning = response.running();
         mEnded = ended;
-        resolvePending(token);
+        resolvePending(sent.token());
         if (newIncarnation) {
             rejectPending();
         }
@@ -521,7 +530,7 @@
         mClock.reset();
         mWorkerClockByReport.clear();
         mLeaseDeadlineMs = 0;
-        mAcknowledgedEndNumber = 0;
+        mAcknowledgement.onNewIncarnation();
         mStopSentAtMs.clear();
         mSentPercents.clear();
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/FakeWorker.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/FakeWorker.java
@@ -68,9 +68,9 @@
             return Single.error(new IllegalStateException("no response"));
         }
         leaseDeadlineMs.ifPresent(deadline -> mLeaseDeadline = Optional.of(deadline));
-        mAcknowledgedEndNumber = acknowledgedEndNumber;
-        List<EndedRun> ended =
-                mEnded.stream().filter(end -> end.number() > acknowledgedEndNumber).toList();
+        mAcknowledgedEndNumber = Math.max(mAcknowledgedEndNumber, acknowledgedEndNumber);
+        mEnded.removeIf(end -> end.number() <= acknowledgedEndNumber);
+        List<EndedRun> ended = List.copyOf(mEnded);
         RunListing listing =
                 new RunListing(false, mStartedAtMs, mClockMs, List.copyOf(mRunning), ended);
         if (!mHoldsListings) {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
@@ -297,6 +297,37 @@
         assertThat(mWorker.mAcknowledgedEndNumber).isEqualTo(1);
     }
 
+    /**
+     * Guards against an end that nobody has seen: a worker that restarts under the same ID takes
+     * the acknowledgement of its earlier incarnation for one of its own ends.
+     */
+    @Test
+    void acknowledgesNoEndToWorkerThatMayHaveRestarted() {
+        mWorker.mEnded.add(new EndedRun(1, RUN, EndCause.DONE, ""));
+        advanceTime(500);
+        mWorker.mUnresponsive = true;
+        advanceTime(200);
+        acknowledge(1);
+        RunId next = new RunId(RUN.task(), 2);
+        mWorker.mStartedAtMs = 2_000;
+        mWorker.mClockMs = 10;
+        mWorker.mEnded.clear();
+        mWorker.mEnded.add(new EndedRun(1, next, EndCause.DONE, ""));
+        mWorker.mUnresponsive = false;
+        mSupervisor.onWorkerDescribed(
+                new WorkerDescription(
+                        new WorkerIncarnation(new WorkerId("i-1"), 2_000),
+                        new ServiceName("booking"),
+                        new Resources(16_000, 64_000, 0),
+                        List.of("a", "r1-1"),
+                        false,
+                        0,
+                        1));
+        advanceTime(1_000);
+
+        assertThat(lastReport().ended()).extracting(EndedRun::run).containsExactly(next);
+    }
+
     @Test
     void ignoresAcknowledgementForEarlierIncarnation() {
         mWorker.mEnded.add(new EndedRun(1, RUN, EndCause.DONE, ""));
