Acknowledge no ends while the incarnation of a worker is changing

Between the first listing of a new incarnation and its confirmation, listings still carried the acknowledgement of the earlier one.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/EndAcknowledgement.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/EndAcknowledgement.java
@@ -40,8 +40,11 @@
         mReceivedEndNumber = Math.max(mReceivedEndNumber, sentEndNumber);
     }
 
-    /** Handles a listing without a response: the worker may have restarted. */
-    void onListingFailed() {
+    /**
+     * Handles a listing without a response or of a later incarnation: the worker may have
+     * restarted.
+     */
+    void onIncarnationUncertain() {
         mResponding = false;
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -417,7 +417,7 @@
     private record SentListing(long token, long position, long acknowledgedEndNumber) {}
 
     private synchronized void onListingFailed(Throwable error, boolean periodic) {
-        mAcknowledgement.onListingFailed();
+        mAcknowledgement.onIncarnationUncertain();
         if (isReachable() && nowMs() - mRespondedAtMs > UNREACHABLE_TIMEOUT_MS / 2) {
             mLog.record("worker_unanswered", "cause", error);
         }
@@ -512,6 +512,7 @@
             mLog.record("worker_restarted", "born", startedAtMs, "before", mIncarnationStartedAtMs);
             raiseToken("worker_restarted");
             mCandidateStartedAtMs = startedAtMs;
+            mAcknowledgement.onIncarnationUncertain();
             mCandidateToken = mToken;
             mLeaseDeadlineMs = 0;
             listNow();
