Stop the runs of final jobs that a new owner restores

Cause: the request to stop a run was only in the memory of the owner that cancelled the job. The record says CANCELLED with an active task; the next owner took the run up and extended its lease. Evidence: run_of_final_job state=CANCELLED for the run that went on, and no run_stop of the next owner.

Change: an owner requests the stop of every run that it restores for a job in a final state.

DispatcherTest.stopsInheritedRunOfCancelledJob failed before (no stop was sent).

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -185,6 +185,10 @@
             cancel(job);
         }
         failIfAttemptsExhausted(job);
+        // A previous owner may have ended before all runs of a job in a final state were stopped.
+        if (job.state().isFinal()) {
+            stopRuns(job);
+        }
         mUnpublishedJobs.add(job);
     }
 
@@ -215,10 +219,6 @@
                 new TrackedRun(id, task, worker, saved.incarnation().get(), RunPhase.INHERITED);
         worker.add(run);
         task.onRunAssigned(run);
-        JobState state = task.step().job().state();
-        if (state.isFinal()) {
-            mLog.record("run_of_final_job", "run", id, "agent", worker.agent(), "state", state);
-        }
     }
 
     private void addJob(TrackedJob job) {
@@ -283,10 +283,14 @@
 
     private void finish(TrackedJob job, JobState state) {
         onStateChanged(job, state);
+        stopRuns(job);
+        mUnsavedJobs.add(job);
+    }
+
+    private void stopRuns(TrackedJob job) {
         for (TrackedTask task : job.tasks()) {
-            task.run().ifPresent(run -> requestStop(run, state.name()));
+            task.run().ifPresent(run -> requestStop(run, job.state().name()));
         }
-        mUnsavedJobs.add(job);
     }
 
     private void requestStop(TrackedRun run, String cause) {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
@@ -190,6 +190,27 @@
         assertThat(mFixture.mStarts).hasSize(2);
     }
 
+    /**
+     * Guards against a run of a cancelled job that is never stopped: the owner that cancelled it
+     * ended before the agent of the run was connected again.
+     */
+    @Test
+    void stopsInheritedRunOfCancelledJob() {
+        mFixture.connect(1);
+        JobSubmission submission = mFixture.submit(JOB, DispatchFixture.step(1, true));
+        mFixture.mDispatcher.onAgentDisconnected(DispatchFixture.agent(1));
+        mFixture.mDispatcher.onJobCancelled(new JobId(JOB));
+        JobProgress stored = mFixture.mPersisted.get(mFixture.mPersisted.size() - 1);
+        assertThat(stored.state()).isEqualTo(JobState.CANCELLED);
+
+        DispatchFixture next = new DispatchFixture();
+        next.mDispatcher.restoreJob(submission, Optional.of(stored), true);
+        long session = next.mDispatcher.onAgentConnected(DispatchFixture.agent(1));
+        next.report(1, session, 1, 0, List.of(mFixture.sample(0)), List.of());
+
+        assertThat(next.mStops).extracting(stop -> stop.run()).containsOnly(mFixture.run(0));
+    }
+
     @Test
     void sendsNoStartOfJobCancelledBeforeStartIsDurable() {
         mFixture.connect(1);
--- /dev/null
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/FleetFaultsPropertyTest.java
@@ -0,0 +1,158 @@
+package org.hickorycleat.logic.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.LongStream;
+import org.hickorycleat.model.job.JobId;
+import org.hickorycleat.model.job.JobState;
+import org.hickorycleat.model.job.JobSubmission;
+import org.hickorycleat.model.job.StepSpecification;
+import org.hickorycleat.model.job.TaskKey;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Strikes a fleet with random faults and compares it with the rules: no task runs twice at the same
+ * time or after it is done, nothing runs for a job in a final state, and every accepted job goes on
+ * or ends for cause.
+ */
+class FleetFaultsPropertyTest {
+    private static final long SEEDS = 300;
+    private static final int WORKERS = 4;
+    private static final int FAULTY_MS = 30_000;
+    private static final int CALM_MS = 45_000;
+    private static final int MAXIMUM_FAULT_INTERVAL_MS = 1_500;
+    private static final int SUBMISSION_INTERVAL_MS = 500;
+    private static final double MAXIMUM_LOSS_RATE = 0.3;
+
+    static LongStream seeds() {
+        return LongStream.rangeClosed(1, SEEDS);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void keepsRulesUnderFaults(long seed) {
+        SimulatedFleet fleet = new SimulatedFleet(seed, WORKERS);
+        fleet.setLossRate(fleet.random().nextDouble() * MAXIMUM_LOSS_RATE);
+        long nextFaultMs = 0;
+        for (long passedMs = 0; passedMs < FAULTY_MS; passedMs += 100) {
+            if (passedMs % SUBMISSION_INTERVAL_MS == 0) {
+                fleet.submit(randomJob(fleet, passedMs));
+            }
+            if (passedMs >= nextFaultMs) {
+                injectFault(fleet);
+                nextFaultMs = passedMs + fleet.random().nextInt(MAXIMUM_FAULT_INTERVAL_MS);
+            }
+            fleet.advanceTime(100);
+        }
+        fleet.setLossRate(0);
+        fleet.advanceTime(CALM_MS);
+
+        assertThat(fleet.history().violations()).isEmpty();
+        assertThat(unjustifiedStates(fleet)).isEmpty();
+    }
+
+    private static JobSubmission randomJob(SimulatedFleet fleet, long number) {
+        boolean longRunning = fleet.random().nextInt(4) == 0;
+        StepSpecification step =
+                DispatchFixture.step(1 + fleet.random().nextInt(longRunning ? 3 : 10), longRunning);
+        return new JobSubmission(
+                new JobId(String.format("%016x", number)),
+                DispatchFixture.QUEUE,
+                "payload",
+                List.of(step),
+                0,
+                0,
+                0,
+                fleet.nowMs());
+    }
+
+    private static void injectFault(SimulatedFleet fleet) {
+        int worker = fleet.randomWorker();
+        switch (fleet.random().nextInt(7)) {
+            case 0 -> killOwner(fleet);
+            case 1 -> killAgent(fleet, worker);
+            case 2 -> fleet.crashWorker(worker);
+            case 3 -> fleet.resetLink(worker);
+            case 4 -> {
+                killAgent(fleet, worker);
+                cancelRandomJob(fleet);
+                killOwner(fleet);
+            }
+            default -> cancelRandomJob(fleet);
+        }
+    }
+
+    private static void killOwner(SimulatedFleet fleet) {
+        fleet.killOwner(300 + fleet.random().nextInt(2_000));
+    }
+
+    private static void killAgent(SimulatedFleet fleet, int agent) {
+        fleet.killAgent(agent, 200 + fleet.random().nextInt(3_000));
+    }
+
+    private static void cancelRandomJob(SimulatedFleet fleet) {
+        List<JobId> jobs = new ArrayList<>(fleet.submissions().keySet());
+        fleet.cancel(jobs.get(fleet.random().nextInt(jobs.size())));
+    }
+
+    private static List<String> unjustifiedStates(SimulatedFleet fleet) {
+        List<String> found = new ArrayList<>();
+        for (JobSubmission submission : fleet.submissions().values()) {
+            JobState state = fleet.state(submission.id());
+            boolean justified =
+                    switch (state) {
+                        case COMPLETED -> !isRunning(fleet, submission);
+                        case CANCELLED ->
+                                fleet.isCancelled(submission.id()) && !isRunning(fleet, submission);
+                        case FAILED ->
+                                !isRunning(fleet, submission)
+                                        && hasExhaustedTask(fleet, submission);
+                        default -> isAllAtWork(fleet, submission);
+                    };
+            if (!justified) {
+                found.add(submission.id() + " " + state + " " + submission.steps());
+            }
+        }
+        return found;
+    }
+
+    private static List<TaskKey> tasks(JobSubmission submission) {
+        List<TaskKey> tasks = new ArrayList<>();
+        for (int i = 0; i < submission.steps().get(0).count(); i++) {
+            tasks.add(new TaskKey(submission.id(), 0, 0, i));
+        }
+        return tasks;
+    }
+
+    private static boolean isRunning(SimulatedFleet fleet, JobSubmission submission) {
+        Set<TaskKey> running = fleet.history().runningTasks();
+        return tasks(submission).stream().anyMatch(running::contains);
+    }
+
+    private static boolean hasExhaustedTask(SimulatedFleet fleet, JobSubmission submission) {
+        return tasks(submission).stream()
+                .anyMatch(
+                        task ->
+                                fleet.history().failedRuns(task)
+                                        >= DispatchFixture.MAXIMUM_ATTEMPTS);
+    }
+
+    /** A job that is not final after a calm time has long-running tasks, which may just restart. */
+    private static boolean isAllAtWork(SimulatedFleet fleet, JobSubmission submission) {
+        if (!submission.steps().get(0).longRunning()) {
+            return false;
+        }
+        for (int i = 0; i < 30; i++) {
+            Set<TaskKey> running = fleet.history().runningTasks();
+            if (running.containsAll(tasks(submission))) {
+                return true;
+            }
+            fleet.advanceTime(200);
+        }
+        return false;
+    }
+}
