Cancel a job whose cancellation arrives before its submission

A cancellation and the submission of its job reach the owner from different entries, on different links. If the cancellation came first, the dispatcher ignored it and started the tasks; the cancellation in the log was ignored as well if it was read before the submission.

Change: the dispatcher keeps the cancellations that it has heard of, and applies them when the job arrives. DispatcherTest.startsNoTaskOfJobCancelledBeforeItsSubmissionArrives failed before (a start was sent).

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -78,6 +78,8 @@
 
     private final Map<JobId, TrackedJob> mJobs = new LinkedHashMap<>();
     private final Set<TrackedJob> mUnfinishedJobs = new LinkedHashSet<>();
+    // The cancellation of a job may arrive on a faster link than its submission.
+    private final Set<JobId> mCancelledJobs = new HashSet<>();
     private final Map<ProcessId, TrackedWorker> mWorkers = new LinkedHashMap<>();
     private final Set<TrackedJob> mUnsavedJobs = new LinkedHashSet<>();
     private final List<Runnable> mActionsAfterDurable = new ArrayList<>();
@@ -181,9 +183,10 @@
         TrackedJob job = new TrackedJob(submission, mQueues.find(submission.queue()));
         addJob(job);
         progress.ifPresent(saved -> restoreJob(job, saved));
-        if (cancelled && !job.state().isFinal()) {
-            cancel(job);
+        if (cancelled) {
+            mCancelledJobs.add(job.id());
         }
+        cancelIfRequested(job);
         failIfAttemptsExhausted(job);
         // A previous owner may have ended before all runs of a job in a final state were stopped.
         if (job.state().isFinal()) {
@@ -256,20 +259,25 @@
                 submission.steps().size(),
                 "age_ms",
                 mUnixClockMs.getAsLong() - submission.acceptedAtMs());
+        cancelIfRequested(job);
         mUnpublishedJobs.add(job);
         placeAndFlush();
     }
 
     /** Handles the cancellation of a job that is durable. */
     public synchronized void onJobCancelled(JobId id) {
+        mCancelledJobs.add(id);
         TrackedJob job = mJobs.get(id);
-        if (job != null && !job.state().isFinal()) {
-            cancel(job);
+        if (job != null) {
+            cancelIfRequested(job);
             placeAndFlush();
         }
     }
 
-    private void cancel(TrackedJob job) {
+    private void cancelIfRequested(TrackedJob job) {
+        if (!mCancelledJobs.contains(job.id()) || job.state().isFinal()) {
+            return;
+        }
         mLog.record("job_cancelled", "job", job.id(), "state", job.state());
         finish(job, JobState.CANCELLED);
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
@@ -211,6 +211,17 @@
         assertThat(next.mStops).extracting(stop -> stop.run()).containsOnly(mFixture.run(0));
     }
 
+    /** Guards against a cancellation that arrives before the job that it cancels. */
+    @Test
+    void startsNoTaskOfJobCancelledBeforeItsSubmissionArrives() {
+        mFixture.connect(1);
+        mFixture.mDispatcher.onJobCancelled(new JobId(JOB));
+        mFixture.submit(JOB, DispatchFixture.step(1, false));
+
+        assertThat(mFixture.mStarts).isEmpty();
+        assertThat(mFixture.lastPublishedState(JOB)).contains(JobState.CANCELLED);
+    }
+
     @Test
     void sendsNoStartOfJobCancelledBeforeStartIsDurable() {
         mFixture.connect(1);
