Store progress in parts and tell permanent rejections of the store apart

Cause: the progress of a job was one record without a bound. The store rejected the record of 288,284 bytes, and the owner repeated it for ever like a temporary rejection, with every other change behind it; the next owner did the same. Evidence: append_retried result=REFUSED records=1 largest_bytes=288284 of key p:ID.

Change: progress is stored in parts of 64 tasks, of which only those that changed are written; a checkpoint above its share of max_record_bytes is not stored. AppendResult tells INVALID (400, 413) and FULL (507) from REFUSED. An invalid record fails its own job only. A submission that fits into no record is rejected at once with 413.

OwnerRoleTest.storesProgressOfJobWithMoreTasksThanOneRecordHolds failed on the code before (the large job never became durable) and passes now.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/DurableJobService.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/DurableJobService.java
@@ -65,6 +65,7 @@
     private final AdmissionPolicy mAdmission;
     private final Listener mListener;
     private final Scheduler mScheduler;
+    private final int mMaximumRecordBytes;
     private final List<PendingChange> mQueue = new ArrayList<>();
     private final Set<String> mUncertainKeys =
             Collections.newSetFromMap(
@@ -105,6 +106,7 @@
         private final long mDeadlineMs;
         private final SingleSubject<JobChangeResult> mResult = SingleSubject.create();
         private boolean mMayBeCommitted;
+        private boolean mAppendedAlone;
 
         PendingChange(
                 JobRecord record,
@@ -130,7 +132,8 @@
             Supplier<Optional<WorkloadConfiguration>> configuration,
             AdmissionPolicy admission,
             Listener listener,
-            Scheduler scheduler) {
+            Scheduler scheduler,
+            int maximumRecordBytes) {
         mStore = store;
         mConsumer = consumer;
         mDirectory = directory;
@@ -139,6 +142,7 @@
         mAdmission = admission;
         mListener = listener;
         mScheduler = scheduler;
+        mMaximumRecordBytes = maximumRecordBytes;
     }
 
     @Override
@@ -261,6 +265,9 @@
         List<PendingChange> changes =
                 records.stream().map(record -> pendingChange(record, deadlineMs)).toList();
         PendingChange last = changes.get(changes.size() - 1);
+        if (!changes.stream().allMatch(this::isStorable)) {
+            return Single.just(JobChangeResult.TOO_LARGE);
+        }
         if (mStore.isUnavailable()) {
             return Single.just(last.failure());
         }
@@ -271,6 +278,10 @@
         return last.mResult;
     }
 
+    private boolean isStorable(PendingChange change) {
+        return RecordBatch.isStorable(change.mStoreRecord, mMaximumRecordBytes);
+    }
+
     private synchronized PendingChange pendingChange(JobRecord record, long deadlineMs) {
         StoreRecord storeRecord = mCodec.encode(record);
         // An append of an earlier attempt may still take effect.
@@ -297,6 +308,9 @@
     }
 
     private int nextBatchLength() {
+        if (mQueue.get(0).mAppendedAlone) {
+            return 1;
+        }
         List<StoreRecord> records =
                 mQueue.stream()
                         .limit(MAXIMUM_BATCH_RECORDS)
@@ -317,7 +331,10 @@
         List<PendingChange> retried = new ArrayList<>();
         for (PendingChange pending : batch) {
             pending.mMayBeCommitted |= outcome.result() == AppendResult.UNKNOWN;
-            if (nowMs() >= pending.mDeadlineMs) {
+            // One record that the store never accepts must not hold up the others.
+            boolean invalid = outcome.result() == AppendResult.INVALID;
+            pending.mAppendedAlone |= invalid;
+            if (nowMs() >= pending.mDeadlineMs || (invalid && batch.size() == 1)) {
                 onFailed(pending);
             } else {
                 retried.add(pending);
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -153,7 +153,8 @@
                         mConfiguration::configuration,
                         this::rejectUntilMs,
                         this,
-                        scheduler);
+                        scheduler,
+                        settings.maximumRecordBytes());
         mOwnership =
                 new JobOwnership(
                         self,
@@ -273,6 +274,7 @@
                 mCodec,
                 mScheduler,
                 DispatchSettings.of(mSettings.maximumLeaseMs()),
+                mSettings.maximumRecordBytes(),
                 mMetrics.decisionLog(Dispatcher.class),
                 backlogs -> mJobAdmission.onBacklogs(backlogs, nowMs()),
                 mOwnership::stopOwner);
@@ -307,7 +309,8 @@
         mDirectory.apply(record.get());
         if (record.get() instanceof JobRecord.Claimed claimed) {
             mOwnership.onClaimRead(claimed);
-        } else if (record.get() instanceof JobRecord.Progressed) {
+        } else if (record.get() instanceof JobRecord.Progressed
+                || record.get() instanceof JobRecord.ProgressedPart) {
             mOwnership.onProgressRead();
         } else if (record.get() instanceof JobRecord.QueueAccepting accepting) {
             ownerRole().ifPresent(owner -> owner.dispatcher().onQueueAccepting(accepting.queue()));
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobLogCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobLogCodec.java
@@ -27,6 +27,7 @@
     private static final String QUEUE_KEY_PREFIX = "q:";
     private static final String CANCELLED_KEY_PREFIX = "c:";
     private static final String PROGRESS_KEY_PREFIX = "p:";
+    private static final String PROGRESS_PART_KEY_PREFIX = "t:";
     private static final String OWNER_KEY = "owner";
     private static final String INTERFERENCE_KEY = "interference";
 
@@ -49,6 +50,9 @@
         if (record instanceof JobRecord.Progressed progressed) {
             return PROGRESS_KEY_PREFIX + progressed.progress().id();
         }
+        if (record instanceof JobRecord.ProgressedPart part) {
+            return PROGRESS_PART_KEY_PREFIX + part.progress().id() + "/" + part.part();
+        }
         return record instanceof JobRecord.InterferenceUpdate ? INTERFERENCE_KEY : OWNER_KEY;
     }
 
@@ -76,6 +80,9 @@
         if (record.key().startsWith(PROGRESS_KEY_PREFIX)) {
             return decodeValue(record, JobRecord.Progressed.class);
         }
+        if (record.key().startsWith(PROGRESS_PART_KEY_PREFIX)) {
+            return decodeValue(record, JobRecord.ProgressedPart.class);
+        }
         if (record.key().equals(OWNER_KEY)) {
             return decodeValue(record, JobRecord.Claimed.class);
         }
@@ -113,6 +120,10 @@
         if (decoded instanceof JobRecord.Progressed progressed) {
             return progressed.progress().tasks().stream().allMatch(TaskProgress::isWellFormed);
         }
+        if (decoded instanceof JobRecord.ProgressedPart part) {
+            return part.part() > 0
+                    && part.progress().tasks().stream().allMatch(TaskProgress::isWellFormed);
+        }
         if (decoded instanceof JobRecord.Claimed claimed) {
             return EpochGenerator.isValid(claimed.epoch());
         }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -1,6 +1,7 @@
 package org.hickorycleat.daemon.fleet;
 
 import io.reactivex.rxjava3.core.Scheduler;
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
@@ -11,6 +12,7 @@
 import org.hickorycleat.logic.directory.DurableJob;
 import org.hickorycleat.logic.directory.JobDirectory;
 import org.hickorycleat.logic.directory.JobRecord;
+import org.hickorycleat.logic.directory.ProgressPartitioner;
 import org.hickorycleat.logic.dispatch.DispatchOutput;
 import org.hickorycleat.logic.dispatch.DispatchSettings;
 import org.hickorycleat.logic.dispatch.Dispatcher;
@@ -20,7 +22,9 @@
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.job.InterferenceEstimate;
 import org.hickorycleat.model.job.JobProgress;
+import org.hickorycleat.model.job.JobState;
 import org.hickorycleat.model.job.JobStatus;
+import org.hickorycleat.model.job.JobSubmission;
 import org.hickorycleat.model.job.QueueBacklog;
 import org.hickorycleat.model.job.WorkloadConfiguration;
 import org.hickorycleat.model.message.FleetNode;
@@ -50,8 +54,11 @@
     /** Delay before an append is retried, in milliseconds. */
     private static final long RETRY_DELAY_MS = 50;
 
-    /** Maximum number of jobs in one append; the size of an append is limited as well. */
-    private static final int MAXIMUM_BATCH_JOBS = 200;
+    /** Delay before an append to a store without room is retried, in milliseconds. */
+    private static final long FULL_STORE_RETRY_DELAY_MS = 1_000;
+
+    /** Maximum number of records in one append; the size of an append is limited as well. */
+    private static final int MAXIMUM_BATCH_RECORDS = 200;
 
     /** Start of an append that does not exist. */
     private static final long NOT_PENDING = Long.MAX_VALUE;
@@ -66,6 +73,7 @@
     private final Consumer<QueueBacklogs> mOnBacklogs;
     private final Runnable mOnEnded;
     private final Dispatcher mDispatcher;
+    private final ProgressPartitioner mPartitioner;
     private long mSequence;
     private volatile long mRetriedSequence;
     private volatile boolean mStopped;
@@ -80,6 +88,7 @@
             JobLogCodec codec,
             Scheduler scheduler,
             DispatchSettings settings,
+            int maximumRecordBytes,
             DecisionLog log,
             Consumer<QueueBacklogs> onBacklogs,
             Runnable onEnded) {
@@ -92,6 +101,7 @@
         mScheduler = scheduler;
         mOnBacklogs = onBacklogs;
         mOnEnded = onEnded;
+        mPartitioner = new ProgressPartitioner(maximumRecordBytes);
         mDispatcher =
                 new Dispatcher(epoch, this, scheduler, System::currentTimeMillis, settings, log);
     }
@@ -193,21 +203,28 @@
     }
 
     private void appendProgress(List<JobProgress> progress, Runnable onDurable) {
-        List<StoreRecord> records =
-                progress.stream()
-                        .limit(MAXIMUM_BATCH_JOBS)
-                        .map(JobRecord.Progressed::new)
-                        .map(mCodec::encode)
-                        .toList();
-        int size = RecordBatch.prefixLength(records, RecordBatch.MAXIMUM_APPEND_BYTES);
-        List<StoreRecord> batch = records.subList(0, size);
-        List<JobProgress> rest = progress.subList(size, progress.size());
+        List<StoreRecord> records = new ArrayList<>();
+        for (JobProgress job : progress) {
+            Optional<JobSubmission> submission = mDirectory.submission(job.id());
+            for (JobRecord part : mPartitioner.changedParts(submission, job)) {
+                records.add(mCodec.encode(part));
+            }
+        }
+        appendRecords(records, onDurable);
+    }
+
+    private void appendRecords(List<StoreRecord> records, Runnable onDurable) {
+        if (records.isEmpty()) {
+            onDurable.run();
+            return;
+        }
+        List<StoreRecord> next =
+                records.subList(0, Math.min(MAXIMUM_BATCH_RECORDS, records.size()));
+        int size = RecordBatch.prefixLength(next, RecordBatch.MAXIMUM_APPEND_BYTES);
+        List<StoreRecord> rest = records.subList(size, records.size());
         mSequence++;
         mAppendPendingSinceMs = mScheduler.now(TimeUnit.MILLISECONDS);
-        append(
-                batch,
-                mSequence,
-                rest.isEmpty() ? onDurable : () -> persistProgress(rest, onDurable));
+        append(next.subList(0, size), mSequence, () -> appendRecords(rest, onDurable));
     }
 
     private void append(List<StoreRecord> batch, long sequence, Runnable onDurable) {
@@ -252,12 +269,69 @@
             mOnEnded.run();
             return;
         }
+        if (outcome.result() == AppendResult.INVALID) {
+            onInvalid(batch, sequence, onDurable);
+            return;
+        }
         if (sequence != mRetriedSequence) {
             mRetriedSequence = sequence;
             logRetry(batch, sequence, outcome);
         }
+        long delayMs = RETRY_DELAY_MS;
+        if (outcome.result() == AppendResult.FULL) {
+            // The store responds, so another owner could not append either.
+            mAppendPendingSinceMs = mScheduler.now(TimeUnit.MILLISECONDS);
+            delayMs = FULL_STORE_RETRY_DELAY_MS;
+        }
         mScheduler.scheduleDirect(
-                () -> append(batch, sequence, onDurable), RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+                () -> append(batch, sequence, onDurable), delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    // A rejected append has not used its sequence number. One record that can never be stored must
+    // not hold up the others, so it is found by halving; its job fails.
+    private void onInvalid(List<StoreRecord> batch, long sequence, Runnable onDurable) {
+        if (batch.size() > 1) {
+            int half = batch.size() / 2;
+            append(
+                    batch.subList(0, half),
+                    sequence,
+                    () -> {
+                        mSequence++;
+                        append(batch.subList(half, batch.size()), mSequence, onDurable);
+                    });
+            return;
+        }
+        StoreRecord record = batch.get(0);
+        LOG.event("record_rejected")
+                .with("key", record.key())
+                .with("bytes", record.value().length)
+                .warn();
+        Optional<JobProgress> failed =
+                mCodec.decode(record).flatMap(OwnerRole::progress).map(OwnerRole::failed);
+        StoreRecord replacement =
+                failed.map(JobRecord.Progressed::new).map(mCodec::encode).orElse(record);
+        mSequence--;
+        boolean replaced = failed.isPresent() && replacement.value().length < record.value().length;
+        if (!replaced) {
+            mAppendPendingSinceMs = NOT_PENDING;
+            runOrEnd(onDurable);
+            return;
+        }
+        runOrEnd(() -> mDispatcher.onProgressRejected(failed.get().id()));
+        runOrEnd(() -> appendRecords(List.of(replacement), onDurable));
+    }
+
+    private static Optional<JobProgress> progress(JobRecord record) {
+        if (record instanceof JobRecord.Progressed progressed) {
+            return Optional.of(progressed.progress());
+        }
+        return record instanceof JobRecord.ProgressedPart part
+                ? Optional.of(part.progress())
+                : Optional.empty();
+    }
+
+    private static JobProgress failed(JobProgress progress) {
+        return new JobProgress(progress.id(), JobState.FAILED, List.of());
     }
 
     private static void logRetry(List<StoreRecord> batch, long sequence, AppendOutcome outcome) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingRecordStore.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingRecordStore.java
@@ -176,9 +176,9 @@
 
     // A rejection is conclusive only if no earlier attempt may have been committed.
     private static AppendOutcome combine(AppendOutcome first, AppendOutcome last) {
-        boolean unknown =
-                last.result() == AppendResult.REFUSED && first.result() == AppendResult.UNKNOWN;
-        return unknown ? first : last;
+        boolean notAppendedNow =
+                last.result() == AppendResult.REFUSED || last.result() == AppendResult.FULL;
+        return notAppendedNow && first.result() == AppendResult.UNKNOWN ? first : last;
     }
 
     private static boolean isConclusive(AppendOutcome outcome) {
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/ConfigurationCopyTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/ConfigurationCopyTest.java
@@ -104,6 +104,7 @@
                         1,
                         OptionalLong.empty(),
                         store,
+                        262_144,
                         Optional.empty(),
                         10_000,
                         1_000,
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/DurableJobServiceTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/DurableJobServiceTest.java
@@ -46,6 +46,8 @@
     /** Longest append that a slow link carries within the timeout of the store, in bytes. */
     private static final long MAXIMUM_APPEND_BYTES = 320 << 10;
 
+    private static final int MAXIMUM_RECORD_BYTES = 262_144;
+
     private final TestScheduler mScheduler = new TestScheduler();
     private final RecordingStore mStore = new RecordingStore();
     private final JobDirectory mDirectory = new JobDirectory();
@@ -76,7 +78,8 @@
                         @Override
                         public void onJobCancelled(JobId job) {}
                     },
-                    mScheduler);
+                    mScheduler,
+                    MAXIMUM_RECORD_BYTES);
 
     private static JobSubmission submission(int number) {
         return new JobSubmission(
@@ -111,6 +114,59 @@
         assertThat(results).hasSize(JOBS).containsOnly(JobChangeResult.DONE);
     }
 
+    /** Guards against an accepted job whose record the store rejects for ever. */
+    @Test
+    void rejectsJobThatFitsIntoNoRecord() {
+        JobSubmission large =
+                new JobSubmission(
+                        new JobId("x".repeat(254)),
+                        new QueueName("q"),
+                        "payload",
+                        List.of(),
+                        0,
+                        0,
+                        0,
+                        7);
+        var longKey = mService.submit(QUEUE, large, TIMEOUT_MS).test();
+        JobSubmission wide =
+                new JobSubmission(
+                        new JobId("job-1"),
+                        new QueueName("q"),
+                        "x".repeat(MAXIMUM_RECORD_BYTES),
+                        List.of(),
+                        0,
+                        0,
+                        0,
+                        7);
+        var largeValue = mService.submit(QUEUE, wide, TIMEOUT_MS).test();
+
+        longKey.assertValue(SubmissionResult.of(JobChangeResult.TOO_LARGE));
+        largeValue.assertValue(SubmissionResult.of(JobChangeResult.TOO_LARGE));
+        assertThat(mStore.appends()).isEmpty();
+    }
+
+    /** Guards against one record that the store never accepts and that holds up the others. */
+    @Test
+    void acceptsOtherJobsBesideOneThatTheStoreNeverAccepts() {
+        SingleSubject<AppendOutcome> first = SingleSubject.create();
+        mStore.setOutcome(first);
+        List<JobChangeResult> results = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            int number = i;
+            var unused =
+                    mService.submit(QUEUE, submission(i), TIMEOUT_MS)
+                            .subscribe(result -> results.add(number, result.result()));
+        }
+        mStore.setOutcome(Single.just(new AppendOutcome(AppendResult.APPENDED, 0)));
+        mStore.rejectKey("j:job-1001", AppendResult.INVALID);
+        first.onSuccess(new AppendOutcome(AppendResult.APPENDED, 0));
+        mScheduler.advanceTimeBy(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+
+        assertThat(results)
+                .containsExactly(
+                        JobChangeResult.DONE, JobChangeResult.NOT_DONE, JobChangeResult.DONE);
+    }
+
     /** Guards against jobs that cannot run after their queue was removed and the owner changed. */
     @Test
     void storesSettingsOfQueueOnceBeforeItsFirstJob() {
@@ -230,7 +286,8 @@
                     @Override
                     public void onJobCancelled(JobId job) {}
                 },
-                mScheduler);
+                mScheduler,
+                MAXIMUM_RECORD_BYTES);
     }
 
     /** Guards against a caller that waits for as long as a page takes over a slow link. */
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPathTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPathTest.java
@@ -103,6 +103,7 @@
                 1,
                 OptionalLong.empty(),
                 store,
+                262_144,
                 Optional.empty(),
                 10_000,
                 1_000,
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/JobLogCodecTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/JobLogCodecTest.java
@@ -102,6 +102,8 @@
                                 Optional.of(new AdviceServiceSettings(1, 2, 3)))),
                 new JobRecord.Cancelled(JOB),
                 new JobRecord.Progressed(new JobProgress(JOB, JobState.RUNNING, List.of(task))),
+                new JobRecord.ProgressedPart(
+                        3, new JobProgress(JOB, JobState.RUNNING, List.of(task))),
                 new JobRecord.Claimed(NODE, new Epoch(12)),
                 new JobRecord.InterferenceUpdate(
                         List.of(new InterferenceEstimate("s", "f", 1_200, 40))));
@@ -116,7 +118,7 @@
     @Test
     void usesDistinctKeysForRecordKinds() {
         assertThat(records().stream().map(mCodec::encode).map(StoreRecord::key).distinct())
-                .hasSize(6);
+                .hasSize(7);
     }
 
     @Test
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleFailureTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleFailureTest.java
@@ -52,6 +52,7 @@
                     1_000,
                     0);
     private static final int MAXIMUM_LEASE_MS = 6_000;
+    private static final int MAXIMUM_RECORD_BYTES = 262_144;
 
     private final TestScheduler mScheduler = new TestScheduler();
     private final EventLoopGroup mEventLoops =
@@ -97,6 +98,7 @@
                 new JobLogCodec(),
                 mScheduler,
                 DispatchSettings.of(MAXIMUM_LEASE_MS),
+                MAXIMUM_RECORD_BYTES,
                 log,
                 backlogs -> {},
                 () -> mFencedCount++);
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.hickorycleat.daemon.transport.MessageTransport;
 import org.hickorycleat.daemon.transport.TransportMetrics;
+import org.hickorycleat.logic.directory.DurableJob;
 import org.hickorycleat.logic.directory.JobDirectory;
 import org.hickorycleat.logic.dispatch.DispatchSettings;
 import org.hickorycleat.logic.port.DecisionLog;
@@ -18,12 +19,17 @@
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobState;
+import org.hickorycleat.model.job.JobSubmission;
+import org.hickorycleat.model.job.QueueName;
+import org.hickorycleat.model.job.StepSpecification;
 import org.hickorycleat.model.job.TaskProgress;
 import org.hickorycleat.model.job.TaskStatus;
 import org.hickorycleat.model.message.FleetNode;
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.ProcessRole;
+import org.hickorycleat.model.store.AppendResult;
 import org.hickorycleat.model.store.StoreRecord;
+import org.hickorycleat.model.task.Resources;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -46,6 +52,7 @@
 
     private final TestScheduler mScheduler = new TestScheduler();
     private final RecordingStore mStore = new RecordingStore();
+    private final JobDirectory mDirectory = new JobDirectory();
     private final JobLogCodec mCodec = new JobLogCodec();
     private final MessageTransport mTransport =
             new MessageTransport(1, new TransportMetrics(new SimpleMeterRegistry()));
@@ -56,10 +63,11 @@
                     new RelayingRecordStore(
                             mStore, (peer, message) -> false, Optional::empty, mScheduler),
                     new FleetLinks(mTransport, SELF, new SilentListener(), mScheduler),
-                    new JobDirectory(),
+                    mDirectory,
                     mCodec,
                     mScheduler,
                     DispatchSettings.of(10_000),
+                    262_144,
                     DecisionLog.NONE,
                     backlogs -> {},
                     () -> {});
@@ -99,6 +107,109 @@
         return new JobProgress(new JobId("job-" + (1_000 + number)), JobState.RUNNING, list);
     }
 
+    private static JobSubmission submission(int number, int tasks) {
+        StepSpecification step =
+                new StepSpecification(
+                        tasks,
+                        new Resources(40, 1, 0),
+                        900,
+                        List.of(),
+                        true,
+                        false,
+                        false,
+                        Optional.empty(),
+                        Optional.empty(),
+                        0,
+                        false,
+                        false,
+                        "",
+                        0,
+                        false,
+                        -1);
+        return new JobSubmission(
+                progress(number, 0).id(), new QueueName("q"), "text", List.of(step), 0, 0, 0, 7);
+    }
+
+    private Optional<JobProgress> storedProgress(int number) {
+        JobDirectory directory = new JobDirectory();
+        mStore.appends().stream()
+                .flatMap(List::stream)
+                .map(mCodec::decode)
+                .flatMap(Optional::stream)
+                .forEach(directory::apply);
+        return directory.jobs().stream()
+                .filter(job -> job.id().equals(progress(number, 0).id()))
+                .findFirst()
+                .flatMap(DurableJob::progress);
+    }
+
+    /**
+     * Guards against a large job that stops all jobs: its progress exceeded the record size of the
+     * store, which rejected it for ever while everything else waited.
+     */
+    @Test
+    void storesProgressOfJobWithMoreTasksThanOneRecordHolds() {
+        mStore.limitRecords(64 << 10, AppendResult.REFUSED);
+        mDirectory.onJobSubmitted(submission(1, JobSubmission.MAXIMUM_TASKS));
+        JobProgress progress = progress(1, JobSubmission.MAXIMUM_TASKS);
+        List<String> durable = new ArrayList<>();
+        mOwner.persistProgress(List.of(progress), () -> durable.add("large"));
+        mOwner.persistProgress(List.of(progress(2, 1)), () -> durable.add("small"));
+
+        assertThat(durable).containsExactly("large", "small");
+        assertThat(storedProgress(1)).isPresent();
+        assertThat(storedProgress(1).get().tasks())
+                .containsExactlyInAnyOrderElementsOf(progress.tasks());
+    }
+
+    @Test
+    void storesOnlyPartsThatChanged() {
+        mDirectory.onJobSubmitted(submission(1, 300));
+        mOwner.persistProgress(List.of(progress(1, 300)), () -> {});
+        int before = mStore.appends().size();
+        mOwner.persistProgress(List.of(withEnd(progress(1, 300), 200)), () -> {});
+
+        assertThat(mStore.appends().subList(before, mStore.appends().size()))
+                .containsExactly(mStore.appends().get(before))
+                .first()
+                .satisfies(records -> assertThat(records).hasSize(1));
+        assertThat(storedProgress(1)).isPresent();
+        assertThat(storedProgress(1).get().tasks())
+                .containsExactlyInAnyOrderElementsOf(withEnd(progress(1, 300), 200).tasks());
+    }
+
+    private static JobProgress withEnd(JobProgress progress, int index) {
+        List<TaskProgress> tasks = new ArrayList<>(progress.tasks());
+        tasks.set(
+                index,
+                new TaskProgress(
+                        0,
+                        0,
+                        index,
+                        TaskStatus.DONE,
+                        1,
+                        List.of(),
+                        Optional.empty(),
+                        Optional.empty(),
+                        Optional.empty()));
+        return new JobProgress(progress.id(), progress.state(), tasks);
+    }
+
+    /** Guards against one job that cannot be stored and holds up the others. */
+    @Test
+    void failsOnlyJobWhoseRecordTheStoreNeverAccepts() {
+        mStore.limitRecords(200, AppendResult.INVALID);
+        List<String> durable = new ArrayList<>();
+        mOwner.persistProgress(
+                List.of(progress(1, 1), progress(2, 40), progress(3, 1)),
+                () -> durable.add("durable"));
+
+        assertThat(durable).hasSize(1);
+        assertThat(storedProgress(1).map(JobProgress::state)).contains(JobState.RUNNING);
+        assertThat(storedProgress(2).map(JobProgress::state)).contains(JobState.FAILED);
+        assertThat(storedProgress(3).map(JobProgress::state)).contains(JobState.RUNNING);
+    }
+
     /** Guards against an append that the store, a frame or a slow link cannot carry. */
     @Test
     void boundsAppendOfManyLargeJobs() {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/DurableJob.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/DurableJob.java
@@ -1,16 +1,22 @@
 package org.hickorycleat.logic.directory;
 
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobState;
 import org.hickorycleat.model.job.JobSubmission;
+import org.hickorycleat.model.job.TaskKey;
+import org.hickorycleat.model.job.TaskProgress;
 
 /** Durable state of one job as known to an entry. */
 public final class DurableJob {
     private final JobId mId;
     private Optional<JobSubmission> mSubmission = Optional.empty();
-    private Optional<JobProgress> mProgress = Optional.empty();
+    private final Map<Integer, JobProgress> mProgressParts = new TreeMap<>();
     private boolean mCancelled;
     private JobState mState = JobState.QUEUED;
 
@@ -29,7 +35,17 @@
 
     /** Returns the newest progress from the log; empty if there is none. */
     public Optional<JobProgress> progress() {
-        return mProgress;
+        if (mProgressParts.isEmpty()) {
+            return Optional.empty();
+        }
+        // A first part that an earlier version wrote has all tasks; the other parts are newer.
+        Map<TaskKey, TaskProgress> tasks = new LinkedHashMap<>();
+        for (JobProgress part : mProgressParts.values()) {
+            for (TaskProgress task : part.tasks()) {
+                tasks.put(new TaskKey(mId, task.occurrence(), task.step(), task.index()), task);
+            }
+        }
+        return Optional.of(new JobProgress(mId, mState, List.copyOf(tasks.values())));
     }
 
     /** Returns whether a cancellation of the job is durable. */
@@ -51,8 +67,8 @@
         }
     }
 
-    void onProgress(JobProgress progress) {
-        mProgress = Optional.of(progress);
+    void onProgress(int part, JobProgress progress) {
+        mProgressParts.put(part, progress);
         onStateChanged(progress.state());
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobDirectory.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobDirectory.java
@@ -36,7 +36,9 @@
         } else if (record instanceof JobRecord.Cancelled cancelled) {
             onJobCancelled(cancelled.job());
         } else if (record instanceof JobRecord.Progressed progressed) {
-            getOrCreate(progressed.progress().id()).onProgress(progressed.progress());
+            getOrCreate(progressed.progress().id()).onProgress(0, progressed.progress());
+        } else if (record instanceof JobRecord.ProgressedPart part) {
+            getOrCreate(part.progress().id()).onProgress(part.part(), part.progress());
         } else if (record instanceof JobRecord.Claimed claimed) {
             onOwnershipClaimed(claimed);
         } else if (record instanceof JobRecord.InterferenceUpdate update) {
@@ -100,6 +102,11 @@
         return Optional.ofNullable(mJobs.get(id)).map(DurableJob::state);
     }
 
+    /** Returns the submission of a job; empty if it is unknown. */
+    public synchronized Optional<JobSubmission> submission(JobId id) {
+        return Optional.ofNullable(mJobs.get(id)).flatMap(DurableJob::submission);
+    }
+
     /** Returns the number of jobs of a queue that have not started. */
     public synchronized int waitingJobCount(QueueName queue) {
         int waiting = 0;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobRecord.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobRecord.java
@@ -20,9 +20,16 @@
     /** Cancellation of a job that an entry accepted. */
     record Cancelled(JobId job) implements JobRecord {}
 
-    /** Progress of a job, written by the owner. */
+    /** First part of the progress of a job, written by the owner. */
     record Progressed(JobProgress progress) implements JobRecord {}
 
+    /**
+     * Further part of the progress of a job with many tasks, written by the owner.
+     *
+     * @param part number of the part; the first part has number 0
+     */
+    record ProgressedPart(int part, JobProgress progress) implements JobRecord {}
+
     /** Ownership claim of an entry; the claim with the highest epoch is valid. */
     record Claimed(FleetNode owner, Epoch epoch) implements JobRecord {}
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -282,6 +282,15 @@
         finish(job, JobState.CANCELLED);
     }
 
+    /** Handles progress that the store never accepts: its job cannot go on. */
+    public synchronized void onProgressRejected(JobId id) {
+        TrackedJob job = mJobs.get(id);
+        if (job != null && !job.state().isFinal()) {
+            mLog.record("job_failed", "job", id, "cause", "progress_rejected");
+            finish(job, JobState.FAILED);
+        }
+    }
+
     private void onStateChanged(TrackedJob job, JobState state) {
         job.onStateChanged(state);
         if (state.isFinal()) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/JobChangeResult.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/JobChangeResult.java
@@ -9,5 +9,7 @@
     /** The change may have been committed. */
     UNKNOWN,
     /** No such job exists. */
-    NO_SUCH_JOB
+    NO_SUCH_JOB,
+    /** The change does not fit into a record of the store and was not committed. */
+    TOO_LARGE
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/TaskProgress.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/TaskProgress.java
@@ -27,6 +27,20 @@
         failedRuns = List.copyOf(failedRuns);
     }
 
+    /** Returns the same progress without the checkpoint. */
+    public TaskProgress withoutCheckpoint() {
+        return new TaskProgress(
+                occurrence,
+                step,
+                index,
+                status,
+                run,
+                failedRuns,
+                agent,
+                incarnation,
+                Optional.empty());
+    }
+
     /** Returns whether no number is negative. */
     public boolean isWellFormed() {
         return occurrence >= 0 && step >= 0 && index >= 0 && run >= 0;
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/node/NodeSettings.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/node/NodeSettings.java
@@ -22,6 +22,7 @@
  *     thousandths
  * @param processors number of processors
  * @param linkKbps bandwidth of the network link, in kilobits per second; empty if it is not limited
+ * @param maximumRecordBytes maximum size of a store record, in bytes
  * @param adviceAddress address of the advice service
  * @param maximumLeaseMs maximum lease that workers accept, in milliseconds
  * @param checkpointIntervalMs time between checkpoints of a task, in milliseconds
@@ -45,6 +46,7 @@
         int processors,
         OptionalLong linkKbps,
         InetSocketAddress storeAddress,
+        int maximumRecordBytes,
         Optional<InetSocketAddress> adviceAddress,
         int maximumLeaseMs,
         int checkpointIntervalMs,
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/store/AppendResult.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/store/AppendResult.java
@@ -13,5 +13,9 @@
     /** The store rejected the request, or the request was never sent; nothing was appended. */
     REFUSED,
     /** The append may have been committed or may still be. */
-    UNKNOWN
+    UNKNOWN,
+    /** The store never accepts this request, for example because a record is too large. */
+    INVALID,
+    /** The store has no room for further records; nothing was appended. */
+    FULL
 }
