Take absence for an end only in complete lists

Cause: a worker lists at most 500 ends until they are acknowledged. A run whose end was beyond the listed ones was in no list, which proved to the owner that it was over, and its task started again.

Change: listings and reports say whether they are COMPLETE or PARTIAL. Only a complete one rules out a start without a response or declares a run lost.

--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleFailureTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleFailureTest.java
@@ -27,6 +27,7 @@
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobState;
+import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.WorkerIncarnation;
 import org.hickorycleat.model.message.FleetNode;
 import org.hickorycleat.model.message.Message;
@@ -197,6 +198,7 @@
                 List.of(),
                 List.of(),
                 List.of(),
+                ListCompleteness.COMPLETE,
                 false,
                 true,
                 100);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -24,6 +24,7 @@
 import org.hickorycleat.model.job.JobState;
 import org.hickorycleat.model.job.JobStatus;
 import org.hickorycleat.model.job.JobSubmission;
+import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.QueueBacklog;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.RunSample;
@@ -446,8 +447,9 @@
             onSample(worker, sample);
         }
         report.ended().forEach(end -> listed.add(end.run()));
+        boolean complete = report.completeness() == ListCompleteness.COMPLETE;
         for (TrackedRun run : worker.runs()) {
-            if (run.phase() == RunPhase.PERSISTING) {
+            if (run.phase() == RunPhase.PERSISTING || !(complete || listed.contains(run.id()))) {
                 continue;
             }
             boolean otherIncarnation = !run.incarnation().equals(report.incarnation().get());
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunMonitor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunMonitor.java
@@ -88,7 +88,8 @@
     }
 
     private void stopStalled(TrackedWorker worker, long nowMs) {
-        if (!worker.isAvailable() || worker.bestEffortPercent() == 0) {
+        // Runs whose end is not listed yet make no progress.
+        if (!worker.isAvailable() || !worker.isFullyListed() || worker.bestEffortPercent() == 0) {
             return;
         }
         List<TrackedRun> finite = new ArrayList<>();
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/RunListing.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/RunListing.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.hickorycleat.model.job.EndedRun;
+import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.RunSample;
 
 /**
@@ -10,13 +11,15 @@
  * @param fenced whether the worker has seen a higher fencing token; the lists are empty then
  * @param startedAtMs start of the responding incarnation of the worker, in Unix milliseconds
  * @param clockMs clock of the worker at the time of the response, in milliseconds
+ * @param completeness whether the worker has further ends that are not listed
  */
 public record RunListing(
         boolean fenced,
         long startedAtMs,
         long clockMs,
         List<RunSample> running,
-        List<EndedRun> ended) {
+        List<EndedRun> ended,
+        ListCompleteness completeness) {
     /** Copies the lists. */
     public RunListing {
         running = List.copyOf(running);
@@ -25,6 +28,6 @@
 
     /** Returns the response to a fencing token that is too low. */
     public static RunListing rejectedAsFenced() {
-        return new RunListing(true, 0, 0, List.of(), List.of());
+        return new RunListing(true, 0, 0, List.of(), List.of(), ListCompleteness.PARTIAL);
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -20,6 +20,7 @@
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.job.EndedRun;
+import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.RejectionReason;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.RunSample;
@@ -89,6 +90,7 @@
     private long mCandidateToken;
     private List<RunSample> mRunning = List.of();
     private List<EndedRun> mEnded = List.of();
+    private ListCompleteness mCompleteness = ListCompleteness.PARTIAL;
     private Epoch mEpoch = new Epoch(-1);
     private long mSession;
     private long mToken;
@@ -488,6 +490,7 @@
         boolean changed = newIncarnation || !hasSameEnds(ended, mEnded);
         mRunning = response.running();
         mEnded = ended;
+        mCompleteness = response.completeness();
         resolvePending(sent.token());
         if (newIncarnation) {
             rejectPending();
@@ -564,8 +567,13 @@
         for (EndedRun end : mEnded) {
             mPending.remove(end.run());
         }
+        // A run that has ended may be missing from a partial list.
         List<PendingRun> ruledOut =
-                mPending.values().stream().filter(pending -> pending.isRuledOutBy(token)).toList();
+                mCompleteness == ListCompleteness.COMPLETE
+                        ? mPending.values().stream()
+                                .filter(pending -> pending.isRuledOutBy(token))
+                                .toList()
+                        : List.of();
         for (PendingRun pending : ruledOut) {
             mPending.remove(pending.command().run());
             reject(pending.command().run(), RejectionReason.UNAVAILABLE);
@@ -667,6 +675,7 @@
                         new ArrayList<>(mPending.keySet()),
                         mRunning,
                         mEnded,
+                        mCompleteness,
                         !reachable && nowMs() > mLeaseExpiredByMs,
                         reachable,
                         mThrottle.lowestPercent()));
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
@@ -18,6 +18,7 @@
 import org.hickorycleat.model.job.JobState;
 import org.hickorycleat.model.job.JobStatus;
 import org.hickorycleat.model.job.JobSubmission;
+import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.QueueBacklog;
 import org.hickorycleat.model.job.QueueName;
 import org.hickorycleat.model.job.RunId;
@@ -55,6 +56,7 @@
     final List<Runnable> mWaitingCallbacks = new ArrayList<>();
     final Dispatcher mDispatcher;
     boolean mStoreBlocked;
+    ListCompleteness mCompleteness = ListCompleteness.COMPLETE;
     boolean mMayExtendLeases = true;
     private long mReportNumber;
 
@@ -211,6 +213,7 @@
                         List.of(),
                         running,
                         ended,
+                        mCompleteness,
                         false,
                         true,
                         100));
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
@@ -11,6 +11,7 @@
 import org.hickorycleat.model.job.JobState;
 import org.hickorycleat.model.job.JobStatus;
 import org.hickorycleat.model.job.JobSubmission;
+import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.RejectionReason;
 import org.hickorycleat.model.job.RunSample;
 import org.hickorycleat.model.job.StepSpecification;
@@ -157,6 +158,7 @@
                         List.of(),
                         List.of(),
                         List.of(new EndedRun(1, other.run(0), EndCause.FAILED, "")),
+                        ListCompleteness.COMPLETE,
                         false,
                         true,
                         100));
@@ -377,6 +379,22 @@
         assertThat(mFixture.mStarts).hasSize(1);
     }
 
+    /**
+     * Guards against tasks that start again after they are done, because their end is not listed.
+     */
+    @Test
+    void keepsRunThatPartialListOmits() {
+        long session = mFixture.connect(1);
+        mFixture.submit(JOB, DispatchFixture.step(1, false));
+        mFixture.mCompleteness = ListCompleteness.PARTIAL;
+        mFixture.report(1, session, 1, 1, List.of(), List.of());
+        assertThat(mFixture.mStarts).hasSize(1);
+
+        mFixture.mCompleteness = ListCompleteness.COMPLETE;
+        mFixture.report(1, session, 1, 1, List.of(), List.of());
+        assertThat(mFixture.mStarts).hasSize(2);
+    }
+
     /** Guards against an overtaken report that omits a run which a later one contains. */
     @Test
     void ignoresReportThatAnotherOneOvertook() {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatorTest.java
@@ -12,6 +12,7 @@
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobQueue;
 import org.hickorycleat.model.job.JobSubmission;
+import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.StepSpecification;
 import org.hickorycleat.model.job.WorkerDescription;
@@ -69,6 +70,7 @@
                         List.of(),
                         List.of(),
                         List.of(),
+                        ListCompleteness.COMPLETE,
                         false,
                         true,
                         100),
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/OddReportPropertyTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/OddReportPropertyTest.java
@@ -12,6 +12,7 @@
 import org.hickorycleat.model.job.EndCause;
 import org.hickorycleat.model.job.EndedRun;
 import org.hickorycleat.model.job.JobId;
+import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.RejectionReason;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.RunSample;
@@ -74,6 +75,7 @@
                 List.of(oddRun(random)),
                 List.of(new RunSample(oddRun(random), "", oddInteger(random), oddNumber(random))),
                 List.of(new EndedRun(oddNumber(random), oddRun(random), cause, "")),
+                ListCompleteness.COMPLETE,
                 random.nextBoolean(),
                 random.nextBoolean(),
                 oddInteger(random));
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/SimulatedWorker.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/SimulatedWorker.java
@@ -22,6 +22,7 @@
 import org.hickorycleat.logic.port.WorkerRuntime;
 import org.hickorycleat.model.job.EndCause;
 import org.hickorycleat.model.job.EndedRun;
+import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.RejectionReason;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.RunSample;
@@ -35,6 +36,7 @@
     private static final int MAXIMUM_LEASE_MS = 10_000;
     private static final int COMMAND_TIMEOUT_MS = 300;
     private static final int POLL_MS = 20;
+    private static final int MAXIMUM_LISTED_ENDS = 3;
 
     private final String mName;
     private final TestScheduler mScheduler;
@@ -208,7 +210,16 @@
             int percent = (int) ((nowMs() - run.getValue().startedAtMs()) / 100 % 100);
             running.add(new RunSample(run.getKey(), "", percent, 900));
         }
-        return new RunListing(false, mStartedAtMs, clockMs(), running, mEnded);
+        List<EndedRun> ended = mEnded.subList(0, Math.min(MAXIMUM_LISTED_ENDS, mEnded.size()));
+        return new RunListing(
+                false,
+                mStartedAtMs,
+                clockMs(),
+                running,
+                ended,
+                ended.size() < MAXIMUM_LISTED_ENDS
+                        ? ListCompleteness.COMPLETE
+                        : ListCompleteness.PARTIAL);
     }
 
     private <T> Single<T> call(Supplier<T> command) {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/FakeWorker.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/FakeWorker.java
@@ -10,6 +10,7 @@
 import org.hickorycleat.logic.port.StartRunCommand;
 import org.hickorycleat.logic.port.WorkerRuntime;
 import org.hickorycleat.model.job.EndedRun;
+import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.RunSample;
 
@@ -26,6 +27,7 @@
     long mAcknowledgedEndNumber;
     long mStartedAtMs = 1_000;
     long mClockMs = 50_000;
+    ListCompleteness mCompleteness = ListCompleteness.COMPLETE;
     boolean mUnresponsive;
     boolean mHoldsListings;
     final List<HeldListing> mHeldListings = new ArrayList<>();
@@ -72,7 +74,8 @@
         mEnded.removeIf(end -> end.number() <= acknowledgedEndNumber);
         List<EndedRun> ended = List.copyOf(mEnded);
         RunListing listing =
-                new RunListing(false, mStartedAtMs, mClockMs, List.copyOf(mRunning), ended);
+                new RunListing(
+                        false, mStartedAtMs, mClockMs, List.copyOf(mRunning), ended, mCompleteness);
         if (!mHoldsListings) {
             return Single.just(listing);
         }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/OvertakenListingTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/OvertakenListingTest.java
@@ -13,6 +13,7 @@
 import org.hickorycleat.model.identifier.ServiceName;
 import org.hickorycleat.model.identifier.WorkerId;
 import org.hickorycleat.model.job.JobId;
+import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.RunSample;
 import org.hickorycleat.model.job.TaskKey;
@@ -128,7 +129,8 @@
                                 mWorker.mStartedAtMs,
                                 listingAfterStart().listing().clockMs(),
                                 List.of(),
-                                List.of()),
+                                List.of(),
+                                ListCompleteness.COMPLETE),
                         listingBeforeStart().response());
         listingAfterStart().deliver();
         sameClock.deliver();
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
@@ -15,6 +15,7 @@
 import org.hickorycleat.model.job.EndCause;
 import org.hickorycleat.model.job.EndedRun;
 import org.hickorycleat.model.job.JobId;
+import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.RejectionReason;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.RunSample;
@@ -148,6 +149,20 @@
                 .isGreaterThan(FIRST_TOKEN);
     }
 
+    /** Guards against a start that is taken for rejected although its run has ended already. */
+    @Test
+    void keepsStartWithoutResponseWhileListsArePartial() {
+        mWorker.mCompleteness = ListCompleteness.PARTIAL;
+        mSupervisor.onStartRun(start(EPOCH));
+        mWorker.mStartResponses.get(0).onError(new IllegalStateException("no response"));
+        advanceTime(500);
+        assertThat(rejections()).isEmpty();
+
+        mWorker.mCompleteness = ListCompleteness.COMPLETE;
+        advanceTime(1_000);
+        assertThat(rejections()).hasSize(1);
+    }
+
     @Test
     void keepsStartWithoutResponseThatWorkerLists() {
         mSupervisor.onStartRun(start(EPOCH));
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/DispatchMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/DispatchMeasurement.java
@@ -31,6 +31,7 @@
 import org.hickorycleat.model.job.JobQueue;
 import org.hickorycleat.model.job.JobStatus;
 import org.hickorycleat.model.job.JobSubmission;
+import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.QueueBacklog;
 import org.hickorycleat.model.job.QueueName;
 import org.hickorycleat.model.job.StepSpecification;
@@ -230,6 +231,7 @@
                             List.of(),
                             List.of(),
                             ended,
+                            ListCompleteness.COMPLETE,
                             false,
                             true,
                             100));
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/WorkerReport.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/WorkerReport.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.job.EndedRun;
+import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.RunSample;
 import org.hickorycleat.model.job.WorkerDescription;
@@ -20,6 +21,7 @@
  *     listed
  * @param lastCommandNumber number of the last command of the session that the lists reflect
  * @param pending runs whose start command is in flight and that are in no list yet
+ * @param completeness whether a run in none of the lists has certainly ended
  * @param leaseExpired whether all runs on the worker have certainly ended because the lease expired
  * @param reachable whether the worker responds
  * @param bestEffortPercent lowest share at which a best-effort image may run, in percent
@@ -34,6 +36,7 @@
         List<RunId> pending,
         List<RunSample> running,
         List<EndedRun> ended,
+        ListCompleteness completeness,
         boolean leaseExpired,
         boolean reachable,
         int bestEffortPercent)
