Store the settings of a queue only if they fit into a record

A queue whose name is too long for a key would have accepted no job since its settings are stored with the first one. Found by reading; the test failed before with TOO_LARGE by construction of the check.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/DurableJobService.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/DurableJobService.java
@@ -199,8 +199,10 @@
     private Single<SubmissionResult> append(
             JobQueue queue, JobSubmission submission, int timeoutMs) {
         List<JobRecord> records = new ArrayList<>();
-        if (!mDirectory.queue(queue.name()).equals(Optional.of(queue))) {
-            records.add(new JobRecord.QueueAccepting(queue));
+        JobRecord settings = new JobRecord.QueueAccepting(queue);
+        boolean stored = mDirectory.queue(queue.name()).equals(Optional.of(queue));
+        if (!stored && isStorable(mCodec.encode(settings))) {
+            records.add(settings);
         }
         records.add(new JobRecord.Submitted(submission));
         return append(records, timeoutMs).map(SubmissionResult::of);
@@ -265,7 +267,7 @@
         List<PendingChange> changes =
                 records.stream().map(record -> pendingChange(record, deadlineMs)).toList();
         PendingChange last = changes.get(changes.size() - 1);
-        if (!changes.stream().allMatch(this::isStorable)) {
+        if (!isStorable(last.mStoreRecord)) {
             return Single.just(JobChangeResult.TOO_LARGE);
         }
         if (mStore.isUnavailable()) {
@@ -278,8 +280,8 @@
         return last.mResult;
     }
 
-    private boolean isStorable(PendingChange change) {
-        return RecordBatch.isStorable(change.mStoreRecord, mMaximumRecordBytes);
+    private boolean isStorable(StoreRecord record) {
+        return RecordBatch.isStorable(record, mMaximumRecordBytes);
     }
 
     private synchronized PendingChange pendingChange(JobRecord record, long deadlineMs) {
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/DurableJobServiceTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/DurableJobServiceTest.java
@@ -30,18 +30,7 @@
     private static final int JOBS = 60;
     private static final int PAYLOAD_BYTES = 40_000;
     private static final int TIMEOUT_MS = 3_000;
-    private static final JobQueue QUEUE =
-            new JobQueue(
-                    new QueueName("q"),
-                    "host",
-                    "/q/",
-                    new ServiceName("s"),
-                    0,
-                    4,
-                    2,
-                    1_000,
-                    3_000,
-                    Optional.empty());
+    private static final JobQueue QUEUE = queue("q");
 
     /** Longest append that a slow link carries within the timeout of the store, in bytes. */
     private static final long MAXIMUM_APPEND_BYTES = 320 << 10;
@@ -81,6 +70,20 @@
                     mScheduler,
                     MAXIMUM_RECORD_BYTES);
 
+    private static JobQueue queue(String name) {
+        return new JobQueue(
+                new QueueName(name),
+                "host",
+                "/q/",
+                new ServiceName("s"),
+                0,
+                4,
+                2,
+                1_000,
+                3_000,
+                Optional.empty());
+    }
+
     private static JobSubmission submission(int number) {
         return new JobSubmission(
                 new JobId("job-" + (1_000 + number)),
@@ -145,6 +148,14 @@
         assertThat(mStore.appends()).isEmpty();
     }
 
+    /** Guards against a queue whose name is too long for a key and that could accept no job. */
+    @Test
+    void acceptsJobOfQueueWhoseSettingsFitIntoNoRecord() {
+        var result = mService.submit(queue("q".repeat(254)), submission(1), TIMEOUT_MS).test();
+
+        result.assertValue(SubmissionResult.of(JobChangeResult.DONE));
+    }
+
     /** Guards against one record that the store never accepts and that holds up the others. */
     @Test
     void acceptsOtherJobsBesideOneThatTheStoreNeverAccepts() {
