Count the lease that a start has extended

Callers would see tasks of an unresponsive worker start elsewhere while they still run there.

Cause: every command with a deadline extends the lease of all that runs on the worker. The agent recorded the deadlines of its listings only. If its process is paused between a start and the next listing, the worker counts as unreachable, the listing carries no deadline, and the agent reports that the lease has expired by the deadline before.

Evidence: RunSupervisorTest#reportsNoLeaseExpiryBeforeLeaseOfStartExpires failed on the former code (leaseExpired was true before the worker's clock had passed the deadline of the start) and passes.

The deadline is now recorded wherever one is sent, so no command can extend a lease unnoticed.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -235,6 +235,7 @@
     private void sendStart(PendingRun pending) {
         StartRun command = pending.command();
         pending.onSent(mToken);
+        onLeaseDeadlineSent();
         StartRunCommand startCommand =
                 new StartRunCommand(
                         command.incarnation(),
@@ -400,10 +401,7 @@
         boolean extend = isReachable() && mLeaseDeadlineMs > 0;
         Optional<Long> deadline = extend ? Optional.of(mLeaseDeadlineMs) : Optional.empty();
         if (extend) {
-            mLeaseExpiredByMs =
-                    Math.max(
-                            mLeaseExpiredByMs,
-                            mClock.certainlyPassedAtMs(mLeaseDeadlineMs, nowMs()));
+            onLeaseDeadlineSent();
         }
         long sentAtMs = nowMs();
         SentListing sent =
@@ -415,6 +413,12 @@
                 error -> onListingFailed(error, periodic));
     }
 
+    // Each command with a deadline extends the lease of everything that runs on the worker.
+    private void onLeaseDeadlineSent() {
+        mLeaseExpiredByMs =
+                Math.max(mLeaseExpiredByMs, mClock.certainlyPassedAtMs(mLeaseDeadlineMs, nowMs()));
+    }
+
     /** What is needed of a listing request when its response arrives. */
     private record SentListing(long token, long position, long acknowledgedEndNumber) {}
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
@@ -366,6 +366,32 @@
         assertThat(lastReport().leaseExpired()).isTrue();
     }
 
+    /** Guards against a lease that counts as expired although a start has extended it. */
+    @Test
+    void reportsNoLeaseExpiryBeforeLeaseOfStartExpires() {
+        // Leases that an earlier incarnation of the agent extended have expired.
+        advanceTime(10_000);
+        extendLease();
+        mWorker.mHoldsListings = true;
+        advanceTime(2_000);
+        mSupervisor.onOwnerSession(EPOCH, 1);
+        extendLease();
+        mSupervisor.onStartRun(start(EPOCH));
+        long remainingMs = mWorker.mStarts.get(0).leaseDeadlineMs() - mWorker.mClockMs - 2_000;
+
+        // The process is paused, so the listing fails only when the worker is unreachable.
+        advanceTime(2_000);
+        mWorker.mUnresponsive = true;
+        FakeWorker.HeldListing held = mWorker.mHeldListings.get(0);
+        held.response().onError(new IllegalStateException("no response"));
+        advanceTime(remainingMs - 2_000);
+        assertThat(lastReport().reachable()).isFalse();
+        assertThat(lastReport().leaseExpired()).isFalse();
+
+        advanceTime(1_000);
+        assertThat(lastReport().leaseExpired()).isTrue();
+    }
+
     @Test
     void retriesStopWhileRunIsListed() {
         mWorker.mRunning.add(new RunSample(RUN, "", 10, 0));
