Take only samples for evidence of a stall

Cause: the time without progress was counted up to now, not up to the last sample. In reverse, no stall was found while a list of ends was cut off, and runs whose end is not listed yet counted as slowed down.

Evidence: RunMonitorTest failed on the former code in keepsRunWhileItsWorkerReportsNothing and in stopsRunOfWorkerThatStandsStillWhileOtherEndsAreNotListedYet, and passes.

RunProgress counts from sample to sample; RunMonitor looks only at runs that the newest report lists as running, which no longer needs the completeness of the list of ends.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -476,7 +476,7 @@
         if (run.phase() == RunPhase.INHERITED) {
             mOutput.send(worker.agent(), new RunTraits(mEpoch, run.id(), run.task().traits()));
         }
-        run.onSample(sample.progressPercent(), sample.measurement(), nowMs());
+        run.onSample(sample.progressPercent(), sample.measurement(), worker.reportedAtMs());
         run.task().onCheckpoint(sample.checkpoint());
         if (run.isStopping()) {
             sendStop(run);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunMonitor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunMonitor.java
@@ -1,6 +1,5 @@
 package org.hickorycleat.logic.dispatch;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
@@ -11,9 +10,6 @@
  * slows them down.
  */
 final class RunMonitor {
-    /** Time without progress after which a run counts as stalled, in milliseconds. */
-    private static final long STALL_TIMEOUT_MS = 1_500;
-
     /**
      * Time after which a best-effort task that is slowed down by other work is moved, in
      * milliseconds.
@@ -51,7 +47,7 @@
             stopUnfinishableRuns(worker, nowMs);
         }
         stopStalled(worker, nowMs);
-        moveSlowed(worker, nowMs);
+        moveSlowed(worker);
     }
 
     private void stopUnfinishableRuns(TrackedWorker worker, long nowMs) {
@@ -60,7 +56,7 @@
             if (run.phase() != RunPhase.RUNNING || run.isStopping()) {
                 continue;
             }
-            long neededMs = run.remainingMs(nowMs);
+            long neededMs = run.progress().remainingMs(nowMs);
             boolean longRunning = run.task().specification().longRunning();
             if (longRunning || neededMs > remainingMs - DRAIN_MARGIN_MS) {
                 mStopper.stop(run, "worker_draining");
@@ -69,13 +65,14 @@
     }
 
     // A best-effort task that gets too few processors continues elsewhere from its checkpoint.
-    private void moveSlowed(TrackedWorker worker, long nowMs) {
+    private void moveSlowed(TrackedWorker worker) {
         for (TrackedRun run : worker.runs()) {
             boolean movable =
                     run.task().specification().bestEffort()
                             && !run.isStopping()
-                            && run.percent() < MOVE_LIMIT_PERCENT
-                            && run.slowedMs(nowMs) > SLOWED_TIMEOUT_MS;
+                            && run.isListed()
+                            && run.progress().percent() < MOVE_LIMIT_PERCENT
+                            && run.slowedMs() > SLOWED_TIMEOUT_MS;
             if (!movable) {
                 continue;
             }
@@ -88,22 +85,11 @@
     }
 
     private void stopStalled(TrackedWorker worker, long nowMs) {
-        // Runs whose end is not listed yet make no progress.
-        if (!worker.isAvailable() || !worker.isFullyListed() || worker.bestEffortPercent() == 0) {
+        if (!worker.isAvailable() || worker.bestEffortPercent() == 0) {
             return;
         }
-        List<TrackedRun> finite = new ArrayList<>();
-        for (TrackedRun run : worker.runs()) {
-            boolean gang = run.task().specification().gang();
-            if (run.phase() == RunPhase.RUNNING
-                    && !run.task().specification().longRunning()
-                    && !gang) {
-                finite.add(run);
-            }
-        }
-        boolean stalled =
-                !finite.isEmpty()
-                        && finite.stream().allMatch(run -> run.stalledMs(nowMs) > STALL_TIMEOUT_MS);
+        List<TrackedRun> finite = worker.runs().stream().filter(RunMonitor::showsProgress).toList();
+        boolean stalled = !finite.isEmpty() && finite.stream().allMatch(TrackedRun::isStalled);
         if (!stalled) {
             return;
         }
@@ -112,4 +98,10 @@
         }
         finite.forEach(run -> mStopper.stop(run, "stalled"));
     }
+
+    private static boolean showsProgress(TrackedRun run) {
+        return run.isListed()
+                && !run.task().specification().longRunning()
+                && !run.task().specification().gang();
+    }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedRun.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedRun.java
@@ -5,8 +5,6 @@
 
 /** Tracks a run that may be on a worker. */
 final class TrackedRun {
-    private static final int FULL_PERCENT = 100;
-
     /** Share of the requested processors below which a run counts as slowed down. */
     private static final double SLOWED_SHARE = 0.35;
 
@@ -19,10 +17,7 @@
     private long mCommandNumber;
     private long mStartSentAtMs;
     private boolean mStopping;
-    private int mPercent;
-    private int mFirstPercent = -1;
-    private long mFirstPercentAtMs;
-    private long mLastProgressAtMs;
+    private final RunProgress mProgress = new RunProgress();
     private long mMeasurement;
     private boolean mHasNewMeasurement;
     private final InterferenceEstimator.Estimate mOwnLoad = InterferenceEstimator.initialLoad();
@@ -74,8 +69,8 @@
         mStopping = true;
     }
 
-    int percent() {
-        return mPercent;
+    RunProgress progress() {
+        return mProgress;
     }
 
     long measurement() {
@@ -102,7 +97,6 @@
         mSession = session;
         mCommandNumber = commandNumber;
         mStartSentAtMs = nowMs;
-        mLastProgressAtMs = nowMs;
     }
 
     /** Returns when the start was sent, in milliseconds; only valid on the owner that sent it. */
@@ -112,16 +106,8 @@
 
     /** Updates the run from the listing of the worker. */
     void onSample(int percent, long measurement, long nowMs) {
-        if (mPhase != RunPhase.RUNNING) {
-            mPhase = RunPhase.RUNNING;
-            mFirstPercent = percent;
-            mFirstPercentAtMs = nowMs;
-            mLastProgressAtMs = nowMs;
-        }
-        if (percent != mPercent) {
-            mLastProgressAtMs = nowMs;
-        }
-        mPercent = percent;
+        mPhase = RunPhase.RUNNING;
+        mProgress.onSample(percent, nowMs);
         mMeasurement = measurement;
         mHasNewMeasurement = measurement > 0;
         long requestedMilli = mTask.specification().resources().processorsMilli();
@@ -131,11 +117,19 @@
     }
 
     /**
-     * Returns how long the run has used less than the slowed-down share of its processors, in
-     * milliseconds.
+     * Returns whether the newest report of the worker lists the run as running; else its state is
+     * not known.
+     */
+    boolean isListed() {
+        return mPhase == RunPhase.RUNNING && mProgress.sampledAtMs() == mWorker.reportedAtMs();
+    }
+
+    /**
+     * Returns how long the samples have shown less than the slowed-down share of the processors of
+     * the run, in milliseconds.
      */
-    long slowedMs(long nowMs) {
-        return mPhase == RunPhase.RUNNING ? nowMs - Math.max(mNotSlowedAtMs, mFirstPercentAtMs) : 0;
+    long slowedMs() {
+        return mProgress.sampledAtMs() - Math.max(mNotSlowedAtMs, mProgress.firstSampleAtMs());
     }
 
     /** Returns whether a report that omits the run proves that it is not on the worker. */
@@ -146,19 +140,8 @@
                         || mCommandNumber <= lastCommandNumber);
     }
 
-    /** Returns how long the run has made no progress, in milliseconds. */
-    long stalledMs(long nowMs) {
-        return mPhase == RunPhase.RUNNING ? nowMs - mLastProgressAtMs : 0;
-    }
-
-    /**
-     * Returns the remaining run time at the average rate so far, in milliseconds; -1 if unknown.
-     */
-    long remainingMs(long nowMs) {
-        int progressed = mPercent - mFirstPercent;
-        if (mPhase != RunPhase.RUNNING || progressed <= 0) {
-            return -1;
-        }
-        return (nowMs - mFirstPercentAtMs) * (FULL_PERCENT - mPercent) / progressed;
+    /** Returns whether the run makes no progress although it is listed as running. */
+    boolean isStalled() {
+        return mProgress.isStalled();
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedWorker.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedWorker.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.hickorycleat.model.identifier.ProcessId;
-import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.StepSpecification;
 import org.hickorycleat.model.job.WorkerDescription;
@@ -42,7 +41,6 @@
     private Optional<WorkerIncarnation> mIncarnation = Optional.empty();
     private boolean mConnected;
     private boolean mReachable;
-    private boolean mFullyListed;
     private boolean mOwnerAdopted;
     private long mSession;
     private long mLastCommandNumber;
@@ -133,7 +131,6 @@
         mLatencyCriticalLoads = Optional.empty();
         mDescription = report.description();
         mReachable = report.reachable();
-        mFullyListed = report.completeness() == ListCompleteness.COMPLETE;
         mBestEffortPercent = report.bestEffortPercent();
         if (report.incarnation().isPresent() && !report.incarnation().equals(mIncarnation)) {
             mIncarnation = report.incarnation();
@@ -144,11 +141,6 @@
         }
     }
 
-    /** Returns whether the newest report lists all runs of the worker. */
-    boolean isFullyListed() {
-        return mFullyListed;
-    }
-
     /** Returns whether tasks can be started on the worker. */
     boolean isAvailable() {
         return mConnected
--- /dev/null
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/RunMonitorTest.java
@@ -0,0 +1,124 @@
+package org.hickorycleat.logic.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hickorycleat.model.job.EndedRun;
+import org.hickorycleat.model.job.ListCompleteness;
+import org.hickorycleat.model.job.RunId;
+import org.hickorycleat.model.job.RunSample;
+import org.hickorycleat.model.job.StepSpecification;
+import org.hickorycleat.model.message.StopRun;
+import org.hickorycleat.model.task.Resources;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class RunMonitorTest {
+    private static final String JOB = "00000000000000aa";
+    private static final int REPORT_INTERVAL_MS = 500;
+
+    private final DispatchFixture mFixture = new DispatchFixture();
+    private long mSession;
+
+    @BeforeEach
+    void connect() {
+        mSession = mFixture.connect(1);
+    }
+
+    private static StepSpecification step(int count, int estimateMs) {
+        return new StepSpecification(
+                count,
+                new Resources(1_000, 1_000, 0),
+                estimateMs,
+                List.of(),
+                false,
+                false,
+                false,
+                Optional.empty(),
+                Optional.empty(),
+                0,
+                false,
+                false,
+                "image",
+                0,
+                false,
+                -1);
+    }
+
+    private void report(List<RunSample> running, List<EndedRun> ended) {
+        mFixture.report(1, mSession, 1, mFixture.mStarts.size(), running, ended);
+    }
+
+    private RunSample sample(int start, int percent) {
+        return new RunSample(mFixture.run(start), "", percent, 900);
+    }
+
+    private List<RunId> stoppedRuns() {
+        return mFixture.mStops.stream().map(StopRun::run).distinct().toList();
+    }
+
+    /** Reports all started runs with the same progress for a time. */
+    private void standStill(int milliseconds, int percent) {
+        for (int passed = 0; passed < milliseconds; passed += REPORT_INTERVAL_MS) {
+            List<RunSample> running = new ArrayList<>();
+            for (int i = 0; i < mFixture.mStarts.size(); i++) {
+                running.add(sample(i, percent));
+            }
+            report(running, List.of());
+            mFixture.advanceTime(REPORT_INTERVAL_MS);
+        }
+    }
+
+    @Test
+    void stopsRunsOfWorkerThatStandsStill() {
+        mFixture.submit(JOB, step(2, 2_400));
+        standStill(1_500, 40);
+        assertThat(stoppedRuns()).isEmpty();
+
+        standStill(1_000, 40);
+
+        assertThat(stoppedRuns()).containsExactly(mFixture.run(0), mFixture.run(1));
+    }
+
+    @Test
+    void keepsRunWhileAnotherOneOnItsWorkerMakesProgress() {
+        mFixture.submit(JOB, step(2, 2_400));
+        for (int i = 0; i < 20; i++) {
+            mFixture.advanceTime(REPORT_INTERVAL_MS);
+            report(List.of(sample(0, 40), sample(1, i)), List.of());
+        }
+
+        assertThat(stoppedRuns()).isEmpty();
+    }
+
+    /** Guards against silence of a worker that is taken for a lack of progress. */
+    @Test
+    void keepsRunWhileItsWorkerReportsNothing() {
+        mFixture.submit(JOB, step(1, 2_400));
+        mFixture.advanceTime(REPORT_INTERVAL_MS);
+        report(List.of(sample(0, 10)), List.of());
+
+        mFixture.advanceTime(3_000);
+        report(List.of(sample(0, 70)), List.of());
+
+        assertThat(stoppedRuns()).isEmpty();
+    }
+
+    /** Guards against an end beyond the listed ones that hides that its worker stands still. */
+    @Test
+    void stopsRunOfWorkerThatStandsStillWhileOtherEndsAreNotListedYet() {
+        mFixture.submit(JOB, step(2, 2_400));
+        mFixture.advanceTime(REPORT_INTERVAL_MS);
+        report(List.of(sample(0, 10), sample(1, 90)), List.of());
+
+        mFixture.mCompleteness = ListCompleteness.PARTIAL;
+        for (int i = 0; i < 5; i++) {
+            report(List.of(sample(0, 10)), List.of());
+            mFixture.advanceTime(REPORT_INTERVAL_MS);
+        }
+
+        assertThat(stoppedRuns()).containsExactly(mFixture.run(0));
+    }
+}
