Derive the stall timeout from the length of a task

Cause: a run counted as stalled when its whole percentage had not changed for 1.5 s, which is so for every task of more than 150 s.

The timeout now follows how long a percent can take at ten times the estimate, then the pace of the run itself; each stall of a task doubles it, and a worker is set aside only for a task that has not stalled elsewhere.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunMonitor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunMonitor.java
@@ -84,19 +84,42 @@
         }
     }
 
+    // A task that takes much longer than estimated looks like a stall too, but on any worker; the
+    // worker is at fault only if the task has not stalled before.
     private void stopStalled(TrackedWorker worker, long nowMs) {
         if (!worker.isAvailable() || worker.bestEffortPercent() == 0) {
             return;
         }
         List<TrackedRun> finite = worker.runs().stream().filter(RunMonitor::showsProgress).toList();
-        boolean stalled = !finite.isEmpty() && finite.stream().allMatch(TrackedRun::isStalled);
-        if (!stalled) {
+        boolean standsStill =
+                finite.stream()
+                        .allMatch(
+                                run ->
+                                        run.progress().stalledMs()
+                                                > RunProgress.MINIMUM_STALL_TIMEOUT_MS);
+        if (!standsStill) {
             return;
         }
-        if (worker.health().quarantine(nowMs)) {
+        List<TrackedRun> stalled =
+                finite.stream().filter(run -> !run.isStopping() && run.isStalled()).toList();
+        boolean workerAtFault = stalled.stream().anyMatch(run -> run.task().stalledRuns() == 0);
+        if (workerAtFault && worker.health().quarantine(nowMs)) {
             mLog.record("worker_set_aside", "agent", worker.agent(), "cause", "stalled");
         }
-        finite.forEach(run -> mStopper.stop(run, "stalled"));
+        for (TrackedRun run : stalled) {
+            mLog.record(
+                    "run_stalled",
+                    "run",
+                    run.id(),
+                    "percent",
+                    run.progress().percent(),
+                    "stalled_ms",
+                    run.progress().stalledMs(),
+                    "earlier_stalls",
+                    run.task().stalledRuns());
+            mStopper.stop(run, "stalled");
+            run.task().onStalled();
+        }
     }
 
     private static boolean showsProgress(TrackedRun run) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunProgress.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunProgress.java
@@ -16,11 +16,25 @@
      */
     static final long MINIMUM_STALL_TIMEOUT_MS = 1_500;
 
+    /** Factor from the longest expected time between two percents to the timeout. */
+    private static final double TIMEOUT_FACTOR = 1.5;
+
+    /** Factor from the longest time between two percents of the run itself to the timeout. */
+    private static final int OWN_PACE_FACTOR = 3;
+
+    /** Number of changes after which at least one time between two percents was seen whole. */
+    private static final int KNOWN_PACE_CHANGES = 2;
+
+    /** Limit of the number of doublings of the timeout. */
+    private static final int MAXIMUM_DOUBLINGS = 16;
+
     private int mPercent;
     private int mFirstPercent = -1;
     private long mFirstPercentAtMs;
     private long mLastProgressAtMs;
     private long mSampledAtMs;
+    private long mLongestPauseMs;
+    private int mChanges;
 
     /** Updates the progress from a sample that arrived at the given time, in milliseconds. */
     void onSample(int percent, long nowMs) {
@@ -29,7 +43,9 @@
             mFirstPercentAtMs = nowMs;
             mLastProgressAtMs = nowMs;
         } else if (percent != mPercent) {
+            mLongestPauseMs = Math.max(mLongestPauseMs, stalledMs());
             mLastProgressAtMs = nowMs;
+            mChanges++;
         }
         mPercent = percent;
         mSampledAtMs = nowMs;
@@ -54,9 +70,26 @@
         return mSampledAtMs - mLastProgressAtMs;
     }
 
-    /** Returns whether the samples have shown no progress for long. */
-    boolean isStalled() {
-        return stalledMs() > MINIMUM_STALL_TIMEOUT_MS;
+    /**
+     * Returns whether the samples have shown no progress for longer than a run that is at work can.
+     *
+     * @param estimateMs estimated duration of the task, in milliseconds
+     * @param earlierStalls number of runs of the task that were taken for stalled; each doubles the
+     *     timeout, because the task may take longer than estimated by any factor
+     */
+    boolean isStalled(long estimateMs, int earlierStalls) {
+        return stalledMs()
+                > stallTimeoutMs(estimateMs) << Math.min(earlierStalls, MAXIMUM_DOUBLINGS);
+    }
+
+    private long stallTimeoutMs(long estimateMs) {
+        double expectedMs =
+                mChanges >= KNOWN_PACE_CHANGES
+                        ? 0
+                        : estimateMs * RunTimeRatios.MAXIMUM_RATIO / FULL_PERCENT * TIMEOUT_FACTOR;
+        return Math.max(
+                MINIMUM_STALL_TIMEOUT_MS,
+                Math.max((long) expectedMs, OWN_PACE_FACTOR * mLongestPauseMs));
     }
 
     /** Returns the remaining time at the average rate so far, in milliseconds; -1 if unknown. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunTimeRatios.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunTimeRatios.java
@@ -12,7 +12,7 @@
     /** Bounds of the ratio: estimates are wrong by a factor of up to ten. */
     private static final double MINIMUM_RATIO = 0.1;
 
-    private static final double MAXIMUM_RATIO = 10;
+    static final double MAXIMUM_RATIO = 10;
 
     private final Map<QueueName, Double> mLogRatioByQueue = new HashMap<>();
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedRun.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedRun.java
@@ -142,6 +142,6 @@
 
     /** Returns whether the run makes no progress although it is listed as running. */
     boolean isStalled() {
-        return mProgress.isStalled();
+        return mProgress.isStalled(mTask.specification().estimateMs(), mTask.stalledRuns());
     }
 }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedTask.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedTask.java
@@ -25,6 +25,7 @@
     private Optional<String> mCheckpoint = Optional.empty();
     private @Nullable TrackedRun mRun;
     private long mNotBeforeMs = Long.MIN_VALUE;
+    private int mStalledRuns;
 
     TrackedTask(TaskKey key, TrackedStep step) {
         mKey = key;
@@ -137,6 +138,16 @@
         }
     }
 
+    /** Records that a run was stopped because it counted as stalled. */
+    void onStalled() {
+        mStalledRuns++;
+    }
+
+    /** Returns the number of runs that this owner has stopped as stalled. */
+    int stalledRuns() {
+        return mStalledRuns;
+    }
+
     /** Marks the task as done. */
     void onDone() {
         setStatus(TaskStatus.DONE);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/RunMonitorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/RunMonitorTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.hickorycleat.model.job.EndCause;
 import org.hickorycleat.model.job.EndedRun;
 import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.RunId;
@@ -14,6 +15,8 @@
 import org.hickorycleat.model.task.Resources;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class RunMonitorTest {
     private static final String JOB = "00000000000000aa";
@@ -21,6 +24,7 @@
 
     private final DispatchFixture mFixture = new DispatchFixture();
     private long mSession;
+    private long mEndNumber;
 
     @BeforeEach
     void connect() {
@@ -121,4 +125,75 @@
 
         assertThat(stoppedRuns()).containsExactly(mFixture.run(0));
     }
+
+    /** Guards against long tasks that are stopped because a percent of them takes seconds. */
+    @ParameterizedTest
+    @ValueSource(ints = {2_400, 24_000, 240_000, 2_400_000})
+    void keepsRunThatTakesTenTimesAsLongAsEstimated(int estimateMs) {
+        mFixture.submit(JOB, step(1, estimateMs));
+        long percentMs = estimateMs / 10;
+        for (long passedMs = 0; passedMs < 20 * percentMs; passedMs += REPORT_INTERVAL_MS) {
+            mFixture.advanceTime(REPORT_INTERVAL_MS);
+            report(List.of(sample(0, (int) (passedMs / percentMs))), List.of());
+        }
+
+        assertThat(stoppedRuns()).isEmpty();
+    }
+
+    /** Guards against tasks that never end because their estimate is wrong by any factor. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 1_000})
+    void stopsTaskOfAnyLengthOnlyFewTimes(int estimateMs) {
+        long percentMs = 60_000;
+        mFixture.submit(JOB, step(1, estimateMs));
+        long startedAtMs = 0;
+        int starts = 1;
+        for (long nowMs = 0; nowMs < 10 * percentMs; nowMs += REPORT_INTERVAL_MS) {
+            mFixture.advanceTime(REPORT_INTERVAL_MS);
+            if (mFixture.mStarts.size() > starts) {
+                starts = mFixture.mStarts.size();
+                startedAtMs = nowMs;
+            }
+            RunId current = mFixture.run(starts - 1);
+            if (stoppedRuns().contains(current)) {
+                mEndNumber++;
+                report(List.of(), List.of(new EndedRun(mEndNumber, current, EndCause.STOPPED, "")));
+            } else {
+                int percent = (int) ((nowMs - startedAtMs) / percentMs);
+                report(List.of(sample(starts - 1, percent)), List.of());
+            }
+        }
+
+        // The timeout doubles from 1.5 s to 96 s.
+        assertThat(stoppedRuns()).hasSizeLessThanOrEqualTo(6);
+        assertThat(stoppedRuns()).doesNotContain(mFixture.run(starts - 1));
+    }
+
+    /** Guards against workers that are set aside because of a task that stalls everywhere. */
+    @Test
+    void setsNoFurtherWorkerAsideForTaskThatStallsAgain() {
+        mFixture.submit(JOB, step(1, 0));
+        standStill(2_500, 0);
+        assertThat(stoppedRuns()).hasSize(1);
+        long second = mFixture.connect(2);
+        report(List.of(), List.of(new EndedRun(1, mFixture.run(0), EndCause.STOPPED, "")));
+        assertThat(mFixture.mStartedOn.get(1)).isEqualTo(DispatchFixture.agent(2));
+
+        for (int i = 0; i < 8; i++) {
+            mFixture.report(2, second, 1, 1, List.of(sample(1, 0)), List.of());
+            mFixture.advanceTime(REPORT_INTERVAL_MS);
+        }
+        assertThat(stoppedRuns()).hasSize(2);
+        mFixture.submit("00000000000000ab", step(1, 0));
+        mFixture.report(
+                2,
+                second,
+                1,
+                1,
+                List.of(),
+                List.of(new EndedRun(1, mFixture.run(1), EndCause.STOPPED, "")));
+
+        assertThat(mFixture.mStartedOn.subList(2, mFixture.mStartedOn.size()))
+                .contains(DispatchFixture.agent(2));
+    }
 }
