Let entries confirm the owner that extends leases

Cause: only the expiry of the lease proves that the run is over, and the new owner had to assume that the one before it goes on extending leases for 6 s without the store.

Ruled out: a slow election (0.9 s).

An owner now extends leases only shortly after the last response of the store, or while every entry that it has sent heartbeats to confirms it. An entry that has heard the owner and takes over therefore waits 1.1 s instead of 6 s before the lease counts. An outage of the store still ends no lease earlier while the entries are up. An idle owner reads its log, so that its contact with the store stays recent.

Evidence: FleetPathTest#restartsTaskOfLostWorkerSoonAfterItsOwnerIsLost failed on the former code and passes.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -232,14 +232,17 @@
     }
 
     private void sendHeartbeat() {
-        mLinks.broadcast(
+        List<ProcessId> peers =
+                mLinks.connectedPeers(ProcessRole.ENTRY).stream().map(FleetNode::process).toList();
+        EntryHeartbeat heartbeat =
                 new EntryHeartbeat(
                         mOwnership.owner(),
                         mOwnership.epoch(),
                         mOwnership.ownerHeartbeatAgeMs(),
                         mConfiguration.version(),
-                        canBecomeOwner()),
-                ProcessRole.ENTRY);
+                        canBecomeOwner(),
+                        mOwnership.ownerHeartbeatNumber(peers));
+        peers.forEach(peer -> mLinks.send(peer, heartbeat));
     }
 
     private boolean canBecomeOwner() {
@@ -264,7 +267,7 @@
 
     // ---- ownership
 
-    private OwnerRole createOwnerRole(Epoch epoch) {
+    private OwnerRole createOwnerRole(Epoch epoch, int previousOwnerLeaseMs) {
         return new OwnerRole(
                 mSelf,
                 epoch,
@@ -273,7 +276,7 @@
                 mDirectory,
                 mCodec,
                 mScheduler,
-                DispatchSettings.of(mSettings.maximumLeaseMs()),
+                DispatchSettings.of(mSettings.maximumLeaseMs(), previousOwnerLeaseMs),
                 mSettings.maximumRecordBytes(),
                 mMetrics.decisionLog(Dispatcher.class),
                 backlogs -> mJobAdmission.onBacklogs(backlogs, nowMs()),
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobOwnership.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobOwnership.java
@@ -4,14 +4,15 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import java.util.function.Supplier;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.logic.directory.JobDirectory;
 import org.hickorycleat.logic.directory.JobRecord;
 import org.hickorycleat.logic.election.DrainHandover;
 import org.hickorycleat.logic.election.EpochGenerator;
+import org.hickorycleat.logic.election.LeaseAuthority;
 import org.hickorycleat.logic.election.OwnerElection;
+import org.hickorycleat.logic.election.OwnerSuccession;
 import org.hickorycleat.logic.election.OwnershipTransfer;
 import org.hickorycleat.logic.election.PeerStorePaths;
 import org.hickorycleat.logic.port.SingleCallbacks;
@@ -55,15 +56,17 @@
     private final JobLogCodec mCodec;
     private final Scheduler mScheduler;
     private final Supplier<List<FleetNode>> mPeersReachingStore;
-    private final Function<Epoch, OwnerRole> mOwnerFactory;
+    private final OwnerFactory mOwnerFactory;
     private final Listener mListener;
     private final OwnerElection mElection;
+    private final OwnerSuccession mSuccession;
     private final OwnershipTransfer mTransfer;
     private final DrainHandover mDrainHandover = new DrainHandover();
     private final PeerStorePaths mPeerStorePaths = new PeerStorePaths();
     private Optional<OwnerRole> mOwnerRole = Optional.empty();
     private boolean mClaiming;
     private boolean mDraining;
+    private boolean mReadingLog;
     private long mClaimsPausedUntilMs = Long.MIN_VALUE;
     private long mLoggedAtMs;
 
@@ -74,11 +77,23 @@
         void onOwnershipStarted(OwnerRole owner);
     }
 
+    /** Creates the role of an owner. */
+    @FunctionalInterface
+    interface OwnerFactory {
+        /**
+         * Creates the role of an owner with the epoch of its claim.
+         *
+         * @param previousOwnerLeaseMs longest time for which a previous owner may still extend
+         *     leases, in milliseconds
+         */
+        OwnerRole create(Epoch epoch, int previousOwnerLeaseMs);
+    }
+
     /**
      * Creates the ownership of an entry, which does not own the jobs yet.
      *
      * @param peersReachingStore returns the connected entries that reach the store and do not drain
-     * @param ownerFactory creates the role of an owner with the epoch of its claim
+     * @param ownerFactory creates the role of this entry as owner
      */
     JobOwnership(
             FleetNode self,
@@ -89,7 +104,7 @@
             JobLogCodec codec,
             Scheduler scheduler,
             Supplier<List<FleetNode>> peersReachingStore,
-            Function<Epoch, OwnerRole> ownerFactory,
+            OwnerFactory ownerFactory,
             Listener listener) {
         mSelf = self;
         mLinks = links;
@@ -102,6 +117,9 @@
         mOwnerFactory = ownerFactory;
         mListener = listener;
         mElection = new OwnerElection(self.process(), self.capacityMilli(), nowMs());
+        mSuccession =
+                new OwnerSuccession(
+                        () -> scheduler.now(TimeUnit.MILLISECONDS), System::currentTimeMillis);
         mTransfer = new OwnershipTransfer(self.capacityMilli());
     }
 
@@ -133,6 +151,7 @@
 
     /** Claims, gives up or transfers the ownership if it is time to do so. */
     void check() {
+        keepContactWithStore();
         giveUpIfUnableToAppend();
         claimIfNeeded();
         transferIfNeeded();
@@ -154,6 +173,26 @@
                 .info();
     }
 
+    // An owner that has nothing to store reads its own log, so that it learns of a later claim.
+    private synchronized void keepContactWithStore() {
+        boolean due =
+                mOwnerRole.isPresent()
+                        && !mReadingLog
+                        && mStore.lastContactAgeMs() > LeaseAuthority.STORE_CONTACT_INTERVAL_MS;
+        if (!due) {
+            return;
+        }
+        mReadingLog = true;
+        SingleCallbacks.subscribe(
+                mJobsConsumer.catchUp(CLAIM_READ_TIMEOUT_MS),
+                endOffset -> onLogRead(),
+                error -> onLogRead());
+    }
+
+    private synchronized void onLogRead() {
+        mReadingLog = false;
+    }
+
     // ---- claims
 
     private synchronized void claimIfNeeded() {
@@ -222,11 +261,13 @@
         }
         mElection.onSchedulingStarted(epoch, nowMs());
         mTransfer.onOwnershipStarted(nowMs());
+        int previousOwnerLeaseMs = mSuccession.previousOwnerLeaseMs();
         LOG.event("owner_started")
                 .with("epoch", epoch)
                 .with("jobs", mDirectory.jobs().size())
+                .with("previous_owner_lease_ms", previousOwnerLeaseMs)
                 .info();
-        OwnerRole owner = mOwnerFactory.apply(epoch);
+        OwnerRole owner = mOwnerFactory.create(epoch, previousOwnerLeaseMs);
         mOwnerRole = Optional.of(owner);
         mListener.onOwnershipStarted(owner);
     }
@@ -234,6 +275,7 @@
     /** Handles a claim that was read from the log of the jobs. */
     void onClaimRead(JobRecord.Claimed claimed) {
         ProcessId owner = claimed.owner().process();
+        mSuccession.onClaimRead(claimed.epoch());
         if (mJobsConsumer.isLoaded()) {
             mElection.onOwnershipClaimed(owner, claimed.epoch(), nowMs());
         } else {
@@ -252,8 +294,27 @@
     /** Handles the heartbeat of a peer. */
     void onPeerHeartbeat(ProcessId peer, EntryHeartbeat heartbeat) {
         mPeerStorePaths.onReport(peer, heartbeat.storeReachable(), nowMs());
-        mElection.onPeerHeartbeat(peer, heartbeat, nowMs());
+        boolean sentByOwner = mElection.onPeerHeartbeat(peer, heartbeat, nowMs());
+        if (sentByOwner) {
+            mSuccession.onOwnerHeard(heartbeat.epoch(), heartbeat.ownerHeartbeatNumber());
+        }
         stopIfReplaced();
+        ownerRole()
+                .filter(owner -> owner.epoch().equals(heartbeat.epoch()))
+                .ifPresent(
+                        owner ->
+                                owner.leaseAuthority()
+                                        .onConfirmed(peer, heartbeat.ownerHeartbeatNumber()));
+    }
+
+    /**
+     * Returns the number of a heartbeat that is sent now to the given peers if this entry is the
+     * owner, else that of the owner's heartbeat to confirm.
+     */
+    long ownerHeartbeatNumber(List<ProcessId> peers) {
+        return ownerRole()
+                .map(owner -> owner.leaseAuthority().onHeartbeat(peers))
+                .orElseGet(() -> mSuccession.numberToConfirm(mElection.epoch()));
     }
 
     /** Handles the loss of all links to a peer. */
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -16,6 +16,7 @@
 import org.hickorycleat.logic.dispatch.DispatchOutput;
 import org.hickorycleat.logic.dispatch.DispatchSettings;
 import org.hickorycleat.logic.dispatch.Dispatcher;
+import org.hickorycleat.logic.election.LeaseAuthority;
 import org.hickorycleat.logic.port.DecisionLog;
 import org.hickorycleat.logic.port.SingleCallbacks;
 import org.hickorycleat.model.identifier.Epoch;
@@ -74,6 +75,7 @@
     private final Runnable mOnEnded;
     private final Dispatcher mDispatcher;
     private final ProgressPartitioner mPartitioner;
+    private final LeaseAuthority mLeaseAuthority;
     private long mSequence;
     private volatile long mRetriedSequence;
     private volatile boolean mStopped;
@@ -102,6 +104,9 @@
         mOnBacklogs = onBacklogs;
         mOnEnded = onEnded;
         mPartitioner = new ProgressPartitioner(maximumRecordBytes);
+        mLeaseAuthority =
+                new LeaseAuthority(
+                        () -> scheduler.now(TimeUnit.MILLISECONDS), System::currentTimeMillis);
         mDispatcher =
                 new Dispatcher(epoch, this, scheduler, System::currentTimeMillis, settings, log);
     }
@@ -110,6 +115,10 @@
         return mEpoch;
     }
 
+    LeaseAuthority leaseAuthority() {
+        return mLeaseAuthority;
+    }
+
     Dispatcher dispatcher() {
         return mDispatcher;
     }
@@ -384,6 +393,6 @@
 
     @Override
     public boolean mayExtendLeases() {
-        return !mStopped && mStore.lastContactAgeMs() < DispatchSettings.STORE_TIMEOUT_MS;
+        return !mStopped && mLeaseAuthority.mayExtendLeases(mStore.lastContactAgeMs());
     }
 }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPathTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPathTest.java
@@ -39,6 +39,12 @@
 class FleetPathTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
+    /** Time without any run after which a long-running task counts as lost. */
+    private static final Duration LONG_RUNNING_TASK_TIMEOUT = Duration.ofSeconds(9);
+
+    /** Time for which an owner has owned the jobs before it is lost, in milliseconds. */
+    private static final long OWNERSHIP_MS = 7_000;
+
     /** Time within which an entry reads a claim, in milliseconds; twice its poll interval. */
     private static final long CLAIM_READ_TIME_MS = 1_000;
 
@@ -133,12 +139,16 @@
     }
 
     private void announceWorker() {
+        announceWorker(mAgent, "i-1", mWorker);
+    }
+
+    private void announceWorker(NodeSettings agent, String id, WorkerStandIn worker) {
         mSequence++;
         call(
-                mAgent.workerHeartbeatAddress().orElseThrow(),
+                agent.workerHeartbeatAddress().orElseThrow(),
                 "POST",
-                "/instances/i-1/heartbeat",
-                mWorker.heartbeat(mSequence));
+                "/instances/" + id + "/heartbeat",
+                worker.heartbeat(mSequence));
     }
 
     private HttpResponse callJobs(int entry, String method, String job, String body) {
@@ -266,4 +276,45 @@
         assertThat(mWorker.starts()).hasSize(5);
         storePath.close();
     }
+
+    /** Guards against a long-running task that waits for a lease that nobody can have extended. */
+    @Test
+    void restartsTaskOfLostWorkerSoonAfterItsOwnerIsLost() throws Exception {
+        callJobs(0, "POST", "0000000000000001", FleetExamples.PERPETUAL_JOB);
+        Awaitility.await().atMost(TIMEOUT).until(() -> mWorker.starts().size() == 1);
+        WorkerStandIn otherWorker = new WorkerStandIn();
+        InetSocketAddress otherWorkerAddress = address();
+        new NettyHttpServer(mEventLoops).listen(otherWorkerAddress, otherWorker);
+        NodeSettings otherAgent =
+                settings(
+                        "agent-2",
+                        mEntries.get(0).storeAddress(),
+                        Optional.of(otherWorkerAddress),
+                        List.of(mEntries.get(1).linkAddress()));
+        // An entry that hears no other entry claims later.
+        NodeSettings thirdEntry =
+                settings(
+                        "entry-3",
+                        mEntries.get(0).storeAddress(),
+                        Optional.empty(),
+                        List.of(mEntries.get(1).linkAddress()));
+        for (NodeSettings settings : List.of(otherAgent, thirdEntry)) {
+            Lifecycle process = FleetProcessFactory.create(settings);
+            process.start();
+            mProcesses.add(process);
+        }
+        TimeUnit.MILLISECONDS.sleep(OWNERSHIP_MS);
+
+        mProcesses.get(2).close();
+        mProcesses.get(0).close();
+
+        Awaitility.await()
+                .atMost(LONG_RUNNING_TASK_TIMEOUT)
+                .until(
+                        () -> {
+                            announceWorker(otherAgent, "i-2", otherWorker);
+                            return !otherWorker.starts().isEmpty();
+                        });
+        assertThat(otherWorker.starts()).hasSize(1);
+    }
 }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerUnableToAppendPathTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerUnableToAppendPathTest.java
@@ -173,7 +173,8 @@
                                 heartbeat.epoch(),
                                 heartbeat.ownerHeartbeatAgeMs(),
                                 heartbeat.configurationVersion(),
-                                mReachesStore);
+                                mReachesStore,
+                                heartbeat.ownerHeartbeatNumber());
                 mLinks.ifPresent(links -> links.send(peer.process(), response));
             }
         }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnershipTransferPathTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnershipTransferPathTest.java
@@ -258,7 +258,8 @@
                                 heartbeat.epoch(),
                                 heartbeat.ownerHeartbeatAgeMs(),
                                 heartbeat.configurationVersion(),
-                                true);
+                                true,
+                                heartbeat.ownerHeartbeatNumber());
                 mLinks.ifPresent(links -> links.send(peer.process(), response));
             }
         }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/SlowPeer.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/SlowPeer.java
@@ -63,7 +63,7 @@
     private void sendHeartbeats() {
         try {
             while (!mSocket.isClosed()) {
-                send(new EntryHeartbeat(Optional.empty(), new Epoch(-1), 60_000, -1, false));
+                send(new EntryHeartbeat(Optional.empty(), new Epoch(-1), 60_000, -1, false, 0));
                 TimeUnit.MILLISECONDS.sleep(HEARTBEAT_INTERVAL_MS);
             }
         } catch (IOException | InterruptedException e) {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchSettings.java
@@ -1,11 +1,13 @@
 package org.hickorycleat.logic.dispatch;
 
+import org.hickorycleat.logic.election.LeaseAuthority;
+
 /**
  * Lease durations that the owner uses.
  *
  * @param leaseMs length to which each worker report extends the lease, in milliseconds
- * @param previousOwnerLeaseMs longest time for which a previous owner may have extended leases
- *     after it lost the store, in milliseconds
+ * @param previousOwnerLeaseMs longest time for which a previous owner may still extend leases when
+ *     its successor starts, in milliseconds
  * @param maximumLeaseMs longest lease that a worker grants, in milliseconds; as the platform
  *     defines it
  */
@@ -14,15 +16,17 @@
     private static final int LEASE_LIMIT_MS = 6_000;
 
     /**
-     * Time without a response of the store after which an owner stops extending leases, in
-     * milliseconds.
+     * Returns the settings for workers that grant leases up to the given length, and for an owner
+     * that knows nothing of the owner before it.
      */
-    public static final int STORE_TIMEOUT_MS = 6_000;
+    public static DispatchSettings of(int maximumLeaseMs) {
+        return of(maximumLeaseMs, LeaseAuthority.STORE_TIMEOUT_MS);
+    }
 
     /** Returns the settings for workers that grant leases up to the given length. */
-    public static DispatchSettings of(int maximumLeaseMs) {
+    public static DispatchSettings of(int maximumLeaseMs, int previousOwnerLeaseMs) {
         return new DispatchSettings(
-                Math.min(maximumLeaseMs, LEASE_LIMIT_MS), STORE_TIMEOUT_MS, maximumLeaseMs);
+                Math.min(maximumLeaseMs, LEASE_LIMIT_MS), previousOwnerLeaseMs, maximumLeaseMs);
     }
 
     /**
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/election/OwnerElection.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/election/OwnerElection.java
@@ -191,8 +191,13 @@
         mNextClaimAtMs = nowMs + mFailedClaimPauseMs;
     }
 
-    /** Handles the heartbeat of a peer. */
-    public synchronized void onPeerHeartbeat(ProcessId peer, EntryHeartbeat heartbeat, long nowMs) {
+    /**
+     * Handles the heartbeat of a peer.
+     *
+     * @return whether the owner that this entry follows sent it while it schedules
+     */
+    public synchronized boolean onPeerHeartbeat(
+            ProcessId peer, EntryHeartbeat heartbeat, long nowMs) {
         mPeers.put(peer, new ReceivedHeartbeat(heartbeat, nowMs));
         heartbeat.owner().ifPresent(owner -> onOwnershipClaimed(owner, heartbeat.epoch(), nowMs));
         boolean sentBySchedulingOwner =
@@ -204,6 +209,7 @@
             mOwnerHeartbeatAtMs = nowMs;
             mOwnerConnected = true;
         }
+        return sentBySchedulingOwner;
     }
 
     /** Handles the loss of all links to a peer. */
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/LongRunningTasksOnLargeFleetTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/LongRunningTasksOnLargeFleetTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.hickorycleat.logic.election.LeaseAuthority;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobProgress;
@@ -227,7 +228,7 @@
         assertThat(mOwner.mStops).noneMatch(stop -> isLongRunning(stop.run()));
         lostWorkers().forEach(worker -> worker.mRuns.clear());
 
-        play(DispatchSettings.STORE_TIMEOUT_MS + 2_000, remainingWorkers());
+        play(LeaseAuthority.STORE_TIMEOUT_MS + 2_000, remainingWorkers());
 
         assertThat(runningLongRunningTasks()).hasSize(LONG_RUNNING_JOBS * TASKS_OF_JOB);
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/OwnerElectionTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/OwnerElectionTest.java
@@ -24,7 +24,7 @@
 
     private static EntryHeartbeat heartbeat(
             ProcessId owner, Epoch epoch, long ownerHeartbeatAgeMs) {
-        return new EntryHeartbeat(Optional.of(owner), epoch, ownerHeartbeatAgeMs, 1, true);
+        return new EntryHeartbeat(Optional.of(owner), epoch, ownerHeartbeatAgeMs, 1, true, 1);
     }
 
     @Test
@@ -327,7 +327,7 @@
             if (nowMs % HEARTBEAT_INTERVAL_MS == 0) {
                 election.onPeerHeartbeat(
                         PEER,
-                        new EntryHeartbeat(Optional.empty(), new Epoch(-1), 60_000, 1, true),
+                        new EntryHeartbeat(Optional.empty(), new Epoch(-1), 60_000, 1, true, 0),
                         nowMs);
                 election.onTick(true, nowMs, nowMs);
             }
@@ -402,7 +402,8 @@
                                     election.epoch(),
                                     election.ownerHeartbeatAgeMs(nowMs),
                                     1,
-                                    true);
+                                    true,
+                                    1);
                     elections.forEach(
                             (receiver, other) -> {
                                 if (!receiver.equals(sender)) {
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/EntryHeartbeat.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/EntryHeartbeat.java
@@ -12,11 +12,14 @@
  * @param configurationVersion version of its active configuration
  * @param storeReachable whether the entry reaches the store directly, has loaded the jobs and is
  *     not draining
+ * @param ownerHeartbeatNumber number of this heartbeat if the sender owns the jobs; else that of
+ *     the last heartbeat of the owner that the entry follows, 0 if it has none
  */
 public record EntryHeartbeat(
         Optional<ProcessId> owner,
         Epoch epoch,
         long ownerHeartbeatAgeMs,
         long configurationVersion,
-        boolean storeReachable)
+        boolean storeReachable,
+        long ownerHeartbeatNumber)
         implements Message {}
