Wait less after an owner that was replaced at once

Cause: after the loss of an owner two entries often claim within some milliseconds. The one with the higher epoch has never heard the other, so it waited 6 s for it.

Confirmations of an owner now count only after 5 s, up to its last contact with the store, so an owner that was replaced earlier cannot extend leases without the store either.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobOwnership.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobOwnership.java
@@ -275,7 +275,7 @@
     /** Handles a claim that was read from the log of the jobs. */
     void onClaimRead(JobRecord.Claimed claimed) {
         ProcessId owner = claimed.owner().process();
-        mSuccession.onClaimRead(claimed.epoch());
+        mSuccession.onClaimRead(claimed.epoch(), mJobsConsumer.readAtMs());
         if (mJobsConsumer.isLoaded()) {
             mElection.onOwnershipClaimed(owner, claimed.epoch(), nowMs());
         } else {
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/election/LeaseAuthority.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/election/LeaseAuthority.java
@@ -14,7 +14,9 @@
  * <p>Another entry may have claimed the ownership since the last response of the store. An owner
  * therefore needs a recent response, or recent confirmations of all entries that heard it: an entry
  * confirms the heartbeats of the owner that it follows, and stops when it becomes the owner. So an
- * entry that heard the owner knows that the owner soon extends no more leases.
+ * entry that heard the owner knows that the owner soon extends no more leases. The confirmations
+ * count only after some time as owner, so that an entry knows the same of owners that it did not
+ * hear because they were replaced at once.
  */
 public final class LeaseAuthority {
     /**
@@ -26,6 +28,12 @@
     /** Time without contact after which an owner reads from the store, in milliseconds. */
     public static final long STORE_CONTACT_INTERVAL_MS = 400;
 
+    /**
+     * Time as owner, up to the last contact with the store, from which confirmations count, in
+     * milliseconds.
+     */
+    static final long CONFIRMABLE_TENURE_MS = 5_000;
+
     /** Maximum age of a heartbeat that a confirmation names, in milliseconds. */
     private static final long CONFIRMATION_TIMEOUT_MS = 1_000;
 
@@ -56,16 +64,18 @@
 
     private final LongSupplier mSteadyClockMs;
     private final LongSupplier mWallClockMs;
+    private final long mOwnerSinceMs;
     private final Deque<SentHeartbeat> mSent = new ArrayDeque<>();
     private final Map<ProcessId, Follower> mFollowers = new HashMap<>();
     private long mNumber;
 
     private record SentHeartbeat(long number, ContactAge.Instant sentAt) {}
 
-    /** Creates the authority of an owner that has sent no heartbeat yet. */
+    /** Creates the authority of an owner whose claim was just stored. */
     public LeaseAuthority(LongSupplier steadyClockMs, LongSupplier wallClockMs) {
         mSteadyClockMs = steadyClockMs;
         mWallClockMs = wallClockMs;
+        mOwnerSinceMs = steadyClockMs.getAsLong();
     }
 
     private final class Follower {
@@ -115,7 +125,9 @@
         if (storeContactAgeMs < STORE_CONTACT_TIMEOUT_MS) {
             return true;
         }
-        return storeContactAgeMs < STORE_TIMEOUT_MS
+        long tenureMs = mSteadyClockMs.getAsLong() - storeContactAgeMs - mOwnerSinceMs;
+        return tenureMs >= CONFIRMABLE_TENURE_MS
+                && storeContactAgeMs < STORE_TIMEOUT_MS
                 && mFollowers.values().stream()
                         .allMatch(
                                 follower -> follower.mConfirmed.ageMs() < CONFIRMATION_TIMEOUT_MS);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/LeaseAuthorityTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/election/LeaseAuthorityTest.java
@@ -9,6 +9,7 @@
 import java.util.stream.LongStream;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -16,9 +17,11 @@
 class LeaseAuthorityTest {
     private static final Epoch EPOCH = new Epoch(1);
     private static final Epoch NEXT_EPOCH = new Epoch(2);
+    private static final Epoch THIRD_EPOCH = new Epoch(3);
     private static final ProcessId FIRST = new ProcessId("entry-1");
     private static final ProcessId SECOND = new ProcessId("entry-2");
     private static final long LONG_SILENCE_MS = 4_000;
+    private static final long POLL_INTERVAL_MS = 300;
     private static final long SEEDS = 500;
 
     private long mSteadyMs = 100_000;
@@ -31,6 +34,11 @@
         mWallMs += milliseconds;
     }
 
+    @BeforeEach
+    void ownForSomeTime() {
+        advanceTime(10_000);
+    }
+
     @Test
     void extendsLeasesWhileStoreResponds() {
         mAuthority.onHeartbeat(List.of(FIRST));
@@ -83,42 +91,67 @@
 
     @Test
     void waitsLessAfterOwnerThatWasHeard() {
-        mSuccession.onClaimRead(EPOCH);
+        mSuccession.onClaimRead(EPOCH, mSteadyMs - LONG_SILENCE_MS);
         advanceTime(10_000);
         mSuccession.onOwnerHeard(EPOCH, 7);
         assertThat(mSuccession.numberToConfirm(EPOCH)).isEqualTo(7);
 
-        mSuccession.onClaimRead(NEXT_EPOCH);
+        mSuccession.onClaimRead(NEXT_EPOCH, mSteadyMs - POLL_INTERVAL_MS);
 
         assertThat(mSuccession.numberToConfirm(EPOCH)).isZero();
         assertThat(mSuccession.previousOwnerLeaseMs())
                 .isEqualTo(LeaseAuthority.CONFIRMED_OWNER_LEASE_MS);
     }
 
+    /** Guards against a long wait when two entries claim at the same time. */
+    @Test
+    void waitsLessAfterOwnerThatWasReplacedAtOnce() {
+        mSuccession.onClaimRead(EPOCH, mSteadyMs - LONG_SILENCE_MS);
+        advanceTime(10_000);
+        mSuccession.onOwnerHeard(EPOCH, 7);
+        advanceTime(900);
+        mSuccession.onClaimRead(NEXT_EPOCH, mSteadyMs - POLL_INTERVAL_MS);
+        advanceTime(30);
+
+        mSuccession.onClaimRead(THIRD_EPOCH, mSteadyMs - POLL_INTERVAL_MS);
+
+        assertThat(mSuccession.previousOwnerLeaseMs())
+                .isEqualTo(LeaseAuthority.CONFIRMED_OWNER_LEASE_MS);
+    }
+
+    /** Guards against an owner without followers that extends leases after it was replaced. */
+    @Test
+    void extendsNoLeaseWithoutStoreSoonAfterItsClaim() {
+        LeaseAuthority authority = new LeaseAuthority(() -> mSteadyMs, () -> mWallMs);
+        advanceTime(4_000);
+
+        assertThat(authority.mayExtendLeases(2_000)).isFalse();
+    }
+
     @Test
     void waitsForOwnerBeforeOneThatOwnedOnlyShortly() {
-        mSuccession.onClaimRead(EPOCH);
+        mSuccession.onClaimRead(EPOCH, mSteadyMs - LONG_SILENCE_MS);
         mSuccession.onOwnerHeard(EPOCH, 7);
         advanceTime(2_000);
-        mSuccession.onClaimRead(NEXT_EPOCH);
+        mSuccession.onClaimRead(NEXT_EPOCH, mSteadyMs - POLL_INTERVAL_MS);
 
         assertThat(mSuccession.previousOwnerLeaseMs()).isEqualTo(4_000);
     }
 
     @Test
     void waitsLongAfterOwnerThatWasNotHeard() {
-        mSuccession.onClaimRead(EPOCH);
+        mSuccession.onClaimRead(EPOCH, mSteadyMs - LONG_SILENCE_MS);
         advanceTime(20_000);
-        mSuccession.onClaimRead(NEXT_EPOCH);
+        mSuccession.onClaimRead(NEXT_EPOCH, mSteadyMs - POLL_INTERVAL_MS);
         assertThat(mSuccession.previousOwnerLeaseMs()).isEqualTo(LeaseAuthority.STORE_TIMEOUT_MS);
     }
 
     @Test
     void waitsLongAfterOwnerThatWasHeardLongAgo() {
-        mSuccession.onClaimRead(EPOCH);
+        mSuccession.onClaimRead(EPOCH, mSteadyMs - LONG_SILENCE_MS);
         mSuccession.onOwnerHeard(EPOCH, 7);
         advanceTime(20_000);
-        mSuccession.onClaimRead(NEXT_EPOCH);
+        mSuccession.onClaimRead(NEXT_EPOCH, mSteadyMs - POLL_INTERVAL_MS);
 
         assertThat(mSuccession.previousOwnerLeaseMs()).isEqualTo(LeaseAuthority.STORE_TIMEOUT_MS);
     }
@@ -141,7 +174,7 @@
             mRandom = new Random(seed);
             for (int i = 0; i < 3; i++) {
                 OwnerSuccession follower = new OwnerSuccession(() -> mSteadyMs, () -> mWallMs);
-                follower.onClaimRead(EPOCH);
+                follower.onClaimRead(EPOCH, mSteadyMs - LONG_SILENCE_MS);
                 mFollowers.add(follower);
             }
         }
@@ -204,13 +237,25 @@
             fleet.advance(false);
         }
 
-        // The store serves one follower again, but not the owner.
+        // The store serves some followers again, but not the owner.
         OwnerSuccession successor = fleet.mFollowers.get(fleet.mRandom.nextInt(3));
-        successor.onClaimRead(NEXT_EPOCH);
+        LeaseAuthority unheard = new LeaseAuthority(() -> mSteadyMs, () -> mWallMs);
+        if (fleet.mRandom.nextBoolean()) {
+            successor.onClaimRead(NEXT_EPOCH, mSteadyMs - POLL_INTERVAL_MS);
+            long tenureMs = fleet.mRandom.nextInt(8_000);
+            for (long passed = 0; passed < tenureMs; passed += 50) {
+                fleet.advance(false);
+            }
+        }
+        long unheardContactMs = mSteadyMs;
+        successor.onClaimRead(THIRD_EPOCH, mSteadyMs - POLL_INTERVAL_MS);
         long extendsNoMoreAtMs = mSteadyMs + successor.previousOwnerLeaseMs();
         for (long passed = 0; passed < 10_000; passed += 50) {
             fleet.advance(false);
-            assertThat(fleet.mayExtendLeases() && mSteadyMs >= extendsNoMoreAtMs).isFalse();
+            boolean extended =
+                    fleet.mayExtendLeases()
+                            || unheard.mayExtendLeases(mSteadyMs - unheardContactMs);
+            assertThat(extended && mSteadyMs >= extendsNoMoreAtMs).isFalse();
         }
     }
 }
