Log on which connection a call or a message got no response

call_timed_out names the age of the connection, its silence and its earlier responses; relay_unavailable names the peer; link_silent the silence of a link. No decision changes.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/HttpClientHandler.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/HttpClientHandler.java
@@ -13,8 +13,17 @@
 // The result of closing a channel is not needed.
 @SuppressWarnings("FutureReturnValueIgnored")
 final class HttpClientHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final ClientConnection mConnection;
     private @Nullable PendingCall mPending;
 
+    HttpClientHandler(ClientConnection connection) {
+        mConnection = connection;
+    }
+
+    ClientConnection connection() {
+        return mConnection;
+    }
+
     /** Sets the call to which the next response on this connection belongs. */
     void setPending(PendingCall pending) {
         mPending = pending;
@@ -22,6 +31,7 @@
 
     /** Notes that a part of the response has arrived. */
     void onReceived() {
+        mConnection.onReceived();
         PendingCall pending = mPending;
         if (pending != null) {
             pending.onReceived();
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/NettyHttpClient.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/NettyHttpClient.java
@@ -25,6 +25,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.hickorycleat.logic.port.DecisionLog;
 import org.hickorycleat.logic.port.HttpCall;
 import org.hickorycleat.logic.port.HttpCallException;
 import org.hickorycleat.logic.port.HttpClient;
@@ -51,16 +52,24 @@
 
     private final EventLoop mEventLoop;
     private final int mMaximumTransferMs;
-    private final Map<InetSocketAddress, Deque<Channel>> mIdleConnections = new HashMap<>();
+    private final DecisionLog mLog;
+    private final Map<InetSocketAddress, Deque<ClientConnection>> mIdleConnections =
+            new HashMap<>();
 
     /** Creates a client on one of the event loops. */
     public NettyHttpClient(EventLoopGroup eventLoops) {
-        this(eventLoops, MAXIMUM_TRANSFER_MS);
+        this(eventLoops, DecisionLog.NONE);
     }
 
-    NettyHttpClient(EventLoopGroup eventLoops, int maximumTransferMs) {
+    /** Creates a client on one of the event loops that logs calls without a response. */
+    public NettyHttpClient(EventLoopGroup eventLoops, DecisionLog log) {
+        this(eventLoops, MAXIMUM_TRANSFER_MS, log);
+    }
+
+    NettyHttpClient(EventLoopGroup eventLoops, int maximumTransferMs, DecisionLog log) {
         mEventLoop = eventLoops.next();
         mMaximumTransferMs = maximumTransferMs;
+        mLog = log;
     }
 
     @Override
@@ -75,11 +84,12 @@
                                                         emitter,
                                                         mEventLoop,
                                                         this,
-                                                        mMaximumTransferMs))));
+                                                        mMaximumTransferMs,
+                                                        mLog))));
     }
 
     private void start(PendingCall pending) {
-        Optional<Channel> idle = takeIdle(pending.call().address());
+        Optional<ClientConnection> idle = takeIdle(pending.call().address());
         if (idle.isPresent()) {
             send(idle.get(), pending);
             return;
@@ -93,7 +103,8 @@
                         new ChannelInitializer<SocketChannel>() {
                             @Override
                             protected void initChannel(SocketChannel channel) {
-                                HttpClientHandler handler = new HttpClientHandler();
+                                HttpClientHandler handler =
+                                        new HttpClientHandler(new ClientConnection(channel));
                                 // The aggregator passes on only complete responses, so progress is
                                 // noted before it.
                                 channel.pipeline()
@@ -107,7 +118,7 @@
                 .addListener(
                         (io.netty.channel.ChannelFuture connectFuture) -> {
                             if (connectFuture.isSuccess()) {
-                                send(connectFuture.channel(), pending);
+                                send(connectionOf(connectFuture.channel()), pending);
                             } else {
                                 pending.fail(
                                         new HttpCallException(
@@ -116,34 +127,40 @@
                         });
     }
 
-    private Optional<Channel> takeIdle(InetSocketAddress address) {
-        Deque<Channel> idle = mIdleConnections.getOrDefault(address, new ArrayDeque<>());
+    private static ClientConnection connectionOf(Channel channel) {
+        return channel.pipeline().get(HttpClientHandler.class).connection();
+    }
+
+    private Optional<ClientConnection> takeIdle(InetSocketAddress address) {
+        Deque<ClientConnection> idle = mIdleConnections.getOrDefault(address, new ArrayDeque<>());
         while (!idle.isEmpty()) {
-            Channel channel = idle.removeLast();
-            if (channel.isActive()) {
-                return Optional.of(channel);
+            ClientConnection connection = idle.removeLast();
+            if (connection.channel().isActive()) {
+                return Optional.of(connection);
             }
         }
         return Optional.empty();
     }
 
     /** Keeps a connection idle for a later call, or closes it if enough are idle. */
-    void release(InetSocketAddress address, Channel channel) {
-        Deque<Channel> idle = mIdleConnections.computeIfAbsent(address, key -> new ArrayDeque<>());
-        if (!channel.isActive() || idle.size() >= MAXIMUM_IDLE_CONNECTIONS) {
-            channel.close();
+    void release(InetSocketAddress address, ClientConnection connection) {
+        Deque<ClientConnection> idle =
+                mIdleConnections.computeIfAbsent(address, key -> new ArrayDeque<>());
+        if (!connection.channel().isActive() || idle.size() >= MAXIMUM_IDLE_CONNECTIONS) {
+            connection.channel().close();
             return;
         }
-        idle.addLast(channel);
+        idle.addLast(connection);
     }
 
-    private static void send(Channel channel, PendingCall pending) {
+    private static void send(ClientConnection connection, PendingCall pending) {
+        Channel channel = connection.channel();
         if (pending.isFinished()) {
             channel.close();
             return;
         }
         channel.pipeline().get(HttpClientHandler.class).setPending(pending);
-        pending.onSent(channel);
+        pending.onSent(connection);
         channel.writeAndFlush(toNettyRequest(pending.call()));
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/PendingCall.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/PendingCall.java
@@ -1,10 +1,10 @@
 package org.hickorycleat.daemon.exchange;
 
-import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import io.reactivex.rxjava3.core.SingleEmitter;
 import java.util.concurrent.TimeUnit;
+import org.hickorycleat.logic.port.DecisionLog;
 import org.hickorycleat.logic.port.HttpCall;
 import org.hickorycleat.logic.port.HttpCallException;
 import org.hickorycleat.logic.port.HttpResponse;
@@ -19,10 +19,11 @@
     private final NettyHttpClient mHttpClient;
     private final EventLoop mEventLoop;
     private final int mMaximumTransferMs;
+    private final DecisionLog mLog;
     private Future<?> mIdleTimer;
     private @Nullable Future<?> mTransferTimer;
     private long mLastProgressNanos = System.nanoTime();
-    private @Nullable Channel mChannel;
+    private @Nullable ClientConnection mConnection;
     private boolean mFinished;
 
     PendingCall(
@@ -30,12 +31,14 @@
             SingleEmitter<HttpResponse> emitter,
             EventLoop eventLoop,
             NettyHttpClient httpClient,
-            int maximumTransferMs) {
+            int maximumTransferMs,
+            DecisionLog log) {
         mCall = call;
         mEmitter = emitter;
         mHttpClient = httpClient;
         mEventLoop = eventLoop;
         mMaximumTransferMs = maximumTransferMs;
+        mLog = log;
         mIdleTimer = eventLoop.schedule(this::onTimeout, call.timeoutMs(), TimeUnit.MILLISECONDS);
     }
 
@@ -47,8 +50,8 @@
         return mFinished;
     }
 
-    void onSent(Channel channel) {
-        mChannel = channel;
+    void onSent(ClientConnection connection) {
+        mConnection = connection;
     }
 
     /** Notes that a part of the response has arrived. */
@@ -71,13 +74,34 @@
             mIdleTimer = mEventLoop.schedule(this::onTimeout, remainingNanos, TimeUnit.NANOSECONDS);
             return;
         }
-        fail(new HttpCallException("no response in time", mChannel != null));
+        logTimeout();
+        fail(new HttpCallException("no response in time", mConnection != null));
     }
 
     private void onTransferTimeout() {
+        logTimeout();
         fail(new HttpCallException("response incomplete after maximum time", true));
     }
 
+    // Tells a peer that does not respond from a connection that has gone silent.
+    private void logTimeout() {
+        ClientConnection connection = mConnection;
+        mLog.record(
+                "call_timed_out",
+                "address",
+                mCall.address(),
+                "target",
+                mCall.target(),
+                "timeout_ms",
+                mCall.timeoutMs(),
+                "connection_age_ms",
+                connection == null ? "none" : connection.ageMs(),
+                "silent_ms",
+                connection == null ? "none" : connection.silentMs(),
+                "responses",
+                connection == null ? 0 : connection.responses());
+    }
+
     private void cancelTimers() {
         mIdleTimer.cancel(false);
         Future<?> transferTimer = mTransferTimer;
@@ -93,9 +117,9 @@
         }
         mFinished = true;
         cancelTimers();
-        Channel channel = mChannel;
-        if (channel != null) {
-            channel.close();
+        ClientConnection connection = mConnection;
+        if (connection != null) {
+            connection.channel().close();
         }
         mEmitter.tryOnError(failure);
     }
@@ -107,11 +131,14 @@
         }
         mFinished = true;
         cancelTimers();
-        Channel channel = mChannel;
-        if (channel != null && keepAlive) {
-            mHttpClient.release(mCall.address(), channel);
-        } else if (channel != null) {
-            channel.close();
+        ClientConnection connection = mConnection;
+        if (connection != null) {
+            connection.onResponse();
+            if (keepAlive) {
+                mHttpClient.release(mCall.address(), connection);
+            } else {
+                connection.channel().close();
+            }
         }
         mEmitter.onSuccess(response);
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
@@ -78,7 +78,8 @@
         mScheduler = scheduler;
         mTransport = transport;
         mLinks = new FleetLinks(transport, self, this, scheduler);
-        NettyHttpClient httpClient = new NettyHttpClient(eventLoops);
+        NettyHttpClient httpClient =
+                new NettyHttpClient(eventLoops, metrics.decisionLog(NettyHttpClient.class));
         mEntryListReader =
                 new EntryListReader(
                         new HttpRecordStore(httpClient, settings.storeAddress(), STORE_TIMEOUT_MS),
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -119,7 +119,9 @@
         mLinks = new FleetLinks(transport, self, this, scheduler);
         HttpRecordStore directStore =
                 new HttpRecordStore(
-                        new NettyHttpClient(eventLoops), settings.storeAddress(), STORE_TIMEOUT_MS);
+                        new NettyHttpClient(eventLoops, metrics.decisionLog(NettyHttpClient.class)),
+                        settings.storeAddress(),
+                        STORE_TIMEOUT_MS);
         RelaySelector relays =
                 new RelaySelector(self.process(), this::peersReachingStore, scheduler);
         mStore = new RelayingRecordStore(directStore, mLinks::send, relays, scheduler);
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
@@ -55,6 +55,9 @@
      */
     private static final long KEEP_ALIVE_INTERVAL_MS = 2_000;
 
+    /** Time without a message after which a link is logged as silent, in milliseconds. */
+    private static final long SILENCE_LOG_MS = KEEP_ALIVE_INTERVAL_MS + 500;
+
     private final MessageTransport mTransport;
     private final FleetNode mSelf;
     private final FleetLinkListener mListener;
@@ -308,6 +311,7 @@
         }
         FleetHello hello = new FleetHello(mSelf);
         for (Link link : links) {
+            link.logSilence();
             if (nowMs() - link.mSentAtMs >= KEEP_ALIVE_INTERVAL_MS) {
                 link.send(hello);
             }
@@ -324,6 +328,8 @@
         private Optional<FleetNode> mPeer = Optional.empty();
         private Optional<MessageConnection> mConnection = Optional.empty();
         private volatile long mSentAtMs;
+        private volatile long mReceivedAtMs = nowMs();
+        private volatile boolean mSilenceLogged;
 
         Link(Optional<InetSocketAddress> connectAddress) {
             mConnectAddress = connectAddress;
@@ -361,8 +367,22 @@
             }
         }
 
+        private void logSilence() {
+            long silentMs = nowMs() - mReceivedAtMs;
+            if (mSilenceLogged || silentMs <= SILENCE_LOG_MS || mPeer.isEmpty()) {
+                return;
+            }
+            mSilenceLogged = true;
+            LOG.event("link_silent")
+                    .with("peer", mPeer.get().process())
+                    .with("silent_ms", silentMs)
+                    .info();
+        }
+
         @Override
         public void onMessage(MessageConnection connection, Message message) {
+            mReceivedAtMs = nowMs();
+            mSilenceLogged = false;
             if (message instanceof FleetHello hello) {
                 onHello(hello.node());
                 return;
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingRecordStore.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingRecordStore.java
@@ -216,10 +216,10 @@
                             if (isConclusive(outcome)) {
                                 recordResponse();
                             } else {
-                                mRelays.onFailed(relay);
+                                onRelayWithoutResult(relay, outcome.result());
                             }
                         })
-                .doOnError(error -> mRelays.onFailed(relay))
+                .doOnError(error -> onRelayWithoutResult(relay, error))
                 .onErrorReturnItem(new AppendOutcome(AppendResult.UNKNOWN, 0));
     }
 
@@ -278,7 +278,12 @@
                                                 new StoreUnavailableException(
                                                         "relay could not read from the store")))
                 .doOnSuccess(page -> recordResponse())
-                .doOnError(error -> mRelays.onFailed(relay));
+                .doOnError(error -> onRelayWithoutResult(relay, error));
+    }
+
+    private void onRelayWithoutResult(ProcessId relay, Object cause) {
+        LOG.event("relay_unavailable").with("relay", relay).with("cause", cause).info();
+        mRelays.onFailed(relay);
     }
 
     private Single<RelayedStoreResponse> sendToRelay(
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/exchange/HttpExchangeTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/exchange/HttpExchangeTest.java
@@ -16,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.hickorycleat.logic.port.DecisionLog;
 import org.hickorycleat.logic.port.HttpCall;
 import org.hickorycleat.logic.port.HttpCallException;
 import org.hickorycleat.logic.port.HttpHandler;
@@ -199,7 +200,7 @@
     @Test
     void timesOutWhenResponseTakesTooLongInTotal() throws Exception {
         InetSocketAddress address = serveInParts(400_000, 400_000, TIMEOUT_MS / 6);
-        NettyHttpClient client = new NettyHttpClient(mEventLoops, 2 * TIMEOUT_MS);
+        NettyHttpClient client = new NettyHttpClient(mEventLoops, 2 * TIMEOUT_MS, DecisionLog.NONE);
         HttpCall call = new HttpCall(address, "GET", "/trickle", Map.of(), new byte[0], TIMEOUT_MS);
 
         client.call(call)
