Close idle connections that have been silent since a call that timed out

Callers saw 404 for a queue that had been added, and 504 for submissions, after all connections of an entry had gone silent without a reset: up to eight idle connections to the store are kept, and each call after a time-out took the next silent one (call_timed_out shows seven calls in a row, all on connections that were 20 s old and had answered before).

A call that times out now closes the idle connections of its address from which nothing has come since it was sent; one that has carried a response meanwhile stays. SilentConnectionsTest failed before: the second call timed out as well.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/NettyHttpClient.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/NettyHttpClient.java
@@ -34,7 +34,8 @@
 /**
  * Makes calls over HTTP/1.1 on keep-alive connections, with one call at a time on each.
  *
- * <p>A connection whose call did not get a complete response is closed and not reused.
+ * <p>A connection whose call did not get a complete response is closed and not reused, nor are the
+ * idle ones to the same address that have been silent since that call was sent.
  */
 // The result of every call is reported through its Single.
 @SuppressWarnings("FutureReturnValueIgnored")
@@ -153,6 +154,19 @@
         idle.addLast(connection);
     }
 
+    /** Closes the idle connections whose peer has sent nothing since a time in nanoseconds. */
+    void closeIdleSilentSince(InetSocketAddress address, long nanos) {
+        Deque<ClientConnection> idle = mIdleConnections.getOrDefault(address, new ArrayDeque<>());
+        idle.removeIf(
+                connection -> {
+                    boolean silent = !connection.hasReceivedSince(nanos);
+                    if (silent) {
+                        connection.channel().close();
+                    }
+                    return silent;
+                });
+    }
+
     private static void send(ClientConnection connection, PendingCall pending) {
         Channel channel = connection.channel();
         if (pending.isFinished()) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/PendingCall.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/PendingCall.java
@@ -24,6 +24,7 @@
     private @Nullable Future<?> mTransferTimer;
     private long mLastProgressNanos = System.nanoTime();
     private @Nullable ClientConnection mConnection;
+    private long mSentNanos;
     private boolean mFinished;
 
     PendingCall(
@@ -52,6 +53,7 @@
 
     void onSent(ClientConnection connection) {
         mConnection = connection;
+        mSentNanos = System.nanoTime();
     }
 
     /** Notes that a part of the response has arrived. */
@@ -74,18 +76,26 @@
             mIdleTimer = mEventLoop.schedule(this::onTimeout, remainingNanos, TimeUnit.NANOSECONDS);
             return;
         }
-        logTimeout();
+        onConnectionSilent();
         fail(new HttpCallException("no response in time", mConnection != null));
     }
 
     private void onTransferTimeout() {
-        logTimeout();
+        onConnectionSilent();
         fail(new HttpCallException("response incomplete after maximum time", true));
     }
 
-    // Tells a peer that does not respond from a connection that has gone silent.
-    private void logTimeout() {
+    // What silenced this connection may have silenced those that have carried nothing since.
+    private void onConnectionSilent() {
         ClientConnection connection = mConnection;
+        logTimeout(connection);
+        if (connection != null) {
+            mHttpClient.closeIdleSilentSince(mCall.address(), mSentNanos);
+        }
+    }
+
+    // Tells a peer that does not respond from a connection that has gone silent.
+    private void logTimeout(@Nullable ClientConnection connection) {
         mLog.record(
                 "call_timed_out",
                 "address",
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FaultyProxy.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FaultyProxy.java
@@ -12,8 +12,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Forwards bytes on loopback at a limited rate, or stalls them, drops responses or closes
- * connections.
+ * Forwards bytes on loopback at a limited rate, or stalls them, drops responses, closes connections
+ * or silences them.
  */
 final class FaultyProxy implements AutoCloseable {
     private static final int BUFFER_BYTES = 16_384;
@@ -34,6 +34,7 @@
     private final ServerSocket mServer;
     private final InetSocketAddress mUpstream;
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
+    private final Set<Socket> mSilentSockets = ConcurrentHashMap.newKeySet();
     private volatile Mode mMode = Mode.PASS;
     private volatile long mBytesPerSecond = Long.MAX_VALUE;
 
@@ -59,6 +60,14 @@
         }
     }
 
+    /**
+     * Discards all further bytes of the open connections in both directions without closing them;
+     * new connections are forwarded.
+     */
+    void silenceOpenConnections() {
+        mSilentSockets.addAll(mSockets);
+    }
+
     /** Limits the rate at which each connection forwards bytes in each direction. */
     void setBytesPerSecond(long bytesPerSecond) {
         mBytesPerSecond = bytesPerSecond;
@@ -95,7 +104,8 @@
                 while (mMode == Mode.STALL) {
                     TimeUnit.MILLISECONDS.sleep(STALL_POLL_MS);
                 }
-                if (mMode == Mode.DROP_RESPONSES && responses) {
+                boolean dropped = mMode == Mode.DROP_RESPONSES && responses;
+                if (dropped || mSilentSockets.contains(from)) {
                     continue;
                 }
                 out.write(buffer, 0, read);
@@ -105,6 +115,10 @@
         } catch (IOException | InterruptedException e) {
             // Either side closed; the other is closed below.
         }
+        // The end of one side of a silent connection is not seen by the other one.
+        if (mSilentSockets.contains(from)) {
+            return;
+        }
         close(from);
         close(to);
         mSockets.remove(from);
