Repeat store requests on a new connection while theirs is silent

Callers got 404 for a queue that had been added more than 2 s before, after all connections had gone silent without a reset. The long poll of the configuration waited 1.6 s on its dead connection, then a relay was asked for 1.5 s over a link that was dead too, and once more after 0.2 s; a new connection, which worked all the time, came last. Each timeout is sound, their sum exceeds the bound.

A request that may be repeated (reads, and appends, whose duplicates have no further effect) is now sent once more, on a new connection, after 300 ms without a byte beyond its long poll, if its connection had been used before. The first byte of a response decides which one counts. So a silent connection costs a poll 1.3 s at most, whatever else is silent. A response that has begun is never requested again, and the time for a large upload is added.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/HttpClientHandler.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/HttpClientHandler.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Map;
-import org.hickorycleat.logic.port.HttpCallException;
 import org.hickorycleat.logic.port.HttpResponse;
 import org.jspecify.annotations.Nullable;
 
@@ -34,7 +33,7 @@
         mConnection.onReceived();
         PendingCall pending = mPending;
         if (pending != null) {
-            pending.onReceived();
+            pending.onReceived(mConnection);
         }
     }
 
@@ -45,13 +44,14 @@
         if (pending == null || !response.decoderResult().isSuccess()) {
             context.close();
             if (pending != null) {
-                pending.fail(new HttpCallException("malformed response", true));
+                pending.onConnectionFailed(mConnection, "malformed response");
             }
             return;
         }
         byte[] body = new byte[response.content().readableBytes()];
         response.content().readBytes(body);
         pending.complete(
+                mConnection,
                 new HttpResponse(response.status().code(), Map.of(), body),
                 HttpUtil.isKeepAlive(response));
     }
@@ -71,7 +71,7 @@
         PendingCall pending = mPending;
         mPending = null;
         if (pending != null) {
-            pending.fail(new HttpCallException(reason, true));
+            pending.onConnectionFailed(mConnection, reason);
         }
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/NettyHttpClient.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/NettyHttpClient.java
@@ -27,7 +27,6 @@
 import java.util.Optional;
 import org.hickorycleat.logic.port.DecisionLog;
 import org.hickorycleat.logic.port.HttpCall;
-import org.hickorycleat.logic.port.HttpCallException;
 import org.hickorycleat.logic.port.HttpClient;
 import org.hickorycleat.logic.port.HttpResponse;
 
@@ -48,6 +47,9 @@
     /** Maximum number of idle connections to one address. */
     private static final int MAXIMUM_IDLE_CONNECTIONS = 8;
 
+    /** Rate below which the upload of a request is not awaited before it is repeated. */
+    private static final long MINIMUM_UPLOAD_BYTES_PER_MS = 250;
+
     /** Maximum time from the first byte of a response to its last byte, in milliseconds. */
     private static final int MAXIMUM_TRANSFER_MS = 30_000;
 
@@ -91,10 +93,18 @@
 
     private void start(PendingCall pending) {
         Optional<ClientConnection> idle = takeIdle(pending.call().address());
-        if (idle.isPresent()) {
-            send(idle.get(), pending);
+        if (idle.isEmpty()) {
+            connect(pending);
             return;
         }
+        send(idle.get(), pending);
+        HttpCall call = pending.call();
+        long uploadMs = call.body().length / MINIMUM_UPLOAD_BYTES_PER_MS;
+        call.repeatAfterMs().ifPresent(delayMs -> pending.repeatAfter(delayMs + uploadMs));
+    }
+
+    /** Opens a connection and sends the request of a call on it. */
+    void connect(PendingCall pending) {
         new Bootstrap()
                 .group(mEventLoop)
                 .channel(NioSocketChannel.class)
@@ -121,9 +131,7 @@
                             if (connectFuture.isSuccess()) {
                                 send(connectionOf(connectFuture.channel()), pending);
                             } else {
-                                pending.fail(
-                                        new HttpCallException(
-                                                String.valueOf(connectFuture.cause()), false));
+                                pending.onConnectFailed(String.valueOf(connectFuture.cause()));
                             }
                         });
     }
@@ -167,12 +175,12 @@
                 });
     }
 
-    private static void send(ClientConnection connection, PendingCall pending) {
-        Channel channel = connection.channel();
-        if (pending.isFinished()) {
-            channel.close();
+    private void send(ClientConnection connection, PendingCall pending) {
+        if (!pending.isWithoutResponse()) {
+            release(pending.call().address(), connection);
             return;
         }
+        Channel channel = connection.channel();
         channel.pipeline().get(HttpClientHandler.class).setPending(pending);
         pending.onSent(connection);
         channel.writeAndFlush(toNettyRequest(pending.call()));
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/PendingCall.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/PendingCall.java
@@ -3,6 +3,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import io.reactivex.rxjava3.core.SingleEmitter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.logic.port.DecisionLog;
 import org.hickorycleat.logic.port.HttpCall;
@@ -10,10 +13,17 @@
 import org.hickorycleat.logic.port.HttpResponse;
 import org.jspecify.annotations.Nullable;
 
-/** A call that waits for its response or its timeout; used on the event loop only. */
+/**
+ * A call that waits for its response or its timeout; used on the event loop only.
+ *
+ * <p>Its request may be on two connections; the first part of a response decides which one is used.
+ */
 // The results of closing a channel and of cancelling a timer are not needed.
 @SuppressWarnings("FutureReturnValueIgnored")
 final class PendingCall {
+    /** Time of a request that was sent on no connection yet. */
+    private static final long NOT_SENT = Long.MIN_VALUE;
+
     private final HttpCall mCall;
     private final SingleEmitter<HttpResponse> mEmitter;
     private final NettyHttpClient mHttpClient;
@@ -23,8 +33,9 @@
     private Future<?> mIdleTimer;
     private @Nullable Future<?> mTransferTimer;
     private long mLastProgressNanos = System.nanoTime();
-    private @Nullable ClientConnection mConnection;
-    private long mSentNanos;
+    private @Nullable Future<?> mRepeatTimer;
+    private final List<ClientConnection> mConnections = new ArrayList<>();
+    private long mSentNanos = NOT_SENT;
     private boolean mFinished;
 
     PendingCall(
@@ -51,13 +62,35 @@
         return mFinished;
     }
 
+    /** Returns whether the request may still be sent on a further connection. */
+    boolean isWithoutResponse() {
+        return !mFinished && mTransferTimer == null;
+    }
+
+    /** Notes that the request is sent on a connection. */
     void onSent(ClientConnection connection) {
-        mConnection = connection;
-        mSentNanos = System.nanoTime();
+        if (mConnections.isEmpty()) {
+            mSentNanos = System.nanoTime();
+        }
+        mConnections.add(connection);
+    }
+
+    /** Repeats the request after a time in milliseconds unless a part of the response arrives. */
+    void repeatAfter(long delayMs) {
+        mRepeatTimer = mEventLoop.schedule(this::repeat, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void repeat() {
+        if (!isWithoutResponse()) {
+            return;
+        }
+        logSilence("call_repeated");
+        mHttpClient.closeIdleSilentSince(mCall.address(), mSentNanos);
+        mHttpClient.connect(this);
     }
 
-    /** Notes that a part of the response has arrived. */
-    void onReceived() {
+    /** Notes that a part of the response has arrived; other connections are not needed then. */
+    void onReceived(ClientConnection connection) {
         if (mFinished) {
             return;
         }
@@ -66,6 +99,10 @@
             mTransferTimer =
                     mEventLoop.schedule(
                             this::onTransferTimeout, mMaximumTransferMs, TimeUnit.MILLISECONDS);
+            List<ClientConnection> others =
+                    mConnections.stream().filter(other -> other != connection).toList();
+            mConnections.removeAll(others);
+            others.forEach(other -> other.channel().close());
         }
     }
 
@@ -76,28 +113,28 @@
             mIdleTimer = mEventLoop.schedule(this::onTimeout, remainingNanos, TimeUnit.NANOSECONDS);
             return;
         }
-        onConnectionSilent();
-        fail(new HttpCallException("no response in time", mConnection != null));
+        onSilent();
+        fail(new HttpCallException("no response in time", mSentNanos != NOT_SENT));
     }
 
     private void onTransferTimeout() {
-        onConnectionSilent();
+        onSilent();
         fail(new HttpCallException("response incomplete after maximum time", true));
     }
 
     // What silenced this connection may have silenced those that have carried nothing since.
-    private void onConnectionSilent() {
-        ClientConnection connection = mConnection;
-        logTimeout(connection);
-        if (connection != null) {
+    private void onSilent() {
+        logSilence("call_timed_out");
+        if (mSentNanos != NOT_SENT) {
             mHttpClient.closeIdleSilentSince(mCall.address(), mSentNanos);
         }
     }
 
     // Tells a peer that does not respond from a connection that has gone silent.
-    private void logTimeout(@Nullable ClientConnection connection) {
+    private void logSilence(String event) {
+        Optional<ClientConnection> connection = mConnections.stream().findFirst();
         mLog.record(
-                "call_timed_out",
+                event,
                 "address",
                 mCall.address(),
                 "target",
@@ -105,50 +142,62 @@
                 "timeout_ms",
                 mCall.timeoutMs(),
                 "connection_age_ms",
-                connection == null ? "none" : connection.ageMs(),
+                connection.map(ClientConnection::ageMs),
                 "silent_ms",
-                connection == null ? "none" : connection.silentMs(),
+                connection.map(ClientConnection::silentMs),
                 "responses",
-                connection == null ? 0 : connection.responses());
+                connection.map(ClientConnection::responses));
     }
 
     private void cancelTimers() {
         mIdleTimer.cancel(false);
+        Future<?> repeatTimer = mRepeatTimer;
+        if (repeatTimer != null) {
+            repeatTimer.cancel(false);
+        }
         Future<?> transferTimer = mTransferTimer;
         if (transferTimer != null) {
             transferTimer.cancel(false);
         }
     }
 
-    /** Ends the call without a response, and closes its connection. */
-    void fail(HttpCallException failure) {
+    /** Ends the call if its request is on no other connection. */
+    void onConnectionFailed(ClientConnection connection, String reason) {
+        mConnections.remove(connection);
+        if (mConnections.isEmpty()) {
+            fail(new HttpCallException(reason, true));
+        }
+    }
+
+    /** Ends the call if its request was sent on no connection. */
+    void onConnectFailed(String reason) {
+        if (mConnections.isEmpty()) {
+            fail(new HttpCallException(reason, mSentNanos != NOT_SENT));
+        }
+    }
+
+    private void fail(HttpCallException failure) {
         if (mFinished) {
             return;
         }
         mFinished = true;
         cancelTimers();
-        ClientConnection connection = mConnection;
-        if (connection != null) {
-            connection.channel().close();
-        }
+        List.copyOf(mConnections).forEach(connection -> connection.channel().close());
         mEmitter.tryOnError(failure);
     }
 
     /** Ends the call with its response, and releases the connection if it is kept alive. */
-    void complete(HttpResponse response, boolean keepAlive) {
+    void complete(ClientConnection connection, HttpResponse response, boolean keepAlive) {
         if (mFinished) {
             return;
         }
         mFinished = true;
         cancelTimers();
-        ClientConnection connection = mConnection;
-        if (connection != null) {
-            connection.onResponse();
-            if (keepAlive) {
-                mHttpClient.release(mCall.address(), connection);
-            } else {
-                connection.channel().close();
-            }
+        connection.onResponse();
+        if (keepAlive) {
+            mHttpClient.release(mCall.address(), connection);
+        } else {
+            connection.channel().close();
         }
         mEmitter.onSuccess(response);
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
@@ -50,6 +50,12 @@
 
     private static final int STORE_TIMEOUT_MS = 1_000;
 
+    /**
+     * Time without a response after which a store request is repeated on a new connection, in
+     * milliseconds.
+     */
+    private static final int STORE_REPEAT_MS = 300;
+
     private final NodeSettings mSettings;
     private final Scheduler mScheduler;
     private final MessageTransport mTransport;
@@ -82,7 +88,11 @@
                 new NettyHttpClient(eventLoops, metrics.decisionLog(NettyHttpClient.class));
         mEntryListReader =
                 new EntryListReader(
-                        new HttpRecordStore(httpClient, settings.storeAddress(), STORE_TIMEOUT_MS),
+                        new HttpRecordStore(
+                                httpClient,
+                                settings.storeAddress(),
+                                STORE_TIMEOUT_MS,
+                                STORE_REPEAT_MS),
                         mLinks,
                         new JobLogCodec());
         mWorkerServer = new NettyHttpServer(eventLoops);
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -60,6 +60,12 @@
     /** Timeout of a store request, in milliseconds; above the response time of a slow store. */
     private static final int STORE_TIMEOUT_MS = 600;
 
+    /**
+     * Time without a response after which a store request is repeated on a new connection, in
+     * milliseconds; above the response time of a slow store.
+     */
+    private static final int STORE_REPEAT_MS = 300;
+
     /** Maximum wait of a long poll for the configuration, in milliseconds. */
     private static final int CONFIGURATION_LONG_POLL_MS = 1_000;
 
@@ -121,7 +127,8 @@
                 new HttpRecordStore(
                         new NettyHttpClient(eventLoops, metrics.decisionLog(NettyHttpClient.class)),
                         settings.storeAddress(),
-                        STORE_TIMEOUT_MS);
+                        STORE_TIMEOUT_MS,
+                        STORE_REPEAT_MS);
         RelaySelector relays =
                 new RelaySelector(self.process(), this::peersReachingStore, scheduler);
         mStore = new RelayingRecordStore(directStore, mLinks::send, relays, scheduler);
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/SilentConnectionsTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/SilentConnectionsTest.java
@@ -10,7 +10,9 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.hickorycleat.daemon.exchange.NettyHttpClient;
 import org.hickorycleat.daemon.exchange.NettyHttpServer;
@@ -25,11 +27,15 @@
     private static final int TIMEOUT_MS = 600;
     private static final int WARM_UP_TIMEOUT_MS = 5_000;
     private static final int RESPONSE_TIME_MS = 50;
+    private static final int REPEAT_MS = 200;
+    private static final int SLOW_RESPONSE_TIME_MS = 400;
     private static final int CONCURRENT_CALLS = 4;
 
     private final EventLoopGroup mEventLoops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final NettyHttpClient mHttpClient = new NettyHttpClient(mEventLoops);
+    private final AtomicInteger mRequests = new AtomicInteger();
+    private volatile int mResponseTimeMs = RESPONSE_TIME_MS;
     private FaultyProxy mProxy;
 
     @BeforeEach
@@ -39,9 +45,11 @@
         new NettyHttpServer(mEventLoops)
                 .listen(
                         address,
-                        request ->
-                                Single.just(HttpResponse.of(200, new byte[0]))
-                                        .delay(RESPONSE_TIME_MS, TimeUnit.MILLISECONDS));
+                        request -> {
+                            mRequests.incrementAndGet();
+                            return Single.just(HttpResponse.of(200, new byte[0]))
+                                    .delay(mResponseTimeMs, TimeUnit.MILLISECONDS);
+                        });
         mProxy = new FaultyProxy(address);
     }
 
@@ -51,22 +59,36 @@
         mEventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
-    private Single<HttpResponse> call(int timeoutMs) {
+    private Single<HttpResponse> call(int timeoutMs, OptionalInt repeatAfterMs) {
         return mHttpClient.call(
-                new HttpCall(mProxy.address(), "GET", "/", Map.of(), new byte[0], timeoutMs));
+                new HttpCall(
+                        mProxy.address(),
+                        "GET",
+                        "/",
+                        Map.of(),
+                        new byte[0],
+                        timeoutMs,
+                        repeatAfterMs));
     }
 
     /** Leaves as many connections idle as there are calls at a time. */
     private void openConnections() {
         List<Single<HttpResponse>> calls =
                 IntStream.range(0, CONCURRENT_CALLS)
-                        .mapToObj(i -> call(WARM_UP_TIMEOUT_MS))
+                        .mapToObj(i -> call(WARM_UP_TIMEOUT_MS, OptionalInt.empty()))
                         .toList();
         Single.merge(calls).blockingSubscribe();
     }
 
     private boolean succeeds() {
-        return call(TIMEOUT_MS).map(HttpResponse::isSuccess).onErrorReturnItem(false).blockingGet();
+        return succeeds(OptionalInt.empty());
+    }
+
+    private boolean succeeds(OptionalInt repeatAfterMs) {
+        return call(TIMEOUT_MS, repeatAfterMs)
+                .map(HttpResponse::isSuccess)
+                .onErrorReturnItem(false)
+                .blockingGet();
     }
 
     /** Guards against calls that time out one after another on connections that went silent. */
@@ -78,4 +100,34 @@
         assertThat(succeeds()).isFalse();
         assertThat(succeeds()).isTrue();
     }
+
+    /** Guards against a call that waits for its whole timeout on a connection that went silent. */
+    @Test
+    void repeatsCallOnNewConnectionWhenItsOwnIsSilent() {
+        openConnections();
+        mProxy.silenceOpenConnections();
+
+        assertThat(succeeds(OptionalInt.of(REPEAT_MS))).isTrue();
+        assertThat(succeeds()).isTrue();
+    }
+
+    /** Guards against a repetition that is made although the first request gets its response. */
+    @Test
+    void takesFirstResponseOfRepeatedCall() {
+        openConnections();
+        mRequests.set(0);
+        mResponseTimeMs = SLOW_RESPONSE_TIME_MS;
+
+        assertThat(succeeds(OptionalInt.of(REPEAT_MS))).isTrue();
+        assertThat(mRequests.get()).isEqualTo(2);
+    }
+
+    @Test
+    void sendsCallOnNewConnectionOnce() {
+        mResponseTimeMs = SLOW_RESPONSE_TIME_MS;
+
+        assertThat(call(WARM_UP_TIMEOUT_MS, OptionalInt.of(REPEAT_MS)).blockingGet().isSuccess())
+                .isTrue();
+        assertThat(mRequests.get()).isEqualTo(1);
+    }
 }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/TopicConsumerTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/TopicConsumerTest.java
@@ -36,6 +36,7 @@
 class TopicConsumerTest {
     private static final String TOPIC = "keyed.jobs";
     private static final int STORE_TIMEOUT_MS = 600;
+    private static final int STORE_REPEAT_MS = 300;
     private static final long SLOW_LINK_BYTES_PER_SECOND = 1_250_000;
     private static final int PART_RECORDS = 10;
     private static final int LOG_RECORDS = 95;
@@ -66,7 +67,8 @@
                             new HttpRecordStore(
                                     new NettyHttpClient(mEventLoops),
                                     proxy.address(),
-                                    STORE_TIMEOUT_MS),
+                                    STORE_TIMEOUT_MS,
+                                    STORE_REPEAT_MS),
                             TOPIC,
                             records::add,
                             Schedulers.computation(),
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/WorkerStandIn.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/WorkerStandIn.java
@@ -61,6 +61,11 @@
         return new ArrayList<>(mStarts);
     }
 
+    /** Returns what runs, each as task and run number. */
+    synchronized List<String> running() {
+        return new ArrayList<>(mRunning.keySet());
+    }
+
     synchronized String heartbeat(long sequence) {
         return "{\"service\":\"booking\",\"state\":\"ready\",\"seq\":"
                 + sequence
