Open a link beside a silent one instead of waiting for its timeout

Jobs did not start for up to 8 s after all connections had gone silent and the owner was lost: a link counts as alive for 5 s without a byte, so that heartbeats, relayed requests and the announcement of the next owner went into links that were dead (link_silent: entries sent into links that had been silent for up to 3 s, while their heartbeats are due every 200 ms). Only the link of an agent to its owner was closed earlier.

Each side now opens a further link to a peer that has sent nothing although messages are due (entries after five heartbeats, an owner and its agents after three reports), and sends on the newest link. The silent one stays until its timeout, so that a peer that is merely slow loses nothing; attempts to a peer that stays silent are repeated after 1 to 4 s.

The tests of FleetLinksTest need the new method.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
@@ -35,7 +35,10 @@
     /** Timeout of a command to the worker, in milliseconds. */
     private static final int COMMAND_TIMEOUT_MS = 250;
 
-    /** Time without a message from the owner after which the agent reconnects, in milliseconds. */
+    /**
+     * Time without a message from the owner after which the agent opens another link to it, in
+     * milliseconds.
+     */
     private static final long OWNER_TIMEOUT_MS = 1_500;
 
     /**
@@ -137,14 +140,12 @@
     }
 
     private void reconnectIfNeeded() {
-        Optional<ProcessId> unresponsiveOwner = Optional.empty();
+        Optional<ProcessId> owner;
+        long ownerContactMs;
         boolean disconnected;
         synchronized (this) {
-            boolean isUnresponsive = nowMs() - mLastOwnerContactMs > OWNER_TIMEOUT_MS;
-            if (mOwner.isPresent() && isUnresponsive) {
-                unresponsiveOwner = mOwner;
-                mLastOwnerContactMs = nowMs();
-            }
+            owner = mOwner;
+            ownerContactMs = mLastOwnerContactMs;
             boolean connected = !mLinks.connectedPeers(ProcessRole.ENTRY).isEmpty();
             if (connected) {
                 mLastConnectedMs = nowMs();
@@ -154,17 +155,13 @@
                 mLastConnectedMs = nowMs();
             }
         }
-        unresponsiveOwner.ifPresent(this::reconnect);
+        owner.ifPresent(
+                process -> mLinks.reopenIfSilent(process, ownerContactMs, OWNER_TIMEOUT_MS));
         if (disconnected) {
             mEntryListReader.read();
         }
     }
 
-    private void reconnect(ProcessId owner) {
-        LOG.event("owner_silent").with("owner", owner).info();
-        mLinks.closeLinksTo(owner);
-    }
-
     @Override
     public void onConnected(FleetNode peer) {
         LOG.event("entry_connected").with("entry", peer.process()).info();
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -78,6 +78,12 @@
     /** Interval between two heartbeats to peers, in milliseconds. */
     private static final long HEARTBEAT_INTERVAL_MS = 200;
 
+    /**
+     * Time without a message from an entry after which another link to it is opened, in
+     * milliseconds; five intervals of heartbeats.
+     */
+    private static final long SILENT_ENTRY_MS = 5 * HEARTBEAT_INTERVAL_MS;
+
     /** Interval between two reads of the entry list, in milliseconds. */
     private static final long ENTRIES_INTERVAL_MS = 5_000;
 
@@ -228,6 +234,8 @@
     private void tick() {
         GuardedTask.run("election", mOwnership::tickElection);
         GuardedTask.run("heartbeat", this::sendHeartbeat);
+        GuardedTask.run(
+                "reopen_links", () -> mLinks.reopenSilentLinks(ProcessRole.ENTRY, SILENT_ENTRY_MS));
         GuardedTask.run("read_entries", this::readEntriesIfDue);
         GuardedTask.run("check_ownership", mOwnership::check);
         mScheduler.scheduleDirect(this::tick, HEARTBEAT_INTERVAL_MS, TimeUnit.MILLISECONDS);
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
@@ -26,6 +26,10 @@
  *
  * <p>Entries are discovered from seeds, from the store and from other entries. Two entries may have
  * two links between them. An agent has one link to each entry; its newest link replaces older ones.
+ *
+ * <p>A link may go silent for good without being closed. A new link is then opened beside it, and
+ * messages are sent on the newest link, so that a peer is reached again long before the silent link
+ * is closed.
  */
 final class FleetLinks {
     private static final EventLog LOG = EventLog.of(FleetLinks.class);
@@ -46,6 +50,17 @@
 
     private static final long MAXIMUM_RETRY_DELAY_MS = 2_000;
 
+    /**
+     * Initial and maximum delay between two attempts to open a link beside those to a silent peer,
+     * in milliseconds; it doubles until the peer is heard.
+     */
+    private static final long INITIAL_REOPEN_DELAY_MS = 1_000;
+
+    private static final long MAXIMUM_REOPEN_DELAY_MS = 4_000;
+
+    /** Maximum number of links to an entry; each of two entries may have opened one. */
+    private static final int MAXIMUM_LINKS_TO_ENTRY = 2;
+
     /** Time after which an address that cannot be reached is removed, in milliseconds. */
     private static final long ADDRESS_EXPIRY_MS = 60_000;
 
@@ -64,7 +79,9 @@
     private final Scheduler mScheduler;
     private final Map<ProcessId, FleetNode> mEntries = new LinkedHashMap<>();
     private final Map<InetSocketAddress, AddressState> mAddresses = new HashMap<>();
+    // The newest link of a peer is the first one.
     private final Map<ProcessId, List<Link>> mLinks = new HashMap<>();
+    private final Map<ProcessId, ReopenState> mReopenStates = new HashMap<>();
     private boolean mEntriesChanged;
     private long mRoundNumber;
     private long mNextRoundAtMs;
@@ -77,6 +94,12 @@
         private boolean mInUse;
     }
 
+    /** State of the attempts to open a link beside those to one silent peer. */
+    private static final class ReopenState {
+        private long mAttemptedAtMs;
+        private long mDelayMs = INITIAL_REOPEN_DELAY_MS;
+    }
+
     FleetLinks(
             MessageTransport transport,
             FleetNode self,
@@ -214,9 +237,43 @@
         }
     }
 
-    /** Closes the links to a peer, so that they are reopened. */
-    void closeLinksTo(ProcessId peer) {
-        linksTo(peer).forEach(Link::close);
+    /** Opens a link beside those to each connected peer that has been silent for too long. */
+    void reopenSilentLinks(ProcessRole role, long timeoutMs) {
+        for (FleetNode peer : connectedPeers(role)) {
+            reopenIfSilent(peer.process(), Long.MIN_VALUE, timeoutMs);
+        }
+    }
+
+    /**
+     * Opens a link beside those to a peer if it is connected and has been silent for too long.
+     *
+     * @param expectedSinceMs time since which messages of the peer are expected, in milliseconds
+     */
+    void reopenIfSilent(ProcessId peer, long expectedSinceMs, long timeoutMs) {
+        FleetNode node;
+        synchronized (this) {
+            List<Link> links = mLinks.getOrDefault(peer, List.of());
+            if (links.isEmpty()) {
+                return;
+            }
+            long heardAtMs = links.stream().mapToLong(link -> link.mReceivedAtMs).max().orElse(0);
+            long silentMs = nowMs() - Math.max(heardAtMs, expectedSinceMs);
+            if (silentMs <= timeoutMs) {
+                return;
+            }
+            ReopenState state = mReopenStates.computeIfAbsent(peer, key -> new ReopenState());
+            if (heardAtMs > state.mAttemptedAtMs) {
+                state.mDelayMs = INITIAL_REOPEN_DELAY_MS;
+            } else if (nowMs() - state.mAttemptedAtMs < state.mDelayMs) {
+                return;
+            } else {
+                state.mDelayMs = Math.min(MAXIMUM_REOPEN_DELAY_MS, 2 * state.mDelayMs);
+            }
+            state.mAttemptedAtMs = nowMs();
+            node = links.get(0).mPeer.orElseThrow();
+            LOG.event("link_reopened").with("peer", peer).with("silent_ms", silentMs).info();
+        }
+        connect(new InetSocketAddress(node.host(), node.port()));
     }
 
     private void connectToDueAddresses() {
@@ -418,7 +475,10 @@
                 }
                 links.removeAll(replaced);
                 first = links.isEmpty();
-                links.add(this);
+                links.add(0, this);
+                while (links.size() > MAXIMUM_LINKS_TO_ENTRY) {
+                    replaced.add(links.remove(links.size() - 1));
+                }
             }
             replaced.forEach(Link::close);
             addEntries(List.of(peer));
@@ -447,6 +507,7 @@
                     last = removed && links.isEmpty();
                     if (last) {
                         mLinks.remove(mPeer.get().process());
+                        mReopenStates.remove(mPeer.get().process());
                     }
                 }
             }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -5,7 +5,9 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.hickorycleat.daemon.logging.EventLog;
@@ -52,6 +54,12 @@
     /** Interval between two checks of leases and progress, in milliseconds. */
     private static final long TICK_INTERVAL_MS = 100;
 
+    /**
+     * Time without a message from an agent after which another link to it is opened, in
+     * milliseconds; three intervals of reports.
+     */
+    private static final long SILENT_AGENT_MS = 1_500;
+
     /** Delay before an append is retried, in milliseconds. */
     private static final long RETRY_DELAY_MS = 50;
 
@@ -76,6 +84,7 @@
     private final Dispatcher mDispatcher;
     private final ProgressPartitioner mPartitioner;
     private final LeaseAuthority mLeaseAuthority;
+    private final Map<ProcessId, Long> mAnnouncedAtMs = new ConcurrentHashMap<>();
     private long mSequence;
     private volatile long mRetriedSequence;
     private volatile boolean mStopped;
@@ -149,6 +158,7 @@
     /** Opens a session with an agent and announces the owner to it. */
     void onAgentConnected(ProcessId agent) {
         long session = mDispatcher.onAgentConnected(agent);
+        mAnnouncedAtMs.put(agent, mScheduler.now(TimeUnit.MILLISECONDS));
         mLinks.send(agent, new OwnerAnnouncement(mSelf.process(), mEpoch, session));
     }
 
@@ -163,6 +173,10 @@
             return;
         }
         boolean succeeded = runOrEnd(mDispatcher::tick);
+        // An agent reports when it learns of the owner, so one that does not has not heard of it.
+        mAnnouncedAtMs.forEach(
+                (agent, announcedAtMs) ->
+                        mLinks.reopenIfSilent(agent, announcedAtMs, SILENT_AGENT_MS));
         if (succeeded) {
             mScheduler.scheduleDirect(this::tick, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
         }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetLinksTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetLinksTest.java
@@ -1,6 +1,7 @@
 package org.hickorycleat.daemon.fleet;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.reactivex.rxjava3.plugins.RxJavaPlugins;
@@ -11,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -34,6 +36,7 @@
 class FleetLinksTest implements FleetLinkListener {
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
     private static final String LOOPBACK = "127.0.0.1";
+    private static final long SILENCE_MS = 1_000;
 
     private final TestScheduler mScheduler = new TestScheduler();
     private final MessageTransport mTransport =
@@ -77,6 +80,11 @@
 
     private Socket connectAndSend(Message... messages) throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), mSelf.port());
+        send(socket, messages);
+        return socket;
+    }
+
+    private static void send(Socket socket, Message... messages) throws IOException {
         DataOutputStream out = new DataOutputStream(socket.getOutputStream());
         for (Message message : messages) {
             byte[] content = new MessageCodec().encode(message);
@@ -84,7 +92,6 @@
             out.write(content);
         }
         out.flush();
-        return socket;
     }
 
     private void assertStillConnects() throws IOException {
@@ -188,4 +195,72 @@
             assertStillConnects();
         }
     }
+
+    private static void discardReceived(Socket socket) throws IOException, InterruptedException {
+        TimeUnit.MILLISECONDS.sleep(200);
+        socket.getInputStream().skipNBytes(socket.getInputStream().available());
+    }
+
+    /** Guards against messages that are sent into a link which went silent without being closed. */
+    @Test
+    void opensLinkBesideSilentOneAndSendsOnIt() throws Exception {
+        mLinks.start(List.of());
+        try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            FleetNode peer = entry("entry-9", LOOPBACK, server.getLocalPort());
+            Socket silent = connectAndSend(new FleetHello(peer));
+            Awaitility.await()
+                    .atMost(TIMEOUT)
+                    .until(() -> mLinks.connectedPeers(ProcessRole.ENTRY).contains(peer));
+            mScheduler.advanceTimeBy(SILENCE_MS, TimeUnit.MILLISECONDS);
+            server.setSoTimeout(500);
+            mLinks.reopenSilentLinks(ProcessRole.ENTRY, SILENCE_MS);
+            assertThatThrownBy(server::accept).isInstanceOf(SocketTimeoutException.class);
+
+            mScheduler.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+            server.setSoTimeout((int) TIMEOUT.toMillis());
+            mLinks.reopenSilentLinks(ProcessRole.ENTRY, SILENCE_MS);
+            Socket reopened = server.accept();
+            send(reopened, new FleetHello(peer));
+            discardReceived(reopened);
+            discardReceived(silent);
+            assertThat(mLinks.send(peer.process(), new FleetHello(mSelf))).isTrue();
+
+            Awaitility.await()
+                    .atMost(TIMEOUT)
+                    .until(() -> reopened.getInputStream().available() > 0);
+            assertThat(silent.getInputStream().available()).isZero();
+            silent.close();
+            reopened.close();
+        }
+    }
+
+    /** Guards against a new link at every check while a peer does not respond. */
+    @Test
+    void waitsBetweenAttemptsToReachSilentPeer() throws Exception {
+        mLinks.start(List.of());
+        try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            FleetNode peer = entry("entry-9", LOOPBACK, server.getLocalPort());
+            Socket silent = connectAndSend(new FleetHello(peer));
+            Awaitility.await()
+                    .atMost(TIMEOUT)
+                    .until(() -> mLinks.connectedPeers(ProcessRole.ENTRY).contains(peer));
+            for (int i = 0; i < 100; i++) {
+                mScheduler.advanceTimeBy(100, TimeUnit.MILLISECONDS);
+                mLinks.reopenSilentLinks(ProcessRole.ENTRY, SILENCE_MS);
+            }
+
+            server.setSoTimeout(500);
+            int attempts = 0;
+            try {
+                while (attempts < 100) {
+                    server.accept();
+                    attempts++;
+                }
+            } catch (SocketTimeoutException e) {
+                // No further connection was opened.
+            }
+            assertThat(attempts).isBetween(2, 4);
+            silent.close();
+        }
+    }
 }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/SilentFleetTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/SilentFleetTest.java
@@ -60,6 +60,11 @@
     /** Time after its acknowledgement within which a cancellation has to end all runs. */
     private static final long CANCELLATION_MS = 3_400;
 
+    /**
+     * Time after the fault within which jobs start again: a stable window and the target of 2 s.
+     */
+    private static final long RECOVERY_MS = STABLE_MS + 2_000;
+
     private static final long OBSERVED_MS = 6_000;
     private static final int CHANGES = 2;
 
@@ -365,4 +370,21 @@
 
         awaitTrue(() -> mWorker.running().isEmpty(), CANCELLATION_MS);
     }
+
+    /** Guards against jobs that wait for links which are silent when their owner is lost. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void jobsStartSoonAfterLossOfOwnerAndSilenceOfAllConnections(long seed) throws Exception {
+        TimeUnit.MILLISECONDS.sleep(new Random(seed).nextInt(1_000));
+        long silentAtMs = nowMs();
+        silenceAll();
+        mProcesses.get(owner().orElseThrow()).close();
+
+        submit("0000000000000002", FleetExamples.JOB);
+
+        awaitTrue(
+                () -> mWorker.starts().stream().anyMatch(run -> run.contains("0000000000000002")),
+                silentAtMs + RECOVERY_MS - nowMs());
+        assertThat(mWorker.starts()).filteredOn(run -> run.contains("0000000000000001")).hasSize(1);
+    }
 }
