Ignore a configuration older than the one the owner schedules by

The dispatcher now keeps the newest version, as the cache of the entry does. OwnerWithoutConfigurationTest #ignoresConfigurationOlderThanTheOneInForce failed before: the job of a configured queue was not started again.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -152,6 +152,13 @@
 
     /** Handles a new active configuration. */
     public synchronized void onConfigurationChanged(WorkloadConfiguration configuration) {
+        boolean older =
+                mQueues.configurationVersion()
+                        .filter(version -> configuration.version() < version)
+                        .isPresent();
+        if (older) {
+            return;
+        }
         mQueues.onConfigurationChanged(configuration);
         mPlacer.onConfigurationChanged(configuration);
         updateQueues();
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/OwnerWithoutConfigurationTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/OwnerWithoutConfigurationTest.java
@@ -11,6 +11,7 @@
 import org.hickorycleat.model.job.JobState;
 import org.hickorycleat.model.job.JobSubmission;
 import org.hickorycleat.model.job.RunId;
+import org.hickorycleat.model.job.WorkloadConfiguration;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -101,4 +102,17 @@
         reportFailure(mNext.run(0));
         assertThat(mNext.lastPublishedState(JOB)).contains(JobState.FAILED);
     }
+
+    /** Guards against an owner that schedules by a configuration which was read before a newer. */
+    @Test
+    void ignoresConfigurationOlderThanTheOneInForce() {
+        WorkloadConfiguration newer = DispatchFixture.configuration(DispatchFixture.queue());
+        mNext.mDispatcher.onConfigurationChanged(newer);
+        mNext.mDispatcher.onConfigurationChanged(
+                new WorkloadConfiguration(newer.version() - 1, List.of(), List.of(), 100_000));
+
+        reportFailure(mRun);
+
+        assertThat(mNext.mStarts).hasSize(1);
+    }
 }
