Count the store as lost only if no later request got a response

A long poll on a connection that has gone silent times out after 1.6 s, and the entry then used peers for 1.5 s and reported that it did not reach the store, although the store had answered other requests meanwhile.

A failure now counts only if no response has come since the request was sent. RelayingRecordStoreTest#keepsDirectPathWhenLaterRequestGotResponse failed before.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingRecordStore.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingRecordStore.java
@@ -187,16 +187,20 @@
 
     private Single<AppendOutcome> appendDirectly(
             StoreAppendRequest request, List<StoreRecord> records) {
-        return mDirectStore
-                .append(request, records)
-                .doOnSuccess(
-                        outcome -> {
-                            if (isConclusive(outcome)) {
-                                recordDirectResponse();
-                            } else {
-                                recordDirectFailure(outcome.result().name());
-                            }
-                        });
+        return Single.defer(
+                () -> {
+                    long sentAtMs = nowMs();
+                    return mDirectStore
+                            .append(request, records)
+                            .doOnSuccess(
+                                    outcome -> {
+                                        if (isConclusive(outcome)) {
+                                            recordDirectResponse();
+                                        } else {
+                                            recordDirectFailure(outcome.result().name(), sentAtMs);
+                                        }
+                                    });
+                });
     }
 
     private Single<AppendOutcome> appendThroughRelay(
@@ -248,10 +252,17 @@
     }
 
     private Single<StorePage> readDirectly(StoreReadRequest request) {
-        return mDirectStore
-                .read(request)
-                .doOnSuccess(page -> recordDirectResponse())
-                .doOnError(error -> recordDirectFailure(String.valueOf(error.getMessage())));
+        return Single.defer(
+                () -> {
+                    long sentAtMs = nowMs();
+                    return mDirectStore
+                            .read(request)
+                            .doOnSuccess(page -> recordDirectResponse())
+                            .doOnError(
+                                    error ->
+                                            recordDirectFailure(
+                                                    String.valueOf(error.getMessage()), sentAtMs));
+                });
     }
 
     private Single<StorePage> readThroughRelay(ProcessId relay, StoreReadRequest request) {
@@ -395,7 +406,11 @@
         }
     }
 
-    private synchronized void recordDirectFailure(String cause) {
+    // A response to a later request shows that only the connection or the request has failed.
+    private synchronized void recordDirectFailure(String cause, long sentAtMs) {
+        if (mLastDirectResponseMs > sentAtMs) {
+            return;
+        }
         if (mRelayFirstUntilMs == Long.MIN_VALUE) {
             LOG.event("store_lost").with("cause", cause).warn();
         }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RelayingRecordStoreTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/RelayingRecordStoreTest.java
@@ -282,4 +282,21 @@
         outcome.assertValue(value -> value.result() == AppendResult.UNKNOWN);
         assertThat(mFailedRelays).containsExactly(PEER, PEER);
     }
+
+    /** Guards against a store that counts as lost because one connection has gone silent. */
+    @Test
+    void keepsDirectPathWhenLaterRequestGotResponse() {
+        mScheduler.advanceTimeBy(1, TimeUnit.SECONDS);
+        SingleSubject<StorePage> unanswered = SingleSubject.create();
+        mDirectPage = unanswered;
+        var read = mStore.read(StoreReadRequest.log("keyed.op", 0, 0, 1_000)).test();
+        mScheduler.advanceTimeBy(1, TimeUnit.SECONDS);
+        mStore.append(REQUEST, List.of()).test().assertComplete();
+        mScheduler.advanceTimeBy(600, TimeUnit.MILLISECONDS);
+
+        unanswered.onError(new StoreUnavailableException("no response in time"));
+
+        read.assertNotComplete();
+        assertThat(mStore.isDirectlyReachable()).isTrue();
+    }
 }
