--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetFault.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetFault.java
@@ -32,6 +32,10 @@
         RESET_STORE_PATH,
         DROP_RESPONSES_OF_ALL,
         SLOW_STORE_PATH,
+        /** The open connections of a process to the store go silent for good; new ones work. */
+        SILENCE_STORE_CONNECTIONS,
+        /** The same for all processes; a change of the configuration follows. */
+        SILENCE_STORE_CONNECTIONS_OF_ALL,
         RESTART_WORKER,
         CHANGE_CONFIGURATION,
         /** All processes and workers end at once and start again. */
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetFaultInjector.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetFaultInjector.java
@@ -78,6 +78,11 @@
                 ProcessFleet.sleep(fault.durationMs());
                 storePath.setBytesPerSecond(Long.MAX_VALUE);
             }
+            case SILENCE_STORE_CONNECTIONS -> storePath.silenceOpenConnections();
+            case SILENCE_STORE_CONNECTIONS_OF_ALL -> {
+                mFleet.storeProxies().forEach(FaultyProxy::silenceOpenConnections);
+                changeConfiguration(fault);
+            }
             case RESTART_WORKER ->
                     mFleet.workers().get(fault.target() % mFleet.workers().size()).restart();
             case CHANGE_CONFIGURATION -> changeConfiguration(fault);
@@ -97,14 +102,24 @@
 
     private void changeConfiguration(FleetFault fault) {
         for (int i = 0; i < CONFIGURATION_CHANGES; i++) {
-            int unusedQueues = (fault.variant() + i) % 2 == 0 ? UNUSED_QUEUES + i : i;
-            int version = mConfigurationVersion.incrementAndGet();
-            mFleet.store()
-                    .put("keyed.op", "config", FleetExamples.configuration(version, unusedQueues));
+            publishConfiguration((fault.variant() + i) % 2 == 0 ? UNUSED_QUEUES + i : i);
             ProcessFleet.sleep(CONFIGURATION_INTERVAL_MS);
         }
     }
 
+    private void publishConfiguration(int unusedQueues) {
+        int version = mConfigurationVersion.incrementAndGet();
+        mFleet.store()
+                .put("keyed.op", "config", FleetExamples.configuration(version, unusedQueues));
+    }
+
+    /** Publishes a configuration with a new queue, and returns the path prefix of the queue. */
+    String publishQueue() {
+        int queue = UNUSED_QUEUES + CONFIGURATION_CHANGES;
+        publishConfiguration(queue + 1);
+        return "/unused-" + queue + "/";
+    }
+
     private void disturbProcess(int node, FleetFault fault)
             throws IOException, InterruptedException {
         NodeProcess process = mFleet.processes().get(node);
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPowerLossSoakTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPowerLossSoakTest.java
@@ -22,7 +22,8 @@
 
 /**
  * Injects faults that overlap into real processes, and cuts the power of the whole fleet while one
- * entry's path to the store stays faulty.
+ * entry's path to the store stays faulty. A configuration that is published afterwards has to be in
+ * force in time.
  *
  * <p>The system properties {@code soak.seeds} (separated by commas), {@code soak.entries}, {@code
  * soak.agents}, {@code soak.faults}, {@code soak.callers} and {@code soak.perpetual} set its size.
@@ -41,6 +42,12 @@
     /** Time for which long-running tasks are observed, and cancelled ones must have ended. */
     private static final Duration OBSERVATION_TIME = Duration.ofSeconds(2);
 
+    /** Time after the last fault from which a configuration has to be in force in time. */
+    private static final long STABLE_MS = 3_000;
+
+    /** Time within which a configuration has to be in force in every entry. */
+    private static final Duration CONFIGURATION_TIMEOUT = Duration.ofSeconds(2);
+
     private final ProcessFleet mFleet = new ProcessFleet(ENTRIES);
     private final FleetCallers mCallers = new FleetCallers(mFleet);
     private final ExecutorService mFaultThreads = Executors.newCachedThreadPool();
@@ -120,6 +127,18 @@
         return scheduling == 1;
     }
 
+    private void awaitConfigurationInForce(FleetFaultInjector injector) {
+        ProcessFleet.sleep(STABLE_MS);
+        String path = injector.publishQueue();
+        Awaitility.await("configuration is in force in every entry")
+                .atMost(CONFIGURATION_TIMEOUT)
+                .until(
+                        () ->
+                                mFleet.callerAddresses().stream()
+                                        .map(entry -> mFleet.call(entry, "GET", path, ""))
+                                        .allMatch(response -> response.status() == 200));
+    }
+
     @ParameterizedTest
     @MethodSource("seeds")
     void schedulesAfterOverlappingFaultsAndPowerLoss(
@@ -139,6 +158,7 @@
         }
         injector.restoreStorePaths();
         mCallers.stop();
+        awaitConfigurationInForce(injector);
         List<Integer> statusLineCounts = statusLineCounts();
 
         for (String job : mCallers.accepted()) {
