--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPathTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetPathTest.java
@@ -5,7 +5,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -14,7 +13,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.awaitility.Awaitility;
 import org.hickorycleat.daemon.Lifecycle;
@@ -24,9 +22,6 @@
 import org.hickorycleat.logic.port.HttpCall;
 import org.hickorycleat.logic.port.HttpResponse;
 import org.hickorycleat.model.identifier.Epoch;
-import org.hickorycleat.model.identifier.ProcessId;
-import org.hickorycleat.model.identifier.ServiceName;
-import org.hickorycleat.model.identifier.ZoneId;
 import org.hickorycleat.model.message.FleetNode;
 import org.hickorycleat.model.message.ProcessRole;
 import org.hickorycleat.model.node.NodeSettings;
@@ -60,15 +55,15 @@
 
     @BeforeEach
     void startFleet() throws Exception {
-        InetSocketAddress store = address();
-        InetSocketAddress worker = address();
+        InetSocketAddress store = LoopbackNodes.address();
+        InetSocketAddress worker = LoopbackNodes.address();
         new NettyHttpServer(mEventLoops).listen(store, mStore);
         new NettyHttpServer(mEventLoops).listen(worker, mWorker);
         mStore.put("keyed.op", "config", FleetExamples.CONFIGURATION);
-        mEntries.add(settings("entry-1", store, Optional.empty(), List.of()));
+        mEntries.add(LoopbackNodes.settings("entry-1", store, Optional.empty(), List.of()));
         List<InetSocketAddress> seeds = List.of(mEntries.get(0).linkAddress());
-        mEntries.add(settings("entry-2", store, Optional.empty(), seeds));
-        mAgent = settings("agent-1", store, Optional.of(worker), seeds);
+        mEntries.add(LoopbackNodes.settings("entry-2", store, Optional.empty(), seeds));
+        mAgent = LoopbackNodes.settings("agent-1", store, Optional.of(worker), seeds);
         for (NodeSettings settings : List.of(mEntries.get(0), mEntries.get(1), mAgent)) {
             Lifecycle process = FleetProcessFactory.create(settings);
             process.start();
@@ -85,39 +80,6 @@
         mEventLoops.shutdownGracefully(1, 10, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
-    private static InetSocketAddress address() {
-        return new InetSocketAddress(InetAddress.getLoopbackAddress(), FreePorts.next());
-    }
-
-    private static NodeSettings settings(
-            String name,
-            InetSocketAddress store,
-            Optional<InetSocketAddress> worker,
-            List<InetSocketAddress> seeds) {
-        return new NodeSettings(
-                new ProcessId(name),
-                new ZoneId("north"),
-                Optional.of(address()),
-                Optional.of(address()),
-                Optional.of(address()),
-                address(),
-                address(),
-                worker,
-                worker.map(any -> new ServiceName("booking")),
-                seeds,
-                1_000,
-                1,
-                OptionalLong.empty(),
-                store,
-                262_144,
-                Optional.empty(),
-                10_000,
-                1_000,
-                400,
-                120_000,
-                4_000);
-    }
-
     private HttpResponse call(InetSocketAddress address, String method, String path, String body) {
         return mHttpClient
                 .call(
@@ -257,7 +219,7 @@
         storePath.setMode(FaultyProxy.Mode.STALL);
         mStore.rejectNewestReads(JobLogCodec.JOBS_TOPIC);
         NodeSettings named =
-                settings(
+                LoopbackNodes.settings(
                         "entry-3",
                         storePath.address(),
                         Optional.empty(),
@@ -283,17 +245,17 @@
         callJobs(0, "POST", "0000000000000001", FleetExamples.PERPETUAL_JOB);
         Awaitility.await().atMost(TIMEOUT).until(() -> mWorker.starts().size() == 1);
         WorkerStandIn otherWorker = new WorkerStandIn();
-        InetSocketAddress otherWorkerAddress = address();
+        InetSocketAddress otherWorkerAddress = LoopbackNodes.address();
         new NettyHttpServer(mEventLoops).listen(otherWorkerAddress, otherWorker);
         NodeSettings otherAgent =
-                settings(
+                LoopbackNodes.settings(
                         "agent-2",
                         mEntries.get(0).storeAddress(),
                         Optional.of(otherWorkerAddress),
                         List.of(mEntries.get(1).linkAddress()));
         // An entry that hears no other entry claims later.
         NodeSettings thirdEntry =
-                settings(
+                LoopbackNodes.settings(
                         "entry-3",
                         mEntries.get(0).storeAddress(),
                         Optional.empty(),
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/SilentFleetTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/SilentFleetTest.java
@@ -6,18 +6,18 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.reactivex.rxjava3.schedulers.Schedulers;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import org.awaitility.Awaitility;
 import org.hickorycleat.daemon.Lifecycle;
@@ -28,9 +28,6 @@
 import org.hickorycleat.logic.directory.JobRecord;
 import org.hickorycleat.logic.port.HttpCall;
 import org.hickorycleat.logic.port.HttpResponse;
-import org.hickorycleat.model.identifier.ProcessId;
-import org.hickorycleat.model.identifier.ServiceName;
-import org.hickorycleat.model.identifier.ZoneId;
 import org.hickorycleat.model.message.FleetNode;
 import org.hickorycleat.model.message.ProcessRole;
 import org.hickorycleat.model.node.NodeSettings;
@@ -83,19 +80,19 @@
 
     @BeforeEach
     void startFleet() throws Exception {
-        InetSocketAddress store = address();
-        InetSocketAddress worker = address();
+        InetSocketAddress store = LoopbackNodes.address();
+        InetSocketAddress worker = LoopbackNodes.address();
         // A client registers its connections with one event loop, so they are silenced at the
         // server.
         new NettyHttpServer(mStandInLoops).listen(store, mStore);
         new NettyHttpServer(mStandInLoops).listen(worker, mWorker);
         mStore.put("keyed.op", "config", FleetExamples.CONFIGURATION);
-        mEntries.add(settings("entry-1", store, Optional.empty(), List.of()));
+        mEntries.add(LoopbackNodes.settings("entry-1", store, Optional.empty(), List.of()));
         List<InetSocketAddress> seeds = List.of(mEntries.get(0).linkAddress());
         for (int i = 2; i <= ENTRIES; i++) {
-            mEntries.add(settings("entry-" + i, store, Optional.empty(), seeds));
+            mEntries.add(LoopbackNodes.settings("entry-" + i, store, Optional.empty(), seeds));
         }
-        mAgent = settings("agent-1", store, Optional.of(worker), seeds);
+        mAgent = LoopbackNodes.settings("agent-1", store, Optional.of(worker), seeds);
         for (NodeSettings settings : mEntries) {
             startProcess(settings);
         }
@@ -152,39 +149,6 @@
         mEventLoops.shutdownGracefully(1, 10, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
-    private static InetSocketAddress address() {
-        return new InetSocketAddress(InetAddress.getLoopbackAddress(), FreePorts.next());
-    }
-
-    private static NodeSettings settings(
-            String name,
-            InetSocketAddress store,
-            Optional<InetSocketAddress> worker,
-            List<InetSocketAddress> seeds) {
-        return new NodeSettings(
-                new ProcessId(name),
-                new ZoneId("north"),
-                Optional.of(address()),
-                Optional.of(address()),
-                Optional.of(address()),
-                address(),
-                address(),
-                worker,
-                worker.map(any -> new ServiceName("booking")),
-                seeds,
-                1_000,
-                1,
-                OptionalLong.empty(),
-                store,
-                262_144,
-                Optional.empty(),
-                10_000,
-                1_000,
-                400,
-                120_000,
-                4_000);
-    }
-
     private HttpResponse call(
             InetSocketAddress address, String method, String path, String body, int timeoutMs) {
         return mHttpClient
@@ -260,7 +224,7 @@
                                                                 == 200));
     }
 
-    private void awaitTrue(java.util.concurrent.Callable<Boolean> condition, long timeoutMs) {
+    private void awaitTrue(Callable<Boolean> condition, long timeoutMs) {
         Awaitility.await()
                 .pollInterval(Duration.ofMillis(50))
                 .atMost(Duration.ofMillis(timeoutMs))
@@ -303,7 +267,7 @@
         for (int i = 1; i <= CHANGES; i++) {
             changes.add(new Change(silentAtMs - 500 + random.nextInt(1_800), i));
         }
-        changes.sort(java.util.Comparator.comparingLong(Change::atMs));
+        changes.sort(Comparator.comparingLong(Change::atMs));
         List<Long> publishedAtMs = new ArrayList<>();
         Set<String> inForce = new HashSet<>();
         List<String> violations = new ArrayList<>();
