--- a/review/standins-2/review2/Worker.java
+++ b/review/standins-2/review2/Worker.java
@@ -201,7 +201,8 @@
                 mRecord.onAcknowledged(end.task(), end.run(), end.how());
             }
         }
-        mAcknowledged = Math.max(mAcknowledged, cursor);
+        // A cursor above the last end was meant for the previous incarnation.
+        mAcknowledged = Math.max(mAcknowledged, Math.min(cursor, mEnds.size()));
         long untilMs = Fleet.nowMs() + Math.min(2_000, body.path("wait_ms").asLong(0));
         long born = mBornMs;
         long incarnationStartMs = mStartMs;
