--- a/review/standins-2/review2/HistoryCase.java
+++ b/review/standins-2/review2/HistoryCase.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.atomic.AtomicIntegerArray;
 
 /**
- * Hands in as many jobs as the site's ordinary traffic brings in 75 minutes, all of which are done
+ * Hands in as many jobs as the site's ordinary traffic brings in 73 minutes, all of which are done
  * at once, then goes on at the ordinary rate and asks for every job that was accepted last. Without
  * trouble, jobs come at the same rate, but only for the first 24 s.
  */
