Reject starts that a replaced link delivers late

Cause: a command names the epoch of its owner but not the session of its link. A report of a new session proves the absence of what it omits, on the assumption that nothing of an earlier session arrives any more. A silent link is kept beside its replacement, and TCP delivers what was sent on it. The agent compared epochs only and also counted such a command as one of the new session.

A start is sent as command 74 of session 2, its run is given up by the first report of session 4 (not_on_worker), and the agent takes command 74 1.4 s later, in session 4. A late execution by the worker is ruled out by the order.

Change: StartRun and StopRun name their session. An agent executes and counts commands of its current session only and rejects a start of another one, so the owner places the task again at once. The announcement of an earlier session no longer replaces a later one. This makes the assumption behind the proof of absence hold, whatever the order of links.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -333,10 +333,14 @@
     private void sendStop(TrackedRun run) {
         TrackedWorker worker = run.worker();
         if (worker.isConnected()) {
-            sendCommand(worker, new StopRun(mEpoch, worker.nextCommandNumber(), run.id()));
+            sendCommand(worker, stopCommand(worker, run.id()));
         }
     }
 
+    private StopRun stopCommand(TrackedWorker worker, RunId run) {
+        return new StopRun(mEpoch, worker.session(), worker.nextCommandNumber(), run);
+    }
+
     private void sendCommand(TrackedWorker worker, org.hickorycleat.model.message.Message command) {
         if (!mOutput.send(worker.agent(), command)) {
             mLog.record("order_unsent", "agent", worker.agent(), "order", command);
@@ -476,7 +480,7 @@
         Optional<TrackedRun> known = worker.run(sample.run());
         if (known.isEmpty()) {
             mLog.record("unknown_run", "run", sample.run(), "agent", worker.agent());
-            sendCommand(worker, new StopRun(mEpoch, worker.nextCommandNumber(), sample.run()));
+            sendCommand(worker, stopCommand(worker, sample.run()));
             return;
         }
         TrackedRun run = known.get();
@@ -770,6 +774,7 @@
                                 worker.agent(),
                                 new StartRun(
                                         mEpoch,
+                                        worker.session(),
                                         commandNumber,
                                         run.incarnation(),
                                         run.id(),
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -189,9 +189,14 @@
         }
     }
 
-    /** Handles a new session of an owner; command numbers start again. */
+    /**
+     * Handles a new session of an owner; command numbers start again. The announcement of an
+     * earlier session may arrive later, on a link that was replaced.
+     */
     public synchronized void onOwnerSession(Epoch epoch, long session) {
-        if (epoch.compareTo(mEpoch) < 0) {
+        int order = epoch.compareTo(mEpoch);
+        if (order < 0 || (order == 0 && session <= mSession)) {
+            mLog.record("session_ignored", "epoch", epoch, "session", session, "current", mSession);
             return;
         }
         mLog.record("owner_adopted", "epoch", epoch, "session", session, "before", mEpoch);
@@ -204,7 +209,8 @@
 
     /** Executes a start command of the owner. */
     public synchronized void onStartRun(StartRun command) {
-        if (!acceptsEpoch(command.epoch(), "start", command.run())) {
+        if (!isOfSession(command.epoch(), command.session(), "start", command.run())) {
+            rejectUnlessPresent(command.run());
             return;
         }
         mLastCommandNumber = command.commandNumber();
@@ -302,7 +308,8 @@
 
     /** Executes a stop command of the owner. */
     public synchronized void onStopRun(StopRun command) {
-        if (!acceptsEpoch(command.epoch(), "stop", command.run())) {
+        // The owner sends the stop again if the run is listed in the current session.
+        if (!isOfSession(command.epoch(), command.session(), "stop", command.run())) {
             return;
         }
         mLastCommandNumber = command.commandNumber();
@@ -366,14 +373,39 @@
                 .toList();
     }
 
-    private boolean acceptsEpoch(Epoch epoch, String command, RunId run) {
-        if (epoch.compareTo(mEpoch) >= 0) {
+    // A report of the current session tells the owner which runs do not exist, so no command of
+    // another session may be executed after it. Such a command can arrive on a replaced link.
+    private boolean isOfSession(Epoch epoch, long session, String command, RunId run) {
+        if (epoch.equals(mEpoch) && session == mSession) {
             return true;
         }
-        mLog.record("order_ignored", "order", command, "run", run, "epoch", epoch, "obeys", mEpoch);
+        mLog.record(
+                "order_ignored",
+                "order",
+                command,
+                "run",
+                run,
+                "epoch",
+                epoch,
+                "session",
+                session,
+                "obeys",
+                mEpoch,
+                "current_session",
+                mSession);
         return false;
     }
 
+    private void rejectUnlessPresent(RunId run) {
+        boolean present =
+                mPending.containsKey(run)
+                        || runIds(mRunning).contains(run)
+                        || mEnded.stream().anyMatch(end -> end.run().equals(run));
+        if (!present) {
+            reject(run, RejectionReason.OTHER_SESSION);
+        }
+    }
+
     private Optional<WorkerIncarnation> incarnation() {
         return mDescription
                 .map(WorkerDescription::incarnation)
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/FleetFaultsPropertyTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/FleetFaultsPropertyTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.LongStream;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobState;
@@ -35,7 +36,31 @@
     @ParameterizedTest
     @MethodSource("seeds")
     void keepsRulesUnderFaults(long seed) {
-        SimulatedFleet fleet = new SimulatedFleet(seed, WORKERS);
+        keepsRules(new SimulatedFleet(seed, WORKERS), FleetFaultsPropertyTest::injectFault);
+    }
+
+    /** Guards against commands that a link delivers after the link that has replaced it. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void keepsRulesWhenReplacedLinksDeliverLate(long seed) {
+        keepsRules(
+                new SimulatedFleet(seed, WORKERS),
+                fleet -> {
+                    if (fleet.random().nextInt(3) == 0) {
+                        injectFault(fleet);
+                    } else {
+                        holdAndReplaceLink(fleet);
+                    }
+                });
+    }
+
+    private static void holdAndReplaceLink(SimulatedFleet fleet) {
+        int replacedAfterMs = 200 + fleet.random().nextInt(1_500);
+        int heldMs = replacedAfterMs + fleet.random().nextInt(3_000);
+        fleet.holdAndReplaceLink(fleet.randomWorker(), heldMs, replacedAfterMs);
+    }
+
+    private static void keepsRules(SimulatedFleet fleet, Consumer<SimulatedFleet> injectFault) {
         fleet.setLossRate(fleet.random().nextDouble() * MAXIMUM_LOSS_RATE);
         long nextFaultMs = 0;
         for (long passedMs = 0; passedMs < FAULTY_MS; passedMs += 100) {
@@ -43,7 +68,7 @@
                 fleet.submit(randomJob(fleet, passedMs));
             }
             if (passedMs >= nextFaultMs) {
-                injectFault(fleet);
+                injectFault.accept(fleet);
                 nextFaultMs = passedMs + fleet.random().nextInt(MAXIMUM_FAULT_INTERVAL_MS);
             }
             fleet.advanceTime(100);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/SimulatedFleet.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/SimulatedFleet.java
@@ -119,6 +119,20 @@
         after(RECONNECT_MS, () -> mOwner.ifPresent(owner -> owner.connect(mAgents.get(agent))));
     }
 
+    /**
+     * Holds back what is sent on the current link of an agent for a time, and replaces the link
+     * before that.
+     */
+    void holdAndReplaceLink(int agent, int heldMs, int replacedAfterMs) {
+        mAgents.get(agent).mLinkHeldUntilMs = nowMs() + heldMs;
+        after(
+                replacedAfterMs,
+                () -> {
+                    mAgents.get(agent).mLinkHeldUntilMs = 0;
+                    mOwner.ifPresent(owner -> owner.connect(mAgents.get(agent)));
+                });
+    }
+
     void setLossRate(double lossRate) {
         mAgents.forEach(agent -> agent.mWorker.setLossRate(lossRate));
     }
@@ -201,7 +215,7 @@
             }
             long session = mDispatcher.onAgentConnected(agent.mId);
             AgentLife life = agent.mLife.orElseThrow();
-            after(LINK_DELAY_MS, () -> life.onOwnerAnnounced(this, session));
+            after(agent.linkDelayMs(), () -> life.onOwnerAnnounced(this, session));
         }
 
         void disconnect(Agent agent) {
@@ -227,7 +241,7 @@
                 return false;
             }
             AgentLife life = receiver.mLife.orElseThrow();
-            after(LINK_DELAY_MS, () -> life.onMessage(this, message));
+            after(receiver.linkDelayMs(), () -> life.onMessage(this, message));
             return true;
         }
 
@@ -273,6 +287,7 @@
         private final int mNumber;
         private Optional<AgentLife> mLife = Optional.empty();
         private long mSequence;
+        private long mLinkHeldUntilMs;
 
         Agent(int number) {
             mNumber = number;
@@ -291,6 +306,10 @@
             return mLife.isPresent();
         }
 
+        long linkDelayMs() {
+            return Math.max(LINK_DELAY_MS, mLinkHeldUntilMs - nowMs());
+        }
+
         void start() {
             AgentLife life = new AgentLife(this);
             mLife = Optional.of(life);
@@ -300,6 +319,7 @@
         }
 
         void kill(int downMs) {
+            mLinkHeldUntilMs = 0;
             if (mLife.isEmpty()) {
                 return;
             }
@@ -348,7 +368,10 @@
         private void sendToOwner(Message message) {
             if (mAlive) {
                 mKnownOwner.ifPresent(
-                        owner -> after(LINK_DELAY_MS, () -> owner.onMessage(mAgent, message)));
+                        owner ->
+                                after(
+                                        mAgent.linkDelayMs(),
+                                        () -> owner.onMessage(mAgent, message)));
             }
         }
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/OvertakenListingTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/OvertakenListingTest.java
@@ -76,6 +76,7 @@
                 new StartRun(
                         EPOCH,
                         1,
+                        1,
                         mIncarnation,
                         RUN,
                         "payload",
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
@@ -35,6 +35,8 @@
 
 class RunSupervisorTest {
     private static final Epoch EPOCH = new Epoch(5);
+    private static final long SESSION = 1;
+    private static final long NEXT_SESSION = 2;
     private static final int LEASE_MS = 6_000;
     private static final long FIRST_TOKEN = 100;
     private static final RunId RUN =
@@ -59,7 +61,7 @@
     void startWithLease() {
         mScheduler.advanceTimeBy(1, TimeUnit.SECONDS);
         mSupervisor.start();
-        mSupervisor.onOwnerSession(EPOCH, 1);
+        mSupervisor.onOwnerSession(EPOCH, SESSION);
         mSupervisor.onWorkerDescribed(description(false));
         extendLease();
     }
@@ -97,9 +99,14 @@
     }
 
     private StartRun start(Epoch epoch) {
+        return start(epoch, SESSION);
+    }
+
+    private StartRun start(Epoch epoch, long session) {
         mCommandNumber++;
         return new StartRun(
                 epoch,
+                session,
                 mCommandNumber,
                 mIncarnation,
                 RUN,
@@ -126,10 +133,62 @@
     @Test
     void ignoresCommandsOfOlderEpoch() {
         mSupervisor.onStartRun(start(new Epoch(4)));
-        mSupervisor.onStopRun(new StopRun(new Epoch(4), 1, RUN));
+        mSupervisor.onStopRun(new StopRun(new Epoch(4), SESSION, 1, RUN));
+
+        assertThat(mWorker.mStarts).isEmpty();
+        assertThat(mWorker.mStops).isEmpty();
+    }
+
+    /**
+     * Guards against a start that is executed although a report of a later session has omitted its
+     * run: a replaced link delivers what was sent on it after the link that replaced it.
+     */
+    @Test
+    void rejectsStartOfEarlierSession() {
+        mSupervisor.onOwnerSession(EPOCH, NEXT_SESSION);
+        mSupervisor.onStartRun(start(EPOCH, SESSION));
+        advanceTime(600);
 
         assertThat(mWorker.mStarts).isEmpty();
+        assertThat(rejections())
+                .containsExactly(new RunRejected(EPOCH, RUN, RejectionReason.OTHER_SESSION));
+        assertThat(lastReport().lastCommandNumber()).isZero();
+    }
+
+    /** Guards against a late stop that counts as a command of the current session. */
+    @Test
+    void ignoresStopOfEarlierSession() {
+        mSupervisor.onOwnerSession(EPOCH, NEXT_SESSION);
+        mSupervisor.onStopRun(new StopRun(EPOCH, SESSION, 7, RUN));
+        advanceTime(600);
+
         assertThat(mWorker.mStops).isEmpty();
+        assertThat(lastReport().lastCommandNumber()).isZero();
+    }
+
+    /** Guards against a rejection of a run that exists, after a duplicate of its start. */
+    @Test
+    void doesNotRejectPresentRunForStartOfEarlierSession() {
+        mSupervisor.onStartRun(start(EPOCH, SESSION));
+        mWorker.mRunning.add(new RunSample(RUN, "", 10, 0));
+        advanceTime(600);
+        mSupervisor.onOwnerSession(EPOCH, NEXT_SESSION);
+        mSupervisor.onStartRun(start(EPOCH, SESSION));
+
+        assertThat(rejections()).isEmpty();
+    }
+
+    /**
+     * Guards against an agent whose reports are ignored for good: the announcement of an earlier
+     * session arrives after that of a later one.
+     */
+    @Test
+    void staysInLatestSessionWhenEarlierAnnouncementArrivesLate() {
+        mSupervisor.onOwnerSession(EPOCH, NEXT_SESSION);
+        mSupervisor.onOwnerSession(EPOCH, SESSION);
+        advanceTime(600);
+
+        assertThat(lastReport().session()).isEqualTo(NEXT_SESSION);
     }
 
     @Test
@@ -374,9 +433,9 @@
         extendLease();
         mWorker.mHoldsListings = true;
         advanceTime(2_000);
-        mSupervisor.onOwnerSession(EPOCH, 1);
+        mSupervisor.onOwnerSession(EPOCH, NEXT_SESSION);
         extendLease();
-        mSupervisor.onStartRun(start(EPOCH));
+        mSupervisor.onStartRun(start(EPOCH, NEXT_SESSION));
         long remainingMs = mWorker.mStarts.get(0).leaseDeadlineMs() - mWorker.mClockMs - 2_000;
 
         // The process is paused, so the listing fails only when the worker is unreachable.
@@ -395,7 +454,7 @@
     @Test
     void retriesStopWhileRunIsListed() {
         mWorker.mRunning.add(new RunSample(RUN, "", 10, 0));
-        mSupervisor.onStopRun(new StopRun(EPOCH, 1, RUN));
+        mSupervisor.onStopRun(new StopRun(EPOCH, SESSION, 1, RUN));
         advanceTime(1_000);
 
         assertThat(mWorker.mStops.size()).isBetween(2, 5);
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/RejectionReason.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/RejectionReason.java
@@ -15,5 +15,7 @@
     /** The worker is unhealthy or could not be reached. */
     UNAVAILABLE,
     /** The worker rejected the command as malformed. */
-    MALFORMED
+    MALFORMED,
+    /** The command was sent in another session than the current one of the agent. */
+    OTHER_SESSION
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/StartRun.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/StartRun.java
@@ -9,11 +9,13 @@
 /**
  * Commands an agent to start a run on its local worker.
  *
+ * @param session the only session with the owner in which the agent may execute the command
  * @param commandNumber number of the command in the session, from 1
  * @param incarnation the only worker incarnation that may execute the run
  */
 public record StartRun(
         Epoch epoch,
+        long session,
         long commandNumber,
         WorkerIncarnation incarnation,
         RunId run,
