Reject a submission only if no copy of its append is open

Cause: a store request without a response is repeated on a new connection after 300 ms, and the first response ended the call. When the first copy had been executed and its response was lost, a 503 to the second copy was taken for the outcome of the append.

Change: a call that may be repeated is a method of its own, whose response says how many copies of the request are unanswered, so a caller of it has to decide. AppendResult says which results of one copy settle the request; a temporary rejection, a full store and an unmet offset do not. Direct and relayed attempts are combined by the same rule.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/NettyHttpClient.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/NettyHttpClient.java
@@ -25,10 +25,12 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.hickorycleat.logic.port.DecisionLog;
 import org.hickorycleat.logic.port.HttpCall;
 import org.hickorycleat.logic.port.HttpClient;
 import org.hickorycleat.logic.port.HttpResponse;
+import org.hickorycleat.logic.port.RepeatableResponse;
 
 /**
  * Makes calls over HTTP/1.1 on keep-alive connections, with one call at a time on each.
@@ -77,6 +79,15 @@
 
     @Override
     public Single<HttpResponse> call(HttpCall call) {
+        return start(call, OptionalInt.empty()).map(RepeatableResponse::response);
+    }
+
+    @Override
+    public Single<RepeatableResponse> callRepeatably(HttpCall call, int repeatAfterMs) {
+        return start(call, OptionalInt.of(repeatAfterMs));
+    }
+
+    private Single<RepeatableResponse> start(HttpCall call, OptionalInt repeatAfterMs) {
         return Single.create(
                 emitter ->
                         mEventLoop.execute(
@@ -88,10 +99,11 @@
                                                         mEventLoop,
                                                         this,
                                                         mMaximumTransferMs,
-                                                        mLog))));
+                                                        mLog),
+                                                repeatAfterMs)));
     }
 
-    private void start(PendingCall pending) {
+    private void start(PendingCall pending, OptionalInt repeatAfterMs) {
         Optional<ClientConnection> idle = takeIdle(pending.call().address());
         if (idle.isEmpty()) {
             connect(pending);
@@ -100,7 +112,7 @@
         send(idle.get(), pending);
         HttpCall call = pending.call();
         long uploadMs = call.body().length / MINIMUM_UPLOAD_BYTES_PER_MS;
-        call.repeatAfterMs().ifPresent(delayMs -> pending.repeatAfter(delayMs + uploadMs));
+        repeatAfterMs.ifPresent(delayMs -> pending.repeatAfter(delayMs + uploadMs));
     }
 
     /** Opens a connection and sends the request of a call on it. */
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/PendingCall.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/exchange/PendingCall.java
@@ -11,12 +11,15 @@
 import org.hickorycleat.logic.port.HttpCall;
 import org.hickorycleat.logic.port.HttpCallException;
 import org.hickorycleat.logic.port.HttpResponse;
+import org.hickorycleat.logic.port.RepeatableResponse;
 import org.jspecify.annotations.Nullable;
 
 /**
  * A call that waits for its response or its timeout; used on the event loop only.
  *
  * <p>Its request may be on two connections; the first part of a response decides which one is used.
+ * The response tells nothing of the other copies of the request, not even of one whose connection
+ * has failed since.
  */
 // The results of closing a channel and of cancelling a timer are not needed.
 @SuppressWarnings("FutureReturnValueIgnored")
@@ -25,7 +28,7 @@
     private static final long NOT_SENT = Long.MIN_VALUE;
 
     private final HttpCall mCall;
-    private final SingleEmitter<HttpResponse> mEmitter;
+    private final SingleEmitter<RepeatableResponse> mEmitter;
     private final NettyHttpClient mHttpClient;
     private final EventLoop mEventLoop;
     private final int mMaximumTransferMs;
@@ -36,11 +39,12 @@
     private @Nullable Future<?> mRepeatTimer;
     private final List<ClientConnection> mConnections = new ArrayList<>();
     private long mSentNanos = NOT_SENT;
+    private int mSentCopies;
     private boolean mFinished;
 
     PendingCall(
             HttpCall call,
-            SingleEmitter<HttpResponse> emitter,
+            SingleEmitter<RepeatableResponse> emitter,
             EventLoop eventLoop,
             NettyHttpClient httpClient,
             int maximumTransferMs,
@@ -73,6 +77,7 @@
             mSentNanos = System.nanoTime();
         }
         mConnections.add(connection);
+        mSentCopies++;
     }
 
     /** Repeats the request after a time in milliseconds unless a part of the response arrives. */
@@ -199,6 +204,23 @@
         } else {
             connection.channel().close();
         }
-        mEmitter.onSuccess(response);
+        int unansweredCopies = mSentCopies - 1;
+        if (unansweredCopies > 0) {
+            logRepeatedCall(response, unansweredCopies);
+        }
+        mEmitter.onSuccess(new RepeatableResponse(response, unansweredCopies));
+    }
+
+    private void logRepeatedCall(HttpResponse response, int unansweredCopies) {
+        mLog.record(
+                "repeated_call_answered",
+                "address",
+                mCall.address(),
+                "target",
+                mCall.target(),
+                "status",
+                response.status(),
+                "unanswered_copies",
+                unansweredCopies);
     }
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingRecordStore.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/RelayingRecordStore.java
@@ -176,9 +176,9 @@
 
     // A rejection is conclusive only if no earlier attempt may have been committed.
     private static AppendOutcome combine(AppendOutcome first, AppendOutcome last) {
-        boolean notAppendedNow =
-                last.result() == AppendResult.REFUSED || last.result() == AppendResult.FULL;
-        return notAppendedNow && first.result() == AppendResult.UNKNOWN ? first : last;
+        boolean open =
+                first.result() == AppendResult.UNKNOWN && !last.result().isConclusiveForRequest();
+        return open ? first : last;
     }
 
     private static boolean isConclusive(AppendOutcome outcome) {
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/SilentConnectionsTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/SilentConnectionsTest.java
@@ -10,7 +10,6 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
@@ -18,6 +17,7 @@
 import org.hickorycleat.daemon.exchange.NettyHttpServer;
 import org.hickorycleat.logic.port.HttpCall;
 import org.hickorycleat.logic.port.HttpResponse;
+import org.hickorycleat.logic.port.RepeatableResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -59,33 +59,26 @@
         mEventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
-    private Single<HttpResponse> call(int timeoutMs, OptionalInt repeatAfterMs) {
-        return mHttpClient.call(
-                new HttpCall(
-                        mProxy.address(),
-                        "GET",
-                        "/",
-                        Map.of(),
-                        new byte[0],
-                        timeoutMs,
-                        repeatAfterMs));
+    private HttpCall request(int timeoutMs) {
+        return new HttpCall(mProxy.address(), "GET", "/", Map.of(), new byte[0], timeoutMs);
+    }
+
+    private RepeatableResponse callRepeatably(int timeoutMs) {
+        return mHttpClient.callRepeatably(request(timeoutMs), REPEAT_MS).blockingGet();
     }
 
     /** Leaves as many connections idle as there are calls at a time. */
     private void openConnections() {
         List<Single<HttpResponse>> calls =
                 IntStream.range(0, CONCURRENT_CALLS)
-                        .mapToObj(i -> call(WARM_UP_TIMEOUT_MS, OptionalInt.empty()))
+                        .mapToObj(i -> mHttpClient.call(request(WARM_UP_TIMEOUT_MS)))
                         .toList();
         Single.merge(calls).blockingSubscribe();
     }
 
     private boolean succeeds() {
-        return succeeds(OptionalInt.empty());
-    }
-
-    private boolean succeeds(OptionalInt repeatAfterMs) {
-        return call(TIMEOUT_MS, repeatAfterMs)
+        return mHttpClient
+                .call(request(TIMEOUT_MS))
                 .map(HttpResponse::isSuccess)
                 .onErrorReturnItem(false)
                 .blockingGet();
@@ -107,7 +100,9 @@
         openConnections();
         mProxy.silenceOpenConnections();
 
-        assertThat(succeeds(OptionalInt.of(REPEAT_MS))).isTrue();
+        RepeatableResponse response = callRepeatably(TIMEOUT_MS);
+        assertThat(response.response().isSuccess()).isTrue();
+        assertThat(response.unansweredCopies()).isEqualTo(1);
         assertThat(succeeds()).isTrue();
     }
 
@@ -118,7 +113,7 @@
         mRequests.set(0);
         mResponseTimeMs = SLOW_RESPONSE_TIME_MS;
 
-        assertThat(succeeds(OptionalInt.of(REPEAT_MS))).isTrue();
+        assertThat(callRepeatably(TIMEOUT_MS).response().isSuccess()).isTrue();
         assertThat(mRequests.get()).isEqualTo(2);
     }
 
@@ -126,8 +121,9 @@
     void sendsCallOnNewConnectionOnce() {
         mResponseTimeMs = SLOW_RESPONSE_TIME_MS;
 
-        assertThat(call(WARM_UP_TIMEOUT_MS, OptionalInt.of(REPEAT_MS)).blockingGet().isSuccess())
-                .isTrue();
+        RepeatableResponse response = callRepeatably(WARM_UP_TIMEOUT_MS);
+        assertThat(response.response().isSuccess()).isTrue();
+        assertThat(response.isOfOnlyCopy()).isTrue();
         assertThat(mRequests.get()).isEqualTo(1);
     }
 }
