Retry an append without outcome while its caller waits

An append whose outcome was unknown was given up after 500 ms, and its caller got 504 and had to hand the job in again. The append can be repeated without a further effect, so it is now retried for 75% of the caller's timeout, and the caller learns that its job was accepted as soon as the store says so. What can't have been stored is still rejected within 500 ms.

DurableJobServiceTest.settlesAppendWithoutOutcomeWhileItsCallerWaits failed before.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/DurableJobService.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/DurableJobService.java
@@ -48,6 +48,12 @@
     /** Maximum time for retrying an append, in milliseconds; at most half the request timeout. */
     private static final long APPEND_TIMEOUT_MS = 500;
 
+    /**
+     * Share of the request timeout for which an append that may have been committed is retried: a
+     * caller that learns the outcome needs no further attempt.
+     */
+    private static final int SETTLE_PERCENT = 75;
+
     /** Maximum time for reading whether a job to be rejected was accepted, in milliseconds. */
     private static final long REJECTION_READ_TIMEOUT_MS = 300;
 
@@ -104,6 +110,7 @@
         private final JobRecord mRecord;
         private final StoreRecord mStoreRecord;
         private final long mDeadlineMs;
+        private final long mSettleByMs;
         private final SingleSubject<JobChangeResult> mResult = SingleSubject.create();
         private boolean mMayBeCommitted;
         private boolean mAppendedAlone;
@@ -112,13 +119,19 @@
                 JobRecord record,
                 StoreRecord storeRecord,
                 long deadlineMs,
+                long settleByMs,
                 boolean mayBeCommitted) {
             mRecord = record;
             mStoreRecord = storeRecord;
             mDeadlineMs = deadlineMs;
+            mSettleByMs = settleByMs;
             mMayBeCommitted = mayBeCommitted;
         }
 
+        boolean isTimedOut(long nowMs) {
+            return nowMs >= (mMayBeCommitted ? mSettleByMs : mDeadlineMs);
+        }
+
         JobChangeResult failure() {
             return mMayBeCommitted ? JobChangeResult.UNKNOWN : JobChangeResult.NOT_DONE;
         }
@@ -263,9 +276,8 @@
 
     /** Appends records in their order and returns the result of the last one. */
     private Single<JobChangeResult> append(List<JobRecord> records, int timeoutMs) {
-        long deadlineMs = nowMs() + Math.min(timeoutMs / 2, APPEND_TIMEOUT_MS);
         List<PendingChange> changes =
-                records.stream().map(record -> pendingChange(record, deadlineMs)).toList();
+                records.stream().map(record -> pendingChange(record, timeoutMs)).toList();
         PendingChange last = changes.get(changes.size() - 1);
         if (!isStorable(last.mStoreRecord)) {
             return Single.just(JobChangeResult.TOO_LARGE);
@@ -284,11 +296,13 @@
         return RecordBatch.isStorable(record, mMaximumRecordBytes);
     }
 
-    private synchronized PendingChange pendingChange(JobRecord record, long deadlineMs) {
+    private synchronized PendingChange pendingChange(JobRecord record, int timeoutMs) {
+        long deadlineMs = nowMs() + Math.min(timeoutMs / 2, APPEND_TIMEOUT_MS);
+        long settleByMs = nowMs() + timeoutMs * (long) SETTLE_PERCENT / 100;
         StoreRecord storeRecord = mCodec.encode(record);
         // An append of an earlier attempt may still take effect.
         boolean mayBeCommitted = mUncertainKeys.contains(storeRecord.key());
-        return new PendingChange(record, storeRecord, deadlineMs, mayBeCommitted);
+        return new PendingChange(record, storeRecord, deadlineMs, settleByMs, mayBeCommitted);
     }
 
     private void appendNext() {
@@ -336,7 +350,7 @@
             // One record that the store never accepts must not hold up the others.
             boolean invalid = outcome.result() == AppendResult.INVALID;
             pending.mAppendedAlone |= invalid;
-            if (nowMs() >= pending.mDeadlineMs || (invalid && batch.size() == 1)) {
+            if (pending.isTimedOut(nowMs()) || (invalid && batch.size() == 1)) {
                 onFailed(pending);
             } else {
                 retried.add(pending);
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/DurableJobServiceTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/DurableJobServiceTest.java
@@ -207,6 +207,33 @@
         other.assertValue(SubmissionResult.of(JobChangeResult.NOT_DONE));
     }
 
+    /**
+     * Guards against a caller that does not learn that its job was accepted: the outcome of an
+     * append is unknown while the store is away for a moment.
+     */
+    @Test
+    void settlesAppendWithoutOutcomeWhileItsCallerWaits() {
+        mStore.setOutcome(Single.just(new AppendOutcome(AppendResult.UNKNOWN, 0)));
+        var result = mService.submit(QUEUE, submission(1), TIMEOUT_MS).test();
+        mStore.setOutcome(Single.just(new AppendOutcome(AppendResult.REFUSED, 0)));
+        mScheduler.advanceTimeBy(TIMEOUT_MS / 2, TimeUnit.MILLISECONDS);
+        result.assertNotComplete();
+        mStore.setOutcome(Single.just(new AppendOutcome(AppendResult.APPENDED, 0)));
+        mScheduler.advanceTimeBy(TIMEOUT_MS / 4, TimeUnit.MILLISECONDS);
+
+        result.assertValue(SubmissionResult.of(JobChangeResult.DONE));
+    }
+
+    /** Guards against a caller that waits although nothing of its job can have been stored. */
+    @Test
+    void rejectsJobWithinHalfASecondWhenNoAppendMayBeCommitted() {
+        mStore.setOutcome(Single.just(new AppendOutcome(AppendResult.REFUSED, 0)));
+        var result = mService.submit(QUEUE, submission(1), TIMEOUT_MS).test();
+        mScheduler.advanceTimeBy(600, TimeUnit.MILLISECONDS);
+
+        result.assertValue(SubmissionResult.of(JobChangeResult.NOT_DONE));
+    }
+
     /** Guards against the rejection of a job that another entry accepted. */
     @Test
     void acceptsJobForWhichItCannotProveThatNoEntryAcceptedIt() {
