Adopt a worker incarnation with an earlier start time

A worker whose wall clock is set back before it starts again announces a start time below that of its former life. Its agent took all its listings and descriptions for delayed ones and reported no incarnation any more, so the runs of the former life were never given up and the worker got no further tasks.

The order of lives is now taken from the fencing token: a listing with another start time is a candidate, and is adopted when a listing under a higher token confirms it. An unconfirmed candidate was a delayed response.

RunSupervisorTest.adoptsLaterIncarnationWithLowerStartTime failed before.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -64,6 +64,9 @@
     /** Increment between two tokens of one agent; exceeds any clock drift between incarnations. */
     private static final long TOKEN_STEP = 1;
 
+    /** Start time of no incarnation. */
+    private static final long NO_INCARNATION = -1;
+
     /** Represents an unknown share, which only a new throttle command determines. */
     private static final int UNKNOWN_PERCENT = -1;
 
@@ -85,8 +88,8 @@
 
     private Optional<WorkerDescription> mDescription = Optional.empty();
     private boolean mWorkerLeft;
-    private long mIncarnationStartedAtMs = -1;
-    private long mCandidateStartedAtMs = -1;
+    private long mIncarnationStartedAtMs = NO_INCARNATION;
+    private long mCandidateStartedAtMs = NO_INCARNATION;
     private long mCandidateToken;
     private List<RunSample> mRunning = List.of();
     private List<EndedRun> mEnded = List.of();
@@ -169,11 +172,15 @@
         }
     }
 
-    private static boolean isOlder(WorkerDescription candidate, WorkerDescription known) {
-        if (candidate.incarnation().startedAtMs() != known.incarnation().startedAtMs()) {
-            return candidate.incarnation().startedAtMs() < known.incarnation().startedAtMs();
+    // The start time of a later incarnation may be lower if the wall clock was set back, so the
+    // incarnation that was listed goes first.
+    private boolean isOlder(WorkerDescription candidate, WorkerDescription known) {
+        long candidateMs = candidate.incarnation().startedAtMs();
+        long knownMs = known.incarnation().startedAtMs();
+        if (candidateMs == knownMs) {
+            return candidate.sequence() < known.sequence();
         }
-        return candidate.sequence() < known.sequence();
+        return candidateMs != mIncarnationStartedAtMs && candidateMs < knownMs;
     }
 
     @Override
@@ -497,13 +504,14 @@
 
     // Only the newest listing says what is not on the worker any more.
     private void apply(RunListing response, SentListing sent) {
-        if (response.startedAtMs() < mIncarnationStartedAtMs) {
-            return;
-        }
-        boolean newIncarnation = response.startedAtMs() > mIncarnationStartedAtMs;
+        boolean newIncarnation = response.startedAtMs() != mIncarnationStartedAtMs;
         if (newIncarnation && !isConfirmed(response.startedAtMs(), sent.token())) {
             return;
         }
+        if (!newIncarnation && sent.token() >= mCandidateToken) {
+            // The response of the candidate was one of an earlier incarnation, and delayed.
+            mCandidateStartedAtMs = NO_INCARNATION;
+        }
         if (newIncarnation) {
             onNewIncarnation(response.startedAtMs());
         } else if (!mListingOrder.isNewest(sent.position(), response.clockMs())) {
@@ -544,10 +552,10 @@
     // seen no token yet. After a listing under a higher token, such a start is either listed or
     // fenced permanently.
     private boolean isConfirmed(long startedAtMs, long token) {
-        if (mIncarnationStartedAtMs < 0) {
+        if (mIncarnationStartedAtMs == NO_INCARNATION) {
             return true;
         }
-        if (startedAtMs > mCandidateStartedAtMs) {
+        if (startedAtMs != mCandidateStartedAtMs) {
             mLog.record("worker_restarted", "born", startedAtMs, "before", mIncarnationStartedAtMs);
             raiseToken("worker_restarted");
             mCandidateStartedAtMs = startedAtMs;
@@ -561,11 +569,12 @@
     }
 
     private boolean isIncarnationChanging() {
-        return mCandidateStartedAtMs > mIncarnationStartedAtMs;
+        return mCandidateStartedAtMs != NO_INCARNATION;
     }
 
     private void onNewIncarnation(long startedAtMs) {
         mIncarnationStartedAtMs = startedAtMs;
+        mCandidateStartedAtMs = NO_INCARNATION;
         mListingOrder.onNewIncarnation();
         mClock.reset();
         mWorkerClockByReport.clear();
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.logic.port.DecisionLog;
 import org.hickorycleat.logic.port.RunCommandResult;
+import org.hickorycleat.logic.port.RunListing;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ServiceName;
 import org.hickorycleat.model.identifier.WorkerId;
@@ -67,8 +68,12 @@
     }
 
     private WorkerDescription description(boolean draining) {
+        return description(mIncarnation, draining);
+    }
+
+    private static WorkerDescription description(WorkerIncarnation incarnation, boolean draining) {
         return new WorkerDescription(
-                mIncarnation,
+                incarnation,
                 new ServiceName("booking"),
                 new Resources(16_000, 64_000, 0),
                 List.of("a", "r1-1"),
@@ -451,6 +456,48 @@
         assertThat(lastReport().leaseExpired()).isTrue();
     }
 
+    /**
+     * Guards against an agent that reports no incarnation any more: the wall clock was set back
+     * before its worker started again.
+     */
+    @Test
+    void adoptsLaterIncarnationWithLowerStartTime() {
+        WorkerIncarnation later = new WorkerIncarnation(new WorkerId("i-1"), 400);
+        mWorker.mStartedAtMs = 400;
+        mSupervisor.onWorkerDescribed(description(later, false));
+        advanceTime(600);
+        mSupervisor.onWorkerDescribed(description(later, false));
+        advanceTime(600);
+
+        assertThat(lastReport().incarnation()).contains(later);
+    }
+
+    /** Guards against an incarnation that is given up for a delayed response of its predecessor. */
+    @Test
+    void keepsIncarnationWhenResponseOfPredecessorIsDelayed() {
+        mWorker.mHoldsListings = true;
+        advanceTime(600);
+        FakeWorker.HeldListing held = mWorker.mHeldListings.get(0);
+        mWorker.mHoldsListings = false;
+        RunListing current = held.listing();
+        new FakeWorker.HeldListing(
+                        new RunListing(
+                                false,
+                                500,
+                                current.clockMs() + 5,
+                                List.of(),
+                                List.of(),
+                                ListCompleteness.COMPLETE),
+                        held.response())
+                .deliver();
+        advanceTime(600);
+        extendLease();
+        mSupervisor.onStartRun(start(EPOCH));
+
+        assertThat(lastReport().incarnation()).contains(mIncarnation);
+        assertThat(mWorker.mStarts).hasSize(1);
+    }
+
     @Test
     void retriesStopWhileRunIsListed() {
         mWorker.mRunning.add(new RunSample(RUN, "", 10, 0));
