Count the lease that a restarted worker may hold

Cause: a lease deadline is a time on the clock of one life of a worker. A worker that is back under its id takes calls that were meant for its former life. A deadline far ahead on the new clock is shortened to max_hold_ms, never shortens again, and covers everything that starts later. The agent and the owner that saw the restart did not agree on who counts that time, and the next owner counted 6 s from the first report.

Change: from the listing that confirms a new life on, no call with a deadline of the former clock is executed any more, since all of them carry lower tokens. The agent counts the longest lease from there, and each report says how long the worker may hold its runs. An owner counts that when an agent adopts it and when the life of a worker changes. Until an agent reports, the next owner counts the longest lease from the time at which it first read in the log that a run was placed on that life, so workers that have not restarted are waited for no longer than before. While a worker has not answered the last listing, no deadline is sent to it, and readings of the former clock are dropped as soon as another life is seen.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -17,6 +17,7 @@
 import org.hickorycleat.daemon.transport.MessageTransport;
 import org.hickorycleat.logic.admission.JobAdmission;
 import org.hickorycleat.logic.configuration.ConfigurationFetcher;
+import org.hickorycleat.logic.directory.IncarnationHistory;
 import org.hickorycleat.logic.directory.JobDirectory;
 import org.hickorycleat.logic.directory.JobRecord;
 import org.hickorycleat.logic.dispatch.DispatchSettings;
@@ -27,6 +28,7 @@
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.job.JobId;
+import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobQueue;
 import org.hickorycleat.model.job.JobSubmission;
 import org.hickorycleat.model.job.WorkloadConfiguration;
@@ -99,6 +101,7 @@
     private final EntryListReader mEntryListReader;
     private final JobLogCodec mCodec = new JobLogCodec();
     private final JobDirectory mDirectory = new JobDirectory();
+    private final IncarnationHistory mIncarnationHistory = new IncarnationHistory();
     private final JobAdmission mJobAdmission = new JobAdmission();
     private final WorkloadConfigurationCache mConfiguration;
     private final ConfigurationFetcher mConfigurationFetcher;
@@ -291,6 +294,7 @@
                 mStore,
                 mLinks,
                 mDirectory,
+                mIncarnationHistory,
                 mCodec,
                 mScheduler,
                 DispatchSettings.of(mSettings.maximumLeaseMs(), previousOwnerLeaseMs),
@@ -329,9 +333,10 @@
         mDirectory.apply(record.get());
         if (record.get() instanceof JobRecord.Claimed claimed) {
             mOwnership.onClaimRead(claimed);
-        } else if (record.get() instanceof JobRecord.Progressed
-                || record.get() instanceof JobRecord.ProgressedPart) {
-            mOwnership.onProgressRead();
+        } else if (record.get() instanceof JobRecord.Progressed progressed) {
+            onProgressRead(progressed.progress());
+        } else if (record.get() instanceof JobRecord.ProgressedPart part) {
+            onProgressRead(part.progress());
         } else if (record.get() instanceof JobRecord.QueueAccepting accepting) {
             ownerRole().ifPresent(owner -> owner.dispatcher().onQueueAccepting(accepting.queue()));
         } else if (record.get() instanceof JobRecord.Submitted submitted) {
@@ -342,6 +347,11 @@
         }
     }
 
+    private void onProgressRead(JobProgress progress) {
+        mIncarnationHistory.onProgress(progress, nowMs());
+        mOwnership.onProgressRead();
+    }
+
     @Override
     public void onJobSubmitted(JobSubmission submission) {
         ownerRole().ifPresent(owner -> owner.dispatcher().onJobSubmitted(submission));
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.logic.directory.DurableJob;
+import org.hickorycleat.logic.directory.IncarnationHistory;
 import org.hickorycleat.logic.directory.JobDirectory;
 import org.hickorycleat.logic.directory.JobRecord;
 import org.hickorycleat.logic.directory.ProgressPartitioner;
@@ -77,6 +78,7 @@
     private final RelayingRecordStore mStore;
     private final FleetLinks mLinks;
     private final JobDirectory mDirectory;
+    private final IncarnationHistory mIncarnationHistory;
     private final JobLogCodec mCodec;
     private final Scheduler mScheduler;
     private final Consumer<QueueBacklogs> mOnBacklogs;
@@ -96,6 +98,7 @@
             RelayingRecordStore store,
             FleetLinks links,
             JobDirectory directory,
+            IncarnationHistory incarnationHistory,
             JobLogCodec codec,
             Scheduler scheduler,
             DispatchSettings settings,
@@ -108,6 +111,7 @@
         mStore = store;
         mLinks = links;
         mDirectory = directory;
+        mIncarnationHistory = incarnationHistory;
         mCodec = codec;
         mScheduler = scheduler;
         mOnBacklogs = onBacklogs;
@@ -149,6 +153,8 @@
                                                             job.progress(),
                                                             job.isCancelled())));
         }
+        mDispatcher.restoreIncarnationAges(
+                mIncarnationHistory.newestAgesMs(mScheduler.now(TimeUnit.MILLISECONDS)));
         for (FleetNode agent : mLinks.connectedPeers(ProcessRole.AGENT)) {
             onAgentConnected(agent.process());
         }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleFailureTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleFailureTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.daemon.transport.MessageTransport;
 import org.hickorycleat.daemon.transport.TransportMetrics;
+import org.hickorycleat.logic.directory.IncarnationHistory;
 import org.hickorycleat.logic.directory.JobDirectory;
 import org.hickorycleat.logic.dispatch.DispatchSettings;
 import org.hickorycleat.logic.port.DecisionLog;
@@ -96,6 +97,7 @@
                         this, (peer, message) -> false, Optional::empty, mScheduler),
                 new FleetLinks(transport, SELF, this, mScheduler),
                 new JobDirectory(),
+                new IncarnationHistory(),
                 new JobLogCodec(),
                 mScheduler,
                 DispatchSettings.of(MAXIMUM_LEASE_MS),
@@ -200,6 +202,7 @@
                 List.of(),
                 ListCompleteness.COMPLETE,
                 false,
+                0,
                 true,
                 100);
     }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleTest.java
@@ -10,6 +10,7 @@
 import org.hickorycleat.daemon.transport.MessageTransport;
 import org.hickorycleat.daemon.transport.TransportMetrics;
 import org.hickorycleat.logic.directory.DurableJob;
+import org.hickorycleat.logic.directory.IncarnationHistory;
 import org.hickorycleat.logic.directory.JobDirectory;
 import org.hickorycleat.logic.dispatch.DispatchSettings;
 import org.hickorycleat.logic.port.DecisionLog;
@@ -64,6 +65,7 @@
                             mStore, (peer, message) -> false, Optional::empty, mScheduler),
                     new FleetLinks(mTransport, SELF, new SilentListener(), mScheduler),
                     mDirectory,
+                    new IncarnationHistory(),
                     mCodec,
                     mScheduler,
                     DispatchSettings.of(10_000),
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -232,6 +232,20 @@
         task.onRunAssigned(run);
     }
 
+    /**
+     * Restores how long the newest incarnation of the worker of each agent has been known; called
+     * after the jobs are restored. Until its agent reports, a young incarnation may hold its runs
+     * for as long as a worker grants leases.
+     */
+    public synchronized void restoreIncarnationAges(Map<ProcessId, Long> agesMs) {
+        for (TrackedWorker worker : mWorkers.values()) {
+            Long ageMs = agesMs.get(worker.agent());
+            if (ageMs != null) {
+                worker.onLeaseExtended(nowMs() - ageMs + mSettings.maximumCertainExpiryMs());
+            }
+        }
+    }
+
     private void addJob(TrackedJob job) {
         job.markActive(nowMs());
         mJobs.put(job.id(), job);
@@ -373,15 +387,21 @@
         }
         Optional<WorkerIncarnation> before = worker.incarnation();
         boolean wasAvailable = worker.isAvailable();
-        worker.onOwnerAdopted(nowMs() + mSettings.certainExpiryMs());
+        long leaseExpiredByMs =
+                nowMs() + Math.min(report.leaseRemainingMs(), mSettings.maximumCertainExpiryMs());
+        worker.onOwnerAdopted(Math.max(leaseExpiredByMs, nowMs() + mSettings.certainExpiryMs()));
         worker.onReport(report, nowMs());
         if (!before.equals(worker.incarnation())) {
-            if (before.isPresent()) {
-                // The first request to a new incarnation still carries a deadline on the previous
-                // clock.
-                worker.onLeaseExtended(nowMs() + mSettings.maximumCertainExpiryMs());
-            }
-            mLog.record("worker_life", "agent", agent, "life", worker.incarnation());
+            // A new incarnation may have taken a deadline on the clock of the previous one.
+            worker.onLeaseExtended(leaseExpiredByMs);
+            mLog.record(
+                    "worker_life",
+                    "agent",
+                    agent,
+                    "life",
+                    worker.incarnation(),
+                    "lease_remaining_ms",
+                    report.leaseRemainingMs());
         }
         report.ended().forEach(end -> onEnd(worker, end));
         reconcile(worker, report);
@@ -467,6 +487,7 @@
             if (otherIncarnation && listed.contains(run.id())) {
                 mLog.record("run_in_new_life", "run", run.id(), "agent", worker.agent());
                 run.onIncarnationChanged(report.incarnation().get());
+                mUnsavedJobs.add(run.task().step().job());
             } else if (otherIncarnation) {
                 declareLost(run, "worker_restarted");
             } else if (!listed.contains(run.id())
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/EndAcknowledgement.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/EndAcknowledgement.java
@@ -20,6 +20,13 @@
         return mDurableEndNumber;
     }
 
+    /**
+     * Returns whether the incarnation has responded to the last listing, as far as that is known.
+     */
+    boolean isResponding() {
+        return mResponding;
+    }
+
     /** Returns the number to send with the next listing. */
     long endNumberToSend() {
         return mResponding && mReceivedEndNumber < mDurableEndNumber ? mDurableEndNumber : NONE;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -131,7 +131,7 @@
     public synchronized void start() {
         mRespondedAtMs = nowMs();
         // An earlier incarnation of the agent may have extended the lease just before it crashed.
-        mLeaseExpiredByMs = nowMs() + mSettings.maximumLeaseMs() * 21L / 20;
+        mLeaseExpiredByMs = nowMs() + WorkerClock.longestDurationMs(mSettings.maximumLeaseMs());
         list();
     }
 
@@ -437,7 +437,8 @@
 
     private void list(int longPollMs, boolean periodic) {
         long token = mToken;
-        boolean extend = isReachable() && mLeaseDeadlineMs > 0;
+        // A worker that has restarted would take the deadline as a time on its new clock.
+        boolean extend = isReachable() && mAcknowledgement.isResponding() && mLeaseDeadlineMs > 0;
         Optional<Long> deadline = extend ? Optional.of(mLeaseDeadlineMs) : Optional.empty();
         if (extend) {
             onLeaseDeadlineSent();
@@ -562,6 +563,7 @@
             mAcknowledgement.onIncarnationUncertain();
             mCandidateToken = mToken;
             mLeaseDeadlineMs = 0;
+            mWorkerClockByReport.clear();
             listNow();
             return false;
         }
@@ -579,6 +581,12 @@
         mClock.reset();
         mWorkerClockByReport.clear();
         mLeaseDeadlineMs = 0;
+        // Until now, the worker may have taken a deadline on the clock of its previous incarnation.
+        // Commands with such deadlines carry lower tokens than the listing that has just arrived.
+        mLeaseExpiredByMs =
+                Math.max(
+                        mLeaseExpiredByMs,
+                        nowMs() + WorkerClock.longestDurationMs(mSettings.maximumLeaseMs()));
         mAcknowledgement.onNewIncarnation();
         mStopSentAtMs.clear();
         mSentPercents.clear();
@@ -707,7 +715,9 @@
     private void report() {
         mReportedAtMs = nowMs();
         mReportNumber++;
-        mWorkerClockByReport.put(mReportNumber, mClock.lowerBoundMs(nowMs()));
+        mWorkerClockByReport.put(
+                mReportNumber,
+                isIncarnationChanging() ? Optional.empty() : mClock.lowerBoundMs(nowMs()));
         boolean reachable = isReachable();
         mOutput.sendToOwner(
                 new WorkerReport(
@@ -722,6 +732,7 @@
                         mEnded,
                         mCompleteness,
                         !reachable && nowMs() > mLeaseExpiredByMs,
+                        Math.max(0, mLeaseExpiredByMs - nowMs()),
                         reachable,
                         mThrottle.lowestPercent()));
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/WorkerClock.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/WorkerClock.java
@@ -40,12 +40,17 @@
                 : Optional.empty();
     }
 
+    /** Returns the longest time that a duration on a worker's clock may take, in milliseconds. */
+    static long longestDurationMs(long durationMs) {
+        return (long) (durationMs * MAXIMUM_DURATION_FACTOR) + MARGIN_MS;
+    }
+
     /**
      * Returns a time of the process at which the worker's clock has certainly passed the given
      * value, in milliseconds.
      */
     long certainlyPassedAtMs(long clockMs, long nowMs) {
         long remainingMs = clockMs - lowerBoundMs(nowMs).orElse(0L);
-        return nowMs + (long) (Math.max(0, remainingMs) * MAXIMUM_DURATION_FACTOR) + MARGIN_MS;
+        return nowMs + longestDurationMs(Math.max(0, remainingMs));
     }
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
@@ -43,6 +43,8 @@
     static final ServiceName SERVICE = new ServiceName("booking");
     static final int MAXIMUM_ATTEMPTS = 2;
     static final int LEASE_MS = 6_000;
+    static final int PREVIOUS_OWNER_LEASE_MS = 6_000;
+    static final int MAXIMUM_LEASE_MS = 10_000;
 
     final TestScheduler mScheduler = new TestScheduler();
     final List<StartRun> mStarts = new ArrayList<>();
@@ -58,6 +60,7 @@
     boolean mStoreBlocked;
     ListCompleteness mCompleteness = ListCompleteness.COMPLETE;
     boolean mMayExtendLeases = true;
+    long mLeaseRemainingMs;
     private long mReportNumber;
 
     DispatchFixture() {
@@ -66,21 +69,28 @@
 
     DispatchFixture(Optional<WorkloadConfiguration> configuration) {
         mScheduler.advanceTimeBy(1, TimeUnit.MINUTES);
-        mDispatcher = newDispatcher(configuration);
+        mDispatcher = newDispatcher(configuration, PREVIOUS_OWNER_LEASE_MS);
+    }
+
+    /** Creates a fixture whose dispatcher heard the owner before it. */
+    DispatchFixture(int previousOwnerLeaseMs) {
+        mScheduler.advanceTimeBy(1, TimeUnit.MINUTES);
+        mDispatcher = newDispatcher(Optional.of(configuration(queue())), previousOwnerLeaseMs);
     }
 
     Dispatcher newDispatcher() {
-        return newDispatcher(Optional.of(configuration(queue())));
+        return newDispatcher(Optional.of(configuration(queue())), PREVIOUS_OWNER_LEASE_MS);
     }
 
-    private Dispatcher newDispatcher(Optional<WorkloadConfiguration> configuration) {
+    private Dispatcher newDispatcher(
+            Optional<WorkloadConfiguration> configuration, int previousOwnerLeaseMs) {
         Dispatcher dispatcher =
                 new Dispatcher(
                         EPOCH,
                         this,
                         mScheduler,
                         () -> mScheduler.now(TimeUnit.MILLISECONDS),
-                        new DispatchSettings(LEASE_MS, 6_000, 10_000),
+                        new DispatchSettings(LEASE_MS, previousOwnerLeaseMs, MAXIMUM_LEASE_MS),
                         DecisionLog.NONE);
         configuration.ifPresent(dispatcher::onConfigurationChanged);
         return dispatcher;
@@ -215,6 +225,7 @@
                         ended,
                         mCompleteness,
                         false,
+                        mLeaseRemainingMs,
                         true,
                         100));
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import org.hickorycleat.logic.election.LeaseAuthority;
 import org.hickorycleat.model.job.EndCause;
 import org.hickorycleat.model.job.EndedRun;
 import org.hickorycleat.model.job.JobId;
@@ -160,6 +162,7 @@
                         List.of(new EndedRun(1, other.run(0), EndCause.FAILED, "")),
                         ListCompleteness.COMPLETE,
                         false,
+                        0,
                         true,
                         100));
 
@@ -302,6 +305,60 @@
         assertThat(mFixture.mPersisted).hasSize(before + 1);
     }
 
+    private DispatchFixture nextOwnerOfStartedJob() {
+        mFixture.connect(1);
+        JobSubmission submission = mFixture.submit(JOB, DispatchFixture.step(1, false));
+        JobProgress stored = mFixture.mPersisted.get(mFixture.mPersisted.size() - 1);
+        DispatchFixture next = new DispatchFixture(LeaseAuthority.CONFIRMED_OWNER_LEASE_MS);
+        next.mDispatcher.restoreJob(submission, Optional.of(stored), false);
+        return next;
+    }
+
+    private static boolean isStartedWithin(DispatchFixture fixture, int milliseconds) {
+        for (int passedMs = 0; passedMs < milliseconds; passedMs += 100) {
+            fixture.connect(2);
+            fixture.advanceTime(100);
+        }
+        return !fixture.mStarts.isEmpty();
+    }
+
+    /**
+     * Guards against a second run beside one on a worker that took a deadline on the clock of its
+     * former life: only its agent knows how long it may hold its runs.
+     */
+    @Test
+    void nextOwnerWaitsForLeaseThatAgentReports() {
+        DispatchFixture next = nextOwnerOfStartedJob();
+        next.mLeaseRemainingMs = 9_000;
+        long session = next.mDispatcher.onAgentConnected(DispatchFixture.agent(1));
+        RunSample sample = new RunSample(mFixture.run(0), "", 10, 900);
+        next.report(1, session, 1, 0, List.of(sample), List.of());
+        next.mDispatcher.onAgentDisconnected(DispatchFixture.agent(1));
+        next.mLeaseRemainingMs = 0;
+
+        assertThat(isStartedWithin(next, 8_900)).isFalse();
+        assertThat(isStartedWithin(next, 500)).isTrue();
+    }
+
+    /** Guards against the same while the agent has not reported to the next owner. */
+    @Test
+    void nextOwnerWaitsForMaximumLeaseOfYoungIncarnationBeforeItsAgentReports() {
+        DispatchFixture next = nextOwnerOfStartedJob();
+        next.mDispatcher.restoreIncarnationAges(Map.of(DispatchFixture.agent(1), 500L));
+
+        assertThat(isStartedWithin(next, DispatchFixture.MAXIMUM_LEASE_MS - 500)).isFalse();
+        assertThat(isStartedWithin(next, 1_000)).isTrue();
+    }
+
+    /** Guards against a longer wait for workers that have not restarted. */
+    @Test
+    void nextOwnerDoesNotWaitLongerForIncarnationThatIsNotYoung() {
+        DispatchFixture next = nextOwnerOfStartedJob();
+        next.mDispatcher.restoreIncarnationAges(Map.of(DispatchFixture.agent(1), 30_000L));
+
+        assertThat(isStartedWithin(next, 7_600)).isTrue();
+    }
+
     @Test
     void extendsNoLeaseWhenOwnershipMayBeLost() {
         long session = mFixture.connect(1);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/FleetFaultsPropertyTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/FleetFaultsPropertyTest.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.LongStream;
+import org.hickorycleat.logic.election.LeaseAuthority;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobState;
 import org.hickorycleat.model.job.JobSubmission;
@@ -54,6 +55,40 @@
                 });
     }
 
+    /**
+     * Guards against leases on the clock of a former life: a worker restarts under its id, takes
+     * calls that were meant for its former life, and is cut off soon after.
+     */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void keepsRulesWhenRestartedWorkersAreCutOff(long seed) {
+        keepsRules(
+                new SimulatedFleet(seed, WORKERS, LeaseAuthority.CONFIRMED_OWNER_LEASE_MS),
+                fleet -> {
+                    if (fleet.random().nextInt(3) == 0) {
+                        injectFault(fleet);
+                    } else {
+                        restartAndCutWorker(fleet);
+                    }
+                });
+    }
+
+    private static void restartAndCutWorker(SimulatedFleet fleet) {
+        int worker = fleet.randomWorker();
+        fleet.crashWorker(worker);
+        fleet.schedule(
+                500 + fleet.random().nextInt(3_000),
+                () -> {
+                    fleet.cutWorker(worker, 1_000 + fleet.random().nextInt(12_000));
+                    int fault = fleet.random().nextInt(4);
+                    if (fault == 0) {
+                        killOwner(fleet);
+                    } else if (fault == 1) {
+                        killAgent(fleet, worker);
+                    }
+                });
+    }
+
     private static void holdAndReplaceLink(SimulatedFleet fleet) {
         int replacedAfterMs = 200 + fleet.random().nextInt(1_500);
         int heldMs = replacedAfterMs + fleet.random().nextInt(3_000);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatorTest.java
@@ -72,6 +72,7 @@
                         List.of(),
                         ListCompleteness.COMPLETE,
                         false,
+                        0,
                         true,
                         100),
                 0);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/OddReportPropertyTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/OddReportPropertyTest.java
@@ -77,6 +77,7 @@
                 List.of(new EndedRun(oddNumber(random), oddRun(random), cause, "")),
                 ListCompleteness.COMPLETE,
                 random.nextBoolean(),
+                oddNumber(random),
                 random.nextBoolean(),
                 oddInteger(random));
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/RunHistory.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/RunHistory.java
@@ -66,6 +66,11 @@
     /** Handles a crash: the runs of a worker are lost, and so are ends that nobody has noted. */
     void onCrashed(String worker, Set<TaskKey> unacknowledged) {
         mRunning.values().removeIf(worker::equals);
+        onLeaseExpired(worker, unacknowledged);
+    }
+
+    /** Handles the expiry of a lease: ends that nobody has noted before do not count. */
+    void onLeaseExpired(String worker, Set<TaskKey> unacknowledged) {
         mDone.entrySet()
                 .removeIf(
                         done ->
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/SimulatedFleet.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/SimulatedFleet.java
@@ -11,6 +11,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.hickorycleat.logic.directory.IncarnationHistory;
+import org.hickorycleat.logic.election.LeaseAuthority;
 import org.hickorycleat.logic.port.DecisionLog;
 import org.hickorycleat.logic.port.RunCommandResult;
 import org.hickorycleat.logic.port.RunListing;
@@ -55,12 +57,19 @@
     private final Map<JobId, JobSubmission> mSubmissions = new LinkedHashMap<>();
     private final Map<JobId, JobProgress> mProgress = new LinkedHashMap<>();
     private final Set<JobId> mCancelled = new HashSet<>();
+    private final IncarnationHistory mIncarnationHistory = new IncarnationHistory();
+    private final int mPreviousOwnerLeaseMs;
     private final Map<JobId, JobState> mStates = new LinkedHashMap<>();
     private long mLastEpoch;
     private Optional<Owner> mOwner = Optional.empty();
 
     SimulatedFleet(long seed, int workers) {
+        this(seed, workers, LeaseAuthority.STORE_TIMEOUT_MS);
+    }
+
+    SimulatedFleet(long seed, int workers, int previousOwnerLeaseMs) {
         mRandom = new Random(seed);
+        mPreviousOwnerLeaseMs = previousOwnerLeaseMs;
         mScheduler.advanceTimeBy(1, TimeUnit.MINUTES);
         for (int i = 0; i < workers; i++) {
             mAgents.add(new Agent(i));
@@ -113,6 +122,16 @@
         mAgents.get(worker).mWorker.crash(mRandom.nextInt(400));
     }
 
+    /** Cuts a worker off from its agent; what runs on it goes on under its lease. */
+    void cutWorker(int worker, int cutMs) {
+        mAgents.get(worker).mWorker.cut(cutMs);
+    }
+
+    /** Calls an action after a time. */
+    void schedule(long delayMs, Runnable action) {
+        after(delayMs, action);
+    }
+
     /** Loses the link between an agent and the owner; a new one is opened. */
     void resetLink(int agent) {
         mOwner.ifPresent(owner -> owner.disconnect(mAgents.get(agent)));
@@ -193,7 +212,7 @@
                             this,
                             mScheduler,
                             SimulatedFleet.this::nowMs,
-                            DispatchSettings.of(10_000),
+                            DispatchSettings.of(10_000, mPreviousOwnerLeaseMs),
                             DecisionLog.NONE);
         }
 
@@ -206,6 +225,7 @@
                         Optional.ofNullable(mProgress.get(submission.id())),
                         mCancelled.contains(submission.id()));
             }
+            mDispatcher.restoreIncarnationAges(mIncarnationHistory.newestAgesMs(nowMs()));
             mAgents.stream().filter(Agent::isAlive).forEach(this::connect);
         }
 
@@ -253,7 +273,10 @@
                         if (!mAlive && mRandom.nextBoolean()) {
                             return;
                         }
-                        progress.forEach(job -> mProgress.put(job.id(), job));
+                        for (JobProgress job : progress) {
+                            mProgress.put(job.id(), job);
+                            mIncarnationHistory.onProgress(job, nowMs());
+                        }
                         if (mAlive) {
                             onDurable.run();
                         }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/SimulatedWorker.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/SimulatedWorker.java
@@ -52,6 +52,7 @@
     private long mLeaseDeadlineMs;
     private long mLastEndNumber;
     private long mUpAtMs;
+    private long mCutUntilMs;
     private final Set<SingleSubject<?>> mOpenCalls = new LinkedHashSet<>();
 
     private record PlannedEnd(long startedAtMs, long atMs, EndCause cause) {}
@@ -75,6 +76,11 @@
         mLossRate = lossRate;
     }
 
+    /** Loses all calls and responses for a time; runs go on under their lease. */
+    void cut(int cutMs) {
+        mCutUntilMs = Math.max(mCutUntilMs, nowMs() + cutMs);
+    }
+
     long startedAtMs() {
         return mStartedAtMs;
     }
@@ -85,9 +91,7 @@
         mOpenCalls.clear();
         openCalls.forEach(call -> after(1, () -> call.onError(new IllegalStateException("reset"))));
         mUpAtMs = nowMs() + downMs;
-        Set<TaskKey> unacknowledged = new HashSet<>();
-        mEnded.forEach(end -> unacknowledged.add(end.run().task()));
-        mHistory.onCrashed(mName, unacknowledged);
+        mHistory.onCrashed(mName, unacknowledgedTasks());
         mRunning.clear();
         mHighestEndedRun.clear();
         mEnded.clear();
@@ -97,9 +101,18 @@
         mLastEndNumber = 0;
     }
 
+    private Set<TaskKey> unacknowledgedTasks() {
+        Set<TaskKey> tasks = new HashSet<>();
+        mEnded.forEach(end -> tasks.add(end.run().task()));
+        return tasks;
+    }
+
     /** Ends the runs that are due, or all of them once the lease has expired. */
     void tick() {
         boolean expired = clockMs() > mLeaseDeadlineMs;
+        if (expired) {
+            mHistory.onLeaseExpired(mName, unacknowledgedTasks());
+        }
         for (Map.Entry<RunId, PlannedEnd> run : List.copyOf(mRunning.entrySet())) {
             if (expired) {
                 end(run.getKey(), EndCause.LAPSED);
@@ -178,7 +191,7 @@
         after(
                 requestDelayMs(),
                 () -> {
-                    if (!mOpenCalls.contains(response)) {
+                    if (!mOpenCalls.contains(response) || isCut()) {
                         return;
                     }
                     if (isFenced(fencingToken)) {
@@ -224,6 +237,9 @@
 
     private <T> Single<T> call(Supplier<T> command) {
         SingleSubject<T> response = openCall();
+        if (isCut()) {
+            return withTimeout(response, COMMAND_TIMEOUT_MS);
+        }
         if (mRandom.nextDouble() < mLossRate) {
             long delayMs = mRandom.nextBoolean() ? 10 : 2_000 + mRandom.nextInt(6_000);
             long acceptedBy = mStartedAtMs;
@@ -257,11 +273,18 @@
         return call;
     }
 
+    private boolean isCut() {
+        return nowMs() < mCutUntilMs;
+    }
+
     private boolean isUp() {
         return nowMs() >= mUpAtMs;
     }
 
     private <T> void respond(SingleSubject<T> response, T value) {
+        if (isCut()) {
+            return;
+        }
         if (mRandom.nextDouble() < mLossRate) {
             return;
         }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/FakeWorker.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/FakeWorker.java
@@ -24,6 +24,7 @@
     final List<RunSample> mRunning = new ArrayList<>();
     final List<EndedRun> mEnded = new ArrayList<>();
     Optional<Long> mLeaseDeadline = Optional.empty();
+    final List<Optional<Long>> mAnsweredDeadlines = new ArrayList<>();
     long mAcknowledgedEndNumber;
     long mStartedAtMs = 1_000;
     long mClockMs = 50_000;
@@ -69,6 +70,7 @@
         if (mUnresponsive) {
             return Single.error(new IllegalStateException("no response"));
         }
+        mAnsweredDeadlines.add(leaseDeadlineMs);
         leaseDeadlineMs.ifPresent(deadline -> mLeaseDeadline = Optional.of(deadline));
         mAcknowledgedEndNumber = Math.max(mAcknowledgedEndNumber, acknowledgedEndNumber);
         mEnded.removeIf(end -> end.number() <= acknowledgedEndNumber);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
@@ -48,6 +48,7 @@
     private final List<Message> mSent = new ArrayList<>();
     private final WorkerIncarnation mIncarnation =
             new WorkerIncarnation(new WorkerId("i-1"), 1_000);
+    private final WorkerIncarnation mRestarted = new WorkerIncarnation(new WorkerId("i-1"), 6_000);
     private final RunSupervisor mSupervisor =
             new RunSupervisor(
                     mWorker,
@@ -498,6 +499,57 @@
         assertThat(mWorker.mStarts).hasSize(1);
     }
 
+    private void restartWorker() {
+        mWorker.mUnresponsive = true;
+        advanceTime(300);
+        mWorker.mUnresponsive = false;
+        mWorker.mStartedAtMs += 5_000;
+        mWorker.mClockMs = 100;
+        mWorker.mAnsweredDeadlines.clear();
+        mSupervisor.onWorkerDescribed(description(mRestarted, false));
+    }
+
+    /** Guards against a deadline on the clock of a life that may have ended. */
+    @Test
+    void sendsNoDeadlineUntilWorkerHasResponded() {
+        restartWorker();
+        extendLease();
+        advanceTime(300);
+
+        assertThat(mWorker.mAnsweredDeadlines).isNotEmpty().containsOnly(Optional.empty());
+    }
+
+    @Test
+    void sendsDeadlineAgainOnceSameIncarnationHasResponded() {
+        mWorker.mUnresponsive = true;
+        advanceTime(300);
+        mWorker.mUnresponsive = false;
+        mWorker.mAnsweredDeadlines.clear();
+        advanceTime(300);
+
+        assertThat(mWorker.mAnsweredDeadlines.get(0)).isEmpty();
+        assertThat(mWorker.mAnsweredDeadlines.get(1)).isPresent();
+    }
+
+    /**
+     * Guards against a lease that counts as expired although a restarted worker took a deadline on
+     * the clock of its former life, far ahead on its own.
+     */
+    @Test
+    void countsLongestLeaseForRestartedWorker() {
+        advanceTime(10_000);
+        restartWorker();
+        advanceTime(300);
+        assertThat(lastReport().incarnation()).contains(mRestarted);
+        assertThat(lastReport().leaseRemainingMs()).isGreaterThan(9_900);
+
+        mWorker.mUnresponsive = true;
+        advanceTime(9_900);
+        assertThat(lastReport().leaseExpired()).isFalse();
+        advanceTime(1_000);
+        assertThat(lastReport().leaseExpired()).isTrue();
+    }
+
     @Test
     void retriesStopWhileRunIsListed() {
         mWorker.mRunning.add(new RunSample(RUN, "", 10, 0));
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/DispatchMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/DispatchMeasurement.java
@@ -233,6 +233,7 @@
                             ended,
                             ListCompleteness.COMPLETE,
                             false,
+                            0,
                             true,
                             100));
         }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/WorkerReport.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/WorkerReport.java
@@ -23,6 +23,8 @@
  * @param pending runs whose start command is in flight and that are in no list yet
  * @param completeness whether a run in none of the lists has certainly ended
  * @param leaseExpired whether all runs on the worker have certainly ended because the lease expired
+ * @param leaseRemainingMs longest time for which runs may continue on the worker without a further
+ *     extension of the lease, in milliseconds
  * @param reachable whether the worker responds
  * @param bestEffortPercent lowest share at which a best-effort image may run, in percent
  */
@@ -38,6 +40,7 @@
         List<EndedRun> ended,
         ListCompleteness completeness,
         boolean leaseExpired,
+        long leaseRemainingMs,
         boolean reachable,
         int bestEffortPercent)
         implements Message {
