Count a job as waiting until one of its tasks has begun

Cause, by reading: a job counted as started once a run was placed and its start was durable, although a start that is sent to a worker that has just been cut off reaches nothing. A job is now queued until a report lists a run of it. The state is published then, at no further append.

DispatcherTest.jobIsQueuedUntilItsRunIsListed failed before. Another test of the class took the published state after placement for that of a running job; it now reports the run first and asserts the same.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -510,6 +510,7 @@
         }
         run.onSample(sample.progressPercent(), sample.measurement(), worker.reportedAtMs());
         run.task().onCheckpoint(sample.checkpoint());
+        onBegun(run.task().step().job());
         if (run.isStopping()) {
             sendStop(run);
         }
@@ -536,10 +537,19 @@
             mLog.record("end_ignored", "run", end.run(), "reason", "no_such_task");
             return;
         }
+        onBegun(job);
         onEnd(worker, job, task.get(), end);
         mUnsavedJobs.add(job);
     }
 
+    // A start that was sent may not reach its worker; until a run is listed, the job waits.
+    private void onBegun(TrackedJob job) {
+        if (job.state() == JobState.QUEUED) {
+            job.onStateChanged(JobState.RUNNING);
+            mUnpublishedJobs.add(job);
+        }
+    }
+
     private void onEnd(TrackedWorker worker, TrackedJob job, TrackedTask task, EndedRun end) {
         boolean current = task.run().isPresent() && task.run().get().id().equals(end.run());
         boolean longRunning = task.specification().longRunning();
@@ -757,9 +767,6 @@
     private void startWhenDurable(TrackedRun run) {
         TrackedWorker worker = run.worker();
         TrackedJob job = run.task().step().job();
-        if (job.state() == JobState.QUEUED) {
-            job.onStateChanged(JobState.RUNNING);
-        }
         mUnsavedJobs.add(job);
         mLog.record(
                 "run_placed",
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedJob.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedJob.java
@@ -22,7 +22,8 @@
     private final List<List<TrackedStep>> mOccurrences = new ArrayList<>();
     private Optional<JobQueue> mQueue;
     private JobState mState = JobState.QUEUED;
-    private Optional<JobState> mPublishedState = Optional.empty();
+    // Entries take a job for queued until another state is published.
+    private JobState mPublishedState = JobState.QUEUED;
     private long mActiveAtMs;
 
     TrackedJob(JobSubmission submission, Optional<JobQueue> queue) {
@@ -64,8 +65,8 @@
 
     /** Returns whether the state differs from the published one, which it replaces. */
     boolean takeUnpublishedState() {
-        boolean unpublished = !mPublishedState.equals(Optional.of(mState));
-        mPublishedState = Optional.of(mState);
+        boolean unpublished = mPublishedState != mState;
+        mPublishedState = mState;
         return unpublished;
     }
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
@@ -65,6 +65,7 @@
     void acknowledgesAndPublishesEndsOnlyWhenDurable() {
         long session = mFixture.connect(1);
         mFixture.submit(JOB, DispatchFixture.step(1, false));
+        mFixture.report(1, session, 1, 1, List.of(mFixture.sample(0)), List.of());
         mFixture.mStoreBlocked = true;
         reportEnd(session, 1, 0, EndCause.DONE);
         assertThat(mFixture.lastPublishedState(JOB)).contains(JobState.RUNNING);
@@ -77,6 +78,19 @@
                 .isEqualTo(1);
     }
 
+    /** Guards against a job that counts as started although its start never reached a worker. */
+    @Test
+    void jobIsQueuedUntilItsRunIsListed() {
+        long session = mFixture.connect(1);
+        mFixture.submit(JOB, DispatchFixture.step(1, false));
+        assertThat(mFixture.mStarts).hasSize(1);
+        assertThat(mFixture.mPublished).isEmpty();
+
+        mFixture.report(1, session, 1, 1, List.of(mFixture.sample(0)), List.of());
+
+        assertThat(mFixture.lastPublishedState(JOB)).contains(JobState.RUNNING);
+    }
+
     @Test
     void startsStepOnlyAfterItsPredecessorsAreDone() {
         long session = mFixture.connect(1);
