Reject a start at once that was certainly not sent

A task whose start could not be sent, because no connection to the worker could be opened, waited for a listing of the worker, or for its lease while the worker was cut off. The agent now tells the owner at once that the run was not started, so the task starts elsewhere.

RunSupervisorTest.rejectsStartAtOnceThatWasCertainlyNotSent failed before.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerRuntime.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/port/WorkerRuntime.java
@@ -9,7 +9,10 @@
  * executed later.
  */
 public interface WorkerRuntime {
-    /** Starts a run. */
+    /**
+     * Starts a run; fails with an {@link HttpCallException} that says so if the command was
+     * certainly not sent.
+     */
     Single<RunCommandResult> start(StartRunCommand command);
 
     /** Stops a run. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.logic.port.DecisionLog;
+import org.hickorycleat.logic.port.HttpCallException;
 import org.hickorycleat.logic.port.RunCommandResult;
 import org.hickorycleat.logic.port.RunListing;
 import org.hickorycleat.logic.port.SingleCallbacks;
@@ -295,6 +296,12 @@
         if (mPending.get(pending.command().run()) != pending) {
             return;
         }
+        boolean unsent = error instanceof HttpCallException failure && !failure.mayHaveBeenSent();
+        if (unsent) {
+            mPending.remove(pending.command().run());
+            reject(pending.command().run(), RejectionReason.UNAVAILABLE);
+            return;
+        }
         pending.onNoResponse();
         mLog.record("start_unanswered", "run", pending.command().run(), "cause", error);
         raiseToken("start_unanswered");
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.logic.port.DecisionLog;
+import org.hickorycleat.logic.port.HttpCallException;
 import org.hickorycleat.logic.port.RunCommandResult;
 import org.hickorycleat.logic.port.RunListing;
 import org.hickorycleat.model.identifier.Epoch;
@@ -214,6 +215,26 @@
                 .isGreaterThan(FIRST_TOKEN);
     }
 
+    /** Guards against a task that waits for the lease of a worker that its start never reached. */
+    @Test
+    void rejectsStartAtOnceThatWasCertainlyNotSent() {
+        mWorker.mHoldsListings = true;
+        mSupervisor.onStartRun(start(EPOCH));
+        mWorker.mStartResponses.get(0).onError(new HttpCallException("refused", false));
+
+        assertThat(rejections())
+                .containsExactly(new RunRejected(EPOCH, RUN, RejectionReason.UNAVAILABLE));
+    }
+
+    @Test
+    void keepsStartThatMayHaveBeenSent() {
+        mWorker.mHoldsListings = true;
+        mSupervisor.onStartRun(start(EPOCH));
+        mWorker.mStartResponses.get(0).onError(new HttpCallException("silent", true));
+
+        assertThat(rejections()).isEmpty();
+    }
+
     /** Guards against a start that is taken for rejected although its run has ended already. */
     @Test
     void keepsStartWithoutResponseWhileListsArePartial() {
