--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/DurableJobServiceTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/DurableJobServiceTest.java
@@ -226,7 +226,7 @@
 
     /** Guards against a caller that waits although nothing of its job can have been stored. */
     @Test
-    void rejectsJobWithinHalfASecondWhenNoAppendMayBeCommitted() {
+    void rejectsJobEarlyWhenNoAppendMayBeCommitted() {
         mStore.setOutcome(Single.just(new AppendOutcome(AppendResult.REFUSED, 0)));
         var result = mService.submit(QUEUE, submission(1), TIMEOUT_MS).test();
         mScheduler.advanceTimeBy(600, TimeUnit.MILLISECONDS);
