Store the state of a job when its first task begins

The state was only published, so an entry that started later showed a job with long-running tasks as queued until its next progress. It is now part of one more append for each job, batched with other changes.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -546,7 +546,7 @@
     private void onBegun(TrackedJob job) {
         if (job.state() == JobState.QUEUED) {
             job.onStateChanged(JobState.RUNNING);
-            mUnpublishedJobs.add(job);
+            mUnsavedJobs.add(job);
         }
     }
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
@@ -89,6 +89,9 @@
         mFixture.report(1, session, 1, 1, List.of(mFixture.sample(0)), List.of());
 
         assertThat(mFixture.lastPublishedState(JOB)).contains(JobState.RUNNING);
+        // An entry that starts later reads the state from the log.
+        assertThat(mFixture.mPersisted.get(mFixture.mPersisted.size() - 1).state())
+                .isEqualTo(JobState.RUNNING);
     }
 
     @Test
