--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/FleetFaultsPropertyTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/FleetFaultsPropertyTest.java
@@ -46,13 +46,7 @@
     void keepsRulesWhenReplacedLinksDeliverLate(long seed) {
         keepsRules(
                 new SimulatedFleet(seed, WORKERS),
-                fleet -> {
-                    if (fleet.random().nextInt(3) == 0) {
-                        injectFault(fleet);
-                    } else {
-                        holdAndReplaceLink(fleet);
-                    }
-                });
+                mostly(FleetFaultsPropertyTest::holdAndReplaceLink));
     }
 
     /**
@@ -64,13 +58,7 @@
     void keepsRulesWhenRestartedWorkersAreCutOff(long seed) {
         keepsRules(
                 new SimulatedFleet(seed, WORKERS, LeaseAuthority.CONFIRMED_OWNER_LEASE_MS),
-                fleet -> {
-                    if (fleet.random().nextInt(3) == 0) {
-                        injectFault(fleet);
-                    } else {
-                        restartAndCutWorker(fleet);
-                    }
-                });
+                mostly(FleetFaultsPropertyTest::restartAndCutWorker));
     }
 
     private static void restartAndCutWorker(SimulatedFleet fleet) {
@@ -95,6 +83,17 @@
         fleet.holdAndReplaceLink(fleet.randomWorker(), heldMs, replacedAfterMs);
     }
 
+    /** Returns a fault that is the given one in two of three cases, and any other one else. */
+    private static Consumer<SimulatedFleet> mostly(Consumer<SimulatedFleet> fault) {
+        return fleet -> {
+            if (fleet.random().nextInt(3) == 0) {
+                injectFault(fleet);
+            } else {
+                fault.accept(fleet);
+            }
+        };
+    }
+
     private static void keepsRules(SimulatedFleet fleet, Consumer<SimulatedFleet> injectFault) {
         fleet.setLossRate(fleet.random().nextDouble() * MAXIMUM_LOSS_RATE);
         long nextFaultMs = 0;
