Send restarted agents the traits of runs they find and bound target misses

The owner sends the traits once in each session unless it sent the start in it. Besides, all best-effort runs of a worker are stopped after two fifths of impact_ms of a missed target, and throttle commands that were fenced or had no effect are sent again.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/AgentRole.java
@@ -107,7 +107,8 @@
                                 COMMAND_TIMEOUT_MS),
                         this::sendToOwner,
                         scheduler,
-                        SupervisorSettings.of(settings.maximumLeaseMs()),
+                        SupervisorSettings.of(
+                                settings.maximumLeaseMs(), settings.maximumInterferenceMs()),
                         // Increases with every agent process on this VM; an agent stores no counter
                         // of its own.
                         self.startedAtMs(),
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -505,9 +505,7 @@
             return;
         }
         TrackedRun run = known.get();
-        if (run.phase() == RunPhase.INHERITED) {
-            mOutput.send(worker.agent(), new RunTraits(mEpoch, run.id(), run.task().traits()));
-        }
+        sendTraitsIfMissing(worker, run);
         run.onSample(sample.progressPercent(), sample.measurement(), worker.reportedAtMs());
         run.task().onCheckpoint(sample.checkpoint());
         onBegun(run.task().step().job());
@@ -516,6 +514,15 @@
         }
     }
 
+    private void sendTraitsIfMissing(TrackedWorker worker, TrackedRun run) {
+        boolean missing = run.lacksTraitsIn(worker.session());
+        if (missing
+                && mOutput.send(
+                        worker.agent(), new RunTraits(mEpoch, run.id(), run.task().traits()))) {
+            run.onTraitsSent(worker.session());
+        }
+    }
+
     private void onEnd(TrackedWorker worker, EndedRun end) {
         if (!worker.recordEndIfNew(end.number())) {
             return;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedRun.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedRun.java
@@ -15,6 +15,7 @@
     private RunPhase mPhase;
     private long mSession;
     private long mCommandNumber;
+    private long mTraitsSession;
     private long mStartSentAtMs;
     private boolean mStopping;
     private final RunProgress mProgress = new RunProgress();
@@ -91,6 +92,19 @@
         return mOwnLoad;
     }
 
+    /**
+     * Returns whether the agent may not know the traits of the run in a session. Each new session
+     * may be one of a restarted agent, which knows only the runs that it starts.
+     */
+    boolean lacksTraitsIn(long session) {
+        return mSession != session && mTraitsSession != session;
+    }
+
+    /** Records that the traits of the run were sent in a session. */
+    void onTraitsSent(long session) {
+        mTraitsSession = session;
+    }
+
     /** Records that the start was sent. */
     void onStartSent(long session, long commandNumber, long nowMs) {
         mPhase = RunPhase.START_SENT;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedWorker.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedWorker.java
@@ -111,6 +111,8 @@
         mLastCommandNumber = 0;
         mReportNumber = 0;
         mLeaseExtensionSentAtMs = Long.MIN_VALUE / 2;
+        // The agent may have restarted and lost its weights.
+        mWeightsSentAtMs = Long.MIN_VALUE / 2;
     }
 
     /** Handles the loss of the link to the agent. */
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/BestEffortThrottle.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/BestEffortThrottle.java
@@ -9,6 +9,7 @@
 import org.hickorycleat.model.job.RunSample;
 import org.hickorycleat.model.job.TaskTraits;
 import org.hickorycleat.model.message.InterferenceWeights;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Chooses the share at which each best-effort image may run, so that latency-critical tasks on the
@@ -16,7 +17,9 @@
  *
  * <p>When a tail latency is too high, the images that contribute most are throttled in proportion
  * to the excess. Shares are raised again in steps, so that the delay of the measurement does not
- * cause oscillation.
+ * cause oscillation. Once a task has missed its target for a fifth of the time that the platform
+ * allows, every image is throttled, and after two fifths of it, every image is stopped until all
+ * tasks meet their targets again.
  */
 final class BestEffortThrottle {
     static final int FULL_PERCENT = 100;
@@ -57,10 +60,37 @@
      */
     private static final long CHANGE_INTERVAL_MS = 450;
 
+    /**
+     * Part of the time allowed for interference after which every image is stopped. The rest covers
+     * the delays of the measurement, of two listings and of the throttling.
+     */
+    private static final double STOP_PART = 0.4;
+
+    /** Part of the time allowed for interference after which every image is throttled. */
+    private static final double THROTTLE_ALL_PART = 0.2;
+
+    /** Largest factor by which shares are reduced once every image is throttled. */
+    private static final double THROTTLE_ALL_FACTOR = 0.5;
+
+    private final TargetMissTimer mMissTimer = new TargetMissTimer();
+    private final long mStopAfterMs;
+    private final long mThrottleAllAfterMs;
     private final Map<String, Long> mWeights = new HashMap<>();
     private final Map<String, Integer> mPercents = new HashMap<>();
     private long mChangedAtMs = Long.MIN_VALUE / 2;
     private double mLoad;
+    private boolean mStopped;
+
+    /**
+     * Creates a throttle for a worker.
+     *
+     * @param maximumInterferenceMs maximum time that a latency-critical task may miss its target
+     *     because of interference, in milliseconds
+     */
+    BestEffortThrottle(long maximumInterferenceMs) {
+        mStopAfterMs = (long) (STOP_PART * maximumInterferenceMs);
+        mThrottleAllAfterMs = (long) (THROTTLE_ALL_PART * maximumInterferenceMs);
+    }
 
     /**
      * Updates how much each image adds to the load of the latency-critical tasks of this worker.
@@ -80,6 +110,12 @@
             long capacityMilli,
             long nowMs) {
         mLoad = highestLoad(samples, traits);
+        mMissTimer.update(samples, traits, nowMs);
+        boolean stoppedBefore = mStopped;
+        mStopped = longestMissMs() >= mStopAfterMs;
+        if (mStopped) {
+            return stop(samples, traits, nowMs) || !stoppedBefore;
+        }
         if (nowMs - mChangedAtMs < CHANGE_INTERVAL_MS) {
             return false;
         }
@@ -97,13 +133,33 @@
         return changed;
     }
 
+    // Images whose estimated contribution is small are stopped as well: the estimate may be wrong.
+    private boolean stop(Collection<RunSample> samples, Map<RunId, TaskTraits> traits, long nowMs) {
+        boolean changed = false;
+        for (RunSample sample : samples) {
+            TaskTraits taskTraits = traits.get(sample.run());
+            if (taskTraits != null && taskTraits.bestEffort()) {
+                @Nullable Integer before = mPercents.put(taskTraits.image(), 0);
+                changed |= before == null || before > 0;
+            }
+        }
+        mChangedAtMs = nowMs;
+        return changed;
+    }
+
     private boolean lower(Map<String, Double> contributions) {
         double largest =
                 contributions.values().stream().mapToDouble(Double::doubleValue).max().orElse(0);
+        boolean throttleAll = longestMissMs() >= mThrottleAllAfterMs;
         Map<String, Double> throttled = new HashMap<>(contributions);
-        throttled.values().removeIf(contribution -> contribution < CONTRIBUTION_SHARE * largest);
+        if (!throttleAll) {
+            throttled
+                    .values()
+                    .removeIf(contribution -> contribution < CONTRIBUTION_SHARE * largest);
+        }
         double sum = throttled.values().stream().mapToDouble(Double::doubleValue).sum();
-        double factor = cutFactor(sum);
+        double factor =
+                throttleAll ? Math.min(THROTTLE_ALL_FACTOR, cutFactor(sum)) : cutFactor(sum);
         boolean changed = false;
         for (String image : throttled.keySet()) {
             int before = percent(image);
@@ -180,7 +236,7 @@
 
     /** Returns the share at which an image may run, in percent. */
     int percent(String image) {
-        return mPercents.getOrDefault(image, FULL_PERCENT);
+        return mStopped ? 0 : mPercents.getOrDefault(image, FULL_PERCENT);
     }
 
     /** Returns the shares of the throttled images, in percent. */
@@ -188,6 +244,11 @@
         return Map.copyOf(mPercents);
     }
 
+    /** Returns the longest time for which a task has missed its target, in milliseconds. */
+    long longestMissMs() {
+        return mMissTimer.longestMissMs();
+    }
+
     /** Returns the lowest share of any image, in percent. */
     int lowestPercent() {
         return mPercents.values().stream().mapToInt(Integer::intValue).min().orElse(FULL_PERCENT);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -62,6 +62,12 @@
     /** Time after which a stop is retried while its run is still listed, in milliseconds. */
     private static final long STOP_RETRY_MS = 300;
 
+    /**
+     * Time after which a run that was throttled to nothing must not use processors any more, in
+     * milliseconds; the worker averages over half a second.
+     */
+    private static final long THROTTLE_CHECK_MS = 800;
+
     /** Increment between two tokens of one agent; exceeds any clock drift between incarnations. */
     private static final long TOKEN_STEP = 1;
 
@@ -80,10 +86,11 @@
     private final WorkerClock mClock = new WorkerClock();
     private final ListingOrder mListingOrder = new ListingOrder();
     private final EndAcknowledgement mAcknowledgement = new EndAcknowledgement();
-    private final BestEffortThrottle mThrottle = new BestEffortThrottle();
+    private final BestEffortThrottle mThrottle;
     private final Map<RunId, PendingRun> mPending = new LinkedHashMap<>();
     private final Map<RunId, TaskTraits> mTraits = new HashMap<>();
     private final Map<RunId, Integer> mSentPercents = new HashMap<>();
+    private final Map<RunId, Long> mStoppedWorkAtMs = new HashMap<>();
     private final Map<RunId, Long> mStopSentAtMs = new HashMap<>();
     private final Map<Long, Optional<Long>> mWorkerClockByReport = new HashMap<>();
 
@@ -124,6 +131,7 @@
         mOutput = output;
         mScheduler = scheduler;
         mSettings = settings;
+        mThrottle = new BestEffortThrottle(settings.maximumInterferenceMs());
         mToken = firstToken;
         mLog = log;
     }
@@ -356,9 +364,11 @@
 
     /** Handles the traits of a run that was found on the worker. */
     public synchronized void onRunTraits(RunTraits message) {
-        mTraits.put(message.run(), message.traits());
-        // An earlier incarnation of the agent may have set any share.
-        mSentPercents.put(message.run(), UNKNOWN_PERCENT);
+        if (mTraits.put(message.run(), message.traits()) == null) {
+            // An earlier incarnation of the agent may have set any share.
+            mSentPercents.put(message.run(), UNKNOWN_PERCENT);
+            mLog.record("run_traits_learnt", "run", message.run(), "traits", message.traits());
+        }
     }
 
     /** Handles a lease extension and removes the ends that have become durable. */
@@ -597,6 +607,7 @@
         mAcknowledgement.onNewIncarnation();
         mStopSentAtMs.clear();
         mSentPercents.clear();
+        mStoppedWorkAtMs.clear();
     }
 
     private void rejectPending() {
@@ -642,6 +653,7 @@
         present.addAll(mPending.keySet());
         mTraits.keySet().retainAll(present);
         mSentPercents.keySet().retainAll(present);
+        mStoppedWorkAtMs.keySet().retainAll(present);
         mStopSentAtMs.keySet().retainAll(present);
     }
 
@@ -672,14 +684,32 @@
                     mThrottle.load(),
                     "percents",
                     mThrottle.percents(),
+                    "missed_ms",
+                    mThrottle.longestMissMs(),
                     "runs",
                     mRunning.size());
         }
         for (RunSample sample : mRunning) {
+            onThrottleResult(sample);
             throttleIfNeeded(sample.run());
         }
     }
 
+    // A command of an earlier time may be executed after the one that stopped the run.
+    private void onThrottleResult(RunSample sample) {
+        boolean stopped = mSentPercents.getOrDefault(sample.run(), UNKNOWN_PERCENT) == 0;
+        if (!stopped || sample.measurement() == 0) {
+            mStoppedWorkAtMs.remove(sample.run());
+            return;
+        }
+        long seenAtMs = mStoppedWorkAtMs.computeIfAbsent(sample.run(), run -> nowMs());
+        if (nowMs() - seenAtMs > THROTTLE_CHECK_MS) {
+            mStoppedWorkAtMs.remove(sample.run());
+            mSentPercents.put(sample.run(), UNKNOWN_PERCENT);
+            mLog.record("stopped_run_at_work", "run", sample.run(), "use", sample.measurement());
+        }
+    }
+
     private void throttleIfNeeded(RunId run) {
         TaskTraits traits = mTraits.get(run);
         if (traits == null || !traits.bestEffort()) {
@@ -693,15 +723,19 @@
 
     private void sendThrottle(RunId run, int percent) {
         mSentPercents.put(run, percent);
+        long token = mToken;
         SingleCallbacks.subscribe(
-                mRuntime.throttle(run, percent, mToken),
-                response -> onThrottleResponse(run, response),
+                mRuntime.throttle(run, percent, token),
+                response -> onThrottleResponse(run, response, token),
                 error -> onThrottleFailed(run));
     }
 
-    private synchronized void onThrottleResponse(RunId run, RunCommandResult response) {
+    private synchronized void onThrottleResponse(RunId run, RunCommandResult response, long token) {
+        if (response.fenced() && token >= mToken) {
+            raiseToken("throttle_fenced");
+        }
         if (!response.applied()) {
-            mSentPercents.remove(run);
+            mSentPercents.put(run, UNKNOWN_PERCENT);
         }
     }
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/SimulatedFleet.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/SimulatedFleet.java
@@ -34,6 +34,7 @@
 import org.hickorycleat.model.job.TaskKey;
 import org.hickorycleat.model.job.WorkerDescription;
 import org.hickorycleat.model.job.WorkerIncarnation;
+import org.hickorycleat.model.message.InterferenceWeights;
 import org.hickorycleat.model.message.LeaseExtension;
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.RunRejected;
@@ -122,6 +123,16 @@
         mAgents.get(worker).mWorker.crash(mRandom.nextInt(400));
     }
 
+    /** Sets what a worker measures for every run of it. */
+    void setMeasurement(int worker, long measurement) {
+        mAgents.get(worker).mWorker.setMeasurement(measurement);
+    }
+
+    /** Returns the share in percent at which each run of a job works on a worker. */
+    List<Integer> percents(int worker, JobId job) {
+        return mAgents.get(worker).mWorker.percents(job);
+    }
+
     /** Cuts a worker off from its agent; what runs on it goes on under its lease. */
     void cutWorker(int worker, int cutMs) {
         mAgents.get(worker).mWorker.cut(cutMs);
@@ -383,7 +394,7 @@
                             this,
                             this::sendToOwner,
                             mScheduler,
-                            SupervisorSettings.of(10_000),
+                            SupervisorSettings.of(10_000, 4_500),
                             nowMs(),
                             DecisionLog.NONE);
         }
@@ -419,6 +430,8 @@
                 mSupervisor.onLeaseExtension(extension);
             } else if (message instanceof RunTraits traits) {
                 mSupervisor.onRunTraits(traits);
+            } else if (message instanceof InterferenceWeights weights) {
+                mSupervisor.onInterferenceWeights(weights);
             }
         }
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/SimulatedWorker.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/SimulatedWorker.java
@@ -22,6 +22,7 @@
 import org.hickorycleat.logic.port.WorkerRuntime;
 import org.hickorycleat.model.job.EndCause;
 import org.hickorycleat.model.job.EndedRun;
+import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.RejectionReason;
 import org.hickorycleat.model.job.RunId;
@@ -46,7 +47,9 @@
     private final Map<RunId, PlannedEnd> mRunning = new LinkedHashMap<>();
     private final Map<TaskKey, Integer> mHighestEndedRun = new HashMap<>();
     private final List<EndedRun> mEnded = new ArrayList<>();
+    private final Map<RunId, Integer> mPercents = new HashMap<>();
     private double mLossRate;
+    private long mMeasurement = 900;
     private long mStartedAtMs;
     private long mHighestToken;
     private long mLeaseDeadlineMs;
@@ -76,6 +79,19 @@
         mLossRate = lossRate;
     }
 
+    /** Sets the measurement of every run: tail latency, or processors in use. */
+    void setMeasurement(long measurement) {
+        mMeasurement = measurement;
+    }
+
+    /** Returns the share in percent at which each running run of an image's job works. */
+    List<Integer> percents(JobId job) {
+        return mRunning.keySet().stream()
+                .filter(run -> run.task().job().equals(job))
+                .map(run -> mPercents.getOrDefault(run, 100))
+                .toList();
+    }
+
     /** Loses all calls and responses for a time; runs go on under their lease. */
     void cut(int cutMs) {
         mCutUntilMs = Math.max(mCutUntilMs, nowMs() + cutMs);
@@ -94,6 +110,7 @@
         mHistory.onCrashed(mName, unacknowledgedTasks());
         mRunning.clear();
         mHighestEndedRun.clear();
+        mPercents.clear();
         mEnded.clear();
         mStartedAtMs = mUpAtMs;
         mHighestToken = 0;
@@ -181,7 +198,14 @@
 
     @Override
     public Single<RunCommandResult> throttle(RunId run, int percent, long fencingToken) {
-        return call(() -> isFenced(fencingToken) ? RunCommandResult.FENCED : RunCommandResult.DONE);
+        return call(
+                () -> {
+                    if (isFenced(fencingToken)) {
+                        return RunCommandResult.FENCED;
+                    }
+                    mPercents.put(run, percent);
+                    return RunCommandResult.DONE;
+                });
     }
 
     @Override
@@ -221,7 +245,7 @@
         for (Map.Entry<RunId, PlannedEnd> run : mRunning.entrySet()) {
             // Changes at any time, so that no run counts as stalled.
             int percent = (int) ((nowMs() - run.getValue().startedAtMs()) / 100 % 100);
-            running.add(new RunSample(run.getKey(), "", percent, 900));
+            running.add(new RunSample(run.getKey(), "", percent, mMeasurement));
         }
         List<EndedRun> ended = mEnded.subList(0, Math.min(MAXIMUM_LISTED_ENDS, mEnded.size()));
         return new RunListing(
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/BestEffortThrottleTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/BestEffortThrottleTest.java
@@ -15,6 +15,7 @@
 class BestEffortThrottleTest {
     private static final long CAPACITY_MILLI = 16_000;
     private static final int TARGET_MS = 50;
+    private static final int MAXIMUM_INTERFERENCE_MS = 4_500;
     private static final RunId LATENCY_CRITICAL = run(0);
     private static final RunId HARMFUL = run(1);
     private static final RunId HARMLESS = run(2);
@@ -24,7 +25,7 @@
                     HARMFUL, new TaskTraits("harmful", true, 0, 2_000),
                     HARMLESS, new TaskTraits("harmless", true, 0, 2_000));
 
-    private final BestEffortThrottle mThrottle = new BestEffortThrottle();
+    private final BestEffortThrottle mThrottle = new BestEffortThrottle(MAXIMUM_INTERFERENCE_MS);
 
     private static RunId run(int index) {
         return new RunId(new TaskKey(new JobId("00000000000000aa"), 0, 0, index), 1);
@@ -101,4 +102,40 @@
 
         assertThat(mThrottle.percent("harmful")).isLessThan(5);
     }
+
+    /** Plays misses of just above the target, with a rough measurement below it at times. */
+    private void playMisses(long fromMs, long toMs) {
+        for (long nowMs = fromMs; nowMs <= toMs; nowMs += 100) {
+            update(nowMs % 400 == 0 ? 45 : 53, nowMs);
+        }
+    }
+
+    /**
+     * Replays a miss that is too small for the shares to be lowered far in time, with estimates
+     * that name the wrong image.
+     */
+    @Test
+    void stopsEveryImageWellBeforeBoundOfInterference() {
+        mThrottle.updateWeights(
+                List.of(
+                        new InterferenceWeights.ImageWeight("harmful", 50),
+                        new InterferenceWeights.ImageWeight("harmless", 20_000)));
+
+        playMisses(1_000, 1_000 + MAXIMUM_INTERFERENCE_MS / 2);
+
+        assertThat(mThrottle.percent("harmful")).isZero();
+        assertThat(mThrottle.percent("harmless")).isZero();
+        assertThat(mThrottle.percent("started later")).isZero();
+    }
+
+    @Test
+    void raisesSharesAgainAfterStop() {
+        playMisses(1_000, 1_000 + MAXIMUM_INTERFERENCE_MS / 2);
+        for (long nowMs = 4_000; nowMs < 20_000; nowMs += 500) {
+            update(20, nowMs);
+        }
+
+        assertThat(mThrottle.lowestPercent()).isEqualTo(100);
+        assertThat(mThrottle.percent("started later")).isEqualTo(100);
+    }
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/FakeWorker.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/FakeWorker.java
@@ -26,6 +26,7 @@
     Optional<Long> mLeaseDeadline = Optional.empty();
     final List<Optional<Long>> mAnsweredDeadlines = new ArrayList<>();
     long mAcknowledgedEndNumber;
+    long mHighestOtherToken;
     long mStartedAtMs = 1_000;
     long mClockMs = 50_000;
     ListCompleteness mCompleteness = ListCompleteness.COMPLETE;
@@ -57,7 +58,10 @@
     @Override
     public Single<RunCommandResult> throttle(RunId run, int percent, long fencingToken) {
         mThrottlePercents.add(percent);
-        return Single.just(RunCommandResult.DONE);
+        return Single.just(
+                fencingToken < mHighestOtherToken
+                        ? RunCommandResult.FENCED
+                        : RunCommandResult.DONE);
     }
 
     @Override
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/OvertakenListingTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/OvertakenListingTest.java
@@ -49,7 +49,7 @@
                         }
                     },
                     mScheduler,
-                    SupervisorSettings.of(10_000),
+                    SupervisorSettings.of(10_000, 4_500),
                     100,
                     DecisionLog.NONE);
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
@@ -28,6 +28,7 @@
 import org.hickorycleat.model.message.LeaseExtension;
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.RunRejected;
+import org.hickorycleat.model.message.RunTraits;
 import org.hickorycleat.model.message.StartRun;
 import org.hickorycleat.model.message.StopRun;
 import org.hickorycleat.model.message.WorkerReport;
@@ -55,7 +56,7 @@
                     mWorker,
                     mSent::add,
                     mScheduler,
-                    SupervisorSettings.of(10_000),
+                    SupervisorSettings.of(10_000, 4_500),
                     FIRST_TOKEN,
                     DecisionLog.NONE);
     private long mCommandNumber;
@@ -630,4 +631,39 @@
         assertThat(mWorker.mStarts).isEmpty();
         assertThat(rejections()).hasSize(1);
     }
+
+    private void runBesideMissedTarget(long processorUse) {
+        RunId latencyCritical = new RunId(new TaskKey(new JobId("00000000000000ab"), 0, 0, 0), 1);
+        mSupervisor.onRunTraits(
+                new RunTraits(EPOCH, latencyCritical, new TaskTraits("other", false, 100, 1_000)));
+        mSupervisor.onRunTraits(new RunTraits(EPOCH, RUN, new TaskTraits("image", true, 0, 1_000)));
+        mWorker.mRunning.add(new RunSample(latencyCritical, "", 100, 900));
+        mWorker.mRunning.add(new RunSample(RUN, "", 50, processorUse));
+        mWorker.mThrottlePercents.clear();
+    }
+
+    @Test
+    void throttlesUnderHigherTokenAfterFencedThrottle() {
+        runBesideMissedTarget(0);
+        mWorker.mHighestOtherToken = FIRST_TOKEN + 1;
+        advanceTime(3_000);
+
+        assertThat(mWorker.mThrottlePercents).endsWith(0);
+        assertThat(mWorker.mListTokens).last().isEqualTo(FIRST_TOKEN + 1);
+    }
+
+    /**
+     * Guards against an earlier command that a worker executes after the one that stopped a run.
+     */
+    @Test
+    void stopsRunAgainThatStillUsesProcessors() {
+        runBesideMissedTarget(700);
+        advanceTime(3_000);
+        int sent = mWorker.mThrottlePercents.size();
+        advanceTime(2_000);
+
+        assertThat(mWorker.mThrottlePercents.subList(sent, mWorker.mThrottlePercents.size()))
+                .isNotEmpty()
+                .containsOnly(0);
+    }
 }
