Take no throttled best-effort run for stalled

The stall clock now starts again while a run is throttled to at most a quarter and uses fewer processors than it needs.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunProgress.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunProgress.java
@@ -51,6 +51,11 @@
         mSampledAtMs = nowMs;
     }
 
+    /** Records that the run had too few processors to show progress by the given time. */
+    void onThrottled(long nowMs) {
+        mLastProgressAtMs = nowMs;
+    }
+
     int percent() {
         return mPercent;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedRun.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedRun.java
@@ -8,6 +8,12 @@
     /** Share of the requested processors below which a run counts as slowed down. */
     private static final double SLOWED_SHARE = 0.35;
 
+    /**
+     * Share of a throttled best-effort run, in percent, up to which a lack of progress is no sign
+     * of a faulty worker.
+     */
+    private static final int THROTTLED_PERCENT = 25;
+
     private final RunId mId;
     private final TrackedTask mTask;
     private final TrackedWorker mWorker;
@@ -127,9 +133,16 @@
         long requestedMilli = mTask.specification().resources().processorsMilli();
         if (measurement >= requestedMilli * SLOWED_SHARE) {
             mNotSlowedAtMs = nowMs;
+        } else if (isThrottled()) {
+            mProgress.onThrottled(nowMs);
         }
     }
 
+    private boolean isThrottled() {
+        return mTask.specification().bestEffort()
+                && mWorker.bestEffortPercent() <= THROTTLED_PERCENT;
+    }
+
     /**
      * Returns whether the newest report of the worker lists the run as running; else its state is
      * not known.
