--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedRun.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedRun.java
@@ -8,6 +8,12 @@
     /** Share of the requested processors below which a run counts as slowed down. */
     private static final double SLOWED_SHARE = 0.35;
 
+    /**
+     * Share of a throttled best-effort run, in percent, up to which a lack of progress is no sign
+     * of a faulty worker.
+     */
+    private static final int THROTTLED_PERCENT = 25;
+
     private final RunId mId;
     private final TrackedTask mTask;
     private final TrackedWorker mWorker;
@@ -15,6 +21,7 @@
     private RunPhase mPhase;
     private long mSession;
     private long mCommandNumber;
+    private long mTraitsSession;
     private long mStartSentAtMs;
     private boolean mStopping;
     private final RunProgress mProgress = new RunProgress();
@@ -91,6 +98,19 @@
         return mOwnLoad;
     }
 
+    /**
+     * Returns whether the agent may not know the traits of the run in a session. Each new session
+     * may be one of a restarted agent, which knows only the runs that it starts.
+     */
+    boolean lacksTraitsIn(long session) {
+        return mSession != session && mTraitsSession != session;
+    }
+
+    /** Records that the traits of the run were sent in a session. */
+    void onTraitsSent(long session) {
+        mTraitsSession = session;
+    }
+
     /** Records that the start was sent. */
     void onStartSent(long session, long commandNumber, long nowMs) {
         mPhase = RunPhase.START_SENT;
@@ -113,9 +133,16 @@
         long requestedMilli = mTask.specification().resources().processorsMilli();
         if (measurement >= requestedMilli * SLOWED_SHARE) {
             mNotSlowedAtMs = nowMs;
+        } else if (isThrottled()) {
+            mProgress.onThrottled(nowMs);
         }
     }
 
+    private boolean isThrottled() {
+        return mTask.specification().bestEffort()
+                && mWorker.bestEffortPercent() <= THROTTLED_PERCENT;
+    }
+
     /**
      * Returns whether the newest report of the worker lists the run as running; else its state is
      * not known.
