Add a command that checks a manifest before it is published

Cause: operators learned of an entry that never applies, or of limits that contradict each other, only after publishing; no command showed what differs from the version in force.

Change: hickorycleat check reports all errors, findings of ManifestInspector (never applies, contradiction, stale base) and the changes of ManifestDifference. Findings depend on the time and the version in force, so they are no errors of the manifest. The read of the stream moves from Publisher to HistoryReader, which both commands use.

--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/Main.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/Main.java
@@ -1,7 +1,9 @@
 package org.hickorycleat.cli;
 
+import java.time.Clock;
 import java.util.List;
 import org.hickorycleat.cli.admin.AdminCommands;
+import org.hickorycleat.cli.log.CheckCommand;
 import org.hickorycleat.cli.log.PublishCommand;
 import org.hickorycleat.cli.log.ValidateCommand;
 
@@ -19,6 +21,7 @@
         return List.of(
                 new PublishCommand(),
                 new ValidateCommand(),
+                new CheckCommand(Clock.systemUTC()),
                 AdminCommands.status(),
                 AdminCommands.jobs(),
                 AdminCommands.explain(),
--- a/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/Publisher.java
+++ b/hickorycleat-cli/src/main/java/org/hickorycleat/cli/log/Publisher.java
@@ -20,18 +20,25 @@
  * lost: the record is looked up in the stream, and its first occurrence determines the result.
  */
 final class Publisher {
+    /** Detail of the failure if the version in force cannot be derived from the stream. */
+    static final String VERSION_UNKNOWN =
+            "the stream no longer contains its start or a usable snapshot, so the current version"
+                    + " is unknown; start an entry that has peers, or try again after the next"
+                    + " snapshot";
+
     private static final long INITIAL_RETRY_DELAY_MS = 50;
     private static final long MAXIMUM_RETRY_DELAY_MS = 1_000;
 
     private final LogClient mLog;
+    private final HistoryReader mReader;
     private final RecordId mId;
     private final long mDeadlineNanos;
-    private ConfigurationHistory mHistory = ConfigurationHistory.startingAt(0);
     private Optional<PublicationResult> mResult = Optional.empty();
     private boolean mAppendAttempted;
 
     Publisher(LogClient log, RecordId id, Duration timeout) {
         mLog = log;
+        mReader = new HistoryReader(log);
         mId = id;
         mDeadlineNanos = System.nanoTime() + timeout.toNanos();
     }
@@ -59,7 +66,7 @@
 
     /** Returns the configuration version at the last offset read. */
     ConfigurationVersion currentVersion() {
-        return mHistory.version();
+        return mReader.history().version();
     }
 
     private Optional<Either<CommandFailure, PublicationResult>> attempt(
@@ -68,7 +75,7 @@
         if (mResult.isPresent()) {
             return mResult.map(Either::right);
         }
-        if (!mHistory.isVersionKnown()) {
+        if (!mReader.history().isVersionKnown()) {
             return Optional.of(Either.left(versionUnknown()));
         }
         if (!mAppendAttempted) {
@@ -91,38 +98,33 @@
      */
     private Optional<PublicationResult> resultWithoutAppend(
             byte[] manifest, ConfigurationVersion base) {
-        Optional<AcceptedConfiguration> current = mHistory.current();
+        Optional<AcceptedConfiguration> current = mReader.history().current();
         if (current.isPresent() && Arrays.equals(current.get().bytes(), manifest)) {
-            return Optional.of(new PublicationResult(RecordOutcome.REPEATED, mHistory.version()));
+            return Optional.of(
+                    new PublicationResult(RecordOutcome.REPEATED, mReader.history().version()));
         }
-        if (!base.equals(mHistory.version())) {
-            return Optional.of(new PublicationResult(RecordOutcome.STALE_BASE, mHistory.version()));
+        if (!base.equals(mReader.history().version())) {
+            return Optional.of(
+                    new PublicationResult(RecordOutcome.STALE_BASE, mReader.history().version()));
         }
         return Optional.empty();
     }
 
     private void readToEnd() throws IOException {
-        while (true) {
-            LogReadResult read = mLog.read(mHistory.nextOffset());
-            if (read.isTruncated()) {
-                mHistory = ConfigurationHistory.startingAt(read.firstOffset());
-            } else if (read.records().isEmpty()) {
-                return;
-            }
-            read.records().forEach(this::apply);
-        }
+        mReader.readToEnd(this::recordIfOwn);
     }
 
-    private void apply(LogReadResult.StreamRecord record) {
-        ConfigurationHistory.ApplyResult applyResult =
-                mHistory.apply(record.offset(), record.payload());
-        mHistory = applyResult.history();
+    private void recordIfOwn(
+            LogReadResult.StreamRecord record, ConfigurationHistory.ApplyResult applyResult) {
         boolean isOwn =
                 ConfigurationRecordCodec.decode(record.payload())
                         .filter(decoded -> decoded.id().equals(mId))
                         .isPresent();
         if (isOwn && mResult.isEmpty()) {
-            mResult = Optional.of(new PublicationResult(applyResult.outcome(), mHistory.version()));
+            mResult =
+                    Optional.of(
+                            new PublicationResult(
+                                    applyResult.outcome(), applyResult.history().version()));
         }
     }
 
@@ -138,11 +140,6 @@
 
     private CommandFailure versionUnknown() {
         String effect = mAppendAttempted ? "the manifest may have been published; " : "";
-        return new CommandFailure(
-                ResultCode.NO_CONFIGURATION,
-                effect
-                        + "the stream no longer contains its start or a usable snapshot, so"
-                        + " the current version is unknown; start an entry that has peers, or try"
-                        + " again after the next snapshot");
+        return new CommandFailure(ResultCode.NO_CONFIGURATION, effect + VERSION_UNKNOWN);
     }
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/result/ResultCode.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/result/ResultCode.java
@@ -95,7 +95,10 @@
     /** The requested item does not exist. */
     NOT_FOUND(607, Outcome.NOT_RUN, 404),
     /** An internal error of hickorycleat. */
-    INTERNAL(900, Outcome.UNKNOWN, 500);
+    INTERNAL(900, Outcome.UNKNOWN, 500),
+    // Last, because the position of a constant is its number on the wire.
+    /** The manifest is valid, but parts of it cannot have the effect that they ask for. */
+    DOUBTFUL_MANIFEST(608, Outcome.NOT_RUN, 422);
 
     private final int mNumber;
     private final Outcome mOutcome;
