Keep new work off evacuated availability zones

The operator's records that evacuate a zone were read by no code, so starts there went on. Entries now keep the newest record of each zone; the owner places nothing there, sends no start that was persisted before, and moves long-running tasks within their disruption budget. Cold workers get work in proportion to their remaining time. Measured: unit tests only so far.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -22,6 +22,7 @@
 import org.hickorycleat.logic.directory.JobRecord;
 import org.hickorycleat.logic.dispatch.DispatchSettings;
 import org.hickorycleat.logic.dispatch.Dispatcher;
+import org.hickorycleat.logic.evacuation.EvacuatedZones;
 import org.hickorycleat.logic.port.HttpRequest;
 import org.hickorycleat.logic.port.HttpResponse;
 import org.hickorycleat.logic.port.SingleCallbacks;
@@ -51,12 +52,17 @@
 import org.hickorycleat.model.store.AppendResult;
 import org.hickorycleat.model.store.StoreAppendRequest;
 import org.hickorycleat.model.store.StoreRecord;
+import org.hickorycleat.platform.EvacuationRecordReader;
 import org.hickorycleat.platform.HttpRecordStore;
 import org.hickorycleat.platform.JobRequestHandler;
 import org.hickorycleat.platform.WorkloadConfigurationReader;
 
 /** Runs an entry: accepts jobs from callers, and schedules all jobs while it is the owner. */
-final class EntryRole implements Lifecycle, FleetLinkListener, DurableJobService.Listener {
+final class EntryRole
+        implements Lifecycle,
+                FleetLinkListener,
+                DurableJobService.Listener,
+                TopicConsumer.LoadListener {
     private static final EventLog LOG = EventLog.of(EntryRole.class);
 
     /** Timeout of a store request, in milliseconds; above the response time of a slow store. */
@@ -103,6 +109,7 @@
     private final JobDirectory mDirectory = new JobDirectory();
     private final IncarnationHistory mIncarnationHistory = new IncarnationHistory();
     private final JobAdmission mJobAdmission = new JobAdmission();
+    private final EvacuatedZones mEvacuatedZones = new EvacuatedZones();
     private final WorkloadConfigurationCache mConfiguration;
     private final ConfigurationFetcher mConfigurationFetcher;
     private final ConfigurationCopySender mConfigurationCopySender;
@@ -150,7 +157,7 @@
                 new TopicConsumer(
                         mStore,
                         WorkloadConfigurationReader.TOPIC,
-                        this::onConfigurationRecord,
+                        this::onOperatorRecord,
                         scheduler,
                         CONFIGURATION_LONG_POLL_MS,
                         0);
@@ -193,7 +200,8 @@
     public void start() throws InterruptedException {
         mAdminServer.listen(mSettings.adminAddress(), mMetrics::serve);
         mLinks.start(mSettings.seeds());
-        mConfigurationConsumer.start();
+        mMetrics.registry().gauge("hickorycleat.evacuation.runs", this, EntryRole::evacuatedRuns);
+        mConfigurationConsumer.start(this);
         mJobsConsumer.start();
         announce();
         JobRequestHandler handler = new JobRequestHandler(mJobService, System::currentTimeMillis);
@@ -306,7 +314,7 @@
 
     private void onOwnershipStarted(OwnerRole owner) {
         sendHeartbeat();
-        owner.start(mConfiguration.configuration());
+        owner.start(activeConfiguration(), mEvacuatedZones::zones);
     }
 
     private Optional<OwnerRole> ownerRole() {
@@ -315,14 +323,55 @@
 
     // ---- records
 
-    private void onConfigurationRecord(StoreRecord record) {
+    private void onOperatorRecord(StoreRecord record) {
         if (record.key().equals(WorkloadConfigurationReader.KEY)) {
             mConfiguration.updateIfNewer(record.value(), "store");
         }
+        EvacuationRecordReader.zone(record.key())
+                .filter(
+                        zone ->
+                                mEvacuatedZones.onRecord(
+                                        zone, record.offset(), record.value().length > 0))
+                .ifPresent(zone -> onEvacuationsChanged());
+    }
+
+    @Override
+    public void onLoadStarted() {
+        mEvacuatedZones.onListStarted();
+    }
+
+    @Override
+    public void onLoadEnded(long startOffset) {
+        if (mEvacuatedZones.onListEnded(startOffset)) {
+            onEvacuationsChanged();
+        }
+        activeConfiguration().ifPresent(this::onConfiguration);
+    }
+
+    private void onEvacuationsChanged() {
+        LOG.event("evacuations_changed").with("zones", mEvacuatedZones.zones()).info();
+        ownerRole()
+                .ifPresent(
+                        owner -> owner.dispatcher().onEvacuationsChanged(mEvacuatedZones::zones));
+    }
+
+    private double evacuatedRuns() {
+        return ownerRole().map(owner -> owner.dispatcher().evacuatedRuns()).orElse(0);
     }
 
     private void onConfiguration(WorkloadConfiguration configuration) {
-        ownerRole().ifPresent(owner -> owner.dispatcher().onConfigurationChanged(configuration));
+        if (mConfigurationConsumer.isLoaded()) {
+            ownerRole()
+                    .ifPresent(owner -> owner.dispatcher().onConfigurationChanged(configuration));
+        }
+    }
+
+    // A configuration may come from a peer before it is known which zones are evacuated. An owner
+    // without configuration starts nothing.
+    private Optional<WorkloadConfiguration> activeConfiguration() {
+        return mConfigurationConsumer.isLoaded()
+                ? mConfiguration.configuration()
+                : Optional.empty();
     }
 
     private void onJobRecord(StoreRecord stored) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -7,9 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.logic.directory.DurableJob;
 import org.hickorycleat.logic.directory.IncarnationHistory;
@@ -24,6 +26,7 @@
 import org.hickorycleat.logic.port.SingleCallbacks;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.identifier.ZoneId;
 import org.hickorycleat.model.job.InterferenceEstimate;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobState;
@@ -136,8 +139,14 @@
         return mDispatcher;
     }
 
-    /** Restores all jobs and announces the owner to every agent. */
-    void start(Optional<WorkloadConfiguration> configuration) {
+    /**
+     * Restores all jobs and announces the owner to every agent.
+     *
+     * @param evacuatedZones returns the availability zones that are evacuated now
+     */
+    void start(
+            Optional<WorkloadConfiguration> configuration, Supplier<Set<ZoneId>> evacuatedZones) {
+        mDispatcher.onEvacuationsChanged(evacuatedZones);
         configuration.ifPresent(mDispatcher::onConfigurationChanged);
         mDirectory.queues().forEach(mDispatcher::onQueueAccepting);
         mDispatcher.restoreInterferenceWeights(mDirectory.interferenceWeights());
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/TopicConsumer.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/TopicConsumer.java
@@ -2,6 +2,7 @@
 
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.hickorycleat.daemon.logging.EventLog;
@@ -24,6 +25,19 @@
      */
     private static final long EMPTY_READ_INTERVAL_MS = 250;
 
+    /** Listens to reads of the newest record of each key, at the start and after a truncation. */
+    interface LoadListener {
+        /** Handles the start of a read. */
+        void onLoadStarted();
+
+        /**
+         * Handles the end of a read.
+         *
+         * @param startOffset end offset of the topic when the read started
+         */
+        void onLoadEnded(long startOffset);
+    }
+
     private final RecordStore mStore;
     private final String mTopic;
     private final Consumer<StoreRecord> mSink;
@@ -35,6 +49,7 @@
     private long mNextOffset;
     private long mEndOffset;
     private long mReadAtMs = Long.MIN_VALUE / 2;
+    private Optional<LoadListener> mLoadListener = Optional.empty();
 
     /**
      * Creates a consumer.
@@ -57,6 +72,12 @@
         mPollDelayMs = pollDelayMs;
     }
 
+    /** Starts reading as {@link #start()}, with a listener. */
+    void start(LoadListener listener) {
+        mLoadListener = Optional.of(listener);
+        start();
+    }
+
     /** Starts reading, from the newest record of each key. */
     void start() {
         load("", -1);
@@ -106,6 +127,9 @@
 
     private void load(String afterKey, long firstEndOffset) {
         long startMs = mScheduler.now(TimeUnit.MILLISECONDS);
+        if (firstEndOffset < 0) {
+            mLoadListener.ifPresent(LoadListener::onLoadStarted);
+        }
         SingleCallbacks.subscribe(
                 mStore.read(StoreReadRequest.newest(mTopic, 0, afterKey)),
                 page -> onNewest(page, firstEndOffset, startMs),
@@ -135,6 +159,8 @@
             mReadAtMs = mScheduler.now(TimeUnit.MILLISECONDS);
         }
         LOG.event("topic_loaded").with("topic", mTopic).with("offset", start).info();
+        mLoadListener.ifPresent(
+                listener -> GuardedTask.run(mTopic, () -> listener.onLoadEnded(start)));
         read();
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageCodec.java
@@ -55,7 +55,7 @@
 /** Encodes messages as the content of frames, and decodes it: version, type number, fields. */
 public final class MessageCodec {
     /** Version of the protocol between processes. */
-    public static final int PROTOCOL_VERSION = 1;
+    public static final int PROTOCOL_VERSION = 2;
 
     /** Maximum size of the content of a frame, in bytes. */
     public static final int MAXIMUM_FRAME_BYTES = 1 << 20;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/BacklogEstimator.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/BacklogEstimator.java
@@ -15,7 +15,8 @@
  *
  * <p>Load pattern: a flood of one kind of job far beyond what the workers can run. Only jobs that
  * have a ready task without a worker count, so there is no backlog while every task starts at once.
- * Best-effort tasks and those that reserve processors wait for different room.
+ * Best-effort tasks and those that reserve processors wait for different room. The room of an
+ * evacuated availability zone does not count.
  */
 final class BacklogEstimator {
     private static final int PERCENT = 100;
@@ -56,7 +57,7 @@
         for (TrackedJob job : unfinishedJobs) {
             job.queue().ifPresent(queue -> add(job, queue, workByQueue, nowMs, unixMs));
         }
-        double capacityMilli = capacityMilli(workers);
+        double capacityMilli = capacityMilli(workers, nowMs);
         List<QueueBacklog> backlogs = new ArrayList<>();
         for (QueueWork queue : workByQueue.values()) {
             double waiting = 0;
@@ -80,11 +81,11 @@
         return backlogs;
     }
 
-    private static double capacityMilli(Collection<TrackedWorker> workers) {
+    private static double capacityMilli(Collection<TrackedWorker> workers, long nowMs) {
         double capacity = 0;
         for (TrackedWorker worker : workers) {
-            if (worker.isAvailable()) {
-                capacity += worker.finiteCapacityMilli();
+            if (worker.mayTakeWork()) {
+                capacity += worker.finiteCapacityMilli() * worker.warmShare(nowMs);
             }
         }
         return capacity;
@@ -108,7 +109,7 @@
                                 jobQueue.name(),
                                 name -> new QueueWork(jobQueue, specification.bestEffort()));
                 long processorsMilli = specification.resources().processorsMilli();
-                queue.mDrain += step.activeTasks() * processorsMilli / ratio(jobQueue);
+                queue.mDrain += step.activeTasksTakingTurns() * processorsMilli / ratio(jobQueue);
                 if (waits) {
                     queue.mWaiting +=
                             (double) (step.unfinishedTasks() - step.activeTasks())
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -12,9 +12,11 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.hickorycleat.logic.port.DecisionLog;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
+import org.hickorycleat.model.identifier.ZoneId;
 import org.hickorycleat.model.job.EndCause;
 import org.hickorycleat.model.job.EndedRun;
 import org.hickorycleat.model.job.InterferenceEstimate;
@@ -73,6 +75,7 @@
     private final InterferenceEstimator mInterferenceEstimator = new InterferenceEstimator();
     private final RunMonitor mRunMonitor;
     private final TaskPlacer mPlacer;
+    private final ZoneEvacuator mZoneEvacuator;
     private final RunTimeRatios mRunTimeRatios = new RunTimeRatios();
     private final DispatchOrder mDispatchOrder = new DispatchOrder(mRunTimeRatios);
     private final BacklogEstimator mBacklogEstimator = new BacklogEstimator(mRunTimeRatios);
@@ -122,6 +125,12 @@
                         log);
         mRunMonitor =
                 new RunMonitor(task -> mPlacer.selectWorker(task, nowMs()), this::requestStop, log);
+        mZoneEvacuator =
+                new ZoneEvacuator(
+                        mWorkers.values(),
+                        task -> mPlacer.selectWorker(task, nowMs()),
+                        this::requestStop,
+                        log);
     }
 
     /** Stops placing tasks because the owner is about to hand over. */
@@ -177,6 +186,21 @@
         }
     }
 
+    /**
+     * Handles a change of the availability zones that are evacuated.
+     *
+     * @param zones returns the zones of now, so that of two changes the later one is in force
+     */
+    public synchronized void onEvacuationsChanged(Supplier<Set<ZoneId>> zones) {
+        mZoneEvacuator.onZonesChanged(zones.get());
+        placeAndFlush();
+    }
+
+    /** Returns the number of runs on workers of evacuated availability zones. */
+    public synchronized int evacuatedRuns() {
+        return mZoneEvacuator.remainingRuns();
+    }
+
     /** Restores the interference weights that a previous owner saved. */
     public synchronized void restoreInterferenceWeights(List<InterferenceEstimate> weights) {
         mInterferenceEstimator.restore(weights);
@@ -386,11 +410,12 @@
             return;
         }
         Optional<WorkerIncarnation> before = worker.incarnation();
-        boolean wasAvailable = worker.isAvailable();
+        boolean tookWork = worker.mayTakeWork();
         long leaseExpiredByMs =
                 nowMs() + Math.min(report.leaseRemainingMs(), mSettings.maximumCertainExpiryMs());
         worker.onOwnerAdopted(Math.max(leaseExpiredByMs, nowMs() + mSettings.certainExpiryMs()));
         worker.onReport(report, nowMs());
+        mZoneEvacuator.onReport(worker);
         if (!before.equals(worker.incarnation())) {
             // A new incarnation may have taken a deadline on the clock of the previous one.
             worker.onLeaseExtended(leaseExpiredByMs);
@@ -409,7 +434,7 @@
         sendWeights(worker);
         acknowledgeEnds(worker);
         extendLeaseIfDue(worker, report.number());
-        boolean hasNewRoom = !report.ended().isEmpty() || worker.isAvailable() != wasAvailable;
+        boolean hasNewRoom = !report.ended().isEmpty() || worker.mayTakeWork() != tookWork;
         if (hasNewRoom) {
             placeAndFlush();
         } else {
@@ -681,6 +706,7 @@
             }
             mRunMonitor.check(worker, nowMs());
         }
+        mZoneEvacuator.moveTasks(nowMs());
         saveInterferenceIfDue();
         publishBacklogsIfDue();
         logStatusIfDue();
@@ -703,6 +729,7 @@
                 TimeUnit.NANOSECONDS.toMillis(mPlacementNanos),
                 "interval_ms",
                 nowMs() - mStatusLoggedAtMs);
+        mZoneEvacuator.logStatus();
         mStatusLoggedAtMs = nowMs();
         mPlacementNanos = 0;
     }
@@ -789,8 +816,17 @@
         if (!current) {
             return;
         }
+        if (mZoneEvacuator.isInEvacuatedGang(run)) {
+            // The others could not make progress without the members that are not started.
+            run.task().step().tasks().stream()
+                    .flatMap(task -> task.run().stream())
+                    .filter(member -> member.phase() == RunPhase.PERSISTING)
+                    .toList()
+                    .forEach(member -> declareLost(member, "gang_in_evacuated_zone"));
+            return;
+        }
         boolean sendable =
-                worker.isAvailable()
+                worker.mayTakeWork()
                         && worker.incarnation().equals(Optional.of(run.incarnation()))
                         && !run.isStopping();
         TrackedTask task = run.task();
@@ -873,6 +909,8 @@
                             + worker.agent()
                             + " available="
                             + worker.isAvailable()
+                            + " evacuated="
+                            + worker.isEvacuated()
                             + " runs="
                             + worker.runs().size()
                             + " free_milli="
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RoomLimits.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RoomLimits.java
@@ -4,7 +4,8 @@
 import org.hickorycleat.model.job.StepSpecification;
 
 /**
- * Largest free and idle processors of any available worker at the start of a placement round.
+ * Largest free and idle processors of any worker that may take work, at the start of a placement
+ * round.
  *
  * <p>Load pattern: an overload in which most ready steps fit nowhere. Room only shrinks during a
  * round, so such a step needs no look at each worker.
@@ -17,7 +18,7 @@
         long free = Long.MIN_VALUE;
         long idle = Long.MIN_VALUE;
         for (TrackedWorker worker : workers) {
-            if (worker.isAvailable()) {
+            if (worker.mayTakeWork()) {
                 free = Math.max(free, worker.freeProcessorsMilli());
                 idle = Math.max(idle, worker.idleProcessorsMilli());
             }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedStep.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedStep.java
@@ -101,6 +101,15 @@
         return mActiveTaskCount;
     }
 
+    /** Returns the number of active tasks whose room another task may get when they end. */
+    int activeTasksTakingTurns() {
+        int evacuated = 0;
+        for (Map.Entry<TrackedWorker, Integer> active : mActiveTasks.entrySet()) {
+            evacuated += active.getKey().isEvacuated() ? active.getValue() : 0;
+        }
+        return mActiveTaskCount - evacuated;
+    }
+
     boolean hasRuns() {
         return !mActiveTasks.isEmpty();
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedWorker.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedWorker.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.hickorycleat.logic.evacuation.WarmUp;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.StepSpecification;
@@ -36,12 +37,14 @@
 
     private final ProcessId mAgent;
     private final WorkerHealth mHealth = new WorkerHealth();
+    private final WarmUp mWarmUp = new WarmUp();
     private final Map<RunId, TrackedRun> mRuns = new LinkedHashMap<>();
     private Optional<WorkerDescription> mDescription = Optional.empty();
     private Optional<WorkerIncarnation> mIncarnation = Optional.empty();
     private boolean mConnected;
     private boolean mReachable;
     private boolean mOwnerAdopted;
+    private boolean mEvacuated;
     private long mSession;
     private long mLastCommandNumber;
     private long mReportNumber;
@@ -138,10 +141,40 @@
             mLastEndNumber = 0;
             mAcknowledgedEndNumber = 0;
             mHealth.reset();
+            mWarmUp.reset();
         }
+        mDescription.ifPresent(
+                known -> mWarmUp.onDescribed(known.sequence(), known.coldRemainingMs(), nowMs));
     }
 
-    /** Returns whether tasks can be started on the worker. */
+    /** Returns whether tasks may be placed on the worker: it is available and not evacuated. */
+    boolean mayTakeWork() {
+        return !mEvacuated && isAvailable();
+    }
+
+    boolean isEvacuated() {
+        return mEvacuated;
+    }
+
+    void setEvacuated(boolean evacuated) {
+        mEvacuated = evacuated;
+    }
+
+    /** Returns whether a task fits into the share of a worker that is still cold. */
+    boolean isWarmEnoughFor(StepSpecification step, long nowMs) {
+        return mWarmUp.mayTake(
+                mProcessorUse / FULL_PERCENT,
+                step.resources().processorsMilli(),
+                capacity().processorsMilli(),
+                nowMs);
+    }
+
+    /** Returns the share of its processors for which the worker gets work now, up to 1. */
+    double warmShare(long nowMs) {
+        return mWarmUp.share(nowMs);
+    }
+
+    /** Returns whether the worker is connected, responds, and is not draining. */
     boolean isAvailable() {
         return mConnected
                 && mReachable
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerSelector.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerSelector.java
@@ -102,7 +102,7 @@
     private boolean isEligible(
             TrackedTask task, TrackedWorker worker, Optional<WorkerPool> pool, long nowMs) {
         StepSpecification step = task.specification();
-        if (!worker.isAvailable() || pool.isEmpty() || isReportOverdue(worker, nowMs)) {
+        if (!worker.mayTakeWork() || pool.isEmpty() || isReportOverdue(worker, nowMs)) {
             return false;
         }
         if (!worker.description().orElseThrow().service().equals(pool.get().service())) {
@@ -114,6 +114,9 @@
         if (!worker.hasFreeResources(step.reservation())) {
             return false;
         }
+        if (!worker.isWarmEnoughFor(step, nowMs)) {
+            return false;
+        }
         if (step.maximumPerWorker() > 0
                 && task.step().activeTasksOn(worker) >= step.maximumPerWorker()) {
             return false;
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
@@ -2,7 +2,9 @@
 
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.logic.port.DecisionLog;
@@ -10,6 +12,7 @@
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.identifier.ServiceName;
 import org.hickorycleat.model.identifier.WorkerId;
+import org.hickorycleat.model.identifier.ZoneId;
 import org.hickorycleat.model.job.EndedRun;
 import org.hickorycleat.model.job.InterferenceEstimate;
 import org.hickorycleat.model.job.JobId;
@@ -56,11 +59,13 @@
     final List<JobProgress> mPersisted = new ArrayList<>();
     final List<InterferenceEstimate> mSavedWeights = new ArrayList<>();
     final List<Runnable> mWaitingCallbacks = new ArrayList<>();
-    final Dispatcher mDispatcher;
+    Dispatcher mDispatcher;
     boolean mStoreBlocked;
     ListCompleteness mCompleteness = ListCompleteness.COMPLETE;
     boolean mMayExtendLeases = true;
     long mLeaseRemainingMs;
+    long mColdRemainingMs;
+    final Map<Integer, ZoneId> mZoneOfAgent = new HashMap<>();
     private long mReportNumber;
 
     DispatchFixture() {
@@ -210,7 +215,9 @@
                         List.of("a", "r1-" + number),
                         false,
                         0,
-                        1);
+                        1,
+                        Optional.ofNullable(mZoneOfAgent.get(number)),
+                        mColdRemainingMs);
         mDispatcher.onWorkerReport(
                 agent(number),
                 new WorkerReport(
