--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleFailureTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleFailureTest.java
@@ -12,6 +12,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.daemon.transport.MessageTransport;
 import org.hickorycleat.daemon.transport.TransportMetrics;
@@ -143,7 +144,7 @@
         Throwable thrown =
                 catchThrowable(
                         () -> {
-                            owner.start(Optional.empty());
+                            owner.start(Optional.empty(), Set::of);
                             mScheduler.advanceTimeBy(20, TimeUnit.SECONDS);
                         });
 
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/WorkerStandIn.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/WorkerStandIn.java
@@ -67,7 +67,7 @@
     }
 
     synchronized String heartbeat(long sequence) {
-        return "{\"service\":\"booking\",\"state\":\"ready\",\"seq\":"
+        return "{\"service\":\"booking\",\"zone\":\"north\",\"state\":\"ready\",\"seq\":"
                 + sequence
                 + ",\"born\":"
                 + mStartedAtMs
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/ZoneEvacuator.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/ZoneEvacuator.java
@@ -11,15 +11,13 @@
 import org.hickorycleat.logic.evacuation.MovePolicy;
 import org.hickorycleat.logic.port.DecisionLog;
 import org.hickorycleat.model.identifier.ZoneId;
+import org.hickorycleat.model.job.StepSpecification;
 import org.hickorycleat.model.job.TaskStatus;
 
 /** Keeps new work off the workers of evacuated availability zones and moves tasks out of them. */
 final class ZoneEvacuator {
-    /**
-     * Time for which a task must have been listed before another task of its step is moved, in
-     * milliseconds; a task that has just started may still be restoring its checkpoint.
-     */
-    private static final long SETTLE_MS = 1_000;
+    /** Progress that a long-running task shows while it is working, in percent. */
+    private static final int WORKING_PERCENT = 100;
 
     private final Collection<TrackedWorker> mWorkers;
     private final Function<TrackedTask, Optional<TrackedWorker>> mSelector;
@@ -126,7 +124,7 @@
             }
             for (TrackedRun run : worker.runs()) {
                 // All tasks of a step have the same budget and need the same room.
-                if (isMovable(run, nowMs) && examined.add(run.task().step()) && move(run, nowMs)) {
+                if (isMovable(run, nowMs) && examined.add(run.task().step()) && move(run)) {
                     return;
                 }
             }
@@ -134,11 +132,9 @@
     }
 
     private static boolean hasArrived(TrackedTask task) {
-        boolean atWork =
-                task.run()
-                        .filter(run -> run.phase() == RunPhase.RUNNING && !run.isStopping())
-                        .isPresent();
-        return atWork || task.status() == TaskStatus.DONE || task.step().job().state().isFinal();
+        return isAtWork(task)
+                || task.status() == TaskStatus.DONE
+                || task.step().job().state().isFinal();
     }
 
     private static boolean isMovable(TrackedRun run, long nowMs) {
@@ -150,9 +146,9 @@
                         task.specification(), run.progress().remainingMs(nowMs));
     }
 
-    private boolean move(TrackedRun run, long nowMs) {
+    private boolean move(TrackedRun run) {
         TrackedTask task = run.task();
-        if (!isWithinBudget(task, nowMs)) {
+        if (!isWithinBudget(task)) {
             return false;
         }
         Optional<TrackedWorker> destination = mSelector.apply(task);
@@ -165,26 +161,27 @@
         return true;
     }
 
-    private boolean isWithinBudget(TrackedTask task, long nowMs) {
+    private boolean isWithinBudget(TrackedTask task) {
         long moving = mMoves.keySet().stream().filter(other -> other.step() == task.step()).count();
         long unavailable =
                 task.step().tasks().stream()
-                        .filter(other -> other != task && !isSettled(other, nowMs))
+                        .filter(other -> other != task && !isAtWork(other))
                         .count();
         return MovePolicy.isWithinBudget(task.specification(), (int) moving, (int) unavailable);
     }
 
-    private static boolean isSettled(TrackedTask task, long nowMs) {
-        return task.run().filter(run -> isSettled(run, nowMs)).isPresent();
+    private static boolean isAtWork(TrackedTask task) {
+        return task.run().filter(ZoneEvacuator::isAtWork).isPresent();
     }
 
-    private static boolean isSettled(TrackedRun run, long nowMs) {
-        boolean paused =
-                run.task().specification().bestEffort() && run.worker().bestEffortPercent() == 0;
+    private static boolean isAtWork(TrackedRun run) {
+        StepSpecification step = run.task().specification();
+        boolean paused = step.bestEffort() && run.worker().bestEffortPercent() == 0;
+        boolean starting = step.longRunning() && run.progress().percent() < WORKING_PERCENT;
         return run.isListed()
                 && !run.isStopping()
                 && !paused
-                && run.worker().isAvailable()
-                && nowMs - run.progress().firstSampleAtMs() >= SETTLE_MS;
+                && !starting
+                && run.worker().isAvailable();
     }
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/ZoneEvacuationTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/ZoneEvacuationTest.java
@@ -35,6 +35,7 @@
     private final long[] mSessions = new long[WORKERS + 1];
     private final Set<RunId> mEnded = new HashSet<>();
     private long mStartedAtMs = 1;
+    private int mPercent = 100;
     private long mEndNumber;
 
     @BeforeEach
@@ -119,7 +120,7 @@
                 if (stopped.contains(run) && mEnded.add(run)) {
                     ended.add(new EndedRun(++mEndNumber, run, EndCause.STOPPED, "checkpoint"));
                 } else if (!mEnded.contains(run)) {
-                    running.add(new RunSample(run, "checkpoint", 50, 900));
+                    running.add(new RunSample(run, "checkpoint", mPercent, 900));
                 }
             }
             mFixture.report(i, mSessions[i], mStartedAtMs, commands, running, ended);
@@ -282,6 +283,21 @@
         assertThat(mFixture.mStops).isEmpty();
     }
 
+    /** Guards against a move while another task of the step still restores its checkpoint. */
+    @Test
+    void movesNoTaskWhileOthersAreNotAtWork() {
+        mFixture.submit("00000000000000aa", longRunningStep(8, 4_000, 1));
+        mPercent = 0;
+        play(2_000);
+        evacuate(NORTH);
+        play(2_000);
+        assertThat(mFixture.mStops).isEmpty();
+        mPercent = 100;
+        play(1_000);
+
+        assertThat(mFixture.mStops).isNotEmpty();
+    }
+
     /** Guards against tasks that are stopped without room elsewhere. */
     @Test
     void movesOnlyAsManyTasksAsFindRoom() {
