Don't limit the work of warm workers by their processors

The share of a warm worker is 1, so best-effort tasks were kept off workers whose processors were requested in full.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/evacuation/WarmUp.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/evacuation/WarmUp.java
@@ -47,8 +47,13 @@
         return 1 - remaining * (1 - INITIAL_SHARE);
     }
 
-    /** Returns whether the worker may get another task; one at a time always may. */
+    /**
+     * Returns whether the worker may get another task as far as its share goes; one at a time always
+     * may. A warm worker has no limit here, since best-effort tasks may request more than it has.
+     */
     public boolean mayTake(long usedMilli, long requestedMilli, long capacityMilli, long nowMs) {
-        return usedMilli == 0 || usedMilli + requestedMilli <= share(nowMs) * capacityMilli;
+        return nowMs >= mWarmAtMs
+                || usedMilli == 0
+                || usedMilli + requestedMilli <= share(nowMs) * capacityMilli;
     }
 }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/evacuation/WarmUpTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/evacuation/WarmUpTest.java
@@ -14,6 +14,14 @@
         assertThat(mWarmUp.share(100)).isEqualTo(1);
     }
 
+    /** Guards against a limit for best-effort tasks, which request more than a worker has. */
+    @Test
+    void letsWarmWorkerTakeMoreThanItsProcessors() {
+        mWarmUp.onDescribed(1, 0, 100);
+
+        assertThat(mWarmUp.mayTake(16_000, 4_000, 16_000, 100)).isTrue();
+    }
+
     @Test
     void growsShareUntilWorkerIsWarm() {
         mWarmUp.onDescribed(1, 8_000, 100);
