--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -20,6 +20,7 @@
 import org.hickorycleat.logic.directory.IncarnationHistory;
 import org.hickorycleat.logic.directory.JobDirectory;
 import org.hickorycleat.logic.directory.JobRecord;
+import org.hickorycleat.logic.directory.PastJobRemover;
 import org.hickorycleat.logic.dispatch.DispatchSettings;
 import org.hickorycleat.logic.dispatch.Dispatcher;
 import org.hickorycleat.logic.port.HttpRequest;
@@ -100,7 +101,7 @@
     private final RelayingRecordStore mStore;
     private final EntryListReader mEntryListReader;
     private final JobLogCodec mCodec = new JobLogCodec();
-    private final JobDirectory mDirectory = new JobDirectory();
+    private final JobDirectory mDirectory;
     private final IncarnationHistory mIncarnationHistory = new IncarnationHistory();
     private final JobAdmission mJobAdmission = new JobAdmission();
     private final WorkloadConfigurationCache mConfiguration;
@@ -130,6 +131,7 @@
         mSettings = settings;
         mSelf = self;
         mScheduler = scheduler;
+        mDirectory = new JobDirectory(this::nowMs);
         mTransport = transport;
         mLinks = new FleetLinks(transport, self, this, scheduler);
         HttpRecordStore directStore =
@@ -162,6 +164,7 @@
                         scheduler,
                         JOBS_LONG_POLL_MS,
                         JOBS_POLL_DELAY_MS);
+        mJobsConsumer.setReloadListener(mDirectory::onReloadStarted, mDirectory::onReloaded);
         mJobService =
                 new DurableJobService(
                         mStore,
@@ -240,10 +243,17 @@
         GuardedTask.run(
                 "reopen_links", () -> mLinks.reopenSilentLinks(ProcessRole.ENTRY, SILENT_ENTRY_MS));
         GuardedTask.run("read_entries", this::readEntriesIfDue);
+        GuardedTask.run("end_final_jobs", this::endFinalJobs);
         GuardedTask.run("check_ownership", mOwnership::check);
         mScheduler.scheduleDirect(this::tick, HEARTBEAT_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
+    private void endFinalJobs() {
+        if (mJobsConsumer.isLoaded()) {
+            mDirectory.endFinalJobs();
+        }
+    }
+
     private void readEntriesIfDue() {
         if (nowMs() - mEntriesReadAtMs > ENTRIES_INTERVAL_MS) {
             mEntriesReadAtMs = nowMs();
@@ -299,6 +309,7 @@
                 mScheduler,
                 DispatchSettings.of(mSettings.maximumLeaseMs(), previousOwnerLeaseMs),
                 mSettings.maximumRecordBytes(),
+                new PastJobRemover(mDirectory, mSettings.statusRetentionMs()),
                 mMetrics.decisionLog(Dispatcher.class),
                 backlogs -> mJobAdmission.onBacklogs(backlogs, nowMs()),
                 mOwnership::stopOwner);
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobLogCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobLogCodec.java
@@ -7,6 +7,7 @@
 import org.hickorycleat.daemon.transport.RecordCodec;
 import org.hickorycleat.logic.directory.JobRecord;
 import org.hickorycleat.logic.election.EpochGenerator;
+import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.TaskProgress;
 import org.hickorycleat.model.message.FleetNode;
 import org.hickorycleat.model.store.StoreRecord;
@@ -31,12 +32,40 @@
     private static final String OWNER_KEY = "owner";
     private static final String INTERFERENCE_KEY = "interference";
 
+    private static final byte[] NO_VALUE = {};
+
     private final RecordCodec mRecords = new RecordCodec();
 
     StoreRecord encode(JobRecord record) {
+        if (record instanceof JobRecord.Removed removed) {
+            return new StoreRecord(0, key(removed), NO_VALUE);
+        }
         return toStoreRecord(key(record), record);
     }
 
+    private static String key(JobRecord.Removed removed) {
+        return switch (removed.kind()) {
+            case SUBMISSION -> SUBMITTED_KEY_PREFIX + removed.job();
+            case CANCELLATION -> CANCELLED_KEY_PREFIX + removed.job();
+            case PROGRESS -> PROGRESS_KEY_PREFIX + removed.job();
+            case PROGRESS_PART -> PROGRESS_PART_KEY_PREFIX + removed.job() + "/" + removed.part();
+        };
+    }
+
+    // The directory needs the removals of submissions and of first parts of progress only.
+    private static Optional<JobRecord> decodeRemoval(String key) {
+        String job = key.substring(Math.min(key.length(), SUBMITTED_KEY_PREFIX.length()));
+        if (job.isBlank()) {
+            return Optional.empty();
+        }
+        if (key.startsWith(SUBMITTED_KEY_PREFIX)) {
+            return Optional.of(new JobRecord.Removed(JobRecord.Kind.SUBMISSION, new JobId(job), 0));
+        }
+        return key.startsWith(PROGRESS_KEY_PREFIX)
+                ? Optional.of(new JobRecord.Removed(JobRecord.Kind.PROGRESS, new JobId(job), 0))
+                : Optional.empty();
+    }
+
     private static String key(JobRecord record) {
         if (record instanceof JobRecord.Submitted submitted) {
             return SUBMITTED_KEY_PREFIX + submitted.submission().id();
@@ -57,12 +86,12 @@
     }
 
     /**
-     * Decodes a record; returns empty if its key is unknown, or its value is unreadable or out of
-     * range.
+     * Decodes a record, or the removal of one; returns empty if its key is unknown, or its value is
+     * unreadable or out of range.
      */
     Optional<JobRecord> decode(StoreRecord record) {
         if (record.value().length == 0) {
-            return Optional.empty();
+            return decodeRemoval(record.key());
         }
         return decodeValue(record).filter(decoded -> isValid(record, decoded));
     }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobOwnership.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobOwnership.java
@@ -169,6 +169,8 @@
                 .with("heard_ms", mElection.ownerHeartbeatAgeMs(nowMs()))
                 .with("scheduling", ownerRole().isPresent())
                 .with("jobs_loaded", mJobsConsumer.isLoaded())
+                .with("jobs", mDirectory.jobCount())
+                .with("past_jobs", mDirectory.pastJobCount())
                 .with("store_reachable", mStore.isDirectlyReachable())
                 .info();
     }
@@ -264,7 +266,7 @@
         int previousOwnerLeaseMs = mSuccession.previousOwnerLeaseMs();
         LOG.event("owner_started")
                 .with("epoch", epoch)
-                .with("jobs", mDirectory.jobs().size())
+                .with("jobs", mDirectory.jobCount())
                 .with("previous_owner_lease_ms", previousOwnerLeaseMs)
                 .info();
         OwnerRole owner = mOwnerFactory.create(epoch, previousOwnerLeaseMs);
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -15,6 +15,7 @@
 import org.hickorycleat.logic.directory.IncarnationHistory;
 import org.hickorycleat.logic.directory.JobDirectory;
 import org.hickorycleat.logic.directory.JobRecord;
+import org.hickorycleat.logic.directory.PastJobRemover;
 import org.hickorycleat.logic.directory.ProgressPartitioner;
 import org.hickorycleat.logic.dispatch.DispatchOutput;
 import org.hickorycleat.logic.dispatch.DispatchSettings;
@@ -25,6 +26,7 @@
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.job.InterferenceEstimate;
+import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobState;
 import org.hickorycleat.model.job.JobStatus;
@@ -85,6 +87,7 @@
     private final Runnable mOnEnded;
     private final Dispatcher mDispatcher;
     private final ProgressPartitioner mPartitioner;
+    private final PastJobRemover mPastJobRemover;
     private final LeaseAuthority mLeaseAuthority;
     private final Map<ProcessId, Long> mAnnouncedAtMs = new ConcurrentHashMap<>();
     private long mSequence;
@@ -103,6 +106,7 @@
             Scheduler scheduler,
             DispatchSettings settings,
             int maximumRecordBytes,
+            PastJobRemover pastJobRemover,
             DecisionLog log,
             Consumer<QueueBacklogs> onBacklogs,
             Runnable onEnded) {
@@ -116,6 +120,7 @@
         mScheduler = scheduler;
         mOnBacklogs = onBacklogs;
         mOnEnded = onEnded;
+        mPastJobRemover = pastJobRemover;
         mPartitioner = new ProgressPartitioner(maximumRecordBytes);
         mLeaseAuthority =
                 new LeaseAuthority(
@@ -178,7 +183,7 @@
         if (mStopped) {
             return;
         }
-        boolean succeeded = runOrEnd(mDispatcher::tick);
+        boolean succeeded = runOrEnd(mDispatcher::tick) && runOrEnd(this::removePastJobsIfOverdue);
         // An agent reports when it learns of the owner, so one that does not has not heard of it.
         mAnnouncedAtMs.forEach(
                 (agent, announcedAtMs) ->
@@ -188,6 +193,12 @@
         }
     }
 
+    private void removePastJobsIfOverdue() {
+        if (mPastJobRemover.isOverdue(mScheduler.now(TimeUnit.MILLISECONDS))) {
+            mDispatcher.persistWithoutProgress();
+        }
+    }
+
     // Ends the role asynchronously, because the caller may hold the lock of the dispatcher.
     private boolean runOrEnd(Runnable task) {
         try {
@@ -239,9 +250,26 @@
                 records.add(mCodec.encode(part));
             }
         }
+        records.addAll(removals(MAXIMUM_BATCH_RECORDS - records.size()));
         appendRecords(records, onDurable);
     }
 
+    private List<StoreRecord> removals(int maximumRecords) {
+        long nowMs = mScheduler.now(TimeUnit.MILLISECONDS);
+        List<StoreRecord> removals =
+                mPastJobRemover.takeDue(nowMs, maximumRecords).stream()
+                        .map(mCodec::encode)
+                        .toList();
+        if (!removals.isEmpty()) {
+            LOG.event("past_jobs_removed")
+                    .with("records", removals.size())
+                    .with("past_jobs", mDirectory.pastJobCount())
+                    .with("tombstones", mDirectory.tombstoneCount())
+                    .info();
+        }
+        return removals;
+    }
+
     private void appendRecords(List<StoreRecord> records, Runnable onDurable) {
         if (records.isEmpty()) {
             onDurable.run();
@@ -375,6 +403,11 @@
                 .warn();
     }
 
+    @Override
+    public boolean isPast(JobId job) {
+        return mDirectory.isPast(job);
+    }
+
     @Override
     public void publishJobStates(List<JobStatus> states) {
         if (mStopped) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/TopicConsumer.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/TopicConsumer.java
@@ -30,6 +30,8 @@
     private final Scheduler mScheduler;
     private final int mLongPollMs;
     private final long mPollDelayMs;
+    private Runnable mOnReloadStarted = () -> {};
+    private Runnable mOnReloaded = () -> {};
     private boolean mLoaded;
     private boolean mFailing;
     private long mNextOffset;
@@ -57,6 +59,15 @@
         mPollDelayMs = pollDelayMs;
     }
 
+    /**
+     * Sets what is called before and after the newest records are read again because the store has
+     * deleted records that were not read yet. Removals of keys may be among these.
+     */
+    void setReloadListener(Runnable onReloadStarted, Runnable onReloaded) {
+        mOnReloadStarted = onReloadStarted;
+        mOnReloaded = onReloaded;
+    }
+
     /** Starts reading, from the newest record of each key. */
     void start() {
         load("", -1);
@@ -128,6 +139,9 @@
             load(page.records().get(page.records().size() - 1).key(), start);
             return;
         }
+        if (isLoaded()) {
+            GuardedTask.run(mTopic, mOnReloaded);
+        }
         synchronized (this) {
             mLoaded = true;
             mNextOffset = start;
@@ -151,6 +165,7 @@
         onReadSucceeded();
         if (page.truncated()) {
             LOG.event("topic_truncated").with("topic", mTopic).with("offset", nextOffset()).info();
+            GuardedTask.run(mTopic, mOnReloadStarted);
             load("", -1);
             return;
         }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/StoreStandIn.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/StoreStandIn.java
@@ -181,7 +181,11 @@
         SortedMap<String, StoreRecord> newest = new TreeMap<>();
         for (int offset = 0; offset < records.size(); offset++) {
             StoreRecord record = record(records.get(offset), offset);
-            newest.put(record.key(), record);
+            if (record.value().length == 0) {
+                newest.remove(record.key());
+            } else {
+                newest.put(record.key(), record);
+            }
         }
         String after = URLDecoder.decode(query.getOrDefault("after", ""), StandardCharsets.UTF_8);
         StringBuilder items = new StringBuilder();
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/DurableJob.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/DurableJob.java
@@ -11,6 +11,7 @@
 import org.hickorycleat.model.job.JobSubmission;
 import org.hickorycleat.model.job.TaskKey;
 import org.hickorycleat.model.job.TaskProgress;
+import org.hickorycleat.model.job.TaskStatus;
 
 /** Durable state of one job as known to an entry. */
 public final class DurableJob {
@@ -48,6 +49,35 @@
         return Optional.of(new JobProgress(mId, mState, List.copyOf(tasks.values())));
     }
 
+    /**
+     * Returns whether the log has a final state of the job and none of its tasks may be on a
+     * worker.
+     */
+    boolean hasEnded() {
+        JobProgress first = mProgressParts.get(0);
+        return first != null
+                && first.state().isFinal()
+                && mProgressParts.values().stream()
+                        .flatMap(part -> part.tasks().stream())
+                        .noneMatch(task -> task.status() == TaskStatus.ACTIVE);
+    }
+
+    /** Returns whether the job was published with a final state, or the log has one. */
+    boolean hasFinalState() {
+        return mState.isFinal();
+    }
+
+    /** Returns whether the progress of all tasks fits into one part. */
+    boolean hasOnePart() {
+        return mSubmission.isEmpty()
+                || mSubmission.get().taskCount() <= ProgressPartitioner.TASKS_PER_PART;
+    }
+
+    PastJob toPastJob(long nowMs) {
+        int lastPart = mProgressParts.keySet().stream().mapToInt(part -> part).max().orElse(0);
+        return new PastJob(mState, mSubmission.isPresent(), mCancelled, lastPart, nowMs);
+    }
+
     /** Returns whether a cancellation of the job is durable. */
     public boolean isCancelled() {
         return mCancelled;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobRecord.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/directory/JobRecord.java
@@ -30,6 +30,26 @@
      */
     record ProgressedPart(int part, JobProgress progress) implements JobRecord {}
 
+    /**
+     * Removal of a record of a past job, written by the owner. With the removal of its first part
+     * of progress, the job is forgotten.
+     *
+     * @param part number of the part of its progress; otherwise 0
+     */
+    record Removed(Kind kind, JobId job, int part) implements JobRecord {}
+
+    /** Kinds of records that are removed. */
+    enum Kind {
+        /** Submission. */
+        SUBMISSION,
+        /** Cancellation. */
+        CANCELLATION,
+        /** First part of the progress, with the state of the job. */
+        PROGRESS,
+        /** Further part of the progress. */
+        PROGRESS_PART
+    }
+
     /** Ownership claim of an entry; the claim with the highest epoch is valid. */
     record Claimed(FleetNode owner, Epoch epoch) implements JobRecord {}
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOutput.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOutput.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.job.InterferenceEstimate;
+import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.JobProgress;
 import org.hickorycleat.model.job.JobStatus;
 import org.hickorycleat.model.job.QueueBacklog;
@@ -23,6 +24,9 @@
      */
     void persistProgress(List<JobProgress> progress, Runnable onDurable);
 
+    /** Returns whether a final state of a job is durable, so that the job must not start. */
+    boolean isPast(JobId job);
+
     /** Publishes the durable states of jobs to all entries. */
     void publishJobStates(List<JobStatus> states);
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -85,6 +85,7 @@
     private final Set<TrackedJob> mUnsavedJobs = new LinkedHashSet<>();
     private final List<Runnable> mActionsAfterDurable = new ArrayList<>();
     private final Set<TrackedJob> mUnpublishedJobs = new LinkedHashSet<>();
+    private final EndedJobs mEndedJobs = new EndedJobs();
     private final QueueCatalog mQueues = new QueueCatalog();
     private boolean mPersisting;
     private boolean mPlacementStopped;
@@ -266,7 +267,7 @@
 
     /** Handles the submission of a job that is durable. */
     public synchronized void onJobSubmitted(JobSubmission submission) {
-        if (mJobs.containsKey(submission.id())) {
+        if (mJobs.containsKey(submission.id()) || mOutput.isPast(submission.id())) {
             return;
         }
         TrackedJob job = new TrackedJob(submission, mQueues.find(submission.queue()));
@@ -288,6 +289,9 @@
 
     /** Handles the cancellation of a job that is durable. */
     public synchronized void onJobCancelled(JobId id) {
+        if (!mJobs.containsKey(id) && mOutput.isPast(id)) {
+            return;
+        }
         mCancelledJobs.add(id);
         TrackedJob job = mJobs.get(id);
         if (job != null) {
@@ -317,6 +321,7 @@
         job.onStateChanged(state);
         if (state.isFinal()) {
             mUnfinishedJobs.remove(job);
+            mEndedJobs.onFinal(job);
         }
     }
 
@@ -818,10 +823,13 @@
     private void flush() {
         if (mPersisting || (mUnsavedJobs.isEmpty() && mActionsAfterDurable.isEmpty())) {
             publish(mPersisting ? List.of() : takeDurableStates());
+            forgetEndedJobs();
             return;
         }
         List<JobProgress> progress = new ArrayList<>();
         List<JobStatus> states = takeDurableStates();
+        // A run that outlives the end of its job has no progress to store.
+        mUnsavedJobs.removeIf(job -> mJobs.get(job.id()) != job);
         for (TrackedJob job : mUnsavedJobs) {
             progress.add(job.progress());
             if (job.takeUnpublishedState()) {
@@ -844,9 +852,36 @@
         mPersisting = false;
         actions.forEach(Runnable::run);
         publish(states);
+        forgetEndedJobs();
         placeAndFlush();
     }
 
+    /** Persists records of its output that no progress takes along; does nothing while it waits. */
+    public synchronized void persistWithoutProgress() {
+        if (!mPersisting) {
+            mPersisting = true;
+            mOutput.persistProgress(List.of(), () -> onDurable(List.of(), List.of()));
+        }
+    }
+
+    private void forgetEndedJobs() {
+        if (mPersisting) {
+            return;
+        }
+        List<TrackedJob> ended =
+                mEndedJobs.takeEnded(
+                        job -> !mUnsavedJobs.contains(job) && !mUnpublishedJobs.contains(job));
+        for (TrackedJob job : ended) {
+            mJobs.remove(job.id());
+            mCancelledJobs.remove(job.id());
+        }
+    }
+
+    /** Returns the number of jobs that the owner keeps. */
+    public synchronized int jobCount() {
+        return mJobs.size();
+    }
+
     private List<JobStatus> takeDurableStates() {
         List<JobStatus> states = new ArrayList<>();
         for (TrackedJob job : mUnpublishedJobs) {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
@@ -138,6 +138,12 @@
         }
     }
 
+    @Override
+    public boolean isPast(JobId job) {
+        return mPublished.stream()
+                .anyMatch(status -> status.id().equals(job) && status.state().isFinal());
+    }
+
     @Override
     public void saveInterferenceWeights(List<InterferenceEstimate> weights) {
         mSavedWeights.addAll(weights);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/FleetFaultsPropertyTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/FleetFaultsPropertyTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.LongStream;
@@ -28,6 +29,7 @@
     private static final int CALM_MS = 45_000;
     private static final int MAXIMUM_FAULT_INTERVAL_MS = 1_500;
     private static final int SUBMISSION_INTERVAL_MS = 500;
+    private static final int REPEAT_INTERVAL_MS = 700;
     private static final double MAXIMUM_LOSS_RATE = 0.3;
 
     static LongStream seeds() {
@@ -96,11 +98,16 @@
 
     private static void keepsRules(SimulatedFleet fleet, Consumer<SimulatedFleet> injectFault) {
         fleet.setLossRate(fleet.random().nextDouble() * MAXIMUM_LOSS_RATE);
+        // The faults of a seed must not depend on the repeats.
+        Random repeats = new Random(REPEAT_INTERVAL_MS);
         long nextFaultMs = 0;
         for (long passedMs = 0; passedMs < FAULTY_MS; passedMs += 100) {
             if (passedMs % SUBMISSION_INTERVAL_MS == 0) {
                 fleet.submit(randomJob(fleet, passedMs));
             }
+            if (passedMs % REPEAT_INTERVAL_MS == 0) {
+                repeatRandomJob(fleet, repeats);
+            }
             if (passedMs >= nextFaultMs) {
                 injectFault.accept(fleet);
                 nextFaultMs = passedMs + fleet.random().nextInt(MAXIMUM_FAULT_INTERVAL_MS);
@@ -112,6 +119,19 @@
 
         assertThat(fleet.history().violations()).isEmpty();
         assertThat(unjustifiedStates(fleet)).isEmpty();
+        assertThat(fleet.keptJobs()).isEqualTo(unfinishedJobs(fleet));
+    }
+
+    private static int unfinishedJobs(SimulatedFleet fleet) {
+        return (int)
+                fleet.submissions().keySet().stream()
+                        .filter(job -> !fleet.state(job).isFinal())
+                        .count();
+    }
+
+    private static void repeatRandomJob(SimulatedFleet fleet, Random random) {
+        List<JobSubmission> jobs = new ArrayList<>(fleet.submissions().values());
+        fleet.submit(jobs.get(random.nextInt(jobs.size())));
     }
 
     private static JobSubmission randomJob(SimulatedFleet fleet, long number) {
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/SimulatedFleet.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/SimulatedFleet.java
@@ -32,6 +32,7 @@
 import org.hickorycleat.model.job.QueueBacklog;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.TaskKey;
+import org.hickorycleat.model.job.TaskStatus;
 import org.hickorycleat.model.job.WorkerDescription;
 import org.hickorycleat.model.job.WorkerIncarnation;
 import org.hickorycleat.model.message.LeaseExtension;
@@ -186,6 +187,22 @@
         return submission != null && submission.steps().get(task.step()).longRunning();
     }
 
+    /** Returns the final state of a job if it is all that a new owner knows of it. */
+    private Optional<JobState> endState(JobId job) {
+        return Optional.ofNullable(mProgress.get(job))
+                .filter(
+                        progress ->
+                                progress.tasks().stream()
+                                        .noneMatch(task -> task.status() == TaskStatus.ACTIVE))
+                .map(JobProgress::state)
+                .filter(JobState::isFinal);
+    }
+
+    /** Returns the number of jobs that the owner keeps; 0 while there is none. */
+    int keptJobs() {
+        return mOwner.map(owner -> owner.mDispatcher.jobCount()).orElse(0);
+    }
+
     private void startOwner() {
         mLastEpoch++;
         Owner owner = new Owner(new Epoch(mLastEpoch));
@@ -220,6 +237,13 @@
             mDispatcher.onConfigurationChanged(
                     DispatchFixture.configuration(DispatchFixture.queue()));
             for (JobSubmission submission : mSubmissions.values()) {
+                Optional<JobState> ended = endState(submission.id());
+                if (ended.isPresent()) {
+                    // Entries read the final state from the log, also if its owner died before it
+                    // published it.
+                    mStates.put(submission.id(), ended.get());
+                    continue;
+                }
                 mDispatcher.restoreJob(
                         submission,
                         Optional.ofNullable(mProgress.get(submission.id())),
@@ -283,6 +307,11 @@
                     });
         }
 
+        @Override
+        public boolean isPast(JobId job) {
+            return mProgress.containsKey(job) && mProgress.get(job).state().isFinal();
+        }
+
         @Override
         public void saveInterferenceWeights(List<InterferenceEstimate> weights) {}
 
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/DispatchMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/DispatchMeasurement.java
@@ -263,6 +263,11 @@
             return true;
         }
 
+        @Override
+        public boolean isPast(JobId job) {
+            return false;
+        }
+
         @Override
         public void saveInterferenceWeights(List<InterferenceEstimate> weights) {}
     }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobSubmission.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/JobSubmission.java
@@ -81,6 +81,11 @@
         return work;
     }
 
+    /** Returns the number of tasks of all occurrences. */
+    public int taskCount() {
+        return occurrences() * steps.stream().mapToInt(StepSpecification::count).sum();
+    }
+
     /** Returns the number of times that the steps run. */
     public int occurrences() {
         return Math.max(1, repeatCount);
