--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -20,6 +20,7 @@
 import org.hickorycleat.logic.directory.IncarnationHistory;
 import org.hickorycleat.logic.directory.JobDirectory;
 import org.hickorycleat.logic.directory.JobRecord;
+import org.hickorycleat.logic.directory.PastJobRemover;
 import org.hickorycleat.logic.dispatch.DispatchSettings;
 import org.hickorycleat.logic.dispatch.Dispatcher;
 import org.hickorycleat.logic.evacuation.EvacuatedZones;
@@ -106,7 +107,7 @@
     private final RelayingRecordStore mStore;
     private final EntryListReader mEntryListReader;
     private final JobLogCodec mCodec = new JobLogCodec();
-    private final JobDirectory mDirectory = new JobDirectory();
+    private final JobDirectory mDirectory;
     private final IncarnationHistory mIncarnationHistory = new IncarnationHistory();
     private final JobAdmission mJobAdmission = new JobAdmission();
     private final EvacuatedZones mEvacuatedZones = new EvacuatedZones();
@@ -137,6 +138,7 @@
         mSettings = settings;
         mSelf = self;
         mScheduler = scheduler;
+        mDirectory = new JobDirectory(this::nowMs);
         mTransport = transport;
         mLinks = new FleetLinks(transport, self, this, scheduler);
         HttpRecordStore directStore =
@@ -202,7 +204,7 @@
         mLinks.start(mSettings.seeds());
         mMetrics.registry().gauge("hickorycleat.evacuation.runs", this, EntryRole::evacuatedRuns);
         mConfigurationConsumer.start(this);
-        mJobsConsumer.start();
+        mJobsConsumer.start(reloadListener(mDirectory));
         announce();
         JobRequestHandler handler = new JobRequestHandler(mJobService, System::currentTimeMillis);
         mCallerServer.listen(
@@ -248,10 +250,17 @@
         GuardedTask.run(
                 "reopen_links", () -> mLinks.reopenSilentLinks(ProcessRole.ENTRY, SILENT_ENTRY_MS));
         GuardedTask.run("read_entries", this::readEntriesIfDue);
+        GuardedTask.run("end_final_jobs", this::endFinalJobs);
         GuardedTask.run("check_ownership", mOwnership::check);
         mScheduler.scheduleDirect(this::tick, HEARTBEAT_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
+    private void endFinalJobs() {
+        if (mJobsConsumer.isLoaded()) {
+            mDirectory.endFinalJobs();
+        }
+    }
+
     private void readEntriesIfDue() {
         if (nowMs() - mEntriesReadAtMs > ENTRIES_INTERVAL_MS) {
             mEntriesReadAtMs = nowMs();
@@ -307,6 +316,7 @@
                 mScheduler,
                 DispatchSettings.of(mSettings.maximumLeaseMs(), previousOwnerLeaseMs),
                 mSettings.maximumRecordBytes(),
+                new PastJobRemover(mDirectory, mSettings.statusRetentionMs()),
                 mMetrics.decisionLog(Dispatcher.class),
                 backlogs -> mJobAdmission.onBacklogs(backlogs, nowMs()),
                 mOwnership::stopOwner);
@@ -374,6 +384,20 @@
                 : Optional.empty();
     }
 
+    private static TopicConsumer.LoadListener reloadListener(JobDirectory directory) {
+        return new TopicConsumer.LoadListener() {
+            @Override
+            public void onLoadStarted() {
+                directory.onReloadStarted();
+            }
+
+            @Override
+            public void onLoadEnded(long startOffset) {
+                directory.onReloaded();
+            }
+        };
+    }
+
     private void onJobRecord(StoreRecord stored) {
         Optional<JobRecord> record = mCodec.decode(stored);
         if (record.isEmpty()) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/TopicConsumer.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/TopicConsumer.java
@@ -25,7 +25,10 @@
      */
     private static final long EMPTY_READ_INTERVAL_MS = 250;
 
-    /** Listens to reads of the newest record of each key, at the start and after a truncation. */
+    /**
+     * Listens to reads of the newest record of each key, at the start and after the store has
+     * deleted records that were not read yet. Removals of keys may be among these.
+     */
     interface LoadListener {
         /** Handles the start of a read. */
         void onLoadStarted();
