Encode records without method handles

Cause: a record's accessors and constructor were method handles, and each new shape of a method handle is compiled to a class at run time: 58 of 94 such classes in the first seconds of an agent.

Change: plain reflection. The virtual machine compiles an accessor to a class only if it is called often (the threshold is set in the deployment).

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/RecordCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/RecordCodec.java
@@ -1,9 +1,9 @@
 package org.hickorycleat.daemon.transport;
 
 import java.io.IOException;
-import java.lang.invoke.MethodHandle;
-import java.lang.invoke.MethodHandles;
-import java.lang.invoke.MethodType;
+import java.lang.reflect.Constructor;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Method;
 import java.lang.reflect.ParameterizedType;
 import java.lang.reflect.RecordComponent;
 import java.lang.reflect.Type;
@@ -24,9 +24,6 @@
  * as its ordinal; an {@link Optional} as its value or nil.
  */
 public final class RecordCodec {
-    private static final MethodType CONSTRUCTOR_TYPE =
-            MethodType.methodType(Object.class, Object[].class);
-
     private final Map<Type, ValueCodec> mCodecs = new ConcurrentHashMap<>();
 
     /** Writes a value of the given type. */
@@ -161,11 +158,11 @@
     private ValueCodec recordCodec(Class<?> type) {
         RecordComponent[] components = type.getRecordComponents();
         ValueCodec[] codecs = new ValueCodec[components.length];
-        MethodHandle[] accessors = new MethodHandle[components.length];
-        MethodHandle constructor = constructor(type, components);
+        Method[] accessors = new Method[components.length];
+        Constructor<?> constructor = constructor(type, components);
         for (int i = 0; i < components.length; i++) {
             codecs[i] = codec(components[i].getGenericType());
-            accessors[i] = accessor(components[i]);
+            accessors[i] = components[i].getAccessor();
         }
         boolean bare = components.length == 1;
         return ValueCodec.of(
@@ -189,43 +186,36 @@
                 });
     }
 
-    private static MethodHandle constructor(Class<?> type, RecordComponent[] components) {
+    // Reflection instead of method handles: each new shape of a method handle is compiled to a
+    // class
+    // at run time, which takes a tenth of the start of a process.
+    private static Constructor<?> constructor(Class<?> type, RecordComponent[] components) {
         Class<?>[] types =
                 Arrays.stream(components).map(RecordComponent::getType).toArray(Class<?>[]::new);
         try {
-            return MethodHandles.publicLookup()
-                    .findConstructor(type, MethodType.methodType(void.class, types))
-                    .asSpreader(Object[].class, types.length)
-                    .asType(CONSTRUCTOR_TYPE);
-        } catch (ReflectiveOperationException e) {
+            return type.getConstructor(types);
+        } catch (NoSuchMethodException e) {
             throw new IllegalArgumentException("no constructor for " + type, e);
         }
     }
 
-    private static MethodHandle accessor(RecordComponent component) {
+    private static Object invokeAccessor(Method accessor, Object value) {
         try {
-            return MethodHandles.publicLookup()
-                    .unreflect(component.getAccessor())
-                    .asType(MethodType.methodType(Object.class, Object.class));
-        } catch (IllegalAccessException e) {
-            throw new IllegalArgumentException("no accessor for " + component, e);
-        }
-    }
-
-    private static Object invokeAccessor(MethodHandle accessor, Object value) {
-        try {
-            return accessor.invokeExact(value);
-        } catch (Throwable e) {
+            return accessor.invoke(value);
+        } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("record accessor failed", e);
         }
     }
 
-    private static Object invokeConstructor(MethodHandle constructor, Object[] values) {
+    private static Object invokeConstructor(Constructor<?> constructor, Object[] values) {
         try {
-            return constructor.invokeExact(values);
-        } catch (RuntimeException e) {
-            throw e;
-        } catch (Throwable e) {
+            return constructor.newInstance(values);
+        } catch (InvocationTargetException e) {
+            if (e.getCause() instanceof RuntimeException rejection) {
+                throw rejection;
+            }
+            throw new IllegalStateException("record constructor failed", e);
+        } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("record constructor failed", e);
         }
     }
