Let the main thread of a process on the platform end

Cause: the main thread polled every 50 ms whether an operator had asked for a drain: 79 wake-ups in 4 s of an idle agent, beside 103 of its event loop. On the platform only a signal drains a process. The handler of SIGHUP was a proxy whose class was generated at every start, and only logged that the settings had changed, which a running process doesn't read again.

Change: the main thread ends once the process has started, and SIGHUP is ignored.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Main.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/Main.java
@@ -14,7 +14,6 @@
 import org.hickorycleat.daemon.agent.AgentProcess;
 import org.hickorycleat.daemon.entry.EntryProcess;
 import org.hickorycleat.daemon.fleet.FleetProcessFactory;
-import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.daemon.logging.KeyValueLogFormatter;
 import org.hickorycleat.daemon.settings.DaemonSettings;
 import org.hickorycleat.daemon.settings.SettingError;
@@ -56,9 +55,9 @@
     private static void runOnPlatform() throws Exception {
         KeyValueLogFormatter.configureLogging(Level.INFO);
         Path file = Path.of(System.getenv(NodeSettingsReader.PATH_VARIABLE));
-        HangupSignal.handle(
-                () -> EventLog.of(Main.class).event("reload").with("file", file).info());
-        run(FleetProcessFactory.create(NodeSettingsReader.read(Files.readAllBytes(file))));
+        HangupSignal.ignore();
+        // Only a signal drains a process on the platform, so this thread isn't needed any longer.
+        start(FleetProcessFactory.create(NodeSettingsReader.read(Files.readAllBytes(file))));
     }
 
     private static OptionSet parseOptions(OptionParser parser, String[] arguments)
@@ -86,10 +85,10 @@
         // On a VM without disk, only the wall clock increases across restarts.
         Incarnation incarnation = new Incarnation(System.currentTimeMillis());
         Scheduler scheduler = Schedulers.computation();
-        run(createProcess(settings, incarnation, scheduler));
+        start(createProcess(settings, incarnation, scheduler)).awaitDrain();
     }
 
-    private static void run(Lifecycle process) throws InterruptedException {
+    private static ShutdownRunner start(Lifecycle process) {
         ShutdownRunner shutdown = new ShutdownRunner(process);
         Runtime.getRuntime().addShutdownHook(new Thread(shutdown::onSignal, "shutdown"));
         try {
@@ -99,7 +98,7 @@
             System.err.println("event=start_failed cause=\"" + e.getMessage() + '"');
             Runtime.getRuntime().halt(ResultCode.INTERNAL.exitCode());
         }
-        shutdown.awaitDrain();
+        return shutdown;
     }
 
     private static Lifecycle createProcess(
