Wait for a place near the data while it pays

A task whose rack was full ran elsewhere at once, remote_factor times as long. The owner now compares the expected end in the rack, behind the queue for it, with that elsewhere, and places gangs with same_rack in one rack by the same rule. Run time ratios are learnt near the data only.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -297,7 +297,8 @@
                 mIncarnationHistory,
                 mCodec,
                 mScheduler,
-                DispatchSettings.of(mSettings.maximumLeaseMs(), previousOwnerLeaseMs),
+                DispatchSettings.of(mSettings.maximumLeaseMs(), previousOwnerLeaseMs)
+                        .withFarRunFactor(mSettings.farRunFactor()),
                 mSettings.maximumRecordBytes(),
                 mMetrics.decisionLog(Dispatcher.class),
                 backlogs -> mJobAdmission.onBacklogs(backlogs, nowMs()),
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/ConfigurationCopyTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/ConfigurationCopyTest.java
@@ -110,7 +110,8 @@
                         1_000,
                         400,
                         120_000,
-                        4_000);
+                        4_000,
+                        1);
         Lifecycle process = FleetProcessFactory.create(settings);
         process.start();
         mEntries.add(settings);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/BacklogEstimator.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/BacklogEstimator.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.hickorycleat.model.job.JobQueue;
 import org.hickorycleat.model.job.QueueBacklog;
 import org.hickorycleat.model.job.QueueName;
@@ -21,9 +22,17 @@
     private static final int PERCENT = 100;
 
     private final RunTimeRatios mRunTimeRatios;
+    private final Predicate<TrackedTask> mWaitsByChoice;
 
-    BacklogEstimator(RunTimeRatios ratios) {
+    /**
+     * Creates an estimator.
+     *
+     * @param waitsByChoice whether a ready task waits for its rack although it could start
+     *     elsewhere; such a task is no sign of too little room
+     */
+    BacklogEstimator(RunTimeRatios ratios, Predicate<TrackedTask> waitsByChoice) {
         mRunTimeRatios = ratios;
+        mWaitsByChoice = waitsByChoice;
     }
 
     /** Work of the jobs of one queue that uses one kind of room. */
@@ -119,11 +128,12 @@
         }
     }
 
-    private static boolean hasWaitingTask(TrackedJob job, long nowMs, long unixMs) {
+    private boolean hasWaitingTask(TrackedJob job, long nowMs, long unixMs) {
         for (List<TrackedStep> steps : job.occurrences()) {
             for (TrackedStep step : steps) {
                 if (step.unfinishedTasks() > step.activeTasks() && job.isDue(step, unixMs)) {
-                    return step.tasks().stream().anyMatch(task -> task.isReady(nowMs));
+                    return step.tasks().stream()
+                            .anyMatch(task -> task.isReady(nowMs) && !mWaitsByChoice.test(task));
                 }
             }
         }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/CompletionEstimate.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/CompletionEstimate.java
@@ -61,6 +61,17 @@
         return new CompletionEstimate(status, valuePerWork);
     }
 
+    /**
+     * Returns for how long an occurrence can stand still and still meet its objective, in
+     * milliseconds; negative if it is expected to miss it. The parameters are those of {@link #of}.
+     */
+    static double slackMs(
+            List<TrackedStep> steps, JobQueue queue, long sinceMs, double ratio, long unixMs) {
+        return queue.objectiveMs(criticalPathMs(steps, false) * ratio)
+                - (unixMs - sinceMs)
+                - criticalPathMs(steps, true) * ratio;
+    }
+
     /** Returns the estimated work of steps, in thousandths of a processor times milliseconds. */
     static double work(List<TrackedStep> steps, boolean onlyUnfinished) {
         double work = 0;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOrder.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchOrder.java
@@ -12,7 +12,11 @@
 
 /**
  * Orders steps for placement: long-running tasks first, then by queue priority, then by whether the
- * job can still meet its objective, then by value per remaining processor time, then by age.
+ * job can still meet its objective, then those that wait for their rack, then by value per
+ * remaining processor time, then by age.
+ *
+ * <p>A task waits because a place in its rack is expected in time; jobs that come later must not
+ * take it.
  */
 final class DispatchOrder {
     /** Added to the priority of best-effort tasks; ranks them behind all other work. */
@@ -58,7 +62,8 @@
         return entry.queue().priority() + (specification.bestEffort() ? BEST_EFFORT_RANK : 0);
     }
 
-    private static long waitingSinceMs(TrackedStep step) {
+    /** Returns when the time for the objective of an occurrence started, in Unix milliseconds. */
+    static long waitingSinceMs(TrackedStep step) {
         JobSubmission submission = step.job().submission();
         return submission.dueAtMs(step.occurrence()).orElse(submission.acceptedAtMs());
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchSettings.java
@@ -3,15 +3,18 @@
 import org.hickorycleat.logic.election.LeaseAuthority;
 
 /**
- * Lease durations that the owner uses.
+ * Lease durations and run time factor that the owner uses.
  *
  * @param leaseMs length to which each worker report extends the lease, in milliseconds
  * @param previousOwnerLeaseMs longest time for which a previous owner may still extend leases when
  *     its successor starts, in milliseconds
  * @param maximumLeaseMs longest lease that a worker grants, in milliseconds; as the platform
  *     defines it
+ * @param farRunFactor factor from the run time of a task in the rack of its data or group to that
+ *     elsewhere; 1 if the rack does not matter
  */
-public record DispatchSettings(int leaseMs, int previousOwnerLeaseMs, int maximumLeaseMs) {
+public record DispatchSettings(
+        int leaseMs, int previousOwnerLeaseMs, int maximumLeaseMs, double farRunFactor) {
     /** Longest lease that the owner requests, in milliseconds; outlasts most network partitions. */
     private static final int LEASE_LIMIT_MS = 6_000;
 
@@ -26,7 +29,12 @@
     /** Returns the settings for workers that grant leases up to the given length. */
     public static DispatchSettings of(int maximumLeaseMs, int previousOwnerLeaseMs) {
         return new DispatchSettings(
-                Math.min(maximumLeaseMs, LEASE_LIMIT_MS), previousOwnerLeaseMs, maximumLeaseMs);
+                Math.min(maximumLeaseMs, LEASE_LIMIT_MS), previousOwnerLeaseMs, maximumLeaseMs, 1);
+    }
+
+    /** Returns the settings with another factor for runs away from their data or group. */
+    public DispatchSettings withFarRunFactor(double factor) {
+        return new DispatchSettings(leaseMs, previousOwnerLeaseMs, maximumLeaseMs, factor);
     }
 
     /**
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -12,6 +12,9 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.hickorycleat.logic.places.RackDemand;
+import org.hickorycleat.logic.places.WaitCounters;
+import org.hickorycleat.logic.places.WaitPolicy;
 import org.hickorycleat.logic.port.DecisionLog;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
@@ -26,6 +29,7 @@
 import org.hickorycleat.model.job.JobSubmission;
 import org.hickorycleat.model.job.ListCompleteness;
 import org.hickorycleat.model.job.QueueBacklog;
+import org.hickorycleat.model.job.QueueName;
 import org.hickorycleat.model.job.RunId;
 import org.hickorycleat.model.job.RunSample;
 import org.hickorycleat.model.job.TaskKey;
@@ -73,9 +77,10 @@
     private final InterferenceEstimator mInterferenceEstimator = new InterferenceEstimator();
     private final RunMonitor mRunMonitor;
     private final TaskPlacer mPlacer;
-    private final RunTimeRatios mRunTimeRatios = new RunTimeRatios();
-    private final DispatchOrder mDispatchOrder = new DispatchOrder(mRunTimeRatios);
-    private final BacklogEstimator mBacklogEstimator = new BacklogEstimator(mRunTimeRatios);
+    private final RackPlacer mRackPlacer;
+    private final RunTimeRatios mRunTimeRatios;
+    private final DispatchOrder mDispatchOrder;
+    private final BacklogEstimator mBacklogEstimator;
 
     private final Map<JobId, TrackedJob> mJobs = new LinkedHashMap<>();
     private final Set<TrackedJob> mUnfinishedJobs = new LinkedHashSet<>();
@@ -105,6 +110,17 @@
             LongSupplier unixClockMs,
             DispatchSettings settings,
             DecisionLog log) {
+        this(epoch, output, scheduler, unixClockMs, settings, WaitPolicy.expectedEnds(), log);
+    }
+
+    Dispatcher(
+            Epoch epoch,
+            DispatchOutput output,
+            Scheduler scheduler,
+            LongSupplier unixClockMs,
+            DispatchSettings settings,
+            WaitPolicy waitPolicy,
+            DecisionLog log) {
         mEpoch = epoch;
         mOutput = output;
         mScheduler = scheduler;
@@ -112,9 +128,16 @@
         mSettings = settings;
         mLog = log;
         mStatusLoggedAtMs = nowMs();
+        mRunTimeRatios = new RunTimeRatios(settings.farRunFactor());
+        mDispatchOrder = new DispatchOrder(mRunTimeRatios);
+        RackDemand rackDemand = new RackDemand();
+        WorkerSelector selector = new WorkerSelector(mInterferenceEstimator, rackDemand);
+        mRackPlacer = new RackPlacer(selector, mRunTimeRatios, rackDemand, waitPolicy, log);
+        mBacklogEstimator = new BacklogEstimator(mRunTimeRatios, mRackPlacer::isWaiting);
         mPlacer =
                 new TaskPlacer(
-                        new WorkerSelector(mInterferenceEstimator),
+                        selector,
+                        mRackPlacer,
                         mDispatchOrder,
                         mUnfinishedJobs,
                         mWorkers.values(),
@@ -609,11 +632,16 @@
     }
 
     private void recordRunTime(TrackedRun run) {
-        if (run.phase() == RunPhase.RUNNING && run.task().checkpoint().isEmpty()) {
-            mRunTimeRatios.recordRun(
-                    run.task().step().job().submission().queue(),
-                    run.task().specification().estimateMs(),
-                    nowMs() - run.startSentAtMs());
+        if (run.phase() != RunPhase.RUNNING || run.task().checkpoint().isPresent()) {
+            return;
+        }
+        QueueName queue = run.task().step().job().submission().queue();
+        int estimateMs = run.task().specification().estimateMs();
+        long actualMs = nowMs() - run.startSentAtMs();
+        if (mRunTimeRatios.isRackAware() && run.isFar()) {
+            mRunTimeRatios.recordFarRun(queue, estimateMs, actualMs);
+        } else {
+            mRunTimeRatios.recordRun(queue, estimateMs, actualMs);
         }
     }
 
@@ -691,6 +719,7 @@
         if (nowMs() - mStatusLoggedAtMs < STATUS_LOG_INTERVAL_MS) {
             return;
         }
+        WaitCounters waits = mRackPlacer.takeCounters();
         mLog.record(
                 "dispatch_status",
                 "unfinished_jobs",
@@ -702,7 +731,17 @@
                 "placement_ms",
                 TimeUnit.NANOSECONDS.toMillis(mPlacementNanos),
                 "interval_ms",
-                nowMs() - mStatusLoggedAtMs);
+                nowMs() - mStatusLoggedAtMs,
+                "rack_waiting",
+                mRackPlacer.waiting(),
+                "rack_waits",
+                waits.begun(),
+                "rack_waited_ms",
+                waits.waitedMs(),
+                "near_starts",
+                waits.nearStarts(),
+                "far_starts",
+                waits.farStarts());
         mStatusLoggedAtMs = nowMs();
         mPlacementNanos = 0;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunProgress.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunProgress.java
@@ -51,6 +51,11 @@
         mSampledAtMs = nowMs;
     }
 
+    /** Returns whether any sample has arrived. */
+    boolean isSampled() {
+        return mFirstPercent >= 0;
+    }
+
     int percent() {
         return mPercent;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TaskPlacer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TaskPlacer.java
@@ -26,6 +26,7 @@
     private static final int WORKERS_PER_STARVED_TASK = 4;
 
     private final WorkerSelector mSelector;
+    private final RackPlacer mRackPlacer;
     private final DispatchOrder mDispatchOrder;
     private final Collection<TrackedJob> mJobs;
     private final Collection<TrackedWorker> mWorkers;
@@ -44,12 +45,14 @@
      */
     TaskPlacer(
             WorkerSelector selector,
+            RackPlacer rackPlacer,
             DispatchOrder order,
             Collection<TrackedJob> jobs,
             Collection<TrackedWorker> workers,
             Consumer<TrackedRun> starter,
             DecisionLog log) {
         mSelector = selector;
+        mRackPlacer = rackPlacer;
         mDispatchOrder = order;
         mJobs = jobs;
         mWorkers = workers;
@@ -70,6 +73,7 @@
     void place(long nowMs, long unixMs) {
         mNowMs = nowMs;
         List<ReadyStep> ready = ready(unixMs);
+        mRackPlacer.beginRound(ready, mWorkers, nowMs, unixMs);
         if (ready.isEmpty()) {
             return;
         }
@@ -83,7 +87,7 @@
             }
             starts +=
                     step.step().specification().gang()
-                            ? startGang(step.step())
+                            ? startGang(step)
                             : startTasks(step, limits, MAXIMUM_STARTS_PER_ROUND - starts);
         }
     }
@@ -94,12 +98,18 @@
             if (starts >= maximumStarts) {
                 return starts;
             }
+            RackPlacer.Choice choice = mRackPlacer.choose(step, task, pool(task));
+            if (choice.waits()) {
+                continue;
+            }
             Optional<TrackedWorker> worker =
-                    selectWithin(limits, task).or(() -> selectForStarvedJob(limits, task));
+                    choice.worker()
+                            .or(() -> selectWithin(limits, task))
+                            .or(() -> selectForStarvedJob(limits, task));
             if (worker.isEmpty()) {
                 return starts;
             }
-            mStarter.accept(reserve(task, worker.get(), task.nextRunNumber()));
+            start(reserve(task, worker.get(), task.nextRunNumber()));
             starts++;
         }
         return starts;
@@ -109,15 +119,32 @@
         return limits.mayFit(task.specification()) ? selectWorker(task, mNowMs) : Optional.empty();
     }
 
-    // Either all members of a gang start under one run number, or none does.
-    private int startGang(TrackedStep step) {
+    private void start(TrackedRun run) {
+        mRackPlacer.onStarted(run);
+        mStarter.accept(run);
+    }
+
+    private int startGang(ReadyStep ready) {
+        TrackedStep step = ready.step();
         if (!step.tasks().stream().allMatch(task -> task.isReady(mNowMs))) {
             return 0;
         }
+        Optional<WorkerPool> pool = pool(step.tasks().get(0));
+        for (List<TrackedWorker> rack : mRackPlacer.gangRacks(step, pool)) {
+            int starts = startGangOn(step, rack);
+            if (starts > 0) {
+                return starts;
+            }
+        }
+        return mRackPlacer.gangWaits(ready, pool) ? 0 : startGangOn(step, mWorkers);
+    }
+
+    // Either all members of a gang start under one run number, or none does.
+    private int startGangOn(TrackedStep step, Collection<TrackedWorker> workers) {
         int number = step.tasks().stream().mapToInt(TrackedTask::nextRunNumber).max().orElse(1);
         List<TrackedRun> reserved = new ArrayList<>();
         for (TrackedTask task : step.tasks()) {
-            Optional<TrackedWorker> worker = selectWorker(task, mNowMs);
+            Optional<TrackedWorker> worker = mSelector.select(task, workers, pool(task), mNowMs);
             if (worker.isEmpty()) {
                 reserved.forEach(TaskPlacer::cancelReservation);
                 return 0;
@@ -125,7 +152,7 @@
             reserved.add(reserve(task, worker.get(), number));
         }
         step.shareCheckpoint();
-        reserved.forEach(mStarter);
+        reserved.forEach(this::start);
         return reserved.size();
     }
 
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedRun.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedRun.java
@@ -1,6 +1,7 @@
 package org.hickorycleat.logic.dispatch;
 
 import org.hickorycleat.model.job.RunId;
+import org.hickorycleat.model.job.StepSpecification;
 import org.hickorycleat.model.job.WorkerIncarnation;
 
 /** Tracks a run that may be on a worker. */
@@ -61,6 +62,13 @@
         return mPhase;
     }
 
+    /** Returns whether the task runs away from its data or from others of its group. */
+    boolean isFar() {
+        StepSpecification step = mTask.specification();
+        return (step.preferredRack().isPresent() && !mWorker.hasLabel(step.preferredRack().get()))
+                || (step.gang() && step.sameRack() && mTask.step().spansRacks());
+    }
+
     boolean isStopping() {
         return mStopping;
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedStep.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedStep.java
@@ -105,6 +105,11 @@
         return !mActiveTasks.isEmpty();
     }
 
+    /** Returns whether tasks of the step may be on workers of more than one rack. */
+    boolean spansRacks() {
+        return mActiveTasks.keySet().stream().map(TrackedWorker::rack).distinct().count() > 1;
+    }
+
     /** Returns the number of tasks of the step that may be on a worker. */
     int activeTasksOn(TrackedWorker worker) {
         return mActiveTasks.getOrDefault(worker, 0);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedWorker.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedWorker.java
@@ -277,6 +277,14 @@
         return mDescription.map(WorkerDescription::capacity).orElse(Resources.NONE);
     }
 
+    List<String> labels() {
+        return mDescription.map(WorkerDescription::labels).orElse(List.of());
+    }
+
+    Optional<String> rack() {
+        return mDescription.flatMap(WorkerDescription::rack);
+    }
+
     boolean hasLabel(String label) {
         return mDescription.isPresent() && mDescription.get().labels().contains(label);
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerSelector.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/WorkerSelector.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import org.hickorycleat.logic.places.RackDemand;
 import org.hickorycleat.model.job.StepSpecification;
 import org.hickorycleat.model.job.WorkerPool;
 import org.jspecify.annotations.Nullable;
@@ -19,7 +20,10 @@
     /** Maximum expected load of a latency-critical task when a best-effort task is added. */
     private static final double MAXIMUM_EXPECTED_LOAD = 0.8;
 
-    /** Score for a worker in the rack with the data of the task, in thousandths of a processor. */
+    /**
+     * Score for a worker in the rack with the data of the task, and deducted for one in a rack that
+     * other tasks want, in thousandths of a processor.
+     */
     private static final long RACK_WEIGHT = 1_000_000;
 
     /**
@@ -45,9 +49,11 @@
     private static final long SPREAD_WEIGHT = 500;
 
     private final InterferenceEstimator mInterferenceEstimator;
+    private final RackDemand mRackDemand;
 
-    WorkerSelector(InterferenceEstimator interferenceEstimator) {
+    WorkerSelector(InterferenceEstimator interferenceEstimator, RackDemand rackDemand) {
         mInterferenceEstimator = interferenceEstimator;
+        mRackDemand = rackDemand;
     }
 
     /** Returns the best worker for a task, or empty if none is eligible now. */
@@ -102,20 +108,25 @@
     private boolean isEligible(
             TrackedTask task, TrackedWorker worker, Optional<WorkerPool> pool, long nowMs) {
         StepSpecification step = task.specification();
-        if (!worker.isAvailable() || pool.isEmpty() || isReportOverdue(worker, nowMs)) {
+        if (pool.isEmpty() || !mayTakeWork(step, worker, pool.get(), nowMs)) {
             return false;
         }
-        if (!worker.description().orElseThrow().service().equals(pool.get().service())) {
+        if (!worker.hasFreeResources(step.reservation())) {
             return false;
         }
-        if (step.requiredLabel().isPresent() && !worker.hasLabel(step.requiredLabel().get())) {
+        return step.maximumPerWorker() == 0
+                || task.step().activeTasksOn(worker) < step.maximumPerWorker();
+    }
+
+    /** Returns whether a worker may start tasks of a step now, apart from its free resources. */
+    boolean mayTakeWork(StepSpecification step, TrackedWorker worker, WorkerPool pool, long nowMs) {
+        if (!worker.isAvailable() || isReportOverdue(worker, nowMs)) {
             return false;
         }
-        if (!worker.hasFreeResources(step.reservation())) {
+        if (!worker.description().orElseThrow().service().equals(pool.service())) {
             return false;
         }
-        if (step.maximumPerWorker() > 0
-                && task.step().activeTasksOn(worker) >= step.maximumPerWorker()) {
+        if (step.requiredLabel().isPresent() && !worker.hasLabel(step.requiredLabel().get())) {
             return false;
         }
         return worker.health().mayStart(nowMs, worker.finiteRuns());
@@ -142,12 +153,21 @@
                 - (long) (ADDED_LOAD_WEIGHT * addedLoad * worker.capacity().processorsMilli());
     }
 
+    // A rack that was wanted within the duration of the task is likely to be wanted while it runs.
+    private boolean isWantedByOthers(StepSpecification step, TrackedWorker worker, long nowMs) {
+        return !step.bestEffort()
+                && !step.longRunning()
+                && mRackDemand.wasWantedSince(worker.labels(), nowMs - step.estimateMs());
+    }
+
     private long score(TrackedTask task, TrackedWorker worker, long nowMs) {
         StepSpecification step = task.specification();
         long score =
                 step.bestEffort() ? bestEffortScore(worker, step) : worker.freeProcessorsMilli();
         if (step.preferredRack().isPresent() && worker.hasLabel(step.preferredRack().get())) {
             score += RACK_WEIGHT;
+        } else if (isWantedByOthers(step, worker, nowMs)) {
+            score -= RACK_WEIGHT;
         }
         if (worker.health().isSuspect(nowMs) || task.hasFailedOn(worker.agent())) {
             score -= SUSPECT_WEIGHT;
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.hickorycleat.logic.places.WaitPolicy;
 import org.hickorycleat.logic.port.DecisionLog;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
@@ -61,6 +62,10 @@
     ListCompleteness mCompleteness = ListCompleteness.COMPLETE;
     boolean mMayExtendLeases = true;
     long mLeaseRemainingMs;
+    int mWorkersPerRack = 1;
+    boolean mDraining;
+    private double mFarRunFactor = 1;
+    private WaitPolicy mWaitPolicy = WaitPolicy.expectedEnds();
     private long mReportNumber;
 
     DispatchFixture() {
@@ -78,6 +83,15 @@
         mDispatcher = newDispatcher(Optional.of(configuration(queue())), previousOwnerLeaseMs);
     }
 
+    /** Creates a fixture whose runs away from their rack take longer. */
+    DispatchFixture(int workersPerRack, double farRunFactor, WaitPolicy waitPolicy) {
+        mScheduler.advanceTimeBy(1, TimeUnit.MINUTES);
+        mWorkersPerRack = workersPerRack;
+        mFarRunFactor = farRunFactor;
+        mWaitPolicy = waitPolicy;
+        mDispatcher = newDispatcher();
+    }
+
     Dispatcher newDispatcher() {
         return newDispatcher(Optional.of(configuration(queue())), PREVIOUS_OWNER_LEASE_MS);
     }
@@ -90,7 +104,9 @@
                         this,
                         mScheduler,
                         () -> mScheduler.now(TimeUnit.MILLISECONDS),
-                        new DispatchSettings(LEASE_MS, previousOwnerLeaseMs, MAXIMUM_LEASE_MS),
+                        new DispatchSettings(
+                                LEASE_MS, previousOwnerLeaseMs, MAXIMUM_LEASE_MS, mFarRunFactor),
+                        mWaitPolicy,
                         DecisionLog.NONE);
         configuration.ifPresent(dispatcher::onConfigurationChanged);
         return dispatcher;
@@ -170,6 +186,10 @@
         return new ProcessId("agent-" + number);
     }
 
+    String rack(int number) {
+        return "r1-" + ((number - 1) / mWorkersPerRack + 1);
+    }
+
     static WorkerIncarnation incarnation(int number, long startedAtMs) {
         return new WorkerIncarnation(new WorkerId("i-" + number), startedAtMs);
     }
@@ -207,8 +227,8 @@
                         incarnation,
                         SERVICE,
                         new Resources(16_000, 64_000, 0),
-                        List.of("a", "r1-" + number),
-                        false,
+                        List.of("a", rack(number)),
+                        mDraining,
                         0,
                         1);
         mDispatcher.onWorkerReport(
@@ -250,17 +270,20 @@
                 -1);
     }
 
+    JobSubmission submission(String id, StepSpecification... steps) {
+        return new JobSubmission(
+                new JobId(id),
+                QUEUE,
+                "payload",
+                List.of(steps),
+                0,
+                0,
+                0,
+                mScheduler.now(TimeUnit.MILLISECONDS));
+    }
+
     JobSubmission submit(String id, StepSpecification... steps) {
-        JobSubmission submission =
-                new JobSubmission(
-                        new JobId(id),
-                        QUEUE,
-                        "payload",
-                        List.of(steps),
-                        0,
-                        0,
-                        0,
-                        mScheduler.now(TimeUnit.MILLISECONDS));
+        JobSubmission submission = submission(id, steps);
         mDispatcher.onJobSubmitted(submission);
         return submission;
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/ReplayedFleet.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/ReplayedFleet.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.model.job.EndCause;
 import org.hickorycleat.model.job.EndedRun;
@@ -30,7 +31,8 @@
     private static final int REPORT_INTERVAL_MS = 500;
     private static final int FULL_PERCENT = 100;
 
-    final DispatchFixture mOwner = new DispatchFixture();
+    final DispatchFixture mOwner;
+    private final double mFarRunFactor;
     private final List<ReplayedWorker> mWorkers = new ArrayList<>();
     private final Map<JobId, JobSubmission> mSubmissions = new LinkedHashMap<>();
     private final Map<JobId, Long> mCompletedAtMs = new LinkedHashMap<>();
@@ -77,6 +79,13 @@
     }
 
     ReplayedFleet(int workers) {
+        this(workers, new DispatchFixture(), 1);
+    }
+
+    /** Creates a fleet whose runs take longer by a factor away from the rack that they prefer. */
+    ReplayedFleet(int workers, DispatchFixture owner, double farRunFactor) {
+        mOwner = owner;
+        mFarRunFactor = farRunFactor;
         for (int number = 1; number <= workers; number++) {
             mWorkers.add(new ReplayedWorker(number, mOwner.connect(number)));
         }
@@ -145,7 +154,13 @@
         Iterator<Map.Entry<RunId, ReplayedRun>> runs = worker.mRuns.entrySet().iterator();
         while (runs.hasNext()) {
             Map.Entry<RunId, ReplayedRun> run = runs.next();
-            run.getValue().mRemainingMs -= rate * TICK_MS;
+            boolean far =
+                    run.getValue()
+                            .mStep
+                            .preferredRack()
+                            .filter(rack -> !rack.equals(mOwner.rack(worker.mNumber)))
+                            .isPresent();
+            run.getValue().mRemainingMs -= rate * TICK_MS / (far ? mFarRunFactor : 1);
             if (run.getValue().mRemainingMs <= 0) {
                 end(worker, run.getKey(), EndCause.DONE, "");
                 runs.remove();
@@ -188,6 +203,37 @@
                 .count();
     }
 
+    /** Returns the number of jobs that missed the objective of their critical path. */
+    long lateJobs(double stretch, int constantMs) {
+        return mCompletedAtMs.entrySet().stream()
+                .filter(
+                        job ->
+                                durationMs(job.getKey(), job.getValue())
+                                        > stretch * submission(job.getKey()).criticalPathMs()
+                                                + constantMs)
+                .count();
+    }
+
+    /** Returns the sum of the times from submission to completion, in milliseconds. */
+    long completionSumMs() {
+        return mCompletedAtMs.entrySet().stream()
+                .mapToLong(job -> durationMs(job.getKey(), job.getValue()))
+                .sum();
+    }
+
+    /** Returns the numbers of starts by rack of the tasks that prefer another one. */
+    Map<String, Integer> farStarts() {
+        Map<String, Integer> starts = new LinkedHashMap<>();
+        for (int i = 0; i < mOwner.mStarts.size(); i++) {
+            String rack = mOwner.rack(worker(mOwner.mStartedOn.get(i).value()).mNumber);
+            Optional<String> preferred = step(mOwner.run(i)).preferredRack();
+            if (preferred.isPresent() && !preferred.get().equals(rack)) {
+                starts.merge(rack, 1, Integer::sum);
+            }
+        }
+        return starts;
+    }
+
     private long durationMs(JobId job, long completedAtMs) {
         return completedAtMs - submission(job).acceptedAtMs();
     }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerDescription.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerDescription.java
@@ -1,12 +1,14 @@
 package org.hickorycleat.model.job;
 
 import java.util.List;
+import java.util.Optional;
 import org.hickorycleat.model.identifier.ServiceName;
 import org.hickorycleat.model.task.Resources;
 
 /**
  * State that a worker announces in its heartbeats.
  *
+ * @param labels kind of the worker, then its rack
  * @param draining whether the worker is draining
  * @param remainingMs minimum time until it shuts down, in milliseconds; only meaningful while
  *     draining
@@ -20,8 +22,15 @@
         boolean draining,
         long remainingMs,
         long sequence) {
+    private static final int RACK_LABEL = 1;
+
     /** Copies the list. */
     public WorkerDescription {
         labels = List.copyOf(labels);
     }
+
+    /** Returns the rack of the worker; empty if it announces none. */
+    public Optional<String> rack() {
+        return labels.size() > RACK_LABEL ? Optional.of(labels.get(RACK_LABEL)) : Optional.empty();
+    }
 }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/node/NodeSettings.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/node/NodeSettings.java
@@ -30,6 +30,8 @@
  * @param statusRetentionMs how long the state of a finished job is kept, in milliseconds
  * @param maximumInterferenceMs maximum time that a latency-critical task may miss its target
  *     because of interference, in milliseconds
+ * @param farRunFactor factor from the run time of a task in the rack of its data or group to that
+ *     elsewhere; at least 1
  */
 public record NodeSettings(
         ProcessId process,
@@ -52,7 +54,8 @@
         int checkpointIntervalMs,
         int stopGraceMs,
         long statusRetentionMs,
-        int maximumInterferenceMs) {
+        int maximumInterferenceMs,
+        double farRunFactor) {
     /** Copies the list. */
     public NodeSettings {
         seeds = List.copyOf(seeds);
