--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -314,7 +314,8 @@
                 mIncarnationHistory,
                 mCodec,
                 mScheduler,
-                DispatchSettings.of(mSettings.maximumLeaseMs(), previousOwnerLeaseMs),
+                DispatchSettings.of(mSettings.maximumLeaseMs(), previousOwnerLeaseMs)
+                        .withFarRunFactor(mSettings.farRunFactor()),
                 mSettings.maximumRecordBytes(),
                 new PastJobRemover(mDirectory, mSettings.statusRetentionMs()),
                 mMetrics.decisionLog(Dispatcher.class),
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/RecordCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/RecordCodec.java
@@ -187,8 +187,7 @@
     }
 
     // Reflection instead of method handles: each new shape of a method handle is compiled to a
-    // class
-    // at run time, which takes a tenth of the start of a process.
+    // class at run time, which takes a tenth of the start of a process.
     private static Constructor<?> constructor(Class<?> type, RecordComponent[] components) {
         Class<?>[] types =
                 Arrays.stream(components).map(RecordComponent::getType).toArray(Class<?>[]::new);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunProgress.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RunProgress.java
@@ -56,6 +56,11 @@
         mLastProgressAtMs = nowMs;
     }
 
+    /** Returns whether any sample has arrived. */
+    boolean isSampled() {
+        return mFirstPercent >= 0;
+    }
+
     int percent() {
         return mPercent;
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.hickorycleat.logic.places.WaitPolicy;
 import org.hickorycleat.logic.port.DecisionLog;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
@@ -67,6 +68,10 @@
     int mBestEffortPercent = 100;
     long mColdRemainingMs;
     final Map<Integer, ZoneId> mZoneOfAgent = new HashMap<>();
+    int mWorkersPerRack = 1;
+    boolean mDraining;
+    private double mFarRunFactor = 1;
+    private WaitPolicy mWaitPolicy = WaitPolicy.expectedEnds();
     private long mReportNumber;
 
     DispatchFixture() {
@@ -84,6 +89,15 @@
         mDispatcher = newDispatcher(Optional.of(configuration(queue())), previousOwnerLeaseMs);
     }
 
+    /** Creates a fixture whose runs away from their rack take longer. */
+    DispatchFixture(int workersPerRack, double farRunFactor, WaitPolicy waitPolicy) {
+        mScheduler.advanceTimeBy(1, TimeUnit.MINUTES);
+        mWorkersPerRack = workersPerRack;
+        mFarRunFactor = farRunFactor;
+        mWaitPolicy = waitPolicy;
+        mDispatcher = newDispatcher();
+    }
+
     Dispatcher newDispatcher() {
         return newDispatcher(Optional.of(configuration(queue())), PREVIOUS_OWNER_LEASE_MS);
     }
@@ -96,7 +110,9 @@
                         this,
                         mScheduler,
                         () -> mScheduler.now(TimeUnit.MILLISECONDS),
-                        new DispatchSettings(LEASE_MS, previousOwnerLeaseMs, MAXIMUM_LEASE_MS),
+                        new DispatchSettings(
+                                LEASE_MS, previousOwnerLeaseMs, MAXIMUM_LEASE_MS, mFarRunFactor),
+                        mWaitPolicy,
                         DecisionLog.NONE);
         configuration.ifPresent(dispatcher::onConfigurationChanged);
         return dispatcher;
@@ -182,6 +198,10 @@
         return new ProcessId("agent-" + number);
     }
 
+    String rack(int number) {
+        return "r1-" + ((number - 1) / mWorkersPerRack + 1);
+    }
+
     static WorkerIncarnation incarnation(int number, long startedAtMs) {
         return new WorkerIncarnation(new WorkerId("i-" + number), startedAtMs);
     }
@@ -219,8 +239,8 @@
                         incarnation,
                         SERVICE,
                         new Resources(16_000, 64_000, 0),
-                        List.of("a", "r1-" + number),
-                        false,
+                        List.of("a", rack(number)),
+                        mDraining,
                         0,
                         1,
                         Optional.ofNullable(mZoneOfAgent.get(number)),
@@ -264,17 +284,20 @@
                 -1);
     }
 
+    JobSubmission submission(String id, StepSpecification... steps) {
+        return new JobSubmission(
+                new JobId(id),
+                QUEUE,
+                "payload",
+                List.of(steps),
+                0,
+                0,
+                0,
+                mScheduler.now(TimeUnit.MILLISECONDS));
+    }
+
     JobSubmission submit(String id, StepSpecification... steps) {
-        JobSubmission submission =
-                new JobSubmission(
-                        new JobId(id),
-                        QUEUE,
-                        "payload",
-                        List.of(steps),
-                        0,
-                        0,
-                        0,
-                        mScheduler.now(TimeUnit.MILLISECONDS));
+        JobSubmission submission = submission(id, steps);
         mDispatcher.onJobSubmitted(submission);
         return submission;
     }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerDescription.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/job/WorkerDescription.java
@@ -9,6 +9,7 @@
 /**
  * State that a worker announces in its heartbeats.
  *
+ * @param labels kind of the worker, then its rack
  * @param draining whether the worker is draining
  * @param remainingMs minimum time until it shuts down, in milliseconds; only meaningful while
  *     draining
@@ -27,6 +28,8 @@
         long sequence,
         Optional<ZoneId> zone,
         long coldRemainingMs) {
+    private static final int RACK_LABEL = 1;
+
     /** Copies the list. */
     public WorkerDescription {
         labels = List.copyOf(labels);
@@ -52,4 +55,9 @@
                 Optional.empty(),
                 0);
     }
+
+    /** Returns the rack of the worker; empty if it announces none. */
+    public Optional<String> rack() {
+        return labels.size() > RACK_LABEL ? Optional.of(labels.get(RACK_LABEL)) : Optional.empty();
+    }
 }
