Create the registry of metrics when it is first needed

Cause: the Prometheus registry, its configuration and first meters take 30 to 40 ms of a start, and most agents are never asked for metrics.

Change: counters are plain adders that are registered with the first request for metrics; an entry registers the times of responses when it starts, so that no caller waits for it.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -191,6 +191,7 @@
 
     @Override
     public void start() throws InterruptedException {
+        mMetrics.registerResponseTimes();
         mAdminServer.listen(mSettings.adminAddress(), mMetrics::serve);
         mLinks.start(mSettings.seeds());
         mConfigurationConsumer.start();
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetProcessFactory.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetProcessFactory.java
@@ -7,7 +7,6 @@
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import org.hickorycleat.daemon.Lifecycle;
 import org.hickorycleat.daemon.transport.MessageTransport;
-import org.hickorycleat.daemon.transport.TransportMetrics;
 import org.hickorycleat.logic.election.ProcessCapacity;
 import org.hickorycleat.model.message.FleetNode;
 import org.hickorycleat.model.message.ProcessRole;
@@ -24,8 +23,7 @@
         EventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Scheduler scheduler = Schedulers.from(eventLoops);
         ProcessMetrics metrics = new ProcessMetrics();
-        MessageTransport transport =
-                new MessageTransport(eventLoops, new TransportMetrics(metrics.registry()));
+        MessageTransport transport = new MessageTransport(eventLoops, metrics.transportMetrics());
         ProcessRole role =
                 settings.workerControlAddress().isPresent() ? ProcessRole.AGENT : ProcessRole.ENTRY;
         FleetNode self =
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/TransportMetrics.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/TransportMetrics.java
@@ -1,46 +1,78 @@
 package org.hickorycleat.daemon.transport;
 
-import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.binder.MeterBinder;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.LongAdder;
 import org.hickorycleat.model.result.ResultCode;
 
 /** Counts messages, bytes, rejected sends and protocol errors. */
-public final class TransportMetrics {
+public final class TransportMetrics implements MeterBinder {
+    private static final String PREFIX = "hickorycleat.transport.";
+
     /** Length prefix of a frame, in bytes. */
     private static final int LENGTH_PREFIX_BYTES = 4;
 
-    private final MeterRegistry mRegistry;
-    private final Counter mSentMessages;
-    private final Counter mSentBytes;
-    private final Counter mReceivedMessages;
-    private final Counter mReceivedBytes;
-    private final Counter mRejectedSends;
+    private final LongAdder mSentMessages = new LongAdder();
+    private final LongAdder mSentBytes = new LongAdder();
+    private final LongAdder mReceivedMessages = new LongAdder();
+    private final LongAdder mReceivedBytes = new LongAdder();
+    private final LongAdder mRejectedSends = new LongAdder();
+    private final Map<ResultCode, LongAdder> mErrors = new ConcurrentHashMap<>();
+    private final List<MeterRegistry> mRegistries = new CopyOnWriteArrayList<>();
+
+    /** Creates counters that are in no registry yet. */
+    public TransportMetrics() {}
 
-    /** Registers the counters. */
+    /** Creates counters and registers them. */
     public TransportMetrics(MeterRegistry registry) {
-        mRegistry = registry;
-        mSentMessages = registry.counter("hickorycleat.transport.sent.messages");
-        mSentBytes = registry.counter("hickorycleat.transport.sent.bytes");
-        mReceivedMessages = registry.counter("hickorycleat.transport.received.messages");
-        mReceivedBytes = registry.counter("hickorycleat.transport.received.bytes");
-        mRejectedSends = registry.counter("hickorycleat.transport.refused.sends");
+        bindTo(registry);
+    }
+
+    @Override
+    public synchronized void bindTo(MeterRegistry registry) {
+        mRegistries.add(registry);
+        register(registry, "sent.messages", mSentMessages);
+        register(registry, "sent.bytes", mSentBytes);
+        register(registry, "received.messages", mReceivedMessages);
+        register(registry, "received.bytes", mReceivedBytes);
+        register(registry, "refused.sends", mRejectedSends);
+        mErrors.forEach(
+                (code, count) -> register(registry, "errors", count, "result", code.name()));
+    }
+
+    private static void register(
+            MeterRegistry registry, String name, LongAdder count, String... tags) {
+        FunctionCounter.builder(PREFIX + name, count, LongAdder::sum).tags(tags).register(registry);
     }
 
     void countSent(int contentBytes) {
         mSentMessages.increment();
-        mSentBytes.increment(contentBytes + LENGTH_PREFIX_BYTES);
+        mSentBytes.add(contentBytes + LENGTH_PREFIX_BYTES);
     }
 
     void countReceived(int contentBytes) {
         mReceivedMessages.increment();
-        mReceivedBytes.increment(contentBytes + LENGTH_PREFIX_BYTES);
+        mReceivedBytes.add(contentBytes + LENGTH_PREFIX_BYTES);
     }
 
     void countRejectedSend() {
         mRejectedSends.increment();
     }
 
-    void countError(ResultCode code) {
-        mRegistry.counter("hickorycleat.transport.errors", "result", code.name()).increment();
+    synchronized void countError(ResultCode code) {
+        LongAdder count = mErrors.get(code);
+        if (count == null) {
+            LongAdder created = new LongAdder();
+            mErrors.put(code, created);
+            mRegistries.forEach(
+                    registry -> register(registry, "errors", created, "result", code.name()));
+            count = created;
+        }
+        count.increment();
     }
 }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleFailureTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleFailureTest.java
@@ -14,7 +14,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.daemon.transport.MessageTransport;
-import org.hickorycleat.daemon.transport.TransportMetrics;
 import org.hickorycleat.logic.directory.IncarnationHistory;
 import org.hickorycleat.logic.directory.JobDirectory;
 import org.hickorycleat.logic.dispatch.DispatchSettings;
@@ -88,8 +87,7 @@
 
     private OwnerRole owner(DecisionLog log) {
         ProcessMetrics metrics = new ProcessMetrics();
-        MessageTransport transport =
-                new MessageTransport(mEventLoops, new TransportMetrics(metrics.registry()));
+        MessageTransport transport = new MessageTransport(mEventLoops, metrics.transportMetrics());
         return new OwnerRole(
                 SELF,
                 new Epoch(7),
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerUnableToAppendPathTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerUnableToAppendPathTest.java
@@ -181,9 +181,7 @@
     }
 
     private SilentRelay startSilentRelay() throws InterruptedException {
-        MessageTransport transport =
-                new MessageTransport(
-                        mPeerEventLoops, new TransportMetrics(new ProcessMetrics().registry()));
+        MessageTransport transport = new MessageTransport(mPeerEventLoops, new TransportMetrics());
         SilentRelay peer = new SilentRelay();
         FleetNode node =
                 new FleetNode(
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnershipTransferPathTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnershipTransferPathTest.java
@@ -216,9 +216,7 @@
 
     /** Starts a large peer that receives offers of the ownership but never claims it. */
     private UnresponsivePeer startUnresponsivePeer() throws InterruptedException {
-        MessageTransport transport =
-                new MessageTransport(
-                        mPeerEventLoops, new TransportMetrics(new ProcessMetrics().registry()));
+        MessageTransport transport = new MessageTransport(mPeerEventLoops, new TransportMetrics());
         UnresponsivePeer peer = new UnresponsivePeer();
         FleetNode node =
                 new FleetNode(
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/SilentFleetTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/SilentFleetTest.java
@@ -24,7 +24,6 @@
 import org.hickorycleat.daemon.exchange.NettyHttpClient;
 import org.hickorycleat.daemon.exchange.NettyHttpServer;
 import org.hickorycleat.daemon.transport.MessageTransport;
-import org.hickorycleat.daemon.transport.TransportMetrics;
 import org.hickorycleat.logic.directory.JobRecord;
 import org.hickorycleat.logic.port.HttpCall;
 import org.hickorycleat.logic.port.HttpResponse;
@@ -107,8 +106,7 @@
     private void startProcess(NodeSettings settings) throws InterruptedException {
         SilenceableEventLoops eventLoops = new SilenceableEventLoops();
         ProcessMetrics metrics = new ProcessMetrics();
-        MessageTransport transport =
-                new MessageTransport(eventLoops, new TransportMetrics(metrics.registry()));
+        MessageTransport transport = new MessageTransport(eventLoops, metrics.transportMetrics());
         boolean isAgent = settings.workerControlAddress().isPresent();
         FleetNode self =
                 new FleetNode(
