--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -200,6 +200,7 @@
 
     @Override
     public void start() throws InterruptedException {
+        mMetrics.registerResponseTimes();
         mAdminServer.listen(mSettings.adminAddress(), mMetrics::serve);
         mLinks.start(mSettings.seeds());
         mMetrics.registry().gauge("hickorycleat.evacuation.runs", this, EntryRole::evacuatedRuns);
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleFailureTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleFailureTest.java
@@ -15,7 +15,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.daemon.transport.MessageTransport;
-import org.hickorycleat.daemon.transport.TransportMetrics;
 import org.hickorycleat.logic.directory.IncarnationHistory;
 import org.hickorycleat.logic.directory.JobDirectory;
 import org.hickorycleat.logic.directory.PastJobRemover;
@@ -90,8 +89,7 @@
 
     private OwnerRole owner(DecisionLog log) {
         ProcessMetrics metrics = new ProcessMetrics();
-        MessageTransport transport =
-                new MessageTransport(mEventLoops, new TransportMetrics(metrics.registry()));
+        MessageTransport transport = new MessageTransport(mEventLoops, metrics.transportMetrics());
         return new OwnerRole(
                 SELF,
                 new Epoch(7),
