--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -203,7 +203,7 @@
         mMetrics.registerResponseTimes();
         mAdminServer.listen(mSettings.adminAddress(), mMetrics::serve);
         mLinks.start(mSettings.seeds());
-        mMetrics.registry().gauge("hickorycleat.evacuation.runs", this, EntryRole::evacuatedRuns);
+        mMetrics.registerGauge("hickorycleat.evacuation.runs", this::evacuatedRuns);
         mConfigurationConsumer.start(this);
         mJobsConsumer.start(reloadListener(mDirectory));
         announce();
@@ -367,7 +367,7 @@
                         owner -> owner.dispatcher().onEvacuationsChanged(mEvacuatedZones::zones));
     }
 
-    private double evacuatedRuns() {
+    private int evacuatedRuns() {
         return ownerRole().map(owner -> owner.dispatcher().evacuatedRuns()).orElse(0);
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/ProcessMetrics.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/ProcessMetrics.java
@@ -1,6 +1,7 @@
 package org.hickorycleat.daemon.fleet;
 
 import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -13,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Supplier;
 import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.daemon.transport.TransportMetrics;
 import org.hickorycleat.logic.port.DecisionLog;
@@ -86,6 +88,11 @@
                 .register(registry);
     }
 
+    /** Registers a value that is read when the metrics are requested. */
+    void registerGauge(String name, Supplier<Number> value) {
+        Gauge.builder(name, value).register(registry());
+    }
+
     /** Records the time of a response to a caller, in nanoseconds. */
     synchronized void recordResponseTime(long nanoseconds) {
         registerResponseTimes();
