Read the state of a failed job where OwnerRoleTest keeps it

A job in a final state is no longer among the live ones, whose progress the test read; it now reads the state that the stored records give, which only the stored final state can be. OwnerRoleTest, OwnerRoleFailureTest and FleetFaultsPropertyTest pass (913 cases).

--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleTest.java
@@ -137,14 +137,18 @@
                 progress(number, 0).id(), new QueueName("q"), "text", List.of(step), 0, 0, 0, 7);
     }
 
-    private Optional<JobProgress> storedProgress(int number) {
+    private JobDirectory storedDirectory() {
         JobDirectory directory = new JobDirectory(() -> 0);
         mStore.appends().stream()
                 .flatMap(List::stream)
                 .map(mCodec::decode)
                 .flatMap(Optional::stream)
                 .forEach(directory::apply);
-        return directory.jobs().stream()
+        return directory;
+    }
+
+    private Optional<JobProgress> storedProgress(int number) {
+        return storedDirectory().jobs().stream()
                 .filter(job -> job.id().equals(progress(number, 0).id()))
                 .findFirst()
                 .flatMap(DurableJob::progress);
@@ -213,7 +217,7 @@
 
         assertThat(durable).hasSize(1);
         assertThat(storedProgress(1).map(JobProgress::state)).contains(JobState.RUNNING);
-        assertThat(storedProgress(2).map(JobProgress::state)).contains(JobState.FAILED);
+        assertThat(storedDirectory().jobState(progress(2, 0).id())).contains(JobState.FAILED);
         assertThat(storedProgress(3).map(JobProgress::state)).contains(JobState.RUNNING);
     }
 
