--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/BacklogEstimator.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/BacklogEstimator.java
@@ -109,7 +109,8 @@
                                 jobQueue.name(),
                                 name -> new QueueWork(jobQueue, specification.bestEffort()));
                 long processorsMilli = specification.resources().processorsMilli();
-                queue.mDrain += step.activeTasksTakingTurns() * processorsMilli / ratio(jobQueue);
+                queue.mDrain +=
+                        step.activeTasksOutsideEvacuation() * processorsMilli / ratio(jobQueue);
                 if (waits) {
                     queue.mWaiting +=
                             (double) (step.unfinishedTasks() - step.activeTasks())
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedStep.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedStep.java
@@ -102,7 +102,7 @@
     }
 
     /** Returns the number of active tasks whose room another task may get when they end. */
-    int activeTasksTakingTurns() {
+    int activeTasksOutsideEvacuation() {
         int evacuated = 0;
         for (Map.Entry<TrackedWorker, Integer> active : mActiveTasks.entrySet()) {
             evacuated += active.getKey().isEvacuated() ? active.getValue() : 0;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/evacuation/WarmUp.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/evacuation/WarmUp.java
@@ -48,8 +48,9 @@
     }
 
     /**
-     * Returns whether the worker may get another task as far as its share goes; one at a time always
-     * may. A warm worker has no limit here, since best-effort tasks may request more than it has.
+     * Returns whether the worker may get another task as far as its share goes; an empty worker
+     * always may. A warm worker has no limit here, since best-effort tasks may request more
+     * processors than it has.
      */
     public boolean mayTake(long usedMilli, long requestedMilli, long capacityMilli, long nowMs) {
         return nowMs >= mWarmAtMs
