--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RackPlacer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/RackPlacer.java
@@ -187,19 +187,20 @@
         TrackedStep step = ready.step();
         Resources need = step.specification().reservation();
         int count = (int) ready.tasks().stream().filter(task -> task.isReady(mNowMs)).count();
-        WaitCase first = waitCase(ready, timeline.earliestStartMs(need));
-        if (mPolicy.decide(first) != WaitDecision.WAIT) {
-            return decide(first, step, rack, first.nearStartMs());
+        double durationMs = nearDurationMs(step);
+        double lossMs = durationMs * (mRatios.farFactor(ready.queue().name()) - 1);
+        long startMs = timeline.earliestStartMs(need);
+        boolean mayPay = startMs - mNowMs <= lossMs;
+        if (mayPay) {
+            startMs =
+                    ++mSimulations <= MAXIMUM_SIMULATIONS
+                            ? timeline.earliestStartMs(need, count, durationMs)
+                            : WorkerTimeline.NEVER;
         }
-        long startMs =
-                ++mSimulations <= MAXIMUM_SIMULATIONS
-                        ? timeline.earliestStartMs(need, count, first.nearDurationMs())
-                        : WorkerTimeline.NEVER;
-        WaitCase last = waitCase(ready, startMs);
-        if (!decide(last, step, rack, startMs)) {
+        if (!decide(waitCase(ready, startMs), step, rack, startMs)) {
             return false;
         }
-        timeline.claimAll(need, count, last.nearDurationMs());
+        timeline.claimAll(need, count, durationMs);
         return true;
     }
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/places/WaitPolicyTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/places/WaitPolicyTest.java
@@ -41,8 +41,7 @@
     void slackEndsWaitOnlyForJobThatCanMeetItsObjectiveElsewhere() {
         assertThat(decide(0, 500, 1_000, 2_000, OptionalLong.of(400)))
                 .isEqualTo(WaitDecision.NO_SLACK);
-        assertThat(decide(0, 500, 1_000, 2_000, OptionalLong.of(600)))
-                .isEqualTo(WaitDecision.WAIT);
+        assertThat(decide(0, 500, 1_000, 2_000, OptionalLong.of(600))).isEqualTo(WaitDecision.WAIT);
         assertThat(decide(0, 500, 1_000, 2_000, OptionalLong.of(-100)))
                 .isEqualTo(WaitDecision.WAIT);
     }
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/DispatchMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/DispatchMeasurement.java
@@ -65,6 +65,7 @@
 
     /** A factor of 1 gives the rules without a rack. */
     private static final double[] RACK_FACTORS = {1, 2};
+
     private static final double NANOS_PER_MICRO = 1_000;
 
     @Override
