Count only measurements above the target as a missed target

Cause: the timer counted measurements from a load of 0.785 on, and by half down to 0.745. The shares aim for 0.76, so tasks that were kept below their target counted as missing it, and best-effort runs beside them were throttled and stopped.

Change: time counts from the target on. A measurement just below it neither counts nor ends the miss. The runs are stopped after a third of the time that the platform allows, so that a miss of which half of the measurements read too low is still stopped within the bound. No check was changed.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/BestEffortThrottle.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/BestEffortThrottle.java
@@ -18,8 +18,8 @@
  * <p>When a tail latency is too high, the images that contribute most are throttled in proportion
  * to the excess. Shares are raised again in steps, so that the delay of the measurement does not
  * cause oscillation. Once a task has missed its target for a fifth of the time that the platform
- * allows, every image is throttled, and after two fifths of it, every image is stopped until all
- * tasks meet their targets again.
+ * allows, every image is throttled, and after a third of it, every image is stopped until all tasks
+ * meet their targets again.
  */
 final class BestEffortThrottle {
     static final int FULL_PERCENT = 100;
@@ -64,7 +64,7 @@
      * Part of the time allowed for interference after which every image is stopped. The rest covers
      * the delays of the measurement, of two listings and of the throttling.
      */
-    private static final double STOP_PART = 0.4;
+    private static final double STOP_PART = 1.0 / 3;
 
     /** Part of the time allowed for interference after which every image is throttled. */
     private static final double THROTTLE_ALL_PART = 0.2;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/TargetMissTimer.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/TargetMissTimer.java
@@ -18,18 +18,9 @@
  * target for seconds. Measurements are rough: one just below the target does not end a miss.
  */
 final class TargetMissTimer {
-    /**
-     * Load from which a measurement counts as a miss; below the load at the target by half of the
-     * error of a measurement.
-     */
-    private static final double MISS_LOAD = 0.785;
-
     /** Load below which a miss has certainly ended, despite the error of the measurement. */
     private static final double MET_LOAD = 0.745;
 
-    /** Part of the time that counts while measurements are close to the target. */
-    private static final int UNCERTAIN_DIVISOR = 2;
-
     private final Map<RunId, Long> mMissedMs = new HashMap<>();
     private long mUpdatedAtMs = Long.MAX_VALUE;
 
@@ -52,15 +43,13 @@
         double load = LatencyCriticalLoad.of(sample.measurement(), targetMs);
         if (load < MET_LOAD) {
             mMissedMs.remove(sample.run());
-        } else if (load >= MISS_LOAD) {
+        } else if (load >= LatencyCriticalLoad.LOAD_AT_TARGET) {
             // A measurement does not say since when it holds.
             mMissedMs.compute(
                     sample.run(), (run, missedMs) -> missedMs == null ? 0 : missedMs + passedMs);
-        } else {
-            // Either the miss has ended or the measurement is too low.
-            mMissedMs.computeIfPresent(
-                    sample.run(), (run, missedMs) -> missedMs + passedMs / UNCERTAIN_DIVISOR);
         }
+        // In between, either the miss has ended or the measurement is too low: no time counts, so
+        // that a task that is kept just below its target does not count as missing it.
     }
 
     /** Returns the longest time for which a run has missed its target, in milliseconds. */
