--- a/review/standins-3/src/Checker.java
+++ b/review/standins-3/src/Checker.java
@@ -17,13 +17,26 @@
         mStartedUnixMs = System.currentTimeMillis() - servers.mRecord.nowMs();
     }
 
+    private Map<String, List<Run>> byTask() {
+        Map<String, List<Run>> byTask = new TreeMap<>();
+        for (Run run : mServers.mRuns) {
+            byTask.computeIfAbsent(run.mTask, key -> new ArrayList<>()).add(run);
+        }
+        return byTask;
+    }
+
+    /** Checks the rules on the runs of each task. */
+    void checkRuns() {
+        synchronized (mServers) {
+            byTask().values().forEach(this::checkTask);
+        }
+    }
+
+    /** Checks the rules on the runs of each task and on the states of all jobs. */
     void check() {
+        checkRuns();
         synchronized (mServers) {
-            Map<String, List<Run>> byTask = new TreeMap<>();
-            for (Run run : mServers.mRuns) {
-                byTask.computeIfAbsent(run.mTask, key -> new ArrayList<>()).add(run);
-            }
-            byTask.values().forEach(this::checkTask);
+            Map<String, List<Run>> byTask = byTask();
             for (Job job : mServers.mJobs.values()) {
                 checkJob(job, byTask);
             }
--- a/review/standins-3/src/Server.java
+++ b/review/standins-3/src/Server.java
@@ -42,6 +42,9 @@
     private long mSequence;
     private boolean mDown;
     private boolean mStalled;
+    private boolean mCut;
+    private long mFirstBeatMs;
+    private Runnable mOnStart = () -> {};
     private boolean mDraining;
     private boolean mGuards = true;
     private double mLateShare;
@@ -133,6 +136,7 @@
                 mServers.mRecord.line("end " + run);
             }
             mRunning.clear();
+            mServers.notifyAll();
             mServers.mRecord.line("crash " + mName);
         }
     }
@@ -147,6 +151,32 @@
         beat();
     }
 
+    /** Cuts the server off, or ends the cut; what runs goes on under its lease. */
+    void setCut(boolean cut) {
+        synchronized (mServers) {
+            mCut = cut;
+            mServers.mRecord.line((cut ? "cut " : "cut ended ") + mName);
+            mServers.notifyAll();
+        }
+    }
+
+    /** Calls an action with each start. */
+    void setOnStart(Runnable action) {
+        mOnStart = action;
+    }
+
+    /** Starts again under the same id, with the first heartbeat after a time. */
+    void restart(long firstBeatAfterMs) {
+        synchronized (mServers) {
+            startLife();
+            mDown = false;
+            mFirstBeatMs = mServers.mRecord.nowMs() + firstBeatAfterMs;
+            mServers.mRecord.line("restart " + mName);
+        }
+        sleep(firstBeatAfterMs + 5);
+        beat();
+    }
+
     boolean isDown() {
         return mDown;
     }
@@ -187,7 +217,7 @@
     private void beat() {
         String body;
         synchronized (mServers) {
-            if (mDown) {
+            if (mDown || mCut || mServers.mRecord.nowMs() < mFirstBeatMs) {
                 return;
             }
             body =
@@ -235,6 +265,11 @@
             exchange.close();
             return;
         }
+        if (mCut) {
+            awaitEndOfCut();
+            exchange.close();
+            return;
+        }
         boolean late = mLateShare > 0 && mRandom.nextDouble() < mLateShare;
         if (late && !path.equals("/hold")) {
             long delayMs = LATE_MINIMUM_MS + mRandom.nextInt(LATE_RANGE_MS);
@@ -267,13 +302,29 @@
             exchange.close();
             return;
         }
-        if (mDown) {
+        if (mCut) {
+            awaitEndOfCut();
+        }
+        if (mDown || mCut) {
             exchange.close();
             return;
         }
         Http.respond(exchange, (Integer) answer[0], (String) answer[1]);
     }
 
+    private void awaitEndOfCut() {
+        synchronized (mServers) {
+            while (mCut) {
+                try {
+                    mServers.wait(1_000);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                    return;
+                }
+            }
+        }
+    }
+
     private static void sleep(long ms) {
         try {
             Thread.sleep(ms);
@@ -374,6 +425,7 @@
         Run run = new Run(task, number, job, step, mName, nowMs, resumed);
         mRunning.put(task, run);
         mServers.mRuns.add(run);
+        mOnStart.run();
         mServers.mRecord.line(
                 "start " + label + " token " + mToken + " checkpoint of " + checkpoint.length());
         return answer(200, "");
@@ -399,7 +451,7 @@
             mEnded.removeIf(run -> run.mEndNumber <= mCursor);
             long born = mBornMs;
             long untilMs = nowMs + Json.number(body, "wait_ms", 0);
-            while (mEnded.isEmpty() && mServers.mRecord.nowMs() < untilMs && born == mBornMs) {
+            while (mEnded.isEmpty() && mServers.mRecord.nowMs() < untilMs && born == mBornMs && !mDown && !mCut) {
                 mServers.wait(Math.max(1, untilMs - mServers.mRecord.nowMs()));
             }
             return new Object[] {200, listing()};
