--- a/review/standins-3/src/Soak.java
+++ b/review/standins-3/src/Soak.java
@@ -64,7 +64,7 @@
     }
 
     private Job randomJob() {
-        Job job = new Job(String.format("%016x", mRandom.nextLong()), mRandom.nextInt(3) == 0 ? "/a/" : "/a/");
+        Job job = new Job(String.format("%016x", mRandom.nextLong()), "/a/");
         int kind = mRandom.nextInt(10);
         int steps = kind < 2 ? 1 : 1 + mRandom.nextInt(3);
         for (int i = 0; i < steps; i++) {
