--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
@@ -316,7 +316,7 @@
     private void connectAndSendKeepAlives() {
         List<InetSocketAddress> due = new ArrayList<>();
         synchronized (this) {
-            mAddresses.values().removeIf(state -> !state.mInUse && isExpired(state));
+            mAddresses.entrySet().removeIf(this::removeIfExpired);
             for (Map.Entry<InetSocketAddress, AddressState> address : mAddresses.entrySet()) {
                 boolean mayConnect = !address.getValue().mInUse && !isConnected(address.getKey());
                 if (mayConnect && nowMs() >= address.getValue().mNextAttemptMs) {
@@ -330,8 +330,18 @@
         sendKeepAlives();
     }
 
-    private boolean isExpired(AddressState state) {
-        return nowMs() - state.mLastConnectedMs > ADDRESS_EXPIRY_MS;
+    private boolean removeIfExpired(Map.Entry<InetSocketAddress, AddressState> address) {
+        AddressState state = address.getValue();
+        long ageMs = nowMs() - state.mLastConnectedMs;
+        if (state.mInUse || ageMs <= ADDRESS_EXPIRY_MS) {
+            return false;
+        }
+        LOG.event("address_removed")
+                .with("address", address.getKey())
+                .with("connected", isConnected(address.getKey()))
+                .with("age_ms", ageMs)
+                .info();
+        return true;
     }
 
     private boolean isConnected(InetSocketAddress address) {
