Open links again however old they were when they were lost

Cause: FleetLinks removed an address 60 s after a link to it was opened, also while the peer was connected by a link of its own, and nothing brought it back: an entry was learnt again only with a later start time. "I cannot reach it" was taken for "it is gone".

Change: EntryMembership keeps the last contact that any process had to an entry; lists carry its age. Each round of FleetLinks derives what to connect from seeds and members. Entries that are gone leave the list in the store; one that runs adds itself again. Transports and connections of links are interfaces now, so that tests can run links on the test clock.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -26,7 +26,6 @@
 import org.hickorycleat.logic.evacuation.EvacuatedZones;
 import org.hickorycleat.logic.port.HttpRequest;
 import org.hickorycleat.logic.port.HttpResponse;
-import org.hickorycleat.logic.port.SingleCallbacks;
 import org.hickorycleat.model.identifier.Epoch;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.job.JobId;
@@ -50,8 +49,6 @@
 import org.hickorycleat.model.message.RunRejected;
 import org.hickorycleat.model.message.WorkerReport;
 import org.hickorycleat.model.node.NodeSettings;
-import org.hickorycleat.model.store.AppendResult;
-import org.hickorycleat.model.store.StoreAppendRequest;
 import org.hickorycleat.model.store.StoreRecord;
 import org.hickorycleat.platform.EvacuationRecordReader;
 import org.hickorycleat.platform.HttpRecordStore;
@@ -93,9 +90,6 @@
      */
     private static final long SILENT_ENTRY_MS = 5 * HEARTBEAT_INTERVAL_MS;
 
-    /** Interval between two reads of the entry list, in milliseconds. */
-    private static final long ENTRIES_INTERVAL_MS = 5_000;
-
     /** Maximum time that a drain waits for work in progress, in milliseconds. */
     private static final long DRAIN_TIMEOUT_MS = 5_000;
 
@@ -105,7 +99,7 @@
     private final MessageTransport mTransport;
     private final FleetLinks mLinks;
     private final RelayingRecordStore mStore;
-    private final EntryListReader mEntryListReader;
+    private final EntryList mEntryList;
     private final JobLogCodec mCodec = new JobLogCodec();
     private final JobDirectory mDirectory;
     private final IncarnationHistory mIncarnationHistory = new IncarnationHistory();
@@ -124,7 +118,6 @@
     private final ProcessMetrics mMetrics;
     private final Map<ProcessId, EntryHeartbeat> mPeerHeartbeats = new HashMap<>();
     private boolean mDraining;
-    private long mEntriesReadAtMs = Long.MIN_VALUE / 2;
 
     EntryRole(
             NodeSettings settings,
@@ -150,7 +143,13 @@
         RelaySelector relays =
                 new RelaySelector(self.process(), this::peersReachingStore, scheduler);
         mStore = new RelayingRecordStore(directStore, mLinks::send, relays, scheduler);
-        mEntryListReader = new EntryListReader(mStore, mLinks, mCodec);
+        mEntryList =
+                new EntryList(
+                        self,
+                        mStore,
+                        new EntryListReader(mStore, mLinks, mCodec),
+                        mCodec,
+                        scheduler);
         mConfiguration = new WorkloadConfigurationCache(this::onConfiguration);
         mConfigurationFetcher = new ConfigurationFetcher(self.process());
         mConfigurationCopySender =
@@ -206,7 +205,7 @@
         mMetrics.registerGauge("hickorycleat.evacuation.runs", this::evacuatedRuns);
         mConfigurationConsumer.start(this);
         mJobsConsumer.start(reloadListener(mDirectory));
-        announce();
+        mEntryList.start();
         JobRequestHandler handler = new JobRequestHandler(mJobService, System::currentTimeMillis);
         mCallerServer.listen(
                 mSettings.callerAddress().orElseThrow(),
@@ -231,26 +230,12 @@
         return !mDraining && mConfiguration.configuration().isPresent() && mJobsConsumer.isLoaded();
     }
 
-    private void announce() {
-        SingleCallbacks.subscribe(
-                mStore.append(
-                        StoreAppendRequest.unconditional(JobLogCodec.ENTRIES_TOPIC, 0),
-                        List.of(mCodec.encodeEntry(mSelf))),
-                outcome -> {
-                    if (outcome.result() != AppendResult.APPENDED) {
-                        mScheduler.scheduleDirect(
-                                this::announce, ENTRIES_INTERVAL_MS, TimeUnit.MILLISECONDS);
-                    }
-                },
-                error -> LOG.event("announce_failed").with("cause", error).warn());
-    }
-
     private void tick() {
         GuardedTask.run("election", mOwnership::tickElection);
         GuardedTask.run("heartbeat", this::sendHeartbeat);
         GuardedTask.run(
                 "reopen_links", () -> mLinks.reopenSilentLinks(ProcessRole.ENTRY, SILENT_ENTRY_MS));
-        GuardedTask.run("read_entries", this::readEntriesIfDue);
+        GuardedTask.run("read_entries", mEntryList::readIfDue);
         GuardedTask.run("end_final_jobs", this::endFinalJobs);
         GuardedTask.run("check_ownership", mOwnership::check);
         mScheduler.scheduleDirect(this::tick, HEARTBEAT_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -262,13 +247,6 @@
         }
     }
 
-    private void readEntriesIfDue() {
-        if (nowMs() - mEntriesReadAtMs > ENTRIES_INTERVAL_MS) {
-            mEntriesReadAtMs = nowMs();
-            mEntryListReader.read();
-        }
-    }
-
     private void sendHeartbeat() {
         List<ProcessId> peers =
                 mLinks.connectedPeers(ProcessRole.ENTRY).stream().map(FleetNode::process).toList();
@@ -463,6 +441,11 @@
         }
     }
 
+    @Override
+    public void onEntryGone(FleetNode entry) {
+        mEntryList.remove(entry);
+    }
+
     @Override
     public void onMessage(FleetNode peer, Message message) {
         if (message instanceof WorkerReport report) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinkListener.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinkListener.java
@@ -13,4 +13,7 @@
 
     /** Handles a message of a peer. */
     void onMessage(FleetNode peer, Message message);
+
+    /** Handles an entry that belongs to the fleet no longer, because nobody has contact to it. */
+    default void onEntryGone(FleetNode entry) {}
 }
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/FleetLinks.java
@@ -5,27 +5,33 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.hickorycleat.daemon.logging.EventLog;
+import org.hickorycleat.daemon.transport.LinkTransport;
 import org.hickorycleat.daemon.transport.MessageConnection;
 import org.hickorycleat.daemon.transport.MessageListener;
-import org.hickorycleat.daemon.transport.MessageTransport;
+import org.hickorycleat.logic.membership.EntryMembership;
 import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.message.FleetEntries;
 import org.hickorycleat.model.message.FleetHello;
 import org.hickorycleat.model.message.FleetNode;
+import org.hickorycleat.model.message.KnownEntry;
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.ProcessRole;
 
 /**
  * Keeps a link from this process to every known entry.
  *
- * <p>Entries are discovered from seeds, from the store and from other entries. Two entries may have
- * two links between them. An agent has one link to each entry; its newest link replaces older ones.
+ * <p>Entries are discovered from seeds, from the store and from other entries. Each round compares
+ * the addresses of the seeds and of all entries that belong to the fleet with the links, and
+ * connects to those without one, whatever has become of earlier links. Two entries may have two
+ * links between them. An agent has one link to each entry; its newest link replaces older ones.
  *
  * <p>A link may go silent for good without being closed. A new link is then opened beside it, and
  * messages are sent on the newest link, so that a peer is reached again long before the silent link
@@ -34,13 +40,13 @@
 final class FleetLinks {
     private static final EventLog LOG = EventLog.of(FleetLinks.class);
 
-    /**
-     * Interval between two rounds of connection attempts while an address is not connected, in
-     * milliseconds.
-     */
+    /** Minimum interval between two rounds of connection attempts, in milliseconds. */
     private static final long CONNECT_INTERVAL_MS = 150;
 
-    /** Interval between two rounds while all addresses are connected, in milliseconds. */
+    /**
+     * Maximum interval between two rounds, in milliseconds; applies while all addresses are
+     * connected.
+     */
     private static final long CONNECTED_INTERVAL_MS = 500;
 
     /**
@@ -61,8 +67,11 @@
     /** Maximum number of links to an entry; each of two entries may have opened one. */
     private static final int MAXIMUM_LINKS_TO_ENTRY = 2;
 
-    /** Time after which an address that cannot be reached is removed, in milliseconds. */
-    private static final long ADDRESS_EXPIRY_MS = 60_000;
+    /**
+     * Interval at which an entry sends the entries with the ages of their contacts to all peers, in
+     * milliseconds; well below the age at which an entry is gone.
+     */
+    private static final long ENTRIES_INTERVAL_MS = EntryMembership.EXPIRY_MS / 6;
 
     /**
      * Time without a message after which a keep-alive is sent, in milliseconds; well below the read
@@ -73,24 +82,27 @@
     /** Time without a message after which a link is logged as silent, in milliseconds. */
     private static final long SILENCE_LOG_MS = KEEP_ALIVE_INTERVAL_MS + 500;
 
-    private final MessageTransport mTransport;
+    private final LinkTransport mTransport;
     private final FleetNode mSelf;
+    private final InetSocketAddress mSelfAddress;
     private final FleetLinkListener mListener;
     private final Scheduler mScheduler;
-    private final Map<ProcessId, FleetNode> mEntries = new LinkedHashMap<>();
-    private final Map<InetSocketAddress, AddressState> mAddresses = new HashMap<>();
+    private final Set<InetSocketAddress> mSeeds = new LinkedHashSet<>();
+    private final EntryMembership mMembership = new EntryMembership();
+    private final Map<InetSocketAddress, DialState> mDials = new HashMap<>();
     // The newest link of a peer is the first one.
     private final Map<ProcessId, List<Link>> mLinks = new HashMap<>();
     private final Map<ProcessId, ReopenState> mReopenStates = new HashMap<>();
     private boolean mEntriesChanged;
+    private long mEntriesSentAtMs;
     private long mRoundNumber;
     private long mNextRoundAtMs;
 
     /** State of the connection attempts to one address. */
-    private static final class AddressState {
+    private static final class DialState {
         private long mNextAttemptMs;
         private long mRetryDelayMs = INITIAL_RETRY_DELAY_MS;
-        private long mLastConnectedMs;
+        // Whether a connection that this process has opened exists or is being opened.
         private boolean mInUse;
     }
 
@@ -101,87 +113,89 @@
     }
 
     FleetLinks(
-            MessageTransport transport,
+            LinkTransport transport,
             FleetNode self,
             FleetLinkListener listener,
             Scheduler scheduler) {
         mTransport = transport;
         mSelf = self;
+        mSelfAddress = address(self);
         mListener = listener;
         mScheduler = scheduler;
     }
 
     /** Listens for links and starts to connect to the seeds. */
     void start(List<InetSocketAddress> seeds) throws InterruptedException {
-        mTransport.listen(
-                new InetSocketAddress(mSelf.host(), mSelf.port()),
-                () -> new Link(Optional.empty()));
-        addAddresses(seeds);
-        connectToDueAddresses();
-    }
-
-    /** Adds addresses at which entries may listen. */
-    synchronized void addAddresses(Collection<InetSocketAddress> addresses) {
-        int before = mAddresses.size();
-        for (InetSocketAddress address : addresses) {
-            if (!address.equals(new InetSocketAddress(mSelf.host(), mSelf.port()))) {
-                mAddresses.computeIfAbsent(address, key -> newAddressState());
-            }
-        }
-        if (mAddresses.size() > before) {
-            hastenRound();
+        mTransport.listen(mSelfAddress, () -> new Link(Optional.empty()));
+        synchronized (this) {
+            mSeeds.addAll(seeds);
+            mEntriesSentAtMs = nowMs();
         }
-    }
-
-    private AddressState newAddressState() {
-        AddressState state = new AddressState();
-        state.mLastConnectedMs = nowMs();
-        return state;
+        connectToDueAddresses();
     }
 
     /**
-     * Adds entries, and updates those that have restarted since; agents get the new list with the
-     * next round of connection attempts.
+     * Adds entries that are or were in the list of the store, and updates those that have restarted
+     * since; peers get the new list with the next round of connection attempts.
      */
     synchronized void addEntries(Collection<FleetNode> entries) {
-        for (FleetNode entry : entries) {
-            mEntriesChanged |= addEntry(entry);
-        }
-        if (mEntriesChanged) {
-            hastenRound();
-        }
+        entries.stream()
+                .filter(this::isOtherEntry)
+                .filter(entry -> mMembership.addUnconfirmed(entry, nowMs()))
+                .forEach(this::onEntryLearnt);
     }
 
-    private void sendChangedEntries() {
-        synchronized (this) {
-            if (!mEntriesChanged) {
-                return;
-            }
-            mEntriesChanged = false;
-        }
-        broadcast(new FleetEntries(entries()), ProcessRole.AGENT);
+    /** Adds entries that a peer knows, and updates the ages of their last contacts. */
+    private synchronized void addKnownEntries(Collection<KnownEntry> entries) {
+        entries.stream()
+                .filter(known -> isOtherEntry(known.node()))
+                .filter(known -> mMembership.add(known.node(), known.contactAgeMs(), nowMs()))
+                .map(KnownEntry::node)
+                .forEach(this::onEntryLearnt);
     }
 
-    private boolean addEntry(FleetNode entry) {
-        if (entry.role() != ProcessRole.ENTRY || entry.process().equals(mSelf.process())) {
-            return false;
-        }
-        if (!entry.hasValidAddress()) {
-            logInvalidAddress(entry);
+    private boolean isOtherEntry(FleetNode node) {
+        if (node.role() != ProcessRole.ENTRY || node.process().equals(mSelf.process())) {
             return false;
         }
-        FleetNode known = mEntries.get(entry.process());
-        if (known != null && known.startedAtMs() >= entry.startedAtMs()) {
+        if (!node.hasValidAddress()) {
+            logInvalidAddress(node);
             return false;
         }
+        return true;
+    }
+
+    private void onEntryLearnt(FleetNode entry) {
         LOG.event("entry_learnt")
                 .with("entry", entry.process())
                 .with("host", entry.host())
                 .with("started", entry.startedAtMs())
                 .info();
-        mEntries.put(entry.process(), entry);
-        addAddresses(List.of(new InetSocketAddress(entry.host(), entry.port())));
-        return true;
+        mEntriesChanged = true;
+        hastenRound();
+    }
+
+    private void sendEntriesIfDue() {
+        if (mSelf.role() != ProcessRole.ENTRY) {
+            return;
+        }
+        synchronized (this) {
+            boolean periodic = nowMs() - mEntriesSentAtMs >= ENTRIES_INTERVAL_MS;
+            if (!periodic && !mEntriesChanged) {
+                return;
+            }
+            mEntriesChanged = false;
+            mEntriesSentAtMs = nowMs();
+        }
+        FleetEntries entries = knownEntries();
+        broadcast(entries, ProcessRole.ENTRY);
+        broadcast(entries, ProcessRole.AGENT);
+    }
+
+    private synchronized FleetEntries knownEntries() {
+        List<KnownEntry> entries = new ArrayList<>(mMembership.knownEntries(nowMs()));
+        entries.add(new KnownEntry(mSelf, 0));
+        return new FleetEntries(entries);
     }
 
     private static void logInvalidAddress(FleetNode node) {
@@ -194,7 +208,7 @@
 
     /** Returns the known entries, including this process if it is an entry. */
     synchronized List<FleetNode> entries() {
-        List<FleetNode> entries = new ArrayList<>(mEntries.values());
+        List<FleetNode> entries = new ArrayList<>(mMembership.entries());
         if (mSelf.role() == ProcessRole.ENTRY) {
             entries.add(mSelf);
         }
@@ -273,7 +287,7 @@
             node = links.get(0).mPeer.orElseThrow();
             LOG.event("link_reopened").with("peer", peer).with("silent_ms", silentMs).info();
         }
-        connect(new InetSocketAddress(node.host(), node.port()));
+        connect(address(node));
     }
 
     private void connectToDueAddresses() {
@@ -305,53 +319,78 @@
     }
 
     private synchronized long nextRoundDelayMs() {
-        boolean connected =
-                mAddresses.entrySet().stream()
-                        .allMatch(
-                                address ->
-                                        address.getValue().mInUse || isConnected(address.getKey()));
-        return connected ? CONNECTED_INTERVAL_MS : CONNECT_INTERVAL_MS;
+        long nextAttemptMs =
+                missingAddresses().stream()
+                        .mapToLong(address -> dialState(address).mNextAttemptMs)
+                        .min()
+                        .orElse(Long.MAX_VALUE);
+        return Math.max(
+                CONNECT_INTERVAL_MS, Math.min(CONNECTED_INTERVAL_MS, nextAttemptMs - nowMs()));
     }
 
     private void connectAndSendKeepAlives() {
+        List<FleetNode> gone;
         List<InetSocketAddress> due = new ArrayList<>();
         synchronized (this) {
-            mAddresses.entrySet().removeIf(this::removeIfExpired);
-            for (Map.Entry<InetSocketAddress, AddressState> address : mAddresses.entrySet()) {
-                boolean mayConnect = !address.getValue().mInUse && !isConnected(address.getKey());
-                if (mayConnect && nowMs() >= address.getValue().mNextAttemptMs) {
-                    address.getValue().mInUse = true;
-                    due.add(address.getKey());
+            mLinks.keySet().forEach(peer -> mMembership.onContact(peer, nowMs()));
+            gone = mMembership.removeGone(nowMs());
+            removeUnwantedDials();
+            for (InetSocketAddress address : missingAddresses()) {
+                DialState state = dialState(address);
+                if (nowMs() >= state.mNextAttemptMs) {
+                    state.mInUse = true;
+                    due.add(address);
                 }
             }
         }
+        gone.forEach(this::onEntryGone);
         due.forEach(this::connect);
-        sendChangedEntries();
+        sendEntriesIfDue();
         sendKeepAlives();
     }
 
-    private boolean removeIfExpired(Map.Entry<InetSocketAddress, AddressState> address) {
-        AddressState state = address.getValue();
-        long ageMs = nowMs() - state.mLastConnectedMs;
-        if (state.mInUse || ageMs <= ADDRESS_EXPIRY_MS) {
-            return false;
-        }
-        LOG.event("address_removed")
-                .with("address", address.getKey())
-                .with("connected", isConnected(address.getKey()))
-                .with("age_ms", ageMs)
+    private void onEntryGone(FleetNode entry) {
+        LOG.event("entry_gone")
+                .with("entry", entry.process())
+                .with("host", entry.host())
+                .with("started", entry.startedAtMs())
                 .info();
-        return true;
+        mListener.onEntryGone(entry);
     }
 
-    private boolean isConnected(InetSocketAddress address) {
-        for (List<Link> links : mLinks.values()) {
-            FleetNode peer = links.get(0).mPeer.orElseThrow();
-            if (new InetSocketAddress(peer.host(), peer.port()).equals(address)) {
-                return true;
-            }
-        }
-        return false;
+    /** Returns the addresses that should be connected, but are neither connected nor being so. */
+    private Set<InetSocketAddress> missingAddresses() {
+        Set<InetSocketAddress> missing = wantedAddresses();
+        missing.removeAll(connectedAddresses());
+        missing.removeIf(address -> dialState(address).mInUse);
+        return missing;
+    }
+
+    private void removeUnwantedDials() {
+        Set<InetSocketAddress> wanted = wantedAddresses();
+        mDials.entrySet()
+                .removeIf(dial -> !dial.getValue().mInUse && !wanted.contains(dial.getKey()));
+    }
+
+    private Set<InetSocketAddress> wantedAddresses() {
+        Set<InetSocketAddress> wanted = new LinkedHashSet<>(mSeeds);
+        mMembership.entries().forEach(entry -> wanted.add(address(entry)));
+        wanted.remove(mSelfAddress);
+        return wanted;
+    }
+
+    private Set<InetSocketAddress> connectedAddresses() {
+        Set<InetSocketAddress> connected = new HashSet<>();
+        connectedPeers(ProcessRole.ENTRY).forEach(peer -> connected.add(address(peer)));
+        return connected;
+    }
+
+    private DialState dialState(InetSocketAddress address) {
+        return mDials.computeIfAbsent(address, key -> new DialState());
+    }
+
+    private static InetSocketAddress address(FleetNode node) {
+        return new InetSocketAddress(node.host(), node.port());
     }
 
     private void connect(InetSocketAddress address) {
@@ -360,10 +399,7 @@
     }
 
     private synchronized void onConnectFailed(InetSocketAddress address, Throwable error) {
-        AddressState state = mAddresses.get(address);
-        if (state == null) {
-            return;
-        }
+        DialState state = dialState(address);
         LOG.event("dial_failed").with("address", address).with("cause", error).debug();
         state.mInUse = false;
         state.mNextAttemptMs = nowMs() + state.mRetryDelayMs;
@@ -421,16 +457,11 @@
             mConnection = Optional.of(connection);
             connection.send(new FleetHello(mSelf));
             if (mSelf.role() == ProcessRole.ENTRY) {
-                connection.send(new FleetEntries(entries()));
+                connection.send(knownEntries());
             }
             synchronized (FleetLinks.this) {
-                mConnectAddress
-                        .map(mAddresses::get)
-                        .ifPresent(
-                                state -> {
-                                    state.mRetryDelayMs = INITIAL_RETRY_DELAY_MS;
-                                    state.mLastConnectedMs = nowMs();
-                                });
+                mConnectAddress.ifPresent(
+                        address -> dialState(address).mRetryDelayMs = INITIAL_RETRY_DELAY_MS);
             }
         }
 
@@ -455,7 +486,7 @@
                 return;
             }
             if (message instanceof FleetEntries entries) {
-                addEntries(entries.entries());
+                addKnownEntries(entries.entries());
                 return;
             }
             mPeer.ifPresent(peer -> mListener.onMessage(peer, message));
@@ -491,7 +522,7 @@
                 }
             }
             replaced.forEach(Link::close);
-            addEntries(List.of(peer));
+            addKnownEntries(List.of(new KnownEntry(peer, 0)));
             if (first) {
                 LOG.event("link_opened").with("peer", peer.process()).info();
                 mListener.onConnected(peer);
@@ -502,14 +533,13 @@
         public void onClose(MessageConnection connection) {
             boolean last = false;
             synchronized (FleetLinks.this) {
-                mConnectAddress
-                        .map(mAddresses::get)
-                        .ifPresent(
-                                state -> {
-                                    state.mInUse = false;
-                                    state.mNextAttemptMs = nowMs() + INITIAL_RETRY_DELAY_MS;
-                                    hastenRound();
-                                });
+                mConnectAddress.ifPresent(
+                        address -> {
+                            DialState state = dialState(address);
+                            state.mInUse = false;
+                            state.mNextAttemptMs = nowMs() + INITIAL_RETRY_DELAY_MS;
+                        });
+                hastenRound();
                 if (mPeer.isPresent()) {
                     List<Link> links =
                             mLinks.getOrDefault(mPeer.get().process(), new ArrayList<>());
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobLogCodec.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/JobLogCodec.java
@@ -7,6 +7,7 @@
 import org.hickorycleat.daemon.transport.RecordCodec;
 import org.hickorycleat.logic.directory.JobRecord;
 import org.hickorycleat.logic.election.EpochGenerator;
+import org.hickorycleat.model.identifier.ProcessId;
 import org.hickorycleat.model.job.JobId;
 import org.hickorycleat.model.job.TaskProgress;
 import org.hickorycleat.model.message.FleetNode;
@@ -125,6 +126,11 @@
         return toStoreRecord(entry.process().value(), entry);
     }
 
+    /** Encodes the removal of an entry from the list. */
+    StoreRecord encodeEntryRemoval(ProcessId entry) {
+        return new StoreRecord(0, entry.value(), NO_VALUE);
+    }
+
     /** Decodes an entry; returns empty if it is unreadable or has no valid address. */
     Optional<FleetNode> decodeEntry(StoreRecord record) {
         if (record.value().length == 0) {
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageHandler.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageHandler.java
@@ -87,7 +87,7 @@
     private MessageConnection connection(ChannelHandlerContext context) {
         MessageConnection connection = mConnection;
         if (connection == null) {
-            connection = new MessageConnection(context.channel(), mCodec, mMetrics);
+            connection = new ChannelConnection(context.channel(), mCodec, mMetrics);
             mConnection = connection;
         }
         return connection;
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageTransport.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/MessageTransport.java
@@ -20,10 +20,10 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
-/** Listens for and opens connections that carry messages. */
+/** Listens for and opens TCP connections that carry messages. */
 // Failures to connect are reported through the callback; the result of the shutdown is not needed.
 @SuppressWarnings("FutureReturnValueIgnored")
-public final class MessageTransport implements AutoCloseable {
+public final class MessageTransport implements LinkTransport, AutoCloseable {
     /** Time without a byte from the peer after which a connection is closed, in milliseconds. */
     private static final int READ_TIMEOUT_MS = 5_000;
 
@@ -50,7 +50,7 @@
         mMetrics = metrics;
     }
 
-    /** Listens on an address; each connection gets a separate listener. */
+    @Override
     public void listen(InetSocketAddress address, Supplier<MessageListener> listenerFactory)
             throws InterruptedException {
         new ServerBootstrap()
@@ -64,7 +64,7 @@
                 .sync();
     }
 
-    /** Opens a connection; calls {@code onFailure} if it cannot be opened. */
+    @Override
     public void connect(
             InetSocketAddress address, MessageListener listener, Consumer<Throwable> onFailure) {
         new Bootstrap()
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetLinksTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/FleetLinksTest.java
@@ -25,6 +25,7 @@
 import org.hickorycleat.model.message.FleetEntries;
 import org.hickorycleat.model.message.FleetHello;
 import org.hickorycleat.model.message.FleetNode;
+import org.hickorycleat.model.message.KnownEntry;
 import org.hickorycleat.model.message.Message;
 import org.hickorycleat.model.message.ProcessRole;
 import org.junit.jupiter.api.AfterEach;
@@ -140,6 +141,29 @@
         }
     }
 
+    /** Guards against a link that is never opened again because it was opened long before. */
+    @Test
+    void reconnectsAfterTheLossOfOldLink() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            server.setSoTimeout((int) TIMEOUT.toMillis());
+            FleetNode peer = entry("entry-9", LOOPBACK, server.getLocalPort());
+            mLinks.addEntries(List.of(peer));
+            mLinks.start(List.of());
+            Socket first = server.accept();
+            send(first, new FleetHello(peer));
+            Awaitility.await()
+                    .atMost(TIMEOUT)
+                    .until(() -> mLinks.connectedPeers(ProcessRole.ENTRY).contains(peer));
+            mScheduler.advanceTimeBy(1, TimeUnit.DAYS);
+            TimeUnit.MILLISECONDS.sleep(200);
+            first.close();
+            TimeUnit.MILLISECONDS.sleep(300);
+            advance();
+
+            server.accept().close();
+        }
+    }
+
     /** Guards against a process that connects to no entry any more. */
     @Test
     void connectsAfterHelloWithPortOutOfRange() throws Exception {
@@ -173,7 +197,11 @@
         mLinks.start(List.of());
         FleetNode good = entry("entry-9", LOOPBACK, 80);
         try (Socket socket =
-                connectAndSend(new FleetEntries(List.of(entry("odd", LOOPBACK, 70_000), good)))) {
+                connectAndSend(
+                        new FleetEntries(
+                                List.of(
+                                        new KnownEntry(entry("odd", LOOPBACK, 70_000), 0),
+                                        new KnownEntry(good, 0))))) {
             Awaitility.await().atMost(TIMEOUT).until(() -> mLinks.entries().contains(good));
             assertThat(socket.isConnected()).isTrue();
             assertThat(mLinks.entries()).containsExactly(good);
