Wait for a complete list before pending runs are rejected

What callers would see: a task runs again after its end.

Cause: with the first listing of a restarted worker, an agent rejected every pending run that it did not name, also if the listing was partial and the end of the run not in it yet.

Change: a new incarnation makes the outcome of pending starts unknown, as a call without a response does; only a complete list under a higher token rules them out.

Measured: both new tests of RunSupervisorTest fail with the former code.

--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -554,9 +554,6 @@
         mEnded = ended;
         mCompleteness = response.completeness();
         resolvePending(sent.token());
-        if (newIncarnation) {
-            rejectPending();
-        }
         retryStops();
         throttle();
         if (changed) {
@@ -604,18 +601,15 @@
                 Math.max(
                         mLeaseExpiredByMs,
                         nowMs() + WorkerClock.longestDurationMs(mSettings.maximumLeaseMs()));
+        // The previous incarnation may have executed a pending start, or this one before it had
+        // seen the token of its first listing. A complete list tells.
+        mPending.values().forEach(PendingRun::onNoResponse);
         mAcknowledgement.onNewIncarnation();
         mStopSentAtMs.clear();
         mSentPercents.clear();
         mStoppedWorkAtMs.clear();
     }
 
-    private void rejectPending() {
-        List<RunId> rejected = List.copyOf(mPending.keySet());
-        mPending.clear();
-        rejected.forEach(run -> reject(run, RejectionReason.UNAVAILABLE));
-    }
-
     private static boolean hasSameEnds(List<EndedRun> left, List<EndedRun> right) {
         return left.size() == right.size()
                 && (left.isEmpty()
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
@@ -572,6 +572,43 @@
         assertThat(lastReport().leaseExpired()).isTrue();
     }
 
+    /**
+     * Guards against a task that starts again after its end: a restarted worker has executed the
+     * start, and the end is not among those of its first listing.
+     */
+    @Test
+    void keepsPendingRunIfFirstListingOfNewIncarnationIsPartial() {
+        mSupervisor.onStartRun(start(EPOCH));
+        mWorker.mCompleteness = ListCompleteness.PARTIAL;
+        restartWorker();
+        advanceTime(1_000);
+        assertThat(lastReport().incarnation()).contains(mRestarted);
+        assertThat(lastReport().pending()).containsExactly(RUN);
+        assertThat(rejections()).isEmpty();
+
+        mWorker.mCompleteness = ListCompleteness.COMPLETE;
+        mWorker.mEnded.add(new EndedRun(501, RUN, EndCause.DONE, ""));
+        advanceTime(1_000);
+        assertThat(lastReport().ended()).hasSize(1);
+        assertThat(lastReport().pending()).isEmpty();
+        assertThat(rejections()).isEmpty();
+    }
+
+    /** Guards against a run that stays pending forever after its worker has restarted. */
+    @Test
+    void rejectsPendingRunOnceCompleteListingOfNewIncarnationOmitsIt() {
+        mSupervisor.onStartRun(start(EPOCH));
+        mWorker.mCompleteness = ListCompleteness.PARTIAL;
+        restartWorker();
+        advanceTime(1_000);
+        assertThat(rejections()).isEmpty();
+
+        mWorker.mCompleteness = ListCompleteness.COMPLETE;
+        advanceTime(1_000);
+        assertThat(rejections()).extracting(RunRejected::run).containsExactly(RUN);
+        assertThat(lastReport().pending()).isEmpty();
+    }
+
     @Test
     void retriesStopWhileRunIsListed() {
         mWorker.mRunning.add(new RunSample(RUN, "", 10, 0));
