Count the longest lease for starts that no listing has shown

Cause: which life of a worker has executed a start is known only from a later listing. Agent, owner and next owner counted the lease of the life that was believed in, 6 s; a later life takes the deadline as a time on its own clock and grants max_hold_ms, 10 s.

Change: the longer time is counted for each run, not for each worker: by the agent for pending runs, which it reports; by the owner from the sending of a start until a report lists the run; by the next owner from the first reading of the run in the job log. Work that was listed is recovered as fast as before.

keepsRunOfUnreachableWorkerUntilItsLeaseCertainlyExpired took an unlisted start for one that goes by the lease of its worker, which is the fault; it lists the run first now, with the same times, and unlisted runs have a test of their own.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/EntryRole.java
@@ -402,6 +402,9 @@
 
     private void onProgressRead(JobProgress progress) {
         mIncarnationHistory.onProgress(progress, nowMs());
+        if (progress.state().isFinal() || mDirectory.isPast(progress.id())) {
+            mIncarnationHistory.removeJob(progress.id());
+        }
         mOwnership.onProgressRead();
     }
 
--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/fleet/OwnerRole.java
@@ -75,6 +75,9 @@
     /** Maximum number of records in one append; the size of an append is limited as well. */
     private static final int MAXIMUM_BATCH_RECORDS = 200;
 
+    /** Age of a run above which its start does not matter any more, in milliseconds. */
+    private static final long YOUNG_RUN_MS = 60_000;
+
     /** Start of an append that does not exist. */
     private static final long NOT_PENDING = Long.MAX_VALUE;
 
@@ -167,8 +170,9 @@
                                                             job.progress(),
                                                             job.isCancelled())));
         }
-        mDispatcher.restoreIncarnationAges(
-                mIncarnationHistory.newestAgesMs(mScheduler.now(TimeUnit.MILLISECONDS)));
+        long nowMs = mScheduler.now(TimeUnit.MILLISECONDS);
+        mDispatcher.restoreIncarnationAges(mIncarnationHistory.newestAgesMs(nowMs));
+        mDispatcher.restoreRunAges(mIncarnationHistory.runAgesMs(YOUNG_RUN_MS, nowMs));
         for (FleetNode agent : mLinks.connectedPeers(ProcessRole.AGENT)) {
             onAgentConnected(agent.process());
         }
--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleFailureTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/fleet/OwnerRoleFailureTest.java
@@ -204,6 +204,7 @@
                 ListCompleteness.COMPLETE,
                 false,
                 0,
+                0,
                 true,
                 100);
     }
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchSettings.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/DispatchSettings.java
@@ -18,6 +18,9 @@
     /** Longest lease that the owner requests, in milliseconds; outlasts most network partitions. */
     private static final int LEASE_LIMIT_MS = 6_000;
 
+    /** Time within which the agent receives a start and its worker executes it, in milliseconds. */
+    private static final int START_DELAY_MS = 1_000;
+
     /**
      * Returns the settings for workers that grant leases up to the given length, and for an owner
      * that knows nothing of the owner before it.
@@ -53,6 +56,15 @@
         return certainExpiryMs(maximumLeaseMs);
     }
 
+    /**
+     * Returns the time after which a run has certainly ended that was sent to a worker and has not
+     * been listed since, in milliseconds. The worker may have restarted before it executed the
+     * start, and then holds the run for as long as it grants leases.
+     */
+    int unlistedStartExpiryMs() {
+        return START_DELAY_MS + maximumCertainExpiryMs();
+    }
+
     private static int certainExpiryMs(int extendedMs) {
         // A worker's clock may run 2% slow; the remaining margin covers rounding and scheduling
         // delays.
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/Dispatcher.java
@@ -294,6 +294,22 @@
         }
     }
 
+    /**
+     * Restores how long runs have been in the job log; called after the jobs are restored. The
+     * start of a young run may have been executed by an incarnation of its worker that nobody has
+     * listed yet.
+     */
+    public synchronized void restoreRunAges(Map<RunId, Long> agesMs) {
+        for (TrackedWorker worker : mWorkers.values()) {
+            for (TrackedRun run : worker.runs()) {
+                Long ageMs = agesMs.get(run.id());
+                if (ageMs != null) {
+                    run.onUnlisted(nowMs() - ageMs + mSettings.unlistedStartExpiryMs());
+                }
+            }
+        }
+    }
+
     private void addJob(TrackedJob job) {
         job.markActive(nowMs());
         mJobs.put(job.id(), job);
@@ -518,6 +534,14 @@
     }
 
     private void reconcile(TrackedWorker worker, WorkerReport report) {
+        long pendingExpiredByMs =
+                nowMs()
+                        + Math.min(
+                                report.pendingLeaseRemainingMs(),
+                                mSettings.unlistedStartExpiryMs());
+        for (RunId pending : report.pending()) {
+            worker.run(pending).ifPresent(run -> run.onUnlisted(pendingExpiredByMs));
+        }
         if (report.leaseExpired()) {
             declareAllLost(worker, "lease_expired_at_agent");
             return;
@@ -708,7 +732,7 @@
 
     private void declareAllLost(TrackedWorker worker, String cause) {
         for (TrackedRun run : worker.runs()) {
-            if (run.phase() != RunPhase.PERSISTING) {
+            if (run.phase() != RunPhase.PERSISTING && !run.mayOutlastLease(nowMs())) {
                 declareLost(run, cause);
             }
         }
@@ -883,6 +907,7 @@
         TrackedTask task = run.task();
         long commandNumber = sendable ? worker.nextCommandNumber() : 0;
         run.onStartSent(worker.session(), commandNumber, nowMs());
+        run.onUnlisted(nowMs() + mSettings.unlistedStartExpiryMs());
         boolean sent =
                 sendable
                         && mOutput.send(
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedRun.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/dispatch/TrackedRun.java
@@ -24,6 +24,7 @@
     private long mCommandNumber;
     private long mTraitsSession;
     private long mStartSentAtMs;
+    private long mUnlistedExpiredByMs = Long.MIN_VALUE;
     private boolean mStopping;
     private final RunProgress mProgress = new RunProgress();
     private long mMeasurement;
@@ -119,6 +120,19 @@
         mTraitsSession = session;
     }
 
+    /**
+     * Records by when the run has certainly ended if no report has listed it, in milliseconds; the
+     * lease of the worker does not bound it then.
+     */
+    void onUnlisted(long expiredByMs) {
+        mUnlistedExpiredByMs = expiredByMs;
+    }
+
+    /** Returns whether the run may outlast the lease of its worker. */
+    boolean mayOutlastLease(long nowMs) {
+        return nowMs <= mUnlistedExpiredByMs;
+    }
+
     /** Records that the start was sent. */
     void onStartSent(long session, long commandNumber, long nowMs) {
         mPhase = RunPhase.START_SENT;
@@ -135,6 +149,7 @@
     /** Updates the run from the listing of the worker. */
     void onSample(int percent, long measurement, long nowMs) {
         mPhase = RunPhase.RUNNING;
+        mUnlistedExpiredByMs = Long.MIN_VALUE;
         mProgress.onSample(percent, nowMs);
         mMeasurement = measurement;
         mHasNewMeasurement = measurement > 0;
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -68,6 +68,9 @@
      */
     private static final long THROTTLE_CHECK_MS = 800;
 
+    /** Time within which a worker executes a command that it receives, in milliseconds. */
+    private static final long EXECUTION_DELAY_MS = 500;
+
     /** Increment between two tokens of one agent; exceeds any clock drift between incarnations. */
     private static final long TOKEN_STEP = 1;
 
@@ -110,6 +113,7 @@
     private long mReportedAtMs;
     private long mLeaseDeadlineMs;
     private long mLeaseExpiredByMs;
+    private long mPendingExpiredByMs;
     private long mRespondedAtMs;
     private boolean mStopped;
     private boolean mListingPaused;
@@ -470,10 +474,17 @@
                 error -> onListingFailed(error, periodic));
     }
 
-    // Each command with a deadline extends the lease of everything that runs on the worker.
+    // Each command with a deadline extends the lease of everything that runs on the worker. What a
+    // listing has shown since it was started runs on the known incarnation. A pending run may have
+    // been started by a later one, which takes the deadline as a time on its own clock and grants
+    // the longest lease.
     private void onLeaseDeadlineSent() {
         mLeaseExpiredByMs =
                 Math.max(mLeaseExpiredByMs, mClock.certainlyPassedAtMs(mLeaseDeadlineMs, nowMs()));
+        mPendingExpiredByMs =
+                nowMs()
+                        + EXECUTION_DELAY_MS
+                        + WorkerClock.longestDurationMs(mSettings.maximumLeaseMs());
     }
 
     /** What is needed of a listing request when its response arrives. */
@@ -768,6 +779,7 @@
                         mCompleteness,
                         !reachable && nowMs() > mLeaseExpiredByMs,
                         Math.max(0, mLeaseExpiredByMs - nowMs()),
+                        mPending.isEmpty() ? 0 : Math.max(0, mPendingExpiredByMs - nowMs()),
                         reachable,
                         mThrottle.lowestPercent()));
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatchFixture.java
@@ -65,6 +65,9 @@
     ListCompleteness mCompleteness = ListCompleteness.COMPLETE;
     boolean mMayExtendLeases = true;
     long mLeaseRemainingMs;
+    long mPendingLeaseRemainingMs;
+    boolean mLeaseExpired;
+    List<RunId> mPending = List.of();
     int mBestEffortPercent = 100;
     long mColdRemainingMs;
     final Map<Integer, ZoneId> mZoneOfAgent = new HashMap<>();
@@ -254,12 +257,13 @@
                         Optional.of(description),
                         Optional.of(incarnation),
                         lastCommandNumber,
-                        List.of(),
+                        mPending,
                         running,
                         ended,
                         mCompleteness,
-                        false,
+                        mLeaseExpired,
                         mLeaseRemainingMs,
+                        mPendingLeaseRemainingMs,
                         true,
                         mBestEffortPercent));
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/DispatcherTest.java
@@ -180,6 +180,7 @@
                         ListCompleteness.COMPLETE,
                         false,
                         0,
+                        0,
                         true,
                         100));
 
@@ -286,8 +287,9 @@
 
     @Test
     void keepsRunOfUnreachableWorkerUntilItsLeaseCertainlyExpired() {
-        mFixture.connect(1);
+        long session = mFixture.connect(1);
         mFixture.submit(JOB, DispatchFixture.step(1, false));
+        mFixture.report(1, session, 1, 1, List.of(mFixture.sample(0)), List.of());
         long other = mFixture.connect(2);
         mFixture.mDispatcher.onAgentDisconnected(DispatchFixture.agent(1));
 
@@ -300,6 +302,64 @@
         assertThat(mFixture.mStartedOn.get(1)).isEqualTo(DispatchFixture.agent(2));
     }
 
+    /**
+     * Guards against a second run beside one that a worker has started after it restarted: until
+     * the run is listed, it may hold the longest lease.
+     */
+    @Test
+    void keepsUnlistedRunOfUnreachableWorkerForLongestLease() {
+        mFixture.connect(1);
+        mFixture.submit(JOB, DispatchFixture.step(1, false));
+        mFixture.mDispatcher.onAgentDisconnected(DispatchFixture.agent(1));
+
+        assertThat(isStartedAgainWithin(DispatchFixture.MAXIMUM_LEASE_MS + 500)).isFalse();
+        assertThat(isStartedAgainWithin(1_500)).isTrue();
+    }
+
+    /** Guards against the same while the agent of the worker reports that its lease has expired. */
+    @Test
+    void keepsPendingRunForAsLongAsItsAgentReports() {
+        long session = mFixture.connect(1);
+        mFixture.submit(JOB, DispatchFixture.step(1, false));
+        mFixture.mPending = List.of(mFixture.run(0));
+        mFixture.mPendingLeaseRemainingMs = 3_000;
+        mFixture.mLeaseExpired = true;
+        mFixture.report(1, session, 1, 1, List.of(), List.of());
+        mFixture.mDispatcher.onAgentDisconnected(DispatchFixture.agent(1));
+        mFixture.mPending = List.of();
+        mFixture.mLeaseExpired = false;
+
+        assertThat(isStartedAgainWithin(2_900)).isFalse();
+        assertThat(isStartedAgainWithin(DispatchFixture.LEASE_MS)).isTrue();
+    }
+
+    /** Guards against the same after a change of the owner. */
+    @Test
+    void nextOwnerKeepsYoungRunForLongestLease() {
+        DispatchFixture next = nextOwnerOfStartedJob();
+        next.mDispatcher.restoreRunAges(Map.of(mFixture.run(0), 1_000L));
+
+        assertThat(isStartedWithin(next, DispatchFixture.MAXIMUM_LEASE_MS - 500)).isFalse();
+        assertThat(isStartedWithin(next, 1_500)).isTrue();
+    }
+
+    /** Guards against a longer wait for runs whose start was long ago. */
+    @Test
+    void nextOwnerDoesNotWaitLongerForOldRun() {
+        DispatchFixture next = nextOwnerOfStartedJob();
+        next.mDispatcher.restoreRunAges(Map.of(mFixture.run(0), 20_000L));
+
+        assertThat(isStartedWithin(next, 7_600)).isTrue();
+    }
+
+    private boolean isStartedAgainWithin(int milliseconds) {
+        for (int passedMs = 0; passedMs < milliseconds; passedMs += 100) {
+            mFixture.connect(2);
+            mFixture.advanceTime(100);
+        }
+        return mFixture.mStarts.size() > 1;
+    }
+
     /**
      * Guards against restarting a task while its previous run still has a lease: a previous owner
      * may have extended leases for some time without the store.
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/FleetFaultsPropertyTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/FleetFaultsPropertyTest.java
@@ -32,6 +32,9 @@
     private static final int REPEAT_INTERVAL_MS = 700;
     private static final double MAXIMUM_LOSS_RATE = 0.3;
 
+    /** Added to the numbers of jobs that are submitted beside a fault. */
+    private static final long STRUCK_JOBS = 1L << 32;
+
     static LongStream seeds() {
         return LongStream.rangeClosed(1, SEEDS);
     }
@@ -63,6 +66,42 @@
                 mostly(FleetFaultsPropertyTest::restartAndCutWorker));
     }
 
+    /**
+     * Guards against a start that a restarted worker takes for its former life, just before it is
+     * cut off: it runs for longer than the lease that was meant for the former life.
+     */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void keepsRulesWhenWorkersAreCutOffAtOnceAfterTheyRestart(long seed) {
+        keepsRules(
+                new SimulatedFleet(seed, WORKERS, LeaseAuthority.CONFIRMED_OWNER_LEASE_MS),
+                mostly(FleetFaultsPropertyTest::restartAndCutWorkerAtOnce));
+    }
+
+    private static void restartAndCutWorkerAtOnce(SimulatedFleet fleet) {
+        int worker = fleet.randomWorker();
+        int downMs = fleet.random().nextInt(30);
+        fleet.crashWorker(worker, downMs);
+        int submittedAfterMs = downMs + fleet.random().nextInt(30);
+        fleet.schedule(
+                submittedAfterMs,
+                () -> fleet.submit(randomJob(fleet, STRUCK_JOBS + fleet.nowMs())));
+        fleet.schedule(
+                submittedAfterMs + 15 + fleet.random().nextInt(60),
+                () -> {
+                    fleet.cutWorker(worker, 1_000 + fleet.random().nextInt(15_000));
+                    int fault = fleet.random().nextInt(6);
+                    if (fault == 0) {
+                        killOwner(fleet);
+                    } else if (fault == 1) {
+                        killAgent(fleet, worker);
+                    } else if (fault == 2) {
+                        killAgent(fleet, worker);
+                        killOwner(fleet);
+                    }
+                });
+    }
+
     private static void restartAndCutWorker(SimulatedFleet fleet) {
         int worker = fleet.randomWorker();
         fleet.crashWorker(worker);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/InterferenceEstimatorTest.java
@@ -73,6 +73,7 @@
                         ListCompleteness.COMPLETE,
                         false,
                         0,
+                        0,
                         true,
                         100),
                 0);
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/OddReportPropertyTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/OddReportPropertyTest.java
@@ -78,6 +78,7 @@
                 ListCompleteness.COMPLETE,
                 random.nextBoolean(),
                 oddNumber(random),
+                oddNumber(random),
                 random.nextBoolean(),
                 oddInteger(random));
     }
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/SimulatedFleet.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/dispatch/SimulatedFleet.java
@@ -121,7 +121,12 @@
     }
 
     void crashWorker(int worker) {
-        mAgents.get(worker).mWorker.crash(mRandom.nextInt(400));
+        crashWorker(worker, mRandom.nextInt(400));
+    }
+
+    /** Ends a worker, which is back under its id after a time. */
+    void crashWorker(int worker, int downMs) {
+        mAgents.get(worker).mWorker.crash(downMs);
     }
 
     /** Sets what a worker measures for every run of it. */
@@ -261,6 +266,7 @@
                         mCancelled.contains(submission.id()));
             }
             mDispatcher.restoreIncarnationAges(mIncarnationHistory.newestAgesMs(nowMs()));
+            mDispatcher.restoreRunAges(mIncarnationHistory.runAgesMs(60_000, nowMs()));
             mAgents.stream().filter(Agent::isAlive).forEach(this::connect);
         }
 
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
@@ -572,6 +572,39 @@
         assertThat(lastReport().leaseExpired()).isTrue();
     }
 
+    /**
+     * Guards against a second run beside one that the worker has started after it restarted and
+     * before a listing has shown that: it took the deadline as a time on its new clock.
+     */
+    @Test
+    void reportsLongestLeaseForPendingRun() {
+        advanceTime(10_000);
+        mWorker.mClockMs += 10_000;
+        advanceTime(1_000);
+        extendLease();
+        mSupervisor.onStartRun(start(EPOCH));
+        mWorker.mUnresponsive = true;
+        advanceTime(7_000);
+        assertThat(lastReport().pending()).containsExactly(RUN);
+        assertThat(lastReport().leaseExpired()).isTrue();
+        assertThat(lastReport().pendingLeaseRemainingMs())
+                .isBetween(10_200L - 7_000, 12_000L - 7_000);
+
+        advanceTime(5_000);
+        assertThat(lastReport().pendingLeaseRemainingMs()).isZero();
+    }
+
+    /** Guards against a longer wait for runs that a listing has shown since they were started. */
+    @Test
+    void reportsNoLongerLeaseForListedRun() {
+        mSupervisor.onStartRun(start(EPOCH));
+        mWorker.mRunning.add(new RunSample(RUN, "", 10, 0));
+        advanceTime(1_000);
+
+        assertThat(lastReport().pending()).isEmpty();
+        assertThat(lastReport().pendingLeaseRemainingMs()).isZero();
+    }
+
     /**
      * Guards against a task that starts again after its end: a restarted worker has executed the
      * start, and the end is not among those of its first listing.
--- a/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/DispatchMeasurement.java
+++ b/hickorycleat-measurements/src/main/java/org/hickorycleat/measurements/placement/DispatchMeasurement.java
@@ -234,6 +234,7 @@
                             ListCompleteness.COMPLETE,
                             false,
                             0,
+                            0,
                             true,
                             100));
         }
--- a/hickorycleat-model/src/main/java/org/hickorycleat/model/message/WorkerReport.java
+++ b/hickorycleat-model/src/main/java/org/hickorycleat/model/message/WorkerReport.java
@@ -22,9 +22,12 @@
  * @param lastCommandNumber number of the last command of the session that the lists reflect
  * @param pending runs whose start command is in flight and that are in no list yet
  * @param completeness whether a run in none of the lists has certainly ended
- * @param leaseExpired whether all runs on the worker have certainly ended because the lease expired
+ * @param leaseExpired whether all runs but the pending ones have certainly ended because the lease
+ *     expired
  * @param leaseRemainingMs longest time for which runs may continue on the worker without a further
- *     extension of the lease, in milliseconds
+ *     extension of the lease, in milliseconds; does not apply to the pending ones
+ * @param pendingLeaseRemainingMs the same for the pending runs, in milliseconds; a worker that has
+ *     restarted may hold them for as long as it grants leases
  * @param reachable whether the worker responds
  * @param bestEffortPercent lowest share at which a best-effort image may run, in percent
  */
@@ -41,6 +44,7 @@
         ListCompleteness completeness,
         boolean leaseExpired,
         long leaseRemainingMs,
+        long pendingLeaseRemainingMs,
         boolean reachable,
         int bestEffortPercent)
         implements Message {
