Bound the size of the reports of a worker

Cause: a report has all runs and ends of a worker with their checkpoints. A connection rejects a message above 1 MiB, its sender ignored that, and no line said so.

Change: a report names every run; checkpoints that do not fit take turns, and ends that do not fit wait for the acknowledgement of earlier ones, with the lists marked as partial. A message that exceeds a frame is logged.

Measured: RunSupervisorTest#reportsPartialListsIfEndsDoNotFit fails with the former report.

--- a/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/ChannelConnection.java
+++ b/hickorycleat-daemon/src/main/java/org/hickorycleat/daemon/transport/ChannelConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelPromise;
+import org.hickorycleat.daemon.logging.EventLog;
 import org.hickorycleat.model.message.Message;
 
 /** Sends messages on a channel. */
@@ -11,6 +12,8 @@
 // needed.
 @SuppressWarnings("FutureReturnValueIgnored")
 final class ChannelConnection implements MessageConnection {
+    private static final EventLog LOG = EventLog.of(ChannelConnection.class);
+
     private final Channel mChannel;
     private final MessageCodec mCodec;
     private final TransportMetrics mMetrics;
@@ -41,6 +44,11 @@
         byte[] content = mCodec.encode(message);
         if (content.length > MessageCodec.MAXIMUM_FRAME_BYTES) {
             mMetrics.countRejectedSend();
+            LOG.event("message_too_large")
+                    .with("type", message.getClass().getSimpleName())
+                    .with("bytes", content.length)
+                    .with("peer", remoteAddress())
+                    .warn();
             return false;
         }
         mMetrics.countSent(content.length);
--- a/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
+++ b/hickorycleat-logic/src/main/java/org/hickorycleat/logic/supervision/RunSupervisor.java
@@ -89,6 +89,7 @@
     private final WorkerClock mClock = new WorkerClock();
     private final ListingOrder mListingOrder = new ListingOrder();
     private final EndAcknowledgement mAcknowledgement = new EndAcknowledgement();
+    private final ReportSelection mReportSelection = new ReportSelection();
     private final BestEffortThrottle mThrottle;
     private final Map<RunId, PendingRun> mPending = new LinkedHashMap<>();
     private final Map<RunId, TaskTraits> mTraits = new HashMap<>();
@@ -765,6 +766,7 @@
                 mReportNumber,
                 isIncarnationChanging() ? Optional.empty() : mClock.lowerBoundMs(nowMs()));
         boolean reachable = isReachable();
+        List<EndedRun> ended = ReportSelection.selectEnded(mEnded);
         mOutput.sendToOwner(
                 new WorkerReport(
                         mReportNumber,
@@ -774,9 +776,9 @@
                         incarnation(),
                         mLastCommandNumber,
                         new ArrayList<>(mPending.keySet()),
-                        mRunning,
-                        mEnded,
-                        mCompleteness,
+                        mReportSelection.selectRunning(mRunning),
+                        ended,
+                        ended.size() < mEnded.size() ? ListCompleteness.PARTIAL : mCompleteness,
                         !reachable && nowMs() > mLeaseExpiredByMs,
                         Math.max(0, mLeaseExpiredByMs - nowMs()),
                         mPending.isEmpty() ? 0 : Math.max(0, mPendingExpiredByMs - nowMs()),
--- a/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
+++ b/hickorycleat-logic/src/test/java/org/hickorycleat/logic/supervision/RunSupervisorTest.java
@@ -642,6 +642,23 @@
         assertThat(lastReport().pending()).isEmpty();
     }
 
+    /** Guards against a run that counts as absent because its end did not fit into the report. */
+    @Test
+    void reportsPartialListsIfEndsDoNotFit() {
+        String checkpoint = "x".repeat(ReportSelection.MAXIMUM_CHARACTERS);
+        mWorker.mEnded.add(new EndedRun(1, RUN, EndCause.LAPSED, checkpoint));
+        RunId other = new RunId(RUN.task(), 2);
+        mWorker.mEnded.add(new EndedRun(2, other, EndCause.LAPSED, checkpoint));
+        advanceTime(1_000);
+        assertThat(lastReport().ended()).extracting(EndedRun::run).containsExactly(RUN);
+        assertThat(lastReport().completeness()).isEqualTo(ListCompleteness.PARTIAL);
+
+        mSupervisor.onLeaseExtension(new LeaseExtension(EPOCH, 0, 0, Optional.of(mIncarnation), 1));
+        advanceTime(1_000);
+        assertThat(lastReport().ended()).extracting(EndedRun::run).containsExactly(other);
+        assertThat(lastReport().completeness()).isEqualTo(ListCompleteness.COMPLETE);
+    }
+
     @Test
     void retriesStopWhileRunIsListed() {
         mWorker.mRunning.add(new RunSample(RUN, "", 10, 0));
