Show the error of a failed read in a test of the log service

The test read its first value without a look at the error, so the cause is not known. It now asserts that there is none; all other assertions stay.

--- a/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/logservice/HttpLogServiceTest.java
+++ b/hickorycleat-daemon/src/test/java/org/hickorycleat/daemon/logservice/HttpLogServiceTest.java
@@ -59,6 +59,7 @@
         appendAndWait(new byte[] {7});
 
         assertThat(read.await(5, TimeUnit.SECONDS)).isTrue();
+        read.assertNoErrors();
         assertThat(read.values().get(0).records()).hasSize(1);
     }
 
